--- /dev/null
+++ b/bin/scaleslip.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/cli/main.js';
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,31 @@
+import js from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'results/', 'src/proto/gen/', 'spec/build/'] },
+  js.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    extends: [...tseslint.configs.recommendedTypeChecked],
+    languageOptions: { parserOptions: { project: './tsconfig.json' } },
+    rules: {
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      '@typescript-eslint/no-empty-function': 'off',
+      'max-lines': ['error', { max: 650, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 70, skipBlankLines: true, skipComments: true }],
+      complexity: ['error', 18],
+    },
+  },
+  {
+    files: ['test/**/*.ts'],
+    rules: { 'max-lines-per-function': 'off' },
+  },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+  },
+);
--- /dev/null
+++ b/src/cli/daemon-command.ts
@@ -0,0 +1,79 @@
+/** `scaleslip daemon`: runs one daemon until it is told to stop. */
+import type { Command } from 'commander';
+import { LinkFaults } from '../common/link-faults.js';
+import { createLogger, faultText } from '../common/logger.js';
+import { Daemon } from '../daemon/daemon.js';
+import { loadSettings, type DaemonSettings } from '../daemon/settings.js';
+import { HttpEngineClient } from '../engines/http-engine-client.js';
+import { HttpPlatformClient } from '../platform/http-platform-client.js';
+import { fail } from './output.js';
+
+interface DaemonFlags {
+  readonly settings: string;
+  readonly name?: string;
+  readonly address?: string;
+  readonly callerPort?: string;
+  readonly peerPort?: string;
+  readonly zone?: string;
+  readonly site?: string;
+  readonly platform?: string;
+}
+
+/** Adds the command. */
+export function addDaemonCommand(program: Command): void {
+  program
+    .command('daemon')
+    .description('run a daemon: router, member, and by rank owner and reader')
+    .requiredOption('-c, --settings <file>', 'settings file (YAML)')
+    .option('--name <name>', 'name in logs')
+    .option('--address <ip>', 'IP number to listen on and to present')
+    .option('--caller-port <port>', 'port for callers and operators')
+    .option('--peer-port <port>', 'port for other daemons')
+    .option('--zone <zone>', 'zone of this machine')
+    .option('--site <site>', 'site of this machine')
+    .option('--platform <ip:port>', 'the platform’s service')
+    .action(runDaemon);
+}
+
+function overridesOf(flags: DaemonFlags): Record<string, unknown> {
+  const { name, address, zone, site, platform, callerPort, peerPort } = flags;
+  const given = Object.entries({ name, address, zone, site, platform });
+  const texts = Object.fromEntries(given.filter(([, value]) => value !== undefined));
+  const ports = {
+    ...(callerPort === undefined ? {} : { callerPort: Number(callerPort) }),
+    ...(peerPort === undefined ? {} : { peerPort: Number(peerPort) }),
+  };
+  return { ...texts, ...ports };
+}
+
+async function runDaemon(flags: DaemonFlags): Promise<void> {
+  const settings = loadSettings(flags.settings, overridesOf(flags));
+  if (settings.isErr) return fail(settings.error);
+  const daemon = makeDaemon(settings.value);
+  process.on('uncaughtException', (fault) => {
+    const logger = createLogger({ daemon: settings.value.name });
+    logger.error('uncaught_fault', { reason: faultText(fault) });
+    process.exit(1);
+  });
+  const stop = (): void => {
+    void daemon.drain().then(() => process.exit(0));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  await daemon.start();
+}
+
+function makeDaemon(settings: DaemonSettings): Daemon {
+  const faults = new LinkFaults();
+  let httpBytes = 0;
+  const onBytes = (bytes: number): void => {
+    httpBytes += bytes;
+  };
+  return new Daemon(settings, {
+    platform: new HttpPlatformClient(settings.platform, { faults, onBytes }),
+    engines: new HttpEngineClient({ faults, onBytes }),
+    logger: createLogger({ daemon: settings.name, level: settings.logLevel }),
+    faults,
+    httpControlBytes: () => httpBytes,
+  });
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,13 @@
+/** The command line of scaleslip. */
+import { Command } from 'commander';
+import { addDaemonCommand } from './daemon-command.js';
+import { addOperatorCommands } from './operator-commands.js';
+
+const program = new Command('scaleslip')
+  .description('serves language models that are rarely called')
+  .version('0.1.0')
+  .showHelpAfterError();
+
+addDaemonCommand(program);
+addOperatorCommands(program);
+await program.parseAsync();
--- /dev/null
+++ b/src/common/http-client.ts
@@ -0,0 +1,220 @@
+/** A small HTTP client on Node's `http`: JSON requests and streams of JSON lines. */
+import http from 'node:http';
+import { Result } from 'true-myth';
+import type { LinkFaults } from './link-faults.js';
+
+/** Why no whole answer came. */
+export interface TransportFailure {
+  /**
+   * `not_sent`: the connection was never made, so no byte of the request left.
+   * `lost`: the request may have arrived.
+   */
+  readonly reason: 'not_sent' | 'lost';
+  readonly message: string;
+}
+
+/** An answer with its body read to the end. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** One request. */
+export interface HttpRequest {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  /** "ip:port". */
+  readonly address: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Sent as JSON when present. */
+  readonly body?: unknown;
+  /** Milliseconds until the request is given up. */
+  readonly timeoutMs: number;
+}
+
+/** Receives a stream of JSON lines. */
+export interface LineHandler {
+  /** Called once, before any line. Return false to stop reading. */
+  onStart(status: number, headers: http.IncomingHttpHeaders): boolean;
+  onLine(line: unknown): void;
+  /** Called once; `failure` is undefined when the peer ended the stream itself. */
+  onEnd(failure?: TransportFailure): void;
+}
+
+/** A running stream. */
+export interface LineStream {
+  /** Stops reading and closes the connection; `onEnd` is not called. */
+  close(): void;
+}
+
+/** Options of {@link HttpClient}. */
+export interface HttpClientOptions {
+  /** Fault switches for tests; none by default. */
+  readonly faults?: LinkFaults;
+  /** Called with the bytes of each request and answer body, for accounting. */
+  readonly onBytes?: (bytes: number) => void;
+}
+
+/** Keeps connections open between requests. */
+export class HttpClient {
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 256, timeout: 60_000 });
+
+  constructor(private readonly options: HttpClientOptions = {}) {}
+
+  /** Closes all connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  /** Sends a request and reads the whole answer. */
+  async send(request: HttpRequest): Promise<Result<HttpAnswer, TransportFailure>> {
+    return new Promise((resolve) => {
+      let finished = false;
+      const finish = (result: Result<HttpAnswer, TransportFailure>): void => {
+        if (finished) return;
+        finished = true;
+        clearTimeout(timer);
+        resolve(result);
+      };
+      const timer = setTimeout(() => {
+        finish(Result.err({ reason: 'lost', message: `no answer in ${request.timeoutMs} ms` }));
+        outgoing?.destroy();
+      }, request.timeoutMs);
+      const outgoing = this.start(request, finish, (incoming) => {
+        const chunks: Buffer[] = [];
+        incoming.on('data', (chunk: Buffer) => {
+          this.options.onBytes?.(chunk.length);
+          chunks.push(chunk);
+        });
+        incoming.on('error', (fault) => finish(lost(fault)));
+        incoming.on('end', () => {
+          if (this.silenced(request.address)) return;
+          const body = Buffer.concat(chunks).toString('utf8');
+          finish(Result.ok({ status: incoming.statusCode ?? 0, headers: incoming.headers, body }));
+        });
+      });
+    });
+  }
+
+  /** Opens a stream of JSON lines. The timeout covers the time until the head of the answer. */
+  stream(request: HttpRequest, handler: LineHandler): LineStream {
+    let ended = false;
+    const end = (failure?: TransportFailure): void => {
+      if (ended) return;
+      ended = true;
+      clearTimeout(timer);
+      handler.onEnd(failure);
+      outgoing?.destroy();
+    };
+    const timer = setTimeout(() => {
+      end({ reason: 'lost', message: `no answer in ${request.timeoutMs} ms` });
+    }, request.timeoutMs);
+    const outgoing = this.start(
+      request,
+      (result) => end(result.isErr ? result.error : undefined),
+      (incoming) => {
+        if (ended || this.silenced(request.address)) return;
+        clearTimeout(timer);
+        if (!handler.onStart(incoming.statusCode ?? 0, incoming.headers)) {
+          ended = true;
+          outgoing?.destroy();
+          return;
+        }
+        this.readLines(request.address, incoming, handler, end, () => ended);
+      },
+    );
+    return {
+      close: () => {
+        ended = true;
+        clearTimeout(timer);
+        outgoing?.destroy();
+      },
+    };
+  }
+
+  private readLines(
+    address: string,
+    incoming: http.IncomingMessage,
+    handler: LineHandler,
+    end: (failure?: TransportFailure) => void,
+    isEnded: () => boolean,
+  ): void {
+    let rest = '';
+    incoming.setEncoding('utf8');
+    incoming.on('data', (text: string) => {
+      this.options.onBytes?.(text.length);
+      if (this.silenced(address)) return;
+      const lines = (rest + text).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) {
+        if (isEnded()) return;
+        if (line === '') continue;
+        const parsed = parseJson(line);
+        if (parsed.isErr) {
+          end({ reason: 'lost', message: 'the peer sent a line that is not JSON' });
+          return;
+        }
+        handler.onLine(parsed.value);
+      }
+    });
+    incoming.on('error', (fault) => end({ reason: 'lost', message: fault.message }));
+    incoming.on('end', () => {
+      if (!this.silenced(address)) end();
+    });
+  }
+
+  private start(
+    request: HttpRequest,
+    fail: (result: Result<HttpAnswer, TransportFailure>) => void,
+    onAnswer: (incoming: http.IncomingMessage) => void,
+  ): http.ClientRequest | undefined {
+    if (this.options.faults?.blocksOutbound(request.address)) return undefined;
+    const [host, port] = splitAddress(request.address);
+    const payload = request.body === undefined ? undefined : JSON.stringify(request.body);
+    const headers: Record<string, string | number> = { ...request.headers };
+    if (payload !== undefined) {
+      headers['content-type'] = 'application/json';
+      headers['content-length'] = Buffer.byteLength(payload);
+    }
+    let connected = false;
+    const outgoing = http.request(
+      { host, port, method: request.method, path: request.path, headers, agent: this.agent },
+      onAnswer,
+    );
+    outgoing.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', () => (connected = true));
+      else connected = true;
+    });
+    outgoing.on('error', (fault) => {
+      const reason = connected ? 'lost' : 'not_sent';
+      fail(Result.err({ reason, message: fault.message }));
+    });
+    this.options.onBytes?.(payload?.length ?? 0);
+    outgoing.end(payload);
+    return outgoing;
+  }
+
+  private silenced(address: string): boolean {
+    return this.options.faults?.blocksInbound(address) ?? false;
+  }
+}
+
+/** Splits "ip:port". */
+export function splitAddress(address: string): [host: string, port: number] {
+  const colon = address.lastIndexOf(':');
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
+
+/** Parses JSON without throwing. */
+export function parseJson(text: string): Result<unknown, string> {
+  try {
+    return Result.ok(JSON.parse(text) as unknown);
+  } catch (fault) {
+    return Result.err(fault instanceof Error ? fault.message : 'not JSON');
+  }
+}
+
+function lost(fault: Error): Result<HttpAnswer, TransportFailure> {
+  return Result.err({ reason: 'lost', message: fault.message });
+}
--- /dev/null
+++ b/src/common/http-server.ts
@@ -0,0 +1,80 @@
+/** Helpers around Node's `http` server: bounded bodies, JSON answers, graceful listen. */
+import http from 'node:http';
+import { Result } from 'true-myth';
+import { answerFor, errorBody, retryAfterOf, serviceError, type ServiceError } from './errors.js';
+import { parseJson } from './http-client.js';
+
+/** Reads a body of at most `limit` bytes. Fails with `body_too_large` or `malformed_request`. */
+export async function readBody(
+  request: http.IncomingMessage,
+  limit: number,
+): Promise<Result<string, ServiceError>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= limit) chunks.push(chunk);
+    });
+    request.on('end', () => {
+      if (size > limit) {
+        resolve(Result.err(serviceError('body_too_large', `the body is over ${limit} bytes`)));
+        return;
+      }
+      resolve(Result.ok(Buffer.concat(chunks).toString('utf8')));
+    });
+    request.on('error', () => {
+      resolve(Result.err(serviceError('malformed_request', 'the body was cut off')));
+    });
+  });
+}
+
+/** Reads a JSON body. */
+export async function readJson(
+  request: http.IncomingMessage,
+  limit: number,
+): Promise<Result<unknown, ServiceError>> {
+  const body = await readBody(request, limit);
+  if (body.isErr) return Result.err(body.error);
+  return parseJson(body.value === '' ? '{}' : body.value).mapErr((why) =>
+    serviceError('malformed_request', `the body is not JSON: ${why}`),
+  );
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  response: http.ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.end(JSON.stringify(body));
+}
+
+/** Sends an error of the closed list. */
+export function sendError(
+  response: http.ServerResponse,
+  error: ServiceError,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const retryAfter = retryAfterOf(error);
+  const answer = answerFor(error.kind);
+  const all: Record<string, string> = { ...headers };
+  all['x-ran'] = answer.ran;
+  all['x-error-kind'] = error.kind;
+  if (retryAfter > 0) all['retry-after'] = String(retryAfter);
+  sendJson(response, answer.status, errorBody(error), all);
+}
+
+/** Listens on an IP number; port 0 takes a free one. Resolves with the port. */
+export function listen(server: http.Server, host: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      const address = server.address();
+      resolve(typeof address === 'object' && address !== null ? address.port : port);
+    });
+  });
+}
--- /dev/null
+++ b/src/common/rendezvous.ts
@@ -0,0 +1,32 @@
+/**
+ * Rendezvous (highest random weight) ranking: every daemon ranks the same
+ * candidates for a name in the same order, without talking to the others.
+ */
+import murmurhash from 'murmurhash';
+
+/** The weight of a candidate for a name, from 0 to 2^32 - 1. */
+export function rendezvousWeight(name: string, candidate: string): number {
+  return murmurhash.v3(`${name}\n${candidate}`);
+}
+
+/** Candidates for a name, best first; equal weights fall back to the order of the text. */
+export function rankCandidates(name: string, candidates: readonly string[]): string[] {
+  return candidates
+    .map((candidate) => ({ candidate, weight: rendezvousWeight(name, candidate) }))
+    .sort((a, b) => b.weight - a.weight || (a.candidate < b.candidate ? -1 : 1))
+    .map((entry) => entry.candidate);
+}
+
+/** The best candidate for a name, or undefined if there is none. */
+export function firstCandidate(name: string, candidates: Iterable<string>): string | undefined {
+  let best: string | undefined;
+  let bestWeight = -1;
+  for (const candidate of candidates) {
+    const weight = rendezvousWeight(name, candidate);
+    const wins = weight > bestWeight || (weight === bestWeight && candidate < (best ?? ''));
+    if (!wins) continue;
+    best = candidate;
+    bestWeight = weight;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/core/membership-messages.ts
@@ -0,0 +1,40 @@
+/** Events and effects of the membership protocol. */
+
+/** What a daemon believes about another. */
+export type LivenessState = 'alive' | 'suspect' | 'dead' | 'leaving';
+
+/** One daemon as membership sees it. */
+export interface MemberView {
+  /** Peer address, "ip:port". */
+  readonly address: string;
+  readonly zone: string;
+  readonly site: string;
+  /** Start time in Unix milliseconds, raised to refute a suspicion. */
+  readonly incarnation: number;
+  readonly state: LivenessState;
+}
+
+/** A probe message. */
+export type ProbeMessage =
+  | { readonly type: 'ping'; readonly sequence: number; readonly updates: readonly MemberView[] }
+  | { readonly type: 'ack'; readonly sequence: number; readonly updates: readonly MemberView[] }
+  | {
+      readonly type: 'ping_request';
+      readonly sequence: number;
+      readonly target: string;
+      readonly updates: readonly MemberView[];
+    };
+
+/** What membership reacts to. */
+export type MembershipEvent =
+  | { readonly type: 'tick' }
+  | { readonly type: 'message'; readonly from: string; readonly message: ProbeMessage }
+  /** Addresses that the platform's list names; they are probed, not believed. */
+  | { readonly type: 'seeds'; readonly addresses: readonly string[] }
+  | { readonly type: 'leave' };
+
+/** What membership has done for it. */
+export type MembershipEffect =
+  | { readonly type: 'send'; readonly to: string; readonly message: ProbeMessage }
+  /** The set of live members has changed. */
+  | { readonly type: 'changed' };
--- /dev/null
+++ b/src/core/router.ts
@@ -0,0 +1,533 @@
+/**
+ * A router's decisions: which requests wait, which replica takes one, what
+ * happens when a connection fails, and when a request is refused. Deterministic:
+ * no I/O, no clock, no randomness of its own.
+ *
+ * A request moves waiting -> claiming -> waiting -> sent -> streaming -> ended.
+ * A request that may not be repeated is never sent a second time once a byte of
+ * it may have left, unless the engine itself says that it did not run.
+ */
+import type { ErrorKind } from '../common/errors.js';
+import type { ReplicaLoad, RequestRefusal } from '../engines/engine-client.js';
+import type { TenantSpec } from './documents.js';
+import type { TenantLocation } from './pool-messages.js';
+import type { ReplicaChoice } from './replica-choice.js';
+import type {
+  PoolRoute,
+  RoutedRequest,
+  RouterEffect,
+  RouterEvent,
+  RoutingDirectory,
+} from './router-messages.js';
+import { TenantRoute } from './tenant-route.js';
+import { TokenBucket } from './token-bucket.js';
+
+/** Milliseconds between two wakes of one tenant while requests wait. */
+const WAKE_PERIOD_MS = 500;
+/** Milliseconds between two renewals while a tenant is in use. */
+const RENEW_PERIOD_MS = 5_000;
+/** Milliseconds without use after which a tenant is forgotten. */
+const FORGET_AFTER_MS = 20_000;
+/** Resumes of one broken stream, and the pause before each. */
+const RESUME_PAUSES_MS = [0, 100, 400, 1_000] as const;
+/** Times that an engine may refuse one request before the caller is refused. */
+const MOST_REFUSALS = 8;
+/** Second runs allowed in proportion to requests, and a second whatever the load. */
+const RETRY_SHARE = 0.1;
+const RETRIES_PER_SECOND = 1;
+const RETRY_BURST = 10;
+
+/** How a router decides. */
+export interface RouterOptions {
+  /** This daemon's peer address. */
+  readonly self: string;
+  readonly directory: RoutingDirectory;
+  readonly choice: ReplicaChoice;
+}
+
+type Phase = 'claiming' | 'waiting' | 'sent' | 'streaming' | 'resuming' | 'cancelling';
+
+interface RequestState {
+  readonly request: RoutedRequest;
+  phase: Phase;
+  engine: string;
+  /** Start of the engine process that the request was sent to. */
+  incarnation: string;
+  /** The key is claimed: the request may be sent. */
+  claimed: boolean;
+  /** The engine has accepted the request. */
+  started: boolean;
+  tokens: number;
+  resumes: number;
+  refusals: number;
+}
+
+/** Requests and locations at one router. */
+export class Router {
+  private readonly requests = new Map<string, RequestState>();
+  private readonly routes = new Map<string, TenantRoute>();
+  private readonly leaving = new Set<string>();
+  private readonly retries: TokenBucket;
+  private draining = false;
+  private effects: RouterEffect[] = [];
+
+  constructor(
+    private readonly options: RouterOptions,
+    now: number,
+  ) {
+    this.retries = new TokenBucket(RETRIES_PER_SECOND, RETRY_BURST, now);
+  }
+
+  /** Requests that have not ended. */
+  get size(): number {
+    return this.requests.size;
+  }
+
+  /** Requests waiting in queues. */
+  waitingCount(): number {
+    let waiting = 0;
+    for (const route of this.routes.values()) waiting += route.queue.size;
+    return waiting;
+  }
+
+  /** What is known of a tenant, for the status page. */
+  route(tenant: string): TenantRoute | undefined {
+    return this.routes.get(tenant);
+  }
+
+  /** Handles one event and returns what is to be done. */
+  handle(event: RouterEvent, now: number): RouterEffect[] {
+    this.effects = [];
+    switch (event.type) {
+      case 'arrived':
+        this.arrive(event.request, now);
+        break;
+      case 'claim_settled':
+        this.claimSettled(event.id, event.outcome, now);
+        break;
+      case 'accepted':
+        this.accepted(event.id, event.load, now);
+        break;
+      case 'token':
+        this.tokenReceived(event.id);
+        break;
+      case 'refused':
+        this.refusedByEngine(event.id, event.refusal, now);
+        break;
+      case 'broken':
+        this.broken(event.id, event.sent, now);
+        break;
+      case 'cancelled':
+        this.cancelled(event.id, event.ran, now);
+        break;
+      case 'done':
+        this.finish(event.id, now);
+        break;
+      case 'deadline':
+        this.deadlinePassed(event.id, now);
+        break;
+      case 'caller_gone':
+        this.callerGone(event.id, now);
+        break;
+      case 'location':
+        this.locationChanged(event.from, event.location, now);
+        break;
+      case 'engine_leaving':
+        this.engineLeaving(event.engine, now);
+        break;
+      case 'configuration_changed':
+        this.configurationChanged(now);
+        break;
+      case 'drain':
+        this.drain(now);
+        break;
+      case 'tick':
+        this.tick(now);
+        break;
+    }
+    return this.effects;
+  }
+
+  private arrive(request: RoutedRequest, now: number): void {
+    const spec = this.options.directory.tenant(request.tenant);
+    const refusal = this.admission(request, spec, now);
+    if (refusal !== undefined) {
+      this.effects.push({ type: 'refuse', id: request.id, ...refusal });
+      return;
+    }
+    const needsClaim = request.idempotencyKey !== undefined;
+    const state: RequestState = {
+      request,
+      phase: needsClaim ? 'claiming' : 'waiting',
+      engine: '',
+      incarnation: '',
+      claimed: !needsClaim,
+      started: false,
+      tokens: 0,
+      resumes: 0,
+      refusals: 0,
+    };
+    this.requests.set(request.id, state);
+    this.retries.add(RETRY_SHARE, now);
+    if (needsClaim) this.effects.push({ type: 'claim', request });
+    else this.enqueue(state, now);
+  }
+
+  private admission(
+    request: RoutedRequest,
+    spec: TenantSpec | undefined,
+    now: number,
+  ): { kind: ErrorKind; reason: string; retryAfterMs?: number } | undefined {
+    if (this.draining) return { kind: 'draining', reason: 'this daemon is stopping' };
+    if (spec === undefined) return { kind: 'unknown_tenant', reason: 'no such tenant' };
+    if (request.deadline <= now) {
+      return { kind: 'deadline_exceeded_waiting', reason: 'the deadline has passed already' };
+    }
+    const route = this.routeOf(spec, now);
+    if (route.queue.size >= spec.limits.queue) {
+      return { kind: 'queue_full', reason: `${route.queue.size} requests wait already` };
+    }
+    const allowed = Math.ceil(spec.limits.inFlight / route.routers());
+    if (route.inFlight + route.queue.size >= allowed) {
+      return { kind: 'concurrency_limited', reason: `${allowed} requests run or wait already` };
+    }
+    const retryAfterMs = route.takeRate(spec, now);
+    if (retryAfterMs === 0) return undefined;
+    return { kind: 'rate_limited', reason: 'over the requests a second', retryAfterMs };
+  }
+
+  private routeOf(spec: TenantSpec, now: number): TenantRoute {
+    const known = this.routes.get(spec.name);
+    if (known !== undefined) return known;
+    const route = new TenantRoute(spec, now);
+    this.routes.set(spec.name, route);
+    return route;
+  }
+
+  private claimSettled(
+    id: string,
+    outcome: 'granted' | 'taken' | 'unavailable',
+    now: number,
+  ): void {
+    const state = this.requests.get(id);
+    if (state?.phase !== 'claiming') return;
+    if (outcome === 'granted') {
+      state.claimed = true;
+      this.enqueue(state, now);
+      return;
+    }
+    const kind = outcome === 'taken' ? 'duplicate_request' : 'claim_unavailable';
+    this.refuse(state, kind, 'the idempotency key could not be claimed', now);
+  }
+
+  private enqueue(state: RequestState, now: number): void {
+    const route = this.routes.get(state.request.tenant);
+    if (route === undefined) {
+      this.refuse(state, 'unknown_tenant', 'the tenant was deleted', now);
+      return;
+    }
+    state.phase = 'waiting';
+    state.engine = '';
+    route.queue.push(state.request);
+    route.lastUsedAt = now;
+    this.dispatch(state.request.tenant, now);
+    if (state.phase !== 'waiting') return;
+    this.refuseIfHopeless(state, now);
+    if (this.requests.has(state.request.id)) this.wake(state.request.tenant, now, false);
+  }
+
+  /** Sends waiting requests, most urgent first, while replicas have room. */
+  private dispatch(tenant: string, now: number): void {
+    const route = this.routes.get(tenant);
+    if (route === undefined) return;
+    while (route.queue.size > 0) {
+      const replica = this.options.choice.choose(route.usableReplicas(now, this.leaving));
+      if (replica === undefined) return;
+      const request = route.queue.shift();
+      const state = request === undefined ? undefined : this.requests.get(request.id);
+      if (state === undefined) continue;
+      state.phase = 'sent';
+      state.engine = replica.engine;
+      state.incarnation = replica.incarnation;
+      route.countSent(replica.engine);
+      route.lastUsedAt = now;
+      const { engine, incarnation } = replica;
+      this.effects.push({ type: 'send', id: state.request.id, engine, incarnation });
+    }
+  }
+
+  /** Refuses at once what cannot make it, with when to come back. */
+  private refuseIfHopeless(state: RequestState, now: number): void {
+    const tenant = state.request.tenant;
+    const route = this.routes.get(tenant);
+    const pools = this.options.directory.routes(tenant);
+    if (route === undefined || route.isLoaded()) return;
+    if (pools.length === 0) {
+      this.refuse(state, 'no_capacity', 'no pool has a replica for the tenant', now);
+      return;
+    }
+    const known = pools.map((pool) => route.locationOf(pool.pool));
+    if (known.every((location) => location !== undefined && isRefusal(location))) {
+      const waits = known.map((location) => location?.retryAfterMs ?? 0);
+      const failed = known.some((location) => location?.state === 'load_failed');
+      const kind = failed ? 'load_failed' : 'no_capacity';
+      this.refuse(state, kind, 'no replica can be loaded now', now, Math.min(...waits));
+      return;
+    }
+    const loading = known.find((location) => location?.state === 'loading');
+    if (loading === undefined || now + loading.readyInMs <= state.request.deadline) return;
+    const reason = `a replica is expected in ${Math.round(loading.readyInMs)} ms`;
+    this.refuse(state, 'deadline_unreachable', reason, now, loading.readyInMs);
+  }
+
+  /** Tells the owner of the first pool that may help; joined there with other routers' wakes. */
+  private wake(tenant: string, now: number, force: boolean): void {
+    const route = this.routes.get(tenant);
+    if (route === undefined) return;
+    if (!force && now - route.lastWakeAt < WAKE_PERIOD_MS) return;
+    const target = this.wakeTarget(route, this.options.directory.routes(tenant));
+    if (target === undefined) return;
+    route.lastWakeAt = now;
+    const deadline = route.queue.earliestDeadline();
+    this.effects.push({
+      type: 'wake',
+      owner: target.owner,
+      pool: target.pool,
+      wake: {
+        router: this.options.self,
+        tenant,
+        priority: route.queue.peek()?.priority ?? 0,
+        deadline: Number.isFinite(deadline) ? deadline : 0,
+        waiting: route.queue.size,
+        inFlight: route.inFlight,
+      },
+    });
+  }
+
+  private wakeTarget(route: TenantRoute, pools: readonly PoolRoute[]): PoolRoute | undefined {
+    const owned = pools.filter((pool) => pool.owner !== '');
+    const helpful = owned.find((pool) => {
+      const location = route.locationOf(pool.pool);
+      return location === undefined || !isRefusal(location);
+    });
+    return helpful ?? owned[0];
+  }
+
+  private accepted(id: string, load: ReplicaLoad, now: number): void {
+    const state = this.requests.get(id);
+    if (state === undefined || state.engine === '') return;
+    state.phase = 'streaming';
+    state.started = true;
+    const reported = load.slots > 0 ? load.inFlight / load.slots : 0;
+    this.routes.get(state.request.tenant)?.setReportedLoad(state.engine, reported, now);
+  }
+
+  private tokenReceived(id: string): void {
+    const state = this.requests.get(id);
+    if (state === undefined) return;
+    state.tokens += 1;
+    // Progress: the resumes start over.
+    state.resumes = 0;
+  }
+
+  /** The engine says itself that nothing ran: the request may go elsewhere. */
+  private refusedByEngine(id: string, refusal: RequestRefusal, now: number): void {
+    const state = this.requests.get(id);
+    if (state === undefined || state.engine === '') return;
+    const route = this.routes.get(state.request.tenant);
+    const engine = state.engine;
+    this.release(state);
+    if (refusal === 'busy') route?.pauseReplica(engine, now);
+    else if (refusal === 'leaving') this.engineLeaving(engine, now);
+    else route?.removeEngine(engine);
+    state.refusals += 1;
+    if (state.refusals >= MOST_REFUSALS) {
+      this.refuse(state, 'engine_refused', `engines refused ${state.refusals} times`, now);
+      return;
+    }
+    this.enqueue(state, now);
+  }
+
+  private broken(id: string, sent: boolean, now: number): void {
+    const state = this.requests.get(id);
+    if (state === undefined || state.engine === '') return;
+    if (!sent && state.phase === 'sent') {
+      this.refusedByEngine(id, 'not_loaded', now);
+      return;
+    }
+    const pause = RESUME_PAUSES_MS[state.resumes];
+    if (pause !== undefined) {
+      state.phase = 'resuming';
+      state.resumes += 1;
+      this.effects.push({ type: 'resume', id, engine: state.engine, delayMs: pause });
+      return;
+    }
+    state.phase = 'cancelling';
+    const { engine, incarnation } = state;
+    this.effects.push({ type: 'cancel', id, engine, incarnation });
+  }
+
+  /** The stream is lost; what the engine said of the cancelled request decides. */
+  private cancelled(id: string, ran: 'no' | 'yes' | 'unknown', now: number): void {
+    const state = this.requests.get(id);
+    if (state?.phase !== 'cancelling') return;
+    const engine = state.engine;
+    this.release(state);
+    this.routes.get(state.request.tenant)?.removeEngine(engine);
+    // Once the engine has accepted the request, a later "it did not run" is wrong.
+    const truly = state.started ? 'yes' : ran;
+    if (truly === 'no') {
+      state.refusals += 1;
+      this.enqueue(state, now);
+      return;
+    }
+    const unheard = state.tokens === 0;
+    if (state.request.repeatable && unheard && this.retries.take(now)) {
+      state.started = false;
+      this.enqueue(state, now);
+      return;
+    }
+    const kind = truly === 'yes' ? 'engine_failed' : 'engine_outcome_unknown';
+    this.refuse(state, kind, 'the engine failed during the answer', now);
+  }
+
+  private finish(id: string, now: number): void {
+    const state = this.requests.get(id);
+    if (state === undefined) return;
+    this.release(state);
+    this.requests.delete(id);
+    const route = this.routes.get(state.request.tenant);
+    if (route !== undefined) route.lastUsedAt = now;
+    this.dispatch(state.request.tenant, now);
+  }
+
+  private deadlinePassed(id: string, now: number): void {
+    const state = this.requests.get(id);
+    if (state === undefined) return;
+    const kind = deadlineKind(state);
+    if (state.engine !== '') {
+      this.effects.push({ type: 'abandon', id, engine: state.engine });
+    }
+    this.refuse(state, kind, 'the deadline has passed', now);
+  }
+
+  private callerGone(id: string, now: number): void {
+    const state = this.requests.get(id);
+    if (state === undefined) return;
+    if (state.engine !== '') this.effects.push({ type: 'abandon', id, engine: state.engine });
+    this.end(state, now);
+  }
+
+  private refuse(
+    state: RequestState,
+    kind: ErrorKind,
+    reason: string,
+    now: number,
+    retryAfterMs?: number,
+  ): void {
+    const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
+    this.effects.push({ type: 'refuse', id: state.request.id, kind, reason, ...retry });
+    this.end(state, now);
+  }
+
+  private end(state: RequestState, now: number): void {
+    this.routes.get(state.request.tenant)?.queue.remove(state.request.id);
+    this.release(state);
+    this.requests.delete(state.request.id);
+    this.dispatch(state.request.tenant, now);
+  }
+
+  private release(state: RequestState): void {
+    if (state.engine === '') return;
+    this.routes.get(state.request.tenant)?.countEnded(state.engine);
+    state.engine = '';
+  }
+
+  private locationChanged(from: string, location: TenantLocation, now: number): void {
+    const route = this.routes.get(location.tenant);
+    if (route === undefined) return;
+    if (location.state === 'not_owner') {
+      const owner = this.ownerOf(location);
+      if (owner === from) route.dropLocation(location.pool);
+      return;
+    }
+    if (!route.setLocation(location)) return;
+    this.serveWaiting(location.tenant, now);
+    if (isRefusal(location) && route.queue.size > 0) this.wake(location.tenant, now, true);
+  }
+
+  private ownerOf(location: TenantLocation): string | undefined {
+    const routes = this.options.directory.routes(location.tenant);
+    return routes.find((route) => route.pool === location.pool)?.owner;
+  }
+
+  /** Dispatches what can go, and refuses what cannot make it. */
+  private serveWaiting(tenant: string, now: number): void {
+    this.dispatch(tenant, now);
+    const route = this.routes.get(tenant);
+    for (const request of route?.queue.items() ?? []) {
+      const state = this.requests.get(request.id);
+      if (state !== undefined) this.refuseIfHopeless(state, now);
+    }
+  }
+
+  private engineLeaving(engine: string, now: number): void {
+    this.leaving.add(engine);
+    for (const [tenant, route] of this.routes) {
+      if (!route.removeEngine(engine)) continue;
+      if (route.queue.size > 0) this.wake(tenant, now, true);
+    }
+  }
+
+  private configurationChanged(now: number): void {
+    for (const [tenant, route] of this.routes) {
+      route.keepPools(this.options.directory.routes(tenant));
+      if (this.options.directory.tenant(tenant) !== undefined) continue;
+      for (const request of route.queue.items()) {
+        const state = this.requests.get(request.id);
+        if (state !== undefined)
+          this.refuse(state, 'unknown_tenant', 'the tenant was deleted', now);
+      }
+    }
+  }
+
+  /** Takes nothing new; refuses what has not been sent, so that callers go elsewhere at once. */
+  private drain(now: number): void {
+    this.draining = true;
+    for (const state of [...this.requests.values()]) {
+      if (state.engine !== '') continue;
+      this.refuse(state, 'draining', 'this daemon is stopping', now);
+    }
+  }
+
+  private tick(now: number): void {
+    for (const [tenant, route] of this.routes) {
+      if (route.queue.size > 0) {
+        this.serveWaiting(tenant, now);
+        if (route.queue.size > 0) this.wake(tenant, now, false);
+      } else if (route.inFlight > 0 && now - route.lastWakeAt >= RENEW_PERIOD_MS) {
+        this.wake(tenant, now, true);
+      } else if (this.isForgotten(route, now)) {
+        this.routes.delete(tenant);
+      }
+    }
+  }
+
+  private isForgotten(route: TenantRoute, now: number): boolean {
+    return route.inFlight === 0 && now - route.lastUsedAt > FORGET_AFTER_MS;
+  }
+
+  /** An engine that the platform's list shows as live again may be used. */
+  engineReturned(engine: string): void {
+    this.leaving.delete(engine);
+  }
+}
+
+function isRefusal(location: TenantLocation): boolean {
+  return location.state === 'no_capacity' || location.state === 'load_failed';
+}
+
+function deadlineKind(state: RequestState): ErrorKind {
+  if (state.engine === '') return 'deadline_exceeded_waiting';
+  return state.started ? 'deadline_exceeded_running' : 'engine_outcome_unknown';
+}
--- /dev/null
+++ b/src/daemon/caller-exchange.ts
@@ -0,0 +1,139 @@
+/**
+ * One caller's HTTP exchange: renders the answer in the shape that OpenAI
+ * clients read, whole or as server-sent events. The head of the answer waits
+ * for the first token, so that a refusal still has its own status.
+ */
+import type http from 'node:http';
+import { answerFor, errorBody, type ServiceError } from '../common/errors.js';
+import { sendError, sendJson } from '../common/http-server.js';
+
+/** What the caller asked for. */
+export interface AnswerShape {
+  readonly id: string;
+  /** The tenant, as `model` in the answer. */
+  readonly model: string;
+  readonly chat: boolean;
+  readonly stream: boolean;
+  /** Unix seconds. */
+  readonly created: number;
+  readonly promptTokens: number;
+  readonly includeUsage: boolean;
+}
+
+/** Writes one answer. */
+export class CallerExchange {
+  private readonly texts: string[] = [];
+  private started = false;
+  private ended = false;
+
+  constructor(
+    private readonly response: http.ServerResponse,
+    readonly shape: AnswerShape,
+  ) {}
+
+  /** Whether the last byte has been written. */
+  get isEnded(): boolean {
+    return this.ended;
+  }
+
+  /** Tokens received. */
+  get tokens(): number {
+    return this.texts.length;
+  }
+
+  /** Adds a token; a repeated one after a resume is ignored. */
+  addToken(offset: number, text: string): boolean {
+    if (this.ended || offset !== this.texts.length) return false;
+    this.texts.push(text);
+    if (this.shape.stream) {
+      this.startStream();
+      this.writeEvent(this.chunk({ content: text }, null));
+    }
+    return true;
+  }
+
+  /** Ends the answer well. */
+  finish(finishReason: 'stop' | 'length'): void {
+    if (this.ended) return;
+    this.ended = true;
+    if (!this.shape.stream) {
+      sendJson(this.response, 200, this.wholeAnswer(finishReason), this.headers());
+      return;
+    }
+    this.startStream();
+    this.writeEvent(this.chunk({}, finishReason));
+    if (this.shape.includeUsage) this.writeEvent({ ...this.frame([]), usage: this.usage() });
+    this.response.end('data: [DONE]\n\n');
+  }
+
+  /** Ends the answer with an error; a stream that has begun gets it as its last event. */
+  fail(error: ServiceError): void {
+    if (this.ended) return;
+    this.ended = true;
+    if (this.started) {
+      this.writeEvent(errorBody(error));
+      this.response.end();
+      return;
+    }
+    sendError(this.response, error, { 'x-request-id': this.shape.id });
+  }
+
+  private headers(): Record<string, string> {
+    return { 'x-request-id': this.shape.id, 'x-ran': 'yes' };
+  }
+
+  private startStream(): void {
+    if (this.started || this.response.headersSent) return;
+    this.started = true;
+    this.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      ...this.headers(),
+    });
+  }
+
+  private writeEvent(body: unknown): void {
+    this.response.write(`data: ${JSON.stringify(body)}\n\n`);
+  }
+
+  private object(): string {
+    if (!this.shape.chat) return 'text_completion';
+    return this.shape.stream ? 'chat.completion.chunk' : 'chat.completion';
+  }
+
+  private frame(choices: readonly unknown[]): object {
+    const { id, created, model } = this.shape;
+    const prefix = this.shape.chat ? 'chatcmpl' : 'cmpl';
+    return { id: `${prefix}-${id}`, object: this.object(), created, model, choices };
+  }
+
+  private chunk(delta: { content?: string }, finishReason: string | null): object {
+    const head = { index: 0, finish_reason: finishReason };
+    if (!this.shape.chat) return this.frame([{ ...head, text: delta.content ?? '' }]);
+    const first = this.texts.length === 1 && delta.content !== undefined;
+    const role = first ? { role: 'assistant' } : {};
+    return this.frame([{ ...head, delta: { ...role, ...delta } }]);
+  }
+
+  private wholeAnswer(finishReason: string): object {
+    const text = this.texts.join('');
+    const head = { index: 0, finish_reason: finishReason };
+    const message = { role: 'assistant', content: text };
+    const choice = this.shape.chat ? { ...head, message } : { ...head, text };
+    return { ...this.frame([choice]), usage: this.usage() };
+  }
+
+  private usage(): object {
+    const { promptTokens } = this.shape;
+    return {
+      prompt_tokens: promptTokens,
+      completion_tokens: this.texts.length,
+      total_tokens: promptTokens + this.texts.length,
+    };
+  }
+}
+
+/** Whether a kind of error leaves open or denies that the request ran. */
+export function ranOf(error: ServiceError): string {
+  return answerFor(error.kind).ran;
+}
--- /dev/null
+++ b/src/daemon/codec.ts
@@ -0,0 +1,150 @@
+/** Between the decision logic's types and the internal protocol's messages. */
+import { create } from '@bufbuild/protobuf';
+import type { FeedEntry } from '../core/feed.js';
+import type { LivenessState, MemberView, ProbeMessage } from '../core/membership-messages.js';
+import type { TenantLocation, TenantLocationState, WakeRequest } from '../core/pool-messages.js';
+import {
+  AckSchema,
+  EntrySchema,
+  LocationSchema,
+  LocationState,
+  MemberState,
+  MemberUpdateSchema,
+  PingRequestSchema,
+  PingSchema,
+  WakeSchema,
+  type Entry,
+  type Location,
+  type MemberUpdate,
+  type Wake,
+} from '../proto/gen/internal_pb.js';
+import type { PeerBody } from './peer-transport.js';
+
+const MEMBER_STATES: Record<LivenessState, MemberState> = {
+  alive: MemberState.ALIVE,
+  suspect: MemberState.SUSPECT,
+  dead: MemberState.DEAD,
+  leaving: MemberState.LEAVING,
+};
+
+const LIVENESS: Record<MemberState, LivenessState> = {
+  [MemberState.ALIVE]: 'alive',
+  [MemberState.SUSPECT]: 'suspect',
+  [MemberState.DEAD]: 'dead',
+  [MemberState.LEAVING]: 'leaving',
+};
+
+const LOCATION_STATES: Record<TenantLocationState, LocationState> = {
+  cold: LocationState.COLD,
+  loading: LocationState.LOADING,
+  loaded: LocationState.LOADED,
+  no_capacity: LocationState.NO_CAPACITY,
+  load_failed: LocationState.LOAD_FAILED,
+  not_owner: LocationState.NOT_OWNER,
+};
+
+const TENANT_STATES: Record<LocationState, TenantLocationState> = {
+  [LocationState.COLD]: 'cold',
+  [LocationState.LOADING]: 'loading',
+  [LocationState.LOADED]: 'loaded',
+  [LocationState.NO_CAPACITY]: 'no_capacity',
+  [LocationState.LOAD_FAILED]: 'load_failed',
+  [LocationState.NOT_OWNER]: 'not_owner',
+};
+
+function encodeMember(view: MemberView): MemberUpdate {
+  return create(MemberUpdateSchema, { ...view, state: MEMBER_STATES[view.state] });
+}
+
+function decodeMember(update: MemberUpdate): MemberView {
+  const { address, zone, site, incarnation } = update;
+  return { address, zone, site, incarnation, state: LIVENESS[update.state] ?? 'alive' };
+}
+
+/** A probe as a message. */
+export function encodeProbe(message: ProbeMessage): PeerBody {
+  const updates = message.updates.map(encodeMember);
+  const { sequence } = message;
+  switch (message.type) {
+    case 'ping':
+      return { case: 'ping', value: create(PingSchema, { sequence, updates }) };
+    case 'ack':
+      return { case: 'ack', value: create(AckSchema, { sequence, updates }) };
+    case 'ping_request': {
+      const value = create(PingRequestSchema, { sequence, target: message.target, updates });
+      return { case: 'pingRequest', value };
+    }
+  }
+}
+
+/** A probe out of a message; undefined if it is another kind. */
+export function decodeProbe(body: PeerBody): ProbeMessage | undefined {
+  switch (body.case) {
+    case 'ping':
+    case 'ack': {
+      const { sequence, updates } = body.value;
+      return { type: body.case, sequence, updates: updates.map(decodeMember) };
+    }
+    case 'pingRequest': {
+      const { sequence, target, updates } = body.value;
+      return { type: 'ping_request', sequence, target, updates: updates.map(decodeMember) };
+    }
+    default:
+      return undefined;
+  }
+}
+
+/** A wake as a message. */
+export function encodeWake(pool: string, wake: WakeRequest): PeerBody {
+  const { tenant, priority, deadline, waiting, inFlight } = wake;
+  const value = create(WakeSchema, { pool, tenant, priority, deadline, waiting, inFlight });
+  return { case: 'wake', value };
+}
+
+/** A wake out of a message. */
+export function decodeWake(from: string, wake: Wake): WakeRequest {
+  const { tenant, priority, deadline, waiting, inFlight } = wake;
+  return { router: from, tenant, priority, deadline, waiting, inFlight };
+}
+
+/** A location as a message. */
+export function encodeLocation(location: TenantLocation): PeerBody {
+  const value = create(LocationSchema, {
+    pool: location.pool,
+    epoch: location.epoch,
+    version: location.version,
+    tenant: location.tenant,
+    state: LOCATION_STATES[location.state],
+    replicas: location.replicas.map((replica) => ({ ...replica })),
+    readyInMs: Math.round(location.readyInMs),
+    retryAfterMs: Math.round(location.retryAfterMs),
+    routers: location.routers,
+  });
+  return { case: 'location', value };
+}
+
+/** A location out of a message. */
+export function decodeLocation(location: Location): TenantLocation {
+  const { pool, epoch, version, tenant, readyInMs, retryAfterMs, routers } = location;
+  const replicas = location.replicas.map(({ engine, incarnation, share }) => ({
+    engine,
+    incarnation,
+    share,
+  }));
+  const state = TENANT_STATES[location.state] ?? 'cold';
+  return { pool, epoch, version, tenant, state, replicas, readyInMs, retryAfterMs, routers };
+}
+
+/** An object of a feed as a message. */
+export function encodeEntry(entry: FeedEntry): Entry {
+  const { key, revision } = entry;
+  return create(
+    EntrySchema,
+    entry.value === undefined ? { key, revision } : { key, revision, value: entry.value },
+  );
+}
+
+/** An object of a feed out of a message. */
+export function decodeEntry(entry: Entry): FeedEntry {
+  return { key: entry.key, revision: entry.revision, value: entry.value };
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,400 @@
+/**
+ * One daemon: router, member, and by rank owner of pools and reader of the
+ * platform. Puts the parts together; decides nothing itself.
+ */
+import { systemClock, type Clock } from '../common/clock.js';
+import { serviceError, type ServiceError } from '../common/errors.js';
+import { LinkFaults } from '../common/link-faults.js';
+import { faultText, type Logger } from '../common/logger.js';
+import { startTicker, type Ticker } from '../common/process.js';
+import { AdaptiveKeepAlive } from '../core/keep-alive-adaptive.js';
+import { Membership } from '../core/membership.js';
+import type { MembershipEvent } from '../core/membership-messages.js';
+import { CacheAwarePlacement } from '../core/placement-cache-aware.js';
+import type { TenantLocation, WakeRequest } from '../core/pool-messages.js';
+import type { PoolRecord } from '../core/records.js';
+import type { EngineClient } from '../engines/engine-client.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import { AdminApi } from './admin-api.js';
+import { CallerApi } from './caller-api.js';
+import {
+  decodeLocation,
+  decodeProbe,
+  decodeWake,
+  encodeLocation,
+  encodeProbe,
+  encodeWake,
+} from './codec.js';
+import { ConfigurationService, RELAY_HEARTBEAT_MS } from './configuration-service.js';
+import { Directory } from './directory.js';
+import { FrontDoor } from './front-door.js';
+import { KeyClaims } from './key-claims.js';
+import { DaemonMetrics } from './metrics.js';
+import { PeerTransport, type PeerBody } from './peer-transport.js';
+import { PoolClaims } from './pool-claims.js';
+import { PoolOwnerProcess } from './pool-owner-process.js';
+import { QuotaReconciler } from './quota-reconciler.js';
+import { RequestService } from './request-service.js';
+import type { DaemonSettings } from './settings.js';
+import { makeStatus, type StatusReport } from './status.js';
+
+/** Milliseconds between two looks at the membership's timers. */
+const MEMBERSHIP_TICK_MS = 50;
+/** Milliseconds between two looks at pools and peers. */
+const DUTY_TICK_MS = 500;
+/** Milliseconds between two clean-ups of expired claims. */
+const CLEANUP_MS = 30_000;
+/** Milliseconds that a leaving daemon's news has to spread before it closes its ports. */
+const FAREWELL_MS = 300;
+
+/** The outside systems, and what tests replace. */
+export interface DaemonDependencies {
+  readonly platform: PlatformClient;
+  readonly engines: EngineClient;
+  readonly logger: Logger;
+  readonly faults?: LinkFaults;
+  readonly clock?: Clock;
+  /** Bytes of control traffic over HTTP so far, for the metrics. */
+  readonly httpControlBytes?: () => number;
+}
+
+/** One running daemon. */
+export class Daemon {
+  readonly transport: PeerTransport;
+  readonly membership: Membership;
+  readonly configuration: ConfigurationService;
+  readonly directory: Directory;
+  readonly claims: PoolClaims;
+  readonly requests: RequestService;
+  readonly metrics = new DaemonMetrics();
+  private readonly keyClaims: KeyClaims;
+  private readonly quotas: QuotaReconciler;
+  private readonly frontDoor: FrontDoor;
+  private readonly clock: Clock;
+  private readonly tickers: Ticker[] = [];
+  private readonly seenPools = new Set<string>();
+  private draining = false;
+
+  constructor(
+    private readonly settings: DaemonSettings,
+    private readonly dependencies: DaemonDependencies,
+  ) {
+    const { platform, engines, logger } = dependencies;
+    const faults = dependencies.faults ?? new LinkFaults();
+    this.clock = dependencies.clock ?? systemClock;
+    const { clock } = this;
+    this.transport = new PeerTransport({
+      host: settings.address,
+      port: settings.peerPort,
+      logger,
+      faults,
+      onMessage: (from, body) => this.receive(from, body),
+      onDisconnect: (address) => this.configuration.peerDisconnected(address),
+    });
+    const self = this.transport.address;
+    const place = { address: self, zone: settings.zone, site: settings.site };
+    this.membership = new Membership({ ...place, incarnation: clock.now(), state: 'alive' });
+    const send = (to: string, body: PeerBody): void => this.transport.send(to, body);
+    this.configuration = new ConfigurationService({
+      self: place,
+      clock,
+      logger,
+      membership: this.membership,
+      platform,
+      readersPerZone: settings.readersPerZone,
+      send,
+      onConfigurationChange: (key) => this.configurationChanged(key),
+      onMachineChange: (address) => this.machineChanged(address),
+    });
+    this.directory = new Directory(
+      this.configuration.configuration.state,
+      this.configuration.machines.state,
+      settings.site,
+    );
+    const { directory, membership, metrics } = this;
+    this.keyClaims = new KeyClaims({ clock, membership, send });
+    const isCurrent = (): boolean => this.configuration.isCurrent();
+    this.quotas = new QuotaReconciler({ self, membership, platform, directory, logger, isCurrent });
+    this.requests = new RequestService({
+      self,
+      clock,
+      logger,
+      metrics,
+      engines,
+      directory,
+      claims: this.keyClaims,
+      sendWake: (owner, pool, wake) => send(owner, encodeWake(pool, wake)),
+    });
+    this.claims = new PoolClaims({
+      self,
+      clock,
+      logger,
+      membership,
+      platform,
+      engines,
+      directory,
+      configurationRevision: () => this.configuration.configuration.state.revision,
+      startOwner: (record) => this.startOwner(record),
+    });
+    this.frontDoor = this.makeFrontDoor(faults);
+  }
+
+  /** This daemon's peer address. */
+  get address(): string {
+    return this.transport.address;
+  }
+
+  /** Opens the ports and starts to take part. */
+  async start(): Promise<void> {
+    await this.transport.start();
+    await this.frontDoor.start();
+    const { settings, dependencies } = this;
+    dependencies.logger.info('daemon_started', {
+      peer: this.address,
+      callers: `${settings.address}:${settings.callerPort}`,
+      zone: settings.zone,
+      site: settings.site,
+    });
+    const onFault = (fault: unknown): void => {
+      dependencies.logger.error('daemon_fault', { reason: faultText(fault) });
+    };
+    this.tickers.push(
+      startTicker(MEMBERSHIP_TICK_MS, () => this.membershipEvent({ type: 'tick' }), onFault),
+      startTicker(DUTY_TICK_MS, () => this.lookAtDuties(), onFault),
+      startTicker(RELAY_HEARTBEAT_MS, () => this.configuration.sendHeartbeats(), onFault),
+      startTicker(CLEANUP_MS, () => this.keyClaims.expire(), onFault),
+    );
+    this.offerSeeds();
+    this.membersChanged();
+  }
+
+  /** Why no request can be taken now; undefined when it can. */
+  unready(): ServiceError | undefined {
+    if (this.draining) return serviceError('draining', 'this daemon is stopping');
+    if (this.configuration.isCurrent()) return undefined;
+    return serviceError('not_ready', 'the configuration has not been confirmed yet');
+  }
+
+  /**
+   * A planned stop: nothing new is taken, streams finish, pools and claims are
+   * handed over. Resolves when all is done.
+   */
+  async drain(): Promise<void> {
+    if (this.draining) return;
+    this.draining = true;
+    const { logger } = this.dependencies;
+    logger.info('drain_started', { unfinished: this.requests.unfinished });
+    this.membershipEvent({ type: 'leave' });
+    this.keyClaims.handOver();
+    await this.claims.release();
+    await this.requests.drain();
+    await this.frontDoor.stop();
+    await new Promise((resolve) => setTimeout(resolve, FAREWELL_MS));
+    this.close();
+    logger.info('drain_finished');
+  }
+
+  /** Stops at once, as after a crash, for tests and hollow daemons. */
+  kill(): void {
+    this.frontDoor.kill();
+    this.close();
+  }
+
+  /** The status report. */
+  status(): StatusReport {
+    return makeStatus({
+      daemon: this.settings.name,
+      ready: this.unready() === undefined,
+      configurationRevision: this.configuration.configuration.state.revision,
+      members: this.membership.all(),
+      directory: this.directory,
+      owners: [...this.claims.owners.values()],
+      requests: this.requests,
+      now: this.clock.now(),
+    });
+  }
+
+  private close(): void {
+    for (const ticker of this.tickers) ticker.stop();
+    this.claims.stop();
+    this.quotas.stop();
+    this.configuration.stop();
+    this.requests.stop();
+    this.transport.stop();
+    this.dependencies.engines.close();
+    this.dependencies.platform.close();
+  }
+
+  private makeFrontDoor(faults: LinkFaults): FrontDoor {
+    const { settings, dependencies, directory, clock } = this;
+    const unready = (): ServiceError | undefined => this.unready();
+    return new FrontDoor({
+      host: settings.address,
+      port: settings.callerPort,
+      logger: dependencies.logger,
+      metrics: this.metrics,
+      callers: new CallerApi({
+        clock,
+        directory,
+        requests: this.requests,
+        bodyLimitBytes: settings.bodyLimitBytes,
+        unready,
+      }),
+      operators: new AdminApi({
+        platform: dependencies.platform,
+        directory,
+        adminKeyHashes: settings.adminKeyHashes,
+        bodyLimitBytes: settings.bodyLimitBytes,
+        status: () => this.status(),
+      }),
+      unready,
+      refreshMetrics: () => this.refreshMetrics(),
+      faults: settings.faultInjection ? faults : undefined,
+    });
+  }
+
+  private startOwner(record: PoolRecord): PoolOwnerProcess {
+    const { dependencies, settings } = this;
+    const worth = settings.coldStartWorthSeconds;
+    return new PoolOwnerProcess({
+      record,
+      self: this.address,
+      clock: this.clock,
+      logger: dependencies.logger,
+      metrics: this.metrics,
+      platform: dependencies.platform,
+      engines: dependencies.engines,
+      directory: this.directory,
+      placement: new CacheAwarePlacement(),
+      keepAlive: new AdaptiveKeepAlive({
+        coldStartWorthMs: {
+          live: worth.live * 1000,
+          interactive: worth.interactive * 1000,
+          batch: worth.batch * 1000,
+        },
+      }),
+      remoteLoads: this.remoteLoadsFor(record),
+      pushLocation: (router, location) => this.transport.send(router, encodeLocation(location)),
+      onLost: (pool, epoch) => this.claims.lost(pool, epoch),
+    });
+  }
+
+  /** This pool's part of the loads that the weight store serves at full speed. */
+  private remoteLoadsFor(record: PoolRecord): number {
+    const pools = this.directory.pools().filter((other) => other.site === record.site);
+    const { fullSpeedLoads } = this.settings.weightStore;
+    return Math.max(1, Math.floor(fullSpeedLoads / Math.max(1, pools.length)));
+  }
+
+  private receive(from: string, body: PeerBody): void {
+    const probe = decodeProbe(body);
+    if (probe !== undefined) {
+      this.membershipEvent({ type: 'message', from, message: probe });
+      return;
+    }
+    if (this.configuration.handle(from, body)) return;
+    switch (body.case) {
+      case 'wake':
+        return this.wakeReceived(from, body.value.pool, decodeWake(from, body.value));
+      case 'location':
+        return this.requests.locationChanged(from, decodeLocation(body.value));
+      case 'claimKey':
+        return this.keyClaims.handleClaim(from, body.value);
+      case 'claimKeyAnswer':
+        return this.keyClaims.handleAnswer(from, body.value);
+      case 'claimTransfer':
+        return this.keyClaims.handleTransfer(body.value);
+      default:
+        this.dependencies.logger.warn('message_ignored', { from, kind: body.case });
+    }
+  }
+
+  private wakeReceived(from: string, pool: string, wake: WakeRequest): void {
+    const owner = this.claims.owners.get(pool);
+    if (owner !== undefined) {
+      owner.wake(wake);
+      return;
+    }
+    this.transport.send(from, encodeLocation(notOwner(pool, wake.tenant)));
+  }
+
+  private membershipEvent(event: MembershipEvent): void {
+    for (const effect of this.membership.handle(event, this.clock.now())) {
+      if (effect.type === 'send')
+        this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
+      else this.membersChanged();
+    }
+  }
+
+  private membersChanged(): void {
+    this.configuration.membersChanged();
+    if (!this.draining) this.quotas.membersChanged();
+    if (this.configuration.isCurrent()) this.claims.evaluate();
+  }
+
+  private lookAtDuties(): void {
+    this.configuration.askPeers();
+    this.offerSeeds();
+    if (this.draining || !this.configuration.isCurrent()) return;
+    this.claims.evaluate();
+  }
+
+  private offerSeeds(): void {
+    const listed = this.directory
+      .machines()
+      .filter((machine) => machine.kind === 'daemon' && machine.state === 'live')
+      .map((machine) => machine.address);
+    const addresses = [...new Set([...this.settings.seeds, ...listed])];
+    this.membershipEvent({ type: 'seeds', addresses });
+  }
+
+  private configurationChanged(key: string): void {
+    for (const owner of this.claims.owners.values()) owner.configurationChanged(key);
+    const slash = key.indexOf('/');
+    const kind = key.slice(0, slash);
+    const name = key.slice(slash + 1);
+    if (kind === 'tenant' || kind === 'quota') this.quotas.check(name);
+    if (kind === 'pool') this.poolChanged(name);
+    if (kind === 'template') this.quotas.checkAllSoon();
+    this.requests.configurationChanged();
+  }
+
+  private poolChanged(pool: string): void {
+    if (this.seenPools.has(pool)) return;
+    this.seenPools.add(pool);
+    this.quotas.checkAllSoon();
+  }
+
+  private machineChanged(address: string): void {
+    const machine = this.directory.machine(address);
+    if (machine?.kind === 'daemon') return;
+    if (machine?.state === 'live') this.requests.engineReturned(address);
+    else this.requests.engineLeaving(address);
+  }
+
+  private refreshMetrics(): void {
+    const { metrics, transport } = this;
+    const { confirmedAt } = this.configuration.configuration;
+    const age = confirmedAt === 0 ? -1 : (this.clock.now() - confirmedAt) / 1000;
+    metrics.configurationAge.set(age);
+    metrics.pools.set(this.claims.owners.size);
+    const http = this.dependencies.httpControlBytes?.() ?? 0;
+    metrics.controlBytes.set({ direction: 'sent' }, transport.counts.bytesSent);
+    metrics.controlBytes.set({ direction: 'received' }, transport.counts.bytesReceived);
+    metrics.controlBytes.set({ direction: 'http' }, http);
+  }
+}
+
+function notOwner(pool: string, tenant: string): TenantLocation {
+  return {
+    pool,
+    epoch: 0,
+    version: 0,
+    tenant,
+    state: 'not_owner',
+    replicas: [],
+    readyInMs: 0,
+    retryAfterMs: 0,
+    routers: 1,
+  };
+}
--- /dev/null
+++ b/src/daemon/front-door.ts
@@ -0,0 +1,104 @@
+/** The daemon's HTTP server: callers, operators, health and metrics on one port. */
+import http from 'node:http';
+import { serviceError, type ServiceError } from '../common/errors.js';
+import { listen, readJson, sendError, sendJson } from '../common/http-server.js';
+import type { LinkFaults } from '../common/link-faults.js';
+import { faultText, type Logger } from '../common/logger.js';
+import type { AdminApi } from './admin-api.js';
+import type { CallerApi } from './caller-api.js';
+import type { DaemonMetrics } from './metrics.js';
+
+const FAULTS_BODY_LIMIT_BYTES = 64 * 1024;
+
+/** What the server needs around it. */
+export interface FrontDoorOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly logger: Logger;
+  readonly metrics: DaemonMetrics;
+  readonly callers: CallerApi;
+  readonly operators: AdminApi;
+  readonly unready: () => ServiceError | undefined;
+  /** Brings the gauges up to date before they are read. */
+  readonly refreshMetrics: () => void;
+  /** Link faults that tests may switch; undefined in production. */
+  readonly faults: LinkFaults | undefined;
+}
+
+/** Serves HTTP. */
+export class FrontDoor {
+  private readonly server: http.Server;
+
+  constructor(private readonly options: FrontDoorOptions) {
+    this.server = http.createServer((request, response) => {
+      this.route(request, response).catch((fault: unknown) => {
+        options.logger.error('http_fault', { reason: faultText(fault) });
+        sendError(response, serviceError('internal', 'an unexpected fault; see the log'));
+      });
+    });
+    this.server.keepAliveTimeout = 65_000;
+    this.server.on('clientError', (_fault, socket) => {
+      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
+    });
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    await listen(this.server, this.options.host, this.options.port);
+  }
+
+  /** Takes no new connection; resolves when the last answer has been written. */
+  async stop(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  /** Cuts all connections. */
+  kill(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async route(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const path = (request.url ?? '/').split('?')[0] ?? '/';
+    if (path.startsWith('/v1/')) return this.options.callers.handle(path, request, response);
+    if (path.startsWith('/admin/v1/')) {
+      return this.options.operators.handle(path, request, response);
+    }
+    if (path === '/healthz') return sendJson(response, 200, { alive: true });
+    if (path === '/readyz') return this.readiness(response);
+    if (path === '/metrics') return this.metrics(response);
+    if (path === '/debug/links' && this.options.faults !== undefined) {
+      return this.setFaults(this.options.faults, request, response);
+    }
+    sendError(response, serviceError('not_found', `no such path: ${path}`));
+  }
+
+  private readiness(response: http.ServerResponse): void {
+    const unready = this.options.unready();
+    if (unready !== undefined) return sendError(response, unready);
+    sendJson(response, 200, { ready: true });
+  }
+
+  private async metrics(response: http.ServerResponse): Promise<void> {
+    this.options.refreshMetrics();
+    const { registry } = this.options.metrics;
+    const text = await registry.metrics();
+    response.writeHead(200, { 'content-type': registry.contentType });
+    response.end(text);
+  }
+
+  private async setFaults(
+    faults: LinkFaults,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const body = await readJson(request, FAULTS_BODY_LIMIT_BYTES);
+    if (body.isErr) return sendError(response, body.error);
+    const links = body.value as { outbound?: string[]; inbound?: string[] };
+    faults.set(links.outbound ?? [], links.inbound ?? []);
+    sendJson(response, 200, {});
+  }
+}
--- /dev/null
+++ b/src/daemon/key-claims.ts
@@ -0,0 +1,129 @@
+/** Claims idempotency keys at a quorum of daemons, and votes on the claims of others. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock } from '../common/clock.js';
+import {
+  CLAIM_VOTERS,
+  ClaimRound,
+  ClaimTable,
+  type ClaimOutcome,
+  type KeyClaim,
+} from '../core/claim-table.js';
+import { votersOf } from '../core/duties.js';
+import type { Membership } from '../core/membership.js';
+import {
+  ClaimKeyAnswerSchema,
+  ClaimKeySchema,
+  ClaimTransferSchema,
+  type ClaimKey,
+  type ClaimKeyAnswer,
+  type ClaimTransfer,
+} from '../proto/gen/internal_pb.js';
+import type { PeerBody } from './peer-transport.js';
+
+/** Milliseconds until a round without a quorum is given up. */
+const ROUND_TIMEOUT_MS = 600;
+/** Milliseconds that a granted round waits for a voter that might refuse. */
+const REFUSAL_GRACE_MS = 60;
+
+/** How a claim ended. */
+export type SettledClaim = Exclude<ClaimOutcome, 'pending'>;
+
+interface OpenRound {
+  readonly round: ClaimRound;
+  readonly voters: readonly string[];
+  readonly answered: Set<string>;
+  readonly settle: (outcome: SettledClaim) => void;
+}
+
+/** What claims need around them. */
+export interface KeyClaimsOptions {
+  readonly clock: Clock;
+  readonly membership: Membership;
+  readonly send: (to: string, body: PeerBody) => void;
+}
+
+/** Both sides of the claims at one daemon. */
+export class KeyClaims {
+  private readonly table: ClaimTable;
+  private readonly rounds = new Map<string, OpenRound>();
+
+  constructor(private readonly options: KeyClaimsOptions) {
+    this.table = new ClaimTable(options.clock.now());
+  }
+
+  /** Claims a key for a request; resolves at the latest after {@link ROUND_TIMEOUT_MS}. */
+  claim(tenant: string, key: string, request: string): Promise<SettledClaim> {
+    const { membership, send } = this.options;
+    const voters = votersOf(tenant, key, membership.live(), CLAIM_VOTERS);
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => settle('unavailable'), ROUND_TIMEOUT_MS);
+      const settle = (outcome: SettledClaim): void => {
+        clearTimeout(timer);
+        this.rounds.delete(request);
+        resolve(outcome);
+      };
+      const answered = new Set<string>();
+      this.rounds.set(request, { round: new ClaimRound(voters), voters, answered, settle });
+      const value = create(ClaimKeySchema, { tenant, key, request });
+      for (const voter of voters) send(voter, { case: 'claimKey', value });
+    });
+  }
+
+  /** Votes on a claim. */
+  handleClaim(from: string, message: ClaimKey): void {
+    const now = this.options.clock.now();
+    const { tenant, key, request } = message;
+    const granted = this.table.claim(tenant, key, request, now);
+    const young = this.table.isYoung(now);
+    const value = create(ClaimKeyAnswerSchema, { tenant, key, request, granted, young });
+    this.options.send(from, { case: 'claimKeyAnswer', value });
+  }
+
+  /** Counts a vote. */
+  handleAnswer(from: string, message: ClaimKeyAnswer): void {
+    const open = this.rounds.get(message.request);
+    if (open === undefined) return;
+    open.answered.add(from);
+    const outcome = open.round.vote(from, message.granted, message.young);
+    if (outcome === 'pending') return;
+    if (outcome !== 'granted' || open.answered.size === open.voters.length) {
+      open.settle(outcome);
+      return;
+    }
+    // A quorum has granted; the last voter may still know better.
+    setTimeout(() => {
+      if (this.rounds.get(message.request) === open) open.settle('granted');
+    }, REFUSAL_GRACE_MS);
+  }
+
+  /** Takes over the claims of a daemon that drains. */
+  handleTransfer(message: ClaimTransfer): void {
+    const claims = message.claims.map(({ tenant, key, request, expiresAt }): KeyClaim => ({
+      tenant,
+      key,
+      request,
+      expiresAt,
+    }));
+    this.table.adopt(claims, this.options.clock.now());
+  }
+
+  /** Hands this daemon's claims to those who vote once it is gone. */
+  handOver(): void {
+    const live = this.options.membership.live();
+    const byVoter = new Map<string, KeyClaim[]>();
+    for (const claim of this.table.all()) {
+      for (const voter of votersOf(claim.tenant, claim.key, live, CLAIM_VOTERS)) {
+        byVoter.set(voter, [...(byVoter.get(voter) ?? []), claim]);
+      }
+    }
+    for (const [voter, claims] of byVoter) {
+      const value = create(ClaimTransferSchema, { claims: claims.map((claim) => ({ ...claim })) });
+      this.options.send(voter, { case: 'claimTransfer', value });
+    }
+  }
+
+  /** Drops what has expired. */
+  expire(): void {
+    this.table.expire(this.options.clock.now());
+  }
+}
--- /dev/null
+++ b/src/daemon/pool-owner-process.ts
@@ -0,0 +1,404 @@
+/**
+ * Runs the owner of one pool under one epoch: performs its orders, follows the
+ * engines' reports, and keeps the pool's record.
+ */
+import { randomUUID } from 'node:crypto';
+import type { Clock } from '../common/clock.js';
+import { faultText, type Logger } from '../common/logger.js';
+import {
+  Mailbox,
+  sleep,
+  startConsumer,
+  startSerialWorker,
+  startTicker,
+} from '../common/process.js';
+import type { KeepAlivePolicy } from '../core/keep-alive.js';
+import type { PlacementPolicy } from '../core/placement.js';
+import type { PoolEffect, PoolEvent, TenantLocation, WakeRequest } from '../core/pool-messages.js';
+import { PoolOwner } from '../core/pool-owner.js';
+import { acknowledgeShrink } from '../core/quota.js';
+import type { PoolRecord, RegisteredEngine } from '../core/records.js';
+import type { EngineClient, RequestStream } from '../engines/engine-client.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import { updateObject } from './conditional-update.js';
+import type { Directory } from './directory.js';
+import type { DaemonMetrics } from './metrics.js';
+
+/** Milliseconds between two looks at idle times, listed machines and expired wakes. */
+const TICK_MS = 250;
+/** Pauses between two tries of one order. */
+const ORDER_FIRST_PAUSE_MS = 50;
+const ORDER_LONGEST_PAUSE_MS = 1_000;
+/** Milliseconds before a broken report stream is opened again. */
+const REPORT_RETRY_MS = 300;
+/** Milliseconds that the platform's list must not show an engine before it counts as gone. */
+const GONE_AFTER_MS = 10_000;
+/** Milliseconds before a failed change of a record is tried again. */
+const RECORD_RETRY_MS = 500;
+
+/** What an owner process needs around it. */
+export interface PoolOwnerProcessOptions {
+  readonly record: PoolRecord;
+  readonly self: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: DaemonMetrics;
+  readonly platform: PlatformClient;
+  readonly engines: EngineClient;
+  readonly directory: Directory;
+  readonly placement: PlacementPolicy;
+  readonly keepAlive: KeepAlivePolicy;
+  readonly remoteLoads: number;
+  readonly pushLocation: (router: string, location: TenantLocation) => void;
+  /** Called once when a newer owner has taken the pool. */
+  readonly onLost: (pool: string, epoch: number) => void;
+}
+
+type SendOrder = Extract<PoolEffect, { type: 'send_order' }>;
+
+/** One pool's owner. */
+export class PoolOwnerProcess {
+  readonly pool: string;
+  readonly epoch: number;
+  private readonly owner: PoolOwner;
+  private readonly events = new Mailbox<PoolEvent>(16_384);
+  private readonly orders = new Map<string, Mailbox<SendOrder>>();
+  private readonly recordJobs = new Mailbox<() => Promise<void>>();
+  private readonly reports = new Map<string, RequestStream>();
+  private readonly absentSince = new Map<string, number>();
+  private readonly joining = new Set<string>();
+  private readonly ticker: { stop(): void };
+  private readonly claimedAt: number;
+  private sealedLogged = false;
+  private stopped = false;
+
+  constructor(private readonly options: PoolOwnerProcessOptions) {
+    const { record, clock } = options;
+    this.pool = record.pool;
+    this.epoch = record.epoch;
+    this.claimedAt = clock.now();
+    this.owner = new PoolOwner({
+      pool: record.pool,
+      epoch: record.epoch,
+      engines: record.engines,
+      placement: options.placement,
+      keepAlive: options.keepAlive,
+      remoteLoads: options.remoteLoads,
+    });
+    const onFault = this.onFault.bind(this);
+    startConsumer(this.events, (event) => this.handle(event), onFault);
+    startSerialWorker(this.recordJobs, (job) => job(), onFault);
+    this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
+    this.loadTenants();
+    this.perform(this.owner.start());
+    for (const engine of record.engines) this.followReports(engine.address);
+  }
+
+  /** Ends the process; its orders are no longer sent. */
+  stop(): void {
+    if (this.stopped) return;
+    this.stopped = true;
+    this.ticker.stop();
+    this.events.close();
+    this.recordJobs.close();
+    for (const mailbox of this.orders.values()) mailbox.close();
+    for (const stream of this.reports.values()) stream.close();
+  }
+
+  /** A router asks for a tenant. */
+  wake(wake: WakeRequest): void {
+    this.events.offer({ type: 'wake', wake });
+  }
+
+  /** An object of the configuration has changed. */
+  configurationChanged(key: string): void {
+    const [kind = '', name = ''] = splitKey(key);
+    if (kind === 'quota' || kind === 'tenant') this.refreshTenant(name);
+    if (kind === 'template') this.refreshTemplate(name);
+  }
+
+  /** The owner's state, for the status page. */
+  get state(): PoolOwner {
+    return this.owner;
+  }
+
+  /** Gives the pool up, so that another daemon can claim it at once. */
+  async release(): Promise<void> {
+    this.stop();
+    await updateObject<PoolRecord>(this.options.platform, {
+      kind: 'pool',
+      name: this.pool,
+      change: (current) => {
+        if (current === undefined || !this.isOurs(current)) return undefined;
+        return { ...current, owner: '', writeId: randomUUID() };
+      },
+      isOwn: sameWrite,
+    });
+  }
+
+  private onFault(fault: unknown): void {
+    this.options.logger.error('owner_fault', { pool: this.pool, reason: faultText(fault) });
+  }
+
+  private isOurs(record: PoolRecord): boolean {
+    return record.owner === this.options.self && record.epoch === this.epoch;
+  }
+
+  private loadTenants(): void {
+    const { directory } = this.options;
+    for (const name of directory.names('quota')) {
+      const tenant = directory.pooledTenant(this.pool, name);
+      if (tenant === undefined) continue;
+      const event = { type: 'tenant_changed', name, tenant } as const;
+      this.perform(this.owner.handle(event, this.options.clock.now()));
+    }
+  }
+
+  private refreshTenant(name: string): void {
+    const tenant = this.options.directory.pooledTenant(this.pool, name);
+    if (tenant === undefined && this.owner.tenant(name) === undefined) return;
+    this.events.offer({ type: 'tenant_changed', name, tenant });
+  }
+
+  private refreshTemplate(template: string): void {
+    const { directory } = this.options;
+    for (const name of directory.names('tenant')) {
+      if (directory.templateOf(name) === template) this.refreshTenant(name);
+    }
+  }
+
+  private handle(event: PoolEvent): void {
+    if (this.stopped) return;
+    this.perform(this.owner.handle(event, this.options.clock.now()));
+    if (this.sealedLogged || !this.owner.isSealed()) return;
+    this.sealedLogged = true;
+    const milliseconds = this.options.clock.now() - this.claimedAt;
+    this.options.logger.info('pool_sealed', { pool: this.pool, epoch: this.epoch, milliseconds });
+  }
+
+  private perform(effects: readonly PoolEffect[]): void {
+    for (const effect of effects) this.performOne(effect);
+  }
+
+  private performOne(effect: PoolEffect): void {
+    switch (effect.type) {
+      case 'send_order':
+        this.orderMailbox(effect.engine).offer(effect);
+        return;
+      case 'register_engine':
+        this.recordJobs.offer(() => this.registerEngine(effect.engine));
+        return;
+      case 'unregister_engine':
+        this.recordJobs.offer(() => this.unregisterEngine(effect.engine));
+        return;
+      case 'push_location':
+        this.options.pushLocation(effect.router, effect.location);
+        return;
+      case 'acknowledge_shrink':
+        this.recordJobs.offer(() => this.acknowledge(effect.tenant, effect.quotaVersion));
+        return;
+      case 'ownership_lost':
+        this.lose(effect.reason);
+        return;
+      case 'load_finished':
+        this.loadFinished(effect);
+        return;
+    }
+  }
+
+  private loadFinished(effect: Extract<PoolEffect, { type: 'load_finished' }>): void {
+    const { tenant, tier, milliseconds } = effect;
+    this.options.metrics.loads.inc({ tier });
+    const fields = { pool: this.pool, epoch: this.epoch, tenant, tier, milliseconds };
+    this.options.logger.info('load_finished', fields);
+  }
+
+  private lose(reason: string): void {
+    if (this.stopped) return;
+    this.options.logger.warn('ownership_lost', { pool: this.pool, epoch: this.epoch, reason });
+    this.stop();
+    this.options.onLost(this.pool, this.epoch);
+  }
+
+  private orderMailbox(engine: string): Mailbox<SendOrder> {
+    const known = this.orders.get(engine);
+    if (known !== undefined) return known;
+    const mailbox = new Mailbox<SendOrder>();
+    this.orders.set(engine, mailbox);
+    startSerialWorker(mailbox, (effect) => this.sendOrder(effect), this.onFault.bind(this));
+    return mailbox;
+  }
+
+  /** Repeats an order until it is answered; repeating the same sequence is harmless. */
+  private async sendOrder(effect: SendOrder): Promise<void> {
+    const { engine, fence, order } = effect;
+    let pause = ORDER_FIRST_PAUSE_MS;
+    while (this.isOrderCurrent(effect)) {
+      this.options.metrics.orders.inc({ type: order.type });
+      const answer = await this.options.engines.order(engine, fence, order);
+      if (answer.isOk) {
+        this.events.offer({ type: 'order_answered', engine, fence, answer: answer.value });
+        return;
+      }
+      await sleep(pause);
+      pause = Math.min(pause * 2, ORDER_LONGEST_PAUSE_MS);
+    }
+  }
+
+  /** Orders to a process that is gone, or to an engine that has left the pool, are dropped. */
+  private isOrderCurrent(effect: SendOrder): boolean {
+    if (this.stopped) return false;
+    return this.owner.engines.get(effect.engine)?.incarnation === effect.fence.incarnation;
+  }
+
+  private followReports(engine: string): void {
+    if (this.stopped || !this.owner.engines.has(engine)) return;
+    const stream = this.options.engines.watchReports(engine, {
+      onReport: (report) => void this.events.offer({ type: 'report', engine, report }),
+      onBroken: () => {
+        this.events.offer({ type: 'engine_unreachable', engine });
+        void sleep(REPORT_RETRY_MS).then(() => this.followReports(engine));
+      },
+    });
+    this.reports.set(engine, stream);
+  }
+
+  private tick(): void {
+    if (this.stopped) return;
+    this.events.offer({ type: 'tick' });
+    this.compareWithList();
+  }
+
+  /** What the platform's list says of this pool's engines; never the truth on its own. */
+  private compareWithList(): void {
+    const now = this.options.clock.now();
+    const listed = this.options.directory
+      .machines()
+      .filter((machine) => machine.pool === this.pool);
+    const names = new Set(listed.map((machine) => machine.address));
+    for (const machine of listed) {
+      this.absentSince.delete(machine.address);
+      if (this.owner.engines.has(machine.address)) {
+        const leaving = machine.state === 'leaving';
+        if (leaving) this.events.offer({ type: 'engine_listed', engine: machine.address, leaving });
+      } else if (machine.state === 'live') {
+        void this.join(machine.address);
+      }
+    }
+    for (const engine of this.owner.engines.keys()) {
+      if (names.has(engine)) continue;
+      const since = this.absentSince.get(engine) ?? now;
+      this.absentSince.set(engine, since);
+      if (now - since >= GONE_AFTER_MS) this.events.offer({ type: 'engine_gone', engine });
+    }
+  }
+
+  /** Takes a machine that is new in the list into the pool. */
+  private async join(engine: string): Promise<void> {
+    if (this.joining.has(engine)) return;
+    this.joining.add(engine);
+    const status = await this.options.engines.status(engine);
+    if (status.isOk && !this.stopped) {
+      const { incarnation } = status.value;
+      this.recordJobs.offer(() => this.registerEngine({ address: engine, incarnation }));
+    } else {
+      await sleep(RECORD_RETRY_MS);
+    }
+    this.joining.delete(engine);
+  }
+
+  /** Enters an incarnation into the record; only after that is it sealed. */
+  private async registerEngine(engine: RegisteredEngine): Promise<void> {
+    const done = await this.updateRecord((record) => ({
+      ...record,
+      engines: [...withoutEngine(record, engine.address), engine],
+    }));
+    if (!done) return;
+    this.options.logger.info('engine_registered', { pool: this.pool, engine: engine.address });
+    const isNew = !this.owner.engines.has(engine.address);
+    this.handle({ type: 'engine_registered', engine });
+    if (isNew) this.followReports(engine.address);
+  }
+
+  private async unregisterEngine(engine: string): Promise<void> {
+    if (!this.owner.engines.has(engine)) return;
+    const done = await this.updateRecord((record) => ({
+      ...record,
+      engines: withoutEngine(record, engine),
+    }));
+    if (!done) return;
+    this.reports.get(engine)?.close();
+    this.reports.delete(engine);
+    this.orders.get(engine)?.close();
+    this.orders.delete(engine);
+    this.options.logger.info('engine_unregistered', { pool: this.pool, engine });
+    this.handle({ type: 'engine_unregistered', engine });
+  }
+
+  /**
+   * Confirms that the pool has come down to its target. The floor goes into the
+   * pool's record first: a later owner with an older configuration must not
+   * count on the quota that is given up here.
+   */
+  private async acknowledge(tenant: string, quotaVersion: number): Promise<void> {
+    const floored = await this.updateRecord((record) => ({
+      ...record,
+      configurationFloor: Math.max(record.configurationFloor, quotaVersion),
+    }));
+    const { platform, directory } = this.options;
+    const record = directory.quota(tenant);
+    const isCurrent = directory.version('quota', tenant) === quotaVersion && record !== undefined;
+    if (floored && isCurrent) {
+      const value = acknowledgeShrink(record, this.pool);
+      const name = tenant;
+      const written = await platform.write({
+        kind: 'quota',
+        name,
+        expectedVersion: quotaVersion,
+        value,
+      });
+      if (written.isOk) return;
+      await sleep(RECORD_RETRY_MS);
+    }
+    // The watch brings a newer version, or this one is tried again.
+    this.owner.retryAcknowledgement(tenant);
+  }
+
+  /** Changes the pool's record while it is still this owner's; false if that failed. */
+  private async updateRecord(change: (record: PoolRecord) => PoolRecord): Promise<boolean> {
+    while (!this.stopped) {
+      let foreign = false;
+      const updated = await updateObject<PoolRecord>(this.options.platform, {
+        kind: 'pool',
+        name: this.pool,
+        change: (current) => {
+          foreign = current === undefined || !this.isOurs(current);
+          if (current === undefined || foreign) return undefined;
+          return { ...change(current), writeId: randomUUID() };
+        },
+        isOwn: sameWrite,
+      });
+      if (foreign) {
+        this.lose('the record names a newer owner');
+        return false;
+      }
+      if (updated.isOk) return true;
+      await sleep(RECORD_RETRY_MS);
+    }
+    return false;
+  }
+}
+
+/** Whether a record that was read back is the one just written. */
+export function sameWrite(written: PoolRecord, found: PoolRecord): boolean {
+  return written.writeId === found.writeId;
+}
+
+function withoutEngine(record: PoolRecord, address: string): RegisteredEngine[] {
+  return record.engines.filter((engine) => engine.address !== address);
+}
+
+function splitKey(key: string): [kind: string, name: string] {
+  const slash = key.indexOf('/');
+  return [key.slice(0, slash), key.slice(slash + 1)];
+}
--- /dev/null
+++ b/src/engines/http-engine-client.ts
@@ -0,0 +1,222 @@
+/** The engines' published protocol over HTTP. */
+import { Result } from 'true-myth';
+import {
+  HttpClient,
+  parseJson,
+  type HttpClientOptions,
+  type HttpRequest,
+  type TransportFailure,
+} from '../common/http-client.js';
+import type {
+  CancelAnswer,
+  EngineClient,
+  EngineOrder,
+  EngineReport,
+  EngineRequest,
+  OrderAnswer,
+  OrderFence,
+  ReplicaLoad,
+  ReportHandler,
+  RequestHandler,
+  RequestRefusal,
+  RequestStream,
+} from './engine-client.js';
+
+/** Milliseconds until an order or a status call is given up. */
+const ORDER_TIMEOUT_MS = 1000;
+/** Milliseconds until the head of a stream is given up. */
+const STREAM_START_TIMEOUT_MS = 3000;
+/** Milliseconds without a line after which a stream counts as broken. */
+const STREAM_SILENCE_MS = 4000;
+/** Milliseconds without a line after which an engine's reports count as broken. */
+const REPORT_SILENCE_MS = 4000;
+
+/** One line of a request's stream. */
+type StreamLine =
+  | { readonly type: 'accepted'; readonly load: ReplicaLoad }
+  | { readonly type: 'token'; readonly offset: number; readonly text: string }
+  | { readonly type: 'done'; readonly tokens: number; readonly finish: 'stop' | 'length' }
+  | { readonly type: 'alive' };
+
+/** Speaks to engines. */
+export class HttpEngineClient implements EngineClient {
+  private readonly http: HttpClient;
+  private readonly control: HttpClient;
+
+  /** `options` applies to control traffic: orders and reports. */
+  constructor(options: HttpClientOptions = {}) {
+    this.control = new HttpClient(options);
+    this.http = new HttpClient(options.faults === undefined ? {} : { faults: options.faults });
+  }
+
+  close(): void {
+    this.http.close();
+    this.control.close();
+  }
+
+  async status(engine: string): Promise<Result<EngineReport, TransportFailure>> {
+    return this.call<EngineReport>({
+      method: 'GET',
+      address: engine,
+      path: '/status',
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+  }
+
+  async order(
+    engine: string,
+    fence: OrderFence,
+    order: EngineOrder,
+  ): Promise<Result<OrderAnswer, TransportFailure>> {
+    return this.call<OrderAnswer>({
+      method: 'POST',
+      address: engine,
+      path: '/orders',
+      body: { fence, order },
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+  }
+
+  watchReports(engine: string, handler: ReportHandler): RequestStream {
+    const request = {
+      method: 'GET',
+      address: engine,
+      path: '/reports',
+      timeoutMs: ORDER_TIMEOUT_MS,
+    } as const;
+    return this.silenceGuarded(this.control, request, REPORT_SILENCE_MS, {
+      onHead: (status) => status === 200,
+      onLine: (line) => {
+        const report = line as EngineReport & { alive?: boolean };
+        if (report.alive !== true) handler.onReport(report);
+      },
+      onBroken: () => handler.onBroken(),
+    });
+  }
+
+  run(engine: string, request: EngineRequest, handler: RequestHandler): RequestStream {
+    return this.openStream(
+      {
+        method: 'POST',
+        address: engine,
+        path: '/requests',
+        body: request,
+        timeoutMs: STREAM_START_TIMEOUT_MS,
+      },
+      handler,
+    );
+  }
+
+  resume(engine: string, id: string, offset: number, handler: RequestHandler): RequestStream {
+    const path = `/requests/${encodeURIComponent(id)}?offset=${offset}`;
+    return this.openStream(
+      { method: 'GET', address: engine, path, timeoutMs: STREAM_START_TIMEOUT_MS },
+      handler,
+    );
+  }
+
+  async cancel(engine: string, id: string): Promise<Result<CancelAnswer, TransportFailure>> {
+    const path = `/requests/${encodeURIComponent(id)}`;
+    return this.call<CancelAnswer>({
+      method: 'DELETE',
+      address: engine,
+      path,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+  }
+
+  private openStream(request: HttpRequest, handler: RequestHandler): RequestStream {
+    let finished = false;
+    const stream = this.silenceGuarded(this.http, request, STREAM_SILENCE_MS, {
+      onHead: (status, header) => {
+        if (status === 200) return true;
+        finished = true;
+        if (header !== undefined) handler.onRefused(header as RequestRefusal);
+        else handler.onBroken({ reason: 'lost', message: `the engine answered ${status}` });
+        return false;
+      },
+      onLine: (line) => {
+        if (finished) return;
+        finished = deliver(line as StreamLine, handler);
+        if (finished) stream.close();
+      },
+      onBroken: (failure) => {
+        if (finished) return;
+        finished = true;
+        handler.onBroken(failure ?? { reason: 'lost', message: 'the stream ended early' });
+      },
+    });
+    return stream;
+  }
+
+  private silenceGuarded(
+    client: HttpClient,
+    request: HttpRequest,
+    silenceMs: number,
+    handler: {
+      onHead(status: number, refusal: string | undefined): boolean;
+      onLine(line: unknown): void;
+      onBroken(failure?: TransportFailure): void;
+    },
+  ): RequestStream {
+    let silence: NodeJS.Timeout | undefined;
+    let closed = false;
+    const breakOff = (failure?: TransportFailure): void => {
+      if (closed) return;
+      close();
+      handler.onBroken(failure);
+    };
+    const heard = (): void => {
+      clearTimeout(silence);
+      silence = setTimeout(() => breakOff({ reason: 'lost', message: 'silence' }), silenceMs);
+    };
+    const stream = client.stream(request, {
+      onStart: (status, headers) => {
+        const refusal = headers['x-refusal'];
+        const goesOn = handler.onHead(status, typeof refusal === 'string' ? refusal : undefined);
+        if (goesOn) heard();
+        return goesOn;
+      },
+      onLine: (line) => {
+        if (closed) return;
+        heard();
+        handler.onLine(line);
+      },
+      onEnd: breakOff,
+    });
+    const close = (): void => {
+      closed = true;
+      clearTimeout(silence);
+      stream.close();
+    };
+    return { close };
+  }
+
+  private async call<Body>(request: HttpRequest): Promise<Result<Body, TransportFailure>> {
+    const answer = await this.control.send(request);
+    if (answer.isErr) return Result.err(answer.error);
+    const body = parseJson(answer.value.body);
+    if (answer.value.status !== 200 || body.isErr) {
+      const message = `the engine answered with status ${answer.value.status}`;
+      return Result.err({ reason: 'lost', message });
+    }
+    return Result.ok(body.value as Body);
+  }
+}
+
+/** Hands one line on; true when it was the last. */
+function deliver(line: StreamLine, handler: RequestHandler): boolean {
+  switch (line.type) {
+    case 'accepted':
+      handler.onAccepted(line.load);
+      return false;
+    case 'token':
+      handler.onToken(line.offset, line.text);
+      return false;
+    case 'done':
+      handler.onDone(line.tokens, line.finish);
+      return true;
+    default:
+      return false;
+  }
+}
--- /dev/null
+++ b/src/platform/http-platform-client.ts
@@ -0,0 +1,153 @@
+/** The platform's published protocol over HTTP. */
+import { Result } from 'true-myth';
+import { serviceError, type ServiceError } from '../common/errors.js';
+import {
+  HttpClient,
+  parseJson,
+  type HttpAnswer,
+  type HttpClientOptions,
+  type TransportFailure,
+} from '../common/http-client.js';
+import type {
+  ConditionalWrite,
+  MachineList,
+  ObjectKind,
+  ObjectList,
+  PlatformClient,
+  StoredObject,
+  Watch,
+  WatchEvent,
+  WatchHandler,
+} from './platform-client.js';
+
+/** Milliseconds until a call to the platform is given up. */
+const CALL_TIMEOUT_MS = 3000;
+/** Milliseconds without any line after which a watch counts as broken. */
+const WATCH_SILENCE_MS = 2500;
+
+/** Speaks to the platform at one address. */
+export class HttpPlatformClient implements PlatformClient {
+  private readonly http: HttpClient;
+
+  constructor(
+    private readonly address: string,
+    options: HttpClientOptions = {},
+  ) {
+    this.http = new HttpClient(options);
+  }
+
+  close(): void {
+    this.http.close();
+  }
+
+  async get(kind: ObjectKind, name: string): Promise<Result<StoredObject, ServiceError>> {
+    return this.read<StoredObject>(`/objects/${kind}/${encodeURIComponent(name)}`);
+  }
+
+  async list(): Promise<Result<ObjectList, ServiceError>> {
+    return this.read<ObjectList>('/objects');
+  }
+
+  async machines(): Promise<Result<MachineList, ServiceError>> {
+    return this.read<MachineList>('/machines');
+  }
+
+  async write(write: ConditionalWrite): Promise<Result<number, ServiceError>> {
+    const condition: Record<string, string> =
+      write.expectedVersion === 0
+        ? { 'if-none-match': '*' }
+        : { 'if-match': String(write.expectedVersion) };
+    const deletes = write.value === undefined;
+    const answer = await this.http.send({
+      method: deletes ? 'DELETE' : 'PUT',
+      address: this.address,
+      path: `/objects/${write.kind}/${encodeURIComponent(write.name)}`,
+      headers: condition,
+      body: deletes ? undefined : write.value,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    if (answer.isErr) return Result.err(writeFailure(answer.error));
+    return parseAnswer<{ version: number }>(answer.value).map((body) => body.version);
+  }
+
+  watch(afterRevision: number, handler: WatchHandler): Watch {
+    let silence: NodeJS.Timeout | undefined;
+    let finished = false;
+    const finish = (reason: 'broken' | 'too_old'): void => {
+      if (finished) return;
+      finished = true;
+      clearTimeout(silence);
+      stream.close();
+      handler.onEnd(reason);
+    };
+    const heard = (): void => {
+      clearTimeout(silence);
+      silence = setTimeout(() => finish('broken'), WATCH_SILENCE_MS);
+    };
+    const stream = this.http.stream(
+      {
+        method: 'GET',
+        address: this.address,
+        path: `/watch?after=${afterRevision}`,
+        timeoutMs: CALL_TIMEOUT_MS,
+      },
+      {
+        onStart: (status) => {
+          if (status === 200) {
+            heard();
+            return true;
+          }
+          setImmediate(() => finish(status === 410 ? 'too_old' : 'broken'));
+          return false;
+        },
+        onLine: (line) => {
+          if (finished) return;
+          heard();
+          handler.onEvent(line as WatchEvent);
+        },
+        onEnd: () => finish('broken'),
+      },
+    );
+    return {
+      close: () => {
+        finished = true;
+        clearTimeout(silence);
+        stream.close();
+      },
+    };
+  }
+
+  private async read<Body>(path: string): Promise<Result<Body, ServiceError>> {
+    const request = {
+      method: 'GET',
+      address: this.address,
+      path,
+      timeoutMs: CALL_TIMEOUT_MS,
+    } as const;
+    const answer = await this.http.send(request);
+    if (answer.isErr) {
+      return Result.err(serviceError('platform_unavailable', answer.error.message));
+    }
+    return parseAnswer<Body>(answer.value);
+  }
+}
+
+function writeFailure(failure: TransportFailure): ServiceError {
+  const kind = failure.reason === 'not_sent' ? 'platform_unavailable' : 'platform_outcome_unknown';
+  return serviceError(kind, `the platform's object API: ${failure.message}`);
+}
+
+function parseAnswer<Body>(answer: HttpAnswer): Result<Body, ServiceError> {
+  if (answer.status === 404) return Result.err(serviceError('not_found', 'no such object'));
+  const body = parseJson(answer.body);
+  if (answer.status === 409 && body.isOk) {
+    const current = (body.value as { version?: number }).version ?? 0;
+    const message = `the object is at version ${current}`;
+    return Result.err(serviceError('version_conflict', message, { currentVersion: current }));
+  }
+  if (answer.status !== 200 || body.isErr) {
+    const message = `the platform answered with status ${answer.status}`;
+    return Result.err(serviceError('platform_unavailable', message));
+  }
+  return Result.ok(body.value as Body);
+}
--- /dev/null
+++ b/src/testbed/free-ports.ts
@@ -0,0 +1,27 @@
+/** Free loopback ports for processes that are about to start. */
+import dgram from 'node:dgram';
+import net from 'node:net';
+
+/** Finds ports that are free for TCP and UDP; held together, so that none is found twice. */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const held: net.Server[] = [];
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const server = net.createServer();
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    held.push(server);
+    const address = server.address();
+    const port = typeof address === 'object' && address !== null ? address.port : 0;
+    if (await isFreeForDatagrams(port)) ports.push(port);
+  }
+  await Promise.all(held.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+function isFreeForDatagrams(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = dgram.createSocket('udp4');
+    socket.once('error', () => resolve(false));
+    socket.bind(port, '127.0.0.1', () => socket.close(() => resolve(true)));
+  });
+}
