--- a/src/core/claim-table.ts
+++ b/src/core/claim-table.ts
@@ -11,6 +11,9 @@
 /** Milliseconds that a key stays claimed. */
 export const CLAIM_LIFETIME_MS = 10 * 60_000;
 
+/** Stands in place of a request when a key was claimed for two: neither is granted any more. */
+const CONTESTED = '';
+
 /** A key that a request holds. */
 export interface KeyClaim {
   readonly tenant: string;
@@ -23,12 +26,22 @@
 export class ClaimTable {
   private readonly claims = new Map<string, KeyClaim>();
 
+  private informed = false;
+
   /** `startedAt`: a voter younger than a claim's lifetime may have forgotten claims. */
   constructor(private readonly startedAt: number) {}
 
-  /** Whether the voter is too young to know all claims that still count. */
+  /** Whether the voter may not know all claims that still count. */
   isYoung(now: number): boolean {
-    return now - this.startedAt < CLAIM_LIFETIME_MS;
+    return !this.informed && now - this.startedAt < CLAIM_LIFETIME_MS;
+  }
+
+  /**
+   * The voter has pulled the claims of all others, none of them young, after
+   * every round that could count a vote of the process before it was over.
+   */
+  markInformed(): void {
+    this.informed = true;
   }
 
   /** Grants a key that is free or already held by the same request. */
@@ -40,11 +53,17 @@
     return true;
   }
 
-  /** Takes over claims from a voter that drains; a claim already held stays. */
+  /**
+   * Takes over claims from another voter. Where the two know a key for
+   * different requests, either may have its quorum: the key is refused to both.
+   */
   adopt(claims: readonly KeyClaim[], now: number): void {
     for (const claim of claims) {
+      if (claim.expiresAt <= now) continue;
       const id = claimId(claim.tenant, claim.key);
-      if (claim.expiresAt > now && !this.claims.has(id)) this.claims.set(id, claim);
+      const held = this.claims.get(id);
+      const contested = held !== undefined && held.request !== claim.request;
+      this.claims.set(id, contested ? { ...claim, request: CONTESTED } : claim);
     }
   }
 
@@ -78,15 +97,15 @@
   }
 
   /**
-   * Two voters who remember, or all three: with a young one among two, an
-   * earlier claim could have been forgotten by that one and missed the other.
+   * Two voters who remember, or all of them young: a young voter may have
+   * forgotten an earlier claim, but where all are, the group itself is new.
    */
   outcome(): ClaimOutcome {
     if (this.refused) return 'taken';
     const remembering = [...this.grants.values()].filter((young) => !young).length;
     if (remembering >= CLAIM_QUORUM) return 'granted';
-    const all = this.grants.size === this.voters.length && this.voters.length >= CLAIM_QUORUM;
-    return all ? 'granted' : 'pending';
+    const isNewGroup = this.grants.size === this.voters.length && remembering === 0;
+    return isNewGroup ? 'granted' : 'pending';
   }
 }
 
--- a/src/daemon/configuration-service.ts
+++ b/src/daemon/configuration-service.ts
@@ -56,15 +56,18 @@
   constructor(private readonly options: ConfigurationServiceOptions) {
     const { clock, send } = options;
     this.startedAt = clock.now();
+    const token = this.startedAt;
     this.configuration = new FeedRelay({
       feed: FeedName.CONFIGURATION,
       clock,
+      token,
       send,
       onChange: options.onConfigurationChange,
     });
     this.machines = new FeedRelay({
       feed: FeedName.MACHINES,
       clock,
+      token,
       send,
       onChange: options.onMachineChange,
     });
@@ -99,22 +102,23 @@
   sendHeartbeats(): void {
     const relays = [this.configuration, this.machines];
     const subscribers = new Set(relays.flatMap((relay) => relay.subscriberList()));
-    if (subscribers.size === 0) return;
-    const positions = relays.map((relay) => relay.position());
-    const value = create(RelayHeartbeatSchema, { positions });
-    for (const to of subscribers) this.options.send(to, { case: 'relayHeartbeat', value });
+    for (const to of subscribers) {
+      const positions = relays.flatMap((relay) => relay.positionFor(to) ?? []);
+      const value = create(RelayHeartbeatSchema, { positions });
+      this.options.send(to, { case: 'relayHeartbeat', value });
+    }
   }
 
   /**
    * Whether the configuration is current enough to serve. A daemon that has
    * just started must not serve an older configuration than it may have served
-   * before: it waits for a word of the platform that is younger than its start,
-   * or, while the platform is away, for the highest revision of a majority.
+   * before: it waits for a word of the platform since its start, or, while the
+   * platform is away, for the highest revision of all daemons that live.
    */
   isCurrent(): boolean {
     if (this.current) return true;
-    const confirmed = this.configuration.confirmedAt >= this.startedAt;
-    if (confirmed || this.majorityReached()) {
+    const confirmed = this.configuration.isConfirmed;
+    if (confirmed || this.hasReachedAllPeers()) {
       this.current = true;
       const { revision } = this.configuration.state;
       this.options.logger.info('configuration_current', { revision, confirmed });
@@ -141,7 +145,7 @@
   handle(from: string, body: PeerBody): boolean {
     switch (body.case) {
       case 'subscribe':
-        this.relay(body.value.feed).handleSubscribe(from, body.value.revision);
+        this.relay(body.value.feed).handleSubscribe(from, body.value.revision, body.value.token);
         return true;
       case 'delta':
         this.relay(body.value.feed).handleDelta(from, body.value);
@@ -186,9 +190,13 @@
     this.options.send(from, { case: 'revisionQuery', value });
   }
 
-  private majorityReached(): boolean {
-    const others = this.options.membership.live().length - 1;
-    if (others < 1 || this.answers.size <= others / 2) return false;
+  /** Every live daemon has answered, and none is further. */
+  private hasReachedAllPeers(): boolean {
+    const others = this.options.membership
+      .live()
+      .filter((member) => member.address !== this.options.self.address);
+    if (others.length === 0) return false;
+    if (others.some((member) => !this.answers.has(member.address))) return false;
     const highest = Math.max(...this.answers.values());
     return highest > 0 && this.configuration.state.revision >= highest;
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -303,7 +303,9 @@
       case 'claimKeyAnswer':
         return this.keyClaims.handleAnswer(from, body.value);
       case 'claimTransfer':
-        return this.keyClaims.handleTransfer(body.value);
+        return this.keyClaims.handleTransfer(from, body.value);
+      case 'claimPull':
+        return this.keyClaims.handlePull(from, body.value);
       default:
         this.dependencies.logger.warn('message_ignored', { from, kind: body.case });
     }
@@ -334,6 +336,7 @@
 
   private lookAtDuties(): void {
     this.configuration.askPeers();
+    this.keyClaims.pull();
     this.offerSeeds();
     if (this.draining || !this.configuration.isCurrent()) return;
     this.claims.evaluate();
--- a/src/daemon/feed-relay.ts
+++ b/src/daemon/feed-relay.ts
@@ -23,6 +23,7 @@
 const LOG_LIMIT = 256;
 /** Objects in one part of a snapshot. */
 const SNAPSHOT_PART = 500;
+const LONGEST_AGE_MS = 2 ** 31 - 1;
 
 interface LoggedDelta {
   readonly base: number;
@@ -30,6 +31,13 @@
   readonly entries: readonly FeedEntry[];
 }
 
+interface Subscription {
+  /** Start of the subscriber's process. */
+  readonly token: number;
+  /** By this daemon's clock. */
+  readonly takenAt: number;
+}
+
 interface SnapshotParts {
   readonly revision: number;
   readonly entries: FeedEntry[];
@@ -39,6 +47,8 @@
 export interface FeedRelayOptions {
   readonly feed: FeedName;
   readonly clock: Clock;
+  /** Tells this process from an earlier one at the same address: its start in Unix milliseconds. */
+  readonly token: number;
   readonly send: (to: string, body: PeerBody) => void;
   /** Called for every object that has changed. */
   readonly onChange: (key: string) => void;
@@ -49,7 +59,16 @@
   readonly state = new Feed();
   /** Unix milliseconds of the platform's last word that the state rests on; 0 for never. */
   confirmedAt = 0;
-  private readonly subscribers = new Set<string>();
+  /**
+   * Whether the platform has confirmed the state since this process started, by
+   * its own word or by that of a relay about this process's subscription. It
+   * rests on no comparison of clocks: a heartbeat that was on its way since
+   * before the start carries another token.
+   */
+  isConfirmed = false;
+  private readonly subscribers = new Map<string, Subscription>();
+  /** Unix milliseconds of the platform's last word to this daemon itself. */
+  private ownWordAt = 0;
   private readonly log: LoggedDelta[] = [];
   private readonly parts = new Map<string, SnapshotParts>();
   private upstreams: readonly string[] = [];
@@ -75,16 +94,20 @@
 
   /** Everyone who hears from this daemon. */
   subscriberList(): string[] {
-    return [...this.subscribers];
+    return [...this.subscribers.keys()];
   }
 
-  /** This relay's position, for heartbeats. */
-  position(): FeedPosition {
+  /** This relay's position as a subscriber hears it; undefined for any other daemon. */
+  positionFor(subscriber: string): FeedPosition | undefined {
+    const subscription = this.subscribers.get(subscriber);
+    if (subscription === undefined) return undefined;
     const age = this.confirmedAt === 0 ? -1 : this.options.clock.now() - this.confirmedAt;
     return create(FeedPositionSchema, {
       feed: this.options.feed,
       revision: this.state.revision,
-      ageMs: Math.min(age, 2 ** 31 - 1),
+      ageMs: Math.min(age, LONGEST_AGE_MS),
+      token: subscription.token,
+      confirmed: this.ownWordAt > subscription.takenAt,
     });
   }
 
@@ -100,12 +123,17 @@
 
   /** The platform itself has just confirmed that the state is current. */
   confirm(): void {
-    this.confirmedAt = Math.max(this.confirmedAt, this.options.clock.now());
+    this.ownWordAt = this.options.clock.now();
+    this.confirmedAt = this.ownWordAt;
+    this.isConfirmed = true;
   }
 
   /** A peer wants to hear from here on. */
-  handleSubscribe(from: string, revision: number): void {
-    this.subscribers.add(from);
+  handleSubscribe(from: string, revision: number, token: number): void {
+    const known = this.subscribers.get(from);
+    if (known?.token !== token) {
+      this.subscribers.set(from, { token, takenAt: this.options.clock.now() });
+    }
     if (revision === this.state.revision) return;
     const oldest = this.log[0]?.base;
     const isLogged = oldest !== undefined && revision >= oldest && revision < this.state.revision;
@@ -123,7 +151,8 @@
       this.resubscribe(from);
       return;
     }
-    if (position.ageMs < 0) return;
+    if (position.token !== this.options.token || position.ageMs < 0) return;
+    if (position.confirmed) this.isConfirmed = true;
     this.confirmedAt = Math.max(this.confirmedAt, this.options.clock.now() - position.ageMs);
   }
 
@@ -146,8 +175,8 @@
   }
 
   private subscribe(address: string): void {
-    const { feed } = this.options;
-    const value = create(SubscribeSchema, { feed, revision: this.state.revision });
+    const { feed, token } = this.options;
+    const value = create(SubscribeSchema, { feed, revision: this.state.revision, token });
     this.options.send(address, { case: 'subscribe', value });
   }
 
@@ -162,7 +191,7 @@
     this.log.push(delta);
     if (this.log.length > LOG_LIMIT) this.log.shift();
     const body = this.deltaBody(delta);
-    for (const subscriber of this.subscribers) this.options.send(subscriber, body);
+    for (const subscriber of this.subscribers.keys()) this.options.send(subscriber, body);
     return outcome;
   }
 
@@ -171,7 +200,7 @@
     const outcome = this.state.applySnapshot(revision, entries, this.options.onChange);
     if (outcome !== 'applied' || revision === before) return;
     this.log.length = 0;
-    for (const subscriber of this.subscribers) this.sendSnapshot(subscriber);
+    for (const subscriber of this.subscribers.keys()) this.sendSnapshot(subscriber);
   }
 
   private deltaBody(delta: LoggedDelta): PeerBody {
--- a/src/daemon/key-claims.ts
+++ b/src/daemon/key-claims.ts
@@ -13,15 +13,22 @@
 import {
   ClaimKeyAnswerSchema,
   ClaimKeySchema,
+  ClaimPullSchema,
   ClaimTransferSchema,
   type ClaimKey,
   type ClaimKeyAnswer,
+  type ClaimPull,
   type ClaimTransfer,
 } from '../proto/gen/internal_pb.js';
 import type { PeerBody } from './peer-transport.js';
 
-/** Milliseconds until a round without a quorum is given up. */
+/** Milliseconds until a round without a quorum is given up; a later vote does not count. */
 const ROUND_TIMEOUT_MS = 600;
+/** Milliseconds that a new voter waits before it pulls: longer than any round. */
+const PULL_AFTER_MS = 1_500;
+/** Milliseconds between the first two pulls, and at most: in a new group all stay young for long. */
+const FIRST_PULL_PERIOD_MS = 1_000;
+const LONGEST_PULL_PERIOD_MS = 60_000;
 /** Milliseconds that a granted round waits for a voter that might refuse. */
 const REFUSAL_GRACE_MS = 60;
 
@@ -29,6 +36,7 @@
 export type SettledClaim = Exclude<ClaimOutcome, 'pending'>;
 
 interface OpenRound {
+  readonly startedAt: number;
   readonly round: ClaimRound;
   readonly voters: readonly string[];
   readonly answered: Set<string>;
@@ -46,9 +54,15 @@
 export class KeyClaims {
   private readonly table: ClaimTable;
   private readonly rounds = new Map<string, OpenRound>();
+  private readonly startedAt: number;
+  private readonly pulledFrom = new Set<string>();
+  private pullToken = 0;
+  private lastPullAt = 0;
+  private pullPeriodMs = FIRST_PULL_PERIOD_MS;
 
   constructor(private readonly options: KeyClaimsOptions) {
-    this.table = new ClaimTable(options.clock.now());
+    this.startedAt = options.clock.now();
+    this.table = new ClaimTable(this.startedAt);
   }
 
   /** Claims a key for a request; resolves at the latest after {@link ROUND_TIMEOUT_MS}. */
@@ -63,7 +77,9 @@
         resolve(outcome);
       };
       const answered = new Set<string>();
-      this.rounds.set(request, { round: new ClaimRound(voters), voters, answered, settle });
+      const startedAt = this.options.clock.now();
+      const round = new ClaimRound(voters);
+      this.rounds.set(request, { startedAt, round, voters, answered, settle });
       const value = create(ClaimKeySchema, { tenant, key, request });
       for (const voter of voters) send(voter, { case: 'claimKey', value });
     });
@@ -83,6 +99,9 @@
   handleAnswer(from: string, message: ClaimKeyAnswer): void {
     const open = this.rounds.get(message.request);
     if (open === undefined) return;
+    // A router that was paused must not count votes of a round that is over.
+    if (this.options.clock.now() - open.startedAt > ROUND_TIMEOUT_MS)
+      return open.settle('unavailable');
     open.answered.add(from);
     const outcome = open.round.vote(from, message.granted, message.young);
     if (outcome === 'pending') return;
@@ -96,8 +115,8 @@
     }, REFUSAL_GRACE_MS);
   }
 
-  /** Takes over the claims of a daemon that drains. */
-  handleTransfer(message: ClaimTransfer): void {
+  /** Takes over the claims of a daemon that drains, or that was asked for them. */
+  handleTransfer(from: string, message: ClaimTransfer): void {
     const claims = message.claims.map(({ tenant, key, request, expiresAt }): KeyClaim => ({
       tenant,
       key,
@@ -105,6 +124,39 @@
       expiresAt,
     }));
     this.table.adopt(claims, this.options.clock.now());
+    if (message.token !== this.pullToken || message.young) return;
+    this.pulledFrom.add(from);
+    const others = this.otherMembers();
+    if (others.every((address) => this.pulledFrom.has(address))) this.table.markInformed();
+  }
+
+  /** Answers a new voter. */
+  handlePull(from: string, message: ClaimPull): void {
+    const now = this.options.clock.now();
+    const claims = this.table.all().map((claim) => ({ ...claim }));
+    const young = this.table.isYoung(now);
+    const value = create(ClaimTransferSchema, { claims, token: message.token, young });
+    this.options.send(from, { case: 'claimTransfer', value });
+  }
+
+  /** While this voter is young: asks all others for their claims. */
+  pull(): void {
+    const now = this.options.clock.now();
+    if (!this.table.isYoung(now) || now - this.startedAt < PULL_AFTER_MS) return;
+    if (now - this.lastPullAt < this.pullPeriodMs) return;
+    this.lastPullAt = now;
+    this.pullPeriodMs = Math.min(this.pullPeriodMs * 2, LONGEST_PULL_PERIOD_MS);
+    this.pullToken = now;
+    this.pulledFrom.clear();
+    const value = create(ClaimPullSchema, { token: this.pullToken });
+    for (const address of this.otherMembers())
+      this.options.send(address, { case: 'claimPull', value });
+  }
+
+  private otherMembers(): string[] {
+    const { membership } = this.options;
+    const addresses = membership.live().map((member) => member.address);
+    return addresses.filter((address) => address !== membership.own.address);
   }
 
   /** Hands this daemon's claims to those who vote once it is gone. */
