The promises under failure on real processes, with an auditor and simulated histories

Cause: nothing showed that the promises hold when processes die, pause, are cut off, or race.

The first voter is now asked alone.

--- a/spec/idempotency.pml
+++ b/spec/idempotency.pml
@@ -98,6 +98,16 @@
   :: d_step { !asked[QV(q, v)] -> vote(q, v, 0) } \
   :: d_step { !asked[QV(q, v)] -> vote(q, v, 1) }
 
+#ifdef RELEASE_WHILE_OPEN
+#define MAY_RELEASE(q) (1)
+#else
+#define MAY_RELEASE(q) (over[q] && !sent[q])
+#endif
+#define RELEASE_STEPS(q) \
+  :: d_step { MAY_RELEASE(q) && holder[0] == q + 1 -> holder[0] = 0 } \
+  :: d_step { MAY_RELEASE(q) && holder[1] == q + 1 -> holder[1] = 0 } \
+  :: d_step { MAY_RELEASE(q) && holder[2] == q + 1 -> holder[2] = 0 }
+
 active proctype world() {
   /* The group may be new as a whole. */
   if
@@ -117,6 +127,9 @@
   :: d_step { IS_GRANTED(1) -> sent[1] = 1; over[1] = 1 }
   :: d_step { !over[0] -> over[0] = 1 }
   :: d_step { !over[1] -> over[1] = 1 }
+  /* KeyClaims.release: a request that was never sent gives its key back, voter by voter. */
+  RELEASE_STEPS(0)
+  RELEASE_STEPS(1)
   :: d_step { crashes < MAX_CRASHES -> crash(0) }
   :: d_step { crashes < MAX_CRASHES -> crash(1) }
   :: d_step { crashes < MAX_CRASHES -> crash(2) }
--- /dev/null
+++ b/src/chaos/scenarios.ts
@@ -0,0 +1,261 @@
+/** The fixed list of scenarios. */
+import { sleep } from '../common/process.js';
+import type { ClusterDaemon, LocalCluster } from '../testbed/local-cluster.js';
+import type { ChaosContext, Scenario } from './chaos-run.js';
+
+/** Milliseconds from the start of the load until the fault: models are being loaded then. */
+const ONSET_MS = 700;
+/** Milliseconds that a paused owner is paused: past its takeover. */
+const PAUSE_MS = 4_000;
+
+function othersThan(context: ChaosContext, daemon: ClusterDaemon): ClusterDaemon[] {
+  return context.cluster.daemons.filter((other) => other !== daemon);
+}
+
+function nonOwner(context: ChaosContext, owner: ClusterDaemon): ClusterDaemon {
+  const other = othersThan(context, owner).find((daemon) => daemon.zone === owner.zone);
+  if (other === undefined) throw new Error('each zone has two daemons');
+  return other;
+}
+
+function engineIn(cluster: LocalCluster, zone: string): LocalCluster['engines'][number] {
+  const engine = cluster.engines.find((candidate) => candidate.zone === zone);
+  if (engine === undefined) throw new Error(`zone ${zone} has no engine`);
+  return engine;
+}
+
+async function killOwner(context: ChaosContext, zone: string): Promise<void> {
+  const owner = await context.ownerOf(zone);
+  await sleep(ONSET_MS);
+  context.ownerLost(zone);
+  await context.killDaemon(owner);
+  const others = othersThan(context, owner);
+  await context.change(others[0], others);
+}
+
+async function pauseOwner(context: ChaosContext): Promise<void> {
+  const owner = await context.ownerOf('a');
+  await sleep(ONSET_MS);
+  context.ownerLost('a');
+  owner.process.signal('SIGSTOP');
+  const others = othersThan(context, owner);
+  await context.change(others[0], others);
+  await sleep(PAUSE_MS);
+  owner.process.signal('SIGCONT');
+  await sleep(ONSET_MS);
+  await context.change();
+}
+
+async function killRouter(context: ChaosContext): Promise<void> {
+  const router = nonOwner(context, await context.ownerOf('b'));
+  await sleep(ONSET_MS * 2);
+  await context.killDaemon(router);
+  const others = othersThan(context, router);
+  await context.change(others[0], others);
+  await context.startDaemon(router);
+  await context.change();
+}
+
+async function restartEngines(context: ChaosContext): Promise<void> {
+  for (const zone of ['a', 'b']) {
+    await sleep(ONSET_MS);
+    const engine = engineIn(context.cluster, zone);
+    await engine.process.kill();
+    await sleep(ONSET_MS / 2);
+    context.cluster.restartEngine(engine);
+  }
+  await context.change();
+}
+
+async function cutOwnerFromEngine(context: ChaosContext): Promise<void> {
+  const owner = await context.ownerOf('a');
+  const engine = engineIn(context.cluster, 'a');
+  await sleep(ONSET_MS);
+  await context.cluster.setLinkFaults(owner, [engine.address], []);
+  await sleep(3_000);
+  await context.cluster.setLinkFaults(owner, [], [engine.address]);
+  await sleep(2_000);
+  await context.cluster.setLinkFaults(owner, [], []);
+  await context.change();
+}
+
+async function cutDaemonFromPeers(context: ChaosContext): Promise<void> {
+  const owner = await context.ownerOf('b');
+  const others = othersThan(context, owner);
+  const peers = others.map((daemon) => daemon.peers);
+  await sleep(ONSET_MS);
+  context.ownerLost('b');
+  await context.cluster.setLinkFaults(owner, peers, peers);
+  await context.change(others[0], others);
+  await sleep(3_500);
+  await context.cluster.setLinkFaults(owner, [], []);
+  await sleep(2_500);
+  await context.change();
+}
+
+async function platformDown(context: ChaosContext): Promise<void> {
+  await sleep(ONSET_MS);
+  await context.cluster.setPlatformFaults({ down: true });
+  await context.change();
+  await sleep(5_000);
+  await context.cluster.setPlatformFaults({ down: false });
+  await sleep(3_500);
+  await context.change();
+}
+
+async function platformSlow(context: ChaosContext): Promise<void> {
+  await context.cluster.setPlatformFaults({ delayMs: 800 });
+  await killOwner(context, 'a');
+  await sleep(2_000);
+  await context.cluster.setPlatformFaults({ delayMs: 0 });
+}
+
+async function platformLosesReplies(context: ChaosContext): Promise<void> {
+  await context.cluster.setPlatformFaults({ loseReplies: 3 });
+  await killOwner(context, 'a');
+  await context.cluster.setPlatformFaults({ loseReplies: 2 });
+  await context.change(othersThan(context, await context.ownerOf('c'))[0]).catch(() => false);
+  await sleep(1_000);
+  await context.cluster.setPlatformFaults({ loseReplies: 0 });
+}
+
+async function weightStoreStalled(context: ChaosContext): Promise<void> {
+  await sleep(ONSET_MS);
+  await context.cluster.setWeightStoreStalled(true);
+  await sleep(4_000);
+  await context.cluster.setWeightStoreStalled(false);
+  await context.change();
+}
+
+async function machineReclaimed(context: ChaosContext): Promise<void> {
+  const engine = engineIn(context.cluster, 'a');
+  const listed = engineIn(context.cluster, 'b');
+  await sleep(ONSET_MS);
+  await context.cluster.announceLeaving(engine);
+  await context.cluster.setMachineStates([], [listed.address]);
+  await sleep(2_500);
+  await engine.process.kill();
+  await context.cluster.setMachineStates([engine.address], [listed.address]);
+  await context.change();
+}
+
+async function operatorsRace(context: ChaosContext): Promise<void> {
+  for (let round = 0; round < 5; round++) {
+    await Promise.all(context.cluster.daemons.slice(0, 3).map((daemon) => context.change(daemon)));
+    await sleep(300);
+  }
+}
+
+async function rollingRestart(context: ChaosContext): Promise<void> {
+  for (const daemon of context.cluster.daemons) {
+    await context.stopDaemon(daemon);
+    await context.startDaemon(daemon);
+  }
+  await context.change();
+}
+
+async function zoneCutOff(context: ChaosContext): Promise<void> {
+  const inside = context.cluster.daemons.filter((daemon) => daemon.zone === 'c');
+  const outside = context.cluster.daemons.filter((daemon) => daemon.zone !== 'c');
+  const engines = context.cluster.engines;
+  const far = [
+    ...outside.map((daemon) => daemon.peers),
+    ...engines.filter((engine) => engine.zone !== 'c').map((engine) => engine.address),
+    context.cluster.platformAddress,
+  ];
+  const near = [
+    ...inside.map((daemon) => daemon.peers),
+    ...engines.filter((engine) => engine.zone === 'c').map((engine) => engine.address),
+  ];
+  await sleep(ONSET_MS);
+  for (const daemon of inside) await context.cluster.setLinkFaults(daemon, far, far);
+  for (const daemon of outside) await context.cluster.setLinkFaults(daemon, near, near);
+  await context.change(outside[0], outside);
+  await sleep(4_000);
+  for (const daemon of context.cluster.daemons) await context.cluster.setLinkFaults(daemon, [], []);
+  await sleep(4_500);
+  await context.change();
+}
+
+async function burstForColdModel(context: ChaosContext): Promise<void> {
+  for (let round = 0; round < 3; round++) {
+    context.load.burst(context.rare);
+    await sleep(2_200);
+  }
+  await context.change();
+}
+
+async function engineLosesReplies(context: ChaosContext): Promise<void> {
+  for (const engine of context.cluster.engines) {
+    await context.cluster.setEngineFaults(engine, { loseOrderReplies: 4, orderDelayMs: 120 });
+  }
+  await sleep(3_000);
+  await killOwner(context, 'b');
+}
+
+async function streamsCut(context: ChaosContext): Promise<void> {
+  for (let round = 0; round < 6; round++) {
+    await sleep(500);
+    for (const engine of context.cluster.engines) {
+      await context.cluster.setEngineFaults(engine, { cutStreams: true });
+    }
+  }
+  await context.change();
+}
+
+async function engineFrozen(context: ChaosContext): Promise<void> {
+  const engine = engineIn(context.cluster, 'b');
+  await sleep(ONSET_MS);
+  engine.process.signal('SIGSTOP');
+  await sleep(5_000);
+  engine.process.signal('SIGCONT');
+  await context.change();
+}
+
+async function severalAtOnce(context: ChaosContext): Promise<void> {
+  const engine = engineIn(context.cluster, 'a');
+  const owner = await context.ownerOf('a');
+  const others = othersThan(context, owner);
+  await sleep(ONSET_MS);
+  await context.cluster.setPlatformFaults({ delayMs: 300, loseReplies: 2 });
+  await Promise.all([engine.process.kill(), context.killDaemon(owner)]);
+  await context.cluster.setWeightStoreStalled(true);
+  await sleep(1_000);
+  context.cluster.restartEngine(engine);
+  await sleep(1_000);
+  await context.cluster.setWeightStoreStalled(false);
+  await context.cluster.setPlatformFaults({ delayMs: 0, loseReplies: 0 });
+  await context.change(others[0], others);
+  await context.startDaemon(owner);
+}
+
+async function twice(context: ChaosContext): Promise<void> {
+  await severalAtOnce(context);
+  await sleep(2_000);
+  await severalAtOnce(context);
+}
+
+/** All scenarios, in the order in which they are run. */
+export const SCENARIOS: readonly Scenario[] = [
+  { name: 'calm', seconds: 5, act: async (context) => void (await context.change()) },
+  { name: 'owner-killed', seconds: 8, act: (context) => killOwner(context, 'a') },
+  { name: 'owner-paused', seconds: 9, act: pauseOwner },
+  { name: 'router-killed', seconds: 8, act: killRouter },
+  { name: 'engines-restarted', seconds: 8, act: restartEngines },
+  { name: 'engine-frozen', seconds: 9, act: engineFrozen },
+  { name: 'link-owner-engine-cut', seconds: 9, act: cutOwnerFromEngine },
+  { name: 'daemon-cut-off', seconds: 10, act: cutDaemonFromPeers },
+  { name: 'platform-down', seconds: 10, act: platformDown },
+  { name: 'platform-slow', seconds: 9, act: platformSlow },
+  { name: 'platform-loses-replies', seconds: 9, act: platformLosesReplies },
+  { name: 'weight-store-stalled', seconds: 8, act: weightStoreStalled },
+  { name: 'machine-reclaimed', seconds: 9, act: machineReclaimed },
+  { name: 'operators-race', seconds: 7, act: operatorsRace },
+  { name: 'rolling-restart', seconds: 16, act: rollingRestart },
+  { name: 'zone-cut-off', seconds: 12, act: zoneCutOff },
+  { name: 'cold-burst', seconds: 8, act: burstForColdModel },
+  { name: 'engine-loses-replies', seconds: 9, act: engineLosesReplies },
+  { name: 'streams-cut', seconds: 6, act: streamsCut },
+  { name: 'several-at-once', seconds: 9, act: severalAtOnce },
+  { name: 'several-twice', seconds: 16, act: twice },
+];
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -210,10 +210,11 @@
   );
   process.stdout.write('\n');
   printTable(
-    ['TENANT', 'DECIDED', 'LOADED HERE', 'LOADING HERE', 'WAITING', 'IN FLIGHT HERE'],
+    ['TENANT', 'DECIDED', 'GRANTED', 'LOADED HERE', 'LOADING HERE', 'WAITING', 'IN FLIGHT HERE'],
     report.tenants.map((tenant) => [
       tenant.name,
       String(tenant.decided),
+      String(tenant.granted),
       String(tenant.loaded),
       String(tenant.loading),
       String(tenant.waiting),
--- a/src/client/model-client.ts
+++ b/src/client/model-client.ts
@@ -16,6 +16,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Milliseconds after which the caller gives up. */
   readonly timeoutMs: number;
+  /** Called at each token. */
+  readonly onToken?: () => void;
   /** Connections are shared through this. */
   readonly agent?: http.Agent;
 }
@@ -56,6 +58,8 @@
   private error: Chunk['error'];
   private rest = '';
 
+  constructor(private readonly onToken: () => void) {}
+
   /** Takes in a piece of the body. */
   read(piece: string, stream: boolean): void {
     if (!stream) {
@@ -107,6 +111,7 @@
       this.firstTokenAt ??= Date.now();
       this.text += piece;
       this.tokens += 1;
+      this.onToken();
     }
     if (typeof choice?.finish_reason === 'string') this.finished = true;
   }
@@ -114,7 +119,7 @@
 
 /** Makes a call. Never throws. */
 export function callModel(call: ModelCall): Promise<ModelAnswer> {
-  const reader = new AnswerReader();
+  const reader = new AnswerReader(call.onToken ?? (() => {}));
   const [host, port] = splitAddress(call.server);
   const payload = JSON.stringify({
     model: call.model,
--- a/src/core/claim-table.ts
+++ b/src/core/claim-table.ts
@@ -53,6 +53,12 @@
     return true;
   }
 
+  /** Gives a key back that the request holds; it has not run and never will. */
+  release(tenant: string, key: string, request: string): void {
+    const id = claimId(tenant, key);
+    if (this.claims.get(id)?.request === request) this.claims.delete(id);
+  }
+
   /**
    * Takes over claims from another voter. Where the two know a key for
    * different requests, either may have its quorum: the key is refused to both.
@@ -104,7 +110,8 @@
     if (this.refused) return 'taken';
     const remembering = [...this.grants.values()].filter((young) => !young).length;
     if (remembering >= CLAIM_QUORUM) return 'granted';
-    const isNewGroup = this.grants.size === this.voters.length && remembering === 0;
+    const areAll = this.voters.length >= CLAIM_QUORUM && this.grants.size === this.voters.length;
+    const isNewGroup = areAll && remembering === 0;
     return isNewGroup ? 'granted' : 'pending';
   }
 }
--- a/src/core/duties.ts
+++ b/src/core/duties.ts
@@ -31,6 +31,21 @@
   return firstCandidate(pool.pool, addressesOf(nearest));
 }
 
+/**
+ * Whether a daemon sees enough of a pool's site to claim the pool: half of the
+ * daemons that the platform lists there. One that is cut off from the others
+ * would otherwise take pools from owners that live.
+ */
+export function seesEnough(
+  pool: DutyPool,
+  members: readonly DutyMember[],
+  listed: readonly DutyMember[],
+): boolean {
+  const listedThere = listed.filter((member) => member.site === pool.site).length;
+  const liveThere = members.filter((member) => member.site === pool.site).length;
+  return liveThere * 2 >= listedThere;
+}
+
 /** The daemons of a zone that read the platform's object API. */
 export function readersOf(
   zone: string,
--- a/src/core/engine-ledger.ts
+++ b/src/core/engine-ledger.ts
@@ -42,7 +42,9 @@
 export class EngineLedger {
   /** Whether this engine has answered a seal in the owner's epoch and incarnation. */
   sealed = false;
-  leaving = false;
+  /** The engine's own word, or the platform's list. */
+  private saysLeaving = false;
+  listedLeaving = false;
   /** False while the engine's reports are cut off. */
   reachable = true;
   capacityBytes = 0;
@@ -66,7 +68,7 @@
   restart(incarnation: string): void {
     this.incarnation = incarnation;
     this.sealed = false;
-    this.leaving = false;
+    this.saysLeaving = false;
     this.replicas.clear();
     this.cached.clear();
     this.lastReport = 0;
@@ -103,6 +105,16 @@
     return this.cached.get(model) ?? 'remote';
   }
 
+  /** Whether the engine is about to go. */
+  get leaving(): boolean {
+    return this.saysLeaving || this.listedLeaving;
+  }
+
+  /** The engine has refused an order because it is about to go. */
+  markLeaving(): void {
+    this.saysLeaving = true;
+  }
+
   /** Whether new loads may be ordered. */
   takesLoads(): boolean {
     return this.sealed && this.reachable && !this.leaving;
@@ -139,7 +151,7 @@
     if (report.incarnation !== this.incarnation || report.number <= this.lastReport) return news;
     this.lastReport = report.number;
     this.capacityBytes = report.capacityBytes;
-    this.leaving = report.leaving;
+    this.saysLeaving = report.leaving;
     this.cached.clear();
     for (const { model, tier } of report.cached) this.cached.set(model, tier);
     const shown = new Set(report.holdings.map((holding) => holding.replica.tenant));
--- a/src/core/pool-owner.ts
+++ b/src/core/pool-owner.ts
@@ -33,6 +33,8 @@
 const LOAD_RETRY_MS = 2_000;
 /** Milliseconds that a replica is safe from eviction after its last use. */
 const EVICTION_GRACE_MS = 1_000;
+/** What is still to come of an overdue load, as a share of the time it has taken. */
+const OVERDUE_SHARE = 0.5;
 /** Milliseconds that routers are told to wait when no engine has room. */
 const NO_CAPACITY_RETRY_MS = 2_000;
 
@@ -160,7 +162,7 @@
         return;
       case 'engine_listed': {
         const engine = this.engines.get(event.engine);
-        if (engine !== undefined && event.leaving) engine.leaving = true;
+        if (engine !== undefined) engine.listedLeaving = event.leaving;
         return;
       }
       case 'engine_gone': {
@@ -224,7 +226,7 @@
     }
     if (answer.refusal === 'stale_epoch') return this.lose(`${address} is sealed by a newer owner`);
     if (answer.refusal === 'wrong_incarnation') return this.register(address, answer.incarnation);
-    if (answer.refusal === 'leaving') engine.leaving = true;
+    if (answer.refusal === 'leaving') engine.markLeaving();
     this.orderRefused(engine, fence.sequence);
     this.seal(engine);
   }
@@ -344,7 +346,10 @@
       for (const [name, replica] of engine.replicas) {
         if (replica.state === 'unloading') continue;
         const surplus = this.countKept(name) > this.allowed(name);
-        if (surplus || this.isOutdated(replica)) this.unload(engine, name);
+        // A leaving engine finishes what runs and gives its replicas up, so that they can be
+        // loaded elsewhere before it goes.
+        const goes = surplus || engine.leaving || this.isOutdated(replica);
+        if (goes) this.unload(engine, name);
       }
     }
   }
@@ -527,7 +532,9 @@
       const replica = engine.replicas.get(name);
       if (replica?.state !== 'ordered' && replica?.state !== 'loading') continue;
       const expected = this.loadTimes.expected(replica.tier, replica.spec.modelBytes);
-      return Math.max(0, replica.orderedAt + expected - now);
+      const elapsed = now - replica.orderedAt;
+      // An overdue load, as with a stalled weight store: the longer it has taken, the longer it will.
+      return elapsed <= expected ? expected - elapsed : elapsed * OVERDUE_SHARE;
     }
     return undefined;
   }
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -7,7 +7,7 @@
  * A request that may not be repeated is never sent a second time once a byte of
  * it may have left, unless the engine itself says that it did not run.
  */
-import type { ErrorKind } from '../common/errors.js';
+import { answerFor, type ErrorKind } from '../common/errors.js';
 import type { ReplicaLoad, RequestRefusal } from '../engines/engine-client.js';
 import type { TenantSpec } from './documents.js';
 import type { TenantLocation } from './pool-messages.js';
@@ -57,6 +57,8 @@
   claimed: boolean;
   /** The engine has accepted the request. */
   started: boolean;
+  /** An earlier try of a repeatable request may have run: "not run" is never said again. */
+  mayHaveRun: boolean;
   tokens: number;
   resumes: number;
   refusals: number;
@@ -163,6 +165,7 @@
       incarnation: '',
       claimed: !needsClaim,
       started: false,
+      mayHaveRun: false,
       tokens: 0,
       resumes: 0,
       refusals: 0,
@@ -263,7 +266,9 @@
     const pools = this.options.directory.routes(tenant);
     if (route === undefined || route.isLoaded()) return;
     if (pools.length === 0) {
-      this.refuse(state, 'no_capacity', 'no pool has a replica for the tenant', now);
+      // A tenant that has just been declared gets its quota in a moment; one with a cap of 0 never.
+      const cap = this.options.directory.tenant(tenant)?.maxReplicas ?? 0;
+      if (cap === 0) this.refuse(state, 'no_capacity', 'the tenant may have no replica', now);
       return;
     }
     const known = pools.map((pool) => route.locationOf(pool.pool));
@@ -384,6 +389,7 @@
     const unheard = state.tokens === 0;
     if (state.request.repeatable && unheard && this.retries.take(now)) {
       state.started = false;
+      state.mayHaveRun = true;
       this.enqueue(state, now);
       return;
     }
@@ -426,7 +432,9 @@
     retryAfterMs?: number,
   ): void {
     const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
-    this.effects.push({ type: 'refuse', id: state.request.id, kind, reason, ...retry });
+    const claimsNotRun = answerFor(kind).ran === 'no';
+    const truthful = claimsNotRun && state.mayHaveRun ? 'engine_outcome_unknown' : kind;
+    this.effects.push({ type: 'refuse', id: state.request.id, kind: truthful, reason, ...retry });
     this.end(state, now);
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,7 +14,7 @@
 import type { TenantLocation, WakeRequest } from '../core/pool-messages.js';
 import type { PoolRecord } from '../core/records.js';
 import type { EngineClient } from '../engines/engine-client.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { Machine, PlatformClient } from '../platform/platform-client.js';
 import { AdminApi } from './admin-api.js';
 import { CallerApi } from './caller-api.js';
 import {
@@ -44,6 +44,11 @@
 const DUTY_TICK_MS = 500;
 /** Milliseconds between two clean-ups of expired claims. */
 const CLEANUP_MS = 30_000;
+/**
+ * Milliseconds for which a draining daemon still answers, with a refusal and
+ * `Connection: close`, so that no caller's request meets a closing connection.
+ */
+const LAME_DUCK_MS = 800;
 /** Milliseconds that a leaving daemon's news has to spread before it closes its ports. */
 const FAREWELL_MS = 300;
 
@@ -112,7 +117,8 @@
       settings.site,
     );
     const { directory, membership, metrics } = this;
-    this.keyClaims = new KeyClaims({ clock, membership, send });
+    const listed = (): Machine[] => this.listedDaemons();
+    this.keyClaims = new KeyClaims({ clock, membership, listed, send });
     const isCurrent = (): boolean => this.configuration.isCurrent();
     this.quotas = new QuotaReconciler({ self, membership, platform, directory, logger, isCurrent });
     this.requests = new RequestService({
@@ -133,6 +139,7 @@
       platform,
       engines,
       directory,
+      listed,
       configurationRevision: () => this.configuration.configuration.state.revision,
       startOwner: (record) => this.startOwner(record),
     });
@@ -188,6 +195,7 @@
     this.keyClaims.handOver();
     await this.claims.release();
     await this.requests.drain();
+    await new Promise((resolve) => setTimeout(resolve, LAME_DUCK_MS));
     await this.frontDoor.stop();
     await new Promise((resolve) => setTimeout(resolve, FAREWELL_MS));
     this.close();
@@ -304,6 +312,8 @@
         return this.keyClaims.handleAnswer(from, body.value);
       case 'claimTransfer':
         return this.keyClaims.handleTransfer(from, body.value);
+      case 'claimRelease':
+        return this.keyClaims.handleRelease(body.value);
       case 'claimPull':
         return this.keyClaims.handlePull(from, body.value);
       default:
@@ -343,14 +353,17 @@
   }
 
   private offerSeeds(): void {
-    const listed = this.directory
-      .machines()
-      .filter((machine) => machine.kind === 'daemon' && machine.state === 'live')
-      .map((machine) => machine.address);
+    const listed = this.listedDaemons().map((machine) => machine.address);
     const addresses = [...new Set([...this.settings.seeds, ...listed])];
     this.membershipEvent({ type: 'seeds', addresses });
   }
 
+  private listedDaemons(): Machine[] {
+    return this.directory
+      .machines()
+      .filter((machine) => machine.kind === 'daemon' && machine.state === 'live');
+  }
+
   private configurationChanged(key: string): void {
     for (const owner of this.claims.owners.values()) owner.configurationChanged(key);
     const slash = key.indexOf('/');
--- a/src/daemon/directory.ts
+++ b/src/daemon/directory.ts
@@ -33,6 +33,11 @@
 export class Directory implements RoutingDirectory {
   private readonly tenantCache = new Map<string, CachedTenant>();
   private readonly recordCache = new Map<string, CachedRecord>();
+  /** The decoded list; it is looked at several times a second and changes a few times an hour. */
+  private machineCache: { readonly revision: number; readonly machines: readonly Machine[] } = {
+    revision: -1,
+    machines: [],
+  };
 
   constructor(
     private readonly configuration: Feed,
@@ -118,8 +123,14 @@
   }
 
   /** The platform's list. */
-  machines(): Machine[] {
-    return [...this.machineFeed.keys('')].flatMap((address) => this.machine(address) ?? []);
+  machines(): readonly Machine[] {
+    const { revision } = this.machineFeed;
+    if (this.machineCache.revision !== revision) {
+      const addresses = [...this.machineFeed.keys('')];
+      const machines = addresses.flatMap((address) => this.machine(address) ?? []);
+      this.machineCache = { revision, machines };
+    }
+    return this.machineCache.machines;
   }
 
   /** One machine of the platform's list. */
--- a/src/daemon/front-door.ts
+++ b/src/daemon/front-door.ts
@@ -63,6 +63,7 @@
 
   private async route(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const path = (request.url ?? '/').split('?')[0] ?? '/';
+    if (this.options.unready()?.kind === 'draining') response.setHeader('connection', 'close');
     if (path.startsWith('/v1/')) return this.options.callers.handle(path, request, response);
     if (path.startsWith('/admin/v1/')) {
       return this.options.operators.handle(path, request, response);
--- a/src/daemon/key-claims.ts
+++ b/src/daemon/key-claims.ts
@@ -8,16 +8,18 @@
   type ClaimOutcome,
   type KeyClaim,
 } from '../core/claim-table.js';
-import { votersOf } from '../core/duties.js';
+import { votersOf, type DutyMember } from '../core/duties.js';
 import type { Membership } from '../core/membership.js';
 import {
   ClaimKeyAnswerSchema,
   ClaimKeySchema,
   ClaimPullSchema,
+  ClaimReleaseSchema,
   ClaimTransferSchema,
   type ClaimKey,
   type ClaimKeyAnswer,
   type ClaimPull,
+  type ClaimRelease,
   type ClaimTransfer,
 } from '../proto/gen/internal_pb.js';
 import type { PeerBody } from './peer-transport.js';
@@ -29,6 +31,8 @@
 /** Milliseconds between the first two pulls, and at most: in a new group all stay young for long. */
 const FIRST_PULL_PERIOD_MS = 1_000;
 const LONGEST_PULL_PERIOD_MS = 60_000;
+/** Milliseconds that the first voter is waited for before the others are asked too. */
+const FIRST_VOTER_MS = 100;
 /** Milliseconds that a granted round waits for a voter that might refuse. */
 const REFUSAL_GRACE_MS = 60;
 
@@ -41,12 +45,20 @@
   readonly voters: readonly string[];
   readonly answered: Set<string>;
   readonly settle: (outcome: SettledClaim) => void;
+  askedAll: boolean;
+  askOthers: () => void;
 }
 
 /** What claims need around them. */
 export interface KeyClaimsOptions {
   readonly clock: Clock;
   readonly membership: Membership;
+  /**
+   * The daemons of the platform's list. Voters are chosen from it and not from
+   * the live members: on the two sides of a cut the live members differ, and
+   * each side would find a quorum of its own.
+   */
+  readonly listed: () => readonly DutyMember[];
   readonly send: (to: string, body: PeerBody) => void;
 }
 
@@ -54,6 +66,8 @@
 export class KeyClaims {
   private readonly table: ClaimTable;
   private readonly rounds = new Map<string, OpenRound>();
+  /** Who was asked for the keys of requests that have not ended. */
+  private readonly voters = new Map<string, readonly string[]>();
   private readonly startedAt: number;
   private readonly pulledFrom = new Set<string>();
   private pullToken = 0;
@@ -67,8 +81,8 @@
 
   /** Claims a key for a request; resolves at the latest after {@link ROUND_TIMEOUT_MS}. */
   claim(tenant: string, key: string, request: string): Promise<SettledClaim> {
-    const { membership, send } = this.options;
-    const voters = votersOf(tenant, key, membership.live(), CLAIM_VOTERS);
+    const voters = votersOf(tenant, key, this.options.listed(), CLAIM_VOTERS);
+    this.voters.set(request, voters);
     return new Promise((resolve) => {
       const timer = setTimeout(() => settle('unavailable'), ROUND_TIMEOUT_MS);
       const settle = (outcome: SettledClaim): void => {
@@ -79,12 +93,54 @@
       const answered = new Set<string>();
       const startedAt = this.options.clock.now();
       const round = new ClaimRound(voters);
-      this.rounds.set(request, { startedAt, round, voters, answered, settle });
-      const value = create(ClaimKeySchema, { tenant, key, request });
-      for (const voter of voters) send(voter, { case: 'claimKey', value });
+      const open = { startedAt, round, voters, answered, settle, askedAll: false };
+      this.rounds.set(request, { ...open, askOthers: () => {} });
+      this.askVoters(voters, create(ClaimKeySchema, { tenant, key, request }));
     });
   }
 
+  /**
+   * Asks the first voter alone, and the others once it has granted: two requests
+   * at the same moment are then told apart by one voter and do not split the
+   * votes. A first voter that is silent is not waited for.
+   */
+  private askVoters(voters: readonly string[], message: ClaimKey): void {
+    const [first, ...others] = voters;
+    if (first === undefined) return;
+    const body = { case: 'claimKey', value: message } as const;
+    this.options.send(first, body);
+    const askOthers = (): void => {
+      const open = this.rounds.get(message.request);
+      if (open === undefined || open.askedAll) return;
+      open.askedAll = true;
+      for (const voter of others) this.options.send(voter, body);
+    };
+    const open = this.rounds.get(message.request);
+    if (open !== undefined) open.askOthers = askOthers;
+    setTimeout(askOthers, FIRST_VOTER_MS);
+  }
+
+  /**
+   * Gives a key back after its request was refused without having run, so that
+   * the caller can come back with the same key. Must not be called otherwise.
+   */
+  release(tenant: string, key: string, request: string): void {
+    const voters = this.voters.get(request) ?? [];
+    this.voters.delete(request);
+    const value = create(ClaimReleaseSchema, { tenant, key, request });
+    for (const voter of voters) this.options.send(voter, { case: 'claimRelease', value });
+  }
+
+  /** The request has ended otherwise: its key stays claimed until it expires. */
+  keep(request: string): void {
+    this.voters.delete(request);
+  }
+
+  /** A router gives a key back. */
+  handleRelease(message: ClaimRelease): void {
+    this.table.release(message.tenant, message.key, message.request);
+  }
+
   /** Votes on a claim. */
   handleClaim(from: string, message: ClaimKey): void {
     const now = this.options.clock.now();
@@ -104,7 +160,7 @@
       return open.settle('unavailable');
     open.answered.add(from);
     const outcome = open.round.vote(from, message.granted, message.young);
-    if (outcome === 'pending') return;
+    if (outcome === 'pending') return open.askOthers();
     if (outcome !== 'granted' || open.answered.size === open.voters.length) {
       open.settle(outcome);
       return;
@@ -127,7 +183,9 @@
     if (message.token !== this.pullToken || message.young) return;
     this.pulledFrom.add(from);
     const others = this.otherMembers();
-    if (others.every((address) => this.pulledFrom.has(address))) this.table.markInformed();
+    const isMajority = this.pulledFrom.size + 1 > this.options.listed().length / 2;
+    const haveAll = others.every((address) => this.pulledFrom.has(address));
+    if (isMajority && haveAll) this.table.markInformed();
   }
 
   /** Answers a new voter. */
@@ -161,10 +219,11 @@
 
   /** Hands this daemon's claims to those who vote once it is gone. */
   handOver(): void {
-    const live = this.options.membership.live();
+    const self = this.options.membership.own.address;
+    const staying = this.options.listed().filter((member) => member.address !== self);
     const byVoter = new Map<string, KeyClaim[]>();
     for (const claim of this.table.all()) {
-      for (const voter of votersOf(claim.tenant, claim.key, live, CLAIM_VOTERS)) {
+      for (const voter of votersOf(claim.tenant, claim.key, staying, CLAIM_VOTERS)) {
         byVoter.set(voter, [...(byVoter.get(voter) ?? []), claim]);
       }
     }
--- a/src/daemon/pool-claims.ts
+++ b/src/daemon/pool-claims.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Clock } from '../common/clock.js';
 import type { Logger } from '../common/logger.js';
-import { preferredOwner, type DutyPool } from '../core/duties.js';
+import { preferredOwner, seesEnough, type DutyMember, type DutyPool } from '../core/duties.js';
 import type { Membership } from '../core/membership.js';
 import type { PoolRecord, RegisteredEngine } from '../core/records.js';
 import type { EngineClient } from '../engines/engine-client.js';
@@ -26,6 +26,8 @@
   readonly platform: PlatformClient;
   readonly engines: EngineClient;
   readonly directory: Directory;
+  /** The daemons of the platform's list. */
+  readonly listed: () => readonly DutyMember[];
   /** Revision that the configuration has reached. */
   readonly configurationRevision: () => number;
   /** Starts an owner for a record that names this daemon. */
@@ -84,7 +86,9 @@
     const { self, membership, clock, directory } = this.options;
     if (this.claiming.has(pool.pool) || this.owners.has(pool.pool)) return false;
     if ((this.retryAt.get(pool.pool) ?? 0) > clock.now()) return false;
-    if (preferredOwner(pool, membership.live()) !== self) return false;
+    const live = membership.live();
+    if (preferredOwner(pool, live) !== self) return false;
+    if (!seesEnough(pool, live, this.options.listed())) return false;
     const owner = directory.pool(pool.pool)?.owner ?? '';
     return owner === '' || owner === self || !membership.isLive(owner);
   }
--- a/src/daemon/pool-owner-process.ts
+++ b/src/daemon/pool-owner-process.ts
@@ -266,9 +266,20 @@
   private tick(): void {
     if (this.stopped) return;
     this.events.offer({ type: 'tick' });
+    this.countIdle();
     this.compareWithList();
   }
 
+  private countIdle(): void {
+    let idle = 0;
+    for (const engine of this.owner.engines.values()) {
+      for (const replica of engine.replicas.values()) {
+        if (replica.state === 'loaded' && replica.inFlight === 0) idle += 1;
+      }
+    }
+    this.options.metrics.idleSeconds.inc((idle * TICK_MS) / 1000);
+  }
+
   /** What the platform's list says of this pool's engines; never the truth on its own. */
   private compareWithList(): void {
     const now = this.options.clock.now();
@@ -279,8 +290,7 @@
     for (const machine of listed) {
       this.absentSince.delete(machine.address);
       if (this.owner.engines.has(machine.address)) {
-        const leaving = machine.state === 'leaving';
-        if (leaving) this.events.offer({ type: 'engine_listed', engine: machine.address, leaving });
+        this.reportListed(machine.address, machine.state === 'leaving');
       } else if (machine.state === 'live') {
         void this.join(machine.address);
       }
@@ -293,6 +303,11 @@
     }
   }
 
+  private reportListed(engine: string, leaving: boolean): void {
+    if (this.owner.engines.get(engine)?.listedLeaving === leaving) return;
+    this.events.offer({ type: 'engine_listed', engine, leaving });
+  }
+
   /** Takes a machine that is new in the list into the pool. */
   private async join(engine: string): Promise<void> {
     if (this.joining.has(engine)) return;
--- a/src/daemon/request-service.ts
+++ b/src/daemon/request-service.ts
@@ -3,7 +3,7 @@
  * feeds what engines and owners say back in, and answers callers.
  */
 import type { Clock } from '../common/clock.js';
-import { serviceError, type ErrorKind } from '../common/errors.js';
+import { answerFor, serviceError, type ErrorKind } from '../common/errors.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { Mailbox, startConsumer, startTicker } from '../common/process.js';
 import { PRIORITY_CLASSES } from '../core/documents.js';
@@ -107,6 +107,7 @@
     const running = this.running.get(id);
     if (running === undefined) return;
     this.events.offer({ type: 'caller_gone', id });
+    this.options.claims.keep(id);
     this.forget(running);
   }
 
@@ -257,6 +258,7 @@
       return;
     }
     running.exchange.finish(reason);
+    this.options.claims.keep(id);
     const milliseconds = this.options.clock.now() - running.arrivedAt;
     const waitedMs = running.sentAt - running.arrivedAt;
     this.options.logger.info('request_done', {
@@ -275,6 +277,7 @@
     if (running === undefined) return;
     const extra = retryAfterMs === undefined ? {} : { retryAfterSeconds: retryAfterMs / 1000 };
     running.exchange.fail(serviceError(kind, reason, extra));
+    this.settleKey(running.request, kind);
     this.options.metrics.refusals.inc({ kind });
     const { tenant } = running.request;
     const milliseconds = this.options.clock.now() - running.arrivedAt;
@@ -282,6 +285,15 @@
     this.forget(running);
   }
 
+  /** A key is given back only if its request has not run and never will. */
+  private settleKey(request: RoutedRequest, kind: ErrorKind): void {
+    const { id, tenant, idempotencyKey } = request;
+    if (idempotencyKey === undefined) return;
+    const neverRuns = answerFor(kind).ran === 'no' || kind === 'duplicate_request';
+    if (neverRuns) this.options.claims.release(tenant, idempotencyKey, id);
+    else this.options.claims.keep(id);
+  }
+
   private forget(running: Running): void {
     clearTimeout(running.deadlineTimer);
     running.connection += 1;
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -9,6 +9,8 @@
   readonly name: string;
   /** Replicas that were decided at most. */
   readonly decided: number;
+  /** Replicas of them that pools have been granted. */
+  readonly granted: number;
   /** Replicas loaded, and on their way, in the pools that this daemon owns. */
   readonly loaded: number;
   readonly loading: number;
@@ -76,6 +78,8 @@
     }
   }
   const decided = sources.directory.tenant(name)?.maxReplicas ?? 0;
+  const shares = sources.directory.quota(name)?.shares ?? [];
+  const granted = shares.reduce((sum, share) => sum + share.granted, 0);
   const inFlightHere = sources.requests.state.route(name)?.inFlight ?? 0;
-  return { name, decided, loaded, loading, waiting, inFlightHere };
+  return { name, decided, granted, loaded, loading, waiting, inFlightHere };
 }
--- a/src/standin/expected-answer.ts
+++ b/src/standin/expected-answer.ts
@@ -7,8 +7,13 @@
 const SHORTEST_ANSWER = 8;
 const ANSWER_SPREAD = 24;
 
+/** A prompt may ask for a length itself, for benchmarks. */
+const ASKED_LENGTH = /tokens=(\d+)/;
+
 /** Tokens of the full answer to a prompt, when the caller sets no lower limit. */
 export function answerLength(prompt: string): number {
+  const asked = ASKED_LENGTH.exec(prompt)?.[1];
+  if (asked !== undefined) return Number(asked);
   return SHORTEST_ANSWER + (murmurhash.v3(prompt) % ANSWER_SPREAD);
 }
 
--- a/src/weight-store/transfer-model.ts
+++ b/src/weight-store/transfer-model.ts
@@ -22,6 +22,8 @@
 export class TransferModel {
   private readonly waiting: Transfer[] = [];
   private readonly active: Transfer[] = [];
+  /** Ended, and not yet told by `advance`. */
+  private readonly finished: number[] = [];
   private lastAdvance: number;
   private nextStart: number;
 
@@ -35,7 +37,7 @@
 
   /** Queues a transfer. */
   add(id: number, bytes: number, now: number): void {
-    this.advance(now);
+    this.progressTo(now);
     this.waiting.push({ id, remainingBytes: Math.max(1, bytes) });
     this.startWaiting(now);
   }
@@ -50,15 +52,18 @@
 
   /** Moves time on and returns the transfers that have ended by `now`. */
   advance(now: number): number[] {
-    const finished: number[] = [];
+    this.progressTo(now);
+    return this.finished.splice(0);
+  }
+
+  private progressTo(now: number): void {
     while (this.lastAdvance < now) {
       const stepEnd = Math.min(now, this.nextChange() ?? now);
       this.progress(stepEnd - this.lastAdvance);
       this.lastAdvance = stepEnd;
-      finished.push(...this.takeFinished());
+      this.finished.push(...this.takeFinished());
       this.startWaiting(stepEnd);
     }
-    return finished;
   }
 
   /** Pushes the model's time on without any progress, as a stalled store does. */
--- /dev/null
+++ b/test/chaos/auditor.test.ts
@@ -0,0 +1,113 @@
+import { describe, expect, it } from 'vitest';
+import { audit, isClean, type CallerRecord, type Evidence } from '../../src/chaos/auditor.js';
+import type { ModelAnswer } from '../../src/client/model-client.js';
+import type { EngineLogEvent } from '../../src/standin/engine-stand-in.js';
+
+const ANSWER: ModelAnswer = {
+  outcome: 'whole',
+  status: 200,
+  text: 'right',
+  tokens: 1,
+  errorKind: undefined,
+  ran: undefined,
+  retryAfterSeconds: undefined,
+  requestId: undefined,
+  startedAt: 0,
+  firstTokenAt: 1,
+  endedAt: 10,
+  reason: '',
+};
+const CALL: CallerRecord = {
+  id: 'c1',
+  daemon: 'd1',
+  tenant: 'till',
+  repeatable: false,
+  idempotencyKey: undefined,
+  deadlineAt: 100,
+  expectedText: 'right',
+  answer: ANSWER,
+};
+const CLEAN: Evidence = {
+  engineEvents: [],
+  callers: [CALL],
+  caps: new Map([['till', 1]]),
+  stopped: [],
+  trials: [{ inForceMs: 20 }],
+  reversions: 0,
+};
+
+function event(part: Partial<EngineLogEvent>): EngineLogEvent {
+  return { at: 1, engine: 'e1', incarnation: 'i', event: 'hold', tenant: 'till', ...part };
+}
+
+function withAnswer(part: Partial<ModelAnswer>, call: Partial<CallerRecord> = {}): Evidence {
+  return { ...CLEAN, callers: [{ ...CALL, ...call, answer: { ...ANSWER, ...part } }] };
+}
+
+describe('the auditor', () => {
+  it('finds nothing where nothing is wrong', () => {
+    expect(isClean(audit(CLEAN))).toBe(true);
+  });
+
+  it.each<[keyof ReturnType<typeof audit>, Evidence]>([
+    [
+      'replicasBeyondDecided',
+      { ...CLEAN, engineEvents: [event({}), event({ engine: 'e2', at: 2 })] },
+    ],
+    [
+      'memoryBeyondCapacity',
+      { ...CLEAN, engineEvents: [event({ usedBytes: 2, capacityBytes: 1 })] },
+    ],
+    ['requestsWithoutEnd', withAnswer({ outcome: 'lost' })],
+    ['endsPastDeadline', withAnswer({ endedAt: 1_000 })],
+    ['wrongAnswers', withAnswer({ text: 'wrong' })],
+    ['wrongAnswers', withAnswer({ outcome: 'refused', text: 'wro' })],
+    [
+      'falseNotRun',
+      {
+        ...withAnswer({ outcome: 'refused', ran: 'no', text: '' }),
+        engineEvents: [event({ event: 'run', request: 'c1~x' })],
+      },
+    ],
+    [
+      'repeatedRuns',
+      {
+        ...CLEAN,
+        engineEvents: [1, 2].map((at) => event({ event: 'run', request: `c1~${at}`, at })),
+      },
+    ],
+    [
+      'repeatedRuns',
+      {
+        ...CLEAN,
+        callers: ['c1', 'c2'].map((id) => ({ ...CALL, id, idempotencyKey: 'k' })),
+        engineEvents: ['c1', 'c2'].map((id) => event({ event: 'run', request: `${id}~x` })),
+      },
+    ],
+    [
+      'workForLeaving',
+      {
+        ...CLEAN,
+        engineEvents: [event({ event: 'leaving' }), event({ event: 'received', at: 2_500 })],
+      },
+    ],
+    [
+      'streamsCutByPlannedStop',
+      { ...withAnswer({ outcome: 'lost' }), stopped: [{ daemon: 'd1', planned: true }] },
+    ],
+    ['configurationLate', { ...CLEAN, trials: [{ inForceMs: 4_100 }] }],
+    ['configurationLate', { ...CLEAN, trials: [{ inForceMs: undefined }] }],
+    ['reversions', { ...CLEAN, reversions: 1 }],
+  ])('sees %s', (count, evidence) => {
+    expect(audit(evidence)[count]).toBeGreaterThan(0);
+  });
+
+  it('counts a restarted engine as empty', () => {
+    const engineEvents = [
+      event({}),
+      event({ event: 'start', at: 2 }),
+      event({ engine: 'e2', at: 3 }),
+    ];
+    expect(audit({ ...CLEAN, engineEvents }).replicasBeyondDecided).toBe(0);
+  });
+});
