A daemon that was thought dead hears the configuration again; garbage on the internal port is survived

Cause 1: in a scale run of 30 hollow daemons one was not at a new revision after 15 s. A reader drops a subscriber when membership finds it dead; one that was only slow, and did not itself find the reader dead, never subscribed again. Ruled out: gaps (closed by heartbeats, which had ended with the subscription) and the platform's watch (other daemons had the revision). Change: a subscriber asks an upstream again after 2.5 s of silence, and a relay keeps subscribers until membership forgets them.

Cause 2: a length prefix that is no varint made the decoder throw and ended the daemon. Change: it counts as garbage, and the connection is closed.

Also: an owner gives its pool up when the relayed record has a newer epoch, before an engine tells it (a scale run showed two owners for one pool where engines are hollow).

--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -108,6 +108,11 @@
     return state !== undefined && state !== 'dead';
   }
 
+  /** Whether a daemon has been heard of and not been forgotten yet, dead or not. */
+  isKnown(address: string): boolean {
+    return address === this.self.address || this.members.has(address);
+  }
+
   /** All daemons ever heard of and not yet forgotten. */
   all(): MemberView[] {
     return [this.self, ...[...this.members.values()].map((entry) => entry.view)];
--- a/src/daemon/caller-exchange.ts
+++ b/src/daemon/caller-exchange.ts
@@ -4,7 +4,7 @@
  * for the first token, so that a refusal still has its own status.
  */
 import type http from 'node:http';
-import { answerFor, errorBody, type ServiceError } from '../common/errors.js';
+import { errorBody, type ServiceError } from '../common/errors.js';
 import { sendError, sendJson } from '../common/http-server.js';
 
 /** What the caller asked for. */
@@ -132,8 +132,3 @@
     };
   }
 }
-
-/** Whether a kind of error leaves open or denies that the request ran. */
-export function ranOf(error: ServiceError): string {
-  return answerFor(error.kind).ran;
-}
--- a/src/daemon/configuration-service.ts
+++ b/src/daemon/configuration-service.ts
@@ -86,7 +86,8 @@
     this.machines.setUpstreams(upstreams);
     for (const relay of [this.configuration, this.machines]) {
       for (const subscriber of relay.subscriberList()) {
-        if (!membership.isReachable(subscriber)) relay.dropSubscriber(subscriber);
+        // One that is thought dead may only be paused: it is kept until it is forgotten.
+        if (!membership.isKnown(subscriber)) relay.dropSubscriber(subscriber);
       }
     }
   }
@@ -98,6 +99,12 @@
     this.machines.resubscribe(address);
   }
 
+  /** Asks upstreams that have gone silent again. */
+  renewSilent(): void {
+    this.configuration.renewSilent();
+    this.machines.renewSilent();
+  }
+
   /** Sends this daemon's positions to those who hear from it. */
   sendHeartbeats(): void {
     const relays = [this.configuration, this.machines];
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -346,6 +346,7 @@
 
   private lookAtDuties(): void {
     this.configuration.askPeers();
+    this.configuration.renewSilent();
     this.keyClaims.pull();
     this.offerSeeds();
     if (this.draining || !this.configuration.isCurrent()) return;
--- a/src/daemon/feed-relay.ts
+++ b/src/daemon/feed-relay.ts
@@ -23,6 +23,8 @@
 const LOG_LIMIT = 256;
 /** Objects in one part of a snapshot. */
 const SNAPSHOT_PART = 500;
+/** Milliseconds after which a silent upstream is asked again; a little over its heartbeat's period. */
+const UPSTREAM_SILENCE_MS = 2_500;
 const LONGEST_AGE_MS = 2 ** 31 - 1;
 
 interface LoggedDelta {
@@ -72,6 +74,8 @@
   private readonly log: LoggedDelta[] = [];
   private readonly parts = new Map<string, SnapshotParts>();
   private upstreams: readonly string[] = [];
+  /** When each upstream was last heard from, or asked. */
+  private readonly heardAt = new Map<string, number>();
 
   constructor(private readonly options: FeedRelayOptions) {}
 
@@ -87,6 +91,18 @@
     if (this.upstreams.includes(address)) this.subscribe(address);
   }
 
+  /**
+   * Subscribes again to upstreams that have gone silent: one may have taken this
+   * daemon for dead while it was paused, and forgotten its subscription.
+   */
+  renewSilent(): void {
+    const now = this.options.clock.now();
+    for (const address of this.upstreams) {
+      const silence = now - (this.heardAt.get(address) ?? 0);
+      if (silence >= UPSTREAM_SILENCE_MS) this.subscribe(address);
+    }
+  }
+
   /** Forgets a subscriber. */
   dropSubscriber(address: string): void {
     this.subscribers.delete(address);
@@ -147,6 +163,7 @@
 
   /** A peer reports its position: closes gaps, and learns how fresh the state is. */
   handlePosition(from: string, position: FeedPosition): void {
+    this.heard(from);
     if (position.revision > this.state.revision) {
       this.resubscribe(from);
       return;
@@ -158,6 +175,7 @@
 
   /** A step from a peer. */
   handleDelta(from: string, delta: Delta): void {
+    this.heard(from);
     const entries = delta.entries.map(decodeEntry);
     const outcome = this.applyDelta(delta.base, delta.revision, entries);
     if (outcome === 'gap') this.resubscribe(from);
@@ -165,6 +183,7 @@
 
   /** A part of a snapshot from a peer. */
   handleSnapshot(from: string, snapshot: Snapshot): void {
+    this.heard(from);
     if (snapshot.first) this.parts.set(from, { revision: snapshot.revision, entries: [] });
     const parts = this.parts.get(from);
     if (parts === undefined || parts.revision !== snapshot.revision) return;
@@ -174,7 +193,12 @@
     this.applySnapshot(parts.revision, parts.entries);
   }
 
+  private heard(from: string): void {
+    this.heardAt.set(from, this.options.clock.now());
+  }
+
   private subscribe(address: string): void {
+    this.heard(address);
     const { feed, token } = this.options;
     const value = create(SubscribeSchema, { feed, revision: this.state.revision, token });
     this.options.send(address, { case: 'subscribe', value });
--- a/src/daemon/peer-transport.ts
+++ b/src/daemon/peer-transport.ts
@@ -169,11 +169,12 @@
   private takeMessages(bytes: Uint8Array, socket: net.Socket): number {
     let position = 0;
     for (;;) {
-      const head = sizeDelimitedPeek(bytes.subarray(position));
-      if (head.eof) {
-        if (bytes.length - position > 10) this.rejectGarbage(socket, 'no length prefix');
-        return position;
+      const head = peekSize(bytes.subarray(position));
+      if (head === undefined) {
+        this.rejectGarbage(socket, 'no length prefix');
+        return bytes.length;
       }
+      if (head.eof) return position;
       if (head.size > LARGEST_MESSAGE_BYTES) {
         this.rejectGarbage(socket, `a message of ${head.size} bytes`);
         return bytes.length;
@@ -212,3 +213,12 @@
     socket?.destroy();
   }
 }
+
+/** The length prefix at the start of `bytes`; undefined if there is none. */
+function peekSize(bytes: Uint8Array): ReturnType<typeof sizeDelimitedPeek> | undefined {
+  try {
+    return sizeDelimitedPeek(bytes);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/daemon/pool-owner-process.ts
+++ b/src/daemon/pool-owner-process.ts
@@ -115,6 +115,7 @@
     const [kind = '', name = ''] = splitKey(key);
     if (kind === 'quota' || kind === 'tenant') this.refreshTenant(name);
     if (kind === 'template') this.refreshTemplate(name);
+    if (kind === 'pool' && name === this.pool) this.checkRecord();
   }
 
   /** The owner's state, for the status page. */
@@ -136,6 +137,13 @@
     });
   }
 
+  /** The relayed record may tell of a newer owner before any engine does. */
+  private checkRecord(): void {
+    const record = this.options.directory.pool(this.pool);
+    if (record !== undefined && record.epoch > this.epoch)
+      this.lose('the record has a newer epoch');
+  }
+
   private onFault(fault: unknown): void {
     this.options.logger.error('owner_fault', { pool: this.pool, reason: faultText(fault) });
   }
--- a/src/scale/scale-run.ts
+++ b/src/scale/scale-run.ts
@@ -39,7 +39,7 @@
 /** Tenants in use at any moment, as a share of all. */
 const ACTIVE_SHARE = 0.02;
 const ENGINES_PER_POOL = 10;
-const SETTLE_TIMEOUT_MS = 60_000;
+const SETTLE_TIMEOUT_MS = 120_000;
 
 /** How long each part is measured. */
 export interface ScaleTimes {
@@ -168,14 +168,18 @@
   /** Waits until all know each other and every pool has an owner; resolves with the seconds. */
   async settle(): Promise<number> {
     const startedAt = Date.now();
+    let state = '';
     while (Date.now() - startedAt < SETTLE_TIMEOUT_MS) {
       const counters = (await this.sample()).samples.flatMap((sample) => sample.daemons);
       const all = counters.every((d) => d.ready && d.members === this.daemons);
       const owned = counters.reduce((sum, d) => sum + d.ownedPools, 0);
       if (all && owned === this.poolCount) return (Date.now() - startedAt) / 1000;
+      const ready = counters.filter((d) => d.ready).length;
+      const fewest = Math.min(...counters.map((d) => d.members));
+      state = `${ready} ready, ${fewest} members at least, ${owned} of ${this.poolCount} pools owned`;
       await sleep(250);
     }
-    throw new Error(`${this.daemons} daemons did not settle in ${SETTLE_TIMEOUT_MS} ms`);
+    throw new Error(`${this.daemons} daemons did not settle in ${SETTLE_TIMEOUT_MS} ms: ${state}`);
   }
 
   async sample(): Promise<Sampled> {
--- a/src/testbed/local-cluster.ts
+++ b/src/testbed/local-cluster.ts
@@ -328,8 +328,10 @@
   throw new Error(`waited ${timeoutMs} ms in vain for ${what}`);
 }
 
+/** Programs are run as built, also when this module is loaded from its source by a test. */
 function scriptPath(relative: string): string {
-  return fileURLToPath(new URL(relative, import.meta.url));
+  const built = import.meta.url.replace('/src/testbed/', '/dist/testbed/');
+  return fileURLToPath(new URL(relative, built));
 }
 
 function readEvents(file: string): EngineLogEvent[] {
