Starts of many daemons no longer flood the object API and the ranking of members

A daemon that has just started sees only itself, took all tenants' quotas for its own and lost nearly every compare-and-swap; and every suspicion made it rank all members for all 256 parts anew. Ruled out: the relay (its messages were the writes' consequence) and claims (seen and mended before).

The scale run waits until the first quotas are written.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -195,8 +195,14 @@
     if (engine === undefined) throw new Error('a cluster has an engine');
     const { incarnation } = await cluster.engineStatus(engine);
     const bench = { cluster, engines, engine, incarnation };
+    const daemon = cluster.daemons[0]?.process;
+    const idleMegabytes = daemon?.residentMegabytes() ?? 0;
     const [direct, routed] = await measureAddedTime(bench);
     printAddedTime(direct, routed);
+    const busyMegabytes = daemon?.residentMegabytes() ?? 0;
+    process.stdout.write(
+      `resident memory of the daemon: ${idleMegabytes.toFixed(0)} MB before, ${busyMegabytes.toFixed(0)} MB after\n\n`,
+    );
     const rates: (readonly string[])[] = [];
     for (const callers of CALLERS) rates.push(await measureRate(bench, callers));
     printTable(['CALLERS', 'REQUESTS/S', 'TOKENS/S', 'REFUSED'], rates);
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -289,8 +289,8 @@
     const before = this.members.get(view.address)?.view;
     this.members.set(view.address, { view, since: now });
     this.spread(view.address);
-    const livenessChanged = before === undefined || isLive(before) !== isLive(view);
-    if (livenessChanged || before.state !== view.state) this.changed = true;
+    // A suspicion alone changes no duty, and comes and goes when machines are busy.
+    if (before === undefined || isLive(before) !== isLive(view)) this.changed = true;
   }
 
   private spread(address: string): void {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -78,6 +78,7 @@
   private readonly clock: Clock;
   private readonly tickers: Ticker[] = [];
   private readonly seenPools = new Set<string>();
+  private membersHaveChanged = false;
   private draining = false;
 
   constructor(
@@ -119,8 +120,8 @@
     const { directory, membership, metrics } = this;
     const listed = (): Machine[] => this.listedDaemons();
     this.keyClaims = new KeyClaims({ clock, membership, listed, send });
-    const isCurrent = (): boolean => this.configuration.isCurrent();
-    this.quotas = new QuotaReconciler({ self, membership, platform, directory, logger, isCurrent });
+    const mayWrite = (): boolean => this.configuration.isCurrent() && this.seesHalf();
+    this.quotas = new QuotaReconciler({ self, membership, platform, directory, logger, mayWrite });
     this.requests = new RequestService({
       self,
       clock,
@@ -166,7 +167,7 @@
       dependencies.logger.error('daemon_fault', { reason: faultText(fault) });
     };
     this.tickers.push(
-      startTicker(MEMBERSHIP_TICK_MS, () => this.membershipEvent({ type: 'tick' }), onFault),
+      startTicker(MEMBERSHIP_TICK_MS, () => this.membershipTick(), onFault),
       startTicker(DUTY_TICK_MS, () => this.lookAtDuties(), onFault),
       startTicker(RELAY_HEARTBEAT_MS, () => this.configuration.sendHeartbeats(), onFault),
       startTicker(CLEANUP_MS, () => this.keyClaims.expire(), onFault),
@@ -334,10 +335,18 @@
     for (const effect of this.membership.handle(event, this.clock.now())) {
       if (effect.type === 'send')
         this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
-      else this.membersChanged();
+      else this.membersHaveChanged = true;
     }
   }
 
+  private membershipTick(): void {
+    this.membershipEvent({ type: 'tick' });
+    if (!this.membersHaveChanged) return;
+    // Many changes at once, as after a start or the loss of a zone, are worked out once.
+    this.membersHaveChanged = false;
+    this.membersChanged();
+  }
+
   private membersChanged(): void {
     this.configuration.membersChanged();
     if (!this.draining) this.quotas.membersChanged();
@@ -359,6 +368,11 @@
     this.membershipEvent({ type: 'seeds', addresses });
   }
 
+  /** Whether half of the listed daemons are live members. */
+  private seesHalf(): boolean {
+    return this.membership.live().length * 2 >= this.listedDaemons().length;
+  }
+
   private listedDaemons(): Machine[] {
     return this.directory
       .machines()
--- a/src/daemon/quota-reconciler.ts
+++ b/src/daemon/quota-reconciler.ts
@@ -14,6 +14,11 @@
 
 /** Milliseconds between two writes, so that a large change does not flood the object API. */
 const WRITE_PAUSE_MS = 2;
+/**
+ * Milliseconds for which changes of members are gathered: working the parts out
+ * takes a ranking of all members for each part.
+ */
+const PARTS_DELAY_MS = 1_000;
 /** Milliseconds for which calls to look at all tenants are gathered. */
 const CHECK_ALL_DELAY_MS = 50;
 /** Milliseconds before a failed write is looked at again. */
@@ -26,8 +31,12 @@
   readonly platform: PlatformClient;
   readonly directory: Directory;
   readonly logger: Logger;
-  /** Whether the configuration is current; nothing is written from an older one. */
-  readonly isCurrent: () => boolean;
+  /**
+   * Whether this daemon may write: its configuration is current, and it sees
+   * half of the listed daemons. One that has just started knows only itself, and
+   * would take all tenants for its own.
+   */
+  readonly mayWrite: () => boolean;
 }
 
 /** Writes quota records. */
@@ -35,6 +44,7 @@
   private readonly queue = new Mailbox<string>(65_536);
   private readonly queued = new Set<string>();
   private parts: ReadonlySet<number> = new Set();
+  private partsTimer: NodeJS.Timeout | undefined;
   private allTimer: NodeJS.Timeout | undefined;
   private stopped = false;
 
@@ -50,6 +60,7 @@
   stop(): void {
     this.stopped = true;
     clearTimeout(this.allTimer);
+    clearTimeout(this.partsTimer);
     this.queue.close();
   }
 
@@ -61,8 +72,17 @@
     this.queue.offer(tenant);
   }
 
-  /** Works out anew which tenants are this daemon's; looks at all if there are more of them. */
+  /** Works out anew which tenants are this daemon's, a little later and once for many changes. */
   membersChanged(): void {
+    if (this.partsTimer !== undefined || this.stopped) return;
+    this.partsTimer = setTimeout(() => {
+      this.partsTimer = undefined;
+      this.refreshParts();
+    }, PARTS_DELAY_MS);
+  }
+
+  /** Looks at all tenants if more of them are this daemon's now. */
+  private refreshParts(): void {
     const before = this.parts;
     this.parts = quotaPartsOf(this.options.self, this.options.membership.live());
     if ([...this.parts].some((part) => !before.has(part))) this.checkAllSoon();
@@ -91,7 +111,8 @@
     this.queued.delete(tenant);
     if (this.stopped) return;
     const { directory, platform, logger } = this.options;
-    if (!this.options.isCurrent()) {
+    if (!this.isOurs(tenant)) return;
+    if (!this.options.mayWrite()) {
       setTimeout(() => this.check(tenant), RETRY_MS).unref();
       return;
     }
--- a/src/scale/scale-run.ts
+++ b/src/scale/scale-run.ts
@@ -40,6 +40,8 @@
 const ACTIVE_SHARE = 0.02;
 const ENGINES_PER_POOL = 10;
 const SETTLE_TIMEOUT_MS = 120_000;
+/** Milliseconds without a write after which the store counts as quiet. */
+const QUIET_MS = 2_000;
 
 /** How long each part is measured. */
 export interface ScaleTimes {
@@ -173,7 +175,11 @@
       const counters = (await this.sample()).samples.flatMap((sample) => sample.daemons);
       const all = counters.every((d) => d.ready && d.members === this.daemons);
       const owned = counters.reduce((sum, d) => sum + d.ownedPools, 0);
-      if (all && owned === this.poolCount) return (Date.now() - startedAt) / 1000;
+      if (all && owned === this.poolCount) {
+        const seconds = (Date.now() - startedAt) / 1000;
+        await this.waitForQuietStore();
+        return seconds;
+      }
       const ready = counters.filter((d) => d.ready).length;
       const fewest = Math.min(...counters.map((d) => d.members));
       state = `${ready} ready, ${fewest} members at least, ${owned} of ${this.poolCount} pools owned`;
@@ -182,6 +188,18 @@
     throw new Error(`${this.daemons} daemons did not settle in ${SETTLE_TIMEOUT_MS} ms: ${state}`);
   }
 
+  /** The first quotas of all tenants are written after a start; they are no part of the steady cost. */
+  private async waitForQuietStore(): Promise<void> {
+    let last = -1;
+    for (let tries = 0; tries < SETTLE_TIMEOUT_MS / QUIET_MS; tries++) {
+      const counts = (await this.post('/control/counts', {})) as { revision?: number };
+      const revision = counts.revision ?? 0;
+      if (revision === last) return;
+      last = revision;
+      await sleep(QUIET_MS);
+    }
+  }
+
   async sample(): Promise<Sampled> {
     const answers = await Promise.all(this.workers.map((w) => w.ask({ type: 'sample' })));
     const samples = answers.flatMap((a) => (a.type === 'sample' ? [a.sample] : []));
--- a/src/testbed/managed-process.ts
+++ b/src/testbed/managed-process.ts
@@ -1,6 +1,6 @@
 /** A child process that the demonstration or a test starts, signals by id, and ends. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, openSync } from 'node:fs';
+import { closeSync, openSync, readFileSync } from 'node:fs';
 
 /** How a process has ended. */
 export interface ExitStatus {
@@ -37,6 +37,14 @@
     return this.child.pid;
   }
 
+  /** Resident memory in megabytes, from the kernel's own count; 0 once it has ended. */
+  residentMegabytes(): number {
+    if (!this.isRunning) return 0;
+    const status = readFileSync(`/proc/${this.pid ?? 0}/status`, 'utf8');
+    const kilobytes = /VmRSS:\s+(\d+) kB/.exec(status)?.[1];
+    return Number(kilobytes ?? 0) / 1000;
+  }
+
   /** Whether the process still runs. */
   get isRunning(): boolean {
     return this.status === undefined;
