Routers hear of one another's number in steps, not at each change

Cause: in the scale run control bytes under work grew by 190 B/s with each daemon (8.5 KB/s and more: 11.7 at 15 daemons, 20.1 at 60). Every router that began or ended using a tenant changed the count in the tenant's location, which was pushed to all the others. Ruled out: probes (idle traffic does not grow) and the configuration (no changes in that part). Change: a location is pushed again only when the count has changed by about a fifth. The scale run also prints the sizes that it did measure when one fails.

--- a/src/core/pool-owner.ts
+++ b/src/core/pool-owner.ts
@@ -33,6 +33,8 @@
 const LOAD_RETRY_MS = 2_000;
 /** Milliseconds that a replica is safe from eviction after its last use. */
 const EVICTION_GRACE_MS = 1_000;
+/** Steps in which the number of routers is told, for each doubling. */
+const ROUTER_STEPS_PER_DOUBLING = 4;
 /** What is still to come of an overdue load, as a share of the time it has taken. */
 const OVERDUE_SHARE = 0.5;
 /** Milliseconds that routers are told to wait when no engine has room. */
@@ -582,10 +584,18 @@
   return `${router}\n${tenant}`;
 }
 
+/**
+ * Routers come and go all the time, and each change would be told to all the
+ * others. They hear of it only in steps of about a fifth.
+ */
+function routersStep(routers: number): number {
+  return Math.round(ROUTER_STEPS_PER_DOUBLING * Math.log2(routers));
+}
+
 /** What must differ for a router to be told again; the countdown alone does not count. */
 function locationSignature(location: TenantLocation): string {
   const replicas = location.replicas
-    .map((replica) => `${replica.engine}/${replica.incarnation}/${replica.share}`)
+    .map((replica) => `${replica.engine}/${replica.incarnation}`)
     .join(',');
-  return `${location.state}|${location.routers}|${replicas}`;
+  return `${location.state}|${routersStep(location.routers)}|${replicas}`;
 }
--- a/src/scale/main.ts
+++ b/src/scale/main.ts
@@ -70,15 +70,22 @@
   for (const daemons of sizes) {
     const share = Math.round((TARGET.tenants * daemons) / TARGET.daemons);
     const tenants = flags.tenants === undefined ? share : Number(flags.tenants);
-    const result = await runScale(daemons, tenants, {
+    const times = {
       idleSeconds: Number(flags.idleSeconds),
       workSeconds: Number(flags.workSeconds),
       changes: Number(flags.changes),
       deaths: Number(flags.deaths),
-    });
-    results.push(result);
-    process.stderr.write(`measured ${daemons} daemons\n`);
+    };
+    // A size that fails does not take the figures of the others with it.
+    try {
+      results.push(await runScale(daemons, tenants, times));
+      process.stderr.write(`measured ${daemons} daemons\n`);
+    } catch (fault) {
+      process.exitCode = 1;
+      process.stderr.write(`failed: ${fault instanceof Error ? fault.message : String(fault)}\n`);
+    }
   }
+  if (results.length === 0) return;
   printResults(results);
   printSlopes(results);
 }
