--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -3,6 +3,7 @@
  * tokens, compared with asking the engine directly, in the same run; and the
  * highest rate that one daemon holds. Load on loopback, bounded in count and time.
  */
+import http from 'node:http';
 import { build as buildHistogram, type Histogram } from 'hdr-histogram-js';
 import { AdminClient } from '../client/admin-client.js';
 import { callModel } from '../client/model-client.js';
@@ -25,6 +26,9 @@
 const RATE_TOKENS = 20;
 const MICROSECONDS = 1_000;
 
+/** Connections are kept, as the engine client keeps its own. */
+const agent = new http.Agent({ keepAlive: true });
+
 interface Measured {
   readonly firstToken: Histogram;
   readonly betweenTokens: Histogram;
@@ -92,6 +96,7 @@
     maxTokens: TOKENS_PER_REQUEST,
     stream: true,
     timeoutMs: 60_000,
+    agent,
     onToken: () => clock.token(),
   });
   if (answer.outcome !== 'whole') measure.failures += 1;
@@ -121,7 +126,7 @@
       const prompt = `rate ${name} ${index} tokens=${RATE_TOKENS}`;
       const server = bench.cluster.daemons[0]?.callers ?? '';
       const call = { server, key: KEY, model: TENANT, prompt, maxTokens: RATE_TOKENS };
-      const answer = await callModel({ ...call, stream: true, timeoutMs: 20_000 });
+      const answer = await callModel({ ...call, stream: true, timeoutMs: 20_000, agent });
       if (answer.outcome !== 'whole') refused += 1;
       else requests += 1;
       tokens += answer.tokens;
@@ -208,6 +213,7 @@
     printTable(['CALLERS', 'REQUESTS/S', 'TOKENS/S', 'REFUSED'], rates);
   } finally {
     engines.close();
+    agent.destroy();
     await cluster.stop();
   }
 }
