One rule for how much of the listed daemons a daemon must see

Cause: the bound of half stood twice, in seesEnough (claims) and in Daemon.seesHalf (quotas); a change of one would have missed the other. Change: both call seesHalf in src/core/duties.ts. Behaviour is the same; no check changed.

--- a/src/core/duties.ts
+++ b/src/core/duties.ts
@@ -41,9 +41,13 @@
   members: readonly DutyMember[],
   listed: readonly DutyMember[],
 ): boolean {
-  const listedThere = listed.filter((member) => member.site === pool.site).length;
-  const liveThere = members.filter((member) => member.site === pool.site).length;
-  return liveThere * 2 >= listedThere;
+  const isThere = (member: DutyMember): boolean => member.site === pool.site;
+  return seesHalf(members.filter(isThere), listed.filter(isThere));
+}
+
+/** Whether the live members are half of those that the platform lists, or more. */
+export function seesHalf(members: readonly DutyMember[], listed: readonly DutyMember[]): boolean {
+  return members.length * 2 >= listed.length;
 }
 
 /** The daemons of a zone that read the platform's object API. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
 import { LinkFaults } from '../common/link-faults.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { startTicker, type Ticker } from '../common/process.js';
+import { seesHalf } from '../core/duties.js';
 import { AdaptiveKeepAlive } from '../core/keep-alive-adaptive.js';
 import { Membership } from '../core/membership.js';
 import type { MembershipEvent } from '../core/membership-messages.js';
@@ -120,7 +121,8 @@
     const { directory, membership, metrics } = this;
     const listed = (): Machine[] => this.listedDaemons();
     this.keyClaims = new KeyClaims({ clock, membership, listed, send });
-    const mayWrite = (): boolean => this.configuration.isCurrent() && this.seesHalf();
+    const mayWrite = (): boolean =>
+      this.configuration.isCurrent() && seesHalf(membership.live(), listed());
     this.quotas = new QuotaReconciler({ self, membership, platform, directory, logger, mayWrite });
     this.requests = new RequestService({
       self,
@@ -368,11 +370,6 @@
     this.membershipEvent({ type: 'seeds', addresses });
   }
 
-  /** Whether half of the listed daemons are live members. */
-  private seesHalf(): boolean {
-    return this.membership.live().length * 2 >= this.listedDaemons().length;
-  }
-
   private listedDaemons(): Machine[] {
     return this.directory
       .machines()
