--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'results/', 'src/proto/gen/', 'spec/build/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'results/', 'src/proto/gen/', 'spec/build/'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -30,6 +30,7 @@
   version_conflict: { status: 409, ran: 'no', retryAfterSeconds: 0 },
   duplicate_request: { status: 409, ran: 'unknown', retryAfterSeconds: 0 },
   body_too_large: { status: 413, ran: 'no', retryAfterSeconds: 0 },
+  header_too_large: { status: 431, ran: 'no', retryAfterSeconds: 0 },
   invalid_document: { status: 422, ran: 'no', retryAfterSeconds: 0 },
   rate_limited: { status: 429, ran: 'no', retryAfterSeconds: 1 },
   concurrency_limited: { status: 429, ran: 'no', retryAfterSeconds: 1 },
--- /dev/null
+++ b/src/core/backend-ledger.ts
@@ -0,0 +1,187 @@
+/**
+ * What the owner of a service knows about one backend's models.
+ *
+ * Memory is safe by construction: an order carries the sequence at which its
+ * room was worked out, and the backend takes it only at that sequence. An order
+ * without an answer may still be taken later, but only if no other order has
+ * been taken in between; so the next order, given at the same sequence, and a
+ * late one exclude each other. Pure.
+ */
+import type { BackendReport, ModelOrder, OrderOutcome } from './model-order.js';
+import type { ModelHostSpec, ModelReference, ModelSpec } from './service-configuration.js';
+
+/** A loaded model. */
+export interface LedgerModel {
+  readonly adapters: Set<string>;
+}
+
+/** An order that the backend carries out. */
+export interface RunningOrder {
+  readonly order: ModelOrder;
+  /** Milliseconds of a steady clock at which it is expected to end. */
+  readonly expectedEnd: number;
+  /** Sequence of the backend once it was taken. */
+  readonly sequence: number;
+}
+
+/** How far the ledger can be trusted. */
+export type LedgerPhase =
+  /** A report must be read before the next order. */
+  | 'unsynchronized'
+  /** Orders may be given. */
+  | 'ready'
+  /** An order has been sent; its answer is awaited. */
+  | 'ordering';
+
+/** One backend's models, orders and copies. */
+export class BackendLedger {
+  phase: LedgerPhase = 'unsynchronized';
+  /** Orders that the backend has taken. */
+  sequence = 0;
+  readonly models = new Map<string, LedgerModel>();
+  /** The order that has been sent and not been answered. */
+  sent: ModelOrder | undefined;
+  /** The model order in progress; adapters do not keep the backend from others. */
+  running: RunningOrder | undefined;
+  readonly comingAdapters = new Map<string, RunningOrder>();
+  inMemory: ReadonlySet<string> = new Set();
+  onDisk: ReadonlySet<string> = new Set();
+  /** When the last order ended without a known outcome, or never. */
+  uncertainSince: number | undefined;
+
+  constructor(readonly id: string) {}
+
+  /** The order that changes the models now: sent, or in progress. */
+  get currentOrder(): ModelOrder | undefined {
+    return this.sent ?? this.running?.order;
+  }
+
+  /** Whether an order for a model may be given now. */
+  get takesModelOrder(): boolean {
+    return this.phase === 'ready' && this.running === undefined && this.comingAdapters.size === 0;
+  }
+
+  /** Whether an order for an adapter may be given now. */
+  get takesAdapterOrder(): boolean {
+    return this.phase === 'ready' && this.running === undefined;
+  }
+
+  /** Takes over a report. Returns false if it is older than what is known. */
+  adopt(report: BackendReport): boolean {
+    if (report.sequence < this.sequence) return false;
+    this.sequence = report.sequence;
+    this.setModels(report);
+    this.setCopies(report.inMemory, report.onDisk);
+    for (const key of [...this.comingAdapters.keys()]) {
+      const coming = report.coming.some((reference) => adapterKey(reference) === key);
+      if (!coming) this.comingAdapters.delete(key);
+    }
+    if (report.busy) return false;
+    this.running = undefined;
+    this.phase = 'ready';
+    this.uncertainSince = undefined;
+    return true;
+  }
+
+  /** Updates where copies are at hand. */
+  setCopies(inMemory: readonly string[], onDisk: readonly string[]): void {
+    this.inMemory = new Set(inMemory);
+    this.onDisk = new Set(onDisk);
+  }
+
+  /** Notes that an order is being sent. */
+  send(order: ModelOrder): void {
+    this.phase = 'ordering';
+    this.sent = order;
+  }
+
+  /** Notes the end of an order call. */
+  settle(order: ModelOrder, outcome: OrderOutcome, now: number, durationMs: number): void {
+    this.sent = undefined;
+    switch (outcome.type) {
+      case 'accepted':
+        this.phase = 'ready';
+        this.sequence += 1;
+        this.begin(order, now + durationMs);
+        return;
+      case 'holds':
+        this.phase = 'ready';
+        this.holds(order);
+        return;
+      case 'unknown':
+        this.phase = 'unsynchronized';
+        this.uncertainSince = now;
+        return;
+      case 'conflict':
+      case 'fenced':
+      case 'rejected':
+        this.phase = 'unsynchronized';
+        return;
+    }
+  }
+
+  /** Megabytes taken, adapters and what is on its way included. */
+  usedMegabytes(host: ModelHostSpec): number {
+    let used = 0;
+    for (const [name, model] of this.models) {
+      const spec = modelSpec(host, name);
+      used += spec?.megabytes ?? host.megabytes;
+      used += model.adapters.size * (spec?.adapterMegabytes ?? 0);
+    }
+    for (const coming of this.comingAdapters.values()) {
+      used += modelSpec(host, coming.order.model)?.adapterMegabytes ?? 0;
+    }
+    const loading = this.running?.order;
+    if (loading?.operation === 'load') used += modelSpec(host, loading.model)?.megabytes ?? 0;
+    return used;
+  }
+
+  /** Adapters that take a slot. */
+  usedAdapterSlots(): number {
+    let used = this.comingAdapters.size;
+    for (const model of this.models.values()) used += model.adapters.size;
+    return used;
+  }
+
+  private begin(order: ModelOrder, expectedEnd: number): void {
+    const running: RunningOrder = { order, expectedEnd, sequence: this.sequence };
+    if (order.adapter === undefined) {
+      this.running = running;
+    } else if (order.operation === 'load') {
+      this.comingAdapters.set(adapterKey(order), running);
+    } else {
+      this.models.get(order.model)?.adapters.delete(order.adapter);
+    }
+  }
+
+  /** The order was needless, or was carried out at once. */
+  private holds(order: ModelOrder): void {
+    if (order.operation === 'load') {
+      const model = this.models.get(order.model);
+      if (order.adapter !== undefined) model?.adapters.add(order.adapter);
+      else if (model === undefined) this.models.set(order.model, { adapters: new Set() });
+      return;
+    }
+    // An adapter that nobody uses goes at once, which counts as an order taken.
+    this.sequence += 1;
+    if (order.adapter === undefined) this.models.delete(order.model);
+    else this.models.get(order.model)?.adapters.delete(order.adapter);
+  }
+
+  private setModels(report: BackendReport): void {
+    this.models.clear();
+    for (const model of report.models) {
+      this.models.set(model.name, { adapters: new Set(model.adapters) });
+    }
+  }
+}
+
+/** The specification of a model. */
+export function modelSpec(host: ModelHostSpec, name: string): ModelSpec | undefined {
+  return host.models.find((model) => model.name === name);
+}
+
+/** A text that names an adapter of a model. */
+export function adapterKey(reference: ModelReference): string {
+  return `${reference.model}/${reference.adapter ?? ''}`;
+}
--- /dev/null
+++ b/src/core/backend-selection.ts
@@ -0,0 +1,21 @@
+/** Which backend takes a request: the interface of selection policies. */
+
+/** A backend that could take the request, as one daemon sees it. */
+export interface BackendCandidate {
+  readonly id: string;
+  readonly sameZone: boolean;
+  readonly slots: number;
+  /** Requests that this daemon has in flight there. */
+  readonly inFlight: number;
+  /** Smoothed share of failed requests, 0 to 1. */
+  readonly failureShare: number;
+}
+
+/** Chooses a backend for a request. */
+export interface BackendSelection {
+  /** @param affinity - Text that requests with a common beginning of the prompt share. */
+  choose(
+    candidates: readonly BackendCandidate[],
+    affinity: string | undefined,
+  ): BackendCandidate | undefined;
+}
--- /dev/null
+++ b/src/core/model-demand.ts
@@ -0,0 +1,138 @@
+/**
+ * What the daemons' callers ask of the models of one service, gathered at its
+ * owner. Pure; times are milliseconds of a steady clock.
+ */
+import { adapterKey } from './backend-ledger.js';
+import type { ModelReference } from './service-configuration.js';
+
+/** One daemon's figures for a model or adapter since its last report. */
+export interface DemandSample extends ModelReference {
+  readonly arrivals: number;
+  /** Requests that wait there for a backend that holds it. */
+  readonly waiting: number;
+  /** Shortest latency goal among them, in milliseconds. */
+  readonly goalMs: number;
+}
+
+/** Requests that one daemon has in flight for a model at a backend. */
+export interface BackendUse extends ModelReference {
+  readonly backend: string;
+  readonly inFlight: number;
+}
+
+/** One daemon's report. */
+export interface DemandReport {
+  readonly daemon: string;
+  readonly samples: readonly DemandSample[];
+  readonly use: readonly BackendUse[];
+}
+
+/** Time in which a rate falls to half without requests. */
+const HALF_LIFE_MS = 8_000;
+/** A daemon's report counts so long. */
+const REPORT_LIFETIME_MS = 2_000;
+/** A goal up to this long makes a request urgent: it does not leave time for a load. */
+export const URGENT_GOAL_MS = 2_500;
+
+interface Rate {
+  urgent: number;
+  patient: number;
+  updatedAt: number;
+  lastArrivalAt: number;
+}
+
+interface HeardReport {
+  readonly report: DemandReport;
+  readonly heardAt: number;
+}
+
+/** Demand of all models and adapters of a service. */
+export class ModelDemand {
+  private readonly rates = new Map<string, Rate>();
+  private readonly reports = new Map<string, HeardReport>();
+
+  /** Takes a daemon's report; it replaces that daemon's former one. */
+  hear(report: DemandReport, now: number): void {
+    this.reports.set(report.daemon, { report, heardAt: now });
+    for (const sample of report.samples) {
+      if (sample.arrivals === 0) continue;
+      const urgent = sample.goalMs <= URGENT_GOAL_MS;
+      this.arrived(sample, sample.arrivals, urgent, now);
+      if (sample.adapter !== undefined) {
+        this.arrived({ model: sample.model, adapter: undefined }, sample.arrivals, urgent, now);
+      }
+    }
+  }
+
+  /** What waits for a backend now, most urgent first. */
+  waiting(now: number): DemandSample[] {
+    const sums = new Map<string, DemandSample>();
+    for (const report of this.fresh(now)) {
+      for (const sample of report.samples) {
+        if (sample.waiting === 0) continue;
+        const key = adapterKey(sample);
+        const before = sums.get(key);
+        const waiting = sample.waiting + (before?.waiting ?? 0);
+        const goalMs = Math.min(sample.goalMs, before?.goalMs ?? Infinity);
+        sums.set(key, { ...sample, waiting, goalMs });
+      }
+    }
+    return [...sums.values()].sort((a, b) => a.goalMs - b.goalMs || b.waiting - a.waiting);
+  }
+
+  /** Requests in flight for a model, its adapters included, or for one adapter, at a backend. */
+  inFlight(backend: string, reference: ModelReference, now: number): number {
+    let sum = 0;
+    for (const report of this.fresh(now)) {
+      for (const use of report.use) {
+        if (use.backend !== backend || use.model !== reference.model) continue;
+        if (reference.adapter !== undefined && use.adapter !== reference.adapter) continue;
+        sum += use.inFlight;
+      }
+    }
+    return sum;
+  }
+
+  /** Urgent requests a second, smoothed. */
+  urgentRate(reference: ModelReference, now: number): number {
+    return this.decayed(reference, now)?.urgent ?? 0;
+  }
+
+  /** Requests a second with time for a load, smoothed. */
+  patientRate(reference: ModelReference, now: number): number {
+    return this.decayed(reference, now)?.patient ?? 0;
+  }
+
+  private arrived(reference: ModelReference, count: number, urgent: boolean, now: number): void {
+    const rate = this.decayed(reference, now) ?? newRate(now);
+    // An impulse of this height, decaying by the half-life, has an area of `count`.
+    const impulse = (count * Math.LN2 * 1000) / HALF_LIFE_MS;
+    if (urgent) rate.urgent += impulse;
+    else rate.patient += impulse;
+    rate.lastArrivalAt = now;
+    this.rates.set(adapterKey(reference), rate);
+  }
+
+  private decayed(reference: ModelReference, now: number): Rate | undefined {
+    const rate = this.rates.get(adapterKey(reference));
+    if (rate === undefined) return undefined;
+    const factor = 0.5 ** ((now - rate.updatedAt) / HALF_LIFE_MS);
+    rate.urgent *= factor;
+    rate.patient *= factor;
+    rate.updatedAt = now;
+    return rate;
+  }
+
+  private fresh(now: number): DemandReport[] {
+    const reports: DemandReport[] = [];
+    for (const [daemon, heard] of this.reports) {
+      if (now - heard.heardAt > REPORT_LIFETIME_MS) this.reports.delete(daemon);
+      else reports.push(heard.report);
+    }
+    return reports;
+  }
+}
+
+function newRate(now: number): Rate {
+  return { urgent: 0, patient: 0, updatedAt: now, lastArrivalAt: now };
+}
--- /dev/null
+++ b/src/core/retry-budget.ts
@@ -0,0 +1,63 @@
+/**
+ * The daemons' common budget for repeated sends to a service, divided over the
+ * daemons. A send is counted at the gate, before it is made, and is never given
+ * back: the class "admission counted" of the paper in the users' reading, with
+ * its counter divided by the number of daemons, so the sum cannot overshoot.
+ * Pure; times are milliseconds of a steady clock.
+ */
+
+/** How much may be repeated. */
+export interface RetryBudgetLimits {
+  /** Repeated sends for each first one. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Repeated sends in a window on top of the ratio, over all daemons. */
+  readonly slack: number;
+}
+
+/** This daemon's part of one service's budget. */
+export class RetryBudget {
+  private readonly requests: number[] = [];
+  private readonly retries: number[] = [];
+
+  /**
+   * @param startedAt - The process may be the successor of one that has spent its part:
+   *   the slack is granted only once a window has passed.
+   */
+  constructor(
+    private readonly limits: RetryBudgetLimits,
+    private readonly startedAt: number,
+  ) {}
+
+  /** Counts a request's first send. */
+  countRequest(now: number): void {
+    this.requests.push(now);
+    this.forget(now);
+  }
+
+  /** Takes one repeated send; false if the part of this daemon is spent. */
+  takeRetry(now: number, daemons: number): boolean {
+    this.forget(now);
+    if (this.retries.length + 1 > this.allowance(now, daemons)) return false;
+    this.retries.push(now);
+    return true;
+  }
+
+  /** Repeated sends that this daemon may make in the window that ends now. */
+  allowance(now: number, daemons: number): number {
+    const age = Math.min(1, (now - this.startedAt) / this.limits.windowMs);
+    const slack = (this.limits.slack / Math.max(1, daemons)) * age;
+    return Math.floor(this.limits.ratio * this.requests.length + slack);
+  }
+
+  private forget(now: number): void {
+    dropBefore(this.requests, now - this.limits.windowMs);
+    dropBefore(this.retries, now - this.limits.windowMs);
+  }
+}
+
+function dropBefore(times: number[], limit: number): void {
+  let count = 0;
+  while (count < times.length && (times[count] ?? 0) < limit) count += 1;
+  if (count > 0) times.splice(0, count);
+}
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,263 @@
+/** One send of a request to one backend, and the check of what comes back. */
+import type http from 'node:http';
+import type { Ran } from '../common/errors.js';
+import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
+import { isStream, type BackendRecord, type Route } from '../core/service-configuration.js';
+import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
+import { forwardedHeaders, type CallerAnswer, type WholeAnswer } from './caller-answer.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { AnswerHead } from './ports.js';
+import type { CallerRequest } from './request-exchange.js';
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  /** The caller has been given the backend's whole answer. */
+  | { readonly type: 'done'; readonly status: number }
+  | {
+      readonly type: 'failed';
+      readonly ran: Ran;
+      /** Whether any byte of the request may have reached the backend. */
+      readonly reached: boolean;
+      readonly reason: string;
+      /** The backend did not answer at all, or not in time. */
+      readonly silent: boolean;
+      /** The backend refused because it lacks the model, or is another process. */
+      readonly lacksModel: boolean;
+      /** A failure that the backend vouches for; the caller may be given it. */
+      readonly answer?: WholeAnswer;
+    };
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  readonly backend: BackendRecord;
+  readonly route: Route;
+  readonly request: CallerRequest;
+  /** Time left until the request's deadline. */
+  readonly remainingMs: number;
+  /** The stream goes on after this event. */
+  readonly lastEventId: string | undefined;
+  /** Without a first byte after this time the attempt is given up. */
+  readonly silentAfterMs: number;
+  /** Without a further byte after this time a stream is given up. */
+  readonly stalledAfterMs: number;
+  readonly answer: CallerAnswer;
+  readonly onEnd: (end: AttemptEnd) => void;
+}
+
+const FIRST_FAILURE_STATUS = 400;
+/** Statuses that promise that the request has not run; a backend's own word is needed for that. */
+const PROMISES = new Set([408, 421, 429, 503]);
+const FIRST_SERVER_FAILURE_STATUS = 500;
+
+/** One attempt under way. */
+export class Attempt {
+  private readonly exchange: BackendExchange;
+  private readonly parser = new EventStreamParser();
+  private readonly chunks: Buffer[] = [];
+  private incoming: http.IncomingMessage | undefined;
+  private head: AnswerHead | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private ended = false;
+  private isPaused = false;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly options: AttemptOptions,
+  ) {
+    const { backend, request } = options;
+    this.watch(options.silentAfterMs);
+    this.exchange = new BackendExchange(
+      {
+        address: backend.address,
+        method: request.method,
+        path: request.path,
+        headers: this.requestHeaders(),
+        body: request.body,
+      },
+      context.agent,
+      {
+        onHead: (answer) => this.receiveHead(answer),
+        onData: (chunk) => this.receiveData(chunk),
+        onEnd: () => this.receiveEnd(),
+        onFailure: (failure) => this.exchangeFailed(failure),
+      },
+    );
+  }
+
+  /** The backend it was sent to. */
+  get backendId(): string {
+    return this.options.backend.id;
+  }
+
+  /** Drops the attempt; its end is not told. */
+  abort(): void {
+    this.ended = true;
+    clearTimeout(this.timer);
+    this.exchange.abort();
+  }
+
+  private requestHeaders(): string[] {
+    const { request, route, backend, remainingMs, lastEventId } = this.options;
+    const own = this.context.dialect.backendHeaders({
+      backend: backend.id,
+      remainingMs,
+      lastEventId,
+      priority: route.priority,
+    });
+    const replaced = new Set([
+      ...Object.keys(own).map((name) => name.toLowerCase()),
+      'content-length',
+    ]);
+    const headers = forwardedHeaders(request.rawHeaders, replaced);
+    for (const [name, value] of Object.entries(own)) headers.push(name, value);
+    const hasBody = request.body.length > 0 || request.method === 'POST';
+    if (hasBody) headers.push('Content-Length', String(request.body.length));
+    return headers;
+  }
+
+  private receiveHead(answer: http.IncomingMessage): void {
+    const status = answer.statusCode ?? 0;
+    this.incoming = answer;
+    this.head = this.context.dialect.readAnswer(status, answer.headers);
+    const { head } = this;
+    const { attemptId } = this.options.request.head;
+    if (head.attemptId !== undefined && attemptId !== undefined && head.attemptId !== attemptId) {
+      return this.fail('unknown', 'the answer belongs to another request', {});
+    }
+    if (head.notRun || head.misdirected) {
+      const lacksModel = head.misdirected;
+      return this.fail('no', `refused with status ${status}`, { lacksModel, keep: true });
+    }
+    if (answer.headers['content-encoding'] !== undefined) {
+      return this.fail('unknown', 'the answer is encoded', {});
+    }
+    if (status < FIRST_FAILURE_STATUS && !head.signed) {
+      return this.fail('unknown', 'the answer is not signed', {});
+    }
+    this.watch(this.isEventStream() ? this.options.stalledAfterMs : Infinity);
+  }
+
+  private isEventStream(): boolean {
+    const status = this.incoming?.statusCode ?? 0;
+    return isStream(this.options.route) && status < FIRST_FAILURE_STATUS;
+  }
+
+  private receiveData(chunk: Buffer): void {
+    if (this.ended) return;
+    if (!this.isEventStream()) {
+      this.chunks.push(chunk);
+      return;
+    }
+    this.watch(this.options.stalledAfterMs);
+    for (const event of this.parser.push(chunk)) this.passOn(event);
+  }
+
+  private passOn(event: StreamEvent): void {
+    const { answer } = this.options;
+    if (isAlreadySent(event, answer.lastEventId)) return;
+    if (!answer.hasBegun) {
+      const incoming = this.incoming;
+      answer.beginStream(incoming?.statusCode ?? 0, incoming?.rawHeaders ?? []);
+      this.context.metrics.firstPartSeconds.observe(
+        { route: this.options.route.name },
+        (performance.now() - this.options.request.arrivedAt) / 1000,
+      );
+    }
+    if (answer.sendEvent(event) || this.isPaused) return;
+    this.isPaused = true;
+    this.exchange.setPaused(true);
+    answer.onceDrained(() => {
+      this.isPaused = false;
+      this.exchange.setPaused(false);
+    });
+  }
+
+  private receiveEnd(): void {
+    if (this.ended) return;
+    const status = this.incoming?.statusCode ?? 0;
+    if (this.isEventStream()) return this.endStream(status);
+    const whole: WholeAnswer = {
+      status,
+      rawHeaders: this.incoming?.rawHeaders ?? [],
+      body: Buffer.concat(this.chunks),
+    };
+    if (status < FIRST_FAILURE_STATUS) {
+      this.end({ type: 'done', status }, () => this.options.answer.sendWhole(whole));
+      return;
+    }
+    const vouched = this.head?.signed === true && !PROMISES.has(status);
+    if (vouched && status < FIRST_SERVER_FAILURE_STATUS) {
+      this.end({ type: 'done', status }, () => this.options.answer.sendWhole(whole));
+      return;
+    }
+    this.end({
+      type: 'failed',
+      ran: this.head?.signed === true ? 'yes' : 'unknown',
+      reached: true,
+      reason: `answered with status ${status}`,
+      silent: false,
+      lacksModel: false,
+      ...(vouched ? { answer: whole } : {}),
+    });
+  }
+
+  private endStream(status: number): void {
+    const { answer } = this.options;
+    if (this.parser.incomplete > 0 || !answer.hasBegun) {
+      return this.fail('unknown', 'the stream ended within an event', {});
+    }
+    this.end({ type: 'done', status }, () => answer.endStream());
+  }
+
+  private exchangeFailed(failure: ExchangeFailure): void {
+    const { reached, reason } = failure;
+    this.end({
+      type: 'failed',
+      ran: reached ? 'unknown' : 'no',
+      reached,
+      reason,
+      silent: !reached,
+      lacksModel: false,
+    });
+  }
+
+  private fail(
+    ran: Ran,
+    reason: string,
+    extra: { lacksModel?: boolean; silent?: boolean; keep?: boolean },
+  ): void {
+    if (this.ended) return;
+    // An answer that is not this request's own leaves a connection that cannot be trusted.
+    if (extra.keep !== true) this.exchange.abort();
+    this.end({
+      type: 'failed',
+      ran,
+      reached: true,
+      reason,
+      silent: extra.silent === true,
+      lacksModel: extra.lacksModel === true,
+    });
+  }
+
+  private end(end: AttemptEnd, before?: () => void): void {
+    if (this.ended) return;
+    this.ended = true;
+    clearTimeout(this.timer);
+    before?.();
+    this.options.onEnd(end);
+  }
+
+  private watch(limitMs: number): void {
+    clearTimeout(this.timer);
+    if (!Number.isFinite(limitMs)) return;
+    this.timer = setTimeout(() => {
+      this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
+    }, limitMs);
+  }
+}
+
+/** Whether a resumed stream repeats an event that the caller has. */
+function isAlreadySent(event: StreamEvent, lastEventId: string | undefined): boolean {
+  if (event.id === undefined || lastEventId === undefined) return false;
+  return Number(event.id) <= Number(lastEventId);
+}
--- /dev/null
+++ b/src/gateway/backend-agent.ts
@@ -0,0 +1,73 @@
+/**
+ * Connections to backends. Kept connections are watched while they rest: a byte
+ * that nobody asked for belongs to no request, so its connection is dropped.
+ */
+import http from 'node:http';
+import type { Socket } from 'node:net';
+
+/** A kept connection is given up so long before the backend would close it. */
+const EXPIRY_MARGIN_MS = 600;
+/** Rest after which a connection is given up when the backend names no time. */
+const DEFAULT_REST_MS = 4_000;
+const KEEP_ALIVE_SECONDS = /timeout=(\d+)/;
+
+type Watcher = (bytes: Buffer) => void;
+
+/** Options of {@link BackendAgent}. */
+export interface BackendAgentOptions {
+  /** Called when a resting connection brought bytes. */
+  readonly onUnaskedBytes: (address: string) => void;
+}
+
+/** Node's agent, with stricter rules on reuse. */
+export class BackendAgent extends http.Agent {
+  private readonly watchers = new WeakMap<Socket, Watcher>();
+
+  constructor(private readonly backendOptions: BackendAgentOptions) {
+    super({ keepAlive: true, maxFreeSockets: 64, scheduling: 'lifo' });
+  }
+
+  /** Node asks whether a connection may be kept. */
+  override keepSocketAlive(socket: Socket): boolean {
+    const rest = restOf(socket);
+    if (rest <= 0 || socket.readableLength > 0) return false;
+    socket.setKeepAlive(true, 1_000);
+    socket.unref();
+    socket.setTimeout(rest, () => socket.destroy());
+    this.watch(socket);
+    return true;
+  }
+
+  /** Node takes a kept connection for a request. */
+  override reuseSocket(socket: Socket, request: http.ClientRequest): void {
+    const watcher = this.watchers.get(socket);
+    if (watcher !== undefined) socket.off('data', watcher);
+    this.watchers.delete(socket);
+    socket.setTimeout(0);
+    request.reusedSocket = true;
+    socket.ref();
+  }
+
+  private watch(socket: Socket): void {
+    const watcher = (): void => {
+      this.backendOptions.onUnaskedBytes(`${socket.remoteAddress}:${socket.remotePort}`);
+      socket.destroy();
+    };
+    this.watchers.set(socket, watcher);
+    socket.on('data', watcher);
+    socket.resume();
+  }
+}
+
+interface HttpSocket extends Socket {
+  /** Node keeps the message that a connection carried last here. */
+  readonly _httpMessage?: { readonly res?: http.IncomingMessage };
+}
+
+/** Milliseconds for which a connection may rest. */
+function restOf(socket: HttpSocket): number {
+  const hint = socket._httpMessage?.res?.headers['keep-alive'];
+  const seconds = typeof hint === 'string' ? KEEP_ALIVE_SECONDS.exec(hint)?.[1] : undefined;
+  if (seconds === undefined) return DEFAULT_REST_MS;
+  return Number(seconds) * 1_000 - EXPIRY_MARGIN_MS;
+}
--- /dev/null
+++ b/src/gateway/gateway-context.ts
@@ -0,0 +1,34 @@
+/** What all requests of one gateway daemon share. */
+import type { Logger } from '../common/logger.js';
+import type { BackendDirectory } from '../core/backend-directory.js';
+import type { BackendHealth } from '../core/backend-health.js';
+import type { BackendSelection } from '../core/backend-selection.js';
+import type { RetryBudget } from '../core/retry-budget.js';
+import type { BackendAgent } from './backend-agent.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { RequestDialect } from './ports.js';
+import type { RequestExchange } from './request-exchange.js';
+import type { RequestTracker } from './request-tracker.js';
+
+/** Shared state and services. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings;
+  readonly dialect: RequestDialect;
+  readonly directory: BackendDirectory;
+  readonly health: BackendHealth;
+  readonly selection: BackendSelection;
+  readonly tracker: RequestTracker;
+  readonly agent: BackendAgent;
+  readonly metrics: GatewayMetrics;
+  readonly logger: Logger;
+  /** Requests that have not ended. */
+  readonly exchanges: Set<RequestExchange>;
+  budgetOf(service: string): RetryBudget;
+  /** Daemons among which common budgets are divided. */
+  daemonCount(): number;
+  /** A request has begun to wait: the owner should hear at once. */
+  demandUrgent(service: string): void;
+  /** Whether callers are asked to close their connections. */
+  isDraining(): boolean;
+}
--- /dev/null
+++ b/src/gateway/gateway-metrics.ts
@@ -0,0 +1,66 @@
+/** Metrics of one gateway daemon, by prom-client, in a registry of their own. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Buckets for waits and answers, in seconds. */
+const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 4, 6, 10, 25];
+
+/** All metrics of a gateway daemon. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  readonly requests = new Counter({
+    name: 'scaleslip_gateway_requests_total',
+    help: 'Requests that have ended, by route and end',
+    labelNames: ['route', 'end'],
+    registers: [this.registry],
+  });
+  readonly waitSeconds = this.histogram('wait', 'Time until a backend was chosen');
+  readonly firstPartSeconds = this.histogram('first_part', 'Time to the first part of the answer');
+  readonly answerSeconds = this.histogram('answer', 'Time to the end of the answer');
+  readonly takeoverSeconds = this.histogram(
+    'takeover',
+    'Time from the loss of an owner to a claim',
+  );
+  readonly retries = new Counter({
+    name: 'scaleslip_gateway_retries_total',
+    help: 'Repeated sends, granted and denied',
+    labelNames: ['granted'],
+    registers: [this.registry],
+  });
+  readonly orders = new Counter({
+    name: 'scaleslip_gateway_orders_total',
+    help: 'Orders to backends by outcome',
+    labelNames: ['operation', 'outcome'],
+    registers: [this.registry],
+  });
+  readonly storeCalls = new Counter({
+    name: 'scaleslip_gateway_store_calls_total',
+    help: "Calls to the platform's store by outcome",
+    labelNames: ['call', 'outcome'],
+    registers: [this.registry],
+  });
+  readonly inFlight = new Gauge({
+    name: 'scaleslip_gateway_in_flight_requests',
+    help: 'Requests that have not ended',
+    registers: [this.registry],
+  });
+  readonly configurationVersion = new Gauge({
+    name: 'scaleslip_gateway_configuration_version',
+    help: 'Version of the configuration in force',
+    registers: [this.registry],
+  });
+  readonly linesLeftOut = new Gauge({
+    name: 'scaleslip_gateway_log_lines_left_out',
+    help: 'Log lines left out because too many of a kind came at once',
+    registers: [this.registry],
+  });
+
+  private histogram(name: string, help: string): Histogram<'route'> {
+    return new Histogram({
+      name: `scaleslip_gateway_${name}_seconds`,
+      help,
+      labelNames: ['route'],
+      buckets: SECONDS_BUCKETS,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,297 @@
+/**
+ * One gateway daemon: serves opaque requests on routes to services, and owns
+ * services by rank. Puts the parts together.
+ */
+import http from 'node:http';
+import { splitAddress } from '../common/http-client.js';
+import { listen } from '../common/http-server.js';
+import { faultText, type Logger } from '../common/logger.js';
+import { sleep, startTicker, type Ticker } from '../common/process.js';
+import { BackendDirectory, type PlacementView } from '../core/backend-directory.js';
+import { BackendHealth } from '../core/backend-health.js';
+import { LowestCostSelection } from '../core/backend-selection-lowest-cost.js';
+import { RetryBudget } from '../core/retry-budget.js';
+import { RoutingTable } from '../core/routing-table.js';
+import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
+import type { PeerBody } from '../daemon/peer-transport.js';
+import { BackendAgent } from './backend-agent.js';
+import { CallerFront } from './caller-front.js';
+import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
+import type { GatewayContext } from './gateway-context.js';
+import { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import { MemberList } from './member-list.js';
+import { PeerGroup } from './peer-group.js';
+import type { BackendControl, PlatformDirectory, RecordStore, RequestDialect } from './ports.js';
+import type { RequestExchange } from './request-exchange.js';
+import { RequestTracker } from './request-tracker.js';
+import { ServiceDuties } from './service-duties.js';
+import { steadyNow } from './steady-clock.js';
+
+const TICK_MS = 50;
+/** Between two reports of demand to an owner. */
+const DEMAND_PERIOD_MS = 250;
+/** After a stop is asked for, callers still come until the entry has noticed. */
+const ENTRY_NOTICES_MS = 2_300;
+/** Left of the time for a stop when what still runs is broken off. */
+const STOP_MARGIN_MS = 500;
+/** A configuration that a peer has and this daemon has not is read at once, but not more often. */
+const REFRESH_PERIOD_MS = 500;
+
+/** The outside systems. */
+export interface GatewayDependencies {
+  readonly directory: PlatformDirectory;
+  readonly store: RecordStore;
+  readonly control: BackendControl;
+  readonly dialect: RequestDialect;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+}
+
+/** One running gateway daemon. */
+export class Gateway {
+  private readonly context: GatewayContext;
+  private readonly backends = new BackendDirectory();
+  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly peers: PeerGroup;
+  private readonly members: MemberList;
+  private readonly duties: ServiceDuties;
+  private readonly front: CallerFront;
+  private readonly readiness: http.Server;
+  private readonly metricsServer: http.Server;
+  private readonly startedAt = steadyNow();
+  private routing: RoutingTable | undefined;
+  private knowsBackends = false;
+  private draining = false;
+  private ticker: Ticker | undefined;
+  private lastDemand = 0;
+  private lastRefresh = 0;
+  private lookScheduled = false;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly outside: GatewayDependencies,
+  ) {
+    const { logger } = outside;
+    this.peers = new PeerGroup({
+      host: settings.address,
+      port: settings.peerPort,
+      zone: settings.zone,
+      logger,
+      onMessage: (from, body) => this.receive(from, body),
+      onChange: () => this.membersChanged(),
+    });
+    this.members = new MemberList(settings, outside.store, this.peers, logger);
+    this.duties = new ServiceDuties({
+      settings,
+      peers: this.peers,
+      store: outside.store,
+      control: outside.control,
+      directory: this.backends,
+      logger,
+      metrics: outside.metrics,
+      listed: () => this.members.listed,
+      publish: (view) => this.publish(view),
+    });
+    this.context = this.makeContext();
+    this.front = new CallerFront(this.context, () => this.routing);
+    this.readiness = http.createServer((request, response) =>
+      this.answerReadiness(request, response),
+    );
+    this.metricsServer = http.createServer(
+      (_request, response) => void this.answerMetrics(response),
+    );
+  }
+
+  /** Opens the ports and follows the platform. */
+  async start(): Promise<void> {
+    const { settings, outside } = this;
+    await this.peers.start();
+    await this.front.start();
+    const [host, port] = splitAddress(settings.readiness);
+    await listen(this.readiness, host, port);
+    if (settings.metricsPort > 0) {
+      await listen(this.metricsServer, settings.address, settings.metricsPort);
+    }
+    outside.directory.start({
+      onConfiguration: (configuration) => this.configure(configuration),
+      onBackends: (backends) => this.setBackends(backends),
+    });
+    this.members.start();
+    const onFault = (fault: unknown): void => {
+      outside.logger.error('tick_fault', { reason: faultText(fault) });
+    };
+    this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
+    outside.logger.info('started', { milliseconds: Math.round(steadyNow()) });
+  }
+
+  /** Ends without cutting a request, as far as the time for a stop allows. */
+  async drain(): Promise<void> {
+    if (this.draining) return;
+    this.draining = true;
+    const { logger } = this.outside;
+    const begun = steadyNow();
+    logger.info('draining', { unfinished: this.context.exchanges.size });
+    this.duties.stop('the daemon stops');
+    this.peers.leave();
+    await this.members.leave();
+    const limit = begun + this.settings.bounds.stopSeconds * 1_000 - STOP_MARGIN_MS;
+    while (steadyNow() < limit && !this.isDrained(begun)) await sleep(50);
+    for (const exchange of [...this.context.exchanges]) exchange.interrupt();
+    await sleep(50);
+    this.stop();
+    logger.info('stopped', { milliseconds: Math.round(steadyNow() - begun) });
+  }
+
+  private isDrained(begun: number): boolean {
+    if (steadyNow() - begun < ENTRY_NOTICES_MS) return false;
+    this.front.closeIdle();
+    return this.context.exchanges.size === 0;
+  }
+
+  private stop(): void {
+    this.ticker?.stop();
+    this.outside.directory.stop();
+    this.front.stop();
+    this.readiness.close();
+    this.metricsServer.close();
+    this.peers.stop();
+  }
+
+  private makeContext(): GatewayContext {
+    const { settings, outside } = this;
+    const { logger, dialect, metrics } = outside;
+    return {
+      settings,
+      dialect,
+      directory: this.backends,
+      health: new BackendHealth(),
+      selection: new LowestCostSelection(),
+      tracker: new RequestTracker(),
+      agent: new BackendAgent({
+        onUnaskedBytes: (address) => logger.warn('unasked_bytes', { address }),
+      }),
+      metrics,
+      logger,
+      exchanges: new Set<RequestExchange>(),
+      budgetOf: (service) => this.budgetOf(service),
+      daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
+      demandUrgent: (service) => this.reportDemand(service),
+      isDraining: () => this.draining,
+    };
+  }
+
+  private budgetOf(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known !== undefined) return known;
+    const { retryRatio, retryWindowSeconds, retrySlack } = this.settings.bounds;
+    const limits = { ratio: retryRatio, windowMs: retryWindowSeconds * 1_000, slack: retrySlack };
+    const budget = new RetryBudget(limits, this.startedAt);
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
+  private configure(configuration: ServiceConfiguration): void {
+    this.routing = new RoutingTable(configuration, this.routing);
+    this.front.setLimits(configuration.limits);
+    this.duties.configure(configuration);
+    this.outside.metrics.configurationVersion.set(configuration.version);
+    this.outside.logger.info('configuration', {
+      version: configuration.version,
+      routes: configuration.routes.length,
+      services: configuration.services.length,
+    });
+    this.scheduleLook();
+  }
+
+  private setBackends(backends: readonly BackendRecord[]): void {
+    this.knowsBackends = true;
+    this.backends.setBackends(backends);
+    this.context.health.keepOnly(new Set(backends.map((backend) => backend.id)));
+    this.duties.backendsChanged();
+    this.scheduleLook();
+  }
+
+  private membersChanged(): void {
+    const live = this.peers.live();
+    this.outside.logger.info('members', { live: live.length, listed: this.members.listed.length });
+  }
+
+  private tick(): void {
+    const now = steadyNow();
+    this.duties.tick();
+    if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
+    this.lastDemand = now;
+    for (const service of this.context.tracker.activeServices()) this.reportDemand(service);
+  }
+
+  private reportDemand(service: string): void {
+    const report = this.context.tracker.report(service, this.peers.address);
+    if (this.duties.hear(service, report)) return;
+    const owner = this.duties.ownerAddress(service);
+    if (owner === undefined) return;
+    this.peers.send(owner, encodeDemand(service, report, this.version));
+  }
+
+  private get version(): number {
+    return this.routing?.configuration.version ?? 0;
+  }
+
+  private publish(view: PlacementView): void {
+    this.hearPlacement(view);
+    this.peers.broadcast(encodePlacement(view, this.version));
+  }
+
+  private hearPlacement(view: PlacementView): void {
+    if (this.backends.hearPlacement(view, steadyNow())) this.scheduleLook();
+  }
+
+  private receive(from: string, body: PeerBody): void {
+    if (body.case === 'serviceDemand') {
+      this.duties.hear(body.value.service, decodeDemand(from, body.value));
+      this.hearVersion(body.value.configurationVersion);
+    }
+    if (body.case === 'servicePlacement') {
+      const view = decodePlacement(body.value);
+      this.duties.hearOwner(from, view.service, view.epoch);
+      this.hearPlacement(view);
+      this.hearVersion(body.value.configurationVersion);
+    }
+  }
+
+  /** A peer knows a newer configuration: the watch may be dead. */
+  private hearVersion(version: number): void {
+    const now = steadyNow();
+    if (version <= this.version || now - this.lastRefresh < REFRESH_PERIOD_MS) return;
+    this.lastRefresh = now;
+    this.outside.directory.refreshConfiguration();
+  }
+
+  /** Waiting requests look again, once for all changes of one turn. */
+  private scheduleLook(): void {
+    if (this.lookScheduled) return;
+    this.lookScheduled = true;
+    setImmediate(() => {
+      this.lookScheduled = false;
+      for (const exchange of [...this.context.exchanges]) exchange.look();
+    });
+  }
+
+  private isReady(): boolean {
+    return !this.draining && this.routing !== undefined && this.knowsBackends;
+  }
+
+  private answerReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const asked = request.url === this.outside.dialect.readinessPath;
+    response.writeHead(asked && this.isReady() ? 200 : asked ? 503 : 404, { 'content-length': 0 });
+    response.end();
+  }
+
+  private async answerMetrics(response: http.ServerResponse): Promise<void> {
+    const { registry, inFlight } = this.outside.metrics;
+    inFlight.set(this.context.exchanges.size);
+    const text = await registry.metrics();
+    response.writeHead(200, { 'content-type': registry.contentType });
+    response.end(text);
+  }
+}
--- /dev/null
+++ b/src/gateway/member-list.ts
@@ -0,0 +1,79 @@
+/** The daemons that the platform's store lists: seeds for membership, and its full size. */
+import { faultText, type Logger } from '../common/logger.js';
+import { startTicker, type Ticker } from '../common/process.js';
+import type { DutyMember } from '../core/duties.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { PeerGroup } from './peer-group.js';
+import type { RecordStore } from './ports.js';
+
+/** Between two readings of the list while nothing is known to be wrong. */
+const READ_PERIOD_MS = 12_000;
+/** Until the first reading has succeeded. */
+const RETRY_PERIOD_MS = 500;
+
+/** Keeps this daemon in the list and reads the others. */
+export class MemberList {
+  /** Daemons in the list. */
+  listed: readonly DutyMember[] = [];
+  private ticker: Ticker | undefined;
+  private isListed = false;
+  private busy = false;
+  private lastRead = -Infinity;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly store: RecordStore,
+    private readonly peers: PeerGroup,
+    private readonly logger: Logger,
+  ) {}
+
+  start(): void {
+    const { seeds, peerPort } = this.settings;
+    this.peers.addSeeds(seeds.map((host) => `${host}:${peerPort}`));
+    const onFault = (fault: unknown): void => {
+      this.logger.error('member_list_fault', { reason: faultText(fault) });
+    };
+    const step = (): void => {
+      this.refresh().catch(onFault);
+    };
+    step();
+    this.ticker = startTicker(RETRY_PERIOD_MS, step, onFault);
+  }
+
+  /** Takes this daemon out of the list. */
+  async leave(): Promise<void> {
+    this.ticker?.stop();
+    if (this.isListed) await this.store.remove('members', this.settings.name);
+  }
+
+  private async refresh(): Promise<void> {
+    const now = performance.now();
+    if (this.busy || now - this.lastRead < READ_PERIOD_MS) return;
+    this.busy = true;
+    const list = await this.store.list('members');
+    this.busy = false;
+    if (list.isErr) return;
+    this.lastRead = now;
+    this.listed = list.value.flatMap(({ value }) => dutyMember(value));
+    const others = this.listed.filter((member) => member.address !== this.peers.address);
+    this.peers.addSeeds(others.map((member) => member.address));
+    const own = list.value.find((record) => record.name === this.settings.name);
+    const isCurrent = dutyMember(own?.value).some(({ address }) => address === this.peers.address);
+    if (!isCurrent) await this.enter(own?.revision);
+    this.isListed = true;
+  }
+
+  private async enter(revision: number | undefined): Promise<void> {
+    const { zone } = this.settings;
+    const value = { address: this.peers.address, zone };
+    const written = await this.store.write('members', this.settings.name, value, revision);
+    if (written.isErr) this.lastRead = -Infinity;
+  }
+}
+
+function dutyMember(value: unknown): DutyMember[] {
+  if (typeof value !== 'object' || value === null) return [];
+  const { address, zone } = value as Partial<DutyMember>;
+  if (typeof address !== 'string' || typeof zone !== 'string') return [];
+  return [{ address, zone, site: '' }];
+}
--- /dev/null
+++ b/src/gateway/ownership.ts
@@ -0,0 +1,154 @@
+/**
+ * Which daemon gives orders to the backends of a service. The claim is one
+ * record, replaced only at the revision that was read, with an epoch that rises
+ * by one and fences the orders. Safety rests on the epochs and on the sequences
+ * of the orders; the rules here only keep owners from taking turns.
+ */
+import { faultText, type Logger } from '../common/logger.js';
+import { firstCandidate } from '../common/rendezvous.js';
+import { seesHalf, type DutyMember } from '../core/duties.js';
+import { ownerRecord, type OwnerRecord } from './owner-record.js';
+import type { PeerGroup } from './peer-group.js';
+import type { RecordStore } from './ports.js';
+import { steadyNow } from './steady-clock.js';
+
+/** A gap between two looks at the clock that means that the process stood still. */
+const STANDSTILL_MS = 1_000;
+/** A daemon looks around so long before it claims anything. */
+const SETTLE_MS = 700;
+/** Between two readings of the record while it names an owner that is not live. */
+const READ_PERIOD_MS = 300;
+
+/** Options of {@link Ownership}. */
+export interface OwnershipOptions {
+  readonly service: string;
+  readonly peers: PeerGroup;
+  readonly store: RecordStore;
+  readonly logger: Logger;
+  /** Daemons that the platform's store lists. */
+  readonly listed: () => readonly DutyMember[];
+  /** This daemon owns the service from now on, or no longer. */
+  readonly onChange: (epoch: number | undefined) => void;
+}
+
+/** This daemon's part in the ownership of one service. */
+export class Ownership {
+  /** The epoch under which this daemon owns the service. */
+  epoch: number | undefined;
+  /** The owner's record as last read or heard of. */
+  private record: OwnerRecord | undefined;
+  private revision: number | undefined;
+  private busy = false;
+  private lastTick = steadyNow();
+  private notBefore = steadyNow() + SETTLE_MS;
+  private lastRead = -Infinity;
+
+  constructor(private readonly options: OwnershipOptions) {}
+
+  /** Peer address of the owner, if one is known. */
+  get ownerAddress(): string | undefined {
+    return this.record?.address;
+  }
+
+  /** Looks at clock and members; call it often. */
+  tick(): void {
+    const now = steadyNow();
+    const gap = now - this.lastTick;
+    this.lastTick = now;
+    if (gap > STANDSTILL_MS) this.stoodStill(gap, now);
+    if (this.epoch !== undefined) {
+      if (!this.seesEnough()) this.giveUp('sees too few daemons');
+      return;
+    }
+    if (this.busy || now < this.notBefore || now - this.lastRead < READ_PERIOD_MS) return;
+    if (!this.isSuccessor() || this.ownerIsLive()) return;
+    this.lastRead = now;
+    this.busy = true;
+    this.readAndClaim()
+      .catch((fault: unknown) => {
+        this.options.logger.error('claim_fault', { reason: faultText(fault) });
+      })
+      .finally(() => (this.busy = false));
+  }
+
+  /** Another daemon says that it owns the service. */
+  hearOwner(address: string, epoch: number): void {
+    if (epoch < (this.record?.epoch ?? 0)) return;
+    if (this.epoch !== undefined && epoch > this.epoch) this.giveUp('a higher epoch exists');
+    if (epoch === this.record?.epoch && this.record.incarnation !== undefined) return;
+    if (this.epoch === epoch) return;
+    this.record = { address, epoch, incarnation: undefined, claim: '' };
+  }
+
+  /** Ends the ownership; another daemon may claim. */
+  giveUp(reason: string): void {
+    if (this.epoch === undefined) return;
+    const { service, logger } = this.options;
+    logger.info('ownership_ended', { service, epoch: this.epoch, reason });
+    this.epoch = undefined;
+    this.record = undefined;
+    this.options.onChange(undefined);
+  }
+
+  private stoodStill(gap: number, now: number): void {
+    this.options.logger.warn('standstill', { milliseconds: Math.round(gap) });
+    this.notBefore = now + SETTLE_MS;
+    this.record = undefined;
+    this.giveUp('the process stood still');
+  }
+
+  private seesEnough(): boolean {
+    return seesHalf(this.options.peers.live(), this.options.listed());
+  }
+
+  private isSuccessor(): boolean {
+    const { peers, service } = this.options;
+    const live = peers.live().map((member) => member.address);
+    return this.seesEnough() && firstCandidate(service, live) === peers.address;
+  }
+
+  private ownerIsLive(): boolean {
+    const { peers } = this.options;
+    const record = this.record;
+    if (record === undefined || record.address === peers.address) return false;
+    const owner = peers.live().find((member) => member.address === record.address);
+    if (owner === undefined) return false;
+    return record.incarnation === undefined || owner.incarnation === record.incarnation;
+  }
+
+  private async readAndClaim(): Promise<void> {
+    const { store, service, logger } = this.options;
+    const read = await store.read('owners', service);
+    if (read.isErr) {
+      logger.warn('owner_record_unread', { service, reason: read.error.type });
+      return;
+    }
+    this.revision = read.value?.revision;
+    this.record = ownerRecord(read.value?.value);
+    if (this.ownerIsLive() || !this.isSuccessor()) return;
+    await this.claim();
+  }
+
+  private async claim(): Promise<void> {
+    const { peers, store, service, logger } = this.options;
+    const { address, incarnation } = peers.membership.own;
+    const epoch = (this.record?.epoch ?? 0) + 1;
+    const claim = `${address} ${incarnation} ${epoch}`;
+    const record: OwnerRecord = { address, incarnation, epoch, claim };
+    const before = this.record?.address ?? '';
+    const written = await store.write('owners', service, record, this.revision);
+    const won = written.isOk || (await this.isOurs(claim, written.error.type));
+    logger.info('ownership_claimed', { service, epoch, won, before });
+    if (!won) return;
+    this.record = record;
+    this.epoch = epoch;
+    this.options.onChange(epoch);
+  }
+
+  /** After a lost answer the record itself tells whether the claim was written. */
+  private async isOurs(claim: string, failure: string): Promise<boolean> {
+    if (failure !== 'unknown') return false;
+    const read = await this.options.store.read('owners', this.options.service);
+    return read.isOk && ownerRecord(read.value?.value)?.claim === claim;
+  }
+}
--- /dev/null
+++ b/src/gateway/peer-group.ts
@@ -0,0 +1,108 @@
+/** The other daemons: membership by probing, and messages between them. */
+import { faultText, type Logger } from '../common/logger.js';
+import { LinkFaults } from '../common/link-faults.js';
+import { startTicker, type Ticker } from '../common/process.js';
+import { Membership } from '../core/membership.js';
+import type { MembershipEvent, MemberView } from '../core/membership-messages.js';
+import { decodeProbe, encodeProbe } from '../daemon/codec.js';
+import { PeerTransport, type PeerBody } from '../daemon/peer-transport.js';
+import { steadyNow } from './steady-clock.js';
+
+/** Milliseconds between two looks at the membership's timers. */
+const MEMBERSHIP_TICK_MS = 100;
+
+/** Options of {@link PeerGroup}. */
+export interface PeerGroupOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+  readonly logger: Logger;
+  /** Messages that are not about membership. */
+  readonly onMessage: (from: string, body: PeerBody) => void;
+  readonly onChange: () => void;
+}
+
+/** This daemon's view of the others. */
+export class PeerGroup {
+  readonly membership: Membership;
+  private readonly transport: PeerTransport;
+  private ticker: Ticker | undefined;
+  private seeds = new Set<string>();
+
+  constructor(private readonly options: PeerGroupOptions) {
+    const { host, port, zone, logger } = options;
+    this.transport = new PeerTransport({
+      host,
+      port,
+      logger,
+      faults: new LinkFaults(),
+      onMessage: (from, body) => this.receive(from, body),
+      onDisconnect: () => {},
+    });
+    this.membership = new Membership({
+      address: `${host}:${port}`,
+      zone,
+      site: '',
+      incarnation: Date.now(),
+      state: 'alive',
+    });
+  }
+
+  /** This daemon's peer address. */
+  get address(): string {
+    return this.membership.own.address;
+  }
+
+  async start(): Promise<void> {
+    await this.transport.start();
+    const onFault = (fault: unknown): void => {
+      this.options.logger.error('membership_fault', { reason: faultText(fault) });
+    };
+    this.ticker = startTicker(MEMBERSHIP_TICK_MS, () => this.apply({ type: 'tick' }), onFault);
+  }
+
+  stop(): void {
+    this.ticker?.stop();
+    this.transport.stop();
+  }
+
+  /** Tells the others that this daemon leaves; it still answers. */
+  leave(): void {
+    this.apply({ type: 'leave' });
+  }
+
+  /** Adds addresses to probe. */
+  addSeeds(addresses: readonly string[]): void {
+    for (const address of addresses) this.seeds.add(address);
+    this.apply({ type: 'seeds', addresses: [...this.seeds] });
+  }
+
+  /** Daemons that may be given duties, this one among them unless it leaves. */
+  live(): MemberView[] {
+    return this.membership.live();
+  }
+
+  send(to: string, body: PeerBody): void {
+    this.transport.send(to, body);
+  }
+
+  /** Sends to every other live daemon. */
+  broadcast(body: PeerBody): void {
+    for (const member of this.live()) {
+      if (member.address !== this.address) this.transport.send(member.address, body);
+    }
+  }
+
+  private receive(from: string, body: PeerBody): void {
+    const message = decodeProbe(body);
+    if (message === undefined) this.options.onMessage(from, body);
+    else this.apply({ type: 'message', from, message });
+  }
+
+  private apply(event: MembershipEvent): void {
+    for (const effect of this.membership.handle(event, steadyNow())) {
+      if (effect.type === 'changed') this.options.onChange();
+      else this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/ports.ts
@@ -0,0 +1,115 @@
+/**
+ * What the gateway needs from outside: the operator's configuration, the list of
+ * backends, records with versions, and backends that take orders and requests.
+ * An adapter implements these for one platform; the gateway knows no other names.
+ */
+import type http from 'node:http';
+import type { Result } from 'true-myth';
+import type { BackendReport, ModelOrder, OrderFence, OrderOutcome } from '../core/model-order.js';
+import type {
+  BackendRecord,
+  ModelReference,
+  ServiceConfiguration,
+} from '../core/service-configuration.js';
+
+/** Hears what the platform's directory says. */
+export interface DirectoryListener {
+  /** A configuration that is newer than all before. */
+  onConfiguration(configuration: ServiceConfiguration): void;
+  /** All backends as they are listed now. */
+  onBackends(backends: readonly BackendRecord[]): void;
+}
+
+/** The platform's configuration and list of backends. */
+export interface PlatformDirectory {
+  /** Reads both and follows their changes until stopped. */
+  start(listener: DirectoryListener): void;
+  /** Reads the configuration at once: somebody knows a newer one. */
+  refreshConfiguration(): void;
+  stop(): void;
+}
+
+/** A record and the revision at which it was read or written. */
+export interface StoredRecord {
+  readonly name: string;
+  readonly value: unknown;
+  readonly revision: number;
+}
+
+/** Why a record could not be read or written. */
+export type RecordFailure =
+  /** It has changed since it was read. */
+  | { readonly type: 'conflict' }
+  /** Nothing was done. */
+  | { readonly type: 'unavailable'; readonly reason: string }
+  /** It may have been done, now or later. */
+  | { readonly type: 'unknown'; readonly reason: string };
+
+/** Kinds of records that the gateway keeps. */
+export type RecordKind = 'owners' | 'members';
+
+/** Records with revisions; what must last lives here. */
+export interface RecordStore {
+  /** Undefined if there is none. */
+  read(kind: RecordKind, name: string): Promise<Result<StoredRecord | undefined, RecordFailure>>;
+  list(kind: RecordKind): Promise<Result<StoredRecord[], RecordFailure>>;
+  /** Creates the record, or replaces exactly the given revision. */
+  write(
+    kind: RecordKind,
+    name: string,
+    value: unknown,
+    revision: number | undefined,
+  ): Promise<Result<StoredRecord, RecordFailure>>;
+  remove(kind: RecordKind, name: string): Promise<void>;
+}
+
+/** Gives orders to backends. */
+export interface BackendControl {
+  order(backend: BackendRecord, order: ModelOrder, fence: OrderFence): Promise<OrderOutcome>;
+  /** Undefined if no understandable report came. */
+  report(backend: BackendRecord): Promise<BackendReport | undefined>;
+}
+
+/** What the gateway reads from a request's head. */
+export interface RequestHead {
+  /** The caller's name for this attempt. */
+  readonly attemptId: string | undefined;
+  /** Milliseconds that the caller will wait. */
+  readonly deadlineMs: number | undefined;
+  readonly model: ModelReference | undefined;
+  /** Names the beginning of the prompt that other requests share. */
+  readonly sharedPrompt: string | undefined;
+  /** The caller takes a stream up after this event. */
+  readonly lastEventId: string | undefined;
+}
+
+/** What the gateway reads from the head of a backend's answer. */
+export interface AnswerHead {
+  readonly attemptId: string | undefined;
+  /** The backend vouches for the answer. */
+  readonly signed: boolean;
+  /** The backend says that it has not run the request. */
+  readonly notRun: boolean;
+  /** Another process has the backend's address. */
+  readonly misdirected: boolean;
+}
+
+/** Fields that the gateway sets on a request to a backend. */
+export interface BackendRequestFields {
+  readonly backend: string;
+  readonly remainingMs: number;
+  readonly lastEventId: string | undefined;
+  readonly priority: number;
+}
+
+/** How heads of requests and answers are spelled. */
+export interface RequestDialect {
+  /** Path at which the entry asks whether new connections are wanted. */
+  readonly readinessPath: string;
+  readRequest(headers: http.IncomingHttpHeaders): RequestHead;
+  /** Headers that replace those of the caller; names in lower case. */
+  backendHeaders(fields: BackendRequestFields): Readonly<Record<string, string>>;
+  readAnswer(status: number, headers: http.IncomingHttpHeaders): AnswerHead;
+  /** Headers of the gateway's own answers. */
+  ownAnswerHeaders(head: RequestHead): Readonly<Record<string, string>>;
+}
--- /dev/null
+++ b/src/gateway/request-exchange.ts
@@ -0,0 +1,327 @@
+/**
+ * One caller's request from its arrival to its end: chooses a backend, sends it,
+ * checks the answer, repeats where that is allowed, and passes on only what is
+ * whole and belongs to this request.
+ */
+import type http from 'node:http';
+import type { Ran } from '../common/errors.js';
+import { afterFailure } from '../core/attempt-policy.js';
+import type { BackendCandidate } from '../core/backend-selection.js';
+import { holdOrRefuse } from '../core/hold-policy.js';
+import type { RouteMatch } from '../core/routing-table.js';
+import { isStream, mayRepeat, type BackendRecord } from '../core/service-configuration.js';
+import { Attempt, type AttemptEnd } from './attempt.js';
+import { CallerAnswer } from './caller-answer.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { RequestHead } from './ports.js';
+import { steadyNow } from './steady-clock.js';
+
+/** Reserved between the last moment for an answer and the caller's own deadline. */
+const DEADLINE_MARGIN_MS = 30;
+/** Between two looks at a waiting request when nothing changes. */
+const RETRY_LOOK_MS = 50;
+/** A backend that has not begun to answer after so many goals is left for another. */
+const SILENT_GOALS = 2.2;
+/** A stream that rests for so many of its pause goals goes on elsewhere. */
+const STALLED_PAUSES = 3.5;
+
+/** What the caller sent. */
+export interface CallerRequest {
+  readonly head: RequestHead;
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  /** Steady time at which its head was read. */
+  readonly arrivedAt: number;
+}
+
+/** One request under way. */
+export class RequestExchange {
+  private readonly deadlineAt: number;
+  private readonly answer: CallerAnswer;
+  private attempt: Attempt | undefined;
+  private lookTimer: NodeJS.Timeout | undefined;
+  private deadlineTimer: NodeJS.Timeout | undefined;
+  private readonly tried = new Set<string>();
+  private runs = 0;
+  private sends = 0;
+  private isWaiting = false;
+  private ended = false;
+  private lastRan: Ran = 'no';
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly match: RouteMatch,
+    readonly request: CallerRequest,
+    response: http.ServerResponse,
+  ) {
+    this.answer = new CallerAnswer(context, request.head, response);
+    const { route } = match;
+    const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
+    this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
+    response.on('close', () => this.callerClosed());
+  }
+
+  /** Takes the request up. */
+  start(): void {
+    const { head, arrivedAt } = this.request;
+    const { route, service } = this.match;
+    this.context.budgetOf(service.name).countRequest(steadyNow());
+    if (head.model !== undefined && service.modelHost !== undefined) {
+      this.context.tracker.arrived(service.name, head.model, route.goalMs);
+    }
+    this.context.exchanges.add(this);
+    const remaining = this.deadlineAt - steadyNow();
+    this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
+    this.context.metrics.waitSeconds.observe({ route: route.name }, 0);
+    if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
+    this.dispatch();
+  }
+
+  /** Something has changed that a waiting request may hope for. */
+  look(): void {
+    if (this.isWaiting) this.dispatch();
+  }
+
+  /** The daemon stops: breaks a stream off where its caller can take it up. */
+  interrupt(): void {
+    if (this.ended) return;
+    if (this.sends === 0) return this.refuse('draining', undefined);
+    this.giveUp(this.lastRan === 'no' ? 'yes' : this.lastRan, 'the daemon stops');
+  }
+
+  private dispatch(): void {
+    if (this.ended) return;
+    const backend = this.chooseBackend();
+    if (backend !== undefined) return this.send(backend);
+    this.holdOrRefuse();
+  }
+
+  private chooseBackend(): BackendRecord | undefined {
+    const { context, match, request } = this;
+    const now = steadyNow();
+    const model = match.service.modelHost === undefined ? undefined : request.head.model;
+    const usable = context.directory
+      .serving(match.service.name)
+      .filter((backend) => model === undefined || context.directory.holds(backend, model, now));
+    const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
+    const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
+    const best = [fresh, healthy, usable].find((group) => group.length > 0) ?? [];
+    const candidates = best.map((backend) => this.candidate(backend));
+    const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
+    return chosen === undefined ? undefined : context.directory.get(chosen.id);
+  }
+
+  private candidate(backend: BackendRecord): BackendCandidate {
+    const { context } = this;
+    return {
+      id: backend.id,
+      sameZone: backend.zone === context.settings.zone,
+      slots: backend.slots,
+      inFlight: context.tracker.inFlightAt(backend.id),
+      failureShare: context.health.failureShare(backend.id),
+    };
+  }
+
+  private holdOrRefuse(): void {
+    const { head, arrivedAt } = this.request;
+    const { route, service } = this.match;
+    const now = steadyNow();
+    const readyInMs =
+      head.model === undefined
+        ? undefined
+        : this.context.directory.readyInMs(service.name, head.model.model, now);
+    const decision = holdOrRefuse({
+      goalMs: route.goalMs,
+      waitedMs: now - arrivedAt,
+      remainingMs: this.deadlineAt - now,
+      readyInMs,
+    });
+    if (decision.type === 'refuse' && !this.answer.hasBegun) {
+      this.log('held_no_longer', { readyInMs, waitedMs: Math.round(now - arrivedAt) });
+      return this.refuse('no_capacity', decision.retryAfterMs);
+    }
+    this.wait();
+  }
+
+  private wait(): void {
+    this.setWaiting(true);
+    clearTimeout(this.lookTimer);
+    this.lookTimer = setTimeout(() => this.look(), RETRY_LOOK_MS);
+  }
+
+  private setWaiting(waiting: boolean): void {
+    if (this.isWaiting === waiting) return;
+    this.isWaiting = waiting;
+    const { model } = this.request.head;
+    const { route, service } = this.match;
+    if (model === undefined || service.modelHost === undefined) return;
+    this.context.tracker.waits(service.name, model, route.goalMs, waiting ? 1 : -1);
+    if (waiting) this.context.demandUrgent(service.name);
+  }
+
+  private send(backend: BackendRecord): void {
+    const { context, match, request } = this;
+    const { route, service } = match;
+    const now = steadyNow();
+    if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
+    this.setWaiting(false);
+    clearTimeout(this.lookTimer);
+    this.sends += 1;
+    this.tried.add(backend.id);
+    context.tracker.sent(service.name, backend.id, request.head.model, 1);
+    if (this.sends === 1) {
+      context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
+    }
+    this.attempt = new Attempt(context, {
+      backend,
+      route,
+      request,
+      remainingMs: this.deadlineAt - now,
+      lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
+      silentAfterMs: this.silentAfterMs(),
+      stalledAfterMs: this.stalledAfterMs(),
+      answer: this.answer,
+      onEnd: (end) => this.attemptEnded(backend, end),
+    });
+  }
+
+  /** A backend is left for another only if that is allowed and possible. */
+  private silentAfterMs(): number {
+    const { route } = this.match;
+    if (!mayRepeat(route) || this.runs + 1 >= route.maxAttempts) return Infinity;
+    return Math.max(250, route.goalMs * SILENT_GOALS);
+  }
+
+  private stalledAfterMs(): number {
+    const { route } = this.match;
+    if (route.repeatability !== 'resumable_stream') return Infinity;
+    if (this.runs + 1 >= route.maxAttempts) return Infinity;
+    return Math.max(600, route.pauseGoalMs * STALLED_PAUSES);
+  }
+
+  private takeRetry(service: string, now: number): boolean {
+    const granted = this.context.budgetOf(service).takeRetry(now, this.context.daemonCount());
+    this.context.metrics.retries.inc({ granted: String(granted) });
+    return granted;
+  }
+
+  private stopRetrying(): void {
+    this.log('retry_denied', { sends: this.sends, runs: this.runs });
+    if (this.runs > 0) return this.giveUp(this.lastRan, 'no retry left');
+    this.refuse('engine_refused', 500);
+  }
+
+  private attemptEnded(backend: BackendRecord, end: AttemptEnd): void {
+    if (this.ended) return;
+    const { context, match, request } = this;
+    context.tracker.sent(match.service.name, backend.id, request.head.model, -1);
+    this.attempt = undefined;
+    this.judgeBackend(backend, end);
+    if (end.type === 'done') return this.finish(end.status < 400 ? 'served' : 'failed');
+    this.log('attempt_failed', {
+      backend: backend.id,
+      ran: end.ran,
+      reached: end.reached,
+      reason: end.reason,
+      sends: this.sends,
+    });
+    if (end.ran !== 'no') {
+      this.runs += 1;
+      this.lastRan = end.ran;
+    }
+    const history = { runs: this.runs, sends: this.sends };
+    const step = afterFailure(match.route, end, history);
+    if (step === 'retry') return this.dispatch();
+    if (end.answer !== undefined && !this.answer.hasBegun) {
+      this.answer.sendWhole(end.answer);
+      return this.finish('failed');
+    }
+    if (step === 'refuse') return this.refuse('engine_refused', 300);
+    this.giveUp(this.lastRan, end.reason);
+  }
+
+  private judgeBackend(backend: BackendRecord, end: AttemptEnd): void {
+    const { health, directory } = this.context;
+    if (end.type === 'done') return health.answered(backend.id);
+    if (end.lacksModel && this.request.head.model !== undefined) {
+      return directory.noteAbsence(backend.id, this.request.head.model, steadyNow());
+    }
+    if (end.silent) health.silent(backend.id, steadyNow());
+    else health.failed(backend.id);
+  }
+
+  private deadlinePassed(): void {
+    if (this.ended) return;
+    if (this.sends === 0 || (this.attempt === undefined && this.runs === 0)) {
+      return this.refuse('deadline_unreachable', undefined);
+    }
+    this.giveUp('unknown', 'the deadline has passed', 'deadline_exceeded_running');
+  }
+
+  private callerClosed(): void {
+    if (this.ended) return;
+    this.log('caller_left', { sends: this.sends });
+    this.finish('caller_left');
+  }
+
+  private refuse(
+    kind: 'no_capacity' | 'engine_refused' | 'deadline_unreachable' | 'draining',
+    retryAfterMs: number | undefined,
+  ): void {
+    if (this.answer.hasBegun) return this.giveUp(this.lastRan, kind);
+    this.log('refused', { kind, retryAfterMs: retryAfterMs && Math.round(retryAfterMs) });
+    this.answer.sendError(kind, retryAfterMs);
+    this.finish('refused');
+  }
+
+  /** Ends a request that has run, or may have. */
+  private giveUp(
+    ran: Ran,
+    reason: string,
+    kind: 'deadline_exceeded_running' | undefined = undefined,
+  ): void {
+    this.log('given_up', { ran, reason, begun: this.answer.hasBegun });
+    const fallback = ran === 'yes' ? 'engine_failed' : 'engine_outcome_unknown';
+    if (this.answer.hasBegun) this.answer.breakOff();
+    else this.answer.sendError(kind ?? fallback, undefined);
+    this.finish('failed');
+  }
+
+  private finish(end: 'served' | 'failed' | 'refused' | 'caller_left'): void {
+    if (this.ended) return;
+    this.setWaiting(false);
+    this.ended = true;
+    clearTimeout(this.lookTimer);
+    clearTimeout(this.deadlineTimer);
+    this.attempt?.abort();
+    if (this.attempt !== undefined) {
+      const { service } = this.match;
+      this.context.tracker.sent(service.name, this.attempt.backendId, this.request.head.model, -1);
+    }
+    this.context.exchanges.delete(this);
+    const { route } = this.match;
+    const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
+    this.context.metrics.requests.inc({ route: route.name, end });
+    this.context.metrics.answerSeconds.observe({ route: route.name }, seconds);
+    if (isStream(route) || end !== 'served') {
+      this.log('request_ended', {
+        end,
+        milliseconds: Math.round(seconds * 1000),
+        sends: this.sends,
+      });
+    }
+  }
+
+  private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
+    const { head } = this.request;
+    this.context.logger.info(event, {
+      request: head.attemptId,
+      route: this.match.route.name,
+      model: head.model?.model,
+      adapter: head.model?.adapter,
+      ...fields,
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/request-tracker.ts
@@ -0,0 +1,98 @@
+/**
+ * Counts what this daemon's callers ask of models, and what it has in flight at
+ * backends: for the choice of a backend, and for the reports to the owners.
+ */
+import { adapterKey } from '../core/backend-ledger.js';
+import type { BackendUse, DemandReport, DemandSample } from '../core/model-demand.js';
+import type { ModelReference } from '../core/service-configuration.js';
+
+interface Counted extends ModelReference {
+  arrivals: number;
+  waiting: number;
+  goalMs: number;
+}
+
+interface InFlight extends ModelReference {
+  readonly service: string;
+  readonly backend: string;
+  count: number;
+}
+
+/** What one daemon has counted. */
+export class RequestTracker {
+  /** By service, then by model and adapter. */
+  private readonly demand = new Map<string, Map<string, Counted>>();
+  private readonly models = new Map<string, InFlight>();
+  private readonly backends = new Map<string, number>();
+
+  arrived(service: string, reference: ModelReference, goalMs: number): void {
+    const counted = this.counted(service, reference, goalMs);
+    counted.arrivals += 1;
+    counted.goalMs = Math.min(counted.goalMs, goalMs);
+  }
+
+  waits(service: string, reference: ModelReference, goalMs: number, change: 1 | -1): void {
+    const counted = this.counted(service, reference, goalMs);
+    counted.waiting += change;
+    counted.goalMs = Math.min(counted.goalMs, goalMs);
+  }
+
+  sent(
+    service: string,
+    backend: string,
+    reference: ModelReference | undefined,
+    change: 1 | -1,
+  ): void {
+    this.backends.set(backend, this.inFlightAt(backend) + change);
+    if (this.inFlightAt(backend) === 0) this.backends.delete(backend);
+    if (reference === undefined) return;
+    const key = `${backend} ${adapterKey(reference)}`;
+    const entry = this.models.get(key) ?? { ...reference, service, backend, count: 0 };
+    entry.count += change;
+    this.models.set(key, entry);
+    if (entry.count === 0) this.models.delete(key);
+  }
+
+  /** Requests of this daemon at a backend. */
+  inFlightAt(backend: string): number {
+    return this.backends.get(backend) ?? 0;
+  }
+
+  /** Services whose models were asked for since the last report, or are in use. */
+  activeServices(): string[] {
+    const services = new Set(this.demand.keys());
+    for (const entry of this.models.values()) services.add(entry.service);
+    return [...services];
+  }
+
+  /** What has happened since the last report on the service. */
+  report(service: string, daemon: string): DemandReport {
+    const samples: DemandSample[] = [];
+    const counted = this.demand.get(service) ?? new Map<string, Counted>();
+    for (const [key, entry] of counted) {
+      samples.push({ ...entry });
+      entry.arrivals = 0;
+      if (entry.waiting === 0) counted.delete(key);
+    }
+    if (counted.size === 0) this.demand.delete(service);
+    const use: BackendUse[] = [];
+    for (const entry of this.models.values()) {
+      if (entry.service !== service) continue;
+      const { backend, model, adapter, count } = entry;
+      use.push({ backend, model, adapter, inFlight: count });
+    }
+    return { daemon, samples, use };
+  }
+
+  private counted(service: string, reference: ModelReference, goalMs: number): Counted {
+    const models = this.demand.get(service) ?? new Map<string, Counted>();
+    this.demand.set(service, models);
+    const key = adapterKey(reference);
+    const known = models.get(key);
+    if (known !== undefined) return known;
+    const { model, adapter } = reference;
+    const fresh: Counted = { model, adapter, arrivals: 0, waiting: 0, goalMs };
+    models.set(key, fresh);
+    return fresh;
+  }
+}
--- /dev/null
+++ b/src/gateway/service-owner.ts
@@ -0,0 +1,262 @@
+/**
+ * The owner of a service: gathers demand, plans, gives orders to the backends,
+ * and tells every daemon where the models are.
+ */
+import type { Logger } from '../common/logger.js';
+import { BackendLedger } from '../core/backend-ledger.js';
+import type { BackendDirectory, PlacedModel, PlacementView } from '../core/backend-directory.js';
+import { ModelDemand, type DemandReport } from '../core/model-demand.js';
+import {
+  PlacementPlanner,
+  type PlannedOrder,
+  type PlanningInput,
+} from '../core/placement-planner.js';
+import type { BackendRecord, ModelHostSpec } from '../core/service-configuration.js';
+import { StoreLoadWindow, type StoreLoadCeiling } from '../core/store-load-ceiling.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { BackendControl } from './ports.js';
+import { steadyNow } from './steady-clock.js';
+
+/** Between two rounds while nothing calls for one. */
+const ROUND_PERIOD_MS = 100;
+/** A report shows the state of some time ago; one asked for earlier may not show an order. */
+const REPORT_LAG_MS = 220;
+/** Between two reports of one backend. */
+const REPORT_PERIOD_MS = 150;
+/** The owner's word is repeated so often without a change. */
+const REPEAT_PERIOD_MS = 1_000;
+
+/** Options of {@link ServiceOwner}. */
+export interface ServiceOwnerOptions {
+  readonly service: string;
+  readonly epoch: number;
+  /** Names this daemon in orders. */
+  readonly holder: string;
+  readonly host: () => ModelHostSpec | undefined;
+  readonly directory: BackendDirectory;
+  readonly control: BackendControl;
+  readonly ceiling: StoreLoadCeiling;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  /** Tells every daemon, this one included. */
+  readonly publish: (view: PlacementView) => void;
+}
+
+/** Gives orders under one epoch until stopped. */
+export class ServiceOwner {
+  readonly demand = new ModelDemand();
+  private readonly planner = new PlacementPlanner();
+  private readonly ledgers = new Map<string, BackendLedger>();
+  private readonly reportDue = new Map<string, number>();
+  private readonly storeLoads: StoreLoadWindow;
+  private version = 0;
+  private lastRound = -Infinity;
+  private lastPublished = -Infinity;
+  private changed = true;
+  private stopped = false;
+
+  /** @param onFenced - A backend has seen a higher epoch. */
+  constructor(
+    private readonly options: ServiceOwnerOptions,
+    private readonly onFenced: () => void,
+  ) {
+    this.storeLoads = new StoreLoadWindow(options.ceiling);
+  }
+
+  /** Gives no further orders. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Takes a daemon's demand; waiting requests are planned for at once. */
+  hear(report: DemandReport): void {
+    this.demand.hear(report, steadyNow());
+    if (report.samples.some((sample) => sample.waiting > 0)) this.round();
+  }
+
+  /** The platform's list has changed. */
+  backendsChanged(): void {
+    for (const backend of this.backends()) {
+      const ledger = this.ledgers.get(backend.id);
+      if (ledger === undefined) continue;
+      ledger.setCopies(backend.inMemory, backend.onDisk);
+      if (this.showsEnd(ledger, backend)) this.reportDue.set(backend.id, 0);
+    }
+    this.round();
+  }
+
+  /** Looks at the clock; call it often. */
+  tick(): void {
+    const now = steadyNow();
+    if (now - this.lastRound >= ROUND_PERIOD_MS) this.round();
+    if (now - this.lastPublished >= REPEAT_PERIOD_MS) this.publish(now);
+  }
+
+  private round(): void {
+    const host = this.options.host();
+    if (this.stopped || host === undefined) return;
+    const now = steadyNow();
+    this.lastRound = now;
+    this.syncLedgers();
+    this.readReports(now);
+    const input = this.planningInput(host, now);
+    for (const planned of this.planner.plan(input)) this.give(planned, now);
+    if (this.changed) this.publish(now);
+  }
+
+  private planningInput(host: ModelHostSpec, now: number): PlanningInput {
+    const backends = this.backends()
+      .filter((backend) => !backend.leaving)
+      .flatMap((backend) => {
+        const ledger = this.ledgers.get(backend.id);
+        return ledger === undefined ? [] : [{ ledger, slots: backend.slots }];
+      });
+    const storeHasRoom = this.storeLoads.hasRoom(now);
+    return { host, backends, demand: this.demand, now, storeHasRoom };
+  }
+
+  private backends(): BackendRecord[] {
+    const { directory, service } = this.options;
+    return directory.all().filter((backend) => backend.service === service);
+  }
+
+  /** One ledger for each listed process; those of ended processes go. */
+  private syncLedgers(): void {
+    const listed = new Set<string>();
+    for (const backend of this.backends()) {
+      listed.add(backend.id);
+      if (this.ledgers.has(backend.id)) continue;
+      const ledger = new BackendLedger(backend.id);
+      ledger.setCopies(backend.inMemory, backend.onDisk);
+      this.ledgers.set(backend.id, ledger);
+      this.reportDue.set(backend.id, 0);
+      this.changed = true;
+    }
+    for (const id of this.ledgers.keys()) {
+      if (listed.has(id)) continue;
+      this.ledgers.delete(id);
+      this.reportDue.delete(id);
+      this.changed = true;
+    }
+  }
+
+  /** Whether the platform's list shows the end of the order in progress. */
+  private showsEnd(ledger: BackendLedger, backend: BackendRecord): boolean {
+    const order = ledger.running?.order;
+    if (order === undefined) return false;
+    const listed = backend.models.some((model) => model.name === order.model);
+    return listed === (order.operation === 'load');
+  }
+
+  private readReports(now: number): void {
+    for (const backend of this.backends()) {
+      const ledger = this.ledgers.get(backend.id);
+      const due = this.reportDue.get(backend.id);
+      if (ledger === undefined || due === undefined || due > now) continue;
+      if (ledger.phase === 'ordering') continue;
+      this.reportDue.delete(backend.id);
+      void this.readReport(backend, ledger);
+    }
+  }
+
+  private async readReport(backend: BackendRecord, ledger: BackendLedger): Promise<void> {
+    const report = await this.options.control.report(backend);
+    const now = steadyNow();
+    if (this.stopped || this.ledgers.get(backend.id) !== ledger) return;
+    if (ledger.phase === 'ordering') {
+      this.reportDue.set(backend.id, now + REPORT_LAG_MS);
+      return;
+    }
+    const current = report !== undefined && ledger.adopt(report);
+    const awaited = !current || ledger.comingAdapters.size > 0;
+    if (awaited) this.reportDue.set(backend.id, now + REPORT_PERIOD_MS);
+    this.changed = true;
+    if (current) this.round();
+  }
+
+  private give(planned: PlannedOrder, now: number): void {
+    const ledger = this.ledgers.get(planned.backend);
+    const backend = this.options.directory.get(planned.backend);
+    if (ledger === undefined || backend === undefined) return;
+    if (planned.fromStore) this.storeLoads.count(now);
+    ledger.send(planned.order);
+    void this.carryOut(planned, ledger, backend);
+  }
+
+  private async carryOut(
+    planned: PlannedOrder,
+    ledger: BackendLedger,
+    backend: BackendRecord,
+  ): Promise<void> {
+    const { options } = this;
+    const expectedSequence = ledger.sequence;
+    const fence = { holder: options.holder, epoch: options.epoch, expectedSequence };
+    const { order } = planned;
+    // Daemons must stop sending requests for a model before its unload is ordered.
+    if (order.operation === 'unload') this.publish(steadyNow());
+    const outcome = await options.control.order(backend, order, fence);
+    const now = steadyNow();
+    options.metrics.orders.inc({ operation: order.operation, outcome: outcome.type });
+    options.logger.info('order', {
+      service: options.service,
+      epoch: options.epoch,
+      backend: backend.id,
+      operation: order.operation,
+      model: order.model,
+      adapter: order.adapter,
+      sequence: expectedSequence,
+      reason: planned.reason,
+      outcome: outcome.type,
+    });
+    if (this.ledgers.get(backend.id) !== ledger) return;
+    ledger.settle(order, outcome, now, planned.durationMs);
+    this.reportDue.set(backend.id, now + this.reportDelay(planned, ledger));
+    if (outcome.type === 'fenced') return this.onFenced();
+    this.changed = true;
+    this.round();
+  }
+
+  private reportDelay(planned: PlannedOrder, ledger: BackendLedger): number {
+    if (ledger.phase === 'unsynchronized') return REPORT_LAG_MS;
+    const isAdapter = planned.order.adapter !== undefined;
+    // The platform's list tells of models at once; the report is the way round a lost word.
+    return isAdapter ? planned.durationMs + 70 : planned.durationMs * 1.5 + REPORT_LAG_MS;
+  }
+
+  private publish(now: number): void {
+    if (this.stopped) return;
+    this.changed = false;
+    this.version += 1;
+    this.lastPublished = now;
+    const host = this.options.host();
+    const backends = new Map<string, PlacedModel[]>();
+    for (const ledger of this.ledgers.values()) {
+      if (ledger.phase === 'unsynchronized' && ledger.models.size === 0) continue;
+      backends.set(ledger.id, placedModels(ledger, now));
+    }
+    const { service, epoch } = this.options;
+    const forecasts =
+      host === undefined
+        ? new Map<string, number>()
+        : this.planner.forecasts(this.planningInput(host, now));
+    this.options.publish({ service, epoch, version: this.version, backends, forecasts });
+  }
+}
+
+/** The models of one backend, as every daemon is told. */
+function placedModels(ledger: BackendLedger, now: number): PlacedModel[] {
+  const order = ledger.currentOrder;
+  const placed: PlacedModel[] = [];
+  for (const [name, model] of ledger.models) {
+    const isTarget = order?.operation === 'unload' && order.model === name;
+    const unloading = isTarget && order.adapter === undefined;
+    const adapters = [...model.adapters].filter((name) => !isTarget || name !== order.adapter);
+    placed.push({ name, adapters, readyInMs: 0, unloading });
+  }
+  const isLoad = order?.operation === 'load' && order.adapter === undefined;
+  if (isLoad && !ledger.models.has(order.model)) {
+    const readyInMs = Math.max(1, Math.round((ledger.running?.expectedEnd ?? now) - now));
+    placed.push({ name: order.model, adapters: [], readyInMs, unloading: false });
+  }
+  return placed;
+}
