--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -54,13 +54,18 @@
   readonly faults?: LinkFaults;
   /** Called with the bytes of each request and answer body, for accounting. */
   readonly onBytes?: (bytes: number) => void;
+  /** Keeps the connections; one of its own by default. */
+  readonly agent?: http.Agent;
 }
 
 /** Keeps connections open between requests. */
 export class HttpClient {
-  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 256, timeout: 60_000 });
+  private readonly agent: http.Agent;
 
-  constructor(private readonly options: HttpClientOptions = {}) {}
+  constructor(private readonly options: HttpClientOptions = {}) {
+    this.agent =
+      options.agent ?? new http.Agent({ keepAlive: true, maxSockets: 256, timeout: 60_000 });
+  }
 
   /** Closes all connections. */
   close(): void {
--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -107,7 +107,7 @@
     const forecast = heard.view.forecasts.get(model);
     if (forecast !== undefined) times.push(forecast);
     if (times.length === 0) return undefined;
-    return Math.max(0, Math.min(...times) - (now - heard.heardAt));
+    return Math.max(0, Math.round(Math.min(...times) - (now - heard.heardAt)));
   }
 
   private placedModel(backend: BackendRecord, model: string, now: number): PlacedModel | undefined {
--- a/src/core/backend-selection-lowest-cost.ts
+++ b/src/core/backend-selection-lowest-cost.ts
@@ -1,10 +1,11 @@
-/** Takes the backend with the lowest sum of load, distance, failures and missing cache. */
+/** Takes the backend with the lowest sum of load, distance, failures, missing cache and new connections. */
 import { firstCandidate } from '../common/rendezvous.js';
 import type { BackendCandidate, BackendSelection } from './backend-selection.js';
 
 /** Costs, in shares of a backend's slots. */
 const OTHER_ZONE = 0.08;
 const CACHE_MISS = 0.12;
+const NEW_CONNECTION = 0.1;
 const ALWAYS_FAILING = 2;
 
 /** Lowest cost first; ties go to the first in the list. */
@@ -36,5 +37,6 @@
 function costOf(candidate: BackendCandidate): number {
   const load = candidate.inFlight / Math.max(1, candidate.slots);
   const distance = candidate.sameZone ? 0 : OTHER_ZONE;
-  return load + distance + ALWAYS_FAILING * candidate.failureShare;
+  const connection = candidate.hasConnection ? 0 : NEW_CONNECTION;
+  return load + distance + connection + ALWAYS_FAILING * candidate.failureShare;
 }
--- a/src/core/backend-selection.ts
+++ b/src/core/backend-selection.ts
@@ -4,6 +4,8 @@
 export interface BackendCandidate {
   readonly id: string;
   readonly sameZone: boolean;
+  /** A kept connection is free. */
+  readonly hasConnection: boolean;
   readonly slots: number;
   /** Requests that this daemon has in flight there. */
   readonly inFlight: number;
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -48,6 +48,8 @@
 /** Cost in milliseconds of one request a second in urgent demand that loses a copy. */
 const URGENT_WORTH = 4_000;
 const PATIENT_WORTH = 400;
+/** Worth of the model that operators list first; they list their busiest first. */
+const LISTED_FIRST_WORTH = 600;
 /** Cost of a load from the store, besides its time: it is priced and rationed. */
 const STORE_LOAD_COST = 1_000;
 /** Urgent requests a second for which a model gets a second and a third copy. */
@@ -135,6 +137,7 @@
     const { model, adapter } = wanted;
     if (this.isAdapterComing(wanted)) return;
     const holders = this.input.backends.filter((backend) => backend.ledger.models.has(model));
+    if (holders.some(({ ledger }) => this.holdsAdapter(ledger, wanted))) return;
     if (holders.length === 0) return this.load({ ...wanted, adapter: undefined }, 'adapter waits');
     const usable = holders.filter((backend) => this.takesAdapter(backend.ledger));
     const free = usable
@@ -243,9 +246,8 @@
     const urgent = demand.urgentRate(reference(model), now) * URGENT_WORTH;
     const patient = demand.patientRate(reference(model), now) * PATIENT_WORTH;
     const copies = Math.max(1, this.copies(model));
-    // Operators list their busiest models first; it decides only between models without demand.
     const rank = host.models.findIndex((spec) => spec.name === model);
-    const prior = host.models.length - rank;
+    const prior = LISTED_FIRST_WORTH / (1 + Math.max(0, rank));
     return (urgent + patient + prior) / copies ** 2;
   }
 
@@ -278,6 +280,15 @@
     this.push(ledger, order, place.readyInMs, place.fromStore, reason);
   }
 
+  private holdsAdapter(ledger: BackendLedger, wanted: ModelReference): boolean {
+    const { model, adapter } = wanted;
+    if (adapter === undefined) return false;
+    const order = ledger.currentOrder;
+    const isLeaving =
+      order?.operation === 'unload' && order.model === model && order.adapter === adapter;
+    return !isLeaving && ledger.models.get(model)?.adapters.has(adapter) === true;
+  }
+
   private isAdapterComing(wanted: DemandSample): boolean {
     const key = adapterKey(wanted);
     return this.input.backends.some(({ ledger }) => {
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import { splitAddress } from '../common/http-client.js';
 
 /** A kept connection is given up so long before the backend would close it. */
 const EXPIRY_MARGIN_MS = 600;
@@ -27,6 +28,12 @@
     super({ keepAlive: true, maxFreeSockets: 64, scheduling: 'lifo' });
   }
 
+  /** Whether a connection to "ip:port" rests. */
+  hasRestingConnection(address: string): boolean {
+    const [host, port] = splitAddress(address);
+    return (this.freeSockets[this.getName({ host, port })]?.length ?? 0) > 0;
+  }
+
   /** Node asks whether a connection may be kept. */
   override keepSocketAlive(socket: Socket): boolean {
     const rest = restOf(socket);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,7 @@
 import { RoutingTable } from '../core/routing-table.js';
 import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
-import { BackendAgent } from './backend-agent.js';
+import type { BackendAgent } from './backend-agent.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -44,6 +44,8 @@
   readonly store: RecordStore;
   readonly control: BackendControl;
   readonly dialect: RequestDialect;
+  /** Keeps the connections to backends. */
+  readonly agent: BackendAgent;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
 }
@@ -160,7 +162,7 @@
 
   private makeContext(): GatewayContext {
     const { settings, outside } = this;
-    const { logger, dialect, metrics } = outside;
+    const { logger, dialect, metrics, agent } = outside;
     return {
       settings,
       dialect,
@@ -168,9 +170,7 @@
       health: new BackendHealth(),
       selection: new LowestCostSelection(),
       tracker: new RequestTracker(),
-      agent: new BackendAgent({
-        onUnaskedBytes: (address) => logger.warn('unasked_bytes', { address }),
-      }),
+      agent,
       metrics,
       logger,
       exchanges: new Set<RequestExchange>(),
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -46,28 +46,43 @@
     if (this.isListed) await this.store.remove('members', this.settings.name);
   }
 
+  /** Enters this daemon before it reads: of two that start at once, one sees the other. */
   private async refresh(): Promise<void> {
     const now = performance.now();
     if (this.busy || now - this.lastRead < READ_PERIOD_MS) return;
     this.busy = true;
+    try {
+      if (!this.isListed) await this.enter();
+      if (await this.read()) this.lastRead = now;
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private async enter(): Promise<void> {
+    const { name, zone } = this.settings;
+    const value = { address: this.peers.address, zone };
+    const created = await this.store.write('members', name, value, undefined);
+    this.isListed = created.isOk;
+    if (created.isOk || created.error.type !== 'conflict') return;
+    const known = await this.store.read('members', name);
+    if (known.isErr || known.value === undefined) return;
+    const isCurrent = dutyMember(known.value.value).some(
+      (member) => member.address === value.address,
+    );
+    const written = isCurrent
+      ? known
+      : await this.store.write('members', name, value, known.value.revision);
+    this.isListed = written.isOk;
+  }
+
+  private async read(): Promise<boolean> {
     const list = await this.store.list('members');
-    this.busy = false;
-    if (list.isErr) return;
-    this.lastRead = now;
+    if (list.isErr) return false;
     this.listed = list.value.flatMap(({ value }) => dutyMember(value));
     const others = this.listed.filter((member) => member.address !== this.peers.address);
     this.peers.addSeeds(others.map((member) => member.address));
-    const own = list.value.find((record) => record.name === this.settings.name);
-    const isCurrent = dutyMember(own?.value).some(({ address }) => address === this.peers.address);
-    if (!isCurrent) await this.enter(own?.revision);
-    this.isListed = true;
-  }
-
-  private async enter(revision: number | undefined): Promise<void> {
-    const { zone } = this.settings;
-    const value = { address: this.peers.address, zone };
-    const written = await this.store.write('members', this.settings.name, value, revision);
-    if (written.isErr) this.lastRead = -Infinity;
+    return this.isListed;
   }
 }
 
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -118,6 +118,7 @@
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
+      hasConnection: context.agent.hasRestingConnection(backend.address),
       slots: backend.slots,
       inFlight: context.tracker.inFlightAt(backend.id),
       failureShare: context.health.failureShare(backend.id),
@@ -139,12 +140,24 @@
       readyInMs,
     });
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
-      this.log('held_no_longer', { readyInMs, waitedMs: Math.round(now - arrivedAt) });
-      return this.refuse('no_capacity', decision.retryAfterMs);
+      this.expectReturn(decision.retryAfterMs);
+      const waitedMs = Math.round(now - arrivedAt);
+      return this.refuse('no_capacity', decision.retryAfterMs, { readyInMs, waitedMs });
     }
     this.wait();
   }
 
+  /** A caller that was told to come back still waits: its model must be there by then. */
+  private expectReturn(retryAfterMs: number): void {
+    const { model } = this.request.head;
+    const { route, service } = this.match;
+    if (model === undefined || service.modelHost === undefined) return;
+    const { tracker } = this.context;
+    tracker.waits(service.name, model, route.goalMs, 1);
+    this.context.demandUrgent(service.name);
+    setTimeout(() => tracker.waits(service.name, model, route.goalMs, -1), retryAfterMs).unref();
+  }
+
   private wait(): void {
     this.setWaiting(true);
     clearTimeout(this.lookTimer);
@@ -269,9 +282,14 @@
   private refuse(
     kind: 'no_capacity' | 'engine_refused' | 'deadline_unreachable' | 'draining',
     retryAfterMs: number | undefined,
+    inputs: Readonly<Record<string, number | undefined>> = {},
   ): void {
     if (this.answer.hasBegun) return this.giveUp(this.lastRan, kind);
-    this.log('refused', { kind, retryAfterMs: retryAfterMs && Math.round(retryAfterMs) });
+    this.log('refused', {
+      kind,
+      retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
+      ...inputs,
+    });
     this.answer.sendError(kind, retryAfterMs);
     this.finish('refused');
   }
