An unframed answer that is reset right behind its bytes is no longer taken for whole

Change: at the end of an unframed answer the connection must still have a peer. Test: answers.test.ts, 'reset right behind its bytes', fails without the change.

--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -1,5 +1,6 @@
 /** One request sent to one backend, on Node's `http`. */
 import http from 'node:http';
+import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
 import type { BackendAgent } from './backend-agent.js';
 
@@ -74,7 +75,7 @@
     else this.incoming?.resume();
   }
 
-  private watchConnect(socket: import('node:net').Socket): void {
+  private watchConnect(socket: Socket): void {
     if (!socket.connecting) {
       this.connected = true;
       return;
@@ -92,6 +93,7 @@
   private receive(answer: http.IncomingMessage): void {
     if (this.ended) return;
     this.incoming = answer;
+    if (isUnframed(answer)) this.watchReset(answer.socket);
     this.handler.onHead(answer);
     answer.on('data', (chunk: Buffer) => {
       if (!this.ended) this.handler.onData(chunk);
@@ -105,6 +107,17 @@
     });
   }
 
+  /**
+   * The end of an answer without a length is the end of its connection. A reset
+   * that comes right behind the last bytes looks like an orderly end to Node, but
+   * a connection that was reset has no peer any more.
+   */
+  private watchReset(socket: Socket): void {
+    socket.prependOnceListener('end', () => {
+      if (socket.remoteAddress === undefined) this.fail('the connection was reset');
+    });
+  }
+
   private fail(reason: string): void {
     if (this.ended) return;
     this.ended = true;
@@ -112,3 +125,9 @@
     this.handler.onFailure({ reached: this.connected, reason });
   }
 }
+
+/** Whether only the end of the connection tells the end of the answer. */
+function isUnframed(answer: http.IncomingMessage): boolean {
+  const { headers } = answer;
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
--- /dev/null
+++ b/test/gateway/answers.test.ts
@@ -0,0 +1,165 @@
+import net from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  answerEvents,
+  answerWhole,
+  GatewayHarness,
+  pause,
+  TestBackend,
+  testConfiguration,
+  testRoute,
+} from './gateway-harness.js';
+
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nsigned: yes\r\nrequest-id: a\r\n\r\n';
+
+describe('answers of backends', () => {
+  let harness: GatewayHarness;
+  let backend: TestBackend;
+  const servers: net.Server[] = [];
+
+  beforeEach(async () => {
+    backend = new TestBackend('one');
+    await backend.start();
+    harness = await GatewayHarness.start();
+    harness.configure(testConfiguration({ routes: [testRoute({ repeatability: 'once' })] }));
+    harness.list([backend.record()]);
+  });
+
+  afterEach(() => {
+    harness.stop();
+    backend.stop();
+    for (const server of servers.splice(0)) server.close();
+  });
+
+  /** A backend that writes bytes of its own and then ends the connection in its own way. */
+  async function rawBackend(end: (socket: net.Socket) => void): Promise<string> {
+    const server = net.createServer((socket) => {
+      socket.on('error', () => socket.destroy());
+      socket.once('data', () => end(socket));
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const address = server.address();
+    return `127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`;
+  }
+
+  it('passes on a whole answer without a length', async () => {
+    const address = await rawBackend((socket) => socket.end(`${UNFRAMED_HEAD}whole`));
+    harness.list([backend.record({ address })]);
+    const answer = await harness.call({ id: 'a' });
+    expect(answer).toMatchObject({ status: 200, body: 'whole', complete: true });
+  });
+
+  it('does not pass on an answer without a length that is reset right behind its bytes', async () => {
+    const address = await rawBackend((socket) => {
+      socket.write(`${UNFRAMED_HEAD}par`);
+      socket.resetAndDestroy();
+    });
+    harness.list([backend.record({ address })]);
+    const answer = await harness.call({ id: 'a' });
+    expect(answer.status).toBe(502);
+  });
+
+  it('does not pass on the answer to another request', async () => {
+    backend.handle = (_request, response) => {
+      response.writeHead(200, { signed: 'yes', 'request-id': 'other' });
+      response.end('crossed');
+    };
+    const answer = await harness.call({ id: 'a' });
+    expect(answer.status).toBe(502);
+    expect(answer.headers['x-ran']).toBe('unknown');
+  });
+
+  it('repeats a refused request of any kind elsewhere', async () => {
+    const other = new TestBackend('two', answerWhole);
+    await other.start();
+    backend.handle = (_request, response) => {
+      response.writeHead(503, { 'not-run': '1' });
+      response.end();
+    };
+    harness.list([backend.record(), other.record({ zone: 'b' })]);
+    const answer = await harness.call({ id: 'a' });
+    expect(answer).toMatchObject({ status: 200, body: 'done a' });
+    expect(backend.arrivals).toEqual(['a']);
+    other.stop();
+  });
+
+  it('does not repeat a request that may have run and may run once only', async () => {
+    const other = new TestBackend('two', answerWhole);
+    await other.start();
+    backend.handle = (request) => request.socket.destroy();
+    harness.list([backend.record(), other.record({ zone: 'b' })]);
+    const answer = await harness.call({ id: 'a' });
+    expect(answer.status).toBe(502);
+    expect(other.arrivals).toEqual([]);
+    other.stop();
+  });
+
+  it('takes a stream up at another backend after its last whole event', async () => {
+    harness.configure(
+      testConfiguration({
+        version: 2,
+        routes: [testRoute({ repeatability: 'resumable_stream' })],
+      }),
+    );
+    const other = new TestBackend('two', (request, response, body) => {
+      expect(request.headers['last-event-id']).toBe('3');
+      answerEvents(4, 6, 5)(request, response, body);
+    });
+    await other.start();
+    backend.handle = (request, response, body) => {
+      answerEvents(1, 50, 20)(request, response, body);
+      setTimeout(() => {
+        response.write('id: 4\nda');
+        request.socket.destroy();
+      }, 75);
+    };
+    harness.list([backend.record(), other.record({ zone: 'b' })]);
+    const answer = await harness.call({ id: 'a' });
+    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map((match) => match[1]);
+    expect(ids).toEqual(['1', '2', '3', '4', '5', '6']);
+    expect(answer.complete).toBe(true);
+    other.stop();
+  });
+
+  it('breaks a stream off visibly when it cannot be taken up', async () => {
+    harness.configure(
+      testConfiguration({ version: 2, routes: [testRoute({ repeatability: 'stream_once' })] }),
+    );
+    backend.handle = (request, response, body) => {
+      answerEvents(1, 50, 10)(request, response, body);
+      setTimeout(() => request.socket.destroy(), 55);
+    };
+    const answer = await harness.call({ id: 'a' });
+    expect(answer.complete).toBe(false);
+  });
+
+  it('lets go of the backend when the caller leaves', async () => {
+    let closed = false;
+    backend.handle = (_request, response) => response.on('close', () => (closed = true));
+    const request = harness.request({ id: 'a' }, () => {});
+    request.on('error', () => {});
+    await pause(80);
+    request.destroy();
+    await pause(80);
+    expect(closed).toBe(true);
+  });
+
+  it('refuses oversized heads and bodies, and unknown routes, by kind', async () => {
+    const large = { 'x-large': 'x'.repeat(3_000) };
+    expect((await harness.call({ id: 'a', headers: large })).status).toBe(431);
+    expect((await harness.call({ id: 'b', body: 'x'.repeat(20_000) })).status).toBe(413);
+    expect((await harness.call({ id: 'c', path: '/none/' })).status).toBe(404);
+    expect(backend.arrivals).toEqual([]);
+  });
+});
+
+describe('before any configuration is known', () => {
+  it('refuses with a promise in place of an unknown route', async () => {
+    const harness = await GatewayHarness.start();
+    const answer = await harness.call({ id: 'a' });
+    expect(answer.status).toBe(503);
+    expect(answer.headers['x-ran']).toBe('no');
+    harness.stop();
+  });
+});
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -17,7 +17,9 @@
     await backend.start();
     harness = await GatewayHarness.start();
     harness.configure(
-      testConfiguration({ routes: [testRoute({ repeatability: 'resumable_stream', timeoutMs: 9_000 })] }),
+      testConfiguration({
+        routes: [testRoute({ repeatability: 'resumable_stream', timeoutMs: 9_000 })],
+      }),
     );
     harness.list([backend.record()]);
   });
