--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -12,7 +12,7 @@
 const DEFAULT_REST_MS = 4_000;
 const KEEP_ALIVE_SECONDS = /timeout=(\d+)/;
 
-type Watcher = (bytes: Buffer) => void;
+type Watcher = () => void;
 
 /** Options of {@link BackendAgent}. */
 export interface BackendAgentOptions {
@@ -40,7 +40,7 @@
     if (rest <= 0 || socket.readableLength > 0) return false;
     socket.setKeepAlive(true, 1_000);
     socket.unref();
-    socket.setTimeout(rest, () => socket.destroy());
+    socket.setTimeout(rest, closeRested);
     this.watch(socket);
     return true;
   }
@@ -50,9 +50,8 @@
     const watcher = this.watchers.get(socket);
     if (watcher !== undefined) socket.off('data', watcher);
     this.watchers.delete(socket);
-    socket.setTimeout(0);
-    request.reusedSocket = true;
-    socket.ref();
+    socket.setTimeout(0, closeRested);
+    super.reuseSocket(socket, request);
   }
 
   private watch(socket: Socket): void {
@@ -66,6 +65,10 @@
   }
 }
 
+function closeRested(this: Socket): void {
+  this.destroy();
+}
+
 interface HttpSocket extends Socket {
   /** Node keeps the message that a connection carried last here. */
   readonly _httpMessage?: { readonly res?: http.IncomingMessage };
