--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -1,5 +1,9 @@
-/** Logs: one line of key=value pairs an event, written by winston. Never a prompt or a key. */
+/**
+ * Logs: one line of key=value pairs an event, written by winston to standard output.
+ * Never a prompt or a key. The volume is bounded for each kind of event.
+ */
 import winston from 'winston';
+import { LineBudget } from './line-budget.js';
 
 /** Values that a log line may carry. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -28,6 +32,11 @@
   return NEEDS_QUOTES.test(text) || text === '' ? JSON.stringify(text) : text;
 }
 
+type LogLevel = 'info' | 'warn' | 'error';
+
+/** Bytes that may wait for the reader of standard output. */
+const LARGEST_BACKLOG_BYTES = 256 * 1024;
+
 /** Settings of a logger. */
 export interface LoggerOptions {
   /** Name of the process in every line. */
@@ -36,7 +45,7 @@
   readonly level?: 'info' | 'warn' | 'error';
 }
 
-/** Makes a logger that writes to standard error. */
+/** Makes a logger that writes to standard output. */
 export function createLogger(options: LoggerOptions): Logger {
   const line = winston.format.printf((entry) => {
     const { level, message, timestamp, fields } = entry;
@@ -46,12 +55,21 @@
   const sink = winston.createLogger({
     level: options.level ?? 'info',
     format: winston.format.combine(winston.format.timestamp(), line),
-    transports: [new winston.transports.Console({ stderrLevels: ['info', 'warn', 'error'] })],
+    transports: [new winston.transports.Console()],
   });
+  const budget = new LineBudget();
+  const write = (level: LogLevel, event: string, fields: LogFields = {}): void => {
+    // A reader that does not keep up costs lines, not time.
+    const isFull = process.stdout.writableLength > LARGEST_BACKLOG_BYTES;
+    const grant = budget.take(event, performance.now(), isFull);
+    if (!grant.written) return;
+    const leftOut = grant.leftOut > 0 ? { leftOut: grant.leftOut } : {};
+    sink.log(level, event, { fields: { ...fields, ...leftOut } });
+  };
   return {
-    info: (event, fields) => void sink.info(event, { fields }),
-    warn: (event, fields) => void sink.warn(event, { fields }),
-    error: (event, fields) => void sink.error(event, { fields }),
+    info: (event, fields) => write('info', event, fields),
+    warn: (event, fields) => write('warn', event, fields),
+    error: (event, fields) => write('error', event, fields),
   };
 }
 
