Modules over 500 lines split; a line for each send with the beliefs behind it

The linter's bound is 500 lines now. The gateway logs each send and each refusal with the configuration's version, the epoch and age of the owner's word, and the backends known; each request has a line at its end.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,7 @@
         { considerDefaultExhaustiveForUnions: true },
       ],
       '@typescript-eslint/no-empty-function': 'off',
-      'max-lines': ['error', { max: 650, skipBlankLines: true, skipComments: true }],
+      'max-lines': ['error', { max: 500, skipBlankLines: true, skipComments: true }],
       'max-lines-per-function': ['error', { max: 70, skipBlankLines: true, skipComments: true }],
       complexity: ['error', 18],
     },
--- a/src/chaos/auditor.ts
+++ b/src/chaos/auditor.ts
@@ -3,7 +3,7 @@
  * records; never from what the daemons say of themselves.
  */
 import type { ModelAnswer } from '../client/model-client.js';
-import type { EngineLogEvent } from '../standin/engine-stand-in.js';
+import type { EngineLogEvent } from '../standin/engine-stand-in-options.js';
 
 /** Milliseconds that an end may come after its deadline: timers and the loopback. */
 const DEADLINE_TOLERANCE_MS = 250;
--- a/src/core/pool-messages.ts
+++ b/src/core/pool-messages.ts
@@ -103,3 +103,8 @@
       readonly tier: string;
       readonly milliseconds: number;
     };
+
+/** Whether a tenant's waiting requests are to be refused. */
+export function isRefusal(location: TenantLocation): boolean {
+  return location.state === 'no_capacity' || location.state === 'load_failed';
+}
--- a/src/core/pool-owner.ts
+++ b/src/core/pool-owner.ts
@@ -19,26 +19,17 @@
 import { EngineLedger, type CountedReplica } from './engine-ledger.js';
 import type { KeepAlivePolicy } from './keep-alive.js';
 import { LoadTimes } from './load-times.js';
+import { LocationPublisher } from './location-publisher.js';
 import type { PlacementPolicy } from './placement.js';
-import type {
-  PooledTenant,
-  PoolEffect,
-  PoolEvent,
-  TenantLocation,
-  WakeRequest,
-} from './pool-messages.js';
+import { PoolLocator, type LoadFailure } from './pool-locator.js';
+import type { PooledTenant, PoolEffect, PoolEvent, WakeRequest } from './pool-messages.js';
 import type { RegisteredEngine } from './records.js';
+import { replicaSpecOf, sameReplica } from './replica-spec.js';
 
 /** Milliseconds before a tenant whose load failed is tried again. */
 const LOAD_RETRY_MS = 2_000;
 /** Milliseconds that a replica is safe from eviction after its last use. */
 const EVICTION_GRACE_MS = 1_000;
-/** Steps in which the number of routers is told, for each doubling. */
-const ROUTER_STEPS_PER_DOUBLING = 4;
-/** What is still to come of an overdue load, as a share of the time it has taken. */
-const OVERDUE_SHARE = 0.5;
-/** Milliseconds that routers are told to wait when no engine has room. */
-const NO_CAPACITY_RETRY_MS = 2_000;
 
 /** How an owner decides. */
 export interface PoolOwnerOptions {
@@ -53,10 +44,6 @@
   readonly loadOrder?: 'urgency' | 'arrival';
 }
 
-interface Failure {
-  readonly until: number;
-}
-
 /** The state of one pool under one epoch. */
 export class PoolOwner {
   readonly engines = new Map<string, EngineLedger>();
@@ -64,8 +51,7 @@
   private readonly demands = new Map<string, Demand>();
   /** Last use of tenants whose replica was unloaded here. */
   private readonly lastUses = new Map<string, number>();
-  private readonly failures = new Map<string, Failure>();
-  private readonly pushed = new Map<string, string>();
+  private readonly failures = new Map<string, LoadFailure>();
   private readonly acknowledged = new Map<string, number>();
   private readonly registering = new Set<string>();
   /** Tenants whose quota here is to come down to a target. */
@@ -74,11 +60,22 @@
   private readonly dirty = new Set<string>();
   private readonly loadTimes = new LoadTimes();
   private effects: PoolEffect[] = [];
-  private locationVersion = 0;
+  private readonly publisher = new LocationPublisher();
+  private readonly locator: PoolLocator;
   private lost = false;
 
   constructor(private readonly options: PoolOwnerOptions) {
     for (const engine of options.engines) this.addEngine(engine);
+    this.locator = new PoolLocator({
+      pool: options.pool,
+      epoch: options.epoch,
+      engines: this.engines,
+      loadTimes: this.loadTimes,
+      failure: (tenant) => this.failures.get(tenant),
+      specOf: (tenant) => this.specOf(tenant),
+      allowed: (tenant) => this.allowed(tenant),
+      countReplicas: (tenant) => this.countReplicas(tenant),
+    });
   }
 
   /** The first effects: a seal for each engine of the record. */
@@ -198,7 +195,7 @@
     this.demands.set(wake.tenant, demand);
     demand.add(wake, now);
     // The router may have lost the last push: it gets the state anew.
-    this.pushed.delete(pushKey(wake.router, wake.tenant));
+    this.publisher.forget(wake.router, wake.tenant);
   }
 
   private expireDemands(now: number): void {
@@ -206,10 +203,9 @@
       if (!demand.expire(now)) continue;
       if (demand.size === 0) this.demands.delete(tenant);
     }
-    for (const key of this.pushed.keys()) {
-      const [router = '', tenant = ''] = key.split('\n');
-      if (!this.demands.get(tenant)?.subscribers().includes(router)) this.pushed.delete(key);
-    }
+    this.publisher.keepOnly((router, tenant) =>
+      (this.demands.get(tenant)?.subscribers() ?? []).includes(router),
+    );
   }
 
   private orderAnswered(
@@ -494,108 +490,9 @@
     for (const name of this.dirty) {
       const demand = this.demands.get(name);
       if (demand === undefined) continue;
-      const location = this.locate(name, demand, now);
-      const signature = locationSignature(location);
-      for (const router of demand.subscribers()) {
-        const key = pushKey(router, name);
-        if (this.pushed.get(key) === signature) continue;
-        this.pushed.set(key, signature);
-        this.locationVersion += 1;
-        const version = this.locationVersion;
-        this.effects.push({ type: 'push_location', router, location: { ...location, version } });
-      }
+      const location = this.locator.locate(name, demand, now);
+      this.effects.push(...this.publisher.publish(location, demand.subscribers()));
     }
     this.dirty.clear();
   }
-
-  private locate(name: string, demand: Demand, now: number): TenantLocation {
-    const { pool, epoch } = this.options;
-    const routers = Math.max(1, demand.size);
-    const base = { pool, epoch, version: 0, tenant: name, routers, retryAfterMs: 0, readyInMs: 0 };
-    const replicas = [...this.engines.values()].flatMap((engine) => {
-      const replica = engine.replicas.get(name);
-      if (replica?.state !== 'loaded' || !engine.takesLoads()) return [];
-      const share = Math.max(1, Math.ceil(replica.spec.slots / routers));
-      return [{ engine: engine.address, incarnation: engine.incarnation, share }];
-    });
-    if (replicas.length > 0) return { ...base, state: 'loaded', replicas };
-    const readyInMs = this.readyInMs(name, now);
-    if (readyInMs !== undefined) return { ...base, state: 'loading', replicas, readyInMs };
-    const failure = this.failures.get(name);
-    if (failure !== undefined && failure.until > now) {
-      return { ...base, state: 'load_failed', replicas, retryAfterMs: failure.until - now };
-    }
-    if (!this.lacksRoom(name, demand, now)) return { ...base, state: 'cold', replicas };
-    return { ...base, state: 'no_capacity', replicas, retryAfterMs: NO_CAPACITY_RETRY_MS };
-  }
-
-  private readyInMs(name: string, now: number): number | undefined {
-    for (const engine of this.engines.values()) {
-      const replica = engine.replicas.get(name);
-      if (replica?.state !== 'ordered' && replica?.state !== 'loading') continue;
-      const expected = this.loadTimes.expected(replica.tier, replica.spec.modelBytes);
-      const elapsed = now - replica.orderedAt;
-      // An overdue load, as with a stalled weight store: the longer it has taken, the longer it will.
-      return elapsed <= expected ? expected - elapsed : elapsed * OVERDUE_SHARE;
-    }
-    return undefined;
-  }
-
-  /** Whether waiting requests wait in vain now. */
-  private lacksRoom(name: string, demand: Demand, now: number): boolean {
-    const tenant = this.specOf(name);
-    if (tenant === undefined || this.allowed(name) === 0) return true;
-    if (demand.waiting(now) === 0 || this.isMakingRoom()) return false;
-    if (this.countReplicas(name) >= this.allowed(name)) return false;
-    const spec = replicaSpecOf(tenant);
-    return ![...this.engines.values()].some(
-      (engine) => engine.takesLoads() && engine.usedBytesWith(spec) <= engine.capacityBytes,
-    );
-  }
-
-  private isMakingRoom(): boolean {
-    return [...this.engines.values()].some(
-      (engine) =>
-        !engine.sealed ||
-        [...engine.replicas.values()].some((replica) => replica.state === 'unloading'),
-    );
-  }
-}
-
-/** What an engine is told to load for a tenant. */
-export function replicaSpecOf(tenant: TenantSpec): ReplicaSpec {
-  return {
-    tenant: tenant.name,
-    model: tenant.model,
-    version: tenant.version,
-    modelBytes: tenant.modelBytes,
-    adapters: tenant.adapters,
-    slots: tenant.slots,
-  };
-}
-
-function sameReplica(a: ReplicaSpec, b: ReplicaSpec): boolean {
-  const sameModel = a.model === b.model && a.version === b.version && a.slots === b.slots;
-  if (!sameModel || a.adapters.length !== b.adapters.length) return false;
-  return a.adapters.every((adapter, index) => adapter.name === b.adapters[index]?.name);
-}
-
-function pushKey(router: string, tenant: string): string {
-  return `${router}\n${tenant}`;
-}
-
-/**
- * Routers come and go all the time, and each change would be told to all the
- * others. They hear of it only in steps of about a fifth.
- */
-function routersStep(routers: number): number {
-  return Math.round(ROUTER_STEPS_PER_DOUBLING * Math.log2(routers));
-}
-
-/** What must differ for a router to be told again; the countdown alone does not count. */
-function locationSignature(location: TenantLocation): string {
-  const replicas = location.replicas
-    .map((replica) => `${replica.engine}/${replica.incarnation}`)
-    .join(',');
-  return `${location.state}|${routersStep(location.routers)}|${replicas}`;
 }
--- /dev/null
+++ b/src/core/replica-spec.ts
@@ -0,0 +1,22 @@
+/** What a tenant's replica is made of. Pure. */
+import type { ReplicaSpec } from '../engines/engine-client.js';
+import type { TenantSpec } from './documents.js';
+
+/** What an engine is told to load for a tenant. */
+export function replicaSpecOf(tenant: TenantSpec): ReplicaSpec {
+  return {
+    tenant: tenant.name,
+    model: tenant.model,
+    version: tenant.version,
+    modelBytes: tenant.modelBytes,
+    adapters: tenant.adapters,
+    slots: tenant.slots,
+  };
+}
+
+/** Whether two replicas are made of the same. */
+export function sameReplica(a: ReplicaSpec, b: ReplicaSpec): boolean {
+  const sameModel = a.model === b.model && a.version === b.version && a.slots === b.slots;
+  if (!sameModel || a.adapters.length !== b.adapters.length) return false;
+  return a.adapters.every((adapter, index) => adapter.name === b.adapters[index]?.name);
+}
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -10,15 +10,9 @@
 import { answerFor, type ErrorKind } from '../common/errors.js';
 import type { ReplicaLoad, RequestRefusal } from '../engines/engine-client.js';
 import type { TenantSpec } from './documents.js';
-import type { TenantLocation } from './pool-messages.js';
-import type { ReplicaChoice } from './replica-choice.js';
-import type {
-  PoolRoute,
-  RoutedRequest,
-  RouterEffect,
-  RouterEvent,
-  RoutingDirectory,
-} from './router-messages.js';
+import { isRefusal, type TenantLocation } from './pool-messages.js';
+import type { RoutedRequest, RouterEffect, RouterEvent } from './router-messages.js';
+import { deadlineKind, type RequestState, type RouterOptions } from './router-request.js';
 import { TenantRoute } from './tenant-route.js';
 import { TokenBucket } from './token-bucket.js';
 
@@ -37,33 +31,6 @@
 const RETRIES_PER_SECOND = 1;
 const RETRY_BURST = 10;
 
-/** How a router decides. */
-export interface RouterOptions {
-  /** This daemon's peer address. */
-  readonly self: string;
-  readonly directory: RoutingDirectory;
-  readonly choice: ReplicaChoice;
-}
-
-type Phase = 'claiming' | 'waiting' | 'sent' | 'streaming' | 'resuming' | 'cancelling';
-
-interface RequestState {
-  readonly request: RoutedRequest;
-  phase: Phase;
-  engine: string;
-  /** Start of the engine process that the request was sent to. */
-  incarnation: string;
-  /** The key is claimed: the request may be sent. */
-  claimed: boolean;
-  /** The engine has accepted the request. */
-  started: boolean;
-  /** An earlier try of a repeatable request may have run: "not run" is never said again. */
-  mayHaveRun: boolean;
-  tokens: number;
-  resumes: number;
-  refusals: number;
-}
-
 /** Requests and locations at one router. */
 export class Router {
   private readonly requests = new Map<string, RequestState>();
@@ -290,7 +257,7 @@
     const route = this.routes.get(tenant);
     if (route === undefined) return;
     if (!force && now - route.lastWakeAt < WAKE_PERIOD_MS) return;
-    const target = this.wakeTarget(route, this.options.directory.routes(tenant));
+    const target = route.wakeTarget(this.options.directory.routes(tenant));
     if (target === undefined) return;
     route.lastWakeAt = now;
     const deadline = route.queue.earliestDeadline();
@@ -309,15 +276,6 @@
     });
   }
 
-  private wakeTarget(route: TenantRoute, pools: readonly PoolRoute[]): PoolRoute | undefined {
-    const owned = pools.filter((pool) => pool.owner !== '');
-    const helpful = owned.find((pool) => {
-      const location = route.locationOf(pool.pool);
-      return location === undefined || !isRefusal(location);
-    });
-    return helpful ?? owned[0];
-  }
-
   private accepted(id: string, load: ReplicaLoad, now: number): void {
     const state = this.requests.get(id);
     if (state === undefined || state.engine === '') return;
@@ -530,12 +488,3 @@
     this.leaving.delete(engine);
   }
 }
-
-function isRefusal(location: TenantLocation): boolean {
-  return location.state === 'no_capacity' || location.state === 'load_failed';
-}
-
-function deadlineKind(state: RequestState): ErrorKind {
-  if (state.engine === '') return 'deadline_exceeded_waiting';
-  return state.started ? 'deadline_exceeded_running' : 'engine_outcome_unknown';
-}
--- a/src/core/tenant-route.ts
+++ b/src/core/tenant-route.ts
@@ -1,6 +1,6 @@
 /** What one router knows and holds of one tenant. Pure. */
 import type { PoolRoute, RoutedRequest } from './router-messages.js';
-import type { TenantLocation } from './pool-messages.js';
+import { isRefusal, type TenantLocation } from './pool-messages.js';
 import { RequestQueue } from './request-queue.js';
 import type { ReplicaView } from './replica-choice.js';
 import { TokenBucket } from './token-bucket.js';
@@ -139,6 +139,16 @@
     this.replicas.set(engine, fresh);
     return fresh;
   }
+
+  /** The pool whose owner is told that requests wait: one that has not refused, if there is one. */
+  wakeTarget(pools: readonly PoolRoute[]): PoolRoute | undefined {
+    const owned = pools.filter((pool) => pool.owner !== '');
+    const helpful = owned.find((pool) => {
+      const location = this.locationOf(pool.pool);
+      return location === undefined || !isRefusal(location);
+    });
+    return helpful ?? owned[0];
+  }
 }
 
 function burstOf(spec: TenantSpec, routers: number): number {
--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -84,15 +84,17 @@
     read: Pick<RequestExchange['request'], 'head' | 'body' | 'arrivedAt'>,
   ): void {
     const path = request.url ?? '/';
-    const match = this.routing()?.match(request.headers.host ?? '', path);
-    if (match === undefined) {
+    const table = this.routing();
+    const match = table?.match(request.headers.host ?? '', path);
+    if (table === undefined || match === undefined) {
       this.context.logger.info('no_route', { request: read.head.attemptId, path });
       return answer.sendError('not_found', undefined);
     }
     const { rawHeaders, method = 'GET' } = request;
     const caller = { ...read, method, path, rawHeaders };
     if (isStream(match.route)) response.socket?.setNoDelay(true);
-    new RequestExchange(this.context, match, caller, response).start();
+    const { version } = table.configuration;
+    new RequestExchange(this.context, match, version, caller, response).start();
   }
 
   /** Reads the whole body; undefined if it is over the limit. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -9,7 +9,7 @@
 import type { BackendCandidate } from '../core/backend-selection.js';
 import { holdOrRefuse } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
-import { isStream, mayRepeat, type BackendRecord } from '../core/service-configuration.js';
+import { mayRepeat, type BackendRecord } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -57,6 +57,8 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly match: RouteMatch,
+    /** Version of the configuration that chose the route. */
+    private readonly configurationVersion: number,
     readonly request: CallerRequest,
     response: http.ServerResponse,
   ) {
@@ -78,7 +80,6 @@
     this.context.exchanges.add(this);
     const remaining = this.deadlineAt - steadyNow();
     this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
-    this.context.metrics.waitSeconds.observe({ route: route.name }, 0);
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
     this.dispatch();
   }
@@ -147,11 +148,25 @@
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
       this.expectReturn(decision.retryAfterMs);
       const waitedMs = Math.round(now - arrivedAt);
-      return this.refuse('no_capacity', decision.retryAfterMs, { readyInMs, waitedMs });
+      const inputs = { readyInMs, waitedMs, ...this.beliefs(now) };
+      return this.refuse('no_capacity', decision.retryAfterMs, inputs);
     }
     this.wait();
   }
 
+  /** What the daemon decides on, and how old it is. */
+  private beliefs(now: number): Record<string, number | undefined> {
+    const { directory } = this.context;
+    const { service } = this.match;
+    const placementAgeMs = directory.placementAgeMs(service.name, now);
+    return {
+      configuration: this.configurationVersion,
+      backends: directory.serving(service.name).length,
+      epoch: service.modelHost === undefined ? undefined : directory.epochOf(service.name),
+      placementAgeMs: Number.isFinite(placementAgeMs) ? Math.round(placementAgeMs) : undefined,
+    };
+  }
+
   /** A caller that was told to come back still waits: its model must be there by then. */
   private expectReturn(retryAfterMs: number): void {
     const { model } = this.request.head;
@@ -192,6 +207,13 @@
     if (this.sends === 1) {
       context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
     }
+    this.log('sent', {
+      backend: backend.id,
+      sends: this.sends,
+      waitedMs: Math.round(now - request.arrivedAt),
+      remainingMs: Math.round(this.deadlineAt - now),
+      ...this.beliefs(now),
+    });
     this.attempt = new Attempt(context, {
       backend,
       route,
@@ -331,13 +353,8 @@
     const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
     this.context.metrics.requests.inc({ route: route.name, end });
     this.context.metrics.answerSeconds.observe({ route: route.name }, seconds);
-    if (isStream(route) || end !== 'served') {
-      this.log('request_ended', {
-        end,
-        milliseconds: Math.round(seconds * 1000),
-        sends: this.sends,
-      });
-    }
+    const milliseconds = Math.round(seconds * 1000);
+    this.log('request_ended', { end, milliseconds, sends: this.sends });
   }
 
   private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
--- a/src/testbed/local-cluster.ts
+++ b/src/testbed/local-cluster.ts
@@ -13,7 +13,7 @@
 import { hashKey } from '../daemon/bearer-keys.js';
 import type { EngineReport } from '../engines/engine-client.js';
 import type { Machine } from '../platform/platform-client.js';
-import type { EngineFaults, EngineLogEvent } from '../standin/engine-stand-in.js';
+import type { EngineFaults, EngineLogEvent } from '../standin/engine-stand-in-options.js';
 import type { PlatformFaults } from '../standin/platform-stand-in.js';
 import { findFreePorts } from './free-ports.js';
 import { ManagedProcess } from './managed-process.js';
--- a/test/chaos/auditor.test.ts
+++ b/test/chaos/auditor.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { audit, isClean, type CallerRecord, type Evidence } from '../../src/chaos/auditor.js';
 import type { ModelAnswer } from '../../src/client/model-client.js';
-import type { EngineLogEvent } from '../../src/standin/engine-stand-in.js';
+import type { EngineLogEvent } from '../../src/standin/engine-stand-in-options.js';
 
 const ANSWER: ModelAnswer = {
   outcome: 'whole',
