--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -84,8 +84,11 @@
     for (const key of this.waitingSince.keys()) {
       if (!sums.has(key)) this.waitingSince.delete(key);
     }
-    const urgency = (sample: DemandSample): number => this.urgency(sample, now);
-    return [...sums.values()].sort((a, b) => urgency(a) - urgency(b));
+    const ranked = [...sums.values()].map((sample) => {
+      return { sample, urgency: this.urgency(sample, now) };
+    });
+    ranked.sort((a, b) => a.urgency - b.urgency);
+    return ranked.map((entry) => entry.sample);
   }
 
   /** Models for which requests have been waiting for a time, with or without a backend that holds them. */
