Read again: dead state removed, one place for what a request's model is

Removed what nothing read: two metrics never set, uncertainSince, lastArrivalAt. RequestExchange worked out at five places whether its model matters, and gave an attempt back at two: now one field and releaseAttempt. steadyNow in place of its copies.

--- a/src/core/backend-ledger.ts
+++ b/src/core/backend-ledger.ts
@@ -60,8 +60,6 @@
   private calm: { readonly sequence: number; readonly since: number } | undefined;
   /** It has not answered when asked: what it holds does not count for callers. */
   isSilent = false;
-  /** When the last order ended without a known outcome, or never. */
-  uncertainSince: number | undefined;
 
   constructor(readonly id: string) {}
 
@@ -94,7 +92,6 @@
     this.dropArrivedAdapters(report, now);
     this.running = undefined;
     this.phase = 'ready';
-    this.uncertainSince = undefined;
     return true;
   }
 
@@ -179,9 +176,6 @@
         this.holds(order, now);
         return;
       case 'unknown':
-        this.phase = 'unsynchronized';
-        this.uncertainSince = now;
-        return;
       case 'conflict':
       case 'fenced':
       case 'rejected':
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -40,7 +40,6 @@
   urgent: number;
   patient: number;
   updatedAt: number;
-  lastArrivalAt: number;
 }
 
 interface HeardReport {
@@ -138,7 +137,6 @@
     const impulse = (count * Math.LN2 * 1000) / HALF_LIFE_MS;
     if (urgent) rate.urgent += impulse;
     else rate.patient += impulse;
-    rate.lastArrivalAt = now;
     this.rates.set(adapterKey(reference), rate);
   }
 
@@ -163,7 +161,7 @@
 }
 
 function newRate(now: number): Rate {
-  return { urgent: 0, patient: 0, updatedAt: now, lastArrivalAt: now };
+  return { urgent: 0, patient: 0, updatedAt: now };
 }
 
 function isUrgent(sample: DemandSample): boolean {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,6 +8,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import type { AnswerHead } from './ports.js';
 import type { CallerRequest } from './request-exchange.js';
+import { steadyNow } from './steady-clock.js';
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -160,7 +161,7 @@
       answer.beginStream(incoming?.statusCode ?? 0, incoming?.rawHeaders ?? []);
       this.context.metrics.firstPartSeconds.observe(
         { route: this.options.route.name },
-        (performance.now() - this.options.request.arrivedAt) / 1000,
+        (steadyNow() - this.options.request.arrivedAt) / 1000,
       );
     }
     if (answer.sendEvent(event) || this.isPaused) return;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -16,10 +16,6 @@
   readonly waitSeconds = this.histogram('wait', 'Time until a backend was chosen');
   readonly firstPartSeconds = this.histogram('first_part', 'Time to the first part of the answer');
   readonly answerSeconds = this.histogram('answer', 'Time to the end of the answer');
-  readonly takeoverSeconds = this.histogram(
-    'takeover',
-    'Time from the loss of an owner to a claim',
-  );
   readonly retries = new Counter({
     name: 'scaleslip_gateway_retries_total',
     help: 'Repeated sends, granted and denied',
@@ -48,11 +44,6 @@
     help: 'Version of the configuration in force',
     registers: [this.registry],
   });
-  readonly linesLeftOut = new Gauge({
-    name: 'scaleslip_gateway_log_lines_left_out',
-    help: 'Log lines left out because too many of a kind came at once',
-    registers: [this.registry],
-  });
 
   private histogram(name: string, help: string): Histogram<'route'> {
     return new Histogram({
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -5,6 +5,7 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import type { PeerGroup } from './peer-group.js';
 import type { RecordStore } from './ports.js';
+import { steadyNow } from './steady-clock.js';
 
 /** Between two readings of the list while nothing is known to be wrong. */
 const READ_PERIOD_MS = 12_000;
@@ -48,7 +49,7 @@
 
   /** Enters this daemon before it reads: of two that start at once, one sees the other. */
   private async refresh(): Promise<void> {
-    const now = performance.now();
+    const now = steadyNow();
     if (this.busy || now - this.lastRead < READ_PERIOD_MS) return;
     this.busy = true;
     try {
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -9,7 +9,11 @@
 import type { BackendCandidate } from '../core/backend-selection.js';
 import { holdOrRefuse } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
-import { mayRepeat, type BackendRecord } from '../core/service-configuration.js';
+import {
+  mayRepeat,
+  type BackendRecord,
+  type ModelReference,
+} from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -53,6 +57,8 @@
   private isWaiting = false;
   private ended = false;
   private lastRan: Ran = 'no';
+  /** The model that a backend must hold; none if the service's backends load no models. */
+  private readonly model: ModelReference | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -63,6 +69,7 @@
     response: http.ServerResponse,
   ) {
     this.answer = new CallerAnswer(context, request.head, response);
+    this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
@@ -71,11 +78,11 @@
 
   /** Takes the request up. */
   start(): void {
-    const { head, arrivedAt } = this.request;
+    const { arrivedAt } = this.request;
     const { route, service } = this.match;
     this.context.budgetOf(service.name).countRequest(steadyNow());
-    if (head.model !== undefined && service.modelHost !== undefined) {
-      this.context.tracker.arrived(service.name, head.model, route.goalMs);
+    if (this.model !== undefined) {
+      this.context.tracker.arrived(service.name, this.model, route.goalMs);
     }
     this.context.exchanges.add(this);
     const remaining = this.deadlineAt - steadyNow();
@@ -104,9 +111,8 @@
   }
 
   private chooseBackend(): BackendRecord | undefined {
-    const { context, match, request } = this;
+    const { context, match, request, model } = this;
     const now = steadyNow();
-    const model = match.service.modelHost === undefined ? undefined : request.head.model;
     const usable = context.directory
       .serving(match.service.name)
       .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
@@ -132,13 +138,13 @@
   }
 
   private holdOrRefuse(): void {
-    const { head, arrivedAt } = this.request;
+    const { arrivedAt } = this.request;
     const { route, service } = this.match;
     const now = steadyNow();
     const readyInMs =
-      head.model === undefined
+      this.model === undefined
         ? undefined
-        : this.context.directory.readyInMs(service.name, head.model.model, now);
+        : this.context.directory.readyInMs(service.name, this.model.model, now);
     const decision = holdOrRefuse({
       goalMs: route.goalMs,
       waitedMs: now - arrivedAt,
@@ -169,9 +175,9 @@
 
   /** A caller that was told to come back still waits: its model must be there by then. */
   private expectReturn(retryAfterMs: number): void {
-    const { model } = this.request.head;
+    const { model } = this;
     const { route, service } = this.match;
-    if (model === undefined || service.modelHost === undefined) return;
+    if (model === undefined) return;
     const { tracker } = this.context;
     tracker.waits(service.name, model, route.goalMs, 1);
     this.context.demandUrgent(service.name);
@@ -187,9 +193,9 @@
   private setWaiting(waiting: boolean): void {
     if (this.isWaiting === waiting) return;
     this.isWaiting = waiting;
-    const { model } = this.request.head;
+    const { model } = this;
     const { route, service } = this.match;
-    if (model === undefined || service.modelHost === undefined) return;
+    if (model === undefined) return;
     this.context.tracker.waits(service.name, model, route.goalMs, waiting ? 1 : -1);
     if (waiting) this.context.demandUrgent(service.name);
   }
@@ -203,7 +209,7 @@
     clearTimeout(this.lookTimer);
     this.sends += 1;
     this.tried.add(backend.id);
-    context.tracker.sent(service.name, backend.id, request.head.model, 1);
+    context.tracker.sent(service.name, backend.id, this.model, 1);
     if (this.sends === 1) {
       context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
     }
@@ -255,9 +261,7 @@
 
   private attemptEnded(backend: BackendRecord, end: AttemptEnd): void {
     if (this.ended) return;
-    const { context, match, request } = this;
-    context.tracker.sent(match.service.name, backend.id, request.head.model, -1);
-    this.attempt = undefined;
+    this.releaseAttempt(backend.id);
     this.judgeBackend(backend, end);
     if (end.type === 'done') return this.finish(end.status < 400 ? 'served' : 'failed');
     this.log('attempt_failed', {
@@ -274,7 +278,7 @@
       this.lastRan = end.ran;
     }
     const history = { runs: this.runs, sends: this.sends };
-    const step = afterFailure(match.route, end, history);
+    const step = afterFailure(this.match.route, end, history);
     if (step === 'retry') return this.dispatch();
     if (end.answer !== undefined && !this.answer.hasBegun) {
       this.answer.sendWhole(end.answer);
@@ -284,12 +288,18 @@
     this.giveUp(this.lastRan, end.reason);
   }
 
+  /** The attempt is over: the backend no longer works on the request. */
+  private releaseAttempt(backend: string): void {
+    this.context.tracker.sent(this.match.service.name, backend, this.model, -1);
+    this.attempt = undefined;
+  }
+
   private judgeBackend(backend: BackendRecord, end: AttemptEnd): void {
     const { health, directory } = this.context;
     if (end.type === 'done') return health.answered(backend.id);
     if (end.ran === 'no') this.refusals.set(backend.id, steadyNow() + REFUSED_PAUSE_MS);
-    if (end.lacksModel && this.request.head.model !== undefined) {
-      return directory.noteAbsence(backend.id, this.request.head.model, steadyNow());
+    if (end.lacksModel && this.model !== undefined) {
+      return directory.noteAbsence(backend.id, this.model, steadyNow());
     }
     if (end.silent) health.silent(backend.id, steadyNow());
     else health.failed(backend.id);
@@ -343,10 +353,9 @@
     this.ended = true;
     clearTimeout(this.lookTimer);
     clearTimeout(this.deadlineTimer);
-    this.attempt?.abort();
     if (this.attempt !== undefined) {
-      const { service } = this.match;
-      this.context.tracker.sent(service.name, this.attempt.backendId, this.request.head.model, -1);
+      this.attempt.abort();
+      this.releaseAttempt(this.attempt.backendId);
     }
     this.context.exchanges.delete(this);
     const { route } = this.match;
