--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -65,6 +65,7 @@
     const answer = new CallerAnswer(this.context, head, response);
     const table = this.routing();
     if (table === undefined) return answer.sendError('not_ready', 500);
+    if (this.context.refusesRequests()) return answer.sendError('draining', 0);
     const { limits } = table.configuration;
     if (sizeOf(request.rawHeaders) > limits.headerBytes) {
       return answer.sendError('header_too_large', undefined);
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -31,4 +31,6 @@
   demandUrgent(service: string): void;
   /** Whether callers are asked to close their connections. */
   isDraining(): boolean;
+  /** Whether new requests are refused because the daemon is about to end. */
+  refusesRequests(): boolean;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -64,7 +64,9 @@
   private readonly startedAt = steadyNow();
   private routing: RoutingTable | undefined;
   private knowsBackends = false;
-  private draining = false;
+  /** Steady time at which a stop was asked for. */
+  private drainingSince: number | undefined;
+  private stopped = false;
   private ticker: Ticker | undefined;
   private lastDemand = 0;
   private lastRefresh = 0;
@@ -129,10 +131,10 @@
 
   /** Ends without cutting a request, as far as the time for a stop allows. */
   async drain(): Promise<void> {
-    if (this.draining) return;
-    this.draining = true;
-    const { logger } = this.outside;
+    if (this.drainingSince !== undefined) return;
     const begun = steadyNow();
+    this.drainingSince = begun;
+    const { logger } = this.outside;
     logger.info('draining', { unfinished: this.context.exchanges.size });
     this.duties.stop('the daemon stops');
     this.peers.leave();
@@ -151,7 +153,10 @@
     return this.context.exchanges.size === 0;
   }
 
-  private stop(): void {
+  /** Closes all ports at once. */
+  stop(): void {
+    if (this.stopped) return;
+    this.stopped = true;
     this.ticker?.stop();
     this.outside.directory.stop();
     this.front.stop();
@@ -177,7 +182,8 @@
       budgetOf: (service) => this.budgetOf(service),
       daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
       demandUrgent: (service) => this.reportDemand(service),
-      isDraining: () => this.draining,
+      isDraining: () => this.drainingSince !== undefined,
+      refusesRequests: () => this.refusesRequests(),
     };
   }
 
@@ -277,8 +283,13 @@
     });
   }
 
+  /** A request taken long after a stop was asked for might be cut at its end. */
+  private refusesRequests(): boolean {
+    return steadyNow() - (this.drainingSince ?? Infinity) >= ENTRY_NOTICES_MS;
+  }
+
   private isReady(): boolean {
-    return !this.draining && this.routing !== undefined && this.knowsBackends;
+    return this.drainingSince === undefined && this.routing !== undefined && this.knowsBackends;
   }
 
   private answerReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
--- /dev/null
+++ b/test/gateway/gateway-harness.ts
@@ -0,0 +1,311 @@
+/** One gateway daemon in this process, with outside systems of the test's own. */
+import http from 'node:http';
+import { Result } from 'true-myth';
+import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
+import type { OrderOutcome } from '../../src/core/model-order.js';
+import type {
+  BackendRecord,
+  Route,
+  ServiceConfiguration,
+} from '../../src/core/service-configuration.js';
+import { BackendAgent } from '../../src/gateway/backend-agent.js';
+import { Gateway } from '../../src/gateway/gateway.js';
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
+import type { GatewaySettings } from '../../src/gateway/gateway-settings.js';
+import type { DirectoryListener, RequestDialect, StoredRecord } from '../../src/gateway/ports.js';
+import { findFreePorts } from '../../src/testbed/free-ports.js';
+
+/** Headers of the tests' own spelling. */
+export const testDialect: RequestDialect = {
+  readinessPath: '/ready',
+  readRequest: (headers) => ({
+    attemptId: headers['request-id'] as string | undefined,
+    deadlineMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
+    model:
+      headers.model === undefined
+        ? undefined
+        : { model: headers.model as string, adapter: undefined },
+    sharedPrompt: undefined,
+    lastEventId: headers['last-event-id'] as string | undefined,
+  }),
+  backendHeaders: (fields) => ({
+    Backend: fields.backend,
+    Deadline: String(Math.floor(fields.remainingMs)),
+    ...(fields.lastEventId === undefined ? {} : { 'Last-Event-Id': fields.lastEventId }),
+  }),
+  readAnswer: (status, headers) => ({
+    attemptId: headers['request-id'] as string | undefined,
+    signed: headers.signed !== undefined,
+    notRun: headers['not-run'] !== undefined,
+    misdirected: status === 421,
+  }),
+  ownAnswerHeaders: () => ({}),
+};
+
+/** A route of the tests; change what matters. */
+export function testRoute(part: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'service.test',
+    pathPrefix: '/work/',
+    repeatability: 'repeatable',
+    timeoutMs: 5_000,
+    goalMs: 200,
+    priority: 1,
+    targets: [{ service: 'service', weight: 1 }],
+    maxAttempts: 2,
+    pauseGoalMs: 200,
+    ...part,
+  };
+}
+
+/** A configuration with one service without models. */
+export function testConfiguration(part: Partial<ServiceConfiguration> = {}): ServiceConfiguration {
+  return {
+    version: 1,
+    routes: [testRoute()],
+    services: [{ name: 'service', maxConnections: 100, modelHost: undefined }],
+    limits: {
+      headerBytes: 2_000,
+      bodyBytes: 10_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 5_000,
+    },
+    ...part,
+  };
+}
+
+/** What a test's backend does with a request. */
+export type BackendHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  body: string,
+) => void;
+
+/** A backend that counts what reaches it. */
+export class TestBackend {
+  arrivals: string[] = [];
+  readonly server: http.Server;
+  address = '';
+
+  constructor(
+    readonly id: string,
+    public handle: BackendHandler = answerWhole,
+  ) {
+    this.server = http.createServer((request, response) => {
+      this.arrivals.push(String(request.headers['request-id'] ?? ''));
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => this.handle(request, response, Buffer.concat(chunks).toString()));
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    const address = this.server.address();
+    const port = typeof address === 'object' && address !== null ? address.port : 0;
+    this.address = `127.0.0.1:${port}`;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  record(part: Partial<BackendRecord> = {}): BackendRecord {
+    return {
+      id: this.id,
+      service: 'service',
+      address: this.address,
+      zone: 'a',
+      slots: 10,
+      leaving: false,
+      models: [],
+      inMemory: [],
+      onDisk: [],
+      ...part,
+    };
+  }
+}
+
+/** Answers with a signed body that names the request. */
+export function answerWhole(request: http.IncomingMessage, response: http.ServerResponse): void {
+  const id = String(request.headers['request-id'] ?? '');
+  response.writeHead(200, { signed: 'yes', 'request-id': id });
+  response.end(`done ${id}`);
+}
+
+/** Answers with events `first` to `last`, one each `gapMs`. */
+export function answerEvents(first: number, last: number, gapMs: number): BackendHandler {
+  return (request, response) => {
+    const id = String(request.headers['request-id'] ?? '');
+    response.writeHead(200, {
+      signed: 'yes',
+      'request-id': id,
+      'content-type': 'text/event-stream',
+    });
+    let event = first;
+    const timer = setInterval(() => {
+      response.write(`id: ${event}\ndata: ${event}\n\n`);
+      event += 1;
+      if (event <= last) return;
+      clearInterval(timer);
+      response.end();
+    }, gapMs);
+    response.on('close', () => clearInterval(timer));
+  };
+}
+
+/** An answer as the caller sees it. */
+export interface CallerView {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer ended as HTTP says. */
+  readonly complete: boolean;
+}
+
+/** One request of a test. */
+export interface TestCall {
+  readonly id: string;
+  readonly path?: string;
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/** A running gateway. */
+export class GatewayHarness {
+  readonly lines: { event: string; fields: LogFields }[] = [];
+  listener: DirectoryListener | undefined;
+  refreshes = 0;
+  readonly records = new Map<string, StoredRecord>();
+  readonly gateway: Gateway;
+  private readonly agent = new BackendAgent({ onUnaskedBytes: () => {} });
+
+  private constructor(readonly settings: GatewaySettings) {
+    this.gateway = new Gateway(settings, {
+      directory: {
+        start: (listener) => (this.listener = listener),
+        refreshConfiguration: () => (this.refreshes += 1),
+        stop: () => {},
+      },
+      store: {
+        read: (kind, name) => Promise.resolve(Result.ok(this.records.get(`${kind}/${name}`))),
+        list: (kind) => Promise.resolve(Result.ok(this.ofKind(kind))),
+        write: (kind, name, value, revision) => {
+          const stored = { name, value, revision: (revision ?? 0) + 1 };
+          this.records.set(`${kind}/${name}`, stored);
+          return Promise.resolve(Result.ok(stored));
+        },
+        remove: (kind, name) => {
+          this.records.delete(`${kind}/${name}`);
+          return Promise.resolve();
+        },
+      },
+      control: {
+        order: () => Promise.resolve<OrderOutcome>({ type: 'rejected' }),
+        report: () => Promise.resolve(undefined),
+      },
+      dialect: testDialect,
+      agent: this.agent,
+      logger: this.logger(),
+      metrics: new GatewayMetrics(),
+    });
+  }
+
+  static async start(part: Partial<GatewaySettings> = {}): Promise<GatewayHarness> {
+    const [callers = 0, readiness = 0, peerPort = 0] = await findFreePorts(3);
+    const harness = new GatewayHarness({
+      name: 'daemon',
+      zone: 'a',
+      address: '127.0.0.1',
+      peerPort,
+      metricsPort: 0,
+      callers: `127.0.0.1:${callers}`,
+      readiness: `127.0.0.1:${readiness}`,
+      store: '127.0.0.1:1',
+      seeds: [],
+      bounds: {
+        stopSeconds: 8,
+        retryRatio: 0.2,
+        retryWindowSeconds: 0.1,
+        retrySlack: 20,
+        storeLoadWindowSeconds: 5,
+        storeLoadExcess: 1,
+      },
+      ...part,
+    });
+    await harness.gateway.start();
+    return harness;
+  }
+
+  configure(configuration: ServiceConfiguration): void {
+    this.listener?.onConfiguration(configuration);
+  }
+
+  list(backends: readonly BackendRecord[]): void {
+    this.listener?.onBackends(backends);
+  }
+
+  /** Sends a request on a connection of its own. */
+  call(call: TestCall): Promise<CallerView> {
+    return new Promise((resolve, reject) => {
+      const request = this.request(call, (response) => {
+        const chunks: Buffer[] = [];
+        const end = (complete: boolean): void =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString(),
+            complete,
+          });
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => end(response.complete));
+        response.on('error', () => end(false));
+      });
+      request.on('error', reject);
+    });
+  }
+
+  /** Sends a request; the test looks after the answer. */
+  request(call: TestCall, onAnswer: (response: http.IncomingMessage) => void): http.ClientRequest {
+    const [host, port] = this.settings.callers.split(':');
+    const request = http.request(
+      {
+        host,
+        port,
+        path: call.path ?? '/work/x',
+        method: call.method ?? 'POST',
+        agent: false,
+        headers: { host: 'service.test', 'request-id': call.id, deadline: '4000', ...call.headers },
+      },
+      onAnswer,
+    );
+    request.end(call.body ?? '');
+    return request;
+  }
+
+  stop(): void {
+    this.gateway.stop();
+    this.agent.destroy();
+  }
+
+  private ofKind(kind: string): StoredRecord[] {
+    return [...this.records]
+      .filter(([key]) => key.startsWith(`${kind}/`))
+      .map(([, value]) => value);
+  }
+
+  private logger(): Logger {
+    const keep = (event: string, fields: LogFields = {}): void => {
+      this.lines.push({ event, fields });
+    };
+    return { ...silentLogger, info: keep, warn: keep, error: keep };
+  }
+}
+
+/** Waits for milliseconds. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
