--- a/src/core/attempt-policy.ts
+++ b/src/core/attempt-policy.ts
@@ -31,7 +31,7 @@
   | 'fail';
 
 /** Sends of one request, refused ones included; keeps a storm of refusals short. */
-const MOST_SENDS = 6;
+const MOST_SENDS = 4;
 
 /** Decides after a failed attempt, which `history` includes. */
 export function afterFailure(
--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -25,6 +25,9 @@
   readonly forecasts: ReadonlyMap<string, number>;
 }
 
+/** Ended backends that are remembered; their names never come back. */
+const REMEMBERED_ENDS = 2_000;
+
 interface HeardPlacement {
   readonly view: PlacementView;
   readonly heardAt: number;
@@ -40,10 +43,29 @@
   private backends = new Map<string, BackendRecord>();
   private readonly placements = new Map<string, HeardPlacement>();
   private readonly absences = new Map<string, number>();
+  /** Backends that are leaving or gone, whatever a late list says. */
+  private readonly ended = new Set<string>();
 
-  /** Replaces the platform's list. */
-  setBackends(records: readonly BackendRecord[]): void {
+  /** Replaces the platform's list. Returns the backends that have ended since the last one. */
+  setBackends(records: readonly BackendRecord[]): string[] {
+    const before = this.backends;
     this.backends = new Map(records.map((record) => [record.id, record]));
+    const ended = [...before.keys()].filter((id) => !this.backends.has(id));
+    for (const record of records) {
+      if (record.leaving) ended.push(record.id);
+    }
+    return ended.filter((id) => this.noteEnded(id));
+  }
+
+  /** A backend is leaving or gone, for good. Returns false if that was known. */
+  noteEnded(id: string): boolean {
+    if (this.ended.has(id)) return false;
+    this.ended.add(id);
+    if (this.ended.size > REMEMBERED_ENDS) {
+      const [oldest] = this.ended;
+      if (oldest !== undefined) this.ended.delete(oldest);
+    }
+    return true;
   }
 
   /** The backend of an id. */
@@ -58,7 +80,9 @@
 
   /** Backends of a service that take new requests. */
   serving(service: string): BackendRecord[] {
-    return this.all().filter((backend) => backend.service === service && !backend.leaving);
+    return this.all().filter(
+      (backend) => backend.service === service && !backend.leaving && !this.ended.has(backend.id),
+    );
   }
 
   /** Takes the owner's word, unless newer is known. */
--- a/src/core/backend-ledger.ts
+++ b/src/core/backend-ledger.ts
@@ -8,11 +8,18 @@
  * late one exclude each other. Pure.
  */
 import type { BackendReport, ModelOrder, OrderOutcome } from './model-order.js';
-import type { ModelHostSpec, ModelReference, ModelSpec } from './service-configuration.js';
+import type {
+  BackendRecord,
+  ModelHostSpec,
+  ModelReference,
+  ModelSpec,
+} from './service-configuration.js';
 
 /** A loaded model. */
 export interface LedgerModel {
   readonly adapters: Set<string>;
+  /** When its load ended here; never if it was found loaded. */
+  readonly loadedAt: number;
 }
 
 /** An order that the backend carries out. */
@@ -67,10 +74,10 @@
   }
 
   /** Takes over a report. Returns false if it is older than what is known. */
-  adopt(report: BackendReport): boolean {
+  adopt(report: BackendReport, now: number): boolean {
     if (report.sequence < this.sequence) return false;
     this.sequence = report.sequence;
-    this.setModels(report);
+    this.setModels(report, now);
     this.setCopies(report.inMemory, report.onDisk);
     for (const key of [...this.comingAdapters.keys()]) {
       const coming = report.coming.some((reference) => adapterKey(reference) === key);
@@ -83,6 +90,20 @@
     return true;
   }
 
+  /** Takes the end of the order in progress from the platform's list; false if it shows none. */
+  observe(record: BackendRecord, now: number): boolean {
+    const running = this.running;
+    if (running === undefined || this.phase !== 'ready') return false;
+    if (record.sequence < running.sequence) return false;
+    const { model, operation } = running.order;
+    const isListed = record.models.some((listed) => listed.name === model);
+    if (isListed !== (operation === 'load')) return false;
+    this.running = undefined;
+    if (operation === 'load') this.models.set(model, { adapters: new Set(), loadedAt: now });
+    else this.models.delete(model);
+    return true;
+  }
+
   /** Updates where copies are at hand. */
   setCopies(inMemory: readonly string[], onDisk: readonly string[]): void {
     this.inMemory = new Set(inMemory);
@@ -106,7 +127,7 @@
         return;
       case 'holds':
         this.phase = 'ready';
-        this.holds(order);
+        this.holds(order, now);
         return;
       case 'unknown':
         this.phase = 'unsynchronized';
@@ -155,11 +176,13 @@
   }
 
   /** The order was needless, or was carried out at once. */
-  private holds(order: ModelOrder): void {
+  private holds(order: ModelOrder, now: number): void {
     if (order.operation === 'load') {
       const model = this.models.get(order.model);
       if (order.adapter !== undefined) model?.adapters.add(order.adapter);
-      else if (model === undefined) this.models.set(order.model, { adapters: new Set() });
+      else if (model === undefined) {
+        this.models.set(order.model, { adapters: new Set(), loadedAt: now });
+      }
       return;
     }
     // An adapter that nobody uses goes at once, which counts as an order taken.
@@ -168,10 +191,14 @@
     else this.models.get(order.model)?.adapters.delete(order.adapter);
   }
 
-  private setModels(report: BackendReport): void {
+  private setModels(report: BackendReport, now: number): void {
+    const before = new Map(this.models);
+    const loading = this.running?.order;
     this.models.clear();
-    for (const model of report.models) {
-      this.models.set(model.name, { adapters: new Set(model.adapters) });
+    for (const { name, adapters } of report.models) {
+      const isLoaded = loading !== undefined && isLoadOf(loading, name);
+      const loadedAt = before.get(name)?.loadedAt ?? (isLoaded ? now : -Infinity);
+      this.models.set(name, { adapters: new Set(adapters), loadedAt });
     }
   }
 }
@@ -185,3 +212,13 @@
 export function adapterKey(reference: ModelReference): string {
   return `${reference.model}/${reference.adapter ?? ''}`;
 }
+
+/** Whether an order loads the model itself. */
+export function isLoadOf(order: ModelOrder, model: string): boolean {
+  return order.operation === 'load' && order.model === model && order.adapter === undefined;
+}
+
+/** Whether an order unloads the model itself. */
+export function isUnloadOf(order: ModelOrder, model: string): boolean {
+  return order.operation === 'unload' && order.model === model && order.adapter === undefined;
+}
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -29,10 +29,12 @@
 
 /** Time in which a rate falls to half without requests. */
 const HALF_LIFE_MS = 8_000;
+/** Requests that have missed a patient goal come behind all that can still meet theirs. */
+const MISSED_GOAL_RANK = 1_000_000;
 /** A daemon's report counts so long. */
 const REPORT_LIFETIME_MS = 2_000;
 /** A goal up to this long makes a request urgent: it does not leave time for a load. */
-export const URGENT_GOAL_MS = 2_500;
+const URGENT_GOAL_MS = 2_500;
 
 interface Rate {
   urgent: number;
@@ -50,13 +52,15 @@
 export class ModelDemand {
   private readonly rates = new Map<string, Rate>();
   private readonly reports = new Map<string, HeardReport>();
+  /** Since when requests for a model or adapter have been waiting. */
+  private readonly waitingSince = new Map<string, number>();
 
   /** Takes a daemon's report; it replaces that daemon's former one. */
   hear(report: DemandReport, now: number): void {
     this.reports.set(report.daemon, { report, heardAt: now });
     for (const sample of report.samples) {
       if (sample.arrivals === 0) continue;
-      const urgent = sample.goalMs <= URGENT_GOAL_MS;
+      const urgent = isUrgent(sample);
       this.arrived(sample, sample.arrivals, urgent, now);
       if (sample.adapter !== undefined) {
         this.arrived({ model: sample.model, adapter: undefined }, sample.arrivals, urgent, now);
@@ -77,7 +81,11 @@
         sums.set(key, { ...sample, waiting, goalMs });
       }
     }
-    return [...sums.values()].sort((a, b) => a.goalMs - b.goalMs || b.waiting - a.waiting);
+    for (const key of this.waitingSince.keys()) {
+      if (!sums.has(key)) this.waitingSince.delete(key);
+    }
+    const urgency = (sample: DemandSample): number => this.urgency(sample, now);
+    return [...sums.values()].sort((a, b) => urgency(a) - urgency(b));
   }
 
   /** Requests in flight for a model, its adapters included, or for one adapter, at a backend. */
@@ -103,6 +111,15 @@
     return this.decayed(reference, now)?.patient ?? 0;
   }
 
+  /** Time until the goal of the oldest request; requests that have missed it come last. */
+  private urgency(sample: DemandSample, now: number): number {
+    const key = adapterKey(sample);
+    const since = this.waitingSince.get(key) ?? now;
+    this.waitingSince.set(key, since);
+    const left = sample.goalMs - (now - since);
+    return left > 0 || isUrgent(sample) ? left : MISSED_GOAL_RANK - left;
+  }
+
   private arrived(reference: ModelReference, count: number, urgent: boolean, now: number): void {
     const rate = this.decayed(reference, now) ?? newRate(now);
     // An impulse of this height, decaying by the half-life, has an area of `count`.
@@ -136,3 +153,7 @@
 function newRate(now: number): Rate {
   return { urgent: 0, patient: 0, updatedAt: now, lastArrivalAt: now };
 }
+
+function isUrgent(sample: DemandSample): boolean {
+  return sample.goalMs <= URGENT_GOAL_MS;
+}
--- a/src/core/retry-budget.ts
+++ b/src/core/retry-budget.ts
@@ -21,8 +21,8 @@
   private readonly retries: number[] = [];
 
   /**
-   * @param startedAt - The process may be the successor of one that has spent its part:
-   *   the slack is granted only once a window has passed.
+   * @param startedAt - The process may be the successor of one that spent its whole part at
+   *   its end: the slack is granted only once a window has passed.
    */
   constructor(
     private readonly limits: RetryBudgetLimits,
@@ -45,8 +45,8 @@
 
   /** Repeated sends that this daemon may make in the window that ends now. */
   allowance(now: number, daemons: number): number {
-    const age = Math.min(1, (now - this.startedAt) / this.limits.windowMs);
-    const slack = (this.limits.slack / Math.max(1, daemons)) * age;
+    const isSuccessor = now - this.startedAt < this.limits.windowMs;
+    const slack = isSuccessor ? 0 : this.limits.slack / Math.max(1, daemons);
     return Math.floor(this.limits.ratio * this.requests.length + slack);
   }
 
--- a/src/core/service-configuration.ts
+++ b/src/core/service-configuration.ts
@@ -113,6 +113,8 @@
   /** It is about to end: no new request may go there. */
   readonly leaving: boolean;
   readonly models: readonly HeldModel[];
+  /** Orders that the backend had taken when it was listed so. */
+  readonly sequence: number;
   /** Models with a copy in the backend's host memory. */
   readonly inMemory: readonly string[];
   /** Models with a copy on the backend's disk. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,10 +2,12 @@
  * One gateway daemon: serves opaque requests on routes to services, and owns
  * services by rank. Puts the parts together.
  */
+import { create } from '@bufbuild/protobuf';
 import http from 'node:http';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
 import { faultText, type Logger } from '../common/logger.js';
+import { rankCandidates } from '../common/rendezvous.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
 import { BackendDirectory, type PlacementView } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
@@ -14,6 +16,7 @@
 import { RoutingTable } from '../core/routing-table.js';
 import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
+import { DirectoryNewsSchema, type DirectoryNews } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
@@ -22,7 +25,13 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
 import { PeerGroup } from './peer-group.js';
-import type { BackendControl, PlatformDirectory, RecordStore, RequestDialect } from './ports.js';
+import type {
+  BackendControl,
+  DirectoryAttention,
+  PlatformDirectory,
+  RecordStore,
+  RequestDialect,
+} from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
@@ -35,6 +44,8 @@
 const ENTRY_NOTICES_MS = 2_300;
 /** Left of the time for a stop when what still runs is broken off. */
 const STOP_MARGIN_MS = 500;
+/** Daemons besides the owners that follow the platform closely. */
+const CLOSE_READERS = 2;
 /** A configuration that a peer has and this daemon has not is read at once, but not more often. */
 const REFRESH_PERIOD_MS = 500;
 
@@ -67,6 +78,7 @@
   /** Steady time at which a stop was asked for. */
   private drainingSince: number | undefined;
   private stopped = false;
+  private attention: DirectoryAttention = 'close';
   private ticker: Ticker | undefined;
   private lastDemand = 0;
   private lastRefresh = 0;
@@ -207,12 +219,14 @@
       routes: configuration.routes.length,
       services: configuration.services.length,
     });
+    this.tellNews([]);
     this.scheduleLook();
   }
 
   private setBackends(backends: readonly BackendRecord[]): void {
     this.knowsBackends = true;
-    this.backends.setBackends(backends);
+    const ended = this.backends.setBackends(backends);
+    if (ended.length > 0) this.tellNews(ended);
     this.context.health.keepOnly(new Set(backends.map((backend) => backend.id)));
     this.duties.backendsChanged();
     this.scheduleLook();
@@ -228,9 +242,40 @@
     this.duties.tick();
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
+    this.chooseAttention(now);
     for (const service of this.context.tracker.activeServices()) this.reportDemand(service);
   }
 
+  /** Owners and a few others follow the platform closely and tell the rest. */
+  private chooseAttention(now: number): void {
+    const attention = this.wantedAttention(now);
+    if (attention === this.attention) return;
+    this.attention = attention;
+    this.outside.logger.info('directory_attention', { attention });
+    this.outside.directory.setAttention(attention);
+  }
+
+  private wantedAttention(now: number): DirectoryAttention {
+    if (this.duties.ownsAny()) return 'immediate';
+    const live = this.peers.live().map((member) => member.address);
+    const readers = rankCandidates('directory', live).slice(0, CLOSE_READERS);
+    const isAlone = live.length <= CLOSE_READERS || this.duties.lacksOwner(now);
+    return isAlone || readers.includes(this.peers.address) ? 'close' : 'relaxed';
+  }
+
+  private tellNews(ended: readonly string[]): void {
+    if (this.attention === 'relaxed') return;
+    const fields = { configurationVersion: this.version, endedBackends: [...ended] };
+    this.peers.broadcast({ case: 'directoryNews', value: create(DirectoryNewsSchema, fields) });
+  }
+
+  private hearNews(news: DirectoryNews): void {
+    for (const id of news.endedBackends) {
+      if (this.backends.noteEnded(id)) this.outside.logger.info('backend_ended', { backend: id });
+    }
+    this.hearVersion(news.configurationVersion);
+  }
+
   private reportDemand(service: string): void {
     const report = this.context.tracker.report(service, this.peers.address);
     if (this.duties.hear(service, report)) return;
@@ -257,6 +302,7 @@
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.hearVersion(body.value.configurationVersion);
     }
+    if (body.case === 'directoryNews') this.hearNews(body.value);
     if (body.case === 'servicePlacement') {
       const view = decodePlacement(body.value);
       this.duties.hearOwner(from, view.service, view.epoch);
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -7,8 +7,9 @@
 import { faultText, type Logger } from '../common/logger.js';
 import { firstCandidate } from '../common/rendezvous.js';
 import { seesHalf, type DutyMember } from '../core/duties.js';
+import type { Membership } from '../core/membership.js';
+import type { MemberView } from '../core/membership-messages.js';
 import { ownerRecord, type OwnerRecord } from './owner-record.js';
-import type { PeerGroup } from './peer-group.js';
 import type { RecordStore } from './ports.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -19,10 +20,24 @@
 /** Between two readings of the record while it names an owner that is not live. */
 const READ_PERIOD_MS = 300;
 
+/** A process that starts again does so at least so long after its former start. */
+const RESTART_MS = 150;
+/** An owner that was heard so lately lives, whatever the membership says. */
+const HEARD_LATELY_MS = 1_200;
+
+/** What ownership needs to know of the other daemons. */
+export interface OwnershipPeers {
+  /** This daemon's peer address. */
+  readonly address: string;
+  readonly membership: Pick<Membership, 'own' | 'all'>;
+  /** Daemons that may be given duties, this one among them. */
+  live(): readonly MemberView[];
+}
+
 /** Options of {@link Ownership}. */
 export interface OwnershipOptions {
   readonly service: string;
-  readonly peers: PeerGroup;
+  readonly peers: OwnershipPeers;
   readonly store: RecordStore;
   readonly logger: Logger;
   /** Daemons that the platform's store lists. */
@@ -42,6 +57,7 @@
   private lastTick = steadyNow();
   private notBefore = steadyNow() + SETTLE_MS;
   private lastRead = -Infinity;
+  private lastHeard = -Infinity;
 
   constructor(private readonly options: OwnershipOptions) {}
 
@@ -61,6 +77,7 @@
       return;
     }
     if (this.busy || now < this.notBefore || now - this.lastRead < READ_PERIOD_MS) return;
+    if (now - this.lastHeard < HEARD_LATELY_MS && !this.ownerHasLeft()) return;
     if (!this.isSuccessor() || this.ownerIsLive()) return;
     this.lastRead = now;
     this.busy = true;
@@ -75,8 +92,9 @@
   hearOwner(address: string, epoch: number): void {
     if (epoch < (this.record?.epoch ?? 0)) return;
     if (this.epoch !== undefined && epoch > this.epoch) this.giveUp('a higher epoch exists');
-    if (epoch === this.record?.epoch && this.record.incarnation !== undefined) return;
     if (this.epoch === epoch) return;
+    this.lastHeard = steadyNow();
+    if (epoch === this.record?.epoch && this.record.incarnation !== undefined) return;
     this.record = { address, epoch, incarnation: undefined, claim: '' };
   }
 
@@ -113,7 +131,16 @@
     if (record === undefined || record.address === peers.address) return false;
     const owner = peers.live().find((member) => member.address === record.address);
     if (owner === undefined) return false;
-    return record.incarnation === undefined || owner.incarnation === record.incarnation;
+    if (record.incarnation === undefined) return true;
+    // A member raises its incarnation by one to refute a suspicion; a new process starts later.
+    return owner.incarnation - record.incarnation < RESTART_MS;
+  }
+
+  /** Whether the owner has said itself that it leaves. */
+  private ownerHasLeft(): boolean {
+    const { membership } = this.options.peers;
+    const owner = membership.all().find((member) => member.address === this.record?.address);
+    return owner?.state === 'leaving';
   }
 
   private async readAndClaim(): Promise<void> {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -20,10 +20,21 @@
   onBackends(backends: readonly BackendRecord[]): void;
 }
 
+/** How closely the directory is followed. */
+export type DirectoryAttention =
+  /** Each change at once: this daemon gives orders. */
+  | 'immediate'
+  /** Each change within a fraction of a second: this daemon tells others. */
+  | 'close'
+  /** Readings may be late by seconds; others tell what must be known at once. */
+  | 'relaxed';
+
 /** The platform's configuration and list of backends. */
 export interface PlatformDirectory {
   /** Reads both and follows their changes until stopped. */
   start(listener: DirectoryListener): void;
+  /** Chooses between changes at once and cheaper readings that may be late. */
+  setAttention(attention: DirectoryAttention): void;
   /** Reads the configuration at once: somebody knows a newer one. */
   refreshConfiguration(): void;
   stop(): void;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -18,6 +18,8 @@
 
 /** Reserved between the last moment for an answer and the caller's own deadline. */
 const DEADLINE_MARGIN_MS = 30;
+/** A backend that has refused the request is not asked again for so long. */
+const REFUSED_PAUSE_MS = 250;
 /** Between two looks at a waiting request when nothing changes. */
 const RETRY_LOOK_MS = 50;
 /** A backend that has not begun to answer after so many goals is left for another. */
@@ -44,6 +46,8 @@
   private lookTimer: NodeJS.Timeout | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly tried = new Set<string>();
+  /** Backends that have refused the request, and until when they are not asked again. */
+  private readonly refusals = new Map<string, number>();
   private runs = 0;
   private sends = 0;
   private isWaiting = false;
@@ -104,6 +108,7 @@
     const model = match.service.modelHost === undefined ? undefined : request.head.model;
     const usable = context.directory
       .serving(match.service.name)
+      .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
       .filter((backend) => model === undefined || context.directory.holds(backend, model, now));
     const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
     const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
@@ -258,6 +263,9 @@
   private judgeBackend(backend: BackendRecord, end: AttemptEnd): void {
     const { health, directory } = this.context;
     if (end.type === 'done') return health.answered(backend.id);
+    if (end.ran === 'no' && end.reached) {
+      this.refusals.set(backend.id, steadyNow() + REFUSED_PAUSE_MS);
+    }
     if (end.lacksModel && this.request.head.model !== undefined) {
       return directory.noteAbsence(backend.id, this.request.head.model, steadyNow());
     }
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -80,7 +80,9 @@
       const ledger = this.ledgers.get(backend.id);
       if (ledger === undefined) continue;
       ledger.setCopies(backend.inMemory, backend.onDisk);
-      if (this.showsEnd(ledger, backend)) this.reportDue.set(backend.id, 0);
+      if (!ledger.observe(backend, steadyNow())) continue;
+      this.reportDue.delete(backend.id);
+      this.changed = true;
     }
     this.round();
   }
@@ -109,7 +111,7 @@
       .filter((backend) => !backend.leaving)
       .flatMap((backend) => {
         const ledger = this.ledgers.get(backend.id);
-        return ledger === undefined ? [] : [{ ledger, slots: backend.slots }];
+        return ledger === undefined ? [] : [ledger];
       });
     const storeHasRoom = this.storeLoads.hasRoom(now);
     return { host, backends, demand: this.demand, now, storeHasRoom };
@@ -140,14 +142,6 @@
     }
   }
 
-  /** Whether the platform's list shows the end of the order in progress. */
-  private showsEnd(ledger: BackendLedger, backend: BackendRecord): boolean {
-    const order = ledger.running?.order;
-    if (order === undefined) return false;
-    const listed = backend.models.some((model) => model.name === order.model);
-    return listed === (order.operation === 'load');
-  }
-
   private readReports(now: number): void {
     for (const backend of this.backends()) {
       const ledger = this.ledgers.get(backend.id);
@@ -167,7 +161,7 @@
       this.reportDue.set(backend.id, now + REPORT_LAG_MS);
       return;
     }
-    const current = report !== undefined && ledger.adopt(report);
+    const current = report !== undefined && ledger.adopt(report, now);
     const awaited = !current || ledger.comingAdapters.size > 0;
     if (awaited) this.reportDue.set(backend.id, now + REPORT_PERIOD_MS);
     this.changed = true;
--- /dev/null
+++ b/test/core/gateway-fixtures.ts
@@ -0,0 +1,33 @@
+/** Models and samples for the tests of the gateway's decisions. */
+import type { DemandSample } from '../../src/core/model-demand.js';
+import type { ModelHostSpec, ModelSpec } from '../../src/core/service-configuration.js';
+
+/** A model of the given size. */
+export function modelOf(name: string, megabytes = 70): ModelSpec {
+  return {
+    name,
+    megabytes,
+    adapters: 4,
+    adapterMegabytes: 1,
+    storeLoadSeconds: 4,
+    diskLoadSeconds: 1.7,
+    memoryLoadSeconds: 1.3,
+  };
+}
+
+/** Backends with room for two models of the usual size. */
+export function hostOf(models: readonly string[]): ModelHostSpec {
+  return {
+    slots: 64,
+    cacheTokens: 100_000,
+    megabytes: 150,
+    adapterSlots: 2,
+    loadsPerSecond: 2,
+    models: models.map((name) => modelOf(name)),
+  };
+}
+
+/** Requests that wait for a model. */
+export function waitingFor(model: string, part: Partial<DemandSample> = {}): DemandSample {
+  return { model, adapter: undefined, arrivals: 1, waiting: 1, goalMs: 6_000, ...part };
+}
--- /dev/null
+++ b/test/core/gateway-policies.test.ts
@@ -0,0 +1,191 @@
+import { describe, expect, it } from 'vitest';
+import { afterFailure } from '../../src/core/attempt-policy.js';
+import { BackendDirectory } from '../../src/core/backend-directory.js';
+import { BackendHealth } from '../../src/core/backend-health.js';
+import { EventStreamParser } from '../../src/core/event-stream.js';
+import { holdOrRefuse } from '../../src/core/hold-policy.js';
+import { RetryBudget } from '../../src/core/retry-budget.js';
+import { RoutingTable } from '../../src/core/routing-table.js';
+import { StoreLoadWindow } from '../../src/core/store-load-ceiling.js';
+import type { BackendRecord, Repeatability } from '../../src/core/service-configuration.js';
+import { testConfiguration, testRoute } from '../gateway/gateway-harness.js';
+
+describe('RetryBudget', () => {
+  const limits = { ratio: 0.2, windowMs: 10_000, slack: 40 };
+
+  it('grants no slack within a window of its start: its predecessor may have spent it', () => {
+    const budget = new RetryBudget(limits, 0);
+    expect(budget.takeRetry(9_999, 4)).toBe(false);
+    expect(budget.takeRetry(10_000, 4)).toBe(true);
+  });
+
+  it('grants its share of the slack and of its own requests in any window', () => {
+    const budget = new RetryBudget(limits, -20_000);
+    for (let count = 0; count < 10; count++) budget.countRequest(1_000);
+    let granted = 0;
+    for (let count = 0; count < 50; count++) granted += Number(budget.takeRetry(2_000, 4));
+    expect(granted).toBe(12);
+    expect(budget.takeRetry(11_999, 4)).toBe(false);
+    expect(budget.takeRetry(12_001, 4)).toBe(true);
+  });
+
+  it('keeps all daemons together within the limit, also when all start anew', () => {
+    const daemons = 5;
+    const before = Array.from({ length: daemons }, () => new RetryBudget(limits, -20_000));
+    const after = Array.from({ length: daemons }, () => new RetryBudget(limits, 500));
+    let granted = 0;
+    for (let time = 0; time < 10_000; time += 100) {
+      for (const budget of time < 500 ? before : after) {
+        for (let count = 0; count < 5; count++) granted += Number(budget.takeRetry(time, daemons));
+      }
+    }
+    expect(granted).toBeLessThanOrEqual(limits.slack);
+  });
+});
+
+describe('afterFailure', () => {
+  const route = (repeatability: Repeatability): ReturnType<typeof testRoute> =>
+    testRoute({ repeatability, maxAttempts: 2 });
+
+  it('repeats what has not run, of any kind', () => {
+    const failed = { ran: 'no', reached: true } as const;
+    expect(afterFailure(route('once'), failed, { runs: 0, sends: 1 })).toBe('retry');
+  });
+
+  it('repeats what may have run only if that is allowed, up to the attempts', () => {
+    const failed = { ran: 'unknown', reached: true } as const;
+    expect(afterFailure(route('once'), failed, { runs: 1, sends: 1 })).toBe('fail');
+    expect(afterFailure(route('stream_once'), failed, { runs: 1, sends: 1 })).toBe('fail');
+    expect(afterFailure(route('repeatable'), failed, { runs: 1, sends: 1 })).toBe('retry');
+    expect(afterFailure(route('repeatable'), failed, { runs: 2, sends: 2 })).toBe('fail');
+  });
+
+  it('ends a storm of refusals with a promise', () => {
+    const failed = { ran: 'no', reached: true } as const;
+    expect(afterFailure(route('once'), failed, { runs: 0, sends: 4 })).toBe('refuse');
+  });
+});
+
+describe('holdOrRefuse', () => {
+  const request = { goalMs: 600, waitedMs: 0, remainingMs: 10_000, readyInMs: 200 };
+
+  it('holds what can meet its goal', () => {
+    expect(holdOrRefuse(request)).toEqual({ type: 'hold' });
+  });
+
+  it('refuses at once what cannot, with the time to come back', () => {
+    const decision = holdOrRefuse({ ...request, readyInMs: 1_700 });
+    expect(decision).toEqual({ type: 'refuse', retryAfterMs: 1_850 });
+  });
+
+  it('does not refuse late what it has held', () => {
+    const late = holdOrRefuse({ ...request, readyInMs: 1_700, waitedMs: 500 });
+    expect(late).toEqual({ type: 'hold' });
+  });
+
+  it('refuses what no deadline can wait for', () => {
+    const decision = holdOrRefuse({ ...request, waitedMs: 500, readyInMs: 900, remainingMs: 800 });
+    expect(decision.type).toBe('refuse');
+  });
+});
+
+describe('RoutingTable', () => {
+  it('takes the longest prefix of the host', () => {
+    const long = testRoute({ name: 'long', pathPrefix: '/work/more/' });
+    const table = new RoutingTable(testConfiguration({ routes: [testRoute(), long] }));
+    expect(table.route('service.test', '/work/more/x')?.name).toBe('long');
+    expect(table.route('service.test', '/work/x')?.name).toBe('route');
+    expect(table.route('other.test', '/work/x')).toBeUndefined();
+  });
+
+  it('gives each part its share, also across versions', () => {
+    const targets = [
+      { service: 'service', weight: 90 },
+      { service: 'canary', weight: 10 },
+    ];
+    const services = ['service', 'canary'].map((name) => {
+      return { name, maxConnections: 10, modelHost: undefined };
+    });
+    const first = testConfiguration({ routes: [testRoute({ targets })], services });
+    let table = new RoutingTable(first);
+    let canary = 0;
+    for (let count = 0; count < 100; count++) {
+      if (count === 55) table = new RoutingTable({ ...first, version: 2 }, table);
+      canary += Number(table.match('service.test', '/work/x')?.service.name === 'canary');
+    }
+    expect(canary).toBe(10);
+  });
+});
+
+describe('EventStreamParser', () => {
+  it('returns whole events only, with their bytes and identifiers', () => {
+    const parser = new EventStreamParser();
+    expect(parser.push(Buffer.from('id: 1\ndata: a\n'))).toEqual([]);
+    const events = parser.push(Buffer.from('\nid: 2\ndata: b\n\nid: 3'));
+    expect(events.map((event) => event.id)).toEqual(['1', '2']);
+    expect(events.map((event) => event.bytes.toString()).join('')).toBe(
+      'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+    );
+    expect(parser.incomplete).toBe(5);
+  });
+});
+
+describe('StoreLoadWindow', () => {
+  it('leaves half of the ceiling to a successor', () => {
+    const window = new StoreLoadWindow({ windowMs: 5_000, loads: 15 });
+    let begun = 0;
+    while (window.hasRoom(0)) {
+      window.count(0);
+      begun += 1;
+    }
+    expect(begun).toBe(7);
+    expect(window.hasRoom(5_001)).toBe(true);
+  });
+});
+
+describe('BackendHealth', () => {
+  it('leaves a silent backend alone, longer each time, until it answers', () => {
+    const health = new BackendHealth();
+    health.silent('x', 0);
+    expect(health.isAvoided('x', 200)).toBe(true);
+    expect(health.isAvoided('x', 300)).toBe(false);
+    health.silent('x', 300);
+    expect(health.isAvoided('x', 700)).toBe(true);
+    health.answered('x');
+    expect(health.isAvoided('x', 700)).toBe(false);
+  });
+});
+
+describe('BackendDirectory', () => {
+  const record = (id: string, leaving = false): BackendRecord => ({
+    id,
+    service: 's',
+    address: '',
+    zone: '',
+    slots: 1,
+    leaving,
+    models: [{ name: 'm', adapters: [] }],
+    sequence: 0,
+    inMemory: [],
+    onDisk: [],
+  });
+
+  it('does not serve from a backend that has ended, though a late list shows it', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends([record('x'), record('y')]);
+    expect(directory.setBackends([record('x', true)])).toEqual(['y', 'x']);
+    directory.setBackends([record('x'), record('y')]);
+    expect(directory.serving('s')).toEqual([]);
+  });
+
+  it('believes the owner before the list, and the list when the owner is silent', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends([record('x')]);
+    const model = { model: 'm', adapter: undefined };
+    const placed = { name: 'm', adapters: [], readyInMs: 0, unloading: true };
+    const view = { service: 's', epoch: 1, version: 1, forecasts: new Map() };
+    directory.hearPlacement({ ...view, backends: new Map([['x', [placed]]]) }, 0);
+    expect(directory.holds(record('x'), model, 100)).toBe(false);
+    expect(directory.holds(record('x'), model, 5_000)).toBe(true);
+  });
+});
--- /dev/null
+++ b/test/core/placement-planner.test.ts
@@ -0,0 +1,166 @@
+import { describe, expect, it } from 'vitest';
+import { BackendLedger } from '../../src/core/backend-ledger.js';
+import { ModelDemand, type DemandSample } from '../../src/core/model-demand.js';
+import type { BackendReport } from '../../src/core/model-order.js';
+import { PlacementPlanner, type PlannedOrder } from '../../src/core/placement-planner.js';
+import { hostOf, waitingFor } from './gateway-fixtures.js';
+
+const HOST = hostOf(['hot', 'warm', 'rare1', 'rare2', 'rare3']);
+
+function reportOf(held: readonly string[], part: Partial<BackendReport> = {}): BackendReport {
+  return {
+    busy: false,
+    sequence: 0,
+    models: held.map((name) => ({ name, adapters: [] })),
+    coming: [],
+    inMemory: [],
+    onDisk: [],
+    waiting: 0,
+    running: 0,
+    ...part,
+  };
+}
+
+function ledgerOf(
+  id: string,
+  held: readonly string[],
+  onDisk: readonly string[] = [],
+): BackendLedger {
+  const ledger = new BackendLedger(id);
+  ledger.adopt(reportOf(held, { onDisk }), 0);
+  return ledger;
+}
+
+class Scene {
+  readonly planner = new PlacementPlanner();
+  readonly demand = new ModelDemand();
+  now = 10_000;
+
+  constructor(readonly ledgers: readonly BackendLedger[]) {}
+
+  hear(...samples: DemandSample[]): void {
+    this.demand.hear({ daemon: 'd', samples, use: [] }, this.now);
+  }
+
+  plan(): PlannedOrder[] {
+    const { demand, now } = this;
+    const input = { host: HOST, backends: this.ledgers, demand, now, storeHasRoom: true };
+    return this.planner.plan(input);
+  }
+
+  /** Plans, and lets the backends accept. */
+  planAndAccept(): PlannedOrder[] {
+    const orders = this.plan();
+    for (const { backend, order, durationMs } of orders) {
+      const ledger = this.ledgers.find((candidate) => candidate.id === backend);
+      ledger?.send(order);
+      ledger?.settle(order, { type: 'accepted' }, this.now, durationMs);
+    }
+    return orders;
+  }
+}
+
+function brief(orders: readonly PlannedOrder[]): string[] {
+  return orders.map(({ backend, order }) => {
+    const adapter = order.adapter === undefined ? '' : `/${order.adapter}`;
+    return `${backend} ${order.operation} ${order.model}${adapter}`;
+  });
+}
+
+describe('PlacementPlanner', () => {
+  it('loads where a copy is at hand', () => {
+    const scene = new Scene([ledgerOf('x', []), ledgerOf('y', [], ['rare1'])]);
+    scene.hear(waitingFor('rare1'));
+    expect(brief(scene.plan())).toEqual(['y load rare1']);
+  });
+
+  it('waits for the busy backend with the copy rather than load from the store', () => {
+    const busy = ledgerOf('y', [], ['rare1', 'rare2']);
+    const scene = new Scene([ledgerOf('x', []), busy]);
+    busy.send({ operation: 'load', model: 'rare2', adapter: undefined });
+    busy.settle(
+      { operation: 'load', model: 'rare2', adapter: undefined },
+      { type: 'accepted' },
+      scene.now,
+      500,
+    );
+    scene.hear(waitingFor('rare1'));
+    expect(scene.plan()).toEqual([]);
+  });
+
+  it('does not order a model twice while it is on its way', () => {
+    const scene = new Scene([ledgerOf('x', []), ledgerOf('y', [])]);
+    scene.hear(waitingFor('rare1'));
+    scene.planAndAccept();
+    expect(scene.plan()).toEqual([]);
+  });
+
+  it('uses the room that was made for the model it was made for', () => {
+    const ledger = ledgerOf('x', ['rare2', 'rare3'], ['rare1', 'warm']);
+    const scene = new Scene([ledger]);
+    scene.hear(waitingFor('rare1'));
+    const [unload] = scene.planAndAccept();
+    expect(unload?.order.operation).toBe('unload');
+    scene.now += 200;
+    const left = ['rare2', 'rare3'].filter((model) => model !== unload?.order.model);
+    ledger.adopt(reportOf(left, { sequence: 1, onDisk: ['rare1', 'warm'] }), scene.now);
+    scene.hear(waitingFor('warm', { goalMs: 600 }), waitingFor('rare1'));
+    expect(brief(scene.plan())).toEqual(['x load rare1']);
+  });
+
+  it('does not evict a model that has just been loaded for requests that wait', () => {
+    const ledger = ledgerOf('x', ['hot'], ['rare1', 'rare2']);
+    const scene = new Scene([ledger]);
+    scene.hear(waitingFor('rare1'));
+    scene.planAndAccept();
+    scene.now += 1_700;
+    ledger.adopt(
+      reportOf(['hot', 'rare1'], { sequence: 1, onDisk: ['rare1', 'rare2'] }),
+      scene.now,
+    );
+    scene.hear(waitingFor('rare2'), waitingFor('rare1'));
+    expect(brief(scene.plan())).toEqual(['x unload hot']);
+  });
+
+  it('evicts a model without demand before one in urgent demand', () => {
+    const scene = new Scene([ledgerOf('x', ['hot', 'rare2'], ['rare1'])]);
+    scene.hear(waitingFor('hot', { waiting: 0, arrivals: 20, goalMs: 600 }), waitingFor('rare1'));
+    expect(brief(scene.plan())).toEqual(['x unload rare2']);
+  });
+
+  it('adds a second copy of a model in urgent demand', () => {
+    const scene = new Scene([ledgerOf('x', ['hot']), ledgerOf('y', [])]);
+    scene.hear(waitingFor('hot', { waiting: 0, arrivals: 20, goalMs: 600 }));
+    expect(brief(scene.plan())).toEqual(['y load hot']);
+  });
+
+  it('orders no adapter that is loaded already', () => {
+    const ledger = ledgerOf('x', []);
+    ledger.adopt(reportOf([], { models: [{ name: 'hot', adapters: ['a1'] }] }), 0);
+    const scene = new Scene([ledger]);
+    scene.hear(waitingFor('hot', { adapter: 'a1', goalMs: 600 }));
+    expect(scene.plan()).toEqual([]);
+  });
+
+  it('makes room for an adapter only when its places are taken, not while others come', () => {
+    const ledger = ledgerOf('x', []);
+    ledger.adopt(reportOf([], { models: [{ name: 'hot', adapters: ['a1'] }] }), 0);
+    const scene = new Scene([ledger]);
+    scene.hear(waitingFor('hot', { adapter: 'a2' }), waitingFor('hot', { adapter: 'a3' }));
+    expect(brief(scene.planAndAccept())).toEqual(['x load hot/a2']);
+    expect(scene.plan()).toEqual([]);
+    ledger.adopt(
+      reportOf([], { sequence: 1, models: [{ name: 'hot', adapters: ['a1', 'a2'] }] }),
+      scene.now,
+    );
+    expect(brief(scene.plan())).toEqual(['x unload hot/a1']);
+  });
+
+  it('loads no model from the store while the ceiling is reached', () => {
+    const scene = new Scene([ledgerOf('x', [])]);
+    scene.hear(waitingFor('rare1'));
+    const { demand, now } = scene;
+    const input = { host: HOST, backends: scene.ledgers, demand, now, storeHasRoom: false };
+    expect(scene.planner.plan(input)).toEqual([]);
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -121,6 +121,7 @@
       slots: 10,
       leaving: false,
       models: [],
+      sequence: 0,
       inMemory: [],
       onDisk: [],
       ...part,
@@ -187,6 +188,7 @@
     this.gateway = new Gateway(settings, {
       directory: {
         start: (listener) => (this.listener = listener),
+        setAttention: () => {},
         refreshConfiguration: () => (this.refreshes += 1),
         stop: () => {},
       },
--- /dev/null
+++ b/test/gateway/ownership.test.ts
@@ -0,0 +1,121 @@
+import { Result } from 'true-myth';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import { firstCandidate } from '../../src/common/rendezvous.js';
+import type { MemberView } from '../../src/core/membership-messages.js';
+import { Ownership } from '../../src/gateway/ownership.js';
+import type { RecordStore, StoredRecord } from '../../src/gateway/ports.js';
+
+const SERVICE = 'models';
+
+/** Daemons that see each other as the test says, and one store. */
+class Scene {
+  readonly members = new Map<string, MemberView>();
+  record: StoredRecord | undefined;
+
+  join(address: string, incarnation: number): Ownership {
+    const member: MemberView = { address, zone: 'a', site: '', incarnation, state: 'alive' };
+    this.members.set(address, member);
+    const all = (): MemberView[] => [...this.members.values()];
+    return new Ownership({
+      service: SERVICE,
+      peers: {
+        address,
+        membership: { own: member, all },
+        live: () => all().filter((view) => view.state === 'alive'),
+      },
+      store: this.store(),
+      logger: silentLogger,
+      listed: () => all(),
+      onChange: () => {},
+    });
+  }
+
+  private store(): RecordStore {
+    return {
+      read: () => Promise.resolve(Result.ok(this.record)),
+      list: () => Promise.resolve(Result.ok([])),
+      write: (_kind, name, value, revision) => {
+        if (revision !== this.record?.revision) {
+          return Promise.resolve(Result.err({ type: 'conflict' as const }));
+        }
+        this.record = { name, value, revision: (revision ?? 0) + 1 };
+        return Promise.resolve(Result.ok(this.record));
+      },
+      remove: () => Promise.resolve(),
+    };
+  }
+}
+
+async function run(ownerships: readonly Ownership[], milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 50) {
+    await vi.advanceTimersByTimeAsync(50);
+    for (const ownership of ownerships) ownership.tick();
+  }
+  await vi.advanceTimersByTimeAsync(0);
+}
+
+describe('Ownership', () => {
+  let scene: Scene;
+  const first = firstCandidate(SERVICE, ['one', 'two']) ?? '';
+  const second = first === 'one' ? 'two' : 'one';
+
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['performance', 'setTimeout', 'setInterval', 'Date'] });
+    scene = new Scene();
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('is claimed by the first in rank, with an epoch above the former one', async () => {
+    const a = scene.join(first, 1_000);
+    const b = scene.join(second, 1_000);
+    await run([a, b], 1_500);
+    expect([a.epoch, b.epoch]).toEqual([1, undefined]);
+  });
+
+  it('stays with a live owner when a daemon that ranks before it comes', async () => {
+    const b = scene.join(second, 1_000);
+    await run([b], 1_500);
+    const a = scene.join(first, 9_000);
+    await run([a, b], 3_000);
+    expect([a.epoch, b.epoch]).toEqual([undefined, 1]);
+  });
+
+  it('stays with an owner that has refuted a suspicion', async () => {
+    const b = scene.join(second, 1_000);
+    await run([b], 1_500);
+    const view = scene.members.get(second);
+    if (view !== undefined) scene.members.set(second, { ...view, incarnation: 1_003 });
+    const a = scene.join(first, 9_000);
+    await run([a, b], 3_000);
+    expect([a.epoch, b.epoch]).toEqual([undefined, 1]);
+  });
+
+  it('passes on when the owner dies, and when its process starts again', async () => {
+    const b = scene.join(second, 1_000);
+    await run([b], 1_500);
+    const a = scene.join(first, 1_500);
+    scene.members.delete(second);
+    scene.join(second, 8_000);
+    await run([a], 3_000);
+    expect(a.epoch).toBe(2);
+  });
+
+  it('is given up by a daemon that stood still, or sees too few others', async () => {
+    const a = scene.join(first, 1_000);
+    await run([a], 1_500);
+    expect(a.epoch).toBe(1);
+    await vi.advanceTimersByTimeAsync(2_000);
+    a.tick();
+    expect(a.epoch).toBeUndefined();
+    await run([a], 1_500);
+    expect(a.epoch).toBe(2);
+    for (const address of ['x', 'y', 'z']) {
+      scene.members.set(address, { ...scene.members.get(first)!, address, state: 'dead' });
+    }
+    a.tick();
+    expect(a.epoch).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/test/simulation/model-orders.property.test.ts
@@ -0,0 +1,101 @@
+/**
+ * Simulated histories of a service's owners and backends: answers lost, orders
+ * taken late, owners replaced at any moment, the old one still giving orders.
+ */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { BackendLedger } from '../../src/core/backend-ledger.js';
+import { ModelDemand } from '../../src/core/model-demand.js';
+import { PlacementPlanner } from '../../src/core/placement-planner.js';
+import { hostOf, waitingFor } from '../core/gateway-fixtures.js';
+import { SimulatedBackend, type OrderFate } from './simulated-backend.js';
+
+const MODELS = ['a', 'b', 'c', 'd', 'e', 'f'];
+const HOST = hostOf(MODELS);
+const STEP_MS = 200;
+
+/** One owner with its own beliefs. */
+class SimulatedOwner {
+  private readonly ledgers: BackendLedger[];
+  private readonly planner = new PlacementPlanner();
+  private readonly demand = new ModelDemand();
+  fenced = false;
+
+  constructor(
+    private readonly epoch: number,
+    private readonly backends: readonly SimulatedBackend[],
+  ) {
+    this.ledgers = backends.map((backend) => new BackendLedger(backend.id));
+  }
+
+  step(wanted: readonly string[], fate: () => OrderFate, now: number): void {
+    if (this.fenced) return;
+    for (const [index, ledger] of this.ledgers.entries()) {
+      const report = this.backends[index]?.report();
+      if (report !== undefined && (ledger.phase !== 'ready' || ledger.running !== undefined)) {
+        ledger.adopt(report, now);
+      }
+    }
+    const samples = wanted.map((model) => waitingFor(model));
+    this.demand.hear({ daemon: 'daemon', samples, use: [] }, now);
+    const input = { host: HOST, backends: this.ledgers, demand: this.demand, now };
+    for (const planned of this.planner.plan({ ...input, storeHasRoom: true })) {
+      const ledger = this.ledgers.find((candidate) => candidate.id === planned.backend);
+      const backend = this.backends.find((candidate) => candidate.id === planned.backend);
+      if (ledger === undefined || backend === undefined) continue;
+      const expectedSequence = ledger.sequence;
+      ledger.send(planned.order);
+      const fence = { holder: String(this.epoch), epoch: this.epoch, expectedSequence };
+      const outcome = backend.order(planned.order, fence, fate(), now);
+      if (outcome.type === 'fenced') this.fenced = true;
+      ledger.settle(planned.order, outcome, now, planned.durationMs);
+    }
+  }
+}
+
+const fates = fc.constantFrom<OrderFate>('answered', 'answered', 'answer_lost', 'late', 'lost');
+const steps = fc.array(
+  fc.record({
+    wanted: fc.uniqueArray(fc.constantFrom(...MODELS), { maxLength: 4 }),
+    fate: fates,
+    takeover: fc.boolean(),
+  }),
+  { minLength: 10, maxLength: 60 },
+);
+
+describe('orders of owners', () => {
+  it('never overcommit the memory of a backend, whatever is lost, late or taken over', () => {
+    fc.assert(
+      fc.property(steps, (history) => {
+        const backends = [
+          new SimulatedBackend('x', HOST, ['a', 'b']),
+          new SimulatedBackend('y', HOST, ['c']),
+        ];
+        const owners = [new SimulatedOwner(1, backends)];
+        let now = 0;
+        for (const { wanted, fate, takeover } of history) {
+          now += STEP_MS;
+          for (const backend of backends) backend.advance(now);
+          if (takeover) owners.push(new SimulatedOwner(owners.length + 1, backends));
+          // A former owner that has not noticed goes on beside its successors.
+          for (const owner of owners) owner.step(wanted, () => fate, now);
+          for (const backend of backends) {
+            expect(backend.overcommitted, backend.id).toBe(false);
+            expect(backend.usedMegabytes()).toBeLessThanOrEqual(HOST.megabytes);
+          }
+        }
+      }),
+      { numRuns: 2_000 },
+    );
+  });
+
+  it('load what is waited for once the answers come', () => {
+    const backends = [new SimulatedBackend('x', HOST, ['a', 'b'])];
+    const owner = new SimulatedOwner(1, backends);
+    for (let now = 0; now < 6_000; now += STEP_MS) {
+      backends[0]?.advance(now);
+      owner.step(['e'], () => 'answered', now);
+    }
+    expect(backends[0]?.models.has('e')).toBe(true);
+  });
+});
--- /dev/null
+++ b/test/simulation/simulated-backend.ts
@@ -0,0 +1,101 @@
+/** A backend that keeps models, takes fenced orders, and may take them late or lose its answers. */
+import type {
+  BackendReport,
+  ModelOrder,
+  OrderFence,
+  OrderOutcome,
+} from '../../src/core/model-order.js';
+import type { ModelHostSpec } from '../../src/core/service-configuration.js';
+
+interface RunningOrder {
+  readonly order: ModelOrder;
+  readonly endsAt: number;
+}
+
+interface LateOrder {
+  readonly order: ModelOrder;
+  readonly fence: OrderFence;
+  readonly at: number;
+}
+
+/** How the answer to an order is lost, if it is. */
+export type OrderFate = 'answered' | 'answer_lost' | 'late' | 'lost';
+
+/** One simulated process. */
+export class SimulatedBackend {
+  sequence = 0;
+  highestEpoch = 0;
+  readonly models = new Set<string>();
+  /** Set once an order made it hold more than it can. */
+  overcommitted = false;
+  private running: RunningOrder | undefined;
+  private late: LateOrder[] = [];
+
+  constructor(
+    readonly id: string,
+    private readonly host: ModelHostSpec,
+    held: readonly string[],
+  ) {
+    for (const model of held) this.models.add(model);
+  }
+
+  /** Lets time pass. */
+  advance(now: number): void {
+    const due = this.late.filter((entry) => entry.at <= now);
+    this.late = this.late.filter((entry) => entry.at > now);
+    for (const { order, fence } of due) this.take(order, fence, now);
+    if (this.running === undefined || this.running.endsAt > now) return;
+    const { operation, model } = this.running.order;
+    if (operation === 'load') this.models.add(model);
+    else this.models.delete(model);
+    this.running = undefined;
+  }
+
+  order(order: ModelOrder, fence: OrderFence, fate: OrderFate, now: number): OrderOutcome {
+    if (fate === 'lost') return { type: 'unknown', reason: 'lost' };
+    if (fate === 'late') {
+      this.late.push({ order, fence, at: now + 3_000 });
+      return { type: 'unknown', reason: 'late' };
+    }
+    const outcome = this.take(order, fence, now);
+    return fate === 'answer_lost' ? { type: 'unknown', reason: 'answer lost' } : outcome;
+  }
+
+  report(): BackendReport {
+    return {
+      busy: this.running !== undefined,
+      sequence: this.sequence,
+      models: [...this.models].map((name) => ({ name, adapters: [] })),
+      coming: [],
+      inMemory: [],
+      onDisk: this.host.models.map((model) => model.name),
+      waiting: 0,
+      running: 0,
+    };
+  }
+
+  /** Megabytes that are taken, with a load in progress. */
+  usedMegabytes(): number {
+    const loading = this.running?.order;
+    const names = [...this.models];
+    if (loading?.operation === 'load') names.push(loading.model);
+    return names.reduce((sum, name) => sum + this.megabytes(name), 0);
+  }
+
+  private take(order: ModelOrder, fence: OrderFence, now: number): OrderOutcome {
+    if (fence.epoch < this.highestEpoch) return { type: 'fenced' };
+    this.highestEpoch = fence.epoch;
+    if (this.running !== undefined || fence.expectedSequence !== this.sequence) {
+      return { type: 'conflict' };
+    }
+    if (this.models.has(order.model) === (order.operation === 'load')) return { type: 'holds' };
+    this.sequence += 1;
+    this.running = { order, endsAt: now + (order.operation === 'load' ? 1_500 : 100) };
+    if (this.usedMegabytes() > this.host.megabytes) this.overcommitted = true;
+    return { type: 'accepted' };
+  }
+
+  private megabytes(name: string): number {
+    return this.host.models.find((model) => model.name === name)?.megabytes ?? 0;
+  }
+}
