Daemons tell the owner of backends that fail whatever their health says

Also a silent backend's models were still told as held, so callers waited for them. Ruled out: a crash (that owner notices within 100 ms), late placement (2 ms old).

Change: a connection broken off before an answer makes a pause from 60 ms on, doubling; a daemon names backends with two unanswered requests in a row in its demand reports; the owner plans as if they were not there (a daemon that names more than a tenth tells of its own links and is not believed); a model's avoided holders are waited for no longer; a silent backend is told of with no models. Test of the owner seen red without the rule.

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -148,12 +148,21 @@
     return reference.adapter === undefined || held.adapters.includes(reference.adapter);
   }
 
-  /** Milliseconds until some backend holds the model; undefined if nobody has said. */
-  readyInMs(service: string, model: string, now: number): number | undefined {
+  /**
+   * Milliseconds until some backend that is not avoided holds the model;
+   * undefined if nobody has said.
+   */
+  readyInMs(
+    service: string,
+    model: string,
+    now: number,
+    isAvoided: (backend: string) => boolean,
+  ): number | undefined {
     const heard = this.freshPlacement(service, now);
     if (heard === undefined) return undefined;
     let readyAt = heard.forecasts.get(model) ?? Infinity;
-    for (const models of heard.backends.values()) {
+    for (const [backend, models] of heard.backends) {
+      if (isAvoided(backend)) continue;
       const placed = models.find((candidate) => candidate.name === model && !candidate.unloading);
       if (placed !== undefined) readyAt = Math.min(readyAt, placed.readyAt);
     }
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -25,12 +25,18 @@
   readonly daemon: string;
   readonly samples: readonly DemandSample[];
   readonly use: readonly BackendUse[];
+  /** Backends that have lately left the daemon's requests without an answer. */
+  readonly failing: readonly string[];
 }
 
 /** Time in which a rate falls to half without requests. */
 const HALF_LIFE_MS = 8_000;
 /** A rate without requests for so many half-lives is dropped. */
 const FORGOTTEN_HALF_LIVES = 12;
+/** A daemon that tells of more failing backends than this share tells of its own links. */
+const CREDIBLE_FAILING_SHARE = 0.1;
+/** So many failing backends are believed in any case. */
+const CREDIBLE_FAILING = 2;
 /** Requests that have missed a patient goal come behind all that can still meet theirs. */
 const MISSED_GOAL_RANK = 1_000_000;
 /** A daemon's report counts so long. */
@@ -115,6 +121,13 @@
     return new Set(models.map((sample) => sample.model));
   }
 
+  /** Backends that daemons say fail, whatever their own health answers and reports say. */
+  failingBackends(listed: number, now: number): Set<string> {
+    const mostCredible = Math.max(CREDIBLE_FAILING, listed * CREDIBLE_FAILING_SHARE);
+    const credible = this.fresh(now).filter((report) => report.failing.length <= mostCredible);
+    return new Set(credible.flatMap((report) => report.failing));
+  }
+
   /** Requests in flight for a model, its adapters included, or for one adapter, at a backend. */
   inFlight(backend: string, reference: ModelReference, now: number): number {
     this.expire(now);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -22,6 +22,8 @@
       readonly reason: string;
       /** The backend did not answer at all, or not in time. */
       readonly silent: boolean;
+      /** The backend broke the connection off before it answered. */
+      readonly broken: boolean;
       /** The backend refused because it lacks the model, or is another process. */
       readonly lacksModel: boolean;
       /** A failure that the backend vouches for; the caller may be given it. */
@@ -197,6 +199,7 @@
       reached: true,
       reason: `answered with status ${status}`,
       silent: false,
+      broken: false,
       lacksModel: false,
       ...(vouched ? { answer: whole } : {}),
     });
@@ -218,6 +221,7 @@
       reached,
       reason,
       silent: !reached,
+      broken: reached && this.incoming === undefined,
       lacksModel: false,
     });
   }
@@ -236,6 +240,7 @@
       reached: true,
       reason,
       silent: extra.silent === true,
+      broken: false,
       lacksModel: extra.lacksModel === true,
     });
   }
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -27,7 +27,9 @@
   const use = report.use.map((entry) =>
     create(BackendUseSchema, { ...entry, adapter: entry.adapter ?? '' }),
   );
-  const value = create(ServiceDemandSchema, { service, models, use, configurationVersion });
+  const failing = [...report.failing];
+  const fields = { service, models, use, configurationVersion, failing };
+  const value = create(ServiceDemandSchema, fields);
   return { case: 'serviceDemand', value };
 }
 
@@ -48,6 +50,7 @@
       adapter: entry.adapter === '' ? undefined : entry.adapter,
       inFlight: entry.inFlight,
     })),
+    failing: message.failing,
   };
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -289,7 +289,8 @@
   }
 
   private reportDemand(service: string): void {
-    const report = this.context.tracker.report(service, this.peers.address);
+    const failing = this.context.health.failing(steadyNow());
+    const report = this.context.tracker.report(service, this.peers.address, failing);
     if (this.duties.hear(service, report)) return;
     const owner = this.duties.ownerAddress(service);
     if (owner === undefined) return;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -119,7 +119,9 @@
       .filter((backend) => model === undefined || context.directory.holds(backend, model, now));
     const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
     const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
-    const best = [fresh, healthy, usable].find((group) => group.length > 0) ?? [];
+    // Another backend can be given the model; one of a service without models is all there is.
+    const lastResort = model === undefined ? usable : [];
+    const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
     const candidates = best.map((backend) => this.candidate(backend));
     const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
@@ -144,7 +146,9 @@
     const readyInMs =
       this.model === undefined
         ? undefined
-        : this.context.directory.readyInMs(service.name, this.model.model, now);
+        : this.context.directory.readyInMs(service.name, this.model.model, now, (backend) =>
+            this.context.health.isAvoided(backend, now),
+          );
     const decision = holdOrRefuse({
       goalMs: route.goalMs,
       waitedMs: now - arrivedAt,
@@ -302,6 +306,7 @@
       return directory.noteAbsence(backend.id, this.model, steadyNow());
     }
     if (end.silent) health.silent(backend.id, steadyNow());
+    else if (end.broken) health.broke(backend.id, steadyNow());
     else health.failed(backend.id);
   }
 
--- a/src/gateway/request-tracker.ts
+++ b/src/gateway/request-tracker.ts
@@ -66,7 +66,7 @@
   }
 
   /** What has happened since the last report on the service. */
-  report(service: string, daemon: string): DemandReport {
+  report(service: string, daemon: string, failing: readonly string[]): DemandReport {
     const samples: DemandSample[] = [];
     const counted = this.demand.get(service) ?? new Map<string, Counted>();
     for (const [key, entry] of counted) {
@@ -81,7 +81,7 @@
       const { backend, model, adapter, count } = entry;
       use.push({ backend, model, adapter, inFlight: count });
     }
-    return { daemon, samples, use };
+    return { daemon, samples, use, failing };
   }
 
   private counted(service: string, reference: ModelReference, goalMs: number): Counted {
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -154,8 +154,10 @@
   }
 
   private planningInput(host: ModelHostSpec, now: number): PlanningInput {
-    const backends = this.backends()
-      .filter((backend) => !backend.leaving)
+    const listed = this.backends();
+    const failing = this.demand.failingBackends(listed.length, now);
+    const backends = listed
+      .filter((backend) => !backend.leaving && !failing.has(backend.id))
       .flatMap((backend) => {
         const ledger = this.ledgers.get(backend.id);
         return ledger === undefined || ledger.isSilent ? [] : [ledger];
@@ -288,7 +290,8 @@
     const backends = new Map<string, KnownPlacement[]>();
     for (const ledger of this.ledgers.values()) {
       if (ledger.phase === 'unsynchronized' && ledger.models.size === 0) continue;
-      backends.set(ledger.id, placementOf(ledger, now));
+      // Nobody is to wait for what a silent backend holds.
+      backends.set(ledger.id, ledger.isSilent ? [] : placementOf(ledger, now));
     }
     const forecasts = host === undefined ? new Map<string, number>() : this.forecasts(host, now);
     this.options.publish(this.publisher.update({ backends, forecasts }, now));
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -4,6 +4,7 @@
 import { BackendHealth } from '../../src/core/backend-health.js';
 import { EventStreamParser } from '../../src/core/event-stream.js';
 import { holdOrRefuse } from '../../src/core/hold-policy.js';
+import { ModelDemand, type DemandReport } from '../../src/core/model-demand.js';
 import { RetryBudget } from '../../src/core/retry-budget.js';
 import { RoutingTable } from '../../src/core/routing-table.js';
 import { StoreLoadWindow } from '../../src/core/store-load-ceiling.js';
@@ -155,6 +156,46 @@
     health.answered('x');
     expect(health.isAvoided('x', 700)).toBe(false);
   });
+
+  it('tells of a backend that breaks every request off, until it answers', () => {
+    const health = new BackendHealth();
+    health.broke('x', 0);
+    expect(health.failing(0)).toEqual([]);
+    expect([health.isAvoided('x', 50), health.isAvoided('x', 60)]).toEqual([true, false]);
+    health.broke('x', 60);
+    expect(health.failing(60)).toEqual(['x']);
+    expect(health.failing(5_000)).toEqual([]);
+    health.broke('x', 5_000);
+    health.answered('x');
+    expect(health.failing(5_000)).toEqual([]);
+  });
+});
+
+describe('ModelDemand', () => {
+  const reportOf = (daemon: string, failing: readonly string[]): DemandReport => {
+    return { daemon, samples: [], use: [], failing };
+  };
+
+  it('believes a daemon about a few failing backends, not about many', () => {
+    const demand = new ModelDemand();
+    demand.hear(reportOf('a', ['x']), 0);
+    demand.hear(reportOf('b', ['u', 'v', 'w', 'y', 'z']), 0);
+    expect([...demand.failingBackends(20, 0)]).toEqual(['x']);
+    expect([...demand.failingBackends(20, 5_000)]).toEqual([]);
+  });
+
+  it('counts what is in flight over the newest reports', () => {
+    const demand = new ModelDemand();
+    const use = { backend: 'x', model: 'm', adapter: 'a1', inFlight: 2 };
+    const model = { model: 'm', adapter: undefined };
+    demand.hear({ ...reportOf('a', []), use: [use] }, 0);
+    demand.hear({ ...reportOf('b', []), use: [{ ...use, adapter: undefined }] }, 0);
+    expect(demand.inFlight('x', model, 0)).toBe(4);
+    expect(demand.inFlight('x', use, 0)).toBe(2);
+    demand.hear(reportOf('a', []), 100);
+    expect(demand.inFlight('x', model, 100)).toBe(2);
+    expect(demand.inFlight('x', model, 9_000)).toBe(0);
+  });
 });
 
 describe('BackendDirectory', () => {
--- a/test/core/placement-at-size.test.ts
+++ b/test/core/placement-at-size.test.ts
@@ -49,7 +49,7 @@
         inFlight: 1,
       });
     }
-    demand.hear({ daemon: `d${daemon}`, samples, use }, now);
+    demand.hear({ daemon: `d${daemon}`, samples, use, failing: [] }, now);
   }
   return demand;
 }
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -41,7 +41,7 @@
   constructor(readonly ledgers: readonly BackendLedger[]) {}
 
   hear(...samples: DemandSample[]): void {
-    this.demand.hear({ daemon: 'd', samples, use: [] }, this.now);
+    this.demand.hear({ daemon: 'd', samples, use: [], failing: [] }, this.now);
   }
 
   plan(): PlannedOrder[] {
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -77,12 +77,17 @@
     vi.useRealTimers();
   });
 
-  async function run(milliseconds: number, model: string): Promise<void> {
+  async function run(
+    milliseconds: number,
+    model: string,
+    failing: readonly string[] = [],
+  ): Promise<void> {
     for (let passed = 0; passed < milliseconds; passed += 50) {
       owner.hear({
         daemon: 'd',
         samples: [waitingFor(model, { goalMs: 600, arrivals: 0 })],
         use: [],
+        failing,
       });
       owner.tick();
       await vi.advanceTimersByTimeAsync(50);
@@ -103,4 +108,11 @@
     await run(2_500, 'hot');
     expect(orders).toContain('y load hot');
   });
+
+  it('loads a model elsewhere when its only holder fails although it says that it is well', async () => {
+    await run(800, 'hot');
+    orders.length = 0;
+    await run(1_500, 'hot', ['x']);
+    expect(orders).toContain('y load hot');
+  });
 });
--- a/test/simulation/model-orders.property.test.ts
+++ b/test/simulation/model-orders.property.test.ts
@@ -37,7 +37,7 @@
       }
     }
     const samples = wanted.map((model) => waitingFor(model));
-    this.demand.hear({ daemon: 'daemon', samples, use: [] }, now);
+    this.demand.hear({ daemon: 'daemon', samples, use: [], failing: [] }, now);
     const input = { host: HOST, backends: this.ledgers, demand: this.demand, now };
     for (const planned of this.planner.plan({ ...input, storeLoads: 1 })) {
       const ledger = this.ledgers.find((candidate) => candidate.id === planned.backend);
