--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -25,6 +25,8 @@
   readonly backends: Map<string, readonly HeardModel[]>;
   /** Expected times at which models that no backend holds are loaded. */
   readonly forecasts: Map<string, number>;
+  /** Requests in flight at each backend, over all daemons. */
+  readonly loads: Map<string, number>;
 }
 
 /** What has become of an owner's update. */
@@ -118,7 +120,11 @@
       );
     }
     for (const [model, readyInMs] of update.forecasts) heard.forecasts.set(model, now + readyInMs);
-    for (const backend of update.removedBackends) heard.backends.delete(backend);
+    for (const [backend, inFlight] of update.loads) heard.loads.set(backend, inFlight);
+    for (const backend of update.removedBackends) {
+      heard.backends.delete(backend);
+      heard.loads.delete(backend);
+    }
     for (const model of update.removedForecasts) heard.forecasts.delete(model);
   }
 
@@ -133,6 +139,11 @@
     return known === undefined ? Infinity : now - known.heardAt;
   }
 
+  /** Requests that all daemons together have in flight at a backend, as far as is known. */
+  loadOf(backend: BackendRecord, now: number): number {
+    return this.freshPlacement(backend.service, now)?.loads.get(backend.id) ?? 0;
+  }
+
   /** A backend has refused a request because it lacks the model. */
   noteAbsence(backend: string, reference: ModelReference, now: number): void {
     this.absences.set(keyOf(backend, reference), now + ABSENCE_LIFETIME_MS);
@@ -184,7 +195,14 @@
 }
 
 function emptyPlacement(epoch: number): HeardPlacement {
-  return { epoch, version: 0, heardAt: 0, backends: new Map(), forecasts: new Map() };
+  return {
+    epoch,
+    version: 0,
+    heardAt: 0,
+    backends: new Map(),
+    forecasts: new Map(),
+    loads: new Map(),
+  };
 }
 
 function heardModel(model: PlacedModel, now: number): HeardModel {
--- a/src/core/backend-selection.ts
+++ b/src/core/backend-selection.ts
@@ -7,7 +7,7 @@
   /** A kept connection is free. */
   readonly hasConnection: boolean;
   readonly slots: number;
-  /** Requests that this daemon has in flight there. */
+  /** Requests in flight there, over all daemons as far as is known. */
   readonly inFlight: number;
   /** Smoothed share of failed requests, 0 to 1. */
   readonly failureShare: number;
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -61,7 +61,10 @@
   private readonly reports = new Map<string, HeardReport>();
   /** Since when requests for a model or adapter have been waiting. */
   private readonly waitingSince = new Map<string, number>();
-  /** Requests in flight at each backend for each model and adapter, summed over the reports. */
+  /**
+   * Requests in flight summed over the reports: by backend, by model, and by
+   * backend and model or adapter.
+   */
   private readonly inFlightSums = new Map<string, number>();
   /** When reports were last looked through for old ones. */
   private expiredAt = -Infinity;
@@ -145,6 +148,18 @@
     return models;
   }
 
+  /** Requests in flight at a backend, over all models. */
+  inFlightAt(backend: string, now: number): number {
+    this.expire(now);
+    return this.inFlightSums.get(backend) ?? 0;
+  }
+
+  /** Requests in flight for a model, its adapters included, at all backends. */
+  inFlightOf(model: string, now: number): number {
+    this.expire(now);
+    return this.inFlightSums.get(modelKey(model)) ?? 0;
+  }
+
   /** Urgent requests a second, smoothed. */
   urgentRate(reference: ModelReference, now: number): number {
     return this.decayed(reference, now)?.urgent ?? 0;
@@ -212,6 +227,8 @@
   private sumUse(report: DemandReport, sign: 1 | -1): void {
     for (const use of report.use) {
       const { backend, model, adapter, inFlight } = use;
+      this.add(backend, sign * inFlight);
+      this.add(modelKey(model), sign * inFlight);
       this.add(useKey(backend, { model, adapter: undefined }), sign * inFlight);
       if (adapter !== undefined) this.add(useKey(backend, use), sign * inFlight);
     }
@@ -224,6 +241,10 @@
   }
 }
 
+function modelKey(model: string): string {
+  return `* ${model}`;
+}
+
 function useKey(backend: string, reference: ModelReference): string {
   return `${backend} ${adapterKey(reference)}`;
 }
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -44,6 +44,8 @@
 /** Urgent requests a second for which a model gets a second and a third copy. */
 const SECOND_COPY_RATE = 0.25;
 const THIRD_COPY_RATE = 10;
+/** Share of a backend's slots that the requests of one model may take before it gets a further copy. */
+const COPY_SLOTS_SHARE = 0.4;
 /** A further copy must be worth so many times what makes way for it. */
 const COPY_MARGIN = 2;
 /** Forecasts that an owner tells; the others are told once requests wait for their models. */
@@ -152,7 +154,7 @@
     for (const model of demand.urgentModels(now)) {
       const spec = modelSpec(host, model);
       const copies = this.worth.copies(model);
-      const isWanted = copies > 0 && copies < copiesWanted(this.worth.urgentRate(model));
+      const isWanted = copies > 0 && copies < this.copiesWanted(model);
       if (spec === undefined || !isWanted || this.reservations.has(model)) continue;
       const place = this.places.cheapest(spec);
       if (place === undefined || !place.isFree) continue;
@@ -161,6 +163,15 @@
     }
   }
 
+  /** By the rate, so that the loss of one copy is borne, and by what runs at once. */
+  private copiesWanted(model: string): number {
+    const { host, demand, now } = this.input;
+    const byRate = copiesForRate(this.worth.urgentRate(model));
+    if (byRate === 1) return 1;
+    const running = demand.inFlightOf(model, now);
+    return Math.max(byRate, 1 + Math.ceil(running / (host.slots * COPY_SLOTS_SHARE)));
+  }
+
   private isHeldOrComing(model: string): boolean {
     return this.reservations.has(model) || this.worth.copies(model) > 0;
   }
@@ -189,7 +200,7 @@
   }
 }
 
-function copiesWanted(urgentRate: number): number {
+function copiesForRate(urgentRate: number): number {
   if (urgentRate >= THIRD_COPY_RATE) return 3;
   return urgentRate >= SECOND_COPY_RATE ? 2 : 1;
 }
--- a/src/core/placement-publisher.ts
+++ b/src/core/placement-publisher.ts
@@ -19,6 +19,10 @@
   readonly backends: ReadonlyMap<string, readonly KnownPlacement[]>;
   /** Expected times at which models that no backend holds are loaded. */
   readonly forecasts: ReadonlyMap<string, number>;
+  /** Requests in flight at each backend. */
+  readonly loads: ReadonlyMap<string, number>;
+  /** A load that changes by less is not told again. */
+  readonly loadTolerance: number;
 }
 
 /** A forecast that moves by less is not told again. */
@@ -35,6 +39,7 @@
   private version = 0;
   private backends = new Map<string, PublishedBackend>();
   private forecasts = new Map<string, number>();
+  private loads = new Map<string, number>();
 
   constructor(
     private readonly service: string,
@@ -47,17 +52,25 @@
     const removedBackends = removeMissing(this.backends, state.backends);
     const changedForecasts = this.takeForecasts(state);
     const removedForecasts = removeMissing(this.forecasts, state.forecasts);
-    const changes = [changedBackends, removedBackends, changedForecasts, removedForecasts];
+    const changedLoads = this.takeLoads(state);
+    const changes = [
+      changedLoads,
+      changedBackends,
+      removedBackends,
+      changedForecasts,
+      removedForecasts,
+    ];
     const baseVersion = this.version;
     if (baseVersion === 0) return this.firstUpdate(now);
     if (changes.some((names) => names.length > 0)) this.version += 1;
-    const told = this.told(changedBackends, changedForecasts, now);
+    const told = this.told(changedBackends, changedForecasts, changedLoads, now);
     return { ...told, baseVersion, removedBackends, removedForecasts };
   }
 
   /** Everything, for a daemon that missed an update. */
   everything(now: number): PlacementUpdate {
-    const told = this.told([...this.backends.keys()], [...this.forecasts.keys()], now);
+    const { backends, forecasts, loads } = this;
+    const told = this.told([...backends.keys()], [...forecasts.keys()], [...loads.keys()], now);
     return { ...told, baseVersion: undefined, removedBackends: [], removedForecasts: [] };
   }
 
@@ -88,11 +101,24 @@
     return changed;
   }
 
+  private takeLoads(state: PlacementState): string[] {
+    const changed: string[] = [];
+    for (const [backend, inFlight] of state.loads) {
+      const told = this.loads.get(backend) ?? 0;
+      if (Math.abs(told - inFlight) < state.loadTolerance) continue;
+      this.loads.set(backend, inFlight);
+      changed.push(backend);
+    }
+    removeMissing(this.loads, state.loads);
+    return changed;
+  }
+
   private told(
     backends: readonly string[],
     forecasts: readonly string[],
+    loads: readonly string[],
     now: number,
-  ): Pick<PlacementUpdate, 'service' | 'epoch' | 'version' | 'backends' | 'forecasts'> {
+  ): Omit<PlacementUpdate, 'baseVersion' | 'removedBackends' | 'removedForecasts'> {
     const { service, epoch, version } = this;
     return {
       service,
@@ -100,6 +126,7 @@
       version,
       backends: new Map(backends.map((backend) => [backend, this.modelsOf(backend, now)])),
       forecasts: new Map(forecasts.map((model) => [model, this.forecastOf(model, now)])),
+      loads: new Map(loads.map((backend) => [backend, this.loads.get(backend) ?? 0])),
     };
   }
 
--- a/src/core/placement-update.ts
+++ b/src/core/placement-update.ts
@@ -28,4 +28,6 @@
   /** Milliseconds until a model that no backend holds is expected to be loaded. */
   readonly forecasts: ReadonlyMap<string, number>;
   readonly removedForecasts: readonly string[];
+  /** Requests that all daemons together have in flight at a backend, where that has changed much. */
+  readonly loads: ReadonlyMap<string, number>;
 }
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -4,6 +4,7 @@
 import type { PlacedModel, PlacementUpdate } from '../core/placement-update.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import {
+  BackendLoadSchema,
   BackendPlacementSchema,
   BackendUseSchema,
   HeldModelSchema,
@@ -63,7 +64,11 @@
   const forecasts = [...update.forecasts].map(([model, readyInMs]) =>
     create(ModelForecastSchema, { model, readyInMs }),
   );
+  const loads = [...update.loads].map(([backend, inFlight]) =>
+    create(BackendLoadSchema, { backend, inFlight }),
+  );
   const value = create(ServicePlacementSchema, {
+    loads,
     service,
     epoch,
     version,
@@ -93,7 +98,9 @@
   }
   const { service, epoch, version, baseVersion, removedBackends, removedForecasts } = message;
   const forecasts = new Map(message.forecasts.map((entry) => [entry.model, entry.readyInMs]));
+  const loads = new Map(message.loads.map((entry) => [entry.backend, entry.inFlight]));
   return {
+    loads,
     service,
     epoch,
     version,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -52,6 +52,10 @@
 const STOP_MARGIN_MS = 500;
 /** Daemons besides the owners that follow the platform closely. */
 const CLOSE_READERS = 2;
+/** Daemons that follow the platform closely say so this often, also without news. */
+const NEWS_PERIOD_MS = 500;
+/** Without news for so long a daemon follows the platform closely itself: it may be cut off from those that do. */
+const NEWS_SILENCE_MS = 1_500;
 /** Between two requests for everything that an owner knows. */
 const PLACEMENT_REQUEST_PERIOD_MS = 250;
 /** A configuration that a peer has and this daemon has not is read at once, but not more often. */
@@ -90,6 +94,9 @@
   private ticker: Ticker | undefined;
   private lastDemand = 0;
   private lastRefresh = 0;
+  /** Steady times at which another daemon was last heard to read the directory closely, and told so. */
+  private lastNews = -Infinity;
+  private lastNewsSent = -Infinity;
   private lookScheduled = false;
   /** Steady times of the last requests for everything, by service. */
   private readonly placementRequests = new Map<string, number>();
@@ -196,7 +203,7 @@
       dialect,
       directory: this.backends,
       health: new BackendHealth(),
-      selection: new LowestCostSelection(),
+      selection: new LowestCostSelection(settings.name),
       tracker: new RequestTracker(),
       agent,
       metrics,
@@ -254,6 +261,7 @@
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.chooseAttention(now);
+    if (now - this.lastNewsSent >= NEWS_PERIOD_MS) this.tellNews([]);
     for (const service of this.context.tracker.activeServices()) this.reportDemand(service);
   }
 
@@ -271,17 +279,19 @@
     const live = this.peers.live();
     const candidates = ablestOf(live).map((member) => member.address);
     const readers = rankCandidates('directory', candidates).slice(0, CLOSE_READERS);
-    const isAlone = live.length <= CLOSE_READERS || this.duties.lacksOwner(now);
+    const isAlone = live.length <= CLOSE_READERS || now - this.lastNews > NEWS_SILENCE_MS;
     return isAlone || readers.includes(this.peers.address) ? 'close' : 'relaxed';
   }
 
   private tellNews(ended: readonly string[]): void {
     if (this.attention === 'relaxed') return;
+    this.lastNewsSent = steadyNow();
     const fields = { configurationVersion: this.version, endedBackends: [...ended] };
     this.peers.broadcast({ case: 'directoryNews', value: create(DirectoryNewsSchema, fields) });
   }
 
   private hearNews(news: DirectoryNews): void {
+    this.lastNews = steadyNow();
     for (const id of news.endedBackends) {
       if (this.backends.noteEnded(id)) this.outside.logger.info('backend_ended', { backend: id });
     }
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -129,12 +129,14 @@
 
   private candidate(backend: BackendRecord): BackendCandidate {
     const { context } = this;
+    const own = context.tracker.inFlightAt(backend.id);
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
       hasConnection: context.agent.hasRestingConnection(backend.address),
       slots: backend.slots,
-      inFlight: context.tracker.inFlightAt(backend.id),
+      // What all have is told with a delay, in which this daemon may have sent more itself.
+      inFlight: Math.max(own, context.directory.loadOf(backend, steadyNow())),
       failureShare: context.health.failureShare(backend.id),
     };
   }
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -16,9 +16,6 @@
 /** Loads that the ceiling allows besides its rate. */
 const CEILING_EXTRA_LOADS = 3;
 
-/** An owner that was not heard for so long cannot be relied on for news. */
-const OWNER_SILENCE_MS = 1_500;
-
 /** Options of {@link ServiceDuties}. */
 export interface ServiceDutiesOptions {
   readonly settings: GatewaySettings;
@@ -68,15 +65,6 @@
     return [...this.duties.values()].some((duty) => duty.owner !== undefined);
   }
 
-  /** Whether some service's owner has not been heard lately; without services there is none. */
-  lacksOwner(now: number): boolean {
-    if (this.duties.size === 0) return true;
-    const { directory } = this.options;
-    return [...this.duties.keys()].some(
-      (service) => directory.placementAgeMs(service, now) > OWNER_SILENCE_MS,
-    );
-  }
-
   /** Gives all ownership up and claims nothing any more. */
   stop(reason: string): void {
     this.stopped = true;
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -33,8 +33,10 @@
 const DOUBT_AFTER_MS = 200;
 /** Between two questions to a doubtful backend. */
 const DOUBT_PERIOD_MS = 600;
-/** The owner's word is repeated so often without a change. */
-const REPEAT_PERIOD_MS = 1_000;
+/** The owner's word is repeated so often, with the loads that have changed. */
+const REPEAT_PERIOD_MS = 250;
+/** Share of a backend's slots by which its load must change to be told again. */
+const LOAD_TOLERANCE_SHARE = 1 / 6;
 
 /** Options of {@link ServiceOwner}. */
 export interface ServiceOwnerOptions {
@@ -294,7 +296,11 @@
       backends.set(ledger.id, ledger.isSilent ? [] : placementOf(ledger, now));
     }
     const forecasts = host === undefined ? new Map<string, number>() : this.forecasts(host, now);
-    this.options.publish(this.publisher.update({ backends, forecasts }, now));
+    const loads = new Map<string, number>();
+    for (const id of this.ledgers.keys()) loads.set(id, this.demand.inFlightAt(id, now));
+    const loadTolerance = Math.max(1, (host?.slots ?? 1) * LOAD_TOLERANCE_SHARE);
+    const state = { backends, forecasts, loads, loadTolerance };
+    this.options.publish(this.publisher.update(state, now));
   }
 
   /** Expected times at which models that no backend holds are loaded. */
--- a/test/core/gateway-fixtures.ts
+++ b/test/core/gateway-fixtures.ts
@@ -44,6 +44,7 @@
     removedBackends: [],
     forecasts: new Map(),
     removedForecasts: [],
+    loads: new Map(),
     ...part,
   };
 }
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -136,6 +136,16 @@
     expect(brief(scene.plan())).toEqual(['y load hot']);
   });
 
+  it('adds copies of a model whose requests take many slots', () => {
+    const ledgers = ['v', 'w', 'x', 'y'].map((id) => ledgerOf(id, id === 'v' ? ['hot'] : []));
+    const scene = new Scene(ledgers);
+    const use = [{ backend: 'v', model: 'hot', adapter: undefined, inFlight: 60 }];
+    const samples = [waitingFor('hot', { waiting: 0, arrivals: 20, goalMs: 600 })];
+    scene.demand.hear({ daemon: 'd', samples, use, failing: [] }, scene.now);
+    const loads = [scene.planAndAccept(), scene.planAndAccept(), scene.planAndAccept()];
+    expect(loads.map((orders) => orders.length)).toEqual([1, 1, 1]);
+  });
+
   it('orders no adapter that is loaded already', () => {
     const ledger = ledgerOf('x', []);
     ledger.adopt(reportOf([], { models: [{ name: 'hot', adapters: ['a1'] }] }), 2_000);
--- a/test/core/placement-publisher.test.ts
+++ b/test/core/placement-publisher.test.ts
@@ -14,7 +14,9 @@
     });
     return [backend, placed] as const;
   });
-  return { backends: new Map(backends), forecasts: new Map(Object.entries(forecasts)) };
+  const loads = new Map<string, number>();
+  const told = { backends: new Map(backends), forecasts: new Map(Object.entries(forecasts)) };
+  return { ...told, loads, loadTolerance: 2 };
 }
 
 function backend(id: string): BackendRecord {
@@ -58,6 +60,23 @@
   });
 });
 
+describe('loads', () => {
+  it('are told when they have changed much, and known to every daemon', () => {
+    const publisher = new PlacementPublisher('s', 1);
+    const directory = new BackendDirectory();
+    const told = (inFlight: number): number => {
+      const state = { ...stateOf({ x: ['a'] }), loads: new Map([['x', inFlight]]) };
+      const update = publisher.update(state, 0);
+      directory.hearPlacement(update, 0);
+      return update.loads.size;
+    };
+    expect([told(0), told(1), told(5), told(6), told(0)]).toEqual([0, 0, 1, 0, 1]);
+    told(7);
+    expect(directory.loadOf(backend('x'), 0)).toBe(7);
+    expect(directory.loadOf(backend('y'), 0)).toBe(0);
+  });
+});
+
 describe('BackendDirectory', () => {
   it('follows the updates to the state of the owner', () => {
     const publisher = new PlacementPublisher('s', 1);
