Soak: gateways as real processes under faults drawn from a seed

The stand-ins speak the platform's published protocol (store with pages, watches, conditional writes; replicas with fenced orders at an expected sequence, streams that resume, refusals), the gateways are the bundle that is deployed, callers and replicas keep records of their own, and an auditor counts broken promises from those alone.

--- /dev/null
+++ b/test/soak/gateway-process.ts
@@ -0,0 +1,143 @@
+/** One gateway of a soak: the bundle that is deployed, as a process of its own, and what was done to it. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+
+/** Time that a stop may take, as the platform's sheets have it. */
+export const STOP_SECONDS = 8;
+/** The program that is deployed, built from the adapter. */
+export const BUNDLE = 'target/scaleslip-gateway.cjs';
+
+/** A time in which a gateway was not its own master. */
+export interface Disturbance {
+  readonly kind: 'killed' | 'frozen' | 'stopped';
+  readonly from: number;
+  until: number;
+}
+
+/** Options of {@link GatewayProcess}. */
+export interface GatewayProcessOptions {
+  readonly name: string;
+  readonly folder: string;
+  readonly store: string;
+  readonly ports: { readonly peers: number; readonly callers: number; readonly readiness: number };
+}
+
+/** A gateway that is started again whenever it ends. */
+export class GatewayProcess {
+  readonly disturbances: Disturbance[] = [];
+  private child: ChildProcess | undefined;
+  /** Exits that nobody asked for. */
+  unaskedExits = 0;
+  private isExpectedToEnd = false;
+  private isOver = false;
+
+  constructor(private readonly options: GatewayProcessOptions) {
+    const { name, store, ports } = options;
+    const settings = {
+      name,
+      zone: 'a',
+      processorShare: 1,
+      processorSpeed: 1,
+      address: '127.0.0.1',
+      peerPort: ports.peers,
+      metricsPort: 0,
+      callers: `127.0.0.1:${ports.callers}`,
+      readiness: `127.0.0.1:${ports.readiness}`,
+      store,
+      seeds: [],
+      bounds: {
+        stopSeconds: STOP_SECONDS,
+        retryRatio: 0.2,
+        retryWindowSeconds: 10,
+        retrySlack: 40,
+        storeLoadWindowSeconds: 5,
+        storeLoadExcess: 1.1,
+      },
+    };
+    writeFileSync(this.settingsFile, JSON.stringify(settings));
+  }
+
+  get callers(): string {
+    return `127.0.0.1:${this.options.ports.callers}`;
+  }
+
+  private get settingsFile(): string {
+    return path.join(this.options.folder, `${this.options.name}.json`);
+  }
+
+  start(): void {
+    const log = openSync(path.join(this.options.folder, `${this.options.name}.log`), 'a');
+    const child = spawn(process.execPath, [BUNDLE], {
+      stdio: ['ignore', log, log],
+      env: { ...process.env, SCALESLIP_SETTINGS: this.settingsFile },
+    });
+    closeSync(log);
+    this.child = child;
+    this.isExpectedToEnd = false;
+    child.once('exit', () => this.exited());
+  }
+
+  /** Ends the process at once; it starts again by itself. */
+  kill(): void {
+    this.disturbed('killed', 1_500);
+    this.isExpectedToEnd = true;
+    this.child?.kill('SIGKILL');
+  }
+
+  /** Asks the process to end; it starts again by itself. */
+  stopInTurn(): void {
+    this.disturbed('stopped', STOP_SECONDS * 1_000 + 1_500);
+    this.isExpectedToEnd = true;
+    const { child } = this;
+    child?.kill('SIGTERM');
+    setTimeout(() => child?.kill('SIGKILL'), STOP_SECONDS * 1_000).unref();
+  }
+
+  /** Holds the process up. */
+  freeze(milliseconds: number): void {
+    this.disturbed('frozen', milliseconds + 500);
+    const { child } = this;
+    child?.kill('SIGSTOP');
+    setTimeout(() => child?.kill('SIGCONT'), milliseconds).unref();
+  }
+
+  /** Ends the process for good. */
+  async end(): Promise<void> {
+    this.isOver = true;
+    const { child } = this;
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return;
+    await new Promise((resolve) => {
+      child.once('exit', resolve);
+      child.kill('SIGKILL');
+    });
+  }
+
+  /** Whether something was done to the process in a time, other than a planned stop. */
+  wasHarmed(from: number, until: number): boolean {
+    return this.disturbances.some(
+      (each) => each.kind !== 'stopped' && each.from <= until && each.until >= from,
+    );
+  }
+
+  /** When the process was asked to stop while a request was under way; undefined if it was not. */
+  stopDuring(from: number, until: number): number | undefined {
+    const stop = this.disturbances.find(
+      (each) => each.kind === 'stopped' && each.from <= until && each.until >= from,
+    );
+    return stop?.from;
+  }
+
+  private disturbed(kind: Disturbance['kind'], milliseconds: number): void {
+    const from = Date.now();
+    this.disturbances.push({ kind, from, until: from + milliseconds });
+  }
+
+  private exited(): void {
+    if (this.isOver) return;
+    if (!this.isExpectedToEnd) this.unaskedExits += 1;
+    setTimeout(() => {
+      if (!this.isOver) this.start();
+    }, 150);
+  }
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,35 @@
+/** Command line of the soak: plays seeds one after the other, and exits with 1 if a promise was broken. */
+import { Command } from 'commander';
+import { runSoak, soakFolder } from './soak-run.js';
+
+interface Flags {
+  readonly seed: string;
+  readonly runs: string;
+  readonly seconds: string;
+  readonly gateways: string;
+}
+
+const program = new Command('soak')
+  .description('gateways as real processes under faults drawn from a seed')
+  .option('--seed <number>', 'first seed', '1')
+  .option('--runs <number>', 'seeds to play', '1')
+  .option('--seconds <number>', 'time in which faults begin', '30')
+  .option('--gateways <number>', 'gateways to start', '4');
+
+async function main(): Promise<void> {
+  const flags = program.parse().opts<Flags>();
+  let broken = 0;
+  for (let run = 0; run < Number(flags.runs); run++) {
+    const seed = Number(flags.seed) + run;
+    const faultMs = Number(flags.seconds) * 1_000;
+    const gateways = Number(flags.gateways);
+    const result = await runSoak({ seed, faultMs, folder: soakFolder(seed), gateways });
+    const { violations, ...figures } = result;
+    console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
+    for (const { rule, detail } of violations) console.log(`  ${rule}: ${detail}`);
+    broken += violations.length;
+  }
+  process.exit(broken === 0 ? 0 : 1);
+}
+
+void main();
--- /dev/null
+++ b/test/soak/object-store-stand-in.ts
@@ -0,0 +1,203 @@
+/**
+ * Stand-in of the users' platform's store: objects by kind and name, one counter
+ * of revisions, pages, watches that wait, conditional writes, and seeded faults.
+ * Spoken as the platform's pages publish it.
+ */
+import http from 'node:http';
+import { readJson, sendJson, listen } from '../../src/common/http-server.js';
+import type { SeededRandom } from './seeded-random.js';
+
+/** Objects on one page of a list. */
+const PAGE_SIZE = 3;
+const LONGEST_WAIT_MS = 30_000;
+const LARGEST_BODY_BYTES = 1024 * 1024;
+
+/** How the store treats its callers now. */
+export type StoreCondition = 'sound' | 'busy' | 'silent' | 'reset' | 'slow' | 'answers_lost';
+
+interface StoredObject {
+  readonly metadata: { readonly name: string; readonly revision: number };
+  readonly spec: unknown;
+}
+
+interface StoredChange {
+  readonly kind: string;
+  readonly revision: number;
+  readonly gone: boolean;
+  readonly object: StoredObject;
+}
+
+interface Waiter {
+  readonly look: () => void;
+}
+
+interface Call {
+  readonly method: string;
+  readonly kind: string;
+  readonly name: string | undefined;
+  readonly query: URLSearchParams;
+  readonly body: { metadata?: { name?: string; revision?: number }; spec?: unknown };
+}
+
+/** One store. */
+export class ObjectStoreStandIn {
+  condition: StoreCondition = 'sound';
+  address = '';
+  calls = 0;
+  private readonly kinds = new Map<string, Map<string, StoredObject>>();
+  private changes: StoredChange[] = [];
+  private revision = 0;
+  /** Watches from before this revision are answered with 410. */
+  private forgottenUpTo = 0;
+  private readonly waiters = new Set<Waiter>();
+  private readonly server: http.Server;
+
+  constructor(private readonly random: SeededRandom) {
+    this.server = http.createServer((request, response) => void this.receive(request, response));
+  }
+
+  async start(): Promise<void> {
+    this.address = `127.0.0.1:${await listen(this.server, '127.0.0.1', 0)}`;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Writes for the operator and the replicas, who are never refused. */
+  put(kind: string, name: string, spec: unknown): void {
+    const object = { metadata: { name, revision: this.revision + 1 }, spec };
+    this.objectsOf(kind).set(name, object);
+    this.changed(kind, object, false);
+  }
+
+  /** Removes for the operator and the replicas. */
+  delete(kind: string, name: string): void {
+    const object = this.objectsOf(kind).get(name);
+    if (object === undefined) return;
+    this.objectsOf(kind).delete(name);
+    this.changed(kind, object, true);
+  }
+
+  /** Forgets the history of all watches. */
+  compact(): void {
+    this.changes = [];
+    this.forgottenUpTo = this.revision;
+    this.wake();
+  }
+
+  private async receive(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    this.calls += 1;
+    const condition = this.condition;
+    if (condition === 'silent') return;
+    if (condition === 'reset') return void request.socket.destroy();
+    if (condition === 'busy') return sendJson(response, 503, {});
+    const call = await readCall(request);
+    if (call === undefined) return sendJson(response, 400, {});
+    const isLost = condition === 'answers_lost' && call.method !== 'GET' && this.random.chance(0.4);
+    const delayMs = condition === 'slow' ? this.random.between(100, 600) : 1;
+    setTimeout(() => {
+      if (isLost) this.answer(call, () => {});
+      else this.answer(call, (status, body) => sendJson(response, status, body));
+    }, delayMs);
+  }
+
+  private answer(call: Call, reply: (status: number, body: object) => void): void {
+    if (call.method !== 'GET') return this.write(call, reply);
+    if (call.query.has('watch')) return this.watch(call, reply);
+    const objects = this.objectsOf(call.kind);
+    if (call.name !== undefined) {
+      const object = objects.get(call.name);
+      return object === undefined ? reply(404, { at: this.revision }) : reply(200, object);
+    }
+    const after = call.query.get('after') ?? '';
+    const rest = [...objects.values()]
+      .filter((object) => object.metadata.name > after)
+      .sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
+    const items = rest.slice(0, PAGE_SIZE);
+    reply(200, { items, more: rest.length > items.length, at: this.revision });
+  }
+
+  private watch(call: Call, reply: (status: number, body: object) => void): void {
+    const from = Number(call.query.get('watch'));
+    const waitMs = Math.min(LONGEST_WAIT_MS, Number(call.query.get('waitMs') ?? 0));
+    const waiter: Waiter = { look: () => this.lookForEvents(call, from, waiter, timer, reply) };
+    const timer = setTimeout(() => {
+      this.waiters.delete(waiter);
+      reply(200, { events: [], at: Math.max(from, this.revision) });
+    }, waitMs);
+    this.waiters.add(waiter);
+    waiter.look();
+  }
+
+  private lookForEvents(
+    call: Call,
+    from: number,
+    waiter: Waiter,
+    timer: NodeJS.Timeout,
+    reply: (status: number, body: object) => void,
+  ): void {
+    const isForgotten = from < this.forgottenUpTo;
+    const events = this.changes
+      .filter((change) => change.kind === call.kind && change.revision > from)
+      .map(({ gone, object }) => ({ gone, object }));
+    if (!isForgotten && events.length === 0) return;
+    clearTimeout(timer);
+    this.waiters.delete(waiter);
+    if (isForgotten) reply(410, {});
+    else reply(200, { events, at: this.revision });
+  }
+
+  private write(call: Call, reply: (status: number, body: object) => void): void {
+    const name = call.name ?? call.body.metadata?.name ?? '';
+    const objects = this.objectsOf(call.kind);
+    const known = objects.get(name);
+    if (call.method === 'DELETE') {
+      this.delete(call.kind, name);
+      return reply(200, {});
+    }
+    const wanted = call.body.metadata?.revision;
+    const exists = known !== undefined;
+    if (call.method === 'POST' && exists) return reply(409, known);
+    if (call.method === 'PUT' && !exists) return reply(404, { at: this.revision });
+    if (exists && wanted !== undefined && wanted !== known.metadata.revision) {
+      return reply(409, known);
+    }
+    this.put(call.kind, name, call.body.spec);
+    reply(call.method === 'POST' ? 201 : 200, objects.get(name) ?? {});
+  }
+
+  private changed(kind: string, object: StoredObject, gone: boolean): void {
+    this.revision += 1;
+    this.changes.push({ kind, revision: this.revision, gone, object });
+    this.wake();
+  }
+
+  private wake(): void {
+    for (const waiter of [...this.waiters]) waiter.look();
+  }
+
+  private objectsOf(kind: string): Map<string, StoredObject> {
+    const known = this.kinds.get(kind) ?? new Map<string, StoredObject>();
+    this.kinds.set(kind, known);
+    return known;
+  }
+}
+
+async function readCall(request: http.IncomingMessage): Promise<Call | undefined> {
+  const url = new URL(request.url ?? '/', 'http://store');
+  const [kind, name] = url.pathname.replace('/-/objects/', '').split('/').map(decodeURIComponent);
+  if (!url.pathname.startsWith('/-/objects/') || kind === undefined) return undefined;
+  const method = request.method ?? 'GET';
+  const body = method === 'GET' || method === 'DELETE' ? {} : await readBodyOf(request);
+  return { method, kind, name, query: url.searchParams, body };
+}
+
+async function readBodyOf(request: http.IncomingMessage): Promise<Call['body']> {
+  const read = await readJson(request, LARGEST_BODY_BYTES);
+  return read.isOk ? (read.value as Call['body']) : {};
+}
--- /dev/null
+++ b/test/soak/replica-stand-in.ts
@@ -0,0 +1,278 @@
+/**
+ * Stand-in of a model replica of the users' platform: holds models, takes fenced
+ * orders at an expected sequence, runs requests as streams that can be resumed or
+ * as plain answers, and fails in seeded ways. Spoken as the platform's pages
+ * publish it; what it sees goes to the run log.
+ */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { readBody, sendJson } from '../../src/common/http-server.js';
+import type { ObjectStoreStandIn } from './object-store-stand-in.js';
+import { eventText, plainText } from './expected-events.js';
+import type { RunLog } from './run-log.js';
+import type { SeededRandom } from './seeded-random.js';
+
+/** How a replica behaves now. */
+export type ReplicaCondition =
+  'sound' | 'resets_all' | 'hangs' | 'slow' | 'answers_lost' | 'orders_late' | 'fails_some';
+
+/** Options of {@link ReplicaStandIn}. */
+export interface ReplicaOptions {
+  readonly name: string;
+  readonly service: string;
+  /** Names of models that it holds from the start; none for a service without models. */
+  readonly models: readonly string[];
+  readonly hasModels: boolean;
+  readonly store: ObjectStoreStandIn;
+  readonly log: RunLog;
+  readonly random: SeededRandom;
+}
+
+interface OrderBody {
+  readonly operation?: string;
+  readonly model?: string;
+  readonly expectedCount?: number;
+  readonly holder?: string;
+  readonly fence?: number;
+}
+
+/** Models that fit beside each other. */
+export const MODELS_THAT_FIT = 2;
+const SLOTS = 6;
+const LOAD_MS = 250;
+const UNLOAD_MS = 30;
+const EVENT_PERIOD_MS = 15;
+/** Work that arrives later than this after the notice breaks the promise. */
+const DRAIN_MS = 2_000;
+const LARGEST_BODY_BYTES = 64 * 1024;
+/** A crash is noticed in the list only after some missed heartbeats. */
+const CRASH_UNNOTICED_MS = 3_600;
+
+/** One place of a replica; each start is a new process with a new id. */
+export class ReplicaStandIn {
+  condition: ReplicaCondition = 'sound';
+  id = '';
+  private starts = 0;
+  private address = '';
+  private models = new Set<string>();
+  private sequence = 0;
+  private highestFence = 0;
+  private fenceHolder = '';
+  private busy = false;
+  private running = 0;
+  private leavingSince: number | undefined;
+  private server: http.Server | undefined;
+  private readonly onDisk = new Set<string>();
+
+  constructor(private readonly options: ReplicaOptions) {
+    for (const model of options.models) this.onDisk.add(model);
+  }
+
+  get isUp(): boolean {
+    return this.server !== undefined;
+  }
+
+  /** Starts a process; only the first one holds models. */
+  async start(): Promise<void> {
+    this.starts += 1;
+    this.id = `${this.options.name}-${this.starts}`;
+    this.models = new Set(this.starts === 1 ? this.options.models : []);
+    this.sequence = 0;
+    this.highestFence = 0;
+    this.busy = false;
+    this.running = 0;
+    this.leavingSince = undefined;
+    const server = http.createServer((request, response) => void this.receive(request, response));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    this.server = server;
+    this.enter();
+  }
+
+  /** Ends the process without a word; the list shows it for some time longer. */
+  crash(): void {
+    const { id } = this;
+    this.end();
+    setTimeout(() => this.options.store.delete('servers', id), CRASH_UNNOTICED_MS).unref();
+  }
+
+  /** Says that it leaves, serves on for a time, and ends. */
+  async leave(serveMs: number): Promise<void> {
+    this.leavingSince = Date.now();
+    this.enter();
+    await new Promise((resolve) => setTimeout(resolve, serveMs));
+    const { id } = this;
+    this.end();
+    this.options.store.delete('servers', id);
+  }
+
+  end(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+    this.server = undefined;
+  }
+
+  /** Writes this replica's entry in the list. */
+  private enter(): void {
+    this.options.store.put('servers', this.id, {
+      service: this.options.service,
+      address: this.address,
+      zone: 'a',
+      version: 1,
+      slots: SLOTS,
+      state: this.leavingSince === undefined ? 'ready' : 'draining',
+      seq: this.sequence,
+      ...this.holdings(),
+    });
+  }
+
+  private holdings(): Record<string, unknown> {
+    const models = [...this.models].map((name) => ({ name, version: 1, adapters: [] }));
+    return { models, atHand: { inMemory: [], onDisk: [...this.onDisk] } };
+  }
+
+  private async receive(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const read = await readBody(request, LARGEST_BODY_BYTES);
+    const body = read.isOk ? read.value : '';
+    const target = request.headers['x-target-instance'];
+    if (target !== undefined && target !== this.id) return refuse(response, 421);
+    if (request.url === '/-/report') return this.report(response);
+    if (request.url === '/-/order') return this.order(JSON.parse(body) as OrderBody, response);
+    this.serve(request, body, response);
+  }
+
+  private report(response: http.ServerResponse): void {
+    sendJson(response, 200, {
+      stage: 'both',
+      busy: this.busy,
+      seq: this.sequence,
+      waiting: 0,
+      running: this.running,
+      coming: [],
+      ...this.holdings(),
+    });
+  }
+
+  private order(order: OrderBody, response: http.ServerResponse): void {
+    if (this.condition !== 'orders_late') {
+      return sendJson(response, this.takeOrder(order), {});
+    }
+    const { id } = this;
+    const takeLate = (): void => {
+      if (this.id === id && this.isUp) this.takeOrder(order);
+    };
+    setTimeout(takeLate, this.options.random.between(500, 3_000)).unref();
+    response.socket?.destroy();
+  }
+
+  /** The status of the answer. */
+  private takeOrder(order: OrderBody): number {
+    const { operation, model = '', expectedCount, holder = '', fence = 0 } = order;
+    if (fence < this.highestFence) return 412;
+    this.checkFence(holder, fence);
+    const isLoad = operation === 'model_load';
+    if (this.busy) return 409;
+    if (this.models.has(model) === isLoad) return 200;
+    if (expectedCount !== this.sequence) return 409;
+    if (isLoad && this.models.size >= MODELS_THAT_FIT) this.violated('memory_overcommitted', model);
+    this.sequence += 1;
+    this.busy = true;
+    if (!isLoad) this.models.delete(model);
+    setTimeout(() => this.finishOrder(isLoad, model), isLoad ? LOAD_MS : UNLOAD_MS).unref();
+    return 202;
+  }
+
+  private finishOrder(isLoad: boolean, model: string): void {
+    if (!this.isUp || !this.busy) return;
+    this.busy = false;
+    if (isLoad) {
+      this.models.add(model);
+      this.onDisk.add(model);
+      this.options.log.loads += 1;
+    }
+    this.enter();
+  }
+
+  private checkFence(holder: string, fence: number): void {
+    const isShared = fence === this.highestFence && holder !== this.fenceHolder;
+    if (isShared && this.fenceHolder !== '') this.violated('fence_shared', `${fence} ${holder}`);
+    this.highestFence = fence;
+    this.fenceHolder = holder;
+  }
+
+  private violated(
+    kind: 'memory_overcommitted' | 'fence_shared' | 'work_while_leaving' | 'wrong_service',
+    detail: string,
+  ): void {
+    this.options.log.violated({ kind, replica: this.id, detail });
+  }
+
+  private serve(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
+    const { condition } = this;
+    const { random } = this.options;
+    const attemptId = String(request.headers['x-attempt-id'] ?? '');
+    this.checkArrival(request, attemptId);
+    if (condition === 'resets_all') return void request.socket.destroy();
+    if (condition === 'hangs') return;
+    const model = request.headers['x-model'];
+    if (this.options.hasModels && !this.models.has(String(model))) return refuse(response, 421);
+    if (this.running >= SLOTS) return refuse(response, 503);
+    this.options.log.run(attemptId, this.id);
+    if (condition === 'answers_lost' && random.chance(0.2)) return void request.socket.destroy();
+    const seal = { 'x-attempt-id': attemptId, 'x-server-seal': `${this.id}.${attemptId}` };
+    if (condition === 'fails_some' && random.chance(0.3)) {
+      return sendJson(response, 500, {}, seal);
+    }
+    this.running += 1;
+    response.once('close', () => (this.running -= 1));
+    const pace = condition === 'slow' ? 6 : 1;
+    if (this.options.hasModels) this.stream(request, body, response, seal, pace);
+    else setTimeout(() => sendPlain(response, plainText(attemptId, body), seal), 10 * pace).unref();
+  }
+
+  private checkArrival(request: http.IncomingMessage, attemptId: string): void {
+    const leftFor = Date.now() - (this.leavingSince ?? Infinity);
+    if (leftFor > DRAIN_MS) this.violated('work_while_leaving', `${attemptId} ${leftFor} ms`);
+    const service = String(request.url).split('/')[1];
+    if (service !== this.options.service) this.violated('wrong_service', String(request.url));
+  }
+
+  private stream(
+    request: http.IncomingMessage,
+    body: string,
+    response: http.ServerResponse,
+    seal: Record<string, string>,
+    pace: number,
+  ): void {
+    const { events = 1 } = JSON.parse(body) as { events?: number };
+    let sent = Number(request.headers['last-event-id'] ?? 0);
+    response.writeHead(200, { 'content-type': 'text/event-stream', ...seal });
+    const timer = setInterval(() => {
+      if (sent < events) {
+        sent += 1;
+        response.write(eventText(body, sent));
+      }
+      if (sent < events) return;
+      clearInterval(timer);
+      response.end();
+    }, EVENT_PERIOD_MS * pace);
+    response.once('close', () => clearInterval(timer));
+  }
+}
+
+function refuse(response: http.ServerResponse, status: number): void {
+  sendJson(response, status, {}, { 'x-not-executed': '1' });
+}
+
+function sendPlain(
+  response: http.ServerResponse,
+  text: string,
+  headers: Record<string, string>,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(200, { 'content-type': 'application/json', ...headers });
+  response.end(text);
+}
--- /dev/null
+++ b/test/soak/run-log.ts
@@ -0,0 +1,31 @@
+/** What the replicas of a soak have seen themselves: runs, arrivals, and what must never happen. */
+
+/** A request that a replica has begun to work on. */
+export interface RunRecord {
+  readonly attemptId: string;
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
+/** A promise that a replica saw broken. */
+export interface ReplicaViolation {
+  readonly kind: 'memory_overcommitted' | 'fence_shared' | 'work_while_leaving' | 'wrong_service';
+  readonly replica: string;
+  readonly detail: string;
+}
+
+/** Shared by all replicas of one soak. */
+export class RunLog {
+  readonly runs: RunRecord[] = [];
+  readonly violations: ReplicaViolation[] = [];
+  loads = 0;
+
+  run(attemptId: string, replica: string): void {
+    this.runs.push({ attemptId, replica, at: Date.now() });
+  }
+
+  violated(violation: ReplicaViolation): void {
+    this.violations.push(violation);
+  }
+}
