--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -334,6 +334,8 @@
       return;
     }
     this.placementRequests.set(service, now);
+    const epoch = this.backends.epochOf(service);
+    this.outside.logger.info('placement_missed', { service, epoch, owner });
     const value = create(PlacementRequestSchema, { service });
     this.peers.send(owner, { case: 'placementRequest', value });
   }
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -69,6 +69,7 @@
   private lastRound = -Infinity;
   private lastPublished = -Infinity;
   private changed = true;
+  private failingNames = '';
   private stopped = false;
 
   /** @param onFenced - A backend has seen a higher epoch. */
@@ -159,6 +160,7 @@
   private planningInput(host: ModelHostSpec, now: number): PlanningInput {
     const listed = this.backends();
     const failing = this.demand.failingBackends(listed.length, now);
+    this.noteFailing(failing);
     const backends = listed
       .filter((backend) => !backend.leaving && !failing.has(backend.id))
       .flatMap((backend) => {
@@ -235,6 +237,15 @@
     if (current || ledger.isSilent) this.roundSoon();
   }
 
+  /** What the daemons say of failing backends changes what the owner counts on. */
+  private noteFailing(failing: ReadonlySet<string>): void {
+    const names = [...failing].sort().join(',');
+    if (names === this.failingNames) return;
+    this.failingNames = names;
+    const { service, epoch, logger } = this.options;
+    logger.warn('backends_failing', { service, epoch, backends: names });
+  }
+
   private noteSilence(ledger: BackendLedger, isSilent: boolean): void {
     if (ledger.isSilent === isSilent) return;
     ledger.isSilent = isSilent;
