--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -92,7 +92,7 @@
     clearTimeout(this.roundTimer);
   }
 
-  /** Takes a daemon's demand; waiting requests are planned for at once. */
+  /** Takes a daemon's demand; waiting requests call for a round. */
   hear(report: DemandReport): void {
     this.demand.hear(report, steadyNow());
     if (report.samples.some((sample) => sample.waiting > 0)) this.roundSoon();
@@ -135,6 +135,7 @@
     const now = steadyNow();
     this.lastRound = now;
     this.syncLedgers();
+    this.noteFailing(now);
     this.doubtHolders(now);
     this.readReports(now);
     this.giveAll(this.planner.plan(this.planningInput(host, now)), now);
@@ -160,7 +161,6 @@
   private planningInput(host: ModelHostSpec, now: number): PlanningInput {
     const listed = this.backends();
     const failing = this.demand.failingBackends(listed.length, now);
-    this.noteFailing(failing);
     const backends = listed
       .filter((backend) => !backend.leaving && !failing.has(backend.id))
       .flatMap((backend) => {
@@ -238,7 +238,8 @@
   }
 
   /** What the daemons say of failing backends changes what the owner counts on. */
-  private noteFailing(failing: ReadonlySet<string>): void {
+  private noteFailing(now: number): void {
+    const failing = this.demand.failingBackends(this.backends().length, now);
     const names = [...failing].sort().join(',');
     if (names === this.failingNames) return;
     this.failingNames = names;
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -15,12 +15,21 @@
   until: number;
 }
 
+/** Loopback ports of one gateway. */
+export interface GatewayPorts {
+  readonly peers: number;
+  readonly callers: number;
+  readonly readiness: number;
+  /** 0 for none. */
+  readonly metrics: number;
+}
+
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly name: string;
   readonly folder: string;
   readonly store: string;
-  readonly ports: { readonly peers: number; readonly callers: number; readonly readiness: number };
+  readonly ports: GatewayPorts;
 }
 
 /** A gateway that is started again whenever it ends. */
@@ -41,7 +50,7 @@
       processorSpeed: 1,
       address: '127.0.0.1',
       peerPort: ports.peers,
-      metricsPort: 0,
+      metricsPort: ports.metrics,
       callers: `127.0.0.1:${ports.callers}`,
       readiness: `127.0.0.1:${ports.readiness}`,
       store,
@@ -62,6 +71,15 @@
     return `127.0.0.1:${this.options.ports.callers}`;
   }
 
+  get metrics(): string {
+    return `127.0.0.1:${this.options.ports.metrics}`;
+  }
+
+  /** The running process's id. */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   private get settingsFile(): string {
     return path.join(this.options.folder, `${this.options.name}.json`);
   }
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -3,12 +3,13 @@
 import path from 'node:path';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { audit, type ConfigurationProbe, type TimeSpan, type Violation } from './audit.js';
-import { call, HOST, type CallRecord, type SoakRequest } from './caller.js';
+import { call, type CallRecord, type SoakRequest } from './caller.js';
 import { planFaults, type Fault } from './fault-plan.js';
 import { GatewayProcess } from './gateway-process.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
+import { configurationOf } from './soak-configuration.js';
 import { SeededRandom } from './seeded-random.js';
 
 /** What to play. */
@@ -124,7 +125,7 @@
     for (let index = 0; index < gateways; index++) {
       const [peers = 0, callers = 0, readiness = 0] = ports.splice(0, 3);
       const name = `gateway-${index}`;
-      const where = { peers, callers, readiness };
+      const where = { peers, callers, readiness, metrics: 0 };
       const process = new GatewayProcess({ name, folder, store: this.store.address, ports: where });
       this.gateways.set(name, process);
       process.start();
@@ -163,7 +164,7 @@
     this.store.put(
       'config',
       'main',
-      configurationOf(this.version, versions.slice(-PROBED_VERSIONS)),
+      configurationOf(this.version, MODELS, versions.slice(-PROBED_VERSIONS)),
     );
     this.accepted.set(this.version, Date.now());
   }
@@ -317,45 +318,6 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
-function configurationOf(version: number, probed: readonly number[]): Record<string, unknown> {
-  const models = MODELS.map((name) => {
-    const times = { loadS: 0.25, diskS: 0.25, warmS: 0.25 };
-    return { name, weightsMb: 50, adapters: 0, adapterMb: 0, ...times };
-  });
-  const engine = { slots: 6, weightsMb: 100, adapterSlots: 0, loadsPerS: 20, models };
-  const stream = { kind: 'streaming', goalMs: 600, gapGoalMs: 300, timeoutMs: 6_000 };
-  const plain = { goalMs: 200, timeoutMs: 1_500, service: 'plain' };
-  const routes = [
-    { ...stream, pathPrefix: '/models/s/', service: 'models', resumable: true, maxAttempts: 2 },
-    { ...stream, pathPrefix: '/models/o/', service: 'models', maxAttempts: 1 },
-    { ...plain, pathPrefix: '/plain/once/', kind: 'non_idempotent', maxAttempts: 1 },
-    { ...plain, pathPrefix: '/plain/any/', kind: 'idempotent', maxAttempts: 2 },
-    ...probed.map((number) => {
-      return { ...plain, pathPrefix: `/plain/v${number}/`, kind: 'idempotent', maxAttempts: 2 };
-    }),
-  ];
-  const named = routes.map((route, index) => ({
-    name: `r${index}`,
-    host: HOST,
-    priority: 1,
-    ...route,
-  }));
-  return {
-    version,
-    routes: named,
-    services: [
-      { name: 'models', maxConns: 200, engine },
-      { name: 'plain', maxConns: 200 },
-    ],
-    limits: {
-      maxHeaderBytes: 8_192,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 10_000,
-    },
-  };
-}
-
 /** The folder of one soak's settings and logs. */
 export function soakFolder(seed: number): string {
   return path.join('results', `soak-${seed}`);
