--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -102,12 +102,8 @@
     });
     const self = this.transport.address;
     const place = { address: self, zone: settings.zone, site: settings.site };
-    this.membership = new Membership({
-      ...place,
-      incarnation: clock.now(),
-      state: 'alive',
-      capacity: UNKNOWN_CAPACITY,
-    });
+    const own = { ...place, incarnation: clock.now(), capacity: UNKNOWN_CAPACITY };
+    this.membership = new Membership({ ...own, state: 'alive' });
     const send = (to: string, body: PeerBody): void => this.transport.send(to, body);
     this.configuration = new ConfigurationService({
       self: place,
