--- a/test/soak/scale-run.ts
+++ b/test/soak/scale-run.ts
@@ -1,6 +1,7 @@
 /** What a gateway spends at several sizes: real processes in calm, before stand-ins on loopback. */
 import { mkdirSync, readFileSync, rmSync } from 'node:fs';
 import { HttpClient } from '../../src/common/http-client.js';
+import { sleep } from '../../src/common/process.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { call, type SoakRequest } from './caller.js';
 import { GatewayProcess } from './gateway-process.js';
@@ -62,11 +63,11 @@
   const gateways = await startGateways(count, folder, store.address);
   const traffic = new Traffic(gateways, models);
   traffic.start();
-  await pause(SETTLE_MS);
+  await sleep(SETTLE_MS);
   traffic.reset();
   const before = await Promise.all(gateways.map(spentBy));
   const callsBefore = store.calls;
-  await pause(measureMs);
+  await sleep(measureMs);
   const after = await Promise.all(gateways.map(spentBy));
   const calls = store.calls - callsBefore;
   const resident = gateways.map(residentMegabytes);
@@ -216,7 +217,3 @@
 function mean(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -1,6 +1,7 @@
 /** One soak: gateways as processes, stand-ins of everything else, faults drawn from a seed. */
 import { mkdirSync, rmSync } from 'node:fs';
 import path from 'node:path';
+import { sleep } from '../../src/common/process.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { audit, type ConfigurationProbe, type TimeSpan, type Violation } from './audit.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
@@ -82,7 +83,7 @@
     for (const { at, fault } of plan) {
       setTimeout(() => this.strike(fault), begun + at - Date.now());
     }
-    await pause(START_MS);
+    await sleep(START_MS);
     await Promise.all([this.sendRequests(), this.sendProbes()]);
     await Promise.all(this.pending);
     const violations = audit({
@@ -247,14 +248,14 @@
     const { requestsPerSecond = 30 } = this.options;
     while (Date.now() < this.endsAt) {
       this.send(this.drawRequest());
-      await pause(this.random.between(0.3, 1.7) * (1_000 / requestsPerSecond));
+      await sleep(this.random.between(0.3, 1.7) * (1_000 / requestsPerSecond));
     }
   }
 
   private async sendProbes(): Promise<void> {
     while (Date.now() < this.endsAt) {
       for (const name of this.gateways.keys()) this.probe(name);
-      await pause(PROBE_PERIOD_MS);
+      await sleep(PROBE_PERIOD_MS);
     }
   }
 
@@ -314,10 +315,6 @@
   }
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /** The folder of one soak's settings and logs. */
 export function soakFolder(seed: number): string {
   return path.join('results', `soak-${seed}`);
