Loads from the weight store at once are limited to what it carries, learned

Cause: the store divides its throughput: past some number at once each load only takes longer and holds its backend's order channel longer.

Ruled out: the ceiling (never reached on the small site), takeover.

--- a/src/core/adapter-plan.ts
+++ b/src/core/adapter-plan.ts
@@ -94,5 +94,5 @@
   durationMs: number,
   reason: string,
 ): PlannedOrder {
-  return { backend: ledger.id, order, durationMs, fromStore: false, reason };
+  return { backend: ledger.id, order, durationMs, copy: undefined, reason };
 }
--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -7,6 +7,9 @@
 /** Cost of a load from the store, besides its time: it is priced and rationed. */
 const STORE_LOAD_COST_MS = 600;
 
+/** Where a copy of a model's weights lies, nearest first. */
+export type CopyPlace = 'memory' | 'disk' | 'store';
+
 /** A backend at which a model could be loaded. */
 export interface LoadPlace {
   readonly ledger: BackendLedger;
@@ -18,7 +21,7 @@
   readonly readyInMs: number;
   /** Time of the load alone. */
   readonly loadMs: number;
-  readonly fromStore: boolean;
+  readonly copy: CopyPlace;
   /** Models that make way, in this order. */
   readonly victims: readonly string[];
   /** What they are worth. */
@@ -48,12 +51,15 @@
   /** Worked out once a round: what the round orders reserves the backend, and so changes no other's. */
   private readonly occupancies = new Map<string, Occupancy>();
   private storeLoads: number;
+  /** Milliseconds until each place for a load from the store is free; what waits takes them in turn. */
+  private readonly storePlaceWaits: number[];
 
   constructor(
     private readonly input: PlanningInput,
     private readonly worth: ModelWorth,
   ) {
     this.storeLoads = input.storeLoads;
+    this.storePlaceWaits = [...input.storePlaceWaits];
   }
 
   /** Whether some backend can be given an order for a model now. */
@@ -75,14 +81,21 @@
   }
 
   /** One load from the store begins. */
-  useStore(): void {
+  useStore(place: LoadPlace): void {
     this.storeLoads -= 1;
+    this.takeStorePlace(place);
+  }
+
+  private takeStorePlace(place: LoadPlace): void {
+    const waits = this.storePlaceWaits;
+    waits[waits.indexOf(Math.min(...waits))] = place.readyInMs;
   }
 
   /** A model waits for a place that is not free now. */
   queue(place: LoadPlace): void {
     const { id } = place.ledger;
     this.queuedMs.set(id, (this.queuedMs.get(id) ?? 0) + place.loadMs);
+    if (place.copy === 'store') this.takeStorePlace(place);
   }
 
   /** The place with the lowest cost, free or not. */
@@ -98,19 +111,20 @@
 
   /** A load at the given backend; undefined if it cannot take the model. */
   at(ledger: BackendLedger, spec: ModelSpec): LoadPlace | undefined {
-    const inMemory = ledger.inMemory.has(spec.name);
-    const fromStore = !inMemory && !ledger.onDisk.has(spec.name);
-    if (fromStore && this.storeLoads <= 0) return undefined;
+    const copy = copyAt(ledger, spec.name);
+    const isFromStore = copy === 'store';
+    const storeWaitMs = isFromStore ? Math.min(...this.storePlaceWaits) : 0;
     const victims = this.victimsFor(ledger, spec);
     if (victims === undefined) return undefined;
-    const isFree = this.isFree(ledger);
-    const loadMs = 1000 * loadSeconds(spec, inMemory, fromStore);
+    const mayBegin = !isFromStore || (this.storeLoads > 0 && storeWaitMs === 0);
+    const isFree = mayBegin && this.isFree(ledger);
+    const loadMs = 1000 * loadSeconds(spec, copy);
     const unloadMs = sum(victims, (victim) => victim.unloadMs);
     const displacedWorth = sum(victims, (victim) => victim.worth);
-    const readyInMs = this.waitMs(ledger) + unloadMs + loadMs;
-    const cost = readyInMs + displacedWorth + (fromStore ? STORE_LOAD_COST_MS : 0);
+    const readyInMs = Math.max(this.waitMs(ledger) + unloadMs, storeWaitMs) + loadMs;
+    const cost = readyInMs + displacedWorth + (isFromStore ? STORE_LOAD_COST_MS : 0);
     const names = victims.map((victim) => victim.name);
-    return { ledger, isFree, cost, readyInMs, loadMs, fromStore, victims: names, displacedWorth };
+    return { ledger, isFree, cost, readyInMs, loadMs, copy, victims: names, displacedWorth };
   }
 
   /** Time until the backend has done what it is doing and what waits for it. */
@@ -169,9 +183,15 @@
 /** Expected time of an order that is about to be given. */
 const RESERVED_MS = 1_500;
 
-function loadSeconds(spec: ModelSpec, inMemory: boolean, fromStore: boolean): number {
-  if (inMemory) return spec.memoryLoadSeconds;
-  return fromStore ? spec.storeLoadSeconds : spec.diskLoadSeconds;
+/** The nearest copy of a model, seen from a backend. */
+export function copyAt(ledger: BackendLedger, model: string): CopyPlace {
+  if (ledger.inMemory.has(model)) return 'memory';
+  return ledger.onDisk.has(model) ? 'disk' : 'store';
+}
+
+function loadSeconds(spec: ModelSpec, copy: CopyPlace): number {
+  if (copy === 'memory') return spec.memoryLoadSeconds;
+  return copy === 'disk' ? spec.diskLoadSeconds : spec.storeLoadSeconds;
 }
 
 function sum(victims: readonly Victim[], of: (victim: Victim) => number): number {
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -5,7 +5,7 @@
  */
 import { AdapterPlan } from './adapter-plan.js';
 import { modelSpec, type BackendLedger } from './backend-ledger.js';
-import { LoadPlaces, type LoadPlace } from './load-place.js';
+import { LoadPlaces, type CopyPlace, type LoadPlace } from './load-place.js';
 import type { DemandSample, ModelDemand } from './model-demand.js';
 import type { ModelOrder } from './model-order.js';
 import { ModelWorth } from './model-worth.js';
@@ -17,8 +17,8 @@
   readonly order: ModelOrder;
   /** Expected time until it is carried out. */
   readonly durationMs: number;
-  /** The load comes from the weight store. */
-  readonly fromStore: boolean;
+  /** Where a model that is loaded is copied from; undefined for other orders. */
+  readonly copy: CopyPlace | undefined;
   /** Why, for the log. */
   readonly reason: string;
 }
@@ -30,8 +30,10 @@
   readonly backends: readonly BackendLedger[];
   readonly demand: ModelDemand;
   readonly now: number;
-  /** Loads from the weight store that may begin now. */
+  /** Loads from the weight store that may begin now, by their ceiling. */
   readonly storeLoads: number;
+  /** Milliseconds until each place for a load from the weight store is free, by the limit of loads at once. */
+  readonly storePlaceWaits: readonly number[];
 }
 
 /** A backend that makes room for a model. */
@@ -184,13 +186,13 @@
       const order: ModelOrder = { operation: 'unload', model: victim, adapter: undefined };
       const durationMs = this.worth.unloadMs(place.ledger, victim);
       const why = `room for ${spec.name}: ${reason}`;
-      return this.push({ backend, order, durationMs, fromStore: false, reason: why });
+      return this.push({ backend, order, durationMs, copy: undefined, reason: why });
     }
-    if (place.fromStore) this.places.useStore();
+    if (place.copy === 'store') this.places.useStore(place);
     this.worth.noteLoad(spec.name);
     const order: ModelOrder = { operation: 'load', model: spec.name, adapter: undefined };
-    const { fromStore, loadMs } = place;
-    this.push({ backend, order, durationMs: loadMs, fromStore, reason });
+    const { copy, loadMs } = place;
+    this.push({ backend, order, durationMs: loadMs, copy, reason });
   }
 
   private push(planned: PlannedOrder): void {
--- /dev/null
+++ b/src/core/policies.ts
@@ -0,0 +1,25 @@
+/**
+ * Policies that operators can switch off by name, so that the worth of each can be
+ * measured on their own load. All are on by default. Types and names only.
+ */
+
+/** Names of the policies, as the settings spell them. */
+export const POLICY_NAMES = [
+  /** Loads from the weight store at once are limited to what it carries at full speed, learned. */
+  'storeLoadLimit',
+] as const;
+
+/** A policy's name. */
+export type PolicyName = (typeof POLICY_NAMES)[number];
+
+/** Which policies are on. */
+export type Policies = Readonly<Record<PolicyName, boolean>>;
+
+/** What holds if the settings say nothing. */
+export const DEFAULT_POLICIES: Policies = policiesOf(() => true);
+
+/** One value for each policy. */
+export function policiesOf(value: (name: PolicyName) => boolean): Policies {
+  const entries = POLICY_NAMES.map((name) => [name, value(name)] as const);
+  return Object.fromEntries(entries) as Record<PolicyName, boolean>;
+}
--- /dev/null
+++ b/src/core/store-load-limit.ts
@@ -0,0 +1,124 @@
+/**
+ * How many loads may run from the weight store at once. The store divides its
+ * throughput: past some number, that nobody tells, each load only takes longer,
+ * holds its backend's order channel longer, and ends no sooner than if it had
+ * waited for its turn. Pure; times are milliseconds of a steady clock.
+ */
+
+/** Bounds the loads from the weight store that run at the same time. */
+export interface StoreLoadLimit {
+  /** Loads that may run at once. */
+  readonly most: number;
+  /** A load has been ordered at a backend; at full speed it takes `fullSpeedMs`. */
+  begin(backend: string, fullSpeedMs: number, now: number): void;
+  /** The load at a backend is over; `completed` if the model has arrived. */
+  end(backend: string, completed: boolean, now: number): void;
+  /** Loads that run now. */
+  running(): number;
+  /** Looks at the loads that should have ended. */
+  observe(now: number): void;
+}
+
+/** Loads at once before anything was learned. */
+const FIRST_LIMIT = 4;
+/** A load that takes so many times its time at full speed was slowed down by others. */
+const SLOWED_FACTOR = 1.2;
+/** Weight of the newest estimate of what the store carries. */
+const NEWEST_WEIGHT = 0.5;
+
+interface RunningLoad {
+  readonly startedAt: number;
+  readonly fullSpeedMs: number;
+  /** Integral of the loads at once since it started, in load-milliseconds. */
+  readonly integralAtStart: number;
+  /** Whether the limit was reached while it ran. */
+  metLimit: boolean;
+}
+
+/**
+ * Learns the limit from the loads' own times: while they run at full speed each
+ * one that ends lets one more begin; when they are slowed down, the number that
+ * ran at once, divided by the slow-down, is what the store carries.
+ */
+export class AdaptiveStoreLoadLimit implements StoreLoadLimit {
+  private estimate = FIRST_LIMIT;
+  private readonly loads = new Map<string, RunningLoad>();
+  /** Loads at once, integrated over time until `integratedAt`. */
+  private integral = 0;
+  private integratedAt = 0;
+
+  get most(): number {
+    return Math.max(1, Math.round(this.estimate));
+  }
+
+  running(): number {
+    return this.loads.size;
+  }
+
+  begin(backend: string, fullSpeedMs: number, now: number): void {
+    this.integrate(now);
+    const integralAtStart = this.integral;
+    this.loads.set(backend, { startedAt: now, fullSpeedMs, integralAtStart, metLimit: false });
+    if (this.loads.size < this.most) return;
+    for (const load of this.loads.values()) load.metLimit = true;
+  }
+
+  end(backend: string, completed: boolean, now: number): void {
+    this.integrate(now);
+    const load = this.loads.get(backend);
+    this.loads.delete(backend);
+    if (load === undefined || !completed) return;
+    if (now - load.startedAt > load.fullSpeedMs * SLOWED_FACTOR) return this.slowed(load, now);
+    if (load.metLimit) this.estimate = this.most + 1;
+  }
+
+  /** A load that is overdue tells of a slow store before it has ended. */
+  observe(now: number): void {
+    this.integrate(now);
+    for (const load of this.loads.values()) {
+      const isOverdue = now - load.startedAt > load.fullSpeedMs * SLOWED_FACTOR;
+      const carried = this.carried(load, now);
+      if (isOverdue && carried < this.estimate) this.estimate = Math.max(1, carried);
+    }
+  }
+
+  private slowed(load: RunningLoad, now: number): void {
+    const carried = this.carried(load, now);
+    this.estimate += (carried - this.estimate) * NEWEST_WEIGHT;
+    this.estimate = Math.max(1, this.estimate);
+  }
+
+  /** What the store carries at full speed, judged by one load: at most so much if it still runs. */
+  private carried(load: RunningLoad, now: number): number {
+    return (this.meanAtOnce(load, now) * load.fullSpeedMs) / (now - load.startedAt);
+  }
+
+  private meanAtOnce(load: RunningLoad, now: number): number {
+    return (this.integral - load.integralAtStart) / Math.max(1, now - load.startedAt);
+  }
+
+  private integrate(now: number): void {
+    this.integral += this.loads.size * (now - this.integratedAt);
+    this.integratedAt = now;
+  }
+}
+
+/** Counts the loads and limits nothing. */
+export class UnlimitedStoreLoads implements StoreLoadLimit {
+  readonly most = Infinity;
+  private readonly backends = new Set<string>();
+
+  begin(backend: string): void {
+    this.backends.add(backend);
+  }
+
+  end(backend: string): void {
+    this.backends.delete(backend);
+  }
+
+  running(): number {
+    return this.backends.size;
+  }
+
+  observe(): void {}
+}
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -4,6 +4,7 @@
 import type { StreamEvent } from '../core/event-stream.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
+import { steadyNow } from './steady-clock.js';
 
 /** Headers that concern one connection only. */
 const CONNECTION_HEADERS = new Set([
@@ -59,6 +60,8 @@
 
 /** Writes to one caller. */
 export class CallerAnswer {
+  /** Steady time at which the head of the answer was sent. */
+  begunAt: number | undefined;
   /** The newest event that the caller was sent. */
   lastEventId: string | undefined;
 
@@ -124,6 +127,7 @@
   }
 
   private writeHead(status: number, headers: string[]): void {
+    this.begunAt = steadyNow();
     if (this.context.isDraining()) headers.push('Connection', 'close');
     this.response.writeHead(status, headers);
   }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -28,6 +28,13 @@
     labelNames: ['operation', 'outcome'],
     registers: [this.registry],
   });
+  readonly loadSeconds = new Histogram({
+    name: 'scaleslip_gateway_load_seconds',
+    help: 'Time of the loads of models that have ended, by the place of the copy',
+    labelNames: ['copy'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
   readonly storeCalls = new Counter({
     name: 'scaleslip_gateway_store_calls_total',
     help: "Calls to the platform's store by outcome",
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -4,6 +4,7 @@
 import { Result } from 'true-myth';
 import { parseJson } from '../common/http-client.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
+import { POLICY_NAMES, policiesOf, type Policies } from '../core/policies.js';
 
 /** Bounds that operators promise for the whole system. */
 export interface GatewayBounds {
@@ -43,6 +44,8 @@
   readonly store: string;
   /** IPv4 numbers of daemons to start from. */
   readonly seeds: readonly string[];
+  /** Policies that operators may switch off. */
+  readonly policies: Policies;
   readonly bounds: GatewayBounds;
 }
 
@@ -68,6 +71,8 @@
 ): Result<GatewaySettings, ServiceError> {
   const reader = new FieldReader(value, where);
   const bounds = reader.object('bounds');
+  const policies = reader.optionalObject('policies');
+  policies.onlyKeys(POLICY_NAMES);
   const settings: GatewaySettings = {
     name: reader.text('name'),
     zone: reader.text('zone'),
@@ -80,6 +85,7 @@
     readiness: reader.checked('readiness', '"ip:port"', isAddress),
     store: reader.checked('store', '"ip:port"', isAddress),
     seeds: reader.texts('seeds'),
+    policies: policiesOf((name) => policies.flag(name)),
     bounds: {
       stopSeconds: bounds.number('stopSeconds', 0),
       retryRatio: bounds.number('retryRatio', 0),
@@ -89,7 +95,7 @@
       storeLoadExcess: bounds.number('storeLoadExcess', 0),
     },
   };
-  const [problem] = [...reader.problems, ...bounds.problems];
+  const [problem] = [...reader.problems, ...bounds.problems, ...policies.problems];
   return problem === undefined ? Result.ok(settings) : invalid(problem);
 }
 
@@ -138,6 +144,26 @@
     return new FieldReader(this.fields[key], `${this.where}: ${key}`);
   }
 
+  /** An object whose absence means that it is empty. */
+  optionalObject(key: string): FieldReader {
+    return new FieldReader(this.fields[key] ?? {}, `${this.where}: ${key}`);
+  }
+
+  /** True unless the field says otherwise. */
+  flag(key: string): boolean {
+    const value = this.fields[key] ?? true;
+    if (typeof value === 'boolean') return value;
+    this.problem(key, 'true or false');
+    return true;
+  }
+
+  /** A key that means nothing here is likely to be a misspelt one. */
+  onlyKeys(known: readonly string[]): void {
+    for (const key of Object.keys(this.fields)) {
+      if (!known.includes(key)) this.problem(key, `one of ${known.join(', ')}`);
+    }
+  }
+
   private problem(key: string, expected: string): void {
     this.problems.push(`${this.where}: ${key}: expected ${expected}`);
   }
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -396,7 +396,9 @@
     this.context.metrics.requests.inc({ route: route.name, end });
     this.context.metrics.answerSeconds.observe({ route: route.name }, seconds);
     const milliseconds = Math.round(seconds * 1000);
-    this.log('request_ended', { end, milliseconds, sends: this.sends });
+    const { begunAt } = this.answer;
+    const firstPartMs = begunAt && Math.round(begunAt - this.request.arrivedAt);
+    this.log('request_ended', { end, milliseconds, firstPartMs, sends: this.sends });
   }
 
   private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -127,6 +127,7 @@
         directory,
         control,
         ceiling: this.ceiling(service),
+        policies: settings.policies,
         logger,
         metrics,
         publish,
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -14,8 +14,15 @@
 import { PlacementPublisher, type KnownPlacement } from '../core/placement-publisher.js';
 import type { PlacementUpdate } from '../core/placement-update.js';
 import type { BackendRecord, ModelHostSpec } from '../core/service-configuration.js';
+import type { Policies } from '../core/policies.js';
 import { StoreLoadWindow, type StoreLoadCeiling } from '../core/store-load-ceiling.js';
+import {
+  AdaptiveStoreLoadLimit,
+  UnlimitedStoreLoads,
+  type StoreLoadLimit,
+} from '../core/store-load-limit.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import { LoadWatch } from './load-watch.js';
 import type { BackendControl } from './ports.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -48,6 +55,7 @@
   readonly directory: BackendDirectory;
   readonly control: BackendControl;
   readonly ceiling: StoreLoadCeiling;
+  readonly policies: Policies;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   /** Tells every daemon, this one included. */
@@ -64,6 +72,8 @@
   private readonly reportDue = new Map<string, number>();
   private readonly lastReport = new Map<string, number>();
   private readonly storeLoads: StoreLoadWindow;
+  private readonly storeLimit: StoreLoadLimit;
+  private readonly loadWatch: LoadWatch;
   private readonly publisher: PlacementPublisher;
   private roundTimer: NodeJS.Timeout | undefined;
   private lastRound = -Infinity;
@@ -78,6 +88,11 @@
     private readonly onFenced: () => void,
   ) {
     this.storeLoads = new StoreLoadWindow(options.ceiling);
+    const { service, epoch, policies, logger, metrics } = options;
+    this.storeLimit = policies.storeLoadLimit
+      ? new AdaptiveStoreLoadLimit()
+      : new UnlimitedStoreLoads();
+    this.loadWatch = new LoadWatch({ service, epoch, limit: this.storeLimit, logger, metrics });
     this.publisher = new PlacementPublisher(options.service, options.epoch);
   }
 
@@ -135,6 +150,7 @@
     const now = steadyNow();
     this.lastRound = now;
     this.syncLedgers();
+    this.loadWatch.settle(this.ledgers, now);
     this.noteFailing(now);
     this.doubtHolders(now);
     this.readReports(now);
@@ -149,8 +165,9 @@
       return ledger === undefined || backend === undefined ? [] : [{ planned, ledger, backend }];
     });
     for (const { planned, ledger } of given) {
-      if (planned.fromStore) this.storeLoads.count(now);
+      if (planned.copy === 'store') this.storeLoads.count(now);
       ledger.send(planned.order);
+      this.loadWatch.begin(planned, now);
     }
     // Daemons must stop sending requests for a model before its unload is ordered.
     const unloads = given.some(({ planned }) => planned.order.operation === 'unload');
@@ -168,7 +185,18 @@
         return ledger === undefined || ledger.isSilent ? [] : [ledger];
       });
     const storeLoads = this.storeLoads.room(now);
-    return { host, backends, demand: this.demand, now, storeLoads };
+    const storePlaceWaits = this.storePlaceWaits(now);
+    return { host, backends, demand: this.demand, now, storeLoads, storePlaceWaits };
+  }
+
+  /** Milliseconds until each place for a load from the store is free: those beyond the limit never are. */
+  private storePlaceWaits(now: number): number[] {
+    const { most } = this.storeLimit;
+    if (!Number.isFinite(most)) return [0];
+    const ends = this.loadWatch.storeLoadEnds(now).sort((a, b) => a - b);
+    const excess = Math.max(0, ends.length - most);
+    const free = Math.max(0, most - ends.length);
+    return [...Array<number>(free).fill(0), ...ends.slice(excess).map((end) => Math.max(1, end))];
   }
 
   private backends(): BackendRecord[] {
--- a/test/core/placement-at-size.test.ts
+++ b/test/core/placement-at-size.test.ts
@@ -65,6 +65,7 @@
       demand: demandOfAll(now),
       now,
       storeLoads: 1,
+      storePlaceWaits: [0],
     };
     const rounds = Array.from({ length: ROUNDS }, () => {
       const planner = new PlacementPlanner();
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -46,7 +46,14 @@
 
   plan(): PlannedOrder[] {
     const { demand, now } = this;
-    const input = { host: HOST, backends: this.ledgers, demand, now, storeLoads: 1 };
+    const input = {
+      host: HOST,
+      backends: this.ledgers,
+      demand,
+      now,
+      storeLoads: 1,
+      storePlaceWaits: [0],
+    };
     return this.planner.plan(input);
   }
 
@@ -190,7 +197,14 @@
     const scene = new Scene([ledgerOf('x', [])]);
     scene.hear(waitingFor('rare1'));
     const { demand, now } = scene;
-    const input = { host: HOST, backends: scene.ledgers, demand, now, storeLoads: 0 };
+    const input = {
+      host: HOST,
+      backends: scene.ledgers,
+      demand,
+      now,
+      storeLoads: 0,
+      storePlaceWaits: [0],
+    };
     expect(scene.planner.plan(input)).toEqual([]);
   });
 });
--- /dev/null
+++ b/test/core/store-load-limit.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest';
+import { AdaptiveStoreLoadLimit } from '../../src/core/store-load-limit.js';
+
+const FULL_SPEED_MS = 6_000;
+const LOOK_MS = 100;
+
+interface Load {
+  readonly backend: string;
+  left: number;
+}
+
+/** A store that carries `carries` loads at full speed and divides its throughput among more. */
+function play(limit: AdaptiveStoreLoadLimit, carries: number, seconds: number): number[] {
+  const loads: Load[] = [];
+  const mosts: number[] = [];
+  let begun = 0;
+  for (let now = 0; now < seconds * 1_000; now += LOOK_MS) {
+    const speed = Math.min(1, carries / Math.max(1, loads.length));
+    for (const load of loads) load.left -= LOOK_MS * speed;
+    for (const load of loads.filter(({ left }) => left <= 0)) {
+      loads.splice(loads.indexOf(load), 1);
+      limit.end(load.backend, true, now);
+    }
+    limit.observe(now);
+    while (loads.length < limit.most) {
+      begun += 1;
+      const backend = `b${begun}`;
+      loads.push({ backend, left: FULL_SPEED_MS });
+      limit.begin(backend, FULL_SPEED_MS, now);
+    }
+    mosts.push(limit.most);
+  }
+  return mosts;
+}
+
+describe('AdaptiveStoreLoadLimit', () => {
+  it('grows while loads run at full speed', () => {
+    const limit = new AdaptiveStoreLoadLimit();
+    play(limit, 100, 30);
+    expect(limit.most).toBeGreaterThan(30);
+  });
+
+  it('stays near what a store carries that slows down beyond four', () => {
+    const limit = new AdaptiveStoreLoadLimit();
+    const mosts = play(limit, 4, 120).slice(300);
+    expect(Math.max(...mosts)).toBeLessThanOrEqual(8);
+    expect(Math.min(...mosts)).toBeGreaterThanOrEqual(3);
+  });
+
+  it('falls before the first slow load has ended', () => {
+    const limit = new AdaptiveStoreLoadLimit();
+    for (let index = 0; index < 4; index++) limit.begin(`b${index}`, FULL_SPEED_MS, 0);
+    limit.observe(9_000);
+    expect(limit.most).toBe(3);
+  });
+
+  it('learns nothing from a load that failed', () => {
+    const limit = new AdaptiveStoreLoadLimit();
+    limit.begin('b', FULL_SPEED_MS, 0);
+    limit.end('b', false, 20_000);
+    expect(limit.most).toBe(4);
+    expect(limit.running()).toBe(0);
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -8,6 +8,7 @@
   Route,
   ServiceConfiguration,
 } from '../../src/core/service-configuration.js';
+import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { BackendAgent } from '../../src/gateway/backend-agent.js';
 import { Gateway } from '../../src/gateway/gateway.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
@@ -230,6 +231,7 @@
       readiness: `127.0.0.1:${readiness}`,
       store: '127.0.0.1:1',
       seeds: [],
+      policies: DEFAULT_POLICIES,
       bounds: {
         stopSeconds: 8,
         retryRatio: 0.2,
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -2,6 +2,7 @@
 import { silentLogger } from '../../src/common/logger.js';
 import { BackendDirectory } from '../../src/core/backend-directory.js';
 import type { BackendReport, ModelOrder } from '../../src/core/model-order.js';
+import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import type { BackendRecord } from '../../src/core/service-configuration.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 import { ServiceOwner } from '../../src/gateway/service-owner.js';
@@ -65,6 +66,7 @@
           report: (backend: BackendRecord) => Promise.resolve(reportOf(backend)),
         },
         ceiling: { windowMs: 5_000, loads: 10 },
+        policies: DEFAULT_POLICIES,
         logger: silentLogger,
         metrics: new GatewayMetrics(),
         publish: () => {},
--- a/test/simulation/model-orders.property.test.ts
+++ b/test/simulation/model-orders.property.test.ts
@@ -39,7 +39,7 @@
     const samples = wanted.map((model) => waitingFor(model));
     this.demand.hear({ daemon: 'daemon', samples, use: [], failing: [] }, now);
     const input = { host: HOST, backends: this.ledgers, demand: this.demand, now };
-    for (const planned of this.planner.plan({ ...input, storeLoads: 1 })) {
+    for (const planned of this.planner.plan({ ...input, storeLoads: 1, storePlaceWaits: [0] })) {
       const ledger = this.ledgers.find((candidate) => candidate.id === planned.backend);
       const backend = this.backends.find((candidate) => candidate.id === planned.backend);
       if (ledger === undefined || backend === undefined) continue;
