Models are attended to by when the first caller should find them

Demand reports tell by when the first caller should find its model: the goal of one that waits, the promised time of one that was refused. A late caller is due again four goals later, so every turn comes.

Ruled out: the order of arrival (kept as the variant without the policy).

--- a/src/core/hold-policy.ts
+++ b/src/core/hold-policy.ts
@@ -24,7 +24,7 @@
 /** Share of the goal in which a refusal still serves the caller. */
 const EARLY_REFUSAL_SHARE = 0.22;
 /** Time that a request needs at the backend before its first part. */
-const FIRST_PART_MS = 150;
+export const FIRST_PART_MS = 150;
 /** Time to come back after, when nobody has said when a backend is ready. */
 const UNKNOWN_READY_MS = 1_500;
 /** Added to the time to come back after, so that the load has ended. */
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -4,6 +4,7 @@
  */
 import { adapterKey } from './backend-ledger.js';
 import type { ModelReference } from './service-configuration.js';
+import { earliestDueFirst, type WaitingOrder } from './waiting-order.js';
 
 /** One daemon's figures for a model or adapter since its last report. */
 export interface DemandSample extends ModelReference {
@@ -12,6 +13,8 @@
   readonly waiting: number;
   /** Shortest latency goal among them, in milliseconds. */
   readonly goalMs: number;
+  /** Milliseconds until the first of the waiting should find its model; negative once that has passed. */
+  readonly dueInMs: number;
 }
 
 /** Requests that one daemon has in flight for a model at a backend. */
@@ -37,8 +40,6 @@
 const CREDIBLE_FAILING_SHARE = 0.1;
 /** So many failing backends are believed in any case. */
 const CREDIBLE_FAILING = 2;
-/** Requests that have missed a patient goal come behind all that can still meet theirs. */
-const MISSED_GOAL_RANK = 1_000_000;
 /** A daemon's report counts so long. */
 const REPORT_LIFETIME_MS = 2_000;
 /** A goal up to this long makes a request urgent: it does not leave time for a load. */
@@ -71,6 +72,8 @@
   /** The last answer of {@link waiting}; it holds for that moment until the next report. */
   private ranked: { readonly at: number; readonly samples: readonly DemandSample[] } | undefined;
 
+  constructor(private readonly order: WaitingOrder = earliestDueFirst) {}
+
   /** Takes a daemon's report; it replaces that daemon's former one. */
   hear(report: DemandReport, now: number): void {
     this.forget(report.daemon);
@@ -87,7 +90,7 @@
     }
   }
 
-  /** What waits for a backend now, most urgent first. */
+  /** What waits for a backend now, in the order of attention. */
   waiting(now: number): readonly DemandSample[] {
     if (this.ranked?.at !== now) this.ranked = { at: now, samples: this.rankWaiting(now) };
     return this.ranked.samples;
@@ -95,24 +98,27 @@
 
   private rankWaiting(now: number): DemandSample[] {
     const sums = new Map<string, DemandSample>();
-    for (const report of this.fresh(now)) {
+    for (const { report, heardAt } of this.fresh(now)) {
       for (const sample of report.samples) {
         if (sample.waiting === 0) continue;
+        const dueInMs = sample.dueInMs - (now - heardAt);
         const key = adapterKey(sample);
         const before = sums.get(key);
         const waiting = sample.waiting + (before?.waiting ?? 0);
         const goalMs = Math.min(sample.goalMs, before?.goalMs ?? Infinity);
-        sums.set(key, { ...sample, waiting, goalMs });
+        const first = Math.min(dueInMs, before?.dueInMs ?? Infinity);
+        sums.set(key, { ...sample, waiting, goalMs, dueInMs: first });
       }
     }
     for (const key of this.waitingSince.keys()) {
       if (!sums.has(key)) this.waitingSince.delete(key);
     }
-    const ranked = [...sums.values()].map((sample) => {
-      return { sample, urgency: this.urgency(sample, now) };
+    const awaited = [...sums].map(([key, sample]) => {
+      const since = this.waitingSince.get(key) ?? now;
+      this.waitingSince.set(key, since);
+      return { sample, since };
     });
-    ranked.sort((a, b) => a.urgency - b.urgency);
-    return ranked.map((entry) => entry.sample);
+    return awaited.sort(this.order).map(({ sample }) => sample);
   }
 
   /** Models for which requests have been waiting for a time, with or without a backend that holds them. */
@@ -127,8 +133,8 @@
   /** Backends that daemons say fail, whatever their own health answers and reports say. */
   failingBackends(listed: number, now: number): Set<string> {
     const mostCredible = Math.max(CREDIBLE_FAILING, listed * CREDIBLE_FAILING_SHARE);
-    const credible = this.fresh(now).filter((report) => report.failing.length <= mostCredible);
-    return new Set(credible.flatMap((report) => report.failing));
+    const credible = this.fresh(now).filter(({ report }) => report.failing.length <= mostCredible);
+    return new Set(credible.flatMap(({ report }) => report.failing));
   }
 
   /** Requests in flight for a model, its adapters included, or for one adapter, at a backend. */
@@ -170,15 +176,6 @@
     return this.decayed(reference, now)?.patient ?? 0;
   }
 
-  /** Time until the goal of the oldest request; requests that have missed it come last. */
-  private urgency(sample: DemandSample, now: number): number {
-    const key = adapterKey(sample);
-    const since = this.waitingSince.get(key) ?? now;
-    this.waitingSince.set(key, since);
-    const left = sample.goalMs - (now - since);
-    return left > 0 || isUrgent(sample) ? left : MISSED_GOAL_RANK - left;
-  }
-
   private arrived(reference: ModelReference, count: number, urgent: boolean, now: number): void {
     const rate = this.decayed(reference, now) ?? newRate(reference, now);
     // An impulse of this height, decaying by the half-life, has an area of `count`.
@@ -203,9 +200,9 @@
     return now - rate.updatedAt > FORGOTTEN_HALF_LIVES * HALF_LIFE_MS;
   }
 
-  private fresh(now: number): DemandReport[] {
+  private fresh(now: number): HeardReport[] {
     this.expire(now);
-    return [...this.reports.values()].map((heard) => heard.report);
+    return [...this.reports.values()];
   }
 
   /** Reports of daemons that have fallen silent count no longer. */
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -9,6 +9,8 @@
   'storeLoadLimit',
   /** A caller that comes back after a refusal is not refused again while it can be served. */
   'keepReturningCallers',
+  /** Loads go by the time at which callers should find their models. */
+  'earliestDueFirst',
 ] as const;
 
 /** A policy's name. */
--- /dev/null
+++ b/src/core/waiting-order.ts
@@ -0,0 +1,22 @@
+/** The order in which an owner attends to the models that callers wait for. Pure. */
+import type { DemandSample } from './model-demand.js';
+
+/** A model or adapter that callers wait for. */
+export interface AwaitedModel {
+  readonly sample: DemandSample;
+  /** Steady milliseconds since when somebody has waited for it. */
+  readonly since: number;
+}
+
+/** Negative if the first comes before the second. */
+export type WaitingOrder = (first: AwaitedModel, second: AwaitedModel) => number;
+
+/**
+ * By the time at which the first caller should find the model. A caller whose
+ * time has passed is due again some goals later, so that every turn comes.
+ */
+export const earliestDueFirst: WaitingOrder = (first, second) =>
+  first.sample.dueInMs - second.sample.dueInMs;
+
+/** By the time since when somebody has waited. */
+export const firstComeFirst: WaitingOrder = (first, second) => first.since - second.since;
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -44,6 +44,7 @@
       arrivals: sample.arrivals,
       waiting: sample.waiting,
       goalMs: sample.goalMs,
+      dueInMs: sample.dueInMs,
     })),
     use: message.use.map((entry) => ({
       backend: entry.backend,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -317,7 +317,7 @@
 
   private reportDemand(service: string): void {
     const failing = this.context.health.failing(steadyNow());
-    const report = this.context.tracker.report(service, this.peers.address, failing);
+    const report = this.context.tracker.report(service, this.peers.address, failing, steadyNow());
     if (this.duties.hear(service, report)) return;
     const owner = this.duties.ownerAddress(service);
     if (owner === undefined) return;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,7 +7,7 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
-import { holdOrRefuse } from '../core/hold-policy.js';
+import { FIRST_PART_MS, holdOrRefuse } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   mayRepeat,
@@ -18,6 +18,7 @@
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
+import type { WaitingCaller } from './request-tracker.js';
 import { steadyNow } from './steady-clock.js';
 
 /** Reserved between the last moment for an answer and the caller's own deadline. */
@@ -59,6 +60,7 @@
   private lastRan: Ran = 'no';
   /** The caller was refused before, by this daemon or another. */
   private readonly hasComeBack: boolean;
+  private readonly waitingCaller: WaitingCaller;
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
 
@@ -76,6 +78,8 @@
     this.hasComeBack = context.noteCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
+    const dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
+    this.waitingCaller = { dueAt, goalMs: route.goalMs };
     response.on('close', () => this.callerClosed());
   }
 
@@ -206,9 +210,10 @@
     const { route, service } = this.match;
     if (model === undefined) return;
     const { tracker } = this.context;
-    tracker.waits(service.name, model, route.goalMs, 1);
+    const caller = { dueAt: steadyNow() + retryAfterMs, goalMs: route.goalMs };
+    tracker.waits(service.name, model, caller);
     this.context.demandUrgent(service.name);
-    setTimeout(() => tracker.waits(service.name, model, route.goalMs, -1), retryAfterMs).unref();
+    setTimeout(() => tracker.endsWaiting(service.name, model, caller), retryAfterMs).unref();
   }
 
   private wait(): void {
@@ -221,10 +226,12 @@
     if (this.isWaiting === waiting) return;
     this.isWaiting = waiting;
     const { model } = this;
-    const { route, service } = this.match;
+    const { service } = this.match;
     if (model === undefined) return;
-    this.context.tracker.waits(service.name, model, route.goalMs, waiting ? 1 : -1);
-    if (waiting) this.context.demandUrgent(service.name);
+    const { tracker } = this.context;
+    if (!waiting) return tracker.endsWaiting(service.name, model, this.waitingCaller);
+    tracker.waits(service.name, model, this.waitingCaller);
+    this.context.demandUrgent(service.name);
   }
 
   private send(backend: BackendRecord): void {
--- a/src/gateway/request-tracker.ts
+++ b/src/gateway/request-tracker.ts
@@ -8,10 +8,20 @@
 
 interface Counted extends ModelReference {
   arrivals: number;
-  waiting: number;
+  readonly waiting: Set<WaitingCaller>;
   goalMs: number;
 }
 
+/** A caller that waits for a model, here or until it comes back. */
+export interface WaitingCaller {
+  /** Steady time by which it should find its model. */
+  readonly dueAt: number;
+  readonly goalMs: number;
+}
+
+/** A caller whose time has passed gives way to those who can still be served in time, for so many goals. */
+const LATE_GOALS = 4;
+
 interface InFlight extends ModelReference {
   readonly service: string;
   readonly backend: string;
@@ -31,10 +41,16 @@
     counted.goalMs = Math.min(counted.goalMs, goalMs);
   }
 
-  waits(service: string, reference: ModelReference, goalMs: number, change: 1 | -1): void {
-    const counted = this.counted(service, reference, goalMs);
-    counted.waiting += change;
-    counted.goalMs = Math.min(counted.goalMs, goalMs);
+  /** A caller begins to wait. */
+  waits(service: string, reference: ModelReference, caller: WaitingCaller): void {
+    const counted = this.counted(service, reference, caller.goalMs);
+    counted.waiting.add(caller);
+    counted.goalMs = Math.min(counted.goalMs, caller.goalMs);
+  }
+
+  /** A caller waits no longer. */
+  endsWaiting(service: string, reference: ModelReference, caller: WaitingCaller): void {
+    this.demand.get(service)?.get(adapterKey(reference))?.waiting.delete(caller);
   }
 
   sent(
@@ -66,13 +82,15 @@
   }
 
   /** What has happened since the last report on the service. */
-  report(service: string, daemon: string, failing: readonly string[]): DemandReport {
+  report(service: string, daemon: string, failing: readonly string[], now: number): DemandReport {
     const samples: DemandSample[] = [];
     const counted = this.demand.get(service) ?? new Map<string, Counted>();
     for (const [key, entry] of counted) {
-      samples.push({ ...entry });
+      const { model, adapter, arrivals, goalMs } = entry;
+      const waiting = entry.waiting.size;
+      samples.push({ model, adapter, arrivals, waiting, goalMs, dueInMs: dueInMs(entry, now) });
       entry.arrivals = 0;
-      if (entry.waiting === 0) counted.delete(key);
+      if (waiting === 0) counted.delete(key);
     }
     if (counted.size === 0) this.demand.delete(service);
     const use: BackendUse[] = [];
@@ -91,8 +109,17 @@
     const known = models.get(key);
     if (known !== undefined) return known;
     const { model, adapter } = reference;
-    const fresh: Counted = { model, adapter, arrivals: 0, waiting: 0, goalMs };
+    const fresh: Counted = { model, adapter, arrivals: 0, waiting: new Set(), goalMs };
     models.set(key, fresh);
     return fresh;
   }
 }
+
+function dueInMs(counted: Counted, now: number): number {
+  let earliest = Infinity;
+  for (const { dueAt, goalMs } of counted.waiting) {
+    const isLate = dueAt <= now;
+    earliest = Math.min(earliest, dueAt + (isLate ? LATE_GOALS * goalMs : 0));
+  }
+  return earliest === Infinity ? 0 : Math.round(earliest - now);
+}
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -22,6 +22,7 @@
   type StoreLoadLimit,
 } from '../core/store-load-limit.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import { earliestDueFirst, firstComeFirst } from '../core/waiting-order.js';
 import { LoadWatch } from './load-watch.js';
 import type { BackendControl } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -66,7 +67,7 @@
 
 /** Gives orders under one epoch until stopped. */
 export class ServiceOwner {
-  readonly demand = new ModelDemand();
+  readonly demand: ModelDemand;
   private readonly planner = new PlacementPlanner();
   private readonly ledgers = new Map<string, BackendLedger>();
   private readonly reportDue = new Map<string, number>();
@@ -89,6 +90,7 @@
   ) {
     this.storeLoads = new StoreLoadWindow(options.ceiling);
     const { service, epoch, policies, logger, metrics } = options;
+    this.demand = new ModelDemand(policies.earliestDueFirst ? earliestDueFirst : firstComeFirst);
     this.storeLimit = policies.storeLoadLimit
       ? new AdaptiveStoreLoadLimit()
       : new UnlimitedStoreLoads();
--- a/test/core/gateway-fixtures.ts
+++ b/test/core/gateway-fixtures.ts
@@ -30,7 +30,15 @@
 
 /** Requests that wait for a model. */
 export function waitingFor(model: string, part: Partial<DemandSample> = {}): DemandSample {
-  return { model, adapter: undefined, arrivals: 1, waiting: 1, goalMs: 6_000, ...part };
+  return {
+    model,
+    adapter: undefined,
+    arrivals: 1,
+    waiting: 1,
+    goalMs: 6_000,
+    dueInMs: part.goalMs ?? 6_000,
+    ...part,
+  };
 }
 
 /** Everything that the first owner of service "s" tells. */
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -11,7 +11,7 @@
 import { StoreLoadWindow } from '../../src/core/store-load-ceiling.js';
 import type { BackendRecord, Repeatability } from '../../src/core/service-configuration.js';
 import { testConfiguration, testRoute } from '../gateway/gateway-harness.js';
-import { updateOf } from './gateway-fixtures.js';
+import { updateOf, waitingFor } from './gateway-fixtures.js';
 
 describe('RetryBudget', () => {
   const limits = { ratio: 0.2, windowMs: 10_000, slack: 40 };
@@ -228,6 +228,19 @@
     expect([...demand.failingBackends(20, 5_000)]).toEqual([]);
   });
 
+  it('attends first to the model that is due first, over all daemons', () => {
+    const demand = new ModelDemand();
+    const samples = (model: string, dueInMs: number): DemandReport['samples'] => [
+      waitingFor(model, { dueInMs }),
+    ];
+    demand.hear({ ...reportOf('a', []), samples: samples('x', 4_000) }, 0);
+    demand.hear({ ...reportOf('b', []), samples: samples('y', 2_500) }, 0);
+    demand.hear({ ...reportOf('c', []), samples: samples('x', 3_000) }, 1_000);
+    expect(demand.waiting(1_000).map(({ model }) => model)).toEqual(['y', 'x']);
+    demand.hear({ ...reportOf('d', []), samples: samples('x', 100) }, 1_000);
+    expect(demand.waiting(1_000).map(({ model }) => model)).toEqual(['x', 'y']);
+  });
+
   it('counts what is in flight over the newest reports', () => {
     const demand = new ModelDemand();
     const use = { backend: 'x', model: 'm', adapter: 'a1', inFlight: 2 };
--- /dev/null
+++ b/test/gateway/request-tracker.test.ts
@@ -0,0 +1,26 @@
+import { describe, expect, it } from 'vitest';
+import { RequestTracker } from '../../src/gateway/request-tracker.js';
+
+const MODEL = { model: 'm', adapter: undefined };
+
+describe('RequestTracker', () => {
+  it('tells by when the first waiting caller should find its model', () => {
+    const tracker = new RequestTracker();
+    const early = { dueAt: 2_000, goalMs: 500 };
+    tracker.waits('s', MODEL, { dueAt: 6_000, goalMs: 500 });
+    tracker.waits('s', MODEL, early);
+    expect(tracker.report('s', 'd', [], 1_000).samples[0]).toMatchObject({
+      waiting: 2,
+      dueInMs: 1_000,
+    });
+    tracker.endsWaiting('s', MODEL, early);
+    expect(tracker.report('s', 'd', [], 1_000).samples[0]?.dueInMs).toBe(5_000);
+  });
+
+  it('puts a late caller back by some goals, not to the end', () => {
+    const tracker = new RequestTracker();
+    tracker.waits('s', MODEL, { dueAt: 1_000, goalMs: 500 });
+    expect(tracker.report('s', 'd', [], 1_500).samples[0]?.dueInMs).toBe(1_500);
+    expect(tracker.report('s', 'd', [], 4_000).samples[0]?.dueInMs).toBe(-1_000);
+  });
+});
