Long loads go where they keep the fewest callers from copies at hand

Cause: a backend carries out one order at a time.

A load's place is priced by the callers that are to be expected meanwhile for models that only this backend has at hand: an empty backend costs nothing.

--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -1,6 +1,7 @@
 /** Where a model costs least to load: copies at hand, room, and work in progress. Pure. */
 import { modelSpec, type BackendLedger } from './backend-ledger.js';
 import type { ModelWorth } from './model-worth.js';
+import { ExpectedCallersCost, FreeOrderChannel, type OrderChannelCost } from './order-channel.js';
 import type { PlanningInput } from './placement-planner.js';
 import type { ModelSpec } from './service-configuration.js';
 
@@ -50,6 +51,7 @@
   private readonly queuedMs = new Map<string, number>();
   /** Worked out once a round: what the round orders reserves the backend, and so changes no other's. */
   private readonly occupancies = new Map<string, Occupancy>();
+  private readonly channel: OrderChannelCost;
   private storeLoads: number;
   /** Milliseconds until each place for a load from the store is free; what waits takes them in turn. */
   private readonly storePlaceWaits: number[];
@@ -58,6 +60,9 @@
     private readonly input: PlanningInput,
     private readonly worth: ModelWorth,
   ) {
+    this.channel = input.policies.orderChannelCost
+      ? new ExpectedCallersCost(input)
+      : new FreeOrderChannel();
     this.storeLoads = input.storeLoads;
     this.storePlaceWaits = [...input.storePlaceWaits];
   }
@@ -122,7 +127,9 @@
     const unloadMs = sum(victims, (victim) => victim.unloadMs);
     const displacedWorth = sum(victims, (victim) => victim.worth);
     const readyInMs = Math.max(this.waitMs(ledger) + unloadMs, storeWaitMs) + loadMs;
-    const cost = readyInMs + displacedWorth + (isFromStore ? STORE_LOAD_COST_MS : 0);
+    const storeCost = isFromStore ? STORE_LOAD_COST_MS : 0;
+    const channelCost = this.channel.ofOrder(ledger, loadMs);
+    const cost = readyInMs + displacedWorth + storeCost + channelCost;
     const names = victims.map((victim) => victim.name);
     return { ledger, isFree, cost, readyInMs, loadMs, copy, victims: names, displacedWorth };
   }
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -171,6 +171,20 @@
     return this.decayed(reference, now)?.urgent ?? 0;
   }
 
+  /** Requests a second, smoothed. */
+  rateOf(reference: ModelReference, now: number): number {
+    return this.urgentRate(reference, now) + this.patientRate(reference, now);
+  }
+
+  /** Requests a second over all models, smoothed. */
+  totalRate(now: number): number {
+    let total = 0;
+    for (const rate of this.rates.values()) {
+      if (rate.adapter === undefined) total += this.rateOf(rate, now);
+    }
+    return total;
+  }
+
   /** Requests a second with time for a load, smoothed. */
   patientRate(reference: ModelReference, now: number): number {
     return this.decayed(reference, now)?.patient ?? 0;
--- /dev/null
+++ b/src/core/order-channel.ts
@@ -0,0 +1,65 @@
+/**
+ * What it costs to keep a backend from other orders. A backend carries out one
+ * order at a time, so a long load keeps the copies at hand there from being
+ * loaded for callers who ask for them meanwhile. Pure.
+ */
+import type { BackendLedger } from './backend-ledger.js';
+import type { PlanningInput } from './placement-planner.js';
+
+/** Prices the time for which an order takes a backend's order channel. */
+export interface OrderChannelCost {
+  /** Expected waiting of callers, in milliseconds, while an order of `durationMs` runs. */
+  ofOrder(ledger: BackendLedger, durationMs: number): number;
+}
+
+/** The channel costs nothing. */
+export class FreeOrderChannel implements OrderChannelCost {
+  ofOrder(): number {
+    return 0;
+  }
+}
+
+/**
+ * Prices it by the requests that are to be expected for models with a copy at
+ * hand there and loaded nowhere. For one round of planning.
+ */
+export class ExpectedCallersCost implements OrderChannelCost {
+  /** Requests a second that only an order at the backend could serve soon. */
+  private readonly rates = new Map<string, number>();
+
+  constructor(input: PlanningInput) {
+    const { backends, demand, host, now } = input;
+    const loaded = new Set(backends.flatMap((ledger) => [...ledger.models.keys()]));
+    const holders = holdersOf(backends);
+    const usualRate = demand.totalRate(now) / Math.max(1, host.models.length);
+    for (const ledger of backends) {
+      let rate = 0;
+      for (const model of copiesAtHand(ledger)) {
+        if (loaded.has(model)) continue;
+        const modelRate = Math.max(usualRate, demand.rateOf({ model, adapter: undefined }, now));
+        rate += modelRate / (holders.get(model) ?? 1);
+      }
+      this.rates.set(ledger.id, rate);
+    }
+  }
+
+  ofOrder(ledger: BackendLedger, durationMs: number): number {
+    const callers = ((this.rates.get(ledger.id) ?? 0) * durationMs) / 1_000;
+    // They come at any time of it, and so wait for half of it.
+    return callers * (durationMs / 2);
+  }
+}
+
+/** Models with a copy on the backend's disk or in its host memory. */
+export function copiesAtHand(ledger: BackendLedger): Set<string> {
+  return new Set([...ledger.onDisk, ...ledger.inMemory]);
+}
+
+/** Backends with a copy at hand, for each model. */
+export function holdersOf(backends: readonly BackendLedger[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const ledger of backends) {
+    for (const model of copiesAtHand(ledger)) counts.set(model, (counts.get(model) ?? 0) + 1);
+  }
+  return counts;
+}
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -9,6 +9,7 @@
 import type { DemandSample, ModelDemand } from './model-demand.js';
 import type { ModelOrder } from './model-order.js';
 import { ModelWorth } from './model-worth.js';
+import type { Policies } from './policies.js';
 import type { ModelHostSpec, ModelSpec } from './service-configuration.js';
 
 /** An order to give. */
@@ -29,6 +30,7 @@
   /** Backends that may be given orders. */
   readonly backends: readonly BackendLedger[];
   readonly demand: ModelDemand;
+  readonly policies: Policies;
   readonly now: number;
   /** Loads from the weight store that may begin now, by their ceiling. */
   readonly storeLoads: number;
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -11,6 +11,8 @@
   'keepReturningCallers',
   /** Loads go by the time at which callers should find their models. */
   'earliestDueFirst',
+  /** Long loads go where they keep the fewest callers from copies at hand. */
+  'orderChannelCost',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -188,7 +188,9 @@
       });
     const storeLoads = this.storeLoads.room(now);
     const storePlaceWaits = this.storePlaceWaits(now);
-    return { host, backends, demand: this.demand, now, storeLoads, storePlaceWaits };
+    const { demand, options } = this;
+    const { policies } = options;
+    return { host, backends, demand, policies, now, storeLoads, storePlaceWaits };
   }
 
   /** Milliseconds until each place for a load from the store is free: those beyond the limit never are. */
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -2,6 +2,7 @@
 import { BackendLedger } from '../../src/core/backend-ledger.js';
 import { ModelDemand, type DemandSample } from '../../src/core/model-demand.js';
 import type { BackendReport } from '../../src/core/model-order.js';
+import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { PlacementPlanner, type PlannedOrder } from '../../src/core/placement-planner.js';
 import { hostOf, waitingFor } from './gateway-fixtures.js';
 
@@ -53,6 +54,7 @@
       now,
       storeLoads: 1,
       storePlaceWaits: [0],
+      policies: DEFAULT_POLICIES,
     };
     return this.planner.plan(input);
   }
@@ -97,6 +99,16 @@
     expect(scene.plan()).toEqual([]);
   });
 
+  it('loads from the store where that keeps nobody from copies at hand', () => {
+    const scene = new Scene([
+      ledgerOf('x', [], ['rare2', 'rare3', 'cool']),
+      ledgerOf('y', ['warm']),
+    ]);
+    const asked = ['rare2', 'rare3', 'cool'].map((model) => waitingFor(model, { waiting: 0 }));
+    scene.hear(waitingFor('rare1'), ...asked);
+    expect(brief(scene.plan())).toEqual(['y load rare1']);
+  });
+
   it('does not order a model twice while it is on its way', () => {
     const scene = new Scene([ledgerOf('x', []), ledgerOf('y', [])]);
     scene.hear(waitingFor('rare1'));
@@ -204,6 +216,7 @@
       now,
       storeLoads: 0,
       storePlaceWaits: [0],
+      policies: DEFAULT_POLICIES,
     };
     expect(scene.planner.plan(input)).toEqual([]);
   });
--- a/test/simulation/model-orders.property.test.ts
+++ b/test/simulation/model-orders.property.test.ts
@@ -6,6 +6,7 @@
 import { describe, expect, it } from 'vitest';
 import { BackendLedger } from '../../src/core/backend-ledger.js';
 import { ModelDemand } from '../../src/core/model-demand.js';
+import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { PlacementPlanner } from '../../src/core/placement-planner.js';
 import { hostOf, waitingFor } from '../core/gateway-fixtures.js';
 import { SimulatedBackend, type OrderFate } from './simulated-backend.js';
@@ -39,7 +40,12 @@
     const samples = wanted.map((model) => waitingFor(model));
     this.demand.hear({ daemon: 'daemon', samples, use: [], failing: [] }, now);
     const input = { host: HOST, backends: this.ledgers, demand: this.demand, now };
-    for (const planned of this.planner.plan({ ...input, storeLoads: 1, storePlaceWaits: [0] })) {
+    for (const planned of this.planner.plan({
+      ...input,
+      storeLoads: 1,
+      storePlaceWaits: [0],
+      policies: DEFAULT_POLICIES,
+    })) {
       const ledger = this.ledgers.find((candidate) => candidate.id === planned.backend);
       const backend = this.backends.find((candidate) => candidate.id === planned.backend);
       if (ledger === undefined || backend === undefined) continue;
