No order is sent late, or after a standstill

Ruled out: two claims of one epoch (the log shows epoch 1 and 2 in order), membership (the successor claimed 2 s after the freeze began).

Tests: a connection that comes up late (fails before), an owner asked right after a standstill.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -31,6 +31,11 @@
   readonly body?: unknown;
   /** Milliseconds until the request is given up. */
   readonly timeoutMs: number;
+  /**
+   * Milliseconds after which the request is not sent any more: a connection that
+   * comes up late, or a process that stood still, must not act on an old decision.
+   */
+  readonly sendWithinMs?: number;
 }
 
 /** Receives a stream of JSON lines. */
@@ -183,20 +188,28 @@
       headers['content-length'] = Buffer.byteLength(payload);
     }
     let connected = false;
+    const startedAt = performance.now();
     const outgoing = http.request(
       { host, port, method: request.method, path: request.path, headers, agent: this.agent },
       onAnswer,
     );
+    const sendOnceConnected = (): void => {
+      if (performance.now() - startedAt > (request.sendWithinMs ?? Infinity)) {
+        outgoing.destroy(new Error('it is too late to send the request'));
+        return;
+      }
+      connected = true;
+      outgoing.end(payload);
+    };
     outgoing.on('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', () => (connected = true));
-      else connected = true;
+      if (socket.connecting) socket.once('connect', sendOnceConnected);
+      else sendOnceConnected();
     });
     outgoing.on('error', (fault) => {
       const reason = connected ? 'lost' : 'not_sent';
       fail(Result.err({ reason, message: fault.message }));
     });
     this.options.onBytes?.(payload?.length ?? 0);
-    outgoing.end(payload);
     return outgoing;
   }
 
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -74,6 +74,17 @@
     return this.record?.address;
   }
 
+  /** Whether an order may be given now: the process must not have stood still since its last look. */
+  mayOrder(): boolean {
+    const now = steadyNow();
+    const gap = now - this.lastTick;
+    if (gap > STANDSTILL_MS) {
+      this.lastTick = now;
+      this.stoodStill(gap, now);
+    }
+    return this.epoch !== undefined;
+  }
+
   /** Looks at clock and members; call it often. */
   tick(): void {
     const now = steadyNow();
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -131,6 +131,7 @@
         logger,
         metrics,
         publish,
+        mayOrder: () => duty.ownership.mayOrder(),
         daemonCount: () => peers.live().length,
       },
       () => duty.ownership.giveUp('a backend has seen a higher epoch'),
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -61,6 +61,8 @@
   readonly metrics: GatewayMetrics;
   /** Tells every daemon, this one included. */
   readonly publish: (update: PlacementUpdate) => void;
+  /** Whether this daemon still owns the service, as far as it can know. */
+  readonly mayOrder: () => boolean;
   /** Daemons that are told; each update costs a message to each of them. */
   readonly daemonCount: () => number;
 }
@@ -148,7 +150,7 @@
     clearTimeout(this.roundTimer);
     this.roundTimer = undefined;
     const host = this.options.host();
-    if (this.stopped || host === undefined) return;
+    if (this.stopped || host === undefined || !this.options.mayOrder()) return;
     const now = steadyNow();
     this.lastRound = now;
     this.syncLedgers();
--- /dev/null
+++ b/test/common/http-client.test.ts
@@ -0,0 +1,60 @@
+import http from 'node:http';
+import net from 'node:net';
+import type { Duplex } from 'node:stream';
+import { afterEach, describe, expect, it } from 'vitest';
+import { HttpClient, type HttpRequest } from '../../src/common/http-client.js';
+
+/** Connections come up so long after they were asked for. */
+class LateAgent extends http.Agent {
+  constructor(private readonly delayMs: number) {
+    super();
+  }
+
+  override createConnection(
+    options: http.ClientRequestArgs,
+    onCreate?: (fault: Error | null, socket: Duplex) => void,
+  ): undefined {
+    const connect = (): net.Socket => net.connect(options as net.NetConnectOpts);
+    setTimeout(() => onCreate?.(null, connect()), this.delayMs);
+  }
+}
+
+describe('HttpClient', () => {
+  let server: http.Server | undefined;
+  const bodies: string[] = [];
+
+  async function listenAnywhere(): Promise<string> {
+    bodies.length = 0;
+    server = http.createServer((request, response) => {
+      request.setEncoding('utf8');
+      request.on('data', (text: string) => bodies.push(text));
+      request.on('end', () => response.end('{}'));
+    });
+    await new Promise<void>((resolve) => server?.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as net.AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  afterEach(() => {
+    server?.close();
+  });
+
+  function orderTo(address: string): HttpRequest {
+    const body = { order: 1 };
+    return { method: 'POST', address, path: '/', body, timeoutMs: 2_000, sendWithinMs: 100 };
+  }
+
+  it('sends what is asked for in time', async () => {
+    const address = await listenAnywhere();
+    const answer = await new HttpClient({ agent: new LateAgent(0) }).send(orderTo(address));
+    expect(answer.isOk).toBe(true);
+    expect(bodies).toEqual(['{"order":1}']);
+  });
+
+  it('does not send what is too old by the time that its connection is up', async () => {
+    const address = await listenAnywhere();
+    const answer = await new HttpClient({ agent: new LateAgent(300) }).send(orderTo(address));
+    expect(answer.isErr && answer.error.reason).toBe('not_sent');
+    expect(bodies).toEqual([]);
+  });
+});
--- a/test/gateway/ownership.test.ts
+++ b/test/gateway/ownership.test.ts
@@ -133,6 +133,15 @@
     expect(a.epoch).toBe(2);
   });
 
+  it('gives no order after a standstill, before it has looked at the clock', async () => {
+    const a = scene.join(first, 1_000);
+    await run([a], 1_500);
+    expect(a.mayOrder()).toBe(true);
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(a.mayOrder()).toBe(false);
+    expect(a.epoch).toBeUndefined();
+  });
+
   it('is given up by a daemon that stood still, or sees too few others', async () => {
     const a = scene.join(first, 1_000);
     await run([a], 1_500);
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -70,6 +70,7 @@
         logger: silentLogger,
         metrics: new GatewayMetrics(),
         publish: () => {},
+        mayOrder: () => true,
         daemonCount: () => 1,
       },
       () => {},
