The next caller to be expected counts in the order of attention

A model's due time is the earliest of those who wait, those who were promised, and the next caller at the rate seen lately.

--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -40,6 +40,8 @@
 const CREDIBLE_FAILING_SHARE = 0.1;
 /** So many failing backends are believed in any case. */
 const CREDIBLE_FAILING = 2;
+/** A rate below this tells nothing of the next request. */
+const LEAST_RATE = 0.001;
 /** A daemon's report counts so long. */
 const REPORT_LIFETIME_MS = 2_000;
 /** A goal up to this long makes a request urgent: it does not leave time for a load. */
@@ -116,7 +118,8 @@
     const awaited = [...sums].map(([key, sample]) => {
       const since = this.waitingSince.get(key) ?? now;
       this.waitingSince.set(key, since);
-      return { sample, since };
+      const rate = Math.max(LEAST_RATE, this.rateOf(sample, now));
+      return { sample, since, nextDueInMs: 1_000 / rate + sample.goalMs };
     });
     return awaited.sort(this.order).map(({ sample }) => sample);
   }
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -241,6 +241,14 @@
     expect(demand.waiting(1_000).map(({ model }) => model)).toEqual(['x', 'y']);
   });
 
+  it('attends first to the model that many ask for, though its callers were told to come back', () => {
+    const demand = new ModelDemand();
+    const refused = waitingFor('hot', { arrivals: 30, goalMs: 400, dueInMs: 8_000 });
+    const waiting = waitingFor('rare', { goalMs: 2_500, dueInMs: 2_300 });
+    demand.hear({ ...reportOf('a', []), samples: [waiting, refused] }, 0);
+    expect(demand.waiting(0).map(({ model }) => model)).toEqual(['hot', 'rare']);
+  });
+
   it('counts what is in flight over the newest reports', () => {
     const demand = new ModelDemand();
     const use = { backend: 'x', model: 'm', adapter: 'a1', inFlight: 2 };
