A new owner is told of the demand of some time before, and forecasts while it reads the backends' states

Busy models looked idle and made way, and for 0.6 to 1.1 s every request for a model that was not loaded was refused blindly after 0.55 s with 1.65 s to come back.

Daemons recall their arrivals, weighed by age as the owner weighs them, in their first report to a new epoch.

--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -121,7 +121,7 @@
   cheapest(spec: ModelSpec): LoadPlace | undefined {
     let best: LoadPlace | undefined;
     for (const ledger of this.input.backends) {
-      if (ledger.phase === 'unsynchronized' || ledger.models.has(spec.name)) continue;
+      if (ledger.models.has(spec.name)) continue;
       const place = this.at(ledger, spec);
       if (place !== undefined && (best === undefined || place.cost < best.cost)) best = place;
     }
@@ -151,7 +151,8 @@
   /** Time until the backend has done what it is doing and what waits for it. */
   waitMs(ledger: BackendLedger): number {
     const running = Math.max(0, ledger.expectedEnd - this.input.now);
-    return running + (this.queuedMs.get(ledger.id) ?? 0);
+    const unknown = ledger.phase === 'unsynchronized' ? SYNCHRONIZE_MS : 0;
+    return unknown + running + (this.queuedMs.get(ledger.id) ?? 0);
   }
 
   /** The models of least worth that must go; undefined if no room can be made. */
@@ -199,6 +200,9 @@
   }
 }
 
+/** Expected time until a backend's state is known, so that it can be given orders. */
+const SYNCHRONIZE_MS = 500;
+
 const NO_VICTIMS: readonly Victim[] = [];
 
 /** Spares chosen models that turn out not to be needed, dearest first. */
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -33,7 +33,7 @@
 }
 
 /** Time in which a rate falls to half without requests. */
-const HALF_LIFE_MS = 8_000;
+export const RATE_HALF_LIFE_MS = 8_000;
 /** A rate without requests for so many half-lives is dropped. */
 const FORGOTTEN_HALF_LIVES = 12;
 /** A daemon that tells of more failing backends than this share tells of its own links. */
@@ -196,7 +196,7 @@
   private arrived(reference: ModelReference, count: number, urgent: boolean, now: number): void {
     const rate = this.decayed(reference, now) ?? newRate(reference, now);
     // An impulse of this height, decaying by the half-life, has an area of `count`.
-    const impulse = (count * Math.LN2 * 1000) / HALF_LIFE_MS;
+    const impulse = (count * Math.LN2 * 1000) / RATE_HALF_LIFE_MS;
     if (urgent) rate.urgent += impulse;
     else rate.patient += impulse;
     this.rates.set(adapterKey(reference), rate);
@@ -205,7 +205,7 @@
   private decayed(reference: ModelReference, now: number): Rate | undefined {
     const rate = this.rates.get(adapterKey(reference));
     if (rate === undefined) return undefined;
-    const factor = 0.5 ** ((now - rate.updatedAt) / HALF_LIFE_MS);
+    const factor = 0.5 ** ((now - rate.updatedAt) / RATE_HALF_LIFE_MS);
     rate.urgent *= factor;
     rate.patient *= factor;
     rate.updatedAt = now;
@@ -214,7 +214,7 @@
 
   /** Whether a rate has fallen so low that it decides nothing any more. */
   private isForgotten(rate: Rate, now: number): boolean {
-    return now - rate.updatedAt > FORGOTTEN_HALF_LIVES * HALF_LIFE_MS;
+    return now - rate.updatedAt > FORGOTTEN_HALF_LIVES * RATE_HALF_LIFE_MS;
   }
 
   private fresh(now: number): HeardReport[] {
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -13,6 +13,8 @@
   'earliestDueFirst',
   /** Long loads go where they keep the fewest callers from copies at hand. */
   'orderChannelCost',
+  /** A new owner is told of the requests of some time before. */
+  'recallDemand',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -335,7 +335,10 @@
 
   private hearPlacement(owner: string, update: PlacementUpdate): void {
     const now = steadyNow();
+    const { recallDemand } = this.settings.policies;
+    const isNewOwner = update.epoch > this.backends.epochOf(update.service);
     const outcome = this.backends.hearPlacement(update, now);
+    if (isNewOwner && recallDemand) this.context.tracker.recall(update.service, now);
     if (outcome === 'applied') this.scheduleLook();
     if (outcome === 'gap') this.requestPlacement(owner, update.service, now);
   }
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -89,7 +89,7 @@
     const { route, service } = this.match;
     this.context.budgetOf(service.name).countRequest(steadyNow());
     if (this.model !== undefined) {
-      this.context.tracker.arrived(service.name, this.model, route.goalMs);
+      this.context.tracker.arrived(service.name, this.model, route.goalMs, steadyNow());
     }
     this.context.exchanges.add(this);
     const remaining = this.deadlineAt - steadyNow();
--- a/src/gateway/request-tracker.ts
+++ b/src/gateway/request-tracker.ts
@@ -3,6 +3,7 @@
  * backends: for the choice of a backend, and for the reports to the owners.
  */
 import { adapterKey } from '../core/backend-ledger.js';
+import { ArrivalHistory } from '../core/arrival-history.js';
 import type { BackendUse, DemandReport, DemandSample } from '../core/model-demand.js';
 import type { ModelReference } from '../core/service-configuration.js';
 
@@ -34,10 +35,13 @@
   private readonly demand = new Map<string, Map<string, Counted>>();
   private readonly models = new Map<string, InFlight>();
   private readonly backends = new Map<string, number>();
+  /** By service. */
+  private readonly histories = new Map<string, ArrivalHistory>();
 
-  arrived(service: string, reference: ModelReference, goalMs: number): void {
+  arrived(service: string, reference: ModelReference, goalMs: number, now: number): void {
     const counted = this.counted(service, reference, goalMs);
     counted.arrivals += 1;
+    this.historyOf(service).note(reference, goalMs, now);
     counted.goalMs = Math.min(counted.goalMs, goalMs);
   }
 
@@ -102,6 +106,21 @@
     return { daemon, samples, use, failing };
   }
 
+  /** A new owner is told of the requests of some time, each counted for what it still tells. */
+  recall(service: string, now: number): void {
+    for (const { reference, goalMs, arrivals } of this.historyOf(service).recent(now)) {
+      const counted = this.counted(service, reference, goalMs);
+      counted.arrivals = Math.max(counted.arrivals, arrivals);
+      counted.goalMs = Math.min(counted.goalMs, goalMs);
+    }
+  }
+
+  private historyOf(service: string): ArrivalHistory {
+    const known = this.histories.get(service) ?? new ArrivalHistory();
+    this.histories.set(service, known);
+    return known;
+  }
+
   private counted(service: string, reference: ModelReference, goalMs: number): Counted {
     const models = this.demand.get(service) ?? new Map<string, Counted>();
     this.demand.set(service, models);
--- a/test/gateway/request-tracker.test.ts
+++ b/test/gateway/request-tracker.test.ts
@@ -17,6 +17,20 @@
     expect(tracker.report('s', 'd', [], 1_000).samples[0]?.dueInMs).toBe(5_000);
   });
 
+  it('tells a new owner of the requests of some time before, fewer the older they are', () => {
+    const tracker = new RequestTracker();
+    for (let count = 0; count < 8; count++) tracker.arrived('s', MODEL, 400, 0);
+    tracker.report('s', 'd', [], 0);
+    expect(tracker.report('s', 'd', [], 8_000).samples).toEqual([]);
+    tracker.recall('s', 8_000);
+    expect(tracker.report('s', 'd', [], 8_000).samples[0]).toMatchObject({
+      arrivals: 4,
+      goalMs: 400,
+    });
+    tracker.recall('s', 60_000);
+    expect(tracker.report('s', 'd', [], 60_000).samples).toEqual([]);
+  });
+
   it('puts a late caller back by some goals, not to the end', () => {
     const tracker = new RequestTracker();
     tracker.waits('s', MODEL, { dueAt: 1_000, goalMs: 500 });
