A new owner believes its predecessor's loads until it has read the reports

The successor has heard its predecessor's word as any daemon: a load told there counts as on its way until the backend's reports show otherwise. No order rests on it.

Ruled out: the reports (they tell busy, not the model).

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -16,6 +16,12 @@
   readonly unloading: boolean;
 }
 
+/** A load that an owner has ordered. */
+export interface ExpectedLoad {
+  readonly model: string;
+  readonly expectedEnd: number;
+}
+
 /** All that this daemon knows from the owner of a service. */
 interface HeardPlacement {
   readonly epoch: number;
@@ -139,6 +145,13 @@
     return known === undefined ? Infinity : now - known.heardAt;
   }
 
+  /** The model that a backend was last said to be loading, and when that is expected to end. */
+  loadingAt(backend: BackendRecord, now: number): ExpectedLoad | undefined {
+    const models = this.freshPlacement(backend.service, now)?.backends.get(backend.id) ?? [];
+    const loading = models.find((model) => model.readyAt > now && !model.unloading);
+    return loading && { model: loading.name, expectedEnd: loading.readyAt };
+  }
+
   /** Requests that all daemons together have in flight at a backend, as far as is known. */
   loadOf(backend: BackendRecord, now: number): number {
     return this.freshPlacement(backend.service, now)?.loads.get(backend.id) ?? 0;
--- a/src/core/backend-ledger.ts
+++ b/src/core/backend-ledger.ts
@@ -157,6 +157,13 @@
     this.setCopies(record.inMemory, record.onDisk);
   }
 
+  /** Believes a former owner's word on the load in progress until a report has been read; no order rests on it. */
+  assumeLoading(model: string, expectedEnd: number): void {
+    if (this.phase !== 'unsynchronized' || this.models.has(model)) return;
+    const order: ModelOrder = { operation: 'load', model, adapter: undefined };
+    this.running = { order, expectedEnd, sequence: this.sequence };
+  }
+
   /** Updates where copies are at hand. */
   setCopies(inMemory: readonly string[], onDisk: readonly string[]): void {
     this.inMemory = new Set(inMemory);
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -153,7 +153,7 @@
     if (this.stopped || host === undefined || !this.options.mayOrder()) return;
     const now = steadyNow();
     this.lastRound = now;
-    this.syncLedgers();
+    this.syncLedgers(now);
     this.loadWatch.settle(this.ledgers, now);
     this.noteFailing(now);
     this.doubtHolders(now);
@@ -212,13 +212,15 @@
   }
 
   /** One ledger for each listed process; those of ended processes go. */
-  private syncLedgers(): void {
+  private syncLedgers(now: number): void {
     const listed = new Set<string>();
     for (const backend of this.backends()) {
       listed.add(backend.id);
       if (this.ledgers.has(backend.id)) continue;
       const ledger = new BackendLedger(backend.id);
       ledger.assume(backend);
+      const loading = this.options.directory.loadingAt(backend, now);
+      if (loading !== undefined) ledger.assumeLoading(loading.model, loading.expectedEnd);
       this.ledgers.set(backend.id, ledger);
       this.reportDue.set(backend.id, 0);
       this.changed = true;
--- a/test/core/backend-ledger.test.ts
+++ b/test/core/backend-ledger.test.ts
@@ -50,6 +50,19 @@
     expect(ledger.models.has('new')).toBe(true);
   });
 
+  it("believes a former owner's load until a report shows otherwise", () => {
+    const ledger = new BackendLedger('x');
+    ledger.assumeLoading('new', 5_000);
+    expect(ledger.currentOrder).toEqual(LOAD);
+    expect(ledger.takesModelOrder).toBe(false);
+    expect(ledger.adopt(report(['old'], 3, true), 0)).toBe(false);
+    expect(ledger.currentOrder).toEqual(LOAD);
+    ledger.adopt(report(['old'], 3), 1_000);
+    expect(ledger.adopt(report(['old'], 3), 1_400)).toBe(true);
+    expect(ledger.currentOrder).toBeUndefined();
+    expect(ledger.takesModelOrder).toBe(true);
+  });
+
   it('does not take an older report', () => {
     const ledger = loading();
     expect(ledger.adopt(report(['old'], 0), 2_000)).toBe(false);
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -285,6 +285,15 @@
     expect(directory.serving('s')).toEqual([]);
   });
 
+  it('knows which load an owner has told of last', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends([record('x')]);
+    const placed = { name: 'new', adapters: [], readyInMs: 4_000, unloading: false };
+    directory.hearPlacement(updateOf({ backends: new Map([['x', [placed]]]) }), 0);
+    expect(directory.loadingAt(record('x'), 100)).toEqual({ model: 'new', expectedEnd: 4_000 });
+    expect(directory.loadingAt(record('x'), 5_000)).toBeUndefined();
+  });
+
   it('believes the owner before the list, and the list when the owner is silent', () => {
     const directory = new BackendDirectory();
     directory.setBackends([record('x')]);
