--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,6 @@
 /** The command line of scaleslip. */
 import { Command } from 'commander';
 import { addDaemonCommand } from './daemon-command.js';
-import { addExperimentCommand } from './experiment-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 
 const program = new Command('scaleslip')
@@ -11,5 +10,4 @@
 
 addDaemonCommand(program);
 addOperatorCommands(program);
-addExperimentCommand(program);
 await program.parseAsync();
--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -15,7 +15,7 @@
   error(event: string, fields?: LogFields): void;
 }
 
-/** A logger that writes nothing, for hollow daemons and tests. */
+/** A logger that writes nothing, for tests. */
 export const silentLogger: Logger = { info: () => {}, warn: () => {}, error: () => {} };
 
 const NEEDS_QUOTES = /[\s"=]/;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -208,7 +208,7 @@
     logger.info('drain_finished');
   }
 
-  /** Stops at once, as after a crash, for tests and hollow daemons. */
+  /** Stops at once, as after a crash, for tests. */
   kill(): void {
     this.frontDoor.kill();
     this.close();
