--- /dev/null
+++ b/src/cli/losses-command.ts
@@ -0,0 +1,78 @@
+/** `scaleslip losses`: why the gateways' requests were not served at once, from their logs. */
+import type { Command } from 'commander';
+import { open } from 'node:fs/promises';
+import { createInterface } from 'node:readline';
+import { Result } from 'true-myth';
+import { serviceError, type ServiceError } from '../common/errors.js';
+import { parseLogLine, type LogEvent } from '../diagnosis/log-line.js';
+import { lossReport, type Spread } from '../diagnosis/loss-report.js';
+import { fail } from './output.js';
+
+const STANDARD_INPUT = '-';
+
+/** Adds the command. */
+export function addLossesCommand(program: Command): void {
+  program
+    .command('losses')
+    .description('tell from gateway logs why requests were refused, late or lost')
+    .argument('<files...>', 'log files of one or more gateways; "-" for standard input')
+    .action(async (files: string[]) => {
+      const events: LogEvent[] = [];
+      for (const file of files) {
+        const read = await readEvents(file);
+        if (read.isErr) return fail(read.error);
+        events.push(...read.value);
+      }
+      print(events);
+    });
+}
+
+async function readEvents(file: string): Promise<Result<LogEvent[], ServiceError>> {
+  const events: LogEvent[] = [];
+  try {
+    const input = file === STANDARD_INPUT ? process.stdin : await openedFile(file);
+    for await (const line of createInterface({ input })) {
+      const event = parseLogLine(line);
+      if (event !== undefined) events.push(event);
+    }
+  } catch (fault) {
+    return Result.err(
+      serviceError('invalid_document', `${file}: cannot be read: ${String(fault)}`),
+    );
+  }
+  if (events.length > 0) return Result.ok(events);
+  return Result.err(serviceError('invalid_document', `${file}: holds no line of a gateway's log`));
+}
+
+/** Its errors come before the first line is asked for, and so where they are caught. */
+async function openedFile(file: string): Promise<NodeJS.ReadableStream> {
+  const handle = await open(file);
+  return handle.createReadStream();
+}
+
+function print(events: readonly LogEvent[]): void {
+  const report = lossReport(events);
+  printCounts('requests by end', report.ends);
+  printCounts('refusals by cause', report.refusals);
+  printSpreads('time to the first part of served requests, ms', report.firstPart);
+  printSpreads('time of loads by place of the copy, ms', report.loads);
+  printSpreads('model loaded later than told, by place of the copy, ms', report.forecastErrors);
+}
+
+function printCounts(
+  title: string,
+  groups: ReadonlyMap<string, ReadonlyMap<string, number>>,
+): void {
+  console.log(`${title}:`);
+  for (const [route, counts] of [...groups].sort()) {
+    const parts = [...counts].sort((a, b) => b[1] - a[1]);
+    console.log(`  ${route}: ${parts.map(([key, number]) => `${key} ${number}`).join(', ')}`);
+  }
+}
+
+function printSpreads(title: string, spreads: ReadonlyMap<string, Spread>): void {
+  console.log(`${title}:`);
+  for (const [key, { count, p50, p95 }] of [...spreads].sort()) {
+    console.log(`  ${key}: ${count}, p50 ${p50}, p95 ${p95}`);
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 /** The command line of scaleslip. */
 import { Command } from 'commander';
 import { addDaemonCommand } from './daemon-command.js';
+import { addLossesCommand } from './losses-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 
 const program = new Command('scaleslip')
@@ -10,4 +11,5 @@
 
 addDaemonCommand(program);
 addOperatorCommands(program);
+addLossesCommand(program);
 await program.parseAsync();
