The ceiling holds where room was made; the limit learns from many slow loads, not from one

Causes, found reading: a load from the store for which room had been made was ordered whatever the ceiling said, since the forecasts' place no longer hides one that may not begin; a single load that its backend slowed down (orders carried out late) took the limit to 1; a model's rate was never forgotten, because reading renewed it.

Tests: each fails before.

--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -50,7 +50,10 @@
 interface Rate extends ModelReference {
   urgent: number;
   patient: number;
+  /** When its values were last worked out; reading does that too. */
   updatedAt: number;
+  /** When the last request arrived. */
+  arrivedAt: number;
 }
 
 interface HeardReport {
@@ -197,6 +200,7 @@
     const rate = this.decayed(reference, now) ?? newRate(reference, now);
     // An impulse of this height, decaying by the half-life, has an area of `count`.
     const impulse = (count * Math.LN2 * 1000) / RATE_HALF_LIFE_MS;
+    rate.arrivedAt = now;
     if (urgent) rate.urgent += impulse;
     else rate.patient += impulse;
     this.rates.set(adapterKey(reference), rate);
@@ -214,7 +218,7 @@
 
   /** Whether a rate has fallen so low that it decides nothing any more. */
   private isForgotten(rate: Rate, now: number): boolean {
-    return now - rate.updatedAt > FORGOTTEN_HALF_LIVES * RATE_HALF_LIFE_MS;
+    return now - rate.arrivedAt > FORGOTTEN_HALF_LIVES * RATE_HALF_LIFE_MS;
   }
 
   private fresh(now: number): HeardReport[] {
@@ -265,7 +269,7 @@
 
 function newRate(reference: ModelReference, now: number): Rate {
   const { model, adapter } = reference;
-  return { model, adapter, urgent: 0, patient: 0, updatedAt: now };
+  return { model, adapter, urgent: 0, patient: 0, updatedAt: now, arrivedAt: now };
 }
 
 function isUrgent(sample: DemandSample): boolean {
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -115,13 +115,14 @@
         this.reservations.delete(model);
         continue;
       }
-      if (!ledger.takesModelOrder) {
+      const place = this.places.at(ledger, spec);
+      // The backend makes room still, or the weight store allows no further load now.
+      if (place !== undefined && !place.isFree) {
         this.places.reserve(ledger.id);
         this.places.expect(ledger, spec);
         continue;
       }
       this.reservations.delete(model);
-      const place = this.places.at(ledger, spec);
       if (place !== undefined && this.worth.copies(model) === 0) this.order(spec, place, reason);
     }
   }
--- a/src/core/store-load-limit.ts
+++ b/src/core/store-load-limit.ts
@@ -23,6 +23,12 @@
 const FIRST_LIMIT = 4;
 /** A load that takes so many times its time at full speed was slowed down by others. */
 const SLOWED_FACTOR = 1.2;
+/** A load that takes so many times its time at full speed tells of its backend, not of the store. */
+const STUCK_FACTOR = 3;
+/** Share of the limit from which on the loads at once may be why one is slow. */
+const MANY_SHARE = 0.6;
+/** Overdue loads that together speak of the store. */
+const LEAST_OVERDUE = 2;
 /** Weight of the newest estimate of what the store carries. */
 const NEWEST_WEIGHT = 0.5;
 
@@ -70,23 +76,33 @@
     this.integrate(now);
     const load = this.loads.get(backend);
     this.loads.delete(backend);
-    if (load === undefined || !completed) return;
-    if (now - load.startedAt > load.fullSpeedMs * SLOWED_FACTOR) return this.slowed(load, now);
+    if (load === undefined || !completed || isStuck(load, now)) return;
+    if (this.wasSlowedByOthers(load, now)) return this.slowed(load, now);
+    if (now - load.startedAt > load.fullSpeedMs * SLOWED_FACTOR) return;
     if (load.metLimit) this.estimate += this.hasSlowed ? 1 / this.most : 1;
   }
 
   /** A load that is overdue tells of a slow store before it has ended. */
   observe(now: number): void {
     this.integrate(now);
-    for (const load of this.loads.values()) {
-      const isOverdue = now - load.startedAt > load.fullSpeedMs * SLOWED_FACTOR;
+    const overdue = [...this.loads.values()].filter((load) => this.wasSlowedByOthers(load, now));
+    // One alone may be slow for a reason of its backend's; the store slows all.
+    if (overdue.length < LEAST_OVERDUE || overdue.length * 2 < this.loads.size) return;
+    for (const load of overdue) {
       const carried = this.carried(load, now);
-      if (!isOverdue || carried >= this.estimate) continue;
+      if (carried >= this.estimate) continue;
       this.hasSlowed = true;
       this.estimate = Math.max(1, carried);
     }
   }
 
+  /** Whether a load takes long, and so many ran beside it that they may be why. */
+  private wasSlowedByOthers(load: RunningLoad, now: number): boolean {
+    const takesLong = now - load.startedAt > load.fullSpeedMs * SLOWED_FACTOR;
+    const wereMany = this.meanAtOnce(load, now) >= this.estimate * MANY_SHARE;
+    return takesLong && wereMany && !isStuck(load, now);
+  }
+
   private slowed(load: RunningLoad, now: number): void {
     this.hasSlowed = true;
     const carried = this.carried(load, now);
@@ -109,6 +125,10 @@
   }
 }
 
+function isStuck(load: RunningLoad, now: number): boolean {
+  return now - load.startedAt > load.fullSpeedMs * STUCK_FACTOR;
+}
+
 /** Counts the loads and limits nothing. */
 export class UnlimitedStoreLoads implements StoreLoadLimit {
   readonly most = Infinity;
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -249,6 +249,16 @@
     expect(demand.waiting(0).map(({ model }) => model)).toEqual(['hot', 'rare']);
   });
 
+  it('forgets a model that nobody has asked for, also while its rate is read', () => {
+    const demand = new ModelDemand();
+    demand.hear({ ...reportOf('a', []), samples: [waitingFor('x', { goalMs: 600 })] }, 0);
+    for (let now = 0; now <= 90_000; now += 5_000) {
+      demand.rateOf({ model: 'x', adapter: undefined }, now);
+    }
+    expect(demand.urgentModels(90_000)).toEqual(['x']);
+    expect(demand.urgentModels(97_000)).toEqual([]);
+  });
+
   it('counts what is in flight over the newest reports', () => {
     const demand = new ModelDemand();
     const use = { backend: 'x', model: 'm', adapter: 'a1', inFlight: 2 };
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -46,14 +46,15 @@
     this.demand.hear({ daemon: 'd', samples, use: [], failing: [] }, this.now);
   }
 
-  plan(): PlannedOrder[] {
+  /** @param storeLoads - Loads that the ceiling allows now. */
+  plan(storeLoads = 1): PlannedOrder[] {
     const { demand, now } = this;
     const input = {
       host: HOST,
       backends: this.ledgers,
       demand,
       now,
-      storeLoads: 1,
+      storeLoads,
       storePlaceWaits: [0],
       unloadTimes: new UnloadTimes(),
       policies: DEFAULT_POLICIES,
@@ -131,6 +132,20 @@
     expect(brief(scene.plan())).toEqual(['x load rare1']);
   });
 
+  it('keeps to the ceiling of loads from the store also where room was made', () => {
+    const ledger = ledgerOf('x', ['rare2', 'rare3']);
+    const scene = new Scene([ledger]);
+    scene.hear(waitingFor('rare1'));
+    const [unload] = scene.planAndAccept();
+    expect(unload?.order.operation).toBe('unload');
+    scene.now += 200;
+    const left = ['rare2', 'rare3'].filter((model) => model !== unload?.order.model);
+    ledger.adopt(reportOf(left, { sequence: 1 }), scene.now);
+    scene.hear(waitingFor('rare1'));
+    expect(scene.plan(0)).toEqual([]);
+    expect(brief(scene.plan(1))).toEqual(['x load rare1']);
+  });
+
   it('does not evict a model that has just been loaded for requests that wait', () => {
     const ledger = ledgerOf('x', ['hot'], ['rare1', 'rare2']);
     const scene = new Scene([ledger]);
--- a/test/core/store-load-limit.test.ts
+++ b/test/core/store-load-limit.test.ts
@@ -54,6 +54,24 @@
     expect(limit.most).toBe(3);
   });
 
+  it('learns nothing from a single load that is slow beside others in time', () => {
+    const limit = new AdaptiveStoreLoadLimit();
+    limit.begin('slow', FULL_SPEED_MS, 0);
+    limit.begin('other', FULL_SPEED_MS, 0);
+    limit.end('other', true, FULL_SPEED_MS);
+    limit.observe(9_000);
+    limit.end('slow', true, 10_000);
+    expect(limit.most).toBe(4);
+  });
+
+  it('learns nothing from a load that is stuck at its backend', () => {
+    const limit = new AdaptiveStoreLoadLimit();
+    limit.begin('b', FULL_SPEED_MS, 0);
+    limit.observe(60_000);
+    limit.end('b', true, 70_000);
+    expect(limit.most).toBe(4);
+  });
+
   it('learns nothing from a load that failed', () => {
     const limit = new AdaptiveStoreLoadLimit();
     limit.begin('b', FULL_SPEED_MS, 0);
