What was learned of the weight store outlives its owner; the first guess lies between one and the ceiling

The owner tells its limit with its word and a successor begins there. The first guess is the middle, by orders of magnitude, between one and what the ceiling would let run at full speed.

Ruled out: cloud calls and prices (unchanged).

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -33,6 +33,8 @@
   readonly forecasts: Map<string, number>;
   /** Requests in flight at each backend, over all daemons. */
   readonly loads: Map<string, number>;
+  /** Loads from the weight store that may run at once, as the owner has learned; 0 if nothing is known. */
+  storeLoadLimit: number;
 }
 
 /** What has become of an owner's update. */
@@ -119,6 +121,7 @@
     if (heard === undefined) return;
     heard.version = update.version;
     heard.heardAt = now;
+    heard.storeLoadLimit = update.storeLoadLimit;
     for (const [backend, models] of update.backends) {
       heard.backends.set(
         backend,
@@ -152,6 +155,11 @@
     return loading && { model: loading.name, expectedEnd: loading.readyAt };
   }
 
+  /** Loads from the weight store that may run at once, as the last owner had learned; 0 if nobody has said. */
+  storeLoadLimitOf(service: string): number {
+    return this.placements.get(service)?.storeLoadLimit ?? 0;
+  }
+
   /** Requests that all daemons together have in flight at a backend, as far as is known. */
   loadOf(backend: BackendRecord, now: number): number {
     return this.freshPlacement(backend.service, now)?.loads.get(backend.id) ?? 0;
@@ -215,6 +223,7 @@
     backends: new Map(),
     forecasts: new Map(),
     loads: new Map(),
+    storeLoadLimit: 0,
   };
 }
 
--- a/src/core/placement-publisher.ts
+++ b/src/core/placement-publisher.ts
@@ -21,6 +21,8 @@
   readonly forecasts: ReadonlyMap<string, number>;
   /** Requests in flight at each backend. */
   readonly loads: ReadonlyMap<string, number>;
+  /** Loads from the weight store that may run at once; 0 if nothing is known. */
+  readonly storeLoadLimit: number;
   /** A load that changes by less is not told again. */
   readonly loadTolerance: number;
 }
@@ -40,6 +42,7 @@
   private backends = new Map<string, PublishedBackend>();
   private forecasts = new Map<string, number>();
   private loads = new Map<string, number>();
+  private storeLoadLimit = 0;
 
   constructor(
     private readonly service: string,
@@ -48,6 +51,7 @@
 
   /** The next update; the first one tells everything. Without changes it only proves that the owner lives. */
   update(state: PlacementState, now: number): PlacementUpdate {
+    this.storeLoadLimit = state.storeLoadLimit;
     const changedBackends = this.takeBackends(state);
     const removedBackends = removeMissing(this.backends, state.backends);
     const changedForecasts = this.takeForecasts(state);
@@ -119,11 +123,12 @@
     loads: readonly string[],
     now: number,
   ): Omit<PlacementUpdate, 'baseVersion' | 'removedBackends' | 'removedForecasts'> {
-    const { service, epoch, version } = this;
+    const { service, epoch, version, storeLoadLimit } = this;
     return {
       service,
       epoch,
       version,
+      storeLoadLimit,
       backends: new Map(backends.map((backend) => [backend, this.modelsOf(backend, now)])),
       forecasts: new Map(forecasts.map((model) => [model, this.forecastOf(model, now)])),
       loads: new Map(loads.map((backend) => [backend, this.loads.get(backend) ?? 0])),
--- a/src/core/placement-update.ts
+++ b/src/core/placement-update.ts
@@ -28,6 +28,8 @@
   /** Milliseconds until a model that no backend holds is expected to be loaded. */
   readonly forecasts: ReadonlyMap<string, number>;
   readonly removedForecasts: readonly string[];
+  /** Loads from the weight store that may run at once, as the owner has learned; 0 if nothing is known. */
+  readonly storeLoadLimit: number;
   /** Requests that all daemons together have in flight at a backend, where that has changed much. */
   readonly loads: ReadonlyMap<string, number>;
 }
--- a/src/core/store-load-limit.ts
+++ b/src/core/store-load-limit.ts
@@ -5,6 +5,8 @@
  * waited for its turn. Pure; times are milliseconds of a steady clock.
  */
 
+import type { ModelHostSpec } from './service-configuration.js';
+
 /** Bounds the loads from the weight store that run at the same time. */
 export interface StoreLoadLimit {
   /** Loads that may run at once. */
@@ -19,8 +21,6 @@
   observe(now: number): void;
 }
 
-/** Loads at once before anything was learned. */
-const FIRST_LIMIT = 4;
 /** A load that takes so many times its time at full speed was slowed down by others. */
 const SLOWED_FACTOR = 1.2;
 /** A load that takes so many times its time at full speed tells of its backend, not of the store. */
@@ -48,7 +48,7 @@
  * that ran at once, divided by the slow-down, is what the store carries.
  */
 export class AdaptiveStoreLoadLimit implements StoreLoadLimit {
-  private estimate = FIRST_LIMIT;
+  private estimate: number;
   /** The store has been met at its limit: from then on the number grows by one a round, not a load. */
   private hasSlowed = false;
   private readonly loads = new Map<string, RunningLoad>();
@@ -56,6 +56,11 @@
   private integral = 0;
   private integratedAt = 0;
 
+  /** @param first - Loads at once before anything was learned. */
+  constructor(first: number) {
+    this.estimate = Math.max(1, first);
+  }
+
   get most(): number {
     return Math.max(1, Math.round(this.estimate));
   }
@@ -129,6 +134,16 @@
   return now - load.startedAt > load.fullSpeedMs * STUCK_FACTOR;
 }
 
+/**
+ * Loads at once to begin with: in the middle, by orders of magnitude, between one
+ * and what the ceiling would let run if every load took its time at full speed.
+ */
+export function firstStoreLoadLimit(host: ModelHostSpec): number {
+  const seconds = host.models.map((model) => model.storeLoadSeconds);
+  const mean = seconds.reduce((sum, value) => sum + value, 0) / Math.max(1, seconds.length);
+  return Math.sqrt(Math.max(1, host.loadsPerSecond * mean));
+}
+
 /** Counts the loads and limits nothing. */
 export class UnlimitedStoreLoads implements StoreLoadLimit {
   readonly most = Infinity;
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -69,6 +69,7 @@
     create(BackendLoadSchema, { backend, inFlight }),
   );
   const value = create(ServicePlacementSchema, {
+    storeLoadLimit: update.storeLoadLimit,
     loads,
     service,
     epoch,
@@ -101,6 +102,7 @@
   const forecasts = new Map(message.forecasts.map((entry) => [entry.model, entry.readyInMs]));
   const loads = new Map(message.loads.map((entry) => [entry.backend, entry.inFlight]));
   return {
+    storeLoadLimit: message.storeLoadLimit,
     loads,
     service,
     epoch,
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -18,6 +18,7 @@
 import { StoreLoadWindow, type StoreLoadCeiling } from '../core/store-load-ceiling.js';
 import {
   AdaptiveStoreLoadLimit,
+  firstStoreLoadLimit,
   UnlimitedStoreLoads,
   type StoreLoadLimit,
 } from '../core/store-load-limit.js';
@@ -94,12 +95,21 @@
     const { service, epoch, policies, logger, metrics } = options;
     this.demand = new ModelDemand(policies.earliestDueFirst ? earliestDueFirst : firstComeFirst);
     this.storeLimit = policies.storeLoadLimit
-      ? new AdaptiveStoreLoadLimit()
+      ? new AdaptiveStoreLoadLimit(this.firstStoreLoadLimit())
       : new UnlimitedStoreLoads();
     this.loadWatch = new LoadWatch({ service, epoch, limit: this.storeLimit, logger, metrics });
     this.publisher = new PlacementPublisher(options.service, options.epoch);
   }
 
+  /** What the former owner had learned, or a guess. */
+  private firstStoreLoadLimit(): number {
+    const { directory, service, host } = this.options;
+    const learned = directory.storeLoadLimitOf(service);
+    if (learned > 0) return learned;
+    const spec = host();
+    return spec === undefined ? 1 : firstStoreLoadLimit(spec);
+  }
+
   /** Everything that the daemons have been told, for one that missed an update. */
   everything(): PlacementUpdate {
     return this.publisher.everything(steadyNow());
@@ -348,7 +358,9 @@
     const loads = new Map<string, number>();
     for (const id of this.ledgers.keys()) loads.set(id, this.demand.inFlightAt(id, now));
     const loadTolerance = Math.max(1, (host?.slots ?? 1) * LOAD_TOLERANCE_SHARE);
-    const state = { backends, forecasts, loads, loadTolerance };
+    const { most } = this.storeLimit;
+    const storeLoadLimit = Number.isFinite(most) ? most : 0;
+    const state = { backends, forecasts, loads, storeLoadLimit, loadTolerance };
     const update = this.publisher.update(state, now);
     const isNew = update.version !== update.baseVersion;
     if (!isNew && now - this.lastPublished < REPEAT_PERIOD_MS) return;
--- a/test/core/gateway-fixtures.ts
+++ b/test/core/gateway-fixtures.ts
@@ -53,6 +53,7 @@
     forecasts: new Map(),
     removedForecasts: [],
     loads: new Map(),
+    storeLoadLimit: 0,
     ...part,
   };
 }
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -295,6 +295,13 @@
     expect(directory.serving('s')).toEqual([]);
   });
 
+  it('keeps what the last owner had learned of the weight store', () => {
+    const directory = new BackendDirectory();
+    expect(directory.storeLoadLimitOf('s')).toBe(0);
+    directory.hearPlacement(updateOf({ storeLoadLimit: 12 }), 0);
+    expect(directory.storeLoadLimitOf('s')).toBe(12);
+  });
+
   it('knows which load an owner has told of last', () => {
     const directory = new BackendDirectory();
     directory.setBackends([record('x')]);
--- a/test/core/placement-publisher.test.ts
+++ b/test/core/placement-publisher.test.ts
@@ -16,7 +16,7 @@
   });
   const loads = new Map<string, number>();
   const told = { backends: new Map(backends), forecasts: new Map(Object.entries(forecasts)) };
-  return { ...told, loads, loadTolerance: 2 };
+  return { ...told, loads, storeLoadLimit: 7, loadTolerance: 2 };
 }
 
 function backend(id: string): BackendRecord {
--- a/test/core/store-load-limit.test.ts
+++ b/test/core/store-load-limit.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { AdaptiveStoreLoadLimit } from '../../src/core/store-load-limit.js';
+import { AdaptiveStoreLoadLimit, firstStoreLoadLimit } from '../../src/core/store-load-limit.js';
+import { hostOf } from './gateway-fixtures.js';
 
 const FULL_SPEED_MS = 6_000;
 const LOOK_MS = 100;
@@ -35,27 +36,33 @@
 
 describe('AdaptiveStoreLoadLimit', () => {
   it('grows while loads run at full speed', () => {
-    const limit = new AdaptiveStoreLoadLimit();
+    const limit = new AdaptiveStoreLoadLimit(4);
     play(limit, 100, 30);
     expect(limit.most).toBeGreaterThan(30);
   });
 
   it('stays near what a store carries that slows down beyond four', () => {
-    const limit = new AdaptiveStoreLoadLimit();
+    const limit = new AdaptiveStoreLoadLimit(4);
     const mosts = play(limit, 4, 120).slice(300);
     expect(Math.max(...mosts)).toBeLessThanOrEqual(6);
     expect(Math.min(...mosts)).toBeGreaterThanOrEqual(3);
   });
 
+  it('begins between one and what the ceiling allows', () => {
+    const host = { ...hostOf(['m']), loadsPerSecond: 25 };
+    expect(firstStoreLoadLimit(host)).toBeCloseTo(10);
+    expect(firstStoreLoadLimit({ ...host, loadsPerSecond: 0 })).toBe(1);
+  });
+
   it('falls before the first slow load has ended', () => {
-    const limit = new AdaptiveStoreLoadLimit();
+    const limit = new AdaptiveStoreLoadLimit(4);
     for (let index = 0; index < 4; index++) limit.begin(`b${index}`, FULL_SPEED_MS, 0);
     limit.observe(9_000);
     expect(limit.most).toBe(3);
   });
 
   it('learns nothing from a single load that is slow beside others in time', () => {
-    const limit = new AdaptiveStoreLoadLimit();
+    const limit = new AdaptiveStoreLoadLimit(4);
     limit.begin('slow', FULL_SPEED_MS, 0);
     limit.begin('other', FULL_SPEED_MS, 0);
     limit.end('other', true, FULL_SPEED_MS);
@@ -65,7 +72,7 @@
   });
 
   it('learns nothing from a load that is stuck at its backend', () => {
-    const limit = new AdaptiveStoreLoadLimit();
+    const limit = new AdaptiveStoreLoadLimit(4);
     limit.begin('b', FULL_SPEED_MS, 0);
     limit.observe(60_000);
     limit.end('b', true, 70_000);
@@ -73,7 +80,7 @@
   });
 
   it('learns nothing from a load that failed', () => {
-    const limit = new AdaptiveStoreLoadLimit();
+    const limit = new AdaptiveStoreLoadLimit(4);
     limit.begin('b', FULL_SPEED_MS, 0);
     limit.end('b', false, 20_000);
     expect(limit.most).toBe(4);
