--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -217,7 +217,7 @@
 }
 
 /** The nearest copy of a model, seen from a backend. */
-export function copyAt(ledger: BackendLedger, model: string): CopyPlace {
+function copyAt(ledger: BackendLedger, model: string): CopyPlace {
   if (ledger.inMemory.has(model)) return 'memory';
   return ledger.onDisk.has(model) ? 'disk' : 'store';
 }
--- a/src/core/order-channel.ts
+++ b/src/core/order-channel.ts
@@ -51,12 +51,12 @@
 }
 
 /** Models with a copy on the backend's disk or in its host memory. */
-export function copiesAtHand(ledger: BackendLedger): Set<string> {
+function copiesAtHand(ledger: BackendLedger): Set<string> {
   return new Set([...ledger.onDisk, ...ledger.inMemory]);
 }
 
 /** Backends with a copy at hand, for each model. */
-export function holdersOf(backends: readonly BackendLedger[]): Map<string, number> {
+function holdersOf(backends: readonly BackendLedger[]): Map<string, number> {
   const counts = new Map<string, number>();
   for (const ledger of backends) {
     for (const model of copiesAtHand(ledger)) counts.set(model, (counts.get(model) ?? 0) + 1);
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -60,6 +60,7 @@
   private lastRan: Ran = 'no';
   /** The caller was refused before, by this daemon or another. */
   private readonly hasComeBack: boolean;
+  /** What the owner is told of it while it waits. */
   private readonly waitingCaller: WaitingCaller;
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
