--- a/src/core/hold-policy.ts
+++ b/src/core/hold-policy.ts
@@ -13,6 +13,8 @@
   readonly remainingMs: number;
   /** Expected time until a backend can take it; undefined if nobody has said. */
   readonly readyInMs: number | undefined;
+  /** The caller was refused before: it will not come a third time. */
+  readonly hasComeBack: boolean;
 }
 
 /** What becomes of it. */
@@ -28,10 +30,27 @@
 /** Added to the time to come back after, so that the load has ended. */
 const RETRY_MARGIN_MS = 150;
 
+/** A forecast may be wrong by this share of itself, and by this time besides. */
+const FORECAST_ERROR_SHARE = 0.25;
+const FORECAST_ERROR_MS = 500;
+
+/** Without a forecast a caller that has come back is held for so much of the time that it has left. */
+const BLIND_SHARE = 0.4;
+
+/** Whether a held request can probably be served before its deadline. */
+function mayStillBeServed(request: HeldRequest): boolean {
+  const { waitedMs, remainingMs, readyInMs } = request;
+  if (readyInMs === undefined) return waitedMs < (waitedMs + remainingMs) * BLIND_SHARE;
+  return readyInMs * (1 + FORECAST_ERROR_SHARE) + FORECAST_ERROR_MS < remainingMs;
+}
+
 /** Decides for a request that no backend can take now. */
 export function holdOrRefuse(request: HeldRequest): HoldDecision {
   const { goalMs, waitedMs, remainingMs, readyInMs } = request;
   const retryAfterMs = (readyInMs ?? UNKNOWN_READY_MS) + RETRY_MARGIN_MS;
+  if (request.hasComeBack) {
+    return mayStillBeServed(request) ? { type: 'hold' } : { type: 'refuse', retryAfterMs };
+  }
   if (readyInMs === undefined) {
     const patience = goalMs * EARLY_REFUSAL_SHARE;
     return waitedMs < patience ? { type: 'hold' } : { type: 'refuse', retryAfterMs };
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -7,6 +7,8 @@
 export const POLICY_NAMES = [
   /** Loads from the weight store at once are limited to what it carries at full speed, learned. */
   'storeLoadLimit',
+  /** A caller that comes back after a refusal is not refused again while it can be served. */
+  'keepReturningCallers',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -27,6 +27,8 @@
   budgetOf(service: string): RetryBudget;
   /** Daemons among which common budgets are divided. */
   daemonCount(): number;
+  /** Notes a caller's deadline; true if it has most likely been refused before. */
+  noteCaller(route: string, deadlineMs: number | undefined): boolean;
   /** A request has begun to wait: the owner should hear at once. */
   demandUrgent(service: string): void;
   /** Whether callers are asked to close their connections. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import { sleep, startTicker, type Ticker } from '../common/process.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
+import { CallerDeadlines } from '../core/caller-deadlines.js';
 import { LowestCostSelection } from '../core/backend-selection-lowest-cost.js';
 import { ablestOf } from '../core/duties.js';
 import type { PlacementUpdate } from '../core/placement-update.js';
@@ -78,6 +79,8 @@
   private readonly context: GatewayContext;
   private readonly backends = new BackendDirectory();
   private readonly budgets = new Map<string, RetryBudget>();
+  /** By route. */
+  private readonly callerDeadlines = new Map<string, CallerDeadlines>();
   private readonly peers: PeerGroup;
   private readonly members: MemberList;
   private readonly duties: ServiceDuties;
@@ -212,12 +215,21 @@
       exchanges: new Set<RequestExchange>(),
       budgetOf: (service) => this.budgetOf(service),
       daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
+      noteCaller: (route, deadlineMs) => this.noteCaller(route, deadlineMs),
       demandUrgent: (service) => this.reportDemand(service),
       isDraining: () => this.drainingSince !== undefined,
       refusesRequests: () => this.refusesRequests(),
     };
   }
 
+  private noteCaller(route: string, deadlineMs: number | undefined): boolean {
+    if (deadlineMs === undefined || !this.settings.policies.keepReturningCallers) return false;
+    const deadlines = this.callerDeadlines.get(route) ?? new CallerDeadlines();
+    this.callerDeadlines.set(route, deadlines);
+    deadlines.note(deadlineMs);
+    return deadlines.hasComeBack(deadlineMs);
+  }
+
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -57,6 +57,8 @@
   private isWaiting = false;
   private ended = false;
   private lastRan: Ran = 'no';
+  /** The caller was refused before, by this daemon or another. */
+  private readonly hasComeBack: boolean;
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
 
@@ -71,6 +73,7 @@
     this.answer = new CallerAnswer(context, request.head, response);
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
+    this.hasComeBack = context.noteCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
     response.on('close', () => this.callerClosed());
@@ -172,11 +175,13 @@
       waitedMs: now - arrivedAt,
       remainingMs: this.deadlineAt - now,
       readyInMs,
+      hasComeBack: this.hasComeBack,
     });
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
       this.expectReturn(decision.retryAfterMs);
       const waitedMs = Math.round(now - arrivedAt);
-      const inputs = { readyInMs, waitedMs, ...this.beliefs(now) };
+      const hasComeBack = Number(this.hasComeBack);
+      const inputs = { readyInMs, waitedMs, hasComeBack, ...this.beliefs(now) };
       return this.refuse('no_capacity', decision.retryAfterMs, inputs);
     }
     this.wait();
