The weight store's limit begins low, and loads that are far overdue teach

Cause: on the large sites the limit began at 15 (the square root of what the ceiling lets run) where the store carries 4. Ruled out: the ceiling (not reached); the disks (loads from them took 1.8 s). Change: slow start. The limit begins at 4, or at what the ceiling lets run if that is less, and doubles with each round of loads at full speed as before; every load that has ended teaches, however late. A load that is slow while few run beside it still teaches nothing. The test of a load that is stuck alone holds unchanged.

--- a/src/core/store-load-limit.ts
+++ b/src/core/store-load-limit.ts
@@ -23,8 +23,6 @@
 
 /** A load that takes so many times its time at full speed was slowed down by others. */
 const SLOWED_FACTOR = 1.2;
-/** A load that takes so many times its time at full speed tells of its backend, not of the store. */
-const STUCK_FACTOR = 3;
 /** Share of the limit from which on the loads at once may be why one is slow. */
 const MANY_SHARE = 0.6;
 /** Overdue loads that together speak of the store. */
@@ -81,7 +79,7 @@
     this.integrate(now);
     const load = this.loads.get(backend);
     this.loads.delete(backend);
-    if (load === undefined || !completed || isStuck(load, now)) return;
+    if (load === undefined || !completed) return;
     if (this.wasSlowedByOthers(load, now)) return this.slowed(load, now);
     if (takesLonger(load, SLOWED_FACTOR, now)) return;
     if (load.metLimit) this.estimate += this.hasSlowed ? 1 / this.most : 1;
@@ -104,7 +102,7 @@
   /** Whether a load takes long, and so many ran beside it that they may be why. */
   private wasSlowedByOthers(load: RunningLoad, now: number): boolean {
     const wereMany = this.meanAtOnce(load, now) >= this.estimate * MANY_SHARE;
-    return takesLonger(load, SLOWED_FACTOR, now) && wereMany && !isStuck(load, now);
+    return takesLonger(load, SLOWED_FACTOR, now) && wereMany;
   }
 
   private slowed(load: RunningLoad, now: number): void {
@@ -129,23 +127,23 @@
   }
 }
 
-function isStuck(load: RunningLoad, now: number): boolean {
-  return takesLonger(load, STUCK_FACTOR, now);
-}
-
 /** Whether a load takes more than so many times its time at full speed. */
 function takesLonger(load: RunningLoad, factor: number, now: number): boolean {
   return now - load.startedAt > load.fullSpeedMs * factor;
 }
 
 /**
- * Loads at once to begin with: in the middle, by orders of magnitude, between one
- * and what the ceiling would let run if every load took its time at full speed.
+ * Loads at once to begin with, as a window at its slow start: few, because too many hold
+ * each other up for several times their time at full speed before anything is learned,
+ * while too few double with each round of loads at full speed.
  */
+const FIRST_LIMIT = 4;
+
+/** Loads at once to begin with: no more than the ceiling lets run if each takes its time at full speed. */
 export function firstStoreLoadLimit(host: ModelHostSpec): number {
   const seconds = host.models.map((model) => model.storeLoadSeconds);
   const mean = seconds.reduce((sum, value) => sum + value, 0) / Math.max(1, seconds.length);
-  return Math.sqrt(Math.max(1, host.loadsPerSecond * mean));
+  return Math.min(FIRST_LIMIT, Math.max(1, host.loadsPerSecond * mean));
 }
 
 /** Counts the loads and limits nothing. */
