Members that start exchange all that they know; news fill a datagram

Cause: a start or a restart of all converged by gossip alone, eight pieces a message, from three probed seeds a second. Change: a member that starts or meets strangers asks another for all that it knows, over TCP, each 0.3 s while that brings new members, then up to each 30 s, with jitter; the answer holds only what the asking one lacks, and what was told so is not passed on as news. News on probes are bounded by 1,200 bytes in place of eight pieces. Tests: fail with the exchanges off and eight pieces (18.8 s of at most 2 s).

--- a/src/core/membership-messages.ts
+++ b/src/core/membership-messages.ts
@@ -27,10 +27,20 @@
       readonly updates: readonly MemberView[];
     };
 
+/** All that a member knows: asked for on a stream, and answered with what the other lacks. */
+export interface StateMessage {
+  readonly type: 'state_request' | 'state_answer';
+  readonly members: readonly MemberView[];
+}
+
 /** What membership reacts to. */
 export type MembershipEvent =
   | { readonly type: 'tick' }
-  | { readonly type: 'message'; readonly from: string; readonly message: ProbeMessage }
+  | {
+      readonly type: 'message';
+      readonly from: string;
+      readonly message: ProbeMessage | StateMessage;
+    }
   /** Addresses that the platform's list names; they are probed, not believed. */
   | { readonly type: 'seeds'; readonly addresses: readonly string[] }
   | { readonly type: 'leave' };
@@ -38,5 +48,7 @@
 /** What membership has done for it. */
 export type MembershipEffect =
   | { readonly type: 'send'; readonly to: string; readonly message: ProbeMessage }
+  /** A message that may be too large for a datagram. */
+  | { readonly type: 'send_state'; readonly to: string; readonly message: StateMessage }
   /** The set of live members has changed. */
   | { readonly type: 'changed' };
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,16 +1,20 @@
 /**
  * Membership by probing, after the SWIM protocol: a direct probe, then probes
  * through others, then suspicion, and death only after a suspicion that was not
- * refuted. News ride on the probes. Deterministic: the order of probes comes
- * from rendezvous hashing, so it needs no randomness.
+ * refuted. News ride on the probes; a member that starts, or meets many others at
+ * once, exchanges all that it knows with one of them after another. Deterministic:
+ * the order of probes comes from rendezvous hashing, so it needs no randomness.
  */
-import { rankCandidates } from '../common/rendezvous.js';
+import { firstCandidate, rankCandidates } from '../common/rendezvous.js';
+import { ExchangeSchedule } from './exchange-schedule.js';
 import type {
   MembershipEffect,
   MembershipEvent,
   MemberView,
   ProbeMessage,
+  StateMessage,
 } from './membership-messages.js';
+import { MembershipNews } from './membership-news.js';
 
 /** Times of the protocol, in milliseconds. */
 export interface MembershipTimes {
@@ -37,10 +41,6 @@
 
 /** Daemons asked to probe in this one's place. */
 const INDIRECT_PROBES = 3;
-/** Pieces of news on one message. */
-const UPDATES_PER_MESSAGE = 8;
-/** Times that a piece of news is passed on, times the logarithm of the group's size. */
-const SPREAD_FACTOR = 3;
 /** Daemons told at once of a death or a leave. */
 const DIRECT_NEWS = 6;
 /** Seeds that are not members yet are probed again after so long. */
@@ -59,16 +59,13 @@
   readonly onBehalfOf?: { readonly address: string; readonly sequence: number };
 }
 
-interface News {
-  readonly address: string;
-  remaining: number;
-}
-
 /** The view of the group at one daemon. */
 export class Membership {
   private readonly members = new Map<string, MemberEntry>();
   private readonly probes = new Map<number, Probe>();
-  private readonly news = new Map<string, News>();
+  private readonly news = new MembershipNews();
+  private readonly exchanges: ExchangeSchedule;
+  private exchangeCount = 0;
   private seeds: readonly string[] = [];
   private order: string[] = [];
   private round = 0;
@@ -81,7 +78,9 @@
   constructor(
     private self: MemberView,
     private readonly times: MembershipTimes = DEFAULT_MEMBERSHIP_TIMES,
-  ) {}
+  ) {
+    this.exchanges = new ExchangeSchedule(self.address);
+  }
 
   /** This daemon as it presents itself. */
   get own(): MemberView {
@@ -124,7 +123,7 @@
     this.changed = false;
     if (event.type === 'tick') this.tick(now);
     if (event.type === 'message') this.receive(event.from, event.message, now);
-    if (event.type === 'seeds') this.seeds = event.addresses;
+    if (event.type === 'seeds') this.setSeeds(event.addresses, now);
     if (event.type === 'leave') this.leave();
     if (this.changed) this.effects.push({ type: 'changed' });
     return this.effects;
@@ -134,12 +133,61 @@
     this.checkProbes(now);
     this.expireSuspicions(now);
     if (now - this.lastSeedAt >= SEED_PERIOD_MS) this.probeSeeds(now);
+    this.exchangeState(now);
     if (now - this.lastProbeAt < this.times.probePeriodMs) return;
     this.lastProbeAt = now;
     const target = this.nextTarget();
     if (target !== undefined) this.probe(target, now);
   }
 
+  private setSeeds(addresses: readonly string[], now: number): void {
+    const known = new Set(this.seeds);
+    this.seeds = addresses;
+    const isNew = (address: string): boolean => !known.has(address) && this.isStranger(address);
+    if (addresses.some(isNew)) this.exchanges.noteLearned(now);
+  }
+
+  /** Asks one other for all that it knows: a stranger first, for those are the ones to meet. */
+  private exchangeState(now: number): void {
+    if (!this.exchanges.isDue(now)) return;
+    const strangers = this.seeds.filter((seed) => this.isStranger(seed));
+    const others = [...this.members.keys()].filter((address) => this.isReachable(address));
+    // A stranger may be gone for good: every other exchange goes to a member that is known.
+    const prefersStranger = this.exchangeCount % 2 === 0 && strangers.length > 0;
+    const partners = prefersStranger || others.length === 0 ? strangers : others;
+    this.exchangeCount += 1;
+    const partner = firstCandidate(`${this.self.address}~${this.exchangeCount}`, partners);
+    if (partner === undefined) return;
+    this.exchanges.begin(now);
+    this.sendState(partner, 'state_request', this.all());
+  }
+
+  private receiveState(from: string, message: StateMessage, now: number): void {
+    if (message.type === 'state_request') this.answerState(from, message.members);
+    let metMembers = false;
+    for (const view of message.members) {
+      const wasLive = this.isLive(view.address);
+      // Who tells of a member has met it, or will meet the rest itself: no need to pass it on.
+      this.learn(view, now, 'told');
+      metMembers ||= !wasLive && this.isLive(view.address);
+    }
+    if (metMembers) this.exchanges.noteLearned(now);
+  }
+
+  /** Tells a member what it lacks. */
+  private answerState(to: string, known: readonly MemberView[]): void {
+    const views = new Map(known.map((view) => [view.address, view]));
+    const lacked = this.all().filter((view) => {
+      const other = views.get(view.address);
+      return other === undefined ? view.state !== 'dead' : supersedes(view, other);
+    });
+    this.sendState(to, 'state_answer', lacked);
+  }
+
+  private sendState(to: string, type: StateMessage['type'], members: readonly MemberView[]): void {
+    this.effects.push({ type: 'send_state', to, message: { type, members } });
+  }
+
   private probeSeeds(now: number): void {
     this.lastSeedAt = now;
     const strangers = this.seeds.filter((seed) => this.isStranger(seed));
@@ -217,7 +265,7 @@
       }
       if (entry.view.state === 'dead' && age >= this.times.rememberDeadMs) {
         this.members.delete(address);
-        this.news.delete(address);
+        this.news.drop(address);
       }
     }
   }
@@ -237,8 +285,13 @@
     }
   }
 
-  private receive(from: string, message: ProbeMessage, now: number): void {
-    for (const update of message.updates) this.learn(update, now);
+  private receive(from: string, message: ProbeMessage | StateMessage, now: number): void {
+    if ('members' in message) this.receiveState(from, message, now);
+    else this.receiveProbe(from, message, now);
+  }
+
+  private receiveProbe(from: string, message: ProbeMessage, now: number): void {
+    for (const update of message.updates) this.learn(update, now, 'news');
     if (message.type === 'ping') this.answer(from, message.sequence, now);
     if (message.type === 'ping_request') {
       this.probe(message.target, now, { address: from, sequence: message.sequence });
@@ -263,11 +316,14 @@
     this.send(behalf.address, { type: 'ack', sequence: behalf.sequence, updates });
   }
 
-  private learn(update: MemberView, now: number): void {
+  /** Takes a view of a member that is newer than the one that is held. */
+  private learn(update: MemberView, now: number, origin: 'news' | 'told'): void {
     if (update.address === this.self.address) return this.refute(update);
     const known = this.members.get(update.address)?.view;
     if (known === undefined && update.state === 'dead') return;
-    if (known === undefined || supersedes(update, known)) this.setMember(update, now);
+    if (known !== undefined && !supersedes(update, known)) return;
+    this.setMember(update, now);
+    if (origin === 'told') this.news.drop(update.address);
   }
 
   /** Another daemon says that this one is suspect or dead: a higher incarnation refutes it. */
@@ -294,24 +350,15 @@
   }
 
   private spread(address: string): void {
-    const times = Math.ceil(SPREAD_FACTOR * Math.log2(this.members.size + 2));
-    this.news.set(address, { address, remaining: times });
+    this.news.add(address, this.members.size);
   }
 
   /** News for one message: this daemon, what the receiver is thought to be, and the freshest. */
   private takeNews(receiver: string): MemberView[] {
-    const views = [this.self];
+    const first = [this.self];
     const about = this.members.get(receiver)?.view;
-    if (about !== undefined && about.state !== 'alive') views.push(about);
-    const freshest = [...this.news.values()].sort((a, b) => b.remaining - a.remaining);
-    for (const piece of freshest) {
-      if (views.length >= UPDATES_PER_MESSAGE) break;
-      const view = this.members.get(piece.address)?.view;
-      if (view !== undefined && view.address !== receiver) views.push(view);
-      piece.remaining -= 1;
-      if (piece.remaining <= 0) this.news.delete(piece.address);
-    }
-    return views;
+    if (about !== undefined && about.state !== 'alive') first.push(about);
+    return this.news.take(first, receiver, (address) => this.members.get(address)?.view);
   }
 
   private send(to: string, message: ProbeMessage): void {
--- a/src/daemon/codec.ts
+++ b/src/daemon/codec.ts
@@ -1,7 +1,12 @@
 /** Between the decision logic's types and the internal protocol's messages. */
 import { create } from '@bufbuild/protobuf';
 import type { FeedEntry } from '../core/feed.js';
-import type { LivenessState, MemberView, ProbeMessage } from '../core/membership-messages.js';
+import type {
+  LivenessState,
+  MemberView,
+  ProbeMessage,
+  StateMessage,
+} from '../core/membership-messages.js';
 import type { TenantLocation, TenantLocationState, WakeRequest } from '../core/pool-messages.js';
 import {
   AckSchema,
@@ -10,6 +15,7 @@
   LocationState,
   MemberState,
   MemberUpdateSchema,
+  MembershipStateSchema,
   PingRequestSchema,
   PingSchema,
   WakeSchema,
@@ -78,7 +84,7 @@
 }
 
 /** A probe out of a message; undefined if it is another kind. */
-export function decodeProbe(body: PeerBody): ProbeMessage | undefined {
+function decodeProbe(body: PeerBody): ProbeMessage | undefined {
   switch (body.case) {
     case 'ping':
     case 'ack': {
@@ -94,6 +100,22 @@
   }
 }
 
+/** All that a member knows as a message. */
+export function encodeState(message: StateMessage): PeerBody {
+  const members = message.members.map(encodeMember);
+  const isAnswer = message.type === 'state_answer';
+  const value = create(MembershipStateSchema, { members, isAnswer });
+  return { case: 'membershipState', value };
+}
+
+/** What is for membership out of a message; undefined if it is another kind. */
+export function decodeMembership(body: PeerBody): ProbeMessage | StateMessage | undefined {
+  if (body.case !== 'membershipState') return decodeProbe(body);
+  const { members, isAnswer } = body.value;
+  const type = isAnswer ? 'state_answer' : 'state_request';
+  return { type, members: members.map(decodeMember) };
+}
+
 /** A wake as a message. */
 export function encodeWake(pool: string, wake: WakeRequest): PeerBody {
   const { tenant, priority, deadline, waiting, inFlight } = wake;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,10 +20,11 @@
 import { CallerApi } from './caller-api.js';
 import {
   decodeLocation,
-  decodeProbe,
+  decodeMembership,
   decodeWake,
   encodeLocation,
   encodeProbe,
+  encodeState,
   encodeWake,
 } from './codec.js';
 import { ConfigurationService, RELAY_HEARTBEAT_MS } from './configuration-service.js';
@@ -301,9 +302,9 @@
   }
 
   private receive(from: string, body: PeerBody): void {
-    const probe = decodeProbe(body);
-    if (probe !== undefined) {
-      this.membershipEvent({ type: 'message', from, message: probe });
+    const message = decodeMembership(body);
+    if (message !== undefined) {
+      this.membershipEvent({ type: 'message', from, message });
       return;
     }
     if (this.configuration.handle(from, body)) return;
@@ -338,9 +339,13 @@
 
   private membershipEvent(event: MembershipEvent): void {
     for (const effect of this.membership.handle(event, this.clock.now())) {
-      if (effect.type === 'send')
+      if (effect.type === 'changed') this.membersHaveChanged = true;
+      if (effect.type === 'send') {
         this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
-      else this.membersHaveChanged = true;
+      }
+      if (effect.type === 'send_state') {
+        this.transport.send(effect.to, encodeState(effect.message));
+      }
     }
   }
 
--- a/src/gateway/peer-group.ts
+++ b/src/gateway/peer-group.ts
@@ -4,7 +4,7 @@
 import { startTicker, type Ticker } from '../common/process.js';
 import { Membership } from '../core/membership.js';
 import type { MembershipEvent, MemberView } from '../core/membership-messages.js';
-import { decodeProbe, encodeProbe } from '../daemon/codec.js';
+import { decodeMembership, encodeProbe, encodeState } from '../daemon/codec.js';
 import { PeerTransport, type PeerBody, type TransportCounts } from '../daemon/peer-transport.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -104,7 +104,7 @@
   }
 
   private receive(from: string, body: PeerBody): void {
-    const message = decodeProbe(body);
+    const message = decodeMembership(body);
     if (message === undefined) this.options.onMessage(from, body);
     else this.apply({ type: 'message', from, message });
   }
@@ -112,7 +112,12 @@
   private apply(event: MembershipEvent): void {
     for (const effect of this.membership.handle(event, steadyNow())) {
       if (effect.type === 'changed') this.options.onChange();
-      else this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
+      if (effect.type === 'send') {
+        this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
+      }
+      if (effect.type === 'send_state') {
+        this.transport.send(effect.to, encodeState(effect.message));
+      }
     }
   }
 }
