The list of members is read once without delay, then late and rarely

Cause: each daemon listed the members each 12 s at the full price, and one that started again after a kill made four calls (write, read, perhaps write, list) where two tell all. Change: write, then list; the list itself shows an entry of before. A store that fails is asked after 0.5 s, 1 s, 2 s, 4 s, with a log line each time (a failed reading was silent). Tests: calls at a first start, a restart, a restart at another address, and while the store is down.

--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -4,13 +4,18 @@
 import type { DutyMember } from '../core/duties.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { PeerGroup } from './peer-group.js';
-import type { RecordStore } from './ports.js';
+import type { RecordFailure, RecordStore, StoredRecord } from './ports.js';
 import { steadyNow } from './steady-clock.js';
 
-/** Between two readings of the list while nothing is known to be wrong. */
-const READ_PERIOD_MS = 12_000;
-/** Until the first reading has succeeded. */
-const RETRY_PERIOD_MS = 500;
+/** Between two looks at whether a reading is due. */
+const LOOK_PERIOD_MS = 500;
+/** From a reading that failed to the next; twice as long after each, for a store that is down serves nobody sooner. */
+const FIRST_RETRY_MS = 500;
+const LONGEST_RETRY_MS = 4_000;
+/** From the first reading to the second: daemons that start together have all entered by then. */
+const FIRST_PERIOD_MS = 1_500;
+/** Each period is twice the former one, up to this: probes find who comes later. */
+const LONGEST_PERIOD_MS = 30_000;
 
 /** Keeps this daemon in the list and reads the others. */
 export class MemberList {
@@ -19,7 +24,9 @@
   private ticker: Ticker | undefined;
   private isListed = false;
   private busy = false;
-  private lastRead = -Infinity;
+  private periodMs = FIRST_PERIOD_MS;
+  private retryMs = FIRST_RETRY_MS;
+  private readAt = -Infinity;
 
   constructor(
     private readonly settings: GatewaySettings,
@@ -38,7 +45,7 @@
       this.refresh().catch(onFault);
     };
     step();
-    this.ticker = startTicker(RETRY_PERIOD_MS, step, onFault);
+    this.ticker = startTicker(LOOK_PERIOD_MS, step, onFault);
   }
 
   /** Takes this daemon out of the list. */
@@ -47,43 +54,74 @@
     if (this.isListed) await this.store.remove('members', this.settings.name);
   }
 
-  /** Enters this daemon before it reads: of two that start at once, one sees the other. */
   private async refresh(): Promise<void> {
     const now = steadyNow();
-    if (this.busy || now - this.lastRead < READ_PERIOD_MS) return;
+    if (this.busy || now < this.readAt) return;
     this.busy = true;
     try {
-      if (!this.isListed) await this.enter();
-      if (await this.read()) this.lastRead = now;
+      const isDone = this.isListed ? await this.readLate() : await this.enterAndRead();
+      this.readAt = now + this.nextPause(isDone);
     } finally {
       this.busy = false;
     }
   }
 
-  private async enter(): Promise<void> {
-    const { name, zone } = this.settings;
-    const value = { address: this.peers.address, zone };
-    const created = await this.store.write('members', name, value, undefined);
-    this.isListed = created.isOk;
-    if (created.isOk || created.error.type !== 'conflict') return;
-    const known = await this.store.read('members', name);
-    if (known.isErr || known.value === undefined) return;
-    const isCurrent = dutyMember(known.value.value).some(
-      (member) => member.address === value.address,
-    );
-    const written = isCurrent
-      ? known
-      : await this.store.write('members', name, value, known.value.revision);
-    this.isListed = written.isOk;
+  private nextPause(isDone: boolean): number {
+    if (!isDone) {
+      const pause = this.retryMs;
+      this.retryMs = Math.min(LONGEST_RETRY_MS, pause * 2);
+      return pause;
+    }
+    this.retryMs = FIRST_RETRY_MS;
+    const pause = this.periodMs;
+    this.periodMs = Math.min(LONGEST_PERIOD_MS, pause * 2);
+    return pause;
+  }
+
+  /** Enters this daemon before it reads: of two that start at once, one sees the other. */
+  private async enterAndRead(): Promise<boolean> {
+    const { name } = this.settings;
+    const created = await this.store.write('members', name, this.entry(), undefined);
+    if (created.isErr && created.error.type !== 'conflict') return this.unread(created.error);
+    const list = await this.store.list('members', 'current');
+    if (list.isErr) return this.unread(list.error);
+    this.take(list.value);
+    this.isListed = created.isOk || (await this.keepEntry(list.value));
+    return this.isListed;
+  }
+
+  /** The list held this daemon's name before: its entry may be of a former address. */
+  private async keepEntry(list: readonly StoredRecord[]): Promise<boolean> {
+    const { name } = this.settings;
+    const known = list.find((record) => record.name === name);
+    const [member] = known === undefined ? [] : dutyMember(known.value);
+    if (member?.address === this.peers.address) return true;
+    const written = await this.store.write('members', name, this.entry(), known?.revision);
+    return written.isOk;
   }
 
-  private async read(): Promise<boolean> {
-    const list = await this.store.list('members');
-    if (list.isErr) return false;
-    this.listed = list.value.flatMap(({ value }) => dutyMember(value));
+  private async readLate(): Promise<boolean> {
+    const list = await this.store.list('members', 'late');
+    if (list.isErr) return this.unread(list.error);
+    // A late list may be older than this daemon's own entry.
+    this.take(list.value);
+    return true;
+  }
+
+  private take(list: readonly StoredRecord[]): void {
+    this.listed = list.flatMap(({ value }) => dutyMember(value));
     const others = this.listed.filter((member) => member.address !== this.peers.address);
     this.peers.addSeeds(others.map((member) => member.address));
-    return this.isListed;
+  }
+
+  private unread(failure: RecordFailure): false {
+    const reason = failure.type === 'conflict' ? failure.type : failure.reason;
+    this.logger.warn('member_list_unread', { listed: this.listed.length, reason });
+    return false;
+  }
+
+  private entry(): { readonly address: string; readonly zone: string } {
+    return { address: this.peers.address, zone: this.settings.zone };
   }
 }
 
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -59,11 +59,15 @@
 /** Kinds of records that the gateway keeps. */
 export type RecordKind = 'owners' | 'members';
 
+/** How new a reading must be. */
+export type ReadFreshness = 'current' | 'late';
+
 /** Records with revisions; what must last lives here. */
 export interface RecordStore {
   /** Undefined if there is none. */
   read(kind: RecordKind, name: string): Promise<Result<StoredRecord | undefined, RecordFailure>>;
-  list(kind: RecordKind): Promise<Result<StoredRecord[], RecordFailure>>;
+  /** All records of a kind; late ones are cheaper, and may be seconds old. */
+  list(kind: RecordKind, freshness: ReadFreshness): Promise<Result<StoredRecord[], RecordFailure>>;
   /** Creates the record, or replaces exactly the given revision. */
   write(
     kind: RecordKind,
--- /dev/null
+++ b/test/gateway/member-list.test.ts
@@ -0,0 +1,122 @@
+import { Result } from 'true-myth';
+import { afterEach, describe, expect, it } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import type { GatewaySettings } from '../../src/gateway/gateway-settings.js';
+import { MemberList } from '../../src/gateway/member-list.js';
+import type { PeerGroup } from '../../src/gateway/peer-group.js';
+import type { RecordStore, StoredRecord } from '../../src/gateway/ports.js';
+
+const ADDRESS = '10.0.0.1:7380';
+
+/** A store that notes its calls. */
+class CountingStore implements RecordStore {
+  readonly calls: string[] = [];
+  readonly records = new Map<string, StoredRecord>();
+  isDown = false;
+
+  read(): never {
+    throw new Error('the list holds what a read would tell');
+  }
+
+  list(kind: string, freshness: string): ReturnType<RecordStore['list']> {
+    this.calls.push(`list ${kind} ${freshness}`);
+    return Promise.resolve(this.isDown ? unavailable() : Result.ok([...this.records.values()]));
+  }
+
+  write(
+    kind: string,
+    name: string,
+    value: unknown,
+    revision: number | undefined,
+  ): ReturnType<RecordStore['write']> {
+    this.calls.push(`write ${kind} ${name} ${revision ?? 'new'}`);
+    if (this.isDown) return Promise.resolve(unavailable());
+    const known = this.records.get(name);
+    if (known?.revision !== revision) return Promise.resolve(Result.err({ type: 'conflict' }));
+    const record = { name, value, revision: (revision ?? 0) + 1 };
+    this.records.set(name, record);
+    return Promise.resolve(Result.ok(record));
+  }
+
+  remove(kind: string, name: string): Promise<void> {
+    this.calls.push(`remove ${kind} ${name}`);
+    return Promise.resolve();
+  }
+}
+
+function unavailable(): Result<never, { type: 'unavailable'; reason: string }> {
+  return Result.err({ type: 'unavailable', reason: 'status 503' });
+}
+
+const lists: MemberList[] = [];
+
+function startList(store: RecordStore): { list: MemberList; seeds: string[] } {
+  const seeds: string[] = [];
+  const peers = {
+    address: ADDRESS,
+    addSeeds: (addresses: readonly string[]) => seeds.push(...addresses),
+  } as unknown as PeerGroup;
+  const settings = {
+    name: 'd1',
+    zone: 'a',
+    seeds: [],
+    peerPort: 7380,
+  } as unknown as GatewaySettings;
+  const list = new MemberList(settings, store, peers, silentLogger);
+  list.start();
+  lists.push(list);
+  return { list, seeds };
+}
+
+describe('MemberList', () => {
+  afterEach(async () => {
+    for (const list of lists.splice(0)) await list.leave();
+  });
+
+  it('enters, reads once without delay, and again late', async () => {
+    const store = new CountingStore();
+    store.records.set('d2', {
+      name: 'd2',
+      value: { address: '10.0.0.2:7380', zone: 'b' },
+      revision: 4,
+    });
+    const { list, seeds } = startList(store);
+    await sleep(1_300);
+    expect(store.calls).toEqual(['write members d1 new', 'list members current']);
+    expect(list.listed.map(({ address }) => address)).toEqual(['10.0.0.2:7380', ADDRESS]);
+    expect(seeds).toEqual(['10.0.0.2:7380']);
+    await sleep(1_400);
+    expect(store.calls.slice(2)).toEqual(['list members late']);
+  });
+
+  it('finds its own entry of before a restart without a further call', async () => {
+    const store = new CountingStore();
+    store.records.set('d1', { name: 'd1', value: { address: ADDRESS, zone: 'a' }, revision: 4 });
+    startList(store);
+    await sleep(1_300);
+    expect(store.calls).toEqual(['write members d1 new', 'list members current']);
+  });
+
+  it('replaces the entry of a former address', async () => {
+    const store = new CountingStore();
+    store.records.set('d1', {
+      name: 'd1',
+      value: { address: '10.9.9.9:7380', zone: 'a' },
+      revision: 4,
+    });
+    startList(store);
+    await sleep(700);
+    expect(store.calls.at(-1)).toBe('write members d1 4');
+    expect(store.records.get('d1')?.value).toEqual({ address: ADDRESS, zone: 'a' });
+  });
+
+  it('asks a store that is down less and less often', async () => {
+    const store = new CountingStore();
+    store.isDown = true;
+    startList(store);
+    await sleep(3_200);
+    expect(store.calls.length).toBeLessThanOrEqual(3);
+    expect(store.calls.length).toBeGreaterThanOrEqual(2);
+  });
+});
