A newer configuration comes from a peer, and a closer look at the store needs no list

The lists that a life need not make are one of config at each change (each daemon read the whole kind when it heard of a newer version), and both kinds after a forgotten history and at each step from late to current readings. Change: who hears of a newer version asks the peer that has it, packed by the adapter, and the store only if nothing came within 0.5 s; so a change also reaches daemons that the store turns away. A late watch is left at once when the pace becomes a close one, and a current one tells all since: no list. A forgotten history is read late while readings are late, never back.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import type { BackendAgent } from './backend-agent.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
+import { ConfigurationExchange } from './configuration-exchange.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -59,8 +60,6 @@
 const NEWS_SILENCE_MS = 1_500;
 /** Between two requests for everything that an owner knows. */
 const PLACEMENT_REQUEST_PERIOD_MS = 250;
-/** A configuration that a peer has and this daemon has not is read at once, but not more often. */
-const REFRESH_PERIOD_MS = 500;
 
 /** The outside systems. */
 export interface GatewayDependencies {
@@ -83,6 +82,7 @@
   private readonly callerDeadlines = new Map<string, CallerDeadlines>();
   private readonly peers: PeerGroup;
   private readonly members: MemberList;
+  private readonly configurations: ConfigurationExchange;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
   private readonly readiness: http.Server;
@@ -96,7 +96,6 @@
   private attention: DirectoryAttention = 'close';
   private ticker: Ticker | undefined;
   private lastDemand = 0;
-  private lastRefresh = 0;
   /** Steady times at which another daemon was last heard to read the directory closely, and told so. */
   private lastNews = -Infinity;
   private lastNewsSent = -Infinity;
@@ -120,6 +119,12 @@
       onChange: () => (this.membersHaveChanged = true),
     });
     this.members = new MemberList(settings, outside.store, this.peers, logger);
+    this.configurations = new ConfigurationExchange({
+      directory: outside.directory,
+      logger,
+      version: () => this.version,
+      send: (to, body) => this.peers.send(to, body),
+    });
     this.duties = new ServiceDuties({
       settings,
       peers: this.peers,
@@ -307,12 +312,12 @@
     this.peers.broadcast({ case: 'directoryNews', value: create(DirectoryNewsSchema, fields) });
   }
 
-  private hearNews(news: DirectoryNews): void {
+  private hearNews(from: string, news: DirectoryNews): void {
     this.lastNews = steadyNow();
     for (const id of news.endedBackends) {
       if (this.backends.noteEnded(id)) this.outside.logger.info('backend_ended', { backend: id });
     }
-    this.hearVersion(news.configurationVersion);
+    this.configurations.hearVersion(from, news.configurationVersion);
   }
 
   private reportDemand(service: string): void {
@@ -362,28 +367,21 @@
   }
 
   private receive(from: string, body: PeerBody): void {
+    if (this.configurations.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
-      this.hearVersion(body.value.configurationVersion);
+      this.configurations.hearVersion(from, body.value.configurationVersion);
     }
-    if (body.case === 'directoryNews') this.hearNews(body.value);
+    if (body.case === 'directoryNews') this.hearNews(from, body.value);
     if (body.case === 'servicePlacement') {
       const update = decodePlacement(body.value);
       this.duties.hearOwner(from, update.service, update.epoch);
       this.hearPlacement(from, update);
-      this.hearVersion(body.value.configurationVersion);
+      this.configurations.hearVersion(from, body.value.configurationVersion);
     }
     if (body.case === 'placementRequest') this.answerPlacementRequest(from, body.value.service);
   }
 
-  /** A peer knows a newer configuration: the watch may be dead. */
-  private hearVersion(version: number): void {
-    const now = steadyNow();
-    if (version <= this.version || now - this.lastRefresh < REFRESH_PERIOD_MS) return;
-    this.lastRefresh = now;
-    this.outside.directory.refreshConfiguration();
-  }
-
   /** Waiting requests look again, once for all changes of one turn. */
   private scheduleLook(): void {
     if (this.lookScheduled) return;
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -37,6 +37,10 @@
   setAttention(attention: DirectoryAttention): void;
   /** Reads the configuration at once: somebody knows a newer one. */
   refreshConfiguration(): void;
+  /** The newest configuration for a peer, in the adapter's own form; undefined if none is known. */
+  configurationDocument(): Uint8Array | undefined;
+  /** Takes a peer's document if it is newer than what is known; true if it was. */
+  takeConfigurationDocument(document: Uint8Array): boolean;
   stop(): void;
 }
 
--- /dev/null
+++ b/test/gateway/configuration-exchange.test.ts
@@ -0,0 +1,95 @@
+import { create } from '@bufbuild/protobuf';
+import { describe, expect, it } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { ConfigurationExchange } from '../../src/gateway/configuration-exchange.js';
+import type { PlatformDirectory } from '../../src/gateway/ports.js';
+import {
+  ConfigurationDocumentSchema,
+  ConfigurationRequestSchema,
+} from '../../src/proto/gen/internal_pb.js';
+
+/** One daemon; its documents are a byte that is the version. */
+class Daemon {
+  version = 0;
+  refreshes = 0;
+  readonly sent: { readonly to: string; readonly body: PeerBody }[] = [];
+  readonly exchange: ConfigurationExchange;
+
+  constructor() {
+    const directory: PlatformDirectory = {
+      start: () => {},
+      setAttention: () => {},
+      refreshConfiguration: () => (this.refreshes += 1),
+      configurationDocument: () => (this.version === 0 ? undefined : Uint8Array.of(this.version)),
+      takeConfigurationDocument: ([version = 0]) => {
+        if (version <= this.version) return false;
+        this.version = version;
+        return true;
+      },
+      stop: () => {},
+    };
+    this.exchange = new ConfigurationExchange({
+      directory,
+      logger: silentLogger,
+      version: () => this.version,
+      send: (to, body) => this.sent.push({ to, body }),
+    });
+  }
+}
+
+function requestFrom(knownVersion: number): PeerBody {
+  return {
+    case: 'configurationRequest',
+    value: create(ConfigurationRequestSchema, { knownVersion }),
+  };
+}
+
+describe('ConfigurationExchange', () => {
+  it('brings a newer configuration from the peer that has it, without the store', () => {
+    const reader = new Daemon();
+    const daemon = new Daemon();
+    reader.version = 7;
+    daemon.version = 5;
+    daemon.exchange.hearVersion('reader', 7);
+    const [question] = daemon.sent;
+    if (question === undefined) throw new Error('nothing was asked');
+    expect(question.to).toBe('reader');
+    reader.exchange.receive('daemon', question.body);
+    for (const { body } of reader.sent) daemon.exchange.receive('reader', body);
+    expect(daemon.version).toBe(7);
+    expect(daemon.refreshes).toBe(0);
+  });
+
+  it('asks the store once the peer has had time to answer, and neither of them before', async () => {
+    const daemon = new Daemon();
+    daemon.exchange.hearVersion('reader', 7);
+    daemon.exchange.hearVersion('reader', 7);
+    expect([daemon.sent.length, daemon.refreshes]).toEqual([1, 0]);
+    await sleep(520);
+    daemon.exchange.hearVersion('other', 7);
+    expect([daemon.sent.length, daemon.refreshes]).toEqual([1, 1]);
+  });
+
+  it('asks a peer again for a version that is newer still', async () => {
+    const daemon = new Daemon();
+    daemon.exchange.hearVersion('reader', 7);
+    await sleep(520);
+    daemon.exchange.hearVersion('other', 8);
+    expect(daemon.sent.map(({ to }) => to)).toEqual(['reader', 'other']);
+    expect(daemon.refreshes).toBe(0);
+  });
+
+  it('never steps back to a late document, and answers only with what is newer', () => {
+    const daemon = new Daemon();
+    daemon.version = 7;
+    const value = create(ConfigurationDocumentSchema, { document: Uint8Array.of(6) });
+    daemon.exchange.receive('reader', { case: 'configurationDocument', value });
+    expect(daemon.version).toBe(7);
+    daemon.exchange.receive('reader', requestFrom(7));
+    expect(daemon.sent).toEqual([]);
+    daemon.exchange.receive('reader', requestFrom(6));
+    expect(daemon.sent).toHaveLength(1);
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -192,6 +192,8 @@
         start: (listener) => (this.listener = listener),
         setAttention: () => {},
         refreshConfiguration: () => (this.refreshes += 1),
+        configurationDocument: () => undefined,
+        takeConfigurationDocument: () => false,
         stop: () => {},
       },
       store: {
--- /dev/null
+++ b/test/platform/kind-follower.test.ts
@@ -0,0 +1,101 @@
+import { Result } from 'true-myth';
+import { afterEach, describe, expect, it } from 'vitest';
+import { KindFollower, type FollowerPace } from '../../platform/kind-follower.js';
+import type { ObjectStore, StoreObject, WatchOptions } from '../../platform/object-store.js';
+import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+
+const RELAXED: FollowerPace = { periodMs: 10, stale: true, waitMs: 20_000 };
+const CLOSE: FollowerPace = { periodMs: 10, stale: false, waitMs: 4_000 };
+
+/** A store whose late lists show a revision of the test's choice. */
+class ScriptedStore {
+  readonly calls: string[] = [];
+  revision = 10;
+  lateRevision = 10;
+  historyIsGone = false;
+
+  list(_kind: string, stale: boolean): Promise<unknown> {
+    this.calls.push(stale ? 'late list' : 'list');
+    const at = stale ? this.lateRevision : this.revision;
+    this.historyIsGone = false;
+    return Promise.resolve(Result.ok({ items: [objectAt(at)], at }));
+  }
+
+  watch(_kind: string, options: WatchOptions): Promise<unknown> {
+    this.calls.push(`${options.stale ? 'late ' : ''}watch ${options.from}`);
+    if (this.historyIsGone) return Promise.resolve(Result.err({ type: 'expired' }));
+    return new Promise(() => {});
+  }
+}
+
+function objectAt(revision: number): StoreObject {
+  return { name: 'x', revision, finalizers: [], spec: revision };
+}
+
+const followers: KindFollower[] = [];
+
+function follow(
+  store: ScriptedStore,
+  pace: FollowerPace,
+): { follower: KindFollower; seen: unknown[] } {
+  const seen: unknown[] = [];
+  const follower = new KindFollower({
+    store: store as unknown as ObjectStore,
+    logger: silentLogger,
+    kind: 'servers',
+    pace,
+    onObjects: (objects) => seen.push(objects.get('x')?.spec),
+  });
+  followers.push(follower);
+  void follower.run();
+  return { follower, seen };
+}
+
+/** Leaves the late watch that waits, and asks the next one late again. */
+function askAgain(follower: KindFollower): void {
+  follower.setPace(CLOSE);
+  follower.setPace(RELAXED);
+}
+
+describe('KindFollower', () => {
+  afterEach(() => {
+    for (const follower of followers.splice(0)) follower.stop();
+  });
+
+  it('goes from a late watch to one without delay at once, and reads no list for it', async () => {
+    const store = new ScriptedStore();
+    const { follower } = follow(store, RELAXED);
+    await sleep(50);
+    follower.setPace(CLOSE);
+    await sleep(50);
+    expect(store.calls).toEqual(['list', 'late watch 10', 'watch 10']);
+  });
+
+  it('reads a late list when the history is gone', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, RELAXED);
+    await sleep(30);
+    store.historyIsGone = true;
+    store.lateRevision = 12;
+    askAgain(follower);
+    await sleep(300);
+    expect(store.calls.filter((call) => call.endsWith('list'))).toEqual(['list', 'late list']);
+    expect(seen).toEqual([10, 12]);
+  });
+
+  it('does not step back to a late list from before what it holds', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, RELAXED);
+    await sleep(30);
+    store.historyIsGone = true;
+    store.lateRevision = 8;
+    askAgain(follower);
+    await sleep(300);
+    expect(store.calls).toContain('late list');
+    expect(seen).toEqual([10]);
+    store.lateRevision = 11;
+    await sleep(1_100);
+    expect(seen).toEqual([10, 11]);
+  });
+});
