Backends that lapsed with the store serve on; peers tell of backends that start

Cause, from the code and the platform's rule: entries of live backends may lapse while the store is away, and are back within about 2 s of its return. Change: BackendPresence orders lists and news by the store's revisions. An end holds for records that are not newer; a later entry serves again. What a list misses within 2 s of the store's return, or a late list misses, counts as there for 1.8 s (below drainMs of 2 s).

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -3,12 +3,15 @@
  * of the services' owners on loaded models, and refusals that it has met itself.
  * Pure; times are milliseconds of a steady clock.
  */
+import {
+  BackendPresence,
+  type BackendList,
+  type EndedBackend,
+  type PresenceChanges,
+} from './backend-presence.js';
 import type { PlacedModel, PlacementUpdate } from './placement-update.js';
 import type { BackendRecord, HeldModel, ModelReference } from './service-configuration.js';
 
-/** Ended backends that are remembered; their names never come back. */
-const REMEMBERED_ENDS = 2_000;
-
 /** A model at a backend, as this daemon knows it from the owner. */
 interface HeardModel extends HeldModel {
   /** When it is expected to be loaded; 0 when it is. */
@@ -50,48 +53,44 @@
 
 /** The backends of all services. */
 export class BackendDirectory {
-  private backends = new Map<string, BackendRecord>();
+  private readonly presence = new BackendPresence();
   private readonly placements = new Map<string, HeardPlacement>();
   private readonly absences = new Map<string, number>();
-  /** Backends that are leaving or gone, whatever a late list says. */
-  private readonly ended = new Set<string>();
-
-  /** Replaces the platform's list. Returns the backends that have ended since the last one. */
-  setBackends(records: readonly BackendRecord[]): string[] {
-    const before = this.backends;
-    this.backends = new Map(records.map((record) => [record.id, record]));
-    const ended = [...before.keys()].filter((id) => !this.backends.has(id));
-    for (const record of records) {
-      if (record.leaving) ended.push(record.id);
-    }
-    return ended.filter((id) => this.noteEnded(id));
+
+  /** Replaces the platform's list. */
+  setBackends(list: BackendList, now: number): PresenceChanges {
+    return this.presence.take(list, now);
   }
 
-  /** A backend is leaving or gone, for good. Returns false if that was known. */
-  noteEnded(id: string): boolean {
-    if (this.ended.has(id)) return false;
-    this.ended.add(id);
-    if (this.ended.size > REMEMBERED_ENDS) {
-      const [oldest] = this.ended;
-      if (oldest !== undefined) this.ended.delete(oldest);
-    }
-    return true;
+  /** Looks at backends that were missing for a while; returns those that count as ended now. */
+  expireMissing(now: number): EndedBackend[] {
+    return this.presence.expire(now);
+  }
+
+  /** A backend is leaving or gone. Returns false if that was known. */
+  noteEnded(end: EndedBackend): boolean {
+    return this.presence.noteEnded(end);
+  }
+
+  /** A peer has seen a backend that is not listed here yet. Returns false if that was known. */
+  noteStarted(record: BackendRecord, now: number): boolean {
+    return this.presence.noteStarted(record, now);
   }
 
   /** The backend of an id. */
   get(id: string): BackendRecord | undefined {
-    return this.backends.get(id);
+    return this.presence.get(id);
   }
 
   /** All listed backends. */
   all(): BackendRecord[] {
-    return [...this.backends.values()];
+    return this.presence.all();
   }
 
   /** Backends of a service that take new requests. */
   serving(service: string): BackendRecord[] {
     return this.all().filter(
-      (backend) => backend.service === service && !backend.leaving && !this.ended.has(backend.id),
+      (backend) => backend.service === service && this.presence.isServing(backend),
     );
   }
 
--- /dev/null
+++ b/src/core/backend-presence.ts
@@ -0,0 +1,165 @@
+/**
+ * Which backends exist, from lists that may be late, news of peers, and a store that
+ * may have been away. Revisions of the store order it all: an end holds for every
+ * record that is not newer than it. Pure; times are milliseconds of a steady clock.
+ */
+import type { BackendRecord } from './service-configuration.js';
+
+/** All backends as the platform lists them at one revision of its store. */
+export interface BackendList {
+  readonly backends: readonly BackendRecord[];
+  readonly revision: number;
+  /**
+   * Backends may be missing that are there: the store was away a moment ago, and they
+   * have not entered themselves again; or the list is a late one.
+   */
+  readonly mayMissBackends: boolean;
+}
+
+/** A backend that is leaving or gone, as the store showed it at a revision. */
+export interface EndedBackend {
+  readonly id: string;
+  readonly revision: number;
+}
+
+/** What a list has changed. */
+export interface PresenceChanges {
+  /** Backends that take no new requests any more. */
+  readonly ended: readonly EndedBackend[];
+  /** Backends that do since this list; none for the first list. */
+  readonly started: readonly BackendRecord[];
+}
+
+/**
+ * A backend that the list misses after a loss of the store counts as there for so long:
+ * the platform promises entries that lapsed back within about 2 s, and requests must end
+ * within as much after the true end of a backend.
+ */
+const MISSING_HOLD_MS = 1_800;
+/** A peer's word that a backend has started counts so long; late lists follow within seconds. */
+const ANNOUNCEMENT_LIFETIME_MS = 10_000;
+/** Ends that are remembered. */
+const REMEMBERED_ENDS = 2_000;
+
+interface MissingBackend {
+  readonly since: number;
+  readonly revision: number;
+}
+
+/** The backends of all services at one daemon. */
+export class BackendPresence {
+  private records = new Map<string, BackendRecord>();
+  /** Listed before, missing from the last list, and counted as there for a while. */
+  private readonly missing = new Map<string, MissingBackend>();
+  /** Told by a peer and not listed yet, with the time. */
+  private readonly announced = new Map<string, number>();
+  /** The revisions at which backends had ended, the oldest first. */
+  private readonly ends = new Map<string, number>();
+  private hasList = false;
+
+  /** The record of an id. */
+  get(id: string): BackendRecord | undefined {
+    return this.records.get(id);
+  }
+
+  /** All backends that are there, leaving ones among them. */
+  all(): BackendRecord[] {
+    return [...this.records.values()];
+  }
+
+  /** Whether a backend takes new requests. */
+  isServing(record: BackendRecord): boolean {
+    return !record.leaving && (this.ends.get(record.id) ?? -1) < record.revision;
+  }
+
+  /** Replaces the platform's list. */
+  take(list: BackendList, now: number): PresenceChanges {
+    const wasServing = (id: string): boolean => {
+      const record = before.get(id);
+      return record !== undefined && this.isServing(record);
+    };
+    const before = this.records;
+    this.records = new Map(list.backends.map((record) => [record.id, record]));
+    const leaving = list.backends.filter(
+      ({ id, leaving }) => leaving && (wasServing(id) || !this.ends.has(id)),
+    );
+    const ended: EndedBackend[] = leaving.map(({ id, revision }) => ({ id, revision }));
+    ended.push(...this.compare(before, list, now));
+    const started = list.backends.filter((record) => {
+      return this.isServing(record) && !wasServing(record.id);
+    });
+    const isFirst = !this.hasList;
+    this.hasList = true;
+    return { ended: ended.filter((end) => this.noteEnded(end)), started: isFirst ? [] : started };
+  }
+
+  /** Backends of before that are not listed: kept for a while, or ended. */
+  private compare(
+    before: ReadonlyMap<string, BackendRecord>,
+    list: BackendList,
+    now: number,
+  ): EndedBackend[] {
+    const ended: EndedBackend[] = [];
+    for (const [id, record] of before) {
+      if (this.records.has(id)) {
+        this.missing.delete(id);
+        this.announced.delete(id);
+        continue;
+      }
+      const isHeld = this.announced.has(id) || this.missing.has(id) || list.mayMissBackends;
+      if (!isHeld) {
+        ended.push({ id, revision: list.revision });
+        continue;
+      }
+      this.records.set(id, record);
+      if (this.announced.has(id) || this.missing.has(id)) continue;
+      this.missing.set(id, { since: now, revision: list.revision });
+    }
+    return ended;
+  }
+
+  /** Lets go of what was missing, or only announced, for too long; returns what has ended by that. */
+  expire(now: number): EndedBackend[] {
+    for (const [id, since] of this.announced) {
+      if (now - since < ANNOUNCEMENT_LIFETIME_MS) continue;
+      this.announced.delete(id);
+      this.records.delete(id);
+    }
+    const ended: EndedBackend[] = [];
+    for (const [id, { since, revision }] of this.missing) {
+      if (now - since < MISSING_HOLD_MS) continue;
+      this.missing.delete(id);
+      this.records.delete(id);
+      if (this.noteEnded({ id, revision })) ended.push({ id, revision });
+    }
+    return ended;
+  }
+
+  /** A backend is leaving or gone as of a revision. Returns false if that was known. */
+  noteEnded({ id, revision }: EndedBackend): boolean {
+    if ((this.ends.get(id) ?? -1) >= revision) return false;
+    this.ends.delete(id);
+    this.ends.set(id, revision);
+    if (this.ends.size > REMEMBERED_ENDS) {
+      const [oldest] = this.ends.keys();
+      if (oldest !== undefined) this.ends.delete(oldest);
+    }
+    return true;
+  }
+
+  /** A peer has seen a backend that this daemon's list does not show yet. Returns whether that was news. */
+  noteStarted(record: BackendRecord, now: number): boolean {
+    const known = this.records.get(record.id);
+    if (known !== undefined && known.revision >= record.revision) return false;
+    if (!this.isServing(record)) return false;
+    if (known === undefined) {
+      this.records.set(record.id, record);
+      this.announced.set(record.id, now);
+      return true;
+    }
+    // News say where a backend is; what it holds is as the list has told it last.
+    const { models, sequence, inMemory, onDisk } = known;
+    this.records.set(record.id, { ...record, models, sequence, inMemory, onDisk });
+    return true;
+  }
+}
--- a/src/core/service-configuration.ts
+++ b/src/core/service-configuration.ts
@@ -115,6 +115,8 @@
   /** It is about to end: no new request may go there. */
   readonly leaving: boolean;
   readonly models: readonly HeldModel[];
+  /** Revision of the platform's store at which it was last changed. */
+  readonly revision: number;
   /** Orders that the backend had taken when it was listed so. */
   readonly sequence: number;
   /** Models with a copy in the backend's host memory. */
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -1,17 +1,23 @@
 /** Between the gateway's types and the internal protocol's messages. */
 import { create } from '@bufbuild/protobuf';
+import type { EndedBackend } from '../core/backend-presence.js';
 import type { DemandReport } from '../core/model-demand.js';
 import type { PlacedModel, PlacementUpdate } from '../core/placement-update.js';
+import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import {
+  BackendEndSchema,
   BackendLoadSchema,
   BackendPlacementSchema,
+  BackendStartSchema,
   BackendUseSchema,
+  DirectoryNewsSchema,
   HeldModelSchema,
   ModelDemandSchema,
   ModelForecastSchema,
   ServiceDemandSchema,
   ServicePlacementSchema,
+  type DirectoryNews,
   type ServiceDemand,
   type ServicePlacement,
 } from '../proto/gen/internal_pb.js';
@@ -114,3 +120,34 @@
     removedForecasts,
   };
 }
+
+/** What a daemon that reads the platform's directory closely tells the others. */
+export interface DirectoryReport {
+  readonly configurationVersion: number;
+  readonly ended: readonly EndedBackend[];
+  /** Where backends are; nothing is told of what they hold. */
+  readonly started: readonly BackendRecord[];
+}
+
+/** News of the directory as a message. */
+export function encodeNews(news: DirectoryReport): PeerBody {
+  const ends = news.ended.map(({ id, revision }) =>
+    create(BackendEndSchema, { backend: id, revision }),
+  );
+  const starts = news.started.map(({ id, revision, service, address, zone, slots }) =>
+    create(BackendStartSchema, { backend: id, revision, service, address, zone, slots }),
+  );
+  const { configurationVersion } = news;
+  const value = create(DirectoryNewsSchema, { configurationVersion, ends, starts });
+  return { case: 'directoryNews', value };
+}
+
+/** News of the directory out of a message. */
+export function decodeNews(message: DirectoryNews): DirectoryReport {
+  const ended = message.ends.map(({ backend, revision }) => ({ id: backend, revision }));
+  const started = message.starts.map(({ backend, revision, service, address, zone, slots }) => {
+    const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
+    return { id: backend, revision, service, address, zone, slots, leaving: false, ...holdings };
+  });
+  return { configurationVersion: message.configurationVersion, ended, started };
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,39 +7,28 @@
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
 import { faultText, type Logger } from '../common/logger.js';
-import { rankCandidates } from '../common/rendezvous.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
 import { CallerDeadlines } from '../core/caller-deadlines.js';
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
-import { ablestOf } from '../core/duties.js';
 import type { PlacementUpdate } from '../core/placement-update.js';
 import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
-import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
+import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
-import {
-  DirectoryNewsSchema,
-  PlacementRequestSchema,
-  type DirectoryNews,
-} from '../proto/gen/internal_pb.js';
+import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
 import { ConfigurationExchange } from './configuration-exchange.js';
+import { DirectoryDuty } from './directory-duty.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
 import { PeerGroup } from './peer-group.js';
-import type {
-  BackendControl,
-  DirectoryAttention,
-  PlatformDirectory,
-  RecordStore,
-  RequestDialect,
-} from './ports.js';
+import type { BackendControl, PlatformDirectory, RecordStore, RequestDialect } from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
@@ -52,12 +41,6 @@
 const ENTRY_NOTICES_MS = 2_300;
 /** Left of the time for a stop when what still runs is broken off. */
 const STOP_MARGIN_MS = 500;
-/** Daemons besides the owners that follow the platform closely. */
-const CLOSE_READERS = 2;
-/** Daemons that follow the platform closely say so this often, also without news. */
-const NEWS_PERIOD_MS = 500;
-/** Without news for so long a daemon follows the platform closely itself: it may be cut off from those that do. */
-const NEWS_SILENCE_MS = 1_500;
 /** Between two requests for everything that an owner knows. */
 const PLACEMENT_REQUEST_PERIOD_MS = 250;
 
@@ -83,6 +66,7 @@
   private readonly peers: PeerGroup;
   private readonly members: MemberList;
   private readonly configurations: ConfigurationExchange;
+  private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
   private readonly readiness: http.Server;
@@ -93,12 +77,8 @@
   /** Steady time at which a stop was asked for. */
   private drainingSince: number | undefined;
   private stopped = false;
-  private attention: DirectoryAttention = 'close';
   private ticker: Ticker | undefined;
   private lastDemand = 0;
-  /** Steady times at which another daemon was last heard to read the directory closely, and told so. */
-  private lastNews = -Infinity;
-  private lastNewsSent = -Infinity;
   private lookScheduled = false;
   private membersHaveChanged = false;
   /** Steady times of the last requests for everything, by service. */
@@ -137,6 +117,16 @@
       publish: (update) => this.publish(update),
     });
     this.context = this.makeContext();
+    this.directoryDuty = new DirectoryDuty({
+      directory: outside.directory,
+      backends: this.backends,
+      peers: this.peers,
+      logger,
+      version: () => this.version,
+      ownsService: () => this.duties.ownsAny(),
+      inFlightAt: (backend) => this.context.tracker.inFlightAt(backend),
+      onChange: () => this.backendsChanged(),
+    });
     this.front = new CallerFront(this.context, () => this.routing);
     this.readiness = http.createServer((request, response) =>
       this.answerReadiness(request, response),
@@ -158,7 +148,10 @@
     }
     outside.directory.start({
       onConfiguration: (configuration) => this.configure(configuration),
-      onBackends: (backends) => this.setBackends(backends),
+      onBackends: (list) => {
+        this.knowsBackends = true;
+        this.directoryDuty.takeList(list);
+      },
     });
     this.members.start();
     const onFault = (fault: unknown): void => {
@@ -255,15 +248,12 @@
       routes: configuration.routes.length,
       services: configuration.services.length,
     });
-    this.tellNews([]);
+    this.directoryDuty.configurationChanged();
     this.scheduleLook();
   }
 
-  private setBackends(backends: readonly BackendRecord[]): void {
-    this.knowsBackends = true;
-    const ended = this.backends.setBackends(backends);
-    if (ended.length > 0) this.tellNews(ended);
-    this.context.health.keepOnly(new Set(backends.map((backend) => backend.id)));
+  private backendsChanged(): void {
+    this.context.health.keepOnly(new Set(this.backends.all().map((backend) => backend.id)));
     this.duties.backendsChanged();
     this.scheduleLook();
   }
@@ -282,44 +272,10 @@
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.logMembers();
-    this.chooseAttention(now);
-    if (now - this.lastNewsSent >= NEWS_PERIOD_MS) this.tellNews([]);
+    this.directoryDuty.tick();
     for (const service of this.context.tracker.activeServices()) this.reportDemand(service);
   }
 
-  /** Owners and a few others follow the platform closely and tell the rest. */
-  private chooseAttention(now: number): void {
-    const attention = this.wantedAttention(now);
-    if (attention === this.attention) return;
-    this.attention = attention;
-    this.outside.logger.info('directory_attention', { attention });
-    this.outside.directory.setAttention(attention);
-  }
-
-  private wantedAttention(now: number): DirectoryAttention {
-    if (this.duties.ownsAny()) return 'immediate';
-    const live = this.peers.live();
-    const candidates = ablestOf(live).map((member) => member.address);
-    const readers = rankCandidates('directory', candidates).slice(0, CLOSE_READERS);
-    const isAlone = live.length <= CLOSE_READERS || now - this.lastNews > NEWS_SILENCE_MS;
-    return isAlone || readers.includes(this.peers.address) ? 'close' : 'relaxed';
-  }
-
-  private tellNews(ended: readonly string[]): void {
-    if (this.attention === 'relaxed') return;
-    this.lastNewsSent = steadyNow();
-    const fields = { configurationVersion: this.version, endedBackends: [...ended] };
-    this.peers.broadcast({ case: 'directoryNews', value: create(DirectoryNewsSchema, fields) });
-  }
-
-  private hearNews(from: string, news: DirectoryNews): void {
-    this.lastNews = steadyNow();
-    for (const id of news.endedBackends) {
-      if (this.backends.noteEnded(id)) this.outside.logger.info('backend_ended', { backend: id });
-    }
-    this.configurations.hearVersion(from, news.configurationVersion);
-  }
-
   private reportDemand(service: string): void {
     const failing = this.context.health.failing(steadyNow());
     const report = this.context.tracker.report(service, this.peers.address, failing, steadyNow());
@@ -372,7 +328,10 @@
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.configurations.hearVersion(from, body.value.configurationVersion);
     }
-    if (body.case === 'directoryNews') this.hearNews(from, body.value);
+    if (body.case === 'directoryNews') {
+      this.directoryDuty.hear(body.value);
+      this.configurations.hearVersion(from, body.value.configurationVersion);
+    }
     if (body.case === 'servicePlacement') {
       const update = decodePlacement(body.value);
       this.duties.hearOwner(from, update.service, update.epoch);
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -5,6 +5,7 @@
  */
 import type http from 'node:http';
 import type { Result } from 'true-myth';
+import type { BackendList } from '../core/backend-presence.js';
 import type { BackendReport, ModelOrder, OrderFence, OrderOutcome } from '../core/model-order.js';
 import type {
   BackendRecord,
@@ -17,7 +18,7 @@
   /** A configuration that is newer than all before. */
   onConfiguration(configuration: ServiceConfiguration): void;
   /** All backends as they are listed now. */
-  onBackends(backends: readonly BackendRecord[]): void;
+  onBackends(list: BackendList): void;
 }
 
 /** How closely the directory is followed. */
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { afterFailure } from '../../src/core/attempt-policy.js';
+import type { BackendList } from '../../src/core/backend-presence.js';
 import { BackendDirectory } from '../../src/core/backend-directory.js';
 import { BackendHealth } from '../../src/core/backend-health.js';
 import { EventStreamParser } from '../../src/core/event-stream.js';
@@ -273,6 +274,11 @@
   });
 });
 
+/** All backends at a revision of the store. */
+function listOf(revision: number, ...backends: BackendRecord[]): BackendList {
+  return { backends, revision, mayMissBackends: false };
+}
+
 describe('BackendDirectory', () => {
   const record = (id: string, leaving = false): BackendRecord => ({
     id,
@@ -282,6 +288,7 @@
     slots: 1,
     leaving,
     models: [{ name: 'm', adapters: [] }],
+    revision: 1,
     sequence: 0,
     inMemory: [],
     onDisk: [],
@@ -289,9 +296,10 @@
 
   it('does not serve from a backend that has ended, though a late list shows it', () => {
     const directory = new BackendDirectory();
-    directory.setBackends([record('x'), record('y')]);
-    expect(directory.setBackends([record('x', true)])).toEqual(['y', 'x']);
-    directory.setBackends([record('x'), record('y')]);
+    directory.setBackends(listOf(1, record('x'), record('y')), 0);
+    const { ended } = directory.setBackends(listOf(2, record('x', true)), 0);
+    expect(ended.map(({ id }) => id)).toEqual(['x', 'y']);
+    directory.setBackends(listOf(2, record('x'), record('y')), 0);
     expect(directory.serving('s')).toEqual([]);
   });
 
@@ -304,7 +312,7 @@
 
   it('knows which load an owner has told of last', () => {
     const directory = new BackendDirectory();
-    directory.setBackends([record('x')]);
+    directory.setBackends(listOf(1, record('x')), 0);
     const placed = { name: 'new', adapters: [], readyInMs: 4_000, unloading: false };
     directory.hearPlacement(updateOf({ backends: new Map([['x', [placed]]]) }), 0);
     expect(directory.loadingAt(record('x'), 100)).toEqual({ model: 'new', expectedEnd: 4_000 });
@@ -313,7 +321,7 @@
 
   it('believes the owner before the list, and the list when the owner is silent', () => {
     const directory = new BackendDirectory();
-    directory.setBackends([record('x')]);
+    directory.setBackends(listOf(1, record('x')), 0);
     const model = { model: 'm', adapter: undefined };
     const placed = { name: 'm', adapters: [], readyInMs: 0, unloading: true };
     directory.hearPlacement(updateOf({ backends: new Map([['x', [placed]]]) }), 0);
--- a/test/core/placement-publisher.test.ts
+++ b/test/core/placement-publisher.test.ts
@@ -28,6 +28,7 @@
     slots: 1,
     leaving: false,
     models: [],
+    revision: 1,
     sequence: 0,
     inMemory: [],
     onDisk: [],
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -123,6 +123,7 @@
       slots: 10,
       leaving: false,
       models: [],
+      revision: 1,
       sequence: 0,
       inMemory: [],
       onDisk: [],
@@ -182,6 +183,8 @@
   readonly lines: { event: string; fields: LogFields }[] = [];
   listener: DirectoryListener | undefined;
   refreshes = 0;
+  /** Revision of the last list. */
+  private revision = 0;
   readonly records = new Map<string, StoredRecord>();
   readonly gateway: Gateway;
   private readonly agent = new BackendAgent({ onUnaskedBytes: () => {} });
@@ -256,7 +259,8 @@
   }
 
   list(backends: readonly BackendRecord[]): void {
-    this.listener?.onBackends(backends);
+    this.revision += 1;
+    this.listener?.onBackends({ backends, revision: this.revision, mayMissBackends: false });
   }
 
   /** Sends a request on a connection of its own. */
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -19,6 +19,7 @@
     slots: 64,
     leaving: false,
     models: held.map((name) => ({ name, adapters: [] })),
+    revision: 1,
     sequence: 0,
     inMemory: [],
     onDisk: ['hot', 'rare1', 'rare2'],
@@ -50,7 +51,8 @@
     vi.useFakeTimers({ toFake: ['performance', 'setTimeout'] });
     orders.length = 0;
     silent = '';
-    directory.setBackends([recordOf('x', ['hot']), recordOf('y', [])]);
+    const backends = [recordOf('x', ['hot']), recordOf('y', [])];
+    directory.setBackends({ backends, revision: 1, mayMissBackends: false }, 0);
     owner = new ServiceOwner(
       {
         service: 'models',
--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -46,7 +46,7 @@
     logger: silentLogger,
     kind: 'servers',
     pace,
-    onObjects: (objects) => seen.push(objects.get('x')?.spec),
+    onObjects: ({ objects }) => seen.push(objects.get('x')?.spec),
   });
   followers.push(follower);
   void follower.run();
