Logs tell how long streams paused; losses tells late first parts from pauses

Change: request_ended carries goalMs, longestPauseMs and pauseGoalMs of streams, sent the load that the daemon believed at the chosen backend; `scaleslip losses` counts served streams by timing. Test: the three timings, and answers that are no streams.

--- a/src/cli/losses-command.ts
+++ b/src/cli/losses-command.ts
@@ -54,6 +54,7 @@
   const report = lossReport(events);
   printCounts('requests by end', report.ends);
   printCounts('refusals by cause', report.refusals);
+  printCounts('served streams by timing', report.streams);
   printSpreads('time to the first part of served requests, ms', report.firstPart);
   printSpreads('time of loads by place of the copy, ms', report.loads);
   printSpreads('model loaded later than told, by place of the copy, ms', report.forecastErrors);
--- a/src/diagnosis/loss-report.ts
+++ b/src/diagnosis/loss-report.ts
@@ -27,6 +27,9 @@
   /** A reason other than its model. */
   | 'other';
 
+/** How a served stream kept its route's objectives, as far as one daemon sees it. */
+export type StreamTiming = 'in time' | 'first part late' | 'paused';
+
 /** All that the logs tell. */
 export interface LossReport {
   /** Ended requests by route, then by end. */
@@ -35,6 +38,8 @@
   readonly refusals: ReadonlyMap<string, ReadonlyMap<string, number>>;
   /** Time to the first part of served requests, by route. */
   readonly firstPart: ReadonlyMap<string, Spread>;
+  /** Served streams by route, then by timing. */
+  readonly streams: ReadonlyMap<string, ReadonlyMap<string, number>>;
   /** Times of loads, by the place of the copy. */
   readonly loads: ReadonlyMap<string, Spread>;
   /** Time at which a model was loaded, less the time that its first callers were told, by place. */
@@ -55,6 +60,7 @@
   const ends = new Map<string, Map<string, number>>();
   const refusals = new Map<string, Map<string, number>>();
   const firstPart = new Map<string, number[]>();
+  const streams = new Map<string, Map<string, number>>();
   const errors = new Map<string, number[]>();
   for (const event of ordered) {
     const route = event.fields.get('route') ?? '';
@@ -63,6 +69,8 @@
       const milliseconds = numberField(event, 'firstPartMs');
       const isServed = event.fields.get('end') === 'served';
       if (isServed && milliseconds !== undefined) add(firstPart, route, milliseconds);
+      const timing = isServed ? streamTiming(event) : undefined;
+      if (timing !== undefined) count(streams, route, timing);
     }
     if (event.event !== 'refused') continue;
     const next = nextLoad(event, loads);
@@ -80,11 +88,21 @@
     ends,
     refusals,
     firstPart: spreads(firstPart),
+    streams,
     loads: spreads(times),
     forecastErrors: spreads(errors),
   };
 }
 
+/** Undefined for an answer that is no stream. */
+function streamTiming(ended: LogEvent): StreamTiming | undefined {
+  const pauseMs = numberField(ended, 'longestPauseMs');
+  if (pauseMs === undefined) return undefined;
+  const firstPartMs = numberField(ended, 'firstPartMs') ?? 0;
+  if (firstPartMs > (numberField(ended, 'goalMs') ?? Infinity)) return 'first part late';
+  return pauseMs > (numberField(ended, 'pauseGoalMs') ?? Infinity) ? 'paused' : 'in time';
+}
+
 /** By model, in the order of their ends. */
 function finishedLoads(events: readonly LogEvent[]): Map<string, FinishedLoad[]> {
   const loads = new Map<string, FinishedLoad[]>();
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -64,6 +64,9 @@
   begunAt: number | undefined;
   /** The newest event that the caller was sent. */
   lastEventId: string | undefined;
+  /** Longest time between two events of a stream, in milliseconds. */
+  longestPauseMs = 0;
+  private lastEventAt: number | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -92,6 +95,11 @@
   /** Sends one event. Returns false if the caller reads too slowly. */
   sendEvent(event: StreamEvent): boolean {
     if (event.id !== undefined) this.lastEventId = event.id;
+    const now = steadyNow();
+    if (this.lastEventAt !== undefined) {
+      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt);
+    }
+    this.lastEventAt = now;
     return this.response.write(event.bytes);
   }
 
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -10,6 +10,7 @@
 import { FIRST_PART_MS, holdOrRefuse } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
+  isStream,
   mayRepeat,
   type BackendRecord,
   type ModelReference,
@@ -250,6 +251,7 @@
     }
     this.log('sent', {
       backend: backend.id,
+      inFlight: this.candidate(backend).inFlight,
       sends: this.sends,
       waitedMs: Math.round(now - request.arrivedAt),
       remainingMs: Math.round(this.deadlineAt - now),
@@ -411,7 +413,16 @@
     const milliseconds = Math.round(seconds * 1000);
     const { begunAt } = this.answer;
     const firstPartMs = begunAt && Math.round(begunAt - this.request.arrivedAt);
-    this.log('request_ended', { end, milliseconds, firstPartMs, sends: this.sends });
+    const timing = { milliseconds, firstPartMs, goalMs: route.goalMs, ...this.pauses() };
+    this.log('request_ended', { end, ...timing, sends: this.sends });
+  }
+
+  /** How a stream has paused, and the pause that its caller still takes for in time. */
+  private pauses(): Record<string, number> {
+    const { route } = this.match;
+    if (!isStream(route) || !this.answer.hasBegun) return {};
+    const longestPauseMs = Math.round(this.answer.longestPauseMs);
+    return { longestPauseMs, pauseGoalMs: route.pauseGoalMs };
   }
 
   private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
--- a/test/diagnosis/loss-report.test.ts
+++ b/test/diagnosis/loss-report.test.ts
@@ -57,6 +57,24 @@
     expect(report.loads.get('disk')).toEqual({ count: 3, p50: 800, p95: 800 });
   });
 
+  it('tells streams with a late first part from those that paused', () => {
+    const ended = (rest: string): string =>
+      at(1, `event=request_ended route=r end=served goalMs=600 ${rest}`);
+    const report = lossReport(
+      eventsOf(
+        ended('firstPartMs=100 longestPauseMs=50 pauseGoalMs=300'),
+        ended('firstPartMs=100 longestPauseMs=301 pauseGoalMs=300'),
+        ended('firstPartMs=700 longestPauseMs=400 pauseGoalMs=300'),
+        ended('firstPartMs=700'),
+      ),
+    );
+    expect(Object.fromEntries(report.streams.get('r') ?? [])).toEqual({
+      'in time': 1,
+      paused: 1,
+      'first part late': 1,
+    });
+  });
+
   it('counts ends, and the time to the first part of what was served', () => {
     const ended = (end: string, rest = ''): string =>
       at(1, `event=request_ended route=r end=${end} ${rest}`);
