--- a/test/platform/directory.test.ts
+++ b/test/platform/directory.test.ts
@@ -1,8 +1,12 @@
+import http from 'node:http';
 import { gzipSync } from 'node:zlib';
 import { describe, expect, it } from 'vitest';
 import { StoreDirectory } from '../../platform/directory.js';
-import type { ObjectStore } from '../../platform/object-store.js';
+import { ObjectStore } from '../../platform/object-store.js';
+import { listen } from '../../src/common/http-server.js';
 import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 
 /** A directory whose store never answers. */
 function silentDirectory(): { directory: StoreDirectory; versions: number[] } {
@@ -48,3 +52,26 @@
     expect(versions).toEqual([]);
   });
 });
+
+describe('a close reader of backends', () => {
+  it('asks again within the 2 s in which a leaving backend must be known, when an answer is lost', async () => {
+    const watchedAt: number[] = [];
+    const server = http.createServer((request, response) => {
+      const isWatch = request.url?.includes('watch=') === true;
+      if (isWatch && request.url?.includes('/servers') === true) watchedAt.push(performance.now());
+      // The connection stays open, and says nothing more.
+      if (!isWatch) response.end(JSON.stringify({ items: [], at: 5 }));
+    });
+    const port = await listen(server, '127.0.0.1', 0);
+    const store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics());
+    const directory = new StoreDirectory(store, silentLogger);
+    directory.start({ onConfiguration: () => {}, onBackends: () => {} });
+    await sleep(2_600);
+    const [first = 0, second = Infinity] = watchedAt;
+    expect(second - first).toBeLessThan(1_950);
+    directory.stop();
+    store.close();
+    server.close();
+    server.closeAllConnections();
+  });
+});
