The weight store's limit does not fall below what has run at full speed

Backends that run many requests load slowly themselves (a load beside two took 7.0 s of 6.0), which was taken for the store. Why it matters: the store divides its throughput, so loads beyond what it carries only take longer, but fewer lose throughput. Change: a load that ran at full speed proves the number beside it for a minute; the limit does not fall below that. Tests: eight loads of 24 s after four at full speed leave 4 (2 before); forgotten after a minute.

--- a/src/core/store-load-limit.ts
+++ b/src/core/store-load-limit.ts
@@ -27,6 +27,8 @@
 const MANY_SHARE = 0.6;
 /** Overdue loads that together speak of the store. */
 const LEAST_OVERDUE = 2;
+/** What a load at full speed has proved counts so long: the store may have become slower since. */
+const PROOF_LIFETIME_MS = 60_000;
 /** Weight of the newest estimate of what the store carries. */
 const NEWEST_WEIGHT = 0.5;
 
@@ -49,6 +51,8 @@
   private estimate: number;
   /** The store has been met at its limit: from then on the number grows by one a round, not a load. */
   private hasSlowed = false;
+  /** Loads at once beside which one has run at full speed, and when that was seen. */
+  private proof = { atOnce: 1, seenAt: -Infinity };
   private readonly loads = new Map<string, RunningLoad>();
   /** Loads at once, integrated over time until `integratedAt`. */
   private integral = 0;
@@ -82,6 +86,7 @@
     if (load === undefined || !completed) return;
     if (this.wasSlowedByOthers(load, now)) return this.slowed(load, now);
     if (takesLonger(load, SLOWED_FACTOR, now)) return;
+    this.prove(this.meanAtOnce(load, now), now);
     if (load.metLimit) this.estimate += this.hasSlowed ? 1 / this.most : 1;
   }
 
@@ -95,10 +100,23 @@
       const carried = this.carried(load, now);
       if (carried >= this.estimate) continue;
       this.hasSlowed = true;
-      this.estimate = Math.max(1, carried);
+      this.estimate = Math.max(this.proven(now), carried);
     }
   }
 
+  private prove(atOnce: number, now: number): void {
+    this.proof = { atOnce: Math.max(this.proven(now), atOnce), seenAt: now };
+  }
+
+  /**
+   * Loads at once that are carried for certain. Without it loads that are slow for another
+   * reason, as backends that run many requests, take the limit below what the store carries,
+   * and fewer loads than that at once lose throughput, while more only take longer.
+   */
+  private proven(now: number): number {
+    return now - this.proof.seenAt < PROOF_LIFETIME_MS ? this.proof.atOnce : 1;
+  }
+
   /** Whether a load takes long, and so many ran beside it that they may be why. */
   private wasSlowedByOthers(load: RunningLoad, now: number): boolean {
     const wereMany = this.meanAtOnce(load, now) >= this.estimate * MANY_SHARE;
@@ -109,7 +127,7 @@
     this.hasSlowed = true;
     const carried = this.carried(load, now);
     this.estimate += (carried - this.estimate) * NEWEST_WEIGHT;
-    this.estimate = Math.max(1, this.estimate);
+    this.estimate = Math.max(this.proven(now), this.estimate);
   }
 
   /** What the store carries at full speed, judged by one load: at most so much if it still runs. */
--- a/test/core/store-load-limit.test.ts
+++ b/test/core/store-load-limit.test.ts
@@ -101,6 +101,26 @@
     expect(limit.most).toBe(4);
   });
 
+  it('does not fall below what has run at full speed, when backends are slow themselves', () => {
+    const limit = new AdaptiveStoreLoadLimit(4);
+    for (let index = 0; index < 4; index++) limit.begin(`a${index}`, FULL_SPEED_MS, 0);
+    for (let index = 0; index < 4; index++) limit.end(`a${index}`, true, FULL_SPEED_MS);
+    for (let index = 0; index < 8; index++) limit.begin(`b${index}`, FULL_SPEED_MS, 7_000);
+    limit.observe(31_000);
+    expect(limit.most).toBe(4);
+    for (let index = 0; index < 8; index++) limit.end(`b${index}`, true, 31_000);
+    expect(limit.most).toBe(4);
+  });
+
+  it('forgets after a minute what has run at full speed', () => {
+    const limit = new AdaptiveStoreLoadLimit(4);
+    for (let index = 0; index < 4; index++) limit.begin(`a${index}`, FULL_SPEED_MS, 0);
+    for (let index = 0; index < 4; index++) limit.end(`a${index}`, true, FULL_SPEED_MS);
+    for (let index = 0; index < 8; index++) limit.begin(`b${index}`, FULL_SPEED_MS, 70_000);
+    limit.observe(94_000);
+    expect(limit.most).toBe(2);
+  });
+
   it('learns nothing from a load that failed', () => {
     const limit = new AdaptiveStoreLoadLimit(4);
     limit.begin('b', FULL_SPEED_MS, 0);
