--- a/src/core/backend-selection-stale-load.ts
+++ b/src/core/backend-selection-stale-load.ts
@@ -2,10 +2,10 @@
  * Spreads requests over backends whose load is known with a delay. The cost of a
  * backend adds up load, distance, failures, missing cache and new connections.
  * If every daemon took the cheapest one, all requests of the time between two
- * reports would meet there; so the requests that nobody has reported yet are
- * estimated, and laid out in thought like water: each backend takes what lifts it
- * to the common level, and a request goes to one of them with the probability of
- * its part ("basic load interpretation", Dahlin, 1999).
+ * reports would meet there. So the requests that nobody has reported yet are
+ * estimated and shared out by water filling: each backend takes as many as raise its
+ * cost to a common level. A request goes to one of them with the probability of that
+ * share ("basic load interpretation", Dahlin, 1999).
  */
 import { firstCandidate, rendezvousWeight } from '../common/rendezvous.js';
 import type { BackendCandidate, BackendSelection } from './backend-selection.js';
@@ -57,13 +57,13 @@
     return this.draw(costed, levelAfter(costed, known * UNSEEN_SHARE));
   }
 
-  /** Takes one backend, each with the probability of what lifts it to the level. */
+  /** Takes one backend, each with the probability of the requests that raise it to the level. */
   private draw(costed: readonly CostedBackend[], level: number): BackendCandidate | undefined {
-    const room = costed.map(({ cost, slots }) => Math.max(0, level - cost) * slots);
-    const whole = room.reduce((sum, part) => sum + part, 0);
+    const shares = costed.map(({ cost, slots }) => Math.max(0, level - cost) * slots);
+    const whole = shares.reduce((sum, part) => sum + part, 0);
     this.draws += 1;
     let left = (rendezvousWeight(this.daemon, String(this.draws)) / LARGEST_WEIGHT) * whole;
-    for (const [index, part] of room.entries()) {
+    for (const [index, part] of shares.entries()) {
       left -= part;
       if (left < 0) return costed[index]?.candidate;
     }
--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -40,11 +40,11 @@
 /** This daemon's part in following the directory. */
 export class DirectoryDuty {
   private attention: DirectoryAttention = 'close';
-  /** Others count on this daemon's word: it owns a service, or is among the first in rank. */
-  private isTeller = false;
-  /** Steady times at which another daemon was last heard to read the directory closely, and told so. */
+  /** It owns a service or is among the first in rank: it reads closely and publishes what it reads. */
+  private isDesignatedReader = false;
+  /** Steady times at which another daemon was last heard to read the directory closely, and at which this one last published. */
   private lastHeard = -Infinity;
-  private lastTold = -Infinity;
+  private lastPublished = -Infinity;
 
   constructor(private readonly options: DirectoryDutyOptions) {}
 
@@ -55,8 +55,8 @@
     const ended = this.options.backends.expireMissing(now);
     if (ended.length > 0) this.changed(ended, []);
     // An owner's word on its models is a sign of life as well, and more frequent.
-    const isDue = now - this.lastTold >= NEWS_PERIOD_MS;
-    if (isDue && !this.options.ownsService()) this.tell([], []);
+    const isDue = now - this.lastPublished >= NEWS_PERIOD_MS;
+    if (isDue && !this.options.ownsService()) this.publish([], []);
   }
 
   /** The platform's list has changed. */
@@ -67,7 +67,7 @@
 
   /** A newer configuration is in force here. */
   configurationChanged(): void {
-    this.tell([], []);
+    this.publish([], []);
   }
 
   /** An owner has told of its models: it reads the directory closely too. */
@@ -94,14 +94,14 @@
   private changed(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
     if (ended.length + started.length > 0) {
       this.log(ended, started);
-      this.tell(ended, started);
+      this.publish(ended, started);
     }
     this.options.onChange();
   }
 
-  private tell(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
-    if (!this.isTeller) return;
-    this.lastTold = steadyNow();
+  private publish(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
+    if (!this.isDesignatedReader) return;
+    this.lastPublished = steadyNow();
     const news = { configurationVersion: this.options.version(), ended, started };
     this.options.peers.broadcast(encodeNews(news));
   }
@@ -119,11 +119,11 @@
 
   private wantedAttention(now: number): DirectoryAttention {
     const ownsService = this.options.ownsService();
-    // Who is only cut off from the tellers reads closely too, but has nobody to tell.
-    this.isTeller = ownsService || this.isFirstInRank();
+    // Who is only cut off from the designated readers reads closely too, but publishes nothing.
+    this.isDesignatedReader = ownsService || this.isFirstInRank();
     if (ownsService) return 'immediate';
     const isAlone = now - this.lastHeard > NEWS_SILENCE_MS;
-    return this.isTeller || isAlone ? 'close' : 'relaxed';
+    return this.isDesignatedReader || isAlone ? 'close' : 'relaxed';
   }
 
   private isFirstInRank(): boolean {
@@ -133,15 +133,15 @@
     return first.includes(peers.address);
   }
 
-  /** One line at those that tell, and where requests are touched: hundreds hear the same. */
+  /** Lines at designated readers, and where requests are touched: hundreds hear the same. */
   private log(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
     const { inFlightAt, logger } = this.options;
-    const { isTeller } = this;
-    const touched = ended.filter(({ id }) => isTeller || inFlightAt(id) > 0);
+    const { isDesignatedReader } = this;
+    const touched = ended.filter(({ id }) => isDesignatedReader || inFlightAt(id) > 0);
     for (const { id, revision } of touched) {
       logger.info('backend_ended', { backend: id, revision, inFlight: inFlightAt(id) });
     }
-    if (!isTeller) return;
+    if (!isDesignatedReader) return;
     for (const { id, revision, address } of started) {
       logger.info('backend_started', { backend: id, revision, address });
     }
