Read again: one way to carry out membership's effects, one count of requests in flight

Twins and work done twice that the change had left: the daemon and the gateway's peer group each turned membership's effects into datagrams and streams (now performMembershipEffects); a whole candidate was built twice a request where only its requests in flight were wanted (now inFlightAt); news of members told in an exchange were added and dropped at once; two conditions of BackendPresence asked the same twice; two planner tests shared their scene. No behaviour changes, no assertion changed.

--- a/src/core/backend-presence.ts
+++ b/src/core/backend-presence.ts
@@ -106,14 +106,13 @@
         this.announced.delete(id);
         continue;
       }
-      const isHeld = this.announced.has(id) || this.missing.has(id) || list.mayMissBackends;
-      if (!isHeld) {
+      const isHeld = this.announced.has(id) || this.missing.has(id);
+      if (!isHeld && !list.mayMissBackends) {
         ended.push({ id, revision: list.revision });
         continue;
       }
       this.records.set(id, record);
-      if (this.announced.has(id) || this.missing.has(id)) continue;
-      this.missing.set(id, { since: now, revision: list.revision });
+      if (!isHeld) this.missing.set(id, { since: now, revision: list.revision });
     }
     return ended;
   }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -252,6 +252,7 @@
     if (entry === undefined || entry.view.state === 'suspect' || entry.view.state === 'dead')
       return;
     this.setMember({ ...entry.view, state: 'suspect' }, now);
+    this.spread(address);
     // The suspect hears of it at once, so that it can refute.
     this.probe(address, now);
   }
@@ -261,6 +262,7 @@
       const age = now - entry.since;
       if (entry.view.state === 'suspect' && age >= this.times.suspicionMs) {
         this.setMember({ ...entry.view, state: 'dead' }, now);
+        this.spread(address);
         this.tellSome(address);
       }
       if (entry.view.state === 'dead' && age >= this.times.rememberDeadMs) {
@@ -323,7 +325,8 @@
     if (known === undefined && update.state === 'dead') return;
     if (known !== undefined && !supersedes(update, known)) return;
     this.setMember(update, now);
-    if (origin === 'told') this.news.drop(update.address);
+    if (origin === 'news') this.spread(update.address);
+    else this.news.drop(update.address);
   }
 
   /** Another daemon says that this one is suspect or dead: a higher incarnation refutes it. */
@@ -344,7 +347,6 @@
   private setMember(view: MemberView, now: number): void {
     const before = this.members.get(view.address)?.view;
     this.members.set(view.address, { view, since: now });
-    this.spread(view.address);
     // A suspicion alone changes no duty, and comes and goes when machines are busy.
     if (before === undefined || isLive(before) !== isLive(view)) this.changed = true;
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -23,10 +23,9 @@
   decodeMembership,
   decodeWake,
   encodeLocation,
-  encodeProbe,
-  encodeState,
   encodeWake,
 } from './codec.js';
+import { performMembershipEffects } from './membership-transport.js';
 import { ConfigurationService, RELAY_HEARTBEAT_MS } from './configuration-service.js';
 import { Directory } from './directory.js';
 import { FrontDoor } from './front-door.js';
@@ -338,15 +337,8 @@
   }
 
   private membershipEvent(event: MembershipEvent): void {
-    for (const effect of this.membership.handle(event, this.clock.now())) {
-      if (effect.type === 'changed') this.membersHaveChanged = true;
-      if (effect.type === 'send') {
-        this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
-      }
-      if (effect.type === 'send_state') {
-        this.transport.send(effect.to, encodeState(effect.message));
-      }
-    }
+    const effects = this.membership.handle(event, this.clock.now());
+    if (performMembershipEffects(effects, this.transport)) this.membersHaveChanged = true;
   }
 
   private membershipTick(): void {
--- a/src/gateway/peer-group.ts
+++ b/src/gateway/peer-group.ts
@@ -3,7 +3,8 @@
 import { LinkFaults } from '../common/link-faults.js';
 import { Membership } from '../core/membership.js';
 import type { MembershipEvent, MemberView } from '../core/membership-messages.js';
-import { decodeMembership, encodeProbe, encodeState } from '../daemon/codec.js';
+import { decodeMembership } from '../daemon/codec.js';
+import { performMembershipEffects } from '../daemon/membership-transport.js';
 import { PeerTransport, type PeerBody, type TransportCounts } from '../daemon/peer-transport.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -105,14 +106,7 @@
   }
 
   private apply(event: MembershipEvent): void {
-    for (const effect of this.membership.handle(event, steadyNow())) {
-      if (effect.type === 'changed') this.options.onChange();
-      if (effect.type === 'send') {
-        this.transport.sendDatagram(effect.to, encodeProbe(effect.message));
-      }
-      if (effect.type === 'send_state') {
-        this.transport.send(effect.to, encodeState(effect.message));
-      }
-    }
+    const effects = this.membership.handle(event, steadyNow());
+    if (performMembershipEffects(effects, this.transport)) this.options.onChange();
   }
 }
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -134,7 +134,7 @@
     return this.usableBackends(now).some((backend) => {
       if (this.tried.has(backend.id) || this.context.health.isAvoided(backend.id, now))
         return false;
-      return this.candidate(backend).inFlight < backend.slots;
+      return this.inFlightAt(backend) < backend.slots;
     });
   }
 
@@ -154,18 +154,22 @@
 
   private candidate(backend: BackendRecord): BackendCandidate {
     const { context } = this;
-    const own = context.tracker.inFlightAt(backend.id);
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
       hasConnection: context.agent.hasRestingConnection(backend.address),
       slots: backend.slots,
-      // What all have is told with a delay, in which this daemon may have sent more itself.
-      inFlight: Math.max(own, context.directory.loadOf(backend, steadyNow())),
+      inFlight: this.inFlightAt(backend),
       failureShare: context.health.failureShare(backend.id),
     };
   }
 
+  /** Requests in flight at a backend: all have them told late, and this daemon may have sent more since. */
+  private inFlightAt(backend: BackendRecord): number {
+    const { tracker, directory } = this.context;
+    return Math.max(tracker.inFlightAt(backend.id), directory.loadOf(backend, steadyNow()));
+  }
+
   private holdOrRefuse(): void {
     const { arrivedAt } = this.request;
     const { route, service } = this.match;
@@ -251,7 +255,7 @@
     }
     this.log('sent', {
       backend: backend.id,
-      inFlight: this.candidate(backend).inFlight,
+      inFlight: this.inFlightAt(backend),
       sends: this.sends,
       waitedMs: Math.round(now - request.arrivedAt),
       remainingMs: Math.round(this.deadlineAt - now),
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -81,6 +81,16 @@
   });
 }
 
+/** A hot model with one copy of 64 slots and so many requests there, and a rare one that waits. */
+function hotAndRare(inFlight: number): Scene {
+  const scene = new Scene([ledgerOf('x', ['hot']), ledgerOf('y', [])]);
+  const asked = waitingFor('hot', { waiting: 0, arrivals: 60, goalMs: 600 });
+  const use = [{ backend: 'x', model: 'hot', adapter: undefined, inFlight }];
+  const samples = [asked, waitingFor('rare1')];
+  scene.demand.hear({ daemon: 'd', samples, use, failing: [] }, scene.now);
+  return scene;
+}
+
 describe('PlacementPlanner', () => {
   it('loads where a copy is at hand', () => {
     const scene = new Scene([ledgerOf('x', []), ledgerOf('y', [], ['rare1'])]);
@@ -113,22 +123,14 @@
   });
 
   it('gives the place in the weight store to a model whose copies are nearly full, before a rare one', () => {
-    const scene = new Scene([ledgerOf('x', ['hot']), ledgerOf('y', [])]);
-    const asked = waitingFor('hot', { waiting: 0, arrivals: 60, goalMs: 600 });
-    const use = [{ backend: 'x', model: 'hot', adapter: undefined, inFlight: 50 }];
-    const samples = [asked, waitingFor('rare1')];
-    scene.demand.hear({ daemon: 'd', samples, use, failing: [] }, scene.now);
+    const scene = hotAndRare(50);
     expect(brief(scene.planAndAccept())).toEqual(['y load hot']);
     // The copy that is coming will take its part: no third one.
     expect(brief(scene.plan())).toEqual(['x load rare1']);
   });
 
   it('lets the rare one go first while the copies have room', () => {
-    const scene = new Scene([ledgerOf('x', ['hot']), ledgerOf('y', [])]);
-    const asked = waitingFor('hot', { waiting: 0, arrivals: 60, goalMs: 600 });
-    const use = [{ backend: 'x', model: 'hot', adapter: undefined, inFlight: 40 }];
-    const samples = [asked, waitingFor('rare1')];
-    scene.demand.hear({ daemon: 'd', samples, use, failing: [] }, scene.now);
+    const scene = hotAndRare(40);
     expect(brief(scene.plan())[0]).toContain('load rare1');
   });
 
