Callers have keys, tenants have limits over all daemons, keys live on a lease

Change: tenants in the configuration, digests in place of keys from the first reading on; admission before the body and before each send; headers that only the gateway sets; proofs of a current configuration from two readers along a chain of questions; limits counted by a holder a tenant. One module of keys for both faces.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -9,7 +9,7 @@
 import { callModel } from '../client/model-client.js';
 import { printTable } from '../cli/output.js';
 import { sleep } from '../common/process.js';
-import { hashKey } from '../daemon/bearer-keys.js';
+import { hashKey } from '../core/admission/api-keys.js';
 import { HttpEngineClient } from '../engines/http-engine-client.js';
 import { ADMIN_KEY, LocalCluster, waitFor, type ClusterEngine } from '../testbed/local-cluster.js';
 
--- a/src/chaos/chaos-run.ts
+++ b/src/chaos/chaos-run.ts
@@ -1,7 +1,7 @@
 /** One scenario: a cluster under load, a fault, and what the auditor finds after it. */
 import { AdminClient } from '../client/admin-client.js';
 import { sleep } from '../common/process.js';
-import { hashKey } from '../daemon/bearer-keys.js';
+import { hashKey } from '../core/admission/api-keys.js';
 import { ADMIN_KEY, LocalCluster, waitFor, type ClusterDaemon } from '../testbed/local-cluster.js';
 import {
   audit,
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -5,7 +5,7 @@
 import { serviceError } from '../common/errors.js';
 import type { OperatorDocument } from '../core/documents.js';
 import type { VersionedDocument } from '../daemon/admin-api.js';
-import { hashKey } from '../daemon/bearer-keys.js';
+import { hashKey } from '../core/admission/api-keys.js';
 import { readText } from '../daemon/settings.js';
 import type { StatusReport } from '../daemon/status.js';
 import { readDocuments } from './document-files.js';
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -15,6 +15,8 @@
   'orderChannelCost',
   /** A new owner is told of the requests of some time before. */
   'recallDemand',
+  /** A configuration is proved current by peers, so that the store's calls do not grow with the daemons. */
+  'proofsFromPeers',
 ] as const;
 
 /** A policy's name. */
--- a/src/core/service-configuration.ts
+++ b/src/core/service-configuration.ts
@@ -42,6 +42,33 @@
   readonly pauseGoalMs: number;
   /** Callers leave when nothing has come for so long, in milliseconds; infinite if they wait for their deadline. */
   readonly patienceMs: number;
+  /** Callers need no key, though others do. */
+  readonly isPublic: boolean;
+}
+
+/** What one request takes from a tenant's limit. */
+export type LimitUnit = 'requests' | 'tokens';
+
+/** How much a tenant may ask of all daemons together. */
+export interface TenantLimit {
+  readonly unit: LimitUnit;
+  /** Units a second. */
+  readonly perSecond: number;
+  /** Units besides, at once. */
+  readonly burst: number;
+  /** Units that a request takes which names no size. */
+  readonly plainCharge: number;
+}
+
+/** A group of callers that share keys, a limit and a priority. */
+export interface CallerTenant {
+  readonly name: string;
+  /** SHA-256 of its keys in hexadecimal. */
+  readonly keyDigests: readonly string[];
+  /** Goes before the route's priority; undefined if the tenant has none. */
+  readonly priority: number | undefined;
+  /** Undefined if there is none. */
+  readonly limit: TenantLimit | undefined;
 }
 
 /** A model that the backends of a service can load. */
@@ -95,6 +122,10 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Callers need a key of one of these; undefined if they need none. */
+  readonly tenants: readonly CallerTenant[] | undefined;
+  /** Why parts of the configuration are not in force: a line for the operator each, without keys. */
+  readonly problems: readonly string[];
 }
 
 /** A model that a backend holds. */
--- a/src/core/token-bucket.ts
+++ b/src/core/token-bucket.ts
@@ -24,16 +24,27 @@
 
   /** Takes one unit; false if there is none. */
   take(now: number): boolean {
-    this.refill(now);
-    if (this.tokens < 1) return false;
-    this.tokens -= 1;
+    if (!this.holds(1, now)) return false;
+    this.spend(1, now);
     return true;
   }
 
-  /** Milliseconds until one unit is there. */
-  waitMs(now: number): number {
+  /** Whether so many units are there. */
+  holds(units: number, now: number): boolean {
+    this.refill(now);
+    return this.tokens >= units;
+  }
+
+  /** Takes units that were granted already: what is not there is owed. */
+  spend(units: number, now: number): void {
+    this.refill(now);
+    this.tokens = Math.min(this.burst, this.tokens - units);
+  }
+
+  /** Milliseconds until so many units are there. */
+  waitMs(now: number, units = 1): number {
     this.refill(now);
-    return this.tokens >= 1 ? 0 : ((1 - this.tokens) / this.ratePerSecond) * 1000;
+    return this.tokens >= units ? 0 : ((units - this.tokens) / this.ratePerSecond) * 1000;
   }
 
   /** Adds units, up to the burst. */
--- a/src/daemon/admin-api.ts
+++ b/src/daemon/admin-api.ts
@@ -17,7 +17,7 @@
 } from '../core/documents.js';
 import { sameWriteId, withoutWriteId, withWriteId } from '../core/write-id.js';
 import type { ObjectKind, PlatformClient } from '../platform/platform-client.js';
-import { bearerHash, isAllowed } from './bearer-keys.js';
+import { credentialHash, isAllowed } from '../core/admission/api-keys.js';
 import type { Directory } from './directory.js';
 import type { StatusReport } from './status.js';
 
@@ -55,7 +55,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const hash = bearerHash(request);
+    const hash = credentialHash(request.headers.authorization, 'Bearer');
     if (hash === undefined || !isAllowed(hash, this.options.adminKeyHashes)) {
       return sendError(response, serviceError('unauthorized', 'an administration key is needed'));
     }
--- a/src/daemon/caller-api.ts
+++ b/src/daemon/caller-api.ts
@@ -16,7 +16,7 @@
   type TenantSpec,
 } from '../core/documents.js';
 import type { RoutedRequest } from '../core/router-messages.js';
-import { bearerHash, isAllowed } from './bearer-keys.js';
+import { credentialHash, isAllowed } from '../core/admission/api-keys.js';
 import { CallerExchange } from './caller-exchange.js';
 import type { Directory } from './directory.js';
 import type { CallerRequest, RequestService } from './request-service.js';
@@ -104,7 +104,7 @@
   }
 
   private listModels(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const hash = bearerHash(request);
+    const hash = credentialHash(request.headers.authorization, 'Bearer');
     if (hash === undefined) {
       return sendError(response, serviceError('unauthorized', 'a bearer key is needed'));
     }
@@ -131,7 +131,10 @@
       const message = `headers: ${describeIssues(headers.error)}`;
       return Result.err(serviceError('malformed_request', message));
     }
-    const tenant = this.authorize(bearerHash(request), parsed.value.model);
+    const tenant = this.authorize(
+      credentialHash(request.headers.authorization, 'Bearer'),
+      parsed.value.model,
+    );
     return tenant.map((spec) => ({ spec, body: parsed.value, headers: headers.data }));
   }
 
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { callModel, promptAtEngine, type ModelAnswer } from '../client/model-client.js';
-import { hashKey } from '../daemon/bearer-keys.js';
+import { hashKey } from '../core/admission/api-keys.js';
 import { expectedAnswer } from '../standin/expected-answer.js';
 import { ADMIN_KEY, LocalCluster, waitFor, type ClusterDaemon } from '../testbed/local-cluster.js';
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,7 +2,12 @@
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
 import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
-import { isStream, type BackendRecord, type Route } from '../core/service-configuration.js';
+import {
+  isStream,
+  type BackendRecord,
+  type CallerTenant,
+  type Route,
+} from '../core/service-configuration.js';
 import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
 import { forwardedHeaders, type CallerAnswer, type WholeAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -35,6 +40,8 @@
   readonly backend: BackendRecord;
   readonly route: Route;
   readonly request: CallerRequest;
+  /** Whose key the caller has; undefined if it needs none. */
+  readonly tenant: CallerTenant | undefined;
   /** Time left until the request's deadline. */
   readonly remainingMs: number;
   /** The stream goes on after this event. */
@@ -107,14 +114,18 @@
   }
 
   private requestHeaders(): string[] {
-    const { request, route, backend, remainingMs, lastEventId } = this.options;
-    const own = this.context.dialect.backendHeaders({
+    const { request, route, tenant, backend, remainingMs, lastEventId } = this.options;
+    const { dialect, admission } = this.context;
+    const own = dialect.backendHeaders({
       backend: backend.id,
       remainingMs,
       lastEventId,
-      priority: route.priority,
+      priority: tenant?.priority ?? route.priority,
+      tenant: tenant?.name,
     });
     const replaced = new Set([
+      ...dialect.systemHeaders,
+      ...(admission.needsKeys ? [dialect.keyHeader] : []),
       ...Object.keys(own).map((name) => name.toLowerCase()),
       'content-length',
     ]);
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -128,6 +128,8 @@
     for (const [name, value] of Object.entries(this.context.dialect.ownAnswerHeaders(this.head))) {
       headers.push(name, value);
     }
+    if (kind === 'unauthorized')
+      headers.push('WWW-Authenticate', this.context.dialect.keyChallenge);
     if (retryAfterMs !== undefined) headers.push('Retry-After', inSeconds(retryAfterMs));
     headers.push('Content-Length', String(body.length));
     this.writeHead(status, headers);
--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -12,6 +12,8 @@
 /** Heads above this are refused by the parser itself. */
 const LARGEST_HEADER_BYTES = 128 * 1024;
 const TIMEOUT_CHECK_MS = 500;
+/** A caller of an unknown route comes back after so long, if a newer configuration may have it. */
+const ROUTE_LATER_MS = 400;
 /** A request's body may take so long. */
 const BODY_TIMEOUT_MS = 30_000;
 
@@ -70,6 +72,13 @@
     if (sizeOf(request.rawHeaders) > limits.headerBytes) {
       return answer.sendError('header_too_large', undefined);
     }
+    const path = request.url ?? '/';
+    const route = table.route(request.headers.host ?? '', path);
+    const admission = route && this.context.admission.check(route, head.keyDigest);
+    if (admission?.type === 'refused') {
+      this.context.logger.info('not_admitted', { request: head.attemptId, kind: admission.kind });
+      return answer.sendError(admission.kind, admission.retryAfterMs);
+    }
     response.on('error', () => response.destroy());
     this.readBody(request, limits.bodyBytes, (body) => {
       if (body === undefined) return answer.sendError('body_too_large', undefined);
@@ -87,8 +96,7 @@
     const table = this.routing();
     const match = table?.match(request.headers.host ?? '', path);
     if (table === undefined || match === undefined) {
-      this.context.logger.info('no_route', { request: read.head.attemptId, path });
-      return answer.sendError('not_found', undefined);
+      return this.denyRoute(answer, read.head.attemptId, path);
     }
     const { rawHeaders, method = 'GET' } = request;
     const caller = { ...read, method, path, rawHeaders };
@@ -97,6 +105,14 @@
     new RequestExchange(this.context, match, version, caller, response).start();
   }
 
+  /** A route that this daemon does not know may stand in a newer configuration. */
+  private denyRoute(answer: CallerAnswer, request: string | undefined, path: string): void {
+    const mayDeny = this.context.admission.mayDeny();
+    this.context.logger.info('no_route', { request, path, mayDeny });
+    if (mayDeny) answer.sendError('not_found', undefined);
+    else answer.sendError('not_ready', ROUTE_LATER_MS);
+  }
+
   /** Reads the whole body; undefined if it is over the limit. */
   private readBody(
     request: http.IncomingMessage,
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -5,11 +5,13 @@
 import type { BackendSelection } from '../core/backend-selection.js';
 import type { RetryBudget } from '../core/retry-budget.js';
 import type { BackendAgent } from './backend-agent.js';
+import type { CallerAdmission } from './caller-admission.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { RequestDialect } from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
 import type { RequestTracker } from './request-tracker.js';
+import type { TenantLimits } from './tenant-limits.js';
 
 /** Shared state and services. */
 export interface GatewayContext {
@@ -22,6 +24,8 @@
   readonly agent: BackendAgent;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
+  readonly admission: CallerAdmission;
+  readonly limits: TenantLimits;
   /** Requests that have not ended. */
   readonly exchanges: Set<RequestExchange>;
   budgetOf(service: string): RetryBudget;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -41,6 +41,17 @@
     labelNames: ['call', 'outcome'],
     registers: [this.registry],
   });
+  readonly refusals = new Counter({
+    name: 'scaleslip_gateway_refusals_total',
+    help: 'Requests refused, by kind of error and tenant; empty for callers without a key',
+    labelNames: ['kind', 'tenant'],
+    registers: [this.registry],
+  });
+  readonly leaseAge = new Gauge({
+    name: 'scaleslip_gateway_configuration_age_seconds',
+    help: 'Time since the configuration was proved current; -1 if it never was, or keys are not needed',
+    registers: [this.registry],
+  });
   readonly inFlight = new Gauge({
     name: 'scaleslip_gateway_in_flight_requests',
     help: 'Requests that have not ended',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -19,6 +19,16 @@
   readonly storeLoadWindowSeconds: number;
   /** Factor on the store's rate in such a window. */
   readonly storeLoadExcess: number;
+  /** A key that was taken away is served for no longer; infinite without such a promise. */
+  readonly revocationMs: number;
+  /** A new configuration is in force everywhere after so long; infinite without such a promise. */
+  readonly configurationMs: number;
+  /** Window in which the units of a tenant's limit are counted. */
+  readonly limitWindowSeconds: number;
+  /** Share of a tenant's limit that may be exceeded in such a window. */
+  readonly limitExcess: number;
+  /** Units that may be exceeded in such a window besides. */
+  readonly limitSlack: number;
 }
 
 /** Settings of one gateway daemon. */
@@ -49,6 +59,9 @@
   readonly bounds: GatewayBounds;
 }
 
+/** Window of tenants' limits where the operator names none. */
+const DEFAULT_LIMIT_WINDOW_SECONDS = 8;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 /** Reads and checks a settings file. Fails with `settings_invalid`: file, key, what was expected. */
@@ -93,6 +106,11 @@
       retrySlack: bounds.number('retrySlack', 0),
       storeLoadWindowSeconds: bounds.number('storeLoadWindowSeconds', 0.1),
       storeLoadExcess: bounds.number('storeLoadExcess', 0),
+      revocationMs: bounds.numberOr('revocationMs', 0, Infinity),
+      configurationMs: bounds.numberOr('configurationMs', 0, Infinity),
+      limitWindowSeconds: bounds.numberOr('limitWindowSeconds', 0.1, DEFAULT_LIMIT_WINDOW_SECONDS),
+      limitExcess: bounds.numberOr('limitExcess', 0, 0),
+      limitSlack: bounds.numberOr('limitSlack', 0, 0),
     },
   };
   const [problem] = [...reader.problems, ...bounds.problems, ...policies.problems];
@@ -131,6 +149,11 @@
     return least;
   }
 
+  /** A number whose absence means `otherwise`. */
+  numberOr(key: string, least: number, otherwise: number): number {
+    return this.fields[key] === undefined ? otherwise : this.number(key, least);
+  }
+
   texts(key: string): string[] {
     const value = this.fields[key];
     if (Array.isArray(value) && value.every((item) => typeof item === 'string')) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,9 +19,11 @@
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
+import { CallerAdmission } from './caller-admission.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
 import { ConfigurationExchange } from './configuration-exchange.js';
+import { CurrencyProofs } from './currency-proofs.js';
 import { DirectoryDuty } from './directory-duty.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayMetrics } from './gateway-metrics.js';
@@ -33,6 +35,7 @@
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
 import { steadyNow } from './steady-clock.js';
+import { TenantLimits } from './tenant-limits.js';
 
 /** Between two looks at the clock: of the membership, the duties, and what is told. */
 const TICK_MS = 100;
@@ -69,6 +72,9 @@
   private readonly peers: PeerGroup;
   private readonly members: MemberList;
   private readonly configurations: ConfigurationExchange;
+  private readonly proofs: CurrencyProofs;
+  private readonly admission: CallerAdmission;
+  private readonly limits: TenantLimits;
   private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
@@ -109,6 +115,14 @@
       version: () => this.version,
       send: (to, body) => this.peers.send(to, body),
     });
+    this.proofs = this.makeProofs();
+    this.admission = new CallerAdmission({
+      lease: this.proofs.lease,
+      revocationMs: settings.bounds.revocationMs,
+      configurationMs: settings.bounds.configurationMs,
+      onDoubt: () => this.proofs.tick(),
+    });
+    this.limits = this.makeLimits();
     this.duties = new ServiceDuties({
       settings,
       peers: this.peers,
@@ -156,6 +170,7 @@
         this.knowsBackends = true;
         this.directoryDuty.takeList(list);
       },
+      onConfirmed: (version, askedAt) => this.proofs.confirmed(version, askedAt),
     });
     this.members.start();
     const onFault = (fault: unknown): void => {
@@ -201,6 +216,35 @@
     this.peers.stop();
   }
 
+  private makeProofs(): CurrencyProofs {
+    const { settings, outside, peers } = this;
+    return new CurrencyProofs({
+      self: peers.address,
+      logger: outside.logger,
+      asksPeers: settings.policies.proofsFromPeers,
+      live: () => peers.live(),
+      version: () => this.version,
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+      readStore: () => outside.directory.confirmConfiguration(),
+      hearVersion: (from, version) => this.configurations.hearVersion(from, version),
+    });
+  }
+
+  private makeLimits(): TenantLimits {
+    const { outside, peers } = this;
+    const { limitWindowSeconds, limitExcess, limitSlack } = this.settings.bounds;
+    return new TenantLimits({
+      self: peers.address,
+      window: { windowMs: limitWindowSeconds * 1_000, excess: limitExcess, slack: limitSlack },
+      logger: outside.logger,
+      live: () => peers.live(),
+      listedCount: () => this.members.listed.length,
+      tenant: (name) => this.admission.tenant(name),
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+      broadcast: (body) => peers.broadcast(body),
+    });
+  }
+
   private makeContext(): GatewayContext {
     const { settings, outside } = this;
     const { logger, dialect, metrics, agent } = outside;
@@ -214,6 +258,8 @@
       agent,
       metrics,
       logger,
+      admission: this.admission,
+      limits: this.limits,
       exchanges: new Set<RequestExchange>(),
       budgetOf: (service) => this.budgetOf(service),
       daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
@@ -244,6 +290,11 @@
 
   private configure(configuration: ServiceConfiguration): void {
     this.routing = new RoutingTable(configuration, this.routing);
+    this.admission.configure(configuration);
+    this.proofs.lease.configured(configuration.version);
+    for (const reason of configuration.problems) {
+      this.outside.logger.warn('configuration_problem', { version: configuration.version, reason });
+    }
     this.front.setLimits(configuration.limits);
     this.duties.configure(configuration);
     this.outside.metrics.configurationVersion.set(configuration.version);
@@ -274,6 +325,8 @@
     const now = steadyNow();
     this.peers.look();
     this.duties.tick();
+    if (this.admission.needsLease) this.proofs.tick();
+    if (this.admission.needsKeys) this.limits.tick();
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.logMembers();
@@ -339,6 +392,7 @@
 
   private receive(from: string, body: PeerBody): void {
     if (this.configurations.receive(from, body)) return;
+    if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.configurations.hearVersion(from, body.value.configurationVersion);
@@ -383,8 +437,10 @@
   }
 
   private async answerMetrics(response: http.ServerResponse): Promise<void> {
-    const { registry, inFlight, controlBytes } = this.outside.metrics;
+    const { registry, inFlight, leaseAge, controlBytes } = this.outside.metrics;
     inFlight.set(this.context.exchanges.size);
+    const leaseAgeMs = this.proofs.lease.ageMs(steadyNow());
+    leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
     const { bytesSent, bytesReceived } = this.peers.counts;
     controlBytes.set({ direction: 'sent' }, bytesSent);
     controlBytes.set({ direction: 'received' }, bytesReceived);
--- a/src/gateway/peer-group.ts
+++ b/src/gateway/peer-group.ts
@@ -90,6 +90,11 @@
     this.transport.send(to, body);
   }
 
+  /** Sends one datagram; it may be lost. */
+  sendDatagram(to: string, body: PeerBody): void {
+    this.transport.sendDatagram(to, body);
+  }
+
   /** Sends to every other live daemon. */
   broadcast(body: PeerBody): void {
     const others = this.live().filter((member) => member.address !== this.address);
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -19,6 +19,11 @@
   onConfiguration(configuration: ServiceConfiguration): void;
   /** All backends as they are listed now. */
   onBackends(list: BackendList): void;
+  /**
+   * The platform had no configuration newer than `version` at `askedAt`, the steady time at which
+   * it was asked. Its answers that may be late confirm nothing.
+   */
+  onConfirmed(version: number, askedAt: number): void;
 }
 
 /** How closely the directory is followed. */
@@ -38,6 +43,8 @@
   setAttention(attention: DirectoryAttention): void;
   /** Reads the configuration at once: somebody knows a newer one. */
   refreshConfiguration(): void;
+  /** Reads the configuration once, to confirm it; true if the platform has answered. */
+  confirmConfiguration(): Promise<boolean>;
   /** The newest configuration for a peer, in the adapter's own form; undefined if none is known. */
   configurationDocument(): Uint8Array | undefined;
   /** Takes a peer's document if it is newer than what is known; true if it was. */
@@ -101,6 +108,10 @@
   readonly sharedPrompt: string | undefined;
   /** The caller takes a stream up after this event. */
   readonly lastEventId: string | undefined;
+  /** SHA-256 of the caller's key in hexadecimal. */
+  readonly keyDigest: string | undefined;
+  /** Tokens that the request names: of its prompt, and of the longest answer. */
+  readonly tokens: number | undefined;
 }
 
 /** What the gateway reads from the head of a backend's answer. */
@@ -120,12 +131,20 @@
   readonly remainingMs: number;
   readonly lastEventId: string | undefined;
   readonly priority: number;
+  /** Whose key the caller has; undefined if it needs none. */
+  readonly tenant: string | undefined;
 }
 
 /** How heads of requests and answers are spelled. */
 export interface RequestDialect {
   /** Path at which the entry asks whether new connections are wanted. */
   readonly readinessPath: string;
+  /** Headers that only the gateway may set; names in lower case. Those of callers are taken off. */
+  readonly systemHeaders: ReadonlySet<string>;
+  /** Header with the caller's key, in lower case: not passed on where callers need one. */
+  readonly keyHeader: string;
+  /** What a caller without a known key is told to send. */
+  readonly keyChallenge: string;
   readRequest(headers: http.IncomingHttpHeaders): RequestHead;
   /** Headers that replace those of the caller; names in lower case. */
   backendHeaders(fields: BackendRequestFields): Readonly<Record<string, string>>;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,15 +7,18 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
+import type { LimitDecision } from '../core/admission/limit-ledger.js';
 import { FIRST_PART_MS, holdOrRefuse } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   isStream,
   mayRepeat,
   type BackendRecord,
+  type CallerTenant,
   type ModelReference,
 } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
+import type { Admission } from './caller-admission.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
@@ -32,6 +35,8 @@
 const SILENT_GOALS = 2.2;
 /** A stream that rests for so many of its pause goals goes on elsewhere. */
 const STALLED_PAUSES = 3.5;
+/** A caller comes back after so long when nobody who counts its tenant's limit has answered. */
+const LIMIT_UNKNOWN_MS = 500;
 
 /** What the caller sent. */
 export interface CallerRequest {
@@ -44,6 +49,16 @@
   readonly arrivedAt: number;
 }
 
+/** Why a request that has not run is refused. */
+type RefusalKind =
+  | 'no_capacity'
+  | 'engine_refused'
+  | 'deadline_unreachable'
+  | 'draining'
+  | 'unauthorized'
+  | 'not_ready'
+  | 'rate_limited';
+
 /** One request under way. */
 export class RequestExchange {
   private readonly deadlineAt: number;
@@ -59,6 +74,10 @@
   private isWaiting = false;
   private ended = false;
   private lastRan: Ran = 'no';
+  /** Whose key the caller has; undefined if it needs none. */
+  private tenant: CallerTenant | undefined;
+  /** Units that were taken from the tenant's limit; 0 if none were. */
+  private charged = 0;
   /** The caller was refused before, by this daemon or another. */
   private readonly hasComeBack: boolean;
   /** What the owner is told of it while it waits. */
@@ -90,16 +109,53 @@
     const { arrivedAt } = this.request;
     const { route, service } = this.match;
     this.context.budgetOf(service.name).countRequest(steadyNow());
-    if (this.model !== undefined) {
-      this.context.tracker.arrived(service.name, this.model, route.goalMs, steadyNow());
-    }
     this.context.exchanges.add(this);
     const remaining = this.deadlineAt - steadyNow();
     this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
+    const admission = this.context.admission.check(route, this.request.head.keyDigest);
+    if (admission.type === 'refused') return this.refuseCaller(admission);
+    this.tenant = admission.tenant;
+    this.takeLimit();
+  }
+
+  /** Only what its tenant may ask for is demand that an owner should load models for. */
+  private takeLimit(): void {
+    const { tenant } = this;
+    const limit = tenant?.limit;
+    if (tenant === undefined || limit === undefined) return this.admitted();
+    const charge = limit.unit === 'requests' ? 1 : this.request.head.tokens;
+    const units = charge ?? limit.plainCharge;
+    this.context.limits.admit(tenant.name, units, (decision) => {
+      this.limitDecided(tenant, units, decision);
+    });
+  }
+
+  private limitDecided(tenant: CallerTenant, units: number, decision: LimitDecision): void {
+    if (decision.type === 'granted') {
+      if (this.ended) return this.context.limits.giveBack(tenant.name, units);
+      this.charged = units;
+      return this.admitted();
+    }
+    if (this.ended) return;
+    const inputs = { tenant: tenant.name, units };
+    if (decision.type === 'unknown') return this.refuse('not_ready', LIMIT_UNKNOWN_MS, inputs);
+    this.refuse('rate_limited', decision.retryAfterMs, inputs);
+  }
+
+  private admitted(): void {
+    const { route, service } = this.match;
+    if (this.model !== undefined) {
+      this.context.tracker.arrived(service.name, this.model, route.goalMs, steadyNow());
+    }
     this.dispatch();
   }
 
+  private refuseCaller({ kind, retryAfterMs }: Admission & { type: 'refused' }): void {
+    if (this.runs > 0) return this.giveUp(this.lastRan, kind);
+    this.refuse(kind, retryAfterMs);
+  }
+
   /** Something has changed that a waiting request may hope for. */
   look(): void {
     if (this.isWaiting && this.attempt === undefined) this.dispatch();
@@ -244,6 +300,9 @@
     const { context, match, request } = this;
     const { route, service } = match;
     const now = steadyNow();
+    const admission = context.admission.check(route, request.head.keyDigest);
+    if (admission.type === 'refused') return this.refuseCaller(admission);
+    this.tenant = admission.tenant;
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
     this.setWaiting(false);
     clearTimeout(this.lookTimer);
@@ -265,6 +324,7 @@
       backend,
       route,
       request,
+      tenant: this.tenant,
       remainingMs: this.deadlineAt - now,
       lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
       silentAfterMs: this.silentAfterMs(),
@@ -372,11 +432,12 @@
   }
 
   private refuse(
-    kind: 'no_capacity' | 'engine_refused' | 'deadline_unreachable' | 'draining',
+    kind: RefusalKind,
     retryAfterMs: number | undefined,
-    inputs: Readonly<Record<string, number | undefined>> = {},
+    inputs: Readonly<Record<string, string | number | undefined>> = {},
   ): void {
     if (this.answer.hasBegun) return this.giveUp(this.lastRan, kind);
+    this.context.metrics.refusals.inc({ kind, tenant: this.tenant?.name ?? '' });
     this.log('refused', {
       kind,
       retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
@@ -405,10 +466,12 @@
     this.ended = true;
     clearTimeout(this.lookTimer);
     clearTimeout(this.deadlineTimer);
+    const mayHaveRun = end === 'served' || this.runs > 0 || this.attempt !== undefined;
     if (this.attempt !== undefined) {
       this.attempt.abort();
       this.releaseAttempt(this.attempt.backendId);
     }
+    if (!mayHaveRun) this.giveBackUnits();
     this.context.exchanges.delete(this);
     const { route } = this.match;
     const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
@@ -421,6 +484,14 @@
     this.log('request_ended', { end, ...timing, sends: this.sends });
   }
 
+  /** The limit counts requests that run. */
+  private giveBackUnits(): void {
+    const { tenant, charged } = this;
+    if (tenant === undefined || charged === 0) return;
+    this.charged = 0;
+    this.context.limits.giveBack(tenant.name, charged);
+  }
+
   /** How a stream has paused, and the pause that its caller still takes for in time. */
   private pauses(): Record<string, number> {
     const { route } = this.match;
@@ -433,6 +504,7 @@
     const { head } = this.request;
     this.context.logger.info(event, {
       request: head.attemptId,
+      tenant: this.tenant?.name,
       route: this.match.route.name,
       model: head.model?.model,
       adapter: head.model?.adapter,
--- /dev/null
+++ b/src/gateway/tenant-limits.ts
@@ -0,0 +1,300 @@
+/**
+ * Tenants' limits over all daemons. Each tenant has a holder, by rank among the live
+ * daemons, which counts for all. Far below the limit a daemon admits at once and tells the
+ * holder; near it, the holder is asked first. A holder that does not answer leaves a daemon
+ * its equal share.
+ */
+import { create } from '@bufbuild/protobuf';
+import type { Logger } from '../common/logger.js';
+import { firstCandidate } from '../common/rendezvous.js';
+import { ablestOf } from '../core/duties.js';
+import {
+  LimitLedger,
+  type HolderView,
+  type LimitDecision,
+  type LimitWindow,
+} from '../core/admission/limit-ledger.js';
+import type { MemberView } from '../core/membership-messages.js';
+import type { CallerTenant, TenantLimit } from '../core/service-configuration.js';
+import { SlidingSum } from '../core/sliding-sum.js';
+import type { PeerBody } from '../daemon/peer-transport.js';
+import {
+  LimitAnswerSchema,
+  LimitChargeSchema,
+  LimitNewsSchema,
+  type LimitCharge,
+} from '../proto/gen/internal_pb.js';
+import { steadyNow } from './steady-clock.js';
+
+/** A question is sent again after so long: a datagram may be lost. */
+const ASK_AGAIN_MS = 60;
+/** Without an answer by then the daemon decides alone. */
+const ANSWER_WITHIN_MS = 200;
+/** A ledger that counts for nobody any more is dropped after so many windows. */
+const LEDGER_WINDOWS = 2;
+
+/** Options of {@link TenantLimits}. */
+export interface TenantLimitsOptions {
+  readonly self: string;
+  readonly window: LimitWindow;
+  readonly logger: Logger;
+  readonly live: () => readonly MemberView[];
+  /** Daemons that the platform's store lists. */
+  readonly listedCount: () => number;
+  readonly tenant: (name: string) => CallerTenant | undefined;
+  readonly sendDatagram: (to: string, body: PeerBody) => void;
+  readonly broadcast: (body: PeerBody) => void;
+}
+
+/** What this daemon knows of a tenant whose requests it admits. */
+interface MemberState {
+  holder: string;
+  /** The holder wants to be asked first. */
+  isTight: boolean;
+  /** Units that this daemon has admitted. */
+  readonly own: SlidingSum;
+}
+
+interface HeldLedger {
+  readonly ledger: LimitLedger;
+  /** As the other daemons were told last. */
+  toldTight: boolean;
+  usedAt: number;
+}
+
+interface OpenQuestion {
+  readonly tenant: string;
+  readonly units: number;
+  readonly answer: (decision: LimitDecision) => void;
+  timer: NodeJS.Timeout;
+}
+
+/** One daemon's part in counting, as a holder and as one that admits. */
+export class TenantLimits {
+  private readonly members = new Map<string, MemberState>();
+  private readonly ledgers = new Map<string, HeldLedger>();
+  private readonly questions = new Map<number, OpenQuestion>();
+  private sequence = 0;
+  private candidates: string[] = [];
+  /** Since when the candidates are the same: the holders among them have counted all since. */
+  private candidatesSince = steadyNow();
+
+  constructor(private readonly options: TenantLimitsOptions) {}
+
+  /** Decides on a request of a tenant that has a limit; calls back at once or after the holder's word. */
+  admit(name: string, units: number, answer: (decision: LimitDecision) => void): void {
+    const now = steadyNow();
+    // Who has not read the list of daemons does not know whose share of the limit it may count.
+    if (this.options.listedCount() === 0) return answer({ type: 'unknown' });
+    if (this.candidates.length === 0) this.chooseCandidates(now);
+    const state = this.memberState(name, now);
+    if (state.holder === this.options.self) {
+      const decision = this.held(name, now)?.ledger.admit(units, now) ?? { type: 'granted' };
+      if (decision.type === 'granted') state.own.add(units, now);
+      return answer(decision);
+    }
+    if (state.isTight) return this.ask(name, state, units, answer);
+    state.own.add(units, now);
+    this.charge(state.holder, { tenant: name, units });
+    answer({ type: 'granted' });
+  }
+
+  /** Gives the units of a request back that was admitted and has not run. */
+  giveBack(name: string, units: number): void {
+    const now = steadyNow();
+    const state = this.memberState(name, now);
+    state.own.add(-units, now);
+    if (state.holder === this.options.self) this.held(name, now)?.ledger.count(-units, now);
+    else this.charge(state.holder, { tenant: name, units: -units });
+  }
+
+  /** Looks at the clock, the group and the ledgers; call it a few times a second. */
+  tick(): void {
+    const now = steadyNow();
+    this.chooseCandidates(now);
+    for (const [name, state] of this.members) this.followHolder(name, state, now);
+    for (const [name, held] of this.ledgers) this.tellTightness(name, held, now);
+  }
+
+  /** Handles a message about limits; false if it is another kind. */
+  receive(from: string, body: PeerBody): boolean {
+    if (body.case === 'limitCharge') this.hearCharge(from, body.value);
+    else if (body.case === 'limitAnswer') {
+      const { question, tenant, isGranted, retryAfterMs, isTight } = body.value;
+      this.noteTightness(from, tenant, isTight);
+      const decision: LimitDecision = isGranted
+        ? { type: 'granted' }
+        : { type: 'over_limit', retryAfterMs };
+      this.settle(question, decision);
+    } else if (body.case === 'limitNews') {
+      this.noteTightness(from, body.value.tenant, body.value.isTight);
+    } else return false;
+    return true;
+  }
+
+  private chooseCandidates(now: number): void {
+    const candidates = ablestOf(this.options.live())
+      .map((member) => member.address)
+      .sort();
+    if (candidates.join() === this.candidates.join()) return;
+    this.candidates = candidates;
+    this.candidatesSince = now;
+  }
+
+  private ask(
+    tenant: string,
+    state: MemberState,
+    units: number,
+    answer: (decision: LimitDecision) => void,
+  ): void {
+    this.sequence += 1;
+    const question = this.sequence;
+    const send = (): void => this.charge(state.holder, { tenant, units, question });
+    const timer = setTimeout(() => {
+      send();
+      open.timer = setTimeout(() => this.decideAlone(question), ANSWER_WITHIN_MS - ASK_AGAIN_MS);
+    }, ASK_AGAIN_MS);
+    const open: OpenQuestion = { tenant, units, answer, timer };
+    this.questions.set(question, open);
+    send();
+  }
+
+  /** The holder is gone or cut off: an equal share for each daemon passes no limit. */
+  private decideAlone(question: number): void {
+    const open = this.questions.get(question);
+    const limit = open && this.options.tenant(open.tenant)?.limit;
+    if (open === undefined || limit === undefined)
+      return this.settle(question, { type: 'granted' });
+    const now = steadyNow();
+    const state = this.memberState(open.tenant, now);
+    const isWithin = state.own.total(now) + open.units <= this.equalShare(limit);
+    const { tenant, units } = open;
+    const fields = { tenant, units, holder: state.holder, isGranted: isWithin };
+    this.options.logger.warn('limit_holder_silent', fields);
+    this.settle(question, isWithin ? { type: 'granted' } : { type: 'unknown' });
+  }
+
+  private equalShare(limit: TenantLimit): number {
+    const { windowMs } = this.options.window;
+    const units = (limit.perSecond * windowMs) / 1_000 + limit.burst;
+    return units / Math.max(1, this.options.listedCount(), this.options.live().length);
+  }
+
+  private settle(question: number, decision: LimitDecision): void {
+    const open = this.questions.get(question);
+    if (open === undefined) return;
+    this.questions.delete(question);
+    clearTimeout(open.timer);
+    const now = steadyNow();
+    if (decision.type === 'granted') this.memberState(open.tenant, now).own.add(open.units, now);
+    open.answer(decision);
+  }
+
+  private hearCharge(from: string, charge: LimitCharge): void {
+    const { tenant, units, question, isRecalled } = charge;
+    const now = steadyNow();
+    const held = this.held(tenant, now);
+    if (held === undefined) return;
+    const { ledger } = held;
+    if (question === 0) {
+      if (isRecalled) ledger.recall(units, now);
+      else ledger.count(units, now);
+      if (ledger.isTight(now)) this.answer(from, tenant, 0, { type: 'granted' }, true);
+      return;
+    }
+    const decision = ledger.admit(units, now);
+    this.answer(from, tenant, question, decision, ledger.isTight(now));
+  }
+
+  private answer(
+    to: string,
+    tenant: string,
+    question: number,
+    decision: LimitDecision,
+    isTight: boolean,
+  ): void {
+    const retryAfterMs = decision.type === 'over_limit' ? Math.ceil(decision.retryAfterMs) : 0;
+    const isGranted = decision.type === 'granted';
+    const fields = { question, tenant, isGranted, retryAfterMs, isTight };
+    const value = create(LimitAnswerSchema, fields);
+    this.options.sendDatagram(to, { case: 'limitAnswer', value });
+  }
+
+  private charge(
+    to: string,
+    fields: { tenant: string; units: number; question?: number; isRecalled?: boolean },
+  ): void {
+    const value = create(LimitChargeSchema, fields);
+    this.options.sendDatagram(to, { case: 'limitCharge', value });
+  }
+
+  private noteTightness(from: string, tenant: string, isTight: boolean): void {
+    const state = this.members.get(tenant);
+    if (state !== undefined && state.holder === from) state.isTight = isTight;
+  }
+
+  private memberState(name: string, now: number): MemberState {
+    const known = this.members.get(name);
+    if (known !== undefined) return known;
+    const own = new SlidingSum(this.options.window.windowMs);
+    const state = { holder: this.holderOf(name), isTight: true, own };
+    this.members.set(name, state);
+    this.followHolder(name, state, now);
+    return state;
+  }
+
+  /** A holder that has not counted this daemon's requests is told of them, and asked until it says otherwise. */
+  private followHolder(name: string, state: MemberState, now: number): void {
+    const holder = this.holderOf(name);
+    if (holder === state.holder) return;
+    state.holder = holder;
+    state.isTight = true;
+    const units = state.own.total(now);
+    if (units === 0) return;
+    if (holder === this.options.self) this.held(name, now)?.ledger.recall(units, now);
+    else this.charge(holder, { tenant: name, units, isRecalled: true });
+  }
+
+  private holderOf(tenant: string): string {
+    return firstCandidate(`limit/${tenant}`, this.candidates) ?? this.options.self;
+  }
+
+  private held(name: string, now: number): HeldLedger | undefined {
+    const limit = this.options.tenant(name)?.limit;
+    if (limit === undefined) return undefined;
+    const view = this.view();
+    const known = this.ledgers.get(name);
+    if (known !== undefined) {
+      known.ledger.configure(limit, view, now);
+      known.usedAt = now;
+      return known;
+    }
+    const ledger = new LimitLedger(limit, this.options.window, view, this.candidatesSince);
+    const held = { ledger, toldTight: true, usedAt: now };
+    this.ledgers.set(name, held);
+    this.options.logger.info('limit_held', { tenant: name, share: view.share });
+    return held;
+  }
+
+  private view(): HolderView {
+    const daemons = this.options.live().length;
+    return { daemons, share: daemons / Math.max(1, daemons, this.options.listedCount()) };
+  }
+
+  private tellTightness(name: string, held: HeldLedger, now: number): void {
+    if (now - held.usedAt > LEDGER_WINDOWS * this.options.window.windowMs) {
+      this.ledgers.delete(name);
+      return;
+    }
+    const isTight = held.ledger.isTight(now);
+    if (isTight === held.toldTight) return;
+    held.toldTight = isTight;
+    const used = Math.round(held.ledger.used(now));
+    const capacity = Math.round(held.ledger.capacity());
+    this.options.logger.info('limit_tight', { tenant: name, isTight, used, capacity });
+    this.options.broadcast({
+      case: 'limitNews',
+      value: create(LimitNewsSchema, { tenant: name, isTight }),
+    });
+  }
+}
--- a/src/testbed/local-cluster.ts
+++ b/src/testbed/local-cluster.ts
@@ -10,7 +10,7 @@
 import { stringify } from 'yaml';
 import { HttpClient, parseJson } from '../common/http-client.js';
 import { sleep } from '../common/process.js';
-import { hashKey } from '../daemon/bearer-keys.js';
+import { hashKey } from '../core/admission/api-keys.js';
 import type { EngineReport } from '../engines/engine-client.js';
 import type { Machine } from '../platform/platform-client.js';
 import type { EngineFaults, EngineLogEvent } from '../standin/engine-stand-in-options.js';
--- a/test/gateway/configuration-exchange.test.ts
+++ b/test/gateway/configuration-exchange.test.ts
@@ -22,6 +22,7 @@
       start: () => {},
       setAttention: () => {},
       refreshConfiguration: () => (this.refreshes += 1),
+      confirmConfiguration: () => Promise.resolve(true),
       configurationDocument: () => (this.version === 0 ? undefined : Uint8Array.of(this.version)),
       takeConfigurationDocument: ([version = 0]) => {
         if (version <= this.version) return false;
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -1,6 +1,7 @@
 /** One gateway daemon in this process, with outside systems of the test's own. */
 import http from 'node:http';
 import { Result } from 'true-myth';
+import { credentialHash } from '../../src/core/admission/api-keys.js';
 import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
 import type { OrderOutcome } from '../../src/core/model-order.js';
 import type {
@@ -19,6 +20,9 @@
 /** Headers of the tests' own spelling. */
 export const testDialect: RequestDialect = {
   readinessPath: '/ready',
+  systemHeaders: new Set(['tenant', 'urgency', 'held']),
+  keyHeader: 'authorization',
+  keyChallenge: 'Key',
   readRequest: (headers) => ({
     attemptId: headers['request-id'] as string | undefined,
     deadlineMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
@@ -28,10 +32,14 @@
         : { model: headers.model as string, adapter: undefined },
     sharedPrompt: undefined,
     lastEventId: headers['last-event-id'] as string | undefined,
+    keyDigest: credentialHash(headers.authorization, 'Key'),
+    tokens: headers.tokens === undefined ? undefined : Number(headers.tokens),
   }),
   backendHeaders: (fields) => ({
     Backend: fields.backend,
     Deadline: String(Math.floor(fields.remainingMs)),
+    Urgency: String(fields.priority),
+    ...(fields.tenant === undefined ? {} : { Tenant: fields.tenant }),
     ...(fields.lastEventId === undefined ? {} : { 'Last-Event-Id': fields.lastEventId }),
   }),
   readAnswer: (status, headers) => ({
@@ -57,6 +65,7 @@
     maxAttempts: 2,
     pauseGoalMs: 200,
     patienceMs: Infinity,
+    isPublic: false,
     ...part,
   };
 }
@@ -73,6 +82,8 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 5_000,
     },
+    tenants: undefined,
+    problems: [],
     ...part,
   };
 }
@@ -183,6 +194,9 @@
   readonly lines: { event: string; fields: LogFields }[] = [];
   listener: DirectoryListener | undefined;
   refreshes = 0;
+  /** Whether the platform's store confirms the configuration. */
+  isStoreAnswering = true;
+  private version = 0;
   /** Revision of the last list. */
   private revision = 0;
   readonly records = new Map<string, StoredRecord>();
@@ -195,6 +209,7 @@
         start: (listener) => (this.listener = listener),
         setAttention: () => {},
         refreshConfiguration: () => (this.refreshes += 1),
+        confirmConfiguration: () => this.confirm(),
         configurationDocument: () => undefined,
         takeConfigurationDocument: () => false,
         stop: () => {},
@@ -245,6 +260,11 @@
         retrySlack: 20,
         storeLoadWindowSeconds: 5,
         storeLoadExcess: 1,
+        revocationMs: Infinity,
+        configurationMs: Infinity,
+        limitWindowSeconds: 8,
+        limitExcess: 0.1,
+        limitSlack: 0,
       },
       ...part,
     });
@@ -254,7 +274,15 @@
     return harness;
   }
 
+  /** The platform answers, if it does, with the newest configuration that the test has given. */
+  private confirm(): Promise<boolean> {
+    const askedAt = performance.now();
+    if (this.isStoreAnswering) this.listener?.onConfirmed(this.version, askedAt);
+    return Promise.resolve(this.isStoreAnswering);
+  }
+
   configure(configuration: ServiceConfiguration): void {
+    this.version = configuration.version;
     this.listener?.onConfiguration(configuration);
   }
 
--- a/test/platform/directory.test.ts
+++ b/test/platform/directory.test.ts
@@ -17,6 +17,7 @@
   directory.start({
     onConfiguration: ({ version }) => versions.push(version),
     onBackends: () => {},
+    onConfirmed: () => {},
   });
   return { directory, versions };
 }
@@ -65,7 +66,7 @@
     const port = await listen(server, '127.0.0.1', 0);
     const store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics());
     const directory = new StoreDirectory(store, silentLogger);
-    directory.start({ onConfiguration: () => {}, onBackends: () => {} });
+    directory.start({ onConfiguration: () => {}, onBackends: () => {}, onConfirmed: () => {} });
     await sleep(2_600);
     const [first = 0, second = Infinity] = watchedAt;
     expect(second - first).toBeLessThan(1_950);
--- /dev/null
+++ b/test/platform/tenants.test.ts
@@ -0,0 +1,63 @@
+import { describe, expect, it } from 'vitest';
+import { readConfiguration } from '../../platform/configuration.js';
+import { readTenants, withoutKeys } from '../../platform/tenants.js';
+import { hashKey } from '../../src/core/admission/api-keys.js';
+
+function read(tenants: unknown): ReturnType<typeof readTenants> {
+  const stripped = withoutKeys({ version: 1, tenants }) as { tenants: unknown };
+  return readTenants(stripped.tenants);
+}
+
+const LIMITED = { name: 'a', apiKeys: ['k1', 'k2'], unit: 'tokens', plainTokens: 200 };
+
+describe('withoutKeys', () => {
+  it('leaves digests only, also of what was stripped before', () => {
+    const once = withoutKeys({ version: 1, tenants: [LIMITED] });
+    expect(JSON.stringify(once)).not.toContain('k1');
+    expect(withoutKeys(once)).toEqual(once);
+    expect(readConfiguration(once)?.tenants?.[0]?.keyDigests).toEqual(['k1', 'k2'].map(hashKey));
+  });
+});
+
+describe('readTenants', () => {
+  it('reads a limit, a priority and a public route', () => {
+    const { tenants, problems } = read([{ ...LIMITED, ratePerS: 50, burst: 70, priority: 1 }]);
+    const limit = { unit: 'tokens', perSecond: 50, burst: 70, plainCharge: 200 };
+    const keyDigests = ['k1', 'k2'].map(hashKey);
+    expect(tenants).toEqual([{ name: 'a', keyDigests, priority: 1, limit }]);
+    expect(problems).toEqual([]);
+    const route = { public: true };
+    expect(readConfiguration({ version: 1, routes: [route] })?.routes[0]?.isPublic).toBe(true);
+  });
+
+  it('tells a configuration without tenants from one with none', () => {
+    expect(readTenants(undefined).tenants).toBeUndefined();
+    expect(readTenants([]).tenants).toEqual([]);
+  });
+
+  it('takes a rate of 0, or none, for no limit', () => {
+    expect(read([{ ...LIMITED, ratePerS: 0, burst: 9 }]).tenants?.[0]?.limit).toBeUndefined();
+    expect(read([LIMITED]).tenants?.[0]?.limit).toBeUndefined();
+  });
+
+  it('puts in force what can be read, and tells the rest without keys', () => {
+    const { tenants, problems } = read([
+      { ...LIMITED, ratePerS: -5 },
+      { name: 'b', apiKeys: ['k2', 'k3'], ratePerS: 5, unit: 'bytes' },
+      { name: 'b', apiKeys: ['k4'] },
+      { apiKeys: ['k5'] },
+    ]);
+    expect(tenants?.map((tenant) => [tenant.name, tenant.keyDigests, tenant.limit])).toEqual([
+      ['a', [hashKey('k1'), hashKey('k2')], undefined],
+      ['b', [hashKey('k3')], undefined],
+    ]);
+    expect(problems).toHaveLength(5);
+    expect(problems.join()).not.toMatch(/k\d/);
+  });
+
+  it('knows no key when the tenants are no list', () => {
+    const { tenants, problems } = read('nobody');
+    expect(tenants).toEqual([]);
+    expect(problems).toHaveLength(1);
+  });
+});
--- a/test/processes/bad-input.test.ts
+++ b/test/processes/bad-input.test.ts
@@ -7,7 +7,7 @@
 import { AdminClient } from '../../src/client/admin-client.js';
 import { callModel, promptAtEngine, type ModelCall } from '../../src/client/model-client.js';
 import { HttpClient, parseJson, splitAddress } from '../../src/common/http-client.js';
-import { hashKey } from '../../src/daemon/bearer-keys.js';
+import { hashKey } from '../../src/core/admission/api-keys.js';
 import { expectedAnswer } from '../../src/standin/expected-answer.js';
 import { ADMIN_KEY, LocalCluster, waitFor } from '../../src/testbed/local-cluster.js';
 
