--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -106,7 +106,10 @@
       capacity: settings.processorShare * settings.processorSpeed,
       logger,
       onMessage: (from, body) => this.receive(from, body),
-      onChange: () => (this.membersHaveChanged = true),
+      onChange: () => {
+        this.membersHaveChanged = true;
+        this.limits.groupChanged();
+      },
     });
     this.members = new MemberList(settings, outside.store, this.peers, logger);
     this.configurations = new ConfigurationExchange({
--- a/src/gateway/tenant-limits.ts
+++ b/src/gateway/tenant-limits.ts
@@ -78,6 +78,8 @@
   private candidates: string[] = [];
   /** Since when the candidates are the same: the holders among them have counted all since. */
   private candidatesSince = steadyNow();
+  private liveCount = 0;
+  private hasGroupChanged = true;
 
   constructor(private readonly options: TenantLimitsOptions) {}
 
@@ -86,7 +88,7 @@
     const now = steadyNow();
     // Who has not read the list of daemons does not know whose share of the limit it may count.
     if (this.options.listedCount() === 0) return answer({ type: 'unknown' });
-    if (this.candidates.length === 0) this.chooseCandidates(now);
+    this.followGroup(now);
     const state = this.memberState(name, now);
     if (state.holder === this.options.self) {
       const decision = this.held(name, now)?.ledger.admit(units, now) ?? { type: 'granted' };
@@ -108,11 +110,15 @@
     else this.charge(state.holder, { tenant: name, units: -units });
   }
 
+  /** The set of live daemons has changed. */
+  groupChanged(): void {
+    this.hasGroupChanged = true;
+  }
+
   /** Looks at the clock, the group and the ledgers; call it a few times a second. */
   tick(): void {
     const now = steadyNow();
-    this.chooseCandidates(now);
-    for (const [name, state] of this.members) this.followHolder(name, state, now);
+    this.followGroup(now);
     for (const [name, held] of this.ledgers) this.tellTightness(name, held, now);
   }
 
@@ -132,13 +138,18 @@
     return true;
   }
 
-  private chooseCandidates(now: number): void {
-    const candidates = ablestOf(this.options.live())
+  private followGroup(now: number): void {
+    if (!this.hasGroupChanged) return;
+    this.hasGroupChanged = false;
+    const live = this.options.live();
+    this.liveCount = live.length;
+    const candidates = ablestOf(live)
       .map((member) => member.address)
       .sort();
     if (candidates.join() === this.candidates.join()) return;
     this.candidates = candidates;
     this.candidatesSince = now;
+    for (const [name, state] of this.members) this.followHolder(name, state, now);
   }
 
   private ask(
@@ -177,7 +188,7 @@
   private equalShare(limit: TenantLimit): number {
     const { windowMs } = this.options.window;
     const units = (limit.perSecond * windowMs) / 1_000 + limit.burst;
-    return units / Math.max(1, this.options.listedCount(), this.options.live().length);
+    return units / Math.max(1, this.options.listedCount(), this.liveCount);
   }
 
   private settle(question: number, decision: LimitDecision): void {
@@ -277,8 +288,8 @@
   }
 
   private view(): HolderView {
-    const daemons = this.options.live().length;
-    return { daemons, share: daemons / Math.max(1, daemons, this.options.listedCount()) };
+    const daemons = Math.max(1, this.liveCount);
+    return { daemons, share: daemons / Math.max(daemons, this.options.listedCount()) };
   }
 
   private tellTightness(name: string, held: HeldLedger, now: number): void {
--- /dev/null
+++ b/test/simulation/simulated-limits.ts
@@ -0,0 +1,189 @@
+/**
+ * A group of daemons that keep one tenant's limit, on a virtual clock: messages take a
+ * fixed time, requests come at a steady rate at daemons drawn from a seed.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { vi } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import type { LimitWindow } from '../../src/core/admission/limit-ledger.js';
+import type { MemberView } from '../../src/core/membership-messages.js';
+import type { TenantLimit } from '../../src/core/service-configuration.js';
+import { SlidingSum } from '../../src/core/sliding-sum.js';
+import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { TenantLimits } from '../../src/gateway/tenant-limits.js';
+
+/** Milliseconds that a message takes. */
+const MESSAGE_MS = 2;
+const TICK_MS = 100;
+/** Requests come, and time passes, in steps. */
+const STEP_MS = 5;
+/** Bytes of a message between daemons, with headers of IP and UDP: a bound from above. */
+const MESSAGE_BYTES = 110;
+
+/** What a run has shown. */
+export interface LimitOutcome {
+  /** Units that were asked for. */
+  readonly asked: number;
+  readonly admitted: number;
+  /** Most units in any window. */
+  readonly mostInWindow: number;
+  /** Messages a second between all daemons. */
+  readonly messagesPerSecond: number;
+  readonly bytesPerSecond: number;
+}
+
+/** A stretch of time with a rate of requests. */
+export interface LimitPhase {
+  readonly seconds: number;
+  readonly unitsPerSecond: number;
+}
+
+/** Options of {@link SimulatedLimits}. */
+export interface SimulationOptions {
+  readonly daemons: number;
+  readonly limit: TenantLimit;
+  readonly window: LimitWindow;
+  readonly unitsPerRequest: number;
+  readonly seed: number;
+}
+
+/** The group. Use it under vitest's fake timers. */
+export class SimulatedLimits {
+  private readonly daemons: TenantLimits[];
+  private readonly random;
+  private readonly inWindow: SlidingSum;
+  private readonly down = new Set<number>();
+  /** Which side of a cut a daemon is on. */
+  private readonly sides = new Map<number, number>();
+  /** What each daemon sees of the others. */
+  private readonly views = new Map<number, MemberView[]>();
+  private messages = 0;
+  private asked = 0;
+  private admitted = 0;
+  private mostInWindow = 0;
+  private readonly begun = performance.now();
+  limit: TenantLimit;
+
+  constructor(private readonly options: SimulationOptions) {
+    this.random = xoroshiro128plus(options.seed);
+    this.limit = options.limit;
+    this.inWindow = new SlidingSum(options.window.windowMs);
+    this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
+  }
+
+  /** Address of the daemon that all take for the tenant's holder. */
+  holder(): number {
+    const state = this.daemons[this.firstUp()]?.['members'].get('t');
+    return Number((state?.holder ?? 'd-0').slice(2));
+  }
+
+  /** Takes a daemon's power; the others see it after the time that membership takes. */
+  kill(index: number, seenAfterMs: number): void {
+    this.sides.set(index, -1);
+    setTimeout(() => {
+      this.down.add(index);
+      this.groupChanged();
+    }, seenAfterMs);
+  }
+
+  /** All lose what they know. */
+  restartAll(): void {
+    for (const index of this.daemons.keys()) this.daemons[index] = this.daemon(index);
+  }
+
+  /** Cuts the first daemons off, each from all others. */
+  isolate(count: number): void {
+    for (let index = 0; index < count; index++) this.sides.set(index, index + 1);
+    this.groupChanged();
+  }
+
+  private groupChanged(): void {
+    this.views.clear();
+    for (const daemon of this.daemons) daemon.groupChanged();
+  }
+
+  /** Plays a phase. */
+  async play({ seconds, unitsPerSecond }: LimitPhase): Promise<void> {
+    const { unitsPerRequest } = this.options;
+    const gapMs = (unitsPerRequest / unitsPerSecond) * 1_000;
+    let credit = 0;
+    for (let at = 0; at < seconds * 1_000; at += STEP_MS) {
+      if (at % TICK_MS === 0) for (const daemon of this.daemons) daemon.tick();
+      for (credit += STEP_MS; credit >= gapMs; credit -= gapMs) this.request(unitsPerRequest);
+      await vi.advanceTimersByTimeAsync(STEP_MS);
+    }
+  }
+
+  outcome(): LimitOutcome {
+    const seconds = (performance.now() - this.begun) / 1_000;
+    const messagesPerSecond = this.messages / seconds;
+    return {
+      asked: this.asked,
+      admitted: this.admitted,
+      mostInWindow: this.mostInWindow,
+      messagesPerSecond,
+      bytesPerSecond: messagesPerSecond * MESSAGE_BYTES,
+    };
+  }
+
+  private request(units: number): void {
+    this.asked += units;
+    const index = uniformInt(this.random, 0, this.daemons.length - 1);
+    if (this.sides.get(index) === -1) return;
+    this.daemons[index]?.admit('t', units, (decision) => {
+      if (decision.type !== 'granted') return;
+      const now = performance.now();
+      this.admitted += units;
+      this.inWindow.add(units, now);
+      this.mostInWindow = Math.max(this.mostInWindow, this.inWindow.total(now));
+    });
+  }
+
+  private firstUp(): number {
+    return [...this.daemons.keys()].find((index) => !this.down.has(index)) ?? 0;
+  }
+
+  private daemon(index: number): TenantLimits {
+    const tenant = { name: 't', keyDigests: [], priority: undefined };
+    return new TenantLimits({
+      self: `d-${index}`,
+      window: this.options.window,
+      logger: silentLogger,
+      live: () => this.seenBy(index),
+      listedCount: () => this.options.daemons,
+      tenant: () => ({ ...tenant, limit: this.limit }),
+      sendDatagram: (to, body) => this.send(index, Number(to.slice(2)), body),
+      broadcast: (body) => {
+        for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
+      },
+    });
+  }
+
+  /** The same list until the group changes. */
+  private seenBy(index: number): MemberView[] {
+    const known = this.views.get(index);
+    if (known !== undefined) return known;
+    const views: MemberView[] = [];
+    for (const other of this.daemons.keys()) {
+      if (other !== index && (this.down.has(other) || !this.reaches(index, other))) continue;
+      const view = { zone: 'a', site: '', incarnation: 1, state: 'alive', capacity: 1 } as const;
+      views.push({ address: `d-${other}`, ...view });
+    }
+    this.views.set(index, views);
+    return views;
+  }
+
+  private reaches(from: number, to: number): boolean {
+    const [a = 0, b = 0] = [this.sides.get(from), this.sides.get(to)];
+    // Nobody sees at once that a daemon has lost its power.
+    return a === b || (a === -1 && !this.down.has(from)) || (b === -1 && !this.down.has(to));
+  }
+
+  private send(from: number, to: number, body: PeerBody): void {
+    this.messages += 1;
+    if (this.sides.get(to) === -1 || this.sides.get(from) === -1) return;
+    if (!this.reaches(from, to)) return;
+    setTimeout(() => this.daemons[to]?.receive(`d-${from}`, body), MESSAGE_MS);
+  }
+}
