A connection between daemons that goes silent is replaced within 2 s

Cause: connections may go silent for good without a reset; a daemon's connection to another carried messages one way, so nothing came back that could be missed. Datagrams went on, so membership held the peer for live, and placements and demand were lost until the connection had rested 60 s. Ruled out: Node's keep-alive, which shows it after 11 s (1 s and ten probes). Change: receivers acknowledge with a byte each 500 ms; a sender drops a connection after 1.8 s.

--- a/src/daemon/peer-transport.ts
+++ b/src/daemon/peer-transport.ts
@@ -1,6 +1,7 @@
 /**
  * Messages between daemons: probes as single UDP datagrams, everything else
- * over TCP as size-delimited protobuf messages, on one port number.
+ * over TCP as size-delimited protobuf messages, on one port number. A connection
+ * carries messages one way, and acknowledgements of one byte the other way.
  */
 import dgram from 'node:dgram';
 import net from 'node:net';
@@ -18,6 +19,15 @@
 const CONNECT_TIMEOUT_MS = 2_000;
 /** Connections without traffic are closed after so long. */
 const IDLE_MS = 60_000;
+/** A receiver answers what it was sent with one byte, after so long for all of that time together. */
+const ACKNOWLEDGE_AFTER_MS = 500;
+/**
+ * A connection on which nothing is acknowledged for so long is dropped, and the next message opens
+ * a new one: a connection may go silent for good without a reset, which Node's own keep-alive shows
+ * after 11 s only.
+ */
+const SILENT_MS = 1_800;
+const ACKNOWLEDGEMENT = new Uint8Array(1);
 /** Bytes of IP and UDP headers, counted with each datagram. */
 const DATAGRAM_HEADER_BYTES = 28;
 
@@ -60,6 +70,8 @@
   };
   private readonly connections = new Map<string, net.Socket>();
   private readonly incoming = new Set<net.Socket>();
+  /** Runs out when a peer does not acknowledge. */
+  private readonly silenceTimers = new Map<net.Socket, NodeJS.Timeout>();
   private readonly server: net.Server;
   private readonly datagrams = dgram.createSocket('udp4');
   private stopped = false;
@@ -117,9 +129,24 @@
       return;
     }
     socket.write(bytes);
+    this.expectAcknowledgement(to, socket);
     this.countSent(bytes.length);
   }
 
+  private expectAcknowledgement(to: string, socket: net.Socket): void {
+    if (this.silenceTimers.has(socket)) return;
+    const timer = setTimeout(() => {
+      this.options.logger.warn('peer_silent', { peer: to, milliseconds: SILENT_MS });
+      socket.destroy();
+    }, SILENT_MS);
+    this.silenceTimers.set(socket, timer);
+  }
+
+  private acknowledged(socket: net.Socket): void {
+    clearTimeout(this.silenceTimers.get(socket));
+    this.silenceTimers.delete(socket);
+  }
+
   /** Sends a message as one datagram. */
   sendDatagram(to: string, body: PeerBody): void {
     if (this.stopped || this.options.faults.blocksOutbound(to)) return;
@@ -153,24 +180,33 @@
     });
     socket.on('close', () => {
       clearTimeout(timer);
+      this.acknowledged(socket);
       if (this.connections.get(to) === socket) this.connections.delete(to);
       if (!this.stopped) this.options.onDisconnect(to);
     });
-    socket.resume();
+    socket.on('data', () => this.acknowledged(socket));
     return socket;
   }
 
   private accept(socket: net.Socket): void {
     this.incoming.add(socket);
     let rest: Uint8Array = new Uint8Array(0);
+    let acknowledgement: NodeJS.Timeout | undefined;
     socket.on('data', (chunk: Buffer) => {
+      acknowledgement ??= setTimeout(() => {
+        acknowledgement = undefined;
+        if (socket.writable) socket.write(ACKNOWLEDGEMENT);
+      }, ACKNOWLEDGE_AFTER_MS);
       this.counts.bytesReceived += chunk.length;
       const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
       const taken = this.takeMessages(bytes, socket);
       rest = bytes.subarray(taken);
     });
     socket.on('error', () => socket.destroy());
-    socket.on('close', () => this.incoming.delete(socket));
+    socket.on('close', () => {
+      clearTimeout(acknowledgement);
+      this.incoming.delete(socket);
+    });
   }
 
   /** Handles all whole messages at the start of `bytes`; returns how many bytes they take. */
--- /dev/null
+++ b/test/daemon/peer-transport.test.ts
@@ -0,0 +1,115 @@
+import net from 'node:net';
+import { create } from '@bufbuild/protobuf';
+import { afterEach, describe, expect, it } from 'vitest';
+import { LinkFaults } from '../../src/common/link-faults.js';
+import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import { PeerTransport, type PeerBody } from '../../src/daemon/peer-transport.js';
+import { PlacementRequestSchema } from '../../src/proto/gen/internal_pb.js';
+import { findFreePorts } from '../../src/testbed/free-ports.js';
+
+/** Passes connections on; those that are open may be made to say nothing more. */
+class SilencingProxy {
+  private readonly pairs: [net.Socket, net.Socket][] = [];
+  private readonly server: net.Server;
+
+  constructor(
+    private readonly port: number,
+    target: number,
+  ) {
+    this.server = net.createServer((client) => {
+      const upstream = net.connect(target, '127.0.0.1');
+      this.pairs.push([client, upstream]);
+      for (const socket of [client, upstream]) socket.on('error', () => {});
+      client.pipe(upstream);
+      upstream.pipe(client);
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+  }
+
+  /** Nothing passes on the open connections any more, and nobody is told. */
+  silence(): void {
+    for (const [client, upstream] of this.pairs) {
+      client.unpipe();
+      upstream.unpipe();
+      client.pause();
+      upstream.pause();
+    }
+  }
+
+  stop(): void {
+    this.server.close();
+    for (const [client, upstream] of this.pairs) {
+      client.destroy();
+      upstream.destroy();
+    }
+  }
+}
+
+describe('a connection between daemons that goes silent', () => {
+  const stops: (() => void)[] = [];
+
+  afterEach(() => {
+    for (const stop of stops.splice(0)) stop();
+  });
+
+  async function transportOn(
+    port: number,
+    received: string[] = [],
+    lost: string[] = [],
+  ): Promise<PeerTransport> {
+    const transport = new PeerTransport({
+      host: '127.0.0.1',
+      port,
+      logger: silentLogger,
+      faults: new LinkFaults(),
+      onMessage: (_from, body) => {
+        if (body.case === 'placementRequest') received.push(body.value.service);
+      },
+      onDisconnect: (address) => lost.push(address),
+    });
+    await transport.start();
+    stops.push(() => transport.stop());
+    return transport;
+  }
+
+  function message(service: string): PeerBody {
+    return { case: 'placementRequest', value: create(PlacementRequestSchema, { service }) };
+  }
+
+  it('is replaced within 2 s, and messages arrive again', async () => {
+    const [first = 0, second = 0, between = 0] = await findFreePorts(3);
+    const received: string[] = [];
+    const sender = await transportOn(first);
+    await transportOn(second, received);
+    const proxy = new SilencingProxy(between, second);
+    await proxy.start();
+    stops.push(() => proxy.stop());
+    const to = `127.0.0.1:${between}`;
+    sender.send(to, message('before'));
+    await sleep(700);
+    proxy.silence();
+    sender.send(to, message('lost'));
+    await sleep(2_000);
+    sender.send(to, message('after'));
+    await sleep(200);
+    expect(received).toEqual(['before', 'after']);
+  });
+
+  it('is kept while the peer acknowledges, however rarely it is used', async () => {
+    const [first = 0, second = 0] = await findFreePorts(2);
+    const received: string[] = [];
+    const lost: string[] = [];
+    const sender = await transportOn(first, [], lost);
+    await transportOn(second, received);
+    for (const service of ['1', '2', '3']) {
+      sender.send(`127.0.0.1:${second}`, message(service));
+      await sleep(900);
+    }
+    expect(received).toEqual(['1', '2', '3']);
+    expect(lost).toEqual([]);
+  });
+});
