The soak's callers have keys: revocation, tenants and limits are audited

Change: three tenants (one whose keys rotate, one over its limit by turns), the auditor checks keys denied, passed on, run after their removal, wrong tenants, and the limit in any window.

--- /dev/null
+++ b/test/soak/audit-tenants.ts
@@ -0,0 +1,66 @@
+/** The promises about keys and limits, from what callers and replicas of a soak recorded. Pure. */
+import type { SoakEvidence, Violation } from './audit.js';
+import type { CallRecord } from './caller.js';
+import type { RunRecord } from './run-log.js';
+import {
+  LIMIT_WINDOW_MS,
+  LIMITED_TENANT,
+  removedBy,
+  REVOCATION_MS,
+  UNITS,
+  unitsAllowed,
+} from './soak-tenants.js';
+
+const UNAUTHORIZED = 401;
+
+/** Broken promises about tenants; they bind gateways also while these are harmed. */
+export function auditTenants(evidence: SoakEvidence): Violation[] {
+  const calls = new Map(evidence.calls.map((call) => [call.request.attemptId, call]));
+  return [
+    ...evidence.calls.flatMap(auditDenial),
+    ...evidence.runs.flatMap((run) => auditRun(run, calls.get(run.attemptId), evidence)),
+    ...auditLimit(evidence.runs),
+  ];
+}
+
+/** A key that no configuration has taken away is never denied. */
+function auditDenial({ request, status, gateway }: CallRecord): Violation[] {
+  if (status !== UNAUTHORIZED || removedBy(request.caller) !== undefined) return [];
+  return [{ rule: 'key_denied', detail: `${request.attemptId} at ${gateway}` }];
+}
+
+function auditRun(
+  run: RunRecord,
+  call: CallRecord | undefined,
+  evidence: SoakEvidence,
+): Violation[] {
+  if (call === undefined) return [];
+  const { request, gateway, sentAt } = call;
+  const found: Violation[] = [];
+  const detail = `${run.attemptId} at ${gateway}: tenant ${run.tenant ?? 'none'}`;
+  if (run.tenant !== request.caller.tenant) found.push({ rule: 'wrong_tenant', detail });
+  const version = removedBy(request.caller);
+  const removedAt = version === undefined ? undefined : evidence.accepted.get(version);
+  if (removedAt !== undefined && sentAt > removedAt + REVOCATION_MS) {
+    const late = `${detail}, sent ${sentAt - removedAt} ms after its key was taken away`;
+    found.push({ rule: 'revoked_key_run', detail: late });
+  }
+  return found;
+}
+
+/** Each run counts once a request, in any window. */
+function auditLimit(runs: readonly RunRecord[]): Violation[] {
+  const counted = new Map<string, number>();
+  for (const { attemptId, at, tenant } of runs) {
+    if (tenant === LIMITED_TENANT && !counted.has(attemptId)) counted.set(attemptId, at);
+  }
+  const times = [...counted.values()].sort((a, b) => a - b);
+  let first = 0;
+  let most = 0;
+  for (const [index, at] of times.entries()) {
+    while ((times[first] ?? at) <= at - LIMIT_WINDOW_MS) first += 1;
+    most = Math.max(most, index - first + 1);
+  }
+  if (most * UNITS <= unitsAllowed()) return [];
+  return [{ rule: 'limit_exceeded', detail: `${most * UNITS} of ${unitsAllowed()} units` }];
+}
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -2,6 +2,15 @@
 import { audit, type SoakEvidence } from './audit.js';
 import type { CallRecord, RequestKind } from './caller.js';
 import { plainText, streamText } from './expected-events.js';
+import {
+  LIMIT_WINDOW_MS,
+  LIMITED_TENANT,
+  REVOCATION_MS,
+  ROTATING_TENANT,
+  STEADY_TENANT,
+  UNITS,
+  unitsAllowed,
+} from './soak-tenants.js';
 
 const CALM_FROM = 100_000;
 
@@ -9,7 +18,9 @@
   const isStream = kind === 'resumable' || kind === 'stream_once';
   const body = JSON.stringify({ events: 3 });
   const text = isStream ? streamText(body, 3) : plainText('a', body);
-  const request = { attemptId: 'a', kind, path: '/', model: undefined, body, deadlineMs: 1_000 };
+  const caller = { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` };
+  const named = { attemptId: 'a', kind, path: '/', model: undefined, caller };
+  const request = { ...named, body, deadlineMs: 1_000 };
   const seen = { status: 200, isWhole: true, isSealed: true, text, wasRefused: false };
   return { request, gateway: 'g', sentAt: 10_000, endedAt: 10_100, ...seen, ...part };
 }
@@ -20,6 +31,7 @@
     probes: [],
     runs: [],
     replicaViolations: [],
+    accepted: new Map(),
     gateways: { wasHarmed: () => false, stopDuring: () => undefined },
     storeFaults: [],
     replicaFaults: [],
@@ -33,7 +45,7 @@
   return audit(evidenceOf(part)).map((violation) => violation.rule);
 }
 
-const run = { attemptId: 'a', replica: 'r', at: 10_050 };
+const run = { attemptId: 'a', replica: 'r', tenant: STEADY_TENANT, at: 10_050 };
 
 describe('the audit of a soak', () => {
   it('finds nothing in whole answers, and in failures that promise nothing', () => {
@@ -103,6 +115,35 @@
     ]);
   });
 
+  it('sees a key that is denied, a wrong tenant, and a key that outlives its removal', () => {
+    expect(rules({ calls: [callOf('any', { status: 401, text: '' })] })).toEqual(['key_denied']);
+    const forged = { ...run, tenant: 'forged' };
+    expect(rules({ calls: [callOf('any')], runs: [forged] })).toEqual(['wrong_tenant']);
+    const { request, ...seen } = callOf('any');
+    const caller = { tenant: ROTATING_TENANT, key: `${ROTATING_TENANT}-3` };
+    const calls = [{ ...seen, request: { ...request, caller } }];
+    const runs = [{ ...run, tenant: ROTATING_TENANT }];
+    const removed = (agoMs: number) => new Map([[5, seen.sentAt - agoMs]]);
+    expect(rules({ calls, runs, accepted: removed(REVOCATION_MS - 10) })).toEqual([]);
+    expect(rules({ calls, runs, accepted: removed(REVOCATION_MS + 10) })).toEqual([
+      'revoked_key_run',
+    ]);
+  });
+
+  it('sees a limit that is exceeded in a window, each request counted once', () => {
+    const count = Math.floor(unitsAllowed() / UNITS);
+    const runsOf = (requests: number, spanMs: number) =>
+      Array.from({ length: requests }, (_, index) => {
+        const at = (index * spanMs) / requests;
+        return { attemptId: String(index), replica: 'r', tenant: LIMITED_TENANT, at };
+      });
+    expect(rules({ runs: runsOf(count, LIMIT_WINDOW_MS / 2) })).toEqual([]);
+    const again = [...runsOf(count, LIMIT_WINDOW_MS / 2), ...runsOf(count, LIMIT_WINDOW_MS / 2)];
+    expect(rules({ runs: again })).toEqual([]);
+    expect(rules({ runs: runsOf(count + 1, LIMIT_WINDOW_MS / 2) })).toEqual(['limit_exceeded']);
+    expect(rules({ runs: runsOf(2 * count, LIMIT_WINDOW_MS * 2) })).toEqual([]);
+  });
+
   it('sees exits that nobody asked for, and a system that does not recover', () => {
     expect(rules({ unaskedExits: 1 })).toEqual(['unasked_exit']);
     const sentAt = CALM_FROM + 10;
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -1,7 +1,9 @@
 /** Counts the promises that a soak saw broken, from what callers and replicas recorded. Pure. */
 import type { CallRecord, RequestKind } from './caller.js';
+import { auditTenants } from './audit-tenants.js';
 import { plainText, streamText } from './expected-events.js';
 import type { ReplicaViolation, RunRecord } from './run-log.js';
+import { STEADY_TENANT } from './soak-tenants.js';
 
 /** A time, in Unix milliseconds. */
 export interface TimeSpan {
@@ -30,6 +32,8 @@
   readonly runs: readonly RunRecord[];
   readonly replicaViolations: readonly ReplicaViolation[];
   readonly gateways: GatewayHistory;
+  /** When versions of the configuration were accepted, in Unix milliseconds. */
+  readonly accepted: ReadonlyMap<number, number>;
   /** Times in which the store was not sound. */
   readonly storeFaults: readonly TimeSpan[];
   /** Times in which some replica was not sound. */
@@ -63,6 +67,7 @@
     ...evidence.probes.flatMap((probe) => auditProbe(probe, evidence)),
     ...auditReversions(evidence),
     ...auditRecovery(evidence),
+    ...auditTenants(evidence),
     ...(evidence.unaskedExits > 0
       ? [{ rule: 'unasked_exit', detail: String(evidence.unaskedExits) }]
       : []),
@@ -155,7 +160,8 @@
 }
 
 function auditRecovery(evidence: SoakEvidence): Violation[] {
-  const calm = evidence.calls.filter((call) => call.sentAt >= evidence.calmSince);
+  const steady = evidence.calls.filter(({ request }) => request.caller.tenant === STEADY_TENANT);
+  const calm = steady.filter((call) => call.sentAt >= evidence.calmSince);
   const served = calm.filter((call) => call.status === 200 && call.isWhole).length;
   if (served >= calm.length * RECOVERY_SHARE) return [];
   return [{ rule: 'not_recovered', detail: `${served} of ${calm.length} served` }];
--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -1,6 +1,7 @@
 /** One request of a soak's caller, and what came of it. */
 import http from 'node:http';
 import { splitAddress } from '../../src/common/http-client.js';
+import { UNITS, type Caller } from './soak-tenants.js';
 
 /** What may be done with a request; also the second part of its path. */
 export type RequestKind = 'resumable' | 'stream_once' | 'once' | 'any' | 'probe';
@@ -13,6 +14,7 @@
   readonly model: string | undefined;
   readonly body: string;
   readonly deadlineMs: number;
+  readonly caller: Caller;
 }
 
 /** What its caller saw. */
@@ -72,6 +74,10 @@
     'x-attempt-id': request.attemptId,
     'x-deadline-ms': request.deadlineMs,
     'content-length': Buffer.byteLength(request.body),
+    authorization: `Token ${request.caller.key}`,
+    'x-token-counts': `${UNITS / 2},${UNITS / 2}`,
+    // Only the gateway names a tenant.
+    'x-tenant': 'forged',
   };
   if (request.model !== undefined) headers['x-model'] = request.model;
   return { host, port, path: request.path, method: 'POST', headers, agent: false };
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -2,6 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { closeSync, openSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
+import { LIMIT_EXCESS, LIMIT_SLACK, LIMIT_WINDOW_MS, REVOCATION_MS } from './soak-tenants.js';
 
 /** Time that a stop may take, as the platform's sheets have it. */
 export const STOP_SECONDS = 8;
@@ -62,6 +63,11 @@
         retrySlack: 40,
         storeLoadWindowSeconds: 5,
         storeLoadExcess: 1.1,
+        revocationMs: REVOCATION_MS,
+        configurationMs: 2_000,
+        limitWindowSeconds: LIMIT_WINDOW_MS / 1_000,
+        limitExcess: LIMIT_EXCESS,
+        limitSlack: LIMIT_SLACK,
       },
     };
     writeFileSync(this.settingsFile, JSON.stringify(settings));
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -9,7 +9,7 @@
 import { readBody, sendJson } from '../../src/common/http-server.js';
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { eventText, plainText } from './expected-events.js';
-import type { RunLog } from './run-log.js';
+import type { ReplicaViolation, RunLog } from './run-log.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** How a replica behaves now. */
@@ -203,10 +203,7 @@
     this.fenceHolder = holder;
   }
 
-  private violated(
-    kind: 'memory_overcommitted' | 'fence_shared' | 'work_while_leaving' | 'wrong_service',
-    detail: string,
-  ): void {
+  private violated(kind: ReplicaViolation['kind'], detail: string): void {
     this.options.log.violated({ kind, replica: this.id, detail });
   }
 
@@ -220,7 +217,8 @@
     const model = request.headers['x-model'];
     if (this.options.hasModels && !this.models.has(String(model))) return refuse(response, 421);
     if (this.running >= SLOTS) return refuse(response, 503);
-    this.options.log.run(attemptId, this.id);
+    const tenant = request.headers['x-tenant'];
+    this.options.log.run(attemptId, this.id, tenant === undefined ? undefined : String(tenant));
     if (condition === 'answers_lost' && random.chance(0.2)) return void request.socket.destroy();
     const seal = { 'x-attempt-id': attemptId, 'x-server-seal': `${this.id}.${attemptId}` };
     if (condition === 'fails_some' && random.chance(0.3)) {
@@ -237,6 +235,7 @@
     const leftFor = Date.now() - (this.leavingSince ?? Infinity);
     if (leftFor > DRAIN_MS) this.violated('work_while_leaving', `${attemptId} ${leftFor} ms`);
     const service = String(request.url).split('/')[1];
+    if (request.headers.authorization !== undefined) this.violated('key_passed_on', attemptId);
     if (service !== this.options.service) this.violated('wrong_service', String(request.url));
   }
 
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -4,13 +4,20 @@
 export interface RunRecord {
   readonly attemptId: string;
   readonly replica: string;
+  /** As the gateway named it. */
+  readonly tenant: string | undefined;
   /** Unix milliseconds. */
   readonly at: number;
 }
 
 /** A promise that a replica saw broken. */
 export interface ReplicaViolation {
-  readonly kind: 'memory_overcommitted' | 'fence_shared' | 'work_while_leaving' | 'wrong_service';
+  readonly kind:
+    | 'memory_overcommitted'
+    | 'fence_shared'
+    | 'work_while_leaving'
+    | 'wrong_service'
+    | 'key_passed_on';
   readonly replica: string;
   readonly detail: string;
 }
@@ -21,8 +28,8 @@
   readonly violations: ReplicaViolation[] = [];
   loads = 0;
 
-  run(attemptId: string, replica: string): void {
-    this.runs.push({ attemptId, replica, at: Date.now() });
+  run(attemptId: string, replica: string, tenant: string | undefined): void {
+    this.runs.push({ attemptId, replica, tenant, at: Date.now() });
   }
 
   violated(violation: ReplicaViolation): void {
--- a/test/soak/soak-configuration.ts
+++ b/test/soak/soak-configuration.ts
@@ -1,5 +1,6 @@
 /** The operator's configuration of a soak, as the platform publishes it. */
 import { HOST } from './caller.js';
+import { tenantsOf } from './soak-tenants.js';
 
 /** A configuration with routes of all kinds, and one plain route for each probed version. */
 export function configurationOf(
@@ -36,6 +37,7 @@
       { name: 'models', maxConns: 200, engine },
       { name: 'plain', maxConns: 200 },
     ],
+    tenants: tenantsOf(version),
     limits: {
       maxHeaderBytes: 8_192,
       maxBodyBytes: 65_536,
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -11,6 +11,7 @@
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
 import { configurationOf } from './soak-configuration.js';
+import { drawCaller, STEADY_TENANT } from './soak-tenants.js';
 import { SeededRandom } from './seeded-random.js';
 
 /** What to play. */
@@ -91,6 +92,7 @@
       probes: this.probes,
       runs: this.log.runs,
       replicaViolations: this.log.violations,
+      accepted: this.accepted,
       gateways: {
         wasHarmed: (name, { from, until }) => this.gateway(name).wasHarmed(from, until),
         stopDuring: (name, { from, until }) => this.gateway(name).stopDuring(from, until),
@@ -291,7 +293,11 @@
     this.sequence += 1;
     const attemptId = `a${this.options.seed}-${this.sequence}`;
     const body = JSON.stringify({ ...content, attemptId });
-    return { attemptId, kind, path: requestPath, model, body, deadlineMs };
+    const caller =
+      kind === 'probe'
+        ? { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` }
+        : drawCaller(this.random, this.version, Date.now());
+    return { attemptId, kind, path: requestPath, model, body, deadlineMs, caller };
   }
 
   private send(request: SoakRequest): void {
