Logs, metrics and losses tell of keys, leases and limits

Change: not_admitted with the first digits of the key's digest, the configuration and the age of its proof; configuration_lease_lost and _regained; refused names the tenant, its units and the daemon that counts; losses has three causes more.

--- a/src/diagnosis/loss-report.ts
+++ b/src/diagnosis/loss-report.ts
@@ -24,9 +24,22 @@
   | 'only in the weight store'
   /** Its model was not loaded in the time looked at. */
   | 'never loaded'
-  /** A reason other than its model. */
+  /** Its tenant had asked for more than its limit. */
+  | "over its tenant's limit"
+  /** Its key was not known, or was taken away while it waited. */
+  | 'key not known'
+  /** The daemon's configuration was not proved current, or nobody who counts a limit answered. */
+  | 'configuration or limit not known'
+  /** A reason other than these. */
   | 'other';
 
+/** Causes that the kind of the refusal tells alone. */
+const CAUSES_BY_KIND: ReadonlyMap<string, RefusalCause> = new Map([
+  ['rate_limited', "over its tenant's limit"],
+  ['unauthorized', 'key not known'],
+  ['not_ready', 'configuration or limit not known'],
+]);
+
 /** How a served stream kept its route's objectives, as far as one daemon sees it. */
 export type StreamTiming = 'in time' | 'first part late' | 'paused';
 
@@ -72,7 +85,7 @@
       const timing = isServed ? streamTiming(event) : undefined;
       if (timing !== undefined) count(streams, route, timing);
     }
-    if (event.event !== 'refused') continue;
+    if (event.event !== 'refused' && event.event !== 'not_admitted') continue;
     const next = nextLoad(event, loads);
     const hasComeBack = event.fields.get('hasComeBack') === '1' ? ' (came back)' : '';
     count(refusals, route, causeOf(event, next) + hasComeBack);
@@ -127,7 +140,8 @@
 }
 
 function causeOf(refusal: LogEvent, next: FinishedLoad | undefined): RefusalCause {
-  if (refusal.fields.get('kind') !== 'no_capacity') return 'other';
+  const kind = refusal.fields.get('kind') ?? '';
+  if (kind !== 'no_capacity') return CAUSES_BY_KIND.get(kind) ?? 'other';
   if (next === undefined) return 'never loaded';
   if (next.startedAt <= refusal.at) return 'load under way';
   if (refusal.fields.get('readyInMs') === undefined) return 'no forecast';
--- a/src/gateway/caller-admission.ts
+++ b/src/gateway/caller-admission.ts
@@ -4,6 +4,7 @@
  * taken away while the request waited, or while the daemon stood still.
  */
 import { KeyRing } from '../core/admission/api-keys.js';
+import type { Logger } from '../common/logger.js';
 import type { ConfigurationLease } from '../core/configuration-lease.js';
 import type { CallerTenant, Route, ServiceConfiguration } from '../core/service-configuration.js';
 import { steadyNow } from './steady-clock.js';
@@ -26,6 +27,7 @@
 /** Options of {@link CallerAdmission}. */
 export interface CallerAdmissionOptions {
   readonly lease: ConfigurationLease;
+  readonly logger: Logger;
   /** A key may be served for so long after it was taken away; infinite if the operator sets no bound. */
   readonly revocationMs: number;
   /** A new configuration is in force everywhere after so long; infinite if the operator sets no bound. */
@@ -38,6 +40,8 @@
 export class CallerAdmission {
   private keys: KeyRing<CallerTenant> | undefined;
   private readonly tenants = new Map<string, CallerTenant>();
+  /** Whether the lease held at the last look. */
+  private hadLease = false;
 
   constructor(private readonly options: CallerAdmissionOptions) {}
 
@@ -85,8 +89,21 @@
   }
 
   private hasLease(): boolean {
-    const limitMs = this.options.revocationMs - LEASE_MARGIN_MS;
-    return this.options.lease.ageMs(steadyNow()) <= limitMs;
+    const { lease, logger, revocationMs } = this.options;
+    const ageMs = lease.ageMs(steadyNow());
+    const holds = ageMs <= revocationMs - LEASE_MARGIN_MS;
+    if (holds !== this.hadLease) {
+      this.hadLease = holds;
+      const event = holds ? 'configuration_lease_regained' : 'configuration_lease_lost';
+      logger.warn(event, { ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined });
+    }
+    return holds;
+  }
+
+  /** Age of the proof that the configuration is current; undefined if none is needed or there is none. */
+  proofAgeMs(): number | undefined {
+    const ageMs = this.options.lease.ageMs(steadyNow());
+    return this.needsLease && Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
   }
 
   private doubt(): Admission {
--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -6,12 +6,15 @@
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
+import type { RequestHead } from './ports.js';
 import { RequestExchange } from './request-exchange.js';
 import { steadyNow } from './steady-clock.js';
 
 /** Heads above this are refused by the parser itself. */
 const LARGEST_HEADER_BYTES = 128 * 1024;
 const TIMEOUT_CHECK_MS = 500;
+/** Hexadecimal digits of a key's digest that logs show. */
+const FINGERPRINT_DIGITS = 8;
 /** A caller of an unknown route comes back after so long, if a newer configuration may have it. */
 const ROUTE_LATER_MS = 400;
 /** A request's body may take so long. */
@@ -76,7 +79,7 @@
     const route = table.route(request.headers.host ?? '', path);
     const admission = route && this.context.admission.check(route, head.keyDigest);
     if (admission?.type === 'refused') {
-      this.context.logger.info('not_admitted', { request: head.attemptId, kind: admission.kind });
+      this.logDenial(head, route?.name, admission.kind, table);
       return answer.sendError(admission.kind, admission.retryAfterMs);
     }
     response.on('error', () => response.destroy());
@@ -105,6 +108,24 @@
     new RequestExchange(this.context, match, version, caller, response).start();
   }
 
+  /** The first digits of a key's SHA-256 tell an operator whose key it is; the key itself is never written. */
+  private logDenial(
+    head: RequestHead,
+    route: string | undefined,
+    kind: string,
+    table: RoutingTable,
+  ): void {
+    this.context.metrics.refusals.inc({ kind, tenant: '' });
+    this.context.logger.info('not_admitted', {
+      request: head.attemptId,
+      route,
+      kind,
+      fingerprint: head.keyDigest?.slice(0, FINGERPRINT_DIGITS),
+      configuration: table.configuration.version,
+      proofAgeMs: this.context.admission.proofAgeMs(),
+    });
+  }
+
   /** A route that this daemon does not know may stand in a newer configuration. */
   private denyRoute(answer: CallerAnswer, request: string | undefined, path: string): void {
     const mayDeny = this.context.admission.mayDeny();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -121,6 +121,7 @@
     this.proofs = this.makeProofs();
     this.admission = new CallerAdmission({
       lease: this.proofs.lease,
+      logger: outside.logger,
       revocationMs: settings.bounds.revocationMs,
       configurationMs: settings.bounds.configurationMs,
       onDoubt: () => this.proofs.tick(),
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -138,7 +138,7 @@
       return this.admitted();
     }
     if (this.ended) return;
-    const inputs = { tenant: tenant.name, units };
+    const inputs = { units, holder: this.context.limits.holderOf(tenant.name) };
     if (decision.type === 'unknown') return this.refuse('not_ready', LIMIT_UNKNOWN_MS, inputs);
     this.refuse('rate_limited', decision.retryAfterMs, inputs);
   }
@@ -153,7 +153,7 @@
 
   private refuseCaller({ kind, retryAfterMs }: Admission & { type: 'refused' }): void {
     if (this.runs > 0) return this.giveUp(this.lastRan, kind);
-    this.refuse(kind, retryAfterMs);
+    this.refuse(kind, retryAfterMs, { proofAgeMs: this.context.admission.proofAgeMs() });
   }
 
   /** Something has changed that a waiting request may hope for. */
--- a/src/gateway/tenant-limits.ts
+++ b/src/gateway/tenant-limits.ts
@@ -266,7 +266,8 @@
     else this.charge(holder, { tenant: name, units, isRecalled: true });
   }
 
-  private holderOf(tenant: string): string {
+  /** The daemon that counts for a tenant, as this one sees the group. */
+  holderOf(tenant: string): string {
     return firstCandidate(`limit/${tenant}`, this.candidates) ?? this.options.self;
   }
 
--- a/test/diagnosis/loss-report.test.ts
+++ b/test/diagnosis/loss-report.test.ts
@@ -57,6 +57,21 @@
     expect(report.loads.get('disk')).toEqual({ count: 3, p50: 800, p95: 800 });
   });
 
+  it('tells refusals for keys, limits and a configuration that may be old', () => {
+    const report = lossReport(
+      eventsOf(
+        at(1, 'event=not_admitted route=r kind=unauthorized fingerprint=0a1b2c3d'),
+        at(1, 'event=not_admitted route=r kind=not_ready'),
+        at(1, 'event=refused route=r kind=rate_limited tenant=a'),
+      ),
+    );
+    expect(Object.fromEntries(report.refusals.get('r') ?? [])).toEqual({
+      'key not known': 1,
+      'configuration or limit not known': 1,
+      "over its tenant's limit": 1,
+    });
+  });
+
   it('tells streams with a late first part from those that paused', () => {
     const ended = (rest: string): string =>
       at(1, `event=request_ended route=r end=served goalMs=600 ${rest}`);
