--- a/src/gateway/currency-proofs.ts
+++ b/src/gateway/currency-proofs.ts
@@ -22,6 +22,8 @@
 const READ_AGE_MS = 800;
 /** Age of the others' proofs at which they ask. */
 const ASK_AGE_MS = 700;
+/** Between two questions: a parent's proof may be little younger than the child's. */
+const ASK_PERIOD_MS = 500;
 /** Without an answer by then another daemon is asked: many times what a datagram takes. */
 const ANSWER_WITHIN_MS = 250;
 /** A daemon that gave no useful answer is passed over for so long. */
@@ -31,9 +33,12 @@
 /** Age at which a daemon reads the store although it is no reader, and the span over which they begin to. */
 const LAST_RESORT_AGE_MS = 2_400;
 const LAST_RESORT_SPREAD_MS = 800;
-/** Between readings of a store that does not answer; twice as long after each. */
-const FIRST_RETRY_MS = 500;
-const LONGEST_RETRY_MS = 4_000;
+/**
+ * Between readings of a store that does not answer; twice as long after each. Readers try often, for
+ * their success reaches all within a second; the others' calls would come from all daemons at once.
+ */
+const READER_RETRIES = { firstMs: 500, longestMs: 1_000 };
+const OTHER_RETRIES = { firstMs: 2_000, longestMs: 8_000 };
 /** Between two looks at the common order. */
 const ORDER_PERIOD_MS = 500;
 
@@ -64,13 +69,17 @@
   readonly lease = new ConfigurationLease();
   private order: string[] = [];
   private orderedAt = -Infinity;
+  /** The order without those that are passed over. */
+  private usable: string[] = [];
+  private askedAt = -Infinity;
   private question: Question | undefined;
   private sequence = 0;
   /** Until when daemons are passed over. */
   private readonly passedOver = new Map<string, number>();
   private isReading = false;
   private nextReadAt = -Infinity;
-  private retryMs = FIRST_RETRY_MS;
+  /** Readings in a row that the store has not answered. */
+  private failures = 0;
 
   constructor(private readonly options: CurrencyProofsOptions) {}
 
@@ -81,8 +90,9 @@
     const order = this.usableOrder(now);
     const position = order.indexOf(this.options.self);
     const ageMs = this.lease.ageMs(now);
-    if (this.mustRead(ageMs, position, order.length)) this.read(now);
-    if (ageMs >= ASK_AGE_MS) this.askParent(order, position, now);
+    if (this.mustRead(ageMs, position, order.length)) this.read(position, now);
+    const mayAsk = now - this.askedAt >= ASK_PERIOD_MS;
+    if (ageMs >= ASK_AGE_MS && mayAsk) this.askParent(order, position, now);
   }
 
   /** The platform had no newer configuration at `askedAt`. */
@@ -107,13 +117,15 @@
     return ageMs >= LAST_RESORT_AGE_MS + (LAST_RESORT_SPREAD_MS * position) / count;
   }
 
-  private read(now: number): void {
+  private read(position: number, now: number): void {
     if (this.isReading || now < this.nextReadAt) return;
     this.isReading = true;
     void this.options.readStore().then((isAnswered) => {
       this.isReading = false;
-      this.retryMs = isAnswered ? FIRST_RETRY_MS : Math.min(LONGEST_RETRY_MS, this.retryMs * 2);
-      if (!isAnswered) this.nextReadAt = steadyNow() + this.retryMs;
+      const retries = position < READERS ? READER_RETRIES : OTHER_RETRIES;
+      const pauseMs = Math.min(retries.longestMs, retries.firstMs * 2 ** this.failures);
+      this.failures = isAnswered ? 0 : this.failures + 1;
+      if (!isAnswered) this.nextReadAt = steadyNow() + pauseMs;
     });
   }
 
@@ -121,10 +133,11 @@
   private askParent(order: readonly string[], position: number, now: number): void {
     if (!this.options.asksPeers || this.question !== undefined) return;
     const isReader = position < READERS;
-    if (isReader && this.retryMs === FIRST_RETRY_MS) return;
+    if (isReader && this.failures === 0) return;
     const parent = isReader ? order[position + 1] : order[parentOf(position)];
     if (parent === undefined) return;
     this.sequence += 1;
+    this.askedAt = now;
     this.question = { to: parent, sequence: this.sequence, askedAt: now };
     const value = create(CurrencyQuestionSchema, { question: this.sequence });
     this.options.sendDatagram(parent, { case: 'currencyQuestion', value });
@@ -155,11 +168,13 @@
     const { question } = this;
     if (question === undefined || now - question.askedAt < ANSWER_WITHIN_MS) return;
     this.question = undefined;
+    this.askedAt = -Infinity;
     this.passOver(question.to, now);
   }
 
   private passOver(address: string, now: number): void {
     this.passedOver.set(address, now + PASSED_OVER_MS);
+    this.usable = this.usable.filter((other) => other !== address);
   }
 
   private usableOrder(now: number): string[] {
@@ -169,8 +184,9 @@
       for (const [address, until] of this.passedOver) {
         if (until <= now) this.passedOver.delete(address);
       }
+      this.usable = this.order.filter((address) => !this.passedOver.has(address));
     }
-    return this.order.filter((address) => !this.passedOver.has(address));
+    return this.usable;
   }
 }
 
