Two ways to hold or refuse behind one interface; a request's standing with its tenant in a module of its own

Cause: shares of the goal decide today, and who comes back is guessed; a refusal that is followed by a success is worth no more than a hold to callers, and costs them the way back. Change: HoldPolicy; GoalWindowHold is the standing one, ExpectedServiceHold holds while service is more likely than not, by the forecast and its measured error.

--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -17,6 +17,8 @@
   'recallDemand',
   /** A configuration is proved current by peers, so that the store's calls do not grow with the daemons. */
   'proofsFromPeers',
+  /** A request is held while it will more likely be served than not. */
+  'holdByChance',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -3,6 +3,7 @@
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendHealth } from '../core/backend-health.js';
 import type { BackendSelection } from '../core/backend-selection.js';
+import type { HoldPolicy } from '../core/hold-policy.js';
 import type { RetryBudget } from '../core/retry-budget.js';
 import type { BackendAgent } from './backend-agent.js';
 import type { CallerAdmission } from './caller-admission.js';
@@ -21,6 +22,7 @@
   readonly health: BackendHealth;
   readonly selection: BackendSelection;
   readonly tracker: RequestTracker;
+  readonly hold: HoldPolicy;
   readonly agent: BackendAgent;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,8 @@
 import { BackendHealth } from '../core/backend-health.js';
 import { CallerDeadlines } from '../core/caller-deadlines.js';
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
+import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
+import { GoalWindowHold } from '../core/hold-policy-goal-windows.js';
 import type { PlacementUpdate } from '../core/placement-update.js';
 import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
@@ -259,6 +261,7 @@
       health: new BackendHealth(),
       selection: new StaleLoadSelection(settings.name),
       tracker: new RequestTracker(),
+      hold: settings.policies.holdByChance ? new ExpectedServiceHold() : new GoalWindowHold(),
       agent,
       metrics,
       logger,
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,23 +7,21 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
-import type { LimitDecision } from '../core/admission/limit-ledger.js';
-import { FIRST_PART_MS, holdOrRefuse } from '../core/hold-policy.js';
+import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   isStream,
   mayRepeat,
   type BackendRecord,
-  type CallerTenant,
   type ModelReference,
 } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
-import type { Admission } from './caller-admission.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import type { WaitingCaller } from './request-tracker.js';
 import { steadyNow } from './steady-clock.js';
+import { TenantPass, type PassDenial } from './tenant-pass.js';
 
 /** Reserved between the last moment for an answer and the caller's own deadline. */
 const DEADLINE_MARGIN_MS = 30;
@@ -35,8 +33,6 @@
 const SILENT_GOALS = 2.2;
 /** A stream that rests for so many of its pause goals goes on elsewhere. */
 const STALLED_PAUSES = 3.5;
-/** A caller comes back after so long when nobody who counts its tenant's limit has answered. */
-const LIMIT_UNKNOWN_MS = 500;
 
 /** What the caller sent. */
 export interface CallerRequest {
@@ -72,12 +68,11 @@
   private runs = 0;
   private sends = 0;
   private isWaiting = false;
+  /** The first forecast that the request was held for. */
+  private told: { readonly readyInMs: number; readonly at: number } | undefined;
   private ended = false;
   private lastRan: Ran = 'no';
-  /** Whose key the caller has; undefined if it needs none. */
-  private tenant: CallerTenant | undefined;
-  /** Units that were taken from the tenant's limit; 0 if none were. */
-  private charged = 0;
+  private readonly pass: TenantPass;
   /** The caller was refused before, by this daemon or another. */
   private readonly hasComeBack: boolean;
   /** What the owner is told of it while it waits. */
@@ -96,6 +91,7 @@
     this.answer = new CallerAnswer(context, request.head, response);
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
+    this.pass = new TenantPass(context, route, request.head);
     this.hasComeBack = context.noteCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
@@ -107,42 +103,21 @@
   /** Takes the request up. */
   start(): void {
     const { arrivedAt } = this.request;
-    const { route, service } = this.match;
-    this.context.budgetOf(service.name).countRequest(steadyNow());
+    this.context.budgetOf(this.match.service.name).countRequest(steadyNow());
     this.context.exchanges.add(this);
     const remaining = this.deadlineAt - steadyNow();
     this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
-    const admission = this.context.admission.check(route, this.request.head.keyDigest);
-    if (admission.type === 'refused') return this.refuseCaller(admission);
-    this.tenant = admission.tenant;
-    this.takeLimit();
-  }
-
-  /** Only what its tenant may ask for is demand that an owner should load models for. */
-  private takeLimit(): void {
-    const { tenant } = this;
-    const limit = tenant?.limit;
-    if (tenant === undefined || limit === undefined) return this.admitted();
-    const charge = limit.unit === 'requests' ? 1 : this.request.head.tokens;
-    const units = charge ?? limit.plainCharge;
-    this.context.limits.admit(tenant.name, units, (decision) => {
-      this.limitDecided(tenant, units, decision);
+    const denial = this.pass.deniedKey();
+    if (denial !== undefined) return this.refuseDenied(denial);
+    this.pass.takeUnits((denied) => {
+      if (this.ended) return;
+      if (denied === undefined) this.admitted();
+      else this.refuseDenied(denied);
     });
   }
 
-  private limitDecided(tenant: CallerTenant, units: number, decision: LimitDecision): void {
-    if (decision.type === 'granted') {
-      if (this.ended) return this.context.limits.giveBack(tenant.name, units);
-      this.charged = units;
-      return this.admitted();
-    }
-    if (this.ended) return;
-    const inputs = { units, holder: this.context.limits.holderOf(tenant.name) };
-    if (decision.type === 'unknown') return this.refuse('not_ready', LIMIT_UNKNOWN_MS, inputs);
-    this.refuse('rate_limited', decision.retryAfterMs, inputs);
-  }
-
+  /** Only what its tenant may ask for is demand that an owner should load models for. */
   private admitted(): void {
     const { route, service } = this.match;
     if (this.model !== undefined) {
@@ -151,9 +126,9 @@
     this.dispatch();
   }
 
-  private refuseCaller({ kind, retryAfterMs }: Admission & { type: 'refused' }): void {
+  private refuseDenied({ kind, retryAfterMs, inputs }: PassDenial): void {
     if (this.runs > 0) return this.giveUp(this.lastRan, kind);
-    this.refuse(kind, retryAfterMs, { proofAgeMs: this.context.admission.proofAgeMs() });
+    this.refuse(kind, retryAfterMs, inputs);
   }
 
   /** Something has changed that a waiting request may hope for. */
@@ -236,7 +211,7 @@
         : this.context.directory.readyInMs(service.name, this.model.model, now, (backend) =>
             this.context.health.isAvoided(backend, now),
           );
-    const decision = holdOrRefuse({
+    const decision = this.context.hold.decide({
       goalMs: route.goalMs,
       waitedMs: now - arrivedAt,
       remainingMs: Math.min(this.deadlineAt - now, route.patienceMs - (now - arrivedAt)),
@@ -250,6 +225,7 @@
       const inputs = { readyInMs, waitedMs, hasComeBack, ...this.beliefs(now) };
       return this.refuse('no_capacity', decision.retryAfterMs, inputs);
     }
+    if (readyInMs !== undefined) this.told ??= { readyInMs, at: now };
     this.wait();
   }
 
@@ -300,12 +276,12 @@
     const { context, match, request } = this;
     const { route, service } = match;
     const now = steadyNow();
-    const admission = context.admission.check(route, request.head.keyDigest);
-    if (admission.type === 'refused') return this.refuseCaller(admission);
-    this.tenant = admission.tenant;
+    const denial = this.pass.deniedKey();
+    if (denial !== undefined) return this.refuseDenied(denial);
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
     this.setWaiting(false);
     clearTimeout(this.lookTimer);
+    this.noteWait(true);
     this.sends += 1;
     this.tried.add(backend.id);
     context.tracker.sent(service.name, backend.id, this.model, 1);
@@ -324,7 +300,7 @@
       backend,
       route,
       request,
-      tenant: this.tenant,
+      tenant: this.pass.tenant,
       remainingMs: this.deadlineAt - now,
       lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
       silentAfterMs: this.silentAfterMs(),
@@ -437,7 +413,7 @@
     inputs: Readonly<Record<string, string | number | undefined>> = {},
   ): void {
     if (this.answer.hasBegun) return this.giveUp(this.lastRan, kind);
-    this.context.metrics.refusals.inc({ kind, tenant: this.tenant?.name ?? '' });
+    this.context.metrics.refusals.inc({ kind, tenant: this.pass.tenant?.name ?? '' });
     this.log('refused', {
       kind,
       retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
@@ -463,6 +439,7 @@
   private finish(end: 'served' | 'failed' | 'refused' | 'caller_left'): void {
     if (this.ended) return;
     this.setWaiting(false);
+    this.noteWait(false);
     this.ended = true;
     clearTimeout(this.lookTimer);
     clearTimeout(this.deadlineTimer);
@@ -471,7 +448,7 @@
       this.attempt.abort();
       this.releaseAttempt(this.attempt.backendId);
     }
-    if (!mayHaveRun) this.giveBackUnits();
+    this.pass.end(mayHaveRun);
     this.context.exchanges.delete(this);
     const { route } = this.match;
     const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
@@ -484,12 +461,12 @@
     this.log('request_ended', { end, ...timing, sends: this.sends });
   }
 
-  /** The limit counts requests that run. */
-  private giveBackUnits(): void {
-    const { tenant, charged } = this;
-    if (tenant === undefined || charged === 0) return;
-    this.charged = 0;
-    this.context.limits.giveBack(tenant.name, charged);
+  private noteWait(wasSent: boolean): void {
+    const { told } = this;
+    if (told === undefined) return;
+    this.told = undefined;
+    const spentMs = steadyNow() - told.at;
+    this.context.hold.noteWait({ toldMs: told.readyInMs, spentMs, wasSent });
   }
 
   /** How a stream has paused, and the pause that its caller still takes for in time. */
@@ -504,7 +481,7 @@
     const { head } = this.request;
     this.context.logger.info(event, {
       request: head.attemptId,
-      tenant: this.tenant?.name,
+      tenant: this.pass.tenant?.name,
       route: this.match.route.name,
       model: head.model?.model,
       adapter: head.model?.adapter,
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -5,7 +5,9 @@
 import { BackendHealth } from '../../src/core/backend-health.js';
 import { EventStreamParser } from '../../src/core/event-stream.js';
 import { CallerDeadlines } from '../../src/core/caller-deadlines.js';
-import { holdOrRefuse } from '../../src/core/hold-policy.js';
+import type { HeldRequest, HoldDecision } from '../../src/core/hold-policy.js';
+import { ExpectedServiceHold } from '../../src/core/hold-policy-expected-service.js';
+import { GoalWindowHold } from '../../src/core/hold-policy-goal-windows.js';
 import { ModelDemand, type DemandReport } from '../../src/core/model-demand.js';
 import { RetryBudget } from '../../src/core/retry-budget.js';
 import { RoutingTable } from '../../src/core/routing-table.js';
@@ -70,7 +72,11 @@
   });
 });
 
-describe('holdOrRefuse', () => {
+function holdOrRefuse(request: HeldRequest): HoldDecision {
+  return new GoalWindowHold().decide(request);
+}
+
+describe('holding by windows of the goal', () => {
   const request = {
     goalMs: 600,
     waitedMs: 0,
@@ -99,7 +105,7 @@
   });
 });
 
-describe('holdOrRefuse for a caller that has come back', () => {
+describe('holding a caller that has come back', () => {
   const returned = { goalMs: 600, waitedMs: 0, remainingMs: 10_000, hasComeBack: true };
 
   it('holds it as long as it can probably be served', () => {
@@ -112,6 +118,45 @@
   });
 });
 
+describe('holding by the chance of being served', () => {
+  const request = {
+    goalMs: 600,
+    waitedMs: 0,
+    remainingMs: 2_400,
+    readyInMs: 1_500,
+    hasComeBack: false,
+  };
+
+  it('holds what will probably be served, though late, whoever asks and however long it has waited', () => {
+    const policy = new ExpectedServiceHold();
+    expect(policy.decide(request).type).toBe('hold');
+    expect(policy.decide({ ...request, hasComeBack: true, waitedMs: 500 }).type).toBe('hold');
+  });
+
+  it('refuses at once what will probably not be, with the time to come back', () => {
+    const decision = new ExpectedServiceHold().decide({ ...request, readyInMs: 2_600 });
+    expect(decision).toEqual({ type: 'refuse', retryAfterMs: 2_750 });
+  });
+
+  it('learns how far forecasts are off, also from those that ended unserved', () => {
+    const policy = new ExpectedServiceHold();
+    for (let count = 0; count < 64; count++) {
+      policy.noteWait({ toldMs: 1_000, spentMs: 2_000, wasSent: count % 2 === 0 });
+      policy.noteWait({ toldMs: 1_000, spentMs: 200, wasSent: false });
+    }
+    expect(policy.decide(request).type).toBe('refuse');
+    expect(policy.decide({ ...request, readyInMs: 900 }).type).toBe('hold');
+  });
+
+  it('waits for the word of an owner, not for ever', () => {
+    const policy = new ExpectedServiceHold();
+    const unknown = { ...request, readyInMs: undefined };
+    expect(policy.decide({ ...unknown, waitedMs: 500 }).type).toBe('hold');
+    expect(policy.decide({ ...unknown, waitedMs: 650 }).type).toBe('refuse');
+    expect(policy.decide({ ...unknown, waitedMs: 250, remainingMs: 350 }).type).toBe('refuse');
+  });
+});
+
 describe('CallerDeadlines', () => {
   const deadlinesOf = (...seen: number[]): CallerDeadlines => {
     const deadlines = new CallerDeadlines();
