Planning's and demand's types in files of their own: two circles of imports are gone

adapter-plan, load-place, model-worth, order-channel and placement-planner took types from one another, model-demand and waiting-order too. No behaviour changes.

--- a/src/core/adapter-plan.ts
+++ b/src/core/adapter-plan.ts
@@ -2,7 +2,7 @@
 import { adapterKey, modelSpec, type BackendLedger } from './backend-ledger.js';
 import type { LoadPlaces } from './load-place.js';
 import type { ModelOrder } from './model-order.js';
-import type { PlannedOrder, PlanningInput } from './placement-planner.js';
+import type { PlannedOrder, PlanningInput } from './planning.js';
 import type { ModelReference } from './service-configuration.js';
 
 /** Expected time of an adapter's load. */
--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -2,15 +2,12 @@
 import { modelSpec, type BackendLedger } from './backend-ledger.js';
 import type { ModelWorth } from './model-worth.js';
 import { ExpectedCallersCost, FreeOrderChannel, type OrderChannelCost } from './order-channel.js';
-import type { PlanningInput } from './placement-planner.js';
+import type { CopyPlace, PlanningInput } from './planning.js';
 import type { ModelSpec } from './service-configuration.js';
 
 /** Cost of a load from the store, besides its time: it is priced and rationed. */
 const STORE_LOAD_COST_MS = 600;
 
-/** Where a copy of a model's weights lies, nearest first. */
-export type CopyPlace = 'memory' | 'disk' | 'store';
-
 /** A backend at which a model could be loaded. */
 export interface LoadPlace {
   readonly ledger: BackendLedger;
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -4,34 +4,9 @@
  */
 import { adapterKey } from './backend-ledger.js';
 import type { ModelReference } from './service-configuration.js';
+import type { DemandReport, DemandSample } from './demand-report.js';
 import { earliestDueFirst, type WaitingOrder } from './waiting-order.js';
 
-/** One daemon's figures for a model or adapter since its last report. */
-export interface DemandSample extends ModelReference {
-  readonly arrivals: number;
-  /** Requests that wait there for a backend that holds it. */
-  readonly waiting: number;
-  /** Shortest latency goal among them, in milliseconds. */
-  readonly goalMs: number;
-  /** Milliseconds until the first of the waiting should find its model; negative once that has passed. */
-  readonly dueInMs: number;
-}
-
-/** Requests that one daemon has in flight for a model at a backend. */
-export interface BackendUse extends ModelReference {
-  readonly backend: string;
-  readonly inFlight: number;
-}
-
-/** One daemon's report. */
-export interface DemandReport {
-  readonly daemon: string;
-  readonly samples: readonly DemandSample[];
-  readonly use: readonly BackendUse[];
-  /** Backends that have lately left the daemon's requests without an answer. */
-  readonly failing: readonly string[];
-}
-
 /** Time in which a rate falls to half without requests. */
 export const RATE_HALF_LIFE_MS = 8_000;
 /** A rate without requests for so many half-lives is dropped. */
--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -1,6 +1,6 @@
 /** What the copies of the models are worth, in milliseconds of callers' waiting. Pure. */
 import { isUnloadOf, modelRank, type BackendLedger } from './backend-ledger.js';
-import type { PlanningInput } from './placement-planner.js';
+import type { PlanningInput } from './planning.js';
 import type { ModelReference } from './service-configuration.js';
 
 /** Worth of a copy for one request a second. */
--- a/src/core/order-channel.ts
+++ b/src/core/order-channel.ts
@@ -4,7 +4,7 @@
  * loaded for callers who ask for them meanwhile. Pure.
  */
 import type { BackendLedger } from './backend-ledger.js';
-import type { PlanningInput } from './placement-planner.js';
+import type { PlanningInput } from './planning.js';
 
 /** Prices the time for which an order takes a backend's order channel. */
 export interface OrderChannelCost {
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -5,40 +5,12 @@
  */
 import { AdapterPlan } from './adapter-plan.js';
 import { modelSpec, type BackendLedger } from './backend-ledger.js';
-import { LoadPlaces, type CopyPlace, type LoadPlace } from './load-place.js';
-import type { DemandSample, ModelDemand } from './model-demand.js';
+import { LoadPlaces, type LoadPlace } from './load-place.js';
+import type { DemandSample } from './demand-report.js';
 import type { ModelOrder } from './model-order.js';
 import { ModelWorth } from './model-worth.js';
-import type { Policies } from './policies.js';
-import type { ModelHostSpec, ModelSpec } from './service-configuration.js';
-import type { UnloadTimes } from './unload-times.js';
-
-/** An order to give. */
-export interface PlannedOrder {
-  readonly backend: string;
-  readonly order: ModelOrder;
-  /** Expected time until it is carried out. */
-  readonly durationMs: number;
-  /** Where a model that is loaded is copied from; undefined for other orders. */
-  readonly copy: CopyPlace | undefined;
-  /** Why, for the log. */
-  readonly reason: string;
-}
-
-/** What the planner decides on. */
-export interface PlanningInput {
-  readonly host: ModelHostSpec;
-  /** Backends that may be given orders. */
-  readonly backends: readonly BackendLedger[];
-  readonly demand: ModelDemand;
-  readonly policies: Policies;
-  readonly now: number;
-  /** Loads from the weight store that may begin now, by their ceiling. */
-  readonly storeLoads: number;
-  /** Milliseconds until each place for a load from the weight store is free, by the limit of loads at once. */
-  readonly storePlaceWaits: readonly number[];
-  readonly unloadTimes: UnloadTimes;
-}
+import type { PlannedOrder, PlanningInput } from './planning.js';
+import type { ModelSpec } from './service-configuration.js';
 
 /** A backend that makes room for a model. */
 interface Reservation {
--- a/src/core/waiting-order.ts
+++ b/src/core/waiting-order.ts
@@ -1,5 +1,5 @@
 /** The order in which an owner attends to the models that callers wait for. Pure. */
-import type { DemandSample } from './model-demand.js';
+import type { DemandSample } from './demand-report.js';
 
 /** A model or adapter that callers wait for. */
 export interface AwaitedModel {
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -1,7 +1,7 @@
 /** Between the gateway's types and the internal protocol's messages. */
 import { create } from '@bufbuild/protobuf';
 import type { EndedBackend } from '../core/backend-presence.js';
-import type { DemandReport } from '../core/model-demand.js';
+import type { DemandReport } from '../core/demand-report.js';
 import type { PlacedModel, PlacementUpdate } from '../core/placement-update.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
--- a/src/gateway/load-watch.ts
+++ b/src/gateway/load-watch.ts
@@ -4,8 +4,7 @@
  */
 import type { Logger } from '../common/logger.js';
 import type { BackendLedger } from '../core/backend-ledger.js';
-import type { CopyPlace } from '../core/load-place.js';
-import type { PlannedOrder } from '../core/placement-planner.js';
+import type { CopyPlace, PlannedOrder } from '../core/planning.js';
 import type { StoreLoadLimit } from '../core/store-load-limit.js';
 import { UnloadTimes } from '../core/unload-times.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
--- a/src/gateway/request-tracker.ts
+++ b/src/gateway/request-tracker.ts
@@ -4,7 +4,7 @@
  */
 import { adapterKey } from '../core/backend-ledger.js';
 import { ArrivalHistory } from '../core/arrival-history.js';
-import type { BackendUse, DemandReport, DemandSample } from '../core/model-demand.js';
+import type { BackendUse, DemandReport, DemandSample } from '../core/demand-report.js';
 import type { ModelReference } from '../core/service-configuration.js';
 
 interface Counted extends ModelReference {
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -2,7 +2,7 @@
 import type { Logger } from '../common/logger.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { DutyMember } from '../core/duties.js';
-import type { DemandReport } from '../core/model-demand.js';
+import type { DemandReport } from '../core/demand-report.js';
 import type { PlacementUpdate } from '../core/placement-update.js';
 import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { StoreLoadCeiling } from '../core/store-load-ceiling.js';
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -5,12 +5,10 @@
 import type { Logger } from '../common/logger.js';
 import { BackendLedger } from '../core/backend-ledger.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
-import { ModelDemand, type DemandReport } from '../core/model-demand.js';
-import {
-  PlacementPlanner,
-  type PlannedOrder,
-  type PlanningInput,
-} from '../core/placement-planner.js';
+import type { DemandReport } from '../core/demand-report.js';
+import { ModelDemand } from '../core/model-demand.js';
+import { PlacementPlanner } from '../core/placement-planner.js';
+import type { PlannedOrder, PlanningInput } from '../core/planning.js';
 import { PlacementPublisher, type KnownPlacement } from '../core/placement-publisher.js';
 import type { PlacementUpdate } from '../core/placement-update.js';
 import type { BackendRecord, ModelHostSpec } from '../core/service-configuration.js';
--- a/test/core/gateway-fixtures.ts
+++ b/test/core/gateway-fixtures.ts
@@ -1,5 +1,5 @@
 /** Models and samples for the tests of the gateway's decisions. */
-import type { DemandSample } from '../../src/core/model-demand.js';
+import type { DemandSample } from '../../src/core/demand-report.js';
 import type { PlacementUpdate } from '../../src/core/placement-update.js';
 import type { ModelHostSpec, ModelSpec } from '../../src/core/service-configuration.js';
 
--- a/test/core/placement-at-size.test.ts
+++ b/test/core/placement-at-size.test.ts
@@ -1,10 +1,12 @@
 /** A planning round at the size of the grown deployments stays far below the time between two rounds. */
 import { describe, expect, it } from 'vitest';
 import { BackendLedger } from '../../src/core/backend-ledger.js';
-import { ModelDemand, type BackendUse, type DemandSample } from '../../src/core/model-demand.js';
+import type { BackendUse, DemandSample } from '../../src/core/demand-report.js';
+import { ModelDemand } from '../../src/core/model-demand.js';
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { UnloadTimes } from '../../src/core/unload-times.js';
-import { PlacementPlanner, type PlanningInput } from '../../src/core/placement-planner.js';
+import { PlacementPlanner } from '../../src/core/placement-planner.js';
+import type { PlanningInput } from '../../src/core/planning.js';
 import { hostOf, waitingFor } from './gateway-fixtures.js';
 
 const MODELS = 480;
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from 'vitest';
 import { BackendLedger } from '../../src/core/backend-ledger.js';
-import { ModelDemand, type DemandSample } from '../../src/core/model-demand.js';
+import type { DemandSample } from '../../src/core/demand-report.js';
+import { ModelDemand } from '../../src/core/model-demand.js';
 import type { BackendReport } from '../../src/core/model-order.js';
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { UnloadTimes } from '../../src/core/unload-times.js';
-import { PlacementPlanner, type PlannedOrder } from '../../src/core/placement-planner.js';
+import { PlacementPlanner } from '../../src/core/placement-planner.js';
+import type { PlannedOrder } from '../../src/core/planning.js';
 import { hostOf, waitingFor } from './gateway-fixtures.js';
 
 const HOST = hostOf(['hot', 'warm', 'rare1', 'rare2', 'rare3', 'cool']);
