Long loads from the weight store begin one at a time, away from adapters; adapters have forecasts

Callers of those adapters were told readyInMs=0 (their model was there), held for 2.3 s and refused, twice. Ruled out: adapter slots and memory (orders were accepted as soon as the channel was free); adapters of a backend that leaves. Change: the first limit keeps the first loads within half a minute together (18 s a load: one; 6.9 s and less: four as before); the price of an order channel counts callers of adapters of held models; the owner forecasts adapters by the holder that is free first.

--- a/src/core/adapter-plan.ts
+++ b/src/core/adapter-plan.ts
@@ -49,6 +49,12 @@
     return this.makeRoom(usable);
   }
 
+  /** Milliseconds until one of the holders can take the adapter: each load there comes first. */
+  readyInMs(holders: readonly BackendLedger[]): number {
+    const waits = holders.map((ledger) => this.places.waitMs(ledger));
+    return Math.min(...waits) + ADAPTER_LOAD_MS;
+  }
+
   private hasRoom(ledger: BackendLedger, model: string): boolean {
     const { host } = this.input;
     const size = modelSpec(host, model)?.adapterMegabytes ?? 0;
--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -3,6 +3,7 @@
  * of the services' owners on loaded models, and refusals that it has met itself.
  * Pure; times are milliseconds of a steady clock.
  */
+import { adapterKey } from './backend-ledger.js';
 import {
   BackendPresence,
   type BackendList,
@@ -180,17 +181,22 @@
   }
 
   /**
-   * Milliseconds until some backend that is not avoided holds the model;
-   * undefined if nobody has said.
+   * Milliseconds until some backend that is not avoided holds the model, and the adapter
+   * if one is wanted; undefined if nobody has said.
    */
   readyInMs(
     service: string,
-    model: string,
+    reference: ModelReference,
     now: number,
     isAvoided: (backend: string) => boolean,
   ): number | undefined {
     const heard = this.freshPlacement(service, now);
     if (heard === undefined) return undefined;
+    const { model } = reference;
+    const adapterReadyAt = heard.forecasts.get(adapterKey(reference));
+    if (reference.adapter !== undefined && adapterReadyAt !== undefined) {
+      return Math.max(0, Math.round(adapterReadyAt - now));
+    }
     let readyAt = heard.forecasts.get(model) ?? Infinity;
     for (const [backend, models] of heard.backends) {
       if (isAvoided(backend)) continue;
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -157,6 +157,16 @@
     return this.urgentRate(reference, now) + this.patientRate(reference, now);
   }
 
+  /** Requests a second for the adapters of each model, smoothed. */
+  adapterRates(now: number): Map<string, number> {
+    const rates = new Map<string, number>();
+    for (const rate of this.rates.values()) {
+      if (rate.adapter === undefined) continue;
+      rates.set(rate.model, (rates.get(rate.model) ?? 0) + this.rateOf(rate, now));
+    }
+    return rates;
+  }
+
   /** Requests a second over all models, smoothed. */
   totalRate(now: number): number {
     let total = 0;
--- a/src/core/order-channel.ts
+++ b/src/core/order-channel.ts
@@ -21,7 +21,8 @@
 
 /**
  * Prices it by the requests that are to be expected for models with a copy at
- * hand there and loaded nowhere. For one round of planning.
+ * hand there and loaded nowhere, and for adapters of the models that it holds: none
+ * can be loaded there meanwhile. For one round of planning.
  */
 export class ExpectedCallersCost implements OrderChannelCost {
   /** Requests a second that only an order at the backend could serve soon; worked out when first asked for. */
@@ -41,9 +42,14 @@
     const rates = new Map<string, number>();
     const loaded = new Set(backends.flatMap((ledger) => [...ledger.models.keys()]));
     const holders = holdersOf(backends);
+    const adapterRates = demand.adapterRates(now);
+    const copies = copiesOf(backends);
     const usualRate = demand.totalRate(now) / Math.max(1, host.models.length);
     for (const ledger of backends) {
       let rate = 0;
+      for (const model of ledger.models.keys()) {
+        rate += (adapterRates.get(model) ?? 0) / (copies.get(model) ?? 1);
+      }
       for (const model of copiesAtHand(ledger)) {
         if (loaded.has(model)) continue;
         const modelRate = Math.max(usualRate, demand.rateOf({ model, adapter: undefined }, now));
@@ -55,6 +61,15 @@
   }
 }
 
+/** Backends that hold each model loaded. */
+function copiesOf(backends: readonly BackendLedger[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const ledger of backends) {
+    for (const model of ledger.models.keys()) counts.set(model, (counts.get(model) ?? 0) + 1);
+  }
+  return counts;
+}
+
 /** Models with a copy on the backend's disk or in its host memory. */
 function copiesAtHand(ledger: BackendLedger): Set<string> {
   return new Set([...ledger.onDisk, ...ledger.inMemory]);
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -4,7 +4,7 @@
  * unloads that make room. Pure; times are milliseconds of a steady clock.
  */
 import { AdapterPlan } from './adapter-plan.js';
-import { modelSpec, type BackendLedger } from './backend-ledger.js';
+import { adapterKey, modelSpec, type BackendLedger } from './backend-ledger.js';
 import { LoadPlaces, type LoadPlace } from './load-place.js';
 import type { DemandSample } from './demand-report.js';
 import type { ModelOrder } from './model-order.js';
@@ -62,15 +62,16 @@
   }
 
   /**
-   * Milliseconds until awaited models that nobody holds are expected to be loaded.
+   * Milliseconds until awaited models and adapters that nobody holds are expected to be loaded.
    * The others' would move with the time, and each request for one makes it awaited.
    */
   forecasts(input: PlanningInput): Map<string, number> {
     const round = new PlanningRound(input, this.reservations);
     const times = round.expectReserved();
-    for (const { model } of input.demand.waiting(input.now)) {
+    for (const wanted of input.demand.waiting(input.now)) {
       if (times.size >= MOST_FORECASTS) break;
-      if (!times.has(model)) round.forecast(model, times);
+      if (wanted.adapter !== undefined) round.forecastAdapter(wanted, times);
+      else if (!times.has(wanted.model)) round.forecast(wanted.model, times);
     }
     return times;
   }
@@ -161,6 +162,16 @@
     this.places.queue(place);
   }
 
+  /** Notes when an adapter will be ready at one of its model's holders, or after its model. */
+  forecastAdapter(wanted: DemandSample, times: Map<string, number>): void {
+    const plan = new AdapterPlan(this.input, this.places);
+    const holders = plan.holders(wanted.model);
+    if (holders.length === 0) return this.forecast(wanted.model, times);
+    if (!plan.isHeldOrComing(wanted)) {
+      times.set(adapterKey(wanted), Math.round(plan.readyInMs(holders)));
+    }
+  }
+
   /** Adds a copy of each model whose copies are nearly full, before rare models take the places. */
   relieveCrowded(): void {
     const { demand, now } = this.input;
--- a/src/core/store-load-limit.ts
+++ b/src/core/store-load-limit.ts
@@ -156,12 +156,21 @@
  * while too few double with each round of loads at full speed.
  */
 const FIRST_LIMIT = 4;
+/**
+ * Where the store carries one load at a time, the first ones keep their backends' order channels
+ * for all their times together: not for more than half a minute, in which nothing is learned.
+ */
+const FIRST_LOADS_SECONDS = 30;
 
-/** Loads at once to begin with: no more than the ceiling lets run if each takes its time at full speed. */
+/**
+ * Loads at once to begin with: fewer where each takes long, and no more than the ceiling lets run if
+ * each takes its time at full speed.
+ */
 export function firstStoreLoadLimit(host: ModelHostSpec): number {
   const seconds = host.models.map((model) => model.storeLoadSeconds);
   const mean = seconds.reduce((sum, value) => sum + value, 0) / Math.max(1, seconds.length);
-  return Math.min(FIRST_LIMIT, Math.max(1, host.loadsPerSecond * mean));
+  const withinTime = Math.floor(FIRST_LOADS_SECONDS / Math.max(1, mean));
+  return Math.max(1, Math.min(FIRST_LIMIT, withinTime, host.loadsPerSecond * mean));
 }
 
 /** Counts the loads and limits nothing. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -208,7 +208,7 @@
     const readyInMs =
       this.model === undefined
         ? undefined
-        : this.context.directory.readyInMs(service.name, this.model.model, now, (backend) =>
+        : this.context.directory.readyInMs(service.name, this.model, now, (backend) =>
             this.context.health.isAvoided(backend, now),
           );
     const decision = this.context.hold.decide({
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -6,7 +6,7 @@
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { UnloadTimes } from '../../src/core/unload-times.js';
 import { PlacementPlanner } from '../../src/core/placement-planner.js';
-import type { PlannedOrder } from '../../src/core/planning.js';
+import type { PlannedOrder, PlanningInput } from '../../src/core/planning.js';
 import { hostOf, waitingFor } from './gateway-fixtures.js';
 
 const HOST = hostOf(['hot', 'warm', 'rare1', 'rare2', 'rare3', 'cool']);
@@ -50,8 +50,16 @@
 
   /** @param storeLoads - Loads that the ceiling allows now. */
   plan(storeLoads = 1): PlannedOrder[] {
+    return this.planner.plan(this.input(storeLoads));
+  }
+
+  forecasts(): Map<string, number> {
+    return this.planner.forecasts(this.input(1));
+  }
+
+  private input(storeLoads: number): PlanningInput {
     const { demand, now } = this;
-    const input = {
+    return {
       host: HOST,
       backends: this.ledgers,
       demand,
@@ -61,7 +69,6 @@
       unloadTimes: new UnloadTimes(),
       policies: DEFAULT_POLICIES,
     };
-    return this.planner.plan(input);
   }
 
   /** Plans, and lets the backends accept. */
@@ -124,6 +131,23 @@
     expect(brief(scene.plan())).toEqual(['y load rare1']);
   });
 
+  it('loads from the store where that keeps nobody from the adapters of a held model', () => {
+    const scene = new Scene([ledgerOf('a', ['hot']), ledgerOf('b', ['cool'])]);
+    const adapters = { model: 'hot', adapter: 'a1', arrivals: 20, waiting: 0 };
+    scene.hear(waitingFor('rare1'), waitingFor('hot', adapters));
+    expect(scene.plan()).toMatchObject([{ backend: 'b', order: { model: 'rare1' } }]);
+  });
+
+  it('forecasts an adapter for the end of the load that keeps its holder busy', () => {
+    const scene = new Scene([ledgerOf('a', ['hot'])]);
+    scene.hear(waitingFor('rare1'));
+    expect(scene.planAndAccept()).toMatchObject([{ backend: 'a', order: { model: 'rare1' } }]);
+    scene.hear(waitingFor('hot', { adapter: 'a1' }));
+    const readyInMs = scene.forecasts().get('hot/a1') ?? 0;
+    expect(readyInMs).toBeGreaterThan(4_000);
+    expect(readyInMs).toBeLessThan(5_000);
+  });
+
   it('gives the place in the weight store to a model whose copies are nearly full, before a rare one', () => {
     const scene = hotAndRare(50);
     expect(brief(scene.planAndAccept())).toEqual(['y load hot']);
--- a/test/core/store-load-limit.test.ts
+++ b/test/core/store-load-limit.test.ts
@@ -62,6 +62,12 @@
     expect(limit.most).toBe(4);
   });
 
+  it('begins with one where loads take long: four that share the store of one keep four channels', () => {
+    const host = { ...hostOf(['m']), loadsPerSecond: 40 };
+    const slow = host.models.map((model) => ({ ...model, storeLoadSeconds: 18 }));
+    expect(firstStoreLoadLimit({ ...host, models: slow })).toBe(1);
+  });
+
   it('begins low, within what the ceiling allows', () => {
     const host = { ...hostOf(['m']), loadsPerSecond: 25 };
     expect(firstStoreLoadLimit(host)).toBe(4);
