--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -10,7 +10,6 @@
 import type { ModelOrder } from './model-order.js';
 import { ModelWorth } from './model-worth.js';
 import type { PlannedOrder, PlanningInput } from './planning.js';
-import { earliestDueOnly, mostAskedFromStore } from './store-turn.js';
 import type { ModelSpec } from './service-configuration.js';
 
 /** A backend that makes room for a model. */
@@ -53,7 +52,7 @@
     const round = new PlanningRound(input, this.reservations);
     round.useReservedRoom();
     round.relieveCrowded();
-    for (const wanted of inTurn(input)) {
+    for (const wanted of input.demand.waiting(input.now)) {
       if (!round.places.hasFree()) break;
       if (wanted.adapter === undefined) round.load(wanted);
       else round.loadAdapter(wanted);
@@ -69,7 +68,7 @@
   forecasts(input: PlanningInput): Map<string, number> {
     const round = new PlanningRound(input, this.reservations);
     const times = round.expectReserved();
-    for (const wanted of inTurn(input)) {
+    for (const wanted of input.demand.waiting(input.now)) {
       if (times.size >= MOST_FORECASTS) break;
       if (wanted.adapter !== undefined) round.forecastAdapter(wanted, times);
       else if (!times.has(wanted.model)) round.forecast(wanted.model, times);
@@ -248,10 +247,6 @@
   }
 }
 
-function inTurn(input: PlanningInput): readonly DemandSample[] {
-  return input.policies.storeByRate ? mostAskedFromStore(input) : earliestDueOnly(input);
-}
-
 function copiesForRate(urgentRate: number): number {
   if (urgentRate >= THIRD_COPY_RATE) return 3;
   return urgentRate >= SECOND_COPY_RATE ? 2 : 1;
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -19,8 +19,6 @@
   'proofsFromPeers',
   /** A request is held while it will more likely be served than not. */
   'holdByChance',
-  /** A place of the weight store goes to the model that most ask for, of those that only it has. */
-  'storeByRate',
 ] as const;
 
 /** A policy's name. */
--- a/test/core/placement-planner.test.ts
+++ b/test/core/placement-planner.test.ts
@@ -131,17 +131,6 @@
     expect(brief(scene.plan())).toEqual(['y load rare1']);
   });
 
-  it('gives the place of the weight store to the model that most ask for', () => {
-    const scene = new Scene([ledgerOf('a', []), ledgerOf('b', [], ['cool'])]);
-    const late = { dueInMs: -5_000 };
-    scene.hear(
-      waitingFor('rare1', late),
-      waitingFor('rare2', { arrivals: 9, waiting: 3 }),
-      waitingFor('cool', { dueInMs: 100 }),
-    );
-    expect(brief(scene.plan())).toEqual(['a load rare2', 'b load cool']);
-  });
-
   it('loads from the store where that keeps nobody from the adapters of a held model', () => {
     const scene = new Scene([ledgerOf('a', ['hot']), ledgerOf('b', ['cool'])]);
     const adapters = { model: 'hot', adapter: 'a1', arrivals: 20, waiting: 0 };
