A look at a waiting request allocates nothing a backend

Cause: each of some twenty looks a second at a waiting request asked 98 backends, with a text and an object made for each.

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -172,12 +172,22 @@
 
   /** Whether a backend can run a request for the model now. */
   holds(backend: BackendRecord, reference: ModelReference, now: number): boolean {
+    const held = this.heldModel(backend, reference.model, now);
+    if (held === undefined) return false;
+    if (reference.adapter !== undefined && !held.adapters.includes(reference.adapter)) return false;
     const absentUntil = this.absences.get(keyOf(backend.id, reference));
-    if (absentUntil !== undefined && absentUntil > now) return false;
-    const placed = this.placedModel(backend, reference.model, now);
-    const held = placed ?? backend.models.find((model) => model.name === reference.model);
-    if (held === undefined || (placed !== undefined && !isReady(placed))) return false;
-    return reference.adapter === undefined || held.adapters.includes(reference.adapter);
+    return absentUntil === undefined || absentUntil <= now;
+  }
+
+  /**
+   * By the owner's word, or by the list if the owner has said nothing of the backend. Asked of
+   * each backend for each look at a waiting request, so it allocates nothing.
+   */
+  private heldModel(backend: BackendRecord, model: string, now: number): HeldModel | undefined {
+    const placed = this.freshPlacement(backend.service, now)?.backends.get(backend.id);
+    if (placed === undefined) return backend.models.find((held) => held.name === model);
+    const heard = placed.find((held) => held.name === model);
+    return heard !== undefined && isReady(heard) ? heard : undefined;
   }
 
   /**
@@ -206,13 +216,6 @@
     return readyAt === Infinity ? undefined : Math.max(0, Math.round(readyAt - now));
   }
 
-  private placedModel(backend: BackendRecord, model: string, now: number): HeardModel | undefined {
-    const models = this.freshPlacement(backend.service, now)?.backends.get(backend.id);
-    if (models === undefined) return undefined;
-    const absent = { name: model, adapters: [], readyAt: 0, unloading: true };
-    return models.find((candidate) => candidate.name === model) ?? absent;
-  }
-
   private freshPlacement(service: string, now: number): HeardPlacement | undefined {
     const heard = this.placements.get(service);
     if (heard === undefined || now - heard.heardAt > PLACEMENT_LIFETIME_MS) return undefined;
