--- a/src/gateway/currency-proofs.ts
+++ b/src/gateway/currency-proofs.ts
@@ -161,7 +161,7 @@
     this.question = undefined;
     this.lease.prove({ version, provenAt: question.askedAt - ageMs });
     this.options.hearVersion(from, version);
-    if (ageMs > USEFUL_AGE_MS) this.passOver(from, steadyNow());
+    if (ageMs > USEFUL_AGE_MS) this.passOver(from, `its proof was ${ageMs} ms old`, steadyNow());
   }
 
   private dropUnanswered(now: number): void {
@@ -169,10 +169,13 @@
     if (question === undefined || now - question.askedAt < ANSWER_WITHIN_MS) return;
     this.question = undefined;
     this.askedAt = -Infinity;
-    this.passOver(question.to, now);
+    this.passOver(question.to, 'no answer', now);
   }
 
-  private passOver(address: string, now: number): void {
+  private passOver(address: string, reason: string, now: number): void {
+    const ageMs = this.lease.ageMs(now);
+    const proofAgeMs = Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+    this.options.logger.info('proof_source_passed_over', { peer: address, reason, proofAgeMs });
     this.passedOver.set(address, now + PASSED_OVER_MS);
     this.usable = this.usable.filter((other) => other !== address);
   }
