--- a/src/core/order-channel.ts
+++ b/src/core/order-channel.ts
@@ -40,18 +40,17 @@
   private ratesOfBackends(): Map<string, number> {
     const { backends, demand, host, now } = this.input;
     const rates = new Map<string, number>();
-    const loaded = new Set(backends.flatMap((ledger) => [...ledger.models.keys()]));
-    const holders = holdersOf(backends);
+    const copies = backendsByModel(backends, loadedModels);
+    const holders = backendsByModel(backends, copiesAtHand);
     const adapterRates = demand.adapterRates(now);
-    const copies = copiesOf(backends);
     const usualRate = demand.totalRate(now) / Math.max(1, host.models.length);
     for (const ledger of backends) {
       let rate = 0;
-      for (const model of ledger.models.keys()) {
+      for (const model of loadedModels(ledger)) {
         rate += (adapterRates.get(model) ?? 0) / (copies.get(model) ?? 1);
       }
       for (const model of copiesAtHand(ledger)) {
-        if (loaded.has(model)) continue;
+        if (copies.has(model)) continue;
         const modelRate = Math.max(usualRate, demand.rateOf({ model, adapter: undefined }, now));
         rate += modelRate / (holders.get(model) ?? 1);
       }
@@ -61,13 +60,9 @@
   }
 }
 
-/** Backends that hold each model loaded. */
-function copiesOf(backends: readonly BackendLedger[]): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const ledger of backends) {
-    for (const model of ledger.models.keys()) counts.set(model, (counts.get(model) ?? 0) + 1);
-  }
-  return counts;
+/** Models that a backend holds loaded. */
+function loadedModels(ledger: BackendLedger): Iterable<string> {
+  return ledger.models.keys();
 }
 
 /** Models with a copy on the backend's disk or in its host memory. */
@@ -75,11 +70,14 @@
   return new Set([...ledger.onDisk, ...ledger.inMemory]);
 }
 
-/** Backends with a copy at hand, for each model. */
-function holdersOf(backends: readonly BackendLedger[]): Map<string, number> {
+/** Backends of each model, by what is looked at of a backend. */
+function backendsByModel(
+  backends: readonly BackendLedger[],
+  modelsOf: (ledger: BackendLedger) => Iterable<string>,
+): Map<string, number> {
   const counts = new Map<string, number>();
   for (const ledger of backends) {
-    for (const model of copiesAtHand(ledger)) counts.set(model, (counts.get(model) ?? 0) + 1);
+    for (const model of modelsOf(ledger)) counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   return counts;
 }
