--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -99,7 +99,7 @@
     const table = this.routing();
     const match = table?.match(request.headers.host ?? '', path);
     if (table === undefined || match === undefined) {
-      return this.denyRoute(answer, read.head.attemptId, path);
+      return this.denyRoute(answer, read.head.attemptId, path, table);
     }
     const { rawHeaders, method = 'GET' } = request;
     const caller = { ...read, method, path, rawHeaders };
@@ -127,9 +127,15 @@
   }
 
   /** A route that this daemon does not know may stand in a newer configuration. */
-  private denyRoute(answer: CallerAnswer, request: string | undefined, path: string): void {
+  private denyRoute(
+    answer: CallerAnswer,
+    request: string | undefined,
+    path: string,
+    table: RoutingTable | undefined,
+  ): void {
     const mayDeny = this.context.admission.mayDeny();
-    this.context.logger.info('no_route', { request, path, mayDeny });
+    const configuration = table?.configuration.version;
+    this.context.logger.info('no_route', { request, path, mayDeny, configuration });
     if (mayDeny) answer.sendError('not_found', undefined);
     else answer.sendError('not_ready', ROUTE_LATER_MS);
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,7 +32,13 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
 import { PeerGroup } from './peer-group.js';
-import type { BackendControl, PlatformDirectory, RecordStore, RequestDialect } from './ports.js';
+import type {
+  BackendControl,
+  ConfigurationSource,
+  PlatformDirectory,
+  RecordStore,
+  RequestDialect,
+} from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
@@ -171,7 +177,7 @@
       await listen(this.metricsServer, settings.address, settings.metricsPort);
     }
     outside.directory.start({
-      onConfiguration: (configuration) => this.configure(configuration),
+      onConfiguration: (configuration, source) => this.configure(configuration, source),
       onBackends: (list) => {
         this.knowsBackends = true;
         this.directoryDuty.takeList(list);
@@ -295,7 +301,7 @@
     return budget;
   }
 
-  private configure(configuration: ServiceConfiguration): void {
+  private configure(configuration: ServiceConfiguration, source: ConfigurationSource): void {
     this.routing = new RoutingTable(configuration, this.routing);
     this.admission.configure(configuration);
     this.proofs.lease.configured(configuration.version);
@@ -307,6 +313,7 @@
     this.outside.metrics.configurationVersion.set(configuration.version);
     this.outside.logger.info('configuration', {
       version: configuration.version,
+      source,
       routes: configuration.routes.length,
       services: configuration.services.length,
     });
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -13,10 +13,13 @@
   ServiceConfiguration,
 } from '../core/service-configuration.js';
 
+/** Who told this daemon of a configuration. */
+export type ConfigurationSource = 'store' | 'peer';
+
 /** Hears what the platform's directory says. */
 export interface DirectoryListener {
   /** A configuration that is newer than all before. */
-  onConfiguration(configuration: ServiceConfiguration): void;
+  onConfiguration(configuration: ServiceConfiguration, source: ConfigurationSource): void;
   /** All backends as they are listed now. */
   onBackends(list: BackendList): void;
   /**
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -283,7 +283,7 @@
 
   configure(configuration: ServiceConfiguration): void {
     this.version = configuration.version;
-    this.listener?.onConfiguration(configuration);
+    this.listener?.onConfiguration(configuration, 'store');
   }
 
   list(backends: readonly BackendRecord[]): void {
