--- /dev/null
+++ b/scripts/known-red.mjs
@@ -0,0 +1,49 @@
+/**
+ * Passes over the failing tests that KNOWN-RED.txt lists, and prints them.
+ *
+ *   node scripts/known-red.mjs
+ *
+ * Reads the failures that the last test run has left (`test/summary-reporter.ts`). Exits with 1 if
+ * any of them is not listed, if more than MOST_KNOWN are listed, or if the run left none to read.
+ * A line of the list: `file > suite > test | cause | issue N`.
+ */
+import { existsSync, readFileSync } from 'node:fs';
+import { pathToFileURL } from 'node:url';
+
+const LIST = 'KNOWN-RED.txt';
+const FAILURES = 'results/failed-tests.json';
+/** Tests that may be listed at once. */
+const MOST_KNOWN = 3;
+
+/** The entries of a list: the test's full name and the rest of its line. */
+export function readKnown(text) {
+  return text
+    .split('\n')
+    .filter((line) => line.trim() !== '')
+    .map((line) => ({ test: line.split('|')[0].trim(), line }));
+}
+
+/** What is wrong with a run: empty if each failure is listed. */
+export function problemsOf(failed, known) {
+  const listed = new Set(known.map(({ test }) => test));
+  const unlisted = failed.filter((test) => !listed.has(test));
+  const problems = unlisted.map((test) => `fails and is not in ${LIST}: ${test}`);
+  if (known.length > MOST_KNOWN) problems.push(`${LIST} has more than ${MOST_KNOWN} lines`);
+  if (failed.length === 0) problems.push('the run failed, but no test did');
+  return problems;
+}
+
+function main() {
+  if (!existsSync(FAILURES)) {
+    console.error(`${FAILURES} is missing: the tests did not run to their end`);
+    return 1;
+  }
+  const failed = JSON.parse(readFileSync(FAILURES, 'utf8'));
+  const known = existsSync(LIST) ? readKnown(readFileSync(LIST, 'utf8')) : [];
+  for (const { line } of known) console.log(`known red: ${line}`);
+  const problems = problemsOf(failed, known);
+  for (const problem of problems) console.error(problem);
+  return problems.length === 0 ? 0 : 1;
+}
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) process.exit(main());
--- /dev/null
+++ b/test/platform/late-configuration.test.ts
@@ -0,0 +1,100 @@
+/**
+ * Symptom: requests on a new route were answered 404 more than 2 s after the store had acknowledged
+ * its version, by the daemons that read the store closely.
+ *
+ * Sequence: the store is silent for some seconds; a close reader asks its next watch of the
+ * configuration meanwhile; the store returns and acknowledges a newer version; the connection of that
+ * watch says nothing more, so the version comes only with the watch after it.
+ *
+ * Cause: the watch waited for 4 s and was noticed dead 4.7 s after it was asked, while a
+ * configuration must be in force 2 s after its acknowledgement. What settled it, from the log of
+ * such a reader (version 49 was acknowledged at 35.081 s; a peer told of it in time):
+ *
+ *     28.722 event=store_lost kind=config reason="no answer in 4700 ms"
+ *     35.217 event=store_regained kind=servers
+ *     38.561 event=store_regained kind=config
+ */
+import http from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { StoreDirectory } from '../../platform/directory.js';
+import { ObjectStore } from '../../platform/object-store.js';
+import { listen } from '../../src/common/http-server.js';
+import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
+import { ObjectStoreStandIn } from '../soak/object-store-stand-in.js';
+import { SeededRandom } from '../soak/seeded-random.js';
+
+/** A configuration is in force everywhere so long after its acknowledgement. */
+const IN_FORCE_MS = 2_000;
+/** Of that, left for telling the other daemons. */
+const TELLING_MS = 150;
+const OUTAGE_BEGINS_MS = 100;
+/** Ends of outages, in each phase of a reader's calls. */
+const OUTAGE_ENDS_MS = [3_200, 3_500, 3_800, 4_100, 4_400, 4_700, 5_000];
+
+const cleanUps: (() => void)[] = [];
+
+function follow(address: string): { inForceAt: Map<number, number> } {
+  const store = new ObjectStore(address, new GatewayMetrics());
+  const directory = new StoreDirectory(store, silentLogger);
+  const inForceAt = new Map<number, number>();
+  directory.start({
+    onConfiguration: ({ version }) => inForceAt.set(version, performance.now()),
+    onBackends: () => {},
+    onConfirmed: () => {},
+  });
+  cleanUps.push(() => {
+    directory.stop();
+    store.close();
+  });
+  return { inForceAt };
+}
+
+/** Milliseconds from the acknowledgement right after an outage until the reader has the version. */
+async function delayAfterOutage(outageEndsMs: number): Promise<number> {
+  const store = new ObjectStoreStandIn(new SeededRandom(1));
+  await store.start();
+  cleanUps.push(() => store.stop());
+  store.put('config', 'main', { version: 1 });
+  const { inForceAt } = follow(store.address);
+  await sleep(OUTAGE_BEGINS_MS);
+  expect([...inForceAt.keys()]).toEqual([1]);
+  store.condition = 'silent';
+  await sleep(outageEndsMs - OUTAGE_BEGINS_MS);
+  store.condition = 'sound';
+  store.put('config', 'main', { version: 2 });
+  const acknowledgedAt = performance.now();
+  await sleep(IN_FORCE_MS);
+  return (inForceAt.get(2) ?? Infinity) - acknowledgedAt;
+}
+
+describe('a close reader of the configuration', () => {
+  afterEach(() => {
+    for (const cleanUp of cleanUps.splice(0)) cleanUp();
+  });
+
+  it('has what is acknowledged right after an outage of the store in force in time', async () => {
+    const delays = await Promise.all(OUTAGE_ENDS_MS.map(delayAfterOutage));
+    expect(Math.max(...delays)).toBeLessThan(IN_FORCE_MS - TELLING_MS);
+  });
+
+  it('asks again in time when a connection goes silent while the store is sound', async () => {
+    const askedAt: number[] = [];
+    const server = http.createServer((request, response) => {
+      const isWatch = request.url?.includes('watch=') === true;
+      if (isWatch && request.url?.includes('/config') === true) askedAt.push(performance.now());
+      // The connection of a watch stays open, and says nothing more.
+      if (!isWatch) response.end(JSON.stringify({ items: [], at: 5 }));
+    });
+    const port = await listen(server, '127.0.0.1', 0);
+    cleanUps.push(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    follow(`127.0.0.1:${port}`);
+    await sleep(IN_FORCE_MS + 300);
+    const [first = 0, second = Infinity] = askedAt;
+    expect(second - first).toBeLessThan(IN_FORCE_MS - TELLING_MS);
+  });
+});
--- /dev/null
+++ b/test/scripts/known-red.test.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from 'vitest';
+// @ts-expect-error -- a script without types
+import * as script from '../../scripts/known-red.mjs';
+
+interface KnownTest {
+  readonly test: string;
+  readonly line: string;
+}
+const { readKnown, problemsOf } = script as {
+  readKnown: (text: string) => KnownTest[];
+  problemsOf: (failed: readonly string[], known: readonly KnownTest[]) => string[];
+};
+
+const LIST = 'a.test.ts > suite > one | a cause | issue 1\n\nb.test.ts > two | a cause | issue 2\n';
+
+describe('the list of known failures', () => {
+  it('lets a run pass in which only listed tests fail', () => {
+    expect(problemsOf(['b.test.ts > two'], readKnown(LIST))).toEqual([]);
+  });
+
+  it('does not hide any other failure', () => {
+    const problems = problemsOf(['b.test.ts > two', 'b.test.ts > three'], readKnown(LIST));
+    expect(problems).toEqual(['fails and is not in KNOWN-RED.txt: b.test.ts > three']);
+  });
+
+  it('does not hide a run that failed without a failing test', () => {
+    expect(problemsOf([], readKnown(LIST))).toHaveLength(1);
+  });
+
+  it('holds three tests at most', () => {
+    const known = readKnown(LIST + 'c > c | c | issue 3\nd > d | d | issue 4\n');
+    expect(problemsOf(['c > c'], known)).toHaveLength(1);
+  });
+});
