--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -39,7 +39,7 @@
 
 /** This daemon's part in following the directory. */
 export class DirectoryDuty {
-  private attention: DirectoryAttention = 'close';
+  private attention: DirectoryAttention = 'alone';
   /** It owns a service or is among the first in rank: it reads closely and publishes what it reads. */
   private isDesignatedReader = false;
   /** Steady times at which another daemon was last heard to read the directory closely, and at which this one last published. */
@@ -123,7 +123,8 @@
     this.isDesignatedReader = ownsService || this.isFirstInRank();
     if (ownsService) return 'immediate';
     const isAlone = now - this.lastHeard > NEWS_SILENCE_MS;
-    return this.isDesignatedReader || isAlone ? 'close' : 'relaxed';
+    if (this.isDesignatedReader) return 'close';
+    return isAlone ? 'alone' : 'relaxed';
   }
 
   private isFirstInRank(): boolean {
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -35,6 +35,8 @@
   | 'immediate'
   /** Each change within a fraction of a second: this daemon tells others. */
   | 'close'
+  /** The same for this daemon alone; all may be alone at once, so it calls a platform in trouble less often. */
+  | 'alone'
   /** Readings may be late by seconds; others tell what must be known at once. */
   | 'relaxed';
 
--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -5,8 +5,18 @@
 import { silentLogger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
 
-const RELAXED: FollowerPace = { periodMs: 10, stale: true, waitMs: 20_000 };
-const CLOSE: FollowerPace = { periodMs: 10, stale: false, waitMs: 4_000 };
+const RELAXED: FollowerPace = {
+  periodMs: 10,
+  stale: true,
+  waitMs: 20_000,
+  longestPauseMs: 2_500,
+};
+const CLOSE: FollowerPace = {
+  periodMs: 10,
+  stale: false,
+  waitMs: 4_000,
+  longestPauseMs: 800,
+};
 
 /** A store whose late lists show a revision of the test's choice. */
 class ScriptedStore {
--- a/test/platform/late-configuration.test.ts
+++ b/test/platform/late-configuration.test.ts
@@ -44,6 +44,7 @@
     onBackends: () => {},
     onConfirmed: () => {},
   });
+  directory.setAttention('close');
   cleanUps.push(() => {
     directory.stop();
     store.close();
