--- /dev/null
+++ b/test/gateway/ownership-scene.ts
@@ -0,0 +1,96 @@
+/** Daemons that may own a service, on a virtual clock, with one store and views that may differ. */
+import { Result } from 'true-myth';
+import { vi } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import type { MemberView } from '../../src/core/membership-messages.js';
+import { Ownership } from '../../src/gateway/ownership.js';
+import type { RecordStore, StoredRecord } from '../../src/gateway/ports.js';
+
+/** The service that is owned. */
+export const SERVICE = 'models';
+
+/** Between two looks of each daemon at its clock. */
+const TICK_MS = 50;
+/** Between two words of an owner. */
+const WORD_PERIOD_MS = 250;
+
+/** Daemons that see each other as the test says, and one store. */
+export class OwnershipScene {
+  readonly members = new Map<string, MemberView>();
+  readonly ownerships = new Map<string, Ownership>();
+  record: StoredRecord | undefined;
+  /** Daemons that the store does not answer. */
+  readonly turnedAway = new Set<string>();
+  /** Pairs "a b" of daemons of which the first does not see or hear the second. */
+  private readonly cuts = new Set<string>();
+
+  join(address: string, incarnation: number, capacity = 1): Ownership {
+    const place = { address, zone: 'a', site: '' };
+    const member: MemberView = { ...place, incarnation, state: 'alive', capacity };
+    this.members.set(address, member);
+    const ownership = new Ownership({
+      service: SERVICE,
+      peers: {
+        address,
+        membership: { own: member, all: () => this.seenBy(address) },
+        live: () => this.seenBy(address).filter((view) => view.state === 'alive'),
+      },
+      store: this.storeOf(address),
+      logger: silentLogger,
+      listed: () => [...this.members.values()],
+      onChange: () => {},
+    });
+    this.ownerships.set(address, ownership);
+    return ownership;
+  }
+
+  /** Neither of two daemons sees or hears the other any more. */
+  cut(one: string, other: string): void {
+    this.cuts.add(`${one} ${other}`);
+    this.cuts.add(`${other} ${one}`);
+  }
+
+  /** Time in which each owner is heard by those that it reaches. */
+  async runHeard(milliseconds: number, onTick = (): void => {}): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += TICK_MS) {
+      await vi.advanceTimersByTimeAsync(TICK_MS);
+      for (const ownership of this.ownerships.values()) ownership.tick();
+      if (passed % WORD_PERIOD_MS === 0) this.tellOwners();
+      onTick();
+    }
+    await vi.advanceTimersByTimeAsync(0);
+  }
+
+  private tellOwners(): void {
+    for (const [from, { epoch }] of this.ownerships) {
+      if (epoch === undefined) continue;
+      for (const [to, ownership] of this.ownerships) {
+        if (to !== from && !this.cuts.has(`${to} ${from}`)) ownership.hearOwner(from, epoch);
+      }
+    }
+  }
+
+  private seenBy(address: string): MemberView[] {
+    return [...this.members.values()].filter(
+      (view) => !this.cuts.has(`${address} ${view.address}`),
+    );
+  }
+
+  private storeOf(address: string): RecordStore {
+    const away = { type: 'unavailable' as const, reason: 'turned away' };
+    const isAway = (): boolean => this.turnedAway.has(address);
+    return {
+      read: () => Promise.resolve(isAway() ? Result.err(away) : Result.ok(this.record)),
+      list: () => Promise.resolve(Result.ok([])),
+      write: (_kind, name, value, revision) => {
+        if (isAway()) return Promise.resolve(Result.err(away));
+        if (revision !== this.record?.revision) {
+          return Promise.resolve(Result.err({ type: 'conflict' as const }));
+        }
+        this.record = { name, value, revision: (revision ?? 0) + 1 };
+        return Promise.resolve(Result.ok(this.record));
+      },
+      remove: () => Promise.resolve(),
+    };
+  }
+}
--- a/test/gateway/ownership.test.ts
+++ b/test/gateway/ownership.test.ts
@@ -1,52 +1,7 @@
-import { Result } from 'true-myth';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { silentLogger } from '../../src/common/logger.js';
 import { firstCandidate } from '../../src/common/rendezvous.js';
-import type { MemberView } from '../../src/core/membership-messages.js';
-import { Ownership } from '../../src/gateway/ownership.js';
-import type { RecordStore, StoredRecord } from '../../src/gateway/ports.js';
-
-const SERVICE = 'models';
-
-/** Daemons that see each other as the test says, and one store. */
-class Scene {
-  readonly members = new Map<string, MemberView>();
-  record: StoredRecord | undefined;
-
-  join(address: string, incarnation: number, capacity = 1): Ownership {
-    const place = { address, zone: 'a', site: '' };
-    const member: MemberView = { ...place, incarnation, state: 'alive', capacity };
-    this.members.set(address, member);
-    const all = (): MemberView[] => [...this.members.values()];
-    return new Ownership({
-      service: SERVICE,
-      peers: {
-        address,
-        membership: { own: member, all },
-        live: () => all().filter((view) => view.state === 'alive'),
-      },
-      store: this.store(),
-      logger: silentLogger,
-      listed: () => all(),
-      onChange: () => {},
-    });
-  }
-
-  private store(): RecordStore {
-    return {
-      read: () => Promise.resolve(Result.ok(this.record)),
-      list: () => Promise.resolve(Result.ok([])),
-      write: (_kind, name, value, revision) => {
-        if (revision !== this.record?.revision) {
-          return Promise.resolve(Result.err({ type: 'conflict' as const }));
-        }
-        this.record = { name, value, revision: (revision ?? 0) + 1 };
-        return Promise.resolve(Result.ok(this.record));
-      },
-      remove: () => Promise.resolve(),
-    };
-  }
-}
+import type { Ownership } from '../../src/gateway/ownership.js';
+import { OwnershipScene, SERVICE } from './ownership-scene.js';
 
 /** Time in which each daemon that owns the service is heard by the others. */
 async function runHeard(ownerships: readonly Ownership[], milliseconds: number): Promise<void> {
@@ -69,13 +24,13 @@
 }
 
 describe('Ownership', () => {
-  let scene: Scene;
+  let scene: OwnershipScene;
   const first = firstCandidate(SERVICE, ['one', 'two']) ?? '';
   const second = first === 'one' ? 'two' : 'one';
 
   beforeEach(() => {
     vi.useFakeTimers({ toFake: ['performance', 'setTimeout', 'setInterval', 'Date'] });
-    scene = new Scene();
+    scene = new OwnershipScene();
   });
   afterEach(() => {
     vi.useRealTimers();
