--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -36,6 +36,8 @@
    * comes up late, or a process that stood still, must not act on an old decision.
    */
   readonly sendWithinMs?: number;
+  /** Asked when the connection is up; the request is not sent unless it says so. */
+  readonly maySend?: () => boolean;
 }
 
 /** Receives a stream of JSON lines. */
@@ -89,7 +91,7 @@
       };
       const timer = setTimeout(() => {
         finish(Result.err({ reason: 'lost', message: `no answer in ${request.timeoutMs} ms` }));
-        outgoing?.destroy();
+        discard(outgoing);
       }, request.timeoutMs);
       const outgoing = this.start(request, finish, (incoming) => {
         const chunks: Buffer[] = [];
@@ -198,6 +200,10 @@
         outgoing.destroy(new Error('it is too late to send the request'));
         return;
       }
+      if (request.maySend?.() === false) {
+        outgoing.destroy(new Error('the request may no longer be sent'));
+        return;
+      }
       connected = true;
       outgoing.end(payload);
     };
@@ -233,6 +239,13 @@
   }
 }
 
+/** A reset: after an orderly end the system would still deliver what a cut link holds up. */
+function discard(outgoing: http.ClientRequest | undefined): void {
+  const socket = outgoing?.socket;
+  if (socket?.connecting === false) socket.resetAndDestroy();
+  outgoing?.destroy();
+}
+
 function lost(fault: Error): Result<HttpAnswer, TransportFailure> {
   return Result.err({ reason: 'lost', message: fault.message });
 }
--- a/src/core/model-order.ts
+++ b/src/core/model-order.ts
@@ -14,6 +14,8 @@
   readonly epoch: number;
   /** Orders that the backend must have taken so far; else it refuses. */
   readonly expectedSequence: number;
+  /** Asked at the very send: an order may wait for its connection, or its process stand still, until another owns. */
+  readonly maySend: () => boolean;
 }
 
 /** The end of an order call. */
--- /dev/null
+++ b/src/core/ownership-lease.ts
@@ -0,0 +1,48 @@
+/**
+ * How long an owner may give orders where backends do not check epochs. Then nothing but the owner
+ * itself can end its orders, so it gives them only while it holds a proof, younger than HOLD_MS, that
+ * nobody had claimed the service after it; and whoever claims it gives no order for HAND_OVER_MS. A
+ * proof counts from the moment at which its question was asked: no clocks are compared, and an
+ * answer in flight lengthens nothing. `spec/ownership.pml` is its model. Pure; times are
+ * milliseconds of a steady clock.
+ */
+
+/** A proof allows orders for so long after its question: two questions may get no answer. */
+export const HOLD_MS = 1_500;
+/** A new owner waits so long after its claim: HOLD_MS, and half a second for orders on their way. */
+export const HAND_OVER_MS = 2_000;
+
+/** A claim that was won. */
+export interface WonClaim {
+  readonly askedAt: number;
+  readonly answeredAt: number;
+  /** The former owner is known to have given its last order: it said so, or its process has ended. */
+  readonly isHandedOver: boolean;
+}
+
+/** The lease of one owner. */
+export class OwnershipLease {
+  private provenAt = -Infinity;
+  private notBefore = Infinity;
+
+  /** Begins a new ownership. */
+  begin(claim: WonClaim): void {
+    this.provenAt = claim.askedAt;
+    this.notBefore = claim.isHandedOver ? claim.answeredAt : claim.answeredAt + HAND_OVER_MS;
+  }
+
+  /** Nobody had claimed the service after this owner at `askedAt`. */
+  prove(askedAt: number): void {
+    this.provenAt = Math.max(this.provenAt, askedAt);
+  }
+
+  /** Milliseconds since the last proof's question. */
+  ageMs(now: number): number {
+    return now - this.provenAt;
+  }
+
+  /** Whether an order may be sent now. */
+  holds(now: number): boolean {
+    return now >= this.notBefore && this.ageMs(now) <= HOLD_MS;
+  }
+}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -54,6 +54,8 @@
   readonly store: string;
   /** IPv4 numbers of daemons to start from. */
   readonly seeds: readonly string[];
+  /** Backends refuse orders of a lower epoch than they have seen; else an owner keeps a lease. */
+  readonly backendsCheckEpochs: boolean;
   /** Policies that operators may switch off. */
   readonly policies: Policies;
   readonly bounds: GatewayBounds;
@@ -98,6 +100,7 @@
     readiness: reader.checked('readiness', '"ip:port"', isAddress),
     store: reader.checked('store', '"ip:port"', isAddress),
     seeds: reader.texts('seeds'),
+    backendsCheckEpochs: reader.flag('backendsCheckEpochs'),
     policies: policiesOf((name) => policies.flag(name)),
     bounds: {
       stopSeconds: bounds.number('stopSeconds', 0),
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -1,15 +1,18 @@
 /**
  * Which daemon gives orders to the backends of a service. The claim is one
  * record, replaced only at the revision that was read, with an epoch that rises
- * by one and fences the orders. Safety rests on the epochs and on the sequences
- * of the orders; the rules here only keep owners from taking turns.
+ * by one and fences the orders. Safety rests on the epochs, or on a lease where
+ * backends do not check these, and on the sequences of the orders; the other rules
+ * here only keep owners from taking turns.
  */
 import { faultText, type Logger } from '../common/logger.js';
 import { firstCandidate } from '../common/rendezvous.js';
 import { ablestOf, seesHalf, type DutyMember } from '../core/duties.js';
 import type { Membership } from '../core/membership.js';
 import type { MemberView } from '../core/membership-messages.js';
+import { OwnershipLease } from '../core/ownership-lease.js';
 import { ownerRecord, type OwnerRecord } from './owner-record.js';
+import { OwnershipProofs } from './ownership-proofs.js';
 import type { RecordStore } from './ports.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -25,6 +28,12 @@
 /** An owner that was heard so lately lives, whatever the membership says. */
 const HEARD_LATELY_MS = 1_200;
 
+/**
+ * A daemon whose successor it does not hear leaves the service to it for so long. Without that the two
+ * would claim it from each other without end, and each claim costs a hand-over.
+ */
+const YIELD_MS = 10_000;
+
 /**
  * An owner that lives, by the membership, but was not heard for so long has given
  * the service up, or is cut off from this daemon.
@@ -46,6 +55,8 @@
   readonly peers: OwnershipPeers;
   readonly store: RecordStore;
   readonly logger: Logger;
+  /** Backends refuse orders of a lower epoch; else an owner needs a lease. */
+  readonly backendsCheckEpochs: boolean;
   /** Daemons that the platform's store lists. */
   readonly listed: () => readonly DutyMember[];
   /** This daemon owns the service from now on, or no longer. */
@@ -67,19 +78,37 @@
   /** Since when this daemon has known its record's owner. */
   private knownSince = -Infinity;
 
-  constructor(private readonly options: OwnershipOptions) {}
+  private readonly lease = new OwnershipLease();
+  private readonly proofs: OwnershipProofs;
+
+  constructor(private readonly options: OwnershipOptions) {
+    const { service, store, logger } = options;
+    this.proofs = new OwnershipProofs({
+      service,
+      store,
+      logger,
+      lease: this.lease,
+      onOtherOwner: () => this.yieldTo('its record names another owner'),
+    });
+  }
 
   /** Peer address of the owner, if one is known. */
   get ownerAddress(): string | undefined {
     return this.record?.address;
   }
 
-  /** Whether an order may be given now: the process must not have stood still since its last look. */
-  mayOrder(): boolean {
+  /** Whether this daemon owns the service now: the process must not have stood still since its last look. */
+  isOwner(): boolean {
     this.noticeStandstill(steadyNow());
     return this.epoch !== undefined;
   }
 
+  /** Whether an order may be sent now. */
+  mayOrder(): boolean {
+    if (!this.isOwner()) return false;
+    return this.options.backendsCheckEpochs || this.lease.holds(steadyNow());
+  }
+
   /** Looks at clock and members; call it often. */
   tick(): void {
     const now = steadyNow();
@@ -87,6 +116,7 @@
     this.lastTick = now;
     if (this.epoch !== undefined) {
       if (!this.seesEnough()) this.giveUp('sees too few daemons');
+      if (!this.options.backendsCheckEpochs) this.proofs.tick();
       return;
     }
     if (this.busy || now < this.notBefore || now - this.lastRead < READ_PERIOD_MS) return;
@@ -126,9 +156,16 @@
     logger.info('ownership_ended', { service, epoch: this.epoch, reason });
     this.epoch = undefined;
     this.record = undefined;
+    this.proofs.end();
     this.options.onChange(undefined);
   }
 
+  /** Ends the ownership because another owns the service, perhaps one that this daemon does not hear. */
+  private yieldTo(reason: string): void {
+    this.giveUp(reason);
+    this.notBefore = steadyNow() + YIELD_MS;
+  }
+
   private noticeStandstill(now: number): void {
     const gap = now - this.lastTick;
     if (gap <= STANDSTILL_MS) return;
@@ -161,7 +198,7 @@
     return owner.incarnation - record.incarnation < RESTART_MS;
   }
 
-  /** Safe: the claim raises the epoch, which ends the orders of an owner that still believes itself one. */
+  /** Safe: the claim raises the epoch, which ends the orders of an owner that still believes itself one, or its lease does. */
   private isSilent(): boolean {
     return steadyNow() - Math.max(this.lastHeard, this.knownSince) > OWNER_SILENT_MS;
   }
@@ -193,15 +230,31 @@
     const claim = `${address} ${incarnation} ${epoch}`;
     const record: OwnerRecord = { address, incarnation, epoch, claim };
     const before = this.record?.address ?? '';
+    const isHandedOver = this.formerOwnerHasStopped();
+    const askedAt = steadyNow();
     const written = await store.write('owners', service, record, this.revision);
     const won = written.isOk || (await this.isOurs(claim, written.error.type));
-    logger.info('ownership_claimed', { service, epoch, won, before });
+    logger.info('ownership_claimed', { service, epoch, won, before, isHandedOver });
     if (!won) return;
+    this.lease.begin({ askedAt, answeredAt: steadyNow(), isHandedOver });
+    this.proofs.begin(claim);
     this.record = record;
     this.epoch = epoch;
     this.options.onChange(epoch);
   }
 
+  /** Whether the owner of the record is known to have given its last order: a suspicion is no such knowledge. */
+  private formerOwnerHasStopped(): boolean {
+    const { peers } = this.options;
+    const { record } = this;
+    if (record === undefined || record.address === peers.address) return true;
+    // It stops its orders before it says that it leaves.
+    if (this.ownerHasLeft()) return true;
+    const owner = peers.membership.all().find((member) => member.address === record.address);
+    if (owner === undefined || record.incarnation === undefined) return false;
+    return owner.incarnation - record.incarnation >= RESTART_MS;
+  }
+
   /** After a lost answer the record itself tells whether the claim was written. */
   private async isOurs(claim: string, failure: string): Promise<boolean> {
     if (failure !== 'unknown') return false;
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -97,7 +97,7 @@
   }
 
   private makeDuty(service: string): Duty {
-    const { peers, store, logger, listed } = this.options;
+    const { peers, store, logger, listed, settings } = this.options;
     const duty: Duty = {
       owner: undefined,
       ownership: new Ownership({
@@ -105,6 +105,7 @@
         peers,
         store,
         logger,
+        backendsCheckEpochs: settings.backendsCheckEpochs,
         listed,
         onChange: (epoch) => {
           duty.owner?.stop();
@@ -131,6 +132,7 @@
         logger,
         metrics,
         publish,
+        isOwner: () => duty.ownership.isOwner(),
         mayOrder: () => duty.ownership.mayOrder(),
         daemonCount: () => peers.live().length,
       },
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -61,6 +61,8 @@
   /** Tells every daemon, this one included. */
   readonly publish: (update: PlacementUpdate) => void;
   /** Whether this daemon still owns the service, as far as it can know. */
+  readonly isOwner: () => boolean;
+  /** Whether an order may be sent now; an owner that waits for its lease plans nothing. */
   readonly mayOrder: () => boolean;
   /** Daemons that are told; each update costs a message to each of them. */
   readonly daemonCount: () => number;
@@ -158,7 +160,7 @@
     clearTimeout(this.roundTimer);
     this.roundTimer = undefined;
     const host = this.options.host();
-    if (this.stopped || host === undefined || !this.options.mayOrder()) return;
+    if (this.stopped || host === undefined || !this.options.isOwner()) return;
     const now = steadyNow();
     this.lastRound = now;
     this.syncLedgers(now);
@@ -166,7 +168,8 @@
     this.noteFailing(now);
     this.doubtHolders(now);
     this.readReports(now);
-    this.giveAll(this.planner.plan(this.planningInput(host, now)), now);
+    const mayOrder = this.options.mayOrder();
+    this.giveAll(mayOrder ? this.planner.plan(this.planningInput(host, now)) : [], now);
     this.options.metrics.roundSeconds.observe((steadyNow() - now) / 1_000);
   }
 
@@ -311,7 +314,8 @@
   ): Promise<void> {
     const { options } = this;
     const expectedSequence = ledger.sequence;
-    const fence = { holder: options.holder, epoch: options.epoch, expectedSequence };
+    const maySend = (): boolean => !this.stopped && options.mayOrder();
+    const fence = { holder: options.holder, epoch: options.epoch, expectedSequence, maySend };
     const { order } = planned;
     const outcome = await options.control.order(backend, order, fence);
     const now = steadyNow();
--- a/test/common/http-client.test.ts
+++ b/test/common/http-client.test.ts
@@ -57,4 +57,33 @@
     expect(answer.isErr && answer.error.reason).toBe('not_sent');
     expect(bodies).toEqual([]);
   });
+
+  it('does not send what may no longer be sent by then', async () => {
+    const address = await listenAnywhere();
+    let maySend = true;
+    const sent = new HttpClient({ agent: new LateAgent(50) }).send({
+      ...orderTo(address),
+      maySend: () => maySend,
+    });
+    maySend = false;
+    const answer = await sent;
+    expect(answer.isErr && answer.error.reason).toBe('not_sent');
+    expect(bodies).toEqual([]);
+  });
+
+  it('resets the connection of a request that it gives up, so that what is held up never arrives', async () => {
+    const faults: string[] = [];
+    const silent = net.createServer((socket) => {
+      socket.on('error', (fault: NodeJS.ErrnoException) => faults.push(fault.code ?? ''));
+      socket.on('data', () => {});
+    });
+    await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+    const { port } = silent.address() as net.AddressInfo;
+    const request = { ...orderTo(`127.0.0.1:${port}`), timeoutMs: 100 };
+    const answer = await new HttpClient().send(request);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    silent.close();
+    expect(answer.isErr && answer.error.reason).toBe('lost');
+    expect(faults).toEqual(['ECONNRESET']);
+  });
 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -252,6 +252,7 @@
       readiness: `127.0.0.1:${readiness}`,
       store: '127.0.0.1:1',
       seeds: [],
+      backendsCheckEpochs: true,
       policies: DEFAULT_POLICIES,
       bounds: {
         stopSeconds: 8,
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -24,6 +24,9 @@
   /** Pairs "a b" of daemons of which the first does not see or hear the second. */
   private readonly cuts = new Set<string>();
 
+  /** @param backendsCheckEpochs - Whether backends refuse orders of a lower epoch. */
+  constructor(private readonly backendsCheckEpochs = true) {}
+
   join(address: string, incarnation: number, capacity = 1): Ownership {
     const place = { address, zone: 'a', site: '' };
     const member: MemberView = { ...place, incarnation, state: 'alive', capacity };
@@ -37,6 +40,7 @@
       },
       store: this.storeOf(address),
       logger: silentLogger,
+      backendsCheckEpochs: this.backendsCheckEpochs,
       listed: () => [...this.members.values()],
       onChange: () => {},
     });
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -72,6 +72,7 @@
         logger: silentLogger,
         metrics: new GatewayMetrics(),
         publish: () => {},
+        isOwner: () => true,
         mayOrder: () => true,
         daemonCount: () => 1,
       },
--- a/test/gateway/two-owners.test.ts
+++ b/test/gateway/two-owners.test.ts
@@ -11,6 +11,7 @@
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { firstCandidate } from '../../src/common/rendezvous.js';
+import { HOLD_MS } from '../../src/core/ownership-lease.js';
 import { OwnershipScene, SERVICE } from './ownership-scene.js';
 
 const ADDRESSES = ['one', 'two', 'three', 'four', 'five'];
@@ -20,12 +21,23 @@
 
   beforeEach(() => {
     vi.useFakeTimers({ toFake: ['performance', 'setTimeout', 'setInterval', 'Date'] });
-    scene = new OwnershipScene();
+    scene = new OwnershipScene(false);
   });
   afterEach(() => {
     vi.useRealTimers();
   });
 
+  /** The first in rank has owned the service for a while; the next one would be its successor. */
+  async function begin(): Promise<{ owner: string; successor: string }> {
+    const owner = firstCandidate(SERVICE, ADDRESSES) ?? '';
+    const others = ADDRESSES.filter((address) => address !== owner);
+    const successor = firstCandidate(SERVICE, others) ?? '';
+    for (const address of ADDRESSES) scene.join(address, 1_000);
+    await scene.runHeard(3_000);
+    expect(scene.ownerships.get(owner)?.epoch).toBe(1);
+    return { owner, successor };
+  }
+
   /** Epochs under which orders may be given, in the order of time. */
   async function epochsOfOrders(milliseconds: number): Promise<number[]> {
     const epochs: number[] = [];
@@ -38,15 +50,48 @@
   }
 
   it('never order by turns', async () => {
-    const owner = firstCandidate(SERVICE, ADDRESSES) ?? '';
-    const others = ADDRESSES.filter((address) => address !== owner);
-    const successor = firstCandidate(SERVICE, others) ?? '';
-    for (const address of ADDRESSES) scene.join(address, 1_000);
-    await scene.runHeard(3_000);
-    expect(scene.ownerships.get(owner)?.epoch).toBe(1);
+    const { owner, successor } = await begin();
     scene.cut(owner, successor);
     const epochs = await epochsOfOrders(10_000);
     expect(Math.max(...epochs)).toBe(2);
     expect(epochs).toEqual([...epochs].sort((a, b) => a - b));
   });
+
+  it('never order by turns when the store turns the owner away as well', async () => {
+    const { owner, successor } = await begin();
+    scene.cut(owner, successor);
+    scene.turnedAway.add(owner);
+    const epochs = await epochsOfOrders(10_000);
+    expect(Math.max(...epochs)).toBe(2);
+    expect(epochs).toEqual([...epochs].sort((a, b) => a - b));
+  });
+
+  it('leave the service to its owner, which orders again, when the store was away for all', async () => {
+    const { owner } = await begin();
+    for (const address of ADDRESSES) scene.turnedAway.add(address);
+    await scene.runHeard(800);
+    expect(scene.ownerships.get(owner)?.mayOrder()).toBe(true);
+    await scene.runHeard(4_000);
+    expect(scene.ownerships.get(owner)?.mayOrder()).toBe(false);
+    scene.turnedAway.clear();
+    await scene.runHeard(1_000);
+    expect(scene.ownerships.get(owner)?.mayOrder()).toBe(true);
+    expect(scene.ownerships.get(owner)?.epoch).toBe(1);
+  });
+
+  it('wait before the first order when the former owner may live, and not when it has left', async () => {
+    const { owner, successor } = await begin();
+    const view = scene.members.get(owner);
+    if (view === undefined) throw new Error('the owner is no member');
+    scene.ownerships.get(owner)?.giveUp('the daemon stops');
+    scene.members.set(owner, { ...view, state: 'leaving' });
+    await scene.runHeard(500);
+    expect(scene.ownerships.get(successor)?.mayOrder()).toBe(true);
+  });
+
+  it('order nothing after a standstill, whatever they had proved before', async () => {
+    const { owner } = await begin();
+    await vi.advanceTimersByTimeAsync(HOLD_MS + 100);
+    expect(scene.ownerships.get(owner)?.mayOrder()).toBe(false);
+  });
 });
--- a/test/simulation/model-orders.property.test.ts
+++ b/test/simulation/model-orders.property.test.ts
@@ -53,7 +53,8 @@
       if (ledger === undefined || backend === undefined) continue;
       const expectedSequence = ledger.sequence;
       ledger.send(planned.order);
-      const fence = { holder: String(this.epoch), epoch: this.epoch, expectedSequence };
+      const { epoch } = this;
+      const fence = { holder: String(epoch), epoch, expectedSequence, maySend: () => true };
       const outcome = backend.order(planned.order, fence, fate(), now);
       if (outcome.type === 'fenced') this.fenced = true;
       ledger.settle(planned.order, outcome, now, planned.durationMs);
