A reader that lives proves nothing of what it reads: news tell whether the platform answers

Cause: daemons that read late took the news of the designated readers, and an owner's word on its models, for a proof that the directory is read. A reader that the platform turns away went on to tell that it lives; what leaves or changes meanwhile was known by late readings only. Ruled out: that all others read closely in its place, for the store bears few readers. Change: news have a field for it; owners tell news as other readers do; the four next in rank read and tell while no reader is answered. A route that stands in no configuration known here is denied with 404 only by a daemon that is informed, else with 503 and when to come back; that refusal and the one for unknown keys are one now.

--- a/src/gateway/caller-admission.ts
+++ b/src/gateway/caller-admission.ts
@@ -17,12 +17,14 @@
 /** What may happen to a request. */
 export type Admission =
   /** `tenant` is undefined if the route needs no key. */
-  | { readonly type: 'admitted'; readonly tenant: CallerTenant | undefined }
-  | {
-      readonly type: 'refused';
-      readonly kind: 'unauthorized' | 'not_ready';
-      readonly retryAfterMs: number | undefined;
-    };
+  { readonly type: 'admitted'; readonly tenant: CallerTenant | undefined } | Denial<'unauthorized'>;
+
+/** Why a request is not served, and when its caller may come back: later, if the configuration may be old. */
+export interface Denial<Kind> {
+  readonly type: 'refused';
+  readonly kind: Kind | 'not_ready';
+  readonly retryAfterMs: number | undefined;
+}
 
 /** Options of {@link CallerAdmission}. */
 export interface CallerAdmissionOptions {
@@ -32,6 +34,8 @@
   readonly revocationMs: number;
   /** A new configuration is in force everywhere after so long; infinite if the operator sets no bound. */
   readonly configurationMs: number;
+  /** Whether the configuration in force here may be taken for the newest, where no lease proves it. */
+  readonly isInformed: () => boolean;
   /** The lease is over, or a caller asks for what this daemon's configuration lacks. */
   readonly onDoubt: () => void;
 }
@@ -77,13 +81,21 @@
     if (this.needsLease && !this.hasLease()) return this.doubt();
     const tenant = keyDigest === undefined ? undefined : this.keys.ownerOf(keyDigest);
     if (tenant !== undefined) return { type: 'admitted', tenant };
-    if (!this.mayDeny()) return this.doubt();
-    return { type: 'refused', kind: 'unauthorized', retryAfterMs: undefined };
+    return this.deny('unauthorized');
+  }
+
+  /** What the caller of a route is told that stands in no configuration known here. */
+  denyRoute(): Denial<'not_found'> {
+    return this.deny('not_found');
+  }
+
+  private deny<Kind>(kind: Kind): Denial<Kind> {
+    return this.mayDeny() ? { type: 'refused', kind, retryAfterMs: undefined } : this.doubt();
   }
 
   /** Whether the configuration is new enough to say that something does not exist. */
-  mayDeny(): boolean {
-    if (!this.needsLease) return true;
+  private mayDeny(): boolean {
+    if (!this.needsLease) return this.options.isInformed();
     const limitMs = Math.min(this.options.configurationMs, this.options.revocationMs);
     return this.options.lease.ageMs(steadyNow()) <= limitMs - LEASE_MARGIN_MS;
   }
@@ -106,7 +118,7 @@
     return this.needsLease && Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
   }
 
-  private doubt(): Admission {
+  private doubt(): Denial<never> {
     this.options.onDoubt();
     return { type: 'refused', kind: 'not_ready', retryAfterMs: COME_BACK_MS };
   }
--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -15,8 +15,6 @@
 const TIMEOUT_CHECK_MS = 500;
 /** Hexadecimal digits of a key's digest that logs show. */
 const FINGERPRINT_DIGITS = 8;
-/** A caller of an unknown route comes back after so long, if a newer configuration may have it. */
-const ROUTE_LATER_MS = 400;
 /** A request's body may take so long. */
 const BODY_TIMEOUT_MS = 30_000;
 
@@ -133,11 +131,10 @@
     path: string,
     table: RoutingTable | undefined,
   ): void {
-    const mayDeny = this.context.admission.mayDeny();
+    const { kind, retryAfterMs } = this.context.admission.denyRoute();
     const configuration = table?.configuration.version;
-    this.context.logger.info('no_route', { request, path, mayDeny, configuration });
-    if (mayDeny) answer.sendError('not_found', undefined);
-    else answer.sendError('not_ready', ROUTE_LATER_MS);
+    this.context.logger.info('no_route', { request, path, kind, configuration });
+    answer.sendError(kind, retryAfterMs);
   }
 
   /** Reads the whole body; undefined if it is over the limit. */
--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -1,7 +1,9 @@
 /**
  * How closely this daemon follows the platform's directory. Owners and a few others
- * read it without delay and tell the rest at once of backends that start or end, and
- * that they live; the rest reads late, and closely when it hears of nobody.
+ * read it without delay and tell the rest at once of backends that start or end, that
+ * they live, and whether the platform answers them; the rest reads late, and closely
+ * when it hears of nobody. A reader that lives proves nothing of what it reads: while
+ * the platform answers none of them, the next in rank read and tell in their place.
  */
 import type { Logger } from '../common/logger.js';
 import { rankCandidates } from '../common/rendezvous.js';
@@ -17,6 +19,13 @@
 
 /** Daemons besides the owners that follow the platform closely. */
 const CLOSE_READERS = 2;
+/** Daemons, by rank, of which the rest stand in for readers that the platform does not answer. */
+const STANDBY_READERS = 6;
+/**
+ * A reading older than this is not taken for what the platform holds now: a watch is asked again
+ * after 0.9 s, and its answer may be slow.
+ */
+const CURRENT_READING_MS = 1_800;
 /** Daemons that follow the platform closely say so this often, also without news: twice within the silence. */
 const NEWS_PERIOD_MS = 700;
 /** Without news for so long a daemon follows the platform closely itself: it may be cut off from those that do. */
@@ -37,26 +46,43 @@
   readonly onChange: () => void;
 }
 
+/** Another daemon that reads the directory closely. */
+interface KnownReader {
+  readonly heardAt: number;
+  readonly platformAway: boolean;
+}
+
 /** This daemon's part in following the directory. */
 export class DirectoryDuty {
   private attention: DirectoryAttention = 'alone';
   /** It owns a service or is among the first in rank: it reads closely and publishes what it reads. */
   private isDesignatedReader = false;
-  /** Steady times at which another daemon was last heard to read the directory closely, and at which this one last published. */
-  private lastHeard = -Infinity;
+  /** By peer address. */
+  private readonly readers = new Map<string, KnownReader>();
   private lastPublished = -Infinity;
+  /** What the others were told last. */
+  private toldPlatformAway = false;
 
   constructor(private readonly options: DirectoryDutyOptions) {}
 
   /** Looks at the clock; call it a few times a second. */
   tick(): void {
     const now = steadyNow();
+    this.forgetSilentReaders(now);
     this.chooseAttention(now);
     const ended = this.options.backends.expireMissing(now);
     if (ended.length > 0) this.changed(ended, []);
-    // An owner's word on its models is a sign of life as well, and more frequent.
     const isDue = now - this.lastPublished >= NEWS_PERIOD_MS;
-    if (isDue && !this.options.ownsService()) this.publish([], []);
+    if (isDue || this.isPlatformAway() !== this.toldPlatformAway) this.publish([], []);
+  }
+
+  /** Whether what this daemon holds of the directory may be taken for what the platform holds now. */
+  isInformed(): boolean {
+    if (this.attention !== 'relaxed') return !this.isPlatformAway();
+    const now = steadyNow();
+    return [...this.readers.values()].some(
+      (reader) => isHeard(reader, now) && !reader.platformAway,
+    );
   }
 
   /** The platform's list has changed. */
@@ -70,17 +96,12 @@
     this.publish([], []);
   }
 
-  /** An owner has told of its models: it reads the directory closely too. */
-  hearOwner(): void {
-    this.lastHeard = steadyNow();
-  }
-
   /** Another daemon reads the directory closely. */
-  hear(message: DirectoryNews): void {
+  hear(from: string, message: DirectoryNews): void {
     const { backends, ownsService, onChange } = this.options;
     const now = steadyNow();
-    this.lastHeard = now;
     const news = decodeNews(message);
+    this.readers.set(from, { heardAt: now, platformAway: news.platformAway });
     const ended = news.ended.filter((end) => backends.noteEnded(end));
     // An owner plans with whole records, which its own readings bring as early.
     const started = ownsService()
@@ -102,36 +123,62 @@
   private publish(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
     if (!this.isDesignatedReader) return;
     this.lastPublished = steadyNow();
-    const news = { configurationVersion: this.options.version(), ended, started };
+    const platformAway = this.isPlatformAway();
+    this.toldPlatformAway = platformAway;
+    const news = { configurationVersion: this.options.version(), ended, started, platformAway };
     this.options.peers.broadcast(encodeNews(news));
   }
 
+  private isPlatformAway(): boolean {
+    return this.options.directory.readingAgeMs() > CURRENT_READING_MS;
+  }
+
+  private forgetSilentReaders(now: number): void {
+    for (const [address, reader] of this.readers) {
+      if (!isHeard(reader, now)) this.readers.delete(address);
+    }
+  }
+
   private chooseAttention(now: number): void {
     const attention = this.wantedAttention(now);
     if (attention === this.attention) return;
     this.attention = attention;
-    const sinceNewsMs = Number.isFinite(this.lastHeard)
-      ? Math.round(now - this.lastHeard)
-      : undefined;
-    this.options.logger.info('directory_attention', { attention, sinceNewsMs });
+    this.options.logger.info('directory_attention', { attention, ...this.readerCounts(now) });
     this.options.directory.setAttention(attention);
   }
 
+  /** Other readers that are heard, and those of them that the platform answers. */
+  private readerCounts(now: number): { readers: number; answered: number } {
+    const heard = [...this.readers.values()].filter((reader) => isHeard(reader, now));
+    const answered = heard.filter(({ platformAway }) => !platformAway);
+    return { readers: heard.length, answered: answered.length };
+  }
+
   private wantedAttention(now: number): DirectoryAttention {
     const ownsService = this.options.ownsService();
+    const first = this.firstInRank();
+    const position = first.indexOf(this.options.peers.address);
+    const isReader = position >= 0 && position < CLOSE_READERS;
+    const standsIn = position >= CLOSE_READERS && !this.hearsAnsweredReader(first, now);
     // Who is only cut off from the designated readers reads closely too, but publishes nothing.
-    this.isDesignatedReader = ownsService || this.isFirstInRank();
+    this.isDesignatedReader = ownsService || isReader || standsIn;
     if (ownsService) return 'immediate';
-    const isAlone = now - this.lastHeard > NEWS_SILENCE_MS;
     if (this.isDesignatedReader) return 'close';
-    return isAlone ? 'alone' : 'relaxed';
+    return this.readerCounts(now).readers === 0 ? 'alone' : 'relaxed';
+  }
+
+  /** The readers and those that stand in for them, best first. */
+  private firstInRank(): string[] {
+    const candidates = ablestOf(this.options.peers.live()).map((member) => member.address);
+    return rankCandidates('directory', candidates).slice(0, STANDBY_READERS);
   }
 
-  private isFirstInRank(): boolean {
-    const { peers } = this.options;
-    const candidates = ablestOf(peers.live()).map((member) => member.address);
-    const first = rankCandidates('directory', candidates).slice(0, CLOSE_READERS);
-    return first.includes(peers.address);
+  /** Whether the platform answers a reader; those that stand in count not, or they would relieve one another. */
+  private hearsAnsweredReader(first: readonly string[], now: number): boolean {
+    const standIns = new Set(first.slice(CLOSE_READERS));
+    return [...this.readers].some(([address, reader]) => {
+      return !standIns.has(address) && isHeard(reader, now) && !reader.platformAway;
+    });
   }
 
   /** Lines at designated readers, and where requests are touched: hundreds hear the same. */
@@ -148,3 +195,7 @@
     }
   }
 }
+
+function isHeard(reader: KnownReader, now: number): boolean {
+  return now - reader.heardAt <= NEWS_SILENCE_MS;
+}
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -127,6 +127,8 @@
   readonly ended: readonly EndedBackend[];
   /** Where backends are; nothing is told of what they hold. */
   readonly started: readonly BackendRecord[];
+  /** The platform does not answer the sender. */
+  readonly platformAway: boolean;
 }
 
 /** News of the directory as a message. */
@@ -137,8 +139,8 @@
   const starts = news.started.map(({ id, revision, service, address, zone, slots }) =>
     create(BackendStartSchema, { backend: id, revision, service, address, zone, slots }),
   );
-  const { configurationVersion } = news;
-  const value = create(DirectoryNewsSchema, { configurationVersion, ends, starts });
+  const { configurationVersion, platformAway } = news;
+  const value = create(DirectoryNewsSchema, { configurationVersion, ends, starts, platformAway });
   return { case: 'directoryNews', value };
 }
 
@@ -149,5 +151,6 @@
     const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
     return { id: backend, revision, service, address, zone, slots, leaving: false, ...holdings };
   });
-  return { configurationVersion: message.configurationVersion, ended, started };
+  const { configurationVersion, platformAway } = message;
+  return { configurationVersion, ended, started, platformAway };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -132,6 +132,7 @@
       logger: outside.logger,
       revocationMs: settings.bounds.revocationMs,
       configurationMs: settings.bounds.configurationMs,
+      isInformed: () => this.directoryDuty.isInformed(),
       onDoubt: () => this.proofs.tick(),
     });
     this.limits = this.makeLimits();
@@ -412,13 +413,12 @@
       this.configurations.hearVersion(from, body.value.configurationVersion);
     }
     if (body.case === 'directoryNews') {
-      this.directoryDuty.hear(body.value);
+      this.directoryDuty.hear(from, body.value);
       this.configurations.hearVersion(from, body.value.configurationVersion);
     }
     if (body.case === 'servicePlacement') {
       const update = decodePlacement(body.value);
       this.duties.hearOwner(from, update.service, update.epoch);
-      this.directoryDuty.hearOwner();
       this.hearPlacement(from, update);
       this.configurations.hearVersion(from, body.value.configurationVersion);
     }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -52,6 +52,11 @@
   confirmConfiguration(): Promise<boolean>;
   /** The newest configuration for a peer, in the adapter's own form; undefined if none is known. */
   configurationDocument(): Uint8Array | undefined;
+  /**
+   * Milliseconds since the platform last answered readings without delay, of both; infinite while it
+   * does not answer, and where readings may be late.
+   */
+  readingAgeMs(): number;
   /** Takes a peer's document if it is newer than what is known; true if it was. */
   takeConfigurationDocument(document: Uint8Array): boolean;
   stop(): void;
--- a/test/gateway/configuration-exchange.test.ts
+++ b/test/gateway/configuration-exchange.test.ts
@@ -21,6 +21,7 @@
     const directory: PlatformDirectory = {
       start: () => {},
       setAttention: () => {},
+      readingAgeMs: () => 0,
       refreshConfiguration: () => (this.refreshes += 1),
       confirmConfiguration: () => Promise.resolve(true),
       configurationDocument: () => (this.version === 0 ? undefined : Uint8Array.of(this.version)),
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -208,6 +208,7 @@
       directory: {
         start: (listener) => (this.listener = listener),
         setAttention: () => {},
+        readingAgeMs: () => 0,
         refreshConfiguration: () => (this.refreshes += 1),
         confirmConfiguration: () => this.confirm(),
         configurationDocument: () => undefined,
