Forecasts of an owner that waits for its lease count the wait, or are not made

Cause: an owner without a lease told daemons when loads would be done that it could not order; requests were held for them. Change: its forecasts add the time until it may order; without a known time it makes none, and requests are refused at once. Figures: test/gateway/service-owner.test.ts (two cases).

--- a/src/core/ownership-lease.ts
+++ b/src/core/ownership-lease.ts
@@ -41,8 +41,13 @@
     return now - this.provenAt;
   }
 
+  /** Milliseconds until an order may be sent: 0 for now, infinite without a recent proof. */
+  delayMs(now: number): number {
+    return this.ageMs(now) > HOLD_MS ? Infinity : Math.max(0, this.notBefore - now);
+  }
+
   /** Whether an order may be sent now. */
   holds(now: number): boolean {
-    return now >= this.notBefore && this.ageMs(now) <= HOLD_MS;
+    return this.delayMs(now) === 0;
   }
 }
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -105,8 +105,13 @@
 
   /** Whether an order may be sent now. */
   mayOrder(): boolean {
-    if (!this.isOwner()) return false;
-    return this.options.backendsCheckEpochs || this.lease.holds(steadyNow());
+    return this.orderDelayMs() === 0;
+  }
+
+  /** Milliseconds until an order may be sent; infinite if that cannot be told. */
+  orderDelayMs(): number {
+    if (!this.isOwner()) return Infinity;
+    return this.options.backendsCheckEpochs ? 0 : this.lease.delayMs(steadyNow());
   }
 
   /** Looks at clock and members; call it often. */
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -133,7 +133,7 @@
         metrics,
         publish,
         isOwner: () => duty.ownership.isOwner(),
-        mayOrder: () => duty.ownership.mayOrder(),
+        orderDelayMs: () => duty.ownership.orderDelayMs(),
         daemonCount: () => peers.live().length,
       },
       () => duty.ownership.giveUp('a backend has seen a higher epoch'),
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -62,8 +62,8 @@
   readonly publish: (update: PlacementUpdate) => void;
   /** Whether this daemon still owns the service, as far as it can know. */
   readonly isOwner: () => boolean;
-  /** Whether an order may be sent now; an owner that waits for its lease plans nothing. */
-  readonly mayOrder: () => boolean;
+  /** Milliseconds until an order may be sent; infinite if that cannot be told. Until then nothing is planned. */
+  readonly orderDelayMs: () => number;
   /** Daemons that are told; each update costs a message to each of them. */
   readonly daemonCount: () => number;
 }
@@ -168,7 +168,7 @@
     this.noteFailing(now);
     this.doubtHolders(now);
     this.readReports(now);
-    const mayOrder = this.options.mayOrder();
+    const mayOrder = this.options.orderDelayMs() === 0;
     this.giveAll(mayOrder ? this.planner.plan(this.planningInput(host, now)) : [], now);
     this.options.metrics.roundSeconds.observe((steadyNow() - now) / 1_000);
   }
@@ -314,7 +314,7 @@
   ): Promise<void> {
     const { options } = this;
     const expectedSequence = ledger.sequence;
-    const maySend = (): boolean => !this.stopped && options.mayOrder();
+    const maySend = (): boolean => !this.stopped && options.orderDelayMs() === 0;
     const fence = { holder: options.holder, epoch: options.epoch, expectedSequence, maySend };
     const { order } = planned;
     const outcome = await options.control.order(backend, order, fence);
@@ -372,8 +372,11 @@
 
   /** Expected times at which models that no backend holds are loaded. */
   private forecasts(host: ModelHostSpec, now: number): Map<string, number> {
+    const delayMs = this.options.orderDelayMs();
+    // Nobody is to wait for a load that may not be ordered for as long as cannot be told.
+    if (!Number.isFinite(delayMs)) return new Map();
     const forecasts = this.planner.forecasts(this.planningInput(host, now));
-    return new Map([...forecasts].map(([model, readyInMs]) => [model, now + readyInMs]));
+    return new Map([...forecasts].map(([model, readyInMs]) => [model, now + delayMs + readyInMs]));
   }
 }
 
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -30,6 +30,7 @@
   const directory = new BackendDirectory();
   const orders: string[] = [];
   let silent = '';
+  let orderDelayMs = 0;
   let owner: ServiceOwner;
 
   function reportOf(backend: BackendRecord): BackendReport | undefined {
@@ -51,6 +52,7 @@
     vi.useFakeTimers({ toFake: ['performance', 'setTimeout'] });
     orders.length = 0;
     silent = '';
+    orderDelayMs = 0;
     const backends = [recordOf('x', ['hot']), recordOf('y', [])];
     directory.setBackends({ backends, revision: 1, mayMissBackends: false }, 0);
     owner = new ServiceOwner(
@@ -73,7 +75,7 @@
         metrics: new GatewayMetrics(),
         publish: () => {},
         isOwner: () => true,
-        mayOrder: () => true,
+        orderDelayMs: () => orderDelayMs,
         daemonCount: () => 1,
       },
       () => {},
@@ -106,6 +108,25 @@
     expect(orders.every((order) => order.endsWith('load rare1'))).toBe(true);
   });
 
+  it('waits for its lease, tells what backends hold and when the load may come, and then orders', async () => {
+    orderDelayMs = 2_000;
+    await run(1_000, 'rare1');
+    expect(orders).toEqual([]);
+    const waiting = owner.everything();
+    expect(waiting.forecasts.get('rare1')).toBeGreaterThan(2_000);
+    expect(waiting.backends.get('x')?.map(({ name }) => name)).toEqual(['hot']);
+    orderDelayMs = 0;
+    await run(500, 'rare1');
+    expect(orders.length).toBeGreaterThan(0);
+  });
+
+  it('forecasts no load while it cannot be told when one may be ordered', async () => {
+    orderDelayMs = Infinity;
+    await run(1_000, 'rare1');
+    expect(orders).toEqual([]);
+    expect([...owner.everything().forecasts.keys()]).toEqual([]);
+  });
+
   it('loads a model elsewhere when its only holder has fallen silent', async () => {
     await run(200, 'hot');
     await run(600, 'hot');
