--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -253,11 +253,11 @@
     const { peers } = this.options;
     const { record } = this;
     if (record === undefined || record.address === peers.address) return true;
-    // It stops its orders before it says that it leaves.
-    if (this.ownerHasLeft()) return true;
     const owner = peers.membership.all().find((member) => member.address === record.address);
     if (owner === undefined || record.incarnation === undefined) return false;
-    return owner.incarnation - record.incarnation >= RESTART_MS;
+    const aheadMs = owner.incarnation - record.incarnation;
+    // A daemon that leaves has stopped its orders before it says so; a new process has none yet.
+    return owner.state === 'leaving' ? aheadMs >= 0 : aheadMs >= RESTART_MS;
   }
 
   /** After a lost answer the record itself tells whether the claim was written. */
