--- a/src/core/ownership-lease.ts
+++ b/src/core/ownership-lease.ts
@@ -9,14 +9,16 @@
 
 /** A proof allows orders for so long after its question: two questions may get no answer. */
 export const HOLD_MS = 1_500;
-/** A new owner waits so long after its claim: HOLD_MS, and half a second for orders on their way. */
-export const HAND_OVER_MS = 2_000;
+/** An order without an answer is given up, and its connection reset, within so long of its sending. */
+const ORDER_ON_ITS_WAY_MS = 800;
+/** A new owner waits so long after its claim: a former one may have sent an order at the end of its lease. */
+export const HAND_OVER_MS = HOLD_MS + ORDER_ON_ITS_WAY_MS;
 
 /** A claim that was won. */
 export interface WonClaim {
   readonly askedAt: number;
   readonly answeredAt: number;
-  /** The former owner is known to have given its last order: it said so, or its process has ended. */
+  /** All former owners are known to have given their last orders. */
   readonly isHandedOver: boolean;
 }
 
@@ -28,7 +30,7 @@
   /** Begins a new ownership. */
   begin(claim: WonClaim): void {
     this.provenAt = claim.askedAt;
-    this.notBefore = claim.isHandedOver ? claim.answeredAt : claim.answeredAt + HAND_OVER_MS;
+    this.notBefore = claim.answeredAt + (claim.isHandedOver ? ORDER_ON_ITS_WAY_MS : HAND_OVER_MS);
   }
 
   /** Nobody had claimed the service after this owner at `askedAt`. */
--- a/src/gateway/caller-admission.ts
+++ b/src/gateway/caller-admission.ts
@@ -119,7 +119,7 @@
   }
 
   private doubt(): Denial<never> {
-    this.options.onDoubt();
+    if (this.needsLease) this.options.onDoubt();
     return { type: 'refused', kind: 'not_ready', retryAfterMs: COME_BACK_MS };
   }
 }
--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -50,6 +50,8 @@
 interface KnownReader {
   readonly heardAt: number;
   readonly platformAway: boolean;
+  /** The newest configuration that it has in force. */
+  readonly version: number;
 }
 
 /** This daemon's part in following the directory. */
@@ -76,13 +78,20 @@
     if (isDue || this.isPlatformAway() !== this.toldPlatformAway) this.publish([], []);
   }
 
-  /** Whether what this daemon holds of the directory may be taken for what the platform holds now. */
+  /**
+   * Whether what this daemon holds of the directory may be taken for what the platform holds now: by its
+   * own reading or a reader's, and no reader has a newer configuration.
+   */
   isInformed(): boolean {
-    if (this.attention !== 'relaxed') return !this.isPlatformAway();
-    const now = steadyNow();
-    return [...this.readers.values()].some(
-      (reader) => isHeard(reader, now) && !reader.platformAway,
-    );
+    const isAnswered =
+      this.attention === 'relaxed' ? this.hearsAnsweredReader() : !this.isPlatformAway();
+    const version = this.options.version();
+    return isAnswered && [...this.readers.values()].every((reader) => reader.version <= version);
+  }
+
+  /** Whether another daemon is heard that the platform answers. */
+  hearsAnsweredReader(): boolean {
+    return this.readerCounts(steadyNow()).answered > 0;
   }
 
   /** The platform's list has changed. */
@@ -101,7 +110,8 @@
     const { backends, ownsService, onChange } = this.options;
     const now = steadyNow();
     const news = decodeNews(message);
-    this.readers.set(from, { heardAt: now, platformAway: news.platformAway });
+    const { platformAway, configurationVersion: version } = news;
+    this.readers.set(from, { heardAt: now, platformAway, version });
     const ended = news.ended.filter((end) => backends.noteEnded(end));
     // An owner plans with whole records, which its own readings bring as early.
     const started = ownsService()
@@ -159,7 +169,7 @@
     const first = this.firstInRank();
     const position = first.indexOf(this.options.peers.address);
     const isReader = position >= 0 && position < CLOSE_READERS;
-    const standsIn = position >= CLOSE_READERS && !this.hearsAnsweredReader(first, now);
+    const standsIn = position >= CLOSE_READERS && !this.hearsAnsweredDesignated(first, now);
     // Who is only cut off from the designated readers reads closely too, but publishes nothing.
     this.isDesignatedReader = ownsService || isReader || standsIn;
     if (ownsService) return 'immediate';
@@ -174,7 +184,7 @@
   }
 
   /** Whether the platform answers a reader; those that stand in count not, or they would relieve one another. */
-  private hearsAnsweredReader(first: readonly string[], now: number): boolean {
+  private hearsAnsweredDesignated(first: readonly string[], now: number): boolean {
     const standIns = new Set(first.slice(CLOSE_READERS));
     return [...this.readers].some(([address, reader]) => {
       return !standIns.has(address) && isHeard(reader, now) && !reader.platformAway;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -145,6 +145,7 @@
       logger,
       metrics: outside.metrics,
       listed: () => this.members.listed,
+      platformAnswersOthers: () => this.directoryDuty.hearsAnsweredReader(),
       publish: (update) => this.publish(update),
     });
     this.context = this.makeContext();
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -6,11 +6,11 @@
  * here only keep owners from taking turns.
  */
 import { faultText, type Logger } from '../common/logger.js';
-import { firstCandidate } from '../common/rendezvous.js';
+import { rankCandidates } from '../common/rendezvous.js';
 import { ablestOf, seesHalf, type DutyMember } from '../core/duties.js';
 import type { Membership } from '../core/membership.js';
 import type { MemberView } from '../core/membership-messages.js';
-import { OwnershipLease } from '../core/ownership-lease.js';
+import { HAND_OVER_MS, HOLD_MS, OwnershipLease } from '../core/ownership-lease.js';
 import { ownerRecord, type OwnerRecord } from './owner-record.js';
 import { OwnershipProofs } from './ownership-proofs.js';
 import type { RecordStore } from './ports.js';
@@ -29,10 +29,19 @@
 const HEARD_LATELY_MS = 1_200;
 
 /**
- * A daemon whose successor it does not hear leaves the service to it for so long. Without that the two
- * would claim it from each other without end, and each claim costs a hand-over.
+ * An owner that others are to follow leaves the service to them for so long. Without that two daemons
+ * that do not hear each other would claim it from each other without end, and each claim costs a
+ * hand-over.
  */
 const YIELD_MS = 10_000;
+/**
+ * An owner without a proof gives up once the platform has answered others for so long: they can do what
+ * it cannot. Two of its own readings would have been answered by then.
+ */
+const UNPROVEN_MS = HOLD_MS + 500;
+/** Daemons, by rank, that claim a service, and how much later each does than the one before it. */
+const MOST_SUCCESSORS = 4;
+const SUCCESSOR_STEP_MS = 1_000;
 
 /**
  * An owner that lives, by the membership, but was not heard for so long has given
@@ -57,6 +66,8 @@
   readonly logger: Logger;
   /** Backends refuse orders of a lower epoch; else an owner needs a lease. */
   readonly backendsCheckEpochs: boolean;
+  /** Whether a daemon is heard that the platform answers. */
+  readonly platformAnswersOthers: () => boolean;
   /** Daemons that the platform's store lists. */
   readonly listed: () => readonly DutyMember[];
   /** This daemon owns the service from now on, or no longer. */
@@ -75,9 +86,15 @@
   private notBefore = steadyNow() + SETTLE_MS;
   private lastRead = -Infinity;
   private lastHeard = -Infinity;
+  /** Highest epoch of a former owner that was heard. */
+  private formerEpochHeard = 0;
   /** Since when this daemon has known its record's owner. */
   private knownSince = -Infinity;
-
+  /** Since when this process has looked around without standing still. */
+  private awakeSince = steadyNow();
+  /** Since when this owner has no proof while the platform answers others. */
+  private passedOverSince = Infinity;
+  private stopped = false;
   private readonly lease = new OwnershipLease();
   private readonly proofs: OwnershipProofs;
 
@@ -121,10 +138,11 @@
     this.lastTick = now;
     if (this.epoch !== undefined) {
       if (!this.seesEnough()) this.giveUp('sees too few daemons');
-      if (!this.options.backendsCheckEpochs) this.proofs.tick();
+      if (!this.options.backendsCheckEpochs) this.tendLease(now);
       return;
     }
-    if (this.busy || now < this.notBefore || now - this.lastRead < READ_PERIOD_MS) return;
+    if (this.stopped || this.busy || now < this.notBefore || now - this.lastRead < READ_PERIOD_MS)
+      return;
     if (now - this.lastHeard < HEARD_LATELY_MS && !this.ownerHasLeft()) return;
     if (!this.isSuccessor() || this.ownerIsLive()) return;
     this.lastRead = now;
@@ -136,9 +154,18 @@
       .finally(() => (this.busy = false));
   }
 
+  private tendLease(now: number): void {
+    this.proofs.tick();
+    if (this.lease.ageMs(now) <= HOLD_MS || !this.options.platformAnswersOthers()) {
+      this.passedOverSince = now;
+    } else if (now - this.passedOverSince > UNPROVEN_MS) {
+      this.yieldTo('the platform answers others, and not this daemon');
+    }
+  }
+
   /** Another daemon says that it owns the service. */
   hearOwner(address: string, epoch: number): void {
-    if (epoch < (this.record?.epoch ?? 0)) return;
+    if (epoch < (this.record?.epoch ?? 0)) return this.noteFormerOwner(address, epoch);
     if (this.epoch !== undefined && epoch > this.epoch) this.giveUp('a higher epoch exists');
     if (this.epoch === epoch) return;
     this.lastHeard = steadyNow();
@@ -146,6 +173,15 @@
     this.learn({ address, epoch, incarnation: undefined, claim: '' });
   }
 
+  /** A former owner still speaks as one: on-call sees who heard it, once for each epoch. */
+  private noteFormerOwner(address: string, epoch: number): void {
+    if (epoch <= this.formerEpochHeard) return;
+    this.formerEpochHeard = epoch;
+    const { service, logger } = this.options;
+    const known = this.record?.epoch;
+    logger.warn('former_owner_heard', { service, address, epoch, known });
+  }
+
   /** Takes a record; an owner that is new to this daemon gets time to be heard. */
   private learn(record: OwnerRecord | undefined): void {
     const known = this.record;
@@ -165,7 +201,13 @@
     this.options.onChange(undefined);
   }
 
-  /** Ends the ownership because another owns the service, perhaps one that this daemon does not hear. */
+  /** Ends the ownership, and claims nothing any more: also a claim that is answered later is not taken up. */
+  stop(reason: string): void {
+    this.stopped = true;
+    this.giveUp(reason);
+  }
+
+  /** Ends the ownership in favour of another daemon, perhaps one that this daemon does not hear. */
   private yieldTo(reason: string): void {
     this.giveUp(reason);
     this.notBefore = steadyNow() + YIELD_MS;
@@ -177,6 +219,7 @@
     this.lastTick = now;
     this.options.logger.warn('standstill', { milliseconds: Math.round(gap) });
     this.notBefore = now + SETTLE_MS;
+    this.awakeSince = now;
     this.record = undefined;
     this.giveUp('the process stood still');
   }
@@ -185,10 +228,13 @@
     return seesHalf(this.options.peers.live(), this.options.listed());
   }
 
+  /** The first in rank may be one that cannot claim: the next ones claim after a longer silence. */
   private isSuccessor(): boolean {
     const { peers, service } = this.options;
     const candidates = ablestOf(peers.live()).map((member) => member.address);
-    return this.seesEnough() && firstCandidate(service, candidates) === peers.address;
+    const position = rankCandidates(service, candidates).indexOf(peers.address);
+    if (!this.seesEnough() || position < 0 || position >= MOST_SUCCESSORS) return false;
+    return position === 0 || this.silentMs() > OWNER_SILENT_MS + position * SUCCESSOR_STEP_MS;
   }
 
   private ownerIsLive(): boolean {
@@ -205,14 +251,27 @@
 
   /** Safe: the claim raises the epoch, which ends the orders of an owner that still believes itself one, or its lease does. */
   private isSilent(): boolean {
-    return steadyNow() - Math.max(this.lastHeard, this.knownSince) > OWNER_SILENT_MS;
+    return this.silentMs() > OWNER_SILENT_MS;
+  }
+
+  /** Milliseconds since an owner was heard, or could have been. */
+  private silentMs(): number {
+    return steadyNow() - Math.max(this.lastHeard, this.knownSince, this.awakeSince);
   }
 
   /** Whether the owner has said itself that it leaves. */
   private ownerHasLeft(): boolean {
-    const { membership } = this.options.peers;
-    const owner = membership.all().find((member) => member.address === this.record?.address);
-    return owner?.state === 'leaving';
+    return this.ownerView()?.state === 'leaving';
+  }
+
+  /** The record's owner as membership sees it: the process that the record names, or a later one. */
+  private ownerView(): MemberView | undefined {
+    const { record } = this;
+    const view = this.options.peers.membership
+      .all()
+      .find(({ address }) => address === record?.address);
+    const isEarlier = view !== undefined && view.incarnation < (record?.incarnation ?? 0);
+    return isEarlier ? undefined : view;
   }
 
   private async readAndClaim(): Promise<void> {
@@ -235,12 +294,13 @@
     const claim = `${address} ${incarnation} ${epoch}`;
     const record: OwnerRecord = { address, incarnation, epoch, claim };
     const before = this.record?.address ?? '';
-    const isHandedOver = this.formerOwnerHasStopped();
+    const cause = this.causeOfClaim();
+    const isHandedOver = this.formerOwnersHaveStopped();
     const askedAt = steadyNow();
     const written = await store.write('owners', service, record, this.revision);
     const won = written.isOk || (await this.isOurs(claim, written.error.type));
-    logger.info('ownership_claimed', { service, epoch, won, before, isHandedOver });
-    if (!won) return;
+    logger.info('ownership_claimed', { service, epoch, won, before, cause, isHandedOver });
+    if (!won || this.stopped) return;
     this.lease.begin({ askedAt, answeredAt: steadyNow(), isHandedOver });
     this.proofs.begin(claim);
     this.record = record;
@@ -248,16 +308,24 @@
     this.options.onChange(epoch);
   }
 
-  /** Whether the owner of the record is known to have given its last order: a suspicion is no such knowledge. */
-  private formerOwnerHasStopped(): boolean {
-    const { peers } = this.options;
-    const { record } = this;
-    if (record === undefined || record.address === peers.address) return true;
-    const owner = peers.membership.all().find((member) => member.address === record.address);
-    if (owner === undefined || record.incarnation === undefined) return false;
-    const aheadMs = owner.incarnation - record.incarnation;
-    // A daemon that leaves has stopped its orders before it says so; a new process has none yet.
-    return owner.state === 'leaving' ? aheadMs >= 0 : aheadMs >= RESTART_MS;
+  /** Why the owner of the record is taken for one no longer. */
+  private causeOfClaim(): string {
+    if (this.record === undefined) return 'there was no owner';
+    if (this.record.address === this.options.peers.address) return 'it was this daemon';
+    const view = this.ownerView();
+    if (view?.state === 'leaving') return 'it leaves';
+    if (view === undefined || view.state === 'dead') return 'it is not live';
+    return this.isSilent() ? 'it lives but is silent' : 'its process has started again';
+  }
+
+  /**
+   * Whether all former owners are known to have given their last orders: the last one stops them before
+   * it says that it leaves, and it was known here for so long that those before it have no lease. A
+   * suspicion, or a process that seems to have started again, is no such knowledge.
+   */
+  private formerOwnersHaveStopped(): boolean {
+    if (this.record === undefined) return true;
+    return this.ownerHasLeft() && steadyNow() - this.knownSince >= HAND_OVER_MS;
   }
 
   /** After a lost answer the record itself tells whether the claim was written. */
--- a/src/gateway/service-duties.ts
+++ b/src/gateway/service-duties.ts
@@ -26,6 +26,8 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly listed: () => readonly DutyMember[];
+  /** Whether a daemon is heard that the platform answers. */
+  readonly platformAnswersOthers: () => boolean;
   readonly publish: (update: PlacementUpdate) => void;
 }
 
@@ -68,7 +70,7 @@
   /** Gives all ownership up and claims nothing any more. */
   stop(reason: string): void {
     this.stopped = true;
-    for (const { ownership } of this.duties.values()) ownership.giveUp(reason);
+    for (const { ownership } of this.duties.values()) ownership.stop(reason);
   }
 
   backendsChanged(): void {
@@ -97,7 +99,7 @@
   }
 
   private makeDuty(service: string): Duty {
-    const { peers, store, logger, listed, settings } = this.options;
+    const { peers, store, logger, listed, settings, platformAnswersOthers } = this.options;
     const duty: Duty = {
       owner: undefined,
       ownership: new Ownership({
@@ -106,6 +108,7 @@
         store,
         logger,
         backendsCheckEpochs: settings.backendsCheckEpochs,
+        platformAnswersOthers,
         listed,
         onChange: (epoch) => {
           duty.owner?.stop();
--- a/test/core/ownership-lease.test.ts
+++ b/test/core/ownership-lease.test.ts
@@ -28,9 +28,11 @@
     expect(HAND_OVER_MS).toBeGreaterThan(HOLD_MS);
   });
 
-  it('allows orders at once after a hand-over', () => {
+  it('waits only for orders on their way after a hand-over', () => {
     begin(true);
-    expect(lease.holds(ANSWERED_AT)).toBe(true);
+    lease.prove(ANSWERED_AT + 700);
+    const first = ANSWERED_AT + HAND_OVER_MS - HOLD_MS;
+    expect([first - 1, first].map((now) => lease.holds(now))).toEqual([false, true]);
   });
 
   it('counts a proof from its question, and never steps back to an older one', () => {
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -1,6 +1,7 @@
 /** Daemons that may own a service, on a virtual clock, with one store and views that may differ. */
 import { Result } from 'true-myth';
 import { vi } from 'vitest';
+import { sleep } from '../../src/common/process.js';
 import { silentLogger } from '../../src/common/logger.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
 import { Ownership } from '../../src/gateway/ownership.js';
@@ -21,6 +22,8 @@
   record: StoredRecord | undefined;
   /** Daemons that the store does not answer. */
   readonly turnedAway = new Set<string>();
+  /** The store answers a write so long after it was done. */
+  answerDelayMs = 0;
   /** Pairs "a b" of daemons of which the first does not see or hear the second. */
   private readonly cuts = new Set<string>();
 
@@ -41,6 +44,8 @@
       store: this.storeOf(address),
       logger: silentLogger,
       backendsCheckEpochs: this.backendsCheckEpochs,
+      platformAnswersOthers: () =>
+        [...this.members.keys()].some((other) => !this.turnedAway.has(other)),
       listed: () => [...this.members.values()],
       onChange: () => {},
     });
@@ -74,6 +79,11 @@
     }
   }
 
+  private async later<Answer>(answer: Answer): Promise<Answer> {
+    if (this.answerDelayMs > 0) await sleep(this.answerDelayMs);
+    return answer;
+  }
+
   private seenBy(address: string): MemberView[] {
     return [...this.members.values()].filter(
       (view) => !this.cuts.has(`${address} ${view.address}`),
@@ -91,8 +101,9 @@
         if (revision !== this.record?.revision) {
           return Promise.resolve(Result.err({ type: 'conflict' as const }));
         }
-        this.record = { name, value, revision: (revision ?? 0) + 1 };
-        return Promise.resolve(Result.ok(this.record));
+        const record = { name, value, revision: (revision ?? 0) + 1 };
+        this.record = record;
+        return this.later(Result.ok(record));
       },
       remove: () => Promise.resolve(),
     };
