--- a/scripts/spec.mjs
+++ b/scripts/spec.mjs
@@ -102,7 +102,8 @@
   await inParallel(
     mutants.map((mutant) => async () => {
       const model = models.find((candidate) => candidate.name === mutant.model);
-      const result = await search(`mutant-${mutant.define}`, model, { [mutant.define]: 1 }, true);
+      const name = `mutant-${mutant.model}-${mutant.define}`;
+      const result = await search(name, model, { [mutant.define]: 1 }, true);
       const caught = result.errors > 0;
       if (!caught) missed += 1;
       const { states, seconds } = result;
