Ownership lease where backends do not check epochs; readers tell whether the platform answers them

Cause: an owner never had to confirm its ownership. It relied on backends that refuse a lower epoch, on hearing of a higher one, and on seeing too few daemons; where backends do not check epochs, an owner that its successor does not see, or that notices a cut last, ordered on beside it. Class: safety that rests on a check which others may not make. CONFIG, the same cause elsewhere: a reader's sign of life was taken for a proof that the platform is read.

--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -208,6 +208,7 @@
       directory: {
         start: (listener) => (this.listener = listener),
         setAttention: () => {},
+        readingAgeMs: () => 0,
         refreshConfiguration: () => (this.refreshes += 1),
         confirmConfiguration: () => this.confirm(),
         configurationDocument: () => undefined,
@@ -252,6 +253,7 @@
       readiness: `127.0.0.1:${readiness}`,
       store: '127.0.0.1:1',
       seeds: [],
+      backendsCheckEpochs: true,
       policies: DEFAULT_POLICIES,
       bounds: {
         stopSeconds: 8,
