Soak's auditor judges each version of the configuration from its own acknowledgement

Cause: after any fault of the store a late configuration was excused for 4 s and more, counted from the acknowledgement, and only the newest version was probed: a gateway that hears of a version 4.7 s late, or of one that was followed quickly by others, was not seen. Ruled out: a longer allowance only while the store is unsound; the users' rule knows none once the store and the gateway were undisturbed for 3,000 ms. Change: `audit-configuration.ts` excuses a 404 only if the store (towards that gateway) or the gateway was disturbed within the 3,000 ms before the request, or the request was sent within 2,000 ms of the version's own acknowledgement. Disturbances and faults of the store now tell when they really ended. The newest four versions are probed, and the newest one whose route was dropped (`dropped_route_served`); a configuration that goes back is seen also behind an older version. Routes of the last eight versions stand in a configuration (three before), so that a quick series does not end them. What the auditor is given moves to `evidence.ts`.

--- /dev/null
+++ b/test/soak/audit-configuration.test.ts
@@ -0,0 +1,99 @@
+import { describe, expect, it } from 'vitest';
+import { auditConfiguration, CONFIGURATION_MS, CONTACT_MS } from './audit-configuration.js';
+import type { ConfigurationProbe, SoakEvidence, TimeSpan } from './evidence.js';
+import { droppedBy } from './soak-configuration.js';
+
+const VERSION = 2;
+const ACCEPTED_AT = 100_000;
+const LATE_AT = ACCEPTED_AT + CONFIGURATION_MS + 10;
+
+function probeOf(status: number, sentAt: number, version = VERSION): ConfigurationProbe {
+  const caller = { tenant: 't', key: 'k' };
+  const named = { attemptId: 'a', kind: 'probe', path: '/', model: undefined, caller } as const;
+  const request = { ...named, body: '', deadlineMs: 1_000 };
+  const seen = { isWhole: true, isSealed: true, text: '', wasRefused: false };
+  const call = { request, gateway: 'g', status, sentAt, endedAt: sentAt + 5, ...seen };
+  return { call, version };
+}
+
+function rules(probes: readonly ConfigurationProbe[], part: Partial<SoakEvidence> = {}): string[] {
+  const evidence: SoakEvidence = {
+    calls: [],
+    probes,
+    runs: [],
+    replicaViolations: [],
+    accepted: new Map([[VERSION, ACCEPTED_AT]]),
+    gateways: { wasDisturbed: () => false, wasHarmed: () => false, stopDuring: () => undefined },
+    storeFaults: [],
+    replicaFaults: [],
+    calmSince: 0,
+    unaskedExits: 0,
+    ...part,
+  };
+  return auditConfiguration(evidence).map(({ rule }) => rule);
+}
+
+function disturbedOnce(at: number): Partial<SoakEvidence> {
+  const wasDisturbed = (_: string, { from, until }: TimeSpan): boolean => from <= at && at <= until;
+  return { gateways: { wasDisturbed, wasHarmed: () => false, stopDuring: () => undefined } };
+}
+
+describe('the audit of configurations', () => {
+  it('sees a version that is late after its own acknowledgement, whatever came after it', () => {
+    expect(rules([probeOf(404, ACCEPTED_AT + CONFIGURATION_MS)])).toEqual([]);
+    expect(rules([probeOf(404, LATE_AT)])).toEqual(['configuration_late']);
+    const accepted = new Map([
+      [VERSION, ACCEPTED_AT],
+      [VERSION + 1, LATE_AT - 10],
+    ]);
+    expect(rules([probeOf(404, LATE_AT)], { accepted })).toEqual(['configuration_late']);
+    expect(rules([probeOf(404, LATE_AT, VERSION + 1)], { accepted })).toEqual([]);
+  });
+
+  it('grants nothing more once the store was sound for the time of contact', () => {
+    const faultUntil = (until: number) => ({ storeFaults: [{ from: ACCEPTED_AT - 9_000, until }] });
+    const soundSince = LATE_AT - CONTACT_MS;
+    expect(rules([probeOf(404, LATE_AT)], faultUntil(soundSince))).toEqual([]);
+    expect(rules([probeOf(404, LATE_AT)], faultUntil(soundSince - 1))).toEqual([
+      'configuration_late',
+    ]);
+  });
+
+  it('grants nothing to gateways that the store served while it turned others away', () => {
+    const from = LATE_AT - 100;
+    const turnedAway = (name: string) => ({
+      storeFaults: [{ from, until: LATE_AT, gateways: new Set([name]) }],
+    });
+    expect(rules([probeOf(404, LATE_AT)], turnedAway('g'))).toEqual([]);
+    expect(rules([probeOf(404, LATE_AT)], turnedAway('h'))).toEqual(['configuration_late']);
+  });
+
+  it('grants nothing more once the gateway was undisturbed for the time of contact', () => {
+    const undisturbedSince = LATE_AT - CONTACT_MS;
+    expect(rules([probeOf(404, LATE_AT)], disturbedOnce(undisturbedSince))).toEqual([]);
+    expect(rules([probeOf(404, LATE_AT)], disturbedOnce(undisturbedSince - 1))).toEqual([
+      'configuration_late',
+    ]);
+  });
+
+  it('sees a route that is served though a version has dropped it', () => {
+    const accepted = new Map([
+      [VERSION, ACCEPTED_AT - 9_000],
+      [droppedBy(VERSION), ACCEPTED_AT],
+    ]);
+    expect(rules([probeOf(404, LATE_AT)], { accepted })).toEqual([]);
+    expect(rules([probeOf(200, ACCEPTED_AT + CONFIGURATION_MS)], { accepted })).toEqual([]);
+    expect(rules([probeOf(200, LATE_AT)], { accepted })).toEqual(['dropped_route_served']);
+  });
+
+  it('sees a configuration that goes back, also behind an older version', () => {
+    const before = ACCEPTED_AT + 100;
+    expect(rules([probeOf(200, before), probeOf(404, before + 100)])).toEqual([
+      'configuration_reverted',
+    ]);
+    expect(rules([probeOf(200, before, VERSION + 1), probeOf(404, before + 100)])).toEqual([
+      'configuration_reverted',
+    ]);
+    expect(rules([probeOf(200, before), probeOf(404, before + 100, VERSION + 1)])).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/soak/audit-configuration.ts
@@ -0,0 +1,98 @@
+/** The promises about changed configurations, from what probes of a soak recorded. Pure. */
+import {
+  describeCall,
+  overlapsAny,
+  type ConfigurationProbe,
+  type SoakEvidence,
+  type TimeSpan,
+  type Violation,
+} from './evidence.js';
+import { droppedBy } from './soak-configuration.js';
+
+/** A version is in force so long after its own acknowledgement, whatever came after it. */
+export const CONFIGURATION_MS = 2_000;
+/** A gateway is in touch once it, and the store towards it, were undisturbed for so long. */
+export const CONTACT_MS = 3_000;
+const OK = 200;
+const NOT_FOUND = 404;
+
+/** Broken promises about configurations. */
+export function auditConfiguration(evidence: SoakEvidence): Violation[] {
+  return [
+    ...evidence.probes.flatMap((probe) => auditProbe(probe, evidence)),
+    ...auditReversions(evidence),
+  ];
+}
+
+/** Each version is judged from its own acknowledgement: a newer one grants no more time. */
+function auditProbe(probe: ConfigurationProbe, evidence: SoakEvidence): Violation[] {
+  const { call, version } = probe;
+  if (call.status === NOT_FOUND && !mayBeDropped(probe, evidence)) {
+    return lateSince(probe, evidence.accepted.get(version), 'configuration_late', evidence);
+  }
+  if (call.status === OK) {
+    const droppedAt = evidence.accepted.get(droppedBy(version));
+    return lateSince(probe, droppedAt, 'dropped_route_served', evidence);
+  }
+  return [];
+}
+
+function lateSince(
+  { call, version }: ConfigurationProbe,
+  acceptedAt: number | undefined,
+  rule: string,
+  evidence: SoakEvidence,
+): Violation[] {
+  if (acceptedAt === undefined) return [];
+  const lateMs = call.sentAt - acceptedAt;
+  if (lateMs <= CONFIGURATION_MS) return [];
+  const span = { from: call.sentAt - CONTACT_MS, until: call.endedAt };
+  if (!wasInTouch(call.gateway, span, evidence)) return [];
+  const when = new Date(call.sentAt).toISOString();
+  const detail = `${describeCall(call)}, version ${version}, sent ${when}, ${lateMs} ms after the acknowledgement`;
+  return [{ rule, detail }];
+}
+
+/** A version that drops the route may have been in force before the answer. */
+function mayBeDropped({ call, version }: ConfigurationProbe, evidence: SoakEvidence): boolean {
+  const droppedAt = evidence.accepted.get(droppedBy(version));
+  return droppedAt !== undefined && droppedAt <= call.endedAt;
+}
+
+function wasInTouch(gateway: string, span: TimeSpan, evidence: SoakEvidence): boolean {
+  if (evidence.gateways.wasDisturbed(gateway, span)) return false;
+  const faults = evidence.storeFaults.filter(
+    ({ gateways }) => gateways === undefined || gateways.has(gateway),
+  );
+  return !overlapsAny(span, faults);
+}
+
+/** A gateway that has served a version's route must not deny it, or an older one, later in the same life. */
+function auditReversions(evidence: SoakEvidence): Violation[] {
+  const served = new Map<string, ConfigurationProbe[]>();
+  const found: Violation[] = [];
+  for (const probe of evidence.probes) {
+    const { call } = probe;
+    const before = served.get(call.gateway) ?? [];
+    served.set(call.gateway, before);
+    if (call.status === OK) before.push(probe);
+    if (call.status !== NOT_FOUND || mayBeDropped(probe, evidence)) continue;
+    const isReverted = before.some((earlier) => contradicts(probe, earlier, evidence));
+    if (isReverted) found.push({ rule: 'configuration_reverted', detail: describeCall(call) });
+  }
+  return found;
+}
+
+function contradicts(
+  { call, version }: ConfigurationProbe,
+  earlier: ConfigurationProbe,
+  evidence: SoakEvidence,
+): boolean {
+  if (earlier.version < version) return false;
+  const span = { from: earlier.call.endedAt, until: call.endedAt };
+  return !hasRestarted(call.gateway, span, evidence);
+}
+
+function hasRestarted(gateway: string, span: TimeSpan, { gateways }: SoakEvidence): boolean {
+  return gateways.wasHarmed(gateway, span) || gateways.stopDuring(gateway, span) !== undefined;
+}
--- a/test/soak/audit-tenants.ts
+++ b/test/soak/audit-tenants.ts
@@ -1,5 +1,5 @@
 /** The promises about keys and limits, from what callers and replicas of a soak recorded. Pure. */
-import type { SoakEvidence, Violation } from './audit.js';
+import type { SoakEvidence, Violation } from './evidence.js';
 import type { CallRecord } from './caller.js';
 import type { RunRecord } from './run-log.js';
 import {
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
-import { audit, type SoakEvidence } from './audit.js';
+import { audit } from './audit.js';
 import type { CallRecord, RequestKind } from './caller.js';
+import type { GatewayHistory, SoakEvidence } from './evidence.js';
 import { plainText, streamText } from './expected-events.js';
 import {
   LIMIT_WINDOW_MS,
@@ -13,6 +14,11 @@
 } from './soak-tenants.js';
 
 const CALM_FROM = 100_000;
+const untouched: GatewayHistory = {
+  wasDisturbed: () => false,
+  wasHarmed: () => false,
+  stopDuring: () => undefined,
+};
 
 function callOf(kind: RequestKind, part: Partial<CallRecord> = {}): CallRecord {
   const isStream = kind === 'resumable' || kind === 'stream_once';
@@ -32,7 +38,7 @@
     runs: [],
     replicaViolations: [],
     accepted: new Map(),
-    gateways: { wasHarmed: () => false, stopDuring: () => undefined },
+    gateways: untouched,
     storeFaults: [],
     replicaFaults: [],
     calmSince: CALM_FROM,
@@ -78,13 +84,13 @@
     const late = callOf('any', { endedAt: 11_600 });
     const missing = callOf('any', { status: undefined, isWhole: false });
     expect(rules({ calls: [late, missing] })).toEqual(['late_end', 'no_answer']);
-    const gateways = { wasHarmed: () => true, stopDuring: () => undefined };
+    const gateways = { ...untouched, wasHarmed: () => true };
     expect(rules({ calls: [late, missing], gateways })).toEqual([]);
   });
 
   it('sees a stream that a planned stop cut, unless a replica failed', () => {
     const cut = callOf('resumable', { isWhole: false });
-    const gateways = { wasHarmed: () => false, stopDuring: () => 10_050 };
+    const gateways = { ...untouched, stopDuring: () => 10_050 };
     expect(rules({ calls: [cut], gateways })).toEqual(['cut_by_planned_stop']);
     const replicaFaults = [{ from: 9_000, until: 10_010 }];
     expect(rules({ calls: [cut], gateways, replicaFaults })).toEqual([]);
@@ -103,18 +109,6 @@
     expect(rules({ ...late, storeFaults })).toEqual([]);
   });
 
-  it('sees a configuration that is late, and one that goes back', () => {
-    const probe = (status: number, sentAt: number) => {
-      const call = callOf('probe', { status, sentAt, endedAt: sentAt + 5, text: '' });
-      return { call, version: 2, acceptedAt: 10_000 };
-    };
-    expect(rules({ probes: [probe(404, 11_000)] })).toEqual([]);
-    expect(rules({ probes: [probe(404, 12_500)] })).toEqual(['configuration_late']);
-    expect(rules({ probes: [probe(200, 11_000), probe(404, 11_500)] })).toEqual([
-      'configuration_reverted',
-    ]);
-  });
-
   it('sees a key that is denied, a wrong tenant, and a key that outlives its removal', () => {
     expect(rules({ calls: [callOf('any', { status: 401, text: '' })] })).toEqual(['key_denied']);
     const forged = { ...run, tenant: 'forged' };
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -1,62 +1,24 @@
 /** Counts the promises that a soak saw broken, from what callers and replicas recorded. Pure. */
 import type { CallRecord, RequestKind } from './caller.js';
+import { auditConfiguration } from './audit-configuration.js';
 import { auditTenants } from './audit-tenants.js';
 import { plainText, streamText } from './expected-events.js';
+import {
+  describeCall,
+  overlapsAny,
+  type SoakEvidence,
+  type TimeSpan,
+  type Violation,
+} from './evidence.js';
 import type { ReplicaViolation, RunRecord } from './run-log.js';
 import { STEADY_TENANT } from './soak-tenants.js';
 
-/** A time, in Unix milliseconds. */
-export interface TimeSpan {
-  readonly from: number;
-  readonly until: number;
-}
-
-/** What was done to the gateways, as the auditor asks for it. */
-export interface GatewayHistory {
-  wasHarmed(gateway: string, span: TimeSpan): boolean;
-  /** When the gateway was asked to stop in that time. */
-  stopDuring(gateway: string, span: TimeSpan): number | undefined;
-}
-
-/** One try of a changed configuration at one gateway. */
-export interface ConfigurationProbe {
-  readonly call: CallRecord;
-  readonly version: number;
-  readonly acceptedAt: number;
-}
-
-/** All that a soak has left behind. */
-export interface SoakEvidence {
-  readonly calls: readonly CallRecord[];
-  readonly probes: readonly ConfigurationProbe[];
-  readonly runs: readonly RunRecord[];
-  readonly replicaViolations: readonly ReplicaViolation[];
-  readonly gateways: GatewayHistory;
-  /** When versions of the configuration were accepted, in Unix milliseconds. */
-  readonly accepted: ReadonlyMap<number, number>;
-  /** Times in which the store was not sound. */
-  readonly storeFaults: readonly TimeSpan[];
-  /** Times in which some replica was not sound. */
-  readonly replicaFaults: readonly TimeSpan[];
-  /** Since when nothing was done to anything. */
-  readonly calmSince: number;
-  readonly unaskedExits: number;
-}
-
-/** One broken promise. */
-export interface Violation {
-  readonly rule: string;
-  readonly detail: string;
-}
-
 const PROMISES = new Set([408, 421, 429, 503]);
 const AT_MOST_ONCE: ReadonlySet<RequestKind> = new Set(['once', 'stream_once']);
 const END_TOLERANCE_MS = 500;
-const CONFIGURATION_MS = 2_000;
 /** After a fault of the store daemons may need so long to read again. */
 const STORE_AFTERMATH_MS = 4_000;
 const RECOVERY_SHARE = 0.9;
-const NOT_FOUND = 404;
 
 /** All broken promises. */
 export function audit(evidence: SoakEvidence): Violation[] {
@@ -64,8 +26,7 @@
   return [
     ...evidence.calls.flatMap((call) => auditCall(call, runs, evidence)),
     ...evidence.replicaViolations.flatMap((seen) => auditReplica(seen, evidence)),
-    ...evidence.probes.flatMap((probe) => auditProbe(probe, evidence)),
-    ...auditReversions(evidence),
+    ...auditConfiguration(evidence),
     ...auditRecovery(evidence),
     ...auditTenants(evidence),
     ...(evidence.unaskedExits > 0
@@ -87,7 +48,7 @@
 ): Violation[] {
   const { request, status = 0 } = call;
   const found: Violation[] = [];
-  const report = (rule: string): void => void found.push({ rule, detail: describe(call) });
+  const report = (rule: string): void => void found.push({ rule, detail: describeCall(call) });
   const ran = runs.get(request.attemptId) ?? 0;
   const mustRunOnce = AT_MOST_ONCE.has(request.kind);
   if (mustRunOnce && ran > 1) report('repeated_run');
@@ -130,35 +91,6 @@
   return isExcused ? [] : [{ rule: seen.kind, detail }];
 }
 
-function auditProbe(probe: ConfigurationProbe, evidence: SoakEvidence): Violation[] {
-  const { call, acceptedAt } = probe;
-  if (call.status !== NOT_FOUND || call.sentAt < acceptedAt + CONFIGURATION_MS) return [];
-  const span = { from: acceptedAt - STORE_AFTERMATH_MS, until: call.endedAt };
-  const isExcused =
-    evidence.gateways.wasHarmed(call.gateway, span) ||
-    evidence.gateways.stopDuring(call.gateway, span) !== undefined ||
-    overlapsAny(span, evidence.storeFaults);
-  return isExcused ? [] : [{ rule: 'configuration_late', detail: describe(call) }];
-}
-
-/** A gateway that has served a version's route must not deny it later in the same life. */
-function auditReversions(evidence: SoakEvidence): Violation[] {
-  const served = new Map<string, number>();
-  const found: Violation[] = [];
-  for (const { call, version } of evidence.probes) {
-    const key = `${call.gateway} ${version}`;
-    const servedAt = served.get(key);
-    if (call.status === 200) served.set(key, servedAt ?? call.endedAt);
-    if (call.status !== NOT_FOUND || servedAt === undefined) continue;
-    const span = { from: servedAt, until: call.endedAt };
-    const hasRestarted =
-      evidence.gateways.wasHarmed(call.gateway, span) ||
-      evidence.gateways.stopDuring(call.gateway, span) !== undefined;
-    if (!hasRestarted) found.push({ rule: 'configuration_reverted', detail: describe(call) });
-  }
-  return found;
-}
-
 function auditRecovery(evidence: SoakEvidence): Violation[] {
   const steady = evidence.calls.filter(({ request }) => request.caller.tenant === STEADY_TENANT);
   const calm = steady.filter((call) => call.sentAt >= evidence.calmSince);
@@ -166,14 +98,3 @@
   if (served >= calm.length * RECOVERY_SHARE) return [];
   return [{ rule: 'not_recovered', detail: `${served} of ${calm.length} served` }];
 }
-
-function overlapsAny(span: TimeSpan, others: readonly TimeSpan[]): boolean {
-  return others.some((other) => other.from <= span.until && other.until >= span.from);
-}
-
-function describe(call: CallRecord): string {
-  const { request, gateway, status, sentAt, endedAt } = call;
-  const outcome = status === undefined ? 'no answer' : `status ${status}`;
-  const whole = call.isWhole ? 'whole' : 'cut';
-  return `${request.attemptId} ${request.kind} at ${gateway}: ${outcome}, ${whole}, ${endedAt - sentAt} ms`;
-}
--- /dev/null
+++ b/test/soak/evidence.ts
@@ -0,0 +1,66 @@
+/** What a soak leaves behind for its auditor, and what the auditor finds. */
+import type { CallRecord } from './caller.js';
+import type { ReplicaViolation, RunRecord } from './run-log.js';
+
+/** A time, in Unix milliseconds. */
+export interface TimeSpan {
+  readonly from: number;
+  readonly until: number;
+}
+
+/** A time in which the store was not sound, towards some gateways only if these are named. */
+export interface StoreFault extends TimeSpan {
+  readonly gateways?: ReadonlySet<string>;
+}
+
+/** What was done to the gateways, as the auditor asks for it. */
+export interface GatewayHistory {
+  /** Whether anything was done to the process in that time: a signal, a standstill, a start. */
+  wasDisturbed(gateway: string, span: TimeSpan): boolean;
+  /** The same without planned stops, and with some time to get over it. */
+  wasHarmed(gateway: string, span: TimeSpan): boolean;
+  /** When the gateway was asked to stop in that time. */
+  stopDuring(gateway: string, span: TimeSpan): number | undefined;
+}
+
+/** One try of a changed configuration at one gateway. */
+export interface ConfigurationProbe {
+  readonly call: CallRecord;
+  readonly version: number;
+}
+
+/** All that a soak has left behind. */
+export interface SoakEvidence {
+  readonly calls: readonly CallRecord[];
+  readonly probes: readonly ConfigurationProbe[];
+  readonly runs: readonly RunRecord[];
+  readonly replicaViolations: readonly ReplicaViolation[];
+  readonly gateways: GatewayHistory;
+  /** When versions of the configuration were accepted, in Unix milliseconds. */
+  readonly accepted: ReadonlyMap<number, number>;
+  readonly storeFaults: readonly StoreFault[];
+  /** Times in which some replica was not sound. */
+  readonly replicaFaults: readonly TimeSpan[];
+  /** Since when nothing was done to anything. */
+  readonly calmSince: number;
+  readonly unaskedExits: number;
+}
+
+/** One broken promise. */
+export interface Violation {
+  readonly rule: string;
+  readonly detail: string;
+}
+
+/** Whether a time shares a moment with one of others. */
+export function overlapsAny(span: TimeSpan, others: readonly TimeSpan[]): boolean {
+  return others.some((other) => other.from <= span.until && other.until >= span.from);
+}
+
+/** One line about a call. */
+export function describeCall(call: CallRecord): string {
+  const { request, gateway, status, sentAt, endedAt } = call;
+  const outcome = status === undefined ? 'no answer' : `status ${status}`;
+  const whole = call.isWhole ? 'whole' : 'cut';
+  return `${request.attemptId} ${request.kind} at ${gateway}: ${outcome}, ${whole}, ${endedAt - sentAt} ms`;
+}
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -13,7 +13,10 @@
 export interface Disturbance {
   readonly kind: 'killed' | 'frozen' | 'stopped';
   readonly from: number;
-  until: number;
+  /** When the gateway should be over it. */
+  readonly until: number;
+  /** When the process ran again, or its successor started. */
+  endedAt: number;
 }
 
 /** Loopback ports of one gateway. */
@@ -100,6 +103,7 @@
     this.child = child;
     this.isExpectedToEnd = false;
     child.once('exit', () => this.exited());
+    this.endDisturbances(['killed', 'stopped']);
   }
 
   /** Ends the process at once; it starts again by itself. */
@@ -123,7 +127,10 @@
     this.disturbed('frozen', milliseconds + 500);
     const { child } = this;
     child?.kill('SIGSTOP');
-    setTimeout(() => child?.kill('SIGCONT'), milliseconds).unref();
+    setTimeout(() => {
+      child?.kill('SIGCONT');
+      this.endDisturbances(['frozen']);
+    }, milliseconds).unref();
   }
 
   /** Ends the process for good. */
@@ -137,6 +144,11 @@
     });
   }
 
+  /** Whether the process was stopped, killed, held up or started in a time. */
+  wasDisturbed(from: number, until: number): boolean {
+    return this.disturbances.some((each) => each.from <= until && each.endedAt >= from);
+  }
+
   /** Whether something was done to the process in a time, other than a planned stop. */
   wasHarmed(from: number, until: number): boolean {
     return this.disturbances.some(
@@ -154,7 +166,13 @@
 
   private disturbed(kind: Disturbance['kind'], milliseconds: number): void {
     const from = Date.now();
-    this.disturbances.push({ kind, from, until: from + milliseconds });
+    this.disturbances.push({ kind, from, until: from + milliseconds, endedAt: Infinity });
+  }
+
+  private endDisturbances(kinds: readonly Disturbance['kind'][]): void {
+    for (const each of this.disturbances) {
+      if (kinds.includes(each.kind)) each.endedAt = Math.min(each.endedAt, Date.now());
+    }
   }
 
   private exited(): void {
--- a/test/soak/soak-configuration.ts
+++ b/test/soak/soak-configuration.ts
@@ -2,12 +2,26 @@
 import { HOST } from './caller.js';
 import { tenantsOf } from './soak-tenants.js';
 
-/** A configuration with routes of all kinds, and one plain route for each probed version. */
+/** Versions whose own routes stand in a configuration: enough for a series of quick changes. */
+const ROUTES_KEPT = 8;
+
+/** The version whose configuration has no route of an earlier version any more. */
+export function droppedBy(version: number): number {
+  return version + ROUTES_KEPT;
+}
+
+/** The newest version whose route a version's configuration has dropped; none if below 1. */
+export function newestDropped(version: number): number {
+  return version - ROUTES_KEPT;
+}
+
+/** A configuration with routes of all kinds, and a plain route of its own for each of the last versions. */
 export function configurationOf(
   version: number,
   modelNames: readonly string[],
-  probed: readonly number[],
 ): Record<string, unknown> {
+  const oldest = Math.max(1, newestDropped(version) + 1);
+  const versions = Array.from({ length: version - oldest + 1 }, (_, index) => oldest + index);
   const models = modelNames.map((name) => {
     const times = { loadS: 0.25, diskS: 0.25, warmS: 0.25 };
     return { name, weightsMb: 50, adapters: 0, adapterMb: 0, ...times };
@@ -20,7 +34,7 @@
     { ...stream, pathPrefix: '/models/o/', service: 'models', maxAttempts: 1 },
     { ...plain, pathPrefix: '/plain/once/', kind: 'non_idempotent', maxAttempts: 1 },
     { ...plain, pathPrefix: '/plain/any/', kind: 'idempotent', maxAttempts: 2 },
-    ...probed.map((number) => {
+    ...versions.map((number) => {
       return { ...plain, pathPrefix: `/plain/v${number}/`, kind: 'idempotent', maxAttempts: 2 };
     }),
   ];
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -3,14 +3,15 @@
 import path from 'node:path';
 import { sleep } from '../../src/common/process.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
-import { audit, type ConfigurationProbe, type TimeSpan, type Violation } from './audit.js';
+import { audit } from './audit.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
+import type { ConfigurationProbe, StoreFault, TimeSpan, Violation } from './evidence.js';
 import { planFaults, type Fault } from './fault-plan.js';
 import { GatewayProcess } from './gateway-process.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
-import { configurationOf } from './soak-configuration.js';
+import { configurationOf, newestDropped } from './soak-configuration.js';
 import { drawCaller, STEADY_TENANT } from './soak-tenants.js';
 import { SeededRandom } from './seeded-random.js';
 
@@ -45,8 +46,8 @@
 /** The entry sends new callers elsewhere so long after a stop was asked for. */
 const ENTRY_NOTICES_MS = 2_000;
 const PROBE_PERIOD_MS = 250;
-/** Route versions that are probed. */
-const PROBED_VERSIONS = 3;
+/** The newest versions whose routes are probed: a quick successor must not hide a late version. */
+const PROBED_VERSIONS = 4;
 
 /** Plays one soak to its end. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -63,7 +64,7 @@
   private readonly calls: CallRecord[] = [];
   private readonly probes: ConfigurationProbe[] = [];
   private readonly pending = new Set<Promise<void>>();
-  private readonly storeFaults: TimeSpan[] = [];
+  private readonly storeFaults: StoreFault[] = [];
   private readonly replicaFaults: TimeSpan[] = [];
   private readonly accepted = new Map<number, number>();
   private version = 0;
@@ -94,6 +95,7 @@
       replicaViolations: this.log.violations,
       accepted: this.accepted,
       gateways: {
+        wasDisturbed: (name, { from, until }) => this.gateway(name).wasDisturbed(from, until),
         wasHarmed: (name, { from, until }) => this.gateway(name).wasHarmed(from, until),
         stopDuring: (name, { from, until }) => this.gateway(name).stopDuring(from, until),
       },
@@ -163,12 +165,7 @@
 
   private changeConfiguration(): void {
     this.version += 1;
-    const versions = Array.from({ length: this.version }, (_, index) => index + 1);
-    this.store.put(
-      'config',
-      'main',
-      configurationOf(this.version, MODELS, versions.slice(-PROBED_VERSIONS)),
-    );
+    this.store.put('config', 'main', configurationOf(this.version, MODELS));
     this.accepted.set(this.version, Date.now());
   }
 
@@ -208,8 +205,12 @@
   private strikeStore(condition: ObjectStoreStandIn['condition'], milliseconds: number): void {
     if (this.store.condition !== 'sound') return;
     this.store.condition = condition;
-    this.storeFaults.push({ from: Date.now(), until: Date.now() + milliseconds });
-    setTimeout(() => (this.store.condition = 'sound'), milliseconds);
+    const fault = { from: Date.now(), until: Infinity };
+    this.storeFaults.push(fault);
+    setTimeout(() => {
+      this.store.condition = 'sound';
+      fault.until = Date.now();
+    }, milliseconds);
   }
 
   private soundReplica(): ReplicaStandIn | undefined {
@@ -256,17 +257,24 @@
 
   private async sendProbes(): Promise<void> {
     while (Date.now() < this.endsAt) {
-      for (const name of this.gateways.keys()) this.probe(name);
+      const versions = this.probedVersions();
+      for (const name of this.gateways.keys()) {
+        for (const version of versions) this.probe(name, version);
+      }
       await sleep(PROBE_PERIOD_MS);
     }
   }
 
-  private probe(gateway: string): void {
-    const { version } = this;
-    const acceptedAt = this.accepted.get(version) ?? 0;
+  /** The newest versions, and the newest one whose route is gone. */
+  private probedVersions(): number[] {
+    const newest = Array.from({ length: PROBED_VERSIONS }, (_, back) => this.version - back);
+    return [...newest, newestDropped(this.version)].filter((version) => version > 0);
+  }
+
+  private probe(gateway: string, version: number): void {
     const request = this.requestOf('probe', `/plain/v${version}/x`, undefined, {}, 1_000);
     const done = call(request, gateway, this.gateway(gateway).callers).then((seen) => {
-      this.probes.push({ call: seen, version, acceptedAt });
+      this.probes.push({ call: seen, version });
     });
     this.track(done);
   }
