Soak plays silent connections, a store that turns some away, storms of versions, restarts in series

Ruled out: telling gateways apart by a header (none is sent) or by the local port (needs a look into each process): each gateway gets an address of the same store for itself. `further-fault-injector.ts` brings them about; the earlier kinds move to `fault-injector.ts` as they were. `server-connections.ts` keeps a stand-in's connection open and ignores it. Gateways that the store turned away are excused by the time of contact as in an outage, the others are not. Each run writes `faults.log` beside the gateways' logs. Not played: silent connections between gateways (they have no stand-in between them); the kernel still acknowledges on a silent connection, so that only a time-out can notice it.

--- a/test/soak/audit-configuration.ts
+++ b/test/soak/audit-configuration.ts
@@ -2,6 +2,7 @@
 import {
   describeCall,
   overlapsAny,
+  storeFaultsTowards,
   type ConfigurationProbe,
   type SoakEvidence,
   type TimeSpan,
@@ -61,10 +62,7 @@
 
 function wasInTouch(gateway: string, span: TimeSpan, evidence: SoakEvidence): boolean {
   if (evidence.gateways.wasDisturbed(gateway, span)) return false;
-  const faults = evidence.storeFaults.filter(
-    ({ gateways }) => gateways === undefined || gateways.has(gateway),
-  );
-  return !overlapsAny(span, faults);
+  return !overlapsAny(span, storeFaultsTowards(gateway, evidence));
 }
 
 /** A gateway that has served a version's route must not deny it, or an older one, later in the same life. */
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -6,6 +6,7 @@
 import {
   describeCall,
   overlapsAny,
+  storeFaultsTowards,
   type SoakEvidence,
   type TimeSpan,
   type Violation,
@@ -108,7 +109,8 @@
   const call = evidence.calls.find(({ request }) => seen.detail.startsWith(request.attemptId));
   if (call === undefined) return true;
   const span = { from: call.sentAt - STORE_AFTERMATH_MS, until: call.endedAt };
-  return evidence.gateways.wasHarmed(call.gateway, span) || overlapsAny(span, evidence.storeFaults);
+  const storeFaults = storeFaultsTowards(call.gateway, evidence);
+  return evidence.gateways.wasHarmed(call.gateway, span) || overlapsAny(span, storeFaults);
 }
 
 function auditRecovery(evidence: SoakEvidence): Violation[] {
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -66,3 +66,8 @@
   const whole = call.isWhole ? 'whole' : 'cut';
   return `${request.attemptId} ${request.kind} at ${gateway}: ${outcome}, ${whole}, ${endedAt - sentAt} ms`;
 }
+
+/** Times in which the store was not sound towards a gateway. */
+export function storeFaultsTowards(gateway: string, { storeFaults }: SoakEvidence): StoreFault[] {
+  return storeFaults.filter(({ gateways }) => gateways === undefined || gateways.has(gateway));
+}
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -76,6 +76,10 @@
     writeFileSync(this.settingsFile, JSON.stringify(settings));
   }
 
+  get name(): string {
+    return this.options.name;
+  }
+
   get callers(): string {
     return `127.0.0.1:${this.options.ports.callers}`;
   }
@@ -84,6 +88,11 @@
     return `127.0.0.1:${this.options.ports.metrics}`;
   }
 
+  /** "ip:port" for other gateways. */
+  get peers(): string {
+    return `127.0.0.1:${this.options.ports.peers}`;
+  }
+
   /** The running process's id. */
   get pid(): number | undefined {
     return this.child?.pid;
@@ -113,6 +122,11 @@
     this.child?.kill('SIGKILL');
   }
 
+  /** Tells the process that its settings file has changed. */
+  signalSettings(): void {
+    this.child?.kill('SIGHUP');
+  }
+
   /** Asks the process to end; it starts again by itself. */
   stopInTurn(): void {
     this.disturbed('stopped', STOP_SECONDS * 1_000 + 1_500);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,6 +1,6 @@
 /** Command line of the soak: plays seeds one after the other, and exits with 1 if a promise was broken. */
 import { Command, Option } from 'commander';
-import { runSoak, soakFolder } from './soak-run.js';
+import { runSoak, soakFolder, type FaultKinds } from './soak-run.js';
 
 interface Flags {
   readonly seed: string;
@@ -8,8 +8,10 @@
   readonly seconds: string;
   readonly gateways: string;
   readonly epochs: string;
+  readonly faults: FaultKinds;
 }
 
+const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both'];
 const EPOCH_CHOICES = ['checked', 'unchecked', 'drawn'];
 
 const program = new Command('soak')
@@ -18,6 +20,11 @@
   .option('--runs <number>', 'seeds to play', '1')
   .option('--seconds <number>', 'time in which faults begin', '30')
   .option('--gateways <number>', 'gateways to start', '4')
+  .addOption(
+    new Option('--faults <kinds>', 'which kinds of faults are played')
+      .choices(FAULT_KINDS)
+      .default('first'),
+  )
   .addOption(
     new Option('--epochs <choice>', 'whether replicas refuse orders with too low an epoch')
       .choices(EPOCH_CHOICES)
@@ -42,6 +49,7 @@
       folder: soakFolder(seed),
       gateways,
       checksEpochs: checksEpochs(flags.epochs, seed),
+      faultKinds: flags.faults,
     });
     const { violations, ...figures } = result;
     console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
--- /dev/null
+++ b/test/soak/object-store-stand-in.test.ts
@@ -0,0 +1,51 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { HttpClient } from '../../src/common/http-client.js';
+import { ObjectStoreStandIn } from './object-store-stand-in.js';
+import { SeededRandom } from './seeded-random.js';
+
+const PATH = '/-/objects/config/main';
+
+describe('the stand-in of the store', () => {
+  const stores: ObjectStoreStandIn[] = [];
+  const clients: HttpClient[] = [];
+
+  afterEach(() => {
+    for (const client of clients.splice(0)) client.close();
+    for (const store of stores.splice(0)) store.stop();
+  });
+
+  function startStore(): ObjectStoreStandIn {
+    const store = new ObjectStoreStandIn(new SeededRandom(1));
+    stores.push(store);
+    store.put('config', 'main', { version: 1 });
+    return store;
+  }
+
+  /** The status of an answer on this caller's connection; 0 without an answer. */
+  function callerAt(address: string): () => Promise<number> {
+    const client = new HttpClient();
+    clients.push(client);
+    return async () => {
+      const answer = await client.send({ method: 'GET', address, path: PATH, timeoutMs: 200 });
+      return answer.isOk ? answer.value.status : 0;
+    };
+  }
+
+  it('turns some callers away and serves the others', async () => {
+    const store = startStore();
+    const [served, refused] = [await store.listenFor('a'), await store.listenFor('b')];
+    store.turnedAway.set('b', 'throttled');
+    expect(await callerAt(served)()).toBe(200);
+    expect(await callerAt(refused)()).toBe(429);
+  });
+
+  it('says nothing more on silent connections, and answers on new ones', async () => {
+    const store = startStore();
+    const address = await store.listenFor('a');
+    const first = callerAt(address);
+    expect(await first()).toBe(200);
+    store.connections.silence(1, new SeededRandom(1));
+    expect(await first()).toBe(0);
+    expect(await callerAt(address)()).toBe(200);
+  });
+});
--- a/test/soak/object-store-stand-in.ts
+++ b/test/soak/object-store-stand-in.ts
@@ -5,6 +5,7 @@
  */
 import http from 'node:http';
 import { readJson, sendJson, listen } from '../../src/common/http-server.js';
+import { ServerConnections } from './server-connections.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** Objects on one page of a list. */
@@ -13,7 +14,8 @@
 const LARGEST_BODY_BYTES = 1024 * 1024;
 
 /** How the store treats its callers now. */
-export type StoreCondition = 'sound' | 'busy' | 'silent' | 'reset' | 'slow' | 'answers_lost';
+export type StoreCondition =
+  'sound' | 'busy' | 'throttled' | 'silent' | 'reset' | 'slow' | 'answers_lost';
 
 interface StoredObject {
   readonly metadata: { readonly name: string; readonly revision: number };
@@ -41,8 +43,11 @@
 
 /** One store. */
 export class ObjectStoreStandIn {
+  /** Towards all callers. */
   condition: StoreCondition = 'sound';
-  address = '';
+  /** Towards some callers, by name, while the store is sound otherwise. */
+  readonly turnedAway = new Map<string, StoreCondition>();
+  readonly connections = new ServerConnections();
   calls = 0;
   private readonly kinds = new Map<string, Map<string, StoredObject>>();
   private changes: StoredChange[] = [];
@@ -50,19 +55,30 @@
   /** Watches from before this revision are answered with 410. */
   private forgottenUpTo = 0;
   private readonly waiters = new Set<Waiter>();
-  private readonly server: http.Server;
-
-  constructor(private readonly random: SeededRandom) {
-    this.server = http.createServer((request, response) => void this.receive(request, response));
+  private readonly servers: http.Server[] = [];
+
+  constructor(private readonly random: SeededRandom) {}
+
+  /** An address for one caller alone, which tells it from the others. */
+  async listenFor(caller: string): Promise<string> {
+    const server = http.createServer(
+      (request, response) => void this.receive(caller, request, response),
+    );
+    this.connections.follow(server);
+    this.servers.push(server);
+    return `127.0.0.1:${await listen(server, '127.0.0.1', 0)}`;
   }
 
-  async start(): Promise<void> {
-    this.address = `127.0.0.1:${await listen(this.server, '127.0.0.1', 0)}`;
+  stop(): void {
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
-  stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+  /** What an object holds; undefined if there is none. */
+  read(kind: string, name: string): unknown {
+    return this.objectsOf(kind).get(name)?.spec;
   }
 
   /** Writes for the operator and the replicas, who are never refused. */
@@ -88,14 +104,17 @@
   }
 
   private async receive(
+    caller: string,
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (this.connections.isSilent(request.socket)) return;
     this.calls += 1;
-    const condition = this.condition;
+    const condition = this.conditionFor(caller);
     if (condition === 'silent') return;
     if (condition === 'reset') return void request.socket.destroy();
     if (condition === 'busy') return sendJson(response, 503, {});
+    if (condition === 'throttled') return sendJson(response, 429, {});
     const call = await readCall(request);
     if (call === undefined) return sendJson(response, 400, {});
     const isLost = condition === 'answers_lost' && call.method !== 'GET' && this.random.chance(0.4);
@@ -106,6 +125,11 @@
     }, delayMs);
   }
 
+  private conditionFor(caller: string): StoreCondition {
+    if (this.condition !== 'sound') return this.condition;
+    return this.turnedAway.get(caller) ?? 'sound';
+  }
+
   private answer(call: Call, reply: (status: number, body: object) => void): void {
     if (call.method !== 'GET') return this.write(call, reply);
     if (call.query.has('watch')) return this.watch(call, reply);
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -10,6 +10,7 @@
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { eventText, plainText } from './expected-events.js';
 import type { ReplicaViolation, RunLog } from './run-log.js';
+import { ServerConnections } from './server-connections.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** How a replica behaves now. */
@@ -53,6 +54,7 @@
 /** One place of a replica; each start is a new process with a new id. */
 export class ReplicaStandIn {
   condition: ReplicaCondition = 'sound';
+  readonly connections = new ServerConnections();
   id = '';
   private starts = 0;
   address = '';
@@ -89,6 +91,7 @@
     this.running = 0;
     this.leavingSince = undefined;
     const server = http.createServer((request, response) => void this.receive(request, response));
+    this.connections.follow(server);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     this.server = server;
@@ -141,6 +144,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (this.connections.isSilent(request.socket)) return;
     const read = await readBody(request, LARGEST_BODY_BYTES);
     const body = read.isOk ? read.value : '';
     const target = request.headers['x-target-instance'];
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -1,20 +1,27 @@
 /** One soak: gateways as processes, stand-ins of everything else, faults drawn from a seed. */
-import { mkdirSync, rmSync } from 'node:fs';
+import { appendFileSync, mkdirSync, rmSync } from 'node:fs';
 import path from 'node:path';
 import { sleep } from '../../src/common/process.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { audit } from './audit.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
 import type { ConfigurationProbe, StoreFault, TimeSpan, Violation } from './evidence.js';
+import { FaultInjector } from './fault-injector.js';
 import { planFaults, type Fault } from './fault-plan.js';
+import { FurtherFaultInjector } from './further-fault-injector.js';
+import { planFurtherFaults, type FurtherFault } from './further-fault-plan.js';
 import { GatewayProcess } from './gateway-process.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
 import { configurationOf, newestDropped } from './soak-configuration.js';
 import { drawCaller, STEADY_TENANT } from './soak-tenants.js';
+import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
 
+/** Which kinds of faults are played: each has a generator of its own. */
+export type FaultKinds = 'first' | 'further' | 'both';
+
 /** What to play. */
 export interface SoakOptions {
   readonly seed: number;
@@ -26,6 +33,8 @@
   readonly requestsPerSecond?: number;
   /** Whether replicas refuse orders with too low an epoch; so by default. */
   readonly checksEpochs?: boolean;
+  /** The first kinds by default. */
+  readonly faultKinds?: FaultKinds;
 }
 
 /** What came of it. */
@@ -41,6 +50,8 @@
 const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
 const MODEL_REPLICAS = 4;
 const PLAIN_REPLICAS = 2;
+/** Added to a seed for the generator of the further faults. */
+const FURTHER_SEED = 10_000;
 const START_MS = 3_000;
 /** From the last fault's end until callers are served as before. */
 const RECOVERY_MS = 9_000;
@@ -57,17 +68,17 @@
   return soak.play();
 }
 
-class SoakRun {
+class SoakRun implements SoakSystem {
   private readonly random: SeededRandom;
-  private readonly store: ObjectStoreStandIn;
+  readonly store: ObjectStoreStandIn;
   private readonly log = new RunLog();
-  private readonly replicas: ReplicaStandIn[] = [];
-  private readonly gateways = new Map<string, GatewayProcess>();
+  readonly replicas: ReplicaStandIn[] = [];
+  readonly gateways = new Map<string, GatewayProcess>();
   private readonly calls: CallRecord[] = [];
   private readonly probes: ConfigurationProbe[] = [];
   private readonly pending = new Set<Promise<void>>();
-  private readonly storeFaults: StoreFault[] = [];
-  private readonly replicaFaults: TimeSpan[] = [];
+  readonly storeFaults: StoreFault[] = [];
+  readonly replicaFaults: TimeSpan[] = [];
   private readonly accepted = new Map<number, number>();
   private version = 0;
   private sequence = 0;
@@ -80,13 +91,10 @@
 
   async play(): Promise<SoakResult> {
     await this.start();
-    const plan = planFaults(this.random, this.options.faultMs);
     const begun = Date.now() + START_MS;
     const calmSince = begun + this.options.faultMs + RECOVERY_MS;
     this.endsAt = calmSince + CALM_MS;
-    for (const { at, fault } of plan) {
-      setTimeout(() => this.strike(fault), begun + at - Date.now());
-    }
+    const faults = this.planFirst(begun) + this.planFurther(begun);
     await sleep(START_MS);
     await Promise.all([this.sendRequests(), this.sendProbes()]);
     await Promise.all(this.pending);
@@ -112,17 +120,50 @@
       violations,
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isWhole).length,
-      faults: plan.length,
+      faults,
       loads: this.log.loads,
       storeCalls: this.store.calls,
     };
   }
 
+  /** The number of faults. */
+  private planFirst(begun: number): number {
+    const { faultMs, faultKinds = 'first' } = this.options;
+    if (faultKinds === 'further') return 0;
+    const faults = new FaultInjector(this, this.random);
+    const plan = planFaults(this.random, faultMs);
+    return this.schedule(plan, begun, (fault) => faults.strike(fault));
+  }
+
+  /** The number of faults. */
+  private planFurther(begun: number): number {
+    const { seed, faultMs, faultKinds = 'first' } = this.options;
+    if (faultKinds === 'first') return 0;
+    const random = new SeededRandom(seed + FURTHER_SEED);
+    const faults = new FurtherFaultInjector(this, random, begun + faultMs);
+    const plan = planFurtherFaults(random, faultMs);
+    return this.schedule(plan, begun, (fault) => faults.strike(fault));
+  }
+
+  private schedule<Kind extends Fault | FurtherFault>(
+    plan: readonly { readonly at: number; readonly fault: Kind }[],
+    begun: number,
+    strike: (fault: Kind) => void,
+  ): number {
+    for (const { at, fault } of plan) {
+      const begin = (): void => {
+        this.note(fault);
+        strike(fault);
+      };
+      setTimeout(begin, begun + at - Date.now());
+    }
+    return plan.length;
+  }
+
   private async start(): Promise<void> {
     const { folder, gateways = 4 } = this.options;
     rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
-    await this.store.start();
     for (let index = 0; index < MODEL_REPLICAS + PLAIN_REPLICAS; index++) {
       const replica = this.makeReplica(index);
       this.replicas.push(replica);
@@ -134,7 +175,8 @@
       const [peers = 0, callers = 0, readiness = 0] = ports.splice(0, 3);
       const name = `gateway-${index}`;
       const where = { peers, callers, readiness, metrics: 0 };
-      const process = new GatewayProcess({ name, folder, store: this.store.address, ports: where });
+      const store = await this.store.listenFor(name);
+      const process = new GatewayProcess({ name, folder, store, ports: where });
       this.gateways.set(name, process);
       process.start();
     }
@@ -168,94 +210,23 @@
     return found;
   }
 
-  private changeConfiguration(): void {
+  /** Writes what happens beside the gateways' logs, to be read with them. */
+  private note(happened: Fault | FurtherFault | { kind: string; version: number }): void {
+    const line = `${new Date().toISOString()} ${JSON.stringify(happened)}\n`;
+    appendFileSync(path.join(this.options.folder, 'faults.log'), line);
+  }
+
+  changeConfiguration(): void {
     this.version += 1;
+    this.note({ kind: 'configuration_accepted', version: this.version });
     this.store.put('config', 'main', configurationOf(this.version, MODELS));
     this.accepted.set(this.version, Date.now());
   }
 
-  private strike(fault: Fault): void {
-    switch (fault.kind) {
-      case 'gateway_killed':
-        for (let count = 0; count < fault.count; count++) this.anyGateway()?.kill();
-        return;
-      case 'gateway_frozen':
-        return this.anyGateway()?.freeze(fault.milliseconds);
-      case 'gateway_stopped':
-        return this.anyGateway()?.stopInTurn();
-      case 'store':
-        return this.strikeStore(fault.condition, fault.milliseconds);
-      case 'store_compacted':
-        return this.store.compact();
-      case 'replica_crashed':
-        return this.crashReplica(fault.milliseconds);
-      case 'replica_left':
-        return this.replaceReplica();
-      case 'replica':
-        return this.strikeReplica(fault.condition, fault.milliseconds);
-      case 'configuration_changed':
-        return this.changeConfiguration();
-    }
-  }
-
-  private anyGateway(): GatewayProcess | undefined {
-    const now = Date.now();
-    const untouched = [...this.gateways.values()].filter(
-      (each) => !each.disturbances.some(({ until }) => until > now),
-    );
-    // One gateway is left alone, so that callers have somewhere to go.
-    return untouched.length > 1 ? this.random.pick(untouched) : undefined;
-  }
-
-  private strikeStore(condition: ObjectStoreStandIn['condition'], milliseconds: number): void {
-    if (this.store.condition !== 'sound') return;
-    this.store.condition = condition;
-    const fault = { from: Date.now(), until: Infinity };
-    this.storeFaults.push(fault);
-    setTimeout(() => {
-      this.store.condition = 'sound';
-      fault.until = Date.now();
-    }, milliseconds);
-  }
-
-  private soundReplica(): ReplicaStandIn | undefined {
-    const sound = this.replicas.filter((each) => each.isUp && each.condition === 'sound');
-    return sound.length > 2 ? this.random.pick(sound) : undefined;
-  }
-
-  private strikeReplica(condition: ReplicaStandIn['condition'], milliseconds: number): void {
-    const replica = this.soundReplica();
-    if (replica === undefined) return;
-    replica.condition = condition;
-    this.noteReplicaFault(milliseconds);
-    setTimeout(() => (replica.condition = 'sound'), milliseconds);
-  }
-
-  private crashReplica(milliseconds: number): void {
-    const replica = this.soundReplica();
-    if (replica === undefined) return;
-    this.noteReplicaFault(milliseconds);
-    replica.crash();
-    setTimeout(() => void replica.start(), milliseconds);
-  }
-
-  /** The replica leaves after its notice; a new one takes its place. */
-  private replaceReplica(): void {
-    const replica = this.soundReplica();
-    if (replica === undefined) return;
-    const serveMs = this.random.between(2_500, 4_000);
-    this.noteReplicaFault(serveMs);
-    void replica.leave(serveMs).then(() => replica.start());
-  }
-
-  private noteReplicaFault(milliseconds: number): void {
-    this.replicaFaults.push({ from: Date.now(), until: Date.now() + milliseconds });
-  }
-
   private async sendRequests(): Promise<void> {
     const { requestsPerSecond = 30 } = this.options;
     while (Date.now() < this.endsAt) {
-      this.send(this.drawRequest());
+      this.send(this.drawRequest(this.random));
       await sleep(this.random.between(0.3, 1.7) * (1_000 / requestsPerSecond));
     }
   }
@@ -277,26 +248,37 @@
   }
 
   private probe(gateway: string, version: number): void {
-    const request = this.requestOf('probe', `/plain/v${version}/x`, undefined, {}, 1_000);
+    const request = this.requestOf(
+      this.random,
+      'probe',
+      `/plain/v${version}/x`,
+      undefined,
+      {},
+      1_000,
+    );
     const done = call(request, gateway, this.gateway(gateway).callers).then((seen) => {
       this.probes.push({ call: seen, version });
     });
     this.track(done);
   }
 
-  private drawRequest(): SoakRequest {
-    const events = Math.ceil(this.random.between(1, 60));
+  private drawRequest(random: SeededRandom): SoakRequest {
+    const events = Math.ceil(random.between(1, 60));
     // The busy models change with time.
     const hot = Math.floor((Date.now() / 8_000) % MODELS.length);
-    const model = this.random.chance(0.6) ? MODELS[hot] : this.random.pick(MODELS);
-    const draw = this.random.between(0, 1);
-    if (draw < 0.35) return this.requestOf('resumable', '/models/s/x', model, { events }, 6_000);
-    if (draw < 0.55) return this.requestOf('stream_once', '/models/o/x', model, { events }, 6_000);
-    if (draw < 0.8) return this.requestOf('once', '/plain/once/x', undefined, { events }, 1_500);
-    return this.requestOf('any', '/plain/any/x', undefined, { events }, 1_500);
+    const model = random.chance(0.6) ? MODELS[hot] : random.pick(MODELS);
+    const draw = random.between(0, 1);
+    if (draw < 0.35)
+      return this.requestOf(random, 'resumable', '/models/s/x', model, { events }, 6_000);
+    if (draw < 0.55)
+      return this.requestOf(random, 'stream_once', '/models/o/x', model, { events }, 6_000);
+    if (draw < 0.8)
+      return this.requestOf(random, 'once', '/plain/once/x', undefined, { events }, 1_500);
+    return this.requestOf(random, 'any', '/plain/any/x', undefined, { events }, 1_500);
   }
 
   private requestOf(
+    random: SeededRandom,
     kind: SoakRequest['kind'],
     requestPath: string,
     model: string | undefined,
@@ -309,20 +291,24 @@
     const caller =
       kind === 'probe'
         ? { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` }
-        : drawCaller(this.random, this.version, Date.now());
+        : drawCaller(random, this.version, Date.now());
     return { attemptId, kind, path: requestPath, model, body, deadlineMs, caller };
   }
 
-  private send(request: SoakRequest): void {
+  /** Gateways that the entry sends new callers to. */
+  private openGateways(): GatewayProcess[] {
     const now = Date.now();
-    const open = [...this.gateways].filter(([, each]) => {
+    return [...this.gateways.values()].filter((each) => {
       const stoppedAt = each.stopDuring(now, now);
       return stoppedAt === undefined || now - stoppedAt < ENTRY_NOTICES_MS;
     });
-    const [name, gateway] = this.random.pick(open) ?? [];
-    if (name === undefined || gateway === undefined) return;
+  }
+
+  private send(request: SoakRequest): void {
+    const gateway = this.random.pick(this.openGateways());
+    if (gateway === undefined) return;
     this.track(
-      call(request, name, gateway.callers).then((seen) => {
+      call(request, gateway.name, gateway.callers).then((seen) => {
         this.calls.push(seen);
       }),
     );
