Soak plays gateways without a promise about removed keys, truer outages, and larger systems

The soak's settings always promise how soon a removed key ends, so every gateway confirms its configuration each second or so by a reading of its own, and a watch on a dead connection delays nothing; gateways without that promise rest on watches alone. The store's stand-in also still answered watches that had begun to wait before an outage. And probes came in bursts of 20, more than the plain replicas have places: callers were refused beside them. Change: `--revocation promised|none|drawn`; without the promise the auditor does not judge `revoked_key_run`. An answer that falls due while the store is silent is lost, while it resets the connection is reset. Probes are spread over their period. `--replicas N` (two in three have models) and `--requests N`.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -35,6 +35,7 @@
     replicaFaults: [],
     calmSince: 0,
     unaskedExits: 0,
+    promisesRevocation: true,
     ...part,
   };
   return auditConfiguration(evidence).map(({ rule }) => rule);
--- a/test/soak/audit-tenants.ts
+++ b/test/soak/audit-tenants.ts
@@ -39,6 +39,7 @@
   const found: Violation[] = [];
   const detail = `${run.attemptId} at ${gateway}: tenant ${run.tenant ?? 'none'}`;
   if (run.tenant !== request.caller.tenant) found.push({ rule: 'wrong_tenant', detail });
+  if (!evidence.promisesRevocation) return found;
   const version = removedBy(request.caller);
   const removedAt = version === undefined ? undefined : evidence.accepted.get(version);
   if (removedAt !== undefined && sentAt > removedAt + REVOCATION_MS) {
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -46,6 +46,7 @@
     replicaFaults: [],
     calmSince: CALM_FROM,
     unaskedExits: 0,
+    promisesRevocation: true,
     ...part,
   };
 }
@@ -154,6 +155,8 @@
     expect(rules({ calls, runs, accepted: removed(REVOCATION_MS + 10) })).toEqual([
       'revoked_key_run',
     ]);
+    const unpromised = { accepted: removed(REVOCATION_MS + 10), promisesRevocation: false };
+    expect(rules({ calls, runs, ...unpromised })).toEqual([]);
   });
 
   it('sees a limit that is exceeded in a window, each request counted once', () => {
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -46,6 +46,8 @@
   /** Since when nothing was done to anything. */
   readonly calmSince: number;
   readonly unaskedExits: number;
+  /** Whether the gateways were started with a bound for keys that are taken away. */
+  readonly promisesRevocation: boolean;
 }
 
 /** One broken promise. */
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -34,6 +34,8 @@
   readonly folder: string;
   readonly store: string;
   readonly ports: GatewayPorts;
+  /** Whether the operator promises how soon a key that was taken away is served no more; so by default. */
+  readonly promisesRevocation?: boolean;
 }
 
 /** A gateway that is started again whenever it ends. */
@@ -46,7 +48,7 @@
   private isOver = false;
 
   constructor(private readonly options: GatewayProcessOptions) {
-    const { name, store, ports } = options;
+    const { name, store, ports, promisesRevocation = true } = options;
     const settings = {
       name,
       zone: 'a',
@@ -66,7 +68,7 @@
         retrySlack: 40,
         storeLoadWindowSeconds: 5,
         storeLoadExcess: 1.1,
-        revocationMs: REVOCATION_MS,
+        ...(promisesRevocation ? { revocationMs: REVOCATION_MS } : {}),
         configurationMs: 2_000,
         limitWindowSeconds: LIMIT_WINDOW_MS / 1_000,
         limitExcess: LIMIT_EXCESS,
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -7,13 +7,17 @@
   readonly runs: string;
   readonly seconds: string;
   readonly gateways: string;
+  readonly replicas: string;
+  readonly requests: string;
   readonly keptCallers: string;
   readonly epochs: string;
+  readonly revocation: string;
   readonly faults: FaultKinds;
 }
 
 const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both'];
 const EPOCH_CHOICES = ['checked', 'unchecked', 'drawn'];
+const REVOCATION_CHOICES = ['promised', 'none', 'drawn'];
 
 const program = new Command('soak')
   .description('gateways as real processes under faults drawn from a seed')
@@ -21,6 +25,8 @@
   .option('--runs <number>', 'seeds to play', '1')
   .option('--seconds <number>', 'time in which faults begin', '30')
   .option('--gateways <number>', 'gateways to start', '4')
+  .option('--replicas <number>', 'replicas to start', '6')
+  .option('--requests <number>', 'requests a second on connections of their own', '30')
   .option('--kept-callers <number>', 'callers that keep their connections open', '4')
   .addOption(
     new Option('--faults <kinds>', 'which kinds of faults are played')
@@ -31,6 +37,11 @@
     new Option('--epochs <choice>', 'whether replicas refuse orders with too low an epoch')
       .choices(EPOCH_CHOICES)
       .default('checked'),
+  )
+  .addOption(
+    new Option('--revocation <choice>', 'whether gateways promise when removed keys end')
+      .choices(REVOCATION_CHOICES)
+      .default('promised'),
   );
 
 /** Odd seeds play replicas that check nothing. */
@@ -38,6 +49,11 @@
   return choice === 'drawn' ? seed % 2 === 0 : choice === 'checked';
 }
 
+/** Two seeds with the promise follow two without it. */
+function promisesRevocation(choice: string, seed: number): boolean {
+  return choice === 'drawn' ? seed % 4 >= 2 : choice === 'promised';
+}
+
 async function main(): Promise<void> {
   const flags = program.parse().opts<Flags>();
   let broken = 0;
@@ -50,8 +66,11 @@
       faultMs,
       folder: soakFolder(seed),
       gateways,
+      replicas: Number(flags.replicas),
+      requestsPerSecond: Number(flags.requests),
       keptCallers: Number(flags.keptCallers),
       checksEpochs: checksEpochs(flags.epochs, seed),
+      promisesRevocation: promisesRevocation(flags.revocation, seed),
       faultKinds: flags.faults,
     });
     const { violations, ...figures } = result;
--- a/test/soak/object-store-stand-in.test.ts
+++ b/test/soak/object-store-stand-in.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { HttpClient } from '../../src/common/http-client.js';
+import { sleep } from '../../src/common/process.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { SeededRandom } from './seeded-random.js';
 
@@ -22,15 +23,27 @@
   }
 
   /** The status of an answer on this caller's connection; 0 without an answer. */
-  function callerAt(address: string): () => Promise<number> {
+  function callerAt(address: string, path = PATH): () => Promise<number> {
     const client = new HttpClient();
     clients.push(client);
     return async () => {
-      const answer = await client.send({ method: 'GET', address, path: PATH, timeoutMs: 200 });
+      const answer = await client.send({ method: 'GET', address, path, timeoutMs: 200 });
       return answer.isOk ? answer.value.status : 0;
     };
   }
 
+  it('loses the answer to a watch that waited into an outage', async () => {
+    const store = startStore();
+    const watch = callerAt(await store.listenFor('a'), '/-/objects/config?watch=1&waitMs=9000');
+    const answer = watch();
+    await sleep(50);
+    store.condition = 'silent';
+    store.put('config', 'main', { version: 2 });
+    expect(await answer).toBe(0);
+    store.condition = 'sound';
+    expect(await watch()).toBe(200);
+  });
+
   it('turns some callers away and serves the others', async () => {
     const store = startStore();
     const [served, refused] = [await store.listenFor('a'), await store.listenFor('b')];
--- a/test/soak/object-store-stand-in.ts
+++ b/test/soak/object-store-stand-in.ts
@@ -119,10 +119,13 @@
     if (call === undefined) return sendJson(response, 400, {});
     const isLost = condition === 'answers_lost' && call.method !== 'GET' && this.random.chance(0.4);
     const delayMs = condition === 'slow' ? this.random.between(100, 600) : 1;
-    setTimeout(() => {
-      if (isLost) this.answer(call, () => {});
-      else this.answer(call, (status, body) => sendJson(response, status, body));
-    }, delayMs);
+    const reply = (status: number, body: object): void => {
+      // A watch that waited into an outage gets no answer either.
+      if (isLost || this.conditionFor(caller) === 'silent') return;
+      if (this.conditionFor(caller) === 'reset') request.socket.destroy();
+      else sendJson(response, status, body);
+    };
+    setTimeout(() => this.answer(call, reply), delayMs);
   }
 
   private conditionFor(caller: string): StoreCondition {
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -31,11 +31,18 @@
   /** Folder for settings and logs. */
   readonly folder: string;
   readonly gateways?: number;
+  /** Two in three have models. */
+  readonly replicas?: number;
   readonly requestsPerSecond?: number;
   /** Callers that keep a connection and use it until its gateway is gone; none by default. */
   readonly keptCallers?: number;
   /** Whether replicas refuse orders with too low an epoch; so by default. */
   readonly checksEpochs?: boolean;
+  /**
+   * Whether gateways promise how soon a key that was taken away is served no more; so by default.
+   * Without it they confirm their configuration with nobody, and only watches tell of a new one.
+   */
+  readonly promisesRevocation?: boolean;
   /** The first kinds by default. */
   readonly faultKinds?: FaultKinds;
 }
@@ -51,8 +58,9 @@
 }
 
 const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
-const MODEL_REPLICAS = 4;
-const PLAIN_REPLICAS = 2;
+const REPLICAS = 6;
+/** The other replicas serve plain requests. */
+const SHARE_WITH_MODELS = 2 / 3;
 /** Added to a seed for the generator of the further faults. */
 const FURTHER_SEED = 10_000;
 /** Added to a seed for the generators of callers that keep connections. */
@@ -65,6 +73,7 @@
 /** The entry sends new callers elsewhere so long after a stop was asked for. */
 const ENTRY_NOTICES_MS = 2_000;
 const PROBE_PERIOD_MS = 250;
+const SHORTEST_PROBE_GAP_MS = 4;
 /** The newest versions whose routes are probed: a quick successor must not hide a late version. */
 const PROBED_VERSIONS = 4;
 
@@ -119,6 +128,7 @@
       storeFaults: this.storeFaults,
       replicaFaults: this.replicaFaults,
       calmSince,
+      promisesRevocation: this.options.promisesRevocation ?? true,
       unaskedExits: [...this.gateways.values()].reduce((sum, each) => sum + each.unaskedExits, 0),
     });
     await this.stop();
@@ -167,10 +177,10 @@
   }
 
   private async start(): Promise<void> {
-    const { folder, gateways = 4 } = this.options;
+    const { folder, gateways = 4, promisesRevocation = true } = this.options;
     rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
-    for (let index = 0; index < MODEL_REPLICAS + PLAIN_REPLICAS; index++) {
+    for (let index = 0; index < (this.options.replicas ?? REPLICAS); index++) {
       const replica = this.makeReplica(index);
       this.replicas.push(replica);
       await replica.start();
@@ -182,16 +192,17 @@
       const name = `gateway-${index}`;
       const where = { peers, callers, readiness, metrics: 0 };
       const store = await this.store.listenFor(name);
-      const process = new GatewayProcess({ name, folder, store, ports: where });
+      const process = new GatewayProcess({ name, folder, store, ports: where, promisesRevocation });
       this.gateways.set(name, process);
       process.start();
     }
   }
 
   private makeReplica(index: number): ReplicaStandIn {
-    const { seed, checksEpochs = true } = this.options;
-    const hasModels = index < MODEL_REPLICAS;
-    const models = hasModels ? MODELS.slice(index, index + MODELS_THAT_FIT) : [];
+    const { seed, checksEpochs = true, replicas = REPLICAS } = this.options;
+    const hasModels = index < Math.round(replicas * SHARE_WITH_MODELS);
+    const first = index % (MODELS.length - MODELS_THAT_FIT + 1);
+    const models = hasModels ? MODELS.slice(first, first + MODELS_THAT_FIT) : [];
     return new ReplicaStandIn({
       name: `replica-${index}`,
       service: hasModels ? 'models' : 'plain',
@@ -263,10 +274,15 @@
   private async sendProbes(): Promise<void> {
     while (Date.now() < this.endsAt) {
       const versions = this.probedVersions();
-      for (const name of this.gateways.keys()) {
-        for (const version of versions) this.probe(name, version);
+      const probes = versions.length * this.gateways.size;
+      // At once they would take all places of the replicas from the callers.
+      const gapMs = Math.max(SHORTEST_PROBE_GAP_MS, PROBE_PERIOD_MS / probes);
+      for (const version of versions) {
+        for (const name of this.gateways.keys()) {
+          this.probe(name, version);
+          await sleep(gapMs);
+        }
       }
-      await sleep(PROBE_PERIOD_MS);
     }
   }
 
