Soak's further faults leave quiet times, can be restricted, and its gateways keep their ports

Cause: with a fault every 2.5 s hardly any gateway was ever in touch for 3 s, which is when the bounds bind; a late configuration had little chance to show. Ruled out: longer runs alone: the share of time in touch stays the same. Change: after two faults in five nothing happens until 4 s after its end; storms of versions are drawn twice as often as other kinds, most at an outage's end; `--only KIND...` plays chosen kinds. Ports lie below the range that the system gives to outgoing connections.

--- a/test/soak/further-fault-plan.ts
+++ b/test/soak/further-fault-plan.ts
@@ -56,57 +56,95 @@
 const TURNED_AWAY: readonly TurnedAwayCondition[] = ['busy', 'throttled', 'reset', 'silent'];
 const OUTAGES: readonly StoreCondition[] = ['silent', 'silent', 'busy', 'reset'];
 const SIDES: readonly SilentSide[] = ['store', 'replicas', 'both'];
+/** The kinds that are drawn, each as often as it stands here. */
+export const FURTHER_FAULT_KINDS: readonly FurtherFault['kind'][] = [
+  'connections_silent',
+  'store_turns_away',
+  'configuration_storm',
+  'configuration_storm',
+  'rolling_stop',
+  'settings_changed',
+  'owner_killed',
+  'owner_frozen',
+  'owner_stopped',
+];
+/** Storms of versions at the end of an outage, among all. */
+const OUTAGE_SHARE = 0.6;
 const SHORTEST_GAP_MS = 500;
 const LONGEST_GAP_MS = 4_500;
+/** Faults after which nothing happens for a time. */
+const QUIET_SHARE = 0.4;
+const QUIET_MS = 4_000;
 
-/** Further faults for a time. */
+/** Further faults for a time; only of some kinds if these are named. */
 export function planFurtherFaults(
   random: SeededRandom,
   milliseconds: number,
+  only: readonly FurtherFault['kind'][] = [],
 ): PlannedFurtherFault[] {
   const plan: PlannedFurtherFault[] = [];
-  let at = 0;
-  for (;;) {
+  let at = random.between(SHORTEST_GAP_MS, LONGEST_GAP_MS);
+  while (at < milliseconds) {
+    const fault = drawWanted(random, only);
+    plan.push({ at, fault });
     at += random.between(SHORTEST_GAP_MS, LONGEST_GAP_MS);
-    if (at >= milliseconds) return plan;
-    plan.push({ at, fault: drawFault(random) });
+    // The bounds bind gateways again only after some time without any fault.
+    if (random.chance(QUIET_SHARE)) at += lastsMs(fault) + QUIET_MS;
+  }
+  return plan;
+}
+
+function drawWanted(random: SeededRandom, only: readonly FurtherFault['kind'][]): FurtherFault {
+  for (;;) {
+    const fault = drawFault(random);
+    if (only.length === 0 || only.includes(fault.kind)) return fault;
+  }
+}
+
+function lastsMs(fault: FurtherFault): number {
+  switch (fault.kind) {
+    case 'configuration_storm':
+      return (fault.outage?.milliseconds ?? 0) + fault.versions * fault.gapMs;
+    case 'store_turns_away':
+    case 'owner_frozen':
+      return fault.milliseconds;
+    case 'owner_killed':
+      return fault.times * fault.gapMs;
+    default:
+      return 0;
   }
 }
 
 function drawFault(random: SeededRandom): FurtherFault {
   const milliseconds = random.between(1_000, 6_000);
-  const draws: readonly (() => FurtherFault)[] = [
-    () => ({
-      kind: 'connections_silent',
-      side: random.pick(SIDES) ?? 'both',
-      share: random.chance(0.5) ? 1 : random.between(0.2, 0.8),
-    }),
-    () => ({
-      kind: 'store_turns_away',
-      condition: random.pick(TURNED_AWAY) ?? 'busy',
-      share: random.between(0.2, 0.8),
-      milliseconds,
-    }),
-    () => drawStorm(random, undefined),
-    () =>
-      drawStorm(random, {
-        condition: random.pick(OUTAGES) ?? 'silent',
-        milliseconds: random.between(1_500, 9_000),
-      }),
-    () => ({ kind: 'rolling_stop', gapMs: random.between(300, 3_000) }),
-    () => ({ kind: 'settings_changed' }),
-    () => ({
-      kind: 'owner_killed',
-      times: Math.ceil(random.between(0, 3)),
-      gapMs: random.between(200, 2_500),
-    }),
-    () => ({ kind: 'owner_frozen', milliseconds }),
-    () => ({ kind: 'owner_stopped' }),
-  ];
-  return (random.pick(draws) ?? (() => ({ kind: 'settings_changed' }) as const))();
+  const kind = random.pick(FURTHER_FAULT_KINDS) ?? 'settings_changed';
+  switch (kind) {
+    case 'connections_silent': {
+      const share = random.chance(0.5) ? 1 : random.between(0.2, 0.8);
+      return { kind, side: random.pick(SIDES) ?? 'both', share };
+    }
+    case 'store_turns_away': {
+      const condition = random.pick(TURNED_AWAY) ?? 'busy';
+      return { kind, condition, share: random.between(0.2, 0.8), milliseconds };
+    }
+    case 'configuration_storm':
+      return drawStorm(random);
+    case 'rolling_stop':
+      return { kind, gapMs: random.between(300, 3_000) };
+    case 'owner_killed':
+      return { kind, times: Math.ceil(random.between(0, 3)), gapMs: random.between(200, 2_500) };
+    case 'owner_frozen':
+      return { kind, milliseconds };
+    default:
+      return { kind };
+  }
 }
 
-function drawStorm(random: SeededRandom, outage: StoreOutage | undefined): FurtherFault {
+function drawStorm(random: SeededRandom): FurtherFault {
   const versions = Math.ceil(random.between(2, 6));
-  return { kind: 'configuration_storm', versions, gapMs: random.between(50, 600), outage };
+  const gapMs = random.between(50, 600);
+  const condition = random.pick(OUTAGES) ?? 'silent';
+  const milliseconds = random.between(1_500, 9_000);
+  const outage = random.chance(OUTAGE_SHARE) ? { condition, milliseconds } : undefined;
+  return { kind: 'configuration_storm', versions, gapMs, outage };
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the soak: plays seeds one after the other, and exits with 1 if a promise was broken. */
 import { Command, Option } from 'commander';
+import { FURTHER_FAULT_KINDS, type FurtherFault } from './further-fault-plan.js';
 import { runSoak, soakFolder, type FaultKinds } from './soak-run.js';
 
 interface Flags {
@@ -13,6 +14,7 @@
   readonly epochs: string;
   readonly revocation: string;
   readonly faults: FaultKinds;
+  readonly only: FurtherFault['kind'][];
 }
 
 const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both'];
@@ -33,6 +35,11 @@
       .choices(FAULT_KINDS)
       .default('first'),
   )
+  .addOption(
+    new Option('--only <kinds...>', 'of the further kinds, only these')
+      .choices(FURTHER_FAULT_KINDS)
+      .default([]),
+  )
   .addOption(
     new Option('--epochs <choice>', 'whether replicas refuse orders with too low an epoch')
       .choices(EPOCH_CHOICES)
@@ -72,6 +79,7 @@
       checksEpochs: checksEpochs(flags.epochs, seed),
       promisesRevocation: promisesRevocation(flags.revocation, seed),
       faultKinds: flags.faults,
+      only: flags.only,
     });
     const { violations, ...figures } = result;
     console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -2,7 +2,7 @@
 import { appendFileSync, mkdirSync, rmSync } from 'node:fs';
 import path from 'node:path';
 import { sleep } from '../../src/common/process.js';
-import { findFreePorts } from '../../src/testbed/free-ports.js';
+import { findSoakPorts } from './soak-ports.js';
 import { audit } from './audit.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
 import type { ConfigurationProbe, StoreFault, TimeSpan, Violation } from './evidence.js';
@@ -45,6 +45,8 @@
   readonly promisesRevocation?: boolean;
   /** The first kinds by default. */
   readonly faultKinds?: FaultKinds;
+  /** Of the further kinds, only these; all by default. */
+  readonly only?: readonly FurtherFault['kind'][];
 }
 
 /** What came of it. */
@@ -153,11 +155,11 @@
 
   /** The number of faults. */
   private planFurther(begun: number): number {
-    const { seed, faultMs, faultKinds = 'first' } = this.options;
+    const { seed, faultMs, faultKinds = 'first', only } = this.options;
     if (faultKinds === 'first') return 0;
     const random = new SeededRandom(seed + FURTHER_SEED);
     const faults = new FurtherFaultInjector(this, random, begun + faultMs);
-    const plan = planFurtherFaults(random, faultMs);
+    const plan = planFurtherFaults(random, faultMs, only);
     return this.schedule(plan, begun, (fault) => faults.strike(fault));
   }
 
@@ -186,7 +188,7 @@
       await replica.start();
     }
     this.changeConfiguration();
-    const ports = await findFreePorts(gateways * 3);
+    const ports = await findSoakPorts(gateways * 3);
     for (let index = 0; index < gateways; index++) {
       const [peers = 0, callers = 0, readiness = 0] = ports.splice(0, 3);
       const name = `gateway-${index}`;
