Soak cuts an owner off from the other gateways

Cause: the faults that make a second owner were kills, stops and standstills, in which the first one gives no more orders; an owner that goes on beside its successor needs a link that fails while it runs. Change: `owner_cut_off`: for a time neither connections nor datagrams pass between the owner and other gateways, while it reaches the store and replicas.

--- a/test/soak/further-fault-injector.ts
+++ b/test/soak/further-fault-injector.ts
@@ -41,6 +41,8 @@
         return void this.killOwners(fault);
       case 'owner_frozen':
         return this.spareOwner()?.freeze(fault.milliseconds);
+      case 'owner_cut_off':
+        return this.spareOwner()?.cutOff(fault.milliseconds);
       case 'owner_stopped':
         return this.spareOwner()?.stopInTurn();
     }
