--- a/test/soak/silent-links.mjs
+++ b/test/soak/silent-links.mjs
@@ -51,5 +51,7 @@
   if (wanted === 'heal') return;
   for (const socket of open) silenceIfPeer(socket);
 });
+// A gateway must not outlive a soak that was killed.
+process.on('disconnect', () => process.exit());
 // The way to the parent alone must not keep the program running.
 process.channel?.unref();
