--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,20 +1,65 @@
 /** Command line of the soak: plays seeds one after the other, and exits with 1 if a promise was broken. */
-import { Command } from 'commander';
-import { runSoak, soakFolder } from './soak-run.js';
+import { Command, Option } from 'commander';
+import { FURTHER_FAULT_KINDS, type FurtherFault } from './further-fault-plan.js';
+import { runSoak, soakFolder, type FaultKinds } from './soak-run.js';
 
 interface Flags {
   readonly seed: string;
   readonly runs: string;
   readonly seconds: string;
   readonly gateways: string;
+  readonly replicas: string;
+  readonly requests: string;
+  readonly keptCallers: string;
+  readonly epochs: string;
+  readonly revocation: string;
+  readonly faults: FaultKinds;
+  readonly only: FurtherFault['kind'][];
 }
 
+const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both'];
+const EPOCH_CHOICES = ['checked', 'unchecked', 'drawn'];
+const REVOCATION_CHOICES = ['promised', 'none', 'drawn'];
+
 const program = new Command('soak')
   .description('gateways as real processes under faults drawn from a seed')
   .option('--seed <number>', 'first seed', '1')
   .option('--runs <number>', 'seeds to play', '1')
   .option('--seconds <number>', 'time in which faults begin', '30')
-  .option('--gateways <number>', 'gateways to start', '4');
+  .option('--gateways <number>', 'gateways to start', '4')
+  .option('--replicas <number>', 'replicas to start', '6')
+  .option('--requests <number>', 'requests a second of all callers', '30')
+  .option('--kept-callers <number>', 'callers that keep their connections open', '4')
+  .addOption(
+    new Option('--faults <kinds>', 'which kinds of faults are played')
+      .choices(FAULT_KINDS)
+      .default('first'),
+  )
+  .addOption(
+    new Option('--only <kinds...>', 'of the further kinds, only these')
+      .choices(FURTHER_FAULT_KINDS)
+      .default([]),
+  )
+  .addOption(
+    new Option('--epochs <choice>', 'whether replicas refuse orders with too low an epoch')
+      .choices(EPOCH_CHOICES)
+      .default('checked'),
+  )
+  .addOption(
+    new Option('--revocation <choice>', 'whether gateways promise when removed keys end')
+      .choices(REVOCATION_CHOICES)
+      .default('promised'),
+  );
+
+/** Odd seeds play replicas that check nothing. */
+function checksEpochs(choice: string, seed: number): boolean {
+  return choice === 'drawn' ? seed % 2 === 0 : choice === 'checked';
+}
+
+/** Two seeds with the promise follow two without it. */
+function promisesRevocation(choice: string, seed: number): boolean {
+  return choice === 'drawn' ? seed % 4 >= 2 : choice === 'promised';
+}
 
 async function main(): Promise<void> {
   const flags = program.parse().opts<Flags>();
@@ -23,7 +68,19 @@
     const seed = Number(flags.seed) + run;
     const faultMs = Number(flags.seconds) * 1_000;
     const gateways = Number(flags.gateways);
-    const result = await runSoak({ seed, faultMs, folder: soakFolder(seed), gateways });
+    const result = await runSoak({
+      seed,
+      faultMs,
+      folder: soakFolder(seed),
+      gateways,
+      replicas: Number(flags.replicas),
+      requestsPerSecond: Number(flags.requests),
+      keptCallers: Number(flags.keptCallers),
+      checksEpochs: checksEpochs(flags.epochs, seed),
+      promisesRevocation: promisesRevocation(flags.revocation, seed),
+      faultKinds: flags.faults,
+      only: flags.only,
+    });
     const { violations, ...figures } = result;
     console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
     for (const { rule, detail } of violations) console.log(`  ${rule}: ${detail}`);
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -10,6 +10,7 @@
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { eventText, plainText } from './expected-events.js';
 import type { ReplicaViolation, RunLog } from './run-log.js';
+import { ServerConnections } from './server-connections.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** How a replica behaves now. */
@@ -26,6 +27,8 @@
   readonly store: ObjectStoreStandIn;
   readonly log: RunLog;
   readonly random: SeededRandom;
+  /** Whether orders with a lower epoch than one already seen are refused; so by default. */
+  readonly checksEpochs?: boolean;
 }
 
 interface OrderBody {
@@ -51,9 +54,10 @@
 /** One place of a replica; each start is a new process with a new id. */
 export class ReplicaStandIn {
   condition: ReplicaCondition = 'sound';
+  readonly connections = new ServerConnections();
   id = '';
   private starts = 0;
-  private address = '';
+  address = '';
   private models = new Set<string>();
   private sequence = 0;
   private highestFence = 0;
@@ -68,6 +72,10 @@
     for (const model of options.models) this.onDisk.add(model);
   }
 
+  private get checksEpochs(): boolean {
+    return this.options.checksEpochs ?? true;
+  }
+
   get isUp(): boolean {
     return this.server !== undefined;
   }
@@ -83,6 +91,7 @@
     this.running = 0;
     this.leavingSince = undefined;
     const server = http.createServer((request, response) => void this.receive(request, response));
+    this.connections.follow(server);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     this.server = server;
@@ -135,6 +144,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (this.connections.isSilent(request.socket)) return;
     const read = await readBody(request, LARGEST_BODY_BYTES);
     const body = read.isOk ? read.value : '';
     const target = request.headers['x-target-instance'];
@@ -157,6 +167,8 @@
   }
 
   private order(order: OrderBody, response: http.ServerResponse): void {
+    // Nothing else fences these: what counts is in which order they come, not when they are taken.
+    if (!this.checksEpochs) this.noticeEpoch(order);
     if (this.condition !== 'orders_late') {
       return sendJson(response, this.takeOrder(order), {});
     }
@@ -171,8 +183,8 @@
   /** The status of the answer. */
   private takeOrder(order: OrderBody): number {
     const { operation, model = '', expectedCount, holder = '', fence = 0 } = order;
-    if (fence < this.highestFence) return 412;
-    this.checkFence(holder, fence);
+    if (fence < this.highestFence && this.checksEpochs) return 412;
+    if (this.checksEpochs) this.checkFence(holder, fence);
     const isLoad = operation === 'model_load';
     if (this.busy) return 409;
     if (this.models.has(model) === isLoad) return 200;
@@ -196,6 +208,13 @@
     this.enter();
   }
 
+  private noticeEpoch({ operation = '', model = '', holder = '', fence = 0 }: OrderBody): void {
+    if (fence >= this.highestFence) return this.checkFence(holder, fence);
+    const later = `${this.fenceHolder} has used ${this.highestFence}`;
+    const detail = `${operation} ${model} of ${holder} with ${fence}, though ${later}`;
+    this.violated('lower_epoch', detail, holder);
+  }
+
   private checkFence(holder: string, fence: number): void {
     const isShared = fence === this.highestFence && holder !== this.fenceHolder;
     if (isShared && this.fenceHolder !== '') this.violated('fence_shared', `${fence} ${holder}`);
@@ -203,8 +222,9 @@
     this.fenceHolder = holder;
   }
 
-  private violated(kind: ReplicaViolation['kind'], detail: string): void {
-    this.options.log.violated({ kind, replica: this.id, detail });
+  private violated(kind: ReplicaViolation['kind'], detail: string, sender?: string): void {
+    const from = sender === undefined ? {} : { sender };
+    this.options.log.violated({ kind, replica: this.id, detail, ...from });
   }
 
   private serve(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
