--- a/test/platform/late-configuration.test.ts
+++ b/test/platform/late-configuration.test.ts
@@ -55,10 +55,10 @@
 /** Milliseconds from the acknowledgement right after an outage until the reader has the version. */
 async function delayAfterOutage(outageEndsMs: number): Promise<number> {
   const store = new ObjectStoreStandIn(new SeededRandom(1));
-  await store.start();
+  const address = await store.listenFor('reader');
   cleanUps.push(() => store.stop());
   store.put('config', 'main', { version: 1 });
-  const { inForceAt } = follow(store.address);
+  const { inForceAt } = follow(address);
   await sleep(OUTAGE_BEGINS_MS);
   expect([...inForceAt.keys()]).toEqual([1]);
   store.condition = 'silent';
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -38,6 +38,8 @@
   readonly ports: GatewayPorts;
   /** Whether the operator promises how soon a key that was taken away is served no more; so by default. */
   readonly promisesRevocation?: boolean;
+  /** Whether replicas refuse orders of a lower epoch; so by default. */
+  readonly backendsCheckEpochs?: boolean;
   /** Ports on which all gateways hear each other, if their connections are to go silent. */
   readonly silencedPorts?: readonly number[];
 }
@@ -52,7 +54,7 @@
   private isOver = false;
 
   constructor(private readonly options: GatewayProcessOptions) {
-    const { name, store, ports, promisesRevocation = true } = options;
+    const { name, store, ports, promisesRevocation = true, backendsCheckEpochs = true } = options;
     const settings = {
       name,
       zone: 'a',
@@ -65,6 +67,7 @@
       readiness: `127.0.0.1:${ports.readiness}`,
       store,
       seeds: [],
+      backendsCheckEpochs,
       bounds: {
         stopSeconds: STOP_SECONDS,
         retryRatio: 0.2,
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -181,7 +181,7 @@
   }
 
   private async start(): Promise<void> {
-    const { folder, gateways = 4, promisesRevocation = true } = this.options;
+    const { folder, gateways = 4, promisesRevocation, checksEpochs } = this.options;
     rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
     for (let index = 0; index < (this.options.replicas ?? REPLICAS); index++) {
@@ -203,7 +203,8 @@
         folder,
         store,
         ports: where,
-        promisesRevocation,
+        ...(promisesRevocation === undefined ? {} : { promisesRevocation }),
+        ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
         ...(silencedPorts === undefined ? {} : { silencedPorts }),
       });
       this.gateways.set(name, process);
