--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -5,13 +5,16 @@
  *
  * Reads the failures that the last test run has left (`test/summary-reporter.ts`). Exits with 1 if
  * any of them is not listed, if more than MOST_KNOWN are listed, or if the run left none to read.
- * A line of the list: `file > suite > test | cause | issue N`.
+ * A line of the list: `file > suite > test | cause | issue N`. A seeded run that is no test of the run
+ * stands there as its command.
  */
 import { existsSync, readFileSync } from 'node:fs';
 import { pathToFileURL } from 'node:url';
 
 const LIST = 'KNOWN-RED.txt';
 const FAILURES = 'results/failed-tests.json';
+/** How a line begins that names a command in place of a test. */
+const COMMAND = 'npm run ';
 /** Tests that may be listed at once. */
 const MOST_KNOWN = 3;
 
@@ -30,7 +33,9 @@
   const problems = unlisted.map((test) => `fails and is not in ${LIST}: ${test}`);
   for (const { test, line } of known) {
     if (line.split('|').length !== 3) problems.push(`${LIST}: no test | cause | issue: ${line}`);
-    if (!failed.includes(test)) console.log(`listed, and passes now: ${test}`);
+    if (!failed.includes(test) && !test.startsWith(COMMAND)) {
+      console.log(`listed, and passes now: ${test}`);
+    }
   }
   if (known.length > MOST_KNOWN) problems.push(`${LIST} has more than ${MOST_KNOWN} lines`);
   if (failed.length === 0) problems.push('the run failed, but no test did');
