Names: periods and times of claims, proofs and orders; the newest proof stands once

READ_PERIOD_MS and notBefore had two meanings each in neighbouring files, and both leases kept their newest proof by themselves.

--- a/src/core/configuration-lease.ts
+++ b/src/core/configuration-lease.ts
@@ -8,6 +8,8 @@
  * `spec/revocation.pml` is its model. Pure; times are milliseconds of a steady clock.
  */
 
+import { NewestProof } from './newest-proof.js';
+
 /** No configuration newer than `version` had been accepted at `provenAt`. */
 export interface CurrencyProof {
   readonly version: number;
@@ -17,7 +19,7 @@
 
 /** One daemon's proof. */
 export class ConfigurationLease {
-  private provenAt = -Infinity;
+  private readonly proof = new NewestProof();
   private version = 0;
   /** The best proof of a configuration that this daemon has not got yet. */
   private pending: CurrencyProof | undefined;
@@ -28,13 +30,13 @@
     const { pending } = this;
     if (pending === undefined || pending.version > this.version) return;
     this.pending = undefined;
-    this.provenAt = Math.max(this.provenAt, pending.provenAt);
+    this.proof.prove(pending.provenAt);
   }
 
   /** Takes a proof; one of a newer configuration waits for it. */
   prove(proof: CurrencyProof): void {
     if (proof.version <= this.version) {
-      this.provenAt = Math.max(this.provenAt, proof.provenAt);
+      this.proof.prove(proof.provenAt);
     } else if (this.pending === undefined || proof.provenAt > this.pending.provenAt) {
       this.pending = proof;
     }
@@ -42,6 +44,6 @@
 
   /** Milliseconds since the configuration was proved current; infinite if it never was. */
   ageMs(now: number): number {
-    return now - this.provenAt;
+    return this.proof.ageMs(now);
   }
 }
--- a/src/core/ownership-lease.ts
+++ b/src/core/ownership-lease.ts
@@ -7,6 +7,8 @@
  * milliseconds of a steady clock.
  */
 
+import { NewestProof } from './newest-proof.js';
+
 /** A proof allows orders for so long after its question: two questions may get no answer. */
 export const HOLD_MS = 1_500;
 /** An order without an answer is given up, and its connection reset, within so long of its sending. */
@@ -24,28 +26,29 @@
 
 /** The lease of one owner. */
 export class OwnershipLease {
-  private provenAt = -Infinity;
-  private notBefore = Infinity;
+  private proof = new NewestProof();
+  private ordersFrom = Infinity;
 
   /** Begins a new ownership. */
   begin(claim: WonClaim): void {
-    this.provenAt = claim.askedAt;
-    this.notBefore = claim.answeredAt + (claim.isHandedOver ? ORDER_ON_ITS_WAY_MS : HAND_OVER_MS);
+    this.proof = new NewestProof();
+    this.proof.prove(claim.askedAt);
+    this.ordersFrom = claim.answeredAt + (claim.isHandedOver ? ORDER_ON_ITS_WAY_MS : HAND_OVER_MS);
   }
 
   /** Nobody had claimed the service after this owner at `askedAt`. */
   prove(askedAt: number): void {
-    this.provenAt = Math.max(this.provenAt, askedAt);
+    this.proof.prove(askedAt);
   }
 
   /** Milliseconds since the last proof's question. */
   ageMs(now: number): number {
-    return now - this.provenAt;
+    return this.proof.ageMs(now);
   }
 
   /** Milliseconds until an order may be sent: 0 for now, infinite without a recent proof. */
   delayMs(now: number): number {
-    return this.ageMs(now) > HOLD_MS ? Infinity : Math.max(0, this.notBefore - now);
+    return this.ageMs(now) > HOLD_MS ? Infinity : Math.max(0, this.ordersFrom - now);
   }
 
   /** Whether an order may be sent now. */
--- a/src/gateway/ownership-proofs.ts
+++ b/src/gateway/ownership-proofs.ts
@@ -9,9 +9,9 @@
 import { steadyNow } from './steady-clock.js';
 
 /** Between two readings of the record: a lease outlasts two that are not answered. */
-const READ_PERIOD_MS = 600;
+const PROOF_PERIOD_MS = 600;
 /** Readings under way at once, of a store that does not answer. */
-const MOST_READINGS = 3;
+const MOST_OPEN_READINGS = 3;
 
 /** Options of {@link OwnershipProofs}. */
 export interface OwnershipProofsOptions {
@@ -50,7 +50,7 @@
     if (this.claim === undefined) return;
     const now = steadyNow();
     this.logChange(now);
-    if (now - this.askedAt < READ_PERIOD_MS || this.readings >= MOST_READINGS) return;
+    if (now - this.askedAt < PROOF_PERIOD_MS || this.readings >= MOST_OPEN_READINGS) return;
     this.askedAt = now;
     this.readings += 1;
     void this.read(this.claim, now).finally(() => (this.readings -= 1));
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -21,7 +21,7 @@
 /** A daemon looks around so long before it claims anything. */
 const SETTLE_MS = 700;
 /** Between two readings of the record while it names an owner that is not live. */
-const READ_PERIOD_MS = 300;
+const CLAIM_PERIOD_MS = 300;
 
 /** A process that starts again does so at least so long after its former start. */
 const RESTART_MS = 150;
@@ -83,7 +83,8 @@
   private revision: number | undefined;
   private busy = false;
   private lastTick = steadyNow();
-  private notBefore = steadyNow() + SETTLE_MS;
+  /** This daemon claims nothing before this steady time. */
+  private claimsFrom = steadyNow() + SETTLE_MS;
   private lastRead = -Infinity;
   private lastHeard = -Infinity;
   /** Highest epoch of a former owner that was heard. */
@@ -141,7 +142,7 @@
       if (!this.options.backendsCheckEpochs) this.tendLease(now);
       return;
     }
-    if (this.stopped || this.busy || now < this.notBefore || now - this.lastRead < READ_PERIOD_MS)
+    if (this.stopped || this.busy || now < this.claimsFrom || now - this.lastRead < CLAIM_PERIOD_MS)
       return;
     if (now - this.lastHeard < HEARD_LATELY_MS && !this.ownerHasLeft()) return;
     if (!this.isSuccessor() || this.ownerIsLive()) return;
@@ -210,7 +211,7 @@
   /** Ends the ownership in favour of another daemon, perhaps one that this daemon does not hear. */
   private yieldTo(reason: string): void {
     this.giveUp(reason);
-    this.notBefore = steadyNow() + YIELD_MS;
+    this.claimsFrom = steadyNow() + YIELD_MS;
   }
 
   private noticeStandstill(now: number): void {
@@ -218,7 +219,7 @@
     if (gap <= STANDSTILL_MS) return;
     this.lastTick = now;
     this.options.logger.warn('standstill', { milliseconds: Math.round(gap) });
-    this.notBefore = now + SETTLE_MS;
+    this.claimsFrom = now + SETTLE_MS;
     this.awakeSince = now;
     this.record = undefined;
     this.giveUp('the process stood still');
