--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
-import { audit, type SoakEvidence } from './audit.js';
+import { audit } from './audit.js';
+import { untouched } from './audit-fixtures.js';
 import type { CallRecord, RequestKind } from './caller.js';
+import type { SoakEvidence, TimeSpan } from './evidence.js';
 import { plainText, streamText } from './expected-events.js';
 import {
   LIMIT_WINDOW_MS,
@@ -21,7 +23,14 @@
   const caller = { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` };
   const named = { attemptId: 'a', kind, path: '/', model: undefined, caller };
   const request = { ...named, body, deadlineMs: 1_000 };
-  const seen = { status: 200, isWhole: true, isSealed: true, text, wasRefused: false };
+  const seen = {
+    status: 200,
+    isWhole: true,
+    isSealed: true,
+    text,
+    wasRefused: false,
+    wasOnKeptConnection: false,
+  };
   return { request, gateway: 'g', sentAt: 10_000, endedAt: 10_100, ...seen, ...part };
 }
 
@@ -32,11 +41,12 @@
     runs: [],
     replicaViolations: [],
     accepted: new Map(),
-    gateways: { wasHarmed: () => false, stopDuring: () => undefined },
+    gateways: untouched,
     storeFaults: [],
     replicaFaults: [],
     calmSince: CALM_FROM,
     unaskedExits: 0,
+    promisesRevocation: true,
     ...part,
   };
 }
@@ -78,21 +88,34 @@
     const late = callOf('any', { endedAt: 11_600 });
     const missing = callOf('any', { status: undefined, isWhole: false });
     expect(rules({ calls: [late, missing] })).toEqual(['late_end', 'no_answer']);
-    const gateways = { wasHarmed: () => true, stopDuring: () => undefined };
+    const gateways = { ...untouched, wasHarmed: () => true };
     expect(rules({ calls: [late, missing], gateways })).toEqual([]);
   });
 
   it('sees a stream that a planned stop cut, unless a replica failed', () => {
     const cut = callOf('resumable', { isWhole: false });
-    const gateways = { wasHarmed: () => false, stopDuring: () => 10_050 };
+    const gateways = { ...untouched, stopDuring: () => 10_050 };
     expect(rules({ calls: [cut], gateways })).toEqual(['cut_by_planned_stop']);
     const replicaFaults = [{ from: 9_000, until: 10_010 }];
     expect(rules({ calls: [cut], gateways, replicaFaults })).toEqual([]);
   });
 
+  it('sees a request that a planned stop cut on a kept connection, unless it crossed the close', () => {
+    const unanswered = { status: undefined, isWhole: false, wasOnKeptConnection: true };
+    const quick = callOf('once', unanswered);
+    const slow = callOf('once', { ...unanswered, endedAt: 10_201 });
+    const gateways = { ...untouched, stopDuring: () => 10_000 };
+    expect(rules({ calls: [quick], gateways })).toEqual([]);
+    expect(rules({ calls: [quick], gateways, runs: [run] })).toEqual(['cut_by_planned_stop']);
+    expect(rules({ calls: [slow], gateways })).toEqual(['cut_by_planned_stop']);
+    expect(rules({ calls: [quick] })).toEqual(['no_answer']);
+    const onNewConnection = { ...quick, wasOnKeptConnection: false };
+    expect(rules({ calls: [onNewConnection], gateways })).toEqual(['no_answer']);
+  });
+
   it('sees what replicas saw, and work for a leaving one only while the store was sound', () => {
     const seen = (kind: 'memory_overcommitted' | 'work_while_leaving') => {
-      return { kind, replica: 'r', detail: 'a 2500 ms' } as const;
+      return { kind, replica: 'r', detail: 'a 2500 ms', at: 10_050 } as const;
     };
     expect(rules({ replicaViolations: [seen('memory_overcommitted')] })).toEqual([
       'memory_overcommitted',
@@ -103,16 +126,20 @@
     expect(rules({ ...late, storeFaults })).toEqual([]);
   });
 
-  it('sees a configuration that is late, and one that goes back', () => {
-    const probe = (status: number, sentAt: number) => {
-      const call = callOf('probe', { status, sentAt, endedAt: sentAt + 5, text: '' });
-      return { call, version: 2, acceptedAt: 10_000 };
+  it('sees an order with a lower epoch, unless its sender was just thawed', () => {
+    const at = 10_050;
+    const detail = 'model_load m1 of g with 3, though h has used 4';
+    const replicaViolations = [
+      { kind: 'lower_epoch', replica: 'r', detail, at, sender: 'g' },
+    ] as const;
+    expect(rules({ replicaViolations })).toEqual(['lower_epoch']);
+    const thawedAt = (time: number) => {
+      const wasJustFreed = (name: string, { from, until }: TimeSpan) =>
+        name === 'g' && from <= time && time <= until;
+      return { ...untouched, wasJustFreed };
     };
-    expect(rules({ probes: [probe(404, 11_000)] })).toEqual([]);
-    expect(rules({ probes: [probe(404, 12_500)] })).toEqual(['configuration_late']);
-    expect(rules({ probes: [probe(200, 11_000), probe(404, 11_500)] })).toEqual([
-      'configuration_reverted',
-    ]);
+    expect(rules({ replicaViolations, gateways: thawedAt(at - 300) })).toEqual([]);
+    expect(rules({ replicaViolations, gateways: thawedAt(at - 301) })).toEqual(['lower_epoch']);
   });
 
   it('sees a key that is denied, a wrong tenant, and a key that outlives its removal', () => {
@@ -128,6 +155,8 @@
     expect(rules({ calls, runs, accepted: removed(REVOCATION_MS + 10) })).toEqual([
       'revoked_key_run',
     ]);
+    const unpromised = { accepted: removed(REVOCATION_MS + 10), promisesRevocation: false };
+    expect(rules({ calls, runs, ...unpromised })).toEqual([]);
   });
 
   it('sees a limit that is exceeded in a window, each request counted once', () => {
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -9,11 +9,16 @@
 /** The program that is deployed, built from the adapter. */
 export const BUNDLE = 'target/soak/gateway.cjs';
 
+const SILENT_LINKS = './test/soak/silent-links.mjs';
+
 /** A time in which a gateway was not its own master. */
 export interface Disturbance {
-  readonly kind: 'killed' | 'frozen' | 'stopped';
+  readonly kind: 'killed' | 'frozen' | 'stopped' | 'cut_off';
   readonly from: number;
-  until: number;
+  /** When the gateway should be over it. */
+  readonly until: number;
+  /** When the process ran again, or its successor started. */
+  endedAt: number;
 }
 
 /** Loopback ports of one gateway. */
@@ -31,6 +36,12 @@
   readonly folder: string;
   readonly store: string;
   readonly ports: GatewayPorts;
+  /** Whether the operator promises how soon a key that was taken away is served no more; so by default. */
+  readonly promisesRevocation?: boolean;
+  /** Whether replicas refuse orders of a lower epoch; so by default. */
+  readonly backendsCheckEpochs?: boolean;
+  /** Ports on which all gateways hear each other, if their connections are to go silent. */
+  readonly silencedPorts?: readonly number[];
 }
 
 /** A gateway that is started again whenever it ends. */
@@ -43,7 +54,7 @@
   private isOver = false;
 
   constructor(private readonly options: GatewayProcessOptions) {
-    const { name, store, ports } = options;
+    const { name, store, ports, promisesRevocation = true, backendsCheckEpochs = true } = options;
     const settings = {
       name,
       zone: 'a',
@@ -56,6 +67,7 @@
       readiness: `127.0.0.1:${ports.readiness}`,
       store,
       seeds: [],
+      backendsCheckEpochs,
       bounds: {
         stopSeconds: STOP_SECONDS,
         retryRatio: 0.2,
@@ -63,7 +75,7 @@
         retrySlack: 40,
         storeLoadWindowSeconds: 5,
         storeLoadExcess: 1.1,
-        revocationMs: REVOCATION_MS,
+        ...(promisesRevocation ? { revocationMs: REVOCATION_MS } : {}),
         configurationMs: 2_000,
         limitWindowSeconds: LIMIT_WINDOW_MS / 1_000,
         limitExcess: LIMIT_EXCESS,
@@ -73,6 +85,10 @@
     writeFileSync(this.settingsFile, JSON.stringify(settings));
   }
 
+  get name(): string {
+    return this.options.name;
+  }
+
   get callers(): string {
     return `127.0.0.1:${this.options.ports.callers}`;
   }
@@ -81,6 +97,11 @@
     return `127.0.0.1:${this.options.ports.metrics}`;
   }
 
+  /** "ip:port" for other gateways. */
+  get peers(): string {
+    return `127.0.0.1:${this.options.ports.peers}`;
+  }
+
   /** The running process's id. */
   get pid(): number | undefined {
     return this.child?.pid;
@@ -92,14 +113,21 @@
 
   start(): void {
     const log = openSync(path.join(this.options.folder, `${this.options.name}.log`), 'a');
-    const child = spawn(process.execPath, [BUNDLE], {
-      stdio: ['ignore', log, log],
-      env: { ...process.env, SCALESLIP_SETTINGS: this.settingsFile },
+    const { silencedPorts } = this.options;
+    const preload = silencedPorts === undefined ? [] : ['--import', SILENT_LINKS];
+    const child = spawn(process.execPath, [...preload, BUNDLE], {
+      stdio: silencedPorts === undefined ? ['ignore', log, log] : ['ignore', log, log, 'ipc'],
+      env: {
+        ...process.env,
+        SCALESLIP_SETTINGS: this.settingsFile,
+        SOAK_PEER_PORTS: silencedPorts?.join(','),
+      },
     });
     closeSync(log);
     this.child = child;
     this.isExpectedToEnd = false;
     child.once('exit', () => this.exited());
+    this.endDisturbances(['killed', 'stopped']);
   }
 
   /** Ends the process at once; it starts again by itself. */
@@ -109,6 +137,31 @@
     this.child?.kill('SIGKILL');
   }
 
+  /** Tells the process that its settings file has changed. */
+  signalSettings(): void {
+    this.child?.kill('SIGHUP');
+  }
+
+  /** Its open connections with other gateways go silent; new ones work. */
+  silenceLinks(): void {
+    this.tellLinks('silence');
+  }
+
+  /** Nothing passes between it and other gateways for a time. */
+  cutOff(milliseconds: number): void {
+    this.disturbed('cut_off', milliseconds + 500);
+    this.tellLinks('cut');
+    setTimeout(() => {
+      this.tellLinks('heal');
+      this.endDisturbances(['cut_off']);
+    }, milliseconds).unref();
+  }
+
+  private tellLinks(wanted: 'silence' | 'cut' | 'heal'): void {
+    // A process that ends meanwhile needs no word.
+    if (this.child?.connected === true) this.child.send(wanted, () => {});
+  }
+
   /** Asks the process to end; it starts again by itself. */
   stopInTurn(): void {
     this.disturbed('stopped', STOP_SECONDS * 1_000 + 1_500);
@@ -123,7 +176,10 @@
     this.disturbed('frozen', milliseconds + 500);
     const { child } = this;
     child?.kill('SIGSTOP');
-    setTimeout(() => child?.kill('SIGCONT'), milliseconds).unref();
+    setTimeout(() => {
+      child?.kill('SIGCONT');
+      this.endDisturbances(['frozen']);
+    }, milliseconds).unref();
   }
 
   /** Ends the process for good. */
@@ -137,6 +193,19 @@
     });
   }
 
+  /** Whether the process was stopped, killed, held up or started in a time. */
+  wasDisturbed(from: number, until: number): boolean {
+    return this.disturbances.some((each) => each.from <= until && each.endedAt >= from);
+  }
+
+  /** Whether the process was held up for a part of a time, or its links healed in it. */
+  wasJustFreed(from: number, until: number): boolean {
+    return this.disturbances.some((each) => {
+      if (each.kind === 'frozen') return each.from <= until && each.endedAt >= from;
+      return each.kind === 'cut_off' && each.endedAt >= from && each.endedAt <= until;
+    });
+  }
+
   /** Whether something was done to the process in a time, other than a planned stop. */
   wasHarmed(from: number, until: number): boolean {
     return this.disturbances.some(
@@ -154,7 +223,13 @@
 
   private disturbed(kind: Disturbance['kind'], milliseconds: number): void {
     const from = Date.now();
-    this.disturbances.push({ kind, from, until: from + milliseconds });
+    this.disturbances.push({ kind, from, until: from + milliseconds, endedAt: Infinity });
+  }
+
+  private endDisturbances(kinds: readonly Disturbance['kind'][]): void {
+    for (const each of this.disturbances) {
+      if (kinds.includes(each.kind)) each.endedAt = Math.min(each.endedAt, Date.now());
+    }
   }
 
   private exited(): void {
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -1,19 +1,28 @@
 /** One soak: gateways as processes, stand-ins of everything else, faults drawn from a seed. */
-import { mkdirSync, rmSync } from 'node:fs';
+import { appendFileSync, mkdirSync, rmSync } from 'node:fs';
 import path from 'node:path';
 import { sleep } from '../../src/common/process.js';
-import { findFreePorts } from '../../src/testbed/free-ports.js';
-import { audit, type ConfigurationProbe, type TimeSpan, type Violation } from './audit.js';
+import { findSoakPorts } from './soak-ports.js';
+import { audit } from './audit.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
+import type { ConfigurationProbe, StoreFault, TimeSpan, Violation } from './evidence.js';
+import { FaultInjector } from './fault-injector.js';
 import { planFaults, type Fault } from './fault-plan.js';
+import { FurtherFaultInjector } from './further-fault-injector.js';
+import { planFurtherFaults, type FurtherFault } from './further-fault-plan.js';
 import { GatewayProcess } from './gateway-process.js';
+import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
-import { configurationOf } from './soak-configuration.js';
+import { configurationOf, newestDropped } from './soak-configuration.js';
 import { drawCaller, STEADY_TENANT } from './soak-tenants.js';
+import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
 
+/** Which kinds of faults are played: each has a generator of its own. */
+export type FaultKinds = 'first' | 'further' | 'both';
+
 /** What to play. */
 export interface SoakOptions {
   readonly seed: number;
@@ -22,7 +31,22 @@
   /** Folder for settings and logs. */
   readonly folder: string;
   readonly gateways?: number;
+  /** Two in three have models. */
+  readonly replicas?: number;
   readonly requestsPerSecond?: number;
+  /** Callers that keep a connection and use it until its gateway is gone; none by default. */
+  readonly keptCallers?: number;
+  /** Whether replicas refuse orders with too low an epoch; so by default. */
+  readonly checksEpochs?: boolean;
+  /**
+   * Whether gateways promise how soon a key that was taken away is served no more; so by default.
+   * Without it they confirm their configuration with nobody, and only watches tell of a new one.
+   */
+  readonly promisesRevocation?: boolean;
+  /** The first kinds by default. */
+  readonly faultKinds?: FaultKinds;
+  /** Of the further kinds, only these; all by default. */
+  readonly only?: readonly FurtherFault['kind'][];
 }
 
 /** What came of it. */
@@ -36,8 +60,16 @@
 }
 
 const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
-const MODEL_REPLICAS = 4;
-const PLAIN_REPLICAS = 2;
+const REPLICAS = 6;
+/** The other replicas serve plain requests. */
+const SHARE_WITH_MODELS = 2 / 3;
+/** Added to a seed for the generator of the further faults. */
+const FURTHER_SEED = 10_000;
+/** Added to a seed for the generators of callers that keep connections. */
+const KEPT_CALLER_SEED = 20_000;
+const KEPT_CALLER_PAUSE_MS = 300;
+/** Requests a second of each of them, rounded up. */
+const KEPT_CALLER_RATE = 3;
 const START_MS = 3_000;
 /** From the last fault's end until callers are served as before. */
 const RECOVERY_MS = 9_000;
@@ -45,8 +77,9 @@
 /** The entry sends new callers elsewhere so long after a stop was asked for. */
 const ENTRY_NOTICES_MS = 2_000;
 const PROBE_PERIOD_MS = 250;
-/** Route versions that are probed. */
-const PROBED_VERSIONS = 3;
+const SHORTEST_PROBE_GAP_MS = 4;
+/** The newest versions whose routes are probed: a quick successor must not hide a late version. */
+const PROBED_VERSIONS = 4;
 
 /** Plays one soak to its end. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -54,17 +87,17 @@
   return soak.play();
 }
 
-class SoakRun {
+class SoakRun implements SoakSystem {
   private readonly random: SeededRandom;
-  private readonly store: ObjectStoreStandIn;
+  readonly store: ObjectStoreStandIn;
   private readonly log = new RunLog();
-  private readonly replicas: ReplicaStandIn[] = [];
-  private readonly gateways = new Map<string, GatewayProcess>();
+  readonly replicas: ReplicaStandIn[] = [];
+  readonly gateways = new Map<string, GatewayProcess>();
   private readonly calls: CallRecord[] = [];
   private readonly probes: ConfigurationProbe[] = [];
   private readonly pending = new Set<Promise<void>>();
-  private readonly storeFaults: TimeSpan[] = [];
-  private readonly replicaFaults: TimeSpan[] = [];
+  readonly storeFaults: StoreFault[] = [];
+  readonly replicaFaults: TimeSpan[] = [];
   private readonly accepted = new Map<number, number>();
   private version = 0;
   private sequence = 0;
@@ -77,15 +110,12 @@
 
   async play(): Promise<SoakResult> {
     await this.start();
-    const plan = planFaults(this.random, this.options.faultMs);
     const begun = Date.now() + START_MS;
     const calmSince = begun + this.options.faultMs + RECOVERY_MS;
     this.endsAt = calmSince + CALM_MS;
-    for (const { at, fault } of plan) {
-      setTimeout(() => this.strike(fault), begun + at - Date.now());
-    }
+    const faults = this.planFirst(begun) + this.planFurther(begun);
     await sleep(START_MS);
-    await Promise.all([this.sendRequests(), this.sendProbes()]);
+    await Promise.all([this.sendRequests(), this.sendOnKeptConnections(), this.sendProbes()]);
     await Promise.all(this.pending);
     const violations = audit({
       calls: this.calls,
@@ -94,12 +124,15 @@
       replicaViolations: this.log.violations,
       accepted: this.accepted,
       gateways: {
+        wasDisturbed: (name, { from, until }) => this.gateway(name).wasDisturbed(from, until),
+        wasJustFreed: (name, { from, until }) => this.gateway(name).wasJustFreed(from, until),
         wasHarmed: (name, { from, until }) => this.gateway(name).wasHarmed(from, until),
         stopDuring: (name, { from, until }) => this.gateway(name).stopDuring(from, until),
       },
       storeFaults: this.storeFaults,
       replicaFaults: this.replicaFaults,
       calmSince,
+      promisesRevocation: this.options.promisesRevocation ?? true,
       unaskedExits: [...this.gateways.values()].reduce((sum, each) => sum + each.unaskedExits, 0),
     });
     await this.stop();
@@ -107,37 +140,83 @@
       violations,
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isWhole).length,
-      faults: plan.length,
+      faults,
       loads: this.log.loads,
       storeCalls: this.store.calls,
     };
   }
 
+  /** The number of faults. */
+  private planFirst(begun: number): number {
+    const { faultMs, faultKinds = 'first' } = this.options;
+    if (faultKinds === 'further') return 0;
+    const faults = new FaultInjector(this, this.random);
+    const plan = planFaults(this.random, faultMs);
+    return this.schedule(plan, begun, (fault) => faults.strike(fault));
+  }
+
+  /** The number of faults. */
+  private planFurther(begun: number): number {
+    const { seed, faultMs, faultKinds = 'first', only } = this.options;
+    if (faultKinds === 'first') return 0;
+    const random = new SeededRandom(seed + FURTHER_SEED);
+    const faults = new FurtherFaultInjector(this, random, begun + faultMs);
+    const plan = planFurtherFaults(random, faultMs, only);
+    return this.schedule(plan, begun, (fault) => faults.strike(fault));
+  }
+
+  private schedule<Kind extends Fault | FurtherFault>(
+    plan: readonly { readonly at: number; readonly fault: Kind }[],
+    begun: number,
+    strike: (fault: Kind) => void,
+  ): number {
+    for (const { at, fault } of plan) {
+      const begin = (): void => {
+        this.note(fault);
+        strike(fault);
+      };
+      setTimeout(begin, begun + at - Date.now());
+    }
+    return plan.length;
+  }
+
   private async start(): Promise<void> {
-    const { folder, gateways = 4 } = this.options;
+    const { folder, gateways = 4, promisesRevocation, checksEpochs } = this.options;
     rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
-    await this.store.start();
-    for (let index = 0; index < MODEL_REPLICAS + PLAIN_REPLICAS; index++) {
+    for (let index = 0; index < (this.options.replicas ?? REPLICAS); index++) {
       const replica = this.makeReplica(index);
       this.replicas.push(replica);
       await replica.start();
     }
     this.changeConfiguration();
-    const ports = await findFreePorts(gateways * 3);
-    for (let index = 0; index < gateways; index++) {
-      const [peers = 0, callers = 0, readiness = 0] = ports.splice(0, 3);
+    const ports = await findSoakPorts(gateways * 3);
+    const peerPorts = ports.slice(0, gateways);
+    const silencedPorts = (this.options.faultKinds ?? 'first') === 'first' ? undefined : peerPorts;
+    for (const [index, peers] of peerPorts.entries()) {
+      const [callers = 0, readiness = 0] = ports.slice(gateways + 2 * index);
       const name = `gateway-${index}`;
       const where = { peers, callers, readiness, metrics: 0 };
-      const process = new GatewayProcess({ name, folder, store: this.store.address, ports: where });
+      const store = await this.store.listenFor(name);
+      const process = new GatewayProcess({
+        name,
+        folder,
+        store,
+        ports: where,
+        ...(promisesRevocation === undefined ? {} : { promisesRevocation }),
+        ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
+        ...(silencedPorts === undefined ? {} : { silencedPorts }),
+      });
       this.gateways.set(name, process);
       process.start();
     }
   }
 
   private makeReplica(index: number): ReplicaStandIn {
-    const hasModels = index < MODEL_REPLICAS;
-    const models = hasModels ? MODELS.slice(index, index + MODELS_THAT_FIT) : [];
+    const { seed, checksEpochs = true, replicas = REPLICAS } = this.options;
+    const hasModels = index < Math.round(replicas * SHARE_WITH_MODELS);
+    const first = index % (MODELS.length - MODELS_THAT_FIT + 1);
+    const models = hasModels ? MODELS.slice(first, first + MODELS_THAT_FIT) : [];
     return new ReplicaStandIn({
       name: `replica-${index}`,
       service: hasModels ? 'models' : 'plain',
@@ -145,7 +224,8 @@
       hasModels,
       store: this.store,
       log: this.log,
-      random: new SeededRandom(this.options.seed + 100 + index),
+      random: new SeededRandom(seed + 100 + index),
+      checksEpochs,
     });
   }
 
@@ -161,129 +241,105 @@
     return found;
   }
 
-  private changeConfiguration(): void {
+  /** Writes what happens beside the gateways' logs, to be read with them. */
+  private note(happened: Fault | FurtherFault | { kind: string; version: number }): void {
+    const line = `${new Date().toISOString()} ${JSON.stringify(happened)}\n`;
+    appendFileSync(path.join(this.options.folder, 'faults.log'), line);
+  }
+
+  changeConfiguration(): void {
     this.version += 1;
-    const versions = Array.from({ length: this.version }, (_, index) => index + 1);
-    this.store.put(
-      'config',
-      'main',
-      configurationOf(this.version, MODELS, versions.slice(-PROBED_VERSIONS)),
-    );
+    this.note({ kind: 'configuration_accepted', version: this.version });
+    this.store.put('config', 'main', configurationOf(this.version, MODELS));
     this.accepted.set(this.version, Date.now());
   }
 
-  private strike(fault: Fault): void {
-    switch (fault.kind) {
-      case 'gateway_killed':
-        for (let count = 0; count < fault.count; count++) this.anyGateway()?.kill();
-        return;
-      case 'gateway_frozen':
-        return this.anyGateway()?.freeze(fault.milliseconds);
-      case 'gateway_stopped':
-        return this.anyGateway()?.stopInTurn();
-      case 'store':
-        return this.strikeStore(fault.condition, fault.milliseconds);
-      case 'store_compacted':
-        return this.store.compact();
-      case 'replica_crashed':
-        return this.crashReplica(fault.milliseconds);
-      case 'replica_left':
-        return this.replaceReplica();
-      case 'replica':
-        return this.strikeReplica(fault.condition, fault.milliseconds);
-      case 'configuration_changed':
-        return this.changeConfiguration();
+  private async sendRequests(): Promise<void> {
+    const { requestsPerSecond = 30, keptCallers = 0 } = this.options;
+    // The others are part of the callers: all together must leave the replicas room to recover.
+    const rate = Math.max(1, requestsPerSecond - keptCallers * KEPT_CALLER_RATE);
+    while (Date.now() < this.endsAt) {
+      this.send(this.drawRequest(this.random));
+      await sleep(this.random.between(0.3, 1.7) * (1_000 / rate));
     }
   }
 
-  private anyGateway(): GatewayProcess | undefined {
-    const now = Date.now();
-    const untouched = [...this.gateways.values()].filter(
-      (each) => !each.disturbances.some(({ until }) => until > now),
-    );
-    // One gateway is left alone, so that callers have somewhere to go.
-    return untouched.length > 1 ? this.random.pick(untouched) : undefined;
-  }
-
-  private strikeStore(condition: ObjectStoreStandIn['condition'], milliseconds: number): void {
-    if (this.store.condition !== 'sound') return;
-    this.store.condition = condition;
-    this.storeFaults.push({ from: Date.now(), until: Date.now() + milliseconds });
-    setTimeout(() => (this.store.condition = 'sound'), milliseconds);
-  }
-
-  private soundReplica(): ReplicaStandIn | undefined {
-    const sound = this.replicas.filter((each) => each.isUp && each.condition === 'sound');
-    return sound.length > 2 ? this.random.pick(sound) : undefined;
-  }
-
-  private strikeReplica(condition: ReplicaStandIn['condition'], milliseconds: number): void {
-    const replica = this.soundReplica();
-    if (replica === undefined) return;
-    replica.condition = condition;
-    this.noteReplicaFault(milliseconds);
-    setTimeout(() => (replica.condition = 'sound'), milliseconds);
-  }
-
-  private crashReplica(milliseconds: number): void {
-    const replica = this.soundReplica();
-    if (replica === undefined) return;
-    this.noteReplicaFault(milliseconds);
-    replica.crash();
-    setTimeout(() => void replica.start(), milliseconds);
-  }
-
-  /** The replica leaves after its notice; a new one takes its place. */
-  private replaceReplica(): void {
-    const replica = this.soundReplica();
-    if (replica === undefined) return;
-    const serveMs = this.random.between(2_500, 4_000);
-    this.noteReplicaFault(serveMs);
-    void replica.leave(serveMs).then(() => replica.start());
-  }
-
-  private noteReplicaFault(milliseconds: number): void {
-    this.replicaFaults.push({ from: Date.now(), until: Date.now() + milliseconds });
+  private async sendOnKeptConnections(): Promise<void> {
+    const { seed, keptCallers = 0 } = this.options;
+    const callers = Array.from({ length: keptCallers }, (_, index) => {
+      return this.keepConnections(new SeededRandom(seed + KEPT_CALLER_SEED + index));
+    });
+    await Promise.all(callers);
   }
 
-  private async sendRequests(): Promise<void> {
-    const { requestsPerSecond = 30 } = this.options;
+  /** One caller that keeps to its gateway, also through a stop, until the connection ends. */
+  private async keepConnections(random: SeededRandom): Promise<void> {
     while (Date.now() < this.endsAt) {
-      this.send(this.drawRequest());
-      await sleep(this.random.between(0.3, 1.7) * (1_000 / requestsPerSecond));
+      const gateway = random.pick(this.openGateways());
+      await sleep(random.between(20, KEPT_CALLER_PAUSE_MS));
+      if (gateway === undefined) continue;
+      const connection = new KeptConnection(gateway.name, gateway.callers);
+      do {
+        this.calls.push(await connection.send(this.drawRequest(random)));
+        await sleep(random.between(0, KEPT_CALLER_PAUSE_MS));
+      } while (connection.isOpen && Date.now() < this.endsAt);
+      connection.close();
     }
   }
 
   private async sendProbes(): Promise<void> {
     while (Date.now() < this.endsAt) {
-      for (const name of this.gateways.keys()) this.probe(name);
-      await sleep(PROBE_PERIOD_MS);
+      const versions = this.probedVersions();
+      const probes = versions.length * this.gateways.size;
+      // At once they would take all places of the replicas from the callers.
+      const gapMs = Math.max(SHORTEST_PROBE_GAP_MS, PROBE_PERIOD_MS / probes);
+      for (const version of versions) {
+        for (const name of this.gateways.keys()) {
+          this.probe(name, version);
+          await sleep(gapMs);
+        }
+      }
     }
   }
 
-  private probe(gateway: string): void {
-    const { version } = this;
-    const acceptedAt = this.accepted.get(version) ?? 0;
-    const request = this.requestOf('probe', `/plain/v${version}/x`, undefined, {}, 1_000);
+  /** The newest versions, and the newest one whose route is gone. */
+  private probedVersions(): number[] {
+    const newest = Array.from({ length: PROBED_VERSIONS }, (_, back) => this.version - back);
+    return [...newest, newestDropped(this.version)].filter((version) => version > 0);
+  }
+
+  private probe(gateway: string, version: number): void {
+    const request = this.requestOf(
+      this.random,
+      'probe',
+      `/plain/v${version}/x`,
+      undefined,
+      {},
+      1_000,
+    );
     const done = call(request, gateway, this.gateway(gateway).callers).then((seen) => {
-      this.probes.push({ call: seen, version, acceptedAt });
+      this.probes.push({ call: seen, version });
     });
     this.track(done);
   }
 
-  private drawRequest(): SoakRequest {
-    const events = Math.ceil(this.random.between(1, 60));
+  private drawRequest(random: SeededRandom): SoakRequest {
+    const events = Math.ceil(random.between(1, 60));
     // The busy models change with time.
     const hot = Math.floor((Date.now() / 8_000) % MODELS.length);
-    const model = this.random.chance(0.6) ? MODELS[hot] : this.random.pick(MODELS);
-    const draw = this.random.between(0, 1);
-    if (draw < 0.35) return this.requestOf('resumable', '/models/s/x', model, { events }, 6_000);
-    if (draw < 0.55) return this.requestOf('stream_once', '/models/o/x', model, { events }, 6_000);
-    if (draw < 0.8) return this.requestOf('once', '/plain/once/x', undefined, { events }, 1_500);
-    return this.requestOf('any', '/plain/any/x', undefined, { events }, 1_500);
+    const model = random.chance(0.6) ? MODELS[hot] : random.pick(MODELS);
+    const draw = random.between(0, 1);
+    if (draw < 0.35)
+      return this.requestOf(random, 'resumable', '/models/s/x', model, { events }, 6_000);
+    if (draw < 0.55)
+      return this.requestOf(random, 'stream_once', '/models/o/x', model, { events }, 6_000);
+    if (draw < 0.8)
+      return this.requestOf(random, 'once', '/plain/once/x', undefined, { events }, 1_500);
+    return this.requestOf(random, 'any', '/plain/any/x', undefined, { events }, 1_500);
   }
 
   private requestOf(
+    random: SeededRandom,
     kind: SoakRequest['kind'],
     requestPath: string,
     model: string | undefined,
@@ -296,20 +352,24 @@
     const caller =
       kind === 'probe'
         ? { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` }
-        : drawCaller(this.random, this.version, Date.now());
+        : drawCaller(random, this.version, Date.now());
     return { attemptId, kind, path: requestPath, model, body, deadlineMs, caller };
   }
 
-  private send(request: SoakRequest): void {
+  /** Gateways that the entry sends new callers to. */
+  private openGateways(): GatewayProcess[] {
     const now = Date.now();
-    const open = [...this.gateways].filter(([, each]) => {
+    return [...this.gateways.values()].filter((each) => {
       const stoppedAt = each.stopDuring(now, now);
       return stoppedAt === undefined || now - stoppedAt < ENTRY_NOTICES_MS;
     });
-    const [name, gateway] = this.random.pick(open) ?? [];
-    if (name === undefined || gateway === undefined) return;
+  }
+
+  private send(request: SoakRequest): void {
+    const gateway = this.random.pick(this.openGateways());
+    if (gateway === undefined) return;
     this.track(
-      call(request, name, gateway.callers).then((seen) => {
+      call(request, gateway.name, gateway.callers).then((seen) => {
         this.calls.push(seen);
       }),
     );
