--- a/src/core/ownership-lease.ts
+++ b/src/core/ownership-lease.ts
@@ -6,7 +6,6 @@
  * answer in flight lengthens nothing. `spec/ownership.pml` is its model. Pure; times are
  * milliseconds of a steady clock.
  */
-
 import { NewestProof } from './newest-proof.js';
 
 /** A proof allows orders for so long after its question: two questions may get no answer. */
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -142,8 +142,7 @@
       if (!this.options.backendsCheckEpochs) this.tendLease(now);
       return;
     }
-    if (this.stopped || this.busy || now < this.claimsFrom || now - this.lastRead < CLAIM_PERIOD_MS)
-      return;
+    if (!this.mayClaim(now)) return;
     if (now - this.lastHeard < HEARD_LATELY_MS && !this.ownerHasLeft()) return;
     if (!this.isSuccessor() || this.ownerIsLive()) return;
     this.lastRead = now;
@@ -155,6 +154,11 @@
       .finally(() => (this.busy = false));
   }
 
+  private mayClaim(now: number): boolean {
+    if (this.stopped || this.busy) return false;
+    return now >= this.claimsFrom && now - this.lastRead >= CLAIM_PERIOD_MS;
+  }
+
   private tendLease(now: number): void {
     this.proofs.tick();
     if (this.lease.ageMs(now) <= HOLD_MS || !this.options.platformAnswersOthers()) {
