--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -34,6 +34,12 @@
   return { request, gateway: 'g', sentAt: 10_000, endedAt: 10_100, ...seen, ...part };
 }
 
+function callNamed(attemptId: string, part: Partial<CallRecord>): CallRecord {
+  const { request, ...seen } = callOf('any', part);
+  const text = plainText(attemptId, request.body);
+  return { ...seen, text, request: { ...request, attemptId } };
+}
+
 function evidenceOf(part: Partial<SoakEvidence> = {}): SoakEvidence {
   return {
     calls: [],
@@ -115,7 +121,7 @@
 
   it('sees what replicas saw, and work for a leaving one only while the store was sound', () => {
     const seen = (kind: 'memory_overcommitted' | 'work_while_leaving') => {
-      return { kind, replica: 'r', detail: 'a 2500 ms', at: 10_050 } as const;
+      return { kind, replica: 'r', detail: 'after 2500 ms', at: 10_050, attemptId: 'a' } as const;
     };
     expect(rules({ replicaViolations: [seen('memory_overcommitted')] })).toEqual([
       'memory_overcommitted',
@@ -126,6 +132,22 @@
     expect(rules({ ...late, storeFaults })).toEqual([]);
   });
 
+  it('judges work for a leaving replica by the request that came, and by nothing after it came', () => {
+    const seen = { kind: 'work_while_leaving', replica: 'r', detail: '', at: 50_010 } as const;
+    const early = callNamed('a1', { gateway: 'frozen' });
+    const late = callNamed('a12', { gateway: 'sound', sentAt: 50_000, endedAt: 50_900 });
+    const gateways = { ...untouched, wasHarmed: (name: string) => name === 'frozen' };
+    const replicaViolations = [{ ...seen, attemptId: 'a12' }];
+    const calls = [early, late];
+    expect(rules({ calls, gateways, replicaViolations })).toEqual(['work_while_leaving']);
+    const storeFaults = [{ from: 50_020, until: 50_100 }];
+    expect(rules({ calls, storeFaults, replicaViolations })).toEqual(['work_while_leaving']);
+    const probes = [{ call: callNamed('a12', { gateway: 'frozen', sentAt: 50_000 }), version: 1 }];
+    const probed = { calls: [early], probes, replicaViolations };
+    expect(rules({ ...probed, accepted: new Map(), gateways })).toEqual([]);
+    expect(rules({ calls: [early], replicaViolations })).toEqual(['work_while_leaving']);
+  });
+
   it('sees an order with a lower epoch, unless its sender was just thawed', () => {
     const at = 10_050;
     const detail = 'model_load m1 of g with 3, though h has used 4';
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -124,15 +124,21 @@
   return gateways.wasJustFreed(sender, { from: at - THAW_MS, until: at });
 }
 
-/** Work for a leaving replica counts only from a gateway that could know it. */
+/** Work for a leaving replica counts only from a gateway that could know it; who sent it must be known. */
 function couldNotKnow(seen: ReplicaViolation, evidence: SoakEvidence): boolean {
-  const call = evidence.calls.find(({ request }) => seen.detail.startsWith(request.attemptId));
-  if (call === undefined) return true;
-  const span = { from: call.sentAt - STORE_AFTERMATH_MS, until: call.endedAt };
+  const call = findCall(seen.attemptId, evidence);
+  if (call === undefined) return false;
+  const span = { from: call.sentAt - STORE_AFTERMATH_MS, until: seen.at };
   const storeFaults = storeFaultsTowards(call.gateway, evidence);
   return evidence.gateways.wasHarmed(call.gateway, span) || overlapsAny(span, storeFaults);
 }
 
+/** Probes of the configuration are requests like others. */
+function findCall(attemptId: string | undefined, evidence: SoakEvidence): CallRecord | undefined {
+  const calls = [...evidence.calls, ...evidence.probes.map(({ call }) => call)];
+  return calls.find(({ request }) => request.attemptId === attemptId);
+}
+
 function auditRecovery(evidence: SoakEvidence): Violation[] {
   const steady = evidence.calls.filter(({ request }) => request.caller.tenant === STEADY_TENANT);
   const calm = steady.filter((call) => call.sentAt >= evidence.calmSince);
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -212,7 +212,7 @@
     if (fence >= this.highestFence) return this.checkFence(holder, fence);
     const later = `${this.fenceHolder} has used ${this.highestFence}`;
     const detail = `${operation} ${model} of ${holder} with ${fence}, though ${later}`;
-    this.violated('lower_epoch', detail, holder);
+    this.violated('lower_epoch', detail, { sender: holder });
   }
 
   private checkFence(holder: string, fence: number): void {
@@ -222,9 +222,12 @@
     this.fenceHolder = holder;
   }
 
-  private violated(kind: ReplicaViolation['kind'], detail: string, sender?: string): void {
-    const from = sender === undefined ? {} : { sender };
-    this.options.log.violated({ kind, replica: this.id, detail, ...from });
+  private violated(
+    kind: ReplicaViolation['kind'],
+    detail: string,
+    about: Pick<ReplicaViolation, 'sender' | 'attemptId'> = {},
+  ): void {
+    this.options.log.violated({ kind, replica: this.id, detail, ...about });
   }
 
   private serve(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
@@ -253,7 +256,9 @@
 
   private checkArrival(request: http.IncomingMessage, attemptId: string): void {
     const leftFor = Date.now() - (this.leavingSince ?? Infinity);
-    if (leftFor > DRAIN_MS) this.violated('work_while_leaving', `${attemptId} ${leftFor} ms`);
+    if (leftFor > DRAIN_MS) {
+      this.violated('work_while_leaving', `${attemptId} after ${leftFor} ms`, { attemptId });
+    }
     const service = String(request.url).split('/')[1];
     if (request.headers.authorization !== undefined) this.violated('key_passed_on', attemptId);
     if (service !== this.options.service) this.violated('wrong_service', String(request.url));
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -25,6 +25,8 @@
   readonly at: number;
   /** The gateway whose order it was. */
   readonly sender?: string;
+  /** The request that it is about. */
+  readonly attemptId?: string;
 }
 
 /** Shared by all replicas of one soak. */
