Soak: replicas leave in all ways that the platform allows (--leaving)

What for: the soak's replicas always said that they leave, one at a time, and served on for 0.5 to 2 s beyond the bound; so late work could hardly show, and with four gateways three of them read the directory closely. Now they also leave unannounced, many in a row, a share at the same moment, with addresses that are used again, and while a gateway stands still or is cut off; they serve on for 2.5 to 12 s. A replica that already leaves is not chosen again. What faults excuse is printed too. The generator is one of its own: earlier seeds draw what they drew.

--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { audit } from './audit.js';
+import { audit, excusedViolations } from './audit.js';
 import { untouched } from './audit-fixtures.js';
 import type { CallRecord, RequestKind } from './caller.js';
 import type { SoakEvidence, TimeSpan } from './evidence.js';
@@ -130,6 +130,9 @@
     expect(rules(late)).toEqual(['work_while_leaving']);
     const storeFaults = [{ from: 8_000, until: 9_000 }];
     expect(rules({ ...late, storeFaults })).toEqual([]);
+    expect(excusedViolations(evidenceOf({ ...late, storeFaults }))).toEqual([
+      { rule: 'work_while_leaving', detail: 'r at 1970-01-01T00:00:10.050Z by g: after 2500 ms' },
+    ]);
   });
 
   it('judges work for a leaving replica by the request that came, and by nothing after it came', () => {
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -100,9 +100,20 @@
 }
 
 function auditReplica(seen: ReplicaViolation, evidence: SoakEvidence): Violation[] {
-  if (isExcused(seen, evidence)) return [];
+  return isExcused(seen, evidence) ? [] : [describeReplicaViolation(seen, evidence)];
+}
+
+/** What replicas saw and the faults around it excuse: to be looked at, but no broken promise. */
+export function excusedViolations(evidence: SoakEvidence): Violation[] {
+  return evidence.replicaViolations
+    .filter((seen) => isExcused(seen, evidence))
+    .map((seen) => describeReplicaViolation(seen, evidence));
+}
+
+function describeReplicaViolation(seen: ReplicaViolation, evidence: SoakEvidence): Violation {
   const when = new Date(seen.at).toISOString();
-  return [{ rule: seen.kind, detail: `${seen.replica} at ${when}: ${seen.detail}` }];
+  const gateway = findCall(seen.attemptId, evidence)?.gateway ?? seen.sender ?? 'nobody known';
+  return { rule: seen.kind, detail: `${seen.replica} at ${when} by ${gateway}: ${seen.detail}` };
 }
 
 function isExcused(seen: ReplicaViolation, evidence: SoakEvidence): boolean {
--- a/test/soak/fault-injector.ts
+++ b/test/soak/fault-injector.ts
@@ -47,7 +47,9 @@
   }
 
   private soundReplica(): ReplicaStandIn | undefined {
-    const sound = this.system.replicas.filter((each) => each.isUp && each.condition === 'sound');
+    const sound = this.system.replicas.filter(
+      (each) => each.isServing && each.condition === 'sound',
+    );
     return sound.length > 2 ? this.random.pick(sound) : undefined;
   }
 
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -15,6 +15,7 @@
   readonly revocation: string;
   readonly faults: FaultKinds;
   readonly only: FurtherFault['kind'][];
+  readonly leaving: boolean;
 }
 
 const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both'];
@@ -40,6 +41,7 @@
       .choices(FURTHER_FAULT_KINDS)
       .default([]),
   )
+  .option('--leaving', 'replicas also leave in all ways that the platform allows', false)
   .addOption(
     new Option('--epochs <choice>', 'whether replicas refuse orders with too low an epoch')
       .choices(EPOCH_CHOICES)
@@ -80,10 +82,12 @@
       promisesRevocation: promisesRevocation(flags.revocation, seed),
       faultKinds: flags.faults,
       only: flags.only,
+      leaving: flags.leaving,
     });
-    const { violations, ...figures } = result;
+    const { violations, excused, ...figures } = result;
     console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
     for (const { rule, detail } of violations) console.log(`  ${rule}: ${detail}`);
+    for (const { rule, detail } of excused) console.log(`  (excused by faults) ${rule}: ${detail}`);
     broken += violations.length;
   }
   process.exit(broken === 0 ? 0 : 1);
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -65,6 +65,8 @@
   private busy = false;
   private running = 0;
   private leavingSince: number | undefined;
+  /** Its entry is gone for good, though it serves on. */
+  private isWithdrawn = false;
   private server: http.Server | undefined;
   private readonly onDisk = new Set<string>();
 
@@ -80,8 +82,25 @@
     return this.server !== undefined;
   }
 
-  /** Starts a process; only the first one holds models. */
-  async start(): Promise<void> {
+  /** It runs and has not begun to leave. */
+  get isServing(): boolean {
+    return this.isUp && this.leavingSince === undefined;
+  }
+
+  get service(): string {
+    return this.options.service;
+  }
+
+  /** The port on which it runs, or ran last. */
+  get port(): number {
+    return Number(this.address.split(':')[1]);
+  }
+
+  /**
+   * Starts a process; only the first one holds models.
+   * @param port - Where it listens; any free port by default.
+   */
+  async start(port = 0): Promise<void> {
     this.starts += 1;
     this.id = `${this.options.name}-${this.starts}`;
     this.models = new Set(this.starts === 1 ? this.options.models : []);
@@ -90,9 +109,10 @@
     this.busy = false;
     this.running = 0;
     this.leavingSince = undefined;
+    this.isWithdrawn = false;
     const server = http.createServer((request, response) => void this.receive(request, response));
     this.connections.follow(server);
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     this.server = server;
     this.enter();
@@ -105,10 +125,15 @@
     setTimeout(() => this.options.store.delete('servers', id), CRASH_UNNOTICED_MS).unref();
   }
 
-  /** Says that it leaves, serves on for a time, and ends. */
-  async leave(serveMs: number): Promise<void> {
+  /**
+   * Leaves: serves on for a time, and ends.
+   * @param isAnnounced - Its entry says that it leaves; else the entry goes at once.
+   */
+  async leave(serveMs: number, isAnnounced = true): Promise<void> {
     this.leavingSince = Date.now();
-    this.enter();
+    this.isWithdrawn = !isAnnounced;
+    if (isAnnounced) this.enter();
+    else this.options.store.delete('servers', this.id);
     await new Promise((resolve) => setTimeout(resolve, serveMs));
     const { id } = this;
     this.end();
@@ -123,6 +148,7 @@
 
   /** Writes this replica's entry in the list. */
   private enter(): void {
+    if (this.isWithdrawn) return;
     this.options.store.put('servers', this.id, {
       service: this.options.service,
       address: this.address,
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -3,13 +3,21 @@
 import path from 'node:path';
 import { sleep } from '../../src/common/process.js';
 import { findSoakPorts } from './soak-ports.js';
-import { audit } from './audit.js';
+import { audit, excusedViolations } from './audit.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
-import type { ConfigurationProbe, StoreFault, TimeSpan, Violation } from './evidence.js';
+import type {
+  ConfigurationProbe,
+  SoakEvidence,
+  StoreFault,
+  TimeSpan,
+  Violation,
+} from './evidence.js';
 import { FaultInjector } from './fault-injector.js';
 import { planFaults, type Fault } from './fault-plan.js';
 import { FurtherFaultInjector } from './further-fault-injector.js';
 import { planFurtherFaults, type FurtherFault } from './further-fault-plan.js';
+import { LeavingFaultInjector } from './leaving-fault-injector.js';
+import { LONGEST_SERVICE_MS, planLeavingFaults, type LeavingFault } from './leaving-fault-plan.js';
 import { GatewayProcess } from './gateway-process.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
@@ -47,11 +55,15 @@
   readonly faultKinds?: FaultKinds;
   /** Of the further kinds, only these; all by default. */
   readonly only?: readonly FurtherFault['kind'][];
+  /** Whether replicas also leave in all ways that the platform allows; not by default. */
+  readonly leaving?: boolean;
 }
 
 /** What came of it. */
 export interface SoakResult {
   readonly violations: readonly Violation[];
+  /** What replicas saw and the faults around it excuse. */
+  readonly excused: readonly Violation[];
   readonly calls: number;
   readonly served: number;
   readonly faults: number;
@@ -65,6 +77,8 @@
 const SHARE_WITH_MODELS = 2 / 3;
 /** Added to a seed for the generator of the further faults. */
 const FURTHER_SEED = 10_000;
+/** Added to a seed for the generator of departures of replicas. */
+const LEAVING_SEED = 30_000;
 /** Added to a seed for the generators of callers that keep connections. */
 const KEPT_CALLER_SEED = 20_000;
 const KEPT_CALLER_PAUSE_MS = 300;
@@ -111,13 +125,14 @@
   async play(): Promise<SoakResult> {
     await this.start();
     const begun = Date.now() + START_MS;
-    const calmSince = begun + this.options.faultMs + RECOVERY_MS;
+    const { faultMs, leaving = false } = this.options;
+    const calmSince = begun + faultMs + RECOVERY_MS + (leaving ? LONGEST_SERVICE_MS : 0);
     this.endsAt = calmSince + CALM_MS;
-    const faults = this.planFirst(begun) + this.planFurther(begun);
+    const faults = this.planFirst(begun) + this.planFurther(begun) + this.planLeaving(begun);
     await sleep(START_MS);
     await Promise.all([this.sendRequests(), this.sendOnKeptConnections(), this.sendProbes()]);
     await Promise.all(this.pending);
-    const violations = audit({
+    const evidence: SoakEvidence = {
       calls: this.calls,
       probes: this.probes,
       runs: this.log.runs,
@@ -134,10 +149,11 @@
       calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
       unaskedExits: [...this.gateways.values()].reduce((sum, each) => sum + each.unaskedExits, 0),
-    });
+    };
     await this.stop();
     return {
-      violations,
+      violations: audit(evidence),
+      excused: excusedViolations(evidence),
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isWhole).length,
       faults,
@@ -165,7 +181,17 @@
     return this.schedule(plan, begun, (fault) => faults.strike(fault));
   }
 
-  private schedule<Kind extends Fault | FurtherFault>(
+  /** The number of departures. */
+  private planLeaving(begun: number): number {
+    const { seed, faultMs, leaving = false } = this.options;
+    if (!leaving) return 0;
+    const random = new SeededRandom(seed + LEAVING_SEED);
+    const faults = new LeavingFaultInjector(this, random);
+    const plan = planLeavingFaults(random, faultMs);
+    return this.schedule(plan, begun, (fault) => faults.strike(fault));
+  }
+
+  private schedule<Kind extends Fault | FurtherFault | LeavingFault>(
     plan: readonly { readonly at: number; readonly fault: Kind }[],
     begun: number,
     strike: (fault: Kind) => void,
@@ -192,7 +218,8 @@
     this.changeConfiguration();
     const ports = await findSoakPorts(gateways * 3);
     const peerPorts = ports.slice(0, gateways);
-    const silencedPorts = (this.options.faultKinds ?? 'first') === 'first' ? undefined : peerPorts;
+    const { faultKinds = 'first', leaving = false } = this.options;
+    const silencedPorts = faultKinds === 'first' && !leaving ? undefined : peerPorts;
     for (const [index, peers] of peerPorts.entries()) {
       const [callers = 0, readiness = 0] = ports.slice(gateways + 2 * index);
       const name = `gateway-${index}`;
@@ -242,7 +269,9 @@
   }
 
   /** Writes what happens beside the gateways' logs, to be read with them. */
-  private note(happened: Fault | FurtherFault | { kind: string; version: number }): void {
+  private note(
+    happened: Fault | FurtherFault | LeavingFault | { kind: string; version: number },
+  ): void {
     const line = `${new Date().toISOString()} ${JSON.stringify(happened)}\n`;
     appendFileSync(path.join(this.options.folder, 'faults.log'), line);
   }
