Logs tell how a daemon learned of a backend's end, whom readers told, and how old the knowledge behind a send is

What for: no line could tell apart a telling that was lost, a daemon that trusted what it knew before, an end that was held back, and a request that was on its way. backend_ended has source (list, late_list, reader, hold_over), from and told, and is written where no reader had told; sent has backendsAgeMs. The tests of the directory's duty share one group of daemons in simulated time.

--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -8,7 +8,7 @@
 import type { Logger } from '../common/logger.js';
 import { rankCandidates } from '../common/rendezvous.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
-import type { BackendList, EndedBackend } from '../core/backend-presence.js';
+import type { BackendList, EndedBackend, PresenceChanges } from '../core/backend-presence.js';
 import { ablestOf } from '../core/duties.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { DirectoryNews } from '../proto/gen/internal_pb.js';
@@ -46,6 +46,15 @@
   readonly onChange: () => void;
 }
 
+/** How this daemon has learned of changes. */
+type ChangeSource =
+  | 'list'
+  /** A reading that may be late: no reader's news had told of it. */
+  | 'late_list'
+  /** An entry that was missing after an outage has not come back. */
+  | 'hold_over'
+  | 'reader';
+
 /** Another daemon that reads the directory closely. */
 interface KnownReader {
   readonly heardAt: number;
@@ -73,7 +82,7 @@
     this.forgetSilentReaders(now);
     this.chooseAttention(now);
     const ended = this.options.backends.expireMissing(now);
-    if (ended.length > 0) this.changed(ended, []);
+    if (ended.length > 0) this.changed({ ended, started: [] }, 'hold_over');
     const isDue = now - this.lastPublished >= NEWS_PERIOD_MS;
     if (isDue || this.isPlatformAway() !== this.toldPlatformAway) this.publish([], []);
   }
@@ -89,6 +98,16 @@
     return isAnswered && [...this.readers.values()].every((reader) => reader.version <= version);
   }
 
+  /**
+   * Milliseconds since the platform answered this daemon, without delay, or a reader that told of it; infinite
+   * if neither is known.
+   */
+  knowledgeAgeMs(now: number): number {
+    const answered = [...this.readers.values()].filter(({ platformAway }) => !platformAway);
+    const heardAt = Math.max(-Infinity, ...answered.map((reader) => reader.heardAt));
+    return Math.min(this.options.directory.readingAgeMs(), now - heardAt);
+  }
+
   /** Whether another daemon is heard that the platform answers. */
   hearsAnsweredReader(): boolean {
     return this.readerCounts(steadyNow()).answered > 0;
@@ -96,8 +115,8 @@
 
   /** The platform's list has changed. */
   takeList(list: BackendList): void {
-    const { ended, started } = this.options.backends.setBackends(list, steadyNow());
-    this.changed(ended, started);
+    const changes = this.options.backends.setBackends(list, steadyNow());
+    this.changed(changes, this.attention === 'relaxed' ? 'late_list' : 'list');
   }
 
   /** A newer configuration is in force here. */
@@ -118,13 +137,14 @@
       ? []
       : news.started.filter((record) => backends.noteStarted(record, now));
     if (ended.length + started.length === 0) return;
-    this.log(ended, started);
+    this.log({ ended, started }, 'reader', from);
     onChange();
   }
 
-  private changed(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
+  private changed(changes: PresenceChanges, source: ChangeSource): void {
+    const { ended, started } = changes;
     if (ended.length + started.length > 0) {
-      this.log(ended, started);
+      this.log(changes, source);
       this.publish(ended, started);
     }
     this.options.onChange();
@@ -191,13 +211,19 @@
     });
   }
 
-  /** Lines at designated readers, and where requests are touched: hundreds hear the same. */
-  private log(ended: readonly EndedBackend[], started: readonly BackendRecord[]): void {
+  /**
+   * Lines at designated readers, where requests are touched, and where news were missed: hundreds hear
+   * the same.
+   */
+  private log({ ended, started }: PresenceChanges, source: ChangeSource, from?: string): void {
     const { inFlightAt, logger } = this.options;
     const { isDesignatedReader } = this;
-    const touched = ended.filter(({ id }) => isDesignatedReader || inFlightAt(id) > 0);
+    const isTold = isDesignatedReader || source === 'late_list';
+    const told = isDesignatedReader ? this.options.peers.live().length - 1 : undefined;
+    const touched = ended.filter(({ id }) => isTold || inFlightAt(id) > 0);
     for (const { id, revision } of touched) {
-      logger.info('backend_ended', { backend: id, revision, inFlight: inFlightAt(id) });
+      const inFlight = inFlightAt(id);
+      logger.info('backend_ended', { backend: id, revision, inFlight, source, from, told });
     }
     if (!isDesignatedReader) return;
     for (const { id, revision, address } of started) {
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -30,6 +30,8 @@
   readonly limits: TenantLimits;
   /** Requests that have not ended. */
   readonly exchanges: Set<RequestExchange>;
+  /** Age of what is known of the backends, in milliseconds; infinite if nothing has confirmed it. */
+  backendsAgeMs(now: number): number;
   budgetOf(service: string): RetryBudget;
   /** Daemons among which common budgets are divided. */
   daemonCount(): number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -276,6 +276,7 @@
       admission: this.admission,
       limits: this.limits,
       exchanges: new Set<RequestExchange>(),
+      backendsAgeMs: (now) => this.directoryDuty.knowledgeAgeMs(now),
       budgetOf: (service) => this.budgetOf(service),
       daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
       noteCaller: (route, deadlineMs) => this.noteCaller(route, deadlineMs),
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -233,12 +233,12 @@
   private beliefs(now: number): Record<string, number | undefined> {
     const { directory } = this.context;
     const { service } = this.match;
-    const placementAgeMs = directory.placementAgeMs(service.name, now);
     return {
       configuration: this.configurationVersion,
       backends: directory.serving(service.name).length,
+      backendsAgeMs: wholeMs(this.context.backendsAgeMs(now)),
       epoch: service.modelHost === undefined ? undefined : directory.epochOf(service.name),
-      placementAgeMs: Number.isFinite(placementAgeMs) ? Math.round(placementAgeMs) : undefined,
+      placementAgeMs: wholeMs(directory.placementAgeMs(service.name, now)),
     };
   }
 
@@ -489,3 +489,8 @@
     });
   }
 }
+
+/** For a log line; nothing stands for a time that is not known. */
+function wholeMs(milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
+}
--- a/test/gateway/directory-duty.test.ts
+++ b/test/gateway/directory-duty.test.ts
@@ -6,114 +6,96 @@
  * Cause: the readers' news were taken for a proof of what they read, but told only that they live.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { silentLogger } from '../../src/common/logger.js';
+import type { LogFields, Logger } from '../../src/common/logger.js';
 import { rankCandidates } from '../../src/common/rendezvous.js';
-import { BackendDirectory } from '../../src/core/backend-directory.js';
-import type { MemberView } from '../../src/core/membership-messages.js';
-import type { PeerBody } from '../../src/daemon/peer-transport.js';
-import { DirectoryDuty } from '../../src/gateway/directory-duty.js';
-import type { PeerGroup } from '../../src/gateway/peer-group.js';
-import type { DirectoryAttention, PlatformDirectory } from '../../src/gateway/ports.js';
+import type { DirectoryAttention } from '../../src/gateway/ports.js';
+import { backendOf, DIRECTORY_TICK_MS, DirectoryGroup } from './directory-group.js';
 
-const TICK_MS = 250;
+const TICK_MS = DIRECTORY_TICK_MS;
 const ADDRESSES = Array.from({ length: 12 }, (_, index) => `10.0.0.${index}:7000`);
 const RANKED = rankCandidates('directory', ADDRESSES);
 
-/** One daemon of the group. */
-class Reader {
-  attention: DirectoryAttention = 'alone';
-  isAnswered = true;
-  readonly duty: DirectoryDuty;
-
-  constructor(
-    readonly address: string,
-    broadcast: (from: string, body: PeerBody) => void,
-  ) {
-    const live = (): MemberView[] =>
-      ADDRESSES.map((member) => {
-        return { address: member, zone: '', site: '', incarnation: 1, state: 'alive', capacity: 1 };
-      });
-    const directory: Partial<PlatformDirectory> = {
-      setAttention: (attention) => (this.attention = attention),
-      readingAgeMs: () => (this.isAnswered ? 0 : Infinity),
-    };
-    const peers = { address, live, broadcast: (body: PeerBody) => broadcast(address, body) };
-    this.duty = new DirectoryDuty({
-      directory: directory as PlatformDirectory,
-      backends: new BackendDirectory(),
-      peers: peers as unknown as PeerGroup,
-      logger: silentLogger,
-      version: () => 1,
-      ownsService: () => false,
-      inFlightAt: () => 0,
-      onChange: () => {},
-    });
-  }
-}
-
 describe('readers of the directory', () => {
-  let group: Map<string, Reader>;
+  let group: DirectoryGroup;
+  let lines: LogFields[];
 
   beforeEach(() => {
     vi.useFakeTimers({ toFake: ['performance', 'setTimeout'] });
-    group = new Map();
-    const broadcast = (from: string, body: PeerBody): void => {
-      if (body.case !== 'directoryNews') return;
-      for (const [address, { duty }] of group) if (address !== from) duty.hear(from, body.value);
+    lines = [];
+    const write = (event: string, fields: LogFields = {}): void => {
+      lines.push({ event, ...fields });
     };
-    for (const address of ADDRESSES) group.set(address, new Reader(address, broadcast));
+    const logger: Logger = { info: write, warn: write, error: write };
+    group = new DirectoryGroup(ADDRESSES, logger);
   });
   afterEach(() => {
     vi.useRealTimers();
   });
 
-  async function run(milliseconds: number): Promise<void> {
-    for (let passed = 0; passed < milliseconds; passed += TICK_MS) {
-      await vi.advanceTimersByTimeAsync(TICK_MS);
-      for (const { duty } of group.values()) duty.tick();
-    }
-  }
-
   function attentionsByRank(): DirectoryAttention[] {
-    return RANKED.map((address) => group.get(address)?.attention ?? 'alone');
+    return RANKED.map((address) => group.member(address).attention);
   }
 
   function turnAway(addresses: readonly string[], isAnswered: boolean): void {
-    for (const address of addresses) group.get(address)!.isAnswered = isAnswered;
+    for (const address of addresses) group.member(address).isAnswered = isAnswered;
   }
 
   it('are two, while the platform answers them', async () => {
-    await run(3_000);
+    await group.run(3_000);
     expect(attentionsByRank()).toEqual(['close', 'close', ...Array<string>(10).fill('relaxed')]);
   });
 
   it('are relieved by the next in rank while the platform answers none of them', async () => {
-    await run(3_000);
+    await group.run(3_000);
     turnAway(RANKED.slice(0, 2), false);
-    await run(2 * TICK_MS);
+    await group.run(2 * TICK_MS);
     const closer = Array<string>(6).fill('close');
     expect(attentionsByRank()).toEqual([...closer, ...Array<string>(6).fill('relaxed')]);
-    await run(5_000);
+    await group.run(5_000);
     expect(attentionsByRank().slice(0, 6)).toEqual(closer);
     turnAway(RANKED.slice(0, 2), true);
-    await run(2 * TICK_MS);
+    await group.run(2 * TICK_MS);
     expect(attentionsByRank()).toEqual(['close', 'close', ...Array<string>(10).fill('relaxed')]);
   });
 
   it('are not relieved while the platform answers one of them', async () => {
-    await run(3_000);
+    await group.run(3_000);
     turnAway(RANKED.slice(0, 1), false);
-    await run(5_000);
+    await group.run(5_000);
     expect(attentionsByRank().slice(2)).toEqual(Array<string>(10).fill('relaxed'));
   });
 
   it('do not let a daemon be sure of what it holds while the platform answers nobody', async () => {
-    await run(3_000);
-    const last = group.get(RANKED.at(-1) ?? '');
-    expect(last?.duty.isInformed()).toBe(true);
+    await group.run(3_000);
+    const last = group.member(RANKED.at(-1));
+    expect(last.duty.isInformed()).toBe(true);
     turnAway(ADDRESSES, false);
-    await run(2_000);
-    expect([...group.values()].map(({ duty }) => duty.isInformed())).not.toContain(true);
+    await group.run(2_000);
+    expect([...group.members.values()].map(({ duty }) => duty.isInformed())).not.toContain(true);
     expect(attentionsByRank().slice(6)).toEqual(Array<string>(6).fill('relaxed'));
   });
+
+  it('log what has ended, how they know, and to how many they told it', async () => {
+    group.list([backendOf('one', 1), backendOf('two', 2)]);
+    await group.run(6_000);
+    group.list([backendOf('one', 1)]);
+    await group.run(1_000);
+    const ends = lines.filter(({ event }) => event === 'backend_ended');
+    expect(ends).toMatchObject([
+      { backend: 'two', source: 'list', told: 11 },
+      { backend: 'two', source: 'reader', told: 11 },
+    ]);
+  });
+
+  it('let a daemon tell how old its knowledge is', async () => {
+    await group.run(3_000);
+    const last = group.member(RANKED.at(-1)).duty;
+    expect(last.knowledgeAgeMs(performance.now())).toBeLessThan(1_000);
+    group.delivers = () => false;
+    turnAway(ADDRESSES, false);
+    await group.run(1_250);
+    expect(last.knowledgeAgeMs(performance.now())).toBeGreaterThan(1_000);
+    await group.run(1_000);
+    expect(last.knowledgeAgeMs(performance.now())).toBe(Infinity);
+  });
 });
--- /dev/null
+++ b/test/gateway/directory-group.ts
@@ -0,0 +1,175 @@
+/**
+ * Daemons that follow one platform's directory together, in simulated time: each has its duty and its list;
+ * what they say reaches whom a test lets it reach.
+ */
+import { vi } from 'vitest';
+import { silentLogger, type Logger } from '../../src/common/logger.js';
+import { BackendDirectory } from '../../src/core/backend-directory.js';
+import type { MemberView } from '../../src/core/membership-messages.js';
+import type { BackendRecord } from '../../src/core/service-configuration.js';
+import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { DirectoryDuty } from '../../src/gateway/directory-duty.js';
+import type { PeerGroup } from '../../src/gateway/peer-group.js';
+import type { DirectoryAttention, PlatformDirectory } from '../../src/gateway/ports.js';
+
+/** All daemons look at the clock so often. */
+export const DIRECTORY_TICK_MS = 250;
+/** A daemon that reads late reads so often, and what the platform held so long ago. */
+const LATE_PERIOD_MS = 5_000;
+const LATE_BY_MS = 3_000;
+
+interface Snapshot {
+  readonly at: number;
+  readonly revision: number;
+  readonly backends: readonly BackendRecord[];
+}
+
+type Delivery = (from: string, to: string) => boolean;
+
+/** A backend that has just been listed. */
+export function backendOf(id: string, revision: number): BackendRecord {
+  return {
+    id,
+    revision,
+    service: 'service',
+    address: '10.1.0.1:80',
+    zone: 'a',
+    slots: 4,
+    leaving: false,
+    models: [],
+    sequence: 0,
+    inMemory: [],
+    onDisk: [],
+  };
+}
+
+/** One daemon. */
+export class GroupMember {
+  attention: DirectoryAttention = 'alone';
+  /** Whether the platform answers it. */
+  isAnswered = true;
+  /** Whether its process runs. */
+  isRunning = true;
+  readonly backends = new BackendDirectory();
+  readonly duty: DirectoryDuty;
+  private lastReading = -Infinity;
+  private lastLateReading = -Infinity;
+
+  constructor(
+    readonly address: string,
+    private readonly group: DirectoryGroup,
+    logger: Logger,
+  ) {
+    const directory: Partial<PlatformDirectory> = {
+      setAttention: (attention) => (this.attention = attention),
+      readingAgeMs: () => (this.isAnswered ? performance.now() - this.lastReading : Infinity),
+    };
+    const peers = {
+      address,
+      live: () => group.liveFor(address),
+      broadcast: (body: PeerBody) => group.broadcast(address, body),
+    };
+    this.duty = new DirectoryDuty({
+      directory: directory as PlatformDirectory,
+      backends: this.backends,
+      peers: peers as unknown as PeerGroup,
+      logger,
+      version: () => 1,
+      ownsService: () => group.owner === address,
+      inFlightAt: () => 0,
+      onChange: () => {},
+    });
+  }
+
+  /** Whether it would send a request to the backend. */
+  serves(backend: string): boolean {
+    return this.backends.serving('service').some(({ id }) => id === backend);
+  }
+
+  /** Reads as closely as its attention asks, then looks at the clock. */
+  tick(): void {
+    if (!this.isRunning) return;
+    this.read();
+    this.duty.tick();
+  }
+
+  private read(): void {
+    if (!this.isAnswered) return;
+    const now = performance.now();
+    if (this.attention !== 'relaxed') {
+      this.lastReading = now;
+      return this.take(this.group.snapshotAt(now), false);
+    }
+    if (now - this.lastLateReading < LATE_PERIOD_MS) return;
+    this.lastLateReading = now;
+    this.take(this.group.snapshotAt(now - LATE_BY_MS), true);
+  }
+
+  private take({ backends, revision }: Snapshot, mayMissBackends: boolean): void {
+    this.duty.takeList({ backends, revision, mayMissBackends });
+  }
+}
+
+/** All daemons, and the platform's list. Wants simulated time of `performance`. */
+export class DirectoryGroup {
+  readonly members = new Map<string, GroupMember>();
+  /** The daemon that owns the services, if any. */
+  owner: string | undefined;
+  /** Whether a message reaches a daemon. */
+  delivers: Delivery = () => true;
+  /** Whether a daemon takes another for live. */
+  sees: Delivery = () => true;
+  private readonly snapshots: Snapshot[] = [{ at: -Infinity, revision: 0, backends: [] }];
+
+  constructor(addresses: readonly string[], logger: Logger = silentLogger) {
+    for (const address of addresses) {
+      this.members.set(address, new GroupMember(address, this, logger));
+    }
+  }
+
+  member(address: string | undefined): GroupMember {
+    const found = this.members.get(address ?? '');
+    if (found === undefined) throw new Error(`no daemon ${address}`);
+    return found;
+  }
+
+  /** The platform lists these backends from now on. */
+  list(backends: readonly BackendRecord[]): void {
+    const revision = Math.max(this.revision + 1, ...backends.map((each) => each.revision));
+    this.snapshots.push({ at: performance.now(), revision, backends });
+  }
+
+  get revision(): number {
+    return this.snapshots.at(-1)?.revision ?? 0;
+  }
+
+  snapshotAt(time: number): Snapshot {
+    const known = this.snapshots.filter(({ at }) => at <= time).at(-1);
+    return known ?? { at: -Infinity, revision: 0, backends: [] };
+  }
+
+  liveFor(address: string): MemberView[] {
+    const seen = [...this.members.keys()].filter(
+      (other) => other === address || this.sees(address, other),
+    );
+    return seen.map((member) => {
+      return { address: member, zone: '', site: '', incarnation: 1, state: 'alive', capacity: 1 };
+    });
+  }
+
+  broadcast(from: string, body: PeerBody): void {
+    if (body.case !== 'directoryNews') return;
+    for (const { address } of this.liveFor(from)) {
+      const to = this.member(address);
+      const isReached = address !== from && to.isRunning && this.delivers(from, address);
+      if (isReached) to.duty.hear(from, body.value);
+    }
+  }
+
+  async run(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += DIRECTORY_TICK_MS) {
+      await vi.advanceTimersByTimeAsync(DIRECTORY_TICK_MS);
+      for (const member of this.members.values()) member.tick();
+    }
+  }
+}
