--- /dev/null
+++ b/test/gateway/peer-group.test.ts
@@ -0,0 +1,71 @@
+/**
+ * A gateway that was asked to stop sent on to a backend for 2.1 s after it had said that it leaves, until it ended
+ * itself: what daemons tell all others went only to those that may be given duties, and a daemon that drains may
+ * not. It still has requests to finish, and sends some of them again.
+ *
+ *     31.256 gateway-2 event=draining
+ *     31.364 gateway-3 event=backend_ended backend=replica-8-3 revision=206
+ *     33.497 gateway-2 event=sent backend=replica-8-3
+ */
+import { afterEach, expect, it } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { encodeNews } from '../../src/gateway/gateway-codec.js';
+import { PeerGroup } from '../../src/gateway/peer-group.js';
+import { findFreePorts } from '../../src/testbed/free-ports.js';
+
+const HOST = '127.0.0.1';
+const LOOK_MS = 50;
+const LONGEST_MS = 3_000;
+const NEWS: PeerBody = encodeNews({
+  configurationVersion: 1,
+  ended: [{ id: 'backend', revision: 7 }],
+  started: [],
+  platformAway: false,
+  servingDigest: 1,
+});
+
+const groups: PeerGroup[] = [];
+
+async function startGroup(port: number, received: PeerBody[]): Promise<PeerGroup> {
+  const group = new PeerGroup({
+    host: HOST,
+    port,
+    zone: 'a',
+    capacity: 1,
+    logger: silentLogger,
+    onMessage: (_from, body) => received.push(body),
+    onChange: () => {},
+  });
+  groups.push(group);
+  await group.start();
+  return group;
+}
+
+/** Lets the groups look at their clocks until something holds. */
+async function lookUntil(holds: () => boolean): Promise<void> {
+  for (let waited = 0; waited < LONGEST_MS && !holds(); waited += LOOK_MS) {
+    for (const group of groups) group.look();
+    await sleep(LOOK_MS);
+  }
+}
+
+afterEach(() => {
+  for (const group of groups.splice(0)) group.stop();
+});
+
+it('tells a daemon that drains what it tells all others', async () => {
+  const [port = 0, otherPort = 0] = await findFreePorts(2);
+  const received: PeerBody[] = [];
+  const reader = await startGroup(port, []);
+  const draining = await startGroup(otherPort, received);
+  reader.addSeeds([draining.address]);
+  await lookUntil(() => reader.live().length === 2 && draining.live().length === 2);
+  draining.leave();
+  await lookUntil(() => reader.live().length === 1);
+  expect(reader.live()).toHaveLength(1);
+  reader.broadcast(NEWS);
+  await lookUntil(() => received.length > 0);
+  expect(received.map((body) => body.case)).toEqual(['directoryNews']);
+});
--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth';
 import { afterEach, describe, expect, it } from 'vitest';
-import { KindFollower, type FollowerPace } from '../../platform/kind-follower.js';
+import { KindFollower, type FollowerPace, type KindCopy } from '../../platform/kind-follower.js';
 import type { ObjectStore, StoreObject, WatchOptions } from '../../platform/object-store.js';
 import { silentLogger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
@@ -49,18 +49,22 @@
 function follow(
   store: ScriptedStore,
   pace: FollowerPace,
-): { follower: KindFollower; seen: unknown[] } {
+): { follower: KindFollower; seen: unknown[]; copies: KindCopy[] } {
   const seen: unknown[] = [];
+  const copies: KindCopy[] = [];
   const follower = new KindFollower({
     store: store as unknown as ObjectStore,
     logger: silentLogger,
     kind: 'servers',
     pace,
-    onObjects: ({ objects }) => seen.push(objects.get('x')?.spec),
+    onObjects: (copy) => {
+      copies.push(copy);
+      seen.push(copy.objects.get('x')?.spec);
+    },
   });
   followers.push(follower);
   void follower.run();
-  return { follower, seen };
+  return { follower, seen, copies };
 }
 
 /** Leaves the late watch that waits, and asks the next one late again. */
@@ -105,6 +109,17 @@
     expect(seen).toEqual([10, 12]);
   });
 
+  it('takes a history that is gone for no outage: what the new list misses has gone', async () => {
+    const store = new ScriptedStore();
+    const { follower, copies } = follow(store, CLOSE);
+    await sleep(30);
+    store.historyIsGone = true;
+    askAgain(follower);
+    follower.setPace(CLOSE);
+    await sleep(300);
+    expect(copies.map(({ mayMissObjects }) => mayMissObjects)).toEqual([false, false]);
+  });
+
   it('does not step back to a list from before what it holds', async () => {
     const store = new ScriptedStore();
     const { follower, seen } = follow(store, RELAXED);
