Test: a stream breaks after its third event, not after 75 ms

Cause: the stand-in of a backend wrote an event each 20 ms and broke the connection off at 75 ms; on a loaded machine (four soaks beside it) two events had been written by then, and the check of the third id failed: 'expected 2 to be 3'. The expectations stay as they were; what the test waits for is the event, not the clock.

--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -108,11 +108,11 @@
     });
     await other.start();
     backend.handle = (request, response, body) => {
-      answerEvents(1, 50, 20)(request, response, body);
-      setTimeout(() => {
+      const breakOff = (): void => {
         response.write('id: 4\nda');
         request.socket.destroy();
-      }, 75);
+      };
+      answerEvents(1, 50, 20, { after: 3, with: breakOff })(request, response, body);
     };
     harness.list([backend.record(), other.record({ zone: 'b' })]);
     const answer = await harness.call({ id: 'a' });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -150,8 +150,19 @@
   response.end(`done ${id}`);
 }
 
-/** Answers with events `first` to `last`, one each `gapMs`. */
-export function answerEvents(first: number, last: number, gapMs: number): BackendHandler {
+/** Something else than the next event comes after an event. */
+export interface StreamBreak {
+  readonly after: number;
+  readonly with: () => void;
+}
+
+/** Answers with events `first` to `last`, one each `gapMs`, unless the stream breaks before. */
+export function answerEvents(
+  first: number,
+  last: number,
+  gapMs: number,
+  streamBreak?: StreamBreak,
+): BackendHandler {
   return (request, response) => {
     const id = String(request.headers['request-id'] ?? '');
     response.writeHead(200, {
@@ -161,6 +172,7 @@
     });
     let event = first;
     const timer = setInterval(() => {
+      if (event - 1 === streamBreak?.after) return streamBreak.with();
       response.write(`id: ${event}\ndata: ${event}\n\n`);
       event += 1;
       if (event <= last) return;
