--- a/src/core/backend-presence.ts
+++ b/src/core/backend-presence.ts
@@ -17,6 +17,8 @@
   readonly mayMissBackends: boolean;
   /** It is what the platform held up to some seconds ago. */
   readonly isLate?: boolean;
+  /** Backends that are missing may enter themselves again for so long; {@link MISSING_HOLD_MS} by default. */
+  readonly returnWithinMs?: number;
 }
 
 /** A backend that is leaving or gone, as the store showed it at a revision. */
@@ -45,7 +47,8 @@
 const REMEMBERED_ENDS = 2_000;
 
 interface MissingBackend {
-  readonly since: number;
+  /** When it counts as ended unless it is back. */
+  readonly heldUntil: number;
   readonly revision: number;
   /** Only late lists have missed it. */
   readonly isLateWord: boolean;
@@ -134,8 +137,9 @@
       this.records.set(id, record);
       const isHeld = this.announced.has(id) || this.missing.has(id);
       if (isHeld) continue;
-      const { revision, isLate = false } = list;
-      this.missing.set(id, { since: now, revision, isLateWord: isLate });
+      const { revision, isLate = false, returnWithinMs = MISSING_HOLD_MS } = list;
+      const heldUntil = now + Math.min(returnWithinMs, MISSING_HOLD_MS);
+      this.missing.set(id, { heldUntil, revision, isLateWord: isLate });
     }
     return ended;
   }
@@ -156,8 +160,8 @@
       this.records.delete(id);
     }
     const ended: EndedBackend[] = [];
-    for (const [id, { since, revision }] of this.missing) {
-      if (now - since < MISSING_HOLD_MS) continue;
+    for (const [id, { heldUntil, revision }] of this.missing) {
+      if (now < heldUntil) continue;
       this.missing.delete(id);
       this.records.delete(id);
       if (this.noteEnded({ id, revision })) ended.push({ id, revision });
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -93,6 +93,11 @@
     return [this.self, ...others].filter(isLive);
   }
 
+  /** Members that still answer, also while they drain; this daemon among them. */
+  reachable(): MemberView[] {
+    return this.all().filter(({ address }) => this.isReachable(address));
+  }
+
   /** Whether a daemon may be given duties. */
   isLive(address: string): boolean {
     if (address === this.self.address) return isLive(this.self);
--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -223,7 +223,7 @@
     const { inFlightAt, logger } = this.options;
     const { isDesignatedReader } = this;
     const isTold = isDesignatedReader || source === 'late_list';
-    const told = isDesignatedReader ? this.options.peers.live().length - 1 : undefined;
+    const told = isDesignatedReader ? this.options.peers.reachableOthers().length : undefined;
     const touched = ended.filter(({ id }) => isTold || inFlightAt(id) > 0);
     for (const { id, revision } of touched) {
       const inFlight = inFlightAt(id);
--- a/src/gateway/peer-group.ts
+++ b/src/gateway/peer-group.ts
@@ -95,13 +95,15 @@
     this.transport.sendDatagram(to, body);
   }
 
-  /** Sends to every other live daemon. */
+  /** Addresses of the other daemons that still answer: one that drains has requests to finish. */
+  reachableOthers(): string[] {
+    const addresses = this.membership.reachable().map((member) => member.address);
+    return addresses.filter((address) => address !== this.address);
+  }
+
+  /** Sends to every other daemon that still answers. */
   broadcast(body: PeerBody): void {
-    const others = this.live().filter((member) => member.address !== this.address);
-    this.transport.sendToAll(
-      others.map((member) => member.address),
-      body,
-    );
+    this.transport.sendToAll(this.reachableOthers(), body);
   }
 
   private receive(from: string, body: PeerBody): void {
--- a/test/core/backend-presence.test.ts
+++ b/test/core/backend-presence.test.ts
@@ -65,6 +65,18 @@
     expect(serving(presence)).toEqual(['x']);
   });
 
+  it('holds one that goes some time after the return of the store only until lapsed entries are back', () => {
+    const presence = new BackendPresence();
+    presence.take(list(1, [record('x'), record('y')]), 0);
+    const soonSure = { ...doubtfulList(5, [record('x')]), returnWithinMs: 400 };
+    expect(presence.take(soonSure, 1_000).ended).toEqual([]);
+    expect(presence.expire(1_399)).toEqual([]);
+    expect(presence.expire(1_400)).toEqual([{ id: 'y', revision: 5 }]);
+    const unsure = { ...doubtfulList(6, []), returnWithinMs: 9_000 };
+    expect(presence.take(unsure, 2_000).ended).toEqual([]);
+    expect(presence.expire(3_800)).toEqual([{ id: 'x', revision: 6 }]);
+  });
+
   it('ends one that a late list misses as soon as a current list misses it too', () => {
     const presence = new BackendPresence();
     presence.take(list(1, [record('x'), record('y')]), 0);
--- a/test/gateway/directory-group.ts
+++ b/test/gateway/directory-group.ts
@@ -67,6 +67,7 @@
     const peers = {
       address,
       live: () => group.liveFor(address),
+      reachableOthers: () => group.liveFor(address).slice(1),
       broadcast: (body: PeerBody) => group.broadcast(address, body),
     };
     this.duty = new DirectoryDuty({
