--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -1,6 +1,6 @@
 /** One gateway of a soak: the bundle that is deployed, as a process of its own, and what was done to it. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, openSync, writeFileSync } from 'node:fs';
+import { appendFileSync, closeSync, openSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { LIMIT_EXCESS, LIMIT_SLACK, LIMIT_WINDOW_MS, REVOCATION_MS } from './soak-tenants.js';
 
@@ -111,8 +111,12 @@
     return path.join(this.options.folder, `${this.options.name}.json`);
   }
 
+  private get logFile(): string {
+    return path.join(this.options.folder, `${this.options.name}.log`);
+  }
+
   start(): void {
-    const log = openSync(path.join(this.options.folder, `${this.options.name}.log`), 'a');
+    const log = openSync(this.logFile, 'a');
     const { silencedPorts } = this.options;
     const preload = silencedPorts === undefined ? [] : ['--import', SILENT_LINKS];
     const child = spawn(process.execPath, [...preload, BUNDLE], {
@@ -126,7 +130,13 @@
     closeSync(log);
     this.child = child;
     this.isExpectedToEnd = false;
-    child.once('exit', () => this.exited());
+    const startedAt = Date.now();
+    child.once('exit', (code, signal) => {
+      const age = Date.now() - startedAt;
+      const end = `event=ended code=${code} signal=${signal} ageMs=${age}`;
+      if (!this.isOver) appendFileSync(this.logFile, `time=${new Date().toISOString()} ${end}\n`);
+      this.exited();
+    });
     this.endDisturbances(['killed', 'stopped']);
   }
 
