--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -44,6 +44,12 @@
   readonly silencedPorts?: readonly number[];
 }
 
+/** All processes that run: none may outlive a soak that is ended itself. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** A gateway that is started again whenever it ends. */
 export class GatewayProcess {
   readonly disturbances: Disturbance[] = [];
@@ -131,7 +137,9 @@
     this.child = child;
     this.isExpectedToEnd = false;
     const startedAt = Date.now();
+    running.add(child);
     child.once('exit', (code, signal) => {
+      running.delete(child);
       const age = Date.now() - startedAt;
       const end = `event=ended code=${code} signal=${signal} ageMs=${age}`;
       if (!this.isOver) appendFileSync(this.logFile, `time=${new Date().toISOString()} ${end}\n`);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -97,4 +97,9 @@
   process.exit(broken === 0 ? 0 : 1);
 }
 
+// Ends by way of Node's own exit, which ends the gateways.
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 void main();
