--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -75,6 +75,7 @@
   tick(): void {
     const now = steadyNow();
     this.readers.forgetSilent(now);
+    this.noticeOwnReading(now);
     this.noticeDifference(now);
     this.chooseAttention(now);
     const ended = this.options.backends.expireMissing(now);
@@ -169,17 +170,20 @@
 
   /** Whoever holds other backends than a reader lists reads for itself, once, before it relies on readers again. */
   private noticeDifference(now: number): void {
-    const { backends, directory, logger } = this.options;
-    if (this.mustReadSince !== undefined) {
-      if (now - directory.readingAgeMs() <= this.mustReadSince) return;
-      this.mustReadSince = undefined;
-      this.readers.settleDifferences(now);
-      return;
-    }
-    if (this.attention !== 'relaxed') return;
-    if (!this.readers.hasDiffered(backends.servingDigest(), now)) return;
+    const { backends, logger } = this.options;
+    if (this.attention !== 'relaxed' || this.mustReadSince !== undefined) return;
+    const reader = this.readers.differingReader(backends.servingDigest(), now);
+    if (reader === undefined) return;
     this.mustReadSince = now;
-    logger.info('directory_difference', { backends: backends.all().length });
+    logger.info('directory_difference', { reader, backends: backends.all().length });
+  }
+
+  private noticeOwnReading(now: number): void {
+    if (this.mustReadSince === undefined) return;
+    const readAt = now - this.options.directory.readingAgeMs();
+    if (readAt <= this.mustReadSince) return;
+    this.mustReadSince = undefined;
+    this.readers.settleDifferences(now);
   }
 
   private chooseAttention(now: number): void {
--- a/src/gateway/known-readers.ts
+++ b/src/gateway/known-readers.ts
@@ -89,12 +89,13 @@
     return Math.max(0, ...[...this.readers.values()].map(({ version }) => version));
   }
 
-  /** Whether a reader has listed other backends than this daemon holds for longer than news take. */
-  hasDiffered(ownDigest: number, now: number): boolean {
-    return [...this.readers.values()].some((reader) => {
+  /** A reader that has listed other backends than this daemon holds for longer than news take. */
+  differingReader(ownDigest: number, now: number): string | undefined {
+    for (const [address, reader] of this.readers) {
       const { differsSince = Infinity } = reader;
-      return differsFrom(reader, ownDigest) && now - differsSince >= DIFFERENCE_MS;
-    });
+      if (differsFrom(reader, ownDigest) && now - differsSince >= DIFFERENCE_MS) return address;
+    }
+    return undefined;
   }
 
   /** This daemon has read for itself: where readers still differ, it is not this daemon that lacks something. */
--- a/test/gateway/known-readers.test.ts
+++ b/test/gateway/known-readers.test.ts
@@ -22,21 +22,21 @@
   it('see no difference where the lists are the same, or a reader tells nothing of its list', () => {
     hear('a', OWN, 0);
     hear('b', undefined, 0);
-    expect(readers.hasDiffered(OWN, 5_000)).toBe(false);
+    expect(readers.differingReader(OWN, 5_000)).toBeUndefined();
   });
 
   it('see a difference that outlasts the next news', () => {
     hear('a', OTHER, 0);
-    expect(readers.hasDiffered(OWN, 700)).toBe(false);
+    expect(readers.differingReader(OWN, 700)).toBeUndefined();
     hear('a', OTHER, 750);
-    expect(readers.hasDiffered(OWN, 800)).toBe(true);
+    expect(readers.differingReader(OWN, 800)).toBe('a');
   });
 
   it('do not take a reader that is behind for one that differs', () => {
     hear('a', OTHER, 0);
     hear('a', OWN, 750);
     hear('a', OTHER, 1_500);
-    expect(readers.hasDiffered(OWN, 1_600)).toBe(false);
+    expect(readers.differingReader(OWN, 1_600)).toBeUndefined();
   });
 
   it('see a difference with one reader, whatever another lists', () => {
@@ -44,13 +44,13 @@
       hear('a', OTHER, now);
       hear('b', OWN, now);
     }
-    expect(readers.hasDiffered(OWN, 1_500)).toBe(true);
+    expect(readers.differingReader(OWN, 1_500)).toBe('a');
   });
 
   it('compare nothing with a reader that the platform does not answer', () => {
     const away = news({ platformAway: true, servingDigest: OTHER });
     for (const now of [0, 750, 1_500]) readers.hear('a', away, OWN, now);
-    expect(readers.hasDiffered(OWN, 1_500)).toBe(false);
+    expect(readers.differingReader(OWN, 1_500)).toBeUndefined();
   });
 
   it('leave a difference alone that this daemon has looked into, until the reader lists others', () => {
@@ -58,10 +58,10 @@
     readers.settleDifferences(1_000);
     hear('a', OTHER, 1_500);
     hear('a', OTHER, 3_000);
-    expect(readers.hasDiffered(OWN, 3_000)).toBe(false);
+    expect(readers.differingReader(OWN, 3_000)).toBeUndefined();
     hear('a', 19, 3_750);
     hear('a', 19, 4_550);
-    expect(readers.hasDiffered(OWN, 4_550)).toBe(true);
+    expect(readers.differingReader(OWN, 4_550)).toBe('a');
   });
 
   it('look into a lasting difference again after some time', () => {
@@ -69,7 +69,7 @@
     readers.settleDifferences(1_000);
     hear('a', OTHER, 11_100);
     hear('a', OTHER, 11_900);
-    expect(readers.hasDiffered(OWN, 11_900)).toBe(true);
+    expect(readers.differingReader(OWN, 11_900)).toBe('a');
   });
 
   it('count those that are heard, and those of them that the platform answers', () => {
