Changes that are no longer told are forgotten also by daemons that tell nobody

Cause: found on reading the diff: only the telling dropped old changes, so a daemon that reads late kept every change of its life. What is told stays the same.

--- a/src/core/recent-changes.ts
+++ b/src/core/recent-changes.ts
@@ -22,15 +22,21 @@
   private noted: NotedChanges[] = [];
 
   note({ ended, started }: PresenceChanges, now: number): void {
+    this.forgetOld(now);
     if (ended.length + started.length > 0) this.noted.push({ at: now, ended, started });
   }
 
   /** All that is still told, the oldest first. */
   all(now: number): PresenceChanges {
-    this.noted = this.noted.filter(({ at }) => now - at < TOLD_FOR_MS);
+    this.forgetOld(now);
     return {
       ended: this.noted.flatMap(({ ended }) => ended).slice(-MOST_KEPT),
       started: this.noted.flatMap(({ started }) => started).slice(-MOST_KEPT),
     };
   }
+
+  /** With each change too: a daemon that tells nobody asks for nothing, and would keep all. */
+  private forgetOld(now: number): void {
+    this.noted = this.noted.filter(({ at }) => now - at < TOLD_FOR_MS);
+  }
 }
