A crowded copy gets a second one, with the room made for it; callers are told of every model they wait for

Ruled out: silent backends are no copies in the planner's input, copies that are unloaded are not counted. Copies that would be crowded without one of them now count for their whole part of the callers; room for a further copy is kept while its unload runs, and used for it (policy relieveCrowdedCopies).

--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -39,6 +39,8 @@
   readonly usedMegabytes: number;
   /** Cheapest first. */
   readonly victims: readonly Victim[];
+  /** Victims by the megabytes of the model that they make way for, as far as asked for. */
+  readonly chosen: Map<number, readonly Victim[] | undefined>;
 }
 
 /** Places for loads, for one round of planning. */
@@ -107,11 +109,15 @@
     this.occupancies.delete(ledger.id);
   }
 
-  /** A model waits for a place that is not free now. */
+  /**
+   * A model waits for a place that is not free now. One that waits for the weight store keeps
+   * the backend from nothing until the store takes it: the loads of copies at hand go before.
+   */
   queue(place: LoadPlace): void {
-    const { id } = place.ledger;
-    this.addWork(id, place.loadMs);
-    if (place.copy === 'store') this.takeStorePlace(place);
+    const isFromStore = place.copy === 'store';
+    const keepsBackend = !isFromStore || !this.input.policies.forecastAll;
+    if (keepsBackend) this.addWork(place.ledger.id, place.loadMs);
+    if (isFromStore) this.takeStorePlace(place);
   }
 
   /** The place with the lowest cost, free or not. */
@@ -154,7 +160,18 @@
 
   /** The models of least worth that must go; undefined if no room can be made. */
   private victimsFor(ledger: BackendLedger, spec: ModelSpec): readonly Victim[] | undefined {
-    const { usedMegabytes, victims } = this.occupancyOf(ledger);
+    const occupancy = this.occupancyOf(ledger);
+    const { chosen } = occupancy;
+    if (!chosen.has(spec.megabytes)) {
+      chosen.set(spec.megabytes, this.chooseVictims(occupancy, spec));
+    }
+    return chosen.get(spec.megabytes);
+  }
+
+  private chooseVictims(
+    { usedMegabytes, victims }: Occupancy,
+    spec: ModelSpec,
+  ): readonly Victim[] | undefined {
     let missing = usedMegabytes + spec.megabytes - this.input.host.megabytes;
     if (missing <= 0) return NO_VICTIMS;
     const chosen: Victim[] = [];
@@ -176,7 +193,8 @@
     victims.sort((a, b) => a.worth + a.unloadMs - (b.worth + b.unloadMs));
     const freed = leaving === undefined ? 0 : (modelSpec(host, leaving)?.megabytes ?? 0);
     const taken = this.expected.get(ledger.id)?.megabytes ?? 0;
-    const made = { usedMegabytes: ledger.usedMegabytes(host) - freed + taken, victims };
+    const usedMegabytes = ledger.usedMegabytes(host) - freed + taken;
+    const made: Occupancy = { usedMegabytes, victims, chosen: new Map() };
     this.occupancies.set(ledger.id, made);
     return made;
   }
--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -13,6 +13,12 @@
 /** A model that was loaded so lately has not been used yet. */
 const FRESH_MS = 900;
 const FRESH_WORTH = 8_000;
+/**
+ * Share of the slots of a model's copies from which on its callers queue at them: more wait
+ * there than for a rare model, so its next copy goes first. Streams began late at backends
+ * whose load was 11 of 12 in the mean.
+ */
+const CROWDED_SLOTS_SHARE = 0.75;
 
 /** Worth of the models of one service, for one round of planning. */
 export class ModelWorth {
@@ -35,6 +41,17 @@
     this.copyCounts.set(model, this.copies(model) + 1);
   }
 
+  /** Whether callers of a model queue at its copies; those that are coming count, for they will take their part. */
+  isCrowded(model: string): boolean {
+    return this.wouldCrowd(model, this.copies(model));
+  }
+
+  private wouldCrowd(model: string, copies: number): boolean {
+    const { host, demand, now } = this.input;
+    const slots = copies * host.slots;
+    return slots > 0 && demand.inFlightOf(model, now) >= slots * CROWDED_SLOTS_SHARE;
+  }
+
   /** Urgent requests a second for a model. */
   urgentRate(model: string): number {
     return this.input.demand.urgentRate(reference(model), this.input.now);
@@ -50,12 +67,24 @@
     const awaited = copies === 1 && this.awaited.has(model) ? AWAITED_WORTH : 0;
     const loadedAt = ledger.models.get(model)?.loadedAt ?? -Infinity;
     const fresh = now - loadedAt < FRESH_MS ? FRESH_WORTH : 0;
-    return lasting / copies ** 2 + awaited + fresh;
+    return lasting / this.sharers(model, copies) + awaited + fresh;
   }
 
   /** What one more copy would be worth: what its loss would cost once it is there, so that no copy is moved to and fro. */
   ofFurtherCopy(model: string): number {
-    return (this.urgentRate(model) * URGENT_WORTH) / (this.copies(model) + 1) ** 2;
+    const copies = this.copies(model) + 1;
+    return (this.urgentRate(model) * URGENT_WORTH) / this.sharers(model, copies);
+  }
+
+  /**
+   * What the worth of a model's callers is divided by for one of its copies. The others
+   * take over the callers of a lost one while they have room; copies that would be crowded
+   * without it take over nothing, and each counts for its whole part of the callers.
+   */
+  private sharers(model: string, copies: number): number {
+    const { policies } = this.input;
+    const isNeeded = policies.relieveCrowdedCopies && this.wouldCrowd(model, copies - 1);
+    return isNeeded ? copies : copies ** 2;
   }
 
   /** Expected time of an unload. */
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -17,6 +17,8 @@
   readonly backend: string;
   readonly reason: string;
   readonly until: number;
+  /** Copies of the model, held or coming, when the room was ordered: with more of them it is not needed. */
+  readonly copies: number;
 }
 
 /** A backend with the model that it makes room for. */
@@ -30,16 +32,12 @@
 const THIRD_COPY_RATE = 10;
 /** Share of a backend's slots that the requests of one model may take before it gets a further copy. */
 const COPY_SLOTS_SHARE = 0.4;
-/**
- * Share of the slots of a model's copies from which on its callers queue at them: more wait
- * there than for a rare model, so its next copy goes first. Streams began late at backends
- * whose load was 11 of 12 in the mean (atlas-shifts-large scale-1).
- */
-const CROWDED_SLOTS_SHARE = 0.75;
 /** A further copy must be worth so many times what makes way for it. */
 const COPY_MARGIN = 2;
-/** Forecasts that an owner tells at once, the most urgent. */
+/** Forecasts that an owner tells at once, the most urgent, unless it tells all. */
 const MOST_FORECASTS = 64;
+/** At most so many of all: some 20 kB of an update, and tens of milliseconds of the owner's time. */
+const MOST_OF_ALL_FORECASTS = 1_024;
 /** Room that is made and not used by then is given up. */
 const RESERVATION_MS = 4_000;
 
@@ -68,8 +66,9 @@
   forecasts(input: PlanningInput): Map<string, number> {
     const round = new PlanningRound(input, this.reservations);
     const times = round.expectReserved();
+    const most = input.policies.forecastAll ? MOST_OF_ALL_FORECASTS : MOST_FORECASTS;
     for (const wanted of input.demand.waiting(input.now)) {
-      if (times.size >= MOST_FORECASTS) break;
+      if (times.size >= most) break;
       if (wanted.adapter !== undefined) round.forecastAdapter(wanted, times);
       else if (!times.has(wanted.model)) round.forecast(wanted.model, times);
     }
@@ -93,10 +92,11 @@
 
   /** Begins the loads for which room was being made. */
   useReservedRoom(): void {
-    const { now } = this.input;
-    for (const [model, { backend, reason, until }] of [...this.reservations]) {
+    for (const [model, reservation] of [...this.reservations]) {
+      const { backend, reason } = reservation;
       const room = this.reservedRoom(model, backend);
-      if (room === undefined || until < now) {
+      if (room !== undefined) this.renew(model, reservation, room.ledger);
+      if (room === undefined || this.isOver(model)) {
         this.reservations.delete(model);
         continue;
       }
@@ -109,10 +109,26 @@
         continue;
       }
       this.reservations.delete(model);
-      if (place !== undefined && this.worth.copies(model) === 0) this.order(spec, place, reason);
+      const isNeeded = this.worth.copies(model) <= reservation.copies;
+      if (place !== undefined && isNeeded) this.order(spec, place, reason);
     }
   }
 
+  /**
+   * Room for a further copy is kept while the victim's requests run, however long: given up
+   * and made anew elsewhere it would again be given up.
+   */
+  private renew(model: string, reservation: Reservation, ledger: BackendLedger): void {
+    const isBeingMade = ledger.currentOrder?.operation === 'unload';
+    if (reservation.copies === 0 || !isBeingMade) return;
+    const until = this.input.now + RESERVATION_MS;
+    this.reservations.set(model, { ...reservation, until });
+  }
+
+  private isOver(model: string): boolean {
+    return (this.reservations.get(model)?.until ?? -Infinity) < this.input.now;
+  }
+
   /** Loads for which room is being made, and the milliseconds until they have ended. */
   expectReserved(): Map<string, number> {
     const times = new Map<string, number>();
@@ -176,17 +192,10 @@
   relieveCrowded(): void {
     const { demand, now } = this.input;
     for (const model of demand.urgentModels(now)) {
-      if (this.isCrowded(model)) this.tryFurtherCopy(model, 'crowded copies');
+      if (this.worth.isCrowded(model)) this.tryFurtherCopy(model, 'crowded copies');
     }
   }
 
-  /** Copies that are coming count: they will take their part of what runs. */
-  private isCrowded(model: string): boolean {
-    const { host, demand, now } = this.input;
-    const slots = this.worth.copies(model) * host.slots;
-    return slots > 0 && demand.inFlightOf(model, now) >= slots * CROWDED_SLOTS_SHARE;
-  }
-
   /** Adds one copy of a model in urgent demand. */
   addCopy(): void {
     const { demand, now } = this.input;
@@ -226,7 +235,8 @@
     const backend = place.ledger.id;
     const [victim] = place.victims;
     if (victim !== undefined) {
-      this.reservations.set(spec.name, { backend, reason, until: now + RESERVATION_MS });
+      const until = now + RESERVATION_MS;
+      this.reservations.set(spec.name, { backend, reason, until, copies: this.copiesBefore(spec) });
       const order: ModelOrder = { operation: 'unload', model: victim, adapter: undefined };
       const durationMs = this.worth.unloadMs(place.ledger, victim);
       this.places.expect(place.ledger, spec);
@@ -240,6 +250,10 @@
     this.push({ backend, order, durationMs: loadMs, copy, reason });
   }
 
+  private copiesBefore(spec: ModelSpec): number {
+    return this.input.policies.relieveCrowdedCopies ? this.worth.copies(spec.name) : 0;
+  }
+
   private push(planned: PlannedOrder): void {
     this.places.reserve(planned.backend);
     this.places.addWork(planned.backend, planned.durationMs);
--- a/src/core/placement-publisher.ts
+++ b/src/core/placement-publisher.ts
@@ -47,6 +47,8 @@
   constructor(
     private readonly service: string,
     private readonly epoch: number,
+    /** A forecast that moves by less than this share of the time until then is not told again either. */
+    private readonly forecastToleranceShare = 0,
   ) {}
 
   /** The next update; the first one tells everything. Without changes it only proves that the owner lives. */
@@ -54,7 +56,7 @@
     this.storeLoadLimit = state.storeLoadLimit;
     const changedBackends = this.takeBackends(state);
     const removedBackends = removeMissing(this.backends, state.backends);
-    const changedForecasts = this.takeForecasts(state);
+    const changedForecasts = this.takeForecasts(state, now);
     const removedForecasts = removeMissing(this.forecasts, state.forecasts);
     const changedLoads = this.takeLoads(state);
     const changes = [
@@ -94,11 +96,13 @@
     return changed;
   }
 
-  private takeForecasts(state: PlacementState): string[] {
+  private takeForecasts(state: PlacementState, now: number): string[] {
     const changed: string[] = [];
     for (const [model, readyAt] of state.forecasts) {
       const told = this.forecasts.get(model);
-      if (told !== undefined && Math.abs(told - readyAt) < FORECAST_TOLERANCE_MS) continue;
+      const share = (readyAt - now) * this.forecastToleranceShare;
+      const tolerance = Math.max(FORECAST_TOLERANCE_MS, share);
+      if (told !== undefined && Math.abs(told - readyAt) < tolerance) continue;
       this.forecasts.set(model, readyAt);
       changed.push(model);
     }
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -19,6 +19,10 @@
   'proofsFromPeers',
   /** A request is held while it will more likely be served than not. */
   'holdByChance',
+  /** Callers are told when each model that they wait for is expected, not the most urgent ones only. */
+  'forecastAll',
+  /** A copy that relieves full ones counts for all the callers that it takes over, and gets the room made for it. */
+  'relieveCrowdedCopies',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -45,6 +45,12 @@
 /** Share of a backend's slots by which its load must change to be told again. */
 const LOAD_TOLERANCE_SHARE = 1 / 6;
 
+/**
+ * A time told may be off by this share of itself before it is told again: a caller who holds or
+ * leaves by it decides the same, and the daemons are sent a fraction of the changes of a long queue.
+ */
+const FORECAST_TOLERANCE_SHARE = 0.15;
+
 /** Options of {@link ServiceOwner}. */
 export interface ServiceOwnerOptions {
   readonly service: string;
@@ -98,7 +104,11 @@
       ? new AdaptiveStoreLoadLimit(this.firstStoreLoadLimit())
       : new UnlimitedStoreLoads();
     this.loadWatch = new LoadWatch({ service, epoch, limit: this.storeLimit, logger, metrics });
-    this.publisher = new PlacementPublisher(options.service, options.epoch);
+    this.publisher = new PlacementPublisher(
+      options.service,
+      options.epoch,
+      policies.forecastAll ? FORECAST_TOLERANCE_SHARE : 0,
+    );
   }
 
   /** What the former owner had learned, or a guess. */
--- /dev/null
+++ b/test/core/planner-scene.ts
@@ -0,0 +1,108 @@
+/** A planner with backends and demand, for the tests of its decisions. */
+import { BackendLedger } from '../../src/core/backend-ledger.js';
+import type { BackendUse, DemandSample } from '../../src/core/demand-report.js';
+import { ModelDemand } from '../../src/core/model-demand.js';
+import type { BackendReport } from '../../src/core/model-order.js';
+import { PlacementPlanner } from '../../src/core/placement-planner.js';
+import type { PlannedOrder, PlanningInput } from '../../src/core/planning.js';
+import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
+import type { ModelHostSpec } from '../../src/core/service-configuration.js';
+import { UnloadTimes } from '../../src/core/unload-times.js';
+import { hostOf } from './gateway-fixtures.js';
+
+/** What the backends of a scene can load, unless it says otherwise. */
+export const HOST = hostOf(['hot', 'warm', 'rare1', 'rare2', 'rare3', 'cool']);
+
+/** A backend's report. */
+export function reportOf(
+  held: readonly string[],
+  part: Partial<BackendReport> = {},
+): BackendReport {
+  return {
+    busy: false,
+    sequence: 0,
+    models: held.map((name) => ({ name, adapters: [] })),
+    coming: [],
+    inMemory: [],
+    onDisk: [],
+    waiting: 0,
+    running: 0,
+    ...part,
+  };
+}
+
+/** A backend that can be given orders. */
+export function ledgerOf(
+  id: string,
+  held: readonly string[],
+  onDisk: readonly string[] = [],
+): BackendLedger {
+  const ledger = new BackendLedger(id);
+  const report = reportOf(held, { onDisk });
+  ledger.adopt(report, 0);
+  ledger.adopt(report, 1_000);
+  return ledger;
+}
+
+/** One planner and what it plans on. */
+export class Scene {
+  readonly planner = new PlacementPlanner();
+  readonly demand = new ModelDemand();
+  now = 10_000;
+
+  constructor(
+    readonly ledgers: readonly BackendLedger[],
+    readonly policies: Policies = DEFAULT_POLICIES,
+    readonly host: ModelHostSpec = HOST,
+  ) {}
+
+  hear(...samples: DemandSample[]): void {
+    this.hearUse([], samples);
+  }
+
+  hearUse(use: readonly BackendUse[], samples: readonly DemandSample[]): void {
+    this.demand.hear({ daemon: 'd', samples, use, failing: [] }, this.now);
+  }
+
+  /** @param storeLoads - Loads that the ceiling allows now. */
+  plan(storeLoads = 1): PlannedOrder[] {
+    return this.planner.plan(this.input(storeLoads));
+  }
+
+  forecasts(): Map<string, number> {
+    return this.planner.forecasts(this.input(1));
+  }
+
+  private input(storeLoads: number): PlanningInput {
+    const { demand, host, now, policies } = this;
+    return {
+      host,
+      backends: this.ledgers,
+      demand,
+      now,
+      storeLoads,
+      storePlaceWaits: [0],
+      unloadTimes: new UnloadTimes(),
+      policies,
+    };
+  }
+
+  /** Plans, and lets the backends accept. */
+  planAndAccept(): PlannedOrder[] {
+    const orders = this.plan();
+    for (const { backend, order, durationMs } of orders) {
+      const ledger = this.ledgers.find((candidate) => candidate.id === backend);
+      ledger?.send(order);
+      ledger?.settle(order, { type: 'accepted' }, this.now, durationMs);
+    }
+    return orders;
+  }
+}
+
+/** Orders as words. */
+export function brief(orders: readonly PlannedOrder[]): string[] {
+  return orders.map(({ backend, order }) => {
+    const adapter = order.adapter === undefined ? '' : `/${order.adapter}`;
+    return `${backend} ${order.operation} ${order.model}${adapter}`;
+  });
+}
