--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -122,6 +122,8 @@
   readonly keyDigest: string | undefined;
   /** Tokens that the request names: of its prompt, and of the longest answer. */
   readonly tokens: number | undefined;
+  /** Expected work in tokens of an answer; undefined if the head does not tell. */
+  readonly expectedWork: number | undefined;
 }
 
 /** What the gateway reads from the head of a backend's answer. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -173,7 +173,7 @@
       dueAt: this.sends > 0 ? steadyNow() : dueAt,
       giveUpAt: Math.min(this.deadlineAt, leavesAt) - FIRST_PART_MS,
       tenant: pass.tenant?.name ?? '',
-      work: 0,
+      work: Math.round(head.expectedWork ?? 0),
     };
   }
 
--- /dev/null
+++ b/test/core/admission/slot-queue.test.ts
@@ -0,0 +1,257 @@
+import { describe, expect, it } from 'vitest';
+import { SIZE_HANDICAP_MS, SlotQueue, STEP_MS } from '../../../src/core/admission/slot-queue.js';
+import type { SlotAsk, SlotDecision } from '../../../src/core/admission/slot-keeping.js';
+
+let tickets = 0;
+
+function ask(now: number, part: Partial<SlotAsk> = {}): SlotAsk {
+  tickets += 1;
+  return {
+    daemon: 'd',
+    ticket: tickets,
+    rank: 1,
+    dueAt: now + 500,
+    giveUpAt: now + 10_000,
+    waitedMs: 0,
+    tenant: '',
+    work: 0,
+    ...part,
+  };
+}
+
+/** Fills all slots; returns the tickets that hold them. */
+function fill(queue: SlotQueue, slots: number, part: Partial<SlotAsk> = {}): number[] {
+  return Array.from({ length: slots }, () => {
+    const one = ask(0, part);
+    expect(queue.ask(one, 0)).toMatchObject([{ answer: { type: 'granted' } }]);
+    return one.ticket;
+  });
+}
+
+function granted(decisions: readonly SlotDecision[]): number[] {
+  return decisions.filter(({ answer }) => answer.type === 'granted').map(({ ticket }) => ticket);
+}
+
+/** Ends one request after another, and returns who got the slots. */
+function drain(queue: SlotQueue, held: readonly number[], from: number, everyMs: number): number[] {
+  const order: number[] = [];
+  const ends = [...held];
+  for (let now = from; ends.length > 0; now += everyMs) {
+    const next = granted(queue.end('d', ends.shift() ?? 0, now));
+    order.push(...next);
+    ends.push(...next);
+  }
+  return order;
+}
+
+describe('a queue before a full backend', () => {
+  it('lets the more urgent go first, and those due first among them', () => {
+    const queue = new SlotQueue(2);
+    const held = fill(queue, 2);
+    const patient = ask(0, { rank: 2, dueAt: 100 });
+    const later = ask(0, { rank: 0, dueAt: 400 });
+    const sooner = ask(0, { rank: 0, dueAt: 300 });
+    for (const one of [patient, later, sooner]) queue.ask(one, 10);
+    expect(drain(queue, held, 20, 10)).toEqual([sooner.ticket, later.ticket, patient.ticket]);
+  });
+
+  it('lets those go first who can still be in time', () => {
+    const queue = new SlotQueue(1);
+    const held = fill(queue, 1);
+    const late = ask(0, { dueAt: 5 });
+    const inTime = ask(0, { dueAt: 400 });
+    queue.ask(late, 0);
+    queue.ask(inTime, 0);
+    expect(drain(queue, held, 10, 10)).toEqual([inTime.ticket, late.ticket]);
+  });
+
+  it('keeps a hot tenant to its share while others of its rank wait', () => {
+    const queue = new SlotQueue(4);
+    const held = fill(queue, 4, { tenant: 'hot' });
+    const hot = Array.from({ length: 20 }, () => ask(0, { tenant: 'hot', dueAt: 100 }));
+    const small = Array.from({ length: 3 }, () => ask(0, { tenant: 'small', dueAt: 500 }));
+    for (const one of [...hot, ...small]) queue.ask(one, 0);
+    const order = drain(queue, held, 10, 1);
+    const last = Math.max(...small.map(({ ticket }) => order.indexOf(ticket)));
+    // Two of four slots are the small tenant's; before it has them nobody else is served.
+    expect(order.slice(0, 2).every((ticket) => small.some((one) => one.ticket === ticket))).toBe(
+      true,
+    );
+    expect(last).toBeLessThanOrEqual(4);
+  });
+
+  it('gives what nobody else wants to a tenant beyond its share', () => {
+    const queue = new SlotQueue(4);
+    fill(queue, 1, { tenant: 'small' });
+    const hot = Array.from({ length: 4 }, () => ask(0, { tenant: 'hot' }));
+    const answers = hot.flatMap((one) => queue.ask(one, 0));
+    expect(granted(answers)).toHaveLength(3);
+  });
+
+  it('lets nobody be overtaken for longer than its steps and its due time', () => {
+    const queue = new SlotQueue(1);
+    let [holder = 0] = fill(queue, 1);
+    const arrivals = new Map<number, number>();
+    const come = (now: number): void => {
+      const urgent = ask(now, { rank: 0, work: 100 });
+      arrivals.set(urgent.ticket, now);
+      queue.ask(urgent, now);
+    };
+    for (let count = 0; count < 8; count++) come(0);
+    const largest = ask(0, { rank: 2, dueAt: 1_000, work: 1e6 });
+    queue.ask(largest, 0);
+    const bound = Math.max((4 * 2 + 3) * STEP_MS, 1_000 + 3 * SIZE_HANDICAP_MS);
+    let now = 0;
+    while (holder !== largest.ticket && now < 20_000) {
+      now += 20;
+      come(now);
+      [holder = 0] = granted(queue.end('d', holder, now));
+      expect(arrivals.get(holder) ?? 0).toBeLessThanOrEqual(bound);
+    }
+    expect(holder).toBe(largest.ticket);
+    expect(now).toBeGreaterThan(500);
+  });
+
+  it('tells waits that come true within a factor of two, one with the other', () => {
+    const queue = new SlotQueue(8);
+    const told = new Map<number, { ms: number; at: number }>();
+    const ratios: number[] = [];
+    const ends: { at: number; ticket: number }[] = [];
+    let seed = 7;
+    const random = (): number => (seed = (seed * 48_271) % 2_147_483_647) / 2_147_483_647;
+    const hear = (decisions: readonly SlotDecision[], now: number): void => {
+      for (const { ticket, answer } of decisions) {
+        if (answer.type === 'queued') told.set(ticket, { ms: answer.expectedWaitMs, at: now });
+        if (answer.type !== 'granted') continue;
+        ends.push({ at: now + 200 + 400 * random(), ticket });
+        const wait = told.get(ticket);
+        if (wait !== undefined && now > 3_000) ratios.push((now - wait.at + 20) / (wait.ms + 20));
+      }
+    };
+    for (let now = 0; now < 30_000; now += 5) {
+      for (const end of ends.filter(({ at }) => at <= now)) {
+        ends.splice(ends.indexOf(end), 1);
+        hear(queue.end('d', end.ticket, now), now);
+      }
+      // 19.5 requests a second for 8 slots of 400 ms each, in bursts of one second.
+      const rate = Math.floor(now / 1_000) % 2 === 0 ? 0.16 : 0.035;
+      if (random() < rate) {
+        hear(queue.ask(ask(now, { rank: random() < 0.3 ? 0 : 1 }), now), now);
+      }
+    }
+    ratios.sort((a, b) => a - b);
+    expect(ratios.length).toBeGreaterThan(100);
+    expect(ratios[Math.floor(ratios.length / 2)]).toBeGreaterThan(0.5);
+    expect(ratios[Math.floor(ratios.length / 2)]).toBeLessThan(2);
+    expect(ratios[Math.floor(ratios.length * 0.9)]).toBeLessThan(3);
+  });
+
+  it('refuses at once who would wait in vain, and in the end who has', () => {
+    const queue = new SlotQueue(1);
+    let held = fill(queue, 1);
+    for (let now = 500; now <= 5_000; now += 500) {
+      const one = ask(now);
+      queue.ask(one, now);
+      held = granted(queue.end('d', held[0] ?? 0, now));
+    }
+    const waits = queue.ask(ask(5_000, { giveUpAt: 5_700 }), 5_000);
+    expect(waits).toMatchObject([{ answer: { type: 'queued' } }]);
+    const [refused] = queue.ask(ask(5_000, { giveUpAt: 5_200 }), 5_000);
+    expect(refused?.answer.type).toBe('refused');
+    const retryAfterMs = refused?.answer.type === 'refused' ? refused.answer.retryAfterMs : 0;
+    expect(retryAfterMs).toBeGreaterThan(500);
+    expect(retryAfterMs).toBeLessThan(2_500);
+    expect(queue.look(5_699)).toEqual([]);
+    expect(queue.look(5_700)).toMatchObject([{ answer: { type: 'refused' }, waitedMs: 700 }]);
+  });
+
+  it('is bounded: the last in order is refused', () => {
+    const queue = new SlotQueue(1);
+    fill(queue, 1);
+    const patient = ask(0, { rank: 5 });
+    queue.ask(patient, 0);
+    const answers = Array.from({ length: 40 }, () => queue.ask(ask(0), 0)).flat();
+    const refused = answers.filter(({ answer }) => answer.type === 'refused');
+    expect(refused[0]?.ticket).toBe(patient.ticket);
+    expect(queue.figures().waiting).toBe(40 - refused.length + 1);
+    expect(queue.figures().waiting).toBeLessThan(20);
+  });
+});
+
+describe('tickets', () => {
+  it('asked for again are answered as they stand', () => {
+    const queue = new SlotQueue(1);
+    const first = ask(0);
+    const second = ask(0);
+    queue.ask(first, 0);
+    queue.ask(second, 0);
+    expect(queue.ask(first, 60)).toMatchObject([{ answer: { type: 'granted' } }]);
+    expect(queue.ask(second, 60)).toMatchObject([{ answer: { type: 'queued' } }]);
+    expect(queue.figures()).toMatchObject({ inFlight: 1, waiting: 1 });
+  });
+
+  it('that are not known, or were ended before, change nothing', () => {
+    const queue = new SlotQueue(1);
+    const [held = 0] = fill(queue, 1);
+    expect(queue.end('d', 999_999, 1)).toEqual([]);
+    expect(queue.end('other', held, 1)).toEqual([]);
+    queue.end('d', held, 2);
+    expect(queue.end('d', held, 3)).toEqual([]);
+    expect(queue.figures().inFlight).toBe(0);
+  });
+
+  it('of a daemon that left go to those who wait', () => {
+    const queue = new SlotQueue(2);
+    fill(queue, 2, { daemon: 'lost' });
+    queue.ask(ask(0, { daemon: 'lost' }), 0);
+    const waiting = [ask(0), ask(0)];
+    for (const one of waiting) queue.ask(one, 0);
+    expect(granted(queue.daemonGone('lost', 10))).toEqual(waiting.map(({ ticket }) => ticket));
+  });
+
+  it('whose end was lost go when their daemon does not name them, or is silent', () => {
+    const queue = new SlotQueue(2);
+    const [kept = 0, lost = 0] = fill(queue, 2);
+    const next = ask(0);
+    queue.ask(next, 0);
+    expect(queue.named('d', [kept], [next.ticket], 100)).toEqual([]);
+    expect(granted(queue.named('d', [kept], [next.ticket], 1_000))).toEqual([next.ticket]);
+    expect(queue.figures()).toMatchObject({ inFlight: 2, waiting: 0 });
+    queue.look(4_000);
+    expect(queue.figures().inFlight).toBe(2);
+    queue.look(5_000);
+    expect(queue.figures().inFlight).toBe(0);
+    expect(lost).toBeGreaterThan(0);
+  });
+
+  it('of the time before the queue count when they are named, and none is granted beside them', () => {
+    const queue = new SlotQueue(2);
+    queue.named('d', [1, 2, 3], [], 0);
+    expect(queue.figures().inFlight).toBe(3);
+    const one = ask(0);
+    expect(queue.ask(one, 1)).toMatchObject([{ answer: { type: 'queued' } }]);
+    expect(queue.end('d', 1, 2)).toEqual([]);
+    expect(granted(queue.end('d', 2, 3))).toEqual([one.ticket]);
+  });
+
+  it('that wait for a backend that ends are answered at once', () => {
+    const queue = new SlotQueue(1);
+    fill(queue, 1);
+    const one = ask(0);
+    queue.ask(one, 0);
+    expect(queue.close(5)).toMatchObject([{ ticket: one.ticket, answer: { type: 'unknown' } }]);
+  });
+
+  it.each([NaN, -1, Infinity])(
+    'with a number %j that means nothing are the least urgent',
+    (bad) => {
+      const queue = new SlotQueue(1);
+      const held = fill(queue, 1);
+      const odd = ask(0, { rank: bad === -1 ? NaN : bad, dueAt: bad, work: bad, waitedMs: bad });
+      const sound = ask(0, { rank: 3 });
+      queue.ask(odd, 0);
+      queue.ask(sound, 0);
+      expect(drain(queue, held, 10, 10)).toEqual([sound.ticket, odd.ticket]);
+    },
+  );
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -34,6 +34,7 @@
     lastEventId: headers['last-event-id'] as string | undefined,
     keyDigest: credentialHash(headers.authorization, 'Key'),
     tokens: headers.tokens === undefined ? undefined : Number(headers.tokens),
+    expectedWork: undefined,
   }),
   backendHeaders: (fields) => ({
     Backend: fields.backend,
