Failing tests: a backend that starts again under its id

An id was taken for one start of a process: what is known of the earlier start (models, sequence, health, requests in flight, connections, the owner's word) goes on counting for the later one.

--- a/src/core/service-configuration.ts
+++ b/src/core/service-configuration.ts
@@ -136,8 +136,13 @@
 
 /** A backend as the platform's directory lists it. */
 export interface BackendRecord {
-  /** Names one start of the backend's process. */
+  /** Names the backend; its process may start again under it. */
   readonly id: string;
+  /**
+   * Differs between two starts of the process under the same id: what is known of one says nothing of the
+   * other. Undefined if nobody has told, which is taken for the start that is known.
+   */
+  readonly start?: string;
   readonly service: string;
   /** "ip:port". */
   readonly address: string;
--- /dev/null
+++ b/test/core/backend-restarts.test.ts
@@ -0,0 +1,158 @@
+/**
+ * Symptom to expect: a backend that has ended and started again under its id is sent requests for models
+ * that it held before, is avoided for what its earlier process did, and counts as full of requests that
+ * ended with that process.
+ *
+ * Cause: an id was taken for one start of a process.
+ */
+import { describe, expect, it } from 'vitest';
+import { BackendDirectory } from '../../src/core/backend-directory.js';
+import { BackendPresence, type BackendList } from '../../src/core/backend-presence.js';
+import { ModelDemand } from '../../src/core/model-demand.js';
+import type { BackendRecord } from '../../src/core/service-configuration.js';
+import { updateOf } from './gateway-fixtures.js';
+
+const MODEL = { model: 'm', adapter: undefined };
+
+function record(start: string | undefined, part: Partial<BackendRecord> = {}): BackendRecord {
+  return {
+    id: 'x',
+    service: 's',
+    address: '10.1.0.1:1',
+    zone: 'a',
+    slots: 4,
+    leaving: false,
+    models: [{ name: 'm', adapters: [] }],
+    revision: 1,
+    sequence: 7,
+    inMemory: [],
+    onDisk: [],
+    ...(start === undefined ? {} : { start }),
+    ...part,
+  };
+}
+
+const EMPTY = { models: [], sequence: 0 };
+
+function list(revision: number, ...backends: BackendRecord[]): BackendList {
+  return { backends, revision, mayMissBackends: false };
+}
+
+describe('a backend that starts again under its id', () => {
+  it('is told of as started, though it was never missing', () => {
+    const presence = new BackendPresence();
+    presence.take(list(1, record('one')), 0);
+    const again = record('two', { revision: 2, ...EMPTY });
+    expect(presence.take(list(2, again), 0).started).toEqual([again]);
+    const beat = record('two', { revision: 3, ...EMPTY });
+    expect(presence.take(list(3, beat), 0).started).toEqual([]);
+  });
+
+  it('is not sent back to its earlier start by a list from before', () => {
+    const presence = new BackendPresence();
+    presence.take(list(1, record('one')), 0);
+    presence.noteStarted(record('two', { revision: 5, ...EMPTY }), 0);
+    const late = {
+      ...list(4, record('one', { revision: 3 })),
+      mayMissBackends: true,
+      isLate: true,
+    };
+    expect(presence.take(late, 100).started).toEqual([]);
+    expect(presence.get('x')).toMatchObject({ start: 'two', models: [], sequence: 0 });
+    expect(presence.take(list(6, record('two', { revision: 6 })), 200).started).toEqual([]);
+    expect(presence.get('x')?.sequence).toBe(7);
+  });
+
+  it('holds nothing when a peer tells of its new start', () => {
+    const presence = new BackendPresence();
+    presence.take(list(1, record('one')), 0);
+    presence.noteStarted(record('two', { revision: 2, ...EMPTY }), 100);
+    expect(presence.get('x')).toMatchObject({ start: 'two', models: [], sequence: 0 });
+  });
+
+  it('keeps its start and what it holds when a peer tells where it is and knows of no starts', () => {
+    const presence = new BackendPresence();
+    presence.take(list(1, record('one')), 0);
+    presence.noteStarted(record(undefined, { revision: 2, ...EMPTY, address: '10.1.0.2:1' }), 100);
+    expect(presence.get('x')).toMatchObject({ start: 'one', sequence: 7, address: '10.1.0.2:1' });
+  });
+
+  it('has another digest than its earlier start', () => {
+    const [one, other] = [new BackendPresence(), new BackendPresence()];
+    one.take(list(1, record('one')), 0);
+    other.take(list(1, record('one')), 0);
+    expect(one.servingDigest()).toBe(other.servingDigest());
+    other.take(list(2, record('two', { revision: 2 })), 0);
+    expect(one.servingDigest()).not.toBe(other.servingDigest());
+  });
+
+  it('is not believed to hold, load or carry what the owner said of its earlier start', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends(list(1, record('one')), 0);
+    const held = { name: 'm', adapters: [], readyInMs: 0, unloading: false };
+    const coming = { name: 'n', adapters: [], readyInMs: 900, unloading: false };
+    const backends = new Map([['x', [held, coming]]]);
+    directory.hearPlacement(updateOf({ backends, loads: new Map([['x', 9]]) }), 0);
+    const again = record('two', { revision: 2, ...EMPTY });
+    directory.setBackends(list(2, again), 100);
+    expect(directory.holds(again, MODEL, 100)).toBe(false);
+    expect(directory.loadingAt(again, 100)).toBeUndefined();
+    expect(directory.loadOf(again, 100)).toBe(0);
+    expect(directory.readyInMs('s', MODEL, 100, () => false)).toBeUndefined();
+  });
+
+  it('is asked of its owner anew, whose word may be of the new start already', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends(list(1, record('one')), 0);
+    directory.hearPlacement(updateOf(), 0);
+    directory.setBackends(list(2, record('two', { revision: 2, ...EMPTY })), 100);
+    expect(directory.hearPlacement(updateOf({ baseVersion: 1 }), 200)).toBe('gap');
+    expect(directory.hearPlacement(updateOf(), 300)).toBe('applied');
+    expect(directory.hearPlacement(updateOf({ baseVersion: 1 }), 400)).toBe('applied');
+  });
+
+  it('may hold what its earlier start was found to lack', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends(list(1, record('one')), 0);
+    directory.noteAbsence('x', MODEL, 0);
+    const again = record('two', { revision: 2 });
+    directory.setBackends(list(2, again), 50);
+    expect(directory.holds(again, MODEL, 50)).toBe(true);
+  });
+
+  it('is told of once, by list or news, also when its entry was gone for a time', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends(list(1, record('one')), 0);
+    expect(directory.takeRestarts()).toEqual([]);
+    directory.noteStarted(record('two', { revision: 2 }), 100);
+    const [restart, ...further] = directory.takeRestarts();
+    expect(further).toEqual([]);
+    expect(restart).toMatchObject({ earlierStart: 'one', backend: { id: 'x', start: 'two' } });
+    directory.setBackends(list(2, record('two', { revision: 2 })), 200);
+    expect(directory.takeRestarts()).toEqual([]);
+    directory.setBackends(list(3), 300);
+    directory.setBackends(list(4, record('three', { revision: 4 })), 400);
+    expect(directory.takeRestarts()).toHaveLength(1);
+  });
+
+  it('is one start where the platform tells of none', () => {
+    const directory = new BackendDirectory();
+    directory.setBackends(list(1, record(undefined)), 0);
+    directory.setBackends(list(2, record(undefined, { revision: 2 })), 0);
+    directory.setBackends(list(3, record('one', { revision: 3 })), 0);
+    expect(directory.takeRestarts()).toEqual([]);
+  });
+
+  it('has none of the requests in flight that daemons have told of, and does not fail', () => {
+    const demand = new ModelDemand();
+    const use = [{ backend: 'x', model: 'm', adapter: 'a', inFlight: 3 }];
+    const other = { backend: 'y', model: 'm', adapter: undefined, inFlight: 2 };
+    demand.hear({ daemon: 'd', samples: [], use: [...use, other], failing: ['x'] }, 0);
+    demand.forgetBackend('x');
+    expect(demand.inFlightAt('x', 0)).toBe(0);
+    expect(demand.inFlightOf('m', 0)).toBe(2);
+    expect([...demand.failingBackends(10, 0)]).toEqual([]);
+    demand.hear({ daemon: 'd', samples: [], use: [other], failing: [] }, 10);
+    expect(demand.inFlightOf('m', 10)).toBe(2);
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { BackendAgent } from '../../src/gateway/backend-agent.js';
 import { Gateway } from '../../src/gateway/gateway.js';
+import type { GatewayContext } from '../../src/gateway/gateway-context.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 import type { GatewaySettings } from '../../src/gateway/gateway-settings.js';
 import type { DirectoryListener, RequestDialect, StoredRecord } from '../../src/gateway/ports.js';
@@ -343,6 +344,16 @@
     return request;
   }
 
+  /** What the gateway's requests share. */
+  context(): GatewayContext {
+    return (this.gateway as unknown as { context: GatewayContext }).context;
+  }
+
+  /** Whether a kept connection to "ip:port" rests. */
+  restingConnections(address: string): boolean {
+    return this.agent.hasRestingConnection(address);
+  }
+
   stop(): void {
     this.gateway.stop();
     this.agent.destroy();
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { silentLogger } from '../../src/common/logger.js';
 import { BackendDirectory } from '../../src/core/backend-directory.js';
-import type { BackendReport, ModelOrder } from '../../src/core/model-order.js';
+import type { BackendList } from '../../src/core/backend-presence.js';
+import type { BackendReport, ModelOrder, OrderOutcome } from '../../src/core/model-order.js';
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import type { BackendRecord } from '../../src/core/service-configuration.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
@@ -26,11 +27,16 @@
   };
 }
 
+function listOf(revision: number, ...backends: BackendRecord[]): BackendList {
+  return { backends, revision, mayMissBackends: false };
+}
+
 describe('ServiceOwner', () => {
   const directory = new BackendDirectory();
   const orders: string[] = [];
   let silent = '';
   let orderDelayMs = 0;
+  let answerOrder: (() => Promise<OrderOutcome>) | undefined;
   let owner: ServiceOwner;
 
   function reportOf(backend: BackendRecord): BackendReport | undefined {
@@ -53,6 +59,7 @@
     orders.length = 0;
     silent = '';
     orderDelayMs = 0;
+    answerOrder = undefined;
     const backends = [recordOf('x', ['hot']), recordOf('y', [])];
     directory.setBackends({ backends, revision: 1, mayMissBackends: false }, 0);
     owner = new ServiceOwner(
@@ -65,7 +72,7 @@
         control: {
           order: (backend: BackendRecord, order: ModelOrder) => {
             orders.push(`${backend.id} ${order.operation} ${order.model}`);
-            return Promise.resolve({ type: 'accepted' as const });
+            return answerOrder?.() ?? Promise.resolve({ type: 'accepted' as const });
           },
           report: (backend: BackendRecord) => Promise.resolve(reportOf(backend)),
         },
@@ -136,6 +143,26 @@
     expect(orders).toContain('y load hot');
   });
 
+  it('plans anew for a backend that starts again under its id, and takes no order of before for one of now', async () => {
+    directory.setBackends(listOf(2, { ...recordOf('y', []), start: 'one' }), 0);
+    await run(800, 'unlisted');
+    // The order's answer comes when the process that took it has ended.
+    let answer = (): void => {};
+    answerOrder = () => new Promise((resolve) => (answer = () => resolve({ type: 'accepted' })));
+    await run(300, 'rare1');
+    expect(orders).toContain('y load rare1');
+    directory.setBackends(listOf(3, { ...recordOf('y', []), start: 'two', revision: 3 }), 0);
+    owner.backendsChanged();
+    answer();
+    await run(100, 'rare1');
+    const placed = owner.everything().backends.get('y') ?? [];
+    expect(placed).toEqual([]);
+    answerOrder = undefined;
+    orders.length = 0;
+    await run(1_000, 'rare1');
+    expect(orders.some((order) => order.endsWith('load rare1'))).toBe(true);
+  });
+
   it('loads a model elsewhere when its only holder fails although it says that it is well', async () => {
     await run(800, 'hot');
     orders.length = 0;
