A backend that starts again under its id is taken for another process

Cause: all that a daemon knows of a backend was kept by its id alone, and nothing read which start an entry is of: models, sequence, health, kept connections, requests in flight and the owner's word outlived the process. Change: entries' births are read as starts; presence, directory, ledgers, demand, health, agent and requests forget the earlier start; news carry it (BackendStart.start, empty from daemons that know none). Requests at the same address may be the new process's own: they count no more and their connection is probed, not cut. Ruled out: ending all of them (loses what may run once), a start in every message.

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -10,6 +10,7 @@
   type EndedBackend,
   type PresenceChanges,
 } from './backend-presence.js';
+import { BackendStarts, type BackendRestart } from './backend-starts.js';
 import type { PlacedModel, PlacementUpdate } from './placement-update.js';
 import type { BackendRecord, HeldModel, ModelReference } from './service-configuration.js';
 
@@ -30,6 +31,8 @@
 interface HeardPlacement {
   readonly epoch: number;
   version: number;
+  /** False once a part was dropped: changes apply to nothing then. */
+  isWhole: boolean;
   /** When the owner was last heard. */
   heardAt: number;
   readonly backends: Map<string, readonly HeardModel[]>;
@@ -57,10 +60,42 @@
   private readonly presence = new BackendPresence();
   private readonly placements = new Map<string, HeardPlacement>();
   private readonly absences = new Map<string, number>();
+  private readonly starts = new BackendStarts();
+  private restarts: BackendRestart[] = [];
 
   /** Replaces the platform's list. */
   setBackends(list: BackendList, now: number): PresenceChanges {
-    return this.presence.take(list, now);
+    const changes = this.presence.take(list, now);
+    for (const record of this.presence.all()) this.noteStart(record);
+    return changes;
+  }
+
+  /** Backends that have started again under their id since the last call. */
+  takeRestarts(): readonly BackendRestart[] {
+    const { restarts } = this;
+    this.restarts = [];
+    return restarts;
+  }
+
+  private noteStart(record: BackendRecord): void {
+    const restart = this.starts.note(record);
+    if (restart === undefined) return;
+    this.restarts.push(restart);
+    this.forgetHeard(record);
+  }
+
+  /**
+   * What owners and refusals have told of a backend's earlier start counts no more. The owner may have told of
+   * the later one already, so it is asked for everything with its next word.
+   */
+  private forgetHeard({ id, service }: BackendRecord): void {
+    const heard = this.placements.get(service);
+    heard?.backends.delete(id);
+    heard?.loads.delete(id);
+    if (heard !== undefined) heard.isWhole = false;
+    for (const key of this.absences.keys()) {
+      if (key.startsWith(`${id} `)) this.absences.delete(key);
+    }
   }
 
   /** Looks at backends that were missing for a while; returns those that count as ended now. */
@@ -80,7 +115,10 @@
 
   /** A peer has seen a backend that is not listed here yet. Returns false if that was known. */
   noteStarted(record: BackendRecord, now: number): boolean {
-    return this.presence.noteStarted(record, now);
+    const isNews = this.presence.noteStarted(record, now);
+    const known = this.presence.get(record.id);
+    if (isNews && known !== undefined) this.noteStart(known);
+    return isNews;
   }
 
   /** The backend of an id. */
@@ -115,7 +153,7 @@
     } else {
       if (isNewEpoch) return 'gap';
       if (update.version < known.version) return 'outdated';
-      if (update.baseVersion !== known.version) return 'gap';
+      if (update.baseVersion !== known.version || !known.isWhole) return 'gap';
     }
     this.apply(update, now);
     return 'applied';
@@ -232,6 +270,7 @@
   return {
     epoch,
     version: 0,
+    isWhole: true,
     heardAt: 0,
     backends: new Map(),
     forecasts: new Map(),
--- a/src/core/backend-health.ts
+++ b/src/core/backend-health.ts
@@ -81,6 +81,11 @@
     return this.backends.get(backend)?.failureShare ?? 0;
   }
 
+  /** The backend has started again: its earlier start says nothing of it. */
+  forget(backend: string): void {
+    this.backends.delete(backend);
+  }
+
   /** Forgets backends that are no longer listed. */
   keepOnly(backends: ReadonlySet<string>): void {
     for (const backend of this.backends.keys()) {
--- a/src/core/backend-ledger.ts
+++ b/src/core/backend-ledger.ts
@@ -17,6 +17,8 @@
 
 /** After this time without an order in progress a report shows all that has been done. */
 const SETTLED_MS = 400;
+/** An order that got no answer is not carried out later than this: the wire holds nothing back for longer. */
+const LATE_ORDER_MS = 10_000;
 
 /** A loaded model. */
 export interface LedgerModel {
@@ -34,6 +36,14 @@
   readonly sequence: number;
 }
 
+/** An order without an answer: the backend may still take it, if it has taken exactly so many orders then. */
+export interface UnansweredOrder {
+  readonly order: ModelOrder;
+  readonly sequence: number;
+  /** Milliseconds of a steady clock after which it is not taken any more. */
+  readonly until: number;
+}
+
 /** How far the ledger can be trusted. */
 export type LedgerPhase =
   /** A report must be read before the next order. */
@@ -62,8 +72,45 @@
   private calm: { readonly sequence: number; readonly since: number } | undefined;
   /** It has not answered when asked: what it holds does not count for callers. */
   isSilent = false;
+  /** Orders of this start that got no answer. Its own sequence keeps them apart from later ones. */
+  private unanswered: UnansweredOrder[] = [];
+  /**
+   * Orders to the backend's earlier start that may reach this one. Its sequence begins anew and may come to
+   * theirs, so room is kept for them until it has passed that, or they are too old.
+   */
+  private lateOrders: readonly UnansweredOrder[] = [];
+
+  /** @param start - Which start of the backend this is; undefined if nobody has told. */
+  constructor(
+    readonly id: string,
+    public start: string | undefined = undefined,
+  ) {}
+
+  /** Orders that got no answer, the one among them that is on its way. */
+  unansweredOrders(now: number): UnansweredOrder[] {
+    const { sent, sequence } = this;
+    const onItsWay = sent && { order: sent, sequence, until: now + LATE_ORDER_MS };
+    const all = [...this.lateOrders, ...this.unanswered, ...(onItsWay ? [onItsWay] : [])];
+    return all.filter(({ until }) => until > now);
+  }
+
+  /** Keeps room for orders that the backend's earlier start has not answered. */
+  awaitLateOrders(orders: readonly UnansweredOrder[]): void {
+    this.lateOrders = orders;
+  }
+
+  /** Lets go of the room for orders that are not taken any more. */
+  forgetLateOrders(now: number): void {
+    const mayCome = (late: UnansweredOrder): boolean => late.until > now;
+    this.unanswered = this.unanswered.filter(mayCome);
+    this.lateOrders = this.lateOrders.filter(mayCome);
+  }
 
-  constructor(readonly id: string) {}
+  /** Loads that the backend may still be given by its earlier start's orders, of models or of adapters. */
+  private lateLoads(): ModelOrder[] {
+    const mayCome = this.lateOrders.filter(({ sequence }) => sequence >= this.sequence);
+    return mayCome.map(({ order }) => order).filter(({ operation }) => operation === 'load');
+  }
 
   /** The order that changes the models now: sent, or in progress. */
   get currentOrder(): ModelOrder | undefined {
@@ -191,6 +238,9 @@
         this.holds(order, now);
         return;
       case 'unknown':
+        this.unanswered.push({ order, sequence: this.sequence, until: now + LATE_ORDER_MS });
+        this.phase = 'unsynchronized';
+        return;
       case 'conflict':
       case 'fenced':
       case 'rejected':
@@ -212,12 +262,14 @@
     }
     const loading = this.running?.order;
     if (loading?.operation === 'load') used += modelSpec(host, loading.model)?.megabytes ?? 0;
+    for (const late of this.lateLoads()) used += loadMegabytes(host, late);
     return used;
   }
 
   /** Adapters that take a slot. */
   usedAdapterSlots(): number {
     let used = this.comingAdapters.size;
+    used += this.lateLoads().filter(({ adapter }) => adapter !== undefined).length;
     for (const model of this.models.values()) used += model.adapters.size;
     return used;
   }
@@ -265,6 +317,12 @@
   }
 }
 
+/** What a load takes, of a model or of an adapter. */
+function loadMegabytes(host: ModelHostSpec, { model, adapter }: ModelReference): number {
+  const spec = modelSpec(host, model);
+  return (adapter === undefined ? spec?.megabytes : spec?.adapterMegabytes) ?? 0;
+}
+
 /** The specification of a model. */
 export function modelSpec(host: ModelHostSpec, name: string): ModelSpec | undefined {
   return catalogueOf(host).get(name)?.spec;
--- a/src/core/backend-presence.ts
+++ b/src/core/backend-presence.ts
@@ -4,6 +4,7 @@
  * record that is not newer than it. Pure; times are milliseconds of a steady clock.
  */
 import murmurhash from 'murmurhash';
+import { isAnotherStart } from './backend-starts.js';
 import type { BackendRecord } from './service-configuration.js';
 
 /** All backends as the platform lists them at one revision of its store. */
@@ -31,7 +32,7 @@
 export interface PresenceChanges {
   /** Backends that take no new requests any more. */
   readonly ended: readonly EndedBackend[];
-  /** Backends that do since this list; none for the first list. */
+  /** Backends that do since this list, or have started again under their id; none for the first list. */
   readonly started: readonly BackendRecord[];
 }
 
@@ -83,13 +84,13 @@
   }
 
   /**
-   * A digest of the ids of all backends that take new requests, from 0 to 2^32 - 1: daemons that hold the same
-   * ones have the same digest.
+   * A digest of the ids and starts of all backends that take new requests, from 0 to 2^32 - 1: daemons that
+   * hold the same ones have the same digest.
    */
   servingDigest(): number {
     this.digest ??= this.all()
       .filter((record) => this.isServing(record))
-      .reduce((sum, { id }) => (sum + murmurhash.v3(id)) >>> 0, 0);
+      .reduce((sum, record) => (sum + murmurhash.v3(startKey(record))) >>> 0, 0);
     return this.digest;
   }
 
@@ -101,14 +102,16 @@
     };
     const before = this.records;
     this.digest = undefined;
-    this.records = new Map(list.backends.map((record) => [record.id, record]));
-    const leaving = list.backends.filter(
+    const listed = list.backends.map((record) => newerOf(before.get(record.id), record));
+    this.records = new Map(listed.map((record) => [record.id, record]));
+    const leaving = listed.filter(
       ({ id, leaving }) => leaving && (wasServing(id) || !this.ends.has(id)),
     );
     const ended: EndedBackend[] = leaving.map(({ id, revision }) => ({ id, revision }));
     ended.push(...this.compare(before, list, now));
-    const started = list.backends.filter((record) => {
-      return this.isServing(record) && !wasServing(record.id);
+    const started = listed.filter((record) => {
+      const isAnother = isAnotherStart(before.get(record.id), record);
+      return this.isServing(record) && (isAnother || !wasServing(record.id));
     });
     const isFirst = !this.hasList;
     this.hasList = true;
@@ -193,9 +196,28 @@
       this.announced.set(record.id, now);
       return true;
     }
-    // News say where a backend is; what it holds is as the list has told it last.
-    const { models, sequence, inMemory, onDisk } = known;
-    this.records.set(record.id, { ...record, models, sequence, inMemory, onDisk });
+    this.records.set(record.id, afterNews(known, record));
     return true;
   }
 }
+
+/** Names a backend's start. */
+function startKey({ id, start }: BackendRecord): string {
+  return start === undefined ? id : `${id} ${start}`;
+}
+
+/** A list that is late must not take a backend back to what it was before newer news, or to an earlier start. */
+function newerOf(known: BackendRecord | undefined, listed: BackendRecord): BackendRecord {
+  if (known === undefined) return listed;
+  if (known.revision > listed.revision) return known;
+  if (listed.start !== undefined || known.start === undefined) return listed;
+  return { ...listed, start: known.start };
+}
+
+/** News say where a backend is; what it holds is as the list has told it last, if that was of the same start. */
+function afterNews(known: BackendRecord, news: BackendRecord): BackendRecord {
+  if (isAnotherStart(known, news)) return news;
+  const { models, sequence, inMemory, onDisk } = known;
+  const start = news.start ?? known.start;
+  return { ...news, models, sequence, inMemory, onDisk, ...(start === undefined ? {} : { start }) };
+}
--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -70,6 +70,18 @@
     }
   }
 
+  /** A backend has started again: the requests that daemons had in flight there ended with its earlier start. */
+  forgetBackend(backend: string): void {
+    for (const [daemon, { report, heardAt }] of this.reports) {
+      const ended = report.use.filter((use) => use.backend === backend);
+      if (ended.length === 0 && !report.failing.includes(backend)) continue;
+      this.sumUse({ ...report, use: ended }, -1);
+      const use = report.use.filter((entry) => entry.backend !== backend);
+      const failing = report.failing.filter((name) => name !== backend);
+      this.reports.set(daemon, { report: { ...report, use, failing }, heardAt });
+    }
+  }
+
   /** What waits for a backend now, in the order of attention. */
   waiting(now: number): readonly DemandSample[] {
     if (this.ranked?.at !== now) this.ranked = { at: now, samples: this.rankWaiting(now) };
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -106,6 +106,15 @@
     return this.options.backend.id;
   }
 
+  /**
+   * The backend has started again. What was sent to another address went to its earlier process; at the same
+   * address, the later one may have taken the request before its start was known here.
+   */
+  backendRestarted(address: string): void {
+    if (address === this.options.backend.address) return this.exchange.probe();
+    this.exchange.giveUp('the backend has ended and started again');
+  }
+
   /** Drops the attempt; its end is not told. */
   abort(): void {
     this.ended = true;
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -31,7 +31,15 @@
   /** Whether a connection to "ip:port" rests. */
   hasRestingConnection(address: string): boolean {
     const [host, port] = splitAddress(address);
-    return (this.freeSockets[this.getName({ host, port })]?.length ?? 0) > 0;
+    const resting = this.freeSockets[this.getName({ host, port })] ?? [];
+    return resting.some((socket) => !socket.destroyed);
+  }
+
+  /** Closes the connections to "ip:port" that rest: the process at their other end has ended. */
+  dropResting(address: string): void {
+    const [host, port] = splitAddress(address);
+    const resting = this.freeSockets[this.getName({ host, port })] ?? [];
+    for (const socket of [...resting]) socket.destroy();
   }
 
   /** Node asks whether a connection may be kept. */
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -6,6 +6,8 @@
 
 /** A connection that is not up by then is given up: nothing of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 350;
+/** A connection that is doubted is probed after so long without bytes; the kernel takes whole seconds. */
+const PROBE_AFTER_MS = 1_000;
 
 /** What is sent. */
 export interface BackendRequest {
@@ -69,6 +71,19 @@
     this.outgoing.destroy();
   }
 
+  /** Ends the exchange as failed: the backend's process is known to have ended. */
+  giveUp(reason: string): void {
+    this.fail(reason);
+  }
+
+  /**
+   * Has the connection probed when nothing passes for a second: one whose other end has started anew is reset,
+   * though nothing was heard when the earlier process ended; one to the process of now is left as it is.
+   */
+  probe(): void {
+    this.outgoing.socket?.setKeepAlive(true, PROBE_AFTER_MS);
+  }
+
   /** Stops and resumes reading. */
   setPaused(paused: boolean): void {
     if (paused) this.incoming?.pause();
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -17,6 +17,7 @@
   ModelForecastSchema,
   ServiceDemandSchema,
   ServicePlacementSchema,
+  type BackendStart,
   type DirectoryNews,
   type ServiceDemand,
   type ServicePlacement,
@@ -138,8 +139,8 @@
   const ends = news.ended.map(({ id, revision }) =>
     create(BackendEndSchema, { backend: id, revision }),
   );
-  const starts = news.started.map(({ id, revision, service, address, zone, slots }) =>
-    create(BackendStartSchema, { backend: id, revision, service, address, zone, slots }),
+  const starts = news.started.map(({ id, revision, service, address, zone, slots, start = '' }) =>
+    create(BackendStartSchema, { backend: id, revision, service, address, zone, slots, start }),
   );
   const { configurationVersion, platformAway, servingDigest } = news;
   const value = create(DirectoryNewsSchema, {
@@ -155,10 +156,14 @@
 /** News of the directory out of a message. */
 export function decodeNews(message: DirectoryNews): DirectoryReport {
   const ended = message.ends.map(({ backend, revision }) => ({ id: backend, revision }));
-  const started = message.starts.map(({ backend, revision, service, address, zone, slots }) => {
-    const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
-    return { id: backend, revision, service, address, zone, slots, leaving: false, ...holdings };
-  });
+  const started = message.starts.map(decodeStart);
   const { configurationVersion, platformAway, servingDigest } = message;
   return { configurationVersion, ended, started, platformAway, servingDigest };
 }
+
+function decodeStart(message: BackendStart): BackendRecord {
+  const { backend, revision, service, address, zone, slots, start } = message;
+  const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
+  const place = { id: backend, revision, service, address, zone, slots, leaving: false };
+  return { ...place, ...holdings, ...(start === '' ? {} : { start }) };
+}
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -28,6 +28,11 @@
     labelNames: ['operation', 'outcome'],
     registers: [this.registry],
   });
+  readonly backendRestarts = new Counter({
+    name: 'scaleslip_gateway_backend_restarts_total',
+    help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
+    registers: [this.registry],
+  });
   readonly loadSeconds = new Histogram({
     name: 'scaleslip_gateway_load_seconds',
     help: 'Time of the loads of models that have ended, by the place of the copy',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
+import { forgetEarlierStart } from './backend-restarts.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
@@ -325,6 +326,7 @@
   }
 
   private backendsChanged(): void {
+    for (const restart of this.backends.takeRestarts()) forgetEarlierStart(this.context, restart);
     this.context.health.keepOnly(new Set(this.backends.all().map((backend) => backend.id)));
     this.duties.backendsChanged();
     this.scheduleLook();
@@ -386,7 +388,15 @@
     const outcome = this.backends.hearPlacement(update, now);
     if (isNewOwner && recallDemand) this.context.tracker.recall(update.service, now);
     if (outcome === 'applied') this.scheduleLook();
-    if (outcome === 'gap') this.requestPlacement(owner, update.service, now);
+    if (outcome === 'gap') this.catchUp(owner, update.service, now);
+  }
+
+  private catchUp(owner: string, service: string, now: number): void {
+    if (owner !== this.peers.address) return this.requestPlacement(owner, service, now);
+    const everything = this.duties.everythingOf(service);
+    if (everything === undefined) return;
+    this.backends.hearPlacement(everything, now);
+    this.scheduleLook();
   }
 
   /** An update was missed: the owner tells everything. */
--- a/src/gateway/load-watch.ts
+++ b/src/gateway/load-watch.ts
@@ -93,6 +93,13 @@
     }
   }
 
+  /** A backend has ended and started again: its loads and unloads ended with its earlier start. */
+  backendRestarted(backend: string, now: number): void {
+    const load = this.loads.get(backend);
+    if (load !== undefined) this.end(backend, load, 'backend_gone', now);
+    this.unloads.delete(backend);
+  }
+
   /** Finds the loads that have ended since the last look. */
   settle(ledgers: ReadonlyMap<string, BackendLedger>, now: number): void {
     this.settleUnloads(ledgers, now);
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -6,6 +6,7 @@
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
+import { isAnotherStart } from '../core/backend-starts.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
 import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
@@ -60,6 +61,8 @@
   private readonly deadlineAt: number;
   private readonly answer: CallerAnswer;
   private attempt: Attempt | undefined;
+  /** Whether the attempt counts as in flight at its backend. */
+  private isCounted = false;
   private lookTimer: NodeJS.Timeout | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly tried = new Set<string>();
@@ -136,6 +139,15 @@
     if (this.isWaiting && this.attempt === undefined) this.dispatch();
   }
 
+  /** A backend has ended and started again under its id: what it has refused or was sent before is void. */
+  backendRestarted(backend: BackendRecord): void {
+    this.tried.delete(backend.id);
+    this.refusals.delete(backend.id);
+    if (this.attempt?.backendId !== backend.id) return;
+    this.uncount(backend.id);
+    this.attempt.backendRestarted(backend.address);
+  }
+
   /** The daemon stops: breaks a stream off where its caller can take it up. */
   interrupt(): void {
     if (this.ended) return;
@@ -285,6 +297,7 @@
     this.sends += 1;
     this.tried.add(backend.id);
     context.tracker.sent(service.name, backend.id, this.model, 1);
+    this.isCounted = true;
     if (this.sends === 1) {
       context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
     }
@@ -376,13 +389,21 @@
 
   /** The attempt is over: the backend no longer works on the request. */
   private releaseAttempt(backend: string): void {
-    this.context.tracker.sent(this.match.service.name, backend, this.model, -1);
+    this.uncount(backend);
     this.attempt = undefined;
     this.setWaiting(false);
   }
 
+  private uncount(backend: string): void {
+    if (!this.isCounted) return;
+    this.isCounted = false;
+    this.context.tracker.sent(this.match.service.name, backend, this.model, -1);
+  }
+
   private judgeBackend(backend: BackendRecord, end: AttemptEnd): void {
     const { health, directory } = this.context;
+    // The end of an earlier start's request tells nothing of the later one.
+    if (isAnotherStart(backend, directory.get(backend.id))) return;
     if (end.type === 'done') return health.answered(backend.id);
     if (end.ran === 'no') this.refusals.set(backend.id, steadyNow() + REFUSED_PAUSE_MS);
     if (end.lacksModel && this.model !== undefined) {
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -4,6 +4,7 @@
  */
 import type { Logger } from '../common/logger.js';
 import { BackendLedger } from '../core/backend-ledger.js';
+import { isAnotherStart } from '../core/backend-starts.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { DemandReport } from '../core/demand-report.js';
 import { ModelDemand } from '../core/model-demand.js';
@@ -132,6 +133,10 @@
     for (const backend of this.backends()) {
       const ledger = this.ledgers.get(backend.id);
       if (ledger === undefined) continue;
+      if (isAnotherStart(ledger, backend)) {
+        this.restartLedger(ledger, backend, steadyNow());
+        continue;
+      }
       ledger.setCopies(backend.inMemory, backend.onDisk);
       if (!ledger.observe(backend, steadyNow())) continue;
       this.reportDue.delete(backend.id);
@@ -227,14 +232,13 @@
     const listed = new Set<string>();
     for (const backend of this.backends()) {
       listed.add(backend.id);
-      if (this.ledgers.has(backend.id)) continue;
-      const ledger = new BackendLedger(backend.id);
-      ledger.assume(backend);
-      const loading = this.options.directory.loadingAt(backend, now);
-      if (loading !== undefined) ledger.assumeLoading(loading.model, loading.expectedEnd);
-      this.ledgers.set(backend.id, ledger);
-      this.reportDue.set(backend.id, 0);
-      this.changed = true;
+      const known = this.ledgers.get(backend.id);
+      if (known === undefined) this.beginLedger(backend, now);
+      else if (isAnotherStart(known, backend)) this.restartLedger(known, backend, now);
+      else {
+        known.start ??= backend.start;
+        known.forgetLateOrders(now);
+      }
     }
     for (const id of this.ledgers.keys()) {
       if (listed.has(id)) continue;
@@ -245,6 +249,36 @@
     }
   }
 
+  private beginLedger(backend: BackendRecord, now: number): BackendLedger {
+    const ledger = new BackendLedger(backend.id, backend.start);
+    ledger.assume(backend);
+    const loading = this.options.directory.loadingAt(backend, now);
+    if (loading !== undefined) ledger.assumeLoading(loading.model, loading.expectedEnd);
+    this.ledgers.set(backend.id, ledger);
+    this.reportDue.set(backend.id, 0);
+    this.changed = true;
+    return ledger;
+  }
+
+  /** Orders, answers and reports of a backend's earlier start are void; what may still reach it is reckoned with. */
+  private restartLedger(earlier: BackendLedger, backend: BackendRecord, now: number): void {
+    const { id } = backend;
+    this.lastReport.delete(id);
+    this.loadWatch.backendRestarted(id, now);
+    this.demand.forgetBackend(id);
+    const late = earlier.unansweredOrders(now);
+    this.beginLedger(backend, now).awaitLateOrders(late);
+    const { service, epoch, logger } = this.options;
+    logger.info('backend_ledger_restarted', {
+      service,
+      epoch,
+      backend: id,
+      start: backend.start,
+      earlierSequence: earlier.sequence,
+      lateOrders: late.length,
+    });
+  }
+
   /** Requests wait although a backend holds their model: it is asked whether it lives. */
   private doubtHolders(now: number): void {
     const awaited = this.demand.awaitedFor(DOUBT_AFTER_MS, now);
@@ -314,7 +348,8 @@
   ): Promise<void> {
     const { options } = this;
     const expectedSequence = ledger.sequence;
-    const maySend = (): boolean => !this.stopped && options.orderDelayMs() === 0;
+    const isCurrent = (): boolean => this.ledgers.get(backend.id) === ledger;
+    const maySend = (): boolean => !this.stopped && options.orderDelayMs() === 0 && isCurrent();
     const fence = { holder: options.holder, epoch: options.epoch, expectedSequence, maySend };
     const { order } = planned;
     const outcome = await options.control.order(backend, order, fence);
@@ -331,7 +366,7 @@
       reason: planned.reason,
       outcome: outcome.type,
     });
-    if (this.ledgers.get(backend.id) !== ledger) return;
+    if (!isCurrent()) return;
     ledger.settle(order, outcome, now, planned.durationMs);
     this.reportDue.set(backend.id, now + this.reportDelay(planned, ledger));
     if (outcome.type === 'fenced') return this.onFenced();
--- a/test/core/backend-ledger.test.ts
+++ b/test/core/backend-ledger.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { BackendLedger } from '../../src/core/backend-ledger.js';
 import type { BackendReport, ModelOrder } from '../../src/core/model-order.js';
+import { hostOf } from './gateway-fixtures.js';
 import type { BackendRecord } from '../../src/core/service-configuration.js';
 
 const LOAD: ModelOrder = { operation: 'load', model: 'new', adapter: undefined };
@@ -63,6 +64,22 @@
     expect(ledger.takesModelOrder).toBe(true);
   });
 
+  it("keeps room for an order to the backend's earlier start until that cannot be taken any more", () => {
+    const host = hostOf(['old', 'new']);
+    const earlier = readyLedger();
+    earlier.send(LOAD);
+    earlier.settle(LOAD, { type: 'unknown', reason: 'no answer' }, 1_000, 1_500);
+    const later = new BackendLedger('x', 'two');
+    later.awaitLateOrders(earlier.unansweredOrders(2_000));
+    expect(later.usedMegabytes(host)).toBe(70);
+    later.forgetLateOrders(11_000);
+    expect(later.usedMegabytes(host)).toBe(0);
+    later.awaitLateOrders(earlier.unansweredOrders(2_000));
+    later.adopt(report([], 1), 2_000);
+    later.adopt(report([], 1), 2_400);
+    expect(later.usedMegabytes(host)).toBe(0);
+  });
+
   it('does not take an older report', () => {
     const ledger = loading();
     expect(ledger.adopt(report(['old'], 0), 2_000)).toBe(false);
