--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -87,6 +87,14 @@
     this.refusals.set(backend, steadyNow() + REFUSED_PAUSE_MS);
   }
 
+  /** A backend has started again under its id: what it has refused or was sent before is void. */
+  forget(backend: string): void {
+    this.tried.delete(backend);
+    this.refusals.delete(backend);
+    this.fullUntil.delete(backend);
+    if (this.pending?.backend.id === backend) this.release();
+  }
+
   /** The request needs its slot, or its place in a queue, no more. */
   release(): void {
     this.claim?.release();
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -140,8 +140,7 @@
 
   /** A backend has ended and started again under its id: what it has refused or was sent before is void. */
   backendRestarted(backend: BackendRecord): void {
-    this.tried.delete(backend.id);
-    this.refusals.delete(backend.id);
+    this.search.forget(backend.id);
     if (this.attempt?.backendId !== backend.id) return;
     this.uncount(backend.id);
     this.attempt.backendRestarted(backend.address);
