--- /dev/null
+++ b/test/simulation/simulated-slots.ts
@@ -0,0 +1,199 @@
+/**
+ * A group of daemons that keep one backend's slots, on a virtual clock: datagrams take a fixed
+ * time and may be lost; requests run at the backend for a fixed time.
+ */
+import { vi } from 'vitest';
+import { silentLogger, type LogFields } from '../../src/common/logger.js';
+import type { SlotAnswer } from '../../src/core/admission/slot-keeping.js';
+import type { MemberView } from '../../src/core/membership-messages.js';
+import type { BackendRecord } from '../../src/core/service-configuration.js';
+import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
+import { SlotAdmission, type SlotClaim } from '../../src/gateway/slot-admission.js';
+
+const MESSAGE_MS = 2;
+const TICK_MS = 100;
+/** Bytes of a datagram, headers of IP and UDP and names among them: a bound from above for one entry. */
+const DATAGRAM_BYTES = 130;
+
+/** One request of a simulation. */
+export interface SimulatedRequest {
+  readonly daemon: number;
+  readonly askedAt: number;
+  answers: SlotAnswer['type'][];
+  /** When it was sent to the backend; undefined if it was not. */
+  sentAt: number | undefined;
+  ended: boolean;
+}
+
+/** Options of {@link SimulatedSlots}. */
+export interface SlotSimulationOptions {
+  readonly daemons: number;
+  readonly slots: number;
+  readonly runMs: number;
+}
+
+/** The group. Use it under vitest's fake timers. */
+export class SimulatedSlots {
+  readonly requests: SimulatedRequest[] = [];
+  readonly lines: { event: string; fields: LogFields }[] = [];
+  datagrams = 0;
+  /** Most requests at the backend at once. */
+  mostRunning = 0;
+  isBackendServing = true;
+  /** Whether a datagram from one daemon to another is lost. */
+  loses: (from: number, to: number, body: PeerBody) => boolean = () => false;
+  private running = 0;
+  /** Daemons as the group sees them. */
+  private seen: number[] = [];
+  private readonly daemons: SlotAdmission[];
+  private readonly dead = new Set<number>();
+  private readonly claims = new Map<SimulatedRequest, SlotClaim>();
+
+  constructor(private readonly options: SlotSimulationOptions) {
+    this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
+    for (const daemon of this.daemons) daemon.tick();
+  }
+
+  get bytes(): number {
+    return this.datagrams * DATAGRAM_BYTES;
+  }
+
+  /** Number of the daemon that keeps the slots. */
+  keeper(): number {
+    const asking = this.daemons.find((_, index) => !this.dead.has(index));
+    return Number(asking?.keeperOf('backend').slice(2));
+  }
+
+  /** Numbers of daemons that are not the keeper. */
+  others(): number[] {
+    const keeper = this.keeper();
+    return [...this.daemons.keys()].filter((index) => index !== keeper && !this.dead.has(index));
+  }
+
+  ask(daemon: number, giveUpAfterMs = 5_000, rank = 1): SimulatedRequest {
+    const now = performance.now();
+    const request: SimulatedRequest = {
+      daemon,
+      askedAt: now,
+      answers: [],
+      sentAt: undefined,
+      ended: false,
+    };
+    this.requests.push(request);
+    const claim = this.daemons[daemon]!.claim({
+      backend: this.backend(),
+      request: String(this.requests.length),
+      rank,
+      arrivedAt: now,
+      dueAt: now + 200,
+      giveUpAt: now + giveUpAfterMs,
+      tenant: '',
+      work: 0,
+      ownerLoad: undefined,
+      onAnswer: (answer) => this.answered(request, answer),
+    });
+    this.claims.set(request, claim);
+    if (claim.isHeld) this.run(request);
+    return request;
+  }
+
+  /** The caller leaves. */
+  leave(request: SimulatedRequest): void {
+    request.ended = true;
+    this.claims.get(request)?.release();
+  }
+
+  /** Takes a daemon's power, and its requests; the others see it later. */
+  kill(index: number, seenAfterMs: number): void {
+    this.dead.add(index);
+    for (const request of this.requests) {
+      if (request.daemon !== index || request.ended) continue;
+      request.ended = true;
+      if (request.sentAt !== undefined) this.running -= 1;
+    }
+    setTimeout(() => {
+      this.seen = this.seen.filter((other) => other !== index);
+      for (const daemon of this.daemons) daemon.groupChanged();
+    }, seenAfterMs);
+  }
+
+  async play(milliseconds: number): Promise<void> {
+    for (let at = 0; at < milliseconds; at += TICK_MS) {
+      for (const [index, daemon] of this.daemons.entries()) {
+        if (!this.dead.has(index)) daemon.tick();
+      }
+      await vi.advanceTimersByTimeAsync(TICK_MS);
+    }
+  }
+
+  private answered(request: SimulatedRequest, answer: SlotAnswer): void {
+    if (this.dead.has(request.daemon)) return;
+    request.answers.push(answer.type);
+    if (answer.type === 'granted') this.run(request);
+    if (answer.type === 'refused' || answer.type === 'unknown') request.ended = true;
+  }
+
+  private run(request: SimulatedRequest): void {
+    request.sentAt = performance.now();
+    this.running += 1;
+    this.mostRunning = Math.max(this.mostRunning, this.running);
+    setTimeout(() => {
+      if (request.ended) return;
+      request.ended = true;
+      this.running -= 1;
+      this.claims.get(request)?.release();
+    }, this.options.runMs);
+  }
+
+  private daemon(index: number): SlotAdmission {
+    this.seen.push(index);
+    const keep = (event: string, fields: LogFields = {}): void => {
+      this.lines.push({ event, fields });
+    };
+    return new SlotAdmission({
+      self: `d-${index}`,
+      logger: { ...silentLogger, info: keep, warn: keep },
+      metrics: new GatewayMetrics(),
+      live: () => this.seen.map(member),
+      reachable: () => this.seen.map((other) => `d-${other}`),
+      slotsOf: (id) => (id === 'backend' && this.isBackendServing ? this.options.slots : undefined),
+      sendDatagram: (to, body) => this.send(index, Number(to.slice(2)), body),
+    });
+  }
+
+  private send(from: number, to: number, body: PeerBody): void {
+    this.datagrams += 1;
+    if (this.dead.has(from) || this.loses(from, to, body)) return;
+    setTimeout(() => {
+      if (!this.dead.has(to)) this.daemons[to]?.receive(`d-${from}`, body);
+    }, MESSAGE_MS);
+  }
+
+  private backend(): BackendRecord {
+    return {
+      id: 'backend',
+      service: 'service',
+      address: '127.0.0.1:1',
+      zone: 'a',
+      slots: this.options.slots,
+      leaving: false,
+      models: [],
+      revision: 1,
+      sequence: 0,
+      inMemory: [],
+      onDisk: [],
+    };
+  }
+}
+
+function member(index: number): MemberView {
+  return {
+    address: `d-${index}`,
+    zone: 'a',
+    site: '',
+    incarnation: 1,
+    state: 'alive',
+    capacity: 1,
+  };
+}
