Failing tests: entries of another writer among the platform's servers, and pages with unreadable objects

An entry without a service, an address or a known state is taken for a backend; a page with one object that is no JSON is lost whole, one that ends with unreadable objects loses all behind it.

--- /dev/null
+++ b/test/platform/foreign-entries.test.ts
@@ -0,0 +1,71 @@
+/**
+ * Symptom to expect: an entry that another program has written among the servers takes requests (an empty
+ * service, an address that is none), counts as one that leaves, or stops the whole list from being read.
+ */
+import { afterEach, describe, expect, it } from 'vitest';
+import { readEntries, serverEntry, type Line } from './server-entries.js';
+
+const FOREIGN: Readonly<Record<string, unknown>> = {
+  'no-service': serverEntry({ service: undefined }),
+  'empty-service': serverEntry({ service: '' }),
+  'numbered-service': serverEntry({ service: 7 }),
+  'no-address': serverEntry({ address: undefined }),
+  'odd-address': serverEntry({ address: 'here' }),
+  'no-port': serverEntry({ address: '10.1.0.1:99999' }),
+  'listed-zone': serverEntry({ zone: ['a'] }),
+  'no-slots': serverEntry({ slots: undefined }),
+  'worded-slots': serverEntry({ slots: '4' }),
+  'negative-slots': serverEntry({ slots: -4 }),
+  'unknown-state': serverEntry({ state: 'resting' }),
+  'no-state': serverEntry({ state: undefined }),
+  'worded-seq': serverEntry({ seq: 'one' }),
+  'negative-seq': serverEntry({ seq: -1 }),
+  'one-model': serverEntry({ models: 'm' }),
+  'nameless-model': serverEntry({ models: [{ version: 1 }] }),
+  'odd-adapters': serverEntry({ models: [{ name: 'm', adapters: { a: 1 } }] }),
+  'odd-copies': serverEntry({ atHand: { inMemory: 'm' } }),
+  text: 'servers',
+  nothing: null,
+  list: [serverEntry()],
+  'name\nof two lines': serverEntry(),
+};
+
+describe('an entry of another writer', () => {
+  let read: Awaited<ReturnType<typeof readEntries>> | undefined;
+
+  afterEach(() => read?.stop());
+
+  function lines(): Line[] {
+    return (read?.lines ?? []).filter(({ event }) => event === 'backend_entry_unread');
+  }
+
+  it('names no backend, and the others hold', async () => {
+    const models = [{ name: 'm', version: 1, adapters: ['a'] }, { name: 'n' }];
+    const whole = serverEntry({ models, atHand: { inMemory: ['m'] }, state: 'draining' });
+    read = await readEntries({ first: serverEntry(), ...FOREIGN, last: whole });
+    expect(read.backends.map(({ id }) => id)).toEqual(['first', 'last']);
+    expect(read.backends[1]).toMatchObject({ leaving: true, inMemory: ['m'], onDisk: [] });
+    expect(lines()).toHaveLength(Object.keys(FOREIGN).length);
+    expect(lines()[0]).toMatchObject({ name: 'no-service', revision: 1, reason: 'service' });
+  });
+
+  it('costs one line for each of its revisions, however often the list changes', async () => {
+    const foreign = serverEntry({ state: 'resting' });
+    read = await readEntries({ good: serverEntry(), foreign });
+    const good = { name: 'good', finalizers: [], spec: serverEntry() };
+    await read.change([{ ...good, revision: 2 }]);
+    await read.change([{ ...good, revision: 3 }]);
+    expect(lines()).toHaveLength(1);
+    await read.change([{ name: 'foreign', finalizers: [], revision: 4, spec: 'bytes' }]);
+    expect(lines()).toHaveLength(2);
+    expect(read.backends.map(({ id }) => id)).toEqual(['good']);
+  });
+
+  it('in place of a server names no backend until the server has written again', async () => {
+    read = await readEntries({ good: serverEntry() });
+    await read.change([{ name: 'good', finalizers: [], revision: 2, spec: 'bytes' }]);
+    expect(read.backends).toEqual([]);
+    await read.change([{ name: 'good', finalizers: [], revision: 3, spec: serverEntry() }]);
+    expect(read.backends.map(({ id }) => id)).toEqual(['good']);
+  });
+});
--- /dev/null
+++ b/test/platform/object-store.test.ts
@@ -0,0 +1,140 @@
+/** Pages of the store with objects that cannot be read. */
+import http from 'node:http';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { KindFollower, type KindCopy } from '../../platform/kind-follower.js';
+import { ObjectStore } from '../../platform/object-store.js';
+import { listen } from '../../src/common/http-server.js';
+import type { LogFields, Logger } from '../../src/common/logger.js';
+import { sleep } from '../../src/common/process.js';
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
+
+function object(name: string, spec = '{}'): string {
+  return `{"metadata":{"name":"${name}","revision":3,"finalizers":[]},"spec":${spec}}`;
+}
+
+function page(items: readonly string[], more = false): string {
+  return `{"items":[${items.join(',')}],"more":${more},"at":9}`;
+}
+
+describe('ObjectStore', () => {
+  let server: http.Server;
+  let store: ObjectStore;
+  /** By the name after which a page begins. */
+  let pages: Record<string, string>;
+  let changes: string[];
+  let asked: number;
+
+  beforeEach(async () => {
+    pages = {};
+    changes = [];
+    asked = 0;
+    server = http.createServer((request, response) => {
+      asked += 1;
+      const { searchParams } = new URL(request.url ?? '', 'http://store');
+      if (!searchParams.has('watch')) {
+        return response.end(pages[searchParams.get('after') ?? ''] ?? page([]));
+      }
+      const next = changes.shift();
+      if (next !== undefined) return response.end(next);
+      setTimeout(() => response.end('{"events":[],"at":9}'), 300);
+    });
+    const port = await listen(server, '127.0.0.1', 0);
+    store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics());
+  });
+
+  afterEach(() => {
+    store.close();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  async function names(): Promise<string[] | string> {
+    const list = await store.list('servers', false);
+    return list.isOk ? list.value.items.map(({ name }) => name) : list.error.type;
+  }
+
+  it('reads the others of a page with objects that are none', async () => {
+    const odd = ['null', '7', '{}', '{"metadata":{"name":"b"}}', '{"metadata":{"revision":4}}'];
+    pages[''] = page([object('a'), ...odd, object('c')]);
+    expect(await names()).toEqual(['a', 'c']);
+    const list = await store.list('servers', false);
+    expect(list.unwrapOr(undefined)?.unread.map(({ name }) => name)).toContain('b');
+  });
+
+  it('reads the others of a page on which an object is not even JSON', async () => {
+    const broken = object('b', '{"service":"x\u0001\n\\q","slots":NaN}');
+    pages[''] = page([object('a', '"}]"'), broken, object('c', '[[{}]]')], true);
+    pages.c = page([object('d')]);
+    expect(await names()).toEqual(['a', 'c', 'd']);
+  });
+
+  it('goes on behind a page whose last objects, or all, cannot be read', async () => {
+    pages[''] = page([object('a'), '{"metadata":{"name":"b","revision":"late"}}'], true);
+    pages.b = page(['{"metadata":{"name":"c"}}'], true);
+    pages.c = page([object('d')]);
+    expect(await names()).toEqual(['a', 'd']);
+  });
+
+  it('takes no list for whole that it could not read to its end', async () => {
+    pages[''] = page(['null', '{}'], true);
+    expect(await names()).toBe('lost');
+    pages[''] = page([object('a')], true);
+    pages.a = page([object('a')], true);
+    expect(await names()).toBe('lost');
+    for (const text of [
+      'null',
+      '[]',
+      '{"items":7,"at":9}',
+      '{"items":[],"at":"x"}',
+      '{"items":[',
+    ]) {
+      pages[''] = text;
+      expect(await names()).toBe('lost');
+    }
+  });
+
+  it('takes the other changes of a watch, and does not ask for the unreadable ones again', async () => {
+    const event = (text: string): string => `{"gone":false,"object":${text}}`;
+    const events = [
+      'null',
+      event('{"metadata":7}'),
+      event(object('b', 'Infinity')),
+      event(object('c')),
+    ];
+    changes = [`{"events":[${events.join(',')}],"at":12}`, 'null', '{"events":{},"at":13}'];
+    const options = { from: 9, waitMs: 100, stale: false };
+    const read = await store.watch('servers', options);
+    const told = read.unwrapOr(undefined);
+    expect(told?.events.map(({ object: { name } }) => name)).toEqual(['c']);
+    expect(told?.at).toBe(12);
+    expect((await store.watch('servers', options)).isErr).toBe(true);
+    expect((await store.watch('servers', options)).isErr).toBe(true);
+  });
+
+  it('loses nothing that is held, and writes one line for each unreadable object', async () => {
+    const lines: LogFields[] = [];
+    const write = (event: string, fields: LogFields = {}): void => {
+      lines.push({ event, ...fields });
+    };
+    const logger: Logger = { info: write, warn: write, error: write };
+    let copy: KindCopy | undefined;
+    pages[''] = page([object('a'), '{"metadata":{"name":"b","revision":[]}}']);
+    changes = [
+      '{"events":[{"gone":false,"object":{"metadata":{"name":"b","revision":[]}}}],"at":10}',
+      'null',
+      `{"events":[{"gone":false,"object":${object('c')}}],"at":11}`,
+    ];
+    const pace = { periodMs: 10, stale: false, waitMs: 300, longestPauseMs: 100 };
+    const onObjects = (told: KindCopy): void => void (copy = told);
+    const follower = new KindFollower({ store, logger, kind: 'servers', pace, onObjects });
+    void follower.run();
+    await sleep(500);
+    follower.stop();
+    expect([...(copy?.objects.keys() ?? [])]).toEqual(['a', 'c']);
+    const unread = lines.filter(({ event }) => event === 'object_unread');
+    expect(unread).toHaveLength(1);
+    expect(unread[0]).toMatchObject({ kind: 'servers', name: 'b' });
+    expect(lines.filter(({ event }) => event === 'follower_fault')).toEqual([]);
+    expect(asked).toBeLessThan(20);
+  });
+});
