Capacity is learned: speeds of backends and gaps of models, for selection and placement

Ruled out before: speed known to one daemon alone and used in the selection alone. Change: daemons report gaps between events (GapSamples), the owner fits speeds and models' gaps to them (CapacityEstimate) and tells changes beyond 10%; selection counts load against slots x speed and prices the risk of a late pause; placement prices late places and counts badly placed copies in part (CopyQuality). Policy learnedCapacity. Placement goes by steady speeds, selection by slowness of some seconds as well.

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -10,6 +10,8 @@
   type EndedBackend,
   type PresenceChanges,
 } from './backend-presence.js';
+import { EVEN_CAPACITY, type CapacityView } from './capacity/capacity-view.js';
+import { HeardCapacity } from './capacity/heard-capacity.js';
 import type { PlacedModel, PlacementUpdate } from './placement-update.js';
 import type { BackendRecord, HeldModel, ModelReference } from './service-configuration.js';
 
@@ -37,6 +39,7 @@
   readonly forecasts: Map<string, number>;
   /** Requests in flight at each backend, over all daemons. */
   readonly loads: Map<string, number>;
+  readonly capacity: HeardCapacity;
   /** Loads from the weight store that may run at once, as the owner has learned; 0 if nothing is known. */
   storeLoadLimit: number;
 }
@@ -135,9 +138,11 @@
     }
     for (const [model, readyInMs] of update.forecasts) heard.forecasts.set(model, now + readyInMs);
     for (const [backend, inFlight] of update.loads) heard.loads.set(backend, inFlight);
+    heard.capacity.take(update.capacity, now);
     for (const backend of update.removedBackends) {
       heard.backends.delete(backend);
       heard.loads.delete(backend);
+      heard.capacity.forget(backend);
     }
     for (const model of update.removedForecasts) heard.forecasts.delete(model);
   }
@@ -170,6 +175,11 @@
     return this.freshPlacement(backend.service, now)?.loads.get(backend.id) ?? 0;
   }
 
+  /** What the owner has learned of the service's backends. */
+  capacityOf(service: string, now: number): CapacityView {
+    return this.placements.get(service)?.capacity.view(now) ?? EVEN_CAPACITY;
+  }
+
   /** A backend has refused a request because it lacks the model. */
   noteAbsence(backend: string, reference: ModelReference, now: number): void {
     this.absences.set(keyOf(backend, reference), now + ABSENCE_LIFETIME_MS);
@@ -236,6 +246,7 @@
     backends: new Map(),
     forecasts: new Map(),
     loads: new Map(),
+    capacity: new HeardCapacity(),
     storeLoadLimit: 0,
   };
 }
--- a/src/core/backend-selection-stale-load.ts
+++ b/src/core/backend-selection-stale-load.ts
@@ -15,6 +15,11 @@
 const CACHE_MISS = 0.12;
 const NEW_CONNECTION = 0.1;
 const ALWAYS_FAILING = 2;
+/** A stream that would pause for too long goes where it would not, though that is fuller by so much. */
+const ALWAYS_LATE = 1;
+/** Speeds count within these bounds: slots are a limit as well. */
+const LEAST_SPEED = 0.4;
+const MOST_SPEED = 1.6;
 /** A backend with more of its slots in use than this share may soon queue. */
 const CROWDED_FROM = 0.7;
 /** Cost of each share of the slots above that. */
@@ -50,7 +55,7 @@
     const costed = candidates.map((candidate) => {
       const miss = home === undefined || home === candidate.id ? 0 : CACHE_MISS;
       const cost = costOf(candidate) + miss + this.leaning(candidate);
-      return { candidate, slots: Math.max(1, candidate.slots), cost };
+      return { candidate, slots: effectiveSlots(candidate), cost };
     });
     costed.sort((a, b) => a.cost - b.cost);
     const known = candidates.reduce((sum, candidate) => sum + candidate.inFlight, 0);
@@ -99,9 +104,17 @@
 }
 
 function costOf(candidate: BackendCandidate): number {
-  const load = candidate.inFlight / Math.max(1, candidate.slots);
+  const load = candidate.inFlight / effectiveSlots(candidate);
+  const taken = candidate.inFlight / Math.max(1, candidate.slots);
   const distance = candidate.sameZone ? 0 : OTHER_ZONE;
   const connection = candidate.hasConnection ? 0 : NEW_CONNECTION;
-  const crowded = CROWDED * Math.max(0, load - CROWDED_FROM);
-  return load + crowded + distance + connection + ALWAYS_FAILING * candidate.failureShare;
+  const crowded = CROWDED * Math.max(0, taken - CROWDED_FROM);
+  const late = ALWAYS_LATE * (candidate.pauseRisk ?? 0);
+  return load + crowded + distance + connection + late + ALWAYS_FAILING * candidate.failureShare;
+}
+
+/** Slots of a backend of the usual speed that do the same work. */
+function effectiveSlots({ slots, speed }: BackendCandidate): number {
+  const bounded = Math.min(MOST_SPEED, Math.max(LEAST_SPEED, speed ?? 1));
+  return Math.max(1, slots * bounded);
 }
--- a/src/core/backend-selection.ts
+++ b/src/core/backend-selection.ts
@@ -11,6 +11,10 @@
   readonly inFlight: number;
   /** Smoothed share of failed requests, 0 to 1. */
   readonly failureShare: number;
+  /** Speed against the usual one of the service; 1 if absent. */
+  readonly speed?: number;
+  /** Share of such streams, 0 to 1, that would pause for too long there; 0 if absent. */
+  readonly pauseRisk?: number;
 }
 
 /** Chooses a backend for a request. */
--- a/src/core/capacity/capacity-view.ts
+++ b/src/core/capacity/capacity-view.ts
@@ -18,8 +18,10 @@
   /**
    * Share of the model's streams, 0 to 1, that are expected to pause for longer than their callers
    * bear at the backend; 0 while nothing has been learned.
+   *
+   * @param pauseGoalMs - The longest pause that the callers bear.
    */
-  pauseRisk(backend: string, model: string): number;
+  pauseRisk(backend: string, model: string, pauseGoalMs: number): number;
 }
 
 /** Expectations where nothing is learned: all backends are alike. */
--- a/src/core/demand-report.ts
+++ b/src/core/demand-report.ts
@@ -1,4 +1,5 @@
 /** What a daemon tells the owner of a service of its callers' demand. Types only. */
+import type { GapReport } from './capacity/gap-samples.js';
 import type { ModelReference } from './service-configuration.js';
 
 /** One daemon's figures for a model or adapter since its last report. */
@@ -25,4 +26,6 @@
   readonly use: readonly BackendUse[];
   /** Backends that have lately left the daemon's requests without an answer. */
   readonly failing: readonly string[];
+  /** Gaps of streams since the last report; absent if none were seen. */
+  readonly gaps?: GapReport | undefined;
 }
--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -140,7 +140,9 @@
     const readyInMs = Math.max(this.waitMs(ledger) + unloadMs, storeWaitMs) + loadMs;
     const storeCost = isFromStore ? STORE_LOAD_COST_MS : 0;
     const channelCost = this.channel.ofOrder(ledger, loadMs);
-    const cost = readyInMs + displacedWorth + storeCost + channelCost;
+    const rate = this.worth.urgentRate(spec.name);
+    const lateCost = this.worth.quality.lateMs(ledger.id, spec.name, rate);
+    const cost = readyInMs + displacedWorth + storeCost + channelCost + lateCost;
     const names = victims.map((victim) => victim.name);
     return { ledger, isFree, cost, readyInMs, loadMs, copy, victims: names, displacedWorth };
   }
--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -1,5 +1,6 @@
 /** What the copies of the models are worth, in milliseconds of callers' waiting. Pure. */
 import { isUnloadOf, modelRank, type BackendLedger } from './backend-ledger.js';
+import { CopyQuality } from './capacity/copy-quality.js';
 import type { PlanningInput } from './planning.js';
 import type { ModelReference } from './service-configuration.js';
 
@@ -18,11 +19,18 @@
 export class ModelWorth {
   private readonly awaited: ReadonlySet<string>;
   private readonly copyCounts: Map<string, number>;
+  private readonly fullCounts: Map<string, number>;
+  /** How good copies are by where they lie. */
+  readonly quality: CopyQuality;
 
   constructor(private readonly input: PlanningInput) {
     const waiting = input.demand.waiting(input.now);
     this.awaited = new Set(waiting.map((sample) => sample.model));
-    this.copyCounts = countCopies(input.backends);
+    this.quality = new CopyQuality(input.capacity, input.backends, input.now);
+    this.copyCounts = countCopies(input.backends, () => 1);
+    this.fullCounts = countCopies(input.backends, (ledger, model) =>
+      this.quality.ofCopy(ledger, model),
+    );
   }
 
   /** Copies that are held and stay, or are being loaded. */
@@ -30,9 +38,15 @@
     return this.copyCounts.get(model) ?? 0;
   }
 
+  /** The same, copies at places that suit the model badly counted in part. */
+  fullCopies(model: string): number {
+    return this.fullCounts.get(model) ?? 0;
+  }
+
   /** This round has ordered a load of the model. */
   noteLoad(model: string): void {
     this.copyCounts.set(model, this.copies(model) + 1);
+    this.fullCounts.set(model, this.fullCopies(model) + 1);
   }
 
   /** Urgent requests a second for a model. */
@@ -46,16 +60,23 @@
     const patient = demand.patientRate(reference(model), now) * PATIENT_WORTH;
     const prior = LISTED_FIRST_WORTH / (1 + modelRank(this.input.host, model));
     const lasting = this.urgentRate(model) * URGENT_WORTH + patient + prior;
-    const copies = Math.max(1, this.copies(model));
-    const awaited = copies === 1 && this.awaited.has(model) ? AWAITED_WORTH : 0;
+    const lost = this.partOf(ledger, model);
+    const awaited = this.copies(model) <= 1 && this.awaited.has(model) ? AWAITED_WORTH : 0;
     const loadedAt = ledger.models.get(model)?.loadedAt ?? -Infinity;
     const fresh = now - loadedAt < FRESH_MS ? FRESH_WORTH : 0;
-    return lasting / copies ** 2 + awaited + fresh;
+    return lost * lasting + awaited + fresh;
+  }
+
+  /** Part of what a model's copies are worth that goes with one: a quarter with one of two as good. */
+  private partOf(ledger: BackendLedger, model: string): number {
+    const copies = this.fullCopies(model);
+    const share = copies === 0 ? 1 : this.quality.ofCopy(ledger, model) / copies;
+    return share / Math.max(1, copies);
   }
 
   /** What one more copy would be worth: what its loss would cost once it is there, so that no copy is moved to and fro. */
   ofFurtherCopy(model: string): number {
-    return (this.urgentRate(model) * URGENT_WORTH) / (this.copies(model) + 1) ** 2;
+    return (this.urgentRate(model) * URGENT_WORTH) / (this.fullCopies(model) + 1) ** 2;
   }
 
   /** Expected time of an unload. */
@@ -65,10 +86,15 @@
   }
 }
 
-function countCopies(backends: readonly BackendLedger[]): Map<string, number> {
+function countCopies(
+  backends: readonly BackendLedger[],
+  partOf: (ledger: BackendLedger, model: string) => number,
+): Map<string, number> {
   const counts = new Map<string, number>();
-  const add = (model: string): void => void counts.set(model, (counts.get(model) ?? 0) + 1);
   for (const ledger of backends) {
+    const add = (model: string): void => {
+      counts.set(model, (counts.get(model) ?? 0) + partOf(ledger, model));
+    };
     const order = ledger.currentOrder;
     for (const model of ledger.models.keys()) {
       if (order === undefined || !isUnloadOf(order, model)) add(model);
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -183,7 +183,7 @@
   /** Copies that are coming count: they will take their part of what runs. */
   private isCrowded(model: string): boolean {
     const { host, demand, now } = this.input;
-    const slots = this.worth.copies(model) * host.slots;
+    const slots = this.worth.fullCopies(model) * host.slots;
     return slots > 0 && demand.inFlightOf(model, now) >= slots * CROWDED_SLOTS_SHARE;
   }
 
@@ -191,23 +191,36 @@
   addCopy(): void {
     const { demand, now } = this.input;
     for (const model of demand.urgentModels(now)) {
-      const copies = this.worth.copies(model);
-      const isWanted = copies > 0 && copies < this.copiesWanted(model);
-      if (isWanted && this.tryFurtherCopy(model, 'urgent demand')) return;
+      if (this.isCopyWanted(model) && this.tryFurtherCopy(model, 'urgent demand')) return;
     }
   }
 
+  /** Copies at slow places count in part, and there may be as many again that are better placed. */
+  private isCopyWanted(model: string): boolean {
+    const copies = this.worth.copies(model);
+    if (copies === 0) return false;
+    const wanted = this.copiesWanted(model);
+    return this.worth.fullCopies(model) < wanted && copies < 2 * wanted;
+  }
+
   /** Orders one more copy where it displaces nothing worth more; false if there is no such place now. */
   private tryFurtherCopy(model: string, reason: string): boolean {
     const spec = modelSpec(this.input.host, model);
     if (spec === undefined || this.reservations.has(model)) return false;
     const place = this.places.cheapest(spec);
     if (place === undefined || !place.isFree) return false;
+    if (!this.helps(place, model)) return false;
     if (place.displacedWorth * COPY_MARGIN > this.worth.ofFurtherCopy(model)) return false;
     this.order(spec, place, reason);
     return true;
   }
 
+  /** A copy besides those that are wanted takes the place of one at a slow place. */
+  private helps(place: LoadPlace, model: string): boolean {
+    const isBesides = this.worth.copies(model) >= this.copiesWanted(model);
+    return !isBesides || this.worth.quality.isGood(place.ledger.id, model);
+  }
+
   /** By the rate, so that the loss of one copy is borne, and by what runs at once. */
   private copiesWanted(model: string): number {
     const { host, demand, now } = this.input;
--- a/src/core/placement-publisher.ts
+++ b/src/core/placement-publisher.ts
@@ -3,6 +3,8 @@
  * changed since the last update, or everything for a daemon that missed one.
  * Pure; times are milliseconds of the owner's steady clock.
  */
+import { CapacityNews } from './capacity/capacity-news.js';
+import type { LearnedFigures } from './capacity/learned-capacity.js';
 import type { PlacedModel, PlacementUpdate } from './placement-update.js';
 
 /** A model at a backend, as the owner knows it. */
@@ -25,6 +27,8 @@
   readonly storeLoadLimit: number;
   /** A load that changes by less is not told again. */
   readonly loadTolerance: number;
+  /** What is believed of the backends' speeds; absent if that is not learned. */
+  readonly capacity?: LearnedFigures | undefined;
 }
 
 /** A forecast that moves by less is not told again. */
@@ -43,6 +47,7 @@
   private forecasts = new Map<string, number>();
   private loads = new Map<string, number>();
   private storeLoadLimit = 0;
+  private readonly capacity = new CapacityNews();
 
   constructor(
     private readonly service: string,
@@ -57,6 +62,7 @@
     const changedForecasts = this.takeForecasts(state);
     const removedForecasts = removeMissing(this.forecasts, state.forecasts);
     const changedLoads = this.takeLoads(state);
+    const capacity = this.capacity.take(state.capacity);
     const changes = [
       changedLoads,
       changedBackends,
@@ -66,16 +72,18 @@
     ];
     const baseVersion = this.version;
     if (baseVersion === 0) return this.firstUpdate(now);
-    if (changes.some((names) => names.length > 0)) this.version += 1;
+    const isChanged = changes.some((names) => names.length > 0);
+    if (isChanged || capacity !== undefined) this.version += 1;
     const told = this.told(changedBackends, changedForecasts, changedLoads, now);
-    return { ...told, baseVersion, removedBackends, removedForecasts };
+    return { ...told, baseVersion, removedBackends, removedForecasts, capacity };
   }
 
   /** Everything, for a daemon that missed an update. */
   everything(now: number): PlacementUpdate {
     const { backends, forecasts, loads } = this;
     const told = this.told([...backends.keys()], [...forecasts.keys()], [...loads.keys()], now);
-    return { ...told, baseVersion: undefined, removedBackends: [], removedForecasts: [] };
+    const capacity = this.capacity.everything();
+    return { ...told, baseVersion: undefined, removedBackends: [], removedForecasts: [], capacity };
   }
 
   private firstUpdate(now: number): PlacementUpdate {
--- a/src/core/placement-update.ts
+++ b/src/core/placement-update.ts
@@ -3,6 +3,7 @@
  * once, then what has changed. Types only; times are relative, because daemons'
  * clocks differ.
  */
+import type { LearnedFigures } from './capacity/learned-capacity.js';
 import type { HeldModel } from './service-configuration.js';
 
 /** A model at a backend, as its owner tells. */
@@ -32,4 +33,6 @@
   readonly storeLoadLimit: number;
   /** Requests that all daemons together have in flight at a backend, where that has changed much. */
   readonly loads: ReadonlyMap<string, number>;
+  /** Speeds and gaps that have changed, and all shares if they have; absent if nothing has. */
+  readonly capacity?: LearnedFigures | undefined;
 }
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -1,5 +1,6 @@
 /** What a round of planning works on, and what it brings. Types only. */
 import type { BackendLedger } from './backend-ledger.js';
+import type { PlannedCapacity } from './capacity/copy-quality.js';
 import type { ModelDemand } from './model-demand.js';
 import type { ModelOrder } from './model-order.js';
 import type { Policies } from './policies.js';
@@ -34,4 +35,6 @@
   /** Milliseconds until each place for a load from the weight store is free, by the limit of loads at once. */
   readonly storePlaceWaits: readonly number[];
   readonly unloadTimes: UnloadTimes;
+  /** How fast the backends are; absent if all count as alike. */
+  readonly capacity?: PlannedCapacity | undefined;
 }
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -19,6 +19,8 @@
   'proofsFromPeers',
   /** A request is held while it will more likely be served than not. */
   'holdByChance',
+  /** Speeds of backends are learned from streams; models and requests go by them. */
+  'learnedCapacity',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one backend, and the check of what comes back. */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
+import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
 import {
   isStream,
@@ -54,6 +55,8 @@
   readonly hasAlternative: () => boolean;
   /** The backend is silent and nobody else can take the request; called once. */
   readonly onSilent: () => void;
+  /** Notes the gaps between events; undefined if they tell nothing of the backend. */
+  readonly gaps: StreamGaps | undefined;
   readonly answer: CallerAnswer;
   readonly onEnd: (end: AttemptEnd) => void;
 }
@@ -110,6 +113,7 @@
   abort(): void {
     this.ended = true;
     clearTimeout(this.timer);
+    this.options.gaps?.end();
     this.exchange.abort();
   }
 
@@ -170,7 +174,9 @@
       return;
     }
     this.watch(this.options.stalledAfterMs);
-    for (const event of this.parser.push(chunk)) this.passOn(event);
+    const events = this.parser.push(chunk);
+    this.options.gaps?.noteRead(events.length, steadyNow());
+    for (const event of events) this.passOn(event);
   }
 
   private passOn(event: StreamEvent): void {
@@ -186,9 +192,11 @@
     }
     if (answer.sendEvent(event) || this.isPaused) return;
     this.isPaused = true;
+    this.options.gaps?.interrupt();
     this.exchange.setPaused(true);
     answer.onceDrained(() => {
       this.isPaused = false;
+      this.options.gaps?.interrupt();
       this.exchange.setPaused(false);
     });
   }
@@ -267,6 +275,7 @@
     if (this.ended) return;
     this.ended = true;
     clearTimeout(this.timer);
+    this.options.gaps?.end();
     before?.();
     this.options.onEnd(end);
   }
--- /dev/null
+++ b/src/gateway/capacity-codec.ts
@@ -0,0 +1,74 @@
+/** Between what is learned of capacity and the fields of the internal protocol's messages. */
+import { create } from '@bufbuild/protobuf';
+import type { GapReport } from '../core/capacity/gap-samples.js';
+import type { LearnedFigures } from '../core/capacity/learned-capacity.js';
+import {
+  BackendSpeedSchema,
+  ModelGapSchema,
+  StreamGapsSchema,
+  type BackendSpeed,
+  type ModelGap,
+  type ServiceDemand,
+  type ServicePlacement,
+  type StreamGaps,
+} from '../proto/gen/internal_pb.js';
+
+/** Shares travel as thousandths. */
+const THOUSANDTHS = 1_000;
+/** Entries of a report that are read; a daemon of our own tells fewer. */
+const MOST_ENTRIES = 256;
+
+/** Gaps as fields of a demand message. */
+export function encodeGaps(report: GapReport | undefined): {
+  gaps: StreamGaps[];
+  pauseClasses: number[];
+} {
+  const samples = report?.samples ?? [];
+  const gaps = samples.map((sample) => {
+    const pauseGoalMs = Math.round(Math.min(sample.pauseGoalMs, LONGEST_GOAL_MS));
+    return create(StreamGapsSchema, { ...sample, pauseGoalMs });
+  });
+  return { gaps, pauseClasses: [...(report?.pauseClasses ?? [])] };
+}
+
+/** The largest number that the field holds stands for no goal. */
+const LONGEST_GOAL_MS = 2 ** 32 - 1;
+
+/** Gaps out of a demand message; undefined if it tells of none. */
+export function decodeGaps(message: ServiceDemand): GapReport | undefined {
+  const { gaps, pauseClasses } = message;
+  if (gaps.length === 0 && pauseClasses.length === 0) return undefined;
+  const samples = gaps.slice(0, MOST_ENTRIES).map((entry) => {
+    const { backend, model, gaps: count, logSum, pauseGoalMs } = entry;
+    return { backend, model, gaps: count, logSum, pauseGoalMs };
+  });
+  return { samples, pauseClasses };
+}
+
+/** Figures as fields of a placement message. */
+export function encodeFigures(figures: LearnedFigures | undefined): {
+  speeds: BackendSpeed[];
+  modelGaps: ModelGap[];
+  pauseShares: number[];
+} {
+  if (figures === undefined) return { speeds: [], modelGaps: [], pauseShares: [] };
+  const speeds = [...figures.speeds].map(([backend, speed]) =>
+    create(BackendSpeedSchema, { backend, speed }),
+  );
+  const modelGaps = [...figures.gaps].map(([model, gapMs]) =>
+    create(ModelGapSchema, { model, gapMs }),
+  );
+  const pauseShares = figures.pauseShares.map((share) => Math.round(share * THOUSANDTHS));
+  return { speeds, modelGaps, pauseShares };
+}
+
+/** Figures out of a placement message; undefined if it tells of none. */
+export function decodeFigures(message: ServicePlacement): LearnedFigures | undefined {
+  const { speeds, modelGaps, pauseShares } = message;
+  if (speeds.length === 0 && modelGaps.length === 0 && pauseShares.length === 0) return undefined;
+  return {
+    speeds: new Map(speeds.map(({ backend, speed }) => [backend, speed])),
+    gaps: new Map(modelGaps.map(({ model, gapMs }) => [model, gapMs])),
+    pauseShares: pauseShares.map((share) => share / THOUSANDTHS),
+  };
+}
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -21,6 +21,7 @@
   type ServiceDemand,
   type ServicePlacement,
 } from '../proto/gen/internal_pb.js';
+import { decodeFigures, decodeGaps, encodeFigures, encodeGaps } from './capacity-codec.js';
 
 /** A daemon's demand as a message. */
 export function encodeDemand(
@@ -35,7 +36,8 @@
     create(BackendUseSchema, { ...entry, adapter: entry.adapter ?? '' }),
   );
   const failing = [...report.failing];
-  const fields = { service, models, use, configurationVersion, failing };
+  const gaps = encodeGaps(report.gaps);
+  const fields = { service, models, use, configurationVersion, failing, ...gaps };
   const value = create(ServiceDemandSchema, fields);
   return { case: 'serviceDemand', value };
 }
@@ -59,6 +61,7 @@
       inFlight: entry.inFlight,
     })),
     failing: message.failing,
+    gaps: decodeGaps(message),
   };
 }
 
@@ -85,6 +88,7 @@
     configurationVersion,
     removedBackends: [...update.removedBackends],
     removedForecasts: [...update.removedForecasts],
+    ...encodeFigures(update.capacity),
     ...(baseVersion === undefined ? {} : { baseVersion }),
   });
   return { case: 'servicePlacement', value };
@@ -118,6 +122,7 @@
     removedBackends,
     forecasts,
     removedForecasts,
+    capacity: decodeFigures(message),
   };
 }
 
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -69,6 +69,12 @@
     buckets: [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5],
     registers: [this.registry],
   });
+  readonly backendSpeed = new Gauge({
+    name: 'scaleslip_gateway_backend_speed',
+    help: 'Speed of a backend against the usual one, as the owner of its service has learned',
+    labelNames: ['service', 'backend'],
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: 'scaleslip_gateway_configuration_version',
     help: 'Version of the configuration in force',
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,6 +7,8 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
+import { EVEN_CAPACITY, type CapacityView } from '../core/capacity/capacity-view.js';
+import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
@@ -178,13 +180,22 @@
     // Another backend can be given the model; one of a service without models is all there is.
     const lastResort = model === undefined ? usable : [];
     const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
-    const candidates = best.map((backend) => this.candidate(backend));
+    const capacity = this.expectedCapacity(now);
+    const candidates = best.map((backend) => this.candidate(backend, capacity));
     const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
   }
 
-  private candidate(backend: BackendRecord): BackendCandidate {
-    const { context } = this;
+  private expectedCapacity(now: number): CapacityView {
+    const { settings, directory } = this.context;
+    if (!settings.policies.learnedCapacity) return EVEN_CAPACITY;
+    return directory.capacityOf(this.match.service.name, now);
+  }
+
+  private candidate(backend: BackendRecord, capacity: CapacityView): BackendCandidate {
+    const { context, model } = this;
+    const { route } = this.match;
+    const isRisky = isStream(route) && model !== undefined;
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
@@ -192,6 +203,8 @@
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
       failureShare: context.health.failureShare(backend.id),
+      speed: capacity.speedOf(backend.id),
+      pauseRisk: isRisky ? capacity.pauseRisk(backend.id, model.model, route.pauseGoalMs) : 0,
     };
   }
 
@@ -307,11 +320,22 @@
       stalledAfterMs: this.stalledAfterMs(),
       hasAlternative: () => this.hasAlternative(),
       onSilent: () => this.backendSilent(backend),
+      gaps: this.watchedGaps(backend),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
     });
   }
 
+  /** A stream that goes on after a break is left out: events that the caller has come at once. */
+  private watchedGaps(backend: BackendRecord): StreamGaps | undefined {
+    const { context, match, request, model } = this;
+    const { route, service } = match;
+    const isLearned = context.settings.policies.learnedCapacity && isStream(route);
+    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
+    if (!isLearned || isResumed || model === undefined) return undefined;
+    return context.tracker.gapsOf(service.name).watch(backend.id, model.model, route.pauseGoalMs);
+  }
+
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
--- a/src/gateway/request-tracker.ts
+++ b/src/gateway/request-tracker.ts
@@ -4,6 +4,7 @@
  */
 import { adapterKey } from '../core/backend-ledger.js';
 import { ArrivalHistory } from '../core/arrival-history.js';
+import { GapSamples } from '../core/capacity/gap-samples.js';
 import type { BackendUse, DemandReport, DemandSample } from '../core/demand-report.js';
 import type { ModelReference } from '../core/service-configuration.js';
 
@@ -39,6 +40,8 @@
   private readonly changed = new Set<string>();
   /** By service. */
   private readonly histories = new Map<string, ArrivalHistory>();
+  /** Gaps of streams, by service. */
+  private readonly streamGaps = new Map<string, GapSamples>();
 
   arrived(service: string, reference: ModelReference, goalMs: number, now: number): void {
     const counted = this.counted(service, reference, goalMs);
@@ -79,6 +82,13 @@
     if (entry.count === 0) this.models.delete(key);
   }
 
+  /** Where the gaps of a service's streams are gathered. */
+  gapsOf(service: string): GapSamples {
+    const known = this.streamGaps.get(service) ?? new GapSamples();
+    this.streamGaps.set(service, known);
+    return known;
+  }
+
   /** Requests of this daemon at a backend. */
   inFlightAt(backend: string): number {
     return this.backends.get(backend) ?? 0;
@@ -88,12 +98,13 @@
   activeServices(): string[] {
     const services = new Set([...this.demand.keys(), ...this.changed]);
     for (const entry of this.models.values()) services.add(entry.service);
+    for (const [service, gaps] of this.streamGaps) if (!gaps.isEmpty) services.add(service);
     return [...services];
   }
 
   /** Whether the last report on a service is no longer true. */
   hasChanged(service: string): boolean {
-    return this.changed.has(service);
+    return this.changed.has(service) || this.streamGaps.get(service)?.isEmpty === false;
   }
 
   /** What has happened since the last report on the service. */
@@ -115,7 +126,9 @@
       const { backend, model, adapter, count } = entry;
       use.push({ backend, model, adapter, inFlight: count });
     }
-    return { daemon, samples, use, failing };
+    const gaps = this.streamGaps.get(service);
+    const told = gaps === undefined || gaps.isEmpty ? undefined : gaps.take();
+    return { daemon, samples, use, failing, gaps: told };
   }
 
   /** A new owner is told of the requests of some time, each counted for what it still tells. */
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -22,6 +22,7 @@
 } from '../core/store-load-limit.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { earliestDueFirst, firstComeFirst } from '../core/waiting-order.js';
+import { CapacityWatch } from './capacity-watch.js';
 import { LoadWatch } from './load-watch.js';
 import type { BackendControl } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -78,6 +79,8 @@
   private readonly storeLoads: StoreLoadWindow;
   private readonly storeLimit: StoreLoadLimit;
   private readonly loadWatch: LoadWatch;
+  /** Undefined if all backends count as alike. */
+  private readonly capacity: CapacityWatch | undefined;
   private readonly publisher: PlacementPublisher;
   private roundTimer: NodeJS.Timeout | undefined;
   private lastRound = -Infinity;
@@ -98,6 +101,9 @@
       ? new AdaptiveStoreLoadLimit(this.firstStoreLoadLimit())
       : new UnlimitedStoreLoads();
     this.loadWatch = new LoadWatch({ service, epoch, limit: this.storeLimit, logger, metrics });
+    const isListed = (backend: string): boolean => this.ledgers.has(backend);
+    const watched = { service, epoch, logger, metrics, isListed };
+    this.capacity = policies.learnedCapacity ? new CapacityWatch(watched) : undefined;
     this.publisher = new PlacementPublisher(options.service, options.epoch);
   }
 
@@ -124,6 +130,7 @@
   /** Takes a daemon's demand; waiting requests call for a round. */
   hear(report: DemandReport): void {
     this.demand.hear(report, steadyNow());
+    this.capacity?.hear(report, steadyNow());
     if (report.samples.some((sample) => sample.waiting > 0)) this.roundSoon();
   }
 
@@ -165,6 +172,7 @@
     this.lastRound = now;
     this.syncLedgers(now);
     this.loadWatch.settle(this.ledgers, now);
+    this.capacity?.settle(now);
     this.noteFailing(now);
     this.doubtHolders(now);
     this.readReports(now);
@@ -204,7 +212,9 @@
     const { demand, options } = this;
     const { policies } = options;
     const { unloadTimes } = this.loadWatch;
-    return { host, backends, demand, policies, now, storeLoads, storePlaceWaits, unloadTimes };
+    const capacity = this.capacity?.planned();
+    const loads = { storeLoads, storePlaceWaits, unloadTimes };
+    return { host, backends, demand, policies, now, ...loads, capacity };
   }
 
   /** Milliseconds until each place for a load from the store is free: those beyond the limit never are. */
@@ -241,6 +251,7 @@
       this.ledgers.delete(id);
       this.reportDue.delete(id);
       this.lastReport.delete(id);
+      this.capacity?.forget(id);
       this.changed = true;
     }
   }
@@ -362,7 +373,8 @@
     const loadTolerance = Math.max(1, (host?.slots ?? 1) * LOAD_TOLERANCE_SHARE);
     const { most } = this.storeLimit;
     const storeLoadLimit = Number.isFinite(most) ? most : 0;
-    const state = { backends, forecasts, loads, storeLoadLimit, loadTolerance };
+    const capacity = this.capacity?.figures;
+    const state = { backends, forecasts, loads, storeLoadLimit, loadTolerance, capacity };
     const update = this.publisher.update(state, now);
     const isNew = update.version !== update.baseVersion;
     if (!isNew && now - this.lastPublished < REPEAT_PERIOD_MS) return;
--- a/test/core/backend-selection.test.ts
+++ b/test/core/backend-selection.test.ts
@@ -24,6 +24,31 @@
     expect(new Set(chosen).size).toBe(4);
   });
 
+  it('takes a backend at which streams would be late only when the sure ones are much fuller', () => {
+    const risky = candidate('x', { pauseRisk: 0.4 });
+    const sure = (inFlight: number): BackendCandidate => candidate('y', { inFlight });
+    const choose = (...candidates: BackendCandidate[]): string | undefined => {
+      return new StaleLoadSelection('d').choose(candidates, undefined)?.id;
+    };
+    expect(choose(risky, sure(3))).toBe('y');
+    expect(choose(risky, sure(9))).toBe('x');
+  });
+
+  it('sends more to a faster backend', () => {
+    const [slow, fast] = [candidate('x', { speed: 0.5 }), candidate('y', { speed: 1.5 })];
+    const counts = { x: 0, y: 0 };
+    const selection = new StaleLoadSelection('d');
+    for (let request = 0; request < 12; request++) {
+      const loads = [
+        { ...slow, inFlight: counts.x },
+        { ...fast, inFlight: counts.y },
+      ];
+      const chosen = selection.choose(loads, undefined)?.id;
+      if (chosen === 'x' || chosen === 'y') counts[chosen] += 1;
+    }
+    expect(counts.y).toBeGreaterThanOrEqual(2 * counts.x);
+  });
+
   it('prefers a backend of its own zone with a kept connection', () => {
     const near = candidate('x');
     const far = candidate('y', { sameZone: false, hasConnection: false });
--- /dev/null
+++ b/test/core/capacity/placement-replay.ts
@@ -0,0 +1,191 @@
+/** An owner that places models, and daemons that send streams to them, without a network; seeded. */
+import { BackendLedger } from '../../../src/core/backend-ledger.js';
+import { StaleLoadSelection } from '../../../src/core/backend-selection-stale-load.js';
+import { EVEN_CAPACITY } from '../../../src/core/capacity/capacity-view.js';
+import type { PlannedCapacity } from '../../../src/core/capacity/copy-quality.js';
+import { ModelDemand } from '../../../src/core/model-demand.js';
+import { PlacementPlanner } from '../../../src/core/placement-planner.js';
+import type { PlannedOrder } from '../../../src/core/planning.js';
+import { DEFAULT_POLICIES } from '../../../src/core/policies.js';
+import { UnloadTimes } from '../../../src/core/unload-times.js';
+import { hostOf } from '../gateway-fixtures.js';
+import { SimulatedStreams } from './simulated-streams.js';
+
+const STEP_MS = 250;
+const PAUSE_GOAL_MS = 200;
+const BUSY = ['slow', 'middle', 'fast'];
+const RARE = Array.from({ length: 9 }, (_, index) => `rare${index}`);
+const HOST = hostOf([...RARE, ...BUSY]);
+/** Two models fit: the busiest lie where they are worst off. */
+const HELD: Readonly<Record<string, readonly string[]>> = {
+  b0: ['slow', 'rare0'],
+  b1: ['middle', 'rare1'],
+  b2: ['fast', 'rare2'],
+  b3: ['slow', 'rare3'],
+  b4: ['rare4', 'rare5'],
+  b5: ['fast', 'rare6'],
+};
+
+interface RunningStream {
+  readonly backend: string;
+  readonly model: string;
+  readonly endsAt: number;
+}
+
+interface RunningOrder {
+  readonly planned: PlannedOrder;
+  readonly endsAt: number;
+}
+
+/** One service under load. */
+export class PlacementReplay {
+  readonly streams: SimulatedStreams;
+  /** All loads that were ordered: backend and model. */
+  readonly loads: string[] = [];
+  private readonly ledgers: readonly BackendLedger[];
+  private readonly planner = new PlacementPlanner();
+  private readonly demand = new ModelDemand();
+  private readonly selection = new StaleLoadSelection('d');
+  private readonly orders = new Map<string, RunningOrder>();
+  private running: RunningStream[] = [];
+
+  /** @param rate - Streams a second for each busy model. */
+  constructor(
+    private readonly isLearned: boolean,
+    private readonly rate: number,
+    seed: number,
+    speeds: Readonly<Record<string, number>> = SPEEDS,
+  ) {
+    const paces = { slow: 0.25, middle: 0.35, fast: 1 };
+    const load = { speeds: { ...speeds }, paces, held: {}, daemons: 4, rate: 0, eventsEach: 25 };
+    this.streams = new SimulatedStreams(load, seed);
+    this.ledgers = Object.entries(HELD).map(([id, held]) => ledgerOf(id, held));
+  }
+
+  /** Share of the streams that ended in a time and paused for too long. */
+  play(milliseconds: number): number {
+    const before = { streams: this.streams.streams, late: this.streams.late };
+    const until = this.streams.now + milliseconds;
+    while (this.streams.now < until) this.step();
+    return (this.streams.late - before.late) / Math.max(1, this.streams.streams - before.streams);
+  }
+
+  /** Backends that hold a model. */
+  holders(model: string): string[] {
+    return this.ledgers.filter((ledger) => ledger.models.has(model)).map(({ id }) => id);
+  }
+
+  private step(): void {
+    const { now } = this.streams;
+    this.endOrders(now);
+    this.running = this.running.filter((stream) => stream.endsAt > now);
+    const arrivals = [...BUSY, ...RARE].map((model) => ({ model, count: this.arrivals(model) }));
+    for (const { model, count } of arrivals) {
+      for (let index = 0; index < count; index++) this.send(model, now);
+    }
+    this.report(arrivals, now);
+    this.give(now);
+    this.streams.play(STEP_MS);
+  }
+
+  private arrivals(model: string): number {
+    const rate = BUSY.includes(model) ? this.rate : 0.02;
+    const expected = (rate * STEP_MS) / 1_000;
+    return Math.floor(expected) + (this.streams.random.chance(expected % 1) ? 1 : 0);
+  }
+
+  private send(model: string, now: number): void {
+    const view = this.isLearned ? this.streams.estimate.view() : EVEN_CAPACITY;
+    const holders = this.ledgers.filter((ledger) => {
+      const order = ledger.currentOrder;
+      return ledger.models.has(model) && !(order?.operation === 'unload' && order.model === model);
+    });
+    const candidates = holders.map(({ id }) => ({
+      id,
+      sameZone: true,
+      hasConnection: true,
+      slots: HOST.slots,
+      inFlight: this.running.filter((stream) => stream.backend === id).length,
+      failureShare: 0,
+      speed: view.speedOf(id),
+      pauseRisk: view.pauseRisk(id, model, PAUSE_GOAL_MS),
+    }));
+    const backend = this.selection.choose(candidates, undefined)?.id;
+    if (backend === undefined) return;
+    const startsAt = now + this.streams.random.between(0, STEP_MS);
+    const endsAt = this.streams.beginStream(backend, model, startsAt);
+    this.running.push({ backend, model, endsAt });
+  }
+
+  private report(arrivals: readonly { model: string; count: number }[], now: number): void {
+    const samples = arrivals.map(({ model, count }) => {
+      const goalMs = BUSY.includes(model) ? 600 : 6_000;
+      return { model, adapter: undefined, arrivals: count, waiting: 0, goalMs, dueInMs: goalMs };
+    });
+    const use = this.running.map(({ backend, model }) => {
+      return { backend, model, adapter: undefined, inFlight: 1 };
+    });
+    this.demand.hear({ daemon: 'd', samples, use, failing: [] }, now);
+  }
+
+  private give(now: number): void {
+    const { demand, streams, ledgers: backends } = this;
+    const capacity: PlannedCapacity = {
+      view: streams.estimate.steadyView(),
+      pauseGoalMs: (model) => streams.estimate.pauseGoalMs(model),
+    };
+    const planned = this.planner.plan({
+      host: HOST,
+      backends,
+      demand,
+      now,
+      storeLoads: 1,
+      storePlaceWaits: [0],
+      unloadTimes: new UnloadTimes(),
+      policies: DEFAULT_POLICIES,
+      capacity: this.isLearned ? capacity : undefined,
+    });
+    for (const each of planned) this.begin(each, now);
+  }
+
+  private begin(planned: PlannedOrder, now: number): void {
+    const { backend, order, durationMs } = planned;
+    const ledger = this.ledgers.find(({ id }) => id === backend);
+    ledger?.send(order, now + durationMs);
+    ledger?.settle(order, { type: 'accepted' }, now, durationMs);
+    if (order.operation === 'load') this.loads.push(`${backend} ${order.model}`);
+    this.orders.set(backend, { planned, endsAt: now + durationMs });
+  }
+
+  private endOrders(now: number): void {
+    for (const [backend, { planned, endsAt }] of this.orders) {
+      if (endsAt > now) continue;
+      this.orders.delete(backend);
+      const ledger = this.ledgers.find(({ id }) => id === backend);
+      if (ledger === undefined) continue;
+      const { model, operation } = planned.order;
+      const held = [...ledger.models.keys()].filter((name) => name !== model);
+      if (operation === 'load') held.push(model);
+      ledger.adopt(reportOf(held, ledger.sequence), now);
+    }
+  }
+}
+
+const SPEEDS = { b0: 0.6, b1: 1, b2: 1.6, b3: 0.6, b4: 1, b5: 1.6 };
+
+function reportOf(
+  held: readonly string[],
+  sequence: number,
+): Parameters<BackendLedger['adopt']>[0] {
+  const models = held.map((name) => ({ name, adapters: [] }));
+  const onDisk = HOST.models.map(({ name }) => name);
+  const state = { busy: false, coming: [], inMemory: [], waiting: 0, running: 0 };
+  return { ...state, sequence, models, onDisk };
+}
+
+function ledgerOf(id: string, held: readonly string[]): BackendLedger {
+  const ledger = new BackendLedger(id);
+  ledger.adopt(reportOf(held, 0), -20_000);
+  ledger.adopt(reportOf(held, 0), -19_000);
+  return ledger;
+}
