--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -1,5 +1,6 @@
 /** What the copies of the models are worth, in milliseconds of callers' waiting. Pure. */
 import { isUnloadOf, modelRank, type BackendLedger } from './backend-ledger.js';
+import { CopyQuality } from './capacity/copy-quality.js';
 import type { PlanningInput } from './planning.js';
 import type { ModelReference } from './service-configuration.js';
 
@@ -24,11 +25,18 @@
 export class ModelWorth {
   private readonly awaited: ReadonlySet<string>;
   private readonly copyCounts: Map<string, number>;
+  private readonly fullCounts: Map<string, number>;
+  /** How good copies are by where they lie. */
+  readonly quality: CopyQuality;
 
   constructor(private readonly input: PlanningInput) {
     const waiting = input.demand.waiting(input.now);
     this.awaited = new Set(waiting.map((sample) => sample.model));
-    this.copyCounts = countCopies(input.backends);
+    this.quality = new CopyQuality(input.capacity, input.backends, input.now);
+    this.copyCounts = countCopies(input.backends, () => 1);
+    this.fullCounts = countCopies(input.backends, (ledger, model) =>
+      this.quality.ofCopy(ledger, model),
+    );
   }
 
   /** Copies that are held and stay, or are being loaded. */
@@ -36,14 +44,20 @@
     return this.copyCounts.get(model) ?? 0;
   }
 
+  /** The same, copies at places that suit the model badly counted in part. */
+  fullCopies(model: string): number {
+    return this.fullCounts.get(model) ?? 0;
+  }
+
   /** This round has ordered a load of the model. */
   noteLoad(model: string): void {
     this.copyCounts.set(model, this.copies(model) + 1);
+    this.fullCounts.set(model, this.fullCopies(model) + 1);
   }
 
   /** Whether callers of a model queue at its copies; those that are coming count, for they will take their part. */
   isCrowded(model: string): boolean {
-    return this.wouldCrowd(model, this.copies(model));
+    return this.wouldCrowd(model, this.fullCopies(model));
   }
 
   private wouldCrowd(model: string, copies: number): boolean {
@@ -63,28 +77,35 @@
     const patient = demand.patientRate(reference(model), now) * PATIENT_WORTH;
     const prior = LISTED_FIRST_WORTH / (1 + modelRank(this.input.host, model));
     const lasting = this.urgentRate(model) * URGENT_WORTH + patient + prior;
-    const copies = Math.max(1, this.copies(model));
-    const awaited = copies === 1 && this.awaited.has(model) ? AWAITED_WORTH : 0;
+    const lost = this.partOf(ledger, model);
+    const awaited = this.copies(model) <= 1 && this.awaited.has(model) ? AWAITED_WORTH : 0;
     const loadedAt = ledger.models.get(model)?.loadedAt ?? -Infinity;
     const fresh = now - loadedAt < FRESH_MS ? FRESH_WORTH : 0;
-    return lasting / this.sharers(model, copies) + awaited + fresh;
+    return lost * lasting + awaited + fresh;
+  }
+
+  /** Part of what a model's copies are worth that goes with one: a quarter with one of two as good. */
+  private partOf(ledger: BackendLedger, model: string): number {
+    const copies = this.fullCopies(model);
+    const quality = this.quality.ofCopy(ledger, model);
+    const share = copies === 0 ? 1 : quality / copies;
+    return this.isNeeded(model, copies - quality) ? share : share / Math.max(1, copies);
   }
 
   /** What one more copy would be worth: what its loss would cost once it is there, so that no copy is moved to and fro. */
   ofFurtherCopy(model: string): number {
-    const copies = this.copies(model) + 1;
-    return (this.urgentRate(model) * URGENT_WORTH) / this.sharers(model, copies);
+    const copies = this.fullCopies(model);
+    const share = 1 / (copies + 1);
+    const part = this.isNeeded(model, copies) ? share : share / (copies + 1);
+    return this.urgentRate(model) * URGENT_WORTH * part;
   }
 
   /**
-   * What the worth of a model's callers is divided by for one of its copies. The others
-   * take over the callers of a lost one while they have room; copies that would be crowded
-   * without it take over nothing, and each counts for its whole part of the callers.
+   * Whether the others can't take over the callers of one copy: then it counts for its whole
+   * part of the callers, and otherwise for less, because the others have room.
    */
-  private sharers(model: string, copies: number): number {
-    const { policies } = this.input;
-    const isNeeded = policies.relieveCrowdedCopies && this.wouldCrowd(model, copies - 1);
-    return isNeeded ? copies : copies ** 2;
+  private isNeeded(model: string, others: number): boolean {
+    return this.input.policies.relieveCrowdedCopies && this.wouldCrowd(model, others);
   }
 
   /** Expected time of an unload. */
@@ -94,10 +115,15 @@
   }
 }
 
-function countCopies(backends: readonly BackendLedger[]): Map<string, number> {
+function countCopies(
+  backends: readonly BackendLedger[],
+  partOf: (ledger: BackendLedger, model: string) => number,
+): Map<string, number> {
   const counts = new Map<string, number>();
-  const add = (model: string): void => void counts.set(model, (counts.get(model) ?? 0) + 1);
   for (const ledger of backends) {
+    const add = (model: string): void => {
+      counts.set(model, (counts.get(model) ?? 0) + partOf(ledger, model));
+    };
     const order = ledger.currentOrder;
     for (const model of ledger.models.keys()) {
       if (order === undefined || !isUnloadOf(order, model)) add(model);
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -25,6 +25,8 @@
   'relieveCrowdedCopies',
   /** Slots of backends are counted over all daemons by one keeper each, which orders those that wait. */
   'sharedSlots',
+  /** Speeds of backends are learned from streams; models and requests go by them. */
+  'learnedCapacity',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -4,6 +4,7 @@
  */
 import type { SlotAnswer } from '../core/admission/slot-keeping.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
+import { EVEN_CAPACITY, type CapacityView } from '../core/capacity/capacity-view.js';
 import type { BackendRecord, ModelReference, Service } from '../core/service-configuration.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { SlotClaim, SlotWish } from './slot-admission.js';
@@ -28,6 +29,8 @@
   /** The model that a backend must hold; undefined if there is none. */
   readonly model: ModelReference | undefined;
   readonly sharedPrompt: string | undefined;
+  /** Longest pause between two events that the caller bears, in milliseconds; undefined if the answer is no stream. */
+  readonly pauseGoalMs: number | undefined;
   readonly standing: () => SlotStanding;
   /** The request may be sent to the backend now. */
   readonly onSlot: (backend: BackendRecord) => void;
@@ -153,13 +156,22 @@
     // Another backend can be given the model; one of a service without models is all there is.
     const lastResort = model === undefined ? usable : [];
     const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
-    const candidates = best.map((backend) => this.candidate(backend));
+    const candidates = best.map((backend) => this.candidate(backend, now));
     const chosen = context.selection.choose(candidates, sharedPrompt);
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
   }
 
-  private candidate(backend: BackendRecord): BackendCandidate {
+  private expectedCapacity(now: number): CapacityView {
+    const { settings, directory } = this.context;
+    if (!settings.policies.learnedCapacity) return EVEN_CAPACITY;
+    return directory.capacityOf(this.options.service.name, now);
+  }
+
+  private candidate(backend: BackendRecord, now: number): BackendCandidate {
     const { context } = this;
+    const { model, pauseGoalMs } = this.options;
+    const capacity = this.expectedCapacity(now);
+    const isRisky = model !== undefined && pauseGoalMs !== undefined;
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
@@ -167,6 +179,8 @@
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
       failureShare: context.health.failureShare(backend.id),
+      speed: capacity.speedOf(backend.id),
+      pauseRisk: isRisky ? capacity.pauseRisk(backend.id, model.model, pauseGoalMs) : 0,
     };
   }
 
@@ -219,7 +233,7 @@
     const sooner = this.fresh(now).filter(
       (other) => other.id !== backend.id && this.expectedWaitMs(other, now) < waitMs,
     );
-    const candidates = sooner.map((other) => this.candidate(other));
+    const candidates = sooner.map((other) => this.candidate(other, now));
     const chosen = this.context.selection.choose(candidates, undefined);
     const better = sooner.find(({ id }) => id === chosen?.id);
     if (better === undefined) return;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,6 +7,7 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import { isAnotherStart } from '../core/backend-starts.js';
+import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
@@ -164,6 +165,7 @@
       service: this.match.service,
       model: this.model,
       sharedPrompt: this.request.head.sharedPrompt,
+      pauseGoalMs: isStream(this.match.route) ? this.match.route.pauseGoalMs : undefined,
       standing: () => this.standing(),
       onSlot: (backend) => this.send(backend),
       onQueued: (expectedWaitMs) => this.queued(expectedWaitMs),
@@ -328,11 +330,22 @@
       stalledAfterMs: this.stalledAfterMs(),
       hasAlternative: () => this.search.hasAlternative(),
       onSilent: () => this.backendSilent(backend),
+      gaps: this.watchedGaps(backend),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
     });
   }
 
+  /** A stream that goes on after a break is left out: events that the caller has come at once. */
+  private watchedGaps(backend: BackendRecord): StreamGaps | undefined {
+    const { context, match, request, model } = this;
+    const { route, service } = match;
+    const isLearned = context.settings.policies.learnedCapacity && isStream(route);
+    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
+    if (!isLearned || isResumed || model === undefined) return undefined;
+    return context.tracker.gapsOf(service.name).watch(backend.id, model.model, route.pauseGoalMs);
+  }
+
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
