--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -59,6 +59,9 @@
   private readonly sides = new Map<number, number>();
   /** What each daemon sees of the others. */
   private readonly views = new Map<number, MemberView[]>();
+  /** A daemon that is cut off from the others, and who sees it. */
+  private cut: number | undefined;
+  private readonly seesCut = new Set<number>();
   /** From the last request to the next. */
   private gapMs = 0;
   private messages = 0;
@@ -101,6 +104,17 @@
     this.groupChanged();
   }
 
+  /** Cuts a daemon off from the others; both sides see it some time later. */
+  cutOff(index: number, seenByOthersAfterMs: number, seenByItselfAfterMs: number): void {
+    this.cut = index;
+    const see = (isSeenBy: (viewer: number) => boolean): void => {
+      for (const viewer of this.daemons.keys()) if (isSeenBy(viewer)) this.seesCut.add(viewer);
+      this.groupChanged();
+    };
+    setTimeout(() => see((viewer) => viewer !== index), seenByOthersAfterMs);
+    setTimeout(() => see((viewer) => viewer === index), seenByItselfAfterMs);
+  }
+
   private groupChanged(): void {
     this.views.clear();
     for (const daemon of this.daemons) daemon.groupChanged();
@@ -179,6 +193,7 @@
     const views: MemberView[] = [];
     for (const other of this.daemons.keys()) {
       if (other !== index && (this.down.has(other) || !this.reaches(index, other))) continue;
+      if (this.isCut(index, other) && this.seesCut.has(index)) continue;
       const view = { zone: 'a', site: '', incarnation: 1, state: 'alive', capacity: 1 } as const;
       views.push({ address: `d-${other}`, ...view });
     }
@@ -192,8 +207,13 @@
     return a === b || (a === -1 && !this.down.has(from)) || (b === -1 && !this.down.has(to));
   }
 
+  private isCut(from: number, to: number): boolean {
+    return from !== to && (from === this.cut || to === this.cut);
+  }
+
   private send(from: number, to: number, body: PeerBody): void {
     this.messages += 1;
+    if (this.isCut(from, to)) return;
     if (this.sides.get(to) === -1 || this.sides.get(from) === -1) return;
     if (!this.reaches(from, to)) return;
     setTimeout(() => this.daemons[to]?.receive(`d-${from}`, body), MESSAGE_MS);
