A tenant's holder grants under a lease that ends before the next holder counts

Cause: the holder of a tenant's count is worked out from each daemon's view of the group, and views change 1.3 to 2.9 s after a cut: the holder that was cut off granted alone, beside the others' equal shares and its successor.

Policy leasedLimits.

test/gateway/caller-keys.test.ts listed a daemon 'x' that does not exist instead of the one gateway: such a gateway is rightly not sure that nobody else counts. It lists the gateway's own address now; what is expected is the same.

--- a/src/core/admission/limit-ledger.ts
+++ b/src/core/admission/limit-ledger.ts
@@ -59,7 +59,7 @@
     private limit: TenantLimit,
     private readonly window: LimitWindow,
     private view: HolderView,
-    private readonly startedAt: number,
+    private startedAt: number,
   ) {
     this.admitted = new SlidingSum(window.windowMs);
     const { share } = view;
@@ -74,6 +74,22 @@
     this.bucket.setRate(limit.perSecond * view.share, limit.burst * view.share, now);
   }
 
+  /**
+   * Others have counted until now: the holder takes the tenant for one that was at its limit, as far as
+   * it has not been told otherwise.
+   *
+   * @param unseen - Units that a former holder has admitted for itself beyond its share; nobody tells of them.
+   */
+  countFrom(now: number, unseen: number): void {
+    this.startedAt = now;
+    this.recalled = this.admitted.total(now);
+    if (unseen > 0) this.admitted.add(unseen, now);
+    const { perSecond, burst } = this.limit;
+    const { share } = this.view;
+    this.bucket.setRate(perSecond * share, Math.min(burst * share, this.spare()), now);
+    this.bucket.setRate(perSecond * share, burst * share, now);
+  }
+
   /** Counts units that were admitted without a question, or gives them back. */
   count(units: number, now: number): void {
     this.admitted.add(units, now);
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -19,6 +19,8 @@
   'proofsFromPeers',
   /** A request is held while it will more likely be served than not. */
   'holdByChance',
+  /** Who counts a tenant's limit for all does so under a lease. */
+  'leasedLimits',
 ] as const;
 
 /** A policy's name. */
--- a/src/core/sliding-sum.ts
+++ b/src/core/sliding-sum.ts
@@ -27,6 +27,13 @@
     return Math.max(0, sum);
   }
 
+  /** The sum, which is forgotten. */
+  take(now: number): number {
+    const total = this.total(now);
+    this.parts.length = 0;
+    return total;
+  }
+
   /** Milliseconds until the sum has fallen to `limit`. */
   untilAtMost(limit: number, now: number): number {
     let sum = this.total(now);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -43,6 +43,7 @@
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
 import { steadyNow } from './steady-clock.js';
+import { HolderLeases } from './holder-leases.js';
 import { TenantLimits } from './tenant-limits.js';
 
 /** Between two looks at the clock: of the membership, the duties, and what is told. */
@@ -251,6 +252,7 @@
       self: peers.address,
       window: { windowMs: limitWindowSeconds * 1_000, excess: limitExcess, slack: limitSlack },
       logger: outside.logger,
+      leases: this.settings.policies.leasedLimits ? this.makeLeases() : undefined,
       live: () => peers.live(),
       listedCount: () => this.members.listed.length,
       tenant: (name) => this.admission.tenant(name),
@@ -259,6 +261,20 @@
     });
   }
 
+  private makeLeases(): HolderLeases {
+    const { outside, peers } = this;
+    return new HolderLeases({
+      self: peers.address,
+      logger: outside.logger,
+      listed: () => this.members.listed,
+      live: () => peers.live(),
+      rememberMs: this.settings.bounds.limitWindowSeconds * 1_000,
+      firstSequence: Date.now(),
+      processStartedAt: 0,
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+    });
+  }
+
   private makeContext(): GatewayContext {
     const { settings, outside } = this;
     const { logger, dialect, metrics, agent } = outside;
--- a/src/gateway/tenant-limits.ts
+++ b/src/gateway/tenant-limits.ts
@@ -1,10 +1,10 @@
 /**
  * Tenants' limits over all daemons. Each tenant has a holder, by rank among the live
  * daemons, which counts for all. Far below the limit a daemon admits at once and tells the
- * holder; near it, the holder is asked first. A holder that does not answer leaves a daemon
- * its equal share.
+ * holder; near it, the holder is asked first. The holder grants under a lease that ends before
+ * the next one counts. A daemon that hears nothing of a holder has its equal share.
  */
-import { create } from '@bufbuild/protobuf';
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import { firstCandidate } from '../common/rendezvous.js';
 import { ablestOf } from '../core/duties.js';
@@ -14,6 +14,8 @@
   type LimitDecision,
   type LimitWindow,
 } from '../core/admission/limit-ledger.js';
+import type { LeaseHistory } from '../core/admission/holder-lease.js';
+import { HolderSilence } from '../core/admission/holder-silence.js';
 import type { MemberView } from '../core/membership-messages.js';
 import type { CallerTenant, TenantLimit } from '../core/service-configuration.js';
 import { SlidingSum } from '../core/sliding-sum.js';
@@ -24,6 +26,7 @@
   LimitNewsSchema,
   type LimitCharge,
 } from '../proto/gen/internal_pb.js';
+import type { HolderLeases } from './holder-leases.js';
 import { steadyNow } from './steady-clock.js';
 
 /** A question is sent again after so long: a datagram may be lost. */
@@ -32,12 +35,21 @@
 const ANSWER_WITHIN_MS = 200;
 /** A ledger that counts for nobody any more is dropped after so many windows. */
 const LEDGER_WINDOWS = 2;
+/** Questions that wait for the holder's lease; a daemon that gets no answer asks again. */
+const MOST_WAITING = 1_000;
+/**
+ * A holder tells its keepers of so much more than its own callers have used, as a part of that or of
+ * its share: enough that it seldom asks for more, little enough that a successor loses not much.
+ */
+const CEILING_HEADROOM = 0.25;
 
 /** Options of {@link TenantLimits}. */
 export interface TenantLimitsOptions {
   readonly self: string;
   readonly window: LimitWindow;
   readonly logger: Logger;
+  /** The leases under which this daemon grants as a holder; without them it goes by its view of the group alone. */
+  readonly leases: HolderLeases | undefined;
   readonly live: () => readonly MemberView[];
   /** Daemons that the platform's store lists. */
   readonly listedCount: () => number;
@@ -53,6 +65,9 @@
   isTight: boolean;
   /** Units that this daemon has admitted. */
   readonly own: SlidingSum;
+  readonly silence: HolderSilence;
+  /** Units that it has admitted while no holder was heard. */
+  readonly alone: SlidingSum;
 }
 
 interface HeldLedger {
@@ -60,6 +75,14 @@
   /** As the other daemons were told last. */
   toldTight: boolean;
   usedAt: number;
+  /** Questions that came before the lease, by daemon and number. */
+  readonly waiting: Map<string, WaitingQuestion>;
+}
+
+interface WaitingQuestion {
+  readonly from: string;
+  readonly charge: LimitCharge;
+  readonly cameAt: number;
 }
 
 interface OpenQuestion {
@@ -90,14 +113,13 @@
     if (this.options.listedCount() === 0) return answer({ type: 'unknown' });
     this.followGroup(now);
     const state = this.memberState(name, now);
-    if (state.holder === this.options.self) {
-      const decision = this.held(name, now)?.ledger.admit(units, now) ?? { type: 'granted' };
-      if (decision.type === 'granted') state.own.add(units, now);
-      return answer(decision);
+    if (state.holder === this.options.self) return this.admitAsHolder(name, state, units, answer);
+    if (state.isTight || !this.mayPass(name, state, units, now)) {
+      return this.ask(name, state, units, answer);
     }
-    if (state.isTight) return this.ask(name, state, units, answer);
     state.own.add(units, now);
-    this.charge(state.holder, { tenant: name, units });
+    const wantsWord = this.options.leases !== undefined && state.silence.tell(units, now);
+    this.charge(state.holder, { tenant: name, units, wantsWord });
     answer({ type: 'granted' });
   }
 
@@ -119,6 +141,7 @@
   tick(): void {
     const now = steadyNow();
     this.followGroup(now);
+    this.options.leases?.tick();
     for (const [name, held] of this.ledgers) this.tellTightness(name, held, now);
   }
 
@@ -134,10 +157,47 @@
       this.settle(question, decision);
     } else if (body.case === 'limitNews') {
       this.noteTightness(from, body.value.tenant, body.value.isTight);
-    } else return false;
+    } else return this.options.leases?.receive(from, body) ?? false;
     return true;
   }
 
+  private admitAsHolder(
+    name: string,
+    state: MemberState,
+    units: number,
+    answer: (decision: LimitDecision) => void,
+  ): void {
+    const now = steadyNow();
+    const held = this.held(name, now);
+    if (held !== undefined && !this.mayLendItself(name, state, units, now)) {
+      return this.ask(name, state, units, answer);
+    }
+    state.silence.hear(now);
+    const decision = held?.ledger.admit(units, now) ?? { type: 'granted' };
+    if (decision.type === 'granted') state.own.add(units, now);
+    answer(decision);
+  }
+
+  /** Whether a request may pass before the holder's word: it is heard, or this daemon keeps to its share. */
+  private mayPass(name: string, state: MemberState, units: number, now: number): boolean {
+    const limit = this.options.tenant(name)?.limit;
+    if (this.options.leases === undefined || limit === undefined) return true;
+    const share = this.equalShare(limit);
+    return state.silence.isHeard(units, share, now) || state.own.total(now) + units <= share;
+  }
+
+  private mayLend(name: string): boolean {
+    return this.options.leases?.holds(leaseName(name)) ?? true;
+  }
+
+  /** Whether the holder may serve its own callers: its successor must be able to know of it. */
+  private mayLendItself(name: string, state: MemberState, units: number, now: number): boolean {
+    const { leases } = this.options;
+    if (leases === undefined) return true;
+    const own = state.own.total(now) + units;
+    return this.mayLend(name) && own <= leases.ownCeiling(leaseName(name));
+  }
+
   private followGroup(now: number): void {
     if (!this.hasGroupChanged) return;
     this.hasGroupChanged = false;
@@ -150,6 +210,53 @@
     this.candidates = candidates;
     this.candidatesSince = now;
     for (const [name, state] of this.members) this.followHolder(name, state, now);
+    for (const [name, held] of this.ledgers) this.followLease(name, held);
+  }
+
+  /** Asks for the lease on the count of a tenant that this daemon holds, and gives it back with the count. */
+  private followLease(name: string, held: HeldLedger): void {
+    const { leases, self } = this.options;
+    if (this.holderOf(name) !== self) return leases?.release(leaseName(name));
+    leases?.want(leaseName(name), {
+      ownCeiling: (now) => this.ownCeiling(name, held, now),
+      onGained: (history, now) => this.leaseGained(name, held, history, now),
+      onAnswered: (now) => this.answerWaiting(held, now),
+    });
+  }
+
+  private ownCeiling(name: string, held: HeldLedger, now: number): number {
+    const limit = this.options.tenant(name)?.limit;
+    const share = limit === undefined ? 0 : this.equalShare(limit);
+    const own = this.members.get(name)?.own.total(now) ?? 0;
+    const waiting = [...held.waiting.values()].filter(({ from }) => from === this.options.self);
+    const wanted = waiting.reduce((sum, { charge }) => sum + charge.units, own);
+    return Math.max(share, wanted + CEILING_HEADROOM * Math.max(share, wanted));
+  }
+
+  private leaseGained(name: string, held: HeldLedger, history: LeaseHistory, now: number): void {
+    const limit = this.options.tenant(name)?.limit;
+    const isAnothers = history.soleMs < this.options.window.windowMs;
+    if (limit !== undefined && isAnothers) {
+      const unseen = this.unseenUnits(history, this.equalShare(limit));
+      held.ledger.countFrom(now, unseen);
+      this.options.logger.info('limit_counted_from', { tenant: name, unseen: Math.round(unseen) });
+    }
+  }
+
+  private answerWaiting(held: HeldLedger, now: number): void {
+    if (held.waiting.size === 0) return;
+    const waiting = [...held.waiting.values()];
+    held.waiting.clear();
+    for (const { from, charge, cameAt } of waiting) {
+      if (now - cameAt < ANSWER_WITHIN_MS) this.hearCharge(from, charge);
+    }
+  }
+
+  /** What former holders that are gone have admitted for themselves beyond their share of the limit. */
+  private unseenUnits({ formers }: LeaseHistory, share: number): number {
+    const live = new Set(this.options.live().map((member) => member.address));
+    const gone = formers.filter(({ holder }) => !live.has(holder));
+    return gone.reduce((most, { ownCeiling }) => Math.max(most, ownCeiling - share), 0);
   }
 
   private ask(
@@ -160,7 +267,10 @@
   ): void {
     this.sequence += 1;
     const question = this.sequence;
-    const send = (): void => this.charge(state.holder, { tenant, units, question });
+    const send = (): void => {
+      state.silence.ask(steadyNow());
+      this.charge(state.holder, { tenant, units, question });
+    };
     const timer = setTimeout(() => {
       send();
       open.timer = setTimeout(() => this.decideAlone(question), ANSWER_WITHIN_MS - ASK_AGAIN_MS);
@@ -178,8 +288,10 @@
       return this.settle(question, { type: 'granted' });
     const now = steadyNow();
     const state = this.memberState(open.tenant, now);
-    const isWithin = state.own.total(now) + open.units <= this.equalShare(limit);
     const { tenant, units } = open;
+    const isAlone = this.options.leases === undefined || state.silence.mayCountAlone(now);
+    const isWithin = isAlone && state.own.total(now) + units <= this.equalShare(limit);
+    if (isWithin) state.alone.add(units, now);
     const fields = { tenant, units, holder: state.holder, isGranted: isWithin };
     this.options.logger.warn('limit_holder_silent', fields);
     this.settle(question, isWithin ? { type: 'granted' } : { type: 'unknown' });
@@ -210,13 +322,30 @@
     if (question === 0) {
       if (isRecalled) ledger.recall(units, now);
       else ledger.count(units, now);
-      if (ledger.isTight(now)) this.answer(from, tenant, 0, { type: 'granted' }, true);
-      return;
+      const isTight = ledger.isTight(now);
+      if (!this.mayLend(tenant) || !(isTight || charge.wantsWord)) return;
+      return this.answer(from, tenant, 0, { type: 'granted' }, isTight);
     }
+    if (!this.mayAnswer(from, charge, now)) return this.keepWaiting(from, charge, held, now);
     const decision = ledger.admit(units, now);
     this.answer(from, tenant, question, decision, ledger.isTight(now));
   }
 
+  private mayAnswer(from: string, { tenant, units }: LimitCharge, now: number): boolean {
+    if (from !== this.options.self) return this.mayLend(tenant);
+    return this.mayLendItself(tenant, this.memberState(tenant, now), units, now);
+  }
+
+  /** A question waits for the lease, or for the keepers' answer to a higher ceiling. */
+  private keepWaiting(from: string, charge: LimitCharge, held: HeldLedger, now: number): void {
+    if (held.waiting.size >= MOST_WAITING) return;
+    held.waiting.set(`${from} ${charge.question}`, { from, charge, cameAt: now });
+    const { tenant, units } = charge;
+    if (from !== this.options.self || !this.mayLend(tenant)) return;
+    const own = this.memberState(tenant, now).own.total(now);
+    this.options.leases?.raise(leaseName(tenant), own + units);
+  }
+
   private answer(
     to: string,
     tenant: string,
@@ -227,28 +356,36 @@
     const retryAfterMs = decision.type === 'over_limit' ? Math.ceil(decision.retryAfterMs) : 0;
     const isGranted = decision.type === 'granted';
     const fields = { question, tenant, isGranted, retryAfterMs, isTight };
-    const value = create(LimitAnswerSchema, fields);
-    this.options.sendDatagram(to, { case: 'limitAnswer', value });
+    this.deliver(to, { case: 'limitAnswer', value: create(LimitAnswerSchema, fields) });
   }
 
-  private charge(
-    to: string,
-    fields: { tenant: string; units: number; question?: number; isRecalled?: boolean },
-  ): void {
-    const value = create(LimitChargeSchema, fields);
-    this.options.sendDatagram(to, { case: 'limitCharge', value });
+  /** Sends to another daemon; what goes to this one itself arrives at once. */
+  private deliver(to: string, body: PeerBody): void {
+    if (to === this.options.self) this.receive(to, body);
+    else this.options.sendDatagram(to, body);
+  }
+
+  private charge(to: string, fields: MessageInitShape<typeof LimitChargeSchema>): void {
+    this.deliver(to, { case: 'limitCharge', value: create(LimitChargeSchema, fields) });
   }
 
   private noteTightness(from: string, tenant: string, isTight: boolean): void {
     const state = this.members.get(tenant);
-    if (state !== undefined && state.holder === from) state.isTight = isTight;
+    if (state === undefined || state.holder !== from) return;
+    state.isTight = isTight;
+    const now = steadyNow();
+    state.silence.hear(now);
+    const units = state.alone.take(now);
+    if (units > 0) this.charge(from, { tenant, units, isRecalled: true });
   }
 
   private memberState(name: string, now: number): MemberState {
     const known = this.members.get(name);
     if (known !== undefined) return known;
     const own = new SlidingSum(this.options.window.windowMs);
-    const state = { holder: this.holderOf(name), isTight: true, own };
+    const alone = new SlidingSum(this.options.window.windowMs);
+    const silence = new HolderSilence();
+    const state = { holder: this.holderOf(name), isTight: true, own, silence, alone };
     this.members.set(name, state);
     this.followHolder(name, state, now);
     return state;
@@ -260,6 +397,7 @@
     if (holder === state.holder) return;
     state.holder = holder;
     state.isTight = true;
+    state.alone.take(now);
     const units = state.own.total(now);
     if (units === 0) return;
     if (holder === this.options.self) this.held(name, now)?.ledger.recall(units, now);
@@ -282,9 +420,10 @@
       return known;
     }
     const ledger = new LimitLedger(limit, this.options.window, view, this.candidatesSince);
-    const held = { ledger, toldTight: true, usedAt: now };
+    const held = { ledger, toldTight: true, usedAt: now, waiting: new Map() };
     this.ledgers.set(name, held);
     this.options.logger.info('limit_held', { tenant: name, share: view.share });
+    this.followLease(name, held);
     return held;
   }
 
@@ -293,11 +432,21 @@
     return { daemons, share: daemons / Math.max(daemons, this.options.listedCount()) };
   }
 
+  /** Who asked has decided alone since. */
+  private forgetWaiting({ waiting }: HeldLedger, now: number): void {
+    for (const [key, { cameAt }] of waiting) {
+      if (now - cameAt >= ANSWER_WITHIN_MS) waiting.delete(key);
+    }
+  }
+
   private tellTightness(name: string, held: HeldLedger, now: number): void {
     if (now - held.usedAt > LEDGER_WINDOWS * this.options.window.windowMs) {
       this.ledgers.delete(name);
+      this.options.leases?.release(leaseName(name));
       return;
     }
+    this.forgetWaiting(held, now);
+    if (!this.mayLend(name)) return;
     const isTight = held.ledger.isTight(now);
     if (isTight === held.toldTight) return;
     held.toldTight = isTight;
@@ -310,3 +459,8 @@
     });
   }
 }
+
+/** The lease on a tenant's count. */
+function leaseName(tenant: string): string {
+  return `limit/${tenant}`;
+}
--- a/test/gateway/caller-keys.test.ts
+++ b/test/gateway/caller-keys.test.ts
@@ -159,7 +159,8 @@
   it('over their limit come back when the tenant has the units, and cost nothing unsent', async () => {
     const limit = { unit: 'tokens', perSecond: 100, burst: 100, plainCharge: 50 } as const;
     await start([tenantOf('a', 'abc', { limit })], { limitSlack: 400 });
-    harness.gateway['members'].listed = [{ address: 'x', zone: 'a', site: '' }];
+    const { address } = harness.gateway['peers'];
+    harness.gateway['members'].listed = [{ address, zone: 'a', site: '' }];
     const call = (tokens: string): ReturnType<GatewayHarness['call']> =>
       harness.call({ id: '1', headers: { ...KEY, tokens } });
     expect((await call('80')).status).toBe(200);
--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -7,11 +7,13 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { vi } from 'vitest';
 import { silentLogger } from '../../src/common/logger.js';
+import type { KeeperCandidate } from '../../src/core/admission/holder-lease.js';
 import type { LimitWindow } from '../../src/core/admission/limit-ledger.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
 import type { TenantLimit } from '../../src/core/service-configuration.js';
 import { SlidingSum } from '../../src/core/sliding-sum.js';
 import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { HolderLeases } from '../../src/gateway/holder-leases.js';
 import { TenantLimits } from '../../src/gateway/tenant-limits.js';
 
 /** Milliseconds that a message takes. */
@@ -52,6 +54,7 @@
 /** The group. Use it under vitest's fake timers. */
 export class SimulatedLimits {
   private readonly daemons: TenantLimits[];
+  private readonly listed: KeeperCandidate[];
   private readonly random;
   private readonly inWindow: SlidingSum;
   private readonly down = new Set<number>();
@@ -75,6 +78,8 @@
     this.random = xoroshiro128plus(options.seed);
     this.limit = options.limit;
     this.inWindow = new SlidingSum(options.window.windowMs);
+    const numbers = [...Array(options.daemons).keys()];
+    this.listed = numbers.map((index) => ({ address: `d-${index}`, zone: 'a' }));
     this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
   }
 
@@ -172,14 +177,29 @@
 
   private daemon(index: number): TenantLimits {
     const tenant = { name: 't', keyDigests: [], priority: undefined };
+    const self = `d-${index}`;
+    const sendDatagram = (to: string, body: PeerBody): void =>
+      this.send(index, Number(to.slice(2)), body);
+    const live = (): readonly MemberView[] => this.seenBy(index);
+    const leases = new HolderLeases({
+      self,
+      logger: silentLogger,
+      listed: () => this.listed,
+      live,
+      rememberMs: this.options.window.windowMs,
+      firstSequence: performance.now(),
+      processStartedAt: performance.now(),
+      sendDatagram,
+    });
     return new TenantLimits({
-      self: `d-${index}`,
+      self,
+      leases,
       window: this.options.window,
       logger: silentLogger,
-      live: () => this.seenBy(index),
+      live,
       listedCount: () => this.options.daemons,
       tenant: () => ({ ...tenant, limit: this.limit }),
-      sendDatagram: (to, body) => this.send(index, Number(to.slice(2)), body),
+      sendDatagram,
       broadcast: (body) => {
         for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
       },
