--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -27,6 +27,8 @@
   'sharedSlots',
   /** Speeds of backends are learned from streams; models and requests go by them. */
   'learnedCapacity',
+  /** Who counts a tenant's limit for all does so under a lease. */
+  'leasedLimits',
 ] as const;
 
 /** A policy's name. */
--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -7,11 +7,13 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { vi } from 'vitest';
 import { silentLogger } from '../../src/common/logger.js';
+import type { KeeperCandidate } from '../../src/core/admission/holder-lease.js';
 import type { LimitWindow } from '../../src/core/admission/limit-ledger.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
 import type { TenantLimit } from '../../src/core/service-configuration.js';
 import { SlidingSum } from '../../src/core/sliding-sum.js';
 import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { HolderLeases } from '../../src/gateway/holder-leases.js';
 import { TenantLimits } from '../../src/gateway/tenant-limits.js';
 
 /** Milliseconds that a message takes. */
@@ -52,6 +54,7 @@
 /** The group. Use it under vitest's fake timers. */
 export class SimulatedLimits {
   private readonly daemons: TenantLimits[];
+  private readonly listed: KeeperCandidate[];
   private readonly random;
   private readonly inWindow: SlidingSum;
   private readonly down = new Set<number>();
@@ -59,6 +62,9 @@
   private readonly sides = new Map<number, number>();
   /** What each daemon sees of the others. */
   private readonly views = new Map<number, MemberView[]>();
+  /** A daemon that is cut off from the others, and who sees it. */
+  private cut: number | undefined;
+  private readonly seesCut = new Set<number>();
   /** From the last request to the next. */
   private gapMs = 0;
   private messages = 0;
@@ -72,6 +78,8 @@
     this.random = xoroshiro128plus(options.seed);
     this.limit = options.limit;
     this.inWindow = new SlidingSum(options.window.windowMs);
+    const numbers = [...Array(options.daemons).keys()];
+    this.listed = numbers.map((index) => ({ address: `d-${index}`, zone: 'a' }));
     this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
   }
 
@@ -101,6 +109,17 @@
     this.groupChanged();
   }
 
+  /** Cuts a daemon off from the others; both sides see it some time later. */
+  cutOff(index: number, seenByOthersAfterMs: number, seenByItselfAfterMs: number): void {
+    this.cut = index;
+    const see = (isSeenBy: (viewer: number) => boolean): void => {
+      for (const viewer of this.daemons.keys()) if (isSeenBy(viewer)) this.seesCut.add(viewer);
+      this.groupChanged();
+    };
+    setTimeout(() => see((viewer) => viewer !== index), seenByOthersAfterMs);
+    setTimeout(() => see((viewer) => viewer === index), seenByItselfAfterMs);
+  }
+
   private groupChanged(): void {
     this.views.clear();
     for (const daemon of this.daemons) daemon.groupChanged();
@@ -158,14 +177,29 @@
 
   private daemon(index: number): TenantLimits {
     const tenant = { name: 't', keyDigests: [], priority: undefined };
+    const self = `d-${index}`;
+    const sendDatagram = (to: string, body: PeerBody): void =>
+      this.send(index, Number(to.slice(2)), body);
+    const live = (): readonly MemberView[] => this.seenBy(index);
+    const leases = new HolderLeases({
+      self,
+      logger: silentLogger,
+      listed: () => this.listed,
+      live,
+      rememberMs: this.options.window.windowMs,
+      firstSequence: performance.now(),
+      processStartedAt: performance.now(),
+      sendDatagram,
+    });
     return new TenantLimits({
-      self: `d-${index}`,
+      self,
+      leases,
       window: this.options.window,
       logger: silentLogger,
-      live: () => this.seenBy(index),
+      live,
       listedCount: () => this.options.daemons,
       tenant: () => ({ ...tenant, limit: this.limit }),
-      sendDatagram: (to, body) => this.send(index, Number(to.slice(2)), body),
+      sendDatagram,
       broadcast: (body) => {
         for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
       },
@@ -179,6 +213,7 @@
     const views: MemberView[] = [];
     for (const other of this.daemons.keys()) {
       if (other !== index && (this.down.has(other) || !this.reaches(index, other))) continue;
+      if (this.isCut(index, other) && this.seesCut.has(index)) continue;
       const view = { zone: 'a', site: '', incarnation: 1, state: 'alive', capacity: 1 } as const;
       views.push({ address: `d-${other}`, ...view });
     }
@@ -192,8 +227,13 @@
     return a === b || (a === -1 && !this.down.has(from)) || (b === -1 && !this.down.has(to));
   }
 
+  private isCut(from: number, to: number): boolean {
+    return from !== to && (from === this.cut || to === this.cut);
+  }
+
   private send(from: number, to: number, body: PeerBody): void {
     this.messages += 1;
+    if (this.isCut(from, to)) return;
     if (this.sides.get(to) === -1 || this.sides.get(from) === -1) return;
     if (!this.reaches(from, to)) return;
     setTimeout(() => this.daemons[to]?.receive(`d-${from}`, body), MESSAGE_MS);
