--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -37,6 +37,8 @@
 const CROSSING_MS = 400;
 /** Nobody is told to come back sooner: a message and a connection take as long. */
 const LEAST_RETRY_MS = 50;
+/** What a usual request would wait is told for this rank: between the most urgent and the others. */
+const USUAL_RANK = 1;
 /** An ask may claim no longer wait than this. */
 const LONGEST_CLAIM_MS = 20_000;
 const LEAST_URGENT_RANK = 9;
@@ -63,7 +65,7 @@
   private readonly waiters = new Map<string, Waiter>();
   private readonly times = new SlotTimes();
   /** When callers should be back that were told to come back. */
-  private returns: number[] = [];
+  private returns: { readonly at: number; readonly rank: number }[] = [];
   private sequence = 0;
 
   constructor(private slots: number) {}
@@ -101,7 +103,11 @@
   take(use: SlotUse, now: number): void {
     const key = keyOf(use);
     this.waiters.delete(key);
-    if (this.holders.has(key)) return;
+    const known = this.holders.get(key);
+    if (known !== undefined) {
+      known.namedAt = now;
+      return;
+    }
     const size = this.times.sizeOf(use.work);
     this.holders.set(key, { ...use, size, since: now, isWhole: true, namedAt: now });
   }
@@ -120,9 +126,9 @@
    * A caller was told to come back: those who come before it would find its place taken, so it
    * counts among those that wait.
    */
-  expectReturn(afterMs: number, now: number): void {
+  expectReturn(rank: number, afterMs: number, now: number): void {
     if (this.returns.length >= this.slots * MOST_WAITING_A_SLOT) return;
-    this.returns.push(now + Math.min(afterMs, LONGEST_CLAIM_MS));
+    this.returns.push({ rank, at: now + Math.min(afterMs, LONGEST_CLAIM_MS) });
   }
 
   /**
@@ -179,9 +185,7 @@
     const { slots } = this;
     const inFlight = this.holders.size;
     const waiting = this.waiters.size;
-    const ends = inFlight + waiting + this.expectedReturns(now) + 1 - slots;
-    const expectedWaitMs = ends <= 0 ? 0 : this.times.untilFree(ends, slots, this.meanSize(), 0);
-    return { slots, inFlight, waiting, expectedWaitMs };
+    return { slots, inFlight, waiting, expectedWaitMs: this.waitBehind(waiting, USUAL_RANK, now) };
   }
 
   /** Daemons that have a request here. */
@@ -208,7 +212,7 @@
     if (expectedWaitMs <= mayWaitMs || !this.times.isLearned)
       return { type: 'queued', expectedWaitMs };
     const retryAfterMs = Math.max(LEAST_RETRY_MS, expectedWaitMs);
-    this.expectReturn(retryAfterMs, now);
+    this.expectReturn(waiter.rank, retryAfterMs, now);
     return { type: 'refused', retryAfterMs };
   }
 
@@ -219,15 +223,18 @@
     for (const other of this.waiters.values()) {
       if (other !== waiter && isBefore(this.placeOf(other, level, now), place)) ahead += 1;
     }
-    const returning = this.expectedReturns(now);
-    const ends = this.holders.size + ahead + returning + 1 - this.slots;
-    if (ends <= 0) return 0;
-    return this.times.untilFree(ends, this.slots, this.meanSize(), waiter.rank);
+    return this.waitBehind(ahead, waiter.rank, now);
   }
 
-  private expectedReturns(now: number): number {
-    this.returns = this.returns.filter((at) => at > now);
-    return this.returns.length;
+  /** Those that are to return count if they should be back before. */
+  private waitBehind(ahead: number, rank: number, now: number): number {
+    const ends = this.holders.size + ahead + 1 - this.slots;
+    if (ends <= 0) return 0;
+    const size = this.meanSize();
+    const waitMs = this.times.untilFree(ends, this.slots, size, rank);
+    this.returns = this.returns.filter(({ at }) => at > now);
+    const before = this.returns.filter((one) => one.rank <= rank && one.at < now + waitMs);
+    return this.times.untilFree(ends + before.length, this.slots, size, rank);
   }
 
   /** Gives free slots to those who are first in the order. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,6 +7,7 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
+import { isWorthReturning } from '../core/admission/slot-keeping.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   isStream,
@@ -188,6 +189,7 @@
     if (this.model === undefined || this.sends > 0 || this.answer.hasBegun) return;
     const decision = this.decideHold(expectedWaitMs);
     if (decision.type === 'hold') return;
+    if (!isWorthReturning(decision.retryAfterMs, this.deadlineAt - steadyNow())) return;
     this.search.leaveUntil(decision.retryAfterMs);
     this.refuseFull(decision.retryAfterMs, { expectedWaitMs: Math.round(expectedWaitMs) });
   }
--- a/src/gateway/slot-admission.ts
+++ b/src/gateway/slot-admission.ts
@@ -278,17 +278,17 @@
     wish.onAnswer({ type: 'granted' });
   }
 
-  private release({ backend, ticket, timer }: OpenClaim, returnsInMs: number): void {
+  private release({ backend, ticket, timer, wish }: OpenClaim, returnsInMs: number): void {
     const known = this.backends.get(backend);
     clearTimeout(timer);
     if (known === undefined || !known.claims.delete(ticket)) return;
     known.usedAt = steadyNow();
-    this.tellEnd(known.keeper, backend, ticket, returnsInMs);
+    this.tellEnd(known.keeper, backend, ticket, returnsInMs, wish.rank);
   }
 
-  private tellEnd(keeper: string, backend: string, ticket: number, returnsIn = 0): void {
+  private tellEnd(keeper: string, backend: string, ticket: number, returnsIn = 0, rank = 0): void {
     const returnsInMs = Math.ceil(returnsIn);
-    const value = create(SlotEndSchema, { backend, ticket, returnsInMs });
+    const value = create(SlotEndSchema, { backend, ticket, returnsInMs, rank });
     this.outbox.tell(keeper, { kind: 'ended', value });
   }
 
--- a/src/gateway/slot-keeper.ts
+++ b/src/gateway/slot-keeper.ts
@@ -46,10 +46,10 @@
   /** Handles what a daemon reports; what belongs to no known backend is answered so. */
   receive(from: string, { asks, taken, ended, lists }: SlotReport): void {
     const now = steadyNow();
-    for (const { backend, ticket, returnsInMs } of ended) {
+    for (const { backend, ticket, returnsInMs, rank } of ended) {
       const kept = this.kept.get(backend);
       if (kept === undefined) continue;
-      if (returnsInMs > 0) kept.queue.expectReturn(returnsInMs, now);
+      if (returnsInMs > 0) kept.queue.expectReturn(rank, returnsInMs, now);
       this.answer(backend, kept, kept.queue.end(from, ticket, now));
     }
     for (const { backend, ticket, tenant, work } of taken) {
--- /dev/null
+++ b/test/simulation/admission-ways.test.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from 'vitest';
+import {
+  AdmissionPlay,
+  recordLoad,
+  shareInAim,
+  shareServed,
+  type Outcome,
+  type Way,
+} from './admission-ways.js';
+
+const SLOTS = 8;
+const SEED = 37;
+
+function line(way: Way, name: string, { inAim, late, refused }: Outcome): string {
+  return `| ${way} | ${name} | ${inAim} | ${late} | ${refused} |`;
+}
+
+function table(way: Way, play: AdmissionPlay): string[] {
+  const rows = [...play.byKind, ...play.byTenant].map(([name, outcome]) =>
+    line(way, name, outcome),
+  );
+  return [...rows, line(way, 'largest tenth of patient', play.largest)];
+}
+
+describe('the same load, admitted in three ways', () => {
+  const load = recordLoad(SEED);
+  const plays = new Map<Way, AdmissionPlay>();
+  const playOf = (way: Way): AdmissionPlay => {
+    const play = plays.get(way) ?? new AdmissionPlay(way, load).play();
+    plays.set(way, play);
+    return play;
+  };
+
+  it('accounts for every request', () => {
+    for (const way of ['alone', 'leases', 'queue'] as const) {
+      const play = playOf(way);
+      const ended = [...play.byKind.values()].reduce(
+        (sum, { inAim, late, refused }) => sum + inAim + late + refused,
+        0,
+      );
+      console.log(
+        [`${way}: most in flight ${play.mostInFlight}, messages ${play.messages}`]
+          .concat(table(way, play))
+          .join('\n'),
+      );
+      expect(ended).toBe(load.length);
+    }
+  });
+
+  it('is never sent beyond the slots on a keeper’s word, and is by daemons alone', () => {
+    expect(playOf('queue').mostInFlight).toBe(SLOTS);
+    expect(playOf('alone').mostInFlight).toBeGreaterThan(SLOTS);
+  });
+
+  it('is served in aim more often with a queue, by kind and tenant', () => {
+    for (const name of ['urgent', 'patient']) {
+      const alone = playOf('alone').byKind.get(name)!;
+      const queue = playOf('queue').byKind.get(name)!;
+      expect(shareInAim(queue)).toBeGreaterThan(shareInAim(alone));
+    }
+    const usual = (way: Way): Outcome => playOf(way).byTenant.get('the four usual')!;
+    expect(shareInAim(usual('queue'))).toBeGreaterThan(shareInAim(usual('alone')));
+    expect(shareInAim(usual('queue'))).toBeGreaterThan(shareInAim(usual('leases')));
+  });
+
+  it('serves the largest of a kind at least half as often as the kind', () => {
+    const play = playOf('queue');
+    expect(shareServed(play.largest)).toBeGreaterThan(shareServed(play.byKind.get('patient')!) / 2);
+  });
+});
