--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -39,6 +39,8 @@
 const LEAST_RETRY_MS = 50;
 /** What a usual request would wait is told for this rank: between the most urgent and the others. */
 const USUAL_RANK = 1;
+/** Requests end at random: a gap of so many usual ones is still common, a longer one tells of trouble. */
+const USUAL_GAPS = 4;
 /** An ask may claim no longer wait than this. */
 const LONGEST_CLAIM_MS = 20_000;
 const LEAST_URGENT_RANK = 9;
@@ -67,6 +69,8 @@
   /** When callers should be back that were told to come back. */
   private returns: { readonly at: number; readonly rank: number }[] = [];
   private sequence = 0;
+  /** When a request last began or ended here. */
+  private movedAt = 0;
 
   constructor(private slots: number) {}
 
@@ -108,6 +112,7 @@
       known.namedAt = now;
       return;
     }
+    this.movedAt = now;
     const size = this.times.sizeOf(use.work);
     this.holders.set(key, { ...use, size, since: now, isWhole: true, namedAt: now });
   }
@@ -118,6 +123,7 @@
     const holder = this.holders.get(key);
     if (holder === undefined) return [];
     this.holders.delete(key);
+    this.movedAt = now;
     if (holder.isWhole) this.times.noteHold(now - holder.since, holder.size);
     return this.fill(now);
   }
@@ -231,10 +237,15 @@
     const ends = this.holders.size + ahead + 1 - this.slots;
     if (ends <= 0) return 0;
     const size = this.meanSize();
-    const waitMs = this.times.untilFree(ends, this.slots, size, rank);
+    // A backend that ends nothing for long answers nobody: its waits are longer than they were.
+    const standstillMs = (now - this.movedAt) / USUAL_GAPS;
+    const waitMs = Math.max(
+      this.times.untilFree(ends, this.slots, size, rank),
+      ends * standstillMs,
+    );
     this.returns = this.returns.filter(({ at }) => at > now);
     const before = this.returns.filter((one) => one.rank <= rank && one.at < now + waitMs);
-    return this.times.untilFree(ends + before.length, this.slots, size, rank);
+    return waitMs + this.times.untilFree(before.length, this.slots, size, rank);
   }
 
   /** Gives free slots to those who are first in the order. */
@@ -246,6 +257,7 @@
       const { daemon, ticket, tenant, work, size, since, rank, toldMs } = next;
       const key = keyOf(next);
       this.waiters.delete(key);
+      this.movedAt = now;
       const use = { daemon, ticket, tenant, work };
       this.holders.set(key, { ...use, size, since: now, isWhole: true, namedAt: now });
       if (toldMs > 0) this.times.noteWait(rank, toldMs, now - since);
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -207,7 +207,8 @@
   private moveIfSooner({ backend, expectedAt }: PendingAsk): void {
     if (expectedAt === undefined || this.moves >= MOST_MOVES) return;
     const now = steadyNow();
-    const waitMs = expectedAt - now - MOVE_GAIN_MS;
+    const isAvoided = this.context.health.isAvoided(backend.id, now);
+    const waitMs = isAvoided ? Infinity : expectedAt - now - MOVE_GAIN_MS;
     const sooner = this.fresh(now).filter(
       (other) => other.id !== backend.id && this.expectedWaitMs(other, now) < waitMs,
     );
--- a/test/core/admission/slot-queue.test.ts
+++ b/test/core/admission/slot-queue.test.ts
@@ -165,6 +165,20 @@
     expect(queue.look(5_700)).toMatchObject([{ answer: { type: 'refused' }, waitedMs: 700 }]);
   });
 
+  it('tells longer waits when nothing ends any more', () => {
+    const queue = new SlotQueue(4);
+    let held = fill(queue, 4);
+    for (let now = 100; now <= 2_000; now += 100) {
+      queue.ask(ask(now), now);
+      held = [...held.slice(1), ...granted(queue.end('d', held[0] ?? 0, now))];
+    }
+    const waitAt = (now: number): number => queue.figures(now).expectedWaitMs;
+    const usual = waitAt(2_050);
+    expect(usual).toBeLessThan(300);
+    expect(waitAt(4_000)).toBeGreaterThan(450);
+    expect(waitAt(6_000)).toBeGreaterThan(900);
+  });
+
   it('is bounded: the last in order is refused', () => {
     const queue = new SlotQueue(1);
     fill(queue, 1);
