Capacity: a round's price for copies does not grow with backends x models; bound on avoided backends

Cause: the best place of each model was looked for at all backends in each round. Change: the fastest backend is each model's best. A daemon that leaves more than half of a service alone asks the rest of them when nobody else can take a request (ejection-floor.ts).

--- a/src/core/backend-health.ts
+++ b/src/core/backend-health.ts
@@ -73,7 +73,12 @@
 
   /** Whether the backend is left alone for now. */
   isAvoided(backend: string, now: number): boolean {
-    return (this.backends.get(backend)?.avoidUntil ?? 0) > now;
+    return this.avoidedUntil(backend) > now;
+  }
+
+  /** Until when the backend is left alone; 0 if it has answered. */
+  avoidedUntil(backend: string): number {
+    return this.backends.get(backend)?.avoidUntil ?? 0;
   }
 
   /** Smoothed share of failures, 0 to 1. */
--- a/src/core/capacity/capacity-view.ts
+++ b/src/core/capacity/capacity-view.ts
@@ -17,7 +17,7 @@
   eventGapMs(backend: string, model: string): number | undefined;
   /**
    * Share of the model's streams, 0 to 1, that are expected to pause for longer than their callers
-   * bear at the backend; 0 while nothing has been learned.
+   * bear at the backend; 0 while nothing has been learned. It is smallest at the fastest backend.
    *
    * @param pauseGoalMs - The longest pause that the callers bear.
    */
--- a/src/core/capacity/copy-quality.ts
+++ b/src/core/capacity/copy-quality.ts
@@ -31,8 +31,8 @@
 
 /** Quality of copies for one round of planning. */
 export class CopyQuality {
-  /** Smallest risk of each model at any backend. */
-  private readonly smallestRisks = new Map<string, number>();
+  /** The backend at which every model's risk is smallest; worked out when first asked for. */
+  private fastest: string | undefined;
   private readonly qualities = new Map<string, Map<string, number>>();
 
   /** @param capacity - Undefined if all backends count as alike. */
@@ -77,19 +77,24 @@
 
   private workOut(backend: string, model: string): number {
     const inTime = 1 - this.riskAt(backend, model);
-    const best = 1 - this.smallestRisk(model);
+    const best = 1 - this.riskAt(this.fastestBackend(), model);
     if (best <= 0) return 1;
     const quality = Math.max(LEAST_QUALITY, inTime / best);
     return quality >= GOOD_QUALITY ? 1 : quality;
   }
 
-  private smallestRisk(model: string): number {
-    const known = this.smallestRisks.get(model);
-    if (known !== undefined) return known;
-    const risks = this.backends.map(({ id }) => this.riskAt(id, model));
-    const smallest = Math.min(1, ...risks);
-    this.smallestRisks.set(model, smallest);
-    return smallest;
+  private fastestBackend(): string {
+    this.fastest ??= this.findFastest();
+    return this.fastest;
+  }
+
+  private findFastest(): string {
+    let [fastest, most] = ['', 0];
+    for (const { id } of this.backends) {
+      const speed = this.capacity?.view.speedOf(id) ?? 1;
+      if (speed > most) [fastest, most] = [id, speed];
+    }
+    return fastest;
   }
 
   private riskAt(backend: string, model: string): number {
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -8,6 +8,7 @@
 import { afterFailure } from '../core/attempt-policy.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
 import { EVEN_CAPACITY, type CapacityView } from '../core/capacity/capacity-view.js';
+import { sparedBackends } from '../core/capacity/ejection-floor.js';
 import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
@@ -179,13 +180,26 @@
     const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
     // Another backend can be given the model; one of a service without models is all there is.
     const lastResort = model === undefined ? usable : [];
-    const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
+    const groups = [fresh, healthy, lastResort];
+    const best = groups.find((group) => group.length > 0) ?? this.spared(usable, now);
     const capacity = this.expectedCapacity(now);
     const candidates = best.map((backend) => this.candidate(backend, capacity));
     const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
   }
 
+  /** Nobody else can take the request, and more of the service is left alone than should be. */
+  private spared(usable: readonly BackendRecord[], now: number): BackendRecord[] {
+    const { settings, directory, health } = this.context;
+    if (!settings.policies.learnedCapacity || usable.length === 0) return [];
+    const serving = directory.serving(this.match.service.name);
+    const avoided = serving
+      .map(({ id }) => ({ id, until: health.avoidedUntil(id) }))
+      .filter(({ until }) => until > now);
+    const spared = sparedBackends(avoided, serving.length);
+    return usable.filter((backend) => spared.has(backend.id) && !this.tried.has(backend.id));
+  }
+
   private expectedCapacity(now: number): CapacityView {
     const { settings, directory } = this.context;
     if (!settings.policies.learnedCapacity) return EVEN_CAPACITY;
--- a/test/core/placement-at-size.test.ts
+++ b/test/core/placement-at-size.test.ts
@@ -1,6 +1,7 @@
 /** A planning round at the size of the grown deployments stays far below the time between two rounds. */
 import { describe, expect, it } from 'vitest';
 import { BackendLedger } from '../../src/core/backend-ledger.js';
+import { LearnedCapacity } from '../../src/core/capacity/learned-capacity.js';
 import type { BackendUse, DemandSample } from '../../src/core/demand-report.js';
 import { ModelDemand } from '../../src/core/model-demand.js';
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
@@ -60,28 +61,42 @@
   return demand;
 }
 
+/** Least processor time of a round, in milliseconds. */
+function bestRound(input: PlanningInput): number {
+  const rounds = Array.from({ length: ROUNDS }, () => {
+    const planner = new PlacementPlanner();
+    const before = process.cpuUsage();
+    const orders = planner.plan(input);
+    planner.forecasts(input);
+    expect(orders.length).toBeGreaterThan(0);
+    const { user, system } = process.cpuUsage(before);
+    return (user + system) / 1_000;
+  });
+  return Math.min(...rounds);
+}
+
 describe('a planning round at size', () => {
+  const now = 10_000;
+  const input: PlanningInput = {
+    host,
+    backends: ledgers(),
+    demand: demandOfAll(now),
+    now,
+    storeLoads: 1,
+    storePlaceWaits: [0],
+    unloadTimes: new UnloadTimes(),
+    policies: DEFAULT_POLICIES,
+  };
+
   it('plans for hundreds of waiting models in little time', () => {
-    const now = 10_000;
-    const input: PlanningInput = {
-      host,
-      backends: ledgers(),
-      demand: demandOfAll(now),
-      now,
-      storeLoads: 1,
-      storePlaceWaits: [0],
-      unloadTimes: new UnloadTimes(),
-      policies: DEFAULT_POLICIES,
-    };
-    const rounds = Array.from({ length: ROUNDS }, () => {
-      const planner = new PlacementPlanner();
-      const before = process.cpuUsage();
-      const orders = planner.plan(input);
-      planner.forecasts(input);
-      expect(orders.length).toBeGreaterThan(0);
-      const { user, system } = process.cpuUsage(before);
-      return (user + system) / 1_000;
-    });
-    expect(Math.min(...rounds)).toBeLessThan(LONGEST_ROUND_MS);
+    expect(bestRound(input)).toBeLessThan(LONGEST_ROUND_MS);
+  });
+
+  it('so it does where all models and backends are known to be unequal', () => {
+    const speeds = new Map(input.backends.map(({ id }, index) => [id, 0.5 + (index % 7) / 5]));
+    const gaps = new Map(names.map((name, index) => [name, 40 + (index % 11) * 15]));
+    const view = new LearnedCapacity({ speeds, gaps, pauseShares: [] });
+    const capacity = { view, pauseGoalMs: () => 200 };
+    expect(bestRound({ ...input, capacity })).toBeLessThan(LONGEST_ROUND_MS);
   });
 });
