--- a/src/gateway/holder-leases.ts
+++ b/src/gateway/holder-leases.ts
@@ -25,6 +25,10 @@
 const RENEW_PERIOD_MS = 400;
 /** Between two questions without a lease: the keepers' word to a former holder may end any time. */
 const RETRY_PERIOD_MS = 100;
+/** After so long without a lease, well after any word to another has ended, questions are few. */
+const RETRIES_SLOW_AFTER_MS = 2_500;
+/** Between two questions then: who is cut off with callers of all tenants sends little into the void. */
+const SLOW_RETRY_PERIOD_MS = 2_000;
 /**
  * A listed daemon that has not been seen for so long is no keeper: by then the views of a split group
  * have settled, and each side counts its own share of the daemons only.
@@ -64,7 +68,8 @@
 interface WantedLease {
   readonly duty: HeldDuty;
   readonly lease: HolderLease;
-  readonly wantedSince: number;
+  /** Since when it is wanted, or was lost. */
+  missingSince: number;
   /** Whether the lease held at the last look. */
   held: boolean;
   loggedAt: number;
@@ -95,7 +100,7 @@
     if (this.wanted.has(name)) return;
     const now = steadyNow();
     const lease = new HolderLease();
-    const entry = { duty, lease, wantedSince: now, held: false, loggedAt: now, refused: 0 };
+    const entry = { duty, lease, missingSince: now, held: false, loggedAt: now, refused: 0 };
     this.wanted.set(name, entry);
     this.ask(name, entry, now);
   }
@@ -145,8 +150,7 @@
     this.lookAtCandidates(now);
     for (const [name, entry] of this.wanted) {
       this.followLease(name, entry, now);
-      const periodMs = entry.lease.holds(now) ? RENEW_PERIOD_MS : RETRY_PERIOD_MS;
-      if (entry.lease.sinceAskedMs(now) >= periodMs) this.ask(name, entry, now);
+      if (entry.lease.sinceAskedMs(now) >= askPeriodMs(entry, now)) this.ask(name, entry, now);
     }
   }
 
@@ -214,7 +218,7 @@
 
   private gained(name: string, entry: WantedLease, history: LeaseHistory, now: number): void {
     entry.held = true;
-    const waitedMs = Math.round(now - entry.wantedSince);
+    const waitedMs = Math.round(now - entry.missingSince);
     const { soleMs, formers } = history;
     const former = formers[0]?.holder;
     this.options.logger.info('holder_lease_gained', { name, waitedMs, soleMs, former });
@@ -226,6 +230,7 @@
     const holds = entry.lease.holds(now);
     const isLost = entry.held && !holds;
     entry.held = holds;
+    if (isLost) entry.missingSince = now;
     if (holds || (!isLost && now - entry.loggedAt < LOG_PERIOD_MS)) return;
     entry.loggedAt = now;
     const age = entry.lease.ageMs(now);
@@ -260,6 +265,12 @@
   }
 }
 
+function askPeriodMs({ lease, missingSince }: WantedLease, now: number): number {
+  if (lease.holds(now)) return RENEW_PERIOD_MS;
+  const isSlow = now - missingSince >= RETRIES_SLOW_AFTER_MS;
+  return isSlow ? SLOW_RETRY_PERIOD_MS : RETRY_PERIOD_MS;
+}
+
 /** Units as another daemon tells them; what is no number of units counts as none. */
 function knownUnits(units: number): number {
   return Number.isFinite(units) ? Math.max(0, units) : 0;
