--- a/src/gateway/holder-leases.ts
+++ b/src/gateway/holder-leases.ts
@@ -25,6 +25,10 @@
 const RENEW_PERIOD_MS = 400;
 /** Between two questions without a lease: the keepers' word to a former holder may end any time. */
 const RETRY_PERIOD_MS = 100;
+/** After so long without a lease, well after any word to another has ended, questions are few. */
+const RETRIES_SLOW_AFTER_MS = 2_500;
+/** Between two questions then: who is cut off with callers of all tenants sends little into the void. */
+const SLOW_RETRY_PERIOD_MS = 2_000;
 /**
  * A listed daemon that has not been seen for so long is no keeper: by then the views of a split group
  * have settled, and each side counts its own share of the daemons only.
@@ -44,7 +48,7 @@
   readonly live: () => readonly KeeperCandidate[];
   /** How long keepers remember what former holders have told. */
   readonly rememberMs: number;
-  /** Unix milliseconds: higher at each start of this daemon. */
+  /** Start of this process in Unix milliseconds: higher at each start of this daemon. */
   readonly firstSequence: number;
   /** Steady time: words that a former process at this address gave are older. */
   readonly processStartedAt: number;
@@ -64,7 +68,8 @@
 interface WantedLease {
   readonly duty: HeldDuty;
   readonly lease: HolderLease;
-  readonly wantedSince: number;
+  /** Since when it is wanted, or was lost. */
+  missingSince: number;
   /** Whether the lease held at the last look. */
   held: boolean;
   loggedAt: number;
@@ -95,11 +100,16 @@
     if (this.wanted.has(name)) return;
     const now = steadyNow();
     const lease = new HolderLease();
-    const entry = { duty, lease, wantedSince: now, held: false, loggedAt: now, refused: 0 };
+    const entry = { duty, lease, missingSince: now, held: false, loggedAt: now, refused: 0 };
     this.wanted.set(name, entry);
     this.ask(name, entry, now);
   }
 
+  /** Start of this process, in Unix milliseconds. */
+  get process(): number {
+    return this.options.firstSequence;
+  }
+
   /** Whether this daemon may lend now: to be asked in the same turn as it lends. */
   holds(name: string): boolean {
     return this.wanted.get(name)?.lease.holds(steadyNow()) ?? false;
@@ -137,10 +147,10 @@
   /** Looks at the clock; call it ten times a second. */
   tick(): void {
     const now = steadyNow();
+    this.lookAtCandidates(now);
     for (const [name, entry] of this.wanted) {
       this.followLease(name, entry, now);
-      const periodMs = entry.lease.holds(now) ? RENEW_PERIOD_MS : RETRY_PERIOD_MS;
-      if (entry.lease.sinceAskedMs(now) >= periodMs) this.ask(name, entry, now);
+      if (entry.lease.sinceAskedMs(now) >= askPeriodMs(entry, now)) this.ask(name, entry, now);
     }
   }
 
@@ -161,25 +171,27 @@
   }
 
   private ask(name: string, entry: WantedLease, now: number): void {
-    const { self, sendDatagram } = this.options;
+    const { self, firstSequence: process, sendDatagram } = this.options;
     const keepers = this.keepersOf(name, now);
     this.sequence += 1;
     const { sequence } = this;
     const ownCeiling = entry.duty.ownCeiling(now);
     entry.refused = 0;
     entry.lease.ask(sequence, ownCeiling, keepers, now);
-    const value = create(HolderLeaseQuestionSchema, { name, sequence, ownCeiling });
+    const value = create(HolderLeaseQuestionSchema, { name, sequence, ownCeiling, process });
     for (const keeper of keepers) {
       if (keeper !== self) sendDatagram(keeper, { case: 'holderLeaseQuestion', value });
     }
     if (!keepers.includes(self)) return;
-    const question = { name, holder: self, sequence, ownCeiling };
+    const question = { name, holder: self, process, sequence, ownCeiling };
     const own = this.keeper.answer(question, now, keepers.length === 1);
     this.hear(self, name, sequence, own);
   }
 
-  private answer(to: string, { name, sequence, ownCeiling }: HolderLeaseQuestion): void {
-    const question = { name, holder: to, sequence, ownCeiling: knownUnits(ownCeiling) };
+  private answer(to: string, asked: HolderLeaseQuestion): void {
+    const { name, process, sequence } = asked;
+    const ownCeiling = knownUnits(asked.ownCeiling);
+    const question = { name, holder: to, process, sequence, ownCeiling };
     const { isGiven, soleMs, former } = this.keeper.answer(question, steadyNow());
     const value = create(HolderLeaseAnswerSchema, {
       name,
@@ -206,7 +218,7 @@
 
   private gained(name: string, entry: WantedLease, history: LeaseHistory, now: number): void {
     entry.held = true;
-    const waitedMs = Math.round(now - entry.wantedSince);
+    const waitedMs = Math.round(now - entry.missingSince);
     const { soleMs, formers } = history;
     const former = formers[0]?.holder;
     this.options.logger.info('holder_lease_gained', { name, waitedMs, soleMs, former });
@@ -218,6 +230,7 @@
     const holds = entry.lease.holds(now);
     const isLost = entry.held && !holds;
     entry.held = holds;
+    if (isLost) entry.missingSince = now;
     if (holds || (!isLost && now - entry.loggedAt < LOG_PERIOD_MS)) return;
     entry.loggedAt = now;
     const age = entry.lease.ageMs(now);
@@ -252,6 +265,12 @@
   }
 }
 
+function askPeriodMs({ lease, missingSince }: WantedLease, now: number): number {
+  if (lease.holds(now)) return RENEW_PERIOD_MS;
+  const isSlow = now - missingSince >= RETRIES_SLOW_AFTER_MS;
+  return isSlow ? SLOW_RETRY_PERIOD_MS : RETRY_PERIOD_MS;
+}
+
 /** Units as another daemon tells them; what is no number of units counts as none. */
 function knownUnits(units: number): number {
   return Number.isFinite(units) ? Math.max(0, units) : 0;
