--- a/src/core/admission/slot-leases.ts
+++ b/src/core/admission/slot-leases.ts
@@ -15,8 +15,8 @@
 } from './slot-keeping.js';
 import { SlotTimes } from './slot-times.js';
 
-/** A lent slot that rests goes back after so long: some messages' time, less than a common wait. */
-export const LEASE_MS = 250;
+/** A lent slot that rests goes back after so long: longer ones rest while others wait, shorter ones save no message. */
+export const LEASE_MS = 50;
 /** Nobody is told to come back sooner. */
 const LEAST_RETRY_MS = 50;
 
--- a/test/simulation/admission-ways.test.ts
+++ b/test/simulation/admission-ways.test.ts
@@ -9,7 +9,8 @@
 } from './admission-ways.js';
 
 const SLOTS = 8;
-const SEED = 37;
+/** The first is that of the table in docs/design. */
+const SEEDS = [37, 1];
 
 function line(way: Way, name: string, { inAim, late, refused }: Outcome): string {
   return `| ${way} | ${name} | ${inAim} | ${late} | ${refused} |`;
@@ -22,8 +23,8 @@
   return [...rows, line(way, 'largest tenth of patient', play.largest)];
 }
 
-describe('the same load, admitted in three ways', () => {
-  const load = recordLoad(SEED);
+describe.each(SEEDS)('the same load, admitted in three ways (seed %i)', (seed) => {
+  const load = recordLoad(seed);
   const plays = new Map<Way, AdmissionPlay>();
   const playOf = (way: Way): AdmissionPlay => {
     const play = plays.get(way) ?? new AdmissionPlay(way, load).play();
@@ -39,7 +40,7 @@
         0,
       );
       console.log(
-        [`${way}: most in flight ${play.mostInFlight}, messages ${play.messages}`]
+        [`seed ${seed}, ${way}: most in flight ${play.mostInFlight}, messages ${play.messages}`]
           .concat(table(way, play))
           .join('\n'),
       );
