What waits before a full backend is told to the owner as work there

Counted as waiting for its model it added no copy (the planner loads for the waiting only what nobody holds, and counts crowded copies by work in flight, which no longer passes the slots), and made the owner ask the holders for reports. Read in the planner and the owner, not run on a deployment.

Run: shared-slots (6), caller-leaves, answers: 24 passed.

--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -55,6 +55,8 @@
   private readonly fullUntil = new Map<string, number>();
   private claim: SlotClaim | undefined;
   private pending: PendingAsk | undefined;
+  /** Where the request counts as work though it was not sent: it waits there. */
+  private queuedAt: string | undefined;
   private moves = 0;
 
   constructor(
@@ -73,8 +75,14 @@
     const backend = this.choose();
     if (backend !== undefined) return this.claimAt(backend);
     const fullForMs = this.fullForMs(steadyNow());
-    if (fullForMs === undefined) this.options.onNone();
-    else this.options.onFull(fullForMs);
+    if (fullForMs !== undefined) return this.options.onFull(fullForMs);
+    this.queueAt(undefined);
+    this.options.onNone();
+  }
+
+  /** Whether a keeper has been asked and has not granted yet. */
+  get isPending(): boolean {
+    return this.pending !== undefined;
   }
 
   /** The request has been sent to a backend. */
@@ -92,12 +100,32 @@
     this.claim?.release();
     this.claim = undefined;
     this.pending = undefined;
+    this.queueAt(undefined);
+  }
+
+  /**
+   * The owner of the service is told of what waits at a full backend as of work there: that is what
+   * it adds copies by. A request that waits for a model which nobody holds is told otherwise.
+   */
+  private queueAt(backend: string | undefined): void {
+    if (this.queuedAt === backend) return;
+    if (this.queuedAt !== undefined) this.count(this.queuedAt, -1);
+    this.queuedAt = backend;
+    if (backend !== undefined) this.count(backend, 1);
   }
 
-  /** The request leaves its queue, and its caller is told to come back. */
+  private count(backend: string, change: 1 | -1): void {
+    this.context.tracker.sent(this.options.service.name, backend, this.options.model, change);
+  }
+
+  /** The request leaves its queue, and its caller is told to come back: until then it counts there. */
   leaveUntil(retryAfterMs: number): void {
+    const backend = this.queuedAt;
     this.claim?.release(retryAfterMs);
     this.release();
+    if (backend === undefined) return;
+    this.count(backend, 1);
+    setTimeout(() => this.count(backend, -1), retryAfterMs).unref();
   }
 
   /** Whether a backend that was not tried yet has a free slot for the request. */
@@ -172,7 +200,10 @@
       onAnswer: (answer) => this.answered(backend, answer),
     });
     this.claim = claim;
-    if (claim.isHeld) return this.options.onSlot(backend);
+    if (claim.isHeld) {
+      this.queueAt(undefined);
+      return this.options.onSlot(backend);
+    }
     this.pending = { backend, expectedAt: undefined };
   }
 
@@ -187,9 +218,11 @@
     const now = steadyNow();
     if (answer.type === 'granted') {
       this.pending = undefined;
+      this.queueAt(undefined);
       return this.options.onSlot(backend);
     }
     if (answer.type === 'queued') {
+      this.queueAt(backend.id);
       const { expectedWaitMs } = answer;
       const pending = { backend, expectedAt: now + expectedWaitMs };
       this.pending = pending;
@@ -198,7 +231,10 @@
     }
     this.claim = undefined;
     this.pending = undefined;
-    if (answer.type === 'refused') this.fullUntil.set(backend.id, now + answer.retryAfterMs);
+    if (answer.type === 'refused') {
+      this.fullUntil.set(backend.id, now + answer.retryAfterMs);
+      this.queueAt(backend.id);
+    }
     this.noteRefusal(backend.id);
     this.next();
   }
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -135,7 +135,8 @@
 
   /** Something has changed that a waiting request may hope for. */
   look(): void {
-    if (this.isWaiting && this.attempt === undefined) this.dispatch();
+    const isIdle = this.attempt === undefined;
+    if (isIdle && (this.isWaiting || this.search.isPending)) this.dispatch();
   }
 
   /** The daemon stops: breaks a stream off where its caller can take it up. */
@@ -185,7 +186,7 @@
 
   /** A slot will be free later: the request waits, or is told to come back, as for a model that is being loaded. */
   private queued(expectedWaitMs: number): void {
-    this.setWaiting(true);
+    this.setWaiting(false);
     if (this.model === undefined || this.sends > 0 || this.answer.hasBegun) return;
     const decision = this.decideHold(expectedWaitMs);
     if (decision.type === 'hold') return;
@@ -196,6 +197,7 @@
 
   private backendsFull(retryAfterMs: number): void {
     if (this.answer.hasBegun) return this.wait();
+    this.search.leaveUntil(retryAfterMs);
     this.refuseFull(retryAfterMs, { fullForMs: Math.round(retryAfterMs) });
   }
 
@@ -210,6 +212,7 @@
           );
     const decision = this.decideHold(readyInMs);
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
+      this.expectReturn(decision.retryAfterMs);
       return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
     if (readyInMs !== undefined) this.told ??= { readyInMs, at: now };
@@ -231,7 +234,6 @@
     reasons: Readonly<Record<string, number | undefined>>,
   ): void {
     const now = steadyNow();
-    this.expectReturn(retryAfterMs);
     const waitedMs = Math.round(now - this.request.arrivedAt);
     const hasComeBack = Number(this.hasComeBack);
     const inputs = { ...reasons, waitedMs, hasComeBack, ...this.beliefs(now) };
--- a/test/gateway/shared-slots.test.ts
+++ b/test/gateway/shared-slots.test.ts
@@ -75,6 +75,16 @@
     expect(harness.lines.some(({ event }) => event === 'slot_queued')).toBe(true);
   });
 
+  it('are told to the owner with all that waits there, and nothing is left in the end', async () => {
+    list(1);
+    const calls = callMany(10);
+    await pause(CALL_MS / 2);
+    const { tracker } = harness.gateway['context'];
+    expect(tracker.inFlightAt('one')).toBe(10);
+    await calls;
+    expect(tracker.inFlightAt('one')).toBe(0);
+  });
+
   it('go to the most urgent first, and to backends all alike', async () => {
     list(1);
     const order: string[] = [];
