A begun stream goes before others in the queue of slots; a test of two daemons over the wire

A stream that goes on elsewhere is paid for and late with each wait. The test shares one backend of two slots between two daemons on loopback.

--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -163,7 +163,7 @@
     });
   }
 
-  /** What orders it among those that wait for a slot; a stream that has begun is due at once. */
+  /** What orders it among those that wait for a slot; a stream that has begun goes before all others. */
   private standing(): SlotStanding {
     const { request, pass } = this;
     const { route } = this.match;
@@ -175,7 +175,7 @@
     const leavesAt = this.answer.hasBegun ? Infinity : request.arrivedAt + route.patienceMs;
     return {
       request: head.attemptId,
-      rank: pass.tenant?.priority ?? route.priority,
+      rank: this.answer.hasBegun ? 0 : (pass.tenant?.priority ?? route.priority),
       arrivedAt,
       dueAt: this.sends > 0 ? steadyNow() : dueAt,
       giveUpAt: Math.min(this.deadlineAt, leavesAt) - reserveMs,
--- a/test/gateway/shared-slots.test.ts
+++ b/test/gateway/shared-slots.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import {
   answerWhole,
@@ -138,3 +139,59 @@
     expect(backends[1]?.arrivals).toHaveLength(8 - SLOTS);
   });
 });
+
+describe('slots of a backend that two daemons send to', () => {
+  const daemons: GatewayHarness[] = [];
+  let running = 0;
+  let most = 0;
+  const backend = new TestBackend('one', (request, response) => {
+    running += 1;
+    most = Math.max(most, running);
+    setTimeout(() => {
+      running -= 1;
+      answerWhole(request, response);
+    }, CALL_MS);
+  });
+
+  beforeEach(async () => {
+    await backend.start();
+    const [peerPort = 0] = await findFreePorts(1);
+    for (const [address, seed] of [
+      ['127.0.0.1', '127.0.0.2'],
+      ['127.0.0.2', '127.0.0.1'],
+    ] as const) {
+      const policies = { ...DEFAULT_POLICIES, sharedSlots: true };
+      const daemon = await GatewayHarness.start({ address, peerPort, seeds: [seed], policies });
+      daemon.configure(testConfiguration({ routes: [testRoute({ goalMs: 2_000 })] }));
+      daemon.list([backend.record({ slots: SLOTS })]);
+      daemons.push(daemon);
+    }
+    const seesBoth = (daemon: GatewayHarness): boolean =>
+      daemon.gateway['peers'].live().length === 2;
+    for (let look = 0; look < 60 && !daemons.every(seesBoth); look++) await pause(100);
+    // The keeper follows the members with the next look at the clock.
+    await pause(150);
+  });
+
+  afterEach(() => {
+    for (const daemon of daemons) daemon.stop();
+    backend.stop();
+  });
+
+  it('are not overfilled by both, and all are served', async () => {
+    const calls = daemons.flatMap((daemon, index) =>
+      Array.from({ length: 10 }, (_, call) => daemon.call({ id: `d${index}c${call}` })),
+    );
+    const statuses = (await Promise.all(calls)).map(({ status }) => status);
+    expect(statuses).toEqual(statuses.map(() => 200));
+    expect(most).toBe(SLOTS);
+    for (const daemon of daemons) {
+      expect(daemon.lines.some(({ event }) => event === 'slot_queued')).toBe(true);
+      expect(daemon.lines.some(({ event }) => event === 'slot_keeper_silent')).toBe(false);
+    }
+    const keepers = daemons.filter((daemon) =>
+      daemon.lines.some(({ event }) => event === 'slots_kept'),
+    );
+    expect(keepers).toHaveLength(1);
+  });
+});
