--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -139,7 +139,8 @@
 
   /** Something has changed that a waiting request may hope for. */
   look(): void {
-    if (this.isWaiting && this.attempt === undefined) this.dispatch();
+    const isIdle = this.attempt === undefined;
+    if (isIdle && (this.isWaiting || this.search.isPending)) this.dispatch();
   }
 
   /** A backend has ended and started again under its id: what it has refused or was sent before is void. */
@@ -175,7 +176,7 @@
     });
   }
 
-  /** What orders it among those that wait for a slot; a stream that has begun is due at once. */
+  /** What orders it among those that wait for a slot; a stream that has begun goes before all others. */
   private standing(): SlotStanding {
     const { request, pass } = this;
     const { route } = this.match;
@@ -187,7 +188,7 @@
     const leavesAt = this.answer.hasBegun ? Infinity : request.arrivedAt + route.patienceMs;
     return {
       request: head.attemptId,
-      rank: pass.tenant?.priority ?? route.priority,
+      rank: this.answer.hasBegun ? 0 : (pass.tenant?.priority ?? route.priority),
       arrivedAt,
       dueAt: this.sends > 0 ? steadyNow() : dueAt,
       giveUpAt: Math.min(this.deadlineAt, leavesAt) - reserveMs,
@@ -198,7 +199,7 @@
 
   /** A slot will be free later: the request waits, or is told to come back, as for a model that is being loaded. */
   private queued(expectedWaitMs: number): void {
-    this.setWaiting(true);
+    this.setWaiting(false);
     if (this.model === undefined || this.sends > 0 || this.answer.hasBegun) return;
     const decision = this.decideHold(expectedWaitMs);
     if (decision.type === 'hold') return;
@@ -209,6 +210,7 @@
 
   private backendsFull(retryAfterMs: number): void {
     if (this.answer.hasBegun) return this.wait();
+    this.search.leaveUntil(retryAfterMs);
     this.refuseFull(retryAfterMs, { fullForMs: Math.round(retryAfterMs) });
   }
 
@@ -223,6 +225,7 @@
           );
     const decision = this.decideHold(readyInMs);
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
+      this.expectReturn(decision.retryAfterMs);
       return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
     if (readyInMs !== undefined) this.told ??= { readyInMs, at: now };
@@ -244,7 +247,6 @@
     reasons: Readonly<Record<string, number | undefined>>,
   ): void {
     const now = steadyNow();
-    this.expectReturn(retryAfterMs);
     const waitedMs = Math.round(now - this.request.arrivedAt);
     const hasComeBack = Number(this.hasComeBack);
     const inputs = { ...reasons, waitedMs, hasComeBack, ...this.beliefs(now) };
