A slow caller is never taken for a slow backend, nor a long body for silence

Change: answers are read on into memory under a budget for each stream and for the daemon (memoryMegabytes, 200 by default); beyond it the slowest callers are broken off after a second, and the timer rests while a backend is not read; bodies are written in pieces, and the backend isn't silent while it takes them; a stop waits for answers that are written and not read, whose connections Node counts as resting. Ruled out: pausing with the timer stopped (backends cut unread answers off).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -75,6 +75,8 @@
   private timer: NodeJS.Timeout | undefined;
   private ended = false;
   private isPaused = false;
+  /** Bytes of an answer that is gathered until it is whole. */
+  private gatheredBytes = 0;
   private silenceTold = false;
 
   constructor(
@@ -120,6 +122,7 @@
     this.ended = true;
     clearTimeout(this.timer);
     this.exchange.abort();
+    this.releaseGathered();
   }
 
   private requestHeaders(): string[] {
@@ -176,9 +179,11 @@
     if (this.ended) return;
     if (!this.isEventStream()) {
       this.chunks.push(chunk);
+      this.gatheredBytes += chunk.length;
+      this.context.answers.hold(chunk.length);
       return;
     }
-    this.watch(this.options.stalledAfterMs);
+    if (!this.isPaused) this.watch(this.options.stalledAfterMs);
     for (const event of this.parser.push(chunk)) this.passOn(event);
   }
 
@@ -194,12 +199,21 @@
       );
     }
     if (answer.sendEvent(event) || this.isPaused) return;
-    this.isPaused = true;
-    this.exchange.setPaused(true);
-    answer.onceDrained(() => {
-      this.isPaused = false;
-      this.exchange.setPaused(false);
-    });
+    this.setPaused(true);
+    answer.onceDrained(() => this.setPaused(false));
+  }
+
+  /** There is no room to read on for the caller: that the backend is not heard meanwhile is no silence of its own. */
+  private setPaused(paused: boolean): void {
+    if (this.ended) return;
+    this.isPaused = paused;
+    this.exchange.setPaused(paused);
+    this.watch(paused ? Infinity : this.options.stalledAfterMs);
+  }
+
+  private releaseGathered(): void {
+    this.context.answers.hold(-this.gatheredBytes);
+    this.gatheredBytes = 0;
   }
 
   private receiveEnd(): void {
@@ -276,6 +290,7 @@
     if (this.ended) return;
     this.ended = true;
     clearTimeout(this.timer);
+    this.releaseGathered();
     before?.();
     this.options.onEnd(end);
   }
@@ -288,6 +303,11 @@
 
   /** Where nobody else can take the request, leaving would only cost its place in the queue. */
   private leaveSilent(limitMs: number): void {
+    const restMs = this.exchange.bodyTakenUntil + limitMs - steadyNow();
+    if (restMs > 0) {
+      this.timer = setTimeout(() => this.leaveSilent(limitMs), restMs);
+      return;
+    }
     if (this.options.hasAlternative()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
     }
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
 import type { BackendAgent } from './backend-agent.js';
+import { BodySender } from './body-sender.js';
 
 /** A connection that is not up by then is given up: nothing of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 350;
@@ -39,6 +40,7 @@
 /** A request under way. */
 export class BackendExchange {
   private readonly outgoing: http.ClientRequest;
+  private readonly sender: BodySender;
   private incoming: http.IncomingMessage | undefined;
   private connected = false;
   private ended = false;
@@ -62,7 +64,12 @@
     this.outgoing.on('response', (answer) => this.receive(answer));
     this.outgoing.on('error', (fault) => this.fail(fault.message));
     this.outgoing.on('information', () => {});
-    this.outgoing.end(request.body);
+    this.sender = new BodySender(this.outgoing, request.body);
+  }
+
+  /** Steady time up to which the backend takes a long body; -Infinity if the body is short. */
+  get bodyTakenUntil(): number {
+    return this.sender.takenUntil;
   }
 
   /** Drops the connection; nothing more is called. */
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import { answerFor, errorBody, serviceError, type ErrorKind } from '../common/errors.js';
 import type { StreamEvent } from '../core/event-stream.js';
+import type { AnswerAccount } from './answer-buffer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -67,6 +68,7 @@
   /** Longest time between two events of a stream, in milliseconds. */
   longestPauseMs = 0;
   private lastEventAt: number | undefined;
+  private account: AnswerAccount | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -85,6 +87,7 @@
     headers.push('Content-Length', String(answer.body.length));
     this.writeHead(answer.status, headers);
     this.response.end(answer.body);
+    this.openAccount(false).written(answer.body.length);
   }
 
   /** Sends the head of a stream. */
@@ -92,7 +95,7 @@
     this.writeHead(status, forwardedHeaders(rawHeaders, LENGTH_ONLY));
   }
 
-  /** Sends one event. Returns false if the caller reads too slowly. */
+  /** Sends one event. Returns false if the backend should not be read on until the caller has read. */
   sendEvent(event: StreamEvent): boolean {
     if (event.id !== undefined) this.lastEventId = event.id;
     const now = steadyNow();
@@ -100,7 +103,13 @@
       this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt);
     }
     this.lastEventAt = now;
-    return this.response.write(event.bytes);
+    this.response.write(event.bytes);
+    this.account ??= this.openAccount(true);
+    return this.account.written(event.bytes.length);
+  }
+
+  private openAccount(isStream: boolean): AnswerAccount {
+    return this.context.answers.open(this.response, this.head.attemptId, isStream);
   }
 
   /** Calls back once the caller has read what was sent. */
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -5,6 +5,7 @@
 import type { BackendSelection } from '../core/backend-selection.js';
 import type { HoldPolicy } from '../core/hold-policy.js';
 import type { RetryBudget } from '../core/retry-budget.js';
+import type { AnswerBuffer } from './answer-buffer.js';
 import type { BackendAgent } from './backend-agent.js';
 import type { CallerAdmission } from './caller-admission.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -28,6 +29,8 @@
   readonly logger: Logger;
   readonly admission: CallerAdmission;
   readonly limits: TenantLimits;
+  /** What is held of answers and bodies. */
+  readonly answers: AnswerBuffer;
   /** Requests that have not ended. */
   readonly exchanges: Set<RequestExchange>;
   /** Age of what is known of the backends, in milliseconds; infinite if nothing has confirmed it. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,6 +33,17 @@
     help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
     registers: [this.registry],
   });
+  readonly heldBytes = new Gauge({
+    name: 'scaleslip_gateway_held_bytes',
+    help: 'Bytes of answers that callers have not read, and of bodies of requests under way',
+    registers: [this.registry],
+  });
+  readonly slowCallers = new Counter({
+    name: 'scaleslip_gateway_slow_callers_total',
+    help: 'Callers broken off because they read too slowly, by what was used up',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   readonly loadSeconds = new Histogram({
     name: 'scaleslip_gateway_load_seconds',
     help: 'Time of the loads of models that have ended, by the place of the copy',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -40,6 +40,8 @@
   readonly processorShare: number;
   /** How fast that processor is, in cores of common speed. */
   readonly processorSpeed: number;
+  /** Memory that the process may use. */
+  readonly memoryMegabytes: number;
   /** IPv4 number for other daemons. */
   readonly address: string;
   /** Port for other daemons, TCP and UDP. */
@@ -61,6 +63,8 @@
   readonly bounds: GatewayBounds;
 }
 
+/** Memory of the smallest machines that a daemon is meant for. */
+const DEFAULT_MEMORY_MEGABYTES = 200;
 /** Window of tenants' limits where the operator names none. */
 const DEFAULT_LIMIT_WINDOW_SECONDS = 8;
 
@@ -93,6 +97,7 @@
     zone: reader.text('zone'),
     processorShare: reader.number('processorShare', 0),
     processorSpeed: reader.number('processorSpeed', 0),
+    memoryMegabytes: reader.numberOr('memoryMegabytes', 32, DEFAULT_MEMORY_MEGABYTES),
     address: reader.checked('address', 'an IPv4 number', isIPv4),
     peerPort: reader.number('peerPort', 1),
     metricsPort: reader.number('metricsPort', 0),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import { listen } from '../common/http-server.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
+import { answerRoomOf } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
 import { CallerDeadlines } from '../core/caller-deadlines.js';
@@ -21,6 +22,7 @@
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
+import { AnswerBuffer } from './answer-buffer.js';
 import { forgetEarlierStart } from './backend-restarts.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerFront } from './caller-front.js';
@@ -215,6 +217,8 @@
 
   private isDrained(begun: number): boolean {
     if (steadyNow() - begun < ENTRY_NOTICES_MS) return false;
+    // Node takes a connection whose answer is written, but not read, for one that rests.
+    if (this.context.answers.unreadCallers > 0) return false;
     this.front.closeIdle();
     return this.context.exchanges.size === 0;
   }
@@ -276,6 +280,7 @@
       logger,
       admission: this.admission,
       limits: this.limits,
+      answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: (now) => this.directoryDuty.knowledgeAgeMs(now),
       budgetOf: (service) => this.budgetOf(service),
@@ -463,7 +468,8 @@
   }
 
   private async answerMetrics(response: http.ServerResponse): Promise<void> {
-    const { registry, inFlight, leaseAge, controlBytes } = this.outside.metrics;
+    const { registry, inFlight, leaseAge, controlBytes, heldBytes } = this.outside.metrics;
+    heldBytes.set(this.context.answers.heldBytes);
     inFlight.set(this.context.exchanges.size);
     const leaseAgeMs = this.proofs.lease.ageMs(steadyNow());
     leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -108,6 +108,7 @@
     const { arrivedAt } = this.request;
     this.context.budgetOf(this.match.service.name).countRequest(steadyNow());
     this.context.exchanges.add(this);
+    this.context.answers.hold(this.request.body.length);
     const remaining = this.deadlineAt - steadyNow();
     this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
@@ -471,6 +472,7 @@
     }
     this.pass.end(mayHaveRun);
     this.context.exchanges.delete(this);
+    this.context.answers.hold(-this.request.body.length);
     const { route } = this.match;
     const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
     this.context.metrics.requests.inc({ route: route.name, end });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -260,6 +260,7 @@
       address: '127.0.0.1',
       processorShare: 1,
       processorSpeed: 1,
+      memoryMegabytes: 200,
       peerPort,
       metricsPort: 0,
       callers: `127.0.0.1:${callers}`,
