--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -80,6 +80,8 @@
   private timer: NodeJS.Timeout | undefined;
   private ended = false;
   private isPaused = false;
+  /** Bytes of an answer that is gathered until it is whole. */
+  private gatheredBytes = 0;
   private silenceTold = false;
 
   constructor(
@@ -126,6 +128,7 @@
     clearTimeout(this.timer);
     this.options.gaps?.end();
     this.exchange.abort();
+    this.releaseGathered();
   }
 
   private requestHeaders(): string[] {
@@ -182,9 +185,11 @@
     if (this.ended) return;
     if (!this.isEventStream()) {
       this.chunks.push(chunk);
+      this.gatheredBytes += chunk.length;
+      this.context.answers.hold(chunk.length);
       return;
     }
-    this.watch(this.options.stalledAfterMs);
+    if (!this.isPaused) this.watch(this.options.stalledAfterMs);
     const events = this.parser.push(chunk);
     this.options.gaps?.noteRead(events.length, steadyNow());
     for (const event of events) this.passOn(event);
@@ -202,14 +207,22 @@
       );
     }
     if (answer.sendEvent(event) || this.isPaused) return;
-    this.isPaused = true;
+    this.setPaused(true);
+    answer.onceDrained(() => this.setPaused(false));
+  }
+
+  /** There is no room to read on for the caller: that the backend is not heard meanwhile is no silence of its own. */
+  private setPaused(paused: boolean): void {
+    if (this.ended) return;
+    this.isPaused = paused;
     this.options.gaps?.interrupt();
-    this.exchange.setPaused(true);
-    answer.onceDrained(() => {
-      this.isPaused = false;
-      this.options.gaps?.interrupt();
-      this.exchange.setPaused(false);
-    });
+    this.exchange.setPaused(paused);
+    this.watch(paused ? Infinity : this.options.stalledAfterMs);
+  }
+
+  private releaseGathered(): void {
+    this.context.answers.hold(-this.gatheredBytes);
+    this.gatheredBytes = 0;
   }
 
   private receiveEnd(): void {
@@ -287,6 +300,7 @@
     this.ended = true;
     clearTimeout(this.timer);
     this.options.gaps?.end();
+    this.releaseGathered();
     before?.();
     this.options.onEnd(end);
   }
@@ -299,6 +313,11 @@
 
   /** Where nobody else can take the request, leaving would only cost its place in the queue. */
   private leaveSilent(limitMs: number): void {
+    const restMs = this.exchange.bodyTakenUntil + limitMs - steadyNow();
+    if (restMs > 0) {
+      this.timer = setTimeout(() => this.leaveSilent(limitMs), restMs);
+      return;
+    }
     if (this.options.hasAlternative()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
     }
