--- a/src/core/model-demand.ts
+++ b/src/core/model-demand.ts
@@ -25,6 +25,8 @@
 interface Rate extends ModelReference {
   urgent: number;
   patient: number;
+  /** Shortest goal of those with time for a load, in milliseconds; undefined if there were none. */
+  patientGoalMs: number | undefined;
   /** When its values were last worked out; reading does that too. */
   updatedAt: number;
   /** When the last request arrived. */
@@ -63,9 +65,9 @@
     for (const sample of report.samples) {
       if (sample.arrivals === 0) continue;
       const urgent = isUrgent(sample);
-      this.arrived(sample, sample.arrivals, urgent, now);
+      this.arrived(sample, sample, urgent, now);
       if (sample.adapter !== undefined) {
-        this.arrived({ model: sample.model, adapter: undefined }, sample.arrivals, urgent, now);
+        this.arrived({ model: sample.model, adapter: undefined }, sample, urgent, now);
       }
     }
   }
@@ -97,7 +99,8 @@
       const since = this.waitingSince.get(key) ?? now;
       this.waitingSince.set(key, since);
       const rate = Math.max(LEAST_RATE, this.rateOf(sample, now));
-      return { sample, since, nextDueInMs: 1_000 / rate + sample.goalMs };
+      const nextDueInMs = 1_000 / rate + sample.goalMs;
+      return { sample, since, waitedMs: now - since, nextDueInMs };
     });
     return awaited.sort(this.order).map(({ sample }) => sample);
   }
@@ -181,13 +184,26 @@
     return this.decayed(reference, now)?.patient ?? 0;
   }
 
-  private arrived(reference: ModelReference, count: number, urgent: boolean, now: number): void {
+  /** Shortest goal of the callers with time for a load, in milliseconds; undefined if there were none. */
+  patientGoalMs(reference: ModelReference): number | undefined {
+    return this.rates.get(adapterKey(reference))?.patientGoalMs;
+  }
+
+  private arrived(
+    reference: ModelReference,
+    sample: DemandSample,
+    urgent: boolean,
+    now: number,
+  ): void {
     const rate = this.decayed(reference, now) ?? newRate(reference, now);
     // An impulse of this height, decaying by the half-life, has an area of `count`.
-    const impulse = (count * Math.LN2 * 1000) / RATE_HALF_LIFE_MS;
+    const impulse = (sample.arrivals * Math.LN2 * 1000) / RATE_HALF_LIFE_MS;
     rate.arrivedAt = now;
     if (urgent) rate.urgent += impulse;
-    else rate.patient += impulse;
+    else {
+      rate.patient += impulse;
+      rate.patientGoalMs = Math.min(sample.goalMs, rate.patientGoalMs ?? Infinity);
+    }
     this.rates.set(adapterKey(reference), rate);
   }
 
@@ -254,7 +270,15 @@
 
 function newRate(reference: ModelReference, now: number): Rate {
   const { model, adapter } = reference;
-  return { model, adapter, urgent: 0, patient: 0, updatedAt: now, arrivedAt: now };
+  return {
+    model,
+    adapter,
+    urgent: 0,
+    patient: 0,
+    patientGoalMs: undefined,
+    updatedAt: now,
+    arrivedAt: now,
+  };
 }
 
 function isUrgent(sample: DemandSample): boolean {
--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -1,5 +1,5 @@
 /** What the copies of the models are worth, in milliseconds of callers' waiting. Pure. */
-import { isUnloadOf, modelRank, type BackendLedger } from './backend-ledger.js';
+import { isUnloadOf, modelRank, modelSpec, type BackendLedger } from './backend-ledger.js';
 import type { PlanningInput } from './planning.js';
 import type { ModelReference } from './service-configuration.js';
 
@@ -60,7 +60,7 @@
   /** What the loss of the copy at a backend would cost. */
   ofCopy(ledger: BackendLedger, model: string): number {
     const { demand, now } = this.input;
-    const patient = demand.patientRate(reference(model), now) * PATIENT_WORTH;
+    const patient = demand.patientRate(reference(model), now) * this.patientWorth(model);
     const prior = LISTED_FIRST_WORTH / (1 + modelRank(this.input.host, model));
     const lasting = this.urgentRate(model) * URGENT_WORTH + patient + prior;
     const copies = Math.max(1, this.copies(model));
@@ -70,6 +70,21 @@
     return lasting / this.sharers(model, copies) + awaited + fresh;
   }
 
+  /**
+   * Worth of a copy for one request a second that leaves time for a load: what the load, and the
+   * unload that makes room for it, take of its goal. Where callers ask for more models than
+   * there are places, each copy that goes is soon loaded again, and its callers wait.
+   */
+  private patientWorth(model: string): number {
+    const { demand, host, policies, unloadTimes } = this.input;
+    if (!policies.copyWorthByCallers) return PATIENT_WORTH;
+    const goalMs = demand.patientGoalMs(reference(model));
+    const spec = modelSpec(host, model);
+    if (goalMs === undefined || spec === undefined) return PATIENT_WORTH;
+    const reloadMs = 1_000 * spec.diskLoadSeconds + unloadTimes.expected(true);
+    return URGENT_WORTH * Math.min(1, reloadMs / goalMs);
+  }
+
   /** What one more copy would be worth: what its loss would cost once it is there, so that no copy is moved to and fro. */
   ofFurtherCopy(model: string): number {
     const copies = this.copies(model) + 1;
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -9,7 +9,7 @@
 import type { DemandSample } from './demand-report.js';
 import type { ModelOrder } from './model-order.js';
 import { ModelWorth } from './model-worth.js';
-import type { PlannedOrder, PlanningInput } from './planning.js';
+import type { LoadPlanner, PlannedOrder, PlanningInput } from './planning.js';
 import type { ModelSpec } from './service-configuration.js';
 
 /** A backend that makes room for a model. */
@@ -42,8 +42,10 @@
 const RESERVATION_MS = 4_000;
 
 /** Plans for one service; remembers which backend makes room for which model. */
-export class PlacementPlanner {
+export class PlacementPlanner implements LoadPlanner {
   private readonly reservations = new Map<string, Reservation>();
+  /** Models that were fetched from the weight store before anybody asked for them. */
+  private readonly fetched = new Set<string>();
 
   /** Orders to give now, at most one for each backend. */
   plan(input: PlanningInput): PlannedOrder[] {
@@ -56,6 +58,7 @@
       else round.loadAdapter(wanted);
     }
     round.addCopy();
+    round.fetchAhead(this.fetched);
     return round.orders;
   }
 
@@ -206,6 +209,26 @@
     }
   }
 
+  /**
+   * Fetches models that lie at no backend from the weight store while no caller has asked for
+   * anything yet: the store gives a few at a time, slowly, so that callers of most of them
+   * would be refused. Each at most once, and only in place of what can be loaded again at hand.
+   */
+  fetchAhead(fetched: Set<string>): void {
+    const { backends, demand, host, now, policies } = this.input;
+    if (!policies.fetchAhead || demand.totalRate(now) > 0) return;
+    const atHand = new Set(backends.flatMap(({ onDisk, inMemory }) => [...onDisk, ...inMemory]));
+    for (const spec of host.models) {
+      const { name } = spec;
+      if (atHand.has(name) || fetched.has(name) || this.isHeldOrComing(name)) continue;
+      const place = this.places.cheapest(spec);
+      if (place === undefined || !place.isFree) return;
+      if (!place.victims.every((victim) => atHand.has(victim))) continue;
+      fetched.add(name);
+      this.order(spec, place, 'on no disk');
+    }
+  }
+
   /** Orders one more copy where it displaces nothing worth more; false if there is no such place now. */
   private tryFurtherCopy(model: string, reason: string): boolean {
     const spec = modelSpec(this.input.host, model);
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -35,3 +35,11 @@
   readonly storePlaceWaits: readonly number[];
   readonly unloadTimes: UnloadTimes;
 }
+
+/** Decides on orders and forecasts. An interface: each way to plan is one. */
+export interface LoadPlanner {
+  /** Orders to give now, at most one for each backend. */
+  plan(input: PlanningInput): PlannedOrder[];
+  /** Milliseconds until awaited models and adapters that nobody holds are expected to be loaded. */
+  forecasts(input: PlanningInput): Map<string, number>;
+}
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -23,6 +23,12 @@
   'forecastAll',
   /** A copy that relieves full ones counts for all the callers that it takes over, and gets the room made for it. */
   'relieveCrowdedCopies',
+  /** A copy is worth what a load would take of the time that its callers can wait. */
+  'copyWorthByCallers',
+  /** Loads go by how many callers each serves, then by the time at which they should find it. */
+  'mostCallersFirst',
+  /** Models that lie at no backend are fetched from the weight store before callers come. */
+  'fetchAhead',
 ] as const;
 
 /** A policy's name. */
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -21,7 +21,7 @@
   type StoreLoadLimit,
 } from '../core/store-load-limit.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import { earliestDueFirst, firstComeFirst } from '../core/waiting-order.js';
+import { waitingOrderOf } from '../core/waiting-order.js';
 import { LoadWatch } from './load-watch.js';
 import type { BackendControl } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -99,7 +99,7 @@
   ) {
     this.storeLoads = new StoreLoadWindow(options.ceiling);
     const { service, epoch, policies, logger, metrics } = options;
-    this.demand = new ModelDemand(policies.earliestDueFirst ? earliestDueFirst : firstComeFirst);
+    this.demand = new ModelDemand(waitingOrderOf(policies));
     this.storeLimit = policies.storeLoadLimit
       ? new AdaptiveStoreLoadLimit(this.firstStoreLoadLimit())
       : new UnlimitedStoreLoads();
--- /dev/null
+++ b/test/core/copy-worth.test.ts
@@ -0,0 +1,74 @@
+/** What a copy is worth by the callers that it serves, which model is loaded next, and what before callers come. */
+import { describe, expect, it } from 'vitest';
+import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
+import { ModelDemand } from '../../src/core/model-demand.js';
+import { earliestDueFirst, mostCallersFirst } from '../../src/core/waiting-order.js';
+import { hostOf, waitingFor } from './gateway-fixtures.js';
+import { brief, ledgerOf, Scene } from './planner-scene.js';
+
+const host = hostOf(['listed', 'patient', 'rare1', 'rare2', 'unheld1', 'unheld2']);
+
+function without(policy: 'copyWorthByCallers' | 'fetchAhead'): Policies {
+  return { ...DEFAULT_POLICIES, [policy]: false };
+}
+
+describe('the worth of a copy', () => {
+  it('counts callers who leave time for a load by what a load takes of their goal', () => {
+    const victimOf = (policies: Policies): string => {
+      const scene = new Scene([ledgerOf('x', ['listed', 'patient'], ['rare1'])], policies, host);
+      const asked = waitingFor('patient', { waiting: 0, arrivals: 6, goalMs: 4_000 });
+      scene.hear(asked, waitingFor('rare1'));
+      return scene.plan()[0]?.order.model ?? '';
+    };
+    // Half a request a second: at 400 for one a second it was worth less than what is listed first.
+    expect(victimOf(without('copyWorthByCallers'))).toBe('patient');
+    expect(victimOf(DEFAULT_POLICIES)).toBe('listed');
+  });
+});
+
+describe('the order of loads', () => {
+  function awaited(order: typeof mostCallersFirst, waitedMs: number): string[] {
+    const demand = new ModelDemand(order);
+    const lone = waitingFor('rare1', { waiting: 1, dueInMs: 100 });
+    demand.hear({ daemon: 'd1', samples: [lone], use: [], failing: [] }, 0);
+    demand.waiting(0);
+    const many = waitingFor('rare2', { waiting: 3, dueInMs: 2_000 });
+    demand.hear({ daemon: 'd1', samples: [lone], use: [], failing: [] }, waitedMs);
+    demand.hear({ daemon: 'd2', samples: [many], use: [], failing: [] }, waitedMs);
+    return demand.waiting(waitedMs).map(({ model }) => model);
+  }
+
+  it('serves most callers first', () => {
+    expect(awaited(earliestDueFirst, 0)).toEqual(['rare1', 'rare2']);
+    expect(awaited(mostCallersFirst, 0)).toEqual(['rare2', 'rare1']);
+  });
+
+  it('gives each model that is asked for its turn', () => {
+    expect(awaited(mostCallersFirst, 7_900)).toEqual(['rare2', 'rare1']);
+    expect(awaited(mostCallersFirst, 8_000)).toEqual(['rare1', 'rare2']);
+  });
+});
+
+describe('fetching ahead', () => {
+  const held = ['listed', 'patient', 'rare1', 'rare2'];
+
+  function idle(policies: Policies): Scene {
+    return new Scene([ledgerOf('x', [], held), ledgerOf('y', [])], policies, host);
+  }
+
+  it('brings models that lie at no backend while nobody has asked, one by one', () => {
+    expect(idle(without('fetchAhead')).plan()).toEqual([]);
+    const scene = idle(DEFAULT_POLICIES);
+    expect(brief(scene.planAndAccept())).toEqual([expect.stringContaining('load unheld1')]);
+    // The weight store has one place, and another round does not repeat the first load.
+    expect(brief(scene.plan()).join()).not.toContain('unheld1');
+  });
+
+  it('stops once callers have come, and displaces nothing that would have to be fetched again', () => {
+    const asked = idle(DEFAULT_POLICIES);
+    asked.hear(waitingFor('patient', { waiting: 0 }));
+    expect(asked.plan()).toEqual([]);
+    const full = new Scene([ledgerOf('x', ['listed', 'patient'])], DEFAULT_POLICIES, host);
+    expect(full.plan()).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/core/placement/site-replay.ts
@@ -0,0 +1,473 @@
+/**
+ * Plays recorded callers against a planner without a network: backends that load, unload
+ * and answer in the times given, daemons that hold or refuse, callers that come back once.
+ * One clock of 10 ms steps; the same input gives the same figures.
+ */
+import { BackendLedger } from '../../../src/core/backend-ledger.js';
+import { GoalWindowHold } from '../../../src/core/hold-policy-goal-windows.js';
+import { FIRST_PART_MS, type HoldPolicy } from '../../../src/core/hold-policy.js';
+import type { LoadPlanner } from '../../../src/core/planning.js';
+import { ModelDemand } from '../../../src/core/model-demand.js';
+import type { PlannedOrder, PlanningInput } from '../../../src/core/planning.js';
+import type { Policies } from '../../../src/core/policies.js';
+import type { BackendRecord, ModelHostSpec } from '../../../src/core/service-configuration.js';
+import { UnloadTimes } from '../../../src/core/unload-times.js';
+import { waitingOrderOf } from '../../../src/core/waiting-order.js';
+import { RequestTracker, type WaitingCaller } from '../../../src/gateway/request-tracker.js';
+
+const STEP_MS = 10;
+/** Between two rounds of an owner that tells 91 daemons. */
+const ROUND_MS = 75;
+/** Between two rounds while nothing calls for one. */
+const IDLE_ROUND_MS = 100;
+/** Between two looks of a daemon at its waiting callers, and between two of its reports. */
+const LOOK_MS = 50;
+/** An order's way there and its answer's way back, and the same for the list that tells of its end. */
+const WAY_MS = 20;
+const SERVICE = 's';
+/** A caller waits with its return for no more than this share of the time that it has left. */
+const RETURN_SHARE = 1 / 3;
+/** A caller that was refused within this share of its goal has lost less. */
+const EARLY_SHARE = 0.25;
+
+/** A model asked for so often counts among those that must have their turn. */
+const ASKED_OFTEN = 4;
+
+/** A kind of request. */
+export interface Kind {
+  readonly name: string;
+  readonly goalMs: number;
+  readonly deadlineMs: number;
+}
+
+/** One caller's first try. */
+export interface RecordedCaller {
+  readonly at: number;
+  readonly kind: Kind;
+  readonly model: string;
+  /** Time at a backend. */
+  readonly runMs: number;
+}
+
+/** Where the weights lie at the start. */
+export interface ReplaySite {
+  readonly host: ModelHostSpec;
+  /** Models loaded, and on disk, by backend. */
+  readonly backends: readonly {
+    readonly held: readonly string[];
+    readonly onDisk: readonly string[];
+  }[];
+  /** Loads take so many times what the host says. */
+  readonly loadFactor: number;
+  /** Models that a backend's disk and its memory have room for. */
+  readonly diskModels: number;
+  readonly memoryModels: number;
+  /** Loads from the weight store at once. */
+  readonly storeLoads: number;
+  /** Time before the first callers in which the owner may give orders. */
+  readonly leadMs: number;
+}
+
+/** What one kind's callers got, counted from their first tries. */
+export interface KindOutcome {
+  owed: number;
+  /** Served within the goal, by the first try. */
+  inGoal: number;
+  /** Refused early, and served within the goal of the second try. */
+  cameBack: number;
+  late: number;
+  refused: number;
+}
+
+/** What a replay gave. */
+export interface ReplayOutcome {
+  readonly kinds: ReadonlyMap<string, KindOutcome>;
+  loads: number;
+  storeLoads: number;
+  unloads: number;
+  /** Share of the backends' time in which an order ran. */
+  busyShare: number;
+  /** Models asked for four times or more, and those of them that were never served. */
+  asked: number;
+  neverServed: number;
+  refusedWithoutForecast: number;
+  /** Times by which loads ended later than callers had been told, sorted. */
+  readonly toldTooEarlyMs: number[];
+}
+
+/** What is tried. */
+export interface ReplayWay {
+  readonly policies: Policies;
+  readonly planner: LoadPlanner;
+}
+
+interface RunningRequest {
+  readonly model: string;
+  readonly endsAt: number;
+}
+
+class ReplayBackend {
+  readonly ledger: BackendLedger;
+  readonly models: Set<string>;
+  running: RunningRequest[] = [];
+  /** Most recently used last. */
+  disk: string[];
+  memory: string[] = [];
+  order: { readonly planned: PlannedOrder; readonly beganAt: number; endsAt: number } | undefined;
+  revision = 1;
+  sequence = 0;
+
+  constructor(
+    readonly id: string,
+    held: readonly string[],
+    onDisk: readonly string[],
+  ) {
+    this.models = new Set(held);
+    this.disk = [...onDisk];
+    this.ledger = new BackendLedger(id);
+    const models = held.map((name) => ({ name, adapters: [] }));
+    const report = { busy: false, sequence: 0, models, coming: [], waiting: 0, running: 0 };
+    const copies = { inMemory: [], onDisk };
+    this.ledger.adopt({ ...report, ...copies }, -2_000);
+    this.ledger.adopt({ ...report, ...copies }, -1_000);
+  }
+
+  inFlightOf(model: string): number {
+    return this.running.filter((request) => request.model === model).length;
+  }
+
+  /** Whether a request for the model may be sent. */
+  serves(model: string): boolean {
+    const order = this.order?.planned.order;
+    return this.models.has(model) && !(order?.operation === 'unload' && order.model === model);
+  }
+
+  record(): BackendRecord {
+    const models = [...this.models].map((name) => ({ name, adapters: [] }));
+    const copies = { inMemory: this.memory, onDisk: this.disk };
+    const place = {
+      id: this.id,
+      service: SERVICE,
+      address: '',
+      zone: '',
+      slots: 1,
+      leaving: false,
+    };
+    return { ...place, ...copies, models, revision: this.revision, sequence: this.sequence };
+  }
+}
+
+interface Try {
+  readonly caller: RecordedCaller;
+  readonly at: number;
+  readonly hasComeBack: boolean;
+  readonly refusedEarly: boolean;
+  readonly waiting: WaitingCaller;
+  readonly deadlineAt: number;
+  told?: number;
+}
+
+/** One replay. */
+export class SiteReplay {
+  private now = 0;
+  private readonly backends: ReplayBackend[];
+  private readonly tracker = new RequestTracker();
+  private readonly demand: ModelDemand;
+  private readonly hold: HoldPolicy;
+  private readonly unloadTimes = new UnloadTimes();
+  private held: Try[] = [];
+  private readonly returns = new Map<number, Try[]>();
+  private forecasts = new Map<string, number>();
+  private readonly endsOfReturns = new Map<number, (() => void)[]>();
+  private busyMs = 0;
+  private readonly served = new Map<string, number>();
+  private readonly wanted = new Map<string, number>();
+  private readonly outcome: ReplayOutcome = {
+    kinds: new Map(),
+    loads: 0,
+    storeLoads: 0,
+    unloads: 0,
+    busyShare: 0,
+    asked: 0,
+    neverServed: 0,
+    refusedWithoutForecast: 0,
+    toldTooEarlyMs: [],
+  };
+
+  constructor(
+    private readonly site: ReplaySite,
+    private readonly callers: readonly RecordedCaller[],
+    private readonly way: ReplayWay,
+  ) {
+    this.demand = new ModelDemand(waitingOrderOf(way.policies));
+    this.hold = new GoalWindowHold();
+    this.backends = site.backends.map(
+      ({ held, onDisk }, index) => new ReplayBackend(`b${index}`, held, onDisk),
+    );
+  }
+
+  play(): ReplayOutcome {
+    const lastAt = Math.max(...this.callers.map(({ at }) => at));
+    const end = lastAt + Math.max(...this.callers.map(({ kind }) => kind.deadlineMs));
+    for (this.now = -this.site.leadMs; this.now <= end; this.now += STEP_MS) {
+      this.step();
+      const isCounted = this.now >= 0 && this.now <= lastAt;
+      if (isCounted) this.busyMs += STEP_MS * this.backends.filter(({ order }) => order).length;
+    }
+    this.outcome.busyShare = this.busyMs / (lastAt * this.backends.length);
+    const asked = [...this.wanted].filter(([, count]) => count >= ASKED_OFTEN);
+    this.outcome.asked = asked.length;
+    this.outcome.neverServed = asked.filter(([model]) => !this.served.has(model)).length;
+    this.outcome.toldTooEarlyMs.sort((a, b) => a - b);
+    return this.outcome;
+  }
+
+  private step(): void {
+    this.takeArrivals();
+    for (const ended of this.endsOfReturns.get(this.now) ?? []) ended();
+    this.endRuns();
+    const isLook = this.now % LOOK_MS === 0;
+    if (isLook) this.report();
+    if (isLook || this.isChanged) this.lookAll();
+    const pauseMs = this.isRoundDue ? ROUND_MS : IDLE_ROUND_MS;
+    if (this.now - this.lastRound >= pauseMs) this.round();
+  }
+
+  private takeArrivals(): void {
+    for (;;) {
+      const caller = this.callers[this.nextCaller];
+      if (caller === undefined || caller.at > this.now) break;
+      this.nextCaller += 1;
+      this.arrive(caller, false, false, caller.at + caller.kind.deadlineMs);
+    }
+    for (const returned of this.returns.get(this.now) ?? []) {
+      this.arrive(returned.caller, true, returned.refusedEarly, returned.deadlineAt);
+    }
+  }
+
+  private nextCaller = 0;
+  private isChanged = false;
+  private lastRound = -Infinity;
+  private isRoundDue = false;
+
+  private arrive(
+    caller: RecordedCaller,
+    hasComeBack: boolean,
+    refusedEarly: boolean,
+    deadlineAt: number,
+  ): void {
+    const { kind, model } = caller;
+    const reference = { model, adapter: undefined };
+    this.tracker.arrived(SERVICE, reference, kind.goalMs, this.now);
+    if (!hasComeBack) {
+      this.kindOf(kind).owed += 1;
+      this.wanted.set(model, (this.wanted.get(model) ?? 0) + 1);
+    }
+    const waiting = { dueAt: this.now + kind.goalMs - FIRST_PART_MS, goalMs: kind.goalMs };
+    const attempt: Try = { caller, at: this.now, hasComeBack, refusedEarly, waiting, deadlineAt };
+    if (this.send(attempt)) return;
+    if (this.decide(attempt)) {
+      this.held.push(attempt);
+      this.tracker.waits(SERVICE, reference, waiting);
+    }
+  }
+
+  private kindOf(kind: Kind): KindOutcome {
+    const kinds = this.outcome.kinds as Map<string, KindOutcome>;
+    const known = kinds.get(kind.name) ?? { owed: 0, inGoal: 0, cameBack: 0, late: 0, refused: 0 };
+    kinds.set(kind.name, known);
+    return known;
+  }
+
+  private lookAll(): void {
+    this.isChanged = false;
+    const still: Try[] = [];
+    for (const attempt of this.held) {
+      const reference = { model: attempt.caller.model, adapter: undefined };
+      if (!this.send(attempt) && this.decide(attempt)) still.push(attempt);
+      else this.tracker.endsWaiting(SERVICE, reference, attempt.waiting);
+    }
+    this.held = still;
+  }
+
+  /** Sends it to the least loaded holder. */
+  private send(attempt: Try): boolean {
+    const { caller } = attempt;
+    let best: ReplayBackend | undefined;
+    for (const backend of this.backends) {
+      if (!backend.serves(caller.model)) continue;
+      if (best === undefined || backend.running.length < best.running.length) best = backend;
+    }
+    if (best === undefined) return false;
+    const excess = Math.max(0, best.running.length - this.site.host.slots);
+    // One that finds no slot waits until as many have ended as are before it.
+    const ends = best.running.map(({ endsAt }) => endsAt).sort((a, b) => a - b);
+    const slotAt =
+      best.running.length < this.site.host.slots ? this.now : (ends[excess] ?? this.now);
+    const firstPartAt = slotAt + FIRST_PART_MS;
+    best.running.push({
+      model: caller.model,
+      endsAt: slotAt + Math.max(FIRST_PART_MS, caller.runMs),
+    });
+    this.tracker.sent(SERVICE, best.id, { model: caller.model, adapter: undefined }, 1);
+    this.note(attempt, firstPartAt);
+    return true;
+  }
+
+  private note(attempt: Try, firstPartAt: number): void {
+    const { caller, hasComeBack, refusedEarly, at, told } = attempt;
+    const { kind } = caller;
+    const counted = this.kindOf(kind);
+    const inGoal = firstPartAt - at <= kind.goalMs;
+    if (firstPartAt > attempt.deadlineAt) counted.refused += 1;
+    else if (!hasComeBack && inGoal) counted.inGoal += 1;
+    else if (hasComeBack && refusedEarly && inGoal) counted.cameBack += 1;
+    else counted.late += 1;
+    this.served.set(caller.model, (this.served.get(caller.model) ?? 0) + 1);
+    if (told !== undefined) this.outcome.toldTooEarlyMs.push(this.now - told);
+  }
+
+  /** False if it is refused. */
+  private decide(attempt: Try): boolean {
+    const { caller, hasComeBack, at, deadlineAt } = attempt;
+    const { kind, model } = caller;
+    const readyInMs = this.readyInMs(model);
+    const waitedMs = this.now - at;
+    const remainingMs = deadlineAt - this.now;
+    if (remainingMs <= 0) {
+      this.kindOf(kind).refused += 1;
+      return false;
+    }
+    const { goalMs } = kind;
+    const decision = this.hold.decide({ goalMs, waitedMs, remainingMs, readyInMs, hasComeBack });
+    if (decision.type === 'hold') {
+      if (readyInMs !== undefined) attempt.told ??= this.now + readyInMs;
+      return true;
+    }
+    if (readyInMs === undefined) this.outcome.refusedWithoutForecast += 1;
+    this.refuse(attempt, decision.retryAfterMs);
+    return false;
+  }
+
+  private refuse(attempt: Try, retryAfterMs: number): void {
+    const { caller, hasComeBack, at, deadlineAt } = attempt;
+    const { kind, model } = caller;
+    const reference = { model, adapter: undefined };
+    const expected = { dueAt: this.now + retryAfterMs, goalMs: kind.goalMs };
+    this.tracker.waits(SERVICE, reference, expected);
+    const ended = (): void => this.tracker.endsWaiting(SERVICE, reference, expected);
+    schedule(this.endsOfReturns, stepAfter(this.now + retryAfterMs), ended);
+    if (hasComeBack) {
+      this.kindOf(kind).refused += 1;
+      return;
+    }
+    const refusedEarly = this.now - at <= kind.goalMs * EARLY_SHARE;
+    const backAt = this.now + Math.min(retryAfterMs, (deadlineAt - this.now) * RETURN_SHARE);
+    schedule(this.returns, stepAfter(backAt), { ...attempt, refusedEarly });
+  }
+
+  private readyInMs(model: string): number | undefined {
+    let readyAt = this.forecasts.get(model) ?? Infinity;
+    for (const backend of this.backends) {
+      const { ledger } = backend;
+      const order = ledger.currentOrder;
+      const isComing = order?.operation === 'load' && order.model === model;
+      if (isComing) readyAt = Math.min(readyAt, Math.max(ledger.expectedEnd, this.now));
+      else if (backend.serves(model)) readyAt = this.now;
+    }
+    return readyAt === Infinity ? undefined : Math.max(0, readyAt - this.now);
+  }
+
+  private report(): void {
+    this.demand.hear(this.tracker.report(SERVICE, 'd', [], this.now), this.now);
+    if (this.held.length > 0) this.isRoundDue = true;
+  }
+
+  private endRuns(): void {
+    for (const backend of this.backends) {
+      const still = backend.running.filter(({ endsAt }) => endsAt > this.now);
+      if (still.length !== backend.running.length) {
+        for (const { model, endsAt } of backend.running) {
+          const reference = { model, adapter: undefined };
+          if (endsAt <= this.now) this.tracker.sent(SERVICE, backend.id, reference, -1);
+        }
+        backend.running = still;
+      }
+      this.endOrder(backend);
+    }
+  }
+
+  private endOrder(backend: ReplayBackend): void {
+    const { order } = backend;
+    if (order === undefined || order.endsAt > this.now) return;
+    const { operation, model } = order.planned.order;
+    if (operation === 'unload') {
+      if (backend.inFlightOf(model) > 0) return;
+      backend.models.delete(model);
+      if (order.beganAt < this.now - 150) this.unloadTimes.observeInUse(this.now - order.beganAt);
+    } else {
+      backend.models.add(model);
+      backend.disk = [...backend.disk.filter((name) => name !== model), model];
+      backend.disk = backend.disk.slice(-this.site.diskModels);
+      backend.memory = [...backend.memory.filter((name) => name !== model), model];
+      backend.memory = backend.memory.slice(-this.site.memoryModels);
+    }
+    backend.order = undefined;
+    backend.ledger.setCopies(backend.memory, backend.disk);
+    backend.ledger.observe(backend.record(), this.now);
+    this.isChanged = true;
+    this.isRoundDue = true;
+  }
+
+  private input(): PlanningInput {
+    const { host, storeLoads } = this.site;
+    const ends = this.backends.flatMap(({ order }) => {
+      return order?.planned.copy === 'store' ? [Math.max(1, order.endsAt - this.now)] : [];
+    });
+    const free = Math.max(0, storeLoads - ends.length);
+    return {
+      host,
+      backends: this.backends.map(({ ledger }) => ledger),
+      demand: this.demand,
+      policies: this.way.policies,
+      now: this.now,
+      storeLoads: free,
+      storePlaceWaits: [...Array<number>(free).fill(0), ...ends],
+      unloadTimes: this.unloadTimes,
+    };
+  }
+
+  private round(): void {
+    this.lastRound = this.now;
+    this.isRoundDue = false;
+    this.report();
+    for (const planned of this.way.planner.plan(this.input())) this.begin(planned);
+    const told = this.way.planner.forecasts(this.input());
+    this.forecasts = new Map(
+      [...told].map(([model, readyInMs]) => [model.replace(/\/$/, ''), this.now + readyInMs]),
+    );
+  }
+
+  private begin(planned: PlannedOrder): void {
+    const backend = this.backends.find(({ id }) => id === planned.backend);
+    if (backend === undefined || backend.order !== undefined) return;
+    const { order, copy, durationMs } = planned;
+    backend.ledger.send(order, this.now + durationMs);
+    backend.ledger.settle(order, { type: 'accepted' }, this.now, durationMs);
+    backend.sequence += 1;
+    const isLoad = order.operation === 'load';
+    const realMs = isLoad ? durationMs * this.site.loadFactor : 80;
+    backend.order = { planned, beganAt: this.now, endsAt: this.now + WAY_MS + realMs };
+    if (!isLoad) this.outcome.unloads += 1;
+    else this.outcome.loads += 1;
+    if (copy === 'store') this.outcome.storeLoads += 1;
+  }
+}
+
+function stepAfter(at: number): number {
+  return Math.ceil(at / STEP_MS) * STEP_MS;
+}
+
+function schedule<Item>(agenda: Map<number, Item[]>, at: number, item: Item): void {
+  agenda.set(at, [...(agenda.get(at) ?? []), item]);
+}
