--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -38,3 +38,11 @@
   /** How fast the backends are; absent if all count as alike. */
   readonly capacity?: PlannedCapacity | undefined;
 }
+
+/** Decides on orders and forecasts. An interface: each way to plan is one. */
+export interface LoadPlanner {
+  /** Orders to give now, at most one for each backend. */
+  plan(input: PlanningInput): PlannedOrder[];
+  /** Milliseconds until awaited models and adapters that nobody holds are expected to be loaded. */
+  forecasts(input: PlanningInput): Map<string, number>;
+}
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -29,6 +29,12 @@
   'learnedCapacity',
   /** Who counts a tenant's limit for all does so under a lease. */
   'leasedLimits',
+  /** A copy is worth what a load would take of the time that its callers can wait. */
+  'copyWorthByCallers',
+  /** Loads go by how many callers each serves, then by the time at which they should find it. */
+  'mostCallersFirst',
+  /** Models that lie at no backend are fetched from the weight store before callers come. */
+  'fetchAhead',
 ] as const;
 
 /** A policy's name. */
