--- a/src/core/capacity/gap-samples.ts
+++ b/src/core/capacity/gap-samples.ts
@@ -23,6 +23,8 @@
   readonly pauseClasses: readonly number[];
 }
 
+/** Between two reports of gaps, in milliseconds: reports that are urgent for others carry none. */
+const REPORT_PERIOD_MS = 250;
 /** Entries of one report; the others wait for the next. */
 const MOST_SAMPLES = 48;
 /** Pairs that are gathered while no report is taken; further ones are left out. */
@@ -53,10 +55,12 @@
   private readonly gathered = new Map<string, Gathered>();
   private pauseClasses = RATIO_CLASSES.map(() => 0);
   private streams = 0;
+  private reportedAt = -Infinity;
 
-  /** Whether there is nothing to report. */
-  get isEmpty(): boolean {
-    return this.gathered.size === 0 && this.streams === 0;
+  /** Whether there is something to report, and the last report was long enough ago. */
+  isDue(now: number): boolean {
+    const isEmpty = this.gathered.size === 0 && this.streams === 0;
+    return !isEmpty && now - this.reportedAt >= REPORT_PERIOD_MS;
   }
 
   /** Begins to watch a stream. */
@@ -84,7 +88,8 @@
   }
 
   /** What has been gathered since the last report, the oldest first. */
-  take(): GapReport {
+  take(now: number): GapReport {
+    this.reportedAt = now;
     const samples = [...this.gathered.values()].slice(0, MOST_SAMPLES);
     for (const { backend, model } of samples) this.gathered.delete(`${backend} ${model}`);
     const { pauseClasses } = this;
--- a/src/gateway/request-tracker.ts
+++ b/src/gateway/request-tracker.ts
@@ -98,13 +98,12 @@
   activeServices(): string[] {
     const services = new Set([...this.demand.keys(), ...this.changed]);
     for (const entry of this.models.values()) services.add(entry.service);
-    for (const [service, gaps] of this.streamGaps) if (!gaps.isEmpty) services.add(service);
     return [...services];
   }
 
   /** Whether the last report on a service is no longer true. */
   hasChanged(service: string): boolean {
-    return this.changed.has(service) || this.streamGaps.get(service)?.isEmpty === false;
+    return this.changed.has(service);
   }
 
   /** What has happened since the last report on the service. */
@@ -127,7 +126,7 @@
       use.push({ backend, model, adapter, inFlight: count });
     }
     const gaps = this.streamGaps.get(service);
-    const told = gaps === undefined || gaps.isEmpty ? undefined : gaps.take();
+    const told = gaps?.isDue(now) === true ? gaps.take(now) : undefined;
     return { daemon, samples, use, failing, gaps: told };
   }
 
--- a/test/core/capacity/gap-samples.test.ts
+++ b/test/core/capacity/gap-samples.test.ts
@@ -9,7 +9,7 @@
 }
 
 function usualGap(samples: GapSamples): number {
-  const [sample] = samples.take().samples;
+  const [sample] = samples.take(0).samples;
   return sample === undefined ? NaN : Math.exp(sample.logSum / sample.gaps);
 }
 
@@ -19,10 +19,10 @@
     const stream = samples.watch('b', 'm', 200);
     readAll(stream, [40, 40, 40]);
     stream.end();
-    const [told] = samples.take().samples;
+    const [told] = samples.take(0).samples;
     expect(told).toMatchObject({ backend: 'b', model: 'm', gaps: 3, pauseGoalMs: 200 });
     expect(Math.exp((told?.logSum ?? 0) / 3)).toBeCloseTo(40);
-    expect(samples.isEmpty).toBe(true);
+    expect(samples.isDue(500)).toBe(false);
   });
 
   it('shares a stall of its own out over the events that it held up', () => {
@@ -50,7 +50,7 @@
     const stream = samples.watch('b', 'm', 200);
     readAll(stream, [...Array<number>(20).fill(60), 150, ...Array<number>(20).fill(60)]);
     stream.end();
-    expect(samples.take().pauseClasses).toEqual([0, 0, 0, 1, 0, 0, 0, 0]);
+    expect(samples.take(0).pauseClasses).toEqual([0, 0, 0, 1, 0, 0, 0, 0]);
   });
 
   it('tells a bounded number of pairs at once, and the others later', () => {
@@ -60,7 +60,7 @@
       readAll(stream, [40]);
       stream.end();
     }
-    expect(samples.take().samples).toHaveLength(48);
-    expect(samples.take().samples).toHaveLength(12);
+    expect(samples.take(0).samples).toHaveLength(48);
+    expect(samples.take(0).samples).toHaveLength(12);
   });
 });
--- a/test/core/capacity/simulated-streams.ts
+++ b/test/core/capacity/simulated-streams.ts
@@ -77,7 +77,8 @@
       due.sort((a, b) => a.at - b.at);
       for (const read of due) read.apply();
       for (const [daemon, samples] of this.samples.entries()) {
-        this.estimate.hear(`d${daemon}`, alter(daemon, samples.take()), this.now);
+        if (!samples.isDue(this.now)) continue;
+        this.estimate.hear(`d${daemon}`, alter(daemon, samples.take(this.now)), this.now);
       }
       this.estimate.settle(this.now);
     }
