--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,9 +7,6 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
-import { EVEN_CAPACITY, type CapacityView } from '../core/capacity/capacity-view.js';
-import { sparedBackends } from '../core/capacity/ejection-floor.js';
-import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
@@ -20,6 +17,7 @@
 } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
+import { capacityFor, sparedOf, watchedGaps, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import type { WaitingCaller } from './request-tracker.js';
@@ -82,6 +80,7 @@
   private readonly waitingCaller: WaitingCaller;
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
+  private readonly need: CapacityNeed;
 
   constructor(
     private readonly context: GatewayContext,
@@ -94,6 +93,7 @@
     this.answer = new CallerAnswer(context, request.head, response);
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
+    this.need = { service: match.service.name, route, model: this.model };
     this.pass = new TenantPass(context, route, request.head);
     this.hasComeBack = context.noteCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
@@ -182,34 +182,22 @@
     const lastResort = model === undefined ? usable : [];
     const groups = [fresh, healthy, lastResort];
     const best = groups.find((group) => group.length > 0) ?? this.spared(usable, now);
-    const capacity = this.expectedCapacity(now);
+    const capacity = capacityFor(context, this.need, now);
     const candidates = best.map((backend) => this.candidate(backend, capacity));
     const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
   }
 
-  /** Nobody else can take the request, and more of the service is left alone than should be. */
   private spared(usable: readonly BackendRecord[], now: number): BackendRecord[] {
-    const { settings, directory, health } = this.context;
-    if (!settings.policies.learnedCapacity || usable.length === 0) return [];
-    const serving = directory.serving(this.match.service.name);
-    const avoided = serving
-      .map(({ id }) => ({ id, until: health.avoidedUntil(id) }))
-      .filter(({ until }) => until > now);
-    const spared = sparedBackends(avoided, serving.length);
-    return usable.filter((backend) => spared.has(backend.id) && !this.tried.has(backend.id));
+    const spared = sparedOf(this.context, this.need.service, usable, now);
+    return spared.filter((backend) => !this.tried.has(backend.id));
   }
 
-  private expectedCapacity(now: number): CapacityView {
-    const { settings, directory } = this.context;
-    if (!settings.policies.learnedCapacity) return EVEN_CAPACITY;
-    return directory.capacityOf(this.match.service.name, now);
-  }
-
-  private candidate(backend: BackendRecord, capacity: CapacityView): BackendCandidate {
-    const { context, model } = this;
-    const { route } = this.match;
-    const isRisky = isStream(route) && model !== undefined;
+  private candidate(
+    backend: BackendRecord,
+    capacity: ReturnType<typeof capacityFor>,
+  ): BackendCandidate {
+    const { context } = this;
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
@@ -217,8 +205,7 @@
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
       failureShare: context.health.failureShare(backend.id),
-      speed: capacity.speedOf(backend.id),
-      pauseRisk: isRisky ? capacity.pauseRisk(backend.id, model.model, route.pauseGoalMs) : 0,
+      ...capacity(backend.id),
     };
   }
 
@@ -323,6 +310,7 @@
       remainingMs: Math.round(this.deadlineAt - now),
       ...this.beliefs(now),
     });
+    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
     this.attempt = new Attempt(context, {
       backend,
       route,
@@ -334,22 +322,12 @@
       stalledAfterMs: this.stalledAfterMs(),
       hasAlternative: () => this.hasAlternative(),
       onSilent: () => this.backendSilent(backend),
-      gaps: this.watchedGaps(backend),
+      gaps: watchedGaps(context, this.need, backend.id, isResumed),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
     });
   }
 
-  /** A stream that goes on after a break is left out: events that the caller has come at once. */
-  private watchedGaps(backend: BackendRecord): StreamGaps | undefined {
-    const { context, match, request, model } = this;
-    const { route, service } = match;
-    const isLearned = context.settings.policies.learnedCapacity && isStream(route);
-    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
-    if (!isLearned || isResumed || model === undefined) return undefined;
-    return context.tracker.gapsOf(service.name).watch(backend.id, model.model, route.pauseGoalMs);
-  }
-
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
