--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -114,7 +114,8 @@
     const isNewEpoch = known === undefined || update.epoch > epoch;
     if (update.baseVersion === undefined) {
       if (!isNewEpoch && update.version < known.version) return 'outdated';
-      this.placements.set(update.service, emptyPlacement(update.epoch));
+      const former = isNewEpoch ? known?.capacity : undefined;
+      this.placements.set(update.service, emptyPlacement(update.epoch, former));
     } else {
       if (isNewEpoch) return 'gap';
       if (update.version < known.version) return 'outdated';
@@ -238,7 +239,7 @@
   }
 }
 
-function emptyPlacement(epoch: number): HeardPlacement {
+function emptyPlacement(epoch: number, former: HeardCapacity | undefined): HeardPlacement {
   return {
     epoch,
     version: 0,
@@ -246,7 +247,7 @@
     backends: new Map(),
     forecasts: new Map(),
     loads: new Map(),
-    capacity: new HeardCapacity(),
+    capacity: new HeardCapacity(former),
     storeLoadLimit: 0,
   };
 }
--- a/test/core/capacity/heard-capacity.test.ts
+++ b/test/core/capacity/heard-capacity.test.ts
@@ -44,6 +44,16 @@
     expect(heard.view(15_001).speedOf('x')).toBe(1);
   });
 
+  it('goes by the former owner while a new one learns', () => {
+    const former = new HeardCapacity();
+    former.take(figuresOf({ x: 0.5 }), 0);
+    const heard = new HeardCapacity(former);
+    heard.take(undefined, 1_000);
+    expect(heard.view(3_999).speedOf('x')).toBe(0.5);
+    heard.take(figuresOf({ x: 0.7 }), 4_000);
+    expect(heard.view(4_000).speedOf('x')).toBe(0.7);
+  });
+
   it.each([NaN, -1, 0, Infinity, 1e9])('does not believe %d', (value) => {
     const heard = new HeardCapacity();
     heard.take(figuresOf({ x: value }, { m: value }, Array<number>(8).fill(value)), 0);
