A copy besides those that are wanted is looked for at good places only

Cause: the cheapest place of all could be a slow one at hand; it was turned down, and a good one that costs more was never looked at. Tests of the worth and quality of copies.

--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -114,11 +114,14 @@
     if (place.copy === 'store') this.takeStorePlace(place);
   }
 
-  /** The place with the lowest cost, free or not. */
-  cheapest(spec: ModelSpec): LoadPlace | undefined {
+  /** The place with the lowest cost, free or not, among those that suit. */
+  cheapest(
+    spec: ModelSpec,
+    suits: (backend: string) => boolean = () => true,
+  ): LoadPlace | undefined {
     let best: LoadPlace | undefined;
     for (const ledger of this.input.backends) {
-      if (ledger.models.has(spec.name)) continue;
+      if (ledger.models.has(spec.name) || !suits(ledger.id)) continue;
       const place = this.at(ledger, spec);
       if (place !== undefined && (best === undefined || place.cost < best.cost)) best = place;
     }
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -207,20 +207,16 @@
   private tryFurtherCopy(model: string, reason: string): boolean {
     const spec = modelSpec(this.input.host, model);
     if (spec === undefined || this.reservations.has(model)) return false;
-    const place = this.places.cheapest(spec);
+    // A copy besides those that are wanted takes the place of one at a slow place.
+    const isBesides = this.worth.copies(model) >= this.copiesWanted(model);
+    const suits = (backend: string): boolean => this.worth.quality.isGood(backend, model);
+    const place = this.places.cheapest(spec, isBesides ? suits : undefined);
     if (place === undefined || !place.isFree) return false;
-    if (!this.helps(place, model)) return false;
     if (place.displacedWorth * COPY_MARGIN > this.worth.ofFurtherCopy(model)) return false;
     this.order(spec, place, reason);
     return true;
   }
 
-  /** A copy besides those that are wanted takes the place of one at a slow place. */
-  private helps(place: LoadPlace, model: string): boolean {
-    const isBesides = this.worth.copies(model) >= this.copiesWanted(model);
-    return !isBesides || this.worth.quality.isGood(place.ledger.id, model);
-  }
-
   /** By the rate, so that the loss of one copy is borne, and by what runs at once. */
   private copiesWanted(model: string): number {
     const { host, demand, now } = this.input;
--- /dev/null
+++ b/test/core/capacity/copy-quality.test.ts
@@ -0,0 +1,99 @@
+import { describe, expect, it } from 'vitest';
+import { BackendLedger } from '../../../src/core/backend-ledger.js';
+import { LearnedCapacity } from '../../../src/core/capacity/learned-capacity.js';
+import { CopyQuality, type PlannedCapacity } from '../../../src/core/capacity/copy-quality.js';
+import { LoadPlaces } from '../../../src/core/load-place.js';
+import { ModelDemand } from '../../../src/core/model-demand.js';
+import { ModelWorth } from '../../../src/core/model-worth.js';
+import type { PlanningInput } from '../../../src/core/planning.js';
+import { DEFAULT_POLICIES } from '../../../src/core/policies.js';
+import { UnloadTimes } from '../../../src/core/unload-times.js';
+import { hostOf, modelOf, waitingFor } from '../gateway-fixtures.js';
+
+const NOW = 60_000;
+
+function ledgerOf(id: string, held: readonly string[]): BackendLedger {
+  const ledger = new BackendLedger(id);
+  const models = held.map((name) => ({ name, adapters: [] }));
+  const state = { busy: false, sequence: 0, coming: [], inMemory: [], waiting: 0, running: 0 };
+  const report = { ...state, models, onDisk: ['hot', 'rare'] };
+  ledger.adopt(report, 0);
+  ledger.adopt(report, 1_000);
+  return ledger;
+}
+
+/** Streams of "hot" are late at backends of half the usual speed, and nowhere else. */
+function capacityOf(speeds: Readonly<Record<string, number>>): PlannedCapacity {
+  const figures = { speeds: new Map(Object.entries(speeds)), gaps: new Map([['hot', 110]]) };
+  const pauseShares = [1, 0.05, 0.02, 0, 0, 0, 0, 0];
+  return { view: new LearnedCapacity({ ...figures, pauseShares }), pauseGoalMs: () => 200 };
+}
+
+function inputOf(
+  backends: readonly BackendLedger[],
+  capacity: PlannedCapacity | undefined,
+): PlanningInput {
+  const demand = new ModelDemand();
+  const samples = [waitingFor('hot', { waiting: 0, arrivals: 60, goalMs: 600 })];
+  demand.hear({ daemon: 'd', samples, use: [], failing: [] }, NOW);
+  return {
+    host: hostOf(['hot', 'rare']),
+    backends,
+    demand,
+    now: NOW,
+    storeLoads: 1,
+    storePlaceWaits: [0],
+    unloadTimes: new UnloadTimes(),
+    policies: DEFAULT_POLICIES,
+    capacity,
+  };
+}
+
+describe('CopyQuality', () => {
+  it('counts all places as good while nothing is learned', () => {
+    const quality = new CopyQuality(undefined, [ledgerOf('x', [])], NOW);
+    expect([quality.ofPlace('x', 'hot'), quality.lateMs('x', 'hot', 10)]).toEqual([1, 0]);
+  });
+
+  it('counts all places as good where all are as late', () => {
+    const backends = [ledgerOf('x', []), ledgerOf('y', [])];
+    const quality = new CopyQuality(capacityOf({ x: 0.5, y: 0.5 }), backends, NOW);
+    expect([quality.ofPlace('x', 'hot'), quality.ofPlace('y', 'hot')]).toEqual([1, 1]);
+  });
+
+  it('counts a new copy in full for ten seconds', () => {
+    const slow = ledgerOf('slow', []);
+    slow.models.set('hot', { adapters: new Set(), loadedAt: NOW });
+    const capacity = capacityOf({ slow: 0.5 });
+    const at = (now: number): number => {
+      return new CopyQuality(capacity, [slow, ledgerOf('y', [])], now).ofCopy(slow, 'hot');
+    };
+    expect([at(NOW + 9_999), at(NOW + 10_000)]).toEqual([1, 0.3]);
+  });
+});
+
+describe('the worth of copies', () => {
+  it('is smaller where streams are late, so that this one makes way first', () => {
+    const [slow, good] = [ledgerOf('slow', ['hot']), ledgerOf('good', ['hot'])];
+    const alike = new ModelWorth(inputOf([slow, good], undefined));
+    const worth = new ModelWorth(inputOf([slow, good], capacityOf({ slow: 0.5 })));
+    expect(alike.ofCopy(slow, 'hot')).toBe(alike.ofCopy(good, 'hot'));
+    expect(worth.ofCopy(slow, 'hot')).toBeLessThan(0.5 * worth.ofCopy(good, 'hot'));
+  });
+
+  it('stays whole for the only copy', () => {
+    const backends = [ledgerOf('slow', ['hot']), ledgerOf('good', [])];
+    const alike = new ModelWorth(inputOf(backends, undefined));
+    const worth = new ModelWorth(inputOf(backends, capacityOf({ slow: 0.5 })));
+    const [slow] = backends;
+    expect(slow && worth.ofCopy(slow, 'hot')).toBe(slow && alike.ofCopy(slow, 'hot'));
+  });
+
+  it('makes a load go to a place where streams are in time', () => {
+    const backends = [ledgerOf('slow', []), ledgerOf('good', ['rare'])];
+    const input = inputOf(backends, capacityOf({ slow: 0.5 }));
+    expect(new LoadPlaces(input, new ModelWorth(input)).cheapest(modelOf('hot'))?.ledger.id).toBe(
+      'good',
+    );
+  });
+});
