--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -95,6 +95,7 @@
     const heard = this.placements.get(service);
     heard?.backends.delete(id);
     heard?.loads.delete(id);
+    heard?.capacity.forget(id);
     if (heard !== undefined) heard.isWhole = false;
     for (const key of this.absences.keys()) {
       if (key.startsWith(`${id} `)) this.absences.delete(key);
@@ -158,7 +159,8 @@
     const isNewEpoch = known === undefined || update.epoch > epoch;
     if (update.baseVersion === undefined) {
       if (!isNewEpoch && update.version < known.version) return 'outdated';
-      this.placements.set(update.service, emptyPlacement(update.epoch));
+      const former = isNewEpoch ? known?.capacity : undefined;
+      this.placements.set(update.service, emptyPlacement(update.epoch, former));
     } else {
       if (isNewEpoch) return 'gap';
       if (update.version < known.version) return 'outdated';
@@ -282,7 +284,7 @@
   }
 }
 
-function emptyPlacement(epoch: number): HeardPlacement {
+function emptyPlacement(epoch: number, former: HeardCapacity | undefined): HeardPlacement {
   return {
     epoch,
     version: 0,
@@ -291,7 +293,7 @@
     backends: new Map(),
     forecasts: new Map(),
     loads: new Map(),
-    capacity: new HeardCapacity(),
+    capacity: new HeardCapacity(former),
     storeLoadLimit: 0,
   };
 }
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -4,9 +4,8 @@
  */
 import type { SlotAnswer } from '../core/admission/slot-keeping.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
-import { EVEN_CAPACITY, type CapacityView } from '../core/capacity/capacity-view.js';
-import { sparedBackends } from '../core/capacity/ejection-floor.js';
 import type { BackendRecord, ModelReference, Service } from '../core/service-configuration.js';
+import { capacityFor, sparedOf, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { SlotClaim, SlotWish } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
@@ -30,8 +29,8 @@
   /** The model that a backend must hold; undefined if there is none. */
   readonly model: ModelReference | undefined;
   readonly sharedPrompt: string | undefined;
-  /** Longest pause between two events that the caller bears, in milliseconds; undefined if the answer is no stream. */
-  readonly pauseGoalMs: number | undefined;
+  /** What it goes by of the backends' capacity. */
+  readonly need: CapacityNeed;
   readonly standing: () => SlotStanding;
   /** The request may be sent to the backend now. */
   readonly onSlot: (backend: BackendRecord) => void;
@@ -186,34 +185,21 @@
     const lastResort = model === undefined ? usable : [];
     const groups = [fresh, healthy, lastResort];
     const best = groups.find((group) => group.length > 0) ?? this.spared(usable, now);
-    const candidates = best.map((backend) => this.candidate(backend, now));
+    const candidates = this.candidates(best, now);
     const chosen = context.selection.choose(candidates, sharedPrompt);
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
   }
 
-  /** Nobody else can take the request, and more of the service is left alone than should be. */
   private spared(usable: readonly BackendRecord[], now: number): BackendRecord[] {
-    const { settings, directory, health } = this.context;
-    if (!settings.policies.learnedCapacity || usable.length === 0) return [];
-    const serving = directory.serving(this.options.service.name);
-    const avoided = serving
-      .map(({ id }) => ({ id, until: health.avoidedUntil(id) }))
-      .filter(({ until }) => until > now);
-    const spared = sparedBackends(avoided, serving.length);
-    return usable.filter((backend) => spared.has(backend.id) && !this.tried.has(backend.id));
+    const spared = sparedOf(this.context, this.options.service.name, usable, now);
+    return spared.filter((backend) => !this.tried.has(backend.id));
   }
 
-  private expectedCapacity(now: number): CapacityView {
-    const { settings, directory } = this.context;
-    if (!settings.policies.learnedCapacity) return EVEN_CAPACITY;
-    return directory.capacityOf(this.options.service.name, now);
-  }
-
-  private candidate(backend: BackendRecord, now: number): BackendCandidate {
+  private candidate(
+    backend: BackendRecord,
+    capacity: ReturnType<typeof capacityFor>,
+  ): BackendCandidate {
     const { context } = this;
-    const { model, pauseGoalMs } = this.options;
-    const capacity = this.expectedCapacity(now);
-    const isRisky = model !== undefined && pauseGoalMs !== undefined;
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
@@ -221,11 +207,15 @@
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
       failureShare: context.health.failureShare(backend.id),
-      speed: capacity.speedOf(backend.id),
-      pauseRisk: isRisky ? capacity.pauseRisk(backend.id, model.model, pauseGoalMs) : 0,
+      ...capacity(backend.id),
     };
   }
 
+  private candidates(backends: readonly BackendRecord[], now: number): BackendCandidate[] {
+    const capacity = capacityFor(this.context, this.options.need, now);
+    return backends.map((backend) => this.candidate(backend, capacity));
+  }
+
   private claimAt(backend: BackendRecord): void {
     const { slots } = this.context;
     if (slots === undefined) return this.options.onSlot(backend);
@@ -284,7 +274,7 @@
     const sooner = this.fresh(now).filter(
       (other) => other.id !== backend.id && this.expectedWaitMs(other, now) < waitMs,
     );
-    const candidates = sooner.map((other) => this.candidate(other, now));
+    const candidates = this.candidates(sooner, now);
     const chosen = this.context.selection.choose(candidates, undefined);
     const better = sooner.find(({ id }) => id === chosen?.id);
     if (better === undefined) return;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,7 +7,6 @@
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
 import { isAnotherStart } from '../core/backend-starts.js';
-import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
 import { isWorthReturning } from '../core/admission/slot-keeping.js';
 import type { RouteMatch } from '../core/routing-table.js';
@@ -19,6 +18,7 @@
 } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
+import { watchedGaps, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
@@ -84,6 +84,7 @@
   private readonly waitingCaller: WaitingCaller;
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
+  private readonly need: CapacityNeed;
 
   constructor(
     private readonly context: GatewayContext,
@@ -96,6 +97,7 @@
     this.answer = new CallerAnswer(context, request.head, response);
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
+    this.need = { service: match.service.name, route, model: this.model };
     this.pass = new TenantPass(context, route, request.head);
     this.hasComeBack = context.noteCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
@@ -168,7 +170,7 @@
       service: this.match.service,
       model: this.model,
       sharedPrompt: this.request.head.sharedPrompt,
-      pauseGoalMs: isStream(this.match.route) ? this.match.route.pauseGoalMs : undefined,
+      need: this.need,
       standing: () => this.standing(),
       onSlot: (backend) => this.send(backend),
       onQueued: (expectedWaitMs) => this.queued(expectedWaitMs),
@@ -323,6 +325,7 @@
       remainingMs: Math.round(this.deadlineAt - now),
       ...this.beliefs(now),
     });
+    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
     this.attempt = new Attempt(context, {
       backend,
       route,
@@ -335,22 +338,12 @@
       stalledAfterMs: this.stalledAfterMs(),
       hasAlternative: () => this.search.hasAlternative(),
       onSilent: () => this.backendSilent(backend),
-      gaps: this.watchedGaps(backend),
+      gaps: watchedGaps(context, this.need, backend.id, isResumed),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
     });
   }
 
-  /** A stream that goes on after a break is left out: events that the caller has come at once. */
-  private watchedGaps(backend: BackendRecord): StreamGaps | undefined {
-    const { context, match, request, model } = this;
-    const { route, service } = match;
-    const isLearned = context.settings.policies.learnedCapacity && isStream(route);
-    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
-    if (!isLearned || isResumed || model === undefined) return undefined;
-    return context.tracker.gapsOf(service.name).watch(backend.id, model.model, route.pauseGoalMs);
-  }
-
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -287,6 +287,7 @@
     this.lastReport.delete(id);
     this.loadWatch.backendRestarted(id, now);
     this.demand.forgetBackend(id);
+    this.capacity?.forget(id);
     const late = earlier.unansweredOrders(now);
     this.beginLedger(backend, now).awaitLateOrders(late);
     const { service, epoch, logger } = this.options;
