--- a/src/core/admission/expected-work.ts
+++ b/src/core/admission/expected-work.ts
@@ -1,6 +1,6 @@
 /** How much work a request asks of a backend, from what its head names. Pure. */
 
-/** A head that names more tokens than this is wrong, or not worth believing: as if it named none. */
+/** Tokens. A head that names more is wrong, or not worth believing: it counts as if it named none. */
 const MOST_TOKENS = 1_000_000;
 /**
  * Work of a prompt's token in tokens of the answer: a prompt is read many tokens at once, an
--- a/src/core/admission/holder-lease.ts
+++ b/src/core/admission/holder-lease.ts
@@ -1,8 +1,8 @@
 /**
  * Which daemon may lend what one daemon counts for all, a tenant's limit for example. By rank each
  * daemon works out the holder from its own view of the group, and views differ for seconds when a
- * machine is cut off or frozen. So a holder lends only under a lease: the words of most of a few
- * keepers, aged from the question that they answer. A keeper gives its word to one holder at a
+ * machine is cut off or frozen. So a holder lends only under a lease: the words (votes) of a majority
+ * of a few keepers (voters), aged from the question that they answer. A keeper gives its word to one holder at a
  * time, for longer than a lease lasts, so that no two holders lend at once. No clocks are compared,
  * and a message in flight lengthens nothing. `spec/holder.pml` is its model. Pure; times are
  * milliseconds of a steady clock.
@@ -22,7 +22,7 @@
  * Sizes of a group of keepers: two may fail of the larger. Even ones, for of two groups that differ by
  * one keeper any two majorities have a keeper in common.
  */
-const KEEPERS = [6, 4];
+const KEEPER_COUNTS = [6, 4];
 /** Words that one keeper remembers; names come from other daemons and must not fill its memory. */
 const MOST_WORDS = 10_000;
 
@@ -37,12 +37,15 @@
   /** What is held. */
   readonly name: string;
   readonly holder: string;
-  /** Tells the holder's process from its former ones, which have ended and whose count is lost. */
+  /**
+   * Start of the holder's process in Unix milliseconds: tells it from its former ones, which have
+   * ended and whose count is lost.
+   */
   readonly process: number;
   /** Higher in each later question of the holder, also after it has started again. */
   readonly sequence: number;
   /**
-   * The most that the holder lends to itself until it asks again: a successor cannot learn from
+   * The most that the holder lends to itself until it asks again, in units of what is counted: a successor cannot learn from
    * anybody else what one that is gone has used.
    */
   readonly ownCeiling: number;
@@ -58,7 +61,7 @@
 /** A keeper's answer. */
 export interface LeaseAnswer {
   readonly isGiven: boolean;
-  /** For so long the keeper has given its word to nobody else; it knows nothing from before its start. */
+  /** Milliseconds for which the keeper has given its word to nobody else; it knows nothing from before its start. */
   readonly soleMs: number;
   /** The last other holder, as long as that is remembered. */
   readonly former: FormerHolder | undefined;
@@ -68,7 +71,7 @@
 export function keepersOf(name: string, candidates: readonly KeeperCandidate[]): string[] {
   const zoneOf = new Map(candidates.map(({ address, zone }) => [address, zone]));
   const ranked = rankCandidates(`keeper/${name}`, [...zoneOf.keys()]);
-  const size = KEEPERS.find((count) => count <= ranked.length) ?? ranked.length;
+  const size = KEEPER_COUNTS.find((count) => count <= ranked.length) ?? ranked.length;
   const placeInZone = new Map<string | undefined, number>();
   const places = ranked.map((address, rank) => {
     const zone = zoneOf.get(address);
@@ -94,7 +97,7 @@
 
 /** What the keepers say of the time before a lease. */
 export interface LeaseHistory {
-  /** For so long nobody else can have had the lease, as far as the keepers know. */
+  /** Milliseconds for which nobody else can have had the lease, as far as the keepers know. */
   readonly soleMs: number;
   readonly formers: readonly FormerHolder[];
 }
@@ -116,7 +119,10 @@
     this.questions.set(sequence, { askedAt: now, ownCeiling, keepers, answers: new Map() });
   }
 
-  /** Takes a keeper's answer; what the keepers say of the past once most have given their word. */
+  /**
+   * Takes a keeper's answer. Returns what the keepers say of the past once most have given their word to
+   * the same question, and with each further answer to it; undefined before.
+   */
   hear(keeper: string, sequence: number, answer: LeaseAnswer): LeaseHistory | undefined {
     const question = this.questions.get(sequence);
     if (question === undefined || !question.keepers.includes(keeper)) return undefined;
@@ -184,7 +190,7 @@
 
   /**
    * @param startedAt - Steady time. A former process at this address may have given words.
-   * @param rememberMs - How long former holders are remembered.
+   * @param rememberMs - Milliseconds for which former holders are remembered.
    */
   constructor(
     private readonly startedAt: number,
@@ -192,7 +198,8 @@
   ) {}
 
   /**
-   * Gives the keeper's word, or not.
+   * Gives the keeper's word, or not: not while another holder has it, not for {@link WORD_MS} after
+   * the keeper's start, and not when its memory is full.
    *
    * @param isOnlyKeeper - The holder is alone in the list: a former process of its own has ended.
    */
--- a/src/core/admission/holder-silence.ts
+++ b/src/core/admission/holder-silence.ts
@@ -23,7 +23,7 @@
   /** Units told since the last word. */
   private unheardUnits = 0;
 
-  /** Notes units that the holder is told; whether to ask for a word. */
+  /** Notes units that the holder is told; returns whether to ask it for a word. */
   tell(units: number, now: number): boolean {
     this.unheardUnits += units;
     const wantsWord = now - this.heardAt >= WORD_PERIOD_MS;
@@ -43,7 +43,12 @@
     this.unheardUnits = 0;
   }
 
-  /** Whether the holder may be taken to count what it is told, up to this daemon's share. */
+  /**
+   * Whether the holder may be taken to count what it is told.
+   *
+   * @param units - Units of the request at hand.
+   * @param share - The most units that may pass without a word: this daemon's equal share of the limit.
+   */
   isHeard(units: number, share: number, now: number): boolean {
     const isLate = this.silentSince !== undefined && now - this.silentSince > SILENT_AFTER_MS;
     return !isLate && this.unheardUnits + units <= share;
--- a/src/core/admission/slot-keeping.ts
+++ b/src/core/admission/slot-keeping.ts
@@ -1,6 +1,6 @@
 /**
  * Who may use the slots of one backend, decided in one place for all daemons. The interface of
- * the ways to decide; `slot-queue.ts` and `slot-leases.ts` are two. Pure; times are milliseconds
+ * the ways to decide: daemons use `slot-queue.ts`; `slot-leases.ts` is measured against it in tests. Pure; times are milliseconds
  * of the decider's steady clock.
  */
 
@@ -41,7 +41,7 @@
   readonly daemon: string;
   readonly ticket: number;
   readonly answer: SlotAnswer;
-  /** How long it has waited here; 0 if it was answered at once. */
+  /** Milliseconds that it has waited here; 0 if it was answered at once. */
   readonly waitedMs: number;
 }
 
@@ -50,7 +50,7 @@
   readonly slots: number;
   readonly inFlight: number;
   readonly waiting: number;
-  /** What a usual request that comes now would wait. */
+  /** Milliseconds that a request of usual rank and size would wait if it came now. */
   readonly expectedWaitMs: number;
 }
 
--- a/src/core/admission/slot-leases.ts
+++ b/src/core/admission/slot-leases.ts
@@ -1,7 +1,7 @@
 /**
  * Slots of one backend lent to daemons for a time: a daemon uses a lent slot for one request after
- * another without asking, and what it does not use goes back when the lease ends. Kept for
- * comparison with `slot-queue.ts`: it saves messages, and has no order over daemons while a lease
+ * another without asking, and what it does not use goes back when the lease ends. No daemon uses it; kept for
+ * the comparison with `slot-queue.ts` in docs/design/admission-across-daemons.md: it saves messages, and has no order over daemons while a lease
  * lasts. A lost lender's slots may be lent once more until the leases end: one more set of slots.
  * Pure; times are milliseconds of a steady clock.
  */
@@ -22,6 +22,7 @@
 
 interface Loan {
   slots: number;
+  /** Steady time at which slots that rest go back. */
   until: number;
 }
 
@@ -33,7 +34,7 @@
 /** The slots of one backend, as their lender counts them. */
 export class SlotLeases implements SlotKeeping {
   private readonly loans = new Map<string, Loan>();
-  /** By daemon and ticket, since when. */
+  /** Requests that have a slot, by daemon and ticket, and since when. */
   private readonly holders = new Map<string, SlotUse & { readonly since: number }>();
   private readonly waiters = new Map<string, Waiter>();
   private readonly times = new SlotTimes();
--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -37,7 +37,7 @@
 const CROSSING_MS = 400;
 /** Nobody is told to come back sooner: a message and a connection take as long. */
 const LEAST_RETRY_MS = 50;
-/** What a usual request would wait is told for this rank: between the most urgent and the others. */
+/** The rank for which daemons are told what a newcomer would wait: between the most urgent and the others. */
 const USUAL_RANK = 1;
 /** Requests end at random: a gap of so many usual ones is still common, a longer one tells of trouble. */
 const USUAL_GAPS = 4;
@@ -48,7 +48,7 @@
 interface Holder extends SlotUse {
   readonly size: number;
   readonly since: number;
-  /** Its beginning was seen, so the time until its end is worth learning from. */
+  /** Its beginning was seen here, so that the time until its end can be learned from. */
   readonly isWhole: boolean;
   namedAt: number;
 }
@@ -138,7 +138,7 @@
   }
 
   /**
-   * All that a daemon has in flight here, and all that it waits for: what it does not name was
+   * Takes the tickets of all that a daemon has in flight here, and of all that waits: what it does not name was
    * lost with a message, and what is not known here was begun before this queue was.
    */
   named(
@@ -232,7 +232,10 @@
     return this.waitBehind(ahead, waiter.rank, now);
   }
 
-  /** Those that are to return count if they should be back before. */
+  /**
+   * Expected milliseconds of wait behind `ahead` requests that wait already. Callers that are to return
+   * count as well if they are of no lesser rank and should be back before.
+   */
   private waitBehind(ahead: number, rank: number, now: number): number {
     const ends = this.holders.size + ahead + 1 - this.slots;
     if (ends <= 0) return 0;
@@ -340,10 +343,13 @@
 interface ShareLevel {
   /** What tenants hold, in usual requests. */
   readonly held: ReadonlyMap<string, number>;
+  /** Up to so many usual requests a tenant is within its share. */
   readonly share: number;
 }
 
+/** What the order goes by: the least step first, then the earliest due, then the first to come. */
 interface Place {
+  /** See {@link STEPS_A_RANK}; falls by one with each {@link STEP_MS} of waiting, 0 at the least. */
   readonly step: number;
   readonly dueAt: number;
   readonly sequence: number;
--- a/src/core/admission/slot-times.ts
+++ b/src/core/admission/slot-times.ts
@@ -7,7 +7,7 @@
 const FIRST_HOLD_MS = 800;
 /** Nobody is refused by expected waits before so many requests have ended: the first hold is a guess. */
 const TRUSTED_HOLDS = 4;
-/** Weight of a new sample: some twenty requests are remembered, about one round of a backend's slots. */
+/** Weight of a new sample in the moving means: some twenty requests are remembered, about one round of a backend's slots. */
 const SAMPLE_WEIGHT = 0.05;
 /** A request counts for no less and no more than this many usual ones: one hint may not rule the queue. */
 const LEAST_SIZE = 0.25;
@@ -22,6 +22,7 @@
 export class SlotTimes {
   private holdMs = FIRST_HOLD_MS;
   private holds = 0;
+  /** Moving mean of the work that requests name, in tokens; 0 before the first. */
   private usualWork = 0;
   /** By rank: more urgent ones that come later make others wait for longer than their place says. */
   private readonly ratios = new Map<number, number>();
@@ -31,7 +32,7 @@
     return this.holds >= TRUSTED_HOLDS;
   }
 
-  /** Size in usual requests; 1 if no work is named. */
+  /** Size in usual requests of a request with so much work in tokens, which is learned from; 1 if no work is named. */
   sizeOf(work: number): number {
     if (!(work > 0) || !Number.isFinite(work)) return 1;
     if (this.usualWork === 0) this.usualWork = work;
@@ -54,7 +55,7 @@
     this.ratios.set(rank, known + (bounded - known) * SAMPLE_WEIGHT);
   }
 
-  /** Time until `ends` slots have come free of a backend that is full. */
+  /** Expected milliseconds until `ends` slots have come free of a backend that is full. */
   untilFree(ends: number, slots: number, meanSize: number, rank: number): number {
     const ratio = this.ratios.get(rank) ?? 1;
     return ((ends * this.holdMs * meanSize) / Math.max(1, slots)) * ratio;
