--- a/src/core/answer-budget.ts
+++ b/src/core/answer-budget.ts
@@ -9,7 +9,7 @@
 const GRACE_MS = 1_000;
 /** A caller that has read no byte of a finished or open answer for so long does not read any more. */
 const READS_NOTHING_MS = 30_000;
-/** Less than this unread is what a healthy connection holds: its caller is not behind. */
+/** Up to so much is unread on a healthy connection: its caller is not behind. */
 const CAUGHT_UP_BYTES = 16 * 1024;
 
 /** Bytes that may be held. */
@@ -159,7 +159,7 @@
 const REQUEST_SHARE = 1 / 8;
 const MEGABYTE = 1024 * 1024;
 
-/** The room of a process that may use so many megabytes. */
+/** The room of a process that may use so many megabytes of memory, of 1,024 x 1,024 bytes. */
 export function answerRoomOf(memoryMegabytes: number): AnswerRoom {
   const daemonBytes = memoryMegabytes * MEGABYTE * DAEMON_SHARE;
   return { daemonBytes, requestBytes: daemonBytes * REQUEST_SHARE };
--- a/src/core/capacity/capacity-estimate.ts
+++ b/src/core/capacity/capacity-estimate.ts
@@ -1,9 +1,13 @@
 /**
  * Learns the speeds of a service's backends and the gaps of its models from what all daemons see:
  * the logarithm of a gap is that of the model's usual gap less that of the backend's speed. The
- * sums of each pair fade with the time; both sides are fitted to them by turns, each drawn towards
- * what is usual as far as little is known ("ridge regression"). A short memory besides holds
- * backends that are slow for the time being. Pure; times are milliseconds of a steady clock.
+ * sums of each pair of a backend and a model fade with the time; both sides are fitted to them by turns
+ * (alternating least squares), each drawn towards what is usual as far as little is known (ridge
+ * regression). Reports far off are cut to a bound (winsorized), so that spells, the slow periods of
+ * a backend, hardly move its speed. A short memory besides holds backends that are slow for the time being.
+ *
+ * Weights are numbers of {@link GAPS_PER_WEIGHT} gaps. Logarithms are natural ones. Pure; times are
+ * milliseconds of a steady clock.
  */
 import type { GapReport, GapSample } from './gap-samples.js';
 import { isCredibleGap, LearnedCapacity, type LearnedFigures } from './learned-capacity.js';
@@ -11,7 +15,7 @@
 
 /** Speeds last as long as a process; a machine's neighbours change within minutes. */
 const SPEED_HALF_LIFE_MS = 120_000;
-/** Time in which a backend that is slow for a while is noticed, and forgotten. */
+/** Time constant of the moving mean by which a backend that is slow for a while is noticed, and forgotten. */
 const SLOWNESS_TIME_MS = 2_000;
 /** A backend counts as slow for the time being from this logarithm on: less passes before it is told. */
 const SLOWNESS_DEADBAND = Math.log(1.35);
@@ -23,11 +27,11 @@
 const USUAL_SPEED_WEIGHT = 0.5;
 /** Weight of what is known of a model beforehand: next to nothing. */
 const MODEL_PRIOR_WEIGHT = 0.001;
-/** Spread of the logarithm of gaps that count as one, spells included. */
+/** Standard deviation of the logarithm of gaps of weight 1, spells included. */
 const GAP_SPREAD = 0.5;
-/** A speed that lies within so many times its own uncertainty of the usual one counts as usual. */
+/** A speed that lies within so many of its own standard errors of the usual one counts as usual. */
 const SURE_SPREADS = 1.5;
-/** A speed so near to the usual one counts as usual: no caller would feel the difference. */
+/** A logarithm of a speed so near to the usual one's, 0, counts as usual: no caller would feel the difference. */
 const SPEED_DEADBAND = 0.1;
 /** A belief that moves by less, as a logarithm, stays: what has been told stands. */
 const TOLERANCE = Math.log(1.1);
@@ -36,29 +40,34 @@
 /** A report further off than this logarithm counts as so far off: as a spell. */
 const FURTHEST_OFF = Math.log(3);
 /**
- * For the speed it counts as no further off than this: the speed is then that of most of the
+ * For the speed it counts as no further off than this logarithm: the speed is then that of most of the
  * time, as a median is, and spells hardly move it. While little is known more counts, so that a
  * backend that was first seen in a spell is soon judged rightly.
  */
 const FURTHEST_OFF_SPEED = 0.15;
 const FURTHEST_OFF_FIRST = 0.6;
+/** From this weight of a pair on the narrower bound holds alone; below it the bound lies between the two. */
 const LITTLE_WEIGHT = 15;
-/** A daemon that is off by more than this in the mean weighs less: spells alone make half of it. */
+/** A daemon that is off by more than this logarithm in the mean weighs less: spells alone make half of it. */
 const CREDIBLE_OFF = 0.7;
+/** Weight of a new report in that mean. */
 const OFF_SMOOTHING = 0.1;
 /** Models and daemons that are remembered: names beyond are mistakes. */
 const MOST_MODELS = 4_096;
 const MOST_DAEMONS = 1_024;
+/** Turns of a fit: it begins at the last one's result, so few are enough. */
 const FITTING_TURNS = 6;
 /** A pair weighs no more than this, so that a first impression or a former speed is left in seconds. */
 const MOST_PAIR_WEIGHT = 30;
 /** Pairs without weight are dropped. */
 const LEAST_WEIGHT = 0.05;
 
+/** What was seen of one model's streams at one backend. */
 interface Pair {
   readonly model: string;
+  /** Fades by {@link SPEED_HALF_LIFE_MS}. */
   weight: number;
-  /** Weighted mean of the logarithms of the gaps. */
+  /** Weighted mean of the logarithms of the gaps in milliseconds. */
   mean: number;
   updatedAt: number;
 }
@@ -67,6 +76,7 @@
   readonly pairs: Map<string, Pair>;
   /** Logarithm of its speed. */
   speed: number;
+  /** Of all that its speed was fitted to, that of the belief in the usual one among it. */
   weight: number;
   /** Logarithm by which it is slower than its speed for the time being. */
   slowness: number;
@@ -81,24 +91,29 @@
 /** What is believed of a backend's speed has changed. */
 export interface SpeedChange {
   readonly backend: string;
+  /** Speeds against the usual one, before and now. */
   readonly from: number;
   readonly to: number;
   /** Gaps that were seen in all. */
   readonly gaps: number;
-  /** Time since the first of them. */
+  /** Milliseconds since the first of them. */
   readonly ageMs: number;
 }
 
 /** What one owner has learned. */
 export class CapacityEstimate {
   private readonly backends = new Map<string, Backend>();
-  /** Logarithms of the models' usual gaps. */
+  /** Logarithms of the models' usual gaps in milliseconds, at a backend of speed 1. */
   private readonly models = new Map<string, number>();
+  /** The shortest pause goal that was reported of each model, in milliseconds. */
   private readonly pauseGoals = new Map<string, number>();
   /** How far off each daemon's reports are, as a logarithm. */
   private readonly daemonsOff = new Map<string, number>();
   private readonly pauses = new PauseStatistics();
-  /** As told: changes within the tolerance leave them. */
+  /**
+   * As told: changes within the tolerance leave them. Speeds are against the usual one, with the slowness of
+   * the moment and without it; gaps are usual milliseconds of models at speed 1.
+   */
   private readonly speeds = new Map<string, number>();
   private readonly steadySpeeds = new Map<string, number>();
   private readonly gaps = new Map<string, number>();
@@ -148,7 +163,7 @@
     return new LearnedCapacity({ ...this.figures, speeds: this.steadySpeeds });
   }
 
-  /** The longest pause that callers of the model bear, in milliseconds; infinite if none was streamed. */
+  /** The shortest pause goal that the model's streams had so far, in milliseconds; infinite if none was streamed. */
   pauseGoalMs(model: string): number {
     return this.pauseGoals.get(model) ?? Infinity;
   }
@@ -189,6 +204,7 @@
       : observed - (usual - backend.speed);
   }
 
+  /** Share of its weight, 0 to 1, that a daemon's report keeps; it falls with how far off its reports are in the mean. */
   private credence(daemon: string, off: number): number {
     const before = this.daemonsOff.get(daemon) ?? 0;
     const mean = before + OFF_SMOOTHING * (Math.min(4, Math.abs(off)) - before);
--- a/src/core/capacity/ejection-floor.ts
+++ b/src/core/capacity/ejection-floor.ts
@@ -1,5 +1,5 @@
 /**
- * Bounds how many backends of a service one daemon leaves alone at once. Where more than a share
+ * Bounds how many backends of a service one daemon leaves alone (ejects) at once. Where more than a share
  * of them seem to fail, the daemon or its links are more likely at fault, and callers would wait
  * for nobody. Pure.
  */
--- a/src/core/capacity/heard-capacity.ts
+++ b/src/core/capacity/heard-capacity.ts
@@ -14,7 +14,7 @@
  */
 const LIFETIME_MS = 15_000;
 
-/** A new owner has learned the most after so long, in milliseconds; until then its predecessor's word holds. */
+/** A new owner has learned enough after so long, in milliseconds; until then its predecessor's word holds. */
 const LEARNING_MS = 3_000;
 
 /** Figures of one service, put together from the owner's changes. */
--- a/src/core/capacity/pause-shares.ts
+++ b/src/core/capacity/pause-shares.ts
@@ -7,7 +7,7 @@
 /** Lower ends of the classes of ratios; the first takes all below the second. */
 export const RATIO_CLASSES: readonly number[] = [1, 1.25, 1.5, 2, 2.5, 3, 4, 6];
 
-/** Shares of streams whose longest pause reaches each class, while nothing is learned: calm backends. */
+/** Shares of streams whose longest pause reaches each class, while nothing is learned: those of calm backends. */
 export const USUAL_PAUSE_SHARES: readonly number[] = [1, 0.7, 0.4, 0.2, 0.12, 0.08, 0.04, 0.02];
 
 /** The class of a ratio. */
--- a/src/core/capacity/pause-statistics.ts
+++ b/src/core/capacity/pause-statistics.ts
@@ -3,11 +3,11 @@
 
 /** Streams of so long ago count half: the work and its disturbances change within minutes. */
 const HALF_LIFE_MS = 120_000;
-/** Streams that the usual shares count as. */
+/** Weight of the usual shares beside what is counted, in streams: until so many have ended, they decide. */
 const USUAL_STREAMS = 20;
 /** Shares that change by less stay as they are told. */
 const SHARE_TOLERANCE = 0.05;
-/** Streams that one report can tell of. */
+/** Streams that one report can tell of in a class: more is no count. */
 const MOST_STREAMS = 10_000;
 
 /** Counts of streams that fade with the time; times are milliseconds of a steady clock. */
--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -16,8 +16,8 @@
 const FRESH_WORTH = 8_000;
 /**
  * Share of the slots of a model's copies from which on its callers queue at them: more wait
- * there than for a rare model, so its next copy goes first. Streams began late at backends
- * whose load was 11 of 12 in the mean.
+ * there than for a rare model, so its next copy goes first. Well below 1, for the load varies
+ * around its mean: where that nearly fills the slots, streams already begin late.
  */
 const CROWDED_SLOTS_SHARE = 0.75;
 
