--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -43,7 +43,10 @@
   readonly request: CallerRequest;
   /** Whose key the caller has; undefined if it needs none. */
   readonly tenant: CallerTenant | undefined;
-  /** Goes before the priority of tenant and route, where order is kept before the backend. */
+  /**
+   * Priority told to the backend in place of the tenant's or the route's; undefined where no slots are kept
+   * for all daemons, and the backend orders its requests itself.
+   */
   readonly urgency: number | undefined;
   /** Time left until the request's deadline. */
   readonly remainingMs: number;
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -40,7 +40,7 @@
   readonly processorShare: number;
   /** How fast that processor is, in cores of common speed. */
   readonly processorSpeed: number;
-  /** Memory that the process may use. */
+  /** Memory that the process may use, in units of 1,024 x 1,024 bytes. */
   readonly memoryMegabytes: number;
   /** IPv4 number for other daemons. */
   readonly address: string;
--- a/src/gateway/holder-leases.ts
+++ b/src/gateway/holder-leases.ts
@@ -46,11 +46,14 @@
   /** Daemons that the platform's store lists. */
   readonly listed: () => readonly KeeperCandidate[];
   readonly live: () => readonly KeeperCandidate[];
-  /** How long keepers remember what former holders have told. */
+  /** Milliseconds for which keepers remember what former holders have told. */
   readonly rememberMs: number;
-  /** Start of this process in Unix milliseconds: higher at each start of this daemon. */
+  /**
+   * Start of this process in Unix milliseconds: higher at each start of this daemon. Questions are numbered
+   * from it on, and it names the process to the keepers and the members ({@link HolderLeases.process}).
+   */
   readonly firstSequence: number;
-  /** Steady time: words that a former process at this address gave are older. */
+  /** Steady time of the process's start: words that a former process at this address gave are older. */
   readonly processStartedAt: number;
   readonly sendDatagram: (to: string, body: PeerBody) => void;
 }
@@ -59,7 +62,7 @@
 export interface HeldDuty {
   /** The most that the holder would lend to itself for now, told to the keepers for its successor. */
   readonly ownCeiling: (now: number) => number;
-  /** Most keepers have answered a question. */
+  /** A keeper has answered, and the lease holds; called with each answer from the majority's on. */
   readonly onAnswered: (now: number) => void;
   /** The lease is got, after a time without it. */
   readonly onGained: (history: LeaseHistory, now: number) => void;
@@ -73,7 +76,7 @@
   /** Whether the lease held at the last look. */
   held: boolean;
   loggedAt: number;
-  /** Keepers that have not given their word to the last question. */
+  /** Keepers that have refused their word since the last question. */
   refused: number;
 }
 
@@ -115,7 +118,7 @@
     return this.wanted.get(name)?.lease.holds(steadyNow()) ?? false;
   }
 
-  /** The most that this daemon may lend to itself now. */
+  /** The most that this daemon may lend to itself now, in units of what is counted; 0 if the lease is not wanted. */
   ownCeiling(name: string): number {
     return this.wanted.get(name)?.lease.ownCeiling() ?? 0;
   }
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -16,7 +16,6 @@
 const MOVE_GAIN_MS = 50;
 /** Places in queues that one request gives up: what is known of others is late, and all may move at once. */
 const MOST_MOVES = 3;
-
 /** The owner's word on loads counts for so long: it is told 0.3 to 0.5 s late, and only when it changes. */
 const OWNER_LOAD_BELIEVED_MS = 1_500;
 
@@ -54,7 +53,7 @@
   private readonly tried = new Set<string>();
   /** Backends that have refused the request, and until when they are not asked again. */
   private readonly refusals = new Map<string, number>();
-  /** When backends that were full for too long should have room. */
+  /** Steady times at which backends that were full for longer than the request can wait should have room. */
   private readonly fullUntil = new Map<string, number>();
   private claim: SlotClaim | undefined;
   private pending: PendingAsk | undefined;
@@ -290,7 +289,7 @@
     return this.inFlightAt(backend) < backend.slots ? 0 : Infinity;
   }
 
-  /** Time until the first of the backends that were full should have room; undefined if none was. */
+  /** Milliseconds until the first of the backends that were full should have room; undefined if none was. */
   private fullForMs(now: number): number | undefined {
     let soonest = Infinity;
     for (const [backend, until] of this.fullUntil) {
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -30,9 +30,12 @@
 const DEADLINE_MARGIN_MS = 30;
 /** Between two looks at a waiting request when nothing changes. */
 const RETRY_LOOK_MS = 50;
-/** All that was admitted is alike to its backend: what came later must not end work half done. */
+/** Priority told to backends whose slots are kept: the same for all, for what came later must not end work half done. */
 const ADMITTED_URGENCY = 1;
-/** A caller that was refused goes before those who have not waited yet: its place was kept so long. */
+/**
+ * A caller that was refused goes before those who have not waited yet: it counts as having waited so much longer,
+ * which is one rank (four steps) in `slot-queue.ts`.
+ */
 const RETURN_HEADSTART_MS = 1_200;
 /** A backend that has not begun to answer after so many goals is left for another. */
 const SILENT_GOALS = 2.2;
--- a/src/gateway/slot-admission.ts
+++ b/src/gateway/slot-admission.ts
@@ -60,10 +60,11 @@
 /** What a request says of itself. */
 export interface SlotWish {
   readonly backend: BackendRecord;
+  /** The request's id, for logs. */
   readonly request: string | undefined;
   /** 0 is the most urgent. */
   readonly rank: number;
-  /** Steady times. */
+  /** Steady times: since when its caller waits, when it should be sent, and when it can no longer be served. */
   readonly arrivedAt: number;
   readonly dueAt: number;
   readonly giveUpAt: number;
@@ -83,7 +84,7 @@
   /**
    * The request has ended, or wants the slot no more.
    *
-   * @param returnsInMs - Its caller was told to come back after so long.
+   * @param returnsInMs - Its caller was told to come back after so many milliseconds; 0 if it was not.
    */
   release(returnsInMs?: number): void;
 }
@@ -117,11 +118,11 @@
   keeper: string;
   readonly claims: Map<number, OpenClaim>;
   figures: SlotFigures | undefined;
-  /** Requests sent without a question since then. */
+  /** Requests sent without a question since the figures were told. */
   sentSince: number;
-  /** When the figures were told. */
+  /** Steady time at which the figures were told. */
   heardAt: number;
-  /** The keeper did not answer: until then nobody waits for it again. */
+  /** The keeper did not answer: until this steady time nobody waits for it again. */
   aloneUntil: number;
   usedAt: number;
 }
@@ -159,7 +160,7 @@
     return claim;
   }
 
-  /** What the keeper of a backend said of it lately; undefined if nothing. */
+  /** What the keeper of a backend said of it within {@link FIGURES_BELIEVED_MS}; undefined if nothing. */
   figuresOf(backend: string, now: number): SlotFigures | undefined {
     const known = this.backends.get(backend);
     if (known === undefined || now - known.heardAt > FIGURES_BELIEVED_MS) return undefined;
--- a/src/gateway/slot-outbox.ts
+++ b/src/gateway/slot-outbox.ts
@@ -29,6 +29,7 @@
 
   constructor(private readonly send: (to: string, body: PeerBody) => void) {}
 
+  /** Sends the entry to the peer at the end of this turn, with all others for it. */
   tell(to: string, entry: SlotEntry): void {
     const waiting = this.entries.get(to) ?? [];
     this.entries.set(to, waiting);
--- a/src/gateway/tenant-limits.ts
+++ b/src/gateway/tenant-limits.ts
@@ -35,7 +35,7 @@
 const ANSWER_WITHIN_MS = 200;
 /** A ledger that counts for nobody any more is dropped after so many windows. */
 const LEDGER_WINDOWS = 2;
-/** Questions that wait for the holder's lease; a daemon that gets no answer asks again. */
+/** The most questions on one tenant that wait for the holder's lease; a daemon that gets no answer asks again. */
 const MOST_WAITING = 1_000;
 /**
  * A holder tells its keepers of so much more than its own callers have used, as a part of that or of
@@ -189,6 +189,7 @@
     return state.silence.isHeard(units, share, now) || state.own.total(now) + units <= share;
   }
 
+  /** Whether this daemon, as the holder, may grant to others now: its lease holds, or none is needed. */
   private mayLend(name: string): boolean {
     return this.options.leases?.holds(leaseName(name)) ?? true;
   }
@@ -227,6 +228,7 @@
     });
   }
 
+  /** Units that the holder tells the keepers as the most that it admits for its own callers in a window. */
   private ownCeiling(name: string, held: HeldLedger, now: number): number {
     const limit = this.options.tenant(name)?.limit;
     const share = limit === undefined ? 0 : this.equalShare(limit);
@@ -259,14 +261,14 @@
     }
   }
 
-  /** What former holders that are gone have admitted for themselves beyond their share of the limit. */
+  /** Units that former holders which are gone can have admitted for themselves beyond their share of the limit. */
   private unseenUnits({ formers }: LeaseHistory, share: number): number {
     const live = new Set(this.options.live().map((member) => member.address));
     const gone = formers.filter(({ holder }) => !live.has(holder));
     return gone.reduce((most, { ownCeiling }) => Math.max(most, ownCeiling - share), 0);
   }
 
-  /** What a former process of this daemon has admitted for itself at most. */
+  /** Units that a former process of this daemon has admitted for itself at most. */
   private forgottenUnits({ formers }: LeaseHistory): number {
     const own = formers.filter(({ holder }) => holder === this.options.self);
     return own.reduce((most, { ownCeiling }) => Math.max(most, ownCeiling), 0);
