--- a/src/core/admission/limit-ledger.ts
+++ b/src/core/admission/limit-ledger.ts
@@ -86,6 +86,7 @@
     if (unseen > 0) this.admitted.add(unseen, now);
     const { perSecond, burst } = this.limit;
     const { share } = this.view;
+    // The smaller burst takes away what the bucket holds beyond it; the usual one is then in force again.
     this.bucket.setRate(perSecond * share, Math.min(burst * share, this.spare()), now);
     this.bucket.setRate(perSecond * share, burst * share, now);
   }
--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -39,7 +39,7 @@
   readonly usedMegabytes: number;
   /** Cheapest first. */
   readonly victims: readonly Victim[];
-  /** Victims by the megabytes of the model that they make way for, as far as asked for. */
+  /** Cache: victims by the megabytes of the model that they make way for; undefined if no room can be made. */
   readonly chosen: Map<number, readonly Victim[] | undefined>;
 }
 
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -36,7 +36,7 @@
 const COPY_MARGIN = 2;
 /** Forecasts that an owner tells at once, the most urgent, unless it tells all. */
 const MOST_FORECASTS = 64;
-/** At most so many of all: some 20 kB of an update, and tens of milliseconds of the owner's time. */
+/** The most that it tells if it tells all: some 20 kB of an update, and tens of milliseconds of the owner's time. */
 const MOST_OF_ALL_FORECASTS = 1_024;
 /** Room that is made and not used by then is given up. */
 const RESERVATION_MS = 4_000;
@@ -282,6 +282,7 @@
     this.push({ backend, order, durationMs: loadMs, copy, reason });
   }
 
+  /** The most copies with which room ordered now is still needed; 0 if room is made for unheld models only. */
   private copiesBefore(spec: ModelSpec): number {
     return this.input.policies.relieveCrowdedCopies ? this.worth.copies(spec.name) : 0;
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -431,6 +431,7 @@
     if (outcome === 'gap') this.catchUp(owner, update.service, now);
   }
 
+  /** Changes can't be applied here: takes everything, from the owner in this process or by a question to another. */
   private catchUp(owner: string, service: string, now: number): void {
     if (owner !== this.peers.address) return this.requestPlacement(owner, service, now);
     const everything = this.duties.everythingOf(service);
