Failures of a backend are told by the keeper of its slots

Cause: a backend that fails every request at once empties its slots fastest, so every daemon took it for the freest until it had met failures itself. The keeper learns the share of failures from the ends that daemons tell, tells it with each word, and unasked to all that use the backend while it fails; the choice goes by the larger of it and the daemon's own. No place in a queue is given up for a backend that mostly fails. Silence and what never reached the backend don't count: they may be the fault of the way. The tests' second group of daemons is emptied after each test.

--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -19,6 +19,7 @@
 } from './slot-keeping.js';
 import { SlotTimes } from './slot-times.js';
 import { shareLevel, type TenantUse } from './tenant-shares.js';
+import { ToldFailures } from './told-failures.js';
 
 /** Waiting for so long is worth one step in the order. */
 export const STEP_MS = 300;
@@ -66,6 +67,7 @@
   private readonly holders = new Map<string, Holder>();
   private readonly waiters = new Map<string, Waiter>();
   private readonly times = new SlotTimes();
+  private readonly failures = new ToldFailures();
   /** When callers should be back that were told to come back. */
   private returns: { readonly at: number; readonly rank: number }[] = [];
   private sequence = 0;
@@ -117,13 +119,15 @@
     this.holders.set(key, { ...use, size, since: now, isWhole: true, namedAt: now });
   }
 
-  end(daemon: string, ticket: number, now: number): SlotDecision[] {
+  /** @param hasFailed - The backend has failed the request. */
+  end(daemon: string, ticket: number, now: number, hasFailed = false): SlotDecision[] {
     const key = keyOf({ daemon, ticket });
     this.waiters.delete(key);
     const holder = this.holders.get(key);
     if (holder === undefined) return [];
     this.holders.delete(key);
     this.movedAt = now;
+    this.failures.note(hasFailed, now);
     if (holder.isWhole) this.times.noteHold(now - holder.since, holder.size);
     return this.fill(now);
   }
@@ -194,6 +198,11 @@
     return { slots, inFlight, waiting, expectedWaitMs: this.waitBehind(waiting, USUAL_RANK, now) };
   }
 
+  /** Share of the requests that the backend has failed lately. */
+  failureShare(now: number): number {
+    return this.failures.share(now);
+  }
+
   /** Daemons that have a request here. */
   daemons(): Set<string> {
     const entries = [...this.holders.values(), ...this.waiters.values()];
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -17,6 +17,9 @@
 /** Places in queues that one request gives up: what is known of others is late, and all may move at once. */
 const MOST_MOVES = 3;
 
+/** No place in a queue is given up for a backend that fails so large a share: it is free because it fails. */
+const MOST_FAILURES_TO_MOVE = 0.5;
+
 /** The owner's word on loads counts for so long: it is told 0.3 to 0.5 s late, and only when it changes. */
 const OWNER_LOAD_BELIEVED_MS = 1_500;
 
@@ -106,9 +109,13 @@
     if (this.pending?.backend.id === backend) this.release();
   }
 
-  /** The request needs its slot, or its place in a queue, no more. */
-  release(): void {
-    this.claim?.release();
+  /**
+   * The request needs its slot, or its place in a queue, no more.
+   *
+   * @param hasFailed - The backend has failed the request.
+   */
+  release(hasFailed = false): void {
+    this.claim?.release(0, hasFailed);
     this.claim = undefined;
     this.pending = undefined;
     this.queueAt(undefined);
@@ -198,6 +205,7 @@
   private candidate(
     backend: BackendRecord,
     capacity: ReturnType<typeof capacityFor>,
+    now: number,
   ): BackendCandidate {
     const { context } = this;
     return {
@@ -206,14 +214,20 @@
       hasConnection: context.agent.hasRestingConnection(backend.address),
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
-      failureShare: context.health.failureShare(backend.id),
+      failureShare: this.failureShare(backend.id, now),
       ...capacity(backend.id),
     };
   }
 
+  /** As this daemon has seen it, or its keeper has heard from all: who sends seldom learns late. */
+  private failureShare(backend: string, now: number): number {
+    const { health, slots } = this.context;
+    return Math.max(health.failureShare(backend), slots?.failureShareOf(backend, now) ?? 0);
+  }
+
   private candidates(backends: readonly BackendRecord[], now: number): BackendCandidate[] {
     const capacity = capacityFor(this.context, this.options.need, now);
-    return backends.map((backend) => this.candidate(backend, capacity));
+    return backends.map((backend) => this.candidate(backend, capacity, now));
   }
 
   private claimAt(backend: BackendRecord): void {
@@ -272,7 +286,10 @@
     const isAvoided = this.context.health.isAvoided(backend.id, now);
     const waitMs = isAvoided ? Infinity : expectedAt - now - MOVE_GAIN_MS;
     const sooner = this.fresh(now).filter(
-      (other) => other.id !== backend.id && this.expectedWaitMs(other, now) < waitMs,
+      (other) =>
+        other.id !== backend.id &&
+        this.expectedWaitMs(other, now) < waitMs &&
+        this.failureShare(other.id, now) < MOST_FAILURES_TO_MOVE,
     );
     const candidates = this.candidates(sooner, now);
     const chosen = this.context.selection.choose(candidates, undefined);
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -379,7 +379,7 @@
 
   private attemptEnded(backend: BackendRecord, end: AttemptEnd): void {
     if (this.ended) return;
-    this.releaseAttempt(backend.id);
+    this.releaseAttempt(backend.id, this.hasFailed(backend, end));
     this.judgeBackend(backend, end);
     if (end.type === 'done') return this.finish(end.status < 400 ? 'served' : 'failed');
     this.log('attempt_failed', {
@@ -407,13 +407,19 @@
   }
 
   /** The attempt is over: the backend no longer works on the request. */
-  private releaseAttempt(backend: string): void {
+  private releaseAttempt(backend: string, hasFailed = false): void {
     this.uncount(backend);
     this.attempt = undefined;
-    this.search.release();
+    this.search.release(hasFailed);
     this.setWaiting(false);
   }
 
+  /** Whether the backend itself has failed; silence may be the fault of the way there. */
+  private hasFailed(backend: BackendRecord, end: AttemptEnd): boolean {
+    if (end.type === 'done' || !end.reached || end.silent || end.lacksModel) return false;
+    return !isAnotherStart(backend, this.context.directory.get(backend.id));
+  }
+
   private uncount(backend: string): void {
     if (!this.isCounted) return;
     this.isCounted = false;
--- a/src/gateway/slot-admission.ts
+++ b/src/gateway/slot-admission.ts
@@ -4,10 +4,11 @@
  * a request is sent at once and the keeper told; else the keeper is asked first. A keeper that
  * does not answer leaves the daemon to decide alone.
  */
-import { create } from '@bufbuild/protobuf';
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import { firstCandidate } from '../common/rendezvous.js';
 import { isTight, type SlotAnswer, type SlotFigures } from '../core/admission/slot-keeping.js';
+import { shareOfPerMille } from '../core/admission/told-failures.js';
 import { ablestOf } from '../core/duties.js';
 import type { MemberView } from '../core/membership-messages.js';
 import type { BackendRecord } from '../core/service-configuration.js';
@@ -37,6 +38,8 @@
 const ROOM_BELIEVED_MS = 2_000;
 /** Load and waits of a backend count for so long in the choice between backends. */
 const FIGURES_BELIEVED_MS = 500;
+/** A keeper's word on failures counts for so long: it has its own fading, and is told again while they go on. */
+const FAILURES_BELIEVED_MS = 2_000;
 /** All tickets are named to their keepers so often; several times within their lifetime there. */
 const LIST_PERIOD_MS = 1_000;
 /** Backends that this daemon has used within this time are named even without tickets: an end may be lost. */
@@ -84,8 +87,9 @@
    * The request has ended, or wants the slot no more.
    *
    * @param returnsInMs - Its caller was told to come back after so long.
+   * @param hasFailed - The backend has failed the request.
    */
-  release(returnsInMs?: number): void;
+  release(returnsInMs?: number, hasFailed?: boolean): void;
 }
 
 /** A claim as this daemon follows it. */
@@ -97,7 +101,7 @@
   constructor(
     readonly ticket: number,
     readonly wish: SlotWish,
-    private readonly onRelease: (claim: OpenClaim, returnsInMs: number) => void,
+    private readonly onRelease: (claim: OpenClaim, returnsInMs: number, hasFailed: boolean) => void,
   ) {}
 
   get isHeld(): boolean {
@@ -108,8 +112,8 @@
     return this.wish.backend.id;
   }
 
-  release(returnsInMs = 0): void {
-    this.onRelease(this, returnsInMs);
+  release(returnsInMs = 0, hasFailed = false): void {
+    this.onRelease(this, returnsInMs, hasFailed);
   }
 }
 
@@ -117,6 +121,8 @@
   keeper: string;
   readonly claims: Map<number, OpenClaim>;
   figures: SlotFigures | undefined;
+  /** Share of requests that the backend has failed, as told with the figures. */
+  failureShare: number;
   /** Requests sent without a question since then. */
   sentSince: number;
   /** When the figures were told. */
@@ -150,8 +156,8 @@
     const { id } = wish.backend;
     const known = this.knownBackend(id, now);
     this.sequence = (this.sequence + 1) % TICKET_NUMBERS;
-    const claim = new OpenClaim(this.sequence, wish, (ended, returnsInMs) => {
-      this.release(ended, returnsInMs);
+    const claim = new OpenClaim(this.sequence, wish, (ended, returnsInMs, hasFailed) => {
+      this.release(ended, returnsInMs, hasFailed);
     });
     known.claims.set(claim.ticket, claim);
     if (this.hasRoom(known, wish, now)) this.hold(known, claim);
@@ -166,6 +172,13 @@
     return known.figures;
   }
 
+  /** Share of requests that a backend has failed lately by its keeper's word; 0 if nothing is known. */
+  failureShareOf(backend: string, now: number): number {
+    const known = this.backends.get(backend);
+    if (known === undefined || now - known.heardAt > FAILURES_BELIEVED_MS) return 0;
+    return known.failureShare;
+  }
+
   /** Milliseconds since the keeper of a backend was heard; undefined if it was not. */
   figuresAgeMs(backend: string, now: number): number | undefined {
     const known = this.backends.get(backend);
@@ -278,17 +291,18 @@
     wish.onAnswer({ type: 'granted' });
   }
 
-  private release({ backend, ticket, timer, wish }: OpenClaim, returnsInMs: number): void {
+  private release(claim: OpenClaim, returnsInMs: number, hasFailed: boolean): void {
+    const { backend, ticket, timer, wish } = claim;
     const known = this.backends.get(backend);
     clearTimeout(timer);
     if (known === undefined || !known.claims.delete(ticket)) return;
     known.usedAt = steadyNow();
-    this.tellEnd(known.keeper, backend, ticket, returnsInMs, wish.rank);
+    this.tellEnd(known.keeper, { backend, ticket, returnsInMs, rank: wish.rank, hasFailed });
   }
 
-  private tellEnd(keeper: string, backend: string, ticket: number, returnsIn = 0, rank = 0): void {
-    const returnsInMs = Math.ceil(returnsIn);
-    const value = create(SlotEndSchema, { backend, ticket, returnsInMs, rank });
+  private tellEnd(keeper: string, end: MessageInitShape<typeof SlotEndSchema>): void {
+    const returnsInMs = Math.ceil(end.returnsInMs ?? 0);
+    const value = create(SlotEndSchema, { ...end, returnsInMs });
     this.outbox.tell(keeper, { kind: 'ended', value });
   }
 
@@ -298,6 +312,7 @@
     if (known !== undefined && known.keeper === from && word.verdict !== SlotVerdict.UNKNOWN) {
       const { slots, inFlight, waiting, newcomerWaitMs } = word;
       known.figures = { slots, inFlight, waiting, expectedWaitMs: newcomerWaitMs };
+      known.failureShare = shareOfPerMille(word.failurePerMille);
       known.heardAt = now;
       known.sentSince = 0;
       known.aloneUntil = 0;
@@ -305,7 +320,9 @@
     const claim = known?.claims.get(word.ticket);
     if (known === undefined || claim === undefined) {
       // Granted to one that no longer wants it.
-      if (word.verdict === SlotVerdict.GRANTED) this.tellEnd(from, word.backend, word.ticket);
+      if (word.verdict === SlotVerdict.GRANTED) {
+        this.tellEnd(from, { backend: word.backend, ticket: word.ticket });
+      }
       return;
     }
     if (claim.isHeld) return;
@@ -370,6 +387,7 @@
       keeper,
       claims,
       figures: undefined,
+      failureShare: 0,
       sentSince: 0,
       heardAt: 0,
       aloneUntil: 0,
@@ -407,6 +425,7 @@
     const former = known.keeper;
     known.keeper = keeper;
     known.figures = undefined;
+    known.failureShare = 0;
     known.aloneUntil = 0;
     const waiting = [...known.claims.values()].filter(({ state }) => state !== 'held').length;
     const inFlight = known.claims.size - waiting;
@@ -418,7 +437,7 @@
       waiting,
     });
     for (const claim of known.claims.values()) {
-      this.tellEnd(former, id, claim.ticket);
+      this.tellEnd(former, { backend: id, ticket: claim.ticket });
       if (claim.state === 'held') this.hold(known, claim);
     }
     for (const claim of known.claims.values()) if (claim.state !== 'held') this.ask(known, claim);
--- a/src/gateway/slot-keeper.ts
+++ b/src/gateway/slot-keeper.ts
@@ -21,6 +21,9 @@
 /** A daemon is told that a backend is tight at most so often, however much it sends unasked. */
 const NEWS_PERIOD_MS = 50;
 
+/** From this share of failures on daemons are told unasked: each would find out by requests of its own. */
+const TOLD_FAILURE_SHARE = 0.25;
+
 /** Options of {@link SlotKeeper}. */
 export interface SlotKeeperOptions {
   readonly logger: Logger;
@@ -33,7 +36,7 @@
 interface KeptBackend {
   readonly queue: SlotQueue;
   usedAt: number;
-  /** When daemons were last told that it is tight, without having asked. */
+  /** Daemons that use it, and when they were last told of it without having asked. */
   readonly newsAt: Map<string, number>;
 }
 
@@ -46,11 +49,12 @@
   /** Handles what a daemon reports; what belongs to no known backend is answered so. */
   receive(from: string, { asks, taken, ended, lists }: SlotReport): void {
     const now = steadyNow();
-    for (const { backend, ticket, returnsInMs, rank } of ended) {
+    for (const { backend, ticket, returnsInMs, rank, hasFailed } of ended) {
       const kept = this.kept.get(backend);
       if (kept === undefined) continue;
       if (returnsInMs > 0) kept.queue.expectReturn(rank, returnsInMs, now);
-      this.answer(backend, kept, kept.queue.end(from, ticket, now));
+      this.answer(backend, kept, kept.queue.end(from, ticket, now, hasFailed));
+      if (hasFailed) this.tellFailing(backend, kept, now);
     }
     for (const { backend, ticket, tenant, work } of taken) {
       const kept = this.keptOf(backend, now);
@@ -61,6 +65,7 @@
     for (const { backend, inFlight, waiting } of lists) {
       const kept = this.keptOf(backend, now);
       if (kept === undefined) continue;
+      noteUser(kept, from);
       this.answer(backend, kept, kept.queue.named(from, inFlight, waiting, now));
     }
     for (const ask of asks) this.receiveAsk(from, ask, now);
@@ -88,6 +93,7 @@
   keepOnly(daemons: ReadonlySet<string>): void {
     const now = steadyNow();
     for (const [backend, kept] of this.kept) {
+      for (const user of kept.newsAt.keys()) if (!daemons.has(user)) kept.newsAt.delete(user);
       for (const daemon of kept.queue.daemons()) {
         if (daemons.has(daemon)) continue;
         this.options.logger.info('slot_daemon_gone', { backend, peer: daemon });
@@ -104,6 +110,7 @@
       const word = create(SlotWordSchema, { backend, ticket, verdict: SlotVerdict.UNKNOWN });
       return this.options.tell(from, { kind: 'word', value: word });
     }
+    noteUser(kept, from);
     const dueAt = now + ask.dueInMs;
     const giveUpAt = now + ask.giveUpInMs;
     const wish = { daemon: from, ticket, rank, dueAt, giveUpAt, waitedMs, tenant, work };
@@ -132,7 +139,18 @@
   }
 
   private tellNews(to: string, backend: string, kept: KeptBackend, now: number): void {
-    if (!isTight(kept.queue.figures(steadyNow()))) return;
+    noteUser(kept, to);
+    if (!isTight(kept.queue.figures(now)) && !isFailing(kept, now)) return;
+    this.tellUnasked(to, backend, kept, now);
+  }
+
+  /** All that use it are told that it fails, before they meet failures themselves. */
+  private tellFailing(backend: string, kept: KeptBackend, now: number): void {
+    if (!isFailing(kept, now)) return;
+    for (const user of kept.newsAt.keys()) this.tellUnasked(user, backend, kept, now);
+  }
+
+  private tellUnasked(to: string, backend: string, kept: KeptBackend, now: number): void {
     if (now - (kept.newsAt.get(to) ?? -Infinity) < NEWS_PERIOD_MS) return;
     kept.newsAt.set(to, now);
     this.tell(to, backend, kept, 0, undefined);
@@ -151,7 +169,8 @@
     ticket: number,
     answer: SlotAnswer | undefined,
   ): void {
-    const { slots, inFlight, waiting, expectedWaitMs } = queue.figures(steadyNow());
+    const now = steadyNow();
+    const { slots, inFlight, waiting, expectedWaitMs } = queue.figures(now);
     const value = create(SlotWordSchema, {
       backend,
       ticket,
@@ -161,11 +180,20 @@
       waiting,
       slots,
       newcomerWaitMs: Math.ceil(expectedWaitMs),
+      failurePerMille: Math.round(queue.failureShare(now) * 1_000),
     });
     this.options.tell(to, { kind: 'word', value });
   }
 }
 
+function noteUser({ newsAt }: KeptBackend, daemon: string): void {
+  if (!newsAt.has(daemon)) newsAt.set(daemon, -Infinity);
+}
+
+function isFailing({ queue }: KeptBackend, now: number): boolean {
+  return queue.failureShare(now) >= TOLD_FAILURE_SHARE;
+}
+
 function verdictOf(answer: SlotAnswer | undefined): SlotVerdict {
   if (answer === undefined) return SlotVerdict.NEWS;
   if (answer.type === 'granted') return SlotVerdict.GRANTED;
--- a/test/gateway/shared-slots.test.ts
+++ b/test/gateway/shared-slots.test.ts
@@ -174,7 +174,7 @@
   });
 
   afterEach(() => {
-    for (const daemon of daemons) daemon.stop();
+    for (const daemon of daemons.splice(0)) daemon.stop();
     backend.stop();
   });
 
@@ -194,4 +194,29 @@
     );
     expect(keepers).toHaveLength(1);
   });
+
+  it('of a backend that fails at once are left by a daemon that has not met a failure', async () => {
+    const failing: BackendHandler = (_, response) => response.writeHead(500).end();
+    const hasty = new TestBackend('hasty', answerWhole);
+    await hasty.start();
+    const far = backend.record({ slots: SLOTS, zone: 'far' });
+    for (const daemon of daemons) {
+      daemon.configure(
+        testConfiguration({ version: 2, routes: [testRoute({ repeatability: 'once' })] }),
+      );
+      daemon.list([far, hasty.record({ slots: 20 })]);
+    }
+    const call = async (daemon: number, id: string): Promise<number> =>
+      (await daemons[daemon]!.call({ id })).status;
+    expect(await call(1, 'before')).toBe(200);
+    expect(hasty.arrivals).toEqual(['before']);
+    hasty.handle = failing;
+    for (let index = 0; index < 8; index++) await call(0, `a${index}`);
+    expect(hasty.arrivals.length).toBeGreaterThan(1);
+    await pause(30);
+    const arrivals = hasty.arrivals.length;
+    for (let index = 0; index < 4; index++) expect(await call(1, `b${index}`)).toBe(200);
+    expect(hasty.arrivals).toHaveLength(arrivals);
+    hasty.stop();
+  });
 });
