A refusal never says of a request that has run that it has not; a new queue takes no standstill from the clock

Two faults, each with a test that failed before: a repeatable request that failed at one backend and found no other was refused with 503 and x-ran: no; it is now given up as one that may have run. A queue that was filled by daemons' lists alone (a new keeper) counted its standstill from the start of the process, so that it told waits of hours.

--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -71,8 +71,8 @@
   /** When callers should be back that were told to come back. */
   private returns: { readonly at: number; readonly rank: number }[] = [];
   private sequence = 0;
-  /** When a request last began or ended here. */
-  private movedAt = 0;
+  /** When a request last began or ended here; infinite before any. */
+  private movedAt = Infinity;
 
   constructor(private slots: number) {}
 
@@ -151,6 +151,7 @@
     waiting: readonly number[],
     now: number,
   ): SlotDecision[] {
+    this.movedAt = Math.min(this.movedAt, now);
     const known = new Set([...inFlight, ...waiting]);
     for (const [key, entry] of [...this.holders, ...this.waiters]) {
       if (entry.daemon !== daemon) continue;
@@ -247,7 +248,7 @@
     if (ends <= 0) return 0;
     const size = this.meanSize();
     // A backend that ends nothing for long answers nobody: its waits are longer than they were.
-    const standstillMs = (now - this.movedAt) / USUAL_GAPS;
+    const standstillMs = Math.max(0, now - this.movedAt) / USUAL_GAPS;
     const waitMs = Math.max(
       this.times.untilFree(ends, this.slots, size, rank),
       ends * standstillMs,
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -459,7 +459,8 @@
     retryAfterMs: number | undefined,
     inputs: Readonly<Record<string, string | number | undefined>> = {},
   ): void {
-    if (this.answer.hasBegun) return this.giveUp(this.lastRan, kind);
+    // A refusal says that the request has not run.
+    if (this.answer.hasBegun || this.runs > 0) return this.giveUp(this.lastRan, kind);
     this.context.metrics.refusals.inc({ kind, tenant: this.pass.tenant?.name ?? '' });
     this.log('refused', {
       kind,
--- a/test/core/admission/slot-queue.test.ts
+++ b/test/core/admission/slot-queue.test.ts
@@ -269,3 +269,13 @@
     },
   );
 });
+
+describe('a queue that is new before a backend at work', () => {
+  it('does not take the age of the process for a standstill', () => {
+    const now = 86_400_000;
+    const queue = new SlotQueue(2);
+    queue.named('d', [900_001, 900_002], [], now);
+    expect(queue.figures(now).expectedWaitMs).toBeLessThan(2_000);
+    expect(queue.figures(now + 40_000).expectedWaitMs).toBeGreaterThan(2_000);
+  });
+});
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -84,6 +84,22 @@
     other.stop();
   });
 
+  it('does not say of a request that has run elsewhere that it has not', async () => {
+    harness.configure(testConfiguration({ version: 2, routes: [testRoute()] }));
+    const refusal = { type: 'refuse', retryAfterMs: 100 } as const;
+    Object.assign(harness.gateway['context'], {
+      hold: { decide: () => refusal, noteWait: () => undefined },
+    });
+    backend.handle = (request) => {
+      harness.list([{ ...backend.record({ revision: 2 }), leaving: true }]);
+      request.socket.destroy();
+    };
+    const answer = await harness.call({ id: 'a' });
+    expect(backend.arrivals).toEqual(['a']);
+    expect(answer.status).toBe(502);
+    expect(answer.headers['x-ran']).toBe('unknown');
+  });
+
   it('does not repeat a request that may have run and may run once only', async () => {
     const other = new TestBackend('two', answerWhole);
     await other.start();
