--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -19,6 +19,7 @@
 } from './slot-keeping.js';
 import { SlotTimes } from './slot-times.js';
 import { shareLevel, type TenantUse } from './tenant-shares.js';
+import { ToldFailures } from './told-failures.js';
 
 /** Waiting for so long is worth one step in the order. */
 export const STEP_MS = 300;
@@ -66,11 +67,12 @@
   private readonly holders = new Map<string, Holder>();
   private readonly waiters = new Map<string, Waiter>();
   private readonly times = new SlotTimes();
+  private readonly failures = new ToldFailures();
   /** When callers should be back that were told to come back. */
   private returns: { readonly at: number; readonly rank: number }[] = [];
   private sequence = 0;
-  /** When a request last began or ended here. */
-  private movedAt = 0;
+  /** When a request last began or ended here; infinite before any. */
+  private movedAt = Infinity;
 
   constructor(private slots: number) {}
 
@@ -117,13 +119,15 @@
     this.holders.set(key, { ...use, size, since: now, isWhole: true, namedAt: now });
   }
 
-  end(daemon: string, ticket: number, now: number): SlotDecision[] {
+  /** @param hasFailed - The backend has failed the request. */
+  end(daemon: string, ticket: number, now: number, hasFailed = false): SlotDecision[] {
     const key = keyOf({ daemon, ticket });
     this.waiters.delete(key);
     const holder = this.holders.get(key);
     if (holder === undefined) return [];
     this.holders.delete(key);
     this.movedAt = now;
+    this.failures.note(hasFailed, now);
     if (holder.isWhole) this.times.noteHold(now - holder.since, holder.size);
     return this.fill(now);
   }
@@ -147,6 +151,7 @@
     waiting: readonly number[],
     now: number,
   ): SlotDecision[] {
+    this.movedAt = Math.min(this.movedAt, now);
     const known = new Set([...inFlight, ...waiting]);
     for (const [key, entry] of [...this.holders, ...this.waiters]) {
       if (entry.daemon !== daemon) continue;
@@ -194,6 +199,11 @@
     return { slots, inFlight, waiting, expectedWaitMs: this.waitBehind(waiting, USUAL_RANK, now) };
   }
 
+  /** Share of the requests that the backend has failed lately. */
+  failureShare(now: number): number {
+    return this.failures.share(now);
+  }
+
   /** Daemons that have a request here. */
   daemons(): Set<string> {
     const entries = [...this.holders.values(), ...this.waiters.values()];
@@ -241,7 +251,7 @@
     if (ends <= 0) return 0;
     const size = this.meanSize();
     // A backend that ends nothing for long answers nobody: its waits are longer than they were.
-    const standstillMs = (now - this.movedAt) / USUAL_GAPS;
+    const standstillMs = Math.max(0, now - this.movedAt) / USUAL_GAPS;
     const waitMs = Math.max(
       this.times.untilFree(ends, this.slots, size, rank),
       ends * standstillMs,
