A stream is read no further only where a drain will come; a list keeps what it can't read; planning costs less

Cause, found on reading the joined code: - A stream was paused when the daemon held too much and more than 16 KB of it were unread, and went on with Node's "drain". It is paused only where one is due. - An object that a list could not read was dropped, though a watch keeps what was held under its name: a server that serves counted as gone after a list. A list keeps it too. - The search for a place looked up a model's urgent rate for each place, with learned capacity off as well, and worked out a place's quality though most models are in time anywhere. Both are worked out once a round and model.

The worth of a further copy is divided as in both originals, in one step; what it gives is the same.

--- a/src/core/capacity/copy-quality.ts
+++ b/src/core/capacity/copy-quality.ts
@@ -29,11 +29,26 @@
 /** No place is avoided for longer than this, in milliseconds. */
 const MOST_LATE_MS = 8_000;
 
+interface Extremes {
+  readonly fastest: string;
+  readonly slowest: string;
+}
+
+/** What is known of the places for one model. */
+interface ModelPlaces {
+  /** Share of streams in time at the best place. */
+  readonly bestInTime: number;
+  /** Whether even the slowest place is as good. */
+  readonly isGoodAnywhere: boolean;
+  /** By backend, as far as asked for. */
+  readonly qualities: Map<string, number>;
+}
+
 /** Quality of copies for one round of planning. */
 export class CopyQuality {
-  /** The backend at which every model's risk is smallest; worked out when first asked for. */
-  private fastest: string | undefined;
-  private readonly qualities = new Map<string, Map<string, number>>();
+  /** The backends at which every model's risk is smallest and greatest; worked out when first asked for. */
+  private extremes: Extremes | undefined;
+  private readonly places = new Map<string, ModelPlaces>();
 
   /** @param capacity - Undefined if all backends count as alike. */
   constructor(
@@ -44,14 +59,21 @@
 
   /** Quality of a place for a model against its best place, {@link LEAST_QUALITY} to 1. */
   ofPlace(backend: string, model: string): number {
-    if (this.capacity === undefined) return 1;
-    const known = this.qualities.get(model) ?? new Map<string, number>();
-    this.qualities.set(model, known);
-    const quality = known.get(backend) ?? this.workOut(backend, model);
-    known.set(backend, quality);
+    if (this.isGoodAnywhere(model)) return 1;
+    const { bestInTime, qualities } = this.placesOf(model);
+    const quality = qualities.get(backend) ?? this.workOut(backend, model, bestInTime);
+    qualities.set(backend, quality);
     return quality;
   }
 
+  /**
+   * Whether all places are as good for a model, as for most: then none needs to be looked at. Without it a round
+   * over hundreds of backends and models would take much longer.
+   */
+  isGoodAnywhere(model: string): boolean {
+    return this.capacity === undefined || this.placesOf(model).isGoodAnywhere;
+  }
+
   /** Quality of a copy that is held; a new one counts in full. */
   ofCopy(ledger: BackendLedger, model: string): number {
     const loadedAt = ledger.models.get(model)?.loadedAt ?? this.now;
@@ -75,26 +97,38 @@
     return Math.min(MOST_LATE_MS, lost * (LATE_STREAM_MS + urgentRate * LATE_RATE_MS));
   }
 
-  private workOut(backend: string, model: string): number {
+  private placesOf(model: string): ModelPlaces {
+    const known = this.places.get(model);
+    if (known !== undefined) return known;
+    const { fastest, slowest } = this.extremeBackends();
+    const bestInTime = 1 - this.riskAt(fastest, model);
+    const isGoodAnywhere = this.workOut(slowest, model, bestInTime) === 1;
+    const made: ModelPlaces = { bestInTime, isGoodAnywhere, qualities: new Map() };
+    this.places.set(model, made);
+    return made;
+  }
+
+  private workOut(backend: string, model: string, bestInTime: number): number {
+    if (bestInTime <= 0) return 1;
     const inTime = 1 - this.riskAt(backend, model);
-    const best = 1 - this.riskAt(this.fastestBackend(), model);
-    if (best <= 0) return 1;
-    const quality = Math.max(LEAST_QUALITY, inTime / best);
+    const quality = Math.max(LEAST_QUALITY, inTime / bestInTime);
     return quality >= GOOD_QUALITY ? 1 : quality;
   }
 
-  private fastestBackend(): string {
-    this.fastest ??= this.findFastest();
-    return this.fastest;
+  private extremeBackends(): Extremes {
+    this.extremes ??= this.findExtremes();
+    return this.extremes;
   }
 
-  private findFastest(): string {
-    let [fastest, most] = ['', 0];
+  private findExtremes(): Extremes {
+    let [fastest, slowest] = ['', ''];
+    let [most, least] = [0, Infinity];
     for (const { id } of this.backends) {
       const speed = this.capacity?.view.speedOf(id) ?? 1;
       if (speed > most) [fastest, most] = [id, speed];
+      if (speed < least) [slowest, least] = [id, speed];
     }
-    return fastest;
+    return { fastest, slowest };
   }
 
   private riskAt(backend: string, model: string): number {
--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -149,13 +149,19 @@
     const readyInMs = Math.max(this.waitMs(ledger) + unloadMs, storeWaitMs) + loadMs;
     const storeCost = isFromStore ? STORE_LOAD_COST_MS : 0;
     const channelCost = this.channel.ofOrder(ledger, loadMs);
-    const rate = this.worth.urgentRate(spec.name);
-    const lateCost = this.worth.quality.lateMs(ledger.id, spec.name, rate);
+    const lateCost = this.lateCost(ledger, spec);
     const cost = readyInMs + displacedWorth + storeCost + channelCost + lateCost;
     const names = victims.map((victim) => victim.name);
     return { ledger, isFree, cost, readyInMs, loadMs, copy, victims: names, displacedWorth };
   }
 
+  /** The rate is looked up only where streams are late: this is asked of every place for every model. */
+  private lateCost(ledger: BackendLedger, { name }: ModelSpec): number {
+    const { quality } = this.worth;
+    if (quality.isGoodAnywhere(name)) return 0;
+    return quality.lateMs(ledger.id, name, this.worth.urgentRate(name));
+  }
+
   /** Time until the backend has done what it is doing and what waits for it. */
   waitMs(ledger: BackendLedger): number {
     const running = Math.max(0, ledger.expectedEnd - this.input.now);
--- a/src/core/model-worth.ts
+++ b/src/core/model-worth.ts
@@ -26,6 +26,8 @@
   private readonly awaited: ReadonlySet<string>;
   private readonly copyCounts: Map<string, number>;
   private readonly fullCounts: Map<string, number>;
+  /** As far as asked for. */
+  private readonly urgentRates = new Map<string, number>();
   /** How good copies are by where they lie. */
   readonly quality: CopyQuality;
 
@@ -66,9 +68,13 @@
     return slots > 0 && demand.inFlightOf(model, now) >= slots * CROWDED_SLOTS_SHARE;
   }
 
-  /** Urgent requests a second for a model. */
+  /** Urgent requests a second for a model; the same all through a round. */
   urgentRate(model: string): number {
-    return this.input.demand.urgentRate(reference(model), this.input.now);
+    const known = this.urgentRates.get(model);
+    if (known !== undefined) return known;
+    const rate = this.input.demand.urgentRate(reference(model), this.input.now);
+    this.urgentRates.set(model, rate);
+    return rate;
   }
 
   /** What the loss of the copy at a backend would cost. */
@@ -110,9 +116,8 @@
   /** What one more copy would be worth: what its loss would cost once it is there, so that no copy is moved to and fro. */
   ofFurtherCopy(model: string): number {
     const copies = this.fullCopies(model);
-    const share = 1 / (copies + 1);
-    const part = this.isNeeded(model, copies) ? share : share / (copies + 1);
-    return this.urgentRate(model) * URGENT_WORTH * part;
+    const sharers = this.isNeeded(model, copies) ? copies + 1 : (copies + 1) ** 2;
+    return (this.urgentRate(model) * URGENT_WORTH) / sharers;
   }
 
   /**
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -95,7 +95,10 @@
     this.writeHead(status, forwardedHeaders(rawHeaders, LENGTH_ONLY));
   }
 
-  /** Sends one event. Returns false if the backend should not be read on until the caller has read. */
+  /**
+   * Sends one event. Returns false if the backend should not be read on until the caller has read; only
+   * where {@link onceDrained} will call back, or the stream would rest for ever.
+   */
   sendEvent(event: StreamEvent): boolean {
     if (event.id !== undefined) this.lastEventId = event.id;
     const now = steadyNow();
@@ -105,7 +108,7 @@
     this.lastEventAt = now;
     this.response.write(event.bytes);
     this.account ??= this.openAccount(true);
-    return this.account.written(event.bytes.length);
+    return this.account.written(event.bytes.length) || !this.response.writableNeedDrain;
   }
 
   private openAccount(isStream: boolean): AnswerAccount {
--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -24,12 +24,16 @@
   revision = 10;
   historyIsGone = false;
   staysForgotten = false;
+  unreadNames: string[] = [];
+  isEmpty = false;
 
   list(_kind: string, stale: boolean): Promise<unknown> {
     this.calls.push(stale ? 'late list' : 'list');
     const at = this.revision;
     this.historyIsGone = false;
-    return Promise.resolve(Result.ok({ items: [objectAt(at)], at }));
+    const unread = this.unreadNames.map((name) => ({ name, reason: 'not JSON' }));
+    const items = this.isEmpty || unread.length > 0 ? [] : [objectAt(at)];
+    return Promise.resolve(Result.ok({ items, unread, at }));
   }
 
   watch(_kind: string, options: WatchOptions): Promise<unknown> {
@@ -130,6 +134,22 @@
     expect(seen).toEqual([10]);
   });
 
+  it('keeps what is held under the name of an object that a list cannot read', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, RELAXED);
+    await sleep(30);
+    store.revision = 12;
+    store.unreadNames = ['x'];
+    follower.readAgain();
+    await sleep(30);
+    store.unreadNames = [];
+    store.isEmpty = true;
+    store.revision = 13;
+    follower.readAgain();
+    await sleep(30);
+    expect(seen).toEqual([10, 10, undefined]);
+  });
+
   it('asks ever less often while the history stays forgotten', async () => {
     const store = new ScriptedStore();
     store.staysForgotten = true;
