A new owner that tells everything again doesn't void its predecessor's speeds while it learns

Cause: an update of everything in the same epoch, sent when a daemon missed one or a backend started again, began the heard capacity anew without the former owner's word, and the learning time anew: daemons took backends for alike in the three seconds in which the new owner knows little. Change: the former word and the time are kept. The test failed before by its own expectation (1 instead of 0.5).

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -159,8 +159,9 @@
     const isNewEpoch = known === undefined || update.epoch > epoch;
     if (update.baseVersion === undefined) {
       if (!isNewEpoch && update.version < known.version) return 'outdated';
-      const former = isNewEpoch ? known?.capacity : undefined;
-      this.placements.set(update.service, emptyPlacement(update.epoch, former));
+      const former = known?.capacity;
+      const capacity = isNewEpoch ? new HeardCapacity(former) : known.capacity.emptied();
+      this.placements.set(update.service, emptyPlacement(update.epoch, capacity));
     } else {
       if (isNewEpoch) return 'gap';
       if (update.version < known.version) return 'outdated';
@@ -284,7 +285,7 @@
   }
 }
 
-function emptyPlacement(epoch: number, former: HeardCapacity | undefined): HeardPlacement {
+function emptyPlacement(epoch: number, capacity: HeardCapacity): HeardPlacement {
   return {
     epoch,
     version: 0,
@@ -293,7 +294,7 @@
     backends: new Map(),
     forecasts: new Map(),
     loads: new Map(),
-    capacity: new HeardCapacity(former),
+    capacity,
     storeLoadLimit: 0,
   };
 }
--- a/src/core/capacity/heard-capacity.ts
+++ b/src/core/capacity/heard-capacity.ts
@@ -28,6 +28,13 @@
   /** @param former - What the former owner has told; undefined if there was none. */
   constructor(private former?: HeardCapacity) {}
 
+  /** For the same owner, which tells everything again: its own word is void, its predecessor's holds as long as before. */
+  emptied(): HeardCapacity {
+    const made = new HeardCapacity(this.former);
+    made.firstHeardAt = this.firstHeardAt;
+    return made;
+  }
+
   /** The owner lives, and has told these changes. What cannot be true is left out. */
   take(figures: LearnedFigures | undefined, now: number): void {
     this.heardAt = now;
--- a/test/core/capacity/heard-capacity.test.ts
+++ b/test/core/capacity/heard-capacity.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, it } from 'vitest';
+import { BackendDirectory } from '../../../src/core/backend-directory.js';
 import { CapacityNews } from '../../../src/core/capacity/capacity-news.js';
 import { HeardCapacity } from '../../../src/core/capacity/heard-capacity.js';
 import type { LearnedFigures } from '../../../src/core/capacity/learned-capacity.js';
+import { updateOf } from '../gateway-fixtures.js';
 
 function figuresOf(
   speeds: Readonly<Record<string, number>>,
@@ -54,6 +56,17 @@
     expect(heard.view(4_000).speedOf('x')).toBe(0.7);
   });
 
+  it('goes by the former owner still when the new one has to tell everything again', () => {
+    const directory = new BackendDirectory();
+    const whole = updateOf({ baseVersion: undefined });
+    directory.hearPlacement({ ...whole, epoch: 1, capacity: figuresOf({ x: 0.5 }) }, 0);
+    directory.hearPlacement({ ...whole, epoch: 2 }, 1_000);
+    directory.hearPlacement({ ...whole, epoch: 2, capacity: figuresOf({ y: 2 }) }, 2_000);
+    expect(directory.capacityOf('s', 3_999).speedOf('x')).toBe(0.5);
+    const view = directory.capacityOf('s', 4_000);
+    expect([view.speedOf('x'), view.speedOf('y')]).toEqual([1, 2]);
+  });
+
   it.each([NaN, -1, 0, Infinity, 1e9])('does not believe %d', (value) => {
     const heard = new HeardCapacity();
     heard.take(figuresOf({ x: value }, { m: value }, Array<number>(8).fill(value)), 0);
