A full backend keeps a place for a caller only once that is told to come back

Cause: the keeper counted a return with every refusal at once, though the daemon then asked at the other backends: one caller that was refused by several, or served by the next, took a place at each of them, and further callers were told longer waits and refused. The daemon now tells of the return when it refuses its caller, at one backend. What was refused after a wait in the queue counts for nothing, as before.

--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -228,7 +228,6 @@
     if (expectedWaitMs <= mayWaitMs || !this.times.isLearned)
       return { type: 'queued', expectedWaitMs };
     const retryAfterMs = Math.max(LEAST_RETRY_MS, expectedWaitMs);
-    this.expectReturn(waiter.rank, retryAfterMs, now);
     return { type: 'refused', retryAfterMs };
   }
 
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -60,6 +60,8 @@
   /** When backends that were full for too long should have room. */
   private readonly fullUntil = new Map<string, number>();
   private claim: SlotClaim | undefined;
+  /** What a keeper has refused at once: if no other serves the request, its return is told there. */
+  private refused: SlotClaim | undefined;
   private pending: PendingAsk | undefined;
   /** Where the request counts as work though it was not sent: it waits there. */
   private queuedAt: string | undefined;
@@ -139,7 +141,8 @@
   /** The request leaves its queue, and its caller is told to come back: until then it counts there. */
   leaveUntil(retryAfterMs: number): void {
     const backend = this.queuedAt;
-    this.claim?.release(retryAfterMs);
+    (this.claim ?? this.refused)?.release(retryAfterMs);
+    this.refused = undefined;
     this.release();
     if (backend === undefined) return;
     this.count(backend, 1);
@@ -269,9 +272,12 @@
       this.moveIfSooner(pending);
       return this.pending === pending ? this.options.onQueued(expectedWaitMs) : undefined;
     }
+    const { claim } = this;
+    const hasWaited = this.pending?.expectedAt !== undefined;
     this.claim = undefined;
     this.pending = undefined;
     if (answer.type === 'refused') {
+      this.refused = hasWaited ? undefined : claim;
       this.fullUntil.set(backend.id, now + answer.retryAfterMs);
       this.queueAt(backend.id);
     }
--- a/src/gateway/slot-admission.ts
+++ b/src/gateway/slot-admission.ts
@@ -84,7 +84,7 @@
   /** Whether the request may be sent. */
   readonly isHeld: boolean;
   /**
-   * The request has ended, or wants the slot no more.
+   * The request has ended, or wants the slot no more. After a refusal only a return is told.
    *
    * @param returnsInMs - Its caller was told to come back after so long.
    * @param hasFailed - The backend has failed the request.
@@ -295,7 +295,9 @@
     const { backend, ticket, timer, wish } = claim;
     const known = this.backends.get(backend);
     clearTimeout(timer);
-    if (known === undefined || !known.claims.delete(ticket)) return;
+    if (known === undefined) return;
+    const wasOpen = known.claims.delete(ticket);
+    if (!wasOpen && returnsInMs === 0) return;
     known.usedAt = steadyNow();
     this.tellEnd(known.keeper, { backend, ticket, returnsInMs, rank: wish.rank, hasFailed });
   }
--- a/test/core/admission/slot-queue.test.ts
+++ b/test/core/admission/slot-queue.test.ts
@@ -279,3 +279,22 @@
     expect(queue.figures(now + 40_000).expectedWaitMs).toBeGreaterThan(2_000);
   });
 });
+
+describe('a refusal of a full backend', () => {
+  it('keeps no place until the caller is told to come back: another backend may serve it', () => {
+    const queue = new SlotQueue(1);
+    let [held = 0] = fill(queue, 1);
+    for (let now = 500; now <= 2_500; now += 500) {
+      queue.end('d', held, now);
+      const next = ask(now);
+      queue.ask(next, now);
+      held = next.ticket;
+    }
+    const before = queue.figures(2_510).expectedWaitMs;
+    const refused = queue.ask(ask(2_510, { giveUpAt: 2_520 }), 2_510);
+    expect(refused).toMatchObject([{ answer: { type: 'refused' } }]);
+    expect(queue.figures(2_520).expectedWaitMs).toBe(before);
+    queue.expectReturn(1, before / 2, 2_510);
+    expect(queue.figures(2_520).expectedWaitMs).toBeGreaterThan(before);
+  });
+});
--- a/test/gateway/shared-slots.test.ts
+++ b/test/gateway/shared-slots.test.ts
@@ -110,6 +110,9 @@
     expect(Number(late.headers['retry-after'])).toBeGreaterThan(0.3);
     expect(Number(late.headers['retry-after'])).toBeLessThan(3);
     expect(performance.now() - begun).toBeLessThan(250);
+    await pause(50);
+    const kept = harness.gateway['slots']?.['keeper']['kept'].get('one');
+    expect(kept?.queue['returns']).toHaveLength(1);
     await waiting;
     expect(most).toBe(SLOTS);
   });
--- a/test/simulation/admission-ways.ts
+++ b/test/simulation/admission-ways.ts
@@ -231,7 +231,7 @@
   }
 
   private answer(backend: number, decisions: readonly SlotDecision[], isOwn = false): void {
-    for (const { daemon, ticket, answer } of decisions) {
+    for (const { daemon, ticket, answer, waitedMs } of decisions) {
       this.after(isOwn ? 0 : MESSAGE_MS, () => {
         const attempt = this.attempts.get(ticket);
         if (attempt === undefined) {
@@ -243,7 +243,7 @@
         else {
           this.attempts.delete(ticket);
           if (answer.type === 'granted') this.send(attempt);
-          if (answer.type === 'refused') this.refuse(attempt, answer.retryAfterMs);
+          if (answer.type === 'refused') this.refuse(attempt, answer.retryAfterMs, waitedMs);
         }
       });
     }
@@ -356,8 +356,12 @@
     this.after(MESSAGE_MS, () => this.withdraw(attempt));
   }
 
-  private refuse(attempt: Attempt, retryAfterMs: number): void {
-    const { request, since, cameAt, returns } = attempt;
+  private refuse(attempt: Attempt, retryAfterMs: number, waitedMs = Infinity): void {
+    const { request, since, cameAt, returns, backend } = attempt;
+    const keeper = this.keepers[backend];
+    // Its daemon tells of its return unless it has waited there.
+    if (waitedMs === 0 && keeper instanceof SlotQueue)
+      keeper.expectReturn(request.kind.rank, retryAfterMs, this.now);
     const leavesAt = cameAt + request.kind.patienceMs;
     if (returns >= MOST_RETURNS || this.now + retryAfterMs > leavesAt) {
       return this.note(attempt, 'refused');
