--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -43,8 +43,17 @@
 /** Which policies are on. */
 export type Policies = Readonly<Record<PolicyName, boolean>>;
 
-/** Policies that change how requests are spread over backends: on only where the settings say so. */
-const OFF_UNLESS_NAMED: ReadonlySet<PolicyName> = new Set(['sharedSlots']);
+/** On only where the settings say so: a deployment that does not name them is served as it was without them. */
+const OFF_UNLESS_NAMED: ReadonlySet<PolicyName> = new Set([
+  'forecastAll',
+  'relieveCrowdedCopies',
+  'sharedSlots',
+  'learnedCapacity',
+  'leasedLimits',
+  'copyWorthByCallers',
+  'mostCallersFirst',
+  'fetchAhead',
+]);
 
 /** What holds if the settings say nothing. */
 export const DEFAULT_POLICIES: Policies = policiesOf((name) => !OFF_UNLESS_NAMED.has(name));
--- a/test/core/capacity/copy-quality.test.ts
+++ b/test/core/capacity/copy-quality.test.ts
@@ -6,9 +6,8 @@
 import { ModelDemand } from '../../../src/core/model-demand.js';
 import { ModelWorth } from '../../../src/core/model-worth.js';
 import type { PlanningInput } from '../../../src/core/planning.js';
-import { DEFAULT_POLICIES } from '../../../src/core/policies.js';
 import { UnloadTimes } from '../../../src/core/unload-times.js';
-import { hostOf, modelOf, waitingFor } from '../gateway-fixtures.js';
+import { LOAD_POLICIES, hostOf, modelOf, waitingFor } from '../gateway-fixtures.js';
 
 const NOW = 60_000;
 
@@ -44,7 +43,7 @@
     storeLoads: 1,
     storePlaceWaits: [0],
     unloadTimes: new UnloadTimes(),
-    policies: DEFAULT_POLICIES,
+    policies: LOAD_POLICIES,
     capacity,
   };
 }
--- a/test/core/capacity/placement-replay.ts
+++ b/test/core/capacity/placement-replay.ts
@@ -6,9 +6,8 @@
 import { ModelDemand } from '../../../src/core/model-demand.js';
 import { PlacementPlanner } from '../../../src/core/placement-planner.js';
 import type { PlannedOrder } from '../../../src/core/planning.js';
-import { DEFAULT_POLICIES } from '../../../src/core/policies.js';
 import { UnloadTimes } from '../../../src/core/unload-times.js';
-import { hostOf } from '../gateway-fixtures.js';
+import { LOAD_POLICIES, hostOf } from '../gateway-fixtures.js';
 import { SimulatedStreams } from './simulated-streams.js';
 
 const STEP_MS = 250;
@@ -142,7 +141,7 @@
       storeLoads: 1,
       storePlaceWaits: [0],
       unloadTimes: new UnloadTimes(),
-      policies: DEFAULT_POLICIES,
+      policies: LOAD_POLICIES,
       capacity: this.isLearned ? capacity : undefined,
     });
     for (const each of planned) this.begin(each, now);
--- a/test/core/copy-worth.test.ts
+++ b/test/core/copy-worth.test.ts
@@ -1,15 +1,17 @@
 /** What a copy is worth by the callers that it serves, which model is loaded next, and what before callers come. */
 import { describe, expect, it } from 'vitest';
-import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
+import type { Policies } from '../../src/core/policies.js';
 import { ModelDemand } from '../../src/core/model-demand.js';
 import { earliestDueFirst, mostCallersFirst } from '../../src/core/waiting-order.js';
-import { hostOf, waitingFor } from './gateway-fixtures.js';
+import { hostOf, LOAD_POLICIES, waitingFor } from './gateway-fixtures.js';
 import { brief, ledgerOf, Scene } from './planner-scene.js';
 
 const host = hostOf(['listed', 'patient', 'rare1', 'rare2', 'unheld1', 'unheld2']);
 
+const ON: Policies = { ...LOAD_POLICIES, copyWorthByCallers: true, fetchAhead: true };
+
 function without(policy: 'copyWorthByCallers' | 'fetchAhead'): Policies {
-  return { ...DEFAULT_POLICIES, [policy]: false };
+  return { ...ON, [policy]: false };
 }
 
 describe('the worth of a copy', () => {
@@ -22,7 +24,7 @@
     };
     // Half a request a second: at 400 for one a second it was worth less than what is listed first.
     expect(victimOf(without('copyWorthByCallers'))).toBe('patient');
-    expect(victimOf(DEFAULT_POLICIES)).toBe('listed');
+    expect(victimOf(ON)).toBe('listed');
   });
 });
 
@@ -58,17 +60,17 @@
 
   it('brings models that lie at no backend while nobody has asked, one by one', () => {
     expect(idle(without('fetchAhead')).plan()).toEqual([]);
-    const scene = idle(DEFAULT_POLICIES);
+    const scene = idle(ON);
     expect(brief(scene.planAndAccept())).toEqual([expect.stringContaining('load unheld1')]);
     // The weight store has one place, and another round does not repeat the first load.
     expect(brief(scene.plan()).join()).not.toContain('unheld1');
   });
 
   it('stops once callers have come, and displaces nothing that would have to be fetched again', () => {
-    const asked = idle(DEFAULT_POLICIES);
+    const asked = idle(ON);
     asked.hear(waitingFor('patient', { waiting: 0 }));
     expect(asked.plan()).toEqual([]);
-    const full = new Scene([ledgerOf('x', ['listed', 'patient'])], DEFAULT_POLICIES, host);
+    const full = new Scene([ledgerOf('x', ['listed', 'patient'])], ON, host);
     expect(full.plan()).toEqual([]);
   });
 });
--- a/test/core/crowded-copies.test.ts
+++ b/test/core/crowded-copies.test.ts
@@ -2,11 +2,11 @@
 import { describe, expect, it } from 'vitest';
 import { BackendLedger } from '../../src/core/backend-ledger.js';
 import type { BackendUse, DemandSample } from '../../src/core/demand-report.js';
-import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
-import { hostOf, waitingFor } from './gateway-fixtures.js';
+import type { Policies } from '../../src/core/policies.js';
+import { LOAD_POLICIES, hostOf, waitingFor } from './gateway-fixtures.js';
 import { brief, ledgerOf, reportOf, Scene } from './planner-scene.js';
 
-const OFF: Policies = { ...DEFAULT_POLICIES, relieveCrowdedCopies: false };
+const OFF: Policies = { ...LOAD_POLICIES, relieveCrowdedCopies: false };
 /** Of the 64 slots of one copy. */
 const CROWDED = 60;
 const WARM = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8', 'w9', 'w10', 'w11'];
@@ -54,7 +54,7 @@
 describe('a crowded copy', () => {
   it('gets a second one where each other place holds a model in some demand', () => {
     expect(fullSite(OFF).plan()).toEqual([]);
-    const [order, ...others] = fullSite(DEFAULT_POLICIES).plan();
+    const [order, ...others] = fullSite(LOAD_POLICIES).plan();
     expect(order).toMatchObject({ order: { operation: 'unload' } });
     expect(order?.reason).toBe('room for hot: crowded copies');
     expect(others).toEqual([]);
@@ -68,7 +68,7 @@
     ];
     const scene = new Scene(
       held.map((models, index) => ledgerOf(`b${index}`, models)),
-      DEFAULT_POLICIES,
+      LOAD_POLICIES,
       host,
     );
     const use = [inUse('b0', 'hot', CROWDED / 2), inUse('b1', 'hot', CROWDED / 2)];
@@ -81,7 +81,7 @@
 
   it('has the room made for it although the running streams there take longer than a rare one waits', () => {
     for (const [policies, isCopied] of [
-      [DEFAULT_POLICIES, true],
+      [LOAD_POLICIES, true],
       [OFF, false],
     ] as const) {
       const [scene, making] = roomInTheMaking(policies, CROWDED);
@@ -96,7 +96,7 @@
 
   it('has the room that was made for its rate, before the rare models that wait', () => {
     for (const [policies, isCopied] of [
-      [DEFAULT_POLICIES, true],
+      [LOAD_POLICIES, true],
       [OFF, false],
     ] as const) {
       const [scene, making] = roomInTheMaking(policies, 0);
--- a/test/core/forecasts.test.ts
+++ b/test/core/forecasts.test.ts
@@ -1,11 +1,11 @@
 /** What callers are told of models that nobody holds: all of them, and the truth. */
 import { describe, expect, it } from 'vitest';
 import { PlacementPublisher } from '../../src/core/placement-publisher.js';
-import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
-import { hostOf, waitingFor } from './gateway-fixtures.js';
+import type { Policies } from '../../src/core/policies.js';
+import { LOAD_POLICIES, hostOf, waitingFor } from './gateway-fixtures.js';
 import { ledgerOf, Scene } from './planner-scene.js';
 
-const OFF: Policies = { ...DEFAULT_POLICIES, forecastAll: false };
+const OFF: Policies = { ...LOAD_POLICIES, forecastAll: false };
 const RARE = Array.from({ length: 200 }, (_, index) => `r${index}`);
 const host = hostOf(RARE);
 
@@ -23,7 +23,7 @@
 describe('forecasts', () => {
   it('are told of every model that callers wait for', () => {
     expect(everybodyWaits(OFF).forecasts().size).toBe(64);
-    expect(everybodyWaits(DEFAULT_POLICIES).forecasts().size).toBe(RARE.length);
+    expect(everybodyWaits(LOAD_POLICIES).forecasts().size).toBe(RARE.length);
   });
 
   it('do not count a load that waits for the weight store before the copies at hand', () => {
@@ -35,7 +35,7 @@
     };
     // The first of the three takes the store, and the backend, at once; the others wait for the store.
     expect(toldFor(OFF)).toBeGreaterThan(12_000);
-    expect(toldFor(DEFAULT_POLICIES)).toBeLessThan(6_000);
+    expect(toldFor(LOAD_POLICIES)).toBeLessThan(6_000);
   });
 
   it('are told again only when they have moved by a share of the time until then', () => {
--- a/test/core/gateway-fixtures.ts
+++ b/test/core/gateway-fixtures.ts
@@ -1,5 +1,6 @@
 /** Models and samples for the tests of the gateway's decisions. */
 import type { DemandSample } from '../../src/core/demand-report.js';
+import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
 import type { PlacementUpdate } from '../../src/core/placement-update.js';
 import type { ModelHostSpec, ModelSpec } from '../../src/core/service-configuration.js';
 
@@ -57,3 +58,13 @@
     ...part,
   };
 }
+
+/** The policies that a deployment under load names; those whose worth is open are tested apart. */
+export const LOAD_POLICIES: Policies = {
+  ...DEFAULT_POLICIES,
+  forecastAll: true,
+  relieveCrowdedCopies: true,
+  sharedSlots: true,
+  learnedCapacity: true,
+  leasedLimits: true,
+};
--- a/test/core/placement-at-size.test.ts
+++ b/test/core/placement-at-size.test.ts
@@ -4,11 +4,10 @@
 import { LearnedCapacity } from '../../src/core/capacity/learned-capacity.js';
 import type { BackendUse, DemandSample } from '../../src/core/demand-report.js';
 import { ModelDemand } from '../../src/core/model-demand.js';
-import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { UnloadTimes } from '../../src/core/unload-times.js';
 import { PlacementPlanner } from '../../src/core/placement-planner.js';
 import type { PlanningInput } from '../../src/core/planning.js';
-import { hostOf, waitingFor } from './gateway-fixtures.js';
+import { LOAD_POLICIES, hostOf, waitingFor } from './gateway-fixtures.js';
 
 const MODELS = 480;
 const BACKENDS = 100;
@@ -85,7 +84,7 @@
     storeLoads: 1,
     storePlaceWaits: [0],
     unloadTimes: new UnloadTimes(),
-    policies: DEFAULT_POLICIES,
+    policies: LOAD_POLICIES,
   };
 
   it('plans for hundreds of waiting models in little time', () => {
--- a/test/core/planner-scene.ts
+++ b/test/core/planner-scene.ts
@@ -5,10 +5,10 @@
 import type { BackendReport } from '../../src/core/model-order.js';
 import { PlacementPlanner } from '../../src/core/placement-planner.js';
 import type { PlannedOrder, PlanningInput } from '../../src/core/planning.js';
-import { DEFAULT_POLICIES, type Policies } from '../../src/core/policies.js';
+import type { Policies } from '../../src/core/policies.js';
 import type { ModelHostSpec } from '../../src/core/service-configuration.js';
 import { UnloadTimes } from '../../src/core/unload-times.js';
-import { hostOf } from './gateway-fixtures.js';
+import { LOAD_POLICIES, hostOf } from './gateway-fixtures.js';
 
 /** What the backends of a scene can load, unless it says otherwise. */
 export const HOST = hostOf(['hot', 'warm', 'rare1', 'rare2', 'rare3', 'cool']);
@@ -52,7 +52,7 @@
 
   constructor(
     readonly ledgers: readonly BackendLedger[],
-    readonly policies: Policies = DEFAULT_POLICIES,
+    readonly policies: Policies = LOAD_POLICIES,
     readonly host: ModelHostSpec = HOST,
   ) {}
 
