A request whose place in a queue went with its backend's restart looks for another

Cause: a restart under one id drops the place of those who wait there, and with neither a place nor a timer nothing looked at them again: they were refused at their deadline. They now look again after the usual pause. The new test failed before (not all served within their deadline).

--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -148,7 +148,10 @@
 
   /** A backend has ended and started again under its id: what it has refused or was sent before is void. */
   backendRestarted(backend: BackendRecord): void {
+    const wasPending = this.search.isPending;
     this.search.forget(backend.id);
+    // Its place in the queue is gone, and nobody would look at it again.
+    if (wasPending && !this.search.isPending) return this.wait();
     if (this.attempt?.backendId !== backend.id) return;
     this.uncount(backend.id);
     this.attempt.backendRestarted(backend.address);
--- a/test/gateway/shared-slots.test.ts
+++ b/test/gateway/shared-slots.test.ts
@@ -132,6 +132,17 @@
     expect(performance.now() - begun).toBeLessThan(3 * CALL_MS);
   });
 
+  it('of a backend that starts again under its id: those who wait are served', async () => {
+    const record = backends[0]!.record({ slots: SLOTS, start: 'one' });
+    harness.list([record]);
+    const calls = callMany(8);
+    await pause(CALL_MS / 2);
+    const begun = performance.now();
+    harness.list([{ ...record, revision: 2, start: 'two' }]);
+    expect((await calls).every((status) => status === 200)).toBe(true);
+    expect(performance.now() - begun).toBeLessThan(2_500);
+  });
+
   it('of a backend that ends: those who wait go to another at once', async () => {
     list(1);
     const calls = callMany(8);
