--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -10,6 +10,9 @@
   type EndedBackend,
   type PresenceChanges,
 } from './backend-presence.js';
+import { BackendStarts, type BackendRestart } from './backend-starts.js';
+import { EVEN_CAPACITY, type CapacityView } from './capacity/capacity-view.js';
+import { HeardCapacity } from './capacity/heard-capacity.js';
 import type { PlacedModel, PlacementUpdate } from './placement-update.js';
 import type { BackendRecord, HeldModel, ModelReference } from './service-configuration.js';
 
@@ -30,6 +33,8 @@
 interface HeardPlacement {
   readonly epoch: number;
   version: number;
+  /** False once a part was dropped: changes apply to nothing then. */
+  isWhole: boolean;
   /** When the owner was last heard. */
   heardAt: number;
   readonly backends: Map<string, readonly HeardModel[]>;
@@ -37,6 +42,7 @@
   readonly forecasts: Map<string, number>;
   /** Requests in flight at each backend, over all daemons. */
   readonly loads: Map<string, number>;
+  readonly capacity: HeardCapacity;
   /** Loads from the weight store that may run at once, as the owner has learned; 0 if nothing is known. */
   storeLoadLimit: number;
 }
@@ -57,10 +63,43 @@
   private readonly presence = new BackendPresence();
   private readonly placements = new Map<string, HeardPlacement>();
   private readonly absences = new Map<string, number>();
+  private readonly starts = new BackendStarts();
+  private restarts: BackendRestart[] = [];
 
   /** Replaces the platform's list. */
   setBackends(list: BackendList, now: number): PresenceChanges {
-    return this.presence.take(list, now);
+    const changes = this.presence.take(list, now);
+    for (const record of this.presence.all()) this.noteStart(record);
+    return changes;
+  }
+
+  /** Backends that have started again under their id since the last call. */
+  takeRestarts(): readonly BackendRestart[] {
+    const { restarts } = this;
+    this.restarts = [];
+    return restarts;
+  }
+
+  private noteStart(record: BackendRecord): void {
+    const restart = this.starts.note(record);
+    if (restart === undefined) return;
+    this.restarts.push(restart);
+    this.forgetHeard(record);
+  }
+
+  /**
+   * What owners and refusals have told of a backend's earlier start counts no more. The owner may have told of
+   * the later one already, so it is asked for everything with its next word.
+   */
+  private forgetHeard({ id, service }: BackendRecord): void {
+    const heard = this.placements.get(service);
+    heard?.backends.delete(id);
+    heard?.loads.delete(id);
+    heard?.capacity.forget(id);
+    if (heard !== undefined) heard.isWhole = false;
+    for (const key of this.absences.keys()) {
+      if (key.startsWith(`${id} `)) this.absences.delete(key);
+    }
   }
 
   /** Looks at backends that were missing for a while; returns those that count as ended now. */
@@ -80,7 +119,10 @@
 
   /** A peer has seen a backend that is not listed here yet. Returns false if that was known. */
   noteStarted(record: BackendRecord, now: number): boolean {
-    return this.presence.noteStarted(record, now);
+    const isNews = this.presence.noteStarted(record, now);
+    const known = this.presence.get(record.id);
+    if (isNews && known !== undefined) this.noteStart(known);
+    return isNews;
   }
 
   /** The backend of an id. */
@@ -88,6 +130,12 @@
     return this.presence.get(id);
   }
 
+  /** The backend of an id, if it takes new requests. */
+  servingOne(id: string): BackendRecord | undefined {
+    const record = this.presence.get(id);
+    return record !== undefined && this.presence.isServing(record) ? record : undefined;
+  }
+
   /** All listed backends. */
   all(): BackendRecord[] {
     return this.presence.all();
@@ -111,11 +159,13 @@
     const isNewEpoch = known === undefined || update.epoch > epoch;
     if (update.baseVersion === undefined) {
       if (!isNewEpoch && update.version < known.version) return 'outdated';
-      this.placements.set(update.service, emptyPlacement(update.epoch));
+      const former = known?.capacity;
+      const capacity = isNewEpoch ? new HeardCapacity(former) : known.capacity.emptied();
+      this.placements.set(update.service, emptyPlacement(update.epoch, capacity));
     } else {
       if (isNewEpoch) return 'gap';
       if (update.version < known.version) return 'outdated';
-      if (update.baseVersion !== known.version) return 'gap';
+      if (update.baseVersion !== known.version || !known.isWhole) return 'gap';
     }
     this.apply(update, now);
     return 'applied';
@@ -135,9 +185,11 @@
     }
     for (const [model, readyInMs] of update.forecasts) heard.forecasts.set(model, now + readyInMs);
     for (const [backend, inFlight] of update.loads) heard.loads.set(backend, inFlight);
+    heard.capacity.take(update.capacity, now);
     for (const backend of update.removedBackends) {
       heard.backends.delete(backend);
       heard.loads.delete(backend);
+      heard.capacity.forget(backend);
     }
     for (const model of update.removedForecasts) heard.forecasts.delete(model);
   }
@@ -170,6 +222,11 @@
     return this.freshPlacement(backend.service, now)?.loads.get(backend.id) ?? 0;
   }
 
+  /** What the owner has learned of the service's backends. */
+  capacityOf(service: string, now: number): CapacityView {
+    return this.placements.get(service)?.capacity.view(now) ?? EVEN_CAPACITY;
+  }
+
   /** A backend has refused a request because it lacks the model. */
   noteAbsence(backend: string, reference: ModelReference, now: number): void {
     this.absences.set(keyOf(backend, reference), now + ABSENCE_LIFETIME_MS);
@@ -228,14 +285,16 @@
   }
 }
 
-function emptyPlacement(epoch: number): HeardPlacement {
+function emptyPlacement(epoch: number, capacity: HeardCapacity): HeardPlacement {
   return {
     epoch,
     version: 0,
+    isWhole: true,
     heardAt: 0,
     backends: new Map(),
     forecasts: new Map(),
     loads: new Map(),
+    capacity,
     storeLoadLimit: 0,
   };
 }
--- a/src/core/backend-health.ts
+++ b/src/core/backend-health.ts
@@ -73,7 +73,12 @@
 
   /** Whether the backend is left alone for now. */
   isAvoided(backend: string, now: number): boolean {
-    return (this.backends.get(backend)?.avoidUntil ?? 0) > now;
+    return this.avoidedUntil(backend) > now;
+  }
+
+  /** Until when the backend is left alone; 0 if it has answered. */
+  avoidedUntil(backend: string): number {
+    return this.backends.get(backend)?.avoidUntil ?? 0;
   }
 
   /** Smoothed share of failures, 0 to 1. */
@@ -81,6 +86,11 @@
     return this.backends.get(backend)?.failureShare ?? 0;
   }
 
+  /** The backend has started again: its earlier start says nothing of it. */
+  forget(backend: string): void {
+    this.backends.delete(backend);
+  }
+
   /** Forgets backends that are no longer listed. */
   keepOnly(backends: ReadonlySet<string>): void {
     for (const backend of this.backends.keys()) {
--- a/src/core/load-place.ts
+++ b/src/core/load-place.ts
@@ -39,6 +39,8 @@
   readonly usedMegabytes: number;
   /** Cheapest first. */
   readonly victims: readonly Victim[];
+  /** Cache: victims by the megabytes of the model that they make way for; undefined if no room can be made. */
+  readonly chosen: Map<number, readonly Victim[] | undefined>;
 }
 
 /** Places for loads, for one round of planning. */
@@ -107,18 +109,25 @@
     this.occupancies.delete(ledger.id);
   }
 
-  /** A model waits for a place that is not free now. */
+  /**
+   * A model waits for a place that is not free now. One that waits for the weight store keeps
+   * the backend from nothing until the store takes it: the loads of copies at hand go before.
+   */
   queue(place: LoadPlace): void {
-    const { id } = place.ledger;
-    this.addWork(id, place.loadMs);
-    if (place.copy === 'store') this.takeStorePlace(place);
+    const isFromStore = place.copy === 'store';
+    const keepsBackend = !isFromStore || !this.input.policies.forecastAll;
+    if (keepsBackend) this.addWork(place.ledger.id, place.loadMs);
+    if (isFromStore) this.takeStorePlace(place);
   }
 
-  /** The place with the lowest cost, free or not. */
-  cheapest(spec: ModelSpec): LoadPlace | undefined {
+  /** The place with the lowest cost, free or not, among those that suit. */
+  cheapest(
+    spec: ModelSpec,
+    suits: (backend: string) => boolean = () => true,
+  ): LoadPlace | undefined {
     let best: LoadPlace | undefined;
     for (const ledger of this.input.backends) {
-      if (ledger.models.has(spec.name)) continue;
+      if (ledger.models.has(spec.name) || !suits(ledger.id)) continue;
       const place = this.at(ledger, spec);
       if (place !== undefined && (best === undefined || place.cost < best.cost)) best = place;
     }
@@ -140,11 +149,19 @@
     const readyInMs = Math.max(this.waitMs(ledger) + unloadMs, storeWaitMs) + loadMs;
     const storeCost = isFromStore ? STORE_LOAD_COST_MS : 0;
     const channelCost = this.channel.ofOrder(ledger, loadMs);
-    const cost = readyInMs + displacedWorth + storeCost + channelCost;
+    const lateCost = this.lateCost(ledger, spec);
+    const cost = readyInMs + displacedWorth + storeCost + channelCost + lateCost;
     const names = victims.map((victim) => victim.name);
     return { ledger, isFree, cost, readyInMs, loadMs, copy, victims: names, displacedWorth };
   }
 
+  /** The rate is looked up only where streams are late: this is asked of every place for every model. */
+  private lateCost(ledger: BackendLedger, { name }: ModelSpec): number {
+    const { quality } = this.worth;
+    if (quality.isGoodAnywhere(name)) return 0;
+    return quality.lateMs(ledger.id, name, this.worth.urgentRate(name));
+  }
+
   /** Time until the backend has done what it is doing and what waits for it. */
   waitMs(ledger: BackendLedger): number {
     const running = Math.max(0, ledger.expectedEnd - this.input.now);
@@ -154,7 +171,18 @@
 
   /** The models of least worth that must go; undefined if no room can be made. */
   private victimsFor(ledger: BackendLedger, spec: ModelSpec): readonly Victim[] | undefined {
-    const { usedMegabytes, victims } = this.occupancyOf(ledger);
+    const occupancy = this.occupancyOf(ledger);
+    const { chosen } = occupancy;
+    if (!chosen.has(spec.megabytes)) {
+      chosen.set(spec.megabytes, this.chooseVictims(occupancy, spec));
+    }
+    return chosen.get(spec.megabytes);
+  }
+
+  private chooseVictims(
+    { usedMegabytes, victims }: Occupancy,
+    spec: ModelSpec,
+  ): readonly Victim[] | undefined {
     let missing = usedMegabytes + spec.megabytes - this.input.host.megabytes;
     if (missing <= 0) return NO_VICTIMS;
     const chosen: Victim[] = [];
@@ -176,7 +204,8 @@
     victims.sort((a, b) => a.worth + a.unloadMs - (b.worth + b.unloadMs));
     const freed = leaving === undefined ? 0 : (modelSpec(host, leaving)?.megabytes ?? 0);
     const taken = this.expected.get(ledger.id)?.megabytes ?? 0;
-    const made = { usedMegabytes: ledger.usedMegabytes(host) - freed + taken, victims };
+    const usedMegabytes = ledger.usedMegabytes(host) - freed + taken;
+    const made: Occupancy = { usedMegabytes, victims, chosen: new Map() };
     this.occupancies.set(ledger.id, made);
     return made;
   }
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -9,7 +9,7 @@
 import type { DemandSample } from './demand-report.js';
 import type { ModelOrder } from './model-order.js';
 import { ModelWorth } from './model-worth.js';
-import type { PlannedOrder, PlanningInput } from './planning.js';
+import type { LoadPlanner, PlannedOrder, PlanningInput } from './planning.js';
 import type { ModelSpec } from './service-configuration.js';
 
 /** A backend that makes room for a model. */
@@ -17,6 +17,8 @@
   readonly backend: string;
   readonly reason: string;
   readonly until: number;
+  /** Copies of the model, held or coming, when the room was ordered: with more of them it is not needed. */
+  readonly copies: number;
 }
 
 /** A backend with the model that it makes room for. */
@@ -30,22 +32,20 @@
 const THIRD_COPY_RATE = 10;
 /** Share of a backend's slots that the requests of one model may take before it gets a further copy. */
 const COPY_SLOTS_SHARE = 0.4;
-/**
- * Share of the slots of a model's copies from which on its callers queue at them: more wait
- * there than for a rare model, so its next copy goes first. Streams began late at backends
- * whose load was 11 of 12 in the mean (atlas-shifts-large scale-1).
- */
-const CROWDED_SLOTS_SHARE = 0.75;
 /** A further copy must be worth so many times what makes way for it. */
 const COPY_MARGIN = 2;
-/** Forecasts that an owner tells at once, the most urgent. */
+/** Forecasts that an owner tells at once, the most urgent, unless it tells all. */
 const MOST_FORECASTS = 64;
+/** The most that it tells if it tells all: some 20 kB of an update, and tens of milliseconds of the owner's time. */
+const MOST_OF_ALL_FORECASTS = 1_024;
 /** Room that is made and not used by then is given up. */
 const RESERVATION_MS = 4_000;
 
 /** Plans for one service; remembers which backend makes room for which model. */
-export class PlacementPlanner {
+export class PlacementPlanner implements LoadPlanner {
   private readonly reservations = new Map<string, Reservation>();
+  /** Models that were fetched from the weight store before anybody asked for them. */
+  private readonly fetched = new Set<string>();
 
   /** Orders to give now, at most one for each backend. */
   plan(input: PlanningInput): PlannedOrder[] {
@@ -58,6 +58,7 @@
       else round.loadAdapter(wanted);
     }
     round.addCopy();
+    round.fetchAhead(this.fetched);
     return round.orders;
   }
 
@@ -68,8 +69,9 @@
   forecasts(input: PlanningInput): Map<string, number> {
     const round = new PlanningRound(input, this.reservations);
     const times = round.expectReserved();
+    const most = input.policies.forecastAll ? MOST_OF_ALL_FORECASTS : MOST_FORECASTS;
     for (const wanted of input.demand.waiting(input.now)) {
-      if (times.size >= MOST_FORECASTS) break;
+      if (times.size >= most) break;
       if (wanted.adapter !== undefined) round.forecastAdapter(wanted, times);
       else if (!times.has(wanted.model)) round.forecast(wanted.model, times);
     }
@@ -93,10 +95,11 @@
 
   /** Begins the loads for which room was being made. */
   useReservedRoom(): void {
-    const { now } = this.input;
-    for (const [model, { backend, reason, until }] of [...this.reservations]) {
+    for (const [model, reservation] of [...this.reservations]) {
+      const { backend, reason } = reservation;
       const room = this.reservedRoom(model, backend);
-      if (room === undefined || until < now) {
+      if (room !== undefined) this.renew(model, reservation, room.ledger);
+      if (room === undefined || this.isOver(model)) {
         this.reservations.delete(model);
         continue;
       }
@@ -109,10 +112,26 @@
         continue;
       }
       this.reservations.delete(model);
-      if (place !== undefined && this.worth.copies(model) === 0) this.order(spec, place, reason);
+      const isNeeded = this.worth.copies(model) <= reservation.copies;
+      if (place !== undefined && isNeeded) this.order(spec, place, reason);
     }
   }
 
+  /**
+   * Room for a further copy is kept while the victim's requests run, however long: given up
+   * and made anew elsewhere it would again be given up.
+   */
+  private renew(model: string, reservation: Reservation, ledger: BackendLedger): void {
+    const isBeingMade = ledger.currentOrder?.operation === 'unload';
+    if (reservation.copies === 0 || !isBeingMade) return;
+    const until = this.input.now + RESERVATION_MS;
+    this.reservations.set(model, { ...reservation, until });
+  }
+
+  private isOver(model: string): boolean {
+    return (this.reservations.get(model)?.until ?? -Infinity) < this.input.now;
+  }
+
   /** Loads for which room is being made, and the milliseconds until they have ended. */
   expectReserved(): Map<string, number> {
     const times = new Map<string, number>();
@@ -176,24 +195,43 @@
   relieveCrowded(): void {
     const { demand, now } = this.input;
     for (const model of demand.urgentModels(now)) {
-      if (this.isCrowded(model)) this.tryFurtherCopy(model, 'crowded copies');
+      if (this.worth.isCrowded(model)) this.tryFurtherCopy(model, 'crowded copies');
     }
   }
 
-  /** Copies that are coming count: they will take their part of what runs. */
-  private isCrowded(model: string): boolean {
-    const { host, demand, now } = this.input;
-    const slots = this.worth.copies(model) * host.slots;
-    return slots > 0 && demand.inFlightOf(model, now) >= slots * CROWDED_SLOTS_SHARE;
-  }
-
   /** Adds one copy of a model in urgent demand. */
   addCopy(): void {
     const { demand, now } = this.input;
     for (const model of demand.urgentModels(now)) {
-      const copies = this.worth.copies(model);
-      const isWanted = copies > 0 && copies < this.copiesWanted(model);
-      if (isWanted && this.tryFurtherCopy(model, 'urgent demand')) return;
+      if (this.isCopyWanted(model) && this.tryFurtherCopy(model, 'urgent demand')) return;
+    }
+  }
+
+  /** Copies at slow places count in part, and there may be as many again that are better placed. */
+  private isCopyWanted(model: string): boolean {
+    const copies = this.worth.copies(model);
+    if (copies === 0) return false;
+    const wanted = this.copiesWanted(model);
+    return this.worth.fullCopies(model) < wanted && copies < 2 * wanted;
+  }
+
+  /**
+   * Fetches models that lie at no backend from the weight store while no caller has asked for
+   * anything yet: the store gives a few at a time, slowly, so that callers of most of them
+   * would be refused. Each at most once, and only in place of what can be loaded again at hand.
+   */
+  fetchAhead(fetched: Set<string>): void {
+    const { backends, demand, host, now, policies } = this.input;
+    if (!policies.fetchAhead || demand.totalRate(now) > 0) return;
+    const kept = new Set(backends.flatMap(({ onDisk, inMemory }) => [...onDisk, ...inMemory]));
+    for (const spec of host.models) {
+      const { name } = spec;
+      if (kept.has(name) || fetched.has(name) || this.isHeldOrComing(name)) continue;
+      const place = this.places.cheapest(spec);
+      if (place === undefined || !place.isFree) return;
+      if (!place.victims.every((victim) => kept.has(victim))) continue;
+      fetched.add(name);
+      this.order(spec, place, 'on no disk');
     }
   }
 
@@ -201,7 +239,10 @@
   private tryFurtherCopy(model: string, reason: string): boolean {
     const spec = modelSpec(this.input.host, model);
     if (spec === undefined || this.reservations.has(model)) return false;
-    const place = this.places.cheapest(spec);
+    // A copy besides those that are wanted takes the place of one at a slow place.
+    const isBesides = this.worth.copies(model) >= this.copiesWanted(model);
+    const suits = (backend: string): boolean => this.worth.quality.isGood(backend, model);
+    const place = this.places.cheapest(spec, isBesides ? suits : undefined);
     if (place === undefined || !place.isFree) return false;
     if (place.displacedWorth * COPY_MARGIN > this.worth.ofFurtherCopy(model)) return false;
     this.order(spec, place, reason);
@@ -226,7 +267,8 @@
     const backend = place.ledger.id;
     const [victim] = place.victims;
     if (victim !== undefined) {
-      this.reservations.set(spec.name, { backend, reason, until: now + RESERVATION_MS });
+      const until = now + RESERVATION_MS;
+      this.reservations.set(spec.name, { backend, reason, until, copies: this.copiesBefore(spec) });
       const order: ModelOrder = { operation: 'unload', model: victim, adapter: undefined };
       const durationMs = this.worth.unloadMs(place.ledger, victim);
       this.places.expect(place.ledger, spec);
@@ -240,6 +282,11 @@
     this.push({ backend, order, durationMs: loadMs, copy, reason });
   }
 
+  /** The most copies with which room ordered now is still needed; 0 if room is made for unheld models only. */
+  private copiesBefore(spec: ModelSpec): number {
+    return this.input.policies.relieveCrowdedCopies ? this.worth.copies(spec.name) : 0;
+  }
+
   private push(planned: PlannedOrder): void {
     this.places.reserve(planned.backend);
     this.places.addWork(planned.backend, planned.durationMs);
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -1,5 +1,6 @@
 /** What a round of planning works on, and what it brings. Types only. */
 import type { BackendLedger } from './backend-ledger.js';
+import type { PlannedCapacity } from './capacity/copy-quality.js';
 import type { ModelDemand } from './model-demand.js';
 import type { ModelOrder } from './model-order.js';
 import type { Policies } from './policies.js';
@@ -34,4 +35,14 @@
   /** Milliseconds until each place for a load from the weight store is free, by the limit of loads at once. */
   readonly storePlaceWaits: readonly number[];
   readonly unloadTimes: UnloadTimes;
+  /** How fast the backends are; absent if all count as alike. */
+  readonly capacity?: PlannedCapacity | undefined;
+}
+
+/** Decides on orders and forecasts. An interface: each way to plan is one. */
+export interface LoadPlanner {
+  /** Orders to give now, at most one for each backend. */
+  plan(input: PlanningInput): PlannedOrder[];
+  /** Milliseconds until awaited models and adapters that nobody holds are expected to be loaded. */
+  forecasts(input: PlanningInput): Map<string, number>;
 }
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -1,6 +1,6 @@
 /**
  * Policies that operators can switch off by name, so that the worth of each can be
- * measured on their own load. All are on by default. Types and names only.
+ * measured on their own load. Those that settings do not name are as in {@link DEFAULT_POLICIES}. Types and names only.
  */
 
 /** Names of the policies, as the settings spell them. */
@@ -19,6 +19,22 @@
   'proofsFromPeers',
   /** A request is held while it will more likely be served than not. */
   'holdByChance',
+  /** Callers are told when each model that they wait for is expected, not the most urgent ones only. */
+  'forecastAll',
+  /** A copy that relieves full ones counts for all the callers that it takes over, and gets the room made for it. */
+  'relieveCrowdedCopies',
+  /** Slots of backends are counted over all daemons by one keeper each, which orders those that wait. */
+  'sharedSlots',
+  /** Speeds of backends are learned from streams; models and requests go by them. */
+  'learnedCapacity',
+  /** Who counts a tenant's limit for all does so under a lease. */
+  'leasedLimits',
+  /** A copy is worth what a load would take of the time that its callers can wait. */
+  'copyWorthByCallers',
+  /** Loads go by how many callers each serves, then by the time at which they should find it. */
+  'mostCallersFirst',
+  /** Models that lie at no backend are fetched from the weight store before callers come. */
+  'fetchAhead',
 ] as const;
 
 /** A policy's name. */
@@ -27,8 +43,20 @@
 /** Which policies are on. */
 export type Policies = Readonly<Record<PolicyName, boolean>>;
 
+/** On only where the settings say so: a deployment that does not name them is served as it was without them. */
+const OFF_UNLESS_NAMED: ReadonlySet<PolicyName> = new Set([
+  'forecastAll',
+  'relieveCrowdedCopies',
+  'sharedSlots',
+  'learnedCapacity',
+  'leasedLimits',
+  'copyWorthByCallers',
+  'mostCallersFirst',
+  'fetchAhead',
+]);
+
 /** What holds if the settings say nothing. */
-export const DEFAULT_POLICIES: Policies = policiesOf(() => true);
+export const DEFAULT_POLICIES: Policies = policiesOf((name) => !OFF_UNLESS_NAMED.has(name));
 
 /** One value for each policy. */
 export function policiesOf(value: (name: PolicyName) => boolean): Policies {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one backend, and the check of what comes back. */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
+import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
 import {
   isStream,
@@ -42,6 +43,11 @@
   readonly request: CallerRequest;
   /** Whose key the caller has; undefined if it needs none. */
   readonly tenant: CallerTenant | undefined;
+  /**
+   * Priority told to the backend in place of the tenant's or the route's; undefined where no slots are kept
+   * for all daemons, and the backend orders its requests itself.
+   */
+  readonly urgency: number | undefined;
   /** Time left until the request's deadline. */
   readonly remainingMs: number;
   /** The stream goes on after this event. */
@@ -54,6 +60,8 @@
   readonly hasAlternative: () => boolean;
   /** The backend is silent and nobody else can take the request; called once. */
   readonly onSilent: () => void;
+  /** Notes the gaps between events; undefined if they tell nothing of the backend. */
+  readonly gaps: StreamGaps | undefined;
   readonly answer: CallerAnswer;
   readonly onEnd: (end: AttemptEnd) => void;
 }
@@ -75,6 +83,8 @@
   private timer: NodeJS.Timeout | undefined;
   private ended = false;
   private isPaused = false;
+  /** Bytes of an answer that is gathered until it is whole. */
+  private gatheredBytes = 0;
   private silenceTold = false;
 
   constructor(
@@ -106,11 +116,22 @@
     return this.options.backend.id;
   }
 
+  /**
+   * The backend has started again. What was sent to another address went to its earlier process; at the same
+   * address, the later one may have taken the request before its start was known here.
+   */
+  backendRestarted(address: string): void {
+    if (address === this.options.backend.address) return this.exchange.probe();
+    this.exchange.giveUp('the backend has ended and started again');
+  }
+
   /** Drops the attempt; its end is not told. */
   abort(): void {
     this.ended = true;
     clearTimeout(this.timer);
+    this.options.gaps?.end();
     this.exchange.abort();
+    this.releaseGathered();
   }
 
   private requestHeaders(): string[] {
@@ -120,7 +141,7 @@
       backend: backend.id,
       remainingMs,
       lastEventId,
-      priority: tenant?.priority ?? route.priority,
+      priority: this.options.urgency ?? tenant?.priority ?? route.priority,
       tenant: tenant?.name,
     });
     const replaced = new Set([
@@ -167,10 +188,14 @@
     if (this.ended) return;
     if (!this.isEventStream()) {
       this.chunks.push(chunk);
+      this.gatheredBytes += chunk.length;
+      this.context.answers.hold(chunk.length);
       return;
     }
-    this.watch(this.options.stalledAfterMs);
-    for (const event of this.parser.push(chunk)) this.passOn(event);
+    if (!this.isPaused) this.watch(this.options.stalledAfterMs);
+    const events = this.parser.push(chunk);
+    this.options.gaps?.noteRead(events.length, steadyNow());
+    for (const event of events) this.passOn(event);
   }
 
   private passOn(event: StreamEvent): void {
@@ -185,12 +210,22 @@
       );
     }
     if (answer.sendEvent(event) || this.isPaused) return;
-    this.isPaused = true;
-    this.exchange.setPaused(true);
-    answer.onceDrained(() => {
-      this.isPaused = false;
-      this.exchange.setPaused(false);
-    });
+    this.setPaused(true);
+    answer.onceDrained(() => this.setPaused(false));
+  }
+
+  /** There is no room to read on for the caller: that the backend is not heard meanwhile is no silence of its own. */
+  private setPaused(paused: boolean): void {
+    if (this.ended) return;
+    this.isPaused = paused;
+    this.options.gaps?.interrupt();
+    this.exchange.setPaused(paused);
+    this.watch(paused ? Infinity : this.options.stalledAfterMs);
+  }
+
+  private releaseGathered(): void {
+    this.context.answers.hold(-this.gatheredBytes);
+    this.gatheredBytes = 0;
   }
 
   private receiveEnd(): void {
@@ -267,6 +302,8 @@
     if (this.ended) return;
     this.ended = true;
     clearTimeout(this.timer);
+    this.options.gaps?.end();
+    this.releaseGathered();
     before?.();
     this.options.onEnd(end);
   }
@@ -279,6 +316,11 @@
 
   /** Where nobody else can take the request, leaving would only cost its place in the queue. */
   private leaveSilent(limitMs: number): void {
+    const restMs = this.exchange.bodyTakenUntil + limitMs - steadyNow();
+    if (restMs > 0) {
+      this.timer = setTimeout(() => this.leaveSilent(limitMs), restMs);
+      return;
+    }
     if (this.options.hasAlternative()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
     }
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -3,9 +3,12 @@
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
 import type { BackendAgent } from './backend-agent.js';
+import { BodySender } from './body-sender.js';
 
 /** A connection that is not up by then is given up: nothing of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 350;
+/** A connection that is doubted is probed after so long without bytes; the kernel takes whole seconds. */
+const PROBE_AFTER_MS = 1_000;
 
 /** What is sent. */
 export interface BackendRequest {
@@ -37,6 +40,7 @@
 /** A request under way. */
 export class BackendExchange {
   private readonly outgoing: http.ClientRequest;
+  private readonly sender: BodySender;
   private incoming: http.IncomingMessage | undefined;
   private connected = false;
   private ended = false;
@@ -60,7 +64,12 @@
     this.outgoing.on('response', (answer) => this.receive(answer));
     this.outgoing.on('error', (fault) => this.fail(fault.message));
     this.outgoing.on('information', () => {});
-    this.outgoing.end(request.body);
+    this.sender = new BodySender(this.outgoing, request.body);
+  }
+
+  /** Steady time up to which the backend takes a long body; -Infinity if the body is short. */
+  get bodyTakenUntil(): number {
+    return this.sender.takenUntil;
   }
 
   /** Drops the connection; nothing more is called. */
@@ -69,6 +78,19 @@
     this.outgoing.destroy();
   }
 
+  /** Ends the exchange as failed: the backend's process is known to have ended. */
+  giveUp(reason: string): void {
+    this.fail(reason);
+  }
+
+  /**
+   * Has the connection probed when nothing passes for a second: one whose other end has started anew is reset,
+   * though nothing was heard when the earlier process ended; one to the process of now is left as it is.
+   */
+  probe(): void {
+    this.outgoing.socket?.setKeepAlive(true, PROBE_AFTER_MS);
+  }
+
   /** Stops and resumes reading. */
   setPaused(paused: boolean): void {
     if (paused) this.incoming?.pause();
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -17,10 +17,12 @@
   ModelForecastSchema,
   ServiceDemandSchema,
   ServicePlacementSchema,
+  type BackendStart,
   type DirectoryNews,
   type ServiceDemand,
   type ServicePlacement,
 } from '../proto/gen/internal_pb.js';
+import { decodeFigures, decodeGaps, encodeFigures, encodeGaps } from './capacity-codec.js';
 
 /** A daemon's demand as a message. */
 export function encodeDemand(
@@ -35,7 +37,8 @@
     create(BackendUseSchema, { ...entry, adapter: entry.adapter ?? '' }),
   );
   const failing = [...report.failing];
-  const fields = { service, models, use, configurationVersion, failing };
+  const gaps = encodeGaps(report.gaps);
+  const fields = { service, models, use, configurationVersion, failing, ...gaps };
   const value = create(ServiceDemandSchema, fields);
   return { case: 'serviceDemand', value };
 }
@@ -59,6 +62,7 @@
       inFlight: entry.inFlight,
     })),
     failing: message.failing,
+    gaps: decodeGaps(message),
   };
 }
 
@@ -85,6 +89,7 @@
     configurationVersion,
     removedBackends: [...update.removedBackends],
     removedForecasts: [...update.removedForecasts],
+    ...encodeFigures(update.capacity),
     ...(baseVersion === undefined ? {} : { baseVersion }),
   });
   return { case: 'servicePlacement', value };
@@ -118,6 +123,7 @@
     removedBackends,
     forecasts,
     removedForecasts,
+    capacity: decodeFigures(message),
   };
 }
 
@@ -138,8 +144,8 @@
   const ends = news.ended.map(({ id, revision }) =>
     create(BackendEndSchema, { backend: id, revision }),
   );
-  const starts = news.started.map(({ id, revision, service, address, zone, slots }) =>
-    create(BackendStartSchema, { backend: id, revision, service, address, zone, slots }),
+  const starts = news.started.map(({ id, revision, service, address, zone, slots, start = '' }) =>
+    create(BackendStartSchema, { backend: id, revision, service, address, zone, slots, start }),
   );
   const { configurationVersion, platformAway, servingDigest } = news;
   const value = create(DirectoryNewsSchema, {
@@ -155,10 +161,14 @@
 /** News of the directory out of a message. */
 export function decodeNews(message: DirectoryNews): DirectoryReport {
   const ended = message.ends.map(({ backend, revision }) => ({ id: backend, revision }));
-  const started = message.starts.map(({ backend, revision, service, address, zone, slots }) => {
-    const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
-    return { id: backend, revision, service, address, zone, slots, leaving: false, ...holdings };
-  });
+  const started = message.starts.map(decodeStart);
   const { configurationVersion, platformAway, servingDigest } = message;
   return { configurationVersion, ended, started, platformAway, servingDigest };
 }
+
+function decodeStart(message: BackendStart): BackendRecord {
+  const { backend, revision, service, address, zone, slots, start } = message;
+  const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
+  const place = { id: backend, revision, service, address, zone, slots, leaving: false };
+  return { ...place, ...holdings, ...(start === '' ? {} : { start }) };
+}
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -28,6 +28,22 @@
     labelNames: ['operation', 'outcome'],
     registers: [this.registry],
   });
+  readonly backendRestarts = new Counter({
+    name: 'scaleslip_gateway_backend_restarts_total',
+    help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
+    registers: [this.registry],
+  });
+  readonly heldBytes = new Gauge({
+    name: 'scaleslip_gateway_held_bytes',
+    help: 'Bytes of answers that callers have not read, and of bodies of requests under way',
+    registers: [this.registry],
+  });
+  readonly slowCallers = new Counter({
+    name: 'scaleslip_gateway_slow_callers_total',
+    help: 'Callers broken off because they read too slowly, by what was used up',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   readonly loadSeconds = new Histogram({
     name: 'scaleslip_gateway_load_seconds',
     help: 'Time of the loads of models that have ended, by the place of the copy',
@@ -47,6 +63,23 @@
     labelNames: ['kind', 'tenant'],
     registers: [this.registry],
   });
+  readonly slotWaitSeconds = new Histogram({
+    name: 'scaleslip_gateway_slot_wait_seconds',
+    help: "Time from the ask for a backend's slot to the keeper's word, by that word",
+    labelNames: ['answer'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly slotAsksUnanswered = new Counter({
+    name: 'scaleslip_gateway_slot_asks_unanswered_total',
+    help: 'Asks for slots that no keeper answered in time: the daemon decided alone',
+    registers: [this.registry],
+  });
+  readonly slotOverfill = new Gauge({
+    name: 'scaleslip_gateway_slot_overfill_requests',
+    help: 'Requests in flight beyond the slots of backends whose slots this daemon keeps',
+    registers: [this.registry],
+  });
   readonly leaseAge = new Gauge({
     name: 'scaleslip_gateway_configuration_age_seconds',
     help: 'Time since the configuration was proved current; -1 if it never was, or keys are not needed',
@@ -69,6 +102,12 @@
     buckets: [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5],
     registers: [this.registry],
   });
+  readonly backendSpeed = new Gauge({
+    name: 'scaleslip_gateway_backend_speed',
+    help: 'Speed of a backend against the usual one, as the owner of its service has learned',
+    labelNames: ['service', 'backend'],
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: 'scaleslip_gateway_configuration_version',
     help: 'Version of the configuration in force',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth';
 import { parseJson } from '../common/http-client.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
-import { POLICY_NAMES, policiesOf, type Policies } from '../core/policies.js';
+import { DEFAULT_POLICIES, POLICY_NAMES, policiesOf, type Policies } from '../core/policies.js';
 
 /** Bounds that operators promise for the whole system. */
 export interface GatewayBounds {
@@ -40,6 +40,8 @@
   readonly processorShare: number;
   /** How fast that processor is, in cores of common speed. */
   readonly processorSpeed: number;
+  /** Memory that the process may use, in units of 1,024 x 1,024 bytes. */
+  readonly memoryMegabytes: number;
   /** IPv4 number for other daemons. */
   readonly address: string;
   /** Port for other daemons, TCP and UDP. */
@@ -61,6 +63,8 @@
   readonly bounds: GatewayBounds;
 }
 
+/** Memory of the smallest machines that a daemon is meant for. */
+const DEFAULT_MEMORY_MEGABYTES = 200;
 /** Window of tenants' limits where the operator names none. */
 const DEFAULT_LIMIT_WINDOW_SECONDS = 8;
 
@@ -93,6 +97,7 @@
     zone: reader.text('zone'),
     processorShare: reader.number('processorShare', 0),
     processorSpeed: reader.number('processorSpeed', 0),
+    memoryMegabytes: reader.numberOr('memoryMegabytes', 32, DEFAULT_MEMORY_MEGABYTES),
     address: reader.checked('address', 'an IPv4 number', isIPv4),
     peerPort: reader.number('peerPort', 1),
     metricsPort: reader.number('metricsPort', 0),
@@ -101,7 +106,7 @@
     store: reader.checked('store', '"ip:port"', isAddress),
     seeds: reader.texts('seeds'),
     backendsCheckEpochs: reader.flag('backendsCheckEpochs'),
-    policies: policiesOf((name) => policies.flag(name)),
+    policies: policiesOf((name) => policies.flag(name, DEFAULT_POLICIES[name])),
     bounds: {
       stopSeconds: bounds.number('stopSeconds', 0),
       retryRatio: bounds.number('retryRatio', 0),
@@ -175,9 +180,9 @@
     return new FieldReader(this.fields[key] ?? {}, `${this.where}: ${key}`);
   }
 
-  /** True unless the field says otherwise. */
-  flag(key: string): boolean {
-    const value = this.fields[key] ?? true;
+  /** A flag whose absence means `otherwise`. */
+  flag(key: string, otherwise = true): boolean {
+    const value = this.fields[key] ?? otherwise;
     if (typeof value === 'boolean') return value;
     this.problem(key, 'true or false');
     return true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import { listen } from '../common/http-server.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
+import { answerRoomOf } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
 import { CallerDeadlines } from '../core/caller-deadlines.js';
@@ -17,10 +18,12 @@
 import type { PlacementUpdate } from '../core/placement-update.js';
 import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
-import type { ServiceConfiguration } from '../core/service-configuration.js';
+import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
+import { AnswerBuffer } from './answer-buffer.js';
+import { forgetEarlierStart } from './backend-restarts.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerFront } from './caller-front.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
@@ -42,7 +45,9 @@
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
+import { SlotAdmission } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
+import { HolderLeases } from './holder-leases.js';
 import { TenantLimits } from './tenant-limits.js';
 
 /** Between two looks at the clock: of the membership, the duties, and what is told. */
@@ -83,6 +88,7 @@
   private readonly proofs: CurrencyProofs;
   private readonly admission: CallerAdmission;
   private readonly limits: TenantLimits;
+  private readonly slots: SlotAdmission | undefined;
   private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
@@ -117,6 +123,7 @@
       onChange: () => {
         this.membersHaveChanged = true;
         this.limits.groupChanged();
+        this.slots?.groupChanged();
       },
     });
     this.members = new MemberList(settings, outside.store, this.peers, logger);
@@ -136,6 +143,7 @@
       onDoubt: () => this.proofs.tick(),
     });
     this.limits = this.makeLimits();
+    this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.duties = new ServiceDuties({
       settings,
       peers: this.peers,
@@ -214,6 +222,8 @@
 
   private isDrained(begun: number): boolean {
     if (steadyNow() - begun < ENTRY_NOTICES_MS) return false;
+    // Node takes a connection whose answer is written, but not read, for one that rests.
+    if (this.context.answers.unreadCallers > 0) return false;
     this.front.closeIdle();
     return this.context.exchanges.size === 0;
   }
@@ -251,6 +261,7 @@
       self: peers.address,
       window: { windowMs: limitWindowSeconds * 1_000, excess: limitExcess, slack: limitSlack },
       logger: outside.logger,
+      leases: this.settings.policies.leasedLimits ? this.makeLeases() : undefined,
       live: () => peers.live(),
       listedCount: () => this.members.listed.length,
       tenant: (name) => this.admission.tenant(name),
@@ -259,6 +270,33 @@
     });
   }
 
+  private makeSlots(): SlotAdmission {
+    const { outside, peers, backends } = this;
+    return new SlotAdmission({
+      self: peers.address,
+      logger: outside.logger,
+      metrics: outside.metrics,
+      live: () => peers.live(),
+      reachable: () => peers.reachableOthers(),
+      slotsOf: (id) => slotsOf(backends.servingOne(id)),
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+    });
+  }
+
+  private makeLeases(): HolderLeases {
+    const { outside, peers } = this;
+    return new HolderLeases({
+      self: peers.address,
+      logger: outside.logger,
+      listed: () => this.members.listed,
+      live: () => peers.live(),
+      rememberMs: this.settings.bounds.limitWindowSeconds * 1_000,
+      firstSequence: Date.now(),
+      processStartedAt: 0,
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+    });
+  }
+
   private makeContext(): GatewayContext {
     const { settings, outside } = this;
     const { logger, dialect, metrics, agent } = outside;
@@ -275,6 +313,8 @@
       logger,
       admission: this.admission,
       limits: this.limits,
+      slots: this.slots,
+      answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: (now) => this.directoryDuty.knowledgeAgeMs(now),
       budgetOf: (service) => this.budgetOf(service),
@@ -325,6 +365,7 @@
   }
 
   private backendsChanged(): void {
+    for (const restart of this.backends.takeRestarts()) forgetEarlierStart(this.context, restart);
     this.context.health.keepOnly(new Set(this.backends.all().map((backend) => backend.id)));
     this.duties.backendsChanged();
     this.scheduleLook();
@@ -344,6 +385,7 @@
     this.duties.tick();
     if (this.admission.needsLease) this.proofs.tick();
     if (this.admission.needsKeys) this.limits.tick();
+    this.slots?.tick();
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.logMembers();
@@ -386,7 +428,16 @@
     const outcome = this.backends.hearPlacement(update, now);
     if (isNewOwner && recallDemand) this.context.tracker.recall(update.service, now);
     if (outcome === 'applied') this.scheduleLook();
-    if (outcome === 'gap') this.requestPlacement(owner, update.service, now);
+    if (outcome === 'gap') this.catchUp(owner, update.service, now);
+  }
+
+  /** Changes can't be applied here: takes everything, from the owner in this process or by a question to another. */
+  private catchUp(owner: string, service: string, now: number): void {
+    if (owner !== this.peers.address) return this.requestPlacement(owner, service, now);
+    const everything = this.duties.everythingOf(service);
+    if (everything === undefined) return;
+    this.backends.hearPlacement(everything, now);
+    this.scheduleLook();
   }
 
   /** An update was missed: the owner tells everything. */
@@ -410,6 +461,7 @@
   private receive(from: string, body: PeerBody): void {
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
+    if (this.slots?.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.configurations.hearVersion(from, body.value.configurationVersion);
@@ -453,7 +505,8 @@
   }
 
   private async answerMetrics(response: http.ServerResponse): Promise<void> {
-    const { registry, inFlight, leaseAge, controlBytes } = this.outside.metrics;
+    const { registry, inFlight, leaseAge, controlBytes, heldBytes } = this.outside.metrics;
+    heldBytes.set(this.context.answers.heldBytes);
     inFlight.set(this.context.exchanges.size);
     const leaseAgeMs = this.proofs.lease.ageMs(steadyNow());
     leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
@@ -465,3 +518,8 @@
     response.end(text);
   }
 }
+
+/** Slots of a backend that takes requests; one that names none works on one request at a time. */
+function slotsOf(backend: BackendRecord | undefined): number | undefined {
+  return backend && Math.max(1, backend.slots);
+}
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -6,8 +6,9 @@
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
-import type { BackendCandidate } from '../core/backend-selection.js';
-import { FIRST_PART_MS } from '../core/hold-policy.js';
+import { isAnotherStart } from '../core/backend-starts.js';
+import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
+import { isWorthReturning } from '../core/admission/slot-keeping.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   isStream,
@@ -17,18 +18,25 @@
 } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
+import { watchedGaps, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
+import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
 import type { WaitingCaller } from './request-tracker.js';
 import { steadyNow } from './steady-clock.js';
 import { TenantPass, type PassDenial } from './tenant-pass.js';
 
 /** Reserved between the last moment for an answer and the caller's own deadline. */
 const DEADLINE_MARGIN_MS = 30;
-/** A backend that has refused the request, or was not reached, is not asked again for so long. */
-const REFUSED_PAUSE_MS = 250;
 /** Between two looks at a waiting request when nothing changes. */
 const RETRY_LOOK_MS = 50;
+/** Priority told to backends whose slots are kept: the same for all, for what came later must not end work half done. */
+const ADMITTED_URGENCY = 1;
+/**
+ * A caller that was refused goes before those who have not waited yet: it counts as having waited so much longer,
+ * which is one rank (four steps) in `slot-queue.ts`.
+ */
+const RETURN_HEADSTART_MS = 1_200;
 /** A backend that has not begun to answer after so many goals is left for another. */
 const SILENT_GOALS = 2.2;
 /** A stream that rests for so many of its pause goals goes on elsewhere. */
@@ -60,11 +68,10 @@
   private readonly deadlineAt: number;
   private readonly answer: CallerAnswer;
   private attempt: Attempt | undefined;
+  /** Whether the attempt counts as in flight at its backend. */
+  private isCounted = false;
   private lookTimer: NodeJS.Timeout | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private readonly tried = new Set<string>();
-  /** Backends that have refused the request, and until when they are not asked again. */
-  private readonly refusals = new Map<string, number>();
   private runs = 0;
   private sends = 0;
   private isWaiting = false;
@@ -73,12 +80,14 @@
   private ended = false;
   private lastRan: Ran = 'no';
   private readonly pass: TenantPass;
+  private readonly search: RequestDispatch;
   /** The caller was refused before, by this daemon or another. */
   private readonly hasComeBack: boolean;
   /** What the owner is told of it while it waits. */
   private readonly waitingCaller: WaitingCaller;
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
+  private readonly need: CapacityNeed;
 
   constructor(
     private readonly context: GatewayContext,
@@ -91,12 +100,14 @@
     this.answer = new CallerAnswer(context, request.head, response);
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
+    this.need = { service: match.service.name, route, model: this.model };
     this.pass = new TenantPass(context, route, request.head);
     this.hasComeBack = context.noteCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
     const dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
     this.waitingCaller = { dueAt, goalMs: route.goalMs };
+    this.search = this.makeSearch();
     response.on('close', () => this.callerClosed());
   }
 
@@ -105,6 +116,7 @@
     const { arrivedAt } = this.request;
     this.context.budgetOf(this.match.service.name).countRequest(steadyNow());
     this.context.exchanges.add(this);
+    this.context.answers.hold(this.request.body.length);
     const remaining = this.deadlineAt - steadyNow();
     this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
@@ -133,7 +145,19 @@
 
   /** Something has changed that a waiting request may hope for. */
   look(): void {
-    if (this.isWaiting && this.attempt === undefined) this.dispatch();
+    const isIdle = this.attempt === undefined;
+    if (isIdle && (this.isWaiting || this.search.isPending)) this.dispatch();
+  }
+
+  /** A backend has ended and started again under its id: what it has refused or was sent before is void. */
+  backendRestarted(backend: BackendRecord): void {
+    const wasPending = this.search.isPending;
+    this.search.forget(backend.id);
+    // Its place in the queue is gone, and nobody would look at it again.
+    if (wasPending && !this.search.isPending) return this.wait();
+    if (this.attempt?.backendId !== backend.id) return;
+    this.uncount(backend.id);
+    this.attempt.backendRestarted(backend.address);
   }
 
   /** The daemon stops: breaks a stream off where its caller can take it up. */
@@ -144,66 +168,63 @@
   }
 
   private dispatch(): void {
-    if (this.ended) return;
-    const backend = this.chooseBackend();
-    if (backend !== undefined) return this.send(backend);
-    this.holdOrRefuse();
-  }
-
-  /** Backends that may be sent the request now. */
-  private usableBackends(now: number): BackendRecord[] {
-    const { context, match, model } = this;
-    return context.directory
-      .serving(match.service.name)
-      .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
-      .filter((backend) => model === undefined || context.directory.holds(backend, model, now));
-  }
-
-  /** Whether a backend that was not tried yet has a free slot for the request. */
-  private hasAlternative(): boolean {
-    const now = steadyNow();
-    return this.usableBackends(now).some((backend) => {
-      if (this.tried.has(backend.id) || this.context.health.isAvoided(backend.id, now))
-        return false;
-      return this.inFlightAt(backend) < backend.slots;
+    if (!this.ended) this.search.next();
+  }
+
+  private makeSearch(): RequestDispatch {
+    return new RequestDispatch(this.context, {
+      service: this.match.service,
+      model: this.model,
+      sharedPrompt: this.request.head.sharedPrompt,
+      need: this.need,
+      standing: () => this.standing(),
+      onSlot: (backend) => this.send(backend),
+      onQueued: (expectedWaitMs) => this.queued(expectedWaitMs),
+      onNone: () => this.holdOrRefuse(),
+      onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
     });
   }
 
-  private chooseBackend(): BackendRecord | undefined {
-    const { context, request, model } = this;
-    const now = steadyNow();
-    const usable = this.usableBackends(now);
-    const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
-    const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
-    // Another backend can be given the model; one of a service without models is all there is.
-    const lastResort = model === undefined ? usable : [];
-    const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
-    const candidates = best.map((backend) => this.candidate(backend));
-    const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
-    return chosen === undefined ? undefined : context.directory.get(chosen.id);
-  }
-
-  private candidate(backend: BackendRecord): BackendCandidate {
-    const { context } = this;
+  /** What orders it among those that wait for a slot; a stream that has begun goes before all others. */
+  private standing(): SlotStanding {
+    const { request, pass } = this;
+    const { route } = this.match;
+    const { head } = request;
+    const arrivedAt = request.arrivedAt - (this.hasComeBack ? RETURN_HEADSTART_MS : 0);
+    const { dueAt } = this.waitingCaller;
+    // Services without models answer whole and fast: their callers are served until the end.
+    const reserveMs = this.model === undefined ? 0 : FIRST_PART_MS;
+    const leavesAt = this.answer.hasBegun ? Infinity : request.arrivedAt + route.patienceMs;
     return {
-      id: backend.id,
-      sameZone: backend.zone === context.settings.zone,
-      hasConnection: context.agent.hasRestingConnection(backend.address),
-      slots: backend.slots,
-      inFlight: this.inFlightAt(backend),
-      failureShare: context.health.failureShare(backend.id),
+      request: head.attemptId,
+      rank: this.answer.hasBegun ? 0 : (pass.tenant?.priority ?? route.priority),
+      arrivedAt,
+      dueAt: this.sends > 0 ? steadyNow() : dueAt,
+      giveUpAt: Math.min(this.deadlineAt, leavesAt) - reserveMs,
+      tenant: pass.tenant?.name ?? '',
+      work: Math.round(head.expectedWork ?? 0),
     };
   }
 
-  /** Requests in flight at a backend: all have them told late, and this daemon may have sent more since. */
-  private inFlightAt(backend: BackendRecord): number {
-    const { tracker, directory } = this.context;
-    return Math.max(tracker.inFlightAt(backend.id), directory.loadOf(backend, steadyNow()));
+  /** A slot will be free later: the request waits, or is told to come back, as for a model that is being loaded. */
+  private queued(expectedWaitMs: number): void {
+    this.setWaiting(false);
+    if (this.model === undefined || this.sends > 0 || this.answer.hasBegun) return;
+    const decision = this.decideHold(expectedWaitMs);
+    if (decision.type === 'hold') return;
+    if (!isWorthReturning(decision.retryAfterMs, this.deadlineAt - steadyNow())) return;
+    this.search.leaveUntil(decision.retryAfterMs);
+    this.refuseFull(decision.retryAfterMs, { expectedWaitMs: Math.round(expectedWaitMs) });
+  }
+
+  private backendsFull(retryAfterMs: number): void {
+    if (this.answer.hasBegun) return this.wait();
+    this.search.leaveUntil(retryAfterMs);
+    this.refuseFull(retryAfterMs, { fullForMs: Math.round(retryAfterMs) });
   }
 
   private holdOrRefuse(): void {
-    const { arrivedAt } = this.request;
-    const { route, service } = this.match;
+    const { service } = this.match;
     const now = steadyNow();
     const readyInMs =
       this.model === undefined
@@ -211,24 +232,36 @@
         : this.context.directory.readyInMs(service.name, this.model, now, (backend) =>
             this.context.health.isAvoided(backend, now),
           );
-    const decision = this.context.hold.decide({
-      goalMs: route.goalMs,
-      waitedMs: now - arrivedAt,
-      remainingMs: Math.min(this.deadlineAt - now, route.patienceMs - (now - arrivedAt)),
-      readyInMs,
-      hasComeBack: this.hasComeBack,
-    });
+    const decision = this.decideHold(readyInMs);
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
       this.expectReturn(decision.retryAfterMs);
-      const waitedMs = Math.round(now - arrivedAt);
-      const hasComeBack = Number(this.hasComeBack);
-      const inputs = { readyInMs, waitedMs, hasComeBack, ...this.beliefs(now) };
-      return this.refuse('no_capacity', decision.retryAfterMs, inputs);
+      return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
     if (readyInMs !== undefined) this.told ??= { readyInMs, at: now };
     this.wait();
   }
 
+  private decideHold(readyInMs: number | undefined): HoldDecision {
+    const { route } = this.match;
+    const now = steadyNow();
+    const waitedMs = now - this.request.arrivedAt;
+    const { hasComeBack } = this;
+    const remainingMs = Math.min(this.deadlineAt - now, route.patienceMs - waitedMs);
+    const { goalMs } = route;
+    return this.context.hold.decide({ goalMs, waitedMs, remainingMs, readyInMs, hasComeBack });
+  }
+
+  private refuseFull(
+    retryAfterMs: number,
+    reasons: Readonly<Record<string, number | undefined>>,
+  ): void {
+    const now = steadyNow();
+    const waitedMs = Math.round(now - this.request.arrivedAt);
+    const hasComeBack = Number(this.hasComeBack);
+    const inputs = { ...reasons, waitedMs, hasComeBack, ...this.beliefs(now) };
+    this.refuse('no_capacity', retryAfterMs, inputs);
+  }
+
   /** What the daemon decides on, and how old it is. */
   private beliefs(now: number): Record<string, number | undefined> {
     const { directory } = this.context;
@@ -283,30 +316,35 @@
     clearTimeout(this.lookTimer);
     this.noteWait(true);
     this.sends += 1;
-    this.tried.add(backend.id);
+    this.search.noteSent(backend.id);
     context.tracker.sent(service.name, backend.id, this.model, 1);
+    this.isCounted = true;
     if (this.sends === 1) {
       context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
     }
     this.log('sent', {
       backend: backend.id,
-      inFlight: this.inFlightAt(backend),
+      inFlight: this.search.inFlightAt(backend),
+      beliefAgeMs: context.slots?.figuresAgeMs(backend.id, now),
       sends: this.sends,
       waitedMs: Math.round(now - request.arrivedAt),
       remainingMs: Math.round(this.deadlineAt - now),
       ...this.beliefs(now),
     });
+    const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
     this.attempt = new Attempt(context, {
       backend,
       route,
       request,
       tenant: this.pass.tenant,
+      urgency: context.slots && ADMITTED_URGENCY,
       remainingMs: this.deadlineAt - now,
       lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
       silentAfterMs: this.silentAfterMs(),
       stalledAfterMs: this.stalledAfterMs(),
-      hasAlternative: () => this.hasAlternative(),
+      hasAlternative: () => this.search.hasAlternative(),
       onSilent: () => this.backendSilent(backend),
+      gaps: watchedGaps(context, this.need, backend.id, isResumed),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
     });
@@ -347,7 +385,7 @@
 
   private attemptEnded(backend: BackendRecord, end: AttemptEnd): void {
     if (this.ended) return;
-    this.releaseAttempt(backend.id);
+    this.releaseAttempt(backend.id, this.hasFailed(backend, end));
     this.judgeBackend(backend, end);
     if (end.type === 'done') return this.finish(end.status < 400 ? 'served' : 'failed');
     this.log('attempt_failed', {
@@ -375,16 +413,31 @@
   }
 
   /** The attempt is over: the backend no longer works on the request. */
-  private releaseAttempt(backend: string): void {
-    this.context.tracker.sent(this.match.service.name, backend, this.model, -1);
+  private releaseAttempt(backend: string, hasFailed = false): void {
+    this.uncount(backend);
     this.attempt = undefined;
+    this.search.release(hasFailed);
     this.setWaiting(false);
   }
 
+  /** Whether the backend itself has failed; silence may be the fault of the way there. */
+  private hasFailed(backend: BackendRecord, end: AttemptEnd): boolean {
+    if (end.type === 'done' || !end.reached || end.silent || end.lacksModel) return false;
+    return !isAnotherStart(backend, this.context.directory.get(backend.id));
+  }
+
+  private uncount(backend: string): void {
+    if (!this.isCounted) return;
+    this.isCounted = false;
+    this.context.tracker.sent(this.match.service.name, backend, this.model, -1);
+  }
+
   private judgeBackend(backend: BackendRecord, end: AttemptEnd): void {
     const { health, directory } = this.context;
+    // The end of an earlier start's request tells nothing of the later one.
+    if (isAnotherStart(backend, directory.get(backend.id))) return;
     if (end.type === 'done') return health.answered(backend.id);
-    if (end.ran === 'no') this.refusals.set(backend.id, steadyNow() + REFUSED_PAUSE_MS);
+    if (end.ran === 'no') this.search.noteRefusal(backend.id);
     if (end.lacksModel && this.model !== undefined) {
       return directory.noteAbsence(backend.id, this.model, steadyNow());
     }
@@ -412,7 +465,8 @@
     retryAfterMs: number | undefined,
     inputs: Readonly<Record<string, string | number | undefined>> = {},
   ): void {
-    if (this.answer.hasBegun) return this.giveUp(this.lastRan, kind);
+    // A refusal says that the request has not run.
+    if (this.answer.hasBegun || this.runs > 0) return this.giveUp(this.lastRan, kind);
     this.context.metrics.refusals.inc({ kind, tenant: this.pass.tenant?.name ?? '' });
     this.log('refused', {
       kind,
@@ -448,8 +502,10 @@
       this.attempt.abort();
       this.releaseAttempt(this.attempt.backendId);
     }
+    this.search.release();
     this.pass.end(mayHaveRun);
     this.context.exchanges.delete(this);
+    this.context.answers.hold(-this.request.body.length);
     const { route } = this.match;
     const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
     this.context.metrics.requests.inc({ route: route.name, end });
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -4,6 +4,7 @@
  */
 import type { Logger } from '../common/logger.js';
 import { BackendLedger } from '../core/backend-ledger.js';
+import { isAnotherStart } from '../core/backend-starts.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { DemandReport } from '../core/demand-report.js';
 import { ModelDemand } from '../core/model-demand.js';
@@ -21,7 +22,8 @@
   type StoreLoadLimit,
 } from '../core/store-load-limit.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import { earliestDueFirst, firstComeFirst } from '../core/waiting-order.js';
+import { waitingOrderOf } from '../core/waiting-order.js';
+import { CapacityWatch } from './capacity-watch.js';
 import { LoadWatch } from './load-watch.js';
 import type { BackendControl } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -45,6 +47,12 @@
 /** Share of a backend's slots by which its load must change to be told again. */
 const LOAD_TOLERANCE_SHARE = 1 / 6;
 
+/**
+ * A time told may be off by this share of itself before it is told again: a caller who holds or
+ * leaves by it decides the same, and the daemons are sent a fraction of the changes of a long queue.
+ */
+const FORECAST_TOLERANCE_SHARE = 0.15;
+
 /** Options of {@link ServiceOwner}. */
 export interface ServiceOwnerOptions {
   readonly service: string;
@@ -78,6 +86,8 @@
   private readonly storeLoads: StoreLoadWindow;
   private readonly storeLimit: StoreLoadLimit;
   private readonly loadWatch: LoadWatch;
+  /** Undefined if all backends count as alike. */
+  private readonly capacity: CapacityWatch | undefined;
   private readonly publisher: PlacementPublisher;
   private roundTimer: NodeJS.Timeout | undefined;
   private lastRound = -Infinity;
@@ -93,12 +103,19 @@
   ) {
     this.storeLoads = new StoreLoadWindow(options.ceiling);
     const { service, epoch, policies, logger, metrics } = options;
-    this.demand = new ModelDemand(policies.earliestDueFirst ? earliestDueFirst : firstComeFirst);
+    this.demand = new ModelDemand(waitingOrderOf(policies));
     this.storeLimit = policies.storeLoadLimit
       ? new AdaptiveStoreLoadLimit(this.firstStoreLoadLimit())
       : new UnlimitedStoreLoads();
     this.loadWatch = new LoadWatch({ service, epoch, limit: this.storeLimit, logger, metrics });
-    this.publisher = new PlacementPublisher(options.service, options.epoch);
+    const isListed = (backend: string): boolean => this.ledgers.has(backend);
+    const watched = { service, epoch, logger, metrics, isListed };
+    this.capacity = policies.learnedCapacity ? new CapacityWatch(watched) : undefined;
+    this.publisher = new PlacementPublisher(
+      options.service,
+      options.epoch,
+      policies.forecastAll ? FORECAST_TOLERANCE_SHARE : 0,
+    );
   }
 
   /** What the former owner had learned, or a guess. */
@@ -124,6 +141,7 @@
   /** Takes a daemon's demand; waiting requests call for a round. */
   hear(report: DemandReport): void {
     this.demand.hear(report, steadyNow());
+    this.capacity?.hear(report, steadyNow());
     if (report.samples.some((sample) => sample.waiting > 0)) this.roundSoon();
   }
 
@@ -132,6 +150,10 @@
     for (const backend of this.backends()) {
       const ledger = this.ledgers.get(backend.id);
       if (ledger === undefined) continue;
+      if (isAnotherStart(ledger, backend)) {
+        this.restartLedger(ledger, backend, steadyNow());
+        continue;
+      }
       ledger.setCopies(backend.inMemory, backend.onDisk);
       if (!ledger.observe(backend, steadyNow())) continue;
       this.reportDue.delete(backend.id);
@@ -165,6 +187,7 @@
     this.lastRound = now;
     this.syncLedgers(now);
     this.loadWatch.settle(this.ledgers, now);
+    this.capacity?.settle(now);
     this.noteFailing(now);
     this.doubtHolders(now);
     this.readReports(now);
@@ -204,7 +227,9 @@
     const { demand, options } = this;
     const { policies } = options;
     const { unloadTimes } = this.loadWatch;
-    return { host, backends, demand, policies, now, storeLoads, storePlaceWaits, unloadTimes };
+    const capacity = this.capacity?.planned();
+    const loads = { storeLoads, storePlaceWaits, unloadTimes };
+    return { host, backends, demand, policies, now, ...loads, capacity };
   }
 
   /** Milliseconds until each place for a load from the store is free: those beyond the limit never are. */
@@ -227,24 +252,55 @@
     const listed = new Set<string>();
     for (const backend of this.backends()) {
       listed.add(backend.id);
-      if (this.ledgers.has(backend.id)) continue;
-      const ledger = new BackendLedger(backend.id);
-      ledger.assume(backend);
-      const loading = this.options.directory.loadingAt(backend, now);
-      if (loading !== undefined) ledger.assumeLoading(loading.model, loading.expectedEnd);
-      this.ledgers.set(backend.id, ledger);
-      this.reportDue.set(backend.id, 0);
-      this.changed = true;
+      const known = this.ledgers.get(backend.id);
+      if (known === undefined) this.beginLedger(backend, now);
+      else if (isAnotherStart(known, backend)) this.restartLedger(known, backend, now);
+      else {
+        known.start ??= backend.start;
+        known.forgetLateOrders(now);
+      }
     }
     for (const id of this.ledgers.keys()) {
       if (listed.has(id)) continue;
       this.ledgers.delete(id);
       this.reportDue.delete(id);
       this.lastReport.delete(id);
+      this.capacity?.forget(id);
       this.changed = true;
     }
   }
 
+  private beginLedger(backend: BackendRecord, now: number): BackendLedger {
+    const ledger = new BackendLedger(backend.id, backend.start);
+    ledger.assume(backend);
+    const loading = this.options.directory.loadingAt(backend, now);
+    if (loading !== undefined) ledger.assumeLoading(loading.model, loading.expectedEnd);
+    this.ledgers.set(backend.id, ledger);
+    this.reportDue.set(backend.id, 0);
+    this.changed = true;
+    return ledger;
+  }
+
+  /** Orders, answers and reports of a backend's earlier start are void; what may still reach it is reckoned with. */
+  private restartLedger(earlier: BackendLedger, backend: BackendRecord, now: number): void {
+    const { id } = backend;
+    this.lastReport.delete(id);
+    this.loadWatch.backendRestarted(id, now);
+    this.demand.forgetBackend(id);
+    this.capacity?.forget(id);
+    const late = earlier.unansweredOrders(now);
+    this.beginLedger(backend, now).awaitLateOrders(late);
+    const { service, epoch, logger } = this.options;
+    logger.info('backend_ledger_restarted', {
+      service,
+      epoch,
+      backend: id,
+      start: backend.start,
+      earlierSequence: earlier.sequence,
+      lateOrders: late.length,
+    });
+  }
+
   /** Requests wait although a backend holds their model: it is asked whether it lives. */
   private doubtHolders(now: number): void {
     const awaited = this.demand.awaitedFor(DOUBT_AFTER_MS, now);
@@ -314,7 +370,8 @@
   ): Promise<void> {
     const { options } = this;
     const expectedSequence = ledger.sequence;
-    const maySend = (): boolean => !this.stopped && options.orderDelayMs() === 0;
+    const isCurrent = (): boolean => this.ledgers.get(backend.id) === ledger;
+    const maySend = (): boolean => !this.stopped && options.orderDelayMs() === 0 && isCurrent();
     const fence = { holder: options.holder, epoch: options.epoch, expectedSequence, maySend };
     const { order } = planned;
     const outcome = await options.control.order(backend, order, fence);
@@ -331,7 +388,7 @@
       reason: planned.reason,
       outcome: outcome.type,
     });
-    if (this.ledgers.get(backend.id) !== ledger) return;
+    if (!isCurrent()) return;
     ledger.settle(order, outcome, now, planned.durationMs);
     this.reportDue.set(backend.id, now + this.reportDelay(planned, ledger));
     if (outcome.type === 'fenced') return this.onFenced();
@@ -362,7 +419,8 @@
     const loadTolerance = Math.max(1, (host?.slots ?? 1) * LOAD_TOLERANCE_SHARE);
     const { most } = this.storeLimit;
     const storeLoadLimit = Number.isFinite(most) ? most : 0;
-    const state = { backends, forecasts, loads, storeLoadLimit, loadTolerance };
+    const capacity = this.capacity?.figures;
+    const state = { backends, forecasts, loads, storeLoadLimit, loadTolerance, capacity };
     const update = this.publisher.update(state, now);
     const isNew = update.version !== update.baseVersion;
     if (!isNew && now - this.lastPublished < REPEAT_PERIOD_MS) return;
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_POLICIES } from '../../src/core/policies.js';
 import { BackendAgent } from '../../src/gateway/backend-agent.js';
 import { Gateway } from '../../src/gateway/gateway.js';
+import type { GatewayContext } from '../../src/gateway/gateway-context.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 import type { GatewaySettings } from '../../src/gateway/gateway-settings.js';
 import type { DirectoryListener, RequestDialect, StoredRecord } from '../../src/gateway/ports.js';
@@ -34,6 +35,7 @@
     lastEventId: headers['last-event-id'] as string | undefined,
     keyDigest: credentialHash(headers.authorization, 'Key'),
     tokens: headers.tokens === undefined ? undefined : Number(headers.tokens),
+    expectedWork: undefined,
   }),
   backendHeaders: (fields) => ({
     Backend: fields.backend,
@@ -259,6 +261,7 @@
       address: '127.0.0.1',
       processorShare: 1,
       processorSpeed: 1,
+      memoryMegabytes: 200,
       peerPort,
       metricsPort: 0,
       callers: `127.0.0.1:${callers}`,
@@ -343,6 +346,16 @@
     return request;
   }
 
+  /** What the gateway's requests share. */
+  context(): GatewayContext {
+    return (this.gateway as unknown as { context: GatewayContext }).context;
+  }
+
+  /** Whether a kept connection to "ip:port" rests. */
+  restingConnections(address: string): boolean {
+    return this.agent.hasRestingConnection(address);
+  }
+
   stop(): void {
     this.gateway.stop();
     this.agent.destroy();
--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -7,11 +7,13 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { vi } from 'vitest';
 import { silentLogger } from '../../src/common/logger.js';
+import type { KeeperCandidate } from '../../src/core/admission/holder-lease.js';
 import type { LimitWindow } from '../../src/core/admission/limit-ledger.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
 import type { TenantLimit } from '../../src/core/service-configuration.js';
 import { SlidingSum } from '../../src/core/sliding-sum.js';
 import type { PeerBody } from '../../src/daemon/peer-transport.js';
+import { HolderLeases } from '../../src/gateway/holder-leases.js';
 import { TenantLimits } from '../../src/gateway/tenant-limits.js';
 
 /** Milliseconds that a message takes. */
@@ -52,6 +54,7 @@
 /** The group. Use it under vitest's fake timers. */
 export class SimulatedLimits {
   private readonly daemons: TenantLimits[];
+  private readonly listed: KeeperCandidate[];
   private readonly random;
   private readonly inWindow: SlidingSum;
   private readonly down = new Set<number>();
@@ -59,6 +62,11 @@
   private readonly sides = new Map<number, number>();
   /** What each daemon sees of the others. */
   private readonly views = new Map<number, MemberView[]>();
+  /** Daemons that are cut off from the others, and who sees it. */
+  private readonly cut = new Set<number>();
+  private readonly seesCut = new Set<number>();
+  /** Daemons that stand still, and what they will handle. */
+  private readonly frozen = new Map<number, (() => void)[]>();
   /** From the last request to the next. */
   private gapMs = 0;
   private messages = 0;
@@ -72,6 +80,8 @@
     this.random = xoroshiro128plus(options.seed);
     this.limit = options.limit;
     this.inWindow = new SlidingSum(options.window.windowMs);
+    const numbers = [...Array(options.daemons).keys()];
+    this.listed = numbers.map((index) => ({ address: `d-${index}`, zone: 'a' }));
     this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
   }
 
@@ -101,6 +111,44 @@
     this.groupChanged();
   }
 
+  /** Cuts daemons off from the others; both sides see it some time later. */
+  cutOff(indexes: readonly number[], seenByOthersAfterMs: number, seenByThemAfterMs: number): void {
+    for (const index of indexes) this.cut.add(index);
+    const see = (areCut: boolean): void => {
+      for (const viewer of this.daemons.keys()) {
+        if (this.cut.has(viewer) === areCut) this.seesCut.add(viewer);
+      }
+      this.groupChanged();
+    };
+    setTimeout(() => see(false), seenByOthersAfterMs);
+    setTimeout(() => see(true), seenByThemAfterMs);
+  }
+
+  /** A daemon stands still; what comes meanwhile it handles when it goes on. */
+  freeze(index: number, seenAfterMs: number, forMs: number): void {
+    this.frozen.set(index, []);
+    setTimeout(() => {
+      this.down.add(index);
+      this.groupChanged();
+    }, seenAfterMs);
+    setTimeout(() => {
+      const waiting = this.frozen.get(index) ?? [];
+      this.frozen.delete(index);
+      for (const handle of waiting) handle();
+    }, forMs);
+  }
+
+  /** The others see again a daemon that had stood still. */
+  seeAgain(index: number): void {
+    this.down.delete(index);
+    this.groupChanged();
+  }
+
+  /** A daemon starts again and remembers nothing. */
+  restart(index: number): void {
+    this.daemons[index] = this.daemon(index);
+  }
+
   private groupChanged(): void {
     this.views.clear();
     for (const daemon of this.daemons) daemon.groupChanged();
@@ -113,7 +161,7 @@
     let credit = 0;
     this.gapMs = this.drawGapMs(gapMs);
     for (let at = 0; at < seconds * 1_000; at += STEP_MS) {
-      if (at % TICK_MS === 0) for (const daemon of this.daemons) daemon.tick();
+      if (at % TICK_MS === 0) this.tick();
       for (credit += STEP_MS; credit >= this.gapMs; credit -= this.gapMs) {
         this.request(unitsPerRequest);
         this.gapMs = this.drawGapMs(gapMs);
@@ -122,6 +170,19 @@
     }
   }
 
+  private tick(): void {
+    for (const [index, daemon] of this.daemons.entries()) {
+      if (!this.frozen.has(index)) daemon.tick();
+    }
+  }
+
+  /** Hands something to a daemon: now, or when it no longer stands still. */
+  private hand(index: number, handle: () => void): void {
+    const waiting = this.frozen.get(index);
+    if (waiting === undefined) handle();
+    else waiting.push(handle);
+  }
+
   outcome(): LimitOutcome {
     const seconds = (performance.now() - this.begun) / 1_000;
     const messagesPerSecond = this.messages / seconds;
@@ -143,29 +204,49 @@
     this.asked += units;
     const index = uniformInt(this.random, 0, this.daemons.length - 1);
     if (this.sides.get(index) === -1) return;
-    this.daemons[index]?.admit('t', units, (decision) => {
-      if (decision.type !== 'granted') return;
-      const now = performance.now();
-      this.admitted += units;
-      this.inWindow.add(units, now);
-      this.mostInWindow = Math.max(this.mostInWindow, this.inWindow.total(now));
+    this.hand(index, () => {
+      this.daemons[index]?.admit('t', units, (decision) => {
+        if (decision.type === 'granted') this.countAdmitted(units);
+      });
     });
   }
 
+  private countAdmitted(units: number): void {
+    const now = performance.now();
+    this.admitted += units;
+    this.inWindow.add(units, now);
+    this.mostInWindow = Math.max(this.mostInWindow, this.inWindow.total(now));
+  }
+
   private firstUp(): number {
     return [...this.daemons.keys()].find((index) => !this.down.has(index)) ?? 0;
   }
 
   private daemon(index: number): TenantLimits {
     const tenant = { name: 't', keyDigests: [], priority: undefined };
+    const self = `d-${index}`;
+    const sendDatagram = (to: string, body: PeerBody): void =>
+      this.send(index, Number(to.slice(2)), body);
+    const live = (): readonly MemberView[] => this.seenBy(index);
+    const leases = new HolderLeases({
+      self,
+      logger: silentLogger,
+      listed: () => this.listed,
+      live,
+      rememberMs: this.options.window.windowMs,
+      firstSequence: 1 + performance.now(),
+      processStartedAt: performance.now(),
+      sendDatagram,
+    });
     return new TenantLimits({
-      self: `d-${index}`,
+      self,
+      leases,
       window: this.options.window,
       logger: silentLogger,
-      live: () => this.seenBy(index),
+      live,
       listedCount: () => this.options.daemons,
       tenant: () => ({ ...tenant, limit: this.limit }),
-      sendDatagram: (to, body) => this.send(index, Number(to.slice(2)), body),
+      sendDatagram,
       broadcast: (body) => {
         for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
       },
@@ -179,6 +260,7 @@
     const views: MemberView[] = [];
     for (const other of this.daemons.keys()) {
       if (other !== index && (this.down.has(other) || !this.reaches(index, other))) continue;
+      if (this.isCut(index, other) && this.seesCut.has(index)) continue;
       const view = { zone: 'a', site: '', incarnation: 1, state: 'alive', capacity: 1 } as const;
       views.push({ address: `d-${other}`, ...view });
     }
@@ -192,10 +274,16 @@
     return a === b || (a === -1 && !this.down.has(from)) || (b === -1 && !this.down.has(to));
   }
 
+  private isCut(from: number, to: number): boolean {
+    return this.cut.has(from) !== this.cut.has(to);
+  }
+
   private send(from: number, to: number, body: PeerBody): void {
     this.messages += 1;
+    if (this.isCut(from, to)) return;
     if (this.sides.get(to) === -1 || this.sides.get(from) === -1) return;
     if (!this.reaches(from, to)) return;
-    setTimeout(() => this.daemons[to]?.receive(`d-${from}`, body), MESSAGE_MS);
+    const arrive = (): void => void this.daemons[to]?.receive(`d-${from}`, body);
+    setTimeout(() => this.hand(to, arrive), MESSAGE_MS);
   }
 }
