--- a/src/core/admission/slot-keeping.ts
+++ b/src/core/admission/slot-keeping.ts
@@ -73,14 +73,3 @@
 export function isTight({ slots, inFlight, waiting }: SlotFigures): boolean {
   return waiting > 0 || inFlight * 2 >= slots;
 }
-
-/** Callers do as they are told only up to this share of the time that they have left. */
-const HONOURED_SHARE = 1 / 3;
-
-/**
- * Whether a caller should come back rather than wait in the queue: only if it will do so at the
- * time that it is told, for one that comes sooner is refused again, and one that waits is served.
- */
-export function isWorthReturning(retryAfterMs: number, remainingMs: number): boolean {
-  return retryAfterMs <= remainingMs * HONOURED_SHARE;
-}
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -37,7 +37,7 @@
   /** The request may be sent to the backend now. */
   readonly onSlot: (backend: BackendRecord) => void;
   /** It waits for its turn at a backend; called again when the expected wait has changed. */
-  readonly onQueued: (expectedWaitMs: number) => void;
+  readonly onQueued: () => void;
   /** No backend can take it. */
   readonly onNone: () => void;
   /** All that could take it are full for longer than it can wait. */
@@ -269,7 +269,8 @@
       const pending = { backend, expectedAt: now + expectedWaitMs };
       this.pending = pending;
       this.moveIfSooner(pending);
-      return this.pending === pending ? this.options.onQueued(expectedWaitMs) : undefined;
+      if (this.pending === pending) this.options.onQueued();
+      return;
     }
     const { claim } = this;
     const hasWaited = this.pending?.expectedAt !== undefined;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -8,7 +8,6 @@
 import { afterFailure } from '../core/attempt-policy.js';
 import { isAnotherStart } from '../core/backend-starts.js';
 import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
-import { isWorthReturning } from '../core/admission/slot-keeping.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   isStream,
@@ -179,7 +178,7 @@
       need: this.need,
       standing: () => this.standing(),
       onSlot: (backend) => this.send(backend),
-      onQueued: (expectedWaitMs) => this.queued(expectedWaitMs),
+      onQueued: () => this.queued(),
       onNone: () => this.holdOrRefuse(),
       onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
     });
@@ -206,15 +205,12 @@
     };
   }
 
-  /** A slot will be free later: the request waits, or is told to come back, as for a model that is being loaded. */
-  private queued(expectedWaitMs: number): void {
+  /**
+   * It waits in the queue of a full backend, whatever its goal: one that was told to come back would stand
+   * behind those who waited. Who would wait in vain has been refused by the keeper at once.
+   */
+  private queued(): void {
     this.setWaiting(false);
-    if (this.model === undefined || this.sends > 0 || this.answer.hasBegun) return;
-    const decision = this.decideHold(expectedWaitMs);
-    if (decision.type === 'hold') return;
-    if (!isWorthReturning(decision.retryAfterMs, this.deadlineAt - steadyNow())) return;
-    this.search.leaveUntil(decision.retryAfterMs);
-    this.refuseFull(decision.retryAfterMs, { expectedWaitMs: Math.round(expectedWaitMs) });
   }
 
   private backendsFull(retryAfterMs: number): void {
--- a/test/simulation/admission-ways.ts
+++ b/test/simulation/admission-ways.ts
@@ -7,14 +7,9 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { StaleLoadSelection } from '../../src/core/backend-selection-stale-load.js';
 import { FIRST_PART_MS } from '../../src/core/hold-policy.js';
-import { GoalWindowHold } from '../../src/core/hold-policy-goal-windows.js';
 import { SlotLeases } from '../../src/core/admission/slot-leases.js';
 import { SlotQueue } from '../../src/core/admission/slot-queue.js';
-import {
-  isWorthReturning,
-  type SlotDecision,
-  type SlotKeeping,
-} from '../../src/core/admission/slot-keeping.js';
+import { type SlotDecision, type SlotKeeping } from '../../src/core/admission/slot-keeping.js';
 
 const DAEMONS = 60;
 const BACKENDS = 6;
@@ -124,7 +119,6 @@
   private readonly sent = new Set<Attempt>();
   private readonly sentTickets = new Set<number>();
   private readonly selections = new Map<string, StaleLoadSelection>();
-  private readonly hold = new GoalWindowHold();
 
   constructor(
     private readonly way: Way,
@@ -250,8 +244,7 @@
   }
 
   private queuedFor(attempt: Attempt, expectedWaitMs: number): void {
-    const { request, cameAt, since, returns, backend } = attempt;
-    const { goalMs, patienceMs } = request.kind;
+    const { backend } = attempt;
     if (attempt.tries === 0) {
       attempt.tries = 1;
       const other = this.soonestBut(backend);
@@ -262,22 +255,6 @@
         return this.ask(attempt);
       }
     }
-    const waitedMs = this.now - since;
-    const remainingMs = cameAt + patienceMs - this.now;
-    const readyInMs = expectedWaitMs;
-    const decision = this.hold.decide({
-      goalMs,
-      waitedMs,
-      remainingMs,
-      readyInMs,
-      hasComeBack: returns > 0,
-    });
-    if (decision.type === 'hold' || !isWorthReturning(decision.retryAfterMs, remainingMs)) return;
-    const keeper = this.keepers[attempt.backend];
-    if (keeper instanceof SlotQueue)
-      keeper.expectReturn(request.kind.rank, decision.retryAfterMs, this.now);
-    this.withdraw(attempt);
-    this.refuse(attempt, decision.retryAfterMs);
   }
 
   /** By what its daemon has heard of the others; a little late in truth. */
