--- a/src/core/admission/slot-keeping.ts
+++ b/src/core/admission/slot-keeping.ts
@@ -1,7 +1,7 @@
 /**
- * Who may use the slots of one backend, decided in one place for all daemons. The interface of
- * the ways to decide: daemons use `slot-queue.ts`; `slot-leases.ts` is measured against it in tests. Pure; times are milliseconds
- * of the decider's steady clock.
+ * Who may use the slots of one backend, decided in one place for all daemons. The interface of the
+ * ways to decide, and what they share: daemons use `slot-queue.ts`; tests measure another way against
+ * it. Pure; times are milliseconds of the decider's steady clock.
  */
 
 /** A request that wants a slot of the backend. */
@@ -73,3 +73,17 @@
 export function isTight({ slots, inFlight, waiting }: SlotFigures): boolean {
   return waiting > 0 || inFlight * 2 >= slots;
 }
+
+/** An answer to an ask, after `waitedMs` milliseconds of waiting. */
+export function decisionOn(
+  { daemon, ticket }: Pick<SlotAsk, 'daemon' | 'ticket'>,
+  answer: SlotAnswer,
+  waitedMs: number,
+): SlotDecision {
+  return { daemon, ticket, answer, waitedMs };
+}
+
+/** Names a request among those of all daemons. */
+export function ticketKey({ daemon, ticket }: Pick<SlotAsk, 'daemon' | 'ticket'>): string {
+  return `${daemon} ${ticket}`;
+}
--- a/src/core/admission/slot-queue.ts
+++ b/src/core/admission/slot-queue.ts
@@ -9,13 +9,15 @@
  * nobody who comes more than (4 r + 3) steps and its own goal with the handicap later. Pure; times
  * are milliseconds of a steady clock.
  */
-import type {
-  SlotAnswer,
-  SlotAsk,
-  SlotDecision,
-  SlotFigures,
-  SlotKeeping,
-  SlotUse,
+import {
+  decisionOn,
+  ticketKey,
+  type SlotAnswer,
+  type SlotAsk,
+  type SlotDecision,
+  type SlotFigures,
+  type SlotKeeping,
+  type SlotUse,
 } from './slot-keeping.js';
 import { SlotTimes } from './slot-times.js';
 import { shareLevel, type TenantUse } from './tenant-shares.js';
@@ -83,11 +85,11 @@
 
   ask(raw: SlotAsk, now: number): SlotDecision[] {
     const ask = cleaned(raw, now);
-    const key = keyOf(ask);
+    const key = ticketKey(ask);
     const holder = this.holders.get(key);
     if (holder !== undefined) {
       holder.namedAt = now;
-      return [decision(ask, { type: 'granted' }, 0)];
+      return [decisionOn(ask, { type: 'granted' }, 0)];
     }
     const waiting = this.waiters.get(key);
     if (waiting !== undefined) return this.answerAgain(waiting, now);
@@ -103,11 +105,11 @@
     else if (answer.type === 'queued') {
       this.waiters.set(key, { ...waiter, toldMs: answer.expectedWaitMs });
     }
-    return [...decisions, decision(ask, answer, 0), ...this.dropSurplus(now)];
+    return [...decisions, decisionOn(ask, answer, 0), ...this.dropSurplus(now)];
   }
 
   take(use: SlotUse, now: number): void {
-    const key = keyOf(use);
+    const key = ticketKey(use);
     this.waiters.delete(key);
     const known = this.holders.get(key);
     if (known !== undefined) {
@@ -121,7 +123,7 @@
 
   /** @param hasFailed - The backend has failed the request. */
   end(daemon: string, ticket: number, now: number, hasFailed = false): SlotDecision[] {
-    const key = keyOf({ daemon, ticket });
+    const key = ticketKey({ daemon, ticket });
     this.waiters.delete(key);
     const holder = this.holders.get(key);
     if (holder === undefined) return [];
@@ -159,7 +161,7 @@
       else if (now - entry.since > CROSSING_MS) this.drop(key);
     }
     for (const ticket of inFlight) {
-      const key = keyOf({ daemon, ticket });
+      const key = ticketKey({ daemon, ticket });
       if (this.holders.has(key)) continue;
       const { tenant, work } = this.waiters.get(key) ?? { tenant: '', work: 0 };
       this.waiters.delete(key);
@@ -189,7 +191,7 @@
     const waiters = [...this.waiters.values()];
     this.waiters.clear();
     this.holders.clear();
-    return waiters.map((waiter) => decision(waiter, { type: 'unknown' }, now - waiter.since));
+    return waiters.map((waiter) => decisionOn(waiter, { type: 'unknown' }, now - waiter.since));
   }
 
   figures(now: number): SlotFigures {
@@ -218,7 +220,7 @@
   private answerAgain(waiter: Waiter, now: number): SlotDecision[] {
     waiter.namedAt = now;
     const expectedWaitMs = this.expectedWait(waiter, now);
-    return [decision(waiter, { type: 'queued', expectedWaitMs }, 0), ...this.fill(now)];
+    return [decisionOn(waiter, { type: 'queued', expectedWaitMs }, 0), ...this.fill(now)];
   }
 
   /** Who would wait in vain is told so at once, when coming back still helps. */
@@ -267,13 +269,13 @@
       const next = this.first(now);
       if (next === undefined) break;
       const { daemon, ticket, tenant, work, size, since, rank, toldMs } = next;
-      const key = keyOf(next);
+      const key = ticketKey(next);
       this.waiters.delete(key);
       this.movedAt = now;
       const use = { daemon, ticket, tenant, work };
       this.holders.set(key, { ...use, size, since: now, isWhole: true, namedAt: now });
       if (toldMs > 0) this.times.noteWait(rank, toldMs, now - since);
-      decisions.push(decision(next, { type: 'granted' }, now - since));
+      decisions.push(decisionOn(next, { type: 'granted' }, now - since));
     }
     return decisions;
   }
@@ -300,8 +302,8 @@
     const { rank, toldMs, since } = waiter;
     // Its wait would have been longer still.
     if (now - since > toldMs) this.times.noteWait(rank, toldMs, now - since);
-    this.waiters.delete(keyOf(waiter));
-    return decision(waiter, { type: 'refused', retryAfterMs }, now - since);
+    this.waiters.delete(ticketKey(waiter));
+    return decisionOn(waiter, { type: 'refused', retryAfterMs }, now - since);
   }
 
   private first(now: number): Waiter | undefined {
@@ -386,15 +388,3 @@
     waitedMs: within(ask.waitedMs, 0, LONGEST_CLAIM_MS, 0),
   };
 }
-
-function decision(
-  { daemon, ticket }: Pick<SlotAsk, 'daemon' | 'ticket'>,
-  answer: SlotAnswer,
-  waitedMs: number,
-): SlotDecision {
-  return { daemon, ticket, answer, waitedMs };
-}
-
-function keyOf({ daemon, ticket }: Pick<SlotAsk, 'daemon' | 'ticket'>): string {
-  return `${daemon} ${ticket}`;
-}
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -178,9 +178,15 @@
 
   /** Those that are sound, and that the request was not sent to yet. */
   private fresh(now: number): BackendRecord[] {
-    return this.usableBackends(now).filter(
-      ({ id }) => !this.tried.has(id) && !this.context.health.isAvoided(id, now),
-    );
+    return this.untried(this.healthy(this.usableBackends(now), now));
+  }
+
+  private healthy(backends: readonly BackendRecord[], now: number): BackendRecord[] {
+    return backends.filter(({ id }) => !this.context.health.isAvoided(id, now));
+  }
+
+  private untried(backends: readonly BackendRecord[]): BackendRecord[] {
+    return backends.filter(({ id }) => !this.tried.has(id));
   }
 
   private choose(): BackendRecord | undefined {
@@ -188,8 +194,8 @@
     const { model, sharedPrompt } = this.options;
     const now = steadyNow();
     const usable = this.usableBackends(now);
-    const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
-    const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
+    const healthy = this.healthy(usable, now);
+    const fresh = this.untried(healthy);
     // Another backend can be given the model; one of a service without models is all there is.
     const lastResort = model === undefined ? usable : [];
     const groups = [fresh, healthy, lastResort];
@@ -200,8 +206,7 @@
   }
 
   private spared(usable: readonly BackendRecord[], now: number): BackendRecord[] {
-    const spared = sparedOf(this.context, this.options.service.name, usable, now);
-    return spared.filter((backend) => !this.tried.has(backend.id));
+    return this.untried(sparedOf(this.context, this.options.service.name, usable, now));
   }
 
   private candidate(
--- a/test/simulation/admission-ways.ts
+++ b/test/simulation/admission-ways.ts
@@ -7,7 +7,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { StaleLoadSelection } from '../../src/core/backend-selection-stale-load.js';
 import { FIRST_PART_MS } from '../../src/core/hold-policy.js';
-import { SlotLeases } from '../../src/core/admission/slot-leases.js';
+import { SlotLeases } from './slot-leases.js';
 import { SlotQueue } from '../../src/core/admission/slot-queue.js';
 import { type SlotDecision, type SlotKeeping } from '../../src/core/admission/slot-keeping.js';
 
--- a/src/core/admission/slot-leases.ts
+++ b/test/simulation/slot-leases.ts
@@ -1,19 +1,20 @@
 /**
  * Slots of one backend lent to daemons for a time: a daemon uses a lent slot for one request after
- * another without asking, and what it does not use goes back when the lease ends. No daemon uses it; kept for
- * the comparison with `slot-queue.ts` in docs/design/admission-across-daemons.md: it saves messages, and has no order over daemons while a lease
- * lasts. A lost lender's slots may be lent once more until the leases end: one more set of slots.
+ * another without asking, and what it does not use goes back when the lease ends. The way that the queue
+ * of slots is measured against in docs/design/admission-across-daemons.md: it saves messages, and has no
+ * order over daemons while a lease lasts. A lost lender's slots may be lent once more until the leases end: one more set of slots.
  * Pure; times are milliseconds of a steady clock.
  */
-import type {
-  SlotAnswer,
-  SlotAsk,
-  SlotDecision,
-  SlotFigures,
-  SlotKeeping,
-  SlotUse,
-} from './slot-keeping.js';
-import { SlotTimes } from './slot-times.js';
+import {
+  decisionOn,
+  ticketKey,
+  type SlotAsk,
+  type SlotDecision,
+  type SlotFigures,
+  type SlotKeeping,
+  type SlotUse,
+} from '../../src/core/admission/slot-keeping.js';
+import { SlotTimes } from '../../src/core/admission/slot-times.js';
 
 /** A lent slot that rests goes back after so long: longer ones rest while others wait, shorter ones save no message. */
 export const LEASE_MS = 50;
@@ -47,33 +48,33 @@
   }
 
   ask(ask: SlotAsk, now: number): SlotDecision[] {
-    const key = keyOf(ask);
-    if (this.holders.has(key)) return [decision(ask, { type: 'granted' }, 0)];
+    const key = ticketKey(ask);
+    if (this.holders.has(key)) return [decisionOn(ask, { type: 'granted' }, 0)];
     if (this.hasSpare(ask.daemon) || this.lend(ask.daemon, now)) {
       this.take(ask, now);
-      return [decision(ask, { type: 'granted' }, 0)];
+      return [decisionOn(ask, { type: 'granted' }, 0)];
     }
     const known = this.waiters.get(key);
     const ends = this.waiters.size + (known === undefined ? 1 : 0);
     const expectedWaitMs = this.times.untilFree(ends, this.slots, 1, ask.rank);
     if (known === undefined && this.times.isLearned && expectedWaitMs > ask.giveUpAt - now) {
       const retryAfterMs = Math.max(LEAST_RETRY_MS, expectedWaitMs);
-      return [decision(ask, { type: 'refused', retryAfterMs }, 0)];
+      return [decisionOn(ask, { type: 'refused', retryAfterMs }, 0)];
     }
     this.waiters.set(key, known ?? { ...ask, since: now, toldMs: expectedWaitMs });
-    return [decision(ask, { type: 'queued', expectedWaitMs }, 0)];
+    return [decisionOn(ask, { type: 'queued', expectedWaitMs }, 0)];
   }
 
   take(use: SlotUse, now: number): void {
     const { daemon, ticket, tenant, work } = use;
-    this.waiters.delete(keyOf(use));
-    this.holders.set(keyOf(use), { daemon, ticket, tenant, work, since: now });
+    this.waiters.delete(ticketKey(use));
+    this.holders.set(ticketKey(use), { daemon, ticket, tenant, work, since: now });
     this.renew(daemon, now);
   }
 
   /** The slot stays with its daemon, for those who wait there first. */
   end(daemon: string, ticket: number, now: number): SlotDecision[] {
-    const key = keyOf({ daemon, ticket });
+    const key = ticketKey({ daemon, ticket });
     this.waiters.delete(key);
     const holder = this.holders.get(key);
     if (holder === undefined) return [];
@@ -121,14 +122,14 @@
     const waitedMs = now - waiter.since;
     this.times.noteWait(waiter.rank, waiter.toldMs, waitedMs);
     this.take(waiter, now);
-    return decision(waiter, { type: 'granted' }, waitedMs);
+    return decisionOn(waiter, { type: 'granted' }, waitedMs);
   }
 
   private refuse(waiter: Waiter, now: number): SlotDecision {
-    this.waiters.delete(keyOf(waiter));
+    this.waiters.delete(ticketKey(waiter));
     const expected = this.times.untilFree(this.waiters.size + 1, this.slots, 1, waiter.rank);
     const retryAfterMs = Math.max(LEAST_RETRY_MS, expected);
-    return decision(waiter, { type: 'refused', retryAfterMs }, now - waiter.since);
+    return decisionOn(waiter, { type: 'refused', retryAfterMs }, now - waiter.since);
   }
 
   private lend(daemon: string, now: number): boolean {
@@ -165,15 +166,3 @@
 function isBefore(a: Waiter, b: Waiter): boolean {
   return a.rank < b.rank || (a.rank === b.rank && a.dueAt < b.dueAt);
 }
-
-function decision(
-  { daemon, ticket }: Pick<SlotAsk, 'daemon' | 'ticket'>,
-  answer: SlotAnswer,
-  waitedMs: number,
-): SlotDecision {
-  return { daemon, ticket, answer, waitedMs };
-}
-
-function keyOf({ daemon, ticket }: Pick<SlotAsk, 'daemon' | 'ticket'>): string {
-  return `${daemon} ${ticket}`;
-}
