--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -88,6 +88,12 @@
     return this.presence.get(id);
   }
 
+  /** The backend of an id, if it takes new requests. */
+  servingOne(id: string): BackendRecord | undefined {
+    const record = this.presence.get(id);
+    return record !== undefined && this.presence.isServing(record) ? record : undefined;
+  }
+
   /** All listed backends. */
   all(): BackendRecord[] {
     return this.presence.all();
--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -1,6 +1,6 @@
 /**
  * Policies that operators can switch off by name, so that the worth of each can be
- * measured on their own load. All are on by default. Types and names only.
+ * measured on their own load. Those that settings do not name are as in {@link DEFAULT_POLICIES}. Types and names only.
  */
 
 /** Names of the policies, as the settings spell them. */
@@ -19,6 +19,8 @@
   'proofsFromPeers',
   /** A request is held while it will more likely be served than not. */
   'holdByChance',
+  /** Slots of backends are counted over all daemons by one keeper each, which orders those that wait. */
+  'sharedSlots',
 ] as const;
 
 /** A policy's name. */
@@ -27,8 +29,11 @@
 /** Which policies are on. */
 export type Policies = Readonly<Record<PolicyName, boolean>>;
 
+/** Policies that change how requests are spread over backends: on only where the settings say so. */
+const OFF_UNLESS_NAMED: ReadonlySet<PolicyName> = new Set(['sharedSlots']);
+
 /** What holds if the settings say nothing. */
-export const DEFAULT_POLICIES: Policies = policiesOf(() => true);
+export const DEFAULT_POLICIES: Policies = policiesOf((name) => !OFF_UNLESS_NAMED.has(name));
 
 /** One value for each policy. */
 export function policiesOf(value: (name: PolicyName) => boolean): Policies {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -42,6 +42,8 @@
   readonly request: CallerRequest;
   /** Whose key the caller has; undefined if it needs none. */
   readonly tenant: CallerTenant | undefined;
+  /** Goes before the priority of tenant and route, where order is kept before the backend. */
+  readonly urgency: number | undefined;
   /** Time left until the request's deadline. */
   readonly remainingMs: number;
   /** The stream goes on after this event. */
@@ -120,7 +122,7 @@
       backend: backend.id,
       remainingMs,
       lastEventId,
-      priority: tenant?.priority ?? route.priority,
+      priority: this.options.urgency ?? tenant?.priority ?? route.priority,
       tenant: tenant?.name,
     });
     const replaced = new Set([
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -12,6 +12,7 @@
 import type { RequestDialect } from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
 import type { RequestTracker } from './request-tracker.js';
+import type { SlotAdmission } from './slot-admission.js';
 import type { TenantLimits } from './tenant-limits.js';
 
 /** Shared state and services. */
@@ -28,6 +29,8 @@
   readonly logger: Logger;
   readonly admission: CallerAdmission;
   readonly limits: TenantLimits;
+  /** Keeps backends' slots over all daemons; undefined if each daemon chooses alone. */
+  readonly slots: SlotAdmission | undefined;
   /** Requests that have not ended. */
   readonly exchanges: Set<RequestExchange>;
   /** Age of what is known of the backends, in milliseconds; infinite if nothing has confirmed it. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -47,6 +47,23 @@
     labelNames: ['kind', 'tenant'],
     registers: [this.registry],
   });
+  readonly slotWaitSeconds = new Histogram({
+    name: 'scaleslip_gateway_slot_wait_seconds',
+    help: "Time from the ask for a backend's slot to the keeper's word, by that word",
+    labelNames: ['answer'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly slotAsksUnanswered = new Counter({
+    name: 'scaleslip_gateway_slot_asks_unanswered_total',
+    help: 'Asks for slots that no keeper answered in time: the daemon decided alone',
+    registers: [this.registry],
+  });
+  readonly slotOverfill = new Gauge({
+    name: 'scaleslip_gateway_slot_overfill_requests',
+    help: 'Requests in flight beyond the slots of backends whose slots this daemon keeps',
+    registers: [this.registry],
+  });
   readonly leaseAge = new Gauge({
     name: 'scaleslip_gateway_configuration_age_seconds',
     help: 'Time since the configuration was proved current; -1 if it never was, or keys are not needed',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth';
 import { parseJson } from '../common/http-client.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
-import { POLICY_NAMES, policiesOf, type Policies } from '../core/policies.js';
+import { DEFAULT_POLICIES, POLICY_NAMES, policiesOf, type Policies } from '../core/policies.js';
 
 /** Bounds that operators promise for the whole system. */
 export interface GatewayBounds {
@@ -101,7 +101,7 @@
     store: reader.checked('store', '"ip:port"', isAddress),
     seeds: reader.texts('seeds'),
     backendsCheckEpochs: reader.flag('backendsCheckEpochs'),
-    policies: policiesOf((name) => policies.flag(name)),
+    policies: policiesOf((name) => policies.flag(name, DEFAULT_POLICIES[name])),
     bounds: {
       stopSeconds: bounds.number('stopSeconds', 0),
       retryRatio: bounds.number('retryRatio', 0),
@@ -175,9 +175,9 @@
     return new FieldReader(this.fields[key] ?? {}, `${this.where}: ${key}`);
   }
 
-  /** True unless the field says otherwise. */
-  flag(key: string): boolean {
-    const value = this.fields[key] ?? true;
+  /** A flag whose absence means `otherwise`. */
+  flag(key: string, otherwise = true): boolean {
+    const value = this.fields[key] ?? otherwise;
     if (typeof value === 'boolean') return value;
     this.problem(key, 'true or false');
     return true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,7 +17,7 @@
 import type { PlacementUpdate } from '../core/placement-update.js';
 import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
-import type { ServiceConfiguration } from '../core/service-configuration.js';
+import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
@@ -42,6 +42,7 @@
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
+import { SlotAdmission } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
 import { TenantLimits } from './tenant-limits.js';
 
@@ -83,6 +84,7 @@
   private readonly proofs: CurrencyProofs;
   private readonly admission: CallerAdmission;
   private readonly limits: TenantLimits;
+  private readonly slots: SlotAdmission | undefined;
   private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
@@ -117,6 +119,7 @@
       onChange: () => {
         this.membersHaveChanged = true;
         this.limits.groupChanged();
+        this.slots?.groupChanged();
       },
     });
     this.members = new MemberList(settings, outside.store, this.peers, logger);
@@ -136,6 +139,7 @@
       onDoubt: () => this.proofs.tick(),
     });
     this.limits = this.makeLimits();
+    this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.duties = new ServiceDuties({
       settings,
       peers: this.peers,
@@ -259,6 +263,19 @@
     });
   }
 
+  private makeSlots(): SlotAdmission {
+    const { outside, peers, backends } = this;
+    return new SlotAdmission({
+      self: peers.address,
+      logger: outside.logger,
+      metrics: outside.metrics,
+      live: () => peers.live(),
+      reachable: () => peers.reachableOthers(),
+      slotsOf: (id) => slotsOf(backends.servingOne(id)),
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+    });
+  }
+
   private makeContext(): GatewayContext {
     const { settings, outside } = this;
     const { logger, dialect, metrics, agent } = outside;
@@ -275,6 +292,7 @@
       logger,
       admission: this.admission,
       limits: this.limits,
+      slots: this.slots,
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: (now) => this.directoryDuty.knowledgeAgeMs(now),
       budgetOf: (service) => this.budgetOf(service),
@@ -344,6 +362,7 @@
     this.duties.tick();
     if (this.admission.needsLease) this.proofs.tick();
     if (this.admission.needsKeys) this.limits.tick();
+    this.slots?.tick();
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.logMembers();
@@ -410,6 +429,7 @@
   private receive(from: string, body: PeerBody): void {
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
+    if (this.slots?.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.configurations.hearVersion(from, body.value.configurationVersion);
@@ -465,3 +485,8 @@
     response.end(text);
   }
 }
+
+/** Slots of a backend that takes requests; one that names none works on one request at a time. */
+function slotsOf(backend: BackendRecord | undefined): number | undefined {
+  return backend && Math.max(1, backend.slots);
+}
--- /dev/null
+++ b/src/gateway/request-dispatch.ts
@@ -0,0 +1,232 @@
+/**
+ * Finds the backend that one request is sent to next, and a slot there: chooses among those that
+ * can take it, asks the keeper of the slots, and asks elsewhere when that is sooner.
+ */
+import type { SlotAnswer } from '../core/admission/slot-keeping.js';
+import type { BackendCandidate } from '../core/backend-selection.js';
+import type { BackendRecord, ModelReference, Service } from '../core/service-configuration.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { SlotClaim, SlotWish } from './slot-admission.js';
+import { steadyNow } from './steady-clock.js';
+
+/** A backend that has refused the request, or was not reached, is not asked again for so long. */
+const REFUSED_PAUSE_MS = 250;
+/** A place in a queue is given up only for a wait that is shorter by this: the messages take as long. */
+const MOVE_GAIN_MS = 50;
+/** Places in queues that one request gives up: what is known of others is late, and all may move at once. */
+const MOST_MOVES = 3;
+
+/** The owner's word on loads counts for so long: it is told 0.3 to 0.5 s late, and only when it changes. */
+const OWNER_LOAD_BELIEVED_MS = 1_500;
+
+/** What a request says of itself to the keepers of slots. */
+export type SlotStanding = Omit<SlotWish, 'backend' | 'ownerLoad' | 'onAnswer'>;
+
+/** What the dispatch needs to know of its request. */
+export interface DispatchOptions {
+  readonly service: Service;
+  /** The model that a backend must hold; undefined if there is none. */
+  readonly model: ModelReference | undefined;
+  readonly sharedPrompt: string | undefined;
+  readonly standing: () => SlotStanding;
+  /** The request may be sent to the backend now. */
+  readonly onSlot: (backend: BackendRecord) => void;
+  /** It waits for its turn at a backend. */
+  readonly onQueued: () => void;
+  /** No backend can take it. */
+  readonly onNone: () => void;
+  /** All that could take it are full for longer than it can wait. */
+  readonly onFull: (retryAfterMs: number) => void;
+}
+
+interface PendingAsk {
+  readonly backend: BackendRecord;
+  /** When the wait should be over; undefined until the keeper has said. */
+  expectedAt: number | undefined;
+}
+
+/** The search of one request. */
+export class RequestDispatch {
+  /** Backends that the request was sent to. */
+  private readonly tried = new Set<string>();
+  /** Backends that have refused the request, and until when they are not asked again. */
+  private readonly refusals = new Map<string, number>();
+  /** When backends that were full for too long should have room. */
+  private readonly fullUntil = new Map<string, number>();
+  private claim: SlotClaim | undefined;
+  private pending: PendingAsk | undefined;
+  private moves = 0;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly options: DispatchOptions,
+  ) {}
+
+  /** Looks for a backend, or looks again because something has changed. */
+  next(): void {
+    const { pending } = this;
+    if (pending !== undefined) {
+      const isUsable = this.usableBackends(steadyNow()).some(({ id }) => id === pending.backend.id);
+      if (isUsable) return this.moveIfSooner(pending);
+      this.release();
+    }
+    const backend = this.choose();
+    if (backend !== undefined) return this.claimAt(backend);
+    const fullForMs = this.fullForMs(steadyNow());
+    if (fullForMs === undefined) this.options.onNone();
+    else this.options.onFull(fullForMs);
+  }
+
+  /** The request has been sent to a backend. */
+  noteSent(backend: string): void {
+    this.tried.add(backend);
+  }
+
+  /** A backend has refused the request, or was not reached. */
+  noteRefusal(backend: string): void {
+    this.refusals.set(backend, steadyNow() + REFUSED_PAUSE_MS);
+  }
+
+  /** The request needs its slot, or its place in a queue, no more. */
+  release(): void {
+    this.claim?.release();
+    this.claim = undefined;
+    this.pending = undefined;
+  }
+
+  /** Whether a backend that was not tried yet has a free slot for the request. */
+  hasAlternative(): boolean {
+    return this.fresh(steadyNow()).some((backend) => this.inFlightAt(backend) < backend.slots);
+  }
+
+  /**
+   * Requests in flight at a backend, and those that wait for it: by its keeper's word, or else all
+   * have them told late, and this daemon may have sent more since.
+   */
+  inFlightAt(backend: BackendRecord): number {
+    const { tracker, directory, slots } = this.context;
+    const now = steadyNow();
+    const own = tracker.inFlightAt(backend.id);
+    const heard = slots?.figuresOf(backend.id, now);
+    if (heard !== undefined) return Math.max(own, heard.inFlight + heard.waiting);
+    return Math.max(own, directory.loadOf(backend, now));
+  }
+
+  /** Backends that may be sent the request now. */
+  private usableBackends(now: number): BackendRecord[] {
+    const { directory } = this.context;
+    const { service, model } = this.options;
+    return directory
+      .serving(service.name)
+      .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
+      .filter((backend) => model === undefined || directory.holds(backend, model, now));
+  }
+
+  /** Those that are sound, and that the request was not sent to yet. */
+  private fresh(now: number): BackendRecord[] {
+    return this.usableBackends(now).filter(
+      ({ id }) => !this.tried.has(id) && !this.context.health.isAvoided(id, now),
+    );
+  }
+
+  private choose(): BackendRecord | undefined {
+    const { context } = this;
+    const { model, sharedPrompt } = this.options;
+    const now = steadyNow();
+    const usable = this.usableBackends(now);
+    const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
+    const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
+    // Another backend can be given the model; one of a service without models is all there is.
+    const lastResort = model === undefined ? usable : [];
+    const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
+    const candidates = best.map((backend) => this.candidate(backend));
+    const chosen = context.selection.choose(candidates, sharedPrompt);
+    return chosen === undefined ? undefined : context.directory.get(chosen.id);
+  }
+
+  private candidate(backend: BackendRecord): BackendCandidate {
+    const { context } = this;
+    return {
+      id: backend.id,
+      sameZone: backend.zone === context.settings.zone,
+      hasConnection: context.agent.hasRestingConnection(backend.address),
+      slots: backend.slots,
+      inFlight: this.inFlightAt(backend),
+      failureShare: context.health.failureShare(backend.id),
+    };
+  }
+
+  private claimAt(backend: BackendRecord): void {
+    const { slots } = this.context;
+    if (slots === undefined) return this.options.onSlot(backend);
+    const claim = slots.claim({
+      ...this.options.standing(),
+      backend,
+      ownerLoad: this.ownerLoad(backend),
+      onAnswer: (answer) => this.answered(backend, answer),
+    });
+    this.claim = claim;
+    if (claim.isHeld) return this.options.onSlot(backend);
+    this.pending = { backend, expectedAt: undefined };
+  }
+
+  private ownerLoad(backend: BackendRecord): number | undefined {
+    const { directory } = this.context;
+    const now = steadyNow();
+    const isHeard = directory.placementAgeMs(backend.service, now) <= OWNER_LOAD_BELIEVED_MS;
+    return isHeard ? directory.loadOf(backend, now) : undefined;
+  }
+
+  private answered(backend: BackendRecord, answer: SlotAnswer): void {
+    const now = steadyNow();
+    if (answer.type === 'granted') {
+      this.pending = undefined;
+      return this.options.onSlot(backend);
+    }
+    if (answer.type === 'queued') {
+      const { expectedWaitMs } = answer;
+      this.pending = { backend, expectedAt: now + expectedWaitMs };
+      this.options.onQueued();
+      return this.pending && this.moveIfSooner(this.pending);
+    }
+    this.claim = undefined;
+    this.pending = undefined;
+    if (answer.type === 'refused') this.fullUntil.set(backend.id, now + answer.retryAfterMs);
+    this.noteRefusal(backend.id);
+    this.next();
+  }
+
+  /** Leaves a queue for another backend that is expected to have a slot sooner. */
+  private moveIfSooner({ backend, expectedAt }: PendingAsk): void {
+    if (expectedAt === undefined || this.moves >= MOST_MOVES) return;
+    const now = steadyNow();
+    const waitMs = expectedAt - now - MOVE_GAIN_MS;
+    const sooner = this.fresh(now).filter(
+      (other) => other.id !== backend.id && this.expectedWaitMs(other, now) < waitMs,
+    );
+    const candidates = sooner.map((other) => this.candidate(other));
+    const chosen = this.context.selection.choose(candidates, undefined);
+    const better = sooner.find(({ id }) => id === chosen?.id);
+    if (better === undefined) return;
+    this.moves += 1;
+    this.release();
+    this.claimAt(better);
+  }
+
+  /** As its keeper last said; without that a backend with a free slot is expected to have it. */
+  private expectedWaitMs(backend: BackendRecord, now: number): number {
+    const heard = this.context.slots?.figuresOf(backend.id, now);
+    if (heard !== undefined) return heard.expectedWaitMs;
+    return this.inFlightAt(backend) < backend.slots ? 0 : Infinity;
+  }
+
+  /** Time until the first of the backends that were full should have room; undefined if none was. */
+  private fullForMs(now: number): number | undefined {
+    let soonest = Infinity;
+    for (const [backend, until] of this.fullUntil) {
+      const isPaused = (this.refusals.get(backend) ?? 0) > now;
+      if (isPaused) soonest = Math.min(soonest, until);
+    }
+    return soonest === Infinity ? undefined : Math.max(0, soonest - now);
+  }
+}
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -6,7 +6,6 @@
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
 import { afterFailure } from '../core/attempt-policy.js';
-import type { BackendCandidate } from '../core/backend-selection.js';
 import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
@@ -19,16 +18,17 @@
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
+import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
 import type { WaitingCaller } from './request-tracker.js';
 import { steadyNow } from './steady-clock.js';
 import { TenantPass, type PassDenial } from './tenant-pass.js';
 
 /** Reserved between the last moment for an answer and the caller's own deadline. */
 const DEADLINE_MARGIN_MS = 30;
-/** A backend that has refused the request, or was not reached, is not asked again for so long. */
-const REFUSED_PAUSE_MS = 250;
 /** Between two looks at a waiting request when nothing changes. */
 const RETRY_LOOK_MS = 50;
+/** All that was admitted is alike to its backend: what came later must not end work half done. */
+const ADMITTED_URGENCY = 1;
 /** A backend that has not begun to answer after so many goals is left for another. */
 const SILENT_GOALS = 2.2;
 /** A stream that rests for so many of its pause goals goes on elsewhere. */
@@ -62,9 +62,6 @@
   private attempt: Attempt | undefined;
   private lookTimer: NodeJS.Timeout | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private readonly tried = new Set<string>();
-  /** Backends that have refused the request, and until when they are not asked again. */
-  private readonly refusals = new Map<string, number>();
   private runs = 0;
   private sends = 0;
   private isWaiting = false;
@@ -73,6 +70,7 @@
   private ended = false;
   private lastRan: Ran = 'no';
   private readonly pass: TenantPass;
+  private readonly search: RequestDispatch;
   /** The caller was refused before, by this daemon or another. */
   private readonly hasComeBack: boolean;
   /** What the owner is told of it while it waits. */
@@ -97,6 +95,7 @@
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
     const dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
     this.waitingCaller = { dueAt, goalMs: route.goalMs };
+    this.search = this.makeSearch();
     response.on('close', () => this.callerClosed());
   }
 
@@ -144,61 +143,43 @@
   }
 
   private dispatch(): void {
-    if (this.ended) return;
-    const backend = this.chooseBackend();
-    if (backend !== undefined) return this.send(backend);
-    this.holdOrRefuse();
-  }
-
-  /** Backends that may be sent the request now. */
-  private usableBackends(now: number): BackendRecord[] {
-    const { context, match, model } = this;
-    return context.directory
-      .serving(match.service.name)
-      .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
-      .filter((backend) => model === undefined || context.directory.holds(backend, model, now));
-  }
-
-  /** Whether a backend that was not tried yet has a free slot for the request. */
-  private hasAlternative(): boolean {
-    const now = steadyNow();
-    return this.usableBackends(now).some((backend) => {
-      if (this.tried.has(backend.id) || this.context.health.isAvoided(backend.id, now))
-        return false;
-      return this.inFlightAt(backend) < backend.slots;
+    if (!this.ended) this.search.next();
+  }
+
+  private makeSearch(): RequestDispatch {
+    return new RequestDispatch(this.context, {
+      service: this.match.service,
+      model: this.model,
+      sharedPrompt: this.request.head.sharedPrompt,
+      standing: () => this.standing(),
+      onSlot: (backend) => this.send(backend),
+      onQueued: () => this.setWaiting(true),
+      onNone: () => this.holdOrRefuse(),
+      onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
     });
   }
 
-  private chooseBackend(): BackendRecord | undefined {
-    const { context, request, model } = this;
-    const now = steadyNow();
-    const usable = this.usableBackends(now);
-    const healthy = usable.filter((backend) => !context.health.isAvoided(backend.id, now));
-    const fresh = healthy.filter((backend) => !this.tried.has(backend.id));
-    // Another backend can be given the model; one of a service without models is all there is.
-    const lastResort = model === undefined ? usable : [];
-    const best = [fresh, healthy, lastResort].find((group) => group.length > 0) ?? [];
-    const candidates = best.map((backend) => this.candidate(backend));
-    const chosen = context.selection.choose(candidates, request.head.sharedPrompt);
-    return chosen === undefined ? undefined : context.directory.get(chosen.id);
-  }
-
-  private candidate(backend: BackendRecord): BackendCandidate {
-    const { context } = this;
+  /** What orders it among those that wait for a slot; a stream that has begun is due at once. */
+  private standing(): SlotStanding {
+    const { request, pass } = this;
+    const { route } = this.match;
+    const { arrivedAt, head } = request;
+    const { dueAt } = this.waitingCaller;
+    const leavesAt = this.answer.hasBegun ? Infinity : arrivedAt + route.patienceMs;
     return {
-      id: backend.id,
-      sameZone: backend.zone === context.settings.zone,
-      hasConnection: context.agent.hasRestingConnection(backend.address),
-      slots: backend.slots,
-      inFlight: this.inFlightAt(backend),
-      failureShare: context.health.failureShare(backend.id),
+      request: head.attemptId,
+      rank: pass.tenant?.priority ?? route.priority,
+      arrivedAt,
+      dueAt: this.sends > 0 ? steadyNow() : dueAt,
+      giveUpAt: Math.min(this.deadlineAt, leavesAt) - FIRST_PART_MS,
+      tenant: pass.tenant?.name ?? '',
+      work: 0,
     };
   }
 
-  /** Requests in flight at a backend: all have them told late, and this daemon may have sent more since. */
-  private inFlightAt(backend: BackendRecord): number {
-    const { tracker, directory } = this.context;
-    return Math.max(tracker.inFlightAt(backend.id), directory.loadOf(backend, steadyNow()));
+  private backendsFull(retryAfterMs: number): void {
+    if (this.answer.hasBegun) return this.wait();
+    this.refuseFull(retryAfterMs, { fullForMs: Math.round(retryAfterMs) });
   }
 
   private holdOrRefuse(): void {
@@ -219,16 +200,24 @@
       hasComeBack: this.hasComeBack,
     });
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
-      this.expectReturn(decision.retryAfterMs);
-      const waitedMs = Math.round(now - arrivedAt);
-      const hasComeBack = Number(this.hasComeBack);
-      const inputs = { readyInMs, waitedMs, hasComeBack, ...this.beliefs(now) };
-      return this.refuse('no_capacity', decision.retryAfterMs, inputs);
+      return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
     if (readyInMs !== undefined) this.told ??= { readyInMs, at: now };
     this.wait();
   }
 
+  private refuseFull(
+    retryAfterMs: number,
+    reasons: Readonly<Record<string, number | undefined>>,
+  ): void {
+    const now = steadyNow();
+    this.expectReturn(retryAfterMs);
+    const waitedMs = Math.round(now - this.request.arrivedAt);
+    const hasComeBack = Number(this.hasComeBack);
+    const inputs = { ...reasons, waitedMs, hasComeBack, ...this.beliefs(now) };
+    this.refuse('no_capacity', retryAfterMs, inputs);
+  }
+
   /** What the daemon decides on, and how old it is. */
   private beliefs(now: number): Record<string, number | undefined> {
     const { directory } = this.context;
@@ -283,14 +272,15 @@
     clearTimeout(this.lookTimer);
     this.noteWait(true);
     this.sends += 1;
-    this.tried.add(backend.id);
+    this.search.noteSent(backend.id);
     context.tracker.sent(service.name, backend.id, this.model, 1);
     if (this.sends === 1) {
       context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
     }
     this.log('sent', {
       backend: backend.id,
-      inFlight: this.inFlightAt(backend),
+      inFlight: this.search.inFlightAt(backend),
+      beliefAgeMs: context.slots?.figuresAgeMs(backend.id, now),
       sends: this.sends,
       waitedMs: Math.round(now - request.arrivedAt),
       remainingMs: Math.round(this.deadlineAt - now),
@@ -301,11 +291,12 @@
       route,
       request,
       tenant: this.pass.tenant,
+      urgency: context.slots && ADMITTED_URGENCY,
       remainingMs: this.deadlineAt - now,
       lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
       silentAfterMs: this.silentAfterMs(),
       stalledAfterMs: this.stalledAfterMs(),
-      hasAlternative: () => this.hasAlternative(),
+      hasAlternative: () => this.search.hasAlternative(),
       onSilent: () => this.backendSilent(backend),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
@@ -378,13 +369,14 @@
   private releaseAttempt(backend: string): void {
     this.context.tracker.sent(this.match.service.name, backend, this.model, -1);
     this.attempt = undefined;
+    this.search.release();
     this.setWaiting(false);
   }
 
   private judgeBackend(backend: BackendRecord, end: AttemptEnd): void {
     const { health, directory } = this.context;
     if (end.type === 'done') return health.answered(backend.id);
-    if (end.ran === 'no') this.refusals.set(backend.id, steadyNow() + REFUSED_PAUSE_MS);
+    if (end.ran === 'no') this.search.noteRefusal(backend.id);
     if (end.lacksModel && this.model !== undefined) {
       return directory.noteAbsence(backend.id, this.model, steadyNow());
     }
@@ -448,6 +440,7 @@
       this.attempt.abort();
       this.releaseAttempt(this.attempt.backendId);
     }
+    this.search.release();
     this.pass.end(mayHaveRun);
     this.context.exchanges.delete(this);
     const { route } = this.match;
--- /dev/null
+++ b/test/gateway/shared-slots.test.ts
@@ -0,0 +1,122 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { DEFAULT_POLICIES } from '../../src/core/policies.js';
+import {
+  answerWhole,
+  GatewayHarness,
+  pause,
+  TestBackend,
+  testConfiguration,
+  testRoute,
+  type BackendHandler,
+} from './gateway-harness.js';
+
+const SLOTS = 2;
+const CALL_MS = 60;
+
+describe('slots of backends, kept for all daemons', () => {
+  let harness: GatewayHarness;
+  let backends: TestBackend[];
+  let running: Map<string, number>;
+  let most: number;
+  const urgencies = new Set<string>();
+
+  beforeEach(async () => {
+    running = new Map();
+    most = 0;
+    urgencies.clear();
+    backends = [new TestBackend('one', slow('one')), new TestBackend('two', slow('two'))];
+    for (const backend of backends) await backend.start();
+    harness = await GatewayHarness.start({ policies: { ...DEFAULT_POLICIES, sharedSlots: true } });
+    const urgent = testRoute({ name: 'urgent', pathPrefix: '/urgent/', priority: 0 });
+    const patient = testRoute({ name: 'patient', priority: 2, goalMs: 2_000 });
+    harness.configure(testConfiguration({ routes: [urgent, patient] }));
+  });
+
+  afterEach(() => {
+    harness.stop();
+    for (const backend of backends) backend.stop();
+  });
+
+  /** Answers after a while, and counts what runs at once. */
+  function slow(id: string): BackendHandler {
+    return (request, response) => {
+      const count = (running.get(id) ?? 0) + 1;
+      running.set(id, count);
+      most = Math.max(most, count);
+      urgencies.add(String(request.headers.urgency));
+      setTimeout(() => {
+        running.set(id, (running.get(id) ?? 0) - 1);
+        answerWhole(request, response);
+      }, CALL_MS);
+    };
+  }
+
+  function list(count: number): void {
+    harness.list(backends.slice(0, count).map((backend) => backend.record({ slots: SLOTS })));
+  }
+
+  async function callMany(count: number): Promise<number[]> {
+    const calls = Array.from({ length: count }, (_, index) => harness.call({ id: `c${index}` }));
+    return (await Promise.all(calls)).map(({ status }) => status);
+  }
+
+  it('are never overfilled, and all that fit into their time are served', async () => {
+    list(2);
+    const statuses = await callMany(24);
+    expect(statuses.every((status) => status === 200)).toBe(true);
+    expect(most).toBe(SLOTS);
+    expect(harness.lines.some(({ event }) => event === 'slot_queued')).toBe(true);
+  });
+
+  it('go to the most urgent first, and to backends all alike', async () => {
+    list(1);
+    const order: string[] = [];
+    const call = (id: string, path: string): Promise<unknown> =>
+      harness.call({ id, path }).then(() => order.push(id));
+    const patient = Array.from({ length: 10 }, (_, index) => call(`p${index}`, '/work/x'));
+    await pause(CALL_MS / 2);
+    const urgent = call('urgent', '/urgent/x');
+    await Promise.all([...patient, urgent]);
+    expect(order.indexOf('urgent')).toBeLessThanOrEqual(2 * SLOTS);
+    expect(urgencies.size).toBe(1);
+  });
+
+  it('are refused at once, with a time to come back, to who would wait in vain', async () => {
+    list(1);
+    await callMany(12);
+    const begun = performance.now();
+    const waiting = callMany(40);
+    await pause(30);
+    const late = await harness.call({ id: 'late', headers: { deadline: '400' } });
+    expect(late.status).toBe(503);
+    expect(Number(late.headers['retry-after'])).toBeGreaterThanOrEqual(0);
+    expect(performance.now() - begun).toBeLessThan(350);
+    await waiting;
+    expect(most).toBe(SLOTS);
+  });
+
+  it('come free when a caller leaves, running or waiting', async () => {
+    list(1);
+    const held = Array.from({ length: 6 }, (_, index) => {
+      const request = harness.request({ id: `h${index}` }, () => {});
+      request.on('error', () => {});
+      return request;
+    });
+    await pause(20);
+    for (const request of held) request.destroy();
+    await pause(50);
+    const begun = performance.now();
+    expect(await callMany(2)).toEqual([200, 200]);
+    expect(performance.now() - begun).toBeLessThan(3 * CALL_MS);
+  });
+
+  it('of a backend that ends: those who wait go to another at once', async () => {
+    list(1);
+    const calls = callMany(8);
+    await pause(CALL_MS / 2);
+    const [one, two] = backends.map((backend) => backend.record({ slots: SLOTS, revision: 2 }));
+    harness.list([{ ...one!, leaving: true }, two!]);
+    expect((await calls).every((status) => status === 200)).toBe(true);
+    expect(backends[1]?.arrivals).toHaveLength(8 - SLOTS);
+  });
+});
