--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -157,7 +157,12 @@
 
   /** Tells the process that its settings file has changed. */
   signalSettings(): void {
-    this.child?.kill('SIGHUP');
+    this.signal('SIGHUP');
+  }
+
+  /** Sends a signal, which nothing excuses: SIGTERM only to a process that was asked to stop before. */
+  signal(signal: 'SIGHUP' | 'SIGTERM'): void {
+    this.child?.kill(signal);
   }
 
   /** Its open connections with other gateways go silent; new ones work. */
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,6 +1,7 @@
 /** Command line of the soak: plays seeds one after the other, and exits with 1 if a promise was broken. */
 import { Command, Option } from 'commander';
 import { FURTHER_FAULT_KINDS, type FurtherFault } from './further-fault-plan.js';
+import { SERIES_FAULT_KINDS, type SeriesFault } from './series-fault-plan.js';
 import { runSoak, soakFolder, type FaultKinds } from './soak-run.js';
 
 interface Flags {
@@ -16,11 +17,13 @@
   readonly faults: FaultKinds;
   readonly only: FurtherFault['kind'][];
   readonly leaving: boolean;
+  readonly alwaysHot: boolean;
+  readonly series: SeriesFault['kind'][] | boolean;
 }
 
 /** Of those that faults excuse, so many are printed, the last ones. */
 const MOST_EXCUSED = 5;
-const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both'];
+const FAULT_KINDS: readonly FaultKinds[] = ['first', 'further', 'both', 'none'];
 const EPOCH_CHOICES = ['checked', 'unchecked', 'drawn'];
 const REVOCATION_CHOICES = ['promised', 'none', 'drawn'];
 
@@ -43,7 +46,16 @@
       .choices(FURTHER_FAULT_KINDS)
       .default([]),
   )
+  .option('--always-hot', 'the limited tenant asks for many times its limit all the time', false)
   .option('--leaving', 'replicas also leave in all ways that the platform allows', false)
+  .addOption(
+    new Option(
+      '--series [kinds...]',
+      'signals, restarts and changes in series that overlap, or these kinds of them only',
+    )
+      .choices(SERIES_FAULT_KINDS)
+      .default([]),
+  )
   .addOption(
     new Option('--epochs <choice>', 'whether replicas refuse orders with too low an epoch')
       .choices(EPOCH_CHOICES)
@@ -55,6 +67,11 @@
       .default('promised'),
   );
 
+/** The kinds that a flag names, which means all if it names none. */
+function seriesOf(flag: Flags['series']): readonly SeriesFault['kind'][] {
+  return flag === true ? SERIES_FAULT_KINDS : flag || [];
+}
+
 /** Odd seeds play replicas that check nothing. */
 function checksEpochs(choice: string, seed: number): boolean {
   return choice === 'drawn' ? seed % 2 === 0 : choice === 'checked';
@@ -85,6 +102,8 @@
       faultKinds: flags.faults,
       only: flags.only,
       leaving: flags.leaving,
+      alwaysHot: flags.alwaysHot,
+      series: seriesOf(flags.series),
     });
     const { violations, excused, ...figures } = result;
     console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -23,13 +23,15 @@
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
+import { SeriesFaultInjector } from './series-fault-injector.js';
+import { planSeriesFaults, type SeriesFault } from './series-fault-plan.js';
 import { configurationOf, newestDropped } from './soak-configuration.js';
-import { drawCaller, STEADY_TENANT } from './soak-tenants.js';
+import { drawCaller, isHotByTurns, STEADY_TENANT } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
 
 /** Which kinds of faults are played: each has a generator of its own. */
-export type FaultKinds = 'first' | 'further' | 'both';
+export type FaultKinds = 'first' | 'further' | 'both' | 'none';
 
 /** What to play. */
 export interface SoakOptions {
@@ -55,8 +57,15 @@
   readonly faultKinds?: FaultKinds;
   /** Of the further kinds, only these; all by default. */
   readonly only?: readonly FurtherFault['kind'][];
+  /**
+   * Whether the limited tenant asks for many times its limit all the time; by turns by default, so that a fault
+   * meets a hot tenant in every second play only.
+   */
+  readonly alwaysHot?: boolean;
   /** Whether replicas also leave in all ways that the platform allows; not by default. */
   readonly leaving?: boolean;
+  /** Kinds of series of signals, restarts and changes; none by default. */
+  readonly series?: readonly SeriesFault['kind'][];
 }
 
 /** What came of it. */
@@ -79,6 +88,8 @@
 const FURTHER_SEED = 10_000;
 /** Added to a seed for the generator of departures of replicas. */
 const LEAVING_SEED = 30_000;
+/** Added to a seed for the generator of series. */
+const SERIES_SEED = 40_000;
 /** Added to a seed for the generators of callers that keep connections. */
 const KEPT_CALLER_SEED = 20_000;
 const KEPT_CALLER_PAUSE_MS = 300;
@@ -128,7 +139,7 @@
     const { faultMs, leaving = false } = this.options;
     const calmSince = begun + faultMs + RECOVERY_MS + (leaving ? LONGEST_SERVICE_MS : 0);
     this.endsAt = calmSince + CALM_MS;
-    const faults = this.planFirst(begun) + this.planFurther(begun) + this.planLeaving(begun);
+    const faults = this.planAll(begun);
     await sleep(START_MS);
     await Promise.all([this.sendRequests(), this.sendOnKeptConnections(), this.sendProbes()]);
     await Promise.all(this.pending);
@@ -162,10 +173,20 @@
     };
   }
 
+  /** The number of faults. */
+  private planAll(begun: number): number {
+    return (
+      this.planFirst(begun) +
+      this.planFurther(begun) +
+      this.planLeaving(begun) +
+      this.planSeries(begun)
+    );
+  }
+
   /** The number of faults. */
   private planFirst(begun: number): number {
     const { faultMs, faultKinds = 'first' } = this.options;
-    if (faultKinds === 'further') return 0;
+    if (faultKinds === 'further' || faultKinds === 'none') return 0;
     const faults = new FaultInjector(this, this.random);
     const plan = planFaults(this.random, faultMs);
     return this.schedule(plan, begun, (fault) => faults.strike(fault));
@@ -174,7 +195,7 @@
   /** The number of faults. */
   private planFurther(begun: number): number {
     const { seed, faultMs, faultKinds = 'first', only } = this.options;
-    if (faultKinds === 'first') return 0;
+    if (faultKinds === 'first' || faultKinds === 'none') return 0;
     const random = new SeededRandom(seed + FURTHER_SEED);
     const faults = new FurtherFaultInjector(this, random, begun + faultMs);
     const plan = planFurtherFaults(random, faultMs, only);
@@ -191,7 +212,17 @@
     return this.schedule(plan, begun, (fault) => faults.strike(fault));
   }
 
-  private schedule<Kind extends Fault | FurtherFault | LeavingFault>(
+  /** The number of series. */
+  private planSeries(begun: number): number {
+    const { seed, faultMs, series = [] } = this.options;
+    if (series.length === 0) return 0;
+    const random = new SeededRandom(seed + SERIES_SEED);
+    const faults = new SeriesFaultInjector(this, random, begun + faultMs);
+    const plan = planSeriesFaults(random, faultMs, series);
+    return this.schedule(plan, begun, (fault) => faults.strike(fault));
+  }
+
+  private schedule<Kind extends Fault | FurtherFault | LeavingFault | SeriesFault>(
     plan: readonly { readonly at: number; readonly fault: Kind }[],
     begun: number,
     strike: (fault: Kind) => void,
@@ -218,8 +249,9 @@
     this.changeConfiguration();
     const ports = await findSoakPorts(gateways * 3);
     const peerPorts = ports.slice(0, gateways);
-    const { faultKinds = 'first', leaving = false } = this.options;
-    const silencedPorts = faultKinds === 'first' && !leaving ? undefined : peerPorts;
+    const { faultKinds = 'first', leaving = false, series = [] } = this.options;
+    const hasCuts = faultKinds === 'further' || faultKinds === 'both' || leaving;
+    const silencedPorts = hasCuts || series.length > 0 ? peerPorts : undefined;
     for (const [index, peers] of peerPorts.entries()) {
       const [callers = 0, readiness = 0] = ports.slice(gateways + 2 * index);
       const name = `gateway-${index}`;
@@ -270,7 +302,7 @@
 
   /** Writes what happens beside the gateways' logs, to be read with them. */
   private note(
-    happened: Fault | FurtherFault | LeavingFault | { kind: string; version: number },
+    happened: Fault | FurtherFault | LeavingFault | SeriesFault | { kind: string; version: number },
   ): void {
     const line = `${new Date().toISOString()} ${JSON.stringify(happened)}\n`;
     appendFileSync(path.join(this.options.folder, 'faults.log'), line);
@@ -381,10 +413,14 @@
     const caller =
       kind === 'probe'
         ? { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` }
-        : drawCaller(random, this.version, Date.now());
+        : drawCaller(random, this.version, this.isHot());
     return { attemptId, kind, path: requestPath, model, body, deadlineMs, caller };
   }
 
+  private isHot(): boolean {
+    return (this.options.alwaysHot ?? false) || isHotByTurns(Date.now());
+  }
+
   /** Gateways that the entry sends new callers to. */
   private openGateways(): GatewayProcess[] {
     const now = Date.now();
--- a/test/soak/soak-tenants.ts
+++ b/test/soak/soak-tenants.ts
@@ -59,9 +59,13 @@
   return Number(key.slice(ROTATING_TENANT.length + 1)) + ROTATING_KEYS;
 }
 
+/** Whether the limited tenant asks for many times its limit at a time, in Unix milliseconds. */
+export function isHotByTurns(now: number): boolean {
+  return Math.floor(now / HOT_PERIOD_MS) % 2 === 1;
+}
+
 /** Draws a caller. */
-export function drawCaller(random: SeededRandom, version: number, now: number): Caller {
-  const isHot = Math.floor(now / HOT_PERIOD_MS) % 2 === 1;
+export function drawCaller(random: SeededRandom, version: number, isHot: boolean): Caller {
   const draw = random.between(0, 1);
   if (draw < (isHot ? 0.5 : 0.08)) return { tenant: LIMITED_TENANT, key: `${LIMITED_TENANT}-key` };
   if (draw < 0.8) return { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` };
