The lease of who counts a tenant's limit is in force wherever a tenant has a limit

Cause: the lease that ends a holder's grants before its successor counts was the policy leasedLimits, on only where settings name it. deploy/ names it; the soak and most tests don't, so they ran without. Ruled out: a hole of the lease, and an auditor that allows too little (the two counts stand side by side in the logs).

Change: TenantLimits always has leases; the policy is gone. Its name is still read in settings, for an earlier build that reads the same file, changes nothing and is logged (policy_retired). The other policies were read one by one: none of them keeps a promise.

--- a/src/core/policies.ts
+++ b/src/core/policies.ts
@@ -1,6 +1,7 @@
 /**
  * Policies that operators can switch off by name, so that the worth of each can be
- * measured on their own load. Those that settings do not name are as in {@link DEFAULT_POLICIES}. Types and names only.
+ * measured on their own load. None of them keeps a promise: what does is no policy. Those that
+ * settings do not name are as in {@link DEFAULT_POLICIES}. Types and names only.
  */
 
 /** Names of the policies, as the settings spell them. */
@@ -27,8 +28,6 @@
   'sharedSlots',
   /** Speeds of backends are learned from streams; models and requests go by them. */
   'learnedCapacity',
-  /** Who counts a tenant's limit for all does so under a lease. */
-  'leasedLimits',
   /** A copy is worth what a load would take of the time that its callers can wait. */
   'copyWorthByCallers',
   /** Loads go by how many callers each serves, then by the time at which they should find it. */
@@ -37,6 +36,13 @@
   'fetchAhead',
 ] as const;
 
+/**
+ * Names that were policies. Settings may still hold them, for an earlier build that reads the same file; they
+ * change nothing. `leasedLimits`: a tenant's limit is granted under a lease wherever a tenant has a limit. A
+ * promise that can be switched off was broken wherever a settings file did not name it.
+ */
+export const RETIRED_POLICY_NAMES = ['leasedLimits'] as const;
+
 /** A policy's name. */
 export type PolicyName = (typeof POLICY_NAMES)[number];
 
@@ -49,7 +55,6 @@
   'relieveCrowdedCopies',
   'sharedSlots',
   'learnedCapacity',
-  'leasedLimits',
   'copyWorthByCallers',
   'mostCallersFirst',
   'fetchAhead',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -4,7 +4,13 @@
 import { Result } from 'true-myth';
 import { parseJson } from '../common/http-client.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
-import { DEFAULT_POLICIES, POLICY_NAMES, policiesOf, type Policies } from '../core/policies.js';
+import {
+  DEFAULT_POLICIES,
+  POLICY_NAMES,
+  policiesOf,
+  RETIRED_POLICY_NAMES,
+  type Policies,
+} from '../core/policies.js';
 
 /** Bounds that operators promise for the whole system. */
 export interface GatewayBounds {
@@ -60,6 +66,8 @@
   readonly backendsCheckEpochs: boolean;
   /** Policies that operators may switch off. */
   readonly policies: Policies;
+  /** Policies that the file names and that change nothing any more. */
+  readonly retiredPolicies: readonly string[];
   readonly bounds: GatewayBounds;
 }
 
@@ -91,7 +99,7 @@
   const reader = new FieldReader(value, where);
   const bounds = reader.object('bounds');
   const policies = reader.optionalObject('policies');
-  policies.onlyKeys(POLICY_NAMES);
+  policies.onlyKeys([...POLICY_NAMES, ...RETIRED_POLICY_NAMES]);
   const settings: GatewaySettings = {
     name: reader.text('name'),
     zone: reader.text('zone'),
@@ -107,6 +115,7 @@
     seeds: reader.texts('seeds'),
     backendsCheckEpochs: reader.flag('backendsCheckEpochs'),
     policies: policiesOf((name) => policies.flag(name, DEFAULT_POLICIES[name])),
+    retiredPolicies: RETIRED_POLICY_NAMES.filter((name) => policies.has(name)),
     bounds: {
       stopSeconds: bounds.number('stopSeconds', 0),
       retryRatio: bounds.number('retryRatio', 0),
@@ -188,6 +197,11 @@
     return true;
   }
 
+  /** Whether the key is there. */
+  has(key: string): boolean {
+    return this.fields[key] !== undefined;
+  }
+
   /** A key that means nothing here is likely to be a misspelt one. */
   onlyKeys(known: readonly string[]): void {
     for (const key of Object.keys(this.fields)) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -199,6 +199,7 @@
       outside.logger.error('tick_fault', { reason: faultText(fault) });
     };
     this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
+    for (const name of settings.retiredPolicies) outside.logger.warn('policy_retired', { name });
     outside.logger.info('started', { milliseconds: Math.round(steadyNow()) });
   }
 
@@ -261,7 +262,7 @@
       self: peers.address,
       window: { windowMs: limitWindowSeconds * 1_000, excess: limitExcess, slack: limitSlack },
       logger: outside.logger,
-      leases: this.settings.policies.leasedLimits ? this.makeLeases() : undefined,
+      leases: this.makeLeases(),
       live: () => peers.live(),
       listedCount: () => this.members.listed.length,
       tenant: (name) => this.admission.tenant(name),
--- a/src/gateway/tenant-limits.ts
+++ b/src/gateway/tenant-limits.ts
@@ -48,8 +48,8 @@
   readonly self: string;
   readonly window: LimitWindow;
   readonly logger: Logger;
-  /** The leases under which this daemon grants as a holder; without them it goes by its view of the group alone. */
-  readonly leases: HolderLeases | undefined;
+  /** The leases under which this daemon grants as a holder. */
+  readonly leases: HolderLeases;
   readonly live: () => readonly MemberView[];
   /** Daemons that the platform's store lists. */
   readonly listedCount: () => number;
@@ -120,7 +120,7 @@
       return this.ask(name, state, units, answer);
     }
     state.own.add(units, now);
-    const wantsWord = this.options.leases !== undefined && state.silence.tell(units, now);
+    const wantsWord = state.silence.tell(units, now);
     this.charge(state.holder, { tenant: name, units, wantsWord });
     answer({ type: 'granted' });
   }
@@ -143,7 +143,7 @@
   tick(): void {
     const now = steadyNow();
     this.followGroup(now);
-    this.options.leases?.tick();
+    this.options.leases.tick();
     for (const [name, held] of this.ledgers) this.tellTightness(name, held, now);
   }
 
@@ -160,7 +160,7 @@
     } else if (body.case === 'limitNews') {
       const { tenant, isTight, process } = body.value;
       this.hearHolder(from, tenant, isTight, process);
-    } else return this.options.leases?.receive(from, body) ?? false;
+    } else return this.options.leases.receive(from, body);
     return true;
   }
 
@@ -184,22 +184,20 @@
   /** Whether a request may pass before the holder's word: it is heard, or this daemon keeps to its share. */
   private mayPass(name: string, state: MemberState, units: number, now: number): boolean {
     const limit = this.options.tenant(name)?.limit;
-    if (this.options.leases === undefined || limit === undefined) return true;
+    if (limit === undefined) return true;
     const share = this.equalShare(limit);
     return state.silence.isHeard(units, share, now) || state.own.total(now) + units <= share;
   }
 
-  /** Whether this daemon, as the holder, may grant to others now: its lease holds, or none is needed. */
+  /** Whether this daemon, as the holder, may grant to others now: its lease holds. */
   private mayLend(name: string): boolean {
-    return this.options.leases?.holds(leaseName(name)) ?? true;
+    return this.options.leases.holds(leaseName(name));
   }
 
   /** Whether the holder may serve its own callers: its successor must be able to know of it. */
   private mayLendItself(name: string, state: MemberState, units: number, now: number): boolean {
-    const { leases } = this.options;
-    if (leases === undefined) return true;
     const own = state.own.total(now) + units;
-    return this.mayLend(name) && own <= leases.ownCeiling(leaseName(name));
+    return this.mayLend(name) && own <= this.options.leases.ownCeiling(leaseName(name));
   }
 
   private followGroup(now: number): void {
@@ -220,8 +218,8 @@
   /** Asks for the lease on the count of a tenant that this daemon holds, and gives it back with the count. */
   private followLease(name: string, held: HeldLedger): void {
     const { leases, self } = this.options;
-    if (this.holderOf(name) !== self) return leases?.release(leaseName(name));
-    leases?.want(leaseName(name), {
+    if (this.holderOf(name) !== self) return leases.release(leaseName(name));
+    leases.want(leaseName(name), {
       ownCeiling: (now) => this.ownCeiling(name, held, now),
       onGained: (history, now) => this.leaseGained(name, held, history, now),
       onAnswered: (now) => this.answerWaiting(held, now),
@@ -304,7 +302,7 @@
     const now = steadyNow();
     const state = this.memberState(open.tenant, now);
     const { tenant, units } = open;
-    const isAlone = this.options.leases === undefined || state.silence.mayCountAlone(now);
+    const isAlone = state.silence.mayCountAlone(now);
     const isWithin = isAlone && state.own.total(now) + units <= this.equalShare(limit);
     if (isWithin) state.alone.add(units, now);
     const fields = { tenant, units, holder: state.holder, isGranted: isWithin };
@@ -358,7 +356,7 @@
     const { tenant, units } = charge;
     if (from !== this.options.self || !this.mayLend(tenant)) return;
     const own = this.memberState(tenant, now).own.total(now);
-    this.options.leases?.raise(leaseName(tenant), own + units);
+    this.options.leases.raise(leaseName(tenant), own + units);
   }
 
   private answer(
@@ -370,7 +368,7 @@
   ): void {
     const retryAfterMs = decision.type === 'over_limit' ? Math.ceil(decision.retryAfterMs) : 0;
     const isGranted = decision.type === 'granted';
-    const process = this.options.leases?.process ?? 0;
+    const process = this.options.leases.process;
     const fields = { question, tenant, isGranted, retryAfterMs, isTight, process };
     this.deliver(to, { case: 'limitAnswer', value: create(LimitAnswerSchema, fields) });
   }
@@ -464,7 +462,7 @@
   private tellTightness(name: string, held: HeldLedger, now: number): void {
     if (now - held.usedAt > LEDGER_WINDOWS * this.options.window.windowMs) {
       this.ledgers.delete(name);
-      this.options.leases?.release(leaseName(name));
+      this.options.leases.release(leaseName(name));
       return;
     }
     this.forgetWaiting(held, now);
@@ -479,7 +477,7 @@
   }
 
   private tellAll(tenant: string, isTight: boolean): void {
-    const process = this.options.leases?.process ?? 0;
+    const process = this.options.leases.process;
     const value = create(LimitNewsSchema, { tenant, isTight, process });
     this.options.broadcast({ case: 'limitNews', value });
   }
--- a/test/core/gateway-fixtures.ts
+++ b/test/core/gateway-fixtures.ts
@@ -66,5 +66,4 @@
   relieveCrowdedCopies: true,
   sharedSlots: true,
   learnedCapacity: true,
-  leasedLimits: true,
 };
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -270,6 +270,7 @@
       seeds: [],
       backendsCheckEpochs: true,
       policies: DEFAULT_POLICIES,
+      retiredPolicies: [],
       bounds: {
         stopSeconds: 8,
         retryRatio: 0.2,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -11,8 +11,12 @@
 /** Draws replicas that leave while a gateway is cut off, and a withdrawal just after its return. */
 const LEAVING_SEED = 9_605;
 const LEAVING_FAULT_MS = 40_000;
-/** A tenant's holder that is cut off grants alone: KNOWN-RED.txt has it. */
-const KNOWN_RULES = new Set(['limit_exceeded']);
+/**
+ * Harms the daemon that counts a tenant's limit seven times, and those that count after it. Without a lease two
+ * daemons counted for up to 2.9 s, and 2,800 of 2,600 units ran in a window.
+ */
+const COUNTER_SEED = 20_012;
+const COUNTER_FAULT_MS = 25_000;
 
 describe('gateways under faults', () => {
   beforeAll(async () => {
@@ -43,6 +47,23 @@
     expect(result.served).toBeGreaterThan(result.calls / 2);
   });
 
+  it('keep to the limit of a tenant while who counts it is harmed', async () => {
+    const result = await runSoak({
+      seed: COUNTER_SEED,
+      faultMs: COUNTER_FAULT_MS,
+      folder: soakFolder(COUNTER_SEED),
+      faultKinds: 'none',
+      series: ['counter_harmed'],
+      requestsPerSecond: 40,
+      keptCallers: 4,
+      checksEpochs: false,
+      promisesRevocation: false,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.faults).toBe(7);
+    expect(result.served).toBeGreaterThan(result.calls / 2);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
@@ -56,7 +77,7 @@
       checksEpochs: false,
       promisesRevocation: false,
     });
-    expect(result.violations.filter(({ rule }) => !KNOWN_RULES.has(rule))).toEqual([]);
+    expect(result.violations).toEqual([]);
     expect(result.faults).toBeGreaterThan(50);
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
