--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -1,13 +1,14 @@
 /** One gateway of a soak: the bundle that is deployed, as a process of its own, and what was done to it. */
-import { spawn, type ChildProcess } from 'node:child_process';
+import { execFileSync, spawn, type ChildProcess } from 'node:child_process';
 import { appendFileSync, closeSync, openSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { LIMIT_EXCESS, LIMIT_SLACK, LIMIT_WINDOW_MS, REVOCATION_MS } from './soak-tenants.js';
 
 /** Time that a stop may take, as the platform's sheets have it. */
 export const STOP_SECONDS = 8;
+const BUILD_FOLDER = 'target/soak';
 /** The program that is deployed, built from the adapter. */
-export const BUNDLE = 'target/soak/gateway.cjs';
+const BUNDLE = `${BUILD_FOLDER}/scaleslip-gateway.cjs`;
 
 const SILENT_LINKS = './test/soak/silent-links.mjs';
 
@@ -50,6 +51,11 @@
   for (const child of running) child.kill('SIGKILL');
 });
 
+/** Builds the program as it is built where it is deployed. */
+export function buildGateway(): void {
+  execFileSync(process.execPath, ['scripts/build-gateway.mjs', BUILD_FOLDER]);
+}
+
 /** A gateway that is started again whenever it ends. */
 export class GatewayProcess {
   readonly disturbances: Disturbance[] = [];
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,5 @@
-import { build } from 'esbuild';
 import { beforeAll, describe, expect, it } from 'vitest';
-import { BUNDLE } from './gateway-process.js';
+import { buildGateway } from './gateway-process.js';
 import { runSoak, soakFolder } from './soak-run.js';
 
 const SEED = 21;
@@ -19,10 +18,7 @@
 const COUNTER_FAULT_MS = 25_000;
 
 describe('gateways under faults', () => {
-  beforeAll(async () => {
-    const target = { bundle: true, platform: 'node', target: 'node20', format: 'cjs' } as const;
-    await build({ entryPoints: ['platform/main.ts'], outfile: BUNDLE, ...target });
-  });
+  beforeAll(buildGateway);
 
   it('break no promise in a short soak on real processes', async () => {
     const folder = soakFolder(SEED);
