A second signal to stop waits for the stop under way and cuts nothing

What callers saw: a stream broken off in a planned stop, 0.2 s after a second SIGTERM (signals-in-series.test.ts: status 200, not whole). A supervisor that repeats its signal is enough.

Ruled out: the backend, whose stream was whole, and the time for a stop.

Change: drain() hands everybody the same end; the daemon keeps its handlers.

--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -58,8 +58,9 @@
   const stop = (): void => {
     void daemon.drain().then(() => process.exit(0));
   };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  // Not once: without a handler a second signal would end the process under requests that still run.
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   await daemon.start();
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -83,6 +83,7 @@
   private readonly seenPools = new Set<string>();
   private membersHaveChanged = false;
   private draining = false;
+  private stopping: Promise<void> | undefined;
 
   constructor(
     private readonly settings: DaemonSettings,
@@ -190,10 +191,14 @@
 
   /**
    * A planned stop: nothing new is taken, streams finish, pools and claims are
-   * handed over. Resolves when all is done.
+   * handed over. Resolves when all is done, also if it is asked for again.
    */
-  async drain(): Promise<void> {
-    if (this.draining) return;
+  drain(): Promise<void> {
+    this.stopping ??= this.finish();
+    return this.stopping;
+  }
+
+  private async finish(): Promise<void> {
     this.draining = true;
     const { logger } = this.dependencies;
     logger.info('drain_started', { unfinished: this.requests.unfinished });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -99,6 +99,7 @@
   private knowsBackends = false;
   /** Steady time at which a stop was asked for. */
   private drainingSince: number | undefined;
+  private draining: Promise<void> | undefined;
   private stopped = false;
   private ticker: Ticker | undefined;
   private lastDemand = 0;
@@ -203,9 +204,16 @@
     outside.logger.info('started', { milliseconds: Math.round(steadyNow()) });
   }
 
-  /** Ends without cutting a request, as far as the time for a stop allows. */
-  async drain(): Promise<void> {
-    if (this.drainingSince !== undefined) return;
+  /**
+   * Ends without cutting a request, as far as the time for a stop allows. Asked again, it waits for the same end:
+   * a second signal to stop must not end the process under requests that the first one lets finish.
+   */
+  drain(): Promise<void> {
+    this.draining ??= this.finish();
+    return this.draining;
+  }
+
+  private async finish(): Promise<void> {
     const begun = steadyNow();
     this.drainingSince = begun;
     const { logger } = this.outside;
--- /dev/null
+++ b/test/processes/signals-in-series.test.ts
@@ -0,0 +1,100 @@
+/*
+ * A caller's stream was cut when its gateway was asked to stop twice: the second signal found the stop under way,
+ * took that for its end, and ended the process at once with all requests in flight. A supervisor that repeats its
+ * signal, or an operator beside it, is enough.
+ */
+import { mkdirSync, rmSync } from 'node:fs';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { sleep } from '../../src/common/process.js';
+import { call, type CallRecord, type SoakRequest } from '../soak/caller.js';
+import { buildGateway, GatewayProcess } from '../soak/gateway-process.js';
+import { ObjectStoreStandIn } from '../soak/object-store-stand-in.js';
+import { ReplicaStandIn } from '../soak/replica-stand-in.js';
+import { RunLog } from '../soak/run-log.js';
+import { SeededRandom } from '../soak/seeded-random.js';
+import { configurationOf } from '../soak/soak-configuration.js';
+import { findSoakPorts } from '../soak/soak-ports.js';
+
+const FOLDER = 'results/signals-in-series';
+const STEADY = { tenant: 'steady', key: 'steady-key' };
+/** A stream of these takes 1.5 s. */
+const EVENTS = 100;
+
+describe('signals in series', () => {
+  const random = new SeededRandom(1);
+  const store = new ObjectStoreStandIn(random);
+  let replica: ReplicaStandIn;
+  let gateway: GatewayProcess;
+  let sequence = 0;
+
+  beforeAll(async () => {
+    buildGateway();
+    rmSync(FOLDER, { recursive: true, force: true });
+    mkdirSync(FOLDER, { recursive: true });
+    const place = { name: 'r', service: 'models', models: ['m1'], hasModels: true };
+    replica = new ReplicaStandIn({ ...place, store, log: new RunLog(), random });
+    await replica.start();
+    store.put('config', 'main', configurationOf(1, ['m1']));
+    const [peers = 0, callers = 0, readiness = 0] = await findSoakPorts(3);
+    gateway = new GatewayProcess({
+      name: 'gateway',
+      folder: FOLDER,
+      store: await store.listenFor('gateway'),
+      ports: { peers, callers, readiness, metrics: 0 },
+    });
+    gateway.start();
+    await served();
+  });
+
+  afterAll(async () => {
+    await gateway.end();
+    replica.end();
+    store.stop();
+  });
+
+  function stream(events: number): Promise<CallRecord> {
+    sequence += 1;
+    const attemptId = `s-${sequence}`;
+    const request: SoakRequest = {
+      attemptId,
+      kind: 'stream_once',
+      path: '/models/o/x',
+      model: 'm1',
+      body: JSON.stringify({ events, attemptId }),
+      deadlineMs: 6_000,
+      caller: STEADY,
+    };
+    return call(request, gateway.name, gateway.callers);
+  }
+
+  async function served(): Promise<void> {
+    for (let tries = 0; tries < 100; tries++) {
+      if ((await stream(1)).status === 200) return;
+      await sleep(100);
+    }
+    throw new Error('the gateway serves nobody');
+  }
+
+  it('cut no stream that began before them', async () => {
+    const running = stream(EVENTS);
+    await sleep(300);
+    gateway.stopInTurn();
+    await sleep(200);
+    gateway.signal('SIGHUP');
+    gateway.signal('SIGTERM');
+    const { status, isWhole } = await running;
+    expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+    expect(gateway.unaskedExits).toBe(0);
+  });
+
+  it('end the process once, by itself', async () => {
+    const { pid } = gateway;
+    gateway.stopInTurn();
+    gateway.signal('SIGTERM');
+    await sleep(200);
+    if (gateway.pid === pid) gateway.signal('SIGHUP');
+    while (gateway.pid === pid) await sleep(20);
+    await served();
+    expect(gateway.unaskedExits).toBe(0);
+  });
+});
