A daemon that is stopped while it starts leaves no entry in the list of daemons

Until a daemon of that name comes back, shares of tenants' limits are divided by one too many and an owner needs one more daemon in sight.

Cause: the stop left the list at once, the start under way entered it afterwards; and a write of the entry that had no answer yet did not count as an entry. Ruled out: the reading of the list, which enters nobody.

Change: a stop waits for the start under way; leaving waits for the reading or writing under way and removes what may have been written.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -99,6 +99,7 @@
   private knowsBackends = false;
   /** Steady time at which a stop was asked for. */
   private drainingSince: number | undefined;
+  private starting: Promise<void> | undefined;
   private draining: Promise<void> | undefined;
   private stopped = false;
   private ticker: Ticker | undefined;
@@ -178,7 +179,12 @@
   }
 
   /** Opens the ports and follows the platform. */
-  async start(): Promise<void> {
+  start(): Promise<void> {
+    this.starting = this.open();
+    return this.starting;
+  }
+
+  private async open(): Promise<void> {
     const { settings, outside } = this;
     await this.peers.start();
     await this.front.start();
@@ -218,6 +224,8 @@
     this.drainingSince = begun;
     const { logger } = this.outside;
     logger.info('draining', { unfinished: this.context.exchanges.size });
+    // What a start under way still opens would be left open, and its entry in the list of daemons kept.
+    await this.starting;
     this.duties.stop('the daemon stops');
     this.peers.leave();
     await this.members.leave();
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -23,7 +23,9 @@
   listed: readonly DutyMember[] = [];
   private ticker: Ticker | undefined;
   private isListed = false;
-  private busy = false;
+  /** Whether an entry of this daemon may be in the list, read or not. */
+  private mayBeListed = false;
+  private reading: Promise<void> | undefined;
   private periodMs = FIRST_PERIOD_MS;
   private retryMs = FIRST_RETRY_MS;
   private readAt = -Infinity;
@@ -42,7 +44,10 @@
       this.logger.error('member_list_fault', { reason: faultText(fault) });
     };
     const step = (): void => {
-      this.refresh().catch(onFault);
+      if (this.reading !== undefined || steadyNow() < this.readAt) return;
+      this.reading = this.refresh()
+        .catch(onFault)
+        .finally(() => (this.reading = undefined));
     };
     step();
     this.ticker = startTicker(LOOK_PERIOD_MS, step, onFault);
@@ -51,19 +56,15 @@
   /** Takes this daemon out of the list. */
   async leave(): Promise<void> {
     this.ticker?.stop();
-    if (this.isListed) await this.store.remove('members', this.settings.name);
+    // An entry that is on its way would stay in the list after this daemon has left it.
+    await this.reading;
+    if (this.mayBeListed) await this.store.remove('members', this.settings.name);
   }
 
   private async refresh(): Promise<void> {
     const now = steadyNow();
-    if (this.busy || now < this.readAt) return;
-    this.busy = true;
-    try {
-      const isDone = this.isListed ? await this.readLate() : await this.enterAndRead();
-      this.readAt = now + this.nextPause(isDone);
-    } finally {
-      this.busy = false;
-    }
+    const isDone = this.isListed ? await this.readLate() : await this.enterAndRead();
+    this.readAt = now + this.nextPause(isDone);
   }
 
   private nextPause(isDone: boolean): number {
@@ -81,6 +82,7 @@
   /** Enters this daemon before it reads: of two that start at once, one sees the other. */
   private async enterAndRead(): Promise<boolean> {
     const { name } = this.settings;
+    this.mayBeListed = true;
     const created = await this.store.write('members', name, this.entry(), undefined);
     if (created.isErr && created.error.type !== 'conflict') return this.unread(created.error);
     const list = await this.store.list('members', 'current');
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -253,9 +253,10 @@
     });
   }
 
-  static async start(part: Partial<GatewaySettings> = {}): Promise<GatewayHarness> {
+  /** A gateway that has not been started. */
+  static async prepare(part: Partial<GatewaySettings> = {}): Promise<GatewayHarness> {
     const [callers = 0, readiness = 0, peerPort = 0] = await findFreePorts(3);
-    const harness = new GatewayHarness({
+    return new GatewayHarness({
       name: 'daemon',
       zone: 'a',
       address: '127.0.0.1',
@@ -286,6 +287,10 @@
       },
       ...part,
     });
+  }
+
+  static async start(part: Partial<GatewaySettings> = {}): Promise<GatewayHarness> {
+    const harness = await GatewayHarness.prepare(part);
     await harness.gateway.start();
     // The slack of the retry budget is granted after its window.
     await pause(2 * 1_000 * harness.settings.bounds.retryWindowSeconds);
