The soak plays the policies that are deployed

The settings that the soak writes named no policy, so it proved another product than deploy/ runs: without the lease of a limit's holder until it ceased to be a policy, and still without forecasts and relief of crowded copies. It reads the policies from deploy/settings.json now.

--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -1,6 +1,6 @@
 /** One gateway of a soak: the bundle that is deployed, as a process of its own, and what was done to it. */
 import { execFileSync, spawn, type ChildProcess } from 'node:child_process';
-import { appendFileSync, closeSync, openSync, writeFileSync } from 'node:fs';
+import { appendFileSync, closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { LIMIT_EXCESS, LIMIT_SLACK, LIMIT_WINDOW_MS, REVOCATION_MS } from './soak-tenants.js';
 
@@ -10,6 +10,9 @@
 /** The program that is deployed, built from the adapter. */
 const BUNDLE = `${BUILD_FOLDER}/scaleslip-gateway.cjs`;
 
+/** The template of the settings that are deployed. */
+const DEPLOYED_SETTINGS = 'deploy/settings.json';
+
 const SILENT_LINKS = './test/soak/silent-links.mjs';
 
 /** A time in which a gateway was not its own master. */
@@ -56,6 +59,13 @@
   execFileSync(process.execPath, ['scripts/build-gateway.mjs', BUILD_FOLDER]);
 }
 
+/** The policies as they are deployed: a soak plays the same product. Fails if the template has none. */
+function deployedPolicies(): Record<string, boolean> {
+  const template = readFileSync(DEPLOYED_SETTINGS, 'utf8');
+  const [, policies = ''] = /"policies": (\{[^}]*\})/.exec(template) ?? [];
+  return JSON.parse(policies) as Record<string, boolean>;
+}
+
 /** A gateway that is started again whenever it ends. */
 export class GatewayProcess {
   readonly disturbances: Disturbance[] = [];
@@ -80,6 +90,7 @@
       store,
       seeds: [],
       backendsCheckEpochs,
+      policies: deployedPolicies(),
       bounds: {
         stopSeconds: STOP_SECONDS,
         retryRatio: 0.2,
