A test that fails: daemons that join one side of a cut let both sides pass a tenant's limit

Cause: the sides count shares of groups of different sizes, and where three of four are on the holder's side both sides find a majority of their keepers. A sum for m of n cut off and j joined: 1 + m j / (n (n + j)). Weighed and not built: shares from the size at which a missing daemon was seen last (a daemon that has just joined knows no former size, and ranks for the holder like others); daemons that count only 35 s after they are known, so that the other side has read the list again (not without a way to tell a new daemon from one that starts again). Listed in KNOWN-RED.txt.

--- /dev/null
+++ b/test/simulation/joined-during-cut.test.ts
@@ -0,0 +1,72 @@
+/*
+ * Known to fail (KNOWN-RED.txt). Daemons that join one side of a cut make the group of that side look larger, while
+ * the other side does not hear of them and goes on counting its share of the group as it was: both together pass a
+ * tenant's limit. Two of four cut off and eight joined: 2/4 + 10/12 of the limit. With three that join the slack
+ * still covers it. On the virtual clock 8 of 72 cases pass the bound, at 2,700 and 2,800 of 2,600 units.
+ */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { SimulatedLimits } from './simulated-limits.js';
+
+const DAEMONS = 4;
+const WINDOW = { windowMs: 4_000, excess: 0.1, slack: 400 };
+const PER_SECOND = 400;
+const LIMIT = { unit: 'tokens', perSecond: PER_SECOND, burst: 400, plainCharge: 100 } as const;
+const USUAL = 0.55;
+const HOT = 6;
+/** As membership takes. */
+const CUT_SEEN_MS = 1_600;
+/** Daemons run for longer than a window before callers come. */
+const LEAD_SECONDS = 5;
+const BOUND =
+  ((PER_SECOND * WINDOW.windowMs) / 1_000 + LIMIT.burst) * (1 + WINDOW.excess) + WINDOW.slack;
+
+beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+afterEach(() => vi.useRealTimers());
+
+/** How many are cut off with the holder, and from the cut to the joining, in milliseconds. */
+const CUTS = [
+  { withHolder: 0, joinAfterMs: 300 },
+  { withHolder: 0, joinAfterMs: 4_000 },
+  { withHolder: 1, joinAfterMs: 300 },
+  { withHolder: 1, joinAfterMs: 4_000 },
+  { withHolder: 2, joinAfterMs: 300 },
+  { withHolder: 2, joinAfterMs: 4_000 },
+];
+const JOINERS = [3, 8];
+const SEEDS = [1, 2, 3, 4, 5, 6];
+
+interface Case {
+  readonly withHolder: number;
+  readonly joinAfterMs: number;
+  readonly joiners: number;
+  readonly seed: number;
+}
+
+const CASES: readonly Case[] = CUTS.flatMap((cut) =>
+  JOINERS.flatMap((joiners) => SEEDS.map((seed) => ({ ...cut, joiners, seed }))),
+);
+
+/** Most units in a window. */
+async function play({ withHolder, joinAfterMs, joiners, seed }: Case): Promise<number> {
+  const options = { daemons: DAEMONS, limit: LIMIT, window: WINDOW, unitsPerRequest: 100, seed };
+  const group = new SimulatedLimits(options);
+  await group.play({ seconds: LEAD_SECONDS, unitsPerSecond: 0 });
+  await group.play({ seconds: 4, unitsPerSecond: PER_SECOND * USUAL });
+  const holder = group.holder();
+  const others = [...Array(DAEMONS).keys()].filter((index) => index !== holder);
+  group.cutOff([holder, ...others.slice(0, withHolder)], CUT_SEEN_MS, CUT_SEEN_MS);
+  setTimeout(() => group.join(joiners, others.at(-1) ?? 0), joinAfterMs);
+  await group.play({ seconds: 14, unitsPerSecond: PER_SECOND * HOT });
+  return group.outcome().mostInWindow;
+}
+
+describe('daemons that join one side of a cut', () => {
+  it('leave the limit as it is on both sides together', async () => {
+    const exceeded: string[] = [];
+    for (const each of CASES) {
+      const most = await play(each);
+      if (most > BOUND) exceeded.push(`${JSON.stringify(each)}: ${most} of ${BOUND}`);
+    }
+    expect(exceeded).toEqual([]);
+  });
+});
--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -54,7 +54,8 @@
 /** The group. Use it under vitest's fake timers. */
 export class SimulatedLimits {
   private readonly daemons: TenantLimits[];
-  private readonly listed: KeeperCandidate[];
+  /** Daemons that each one lists. */
+  private readonly known: Set<number>[];
   private readonly random;
   private readonly inWindow: SlidingSum;
   private readonly down = new Set<number>();
@@ -81,7 +82,7 @@
     this.limit = options.limit;
     this.inWindow = new SlidingSum(options.window.windowMs);
     const numbers = [...Array(options.daemons).keys()];
-    this.listed = numbers.map((index) => ({ address: `d-${index}`, zone: 'a' }));
+    this.known = numbers.map(() => new Set(numbers));
     this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
   }
 
@@ -124,6 +125,29 @@
     setTimeout(() => see(true), seenByThemAfterMs);
   }
 
+  /**
+   * Daemons join that list all; only those that they reach hear of them.
+   * @returns Their numbers.
+   */
+  join(count: number, onSideOf: number): number[] {
+    const first = this.daemons.length;
+    const joined = Array.from({ length: count }, (_, place) => first + place);
+    const isCut = this.cut.has(onSideOf);
+    for (const index of joined) {
+      if (isCut) this.cut.add(index);
+      // Who has never heard a daemon does not take it for live.
+      this.seesCut.add(index);
+    }
+    const all = [...this.known.keys(), ...joined];
+    for (const [viewer, known] of this.known.entries()) {
+      if (this.cut.has(viewer) === isCut) for (const index of joined) known.add(index);
+    }
+    for (const index of joined) this.known[index] = new Set(all);
+    for (const index of joined) this.daemons[index] = this.daemon(index);
+    this.groupChanged();
+    return joined;
+  }
+
   /** A daemon stands still; what comes meanwhile it handles when it goes on. */
   freeze(index: number, seenAfterMs: number, forMs: number): void {
     this.frozen.set(index, []);
@@ -231,7 +255,7 @@
     const leases = new HolderLeases({
       self,
       logger: silentLogger,
-      listed: () => this.listed,
+      listed: () => this.listedBy(index),
       live,
       rememberMs: this.options.window.windowMs,
       firstSequence: 1 + performance.now(),
@@ -244,7 +268,7 @@
       window: this.options.window,
       logger: silentLogger,
       live,
-      listedCount: () => this.options.daemons,
+      listedCount: () => this.listedBy(index).length,
       tenant: () => ({ ...tenant, limit: this.limit }),
       sendDatagram,
       broadcast: (body) => {
@@ -253,12 +277,16 @@
     });
   }
 
+  private listedBy(viewer: number): KeeperCandidate[] {
+    return [...(this.known[viewer] ?? [])].map((index) => ({ address: `d-${index}`, zone: 'a' }));
+  }
+
   /** The same list until the group changes. */
   private seenBy(index: number): MemberView[] {
     const known = this.views.get(index);
     if (known !== undefined) return known;
     const views: MemberView[] = [];
-    for (const other of this.daemons.keys()) {
+    for (const other of this.known[index] ?? []) {
       if (other !== index && (this.down.has(other) || !this.reaches(index, other))) continue;
       if (this.isCut(index, other) && this.seesCut.has(index)) continue;
       const view = { zone: 'a', site: '', incarnation: 1, state: 'alive', capacity: 1 } as const;
