--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -173,6 +173,11 @@
     this.daemons[index] = this.daemon(index);
   }
 
+  /** The most units in any window counts from now on. */
+  countFromNow(): void {
+    this.mostInWindow = 0;
+  }
+
   private groupChanged(): void {
     this.views.clear();
     for (const daemon of this.daemons) daemon.groupChanged();
