--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -10,8 +10,9 @@
 /** The program that is deployed, built from the adapter. */
 const BUNDLE = `${BUILD_FOLDER}/scaleslip-gateway.cjs`;
 
-/** The template of the settings that are deployed. */
+/** The template of the settings that are deployed, and how the program is run there. */
 const DEPLOYED_SETTINGS = 'deploy/settings.json';
+const DEPLOYMENT = 'deploy/system.toml';
 
 const SILENT_LINKS = './test/soak/silent-links.mjs';
 
@@ -66,6 +67,12 @@
   return JSON.parse(policies) as Record<string, boolean>;
 }
 
+/** Flags of Node with which the program is run where it is deployed: the bound on its memory for one. */
+function deployedFlags(): string[] {
+  const [, flags = ''] = /run = "node ((?:--\S+ )*)/.exec(readFileSync(DEPLOYMENT, 'utf8')) ?? [];
+  return flags.split(' ').filter((flag) => flag !== '');
+}
+
 /** A gateway that is started again whenever it ends. */
 export class GatewayProcess {
   readonly disturbances: Disturbance[] = [];
@@ -142,7 +149,7 @@
     const log = openSync(this.logFile, 'a');
     const { silencedPorts } = this.options;
     const preload = silencedPorts === undefined ? [] : ['--import', SILENT_LINKS];
-    const child = spawn(process.execPath, [...preload, BUNDLE], {
+    const child = spawn(process.execPath, [...deployedFlags(), ...preload, BUNDLE], {
       stdio: silencedPorts === undefined ? ['ignore', log, log] : ['ignore', log, log, 'ipc'],
       env: {
         ...process.env,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -7,6 +7,9 @@
 /** Draws stops of the owner and connections that go silent. */
 const FURTHER_SEED = 50;
 const FURTHER_FAULT_MS = 12_000;
+/** Draws 24 faults that overlap: signals during stops, stops with changes, restarts of many at once. */
+const SERIES_SEED = 30_100;
+const SERIES_FAULT_MS = 20_000;
 /** Draws replicas that leave while a gateway is cut off, and a withdrawal just after its return. */
 const LEAVING_SEED = 9_605;
 const LEAVING_FAULT_MS = 40_000;
@@ -60,6 +63,19 @@
     expect(result.served).toBeGreaterThan(result.calls / 2);
   });
 
+  it('break no promise in series of signals, restarts and changes that overlap', async () => {
+    const result = await runSoak({
+      seed: SERIES_SEED,
+      faultMs: SERIES_FAULT_MS,
+      folder: soakFolder(SERIES_SEED),
+      series: ['signals_at_stop', 'stops_and_changes', 'counter_harmed', 'many_killed'],
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.faults).toBe(24);
+    expect(result.served).toBeGreaterThan(result.calls / 3);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
