An owner that lost sight of the others for a moment claims its service again at once

Cause: an owner that sees too few daemons gives its service up and, unless it ranks first, did not claim it again when it saw them 0.3 s later; the others wait 2.5 s for the owner that they heard last and 2.5 s again for the one of the record. Ruled out: a standstill, an unread record, limits (logs in docs/incidents/nobody-owns-after-a-glance.md).

Change: who has given up for that reason and knows of no higher epoch claims as soon as it sees half of the listed daemons; it reads the record first and leaves the service to whoever claimed meanwhile.

--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -95,6 +95,11 @@
   private awakeSince = steadyNow();
   /** Since when this owner has no proof while the platform answers others. */
   private passedOverSince = Infinity;
+  /**
+   * The epoch that this daemon has given up because it saw too few others, as long as no higher one is known. The
+   * others wait for the owner of the record, so nobody owns the service until it claims again.
+   */
+  private epochOutOfSight: number | undefined;
   private stopped = false;
   private readonly lease = new OwnershipLease();
   private readonly proofs: OwnershipProofs;
@@ -138,7 +143,7 @@
     this.noticeStandstill(now);
     this.lastTick = now;
     if (this.epoch !== undefined) {
-      if (!this.seesEnough()) this.giveUp('sees too few daemons');
+      if (!this.seesEnough()) this.loseSight();
       if (!this.options.backendsCheckEpochs) this.tendLease(now);
       return;
     }
@@ -154,6 +159,12 @@
       .finally(() => (this.busy = false));
   }
 
+  private loseSight(): void {
+    const { epoch } = this;
+    this.giveUp('sees too few daemons');
+    this.epochOutOfSight = epoch;
+  }
+
   private mayClaim(now: number): boolean {
     if (this.stopped || this.busy) return false;
     return now >= this.claimsFrom && now - this.lastRead >= CLAIM_PERIOD_MS;
@@ -170,7 +181,8 @@
 
   /** Another daemon says that it owns the service. */
   hearOwner(address: string, epoch: number): void {
-    if (epoch < (this.record?.epoch ?? 0)) return this.noteFormerOwner(address, epoch);
+    const known = this.epochOutOfSight ?? this.record?.epoch ?? 0;
+    if (epoch < known) return this.noteFormerOwner(address, epoch, known);
     if (this.epoch !== undefined && epoch > this.epoch) this.giveUp('a higher epoch exists');
     if (this.epoch === epoch) return;
     this.lastHeard = steadyNow();
@@ -179,11 +191,10 @@
   }
 
   /** A former owner still speaks as one: on-call sees who heard it, once for each epoch. */
-  private noteFormerOwner(address: string, epoch: number): void {
+  private noteFormerOwner(address: string, epoch: number, known: number): void {
     if (epoch <= this.formerEpochHeard) return;
     this.formerEpochHeard = epoch;
     const { service, logger } = this.options;
-    const known = this.record?.epoch;
     logger.warn('former_owner_heard', { service, address, epoch, known });
   }
 
@@ -193,6 +204,9 @@
     const isKnown = known?.address === record?.address && known?.epoch === record?.epoch;
     if (!isKnown) this.knownSince = steadyNow();
     this.record = record;
+    if (record === undefined || record.epoch > (this.epochOutOfSight ?? 0)) {
+      this.epochOutOfSight = undefined;
+    }
   }
 
   /** Ends the ownership; another daemon may claim. */
@@ -226,6 +240,7 @@
     this.claimsFrom = now + SETTLE_MS;
     this.awakeSince = now;
     this.record = undefined;
+    this.epochOutOfSight = undefined;
     this.giveUp('the process stood still');
   }
 
@@ -238,7 +253,9 @@
     const { peers, service } = this.options;
     const candidates = ablestOf(peers.live()).map((member) => member.address);
     const position = rankCandidates(service, candidates).indexOf(peers.address);
-    if (!this.seesEnough() || position < 0 || position >= MOST_SUCCESSORS) return false;
+    if (!this.seesEnough() || position < 0) return false;
+    if (this.epochOutOfSight !== undefined) return true;
+    if (position >= MOST_SUCCESSORS) return false;
     return position === 0 || this.silentMs() > OWNER_SILENT_MS + position * SUCCESSOR_STEP_MS;
   }
 
@@ -310,6 +327,7 @@
     this.proofs.begin(claim);
     this.record = record;
     this.epoch = epoch;
+    this.epochOutOfSight = undefined;
     this.options.onChange(epoch);
   }
 
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -59,6 +59,12 @@
     this.cuts.add(`${other} ${one}`);
   }
 
+  /** They see and hear each other again. */
+  heal(one: string, other: string): void {
+    this.cuts.delete(`${one} ${other}`);
+    this.cuts.delete(`${other} ${one}`);
+  }
+
   /** Time in which each owner is heard by those that it reaches. */
   async runHeard(milliseconds: number, onTick = (): void => {}): Promise<void> {
     for (let passed = 0; passed < milliseconds; passed += TICK_MS) {
