--- a/test/simulation/cut-off-small-group.test.ts
+++ b/test/simulation/cut-off-small-group.test.ts
@@ -1,15 +1,12 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { SimulatedLimits } from './simulated-limits.js';
+import type { SimulatedLimits } from './simulated-limits.js';
+import { boundOf, LIMIT, warmGroup } from './small-group.js';
 
-const WINDOW = { windowMs: 4_000, excess: 0.1, slack: 400 };
-const LIMIT = { unit: 'tokens', perSecond: 400, burst: 400, plainCharge: 100 } as const;
 const LOWERED = { ...LIMIT, perSecond: 200, burst: 200 } as const;
-const USUAL = 0.55;
 const HOT = 4;
 /** As membership takes. */
 const SEEN_BY_OTHERS_MS = 1_600;
 const SEEN_BY_ITSELF_MS = 2_900;
-const LEAD_SECONDS = 5;
 const GROUP_SIZES = [2, 3, 5];
 const HOT_SECONDS = [0, 1, 6];
 const SEEDS = [1, 2, 3, 4];
@@ -17,12 +14,6 @@
 beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
 afterEach(() => vi.useRealTimers());
 
-/** Units that may run in a window. */
-function boundOf({ perSecond, burst }: { perSecond: number; burst: number }): number {
-  const plain = (perSecond * WINDOW.windowMs) / 1_000 + burst;
-  return plain * (1 + WINDOW.excess) + WINDOW.slack;
-}
-
 function cutHolder(group: SimulatedLimits): void {
   group.cutOff([group.holder()], SEEN_BY_OTHERS_MS, SEEN_BY_ITSELF_MS);
 }
@@ -45,15 +36,7 @@
 }
 
 async function warmUp(daemons: number, seed: number, hotSeconds: number): Promise<SimulatedLimits> {
-  const group = new SimulatedLimits({
-    daemons,
-    limit: LIMIT,
-    window: WINDOW,
-    unitsPerRequest: 100,
-    seed,
-  });
-  await group.play({ seconds: LEAD_SECONDS, unitsPerSecond: 0 });
-  await group.play({ seconds: 4, unitsPerSecond: LIMIT.perSecond * USUAL });
+  const group = await warmGroup(daemons, seed);
   await group.play({ seconds: hotSeconds, unitsPerSecond: LIMIT.perSecond * HOT });
   return group;
 }
--- a/test/simulation/joined-during-cut.test.ts
+++ b/test/simulation/joined-during-cut.test.ts
@@ -5,20 +5,13 @@
  * still covers it. On the virtual clock 8 of 72 cases pass the bound, at 2,700 and 2,800 of 2,600 units.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { SimulatedLimits } from './simulated-limits.js';
+import { boundOf, LIMIT, warmGroup } from './small-group.js';
 
 const DAEMONS = 4;
-const WINDOW = { windowMs: 4_000, excess: 0.1, slack: 400 };
-const PER_SECOND = 400;
-const LIMIT = { unit: 'tokens', perSecond: PER_SECOND, burst: 400, plainCharge: 100 } as const;
-const USUAL = 0.55;
 const HOT = 6;
 /** As membership takes. */
 const CUT_SEEN_MS = 1_600;
-/** Daemons run for longer than a window before callers come. */
-const LEAD_SECONDS = 5;
-const BOUND =
-  ((PER_SECOND * WINDOW.windowMs) / 1_000 + LIMIT.burst) * (1 + WINDOW.excess) + WINDOW.slack;
+const BOUND = boundOf(LIMIT);
 
 beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
 afterEach(() => vi.useRealTimers());
@@ -48,15 +41,12 @@
 
 /** Most units in a window. */
 async function play({ withHolder, joinAfterMs, joiners, seed }: Case): Promise<number> {
-  const options = { daemons: DAEMONS, limit: LIMIT, window: WINDOW, unitsPerRequest: 100, seed };
-  const group = new SimulatedLimits(options);
-  await group.play({ seconds: LEAD_SECONDS, unitsPerSecond: 0 });
-  await group.play({ seconds: 4, unitsPerSecond: PER_SECOND * USUAL });
+  const group = await warmGroup(DAEMONS, seed);
   const holder = group.holder();
   const others = [...Array(DAEMONS).keys()].filter((index) => index !== holder);
   group.cutOff([holder, ...others.slice(0, withHolder)], CUT_SEEN_MS, CUT_SEEN_MS);
   setTimeout(() => group.join(joiners, others.at(-1) ?? 0), joinAfterMs);
-  await group.play({ seconds: 14, unitsPerSecond: PER_SECOND * HOT });
+  await group.play({ seconds: 14, unitsPerSecond: LIMIT.perSecond * HOT });
   return group.outcome().mostInWindow;
 }
 
