A request that has crashed three backends is refused, at every daemon

Callers of a service saw refusals and broken streams while its backends ended one after the other: a request that crashes whatever runs it was sent to a second backend after each break, and its caller's repeat started from nothing, at any daemon. Cause: nothing told a request from another beyond its own attempt.

A crash is held against the request there that has met most, so what merely ran beside is not condemned with it; a whole answer clears.

Ruled out: resets, cuts and broken answers as evidence (the address still takes a connection).

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -42,6 +42,7 @@
   not_ready: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   draining: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   platform_unavailable: { status: 503, ran: 'no', retryAfterSeconds: 5 },
+  crashes_backends: { status: 503, ran: 'no', retryAfterSeconds: 0 },
   engine_refused: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   deadline_exceeded_waiting: { status: 504, ran: 'no', retryAfterSeconds: 1 },
   deadline_exceeded_running: { status: 504, ran: 'yes', retryAfterSeconds: 0 },
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -30,6 +30,8 @@
       readonly silent: boolean;
       /** The backend broke the connection off before it answered. */
       readonly broken: boolean;
+      /** The connection broke off under the request, before the answer began or after. */
+      readonly cutOff: boolean;
       /** The backend refused because it lacks the model, or is another process. */
       readonly lacksModel: boolean;
       /** A failure that the backend vouches for; the caller may be given it. */
@@ -253,6 +255,7 @@
       reason: `answered with status ${status}`,
       silent: false,
       broken: false,
+      cutOff: false,
       lacksModel: false,
       ...(vouched ? { answer: whole } : {}),
     });
@@ -275,6 +278,7 @@
       reason,
       silent: !reached,
       broken: reached && this.incoming === undefined,
+      cutOff: reached,
       lacksModel: false,
     });
   }
@@ -294,6 +298,7 @@
       reason,
       silent: extra.silent === true,
       broken: false,
+      cutOff: false,
       lacksModel: extra.lacksModel === true,
     });
   }
--- /dev/null
+++ b/src/gateway/crash-watch.ts
@@ -0,0 +1,196 @@
+/**
+ * Which requests crash the backends that run them, as this daemon sees it and hears it from the others, so that
+ * one that has crashed several is sent to no other.
+ */
+import net from 'node:net';
+import type { Logger } from '../common/logger.js';
+import { splitAddress } from '../common/http-client.js';
+import { isAnotherStart } from '../core/backend-starts.js';
+import { CrashRecords, type CrashRecord, type CrashVerdict } from '../core/crash-records.js';
+import type { BackendRecord } from '../core/service-configuration.js';
+import type { PeerBody } from '../daemon/peer-transport.js';
+import { CrashGossip, type CrashGossipOptions } from './crash-gossip.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import { steadyNow } from './steady-clock.js';
+
+/** A backend that has not taken a connection by then may be cut off: nothing says that it has ended. */
+const PROBE_TIMEOUT_MS = 350;
+/** Requests that break off together ask once. */
+const PROBE_VALID_MS = 200;
+
+/** Options of {@link CrashWatch}. */
+export interface CrashWatchOptions extends Omit<CrashGossipOptions, 'records' | 'onNews'> {
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  /** A backend as it is listed now. */
+  readonly listed: (backend: string) => BackendRecord | undefined;
+  /** Requests that wait, or are under way, look again whether they may be sent. */
+  readonly onCondemned: () => void;
+}
+
+/** A request that takes its turn with others. */
+export interface SuspectRequest {
+  /** Whether it has begun to answer. */
+  readonly hasBegun: boolean;
+}
+
+interface Probe {
+  readonly at: number;
+  readonly hasEnded: Promise<boolean>;
+}
+
+/** One daemon's knowledge of such requests. */
+export class CrashWatch {
+  private readonly records = new CrashRecords();
+  private readonly gossip: CrashGossip;
+  /** By "ip:port". */
+  private readonly probes = new Map<string, Probe>();
+  /** The suspect that has its turn, by backend. */
+  private readonly running = new Map<string, SuspectRequest>();
+  private condemned = new Set<string>();
+
+  constructor(private readonly options: CrashWatchOptions) {
+    this.gossip = new CrashGossip({
+      ...options,
+      records: this.records,
+      onNews: (news, from) => this.changed(news, from),
+    });
+  }
+
+  /** Whether no request needs a look. */
+  get isIdle(): boolean {
+    return this.records.isEmpty;
+  }
+
+  /** Looks at the clock; call it a few times a second. */
+  tick(): void {
+    const now = steadyNow();
+    this.records.forgetOld(now);
+    for (const [address, { at }] of this.probes) {
+      if (now - at >= PROBE_VALID_MS) this.probes.delete(address);
+    }
+    this.gossip.tick();
+    this.noteCondemned();
+  }
+
+  verdict(digest: string): CrashVerdict {
+    return this.records.verdict(digest);
+  }
+
+  /** Crashes that are held against a request. */
+  crashesOf(digest: string): number {
+    return this.records.crashesOf(digest);
+  }
+
+  /**
+   * A backend has broken a request off. Ends when it is known whether the backend's process has ended; only that counts, for
+   * connections break off for other reasons too.
+   */
+  async brokeOff(
+    backend: BackendRecord,
+    digest: string,
+    request: string | undefined,
+  ): Promise<void> {
+    const start = startOf(backend);
+    const isKnown =
+      this.records.hasCrashed(start) || isAnotherStart(backend, this.options.listed(backend.id));
+    const hasEnded = isKnown || (await this.hasEnded(backend.address));
+    if (!hasEnded) return;
+    const record = this.records.noteCrash(digest, start, steadyNow());
+    if (record === undefined) return;
+    const crashes = this.records.crashesOf(digest);
+    this.options.logger.warn('crash_met', { request, digest, backend: backend.id, crashes });
+    this.options.metrics.crashesMet.inc();
+    this.gossip.tell(record);
+    this.noteCondemned();
+  }
+
+  /** A backend has answered the request in full. */
+  answered(digest: string): void {
+    const record = this.records.noteAnswer(digest, steadyNow());
+    if (record === undefined) return;
+    this.options.logger.info('crash_excused', { digest, starts: record.excused.length });
+    this.gossip.tell(record);
+    this.noteCondemned();
+  }
+
+  /** A request that is refused has come. */
+  repeated(digest: string): void {
+    this.records.noteRepeat(digest, steadyNow());
+  }
+
+  /** Whether no other suspect runs at a backend that has not begun to answer. */
+  isPlaceFree(backend: string, suspect: SuspectRequest): boolean {
+    const holder = this.running.get(backend);
+    return holder === undefined || holder === suspect || holder.hasBegun;
+  }
+
+  /** Takes the one place for suspects at a backend; false if another suspect has it. */
+  takePlace(backend: string, suspect: SuspectRequest): boolean {
+    if (!this.isPlaceFree(backend, suspect)) return false;
+    this.running.set(backend, suspect);
+    return true;
+  }
+
+  /** The suspect runs no more. */
+  leavePlace(suspect: SuspectRequest): void {
+    for (const [backend, holder] of this.running) {
+      if (holder === suspect) this.running.delete(backend);
+    }
+  }
+
+  /** Takes a message of another daemon; false if it is of another kind. */
+  receive(from: string, body: PeerBody): boolean {
+    if (body.case !== 'crashNews') return false;
+    this.gossip.receive(from, body.value);
+    return true;
+  }
+
+  private changed(news: readonly CrashRecord[], from: string): void {
+    this.options.logger.info('crash_news', { from, requests: news.length });
+    this.noteCondemned();
+  }
+
+  private noteCondemned(): void {
+    const { logger, metrics, onCondemned } = this.options;
+    const condemned = new Set(this.records.condemned());
+    const added = [...condemned].filter((digest) => !this.condemned.has(digest));
+    const lifted = [...this.condemned].filter((digest) => !condemned.has(digest));
+    this.condemned = condemned;
+    metrics.condemnedRequests.set(condemned.size);
+    for (const digest of added) {
+      logger.warn('request_condemned', { digest, crashes: this.records.crashesOf(digest) });
+    }
+    for (const digest of lifted) logger.info('request_acquitted', { digest });
+    if (added.length + lifted.length > 0) onCondemned();
+  }
+
+  private hasEnded(address: string): Promise<boolean> {
+    const now = steadyNow();
+    const known = this.probes.get(address);
+    if (known !== undefined && now - known.at < PROBE_VALID_MS) return known.hasEnded;
+    const hasEnded = isRefused(address);
+    this.probes.set(address, { at: now, hasEnded });
+    return hasEnded;
+  }
+}
+
+/** Names one start of a backend's process. */
+function startOf({ id, start }: BackendRecord): string {
+  return start === undefined ? id : `${id} ${start}`;
+}
+
+/** Whether nobody listens at an address any more. */
+function isRefused(address: string): Promise<boolean> {
+  const [host, port] = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port, timeout: PROBE_TIMEOUT_MS });
+    const end = (hasEnded: boolean): void => {
+      socket.destroy();
+      resolve(hasEnded);
+    };
+    socket.once('connect', () => end(false));
+    socket.once('timeout', () => end(false));
+    socket.once('error', (fault: NodeJS.ErrnoException) => end(fault.code === 'ECONNREFUSED'));
+  });
+}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -8,6 +8,7 @@
 import type { AnswerBuffer } from './answer-buffer.js';
 import type { BackendAgent } from './backend-agent.js';
 import type { CallerAdmission } from './caller-admission.js';
+import type { CrashWatch } from './crash-watch.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { RequestDialect } from './ports.js';
@@ -30,6 +31,7 @@
   readonly logger: Logger;
   readonly admission: CallerAdmission;
   readonly limits: TenantLimits;
+  readonly crashes: CrashWatch;
   /** Keeps backends' slots over all daemons; undefined if each daemon chooses alone. */
   readonly slots: SlotAdmission | undefined;
   /** What is held of answers and bodies. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,6 +33,16 @@
     help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
     registers: [this.registry],
   });
+  readonly crashesMet = new Counter({
+    name: 'scaleslip_gateway_crashes_met_total',
+    help: 'Requests that this daemon had at a backend when it crashed',
+    registers: [this.registry],
+  });
+  readonly condemnedRequests = new Gauge({
+    name: 'scaleslip_gateway_condemned_requests',
+    help: 'Requests that are refused because backends have crashed under them',
+    registers: [this.registry],
+  });
   readonly heldBytes = new Gauge({
     name: 'scaleslip_gateway_held_bytes',
     help: 'Bytes of answers that callers have not read, and of bodies of requests under way',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { forgetEarlierStart } from './backend-restarts.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerFront } from './caller-front.js';
+import { CrashWatch } from './crash-watch.js';
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
 import { ConfigurationExchange } from './configuration-exchange.js';
 import { CurrencyProofs } from './currency-proofs.js';
@@ -89,6 +90,7 @@
   private readonly admission: CallerAdmission;
   private readonly limits: TenantLimits;
   private readonly slots: SlotAdmission | undefined;
+  private readonly crashes: CrashWatch;
   private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
@@ -145,6 +147,7 @@
       onDoubt: () => this.proofs.tick(),
     });
     this.limits = this.makeLimits();
+    this.crashes = this.makeCrashWatch();
     this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.duties = new ServiceDuties({
       settings,
@@ -300,6 +303,20 @@
     });
   }
 
+  private makeCrashWatch(): CrashWatch {
+    const { outside, peers } = this;
+    return new CrashWatch({
+      logger: outside.logger,
+      metrics: outside.metrics,
+      listed: (backend) => this.backends.get(backend),
+      others: () => peers.reachableOthers(),
+      send: (to, body) => peers.send(to, body),
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+      broadcast: (body) => peers.broadcast(body),
+      onCondemned: () => this.scheduleLook(),
+    });
+  }
+
   private makeLeases(): HolderLeases {
     const { outside, peers } = this;
     return new HolderLeases({
@@ -330,6 +347,7 @@
       logger,
       admission: this.admission,
       limits: this.limits,
+      crashes: this.crashes,
       slots: this.slots,
       answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
@@ -403,6 +421,7 @@
     if (this.admission.needsLease) this.proofs.tick();
     if (this.admission.needsKeys) this.limits.tick();
     this.slots?.tick();
+    this.crashes.tick();
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.logMembers();
@@ -478,7 +497,7 @@
   private receive(from: string, body: PeerBody): void {
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
-    if (this.slots?.receive(from, body)) return;
+    if (this.slots?.receive(from, body) || this.crashes.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.configurations.hearVersion(from, body.value.configurationVersion);
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -34,6 +34,8 @@
   /** What it goes by of the backends' capacity. */
   readonly need: CapacityNeed;
   readonly standing: () => SlotStanding;
+  /** Whether the request may run at a backend beside what runs there. */
+  readonly mayRunAt: (backend: string) => boolean;
   /** The request may be sent to the backend now. */
   readonly onSlot: (backend: BackendRecord) => void;
   /** It waits for its turn at a backend; called again when the expected wait has changed. */
@@ -173,7 +175,8 @@
     return directory
       .serving(service.name)
       .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
-      .filter((backend) => model === undefined || directory.holds(backend, model, now));
+      .filter((backend) => model === undefined || directory.holds(backend, model, now))
+      .filter((backend) => this.options.mayRunAt(backend.id));
   }
 
   /** Those that are sound, and that the request was not sent to yet. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -21,6 +21,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
+import { RequestSuspicion } from './request-suspicion.js';
 import type { WaitingCaller } from './request-tracker.js';
 import { steadyNow } from './steady-clock.js';
 import { TenantPass, type PassDenial } from './tenant-pass.js';
@@ -60,7 +61,8 @@
   | 'draining'
   | 'unauthorized'
   | 'not_ready'
-  | 'rate_limited';
+  | 'rate_limited'
+  | 'crashes_backends';
 
 /** One request under way. */
 export class RequestExchange {
@@ -87,6 +89,7 @@
   /** The model that a backend must hold; none if the service's backends load no models. */
   private readonly model: ModelReference | undefined;
   private readonly need: CapacityNeed;
+  private readonly suspicion: RequestSuspicion;
 
   constructor(
     private readonly context: GatewayContext,
@@ -106,6 +109,7 @@
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
     const dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
     this.waitingCaller = { dueAt, goalMs: route.goalMs };
+    this.suspicion = new RequestSuspicion(context.crashes, request, () => this.answer.hasBegun);
     this.search = this.makeSearch();
     response.on('close', () => this.callerClosed());
   }
@@ -144,6 +148,8 @@
 
   /** Something has changed that a waiting request may hope for. */
   look(): void {
+    // Work that waits at a backend, or has just begun there, is taken back before it crashes another one.
+    if (!this.ended && !this.answer.hasBegun && this.isCondemned()) return this.refuseCrashing();
     const isIdle = this.attempt === undefined;
     if (isIdle && (this.isWaiting || this.search.isPending)) this.dispatch();
   }
@@ -167,7 +173,22 @@
   }
 
   private dispatch(): void {
-    if (!this.ended) this.search.next();
+    if (this.ended) return;
+    if (this.isCondemned()) this.refuseCrashing();
+    else this.search.next();
+  }
+
+  private isCondemned(): boolean {
+    return this.suspicion.verdict() === 'condemned';
+  }
+
+  /** Its caller is not told to come back: the next backend would crash as well. */
+  private refuseCrashing(): void {
+    const { digest, crashes } = this.suspicion;
+    this.suspicion.refused();
+    const mayHaveRun = this.attempt !== undefined;
+    if (mayHaveRun) return this.giveUp('unknown', 'crashes_backends');
+    this.refuse('crashes_backends', undefined, { digest, crashes });
   }
 
   private makeSearch(): RequestDispatch {
@@ -177,6 +198,7 @@
       sharedPrompt: this.request.head.sharedPrompt,
       need: this.need,
       standing: () => this.standing(),
+      mayRunAt: (backend) => this.suspicion.mayTakePlace(backend),
       onSlot: (backend) => this.send(backend),
       onQueued: () => this.queued(),
       onNone: () => this.holdOrRefuse(),
@@ -220,6 +242,8 @@
   }
 
   private holdOrRefuse(): void {
+    // Its turn comes as soon as the suspects before it have begun to answer, or have crashed what they run at.
+    if (this.suspicion.verdict() === 'suspect') return this.wait();
     const { service } = this.match;
     const now = steadyNow();
     const readyInMs =
@@ -307,6 +331,8 @@
     const now = steadyNow();
     const denial = this.pass.deniedKey();
     if (denial !== undefined) return this.refuseDenied(denial);
+    if (this.isCondemned()) return this.refuseCrashing();
+    if (!this.suspicion.takePlace(backend.id)) return this.waitForPlace();
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
     this.setWaiting(false);
     clearTimeout(this.lookTimer);
@@ -346,6 +372,12 @@
     });
   }
 
+  /** Another suspect has just been sent there. */
+  private waitForPlace(): void {
+    this.search.release();
+    this.wait();
+  }
+
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
@@ -383,7 +415,10 @@
     if (this.ended) return;
     this.releaseAttempt(backend.id, this.hasFailed(backend, end));
     this.judgeBackend(backend, end);
-    if (end.type === 'done') return this.finish(end.status < 400 ? 'served' : 'failed');
+    if (end.type === 'done') {
+      this.suspicion.answered();
+      return this.finish(end.status < 400 ? 'served' : 'failed');
+    }
     this.log('attempt_failed', {
       backend: backend.id,
       ran: end.ran,
@@ -399,7 +434,8 @@
     }
     const history = { runs: this.runs, sends: this.sends };
     const step = afterFailure(this.match.route, end, history);
-    if (step === 'retry') return this.dispatch();
+    const examined = end.cutOff ? this.suspicion.brokeOff(backend) : undefined;
+    if (step === 'retry') return this.dispatchAfter(examined);
     if (end.answer !== undefined && !this.answer.hasBegun) {
       this.answer.sendWhole(end.answer);
       return this.finish('failed');
@@ -408,10 +444,17 @@
     this.giveUp(this.lastRan, end.reason);
   }
 
+  /** Sends the request again once it is known whether it has crashed its backend. */
+  private dispatchAfter(examined: Promise<void> | undefined): void {
+    if (examined === undefined) return this.dispatch();
+    void examined.then(() => this.dispatch());
+  }
+
   /** The attempt is over: the backend no longer works on the request. */
   private releaseAttempt(backend: string, hasFailed = false): void {
     this.uncount(backend);
     this.attempt = undefined;
+    this.suspicion.leavePlace();
     this.search.release(hasFailed);
     this.setWaiting(false);
   }
--- /dev/null
+++ b/test/core/crash-records.test.ts
@@ -0,0 +1,115 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { CrashRecords, type CrashRecord } from '../../src/core/crash-records.js';
+
+const [A = '', B = '', C = ''] = ['a', 'b', 'c'].map((letter) => letter.repeat(32));
+
+function withCrashes(crashes: readonly (readonly [string, string])[]): CrashRecords {
+  const records = new CrashRecords();
+  for (const [digest, start] of crashes) records.noteCrash(digest, start, 0);
+  return records;
+}
+
+describe('CrashRecords', () => {
+  it('condemns what three starts of backends have crashed under, each counted once', () => {
+    const records = withCrashes([
+      [A, '1'],
+      [A, '2'],
+      [A, '2'],
+    ]);
+    expect(records.verdict(A)).toBe('suspect');
+    records.noteCrash(A, '3', 1);
+    expect(records.verdict(A)).toBe('condemned');
+    expect(records.condemned()).toEqual([A]);
+    expect(records.verdict(B)).toBe('sound');
+  });
+
+  it('does not condemn with it what ran beside, also three times, once it has met one crash more', () => {
+    const records = withCrashes(
+      ['1', '2', '3'].flatMap((start) => [[A, start] as const, [B, start] as const]),
+    );
+    expect(records.verdict(B)).toBe('condemned');
+    records.noteCrash(A, '4', 0);
+    expect(records.verdict(A)).toBe('condemned');
+    expect(records.verdict(B)).toBe('sound');
+    expect(records.crashesOf(B)).toBe(0);
+  });
+
+  it('does not condemn what ran beside it twice', () => {
+    const records = withCrashes([
+      [A, '1'],
+      [B, '2'],
+      [A, '2'],
+      [B, '3'],
+      [A, '3'],
+    ]);
+    expect(records.verdict(A)).toBe('condemned');
+    expect(records.verdict(B)).toBe('sound');
+  });
+
+  it('holds nothing against what has been answered since', () => {
+    const records = withCrashes([
+      [A, '1'],
+      [A, '2'],
+    ]);
+    const told = records.noteAnswer(A, 1);
+    expect(records.verdict(A)).toBe('sound');
+    records.noteCrash(A, '3', 2);
+    expect(records.verdict(A)).toBe('sound');
+    const other = withCrashes([
+      [A, '1'],
+      [A, '2'],
+      [A, '4'],
+    ]);
+    other.hear([told!], 3);
+    expect(other.crashesOf(A)).toBe(1);
+    expect(records.noteAnswer(C, 3)).toBeUndefined();
+  });
+
+  it('forgets what is not heard of for ten minutes, and no earlier what comes again', () => {
+    const records = withCrashes([
+      [A, '1'],
+      [B, '1'],
+    ]);
+    records.noteRepeat(A, 500_000);
+    records.forgetOld(599_999);
+    expect(records.all(0)).toHaveLength(2);
+    records.forgetOld(600_000);
+    expect(records.all(0).map(({ digest }) => digest)).toEqual([A]);
+    const late: CrashRecord = { digest: C, starts: ['1'], excused: [], ageMs: 600_000 };
+    expect(records.hear([late], 600_000)).toEqual([]);
+  });
+
+  it('stays bounded, and keeps what has met most crashes', () => {
+    const records = withCrashes([
+      [A, '1'],
+      [A, '2'],
+      [A, '3'],
+    ]);
+    for (let index = 0; index < 5_000; index++) {
+      records.noteCrash(index.toString(16).padStart(32, '0'), `start ${index}`, index);
+    }
+    expect(records.all(0).length).toBeLessThanOrEqual(2_048);
+    expect(records.verdict(A)).toBe('condemned');
+  });
+
+  it('is the same in whatever order, and however often, it is told', () => {
+    const record = fc.record({
+      digest: fc.constantFrom(A, B, C),
+      starts: fc.array(fc.constantFrom('1', '2', '3', '4'), { maxLength: 3 }),
+      excused: fc.array(fc.constantFrom('1', '2', '3', '4'), { maxLength: 2 }),
+      ageMs: fc.nat(1_000),
+    });
+    fc.assert(
+      fc.property(fc.array(record, { maxLength: 8 }), fc.func(fc.nat()), (told, order) => {
+        const one = new CrashRecords();
+        for (const entry of told) one.hear([entry], 0);
+        const other = new CrashRecords();
+        const shuffled = [...told, ...told].sort((x, y) => order(x) - order(y));
+        other.hear(shuffled, 0);
+        expect(other.stateDigest()).toBe(one.stateDigest());
+        for (const digest of [A, B, C]) expect(other.verdict(digest)).toBe(one.verdict(digest));
+      }),
+    );
+  });
+});
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -20,6 +20,8 @@
 const BACKENDS = 6;
 /** A backend that has crashed is back after so long, with another id. */
 const BACK_AFTER_MS = 300;
+/** All daemons that are in touch know after so long. */
+const TOLD_WITHIN_MS = 1_500;
 const ROUTE = testRoute({ maxAttempts: 3, goalMs: 2_000 });
 
 describe('a request that crashes the backends that run it', () => {
@@ -119,4 +121,14 @@
     expect((await call(0, 'other', 'sound')).status).toBe(200);
     expect((await call(1, 'other', 'sound')).status).toBe(200);
   });
+
+  it('is known to a daemon that starts later, and to one that starts again', async () => {
+    await repeat('crash', 4);
+    expect(crashes).toBe(3);
+    const joined = await join('127.0.0.3', ADDRESSES);
+    await meet(3);
+    await pause(TOLD_WITHIN_MS);
+    expect((await joined.call({ id: 'later', body: 'crash' })).status).toBe(503);
+    expect(crashes).toBe(3);
+  });
 });
