Leases are counted by a clock that goes on while the machine is suspended

Backends that check no epochs got orders of a former owner after those of its successor: the machine of the former one had been suspended, its steady clock had not counted that, and its lease seemed fresh. Cause: permissions that end were counted by a clock that may stand still.

Now `common/lease-clock.ts` counts them: the steady clock and each leap of the time of day ahead of it. Why it holds: it is never behind the time that has passed, short of a step back in the same moment; waits (a former owner's last orders, a keeper's word, windows) stay with the steady clock, which counts less, so each side errs to the safe one. The same cause was looked for and mended in the lease of who counts a limit, proofs of the configuration, what readers have said, the age of readings and the time to write an order. A step of the time of day ahead costs a proof, not an ownership.

Simulated tests that play the steady clock now play the time of day with it.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -1,6 +1,7 @@
 /** A small HTTP client on Node's `http`: JSON requests and streams of JSON lines. */
 import http from 'node:http';
 import { Result } from 'true-myth';
+import { leaseNow } from './lease-clock.js';
 import type { LinkFaults } from './link-faults.js';
 
 /** Why no whole answer came. */
@@ -190,13 +191,13 @@
       headers['content-length'] = Buffer.byteLength(payload);
     }
     let connected = false;
-    const startedAt = performance.now();
+    const startedAt = leaseNow();
     const outgoing = http.request(
       { host, port, method: request.method, path: request.path, headers, agent: this.agent },
       onAnswer,
     );
     const sendOnceConnected = (): void => {
-      if (performance.now() - startedAt > (request.sendWithinMs ?? Infinity)) {
+      if (leaseNow() - startedAt > (request.sendWithinMs ?? Infinity)) {
         outgoing.destroy(new Error('it is too late to send the request'));
         return;
       }
--- a/src/core/configuration-lease.ts
+++ b/src/core/configuration-lease.ts
@@ -5,7 +5,7 @@
  * be the newest, and serves keys only while that is recent. Proofs come from the platform's
  * answers, or from a peer's: the age that the peer tells, counted back from the moment at
  * which it was asked. No clocks are compared and a message in flight lengthens nothing.
- * `spec/revocation.pml` is its model. Pure; times are milliseconds of a steady clock.
+ * `spec/revocation.pml` is its model. Pure; times are milliseconds of the lease clock.
  */
 
 import { NewestProof } from './newest-proof.js';
@@ -13,7 +13,7 @@
 /** No configuration newer than `version` had been accepted at `provenAt`. */
 export interface CurrencyProof {
   readonly version: number;
-  /** Steady time of the daemon that holds the proof. */
+  /** By the lease clock of the daemon that holds the proof. */
   readonly provenAt: number;
 }
 
--- a/src/core/newest-proof.ts
+++ b/src/core/newest-proof.ts
@@ -1,4 +1,4 @@
-/** When something was last proved. Pure; times are milliseconds of a steady clock. */
+/** When something was last proved. Pure; times are milliseconds of the lease clock. */
 
 /** The newest of several proofs, each counted from the moment at which its question was asked. */
 export class NewestProof {
--- a/src/core/ownership-lease.ts
+++ b/src/core/ownership-lease.ts
@@ -3,8 +3,8 @@
  * itself can end its orders, so it gives them only while it holds a proof, younger than HOLD_MS, that
  * nobody had claimed the service after it; and whoever claims it gives no order for HAND_OVER_MS. A
  * proof counts from the moment at which its question was asked: no clocks are compared, and an
- * answer in flight lengthens nothing. `spec/ownership.pml` is its model. Pure; times are
- * milliseconds of a steady clock.
+ * answer in flight lengthens nothing. `spec/ownership.pml` is its model. Pure; times are milliseconds: a proof's of the
+ * lease clock, which counts the time for which a machine was suspended, and the wait's of the steady one, which may count less.
  */
 import { NewestProof } from './newest-proof.js';
 
@@ -17,7 +17,9 @@
 
 /** A claim that was won. */
 export interface WonClaim {
+  /** By the lease clock. */
   readonly askedAt: number;
+  /** By the steady clock. */
   readonly answeredAt: number;
   /** All former owners are known to have given their last orders. */
   readonly isHandedOver: boolean;
@@ -46,12 +48,12 @@
   }
 
   /** Milliseconds until an order may be sent: 0 for now, infinite without a recent proof. */
-  delayMs(now: number): number {
-    return this.ageMs(now) > HOLD_MS ? Infinity : Math.max(0, this.ordersFrom - now);
+  delayMs(leaseNow: number, steadyNow: number): number {
+    return this.ageMs(leaseNow) > HOLD_MS ? Infinity : Math.max(0, this.ordersFrom - steadyNow);
   }
 
   /** Whether an order may be sent now. */
-  holds(now: number): boolean {
-    return this.delayMs(now) === 0;
+  holds(leaseNow: number, steadyNow: number): boolean {
+    return this.delayMs(leaseNow, steadyNow) === 0;
   }
 }
--- a/src/gateway/caller-admission.ts
+++ b/src/gateway/caller-admission.ts
@@ -3,11 +3,11 @@
  * that knows the keys. Asked again before each send to a backend, for the key may have been
  * taken away while the request waited, or while the daemon stood still.
  */
+import { leaseNow } from '../common/lease-clock.js';
 import { KeyRing } from '../core/admission/api-keys.js';
 import type { Logger } from '../common/logger.js';
 import type { ConfigurationLease } from '../core/configuration-lease.js';
 import type { CallerTenant, Route, ServiceConfiguration } from '../core/service-configuration.js';
-import { steadyNow } from './steady-clock.js';
 
 /** A caller that is refused for want of a current configuration comes back after so long. */
 const COME_BACK_MS = 400;
@@ -97,12 +97,12 @@
   private mayDeny(): boolean {
     if (!this.needsLease) return this.options.isInformed();
     const limitMs = Math.min(this.options.configurationMs, this.options.revocationMs);
-    return this.options.lease.ageMs(steadyNow()) <= limitMs - LEASE_MARGIN_MS;
+    return this.options.lease.ageMs(leaseNow()) <= limitMs - LEASE_MARGIN_MS;
   }
 
   private hasLease(): boolean {
     const { lease, logger, revocationMs } = this.options;
-    const ageMs = lease.ageMs(steadyNow());
+    const ageMs = lease.ageMs(leaseNow());
     const holds = ageMs <= revocationMs - LEASE_MARGIN_MS;
     if (holds !== this.hadLease) {
       this.hadLease = holds;
@@ -114,7 +114,7 @@
 
   /** Age of the proof that the configuration is current; undefined if none is needed or there is none. */
   proofAgeMs(): number | undefined {
-    const ageMs = this.options.lease.ageMs(steadyNow());
+    const ageMs = this.options.lease.ageMs(leaseNow());
     return this.needsLease && Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
   }
 
--- a/src/gateway/currency-proofs.ts
+++ b/src/gateway/currency-proofs.ts
@@ -5,6 +5,7 @@
  * no useful answer passes over the silent one, and at last reads the store itself.
  */
 import { create } from '@bufbuild/protobuf';
+import { leaseNow } from '../common/lease-clock.js';
 import type { Logger } from '../common/logger.js';
 import { rankCandidates } from '../common/rendezvous.js';
 import { ConfigurationLease } from '../core/configuration-lease.js';
@@ -12,7 +13,6 @@
 import type { MemberView } from '../core/membership-messages.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { CurrencyAnswerSchema, CurrencyQuestionSchema } from '../proto/gen/internal_pb.js';
-import { steadyNow } from './steady-clock.js';
 
 /** Daemons that read the store while all is well; a second one for the time that the first one's loss takes to show. */
 const READERS = 2;
@@ -85,7 +85,7 @@
 
   /** Looks at the clock; call it ten times a second. */
   tick(): void {
-    const now = steadyNow();
+    const now = leaseNow();
     this.dropUnanswered(now);
     const order = this.usableOrder(now);
     const position = order.indexOf(this.options.self);
@@ -125,7 +125,7 @@
       const retries = position < READERS ? READER_RETRIES : OTHER_RETRIES;
       const pauseMs = Math.min(retries.longestMs, retries.firstMs * 2 ** this.failures);
       this.failures = isAnswered ? 0 : this.failures + 1;
-      if (!isAnswered) this.nextReadAt = steadyNow() + pauseMs;
+      if (!isAnswered) this.nextReadAt = leaseNow() + pauseMs;
     });
   }
 
@@ -144,7 +144,7 @@
   }
 
   private answer(to: string, question: number): void {
-    const ageMs = Math.ceil(this.lease.ageMs(steadyNow()));
+    const ageMs = Math.ceil(this.lease.ageMs(leaseNow()));
     if (!Number.isFinite(ageMs)) return;
     const value = create(CurrencyAnswerSchema, {
       question,
@@ -161,7 +161,7 @@
     this.question = undefined;
     this.lease.prove({ version, provenAt: question.askedAt - ageMs });
     this.options.hearVersion(from, version);
-    if (ageMs > USEFUL_AGE_MS) this.passOver(from, `its proof was ${ageMs} ms old`, steadyNow());
+    if (ageMs > USEFUL_AGE_MS) this.passOver(from, `its proof was ${ageMs} ms old`, leaseNow());
   }
 
   private dropUnanswered(now: number): void {
--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -8,6 +8,7 @@
  * once, and a digest of what they list, and who holds other backends reads for itself.
  */
 import type { Logger } from '../common/logger.js';
+import { leaseNow } from '../common/lease-clock.js';
 import { rankCandidates } from '../common/rendezvous.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendList, PresenceChanges } from '../core/backend-presence.js';
@@ -73,11 +74,12 @@
 
   /** Looks at the clock; call it a few times a second. */
   tick(): void {
+    const knownAt = leaseNow();
+    this.readers.forgetSilent(knownAt);
+    this.noticeOwnReading(knownAt);
+    this.noticeDifference(knownAt);
+    this.chooseAttention(knownAt);
     const now = steadyNow();
-    this.readers.forgetSilent(now);
-    this.noticeOwnReading(now);
-    this.noticeDifference(now);
-    this.chooseAttention(now);
     const ended = this.options.backends.expireMissing(now);
     if (ended.length > 0) this.changed({ ended, started: [] }, 'hold_over');
     const isDue = now - this.lastPublished >= NEWS_PERIOD_MS;
@@ -98,14 +100,14 @@
    * Milliseconds since the platform answered this daemon, without delay, or a reader that told of it; infinite
    * if neither is known.
    */
-  knowledgeAgeMs(now: number): number {
-    const heardAgeMs = now - this.readers.answeredHeardAt();
+  knowledgeAgeMs(): number {
+    const heardAgeMs = leaseNow() - this.readers.answeredHeardAt();
     return Math.min(this.options.directory.readingAgeMs(), heardAgeMs);
   }
 
   /** Whether another daemon is heard that the platform answers. */
   hearsAnsweredReader(): boolean {
-    return this.readers.hearsAnswered(steadyNow());
+    return this.readers.hearsAnswered(leaseNow());
   }
 
   /** The platform's list has changed. */
@@ -131,7 +133,7 @@
       ? []
       : news.started.filter((record) => backends.noteStarted(record, now));
     const said = { platformAway, version, servingDigest };
-    this.readers.hear(from, said, backends.servingDigest(), now);
+    this.readers.hear(from, said, backends.servingDigest(), leaseNow());
     if (ended.length + started.length === 0) return;
     // Told on by those that read closely: the one who was first may not reach everybody.
     this.recent.note({ ended, started }, now);
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -39,7 +39,7 @@
   /** Requests that have not ended. */
   readonly exchanges: Set<RequestExchange>;
   /** Age of what is known of the backends, in milliseconds; infinite if nothing has confirmed it. */
-  backendsAgeMs(now: number): number;
+  backendsAgeMs(): number;
   budgetOf(service: string): RetryBudget;
   /** Daemons among which common budgets are divided. */
   daemonCount(): number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
 import { faultText, type Logger } from '../common/logger.js';
+import { leaseClock, leaseNow } from '../common/lease-clock.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
 import { answerRoomOf } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
@@ -209,6 +210,7 @@
       outside.logger.error('tick_fault', { reason: faultText(fault) });
     };
     this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
+    leaseClock.onLeap = (milliseconds) => outside.logger.warn('time_leap', { milliseconds });
     for (const name of settings.retiredPolicies) outside.logger.warn('policy_retired', { name });
     outside.logger.info('started', { milliseconds: Math.round(steadyNow()) });
   }
@@ -351,7 +353,7 @@
       slots: this.slots,
       answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
-      backendsAgeMs: (now) => this.directoryDuty.knowledgeAgeMs(now),
+      backendsAgeMs: () => this.directoryDuty.knowledgeAgeMs(),
       budgetOf: (service) => this.budgetOf(service),
       daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
       noteCaller: (route, deadlineMs) => this.noteCaller(route, deadlineMs),
@@ -544,7 +546,7 @@
     const { registry, inFlight, leaseAge, controlBytes, heldBytes } = this.outside.metrics;
     heldBytes.set(this.context.answers.heldBytes);
     inFlight.set(this.context.exchanges.size);
-    const leaseAgeMs = this.proofs.lease.ageMs(steadyNow());
+    const leaseAgeMs = this.proofs.lease.ageMs(leaseNow());
     leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
     const { bytesSent, bytesReceived } = this.peers.counts;
     controlBytes.set({ direction: 'sent' }, bytesSent);
--- a/src/gateway/holder-leases.ts
+++ b/src/gateway/holder-leases.ts
@@ -1,8 +1,10 @@
 /**
  * Keeps this daemon's leases on what it holds for all, and its words to other holders. A holder asks
- * a few keepers, whatever the size of the group; nothing is asked for what nobody uses.
+ * a few keepers, whatever the size of the group; nothing is asked for what nobody uses. Leases are counted by the lease clock,
+ * words by the steady one: on a machine that was suspended a lease ends in time, and a word is kept for longer.
  */
 import { create } from '@bufbuild/protobuf';
+import { leaseNow } from '../common/lease-clock.js';
 import type { Logger } from '../common/logger.js';
 import {
   HolderLease,
@@ -115,7 +117,7 @@
 
   /** Whether this daemon may lend now: to be asked in the same turn as it lends. */
   holds(name: string): boolean {
-    return this.wanted.get(name)?.lease.holds(steadyNow()) ?? false;
+    return this.wanted.get(name)?.lease.holds(leaseNow()) ?? false;
   }
 
   /** The most that this daemon may lend to itself now, in units of what is counted; 0 if the lease is not wanted. */
@@ -126,9 +128,9 @@
   /** This daemon would lend itself more than its ceiling: the keepers are told of a higher one. */
   raise(name: string, units: number): void {
     const entry = this.wanted.get(name);
-    const now = steadyNow();
-    if (entry === undefined || entry.lease.hasAskedFor(units, RETRY_PERIOD_MS, now)) return;
-    this.ask(name, entry, now);
+    if (entry === undefined) return;
+    if (entry.lease.hasAskedFor(units, RETRY_PERIOD_MS, leaseNow())) return;
+    this.ask(name, entry, steadyNow());
   }
 
   /** Lends no more: another may begin at once. */
@@ -153,7 +155,8 @@
     this.lookAtCandidates(now);
     for (const [name, entry] of this.wanted) {
       this.followLease(name, entry, now);
-      if (entry.lease.sinceAskedMs(now) >= askPeriodMs(entry, now)) this.ask(name, entry, now);
+      const sinceAskedMs = entry.lease.sinceAskedMs(leaseNow());
+      if (sinceAskedMs >= askPeriodMs(entry, now)) this.ask(name, entry, now);
     }
   }
 
@@ -180,7 +183,7 @@
     const { sequence } = this;
     const ownCeiling = entry.duty.ownCeiling(now);
     entry.refused = 0;
-    entry.lease.ask(sequence, ownCeiling, keepers, now);
+    entry.lease.ask(sequence, ownCeiling, keepers, leaseNow());
     const value = create(HolderLeaseQuestionSchema, { name, sequence, ownCeiling, process });
     for (const keeper of keepers) {
       if (keeper !== self) sendDatagram(keeper, { case: 'holderLeaseQuestion', value });
@@ -211,10 +214,10 @@
     const entry = this.wanted.get(name);
     if (entry === undefined) return;
     const now = steadyNow();
-    const hadLease = entry.lease.holds(now);
+    const hadLease = entry.lease.holds(leaseNow());
     if (!answer.isGiven) entry.refused += 1;
     const history = entry.lease.hear(keeper, sequence, answer);
-    if (history === undefined || !entry.lease.holds(now)) return;
+    if (history === undefined || !entry.lease.holds(leaseNow())) return;
     if (!hadLease) this.gained(name, entry, history, now);
     entry.duty.onAnswered(now);
   }
@@ -230,13 +233,13 @@
 
   /** Logs what has become of a lease, a line a change, and now and then while it is not got. */
   private followLease(name: string, entry: WantedLease, now: number): void {
-    const holds = entry.lease.holds(now);
+    const holds = entry.lease.holds(leaseNow());
     const isLost = entry.held && !holds;
     entry.held = holds;
     if (isLost) entry.missingSince = now;
     if (holds || (!isLost && now - entry.loggedAt < LOG_PERIOD_MS)) return;
     entry.loggedAt = now;
-    const age = entry.lease.ageMs(now);
+    const age = entry.lease.ageMs(leaseNow());
     const ageMs = Number.isFinite(age) ? Math.round(age) : undefined;
     const { refused } = entry;
     const fields = { name, ageMs, refused, keepers: this.keepersOf(name, now).join(' ') };
@@ -269,7 +272,7 @@
 }
 
 function askPeriodMs({ lease, missingSince }: WantedLease, now: number): number {
-  if (lease.holds(now)) return RENEW_PERIOD_MS;
+  if (lease.holds(leaseNow())) return RENEW_PERIOD_MS;
   const isSlow = now - missingSince >= RETRIES_SLOW_AFTER_MS;
   return isSlow ? SLOW_RETRY_PERIOD_MS : RETRY_PERIOD_MS;
 }
--- a/src/gateway/known-readers.ts
+++ b/src/gateway/known-readers.ts
@@ -1,7 +1,7 @@
 /**
  * The other daemons that read the platform's directory closely, as this daemon hears them: whether they live,
  * whether the platform answers them, and whether they list the same backends as this daemon holds.
- * Times are milliseconds of a steady clock.
+ * Times are milliseconds of the lease clock: what a reader said before a machine was suspended is old.
  */
 
 /** Without news for so long a reader counts no more: it may have ended, or be cut off from this daemon. */
--- a/src/gateway/ownership-proofs.ts
+++ b/src/gateway/ownership-proofs.ts
@@ -6,6 +6,7 @@
 import type { OwnershipLease } from '../core/ownership-lease.js';
 import { ownerRecord } from './owner-record.js';
 import type { RecordStore } from './ports.js';
+import { leaseNow } from '../common/lease-clock.js';
 import { steadyNow } from './steady-clock.js';
 
 /** Between two readings of the record: a lease outlasts two that are not answered. */
@@ -37,7 +38,7 @@
   /** Begins to prove an ownership; an answer for a former one counts no more. */
   begin(claim: string): void {
     this.claim = claim;
-    this.askedAt = steadyNow();
+    this.askedAt = leaseNow();
     this.held = false;
   }
 
@@ -48,7 +49,7 @@
   /** Looks at the clock; call it often. */
   tick(): void {
     if (this.claim === undefined) return;
-    const now = steadyNow();
+    const now = leaseNow();
     this.logChange(now);
     if (now - this.askedAt < PROOF_PERIOD_MS || this.readings >= MOST_OPEN_READINGS) return;
     this.askedAt = now;
@@ -66,7 +67,7 @@
 
   private logChange(now: number): void {
     const { service, logger, lease } = this.options;
-    const holds = lease.holds(now);
+    const holds = lease.holds(now, steadyNow());
     if (holds === this.held) return;
     this.held = holds;
     const event = holds ? 'ownership_lease_begun' : 'ownership_lease_lost';
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -14,6 +14,7 @@
 import { ownerRecord, type OwnerRecord } from './owner-record.js';
 import { OwnershipProofs } from './ownership-proofs.js';
 import type { RecordStore } from './ports.js';
+import { leaseNow } from '../common/lease-clock.js';
 import { steadyNow } from './steady-clock.js';
 
 /** A gap between two looks at the clock that means that the process stood still. */
@@ -134,7 +135,8 @@
   /** Milliseconds until an order may be sent; infinite if that cannot be told. */
   orderDelayMs(): number {
     if (!this.isOwner()) return Infinity;
-    return this.options.backendsCheckEpochs ? 0 : this.lease.delayMs(steadyNow());
+    // By the steady clock a lease would outlast its end on a machine that was suspended.
+    return this.options.backendsCheckEpochs ? 0 : this.lease.delayMs(leaseNow(), steadyNow());
   }
 
   /** Looks at clock and members; call it often. */
@@ -172,7 +174,7 @@
 
   private tendLease(now: number): void {
     this.proofs.tick();
-    if (this.lease.ageMs(now) <= HOLD_MS || !this.options.platformAnswersOthers()) {
+    if (this.lease.ageMs(leaseNow()) <= HOLD_MS || !this.options.platformAnswersOthers()) {
       this.passedOverSince = now;
     } else if (now - this.passedOverSince > UNPROVEN_MS) {
       this.yieldTo('the platform answers others, and not this daemon');
@@ -318,7 +320,7 @@
     const before = this.record?.address ?? '';
     const cause = this.causeOfClaim();
     const isHandedOver = this.formerOwnersHaveStopped();
-    const askedAt = steadyNow();
+    const askedAt = leaseNow();
     const written = await store.write('owners', service, record, this.revision);
     const won = written.isOk || (await this.isOurs(claim, written.error.type));
     logger.info('ownership_claimed', { service, epoch, won, before, cause, isHandedOver });
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -23,7 +23,7 @@
   /** All backends as they are listed now. */
   onBackends(list: BackendList): void;
   /**
-   * The platform had no configuration newer than `version` at `askedAt`, the steady time at which
+   * The platform had no configuration newer than `version` at `askedAt`, the time of the lease clock at which
    * it was asked. Its answers that may be late confirm nothing.
    */
   onConfirmed(version: number, askedAt: number): void;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -289,7 +289,7 @@
     return {
       configuration: this.configurationVersion,
       backends: directory.serving(service.name).length,
-      backendsAgeMs: wholeMs(this.context.backendsAgeMs(now)),
+      backendsAgeMs: wholeMs(this.context.backendsAgeMs()),
       epoch: service.modelHost === undefined ? undefined : directory.epochOf(service.name),
       placementAgeMs: wholeMs(directory.placementAgeMs(service.name, now)),
     };
--- a/test/gateway/directory-duty.test.ts
+++ b/test/gateway/directory-duty.test.ts
@@ -20,7 +20,7 @@
   let lines: LogFields[];
 
   beforeEach(() => {
-    vi.useFakeTimers({ toFake: ['performance', 'setTimeout'] });
+    vi.useFakeTimers({ toFake: ['performance', 'setTimeout', 'Date'] });
     lines = [];
     const write = (event: string, fields: LogFields = {}): void => {
       lines.push({ event, ...fields });
@@ -90,12 +90,12 @@
   it('let a daemon tell how old its knowledge is', async () => {
     await group.run(3_000);
     const last = group.member(RANKED.at(-1)).duty;
-    expect(last.knowledgeAgeMs(performance.now())).toBeLessThan(1_000);
+    expect(last.knowledgeAgeMs()).toBeLessThan(1_000);
     group.delivers = () => false;
     turnAway(ADDRESSES, false);
     await group.run(1_250);
-    expect(last.knowledgeAgeMs(performance.now())).toBeGreaterThan(1_000);
+    expect(last.knowledgeAgeMs()).toBeGreaterThan(1_000);
     await group.run(1_000);
-    expect(last.knowledgeAgeMs(performance.now())).toBe(Infinity);
+    expect(last.knowledgeAgeMs()).toBe(Infinity);
   });
 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import { Result } from 'true-myth';
 import { credentialHash } from '../../src/core/admission/api-keys.js';
+import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
 import type { OrderOutcome } from '../../src/core/model-order.js';
 import type {
@@ -299,7 +300,7 @@
 
   /** The platform answers, if it does, with the newest configuration that the test has given. */
   private confirm(): Promise<boolean> {
-    const askedAt = performance.now();
+    const askedAt = leaseNow();
     if (this.isStoreAnswering) this.listener?.onConfirmed(this.version, askedAt);
     return Promise.resolve(this.isStoreAnswering);
   }
--- a/test/gateway/holder-leases.test.ts
+++ b/test/gateway/holder-leases.test.ts
@@ -8,7 +8,9 @@
 const TICK_MS = 100;
 const DUTY: HeldDuty = { ownCeiling: () => 7, onGained: () => {}, onAnswered: () => {} };
 
-beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+beforeEach(() =>
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+);
 afterEach(() => vi.useRealTimers());
 
 /** Daemons whose messages arrive at once, but not across a cut. */
--- a/test/gateway/missed-directory-news.test.ts
+++ b/test/gateway/missed-directory-news.test.ts
@@ -37,7 +37,7 @@
   let group: DirectoryGroup;
 
   beforeEach(async () => {
-    vi.useFakeTimers({ toFake: ['performance', 'setTimeout'] });
+    vi.useFakeTimers({ toFake: ['performance', 'setTimeout', 'Date'] });
     group = new DirectoryGroup(ADDRESSES);
     group.list([STAYING, LEAVING]);
     await group.run(8_000);
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -55,7 +55,7 @@
   }
 
   beforeEach(() => {
-    vi.useFakeTimers({ toFake: ['performance', 'setTimeout'] });
+    vi.useFakeTimers({ toFake: ['performance', 'setTimeout', 'Date'] });
     orders.length = 0;
     silent = '';
     orderDelayMs = 0;
--- a/test/simulation/currency-proofs.test.ts
+++ b/test/simulation/currency-proofs.test.ts
@@ -16,7 +16,9 @@
 }
 
 describe('proofs that the configuration is current', () => {
-  beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+  beforeEach(() =>
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+  );
   afterEach(() => vi.useRealTimers());
 
   async function settled(count: number, asksPeers = true): Promise<SimulatedProofs> {
--- a/test/simulation/cut-off-holder.test.ts
+++ b/test/simulation/cut-off-holder.test.ts
@@ -14,7 +14,9 @@
 /** Daemons run for longer than a window before callers come. */
 const LEAD_SECONDS = 5;
 
-beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+beforeEach(() =>
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+);
 afterEach(() => vi.useRealTimers());
 
 function group(seed: number): SimulatedLimits {
--- a/test/simulation/cut-off-small-group.test.ts
+++ b/test/simulation/cut-off-small-group.test.ts
@@ -11,7 +11,9 @@
 const HOT_SECONDS = [0, 1, 6];
 const SEEDS = [1, 2, 3, 4];
 
-beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+beforeEach(() =>
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+);
 afterEach(() => vi.useRealTimers());
 
 function cutHolder(group: SimulatedLimits): void {
--- a/test/simulation/joined-during-cut.test.ts
+++ b/test/simulation/joined-during-cut.test.ts
@@ -13,7 +13,9 @@
 const CUT_SEEN_MS = 1_600;
 const BOUND = boundOf(LIMIT);
 
-beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+beforeEach(() =>
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+);
 afterEach(() => vi.useRealTimers());
 
 /** How many are cut off with the holder, and from the cut to the joining, in milliseconds. */
--- a/test/simulation/simulated-proofs.ts
+++ b/test/simulation/simulated-proofs.ts
@@ -2,6 +2,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { vi } from 'vitest';
+import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger } from '../../src/common/logger.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
 import type { PeerBody } from '../../src/daemon/peer-transport.js';
@@ -57,7 +58,7 @@
 
   /** The first daemons of the common order: they read the store. */
   readers(): number[] {
-    const order = this.daemons[0]?.['usableOrder'](performance.now()) ?? [];
+    const order = this.daemons[0]?.['usableOrder'](leaseNow()) ?? [];
     return order.slice(0, 2).map((address) => Number(address.slice(2)));
   }
 
@@ -94,7 +95,7 @@
 
   private look(): void {
     for (const { lease } of this.daemons) {
-      const ageMs = lease.ageMs(performance.now());
+      const ageMs = lease.ageMs(leaseNow());
       this.looks += 1;
       if (ageMs > this.leaseMs) this.looksWithoutLease += 1;
       if (Number.isFinite(ageMs)) this.greatestAgeMs = Math.max(this.greatestAgeMs, ageMs);
@@ -118,7 +119,7 @@
 
   private async readStore(index: number): Promise<boolean> {
     this.storeCalls += 1;
-    const askedAt = performance.now();
+    const askedAt = leaseNow();
     await new Promise((resolve) => setTimeout(resolve, STORE_MS));
     if (!this.answers(index)) return false;
     this.daemons[index]?.confirmed(VERSION, askedAt);
--- a/test/simulation/slot-admission.test.ts
+++ b/test/simulation/slot-admission.test.ts
@@ -8,7 +8,9 @@
   let group: SimulatedSlots;
 
   beforeEach(() => {
-    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance'] });
+    vi.useFakeTimers({
+      toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance', 'Date'],
+    });
     group = new SimulatedSlots({ daemons: 20, slots: SLOTS, runMs: RUN_MS });
   });
 
--- a/test/simulation/tenant-limits.test.ts
+++ b/test/simulation/tenant-limits.test.ts
@@ -50,7 +50,9 @@
   ['small', SMALL],
   ['large', LARGE],
 ])('the limit of a %s tenant', (size, perSecond) => {
-  beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+  beforeEach(() =>
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+  );
   afterEach(() => vi.useRealTimers());
 
   describe.each([30, 300])('over %i daemons', (daemons) => {
