--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -15,6 +15,7 @@
   const seen = {
     isWhole: true,
     isSealed: true,
+    errorKind: undefined,
     text: '',
     wasRefused: false,
     wasOnKeptConnection: false,
@@ -29,6 +30,8 @@
     probes,
     runs: [],
     replicaViolations: [],
+    poisonArrivals: [],
+    poisonCrashes: [],
     accepted: new Map([[VERSION, ACCEPTED_AT]]),
     gateways: untouched,
     storeFaults: [],
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -4,6 +4,7 @@
 import type { CallRecord, RequestKind } from './caller.js';
 import type { SoakEvidence, TimeSpan } from './evidence.js';
 import { plainText, streamText } from './expected-events.js';
+import type { PoisonArrival } from './run-log.js';
 import {
   LIMIT_WINDOW_MS,
   LIMITED_TENANT,
@@ -27,6 +28,7 @@
     status: 200,
     isWhole: true,
     isSealed: true,
+    errorKind: undefined,
     text,
     wasRefused: false,
     wasOnKeptConnection: false,
@@ -46,6 +48,8 @@
     probes: [],
     runs: [],
     replicaViolations: [],
+    poisonArrivals: [],
+    poisonCrashes: [],
     accepted: new Map(),
     gateways: untouched,
     storeFaults: [],
@@ -204,4 +208,27 @@
     const refused = callOf('any', { status: 503, text: '', sentAt, endedAt: sentAt });
     expect(rules({ calls: [refused] })).toEqual(['not_recovered']);
   });
+
+  it('finds a request that goes on crashing replicas, at gateways in touch only', () => {
+    const crash = (name: string, at: number): PoisonArrival => {
+      return { name, attemptId: `${name} ${at}`, replica: `r ${at}`, at };
+    };
+    const poisonCrashes = [1_000, 2_000, 3_000].map((at) => crash('p', at));
+    const late = [6_100, 6_200, 6_300, 6_400].map((at) => crash('p', at));
+    const poisonArrivals = [...poisonCrashes, ...late];
+    expect(rules({ poisonCrashes, poisonArrivals })).toEqual(['crash_repeated']);
+    expect(rules({ poisonCrashes, poisonArrivals: late.slice(1) })).toEqual([]);
+    expect(rules({ poisonCrashes: poisonCrashes.slice(1), poisonArrivals })).toEqual([]);
+    const calls = late.map(({ attemptId, at }) => {
+      return callNamed(attemptId, { sentAt: at, endedAt: at, status: 502 });
+    });
+    const gateways = { ...untouched, wasHarmed: () => true };
+    expect(rules({ poisonCrashes, poisonArrivals, calls, gateways })).toEqual([]);
+  });
+
+  it('finds sound requests that are taken for such ones while no replica fails', () => {
+    const calls = [callOf('any', { status: 503, errorKind: 'crashes_backends' })];
+    expect(rules({ calls })).toEqual(['sound_condemned']);
+    expect(rules({ calls, replicaFaults: [{ from: 10_050, until: 10_060 }] })).toEqual([]);
+  });
 });
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -1,6 +1,6 @@
 /** What a soak leaves behind for its auditor, and what the auditor finds. */
 import type { CallRecord } from './caller.js';
-import type { ReplicaViolation, RunRecord } from './run-log.js';
+import type { PoisonArrival, ReplicaViolation, RunRecord } from './run-log.js';
 
 /** A time, in Unix milliseconds. */
 export interface TimeSpan {
@@ -37,6 +37,10 @@
   readonly probes: readonly ConfigurationProbe[];
   readonly runs: readonly RunRecord[];
   readonly replicaViolations: readonly ReplicaViolation[];
+  /** Requests that crash what runs them, as they came to replicas. */
+  readonly poisonArrivals: readonly PoisonArrival[];
+  /** Those that have crashed the replica. */
+  readonly poisonCrashes: readonly PoisonArrival[];
   readonly gateways: GatewayHistory;
   /** When versions of the configuration were accepted, in Unix milliseconds. */
   readonly accepted: ReadonlyMap<number, number>;
--- /dev/null
+++ b/test/soak/named-fault-injector.ts
@@ -0,0 +1,55 @@
+/** Brings the faults that are named about in a running soak. */
+import { sleep } from '../../src/common/process.js';
+import type { GatewayProcess } from './gateway-process.js';
+import { counterOf, ownerOf } from './gateway-roles.js';
+import type { NamedFault, SuspendedGateway } from './named-fault-plan.js';
+import type { SeededRandom } from './seeded-random.js';
+import type { SoakSystem } from './soak-system.js';
+
+type FaultOf<Kind extends NamedFault['kind']> = Extract<NamedFault, { kind: Kind }>;
+
+/** What a poisonous request needs of the soak. */
+export interface PoisonSender {
+  /** Sends the request of a name to some gateway that takes callers. */
+  sendPoison(name: string, backMs: number): void;
+}
+
+/** Strikes gateways and replicas. */
+export class NamedFaultInjector {
+  private poisons = 0;
+
+  /** @param endsAt - Nothing begins later; Unix milliseconds. */
+  constructor(
+    private readonly system: SoakSystem & PoisonSender,
+    private readonly random: SeededRandom,
+    private readonly endsAt: number,
+  ) {}
+
+  strike(fault: NamedFault): void {
+    switch (fault.kind) {
+      case 'poison_request':
+        return void this.repeat(fault);
+      case 'suspended':
+        return this.gatewayToSuspend(fault.who)?.suspend(fault.milliseconds);
+    }
+  }
+
+  private async repeat(fault: FaultOf<'poison_request'>): Promise<void> {
+    this.poisons += 1;
+    const name = `poison-${this.poisons}`;
+    for (let count = 0; count < fault.repeats && Date.now() < this.endsAt; count++) {
+      const atOnce = count === 0 ? 1 : fault.atOnce;
+      for (let sent = 0; sent < atOnce; sent++) this.system.sendPoison(name, fault.backMs);
+      await sleep(fault.gapMs);
+    }
+  }
+
+  /** Callers keep at least one gateway to go to. */
+  private gatewayToSuspend(who: SuspendedGateway): GatewayProcess | undefined {
+    const now = Date.now();
+    const free = [...this.system.gateways.values()].filter((each) => !each.wasDisturbed(now, now));
+    if (free.length < 2) return undefined;
+    if (who === 'owner') return ownerOf(this.system, free);
+    return who === 'counter' ? counterOf(free) : this.random.pick(free);
+  }
+}
--- /dev/null
+++ b/test/soak/named-fault-plan.ts
@@ -0,0 +1,75 @@
+/**
+ * Faults that are played only where they are named, drawn from a generator of their own: what earlier seeds
+ * draw stays the same. Pure.
+ */
+import type { SeededRandom } from './seeded-random.js';
+
+/** Who is suspended. */
+export type SuspendedGateway = 'owner' | 'counter' | 'any';
+
+/** One fault. */
+export type NamedFault =
+  /** A request that crashes whatever runs it comes again and again, at any gateway, some times at several at once. */
+  | {
+      readonly kind: 'poison_request';
+      readonly repeats: number;
+      readonly atOnce: number;
+      readonly gapMs: number;
+      /** Replicas that have crashed are back after so long. */
+      readonly backMs: number;
+    }
+  /** A gateway stands still, and its steady clock with it. */
+  | {
+      readonly kind: 'suspended';
+      readonly who: SuspendedGateway;
+      readonly milliseconds: number;
+    };
+
+/** A fault and its time after the start of the faults, in milliseconds. */
+export interface PlannedNamedFault {
+  readonly at: number;
+  readonly fault: NamedFault;
+}
+
+/** All kinds. */
+export const NAMED_FAULT_KINDS: readonly NamedFault['kind'][] = ['poison_request', 'suspended'];
+
+const SHORTEST_GAP_MS = 800;
+const LONGEST_GAP_MS = 5_000;
+/** Owners and counters rest on leases. */
+const SUSPENDED: readonly SuspendedGateway[] = ['owner', 'owner', 'counter', 'any'];
+
+/** Faults of some kinds for a time; none if no kind is named. */
+export function planNamedFaults(
+  random: SeededRandom,
+  milliseconds: number,
+  kinds: readonly NamedFault['kind'][],
+): PlannedNamedFault[] {
+  const plan: PlannedNamedFault[] = [];
+  let at = 0;
+  for (;;) {
+    at += random.between(SHORTEST_GAP_MS, LONGEST_GAP_MS);
+    const kind = random.pick(kinds);
+    if (at >= milliseconds || kind === undefined) return plan;
+    plan.push({ at, fault: drawFault(random, kind) });
+  }
+}
+
+function drawFault(random: SeededRandom, kind: NamedFault['kind']): NamedFault {
+  switch (kind) {
+    case 'poison_request':
+      return {
+        kind,
+        repeats: Math.ceil(random.between(6, 24)),
+        atOnce: random.chance(0.5) ? 1 : Math.ceil(random.between(1, 4)),
+        gapMs: random.between(50, 900),
+        backMs: random.between(500, 3_000),
+      };
+    case 'suspended':
+      return {
+        kind,
+        who: random.pick(SUSPENDED) ?? 'any',
+        milliseconds: random.between(800, 6_000),
+      };
+  }
+}
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -29,6 +29,8 @@
   readonly random: SeededRandom;
   /** Whether orders with a lower epoch than one already seen are refused; so by default. */
   readonly checksEpochs?: boolean;
+  /** A request has crashed it, and it starts again in so many milliseconds. */
+  readonly onPoisoned?: (backMs: number) => void;
 }
 
 interface OrderBody {
@@ -51,6 +53,15 @@
 /** A crash is noticed in the list only after some missed heartbeats. */
 const CRASH_UNNOTICED_MS = 3_600;
 
+/** A request that crashes what runs it begins to, and does so after at least and at most so long. */
+const FIRST_CRASH_MS = 5;
+const LAST_CRASH_MS = 150;
+
+interface Poison {
+  readonly name: string;
+  readonly backMs: number;
+}
+
 /** One place of a replica; each start is a new process with a new id. */
 export class ReplicaStandIn {
   condition: ReplicaCondition = 'sound';
@@ -261,6 +272,7 @@
     const { random } = this.options;
     const attemptId = String(request.headers['x-attempt-id'] ?? '');
     this.checkArrival(request, attemptId);
+    const poison = this.poisonOf(body, attemptId);
     if (condition === 'resets_all') return void request.socket.destroy();
     if (condition === 'hangs') return;
     const model = request.headers['x-model'];
@@ -273,6 +285,7 @@
     if (condition === 'fails_some' && random.chance(0.3)) {
       return sendJson(response, 500, {}, seal);
     }
+    if (poison !== undefined) this.crashBy(poison, attemptId);
     this.running += 1;
     response.once('close', () => (this.running -= 1));
     const pace = condition === 'slow' ? 6 : 1;
@@ -280,6 +293,27 @@
     else setTimeout(() => sendPlain(response, plainText(attemptId, body), seal), 10 * pace).unref();
   }
 
+  private poisonOf(body: string, attemptId: string): Poison | undefined {
+    const { poison, backMs = 0 } = JSON.parse(body) as { poison?: string; backMs?: number };
+    if (poison === undefined) return undefined;
+    const { id } = this;
+    this.options.log.poisonArrivals.push({ name: poison, attemptId, replica: id, at: Date.now() });
+    return { name: poison, backMs };
+  }
+
+  /** A request that crashes whatever runs it has begun to run. */
+  private crashBy({ name, backMs }: Poison, attemptId: string): void {
+    const { id, options } = this;
+    const crash = (): void => {
+      if (this.id !== id || !this.isUp) return;
+      options.log.poisonCrashes.push({ name, attemptId, replica: id, at: Date.now() });
+      options.onPoisoned?.(backMs);
+      this.crash();
+      setTimeout(() => void this.start(), backMs);
+    };
+    setTimeout(crash, options.random.between(FIRST_CRASH_MS, LAST_CRASH_MS));
+  }
+
   private checkArrival(request: http.IncomingMessage, attemptId: string): void {
     const leftFor = Date.now() - (this.leavingSince ?? Infinity);
     if (leftFor > DRAIN_MS) {
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -29,10 +29,22 @@
   readonly attemptId?: string;
 }
 
+/** A request that crashes whatever runs it has come to a replica. */
+export interface PoisonArrival {
+  /** Names the request; its attempts have names of their own. */
+  readonly name: string;
+  readonly attemptId: string;
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
 /** Shared by all replicas of one soak. */
 export class RunLog {
   readonly runs: RunRecord[] = [];
   readonly violations: ReplicaViolation[] = [];
+  readonly poisonArrivals: PoisonArrival[] = [];
+  readonly poisonCrashes: PoisonArrival[] = [];
   loads = 0;
 
   run(attemptId: string, replica: string, tenant: string | undefined): void {
