--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -30,7 +30,7 @@
       case 'poison_request':
         return void this.repeat(fault);
       case 'suspended':
-        return this.gatewayToSuspend(fault.who)?.suspend(fault.milliseconds);
+        return this.suspend(fault);
     }
   }
 
@@ -44,6 +44,12 @@
     }
   }
 
+  private suspend({ who, milliseconds, cutMs }: FaultOf<'suspended'>): void {
+    const gateway = this.gatewayToSuspend(who);
+    if (cutMs > 0) gateway?.cutOff(milliseconds + cutMs);
+    gateway?.suspend(milliseconds);
+  }
+
   /** Callers keep at least one gateway to go to. */
   private gatewayToSuspend(who: SuspendedGateway): GatewayProcess | undefined {
     const now = Date.now();
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -23,6 +23,8 @@
       readonly kind: 'suspended';
       readonly who: SuspendedGateway;
       readonly milliseconds: number;
+      /** Other gateways cannot tell it what has happened for so long after it has woken. */
+      readonly cutMs: number;
     };
 
 /** A fault and its time after the start of the faults, in milliseconds. */
@@ -69,7 +71,8 @@
       return {
         kind,
         who: random.pick(SUSPENDED) ?? 'any',
-        milliseconds: random.between(800, 6_000),
+        milliseconds: random.between(1_000, 7_500),
+        cutMs: random.chance(0.6) ? random.between(500, 2_500) : 0,
       };
   }
 }
