A backend that says in an answer that it leaves gets nothing more from any daemon

Callers' requests reached backends 3.4 and 5.1 s after the same gateway had passed on an answer that said so: only the store's list was read, and the store was slow. Cause: nothing read the word in an answer's head.

Why it holds: `serving` leaves such processes out wherever a backend is chosen, and each send asks once more, so queues, granted slots, repeats and resumed streams are bound alike. Other daemons are told three times.

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -10,6 +10,7 @@
   type EndedBackend,
   type PresenceChanges,
 } from './backend-presence.js';
+import { DeclaredLeavings, type BackendProcess } from './declared-leavings.js';
 import { BackendStarts, type BackendRestart } from './backend-starts.js';
 import { EVEN_CAPACITY, type CapacityView } from './capacity/capacity-view.js';
 import { HeardCapacity } from './capacity/heard-capacity.js';
@@ -64,6 +65,7 @@
   private readonly placements = new Map<string, HeardPlacement>();
   private readonly absences = new Map<string, number>();
   private readonly starts = new BackendStarts();
+  private readonly declared = new DeclaredLeavings();
   private restarts: BackendRestart[] = [];
 
   /** Replaces the platform's list. */
@@ -117,6 +119,11 @@
     return this.presence.noteEnded(end);
   }
 
+  /** A backend's process has said itself that it leaves. Returns false if that was known. */
+  noteLeaving(process: BackendProcess): boolean {
+    return this.declared.note(process);
+  }
+
   /** A peer has seen a backend that is not listed here yet. Returns false if that was known. */
   noteStarted(record: BackendRecord, now: number): boolean {
     const isNews = this.presence.noteStarted(record, now);
@@ -133,19 +140,24 @@
   /** The backend of an id, if it takes new requests. */
   servingOne(id: string): BackendRecord | undefined {
     const record = this.presence.get(id);
-    return record !== undefined && this.presence.isServing(record) ? record : undefined;
+    return record !== undefined && this.isServing(record) ? record : undefined;
   }
 
   /** All listed backends. */
   all(): BackendRecord[] {
-    return this.presence.all();
+    const all = this.presence.all();
+    if (this.declared.isEmpty) return all;
+    return all.map((record) => (this.declared.has(record) ? { ...record, leaving: true } : record));
   }
 
   /** Backends of a service that take new requests. */
   serving(service: string): BackendRecord[] {
-    return this.all().filter(
-      (backend) => backend.service === service && this.presence.isServing(backend),
-    );
+    return this.all().filter((backend) => backend.service === service && this.isServing(backend));
+  }
+
+  /** Whether a backend takes new requests, by the list and by its own word. */
+  private isServing(record: BackendRecord): boolean {
+    return this.presence.isServing(record) && !this.declared.has(record);
   }
 
   /**
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -60,6 +60,8 @@
   readonly stalledAfterMs: number;
   /** Whether another backend could take the request over now. */
   readonly hasAlternative: () => boolean;
+  /** The backend has said that it leaves, in whatever answer. */
+  readonly onLeaving: () => void;
   /** The backend is silent and nobody else can take the request; called once. */
   readonly onSilent: () => void;
   /** Notes the gaps between events; undefined if they tell nothing of the backend. */
@@ -164,6 +166,8 @@
     this.incoming = answer;
     this.head = this.context.dialect.readAnswer(status, answer.headers);
     const { head } = this;
+    // What another process at the address says of itself says nothing of this backend.
+    if (head.leaving && !head.misdirected) this.options.onLeaving();
     const { attemptId } = this.options.request.head;
     if (head.attemptId !== undefined && attemptId !== undefined && head.attemptId !== attemptId) {
       return this.fail('unknown', 'the answer belongs to another request', {});
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -10,6 +10,7 @@
 import type { CallerAdmission } from './caller-admission.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import type { LeavingNews } from './leaving-news.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { RequestDialect } from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
@@ -32,6 +33,7 @@
   readonly admission: CallerAdmission;
   readonly limits: TenantLimits;
   readonly crashes: CrashWatch;
+  readonly leavings: LeavingNews;
   /** Keeps backends' slots over all daemons; undefined if each daemon chooses alone. */
   readonly slots: SlotAdmission | undefined;
   /** What is held of answers and bodies. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,9 +3,6 @@
  * services by rank. Puts the parts together.
  */
 import { create } from '@bufbuild/protobuf';
-import http from 'node:http';
-import { splitAddress } from '../common/http-client.js';
-import { listen } from '../common/http-server.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { leaseClock, leaseNow } from '../common/lease-clock.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
@@ -50,6 +47,8 @@
 import { SlotAdmission } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
 import { HolderLeases } from './holder-leases.js';
+import { LeavingNews } from './leaving-news.js';
+import { StatusPorts } from './status-ports.js';
 import { TenantLimits } from './tenant-limits.js';
 
 /** Between two looks at the clock: of the membership, the duties, and what is told. */
@@ -92,11 +91,11 @@
   private readonly limits: TenantLimits;
   private readonly slots: SlotAdmission | undefined;
   private readonly crashes: CrashWatch;
+  private readonly leavings: LeavingNews;
   private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
   private readonly front: CallerFront;
-  private readonly readiness: http.Server;
-  private readonly metricsServer: http.Server;
+  private readonly status: StatusPorts;
   private readonly startedAt = steadyNow();
   private routing: RoutingTable | undefined;
   private knowsBackends = false;
@@ -149,6 +148,7 @@
     });
     this.limits = this.makeLimits();
     this.crashes = this.makeCrashWatch();
+    this.leavings = this.makeLeavingNews();
     this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.duties = new ServiceDuties({
       settings,
@@ -174,12 +174,7 @@
       onChange: () => this.backendsChanged(),
     });
     this.front = new CallerFront(this.context, () => this.routing);
-    this.readiness = http.createServer((request, response) =>
-      this.answerReadiness(request, response),
-    );
-    this.metricsServer = http.createServer(
-      (_request, response) => void this.answerMetrics(response),
-    );
+    this.status = this.makeStatusPorts();
   }
 
   /** Opens the ports and follows the platform. */
@@ -192,11 +187,7 @@
     const { settings, outside } = this;
     await this.peers.start();
     await this.front.start();
-    const [host, port] = splitAddress(settings.readiness);
-    await listen(this.readiness, host, port);
-    if (settings.metricsPort > 0) {
-      await listen(this.metricsServer, settings.address, settings.metricsPort);
-    }
+    await this.status.start();
     outside.directory.start({
       onConfiguration: (configuration, source) => this.configure(configuration, source),
       onBackends: (list) => {
@@ -257,8 +248,7 @@
     this.ticker?.stop();
     this.outside.directory.stop();
     this.front.stop();
-    this.readiness.close();
-    this.metricsServer.close();
+    this.status.stop();
     this.peers.stop();
   }
 
@@ -319,6 +309,26 @@
     });
   }
 
+  private makeLeavingNews(): LeavingNews {
+    return new LeavingNews({
+      directory: this.backends,
+      logger: this.outside.logger,
+      broadcast: (body) => this.peers.broadcast(body),
+      onChange: () => this.backendsChanged(),
+    });
+  }
+
+  private makeStatusPorts(): StatusPorts {
+    const { dialect, metrics } = this.outside;
+    return new StatusPorts({
+      settings: this.settings,
+      readinessPath: dialect.readinessPath,
+      isReady: () => this.isReady(),
+      registry: metrics.registry,
+      refreshMetrics: () => this.refreshMetrics(),
+    });
+  }
+
   private makeLeases(): HolderLeases {
     const { outside, peers } = this;
     return new HolderLeases({
@@ -350,6 +360,7 @@
       admission: this.admission,
       limits: this.limits,
       crashes: this.crashes,
+      leavings: this.leavings,
       slots: this.slots,
       answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
@@ -424,6 +435,7 @@
     if (this.admission.needsKeys) this.limits.tick();
     this.slots?.tick();
     this.crashes.tick();
+    this.leavings.tick();
     if (now - this.lastDemand < DEMAND_PERIOD_MS) return;
     this.lastDemand = now;
     this.logMembers();
@@ -500,6 +512,7 @@
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
     if (this.slots?.receive(from, body) || this.crashes.receive(from, body)) return;
+    if (this.leavings.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.duties.hear(body.value.service, decodeDemand(from, body.value));
       this.configurations.hearVersion(from, body.value.configurationVersion);
@@ -536,14 +549,8 @@
     return this.drainingSince === undefined && this.routing !== undefined && this.knowsBackends;
   }
 
-  private answerReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const asked = request.url === this.outside.dialect.readinessPath;
-    response.writeHead(asked && this.isReady() ? 200 : asked ? 503 : 404, { 'content-length': 0 });
-    response.end();
-  }
-
-  private async answerMetrics(response: http.ServerResponse): Promise<void> {
-    const { registry, inFlight, leaseAge, controlBytes, heldBytes } = this.outside.metrics;
+  private refreshMetrics(): void {
+    const { inFlight, leaseAge, controlBytes, heldBytes } = this.outside.metrics;
     heldBytes.set(this.context.answers.heldBytes);
     inFlight.set(this.context.exchanges.size);
     const leaseAgeMs = this.proofs.lease.ageMs(leaseNow());
@@ -551,9 +558,6 @@
     const { bytesSent, bytesReceived } = this.peers.counts;
     controlBytes.set({ direction: 'sent' }, bytesSent);
     controlBytes.set({ direction: 'received' }, bytesReceived);
-    const text = await registry.metrics();
-    response.writeHead(200, { 'content-type': registry.contentType });
-    response.end(text);
   }
 }
 
--- /dev/null
+++ b/src/gateway/leaving-news.ts
@@ -0,0 +1,80 @@
+/**
+ * Backends that leave, as their own answers tell it: known at once at the daemon that has the answer, and told to the
+ * others, who would otherwise learn it from answers of their own, or late from the platform.
+ */
+import { create } from '@bufbuild/protobuf';
+import type { Logger } from '../common/logger.js';
+import type { BackendDirectory } from '../core/backend-directory.js';
+import type { BackendProcess } from '../core/declared-leavings.js';
+import type { BackendRecord } from '../core/service-configuration.js';
+import type { PeerBody } from '../daemon/peer-transport.js';
+import { BackendsLeavingSchema, LeavingBackendSchema } from '../proto/gen/internal_pb.js';
+import { steadyNow } from './steady-clock.js';
+
+/** Between two tellings of the same: one may be lost with a connection that is replaced. */
+const TELL_PERIOD_MS = 1_000;
+/** So many tellings in all, over longer than a silent connection is kept. */
+const MOST_TELLINGS = 3;
+/** Entries of a message that are read; a daemon of our own tells fewer. */
+const MOST_ENTRIES = 500;
+
+/** Options of {@link LeavingNews}. */
+export interface LeavingNewsOptions {
+  readonly directory: BackendDirectory;
+  readonly logger: Logger;
+  readonly broadcast: (body: PeerBody) => void;
+  /** Something was not known before: what waits for the backend goes elsewhere. */
+  readonly onChange: () => void;
+}
+
+interface ToldLeaving {
+  readonly process: BackendProcess;
+  tellings: number;
+}
+
+/** One daemon's part. */
+export class LeavingNews {
+  private told: ToldLeaving[] = [];
+  private tellAt = Infinity;
+
+  constructor(private readonly options: LeavingNewsOptions) {}
+
+  /** A backend has said so in an answer to a request of this daemon. */
+  answered({ id, start }: BackendRecord, request: string | undefined): void {
+    const process = { id, ...(start === undefined ? {} : { start }) };
+    if (!this.options.directory.noteLeaving(process)) return;
+    this.options.logger.info('backend_leaving', { backend: id, start, source: 'answer', request });
+    this.told.push({ process, tellings: 0 });
+    this.tell();
+    this.options.onChange();
+  }
+
+  /** Looks at the clock; call it a few times a second. */
+  tick(): void {
+    if (steadyNow() >= this.tellAt) this.tell();
+  }
+
+  /** Takes a message of another daemon; false if it is of another kind. */
+  receive(from: string, body: PeerBody): boolean {
+    if (body.case !== 'backendsLeaving') return false;
+    const { directory, logger, onChange } = this.options;
+    const heard = body.value.backends.slice(0, MOST_ENTRIES).map(({ id, start }) => {
+      return { id, ...(start === '' ? {} : { start }) };
+    });
+    const news = heard.filter((process) => directory.noteLeaving(process));
+    for (const { id, start } of news) {
+      logger.info('backend_leaving', { backend: id, start, source: 'peer', from });
+    }
+    if (news.length > 0) onChange();
+    return true;
+  }
+
+  private tell(): void {
+    for (const entry of this.told) entry.tellings += 1;
+    const backends = this.told.map(({ process }) => create(LeavingBackendSchema, process));
+    const value = create(BackendsLeavingSchema, { backends });
+    this.options.broadcast({ case: 'backendsLeaving', value });
+    this.told = this.told.filter(({ tellings }) => tellings < MOST_TELLINGS);
+    this.tellAt = this.told.length === 0 ? Infinity : steadyNow() + TELL_PERIOD_MS;
+  }
+}
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -135,6 +135,8 @@
   readonly notRun: boolean;
   /** Another process has the backend's address. */
   readonly misdirected: boolean;
+  /** The process that answers says that it leaves. */
+  readonly leaving: boolean;
 }
 
 /** Fields that the gateway sets on a request to a backend. */
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -77,8 +77,7 @@
   next(): void {
     const { pending } = this;
     if (pending !== undefined) {
-      const isUsable = this.usableBackends(steadyNow()).some(({ id }) => id === pending.backend.id);
-      if (isUsable) return this.moveIfSooner(pending);
+      if (this.isUsable(pending.backend.id)) return this.moveIfSooner(pending);
       this.release();
     }
     const backend = this.choose();
@@ -89,6 +88,11 @@
     this.options.onNone();
   }
 
+  /** Whether a backend may be sent the request now. */
+  isUsable(backend: string): boolean {
+    return this.usableBackends(steadyNow()).some(({ id }) => id === backend);
+  }
+
   /** Whether a keeper has been asked and has not granted yet. */
   get isPending(): boolean {
     return this.pending !== undefined;
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -332,6 +332,8 @@
     const denial = this.pass.deniedKey();
     if (denial !== undefined) return this.refuseDenied(denial);
     if (this.isCondemned()) return this.refuseCrashing();
+    // A slot may have been granted for a backend that has said since that it leaves.
+    if (!this.search.isUsable(backend.id)) return this.searchAnew();
     if (!this.suspicion.takePlace(backend.id)) return this.waitForPlace();
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
     this.setWaiting(false);
@@ -365,6 +367,7 @@
       silentAfterMs: this.silentAfterMs(),
       stalledAfterMs: this.stalledAfterMs(),
       hasAlternative: () => this.search.hasAlternative(),
+      onLeaving: () => context.leavings.answered(backend, request.head.attemptId),
       onSilent: () => this.backendSilent(backend),
       gaps: watchedGaps(context, this.need, backend.id, isResumed),
       answer: this.answer,
@@ -372,6 +375,11 @@
     });
   }
 
+  private searchAnew(): void {
+    this.search.release();
+    this.search.next();
+  }
+
   /** Another suspect has just been sent there. */
   private waitForPlace(): void {
     this.search.release();
--- /dev/null
+++ b/test/core/declared-leavings.test.ts
@@ -0,0 +1,29 @@
+import { describe, expect, it } from 'vitest';
+import { DeclaredLeavings } from '../../src/core/declared-leavings.js';
+
+describe('DeclaredLeavings', () => {
+  it('tells starts of one id apart, and keeps each', () => {
+    const leavings = new DeclaredLeavings();
+    expect(leavings.note({ id: 'a', start: '1' })).toBe(true);
+    expect(leavings.note({ id: 'a', start: '1' })).toBe(false);
+    expect(leavings.has({ id: 'a', start: '2' })).toBe(false);
+    leavings.note({ id: 'a', start: '2' });
+    expect(leavings.has({ id: 'a', start: '1' })).toBe(true);
+    expect(leavings.has({ id: 'b' })).toBe(false);
+  });
+
+  it('takes a process whose start is not known for the one that leaves', () => {
+    const leavings = new DeclaredLeavings();
+    leavings.note({ id: 'a', start: '1' });
+    leavings.note({ id: 'b' });
+    expect(leavings.has({ id: 'a' })).toBe(true);
+    expect(leavings.has({ id: 'b', start: '1' })).toBe(true);
+  });
+
+  it('stays bounded', () => {
+    const leavings = new DeclaredLeavings();
+    for (let index = 0; index < 3_000; index++) leavings.note({ id: `b${index}` });
+    expect(leavings.has({ id: 'b2999' })).toBe(true);
+    expect(leavings.has({ id: 'b0' })).toBe(false);
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -50,6 +50,7 @@
     signed: headers.signed !== undefined,
     notRun: headers['not-run'] !== undefined,
     misdirected: status === 421,
+    leaving: headers.leaving === '1',
   }),
   ownAnswerHeaders: () => ({}),
 };
--- a/test/gateway/leaving-answers.test.ts
+++ b/test/gateway/leaving-answers.test.ts
@@ -5,10 +5,13 @@
  */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import {
+  answerEvents,
   answerWhole,
   GatewayHarness,
+  pause,
   TestBackend,
   testConfiguration,
+  testRoute,
   type BackendHandler,
 } from './gateway-harness.js';
 
@@ -53,4 +56,93 @@
     expect(one.arrivals.length).toBeLessThanOrEqual(1);
     expect(two.arrivals.length).toBeGreaterThanOrEqual(REQUESTS - 1);
   });
+
+  /** No request reaches the backend from now on. */
+  async function expectNoMore(): Promise<void> {
+    const before = one.arrivals.length;
+    await callMany();
+    expect(one.arrivals.length).toBe(before);
+  }
+
+  it('gets none though a list shows it as ready, older or newer', async () => {
+    await callMany();
+    harness.list([one.record({ revision: 9 }), two.record()]);
+    await expectNoMore();
+    harness.list([one.record({ revision: 1 }), two.record()]);
+    await expectNoMore();
+  });
+
+  it.each([
+    ['a refusal', { status: 503, headers: { 'not-run': 'yes' } }],
+    ['a failure of its own', { status: 500, headers: { signed: 'yes' } }],
+    ['a failure that nobody vouches for', { status: 500, headers: {} }],
+  ])('may say so in %s', async (_name, { status, headers }) => {
+    one.handle = (_request, response) => {
+      response.writeHead(status, { ...headers, leaving: '1' }).end();
+    };
+    await callMany();
+    expect(one.arrivals.length).toBeLessThanOrEqual(1);
+  });
+
+  it('may say so in the head of a stream, which goes on', async () => {
+    const stream = testRoute({ repeatability: 'resumable_stream' });
+    harness.configure(testConfiguration({ version: 2, routes: [stream] }));
+    const answer = answerEvents(1, 20, 4);
+    for (const backend of [one, two]) {
+      backend.handle = (request, response, body) => {
+        if (backend === one) response.setHeader('leaving', '1');
+        answer(request, response, body);
+      };
+    }
+    harness.list([one.record()]);
+    const first = harness.call({ id: 'first' });
+    await pause(60);
+    harness.list([one.record(), two.record()]);
+    await expectNoMore();
+    expect((await first).complete).toBe(true);
+  });
+
+  it('is another one than the process that has its address now', async () => {
+    one.handle = (_request, response) => {
+      response.writeHead(421, { 'not-run': 'yes', leaving: '1' }).end();
+    };
+    await callMany();
+    one.handle = answerWhole;
+    harness.list([one.record({ revision: 2 })]);
+    expect((await harness.call({ id: 'again' })).status).toBe(200);
+  });
+
+  it('serves again once it has started anew under its id', async () => {
+    harness.list([one.record({ start: 's1' }), two.record()]);
+    await callMany();
+    one.handle = answerWhole;
+    harness.list([one.record({ start: 's2', revision: 2 })]);
+    expect((await harness.call({ id: 'again' })).status).toBe(200);
+  });
+
+  it('says nothing with any other value', async () => {
+    one.handle = (request, response) => {
+      response.setHeader('leaving', '0');
+      answerWhole(request, response);
+    };
+    harness.list([one.record()]);
+    expect(await callMany()).toEqual(Array(REQUESTS).fill(200));
+  });
+
+  it('is left by another daemon too, which has had no answer of it', async () => {
+    const { peerPort } = harness.settings;
+    const address = '127.0.0.2';
+    const other = await GatewayHarness.start({ address, peerPort, seeds: ['127.0.0.1'] });
+    other.configure(testConfiguration());
+    other.list([one.record(), two.record()]);
+    const isMet = (): boolean => harness.gateway['peers'].live().length === 2;
+    for (let look = 0; look < 60 && !isMet(); look++) await pause(100);
+    await callMany();
+    const before = one.arrivals.length;
+    expect(before).toBeGreaterThan(0);
+    await pause(200);
+    for (let call = 0; call < REQUESTS; call++) await other.call({ id: `o${call}` });
+    expect(one.arrivals.length).toBe(before);
+    other.stop();
+  });
 });
