A backend that asks for rest gets nothing from this daemon until its end

Callers waited for, and were refused by, a backend that had turned their gateway away and asked for 3 s of rest: one caller's request reached it four times, 250 ms apart, and the next caller's again. Cause: the time that a refusal asks for was not read, and what a request learned of a backend was its own.

Now rests are kept for the daemon, by process of the backend, and leave it out wherever a backend is chosen; each send asks once more. Why it holds: there is one place that says which backends may be sent to, for first sends, repeats, queues, granted slots and resumed streams. Where all rest, the caller is told at once when the first is back. Bad values have a stated meaning, each with a test.

Ruled out: that it was read and the backend the last resort. `CallerRequest` has a file of its own, so that attempts and exchanges import each other no more; when a silent backend is left is decided in attempt-policy.ts.

--- a/src/core/attempt-policy.ts
+++ b/src/core/attempt-policy.ts
@@ -32,6 +32,12 @@
 
 /** Sends of one request, refused ones included; keeps a storm of refusals short. */
 const MOST_SENDS = 4;
+/** A backend that has not begun to answer after so many goals is left for another, but not earlier than after: */
+const SILENT_GOALS = 2.2;
+const SHORTEST_SILENCE_MS = 250;
+/** A stream that rests for so many of its pause goals goes on elsewhere, but not earlier than after: */
+const STALLED_PAUSES = 3.5;
+const SHORTEST_STALL_MS = 600;
 
 /** Decides after a failed attempt, which `history` includes. */
 export function afterFailure(
@@ -46,3 +52,20 @@
   if (!mayRepeat(route)) return 'fail';
   return history.runs < route.maxAttempts ? 'retry' : 'fail';
 }
+
+/**
+ * Milliseconds without a first byte after which a request's backend is left for another; infinite if that is not allowed.
+ *
+ * @param runs - Backends at which the request ran before, or may have run.
+ */
+export function silentAfterMs(route: Route, runs: number): number {
+  if (!mayRepeat(route) || runs + 1 >= route.maxAttempts) return Infinity;
+  return Math.max(SHORTEST_SILENCE_MS, route.goalMs * SILENT_GOALS);
+}
+
+/** The same without a further byte of a stream, which goes on at another backend. */
+export function stalledAfterMs(route: Route, runs: number): number {
+  if (route.repeatability !== 'resumable_stream') return Infinity;
+  if (runs + 1 >= route.maxAttempts) return Infinity;
+  return Math.max(SHORTEST_STALL_MS, route.pauseGoalMs * STALLED_PAUSES);
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,7 +13,7 @@
 import { forwardedHeaders, type CallerAnswer, type WholeAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { AnswerHead } from './ports.js';
-import type { CallerRequest } from './request-exchange.js';
+import type { CallerRequest } from './caller-request.js';
 import { steadyNow } from './steady-clock.js';
 
 /** How an attempt ended. */
@@ -62,6 +62,8 @@
   readonly hasAlternative: () => boolean;
   /** The backend has said that it leaves, in whatever answer. */
   readonly onLeaving: () => void;
+  /** The backend wants no request for so many milliseconds. */
+  readonly onRest: (restMs: number) => void;
   /** The backend is silent and nobody else can take the request; called once. */
   readonly onSilent: () => void;
   /** Notes the gaps between events; undefined if they tell nothing of the backend. */
@@ -168,6 +170,7 @@
     const { head } = this;
     // What another process at the address says of itself says nothing of this backend.
     if (head.leaving && !head.misdirected) this.options.onLeaving();
+    if (head.restMs !== undefined) this.options.onRest(head.restMs);
     const { attemptId } = this.options.request.head;
     if (head.attemptId !== undefined && attemptId !== undefined && head.attemptId !== attemptId) {
       return this.fail('unknown', 'the answer belongs to another request', {});
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../common/logger.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendHealth } from '../core/backend-health.js';
+import type { BackendRests } from '../core/backend-rests.js';
 import type { BackendSelection } from '../core/backend-selection.js';
 import type { HoldPolicy } from '../core/hold-policy.js';
 import type { RetryBudget } from '../core/retry-budget.js';
@@ -34,6 +35,7 @@
   readonly limits: TenantLimits;
   readonly crashes: CrashWatch;
   readonly leavings: LeavingNews;
+  readonly rests: BackendRests;
   /** Keeps backends' slots over all daemons; undefined if each daemon chooses alone. */
   readonly slots: SlotAdmission | undefined;
   /** What is held of answers and bodies. */
@@ -49,6 +51,8 @@
   noteCaller(route: string, deadlineMs: number | undefined): boolean;
   /** A request has begun to wait: the owner should hear at once. */
   demandUrgent(service: string): void;
+  /** Waiting requests look again, once for all that has changed. */
+  lookAgain(): void;
   /** Whether callers are asked to close their connections. */
   isDraining(): boolean;
   /** Whether new requests are refused because the daemon is about to end. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,6 +33,11 @@
     help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
     registers: [this.registry],
   });
+  readonly rests = new Counter({
+    name: 'scaleslip_gateway_backend_rests_total',
+    help: 'Refusals in which a backend has asked this daemon for rest',
+    registers: [this.registry],
+  });
   readonly crashesMet = new Counter({
     name: 'scaleslip_gateway_crashes_met_total',
     help: 'Requests that this daemon had at a backend when it crashed',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import { answerRoomOf } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
+import { BackendRests } from '../core/backend-rests.js';
 import { CallerDeadlines } from '../core/caller-deadlines.js';
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
 import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
@@ -16,7 +17,7 @@
 import type { PlacementUpdate } from '../core/placement-update.js';
 import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
-import type { BackendRecord, ServiceConfiguration } from '../core/service-configuration.js';
+import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
@@ -44,7 +45,7 @@
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceDuties } from './service-duties.js';
-import { SlotAdmission } from './slot-admission.js';
+import { SlotAdmission, slotsOf } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
 import { HolderLeases } from './holder-leases.js';
 import { LeavingNews } from './leaving-news.js';
@@ -361,6 +362,7 @@
       limits: this.limits,
       crashes: this.crashes,
       leavings: this.leavings,
+      rests: new BackendRests(),
       slots: this.slots,
       answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
@@ -369,6 +371,7 @@
       daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
       noteCaller: (route, deadlineMs) => this.noteCaller(route, deadlineMs),
       demandUrgent: (service) => this.reportDemand(service),
+      lookAgain: () => this.scheduleLook(),
       isDraining: () => this.drainingSince !== undefined,
       refusesRequests: () => this.refusesRequests(),
     };
@@ -560,8 +563,3 @@
     controlBytes.set({ direction: 'received' }, bytesReceived);
   }
 }
-
-/** Slots of a backend that takes requests; one that names none works on one request at a time. */
-function slotsOf(backend: BackendRecord | undefined): number | undefined {
-  return backend && Math.max(1, backend.slots);
-}
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -137,6 +137,8 @@
   readonly misdirected: boolean;
   /** The process that answers says that it leaves. */
   readonly leaving: boolean;
+  /** It turns the request away, and wants none of this daemon for so many milliseconds; undefined if it asks for nothing. */
+  readonly restMs: number | undefined;
 }
 
 /** Fields that the gateway sets on a request to a backend. */
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -42,6 +42,8 @@
   readonly onQueued: () => void;
   /** No backend can take it. */
   readonly onNone: () => void;
+  /** All that could take it want no request for so long. */
+  readonly onRest: (restMs: number) => void;
   /** All that could take it are full for longer than it can wait. */
   readonly onFull: (retryAfterMs: number) => void;
 }
@@ -85,6 +87,8 @@
     const fullForMs = this.fullForMs(steadyNow());
     if (fullForMs !== undefined) return this.options.onFull(fullForMs);
     this.queueAt(undefined);
+    const restMs = this.shortestRestMs(steadyNow());
+    if (restMs !== undefined) return this.options.onRest(restMs);
     this.options.onNone();
   }
 
@@ -174,13 +178,28 @@
 
   /** Backends that may be sent the request now. */
   private usableBackends(now: number): BackendRecord[] {
+    const { rests } = this.context;
+    return this.suitableBackends(now)
+      .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
+      .filter((backend) => rests.remainingMs(backend, now) === 0)
+      .filter((backend) => this.options.mayRunAt(backend.id));
+  }
+
+  /** Backends that could serve the request, now or later. */
+  private suitableBackends(now: number): BackendRecord[] {
     const { directory } = this.context;
     const { service, model } = this.options;
     return directory
       .serving(service.name)
-      .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
-      .filter((backend) => model === undefined || directory.holds(backend, model, now))
-      .filter((backend) => this.options.mayRunAt(backend.id));
+      .filter((backend) => model === undefined || directory.holds(backend, model, now));
+  }
+
+  /** Milliseconds until the first of the backends is back, if all of them rest; undefined if some does not. */
+  private shortestRestMs(now: number): number | undefined {
+    const suitable = this.suitableBackends(now);
+    const rests = suitable.map((backend) => this.context.rests.remainingMs(backend, now));
+    const shortest = Math.min(...rests);
+    return shortest > 0 && Number.isFinite(shortest) ? shortest : undefined;
   }
 
   /** Those that are sound, and that the request was not sent to yet. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -5,21 +5,20 @@
  */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
-import { afterFailure } from '../core/attempt-policy.js';
+import { afterFailure, silentAfterMs, stalledAfterMs } from '../core/attempt-policy.js';
 import { isAnotherStart } from '../core/backend-starts.js';
 import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import {
   isStream,
-  mayRepeat,
   type BackendRecord,
   type ModelReference,
 } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
+import type { CallerRequest } from './caller-request.js';
 import { watchedGaps, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { RequestHead } from './ports.js';
 import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
 import { RequestSuspicion } from './request-suspicion.js';
 import type { WaitingCaller } from './request-tracker.js';
@@ -37,22 +36,6 @@
  * which is one rank (four steps) in `slot-queue.ts`.
  */
 const RETURN_HEADSTART_MS = 1_200;
-/** A backend that has not begun to answer after so many goals is left for another. */
-const SILENT_GOALS = 2.2;
-/** A stream that rests for so many of its pause goals goes on elsewhere. */
-const STALLED_PAUSES = 3.5;
-
-/** What the caller sent. */
-export interface CallerRequest {
-  readonly head: RequestHead;
-  readonly method: string;
-  readonly path: string;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  /** Steady time at which its head was read. */
-  readonly arrivedAt: number;
-}
-
 /** Why a request that has not run is refused. */
 type RefusalKind =
   | 'no_capacity'
@@ -203,6 +186,7 @@
       onQueued: () => this.queued(),
       onNone: () => this.holdOrRefuse(),
       onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
+      onRest: (restMs) => this.backendsRest(restMs),
     });
   }
 
@@ -244,14 +228,8 @@
   private holdOrRefuse(): void {
     // Its turn comes as soon as the suspects before it have begun to answer, or have crashed what they run at.
     if (this.suspicion.verdict() === 'suspect') return this.wait();
-    const { service } = this.match;
     const now = steadyNow();
-    const readyInMs =
-      this.model === undefined
-        ? undefined
-        : this.context.directory.readyInMs(service.name, this.model, now, (backend) =>
-            this.context.health.isAvoided(backend, now),
-          );
+    const readyInMs = this.readyInMs(now);
     const decision = this.decideHold(readyInMs);
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
       this.expectReturn(decision.retryAfterMs);
@@ -261,6 +239,17 @@
     this.wait();
   }
 
+  /** When a backend that neither fails nor rests has the model, as the owner forecasts; undefined if that is not known. */
+  private readyInMs(now: number): number | undefined {
+    const { directory, health, rests } = this.context;
+    if (this.model === undefined) return undefined;
+    return directory.readyInMs(this.match.service.name, this.model, now, (id) => {
+      const backend = directory.get(id);
+      const isResting = backend !== undefined && rests.remainingMs(backend, now) > 0;
+      return isResting || health.isAvoided(id, now);
+    });
+  }
+
   private decideHold(readyInMs: number | undefined): HoldDecision {
     const { route } = this.match;
     const now = steadyNow();
@@ -332,7 +321,7 @@
     const denial = this.pass.deniedKey();
     if (denial !== undefined) return this.refuseDenied(denial);
     if (this.isCondemned()) return this.refuseCrashing();
-    // A slot may have been granted for a backend that has said since that it leaves.
+    // A slot may have been granted for a backend that has said since that it leaves, or wants rest.
     if (!this.search.isUsable(backend.id)) return this.searchAnew();
     if (!this.suspicion.takePlace(backend.id)) return this.waitForPlace();
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
@@ -364,10 +353,11 @@
       urgency: context.slots && ADMITTED_URGENCY,
       remainingMs: this.deadlineAt - now,
       lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
-      silentAfterMs: this.silentAfterMs(),
-      stalledAfterMs: this.stalledAfterMs(),
+      silentAfterMs: silentAfterMs(route, this.runs),
+      stalledAfterMs: stalledAfterMs(route, this.runs),
       hasAlternative: () => this.search.hasAlternative(),
       onLeaving: () => context.leavings.answered(backend, request.head.attemptId),
+      onRest: (restMs) => this.noteRest(backend, restMs),
       onSilent: () => this.backendSilent(backend),
       gaps: watchedGaps(context, this.need, backend.id, isResumed),
       answer: this.answer,
@@ -386,6 +376,24 @@
     this.wait();
   }
 
+  /** The backend is sent nothing until then, whatever waits for it here: other requests look for another one. */
+  private noteRest(backend: BackendRecord, askedMs: number): void {
+    const { rests, metrics } = this.context;
+    const restMs = Math.round(rests.note(backend, askedMs, steadyNow()));
+    metrics.rests.inc();
+    this.log('backend_rests', { backend: backend.id, askedMs: Math.round(askedMs), restMs });
+    this.context.lookAgain();
+  }
+
+  /** All that could take it rest: its caller is told at once when the first is back. */
+  private backendsRest(restMs: number): void {
+    if (this.answer.hasBegun) return this.wait();
+    const readyInMs = this.readyInMs(steadyNow());
+    if (readyInMs !== undefined && readyInMs < restMs) return this.holdOrRefuse();
+    this.expectReturn(restMs);
+    this.refuseFull(restMs, { restForMs: Math.round(restMs) });
+  }
+
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
@@ -393,20 +401,6 @@
     this.log('backend_awaited', { backend: backend.id, ...this.beliefs(steadyNow()) });
   }
 
-  /** A backend is left for another only if that is allowed and possible. */
-  private silentAfterMs(): number {
-    const { route } = this.match;
-    if (!mayRepeat(route) || this.runs + 1 >= route.maxAttempts) return Infinity;
-    return Math.max(250, route.goalMs * SILENT_GOALS);
-  }
-
-  private stalledAfterMs(): number {
-    const { route } = this.match;
-    if (route.repeatability !== 'resumable_stream') return Infinity;
-    if (this.runs + 1 >= route.maxAttempts) return Infinity;
-    return Math.max(600, route.pauseGoalMs * STALLED_PAUSES);
-  }
-
   private takeRetry(service: string, now: number): boolean {
     const granted = this.context.budgetOf(service).takeRetry(now, this.context.daemonCount());
     this.context.metrics.retries.inc({ granted: String(granted) });
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -3,7 +3,7 @@
 import type { CrashVerdict } from '../core/crash-records.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { CrashWatch } from './crash-watch.js';
-import type { CallerRequest } from './request-exchange.js';
+import type { CallerRequest } from './caller-request.js';
 
 /** Hexadecimal digits of a digest: 16 bytes, too many for two requests to share one by chance or by design. */
 const DIGEST_DIGITS = 32;
--- a/src/gateway/slot-admission.ts
+++ b/src/gateway/slot-admission.ts
@@ -446,3 +446,8 @@
     for (const claim of known.claims.values()) if (claim.state !== 'held') this.ask(known, claim);
   }
 }
+
+/** Slots of a backend that takes requests; one that names none works on one request at a time. */
+export function slotsOf(backend: BackendRecord | undefined): number | undefined {
+  return backend && Math.max(1, backend.slots);
+}
--- a/test/gateway/backend-rests.test.ts
+++ b/test/gateway/backend-rests.test.ts
@@ -4,6 +4,7 @@
  * request from one backend for 250 ms.
  */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { BackendRests } from '../../src/core/backend-rests.js';
 import {
   answerWhole,
   GatewayHarness,
@@ -59,4 +60,58 @@
     await pause(400);
     expect((await harness.call({ id: 'later' })).status).toBe(200);
   });
+
+  it('has its callers told at once when the first of several is back', async () => {
+    two.handle = asksForRest('3');
+    await callMany(2);
+    const begun = performance.now();
+    const answer = await harness.call({ id: 'told' });
+    expect(performance.now() - begun).toBeLessThan(100);
+    expect(answer.status).toBe(503);
+    expect(answer.headers['x-ran']).toBe('no');
+    const told = Number(answer.headers['retry-after']);
+    expect(told).toBeGreaterThan(0);
+    expect(told).toBeLessThanOrEqual(0.8);
+  });
+
+  it('is left by what waits for it, also on a granted slot', async () => {
+    harness.list([one.record()]);
+    await callMany(1);
+    const waiting = harness.call({ id: 'waits', headers: { deadline: '3000' } });
+    const before = one.arrivals.length;
+    harness.list([one.record(), two.record({ revision: 9 })]);
+    await waiting;
+    await callMany(5);
+    expect(one.arrivals.length).toBe(before);
+    expect(two.arrivals.length).toBeGreaterThan(4);
+  });
+
+  it.each(['', '-3', 'soon', 'Wed, 21 Oct 2026 07:28:00 GMT', '1e3', 'NaN', '0'])(
+    'asks for nothing with %j',
+    async (value) => {
+      one.handle = asksForRest(value);
+      harness.list([one.record()]);
+      await callMany(1);
+      one.handle = answerWhole;
+      await pause(300);
+      expect((await harness.call({ id: 'again' })).status).toBe(200);
+    },
+  );
+
+  it('asks another daemon for nothing, and a later process under its id neither', () => {
+    const rests = new BackendRests();
+    rests.note({ id: 'a', start: '1' }, 3_000, 0);
+    expect(rests.remainingMs({ id: 'a', start: '1' }, 2_999)).toBe(1);
+    expect(rests.remainingMs({ id: 'a', start: '1' }, 3_000)).toBe(0);
+    expect(rests.remainingMs({ id: 'a', start: '2' }, 1)).toBe(0);
+    expect(new BackendRests().remainingMs({ id: 'a', start: '1' }, 1)).toBe(0);
+  });
+
+  it('is not shortened by a later word, and never kept out for days at once', () => {
+    const rests = new BackendRests();
+    rests.note({ id: 'a' }, 3_000, 0);
+    rests.note({ id: 'a' }, 500, 100);
+    expect(rests.remainingMs({ id: 'a' }, 1_000)).toBe(2_000);
+    expect(rests.note({ id: 'a' }, 7 * 86_400_000, 0)).toBe(3_600_000);
+  });
 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -4,6 +4,7 @@
 import { credentialHash } from '../../src/core/admission/api-keys.js';
 import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
+import { restOf } from '../../src/core/backend-rests.js';
 import type { OrderOutcome } from '../../src/core/model-order.js';
 import type {
   BackendRecord,
@@ -51,6 +52,7 @@
     notRun: headers['not-run'] !== undefined,
     misdirected: status === 421,
     leaving: headers.leaving === '1',
+    restMs: status === 503 ? restOf(headers['retry-after']) : undefined,
   }),
   ownAnswerHeaders: () => ({}),
 };
