--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -30,6 +30,7 @@
     probes,
     runs: [],
     replicaViolations: [],
+    toldArrivals: [],
     poisonArrivals: [],
     poisonCrashes: [],
     accepted: new Map([[VERSION, ACCEPTED_AT]]),
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -4,7 +4,7 @@
 import type { CallRecord, RequestKind } from './caller.js';
 import type { SoakEvidence, TimeSpan } from './evidence.js';
 import { plainText, streamText } from './expected-events.js';
-import type { PoisonArrival } from './run-log.js';
+import type { PoisonArrival, ToldArrival } from './run-log.js';
 import {
   LIMIT_WINDOW_MS,
   LIMITED_TENANT,
@@ -48,6 +48,7 @@
     probes: [],
     runs: [],
     replicaViolations: [],
+    toldArrivals: [],
     poisonArrivals: [],
     poisonCrashes: [],
     accepted: new Map(),
@@ -231,4 +232,36 @@
     expect(rules({ calls })).toEqual(['sound_condemned']);
     expect(rules({ calls, replicaFaults: [{ from: 10_050, until: 10_060 }] })).toEqual([]);
   });
+
+  describe('of what replicas tell in their answers', () => {
+    const told = (attemptId: string, at: number, part: Partial<ToldArrival>): ToldArrival => {
+      return { attemptId, replica: 'r', at, saysLeaving: false, restMs: 0, ...part };
+    };
+
+    it('finds requests that were sent later than a leaving was passed on, at that gateway', () => {
+      const leaving = { saysLeaving: true };
+      const toldArrivals = [told('b', 10_010, leaving), told('c', 12_200, leaving)];
+      const first = callNamed('b', { sentAt: 10_000, endedAt: 10_100 });
+      const later = callNamed('c', { sentAt: 12_150, endedAt: 12_300 });
+      expect(rules({ toldArrivals, calls: [first, later] })).toEqual(['work_after_told']);
+      const elsewhere = { ...later, gateway: 'other' };
+      expect(rules({ toldArrivals, calls: [first, elsewhere] })).toEqual([]);
+      const earlier = { ...later, sentAt: 12_050 };
+      expect(rules({ toldArrivals, calls: [first, earlier] })).toEqual([]);
+      const gateways = { ...untouched, wasInterrupted: () => true };
+      expect(rules({ toldArrivals, calls: [first, later], gateways })).toEqual([]);
+    });
+
+    it('finds more than two requests in a time of rest', () => {
+      const ats = [10_000, 10_300, 10_600, 10_900, 11_200];
+      const toldArrivals = ats.map((at, index) =>
+        told(`d${index}`, at, { restMs: index === 0 ? 3_000 : 0 }),
+      );
+      const calls = ats.map((at, index) => callNamed(`d${index}`, { sentAt: at, endedAt: at + 5 }));
+      expect(rules({ toldArrivals, calls })).toEqual(['work_while_resting']);
+      expect(rules({ toldArrivals: toldArrivals.slice(0, 4), calls })).toEqual([]);
+      const gateways = { ...untouched, wasDisturbed: () => true };
+      expect(rules({ toldArrivals, calls, gateways })).toEqual([]);
+    });
+  });
 });
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -1,6 +1,6 @@
 /** What a soak leaves behind for its auditor, and what the auditor finds. */
 import type { CallRecord } from './caller.js';
-import type { PoisonArrival, ReplicaViolation, RunRecord } from './run-log.js';
+import type { PoisonArrival, ReplicaViolation, RunRecord, ToldArrival } from './run-log.js';
 
 /** A time, in Unix milliseconds. */
 export interface TimeSpan {
@@ -17,7 +17,9 @@
 export interface GatewayHistory {
   /** Whether anything was done to the process in that time: a signal, a standstill, a start. */
   wasDisturbed(gateway: string, span: TimeSpan): boolean;
-  /** The same without planned stops, and with some time to get over it. */
+  /** The same without cuts of its links: what the process knew may be gone, or old. */
+  wasInterrupted(gateway: string, span: TimeSpan): boolean;
+  /** Whether anything was done but planned stops, with some time to get over it. */
   wasHarmed(gateway: string, span: TimeSpan): boolean;
   /** Whether the process was held up for a part of that time, or its links healed in it. */
   wasJustFreed(gateway: string, span: TimeSpan): boolean;
@@ -37,6 +39,8 @@
   readonly probes: readonly ConfigurationProbe[];
   readonly runs: readonly RunRecord[];
   readonly replicaViolations: readonly ReplicaViolation[];
+  /** Requests that came to replicas which told something in their answers, or had lately. */
+  readonly toldArrivals: readonly ToldArrival[];
   /** Requests that crash what runs them, as they came to replicas. */
   readonly poisonArrivals: readonly PoisonArrival[];
   /** Those that have crashed the replica. */
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -258,6 +258,13 @@
     return this.disturbances.some((each) => each.from <= until && each.endedAt >= from);
   }
 
+  /** The same without cuts of its links. */
+  wasInterrupted(from: number, until: number): boolean {
+    return this.disturbances.some((each) => {
+      return each.kind !== 'cut_off' && each.from <= until && each.endedAt >= from;
+    });
+  }
+
   /** Whether the process was held up for a part of a time, or its links healed in it. */
   wasJustFreed(from: number, until: number): boolean {
     return this.disturbances.some((each) => {
--- a/test/soak/leaving-fault-injector.ts
+++ b/test/soak/leaving-fault-injector.ts
@@ -4,10 +4,8 @@
 import type { Departure, LeavingFault } from './leaving-fault-plan.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
 import type { SeededRandom } from './seeded-random.js';
-import type { SoakSystem } from './soak-system.js';
+import { spareReplicas, type SoakSystem } from './soak-system.js';
 
-/** Replicas of each service that stay, so that callers can be served. */
-const STAYING = 1;
 /** Replicas leave so long before a gateway goes on. */
 const LEFT_BEFORE_MS = 700;
 /** After its end a replica's address is free for so long before it is used again. */
@@ -59,16 +57,16 @@
 
   private leave(count: number, departure: Departure): void {
     for (let left = 0; left < count; left++) {
-      const replica = this.random.pick(this.spareReplicas());
+      const replica = this.random.pick(spareReplicas(this.system));
       if (replica === undefined) return;
       void this.depart(replica, departure).then(() => replica.start());
     }
   }
 
   private swapAddresses(departure: Departure): void {
-    const first = this.random.pick(this.spareReplicas());
+    const first = this.random.pick(spareReplicas(this.system));
     const second = this.random.pick(
-      this.spareReplicas().filter(({ service }) => service !== first?.service),
+      spareReplicas(this.system).filter(({ service }) => service !== first?.service),
     );
     if (first === undefined || second === undefined) return;
     void this.departAndSwap(first, second, departure);
@@ -91,14 +89,6 @@
     await replica.leave(serveMs, isAnnounced);
   }
 
-  private spareReplicas(): ReplicaStandIn[] {
-    const staying = this.system.replicas.filter(({ isServing }) => isServing);
-    return staying.filter(({ service, condition }) => {
-      const others = staying.filter((other) => other.service === service).length - 1;
-      return condition === 'sound' && others >= STAYING;
-    });
-  }
-
   private untouchedGateway(): GatewayProcess | undefined {
     const now = Date.now();
     const untouched = [...this.system.gateways.values()].filter(
--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -4,7 +4,7 @@
 import { counterOf, ownerOf } from './gateway-roles.js';
 import type { NamedFault, SuspendedGateway } from './named-fault-plan.js';
 import type { SeededRandom } from './seeded-random.js';
-import type { SoakSystem } from './soak-system.js';
+import { spareReplicas, type SoakSystem } from './soak-system.js';
 
 type FaultOf<Kind extends NamedFault['kind']> = Extract<NamedFault, { kind: Kind }>;
 
@@ -29,6 +29,11 @@
     switch (fault.kind) {
       case 'poison_request':
         return void this.repeat(fault);
+      case 'answers_tell_leaving':
+        for (let count = 0; count < fault.count; count++) this.leave(fault);
+        return;
+      case 'backend_asks_rest':
+        return this.askForRest(fault);
       case 'suspended':
         return this.suspend(fault);
     }
@@ -44,6 +49,22 @@
     }
   }
 
+  private leave({ serveMs, listedAfterMs }: FaultOf<'answers_tell_leaving'>): void {
+    const replica = this.random.pick(spareReplicas(this.system));
+    if (replica === undefined) return;
+    this.system.replicaFaults.push({ from: Date.now(), until: Date.now() + serveMs });
+    void replica.leaveByAnswers(serveMs, listedAfterMs).then(() => replica.start());
+  }
+
+  private askForRest(fault: FaultOf<'backend_asks_rest'>): void {
+    const { milliseconds, restSeconds, share } = fault;
+    const until = Date.now() + milliseconds + restSeconds * 1_000;
+    this.system.replicaFaults.push({ from: Date.now(), until });
+    for (const replica of this.system.replicas) {
+      if (this.random.chance(share)) replica.askForRest(milliseconds, restSeconds);
+    }
+  }
+
   private suspend({ who, milliseconds, cutMs }: FaultOf<'suspended'>): void {
     const gateway = this.gatewayToSuspend(who);
     if (cutMs > 0) gateway?.cutOff(milliseconds + cutMs);
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -18,6 +18,21 @@
       /** Replicas that have crashed are back after so long. */
       readonly backMs: number;
     }
+  /** Replicas leave and say so in their answers; their entries say so later, or not at all before they end. */
+  | {
+      readonly kind: 'answers_tell_leaving';
+      readonly count: number;
+      readonly serveMs: number;
+      /** Infinite for an entry that only goes. */
+      readonly listedAfterMs: number;
+    }
+  /** Replicas turn requests away for a time, and ask whoever sent them for rest. */
+  | {
+      readonly kind: 'backend_asks_rest';
+      readonly share: number;
+      readonly milliseconds: number;
+      readonly restSeconds: number;
+    }
   /** A gateway stands still, and its steady clock with it. */
   | {
       readonly kind: 'suspended';
@@ -34,7 +49,12 @@
 }
 
 /** All kinds. */
-export const NAMED_FAULT_KINDS: readonly NamedFault['kind'][] = ['poison_request', 'suspended'];
+export const NAMED_FAULT_KINDS: readonly NamedFault['kind'][] = [
+  'poison_request',
+  'answers_tell_leaving',
+  'backend_asks_rest',
+  'suspended',
+];
 
 const SHORTEST_GAP_MS = 800;
 const LONGEST_GAP_MS = 5_000;
@@ -67,6 +87,20 @@
         gapMs: random.between(50, 900),
         backMs: random.between(500, 3_000),
       };
+    case 'answers_tell_leaving':
+      return {
+        kind,
+        count: Math.ceil(random.between(0, 3)),
+        serveMs: random.between(3_000, 10_000),
+        listedAfterMs: random.chance(0.5) ? Infinity : random.between(500, 6_000),
+      };
+    case 'backend_asks_rest':
+      return {
+        kind,
+        share: random.between(0.2, 1),
+        milliseconds: random.between(500, 6_000),
+        restSeconds: random.between(0.7, 4),
+      };
     case 'suspended':
       return {
         kind,
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -78,6 +78,12 @@
   private leavingSince: number | undefined;
   /** Its entry is gone for good, though it serves on. */
   private isWithdrawn = false;
+  private saysLeaving = false;
+  /** It turns requests away until then, and asks for so much rest each time. */
+  private turnsAwayUntil = 0;
+  private restMs = 0;
+  /** What it has asked for ends then at the latest. */
+  private watchedUntil = 0;
   private server: http.Server | undefined;
   private readonly onDisk = new Set<string>();
 
@@ -95,7 +101,7 @@
 
   /** It runs and has not begun to leave. */
   get isServing(): boolean {
-    return this.isUp && this.leavingSince === undefined;
+    return this.isUp && this.leavingSince === undefined && !this.saysLeaving;
   }
 
   get service(): string {
@@ -121,6 +127,9 @@
     this.running = 0;
     this.leavingSince = undefined;
     this.isWithdrawn = false;
+    this.saysLeaving = false;
+    this.turnsAwayUntil = 0;
+    this.watchedUntil = 0;
     const server = http.createServer((request, response) => void this.receive(request, response));
     this.connections.follow(server);
     await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
@@ -151,6 +160,29 @@
     this.options.store.delete('servers', id);
   }
 
+  /** Leaves and says so in each answer; its entry says so later, or only goes when it ends. */
+  async leaveByAnswers(serveMs: number, listedAfterMs: number): Promise<void> {
+    this.saysLeaving = true;
+    const { id } = this;
+    const list = (): void => {
+      if (this.id !== id || !this.isUp) return;
+      this.leavingSince = Date.now();
+      this.enter();
+    };
+    if (listedAfterMs < serveMs) setTimeout(list, listedAfterMs).unref();
+    await new Promise((resolve) => setTimeout(resolve, serveMs));
+    if (this.id !== id || !this.isUp) return;
+    this.end();
+    this.options.store.delete('servers', id);
+  }
+
+  /** Turns requests away for a time, and asks for rest with each refusal. */
+  askForRest(milliseconds: number, restSeconds: number): void {
+    this.turnsAwayUntil = Date.now() + milliseconds;
+    this.restMs = restSeconds * 1_000;
+    this.watchedUntil = this.turnsAwayUntil + this.restMs;
+  }
+
   end(): void {
     this.server?.close();
     this.server?.closeAllConnections();
@@ -272,6 +304,7 @@
     const { random } = this.options;
     const attemptId = String(request.headers['x-attempt-id'] ?? '');
     this.checkArrival(request, attemptId);
+    if (this.tell(response, attemptId)) return;
     const poison = this.poisonOf(body, attemptId);
     if (condition === 'resets_all') return void request.socket.destroy();
     if (condition === 'hangs') return;
@@ -293,6 +326,20 @@
     else setTimeout(() => sendPlain(response, plainText(attemptId, body), seal), 10 * pace).unref();
   }
 
+  /** Says in the answer what is to be said; returns whether that is all of it. */
+  private tell(response: http.ServerResponse, attemptId: string): boolean {
+    const { id, saysLeaving } = this;
+    const at = Date.now();
+    const turnsAway = at < this.turnsAwayUntil;
+    const restMs = turnsAway ? this.restMs : 0;
+    if (saysLeaving || at < this.watchedUntil) {
+      this.options.log.toldArrivals.push({ attemptId, replica: id, at, saysLeaving, restMs });
+    }
+    if (saysLeaving) response.setHeader('server-leaving', '1');
+    if (turnsAway) refuse(response, 503, { 'retry-after': (restMs / 1_000).toFixed(3) });
+    return turnsAway;
+  }
+
   private poisonOf(body: string, attemptId: string): Poison | undefined {
     const { poison, backMs = 0 } = JSON.parse(body) as { poison?: string; backMs?: number };
     if (poison === undefined) return undefined;
@@ -347,8 +394,12 @@
   }
 }
 
-function refuse(response: http.ServerResponse, status: number): void {
-  sendJson(response, status, {}, { 'x-not-executed': '1' });
+function refuse(
+  response: http.ServerResponse,
+  status: number,
+  headers: Record<string, string> = {},
+): void {
+  sendJson(response, status, {}, { 'x-not-executed': '1', ...headers });
 }
 
 function sendPlain(
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -39,10 +39,22 @@
   readonly at: number;
 }
 
+/** A request that has come to a replica which says in its answers that it leaves, or asks for rest. */
+export interface ToldArrival {
+  readonly attemptId: string;
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+  readonly saysLeaving: boolean;
+  /** Milliseconds of rest that the answer asks for; 0 for none. */
+  readonly restMs: number;
+}
+
 /** Shared by all replicas of one soak. */
 export class RunLog {
   readonly runs: RunRecord[] = [];
   readonly violations: ReplicaViolation[] = [];
+  readonly toldArrivals: ToldArrival[] = [];
   readonly poisonArrivals: PoisonArrival[] = [];
   readonly poisonCrashes: PoisonArrival[] = [];
   loads = 0;
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -154,11 +154,13 @@
       probes: this.probes,
       runs: this.log.runs,
       replicaViolations: this.log.violations,
+      toldArrivals: this.log.toldArrivals,
       poisonArrivals: this.log.poisonArrivals,
       poisonCrashes: this.log.poisonCrashes,
       accepted: this.accepted,
       gateways: {
         wasDisturbed: (name, { from, until }) => this.gateway(name).wasDisturbed(from, until),
+        wasInterrupted: (name, { from, until }) => this.gateway(name).wasInterrupted(from, until),
         wasJustFreed: (name, { from, until }) => this.gateway(name).wasJustFreed(from, until),
         wasHarmed: (name, { from, until }) => this.gateway(name).wasHarmed(from, until),
         stopDuring: (name, { from, until }) => this.gateway(name).stopDuring(from, until),
--- a/test/soak/soak-system.ts
+++ b/test/soak/soak-system.ts
@@ -15,3 +15,15 @@
   /** The operator publishes the next version. */
   changeConfiguration(): void;
 }
+
+/** Replicas of each service that stay, so that callers can be served. */
+const STAYING = 1;
+
+/** Sound replicas that may leave. */
+export function spareReplicas({ replicas }: Pick<SoakSystem, 'replicas'>): ReplicaStandIn[] {
+  const staying = replicas.filter(({ isServing }) => isServing);
+  return staying.filter(({ service, condition }) => {
+    const others = staying.filter((other) => other.service === service).length - 1;
+    return condition === 'sound' && others >= STAYING;
+  });
+}
