--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,5 +1,6 @@
 import { beforeAll, describe, expect, it } from 'vitest';
 import { buildGateway } from './gateway-process.js';
+import { NAMED_FAULT_KINDS } from './named-fault-plan.js';
 import { runSoak, soakFolder } from './soak-run.js';
 
 const SEED = 21;
@@ -20,6 +21,10 @@
 const COUNTER_SEED = 20_012;
 const COUNTER_FAULT_MS = 25_000;
 
+/** Draws requests that crash replicas, replicas that leave or ask for rest in answers, and suspended gateways, several of each. */
+const NAMED_SEED = 53_001;
+const NAMED_FAULT_MS = 40_000;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -76,6 +81,22 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('heed what answers tell, stop requests that crash replicas, and wake without old leases', async () => {
+    const result = await runSoak({
+      seed: NAMED_SEED,
+      faultMs: NAMED_FAULT_MS,
+      folder: soakFolder(NAMED_SEED),
+      faultKinds: 'none',
+      only: NAMED_FAULT_KINDS,
+      keptCallers: 4,
+      replicas: 8,
+      checksEpochs: false,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.faults).toBeGreaterThan(8);
+    expect(result.served).toBeGreaterThan(result.calls / 4);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
