Operators see requests that are refused for crashes, and lift one for all daemons

A mend of the backends' software does not end such a refusal by itself for ten minutes. At the metrics port GET /crashing-requests lists them, DELETE with a digest holds nothing against that request any more, told to all daemons as an answer would be.

--- a/src/gateway/crash-watch.ts
+++ b/src/gateway/crash-watch.ts
@@ -114,6 +114,22 @@
     this.noteCondemned();
   }
 
+  /** Digests of the requests that are refused, with the starts of backends that have crashed under them. */
+  refusedRequests(): CrashRecord[] {
+    const now = steadyNow();
+    return this.records.all(now).filter(({ digest }) => this.condemned.has(digest));
+  }
+
+  /** An operator has the request sent again, at all daemons; false if nothing is held against it. */
+  lift(digest: string): boolean {
+    const record = this.records.noteAnswer(digest, steadyNow());
+    if (record === undefined) return false;
+    this.options.logger.warn('crash_lifted', { digest, starts: record.excused.length });
+    this.gossip.tell(record);
+    this.noteCondemned();
+    return true;
+  }
+
   /** A request that is refused has come. */
   repeated(digest: string): void {
     this.records.noteRepeat(digest, steadyNow());
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -327,6 +327,7 @@
       isReady: () => this.isReady(),
       registry: metrics.registry,
       refreshMetrics: () => this.refreshMetrics(),
+      crashes: this.crashes,
     });
   }
 
--- a/src/gateway/status-ports.ts
+++ b/src/gateway/status-ports.ts
@@ -2,9 +2,13 @@
 import http from 'node:http';
 import type { Registry } from 'prom-client';
 import { splitAddress } from '../common/http-client.js';
-import { listen } from '../common/http-server.js';
+import { listen, sendJson } from '../common/http-server.js';
+import type { CrashWatch } from './crash-watch.js';
 import type { GatewaySettings } from './gateway-settings.js';
 
+/** GET lists them; DELETE with the digest of one behind it has it sent to backends again. */
+const CRASHING_REQUESTS = '/crashing-requests';
+
 /** Options of {@link StatusPorts}. */
 export interface StatusPortsOptions {
   readonly settings: Pick<GatewaySettings, 'readiness' | 'address' | 'metricsPort'>;
@@ -15,6 +19,7 @@
   readonly registry: Registry;
   /** Sets the metrics that are worked out when they are asked for. */
   readonly refreshMetrics: () => void;
+  readonly crashes: Pick<CrashWatch, 'refusedRequests' | 'lift'>;
 }
 
 /** Both ports. */
@@ -26,7 +31,7 @@
     this.readiness = http.createServer((request, response) => {
       this.answerReadiness(request, response);
     });
-    this.metrics = http.createServer((_request, response) => void this.answerMetrics(response));
+    this.metrics = http.createServer((request, response) => this.answerOperator(request, response));
   }
 
   async start(): Promise<void> {
@@ -48,6 +53,17 @@
     response.end();
   }
 
+  /** Metrics under any path but that of the requests which are refused because backends have crashed under them. */
+  private answerOperator(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { crashes } = this.options;
+    const path = request.url ?? '';
+    if (!path.startsWith(CRASHING_REQUESTS)) return void this.answerMetrics(response);
+    if (request.method === 'GET') return sendJson(response, 200, crashes.refusedRequests());
+    if (request.method !== 'DELETE') return sendJson(response, 405, {});
+    const isLifted = crashes.lift(path.slice(CRASHING_REQUESTS.length + 1));
+    sendJson(response, isLifted ? 200 : 404, {});
+  }
+
   private async answerMetrics(response: http.ServerResponse): Promise<void> {
     const { registry, refreshMetrics } = this.options;
     refreshMetrics();
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -131,4 +131,19 @@
     expect((await joined.call({ id: 'later', body: 'crash' })).status).toBe(503);
     expect(crashes).toBe(3);
   });
+
+  it('is sent again once an operator has said so to one daemon', async () => {
+    await repeat('crash', 4);
+    await pause(2 * BACK_AFTER_MS);
+    const [first, second] = daemons as [GatewayHarness, GatewayHarness];
+    const { crashes: watch } = first.context();
+    const [refused] = watch.refusedRequests();
+    expect(refused?.starts).toHaveLength(3);
+    expect(watch.lift('no such digest')).toBe(false);
+    expect(watch.lift(refused?.digest ?? '')).toBe(true);
+    await pause(100);
+    expect(second.context().crashes.refusedRequests()).toEqual([]);
+    await second.call({ id: 'lifted', body: 'crash' });
+    expect(crashes).toBeGreaterThan(3);
+  });
 });
--- /dev/null
+++ b/test/gateway/status-ports.test.ts
@@ -0,0 +1,62 @@
+import http from 'node:http';
+import { Registry } from 'prom-client';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { StatusPorts } from '../../src/gateway/status-ports.js';
+import { findFreePorts } from '../../src/testbed/free-ports.js';
+
+const DIGEST = 'a'.repeat(32);
+
+describe('the ports for the entry and for operators', () => {
+  let ports: StatusPorts;
+  let metricsPort: number;
+  let readinessPort: number;
+  let isReady = false;
+
+  beforeEach(async () => {
+    [metricsPort = 0, readinessPort = 0] = await findFreePorts(2);
+    const readiness = `127.0.0.1:${readinessPort}`;
+    ports = new StatusPorts({
+      settings: { readiness, address: '127.0.0.1', metricsPort },
+      readinessPath: '/ready',
+      isReady: () => isReady,
+      registry: new Registry(),
+      refreshMetrics: () => {},
+      crashes: {
+        refusedRequests: () => [{ digest: DIGEST, starts: ['b'], excused: [], ageMs: 5 }],
+        lift: (digest) => digest === DIGEST,
+      },
+    });
+    await ports.start();
+  });
+  afterEach(() => ports.stop());
+
+  function ask(port: number, path: string, method = 'GET'): Promise<[number, string]> {
+    return new Promise((resolve, reject) => {
+      const request = http.request({ host: '127.0.0.1', port, path, method, agent: false });
+      request.on('error', reject);
+      request.on('response', (response) => {
+        let body = '';
+        response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+        response.on('end', () => resolve([response.statusCode ?? 0, body]));
+      });
+      request.end();
+    });
+  }
+
+  it('tell the entry whether new connections are wanted', async () => {
+    expect((await ask(readinessPort, '/ready'))[0]).toBe(503);
+    isReady = true;
+    expect((await ask(readinessPort, '/ready'))[0]).toBe(200);
+    expect((await ask(readinessPort, '/other'))[0]).toBe(404);
+  });
+
+  it('list requests that are refused for crashes, and lift one', async () => {
+    const [status, body] = await ask(metricsPort, '/crashing-requests');
+    expect(status).toBe(200);
+    expect(JSON.parse(body)).toMatchObject([{ digest: DIGEST }]);
+    expect((await ask(metricsPort, `/crashing-requests/${DIGEST}`, 'DELETE'))[0]).toBe(200);
+    expect((await ask(metricsPort, '/crashing-requests/b', 'DELETE'))[0]).toBe(404);
+    expect((await ask(metricsPort, '/crashing-requests', 'POST'))[0]).toBe(405);
+    expect((await ask(metricsPort, '/metrics'))[0]).toBe(200);
+  });
+});
