--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -543,6 +543,7 @@
       this.attempt.abort();
       this.releaseAttempt(this.attempt.backendId);
     }
+    this.suspicion.leavePlace();
     this.search.release();
     this.pass.end(mayHaveRun);
     this.context.exchanges.delete(this);
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -146,4 +146,22 @@
     await second.call({ id: 'lifted', body: 'crash' });
     expect(crashes).toBeGreaterThan(3);
   });
+
+  it('leaves its turn at a backend also where it is not sent after all', async () => {
+    const { bounds } = daemons[0]!.settings;
+    const part = { address: '127.0.0.4', bounds: { ...bounds, retrySlack: 0, retryRatio: 0 } };
+    const daemon = await GatewayHarness.start({ ...part, peerPort, seeds: [] });
+    daemon.configure(testConfiguration({ routes: [ROUTE] }));
+    daemons.push(daemon);
+    listAll();
+    for (const id of ['one', 'two']) await daemon.call({ id, body: 'crash' });
+    expect(crashes).toBe(2);
+    for (const backend of backends) {
+      backend.handle = (_request, response) => response.writeHead(503, { 'not-run': '1' }).end();
+    }
+    expect((await daemon.call({ id: 'three', body: 'crash' })).status).toBe(503);
+    const free = { hasBegun: false };
+    const watch = daemon.context().crashes;
+    expect(backends.every(({ id }) => watch.isPlaceFree(id, free))).toBe(true);
+  });
 });
