A backend that was only told of ends with a list that knows of it and lacks it

Requests reached a backend 7.5 s after its entry had gone in an outage of the store: gateways that knew it by a reader's word only kept it for 10 s, whatever later lists said. Cause: a peer's word, meant to outlive late lists, outlived newer ones too. Now it outlives only lists of before its own revision; else the backend is held like any other that a list of after an outage lacks, 1.8 s. Why it holds: the store's revisions order the two.

--- a/src/core/backend-presence.ts
+++ b/src/core/backend-presence.ts
@@ -138,8 +138,10 @@
         continue;
       }
       this.records.set(id, record);
-      const isHeld = this.announced.has(id) || this.missing.has(id);
-      if (isHeld) continue;
+      // A word of a peer outlives only lists from before it: one that knows of the backend and lacks it is news.
+      const isAhead = this.announced.has(id) && record.revision > list.revision;
+      if (isAhead || this.missing.has(id)) continue;
+      this.announced.delete(id);
       const { revision, isLate = false, returnWithinMs = MISSING_HOLD_MS } = list;
       const heldUntil = now + Math.min(returnWithinMs, MISSING_HOLD_MS);
       this.missing.set(id, { heldUntil, revision, isLateWord: isLate });
