One function names a start of a backend, and one excuses a request: each stood there twice or three times

startKey is in backend-starts.ts for lists, rests and crashes alike. An answer and an operator excuse a request by the same steps; the operator's line is info now, as the answer's. Nothing else changes.

--- a/src/core/backend-presence.ts
+++ b/src/core/backend-presence.ts
@@ -4,7 +4,7 @@
  * record that is not newer than it. Pure; times are milliseconds of a steady clock.
  */
 import murmurhash from 'murmurhash';
-import { isAnotherStart } from './backend-starts.js';
+import { isAnotherStart, startKey } from './backend-starts.js';
 import type { BackendRecord } from './service-configuration.js';
 
 /** All backends as the platform lists them at one revision of its store. */
@@ -203,11 +203,6 @@
   }
 }
 
-/** Names a backend's start. */
-function startKey({ id, start }: BackendRecord): string {
-  return start === undefined ? id : `${id} ${start}`;
-}
-
 /** A list that is late must not take a backend back to what it was before newer news, or to an earlier start. */
 function newerOf(known: BackendRecord | undefined, listed: BackendRecord): BackendRecord {
   if (known === undefined) return listed;
--- a/src/core/backend-rests.ts
+++ b/src/core/backend-rests.ts
@@ -2,6 +2,7 @@
  * Backends that have turned this daemon away and asked for rest: nothing is sent to them until its end. Pure; times are milliseconds
  * of a steady clock, which counts less where a machine was suspended: the rest is then longer, never shorter.
  */
+import { startKey } from './backend-starts.js';
 import type { BackendProcess } from './declared-leavings.js';
 
 /** A rest that is asked for is kept for no longer at once: one of days is most likely a mistake, and is asked for again. */
@@ -11,21 +12,21 @@
 
 /** The rests that one daemon was asked for. */
 export class BackendRests {
-  /** When rests end, by the process that asked. */
+  /** When rests end, by the process that asked: a later one under its id has asked for nothing. */
   private readonly ends = new Map<string, number>();
 
   /** Notes what a backend asks for; a rest that ends earlier shortens none. Returns the milliseconds from now. */
   note(backend: BackendProcess, restMs: number, now: number): number {
     this.forgetEnded(now);
     const until = now + Math.min(restMs, LONGEST_REST_MS);
-    const end = Math.max(until, this.ends.get(keyOf(backend)) ?? 0);
-    this.ends.set(keyOf(backend), end);
+    const end = Math.max(until, this.ends.get(startKey(backend)) ?? 0);
+    this.ends.set(startKey(backend), end);
     return end - now;
   }
 
   /** Milliseconds until a backend may be sent to; 0 if it may now. */
   remainingMs(backend: BackendProcess, now: number): number {
-    const end = this.ends.get(keyOf(backend)) ?? 0;
+    const end = this.ends.get(startKey(backend)) ?? 0;
     return Math.max(0, end - now);
   }
 
@@ -44,8 +45,3 @@
   const restMs = Number(text) * 1_000;
   return restMs > 0 ? restMs : undefined;
 }
-
-/** Another process under the same id has asked for nothing. */
-function keyOf({ id, start }: BackendProcess): string {
-  return start === undefined ? id : `${id} ${start}`;
-}
--- a/src/core/backend-starts.ts
+++ b/src/core/backend-starts.ts
@@ -33,6 +33,11 @@
   return one.start !== other.start;
 }
 
+/** Names one start of a backend's process. */
+export function startKey({ id, start }: Start & { readonly id: string }): string {
+  return start === undefined ? id : `${id} ${start}`;
+}
+
 /** The newest known start of each backend. */
 export class BackendStarts {
   /** By id, those heard of longest ago first. */
--- a/src/gateway/crash-watch.ts
+++ b/src/gateway/crash-watch.ts
@@ -5,7 +5,7 @@
 import net from 'node:net';
 import type { Logger } from '../common/logger.js';
 import { splitAddress } from '../common/http-client.js';
-import { isAnotherStart } from '../core/backend-starts.js';
+import { isAnotherStart, startKey } from '../core/backend-starts.js';
 import { CrashRecords, type CrashRecord, type CrashVerdict } from '../core/crash-records.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
@@ -91,7 +91,7 @@
     digest: string,
     request: string | undefined,
   ): Promise<void> {
-    const start = startOf(backend);
+    const start = startKey(backend);
     const isKnown =
       this.records.hasCrashed(start) || isAnotherStart(backend, this.options.listed(backend.id));
     const hasEnded = isKnown || (await this.hasEnded(backend.address));
@@ -107,11 +107,7 @@
 
   /** A backend has answered the request in full. */
   answered(digest: string): void {
-    const record = this.records.noteAnswer(digest, steadyNow());
-    if (record === undefined) return;
-    this.options.logger.info('crash_excused', { digest, starts: record.excused.length });
-    this.gossip.tell(record);
-    this.noteCondemned();
+    this.excuse(digest, 'crash_excused');
   }
 
   /** Digests of the requests that are refused, with the starts of backends that have crashed under them. */
@@ -122,9 +118,14 @@
 
   /** An operator has the request sent again, at all daemons; false if nothing is held against it. */
   lift(digest: string): boolean {
+    return this.excuse(digest, 'crash_lifted');
+  }
+
+  /** Holds nothing against a request any more, here and at the others; false if nothing was. */
+  private excuse(digest: string, event: 'crash_excused' | 'crash_lifted'): boolean {
     const record = this.records.noteAnswer(digest, steadyNow());
     if (record === undefined) return false;
-    this.options.logger.warn('crash_lifted', { digest, starts: record.excused.length });
+    this.options.logger.info(event, { digest, starts: record.excused.length });
     this.gossip.tell(record);
     this.noteCondemned();
     return true;
@@ -191,11 +192,6 @@
   }
 }
 
-/** Names one start of a backend's process. */
-function startOf({ id, start }: BackendRecord): string {
-  return start === undefined ? id : `${id} ${start}`;
-}
-
 /** Whether nobody listens at an address any more. */
 function isRefused(address: string): Promise<boolean> {
   const [host, port] = splitAddress(address);
