A record of a request without any crash is not kept

Such a record from another daemon took memory that no bound counted, and no change of the state's digest. Cause: it was stored before it was looked at whether it holds anything. None of our own daemons sends one. Found by reading; the test failed before.

--- a/src/core/crash-records.ts
+++ b/src/core/crash-records.ts
@@ -159,6 +159,8 @@
     const known = this.known.get(digest) ?? { starts: [], excused: [], heardAt: -Infinity };
     const starts = union(known.starts, [...record.starts, ...record.excused]);
     const excused = union(known.excused, record.excused);
+    // A record without a crash would take memory that no bound counts.
+    if (starts.length === 0) return undefined;
     const isNew = starts.length > known.starts.length || excused.join() !== known.excused.join();
     const heardAt = Math.max(known.heardAt, now - record.ageMs);
     this.known.set(digest, { starts, excused, heardAt });
--- a/test/core/crash-records.test.ts
+++ b/test/core/crash-records.test.ts
@@ -124,4 +124,13 @@
     expect(performance.now() - begun).toBeLessThan(200);
     expect(records.condemned()).toHaveLength(2_048);
   });
+
+  it('keeps nothing of records that hold nothing, however many come', () => {
+    const records = new CrashRecords();
+    for (let index = 0; index < 3_000; index++) {
+      records.hear([{ digest: `${index}`, starts: [], excused: [], ageMs: 0 }], 0);
+    }
+    expect(records.isEmpty).toBe(true);
+    expect(records.stateDigest()).toBe(0);
+  });
 });
