--- a/spec/crashes.pml
+++ b/spec/crashes.pml
@@ -30,7 +30,7 @@
 byte e;
 byte m;
 
-/* CrashGossip.tick, receive; CrashRecords.merge */
+/* DigestGossip.tick, answer; CrashRecords.merge */
 inline ask(asker, asked) {
   if
   :: isInTouch[asker] && isInTouch[asked] && knows[asker] != knows[asked] ->
