The exchange of digests between daemons is a module of its own

What daemons know of requests that crash backends is kept alike by news and digests; the same way will serve other matters. CrashGossip becomes DigestGossip, without its records. Nothing else changes.

--- a/src/gateway/crash-watch.ts
+++ b/src/gateway/crash-watch.ts
@@ -9,7 +9,9 @@
 import { CrashRecords, type CrashRecord, type CrashVerdict } from '../core/crash-records.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
-import { CrashGossip, type CrashGossipOptions } from './crash-gossip.js';
+import { decodeCrashes, encodeCrashes, encodeCrashQuestion } from './crash-codec.js';
+import { DigestGossip, type GossipLinks } from './digest-gossip.js';
+import type { CrashNews } from '../proto/gen/internal_pb.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -19,7 +21,7 @@
 const PROBE_VALID_MS = 200;
 
 /** Options of {@link CrashWatch}. */
-export interface CrashWatchOptions extends Omit<CrashGossipOptions, 'records' | 'onNews'> {
+export interface CrashWatchOptions extends GossipLinks {
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   /** A backend as it is listed now. */
@@ -42,7 +44,8 @@
 /** One daemon's knowledge of such requests. */
 export class CrashWatch {
   private readonly records = new CrashRecords();
-  private readonly gossip: CrashGossip;
+  /** `spec/crashes.pml` */
+  private readonly gossip: DigestGossip<CrashRecord>;
   /** By "ip:port". */
   private readonly probes = new Map<string, Probe>();
   /** The suspect that has its turn, by backend. */
@@ -50,10 +53,12 @@
   private condemned = new Set<string>();
 
   constructor(private readonly options: CrashWatchOptions) {
-    this.gossip = new CrashGossip({
+    this.gossip = new DigestGossip({
       ...options,
-      records: this.records,
-      onNews: (news, from) => this.changed(news, from),
+      digest: () => this.records.stateDigest(),
+      all: (now) => this.records.all(now),
+      encode: encodeCrashes,
+      encodeQuestion: encodeCrashQuestion,
     });
   }
 
@@ -159,11 +164,15 @@
   /** Takes a message of another daemon; false if it is of another kind. */
   receive(from: string, body: PeerBody): boolean {
     if (body.case !== 'crashNews') return false;
-    this.gossip.receive(from, body.value);
+    const { knownDigest } = body.value;
+    if (knownDigest === undefined) this.hear(from, body.value);
+    else this.gossip.answer(from, knownDigest);
     return true;
   }
 
-  private changed(news: readonly CrashRecord[], from: string): void {
+  private hear(from: string, message: CrashNews): void {
+    const news = this.records.hear(decodeCrashes(message), steadyNow());
+    if (news.length === 0) return;
     this.options.logger.info('crash_news', { from, requests: news.length });
     this.noteCondemned();
   }
