--- a/src/core/admission/limit-ledger.ts
+++ b/src/core/admission/limit-ledger.ts
@@ -5,9 +5,9 @@
  * the users' reading (_How a limit counts_), with one counter for all daemons. Pure; times
  * are milliseconds of a steady clock.
  */
-import type { TenantLimit } from '../service-configuration.js';
 import { SlidingSum } from '../sliding-sum.js';
 import { TokenBucket } from '../token-bucket.js';
+import type { HolderView, LimitDecision, RateLedger, RateLimit } from './rate-ledger.js';
 
 /** How limits are measured. */
 export interface LimitWindow {
@@ -27,24 +27,8 @@
 /** Part of the excess that the holder grants; the rest is for what daemons admit before they hear. */
 const GRANTED_EXCESS_SHARE = 0.5;
 
-/** The word on a request. */
-export type LimitDecision =
-  | { readonly type: 'granted' }
-  /** The tenant will have the units after `retryAfterMs`. */
-  | { readonly type: 'over_limit'; readonly retryAfterMs: number }
-  /** Nobody who counts has answered. */
-  | { readonly type: 'unknown' };
-
-/** What the holder knows of the group. */
-export interface HolderView {
-  /** Daemons that are seen. */
-  readonly daemons: number;
-  /** Share of the listed daemons that are seen: the others, cut off, may count the rest of the limit. */
-  readonly share: number;
-}
-
 /** The count of one tenant. */
-export class LimitLedger {
+export class LimitLedger implements RateLedger {
   private readonly admitted: SlidingSum;
   private readonly bucket: TokenBucket;
   private recalled = 0;
@@ -56,7 +40,7 @@
    *   for one that was at its limit.
    */
   constructor(
-    private limit: TenantLimit,
+    private limit: RateLimit,
     private readonly window: LimitWindow,
     private view: HolderView,
     private startedAt: number,
@@ -68,7 +52,7 @@
   }
 
   /** Puts a changed limit, or another view of the group, in force. */
-  configure(limit: TenantLimit, view: HolderView, now: number): void {
+  configure(limit: RateLimit, view: HolderView, now: number): void {
     this.limit = limit;
     this.view = view;
     this.bucket.setRate(limit.perSecond * view.share, limit.burst * view.share, now);
--- a/src/core/token-bucket.ts
+++ b/src/core/token-bucket.ts
@@ -35,6 +35,12 @@
     return this.tokens >= units;
   }
 
+  /** Units that are there; negative if some are owed. */
+  available(now: number): number {
+    this.refill(now);
+    return this.tokens;
+  }
+
   /** Takes units that were granted already: what is not there is owed. */
   spend(units: number, now: number): void {
     this.refill(now);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one backend, and the check of what comes back. */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
+import type { RateLimitNotice } from '../core/backend-rate-limits.js';
 import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
 import {
@@ -62,6 +63,8 @@
   readonly hasAlternative: () => boolean;
   /** The backend has said that it leaves, in whatever answer. */
   readonly onLeaving: () => void;
+  /** What the answer says of the backend's rate limit. */
+  readonly onRateLimit: (notice: RateLimitNotice) => void;
   /** The backend wants no request for so many milliseconds. */
   readonly onRest: (restMs: number) => void;
   /** The backend is silent and nobody else can take the request; called once. */
@@ -170,6 +173,7 @@
     const { head } = this;
     // What another process at the address says of itself says nothing of this backend.
     if (head.leaving && !head.misdirected) this.options.onLeaving();
+    if (this.isOwnAnswer(head)) this.options.onRateLimit(head.rateLimit);
     if (head.restMs !== undefined) this.options.onRest(head.restMs);
     const { attemptId } = this.options.request.head;
     if (head.attemptId !== undefined && attemptId !== undefined && head.attemptId !== attemptId) {
@@ -188,6 +192,16 @@
     this.watch(this.isEventStream() ? this.options.stalledAfterMs : Infinity);
   }
 
+  /**
+   * Whether the answer is the backend's own to this request. One that names no request may name a limit, but its silence lifts
+   * none: it may be of any time.
+   */
+  private isOwnAnswer({ attemptId, misdirected, rateLimit }: AnswerHead): boolean {
+    if (misdirected) return false;
+    if (attemptId === undefined) return rateLimit.type === 'limited';
+    return attemptId === this.options.request.head.attemptId;
+  }
+
   private isEventStream(): boolean {
     const status = this.incoming?.statusCode ?? 0;
     return isStream(this.options.route) && status < FIRST_FAILURE_STATUS;
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -8,6 +8,7 @@
 import type { RetryBudget } from '../core/retry-budget.js';
 import type { AnswerBuffer } from './answer-buffer.js';
 import type { BackendAgent } from './backend-agent.js';
+import type { BackendPermits } from './backend-permits.js';
 import type { CallerAdmission } from './caller-admission.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -17,7 +18,7 @@
 import type { RequestExchange } from './request-exchange.js';
 import type { RequestTracker } from './request-tracker.js';
 import type { SlotAdmission } from './slot-admission.js';
-import type { TenantLimits } from './tenant-limits.js';
+import type { SharedLimits } from './shared-limits.js';
 
 /** Shared state and services. */
 export interface GatewayContext {
@@ -32,7 +33,10 @@
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
   readonly admission: CallerAdmission;
-  readonly limits: TenantLimits;
+  /** Limits of tenants. */
+  readonly limits: SharedLimits;
+  /** Permits for backends that name rate limits. */
+  readonly permits: BackendPermits;
   readonly crashes: CrashWatch;
   readonly leavings: LeavingNews;
   readonly rests: BackendRests;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -95,6 +95,18 @@
     help: 'Requests in flight beyond the slots of backends whose slots this daemon keeps',
     registers: [this.registry],
   });
+  readonly permits = new Counter({
+    name: 'scaleslip_gateway_permits_total',
+    help: 'Permits asked for to send to backends that name rate limits, by the word: granted, over_limit, unknown',
+    labelNames: ['answer'],
+    registers: [this.registry],
+  });
+  readonly backendRateLimit = new Gauge({
+    name: 'scaleslip_gateway_backend_rate_limit',
+    help: 'Requests a second that a listed backend takes from all daemons, where it names a limit',
+    labelNames: ['backend'],
+    registers: [this.registry],
+  });
   readonly leaseAge = new Gauge({
     name: 'scaleslip_gateway_configuration_age_seconds',
     help: 'Time since the configuration was proved current; -1 if it never was, or keys are not needed',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
 import { ConfigurationExchange } from './configuration-exchange.js';
 import { CurrencyProofs } from './currency-proofs.js';
+import type { GossipLinks } from './digest-gossip.js';
 import { DirectoryDuty } from './directory-duty.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayMetrics } from './gateway-metrics.js';
@@ -47,10 +48,9 @@
 import { ServiceDuties } from './service-duties.js';
 import { SlotAdmission, slotsOf } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
-import { HolderLeases } from './holder-leases.js';
 import { LeavingNews } from './leaving-news.js';
 import { StatusPorts } from './status-ports.js';
-import { TenantLimits } from './tenant-limits.js';
+import { RateLimiting } from './rate-limiting.js';
 
 /** Between two looks at the clock: of the membership, the duties, and what is told. */
 const TICK_MS = 100;
@@ -89,7 +89,7 @@
   private readonly configurations: ConfigurationExchange;
   private readonly proofs: CurrencyProofs;
   private readonly admission: CallerAdmission;
-  private readonly limits: TenantLimits;
+  private readonly limits: RateLimiting;
   private readonly slots: SlotAdmission | undefined;
   private readonly crashes: CrashWatch;
   private readonly leavings: LeavingNews;
@@ -267,19 +267,23 @@
     });
   }
 
-  private makeLimits(): TenantLimits {
-    const { outside, peers } = this;
-    const { limitWindowSeconds, limitExcess, limitSlack } = this.settings.bounds;
-    return new TenantLimits({
-      self: peers.address,
-      window: { windowMs: limitWindowSeconds * 1_000, excess: limitExcess, slack: limitSlack },
+  private makeLimits(): RateLimiting {
+    const { outside, peers, settings } = this;
+    const { limitWindowSeconds, limitExcess, limitSlack } = settings.bounds;
+    return new RateLimiting({
+      peers,
+      links: this.gossipLinks(),
       logger: outside.logger,
-      leases: this.makeLeases(),
-      live: () => peers.live(),
-      listedCount: () => this.members.listed.length,
-      tenant: (name) => this.admission.tenant(name),
-      sendDatagram: (to, body) => peers.sendDatagram(to, body),
-      broadcast: (body) => peers.broadcast(body),
+      metrics: outside.metrics,
+      tenantWindow: {
+        windowMs: limitWindowSeconds * 1_000,
+        excess: limitExcess,
+        slack: limitSlack,
+      },
+      listed: () => this.members.listed,
+      tenantLimit: (name) => this.admission.tenant(name)?.limit,
+      areTenantsLimited: () => this.admission.needsKeys,
+      onChange: () => this.scheduleLook(),
     });
   }
 
@@ -297,17 +301,24 @@
   }
 
   private makeCrashWatch(): CrashWatch {
-    const { outside, peers } = this;
+    const { logger, metrics } = this.outside;
     return new CrashWatch({
-      logger: outside.logger,
-      metrics: outside.metrics,
+      ...this.gossipLinks(),
+      logger,
+      metrics,
       listed: (backend) => this.backends.get(backend),
+      onCondemned: () => this.scheduleLook(),
+    });
+  }
+
+  private gossipLinks(): GossipLinks {
+    const { peers } = this;
+    return {
       others: () => peers.reachableOthers(),
       send: (to, body) => peers.send(to, body),
       sendDatagram: (to, body) => peers.sendDatagram(to, body),
       broadcast: (body) => peers.broadcast(body),
-      onCondemned: () => this.scheduleLook(),
-    });
+    };
   }
 
   private makeLeavingNews(): LeavingNews {
@@ -331,20 +342,6 @@
     });
   }
 
-  private makeLeases(): HolderLeases {
-    const { outside, peers } = this;
-    return new HolderLeases({
-      self: peers.address,
-      logger: outside.logger,
-      listed: () => this.members.listed,
-      live: () => peers.live(),
-      rememberMs: this.settings.bounds.limitWindowSeconds * 1_000,
-      firstSequence: Date.now(),
-      processStartedAt: 0,
-      sendDatagram: (to, body) => peers.sendDatagram(to, body),
-    });
-  }
-
   private makeContext(): GatewayContext {
     const { settings, outside } = this;
     const { logger, dialect, metrics, agent } = outside;
@@ -360,7 +357,8 @@
       metrics,
       logger,
       admission: this.admission,
-      limits: this.limits,
+      limits: this.limits.tenants,
+      permits: this.limits.permits,
       crashes: this.crashes,
       leavings: this.leavings,
       rests: new BackendRests(),
@@ -436,7 +434,7 @@
     this.peers.look();
     this.duties.tick();
     if (this.admission.needsLease) this.proofs.tick();
-    if (this.admission.needsKeys) this.limits.tick();
+    this.limits.tick();
     this.slots?.tick();
     this.crashes.tick();
     this.leavings.tick();
@@ -556,6 +554,7 @@
   private refreshMetrics(): void {
     const { inFlight, leaseAge, controlBytes, heldBytes } = this.outside.metrics;
     heldBytes.set(this.context.answers.heldBytes);
+    this.limits.refreshMetrics(this.backends.all());
     inFlight.set(this.context.exchanges.size);
     const leaseAgeMs = this.proofs.lease.ageMs(leaseNow());
     leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
--- a/src/gateway/limit-group.ts
+++ b/src/gateway/limit-group.ts
@@ -1,14 +1,14 @@
-/** Who counts which tenant's limit, and which share of it each daemon may count, as one daemon sees the group. */
+/** Who counts which limit, and which share of it each daemon may count, as one daemon sees the group. */
 import { firstCandidate } from '../common/rendezvous.js';
-import type { HolderView, LimitWindow } from '../core/admission/limit-ledger.js';
+import type { HolderView, RateLimit } from '../core/admission/rate-ledger.js';
 import { ablestOf } from '../core/duties.js';
 import type { MemberView } from '../core/membership-messages.js';
-import type { TenantLimit } from '../core/service-configuration.js';
+import { heldName, type LimitKind } from './limit-kind.js';
 
 /** Options of {@link LimitGroup}. */
 export interface LimitGroupOptions {
   readonly self: string;
-  readonly window: LimitWindow;
+  readonly kind: LimitKind;
   readonly live: () => readonly MemberView[];
   /** Daemons that the platform's store lists. */
   readonly listedCount: () => number;
@@ -54,19 +54,20 @@
     return true;
   }
 
-  /** The daemon that counts for a tenant. */
-  holderOf(tenant: string): string {
-    return firstCandidate(`limit/${tenant}`, this.candidates) ?? this.options.self;
+  /** The daemon that counts under the limit of a name. */
+  holderOf(name: string): string {
+    const { kind, self } = this.options;
+    return firstCandidate(heldName(kind, name), this.candidates) ?? self;
   }
 
-  /** Whether this daemon counts for a tenant. */
-  isHolder(tenant: string): boolean {
-    return this.holderOf(tenant) === this.options.self;
+  /** Whether this daemon counts under the limit of a name. */
+  isHolder(name: string): boolean {
+    return this.holderOf(name) === this.options.self;
   }
 
   /** Units of a window that each daemon may admit alone: all together pass no limit. */
-  equalShare(limit: TenantLimit): number {
-    const units = (limit.perSecond * this.options.window.windowMs) / 1_000 + limit.burst;
+  equalShare(limit: RateLimit): number {
+    const units = (limit.perSecond * this.options.kind.windowMs) / 1_000 + limit.burst;
     return units / Math.max(1, this.options.listedCount(), this.liveCount);
   }
 
--- a/src/gateway/limit-holder.ts
+++ b/src/gateway/limit-holder.ts
@@ -1,27 +1,23 @@
 /**
- * The part of a daemon that counts tenants' limits for all. It grants under a lease that ends before the next
+ * The part of a daemon that counts under limits for all. It grants under a lease that ends before the next
  * holder counts, and answers the questions of the others and its own.
  */
 import { create } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import type { LeaseHistory } from '../core/admission/holder-lease.js';
-import {
-  LimitLedger,
-  type LimitDecision,
-  type LimitWindow,
-} from '../core/admission/limit-ledger.js';
-import type { CallerTenant } from '../core/service-configuration.js';
+import type { LimitDecision, RateLedger, RateLimit } from '../core/admission/rate-ledger.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { LimitAnswerSchema, LimitNewsSchema, type LimitCharge } from '../proto/gen/internal_pb.js';
 import type { HolderLeases } from './holder-leases.js';
 import type { LimitGroup } from './limit-group.js';
+import { heldName, type LimitKind } from './limit-kind.js';
 import { steadyNow } from './steady-clock.js';
 
 /** Without an answer by then whoever asks decides alone. */
 export const ANSWER_WITHIN_MS = 200;
 /** A ledger that counts for nobody any more is dropped after so many windows. */
 const LEDGER_WINDOWS = 2;
-/** The most questions on one tenant that wait for the lease; a daemon that gets no answer asks again. */
+/** The most questions on one name that wait for the lease; a daemon that gets no answer asks again. */
 const MOST_WAITING = 1_000;
 /**
  * A holder tells its keepers of so much more than its own callers have used, as a part of that or of
@@ -32,21 +28,22 @@
 /** Options of {@link LimitHolder}. */
 export interface LimitHolderOptions {
   readonly self: string;
-  readonly window: LimitWindow;
+  readonly kind: LimitKind;
   readonly logger: Logger;
   readonly group: LimitGroup;
   /** The leases under which this daemon grants. */
   readonly leases: HolderLeases;
-  readonly tenant: (name: string) => CallerTenant | undefined;
+  /** The limit in force on a name; undefined if there is none. */
+  readonly limitOf: (name: string) => RateLimit | undefined;
   /** Units that this daemon has admitted for its own callers in the window that ends now. */
-  readonly ownUnits: (tenant: string, now: number) => number;
+  readonly ownUnits: (name: string, now: number) => number;
   /** Sends to a daemon, which may be this one. */
   readonly deliver: (to: string, body: PeerBody) => void;
   readonly broadcast: (body: PeerBody) => void;
 }
 
 interface HeldLedger {
-  readonly ledger: LimitLedger;
+  readonly ledger: RateLedger;
   /** As the other daemons were told last. */
   toldTight: boolean;
   usedAt: number;
@@ -91,55 +88,55 @@
     for (const [name, held] of this.ledgers) this.followLease(name, held);
   }
 
-  /** Looks at the clock and the ledgers; call it a few times a second. */
+  /** Looks at the ledgers; call it a few times a second. */
   tick(now: number): void {
-    this.options.leases.tick();
     for (const [name, held] of this.ledgers) this.tellTightness(name, held, now);
   }
 
   /** Counts what a daemon tells, and answers what it asks. */
   hearCharge(from: string, charge: LimitCharge): void {
-    const { tenant, units, question, isRecalled } = charge;
+    const { tenant: name, units, question, isRecalled } = charge;
     const now = steadyNow();
-    const held = this.held(tenant, now);
+    const held = this.held(name, now);
     if (held === undefined) return;
     const { ledger } = held;
     if (question === 0) {
       if (isRecalled) ledger.recall(units, now);
       else ledger.count(units, now);
       const isTight = ledger.isTight(now);
-      if (!this.mayLend(tenant) || !(isTight || charge.wantsWord)) return;
-      return this.answer(from, tenant, 0, { type: 'granted' }, isTight);
+      if (!this.mayLend(name) || !(isTight || charge.wantsWord)) return;
+      return this.answer(from, name, 0, { type: 'granted' }, isTight);
     }
     if (!this.mayAnswer(from, charge, now)) return this.keepWaiting(from, charge, held, now);
     const decision = ledger.admit(units, now);
-    this.answer(from, tenant, question, decision, ledger.isTight(now));
+    this.answer(from, name, question, decision, ledger.isTight(now));
   }
 
   /** Whether this daemon may grant to others now: its lease holds. */
   private mayLend(name: string): boolean {
-    return this.options.leases.holds(leaseName(name));
+    return this.options.leases.holds(this.leaseName(name));
   }
 
   /** Whether it may serve its own callers: its successor must be able to know of it. */
   private mayLendItself(name: string, units: number, now: number): boolean {
     const own = this.options.ownUnits(name, now) + units;
-    return this.mayLend(name) && own <= this.options.leases.ownCeiling(leaseName(name));
+    return this.mayLend(name) && own <= this.options.leases.ownCeiling(this.leaseName(name));
   }
 
-  private mayAnswer(from: string, { tenant, units }: LimitCharge, now: number): boolean {
-    if (from !== this.options.self) return this.mayLend(tenant);
-    return this.mayLendItself(tenant, units, now);
+  private mayAnswer(from: string, charge: LimitCharge, now: number): boolean {
+    const { tenant: name, units } = charge;
+    if (from !== this.options.self) return this.mayLend(name);
+    return this.mayLendItself(name, units, now);
   }
 
   /** A question waits for the lease, or for the keepers' answer to a higher ceiling. */
   private keepWaiting(from: string, charge: LimitCharge, held: HeldLedger, now: number): void {
     if (held.waiting.size >= MOST_WAITING) return;
     held.waiting.set(`${from} ${charge.question}`, { from, charge, cameAt: now });
-    const { tenant, units } = charge;
-    if (from !== this.options.self || !this.mayLend(tenant)) return;
-    const own = this.options.ownUnits(tenant, now);
-    this.options.leases.raise(leaseName(tenant), own + units);
+    const { tenant: name, units } = charge;
+    if (from !== this.options.self || !this.mayLend(name)) return;
+    const own = this.options.ownUnits(name, now);
+    this.options.leases.raise(this.leaseName(name), own + units);
   }
 
   private answerWaiting(held: HeldLedger, now: number): void {
@@ -159,8 +156,8 @@
   }
 
   private held(name: string, now: number): HeldLedger | undefined {
-    const { tenant, group, window, logger } = this.options;
-    const limit = tenant(name)?.limit;
+    const { limitOf, group, kind, logger } = this.options;
+    const limit = limitOf(name);
     if (limit === undefined) return undefined;
     const view = group.view();
     const known = this.ledgers.get(name);
@@ -169,19 +166,19 @@
       known.usedAt = now;
       return known;
     }
-    const ledger = new LimitLedger(limit, window, view, group.candidatesSince);
+    const ledger = kind.makeLedger(limit, view, group.candidatesSince);
     const held = { ledger, toldTight: true, usedAt: now, waiting: new Map() };
     this.ledgers.set(name, held);
-    logger.info('limit_held', { tenant: name, share: view.share });
+    logger.info('limit_held', { [kind.subject]: name, share: view.share });
     this.followLease(name, held);
     return held;
   }
 
-  /** Asks for the lease on the count of a tenant that this daemon holds, and gives it back with the count. */
+  /** Asks for the lease on a count that this daemon holds, and gives it back with the count. */
   private followLease(name: string, held: HeldLedger): void {
     const { leases, group } = this.options;
-    if (!group.isHolder(name)) return leases.release(leaseName(name));
-    leases.want(leaseName(name), {
+    if (!group.isHolder(name)) return leases.release(this.leaseName(name));
+    leases.want(this.leaseName(name), {
       ownCeiling: (now) => this.ownCeiling(name, held, now),
       onGained: (history, now) => this.leaseGained(name, held, history, now),
       onAnswered: (now) => this.answerWaiting(held, now),
@@ -190,8 +187,8 @@
 
   /** Units that the holder tells the keepers as the most that it admits for its own callers in a window. */
   private ownCeiling(name: string, held: HeldLedger, now: number): number {
-    const { self, group, tenant, ownUnits } = this.options;
-    const limit = tenant(name)?.limit;
+    const { self, group, limitOf, ownUnits } = this.options;
+    const limit = limitOf(name);
     const share = limit === undefined ? 0 : group.equalShare(limit);
     const own = ownUnits(name, now);
     const waiting = [...held.waiting.values()].filter(({ from }) => from === self);
@@ -200,9 +197,9 @@
   }
 
   private leaseGained(name: string, held: HeldLedger, history: LeaseHistory, now: number): void {
-    const { tenant, window, group, logger } = this.options;
-    const limit = tenant(name)?.limit;
-    const isAnothers = history.soleMs < window.windowMs;
+    const { limitOf, kind, group, logger } = this.options;
+    const limit = limitOf(name);
+    const isAnothers = history.soleMs < kind.windowMs;
     if (limit === undefined || !isAnothers) return;
     const unseen = this.unseenUnits(history, group.equalShare(limit));
     const forgotten = this.forgottenUnits(history);
@@ -210,7 +207,7 @@
     if (forgotten > 0) held.ledger.recall(forgotten, now);
     // Who has heard a former process of this daemon tells it again what it has admitted.
     if (forgotten > 0) this.tellAll(name, true);
-    logger.info('limit_counted_from', { tenant: name, unseen, forgotten });
+    logger.info('limit_counted_from', { [kind.subject]: name, unseen, forgotten });
   }
 
   /** Units that former holders which are gone can have admitted for themselves beyond their share of the limit. */
@@ -227,9 +224,10 @@
   }
 
   private tellTightness(name: string, held: HeldLedger, now: number): void {
-    if (now - held.usedAt > LEDGER_WINDOWS * this.options.window.windowMs) {
+    const { kind } = this.options;
+    if (now - held.usedAt > LEDGER_WINDOWS * kind.windowMs) {
       this.ledgers.delete(name);
-      this.options.leases.release(leaseName(name));
+      this.options.leases.release(this.leaseName(name));
       return;
     }
     this.forgetWaiting(held, now);
@@ -239,7 +237,7 @@
     held.toldTight = isTight;
     const used = Math.round(held.ledger.used(now));
     const capacity = Math.round(held.ledger.capacity());
-    this.options.logger.info('limit_tight', { tenant: name, isTight, used, capacity });
+    this.options.logger.info('limit_tight', { [kind.subject]: name, isTight, used, capacity });
     this.tellAll(name, isTight);
   }
 
@@ -252,19 +250,27 @@
   ): void {
     const retryAfterMs = decision.type === 'over_limit' ? Math.ceil(decision.retryAfterMs) : 0;
     const isGranted = decision.type === 'granted';
-    const { process } = this.options.leases;
-    const fields = { question, tenant, isGranted, retryAfterMs, isTight, process };
+    const { leases, kind } = this.options;
+    const { process } = leases;
+    const { isOfBackend } = kind;
+    const fields = { question, tenant, isGranted, retryAfterMs, isTight, process, isOfBackend };
     this.options.deliver(to, { case: 'limitAnswer', value: create(LimitAnswerSchema, fields) });
   }
 
   private tellAll(tenant: string, isTight: boolean): void {
-    const { process } = this.options.leases;
-    const value = create(LimitNewsSchema, { tenant, isTight, process });
+    const { leases, kind } = this.options;
+    const { process } = leases;
+    const value = create(LimitNewsSchema, {
+      tenant,
+      isTight,
+      process,
+      isOfBackend: kind.isOfBackend,
+    });
     this.options.broadcast({ case: 'limitNews', value });
   }
-}
 
-/** The lease on a tenant's count. */
-function leaseName(tenant: string): string {
-  return `limit/${tenant}`;
+  /** Names the lease on a count. */
+  private leaseName(name: string): string {
+    return heldName(this.options.kind, name);
+  }
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -6,6 +6,7 @@
 import type http from 'node:http';
 import type { Result } from 'true-myth';
 import type { BackendList } from '../core/backend-presence.js';
+import type { RateLimitNotice } from '../core/backend-rate-limits.js';
 import type { BackendReport, ModelOrder, OrderFence, OrderOutcome } from '../core/model-order.js';
 import type {
   BackendRecord,
@@ -137,6 +138,8 @@
   readonly misdirected: boolean;
   /** The process that answers says that it leaves. */
   readonly leaving: boolean;
+  /** The limit that the backend names for requests from all daemons. */
+  readonly rateLimit: RateLimitNotice;
   /** It turns the request away, and wants none of this daemon for so many milliseconds; undefined if it asks for nothing. */
   readonly restMs: number | undefined;
 }
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -5,6 +5,7 @@
 import type { SlotAnswer } from '../core/admission/slot-keeping.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
 import type { BackendRecord, ModelReference, Service } from '../core/service-configuration.js';
+import type { BackendPermit, PermitDecision } from './backend-permits.js';
 import { capacityFor, sparedOf, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { SlotClaim, SlotWish } from './slot-admission.js';
@@ -44,6 +45,8 @@
   readonly onNone: () => void;
   /** All that could take it want no request for so long. */
   readonly onRest: (restMs: number) => void;
+  /** All that could take it have named rate limits, and have no permit left for so long. */
+  readonly onLimited: (retryAfterMs: number) => void;
   /** All that could take it are full for longer than it can wait. */
   readonly onFull: (retryAfterMs: number) => void;
 }
@@ -62,6 +65,9 @@
   private readonly refusals = new Map<string, number>();
   /** Steady times at which backends that were full for longer than the request can wait should have room. */
   private readonly fullUntil = new Map<string, number>();
+  /** Steady times until which backends that have named a limit have no permit for the request. */
+  private readonly limitedUntil = new Map<string, number>();
+  private permit: BackendPermit | undefined;
   private claim: SlotClaim | undefined;
   /** What a keeper has refused at once: if no other serves the request, its return is told there. */
   private refused: SlotClaim | undefined;
@@ -87,6 +93,8 @@
     const fullForMs = this.fullForMs(steadyNow());
     if (fullForMs !== undefined) return this.options.onFull(fullForMs);
     this.queueAt(undefined);
+    const limitedMs = this.limitedForMs(steadyNow());
+    if (limitedMs !== undefined) return this.options.onLimited(limitedMs);
     const restMs = this.shortestRestMs(steadyNow());
     if (restMs !== undefined) return this.options.onRest(restMs);
     this.options.onNone();
@@ -105,6 +113,7 @@
   /** The request has been sent to a backend. */
   noteSent(backend: string): void {
     this.tried.add(backend);
+    this.permit?.use();
   }
 
   /** A backend has refused the request, or was not reached. */
@@ -117,6 +126,7 @@
     this.tried.delete(backend);
     this.refusals.delete(backend);
     this.fullUntil.delete(backend);
+    this.limitedUntil.delete(backend);
     if (this.pending?.backend.id === backend) this.release();
   }
 
@@ -126,6 +136,8 @@
    * @param hasFailed - The backend has failed the request.
    */
   release(hasFailed = false): void {
+    this.permit?.release();
+    this.permit = undefined;
     this.claim?.release(0, hasFailed);
     this.claim = undefined;
     this.pending = undefined;
@@ -182,6 +194,7 @@
     return this.suitableBackends(now)
       .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
       .filter((backend) => rests.remainingMs(backend, now) === 0)
+      .filter((backend) => (this.limitedUntil.get(backend.id) ?? 0) <= now)
       .filter((backend) => this.options.mayRunAt(backend.id));
   }
 
@@ -222,9 +235,10 @@
     const usable = this.usableBackends(now);
     const healthy = this.healthy(usable, now);
     const fresh = this.untried(healthy);
+    const permitted = fresh.filter((backend) => !context.permits.isEmpty(backend, now));
     // Another backend can be given the model; one of a service without models is all there is.
     const lastResort = model === undefined ? usable : [];
-    const groups = [fresh, healthy, lastResort];
+    const groups = [permitted, fresh, healthy, lastResort];
     const best = groups.find((group) => group.length > 0) ?? this.spared(usable, now);
     const candidates = this.candidates(best, now);
     const chosen = context.selection.choose(candidates, sharedPrompt);
@@ -265,7 +279,7 @@
 
   private claimAt(backend: BackendRecord): void {
     const { slots } = this.context;
-    if (slots === undefined) return this.options.onSlot(backend);
+    if (slots === undefined) return this.slotHeld(backend);
     const claim = slots.claim({
       ...this.options.standing(),
       backend,
@@ -275,11 +289,28 @@
     this.claim = claim;
     if (claim.isHeld) {
       this.queueAt(undefined);
-      return this.options.onSlot(backend);
+      return this.slotHeld(backend);
     }
     this.pending = { backend, expectedAt: undefined };
   }
 
+  /** A permit is taken last: what waits in a queue with one would reach the backend in bunches. */
+  private slotHeld(backend: BackendRecord): void {
+    const { permits } = this.context;
+    if (permits.perSecond(backend) === undefined) return this.options.onSlot(backend);
+    this.pending = { backend, expectedAt: undefined };
+    const { request } = this.options.standing();
+    this.permit = permits.ask(backend, request, (decision) => this.permitted(backend, decision));
+  }
+
+  private permitted(backend: BackendRecord, decision: PermitDecision): void {
+    this.pending = undefined;
+    if (decision.type === 'granted') return this.options.onSlot(backend);
+    this.limitedUntil.set(backend.id, steadyNow() + decision.retryAfterMs);
+    this.release();
+    this.next();
+  }
+
   private ownerLoad(backend: BackendRecord): number | undefined {
     const { directory } = this.context;
     const now = steadyNow();
@@ -292,7 +323,7 @@
     if (answer.type === 'granted') {
       this.pending = undefined;
       this.queueAt(undefined);
-      return this.options.onSlot(backend);
+      return this.slotHeld(backend);
     }
     if (answer.type === 'queued') {
       this.queueAt(backend.id);
@@ -346,11 +377,18 @@
 
   /** Milliseconds until the first of the backends that were full should have room; undefined if none was. */
   private fullForMs(now: number): number | undefined {
-    let soonest = Infinity;
-    for (const [backend, until] of this.fullUntil) {
-      const isPaused = (this.refusals.get(backend) ?? 0) > now;
-      if (isPaused) soonest = Math.min(soonest, until);
-    }
-    return soonest === Infinity ? undefined : Math.max(0, soonest - now);
+    const paused = [...this.fullUntil].filter(([id]) => (this.refusals.get(id) ?? 0) > now);
+    return soonestMs(paused, now);
+  }
+
+  /** Milliseconds until the first of the backends may have a permit; undefined if none has refused one. */
+  private limitedForMs(now: number): number | undefined {
+    const limited = [...this.limitedUntil].filter(([, until]) => until > now);
+    return soonestMs(limited, now);
   }
 }
+
+function soonestMs(times: readonly [string, number][], now: number): number | undefined {
+  if (times.length === 0) return undefined;
+  return Math.max(0, Math.min(...times.map(([, until]) => until)) - now);
+}
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -19,6 +19,7 @@
 import type { CallerRequest } from './caller-request.js';
 import { watchedGaps, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
+import { beliefsOf } from './request-beliefs.js';
 import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
 import { RequestSuspicion } from './request-suspicion.js';
 import type { WaitingCaller } from './request-tracker.js';
@@ -187,6 +188,7 @@
       onNone: () => this.holdOrRefuse(),
       onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
       onRest: (restMs) => this.backendsRest(restMs),
+      onLimited: (retryAfterMs) => this.backendsLimited(retryAfterMs),
     });
   }
 
@@ -239,14 +241,16 @@
     this.wait();
   }
 
-  /** When a backend that neither fails nor rests has the model, as the owner forecasts; undefined if that is not known. */
+  /** When a backend that neither fails, rests nor names a limit has the model, as the owner forecasts; undefined if that is not known. */
   private readyInMs(now: number): number | undefined {
-    const { directory, health, rests } = this.context;
+    const { directory, health, rests, permits } = this.context;
     if (this.model === undefined) return undefined;
     return directory.readyInMs(this.match.service.name, this.model, now, (id) => {
       const backend = directory.get(id);
-      const isResting = backend !== undefined && rests.remainingMs(backend, now) > 0;
-      return isResting || health.isAvoided(id, now);
+      if (backend === undefined) return health.isAvoided(id, now);
+      const isResting = rests.remainingMs(backend, now) > 0;
+      const isLimited = permits.perSecond(backend) !== undefined;
+      return isResting || isLimited || health.isAvoided(id, now);
     });
   }
 
@@ -271,17 +275,8 @@
     this.refuse('no_capacity', retryAfterMs, inputs);
   }
 
-  /** What the daemon decides on, and how old it is. */
   private beliefs(now: number): Record<string, number | undefined> {
-    const { directory } = this.context;
-    const { service } = this.match;
-    return {
-      configuration: this.configurationVersion,
-      backends: directory.serving(service.name).length,
-      backendsAgeMs: wholeMs(this.context.backendsAgeMs()),
-      epoch: service.modelHost === undefined ? undefined : directory.epochOf(service.name),
-      placementAgeMs: wholeMs(directory.placementAgeMs(service.name, now)),
-    };
+    return beliefsOf(this.context, this.match.service, this.configurationVersion, now);
   }
 
   /** A caller that was told to come back still waits: its model must be there by then. */
@@ -339,11 +334,13 @@
       backend: backend.id,
       inFlight: this.search.inFlightAt(backend),
       beliefAgeMs: context.slots?.figuresAgeMs(backend.id, now),
+      rateLimit: context.permits.perSecond(backend),
       sends: this.sends,
       waitedMs: Math.round(now - request.arrivedAt),
       remainingMs: Math.round(this.deadlineAt - now),
       ...this.beliefs(now),
     });
+    const rateLimit = context.permits.believed(backend);
     const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
     this.attempt = new Attempt(context, {
       backend,
@@ -357,6 +354,8 @@
       stalledAfterMs: stalledAfterMs(route, this.runs),
       hasAlternative: () => this.search.hasAlternative(),
       onLeaving: () => context.leavings.answered(backend, request.head.attemptId),
+      onRateLimit: (notice) =>
+        context.permits.answered(backend, notice, rateLimit, request.head.attemptId),
       onRest: (restMs) => this.noteRest(backend, restMs),
       onSilent: () => this.backendSilent(backend),
       gaps: watchedGaps(context, this.need, backend.id, isResumed),
@@ -394,6 +393,16 @@
     this.refuseFull(restMs, { restForMs: Math.round(restMs) });
   }
 
+  /** All that could take it have no permit left: it waits for one that comes in time, or its caller is told when. */
+  private backendsLimited(retryAfterMs: number): void {
+    const forecastMs = this.readyInMs(steadyNow()) ?? Infinity;
+    const readyInMs = Math.min(retryAfterMs, forecastMs);
+    const decision = this.decideHold(readyInMs);
+    if (decision.type === 'hold' || this.answer.hasBegun) return this.wait();
+    this.expectReturn(decision.retryAfterMs);
+    this.refuseFull(decision.retryAfterMs, { limitedForMs: Math.round(retryAfterMs) });
+  }
+
   /** The request stays with a silent backend, but the owner should find another for its model. */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.silent(backend.id, steadyNow());
@@ -587,8 +596,3 @@
     });
   }
 }
-
-/** For a log line; nothing stands for a time that is not known. */
-function wholeMs(milliseconds: number): number | undefined {
-  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
-}
--- a/src/gateway/tenant-limits.ts
+++ b/src/gateway/shared-limits.ts
@@ -1,42 +1,42 @@
 /**
- * Tenants' limits over all daemons. Each tenant has a holder, by rank among the live
- * daemons, which counts for all (`limit-holder.ts`). Far below the limit a daemon admits at once
- * and tells the holder; near it, the holder is asked first. A daemon that hears nothing of a
- * holder has its equal share.
+ * Limits over all daemons, of one kind. Each name has a holder, by rank among the live daemons, which counts for all
+ * (`limit-holder.ts`). Far below a limit a daemon may admit at once and tell the holder; near it, the holder is asked first. A
+ * daemon that hears nothing of a holder has its equal share.
  */
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import { HolderSilence } from '../core/admission/holder-silence.js';
-import type { LimitDecision, LimitWindow } from '../core/admission/limit-ledger.js';
+import type { LimitDecision, RateLimit } from '../core/admission/rate-ledger.js';
 import type { MemberView } from '../core/membership-messages.js';
-import type { CallerTenant } from '../core/service-configuration.js';
 import { SlidingSum } from '../core/sliding-sum.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { LimitChargeSchema, type LimitAnswer } from '../proto/gen/internal_pb.js';
 import type { HolderLeases } from './holder-leases.js';
 import { LimitGroup } from './limit-group.js';
+import type { LimitKind } from './limit-kind.js';
 import { ANSWER_WITHIN_MS, LimitHolder } from './limit-holder.js';
 import { steadyNow } from './steady-clock.js';
 
 /** A question is sent again after so long: a datagram may be lost. */
 const ASK_AGAIN_MS = 60;
 
-/** Options of {@link TenantLimits}. */
-export interface TenantLimitsOptions {
+/** Options of {@link SharedLimits}. */
+export interface SharedLimitsOptions {
   readonly self: string;
-  readonly window: LimitWindow;
+  readonly kind: LimitKind;
   readonly logger: Logger;
   /** The leases under which this daemon grants as a holder. */
   readonly leases: HolderLeases;
   readonly live: () => readonly MemberView[];
   /** Daemons that the platform's store lists. */
   readonly listedCount: () => number;
-  readonly tenant: (name: string) => CallerTenant | undefined;
+  /** The limit in force on a name; undefined if there is none. */
+  readonly limitOf: (name: string) => RateLimit | undefined;
   readonly sendDatagram: (to: string, body: PeerBody) => void;
   readonly broadcast: (body: PeerBody) => void;
 }
 
-/** What this daemon knows of a tenant whose requests it admits. */
+/** What this daemon knows of a name under whose limit it admits requests. */
 interface MemberState {
   holder: string;
   /** The holder's process, as it told last; 0 if it has told nothing. */
@@ -50,38 +50,43 @@
   readonly alone: SlidingSum;
 }
 
+/** What each message of a holder says. */
+type HolderWord = Pick<LimitAnswer, 'tenant' | 'isTight' | 'process'>;
+
+type LimitBody = Extract<PeerBody, { case: 'limitCharge' | 'limitAnswer' | 'limitNews' }>;
+
 interface OpenQuestion {
-  readonly tenant: string;
+  readonly name: string;
   readonly units: number;
   readonly answer: (decision: LimitDecision) => void;
   timer: NodeJS.Timeout;
 }
 
 /** One daemon's part in counting, as one that admits and as a holder. */
-export class TenantLimits {
+export class SharedLimits {
   private readonly members = new Map<string, MemberState>();
   private readonly questions = new Map<number, OpenQuestion>();
   private readonly group: LimitGroup;
   private readonly asHolder: LimitHolder;
   private sequence = 0;
 
-  constructor(private readonly options: TenantLimitsOptions) {
-    const { self, window, logger, leases, live, listedCount, tenant, broadcast } = options;
-    this.group = new LimitGroup({ self, window, live, listedCount }, steadyNow());
+  constructor(private readonly options: SharedLimitsOptions) {
+    const { self, kind, logger, leases, live, listedCount, limitOf, broadcast } = options;
+    this.group = new LimitGroup({ self, kind, live, listedCount }, steadyNow());
     this.asHolder = new LimitHolder({
       self,
-      window,
+      kind,
       logger,
       group: this.group,
       leases,
-      tenant,
+      limitOf,
       ownUnits: (name, now) => this.members.get(name)?.own.total(now) ?? 0,
       deliver: (to, body) => this.deliver(to, body),
       broadcast,
     });
   }
 
-  /** Decides on a request of a tenant that has a limit; calls back at once or after the holder's word. */
+  /** Decides on a request under a limit; calls back at once or after the holder's word. */
   admit(name: string, units: number, answer: (decision: LimitDecision) => void): void {
     const now = steadyNow();
     if (!this.group.isListed) return answer({ type: 'unknown' });
@@ -118,20 +123,18 @@
     this.asHolder.tick(now);
   }
 
-  /** Handles a message about limits; false if it is another kind. */
+  /** Handles a message about limits of this kind; false if it is another one. */
   receive(from: string, body: PeerBody): boolean {
+    if (!isOfLimits(body) || body.value.isOfBackend !== this.options.kind.isOfBackend) return false;
     if (body.case === 'limitCharge') this.asHolder.hearCharge(from, body.value);
     else if (body.case === 'limitAnswer') this.hearAnswer(from, body.value);
-    else if (body.case === 'limitNews') {
-      const { tenant, isTight, process } = body.value;
-      this.hearHolder(from, tenant, isTight, process);
-    } else return this.options.leases.receive(from, body);
+    else this.hearHolder(from, body.value);
     return true;
   }
 
-  /** The daemon that counts for a tenant, as this one sees the group. */
-  holderOf(tenant: string): string {
-    return this.group.holderOf(tenant);
+  /** The daemon that counts under the limit of a name, as this one sees the group. */
+  holderOf(name: string): string {
+    return this.group.holderOf(name);
   }
 
   private admitAsHolder(
@@ -150,7 +153,7 @@
 
   /** Whether a request may pass before the holder's word: it is heard, or this daemon keeps to its share. */
   private mayPass(name: string, state: MemberState, units: number, now: number): boolean {
-    const limit = this.options.tenant(name)?.limit;
+    const limit = this.options.limitOf(name);
     if (limit === undefined) return true;
     const share = this.group.equalShare(limit);
     return state.silence.isHeard(units, share, now) || state.own.total(now) + units <= share;
@@ -163,7 +166,7 @@
   }
 
   private ask(
-    tenant: string,
+    name: string,
     state: MemberState,
     units: number,
     answer: (decision: LimitDecision) => void,
@@ -172,13 +175,13 @@
     const question = this.sequence;
     const send = (): void => {
       state.silence.ask(steadyNow());
-      this.charge(state.holder, { tenant, units, question });
+      this.charge(state.holder, { tenant: name, units, question });
     };
     const timer = setTimeout(() => {
       send();
       open.timer = setTimeout(() => this.decideAlone(question), ANSWER_WITHIN_MS - ASK_AGAIN_MS);
     }, ASK_AGAIN_MS);
-    const open: OpenQuestion = { tenant, units, answer, timer };
+    const open: OpenQuestion = { name, units, answer, timer };
     this.questions.set(question, open);
     send();
   }
@@ -186,17 +189,18 @@
   /** The holder is gone or cut off: an equal share for each daemon passes no limit. */
   private decideAlone(question: number): void {
     const open = this.questions.get(question);
-    const limit = open && this.options.tenant(open.tenant)?.limit;
+    const limit = open && this.options.limitOf(open.name);
     if (open === undefined || limit === undefined)
       return this.settle(question, { type: 'granted' });
     const now = steadyNow();
-    const state = this.memberState(open.tenant);
-    const { tenant, units } = open;
+    const { kind, logger } = this.options;
+    const { name, units } = open;
+    const state = this.memberState(name);
     const isAlone = state.silence.mayCountAlone(now);
     const isWithin = isAlone && state.own.total(now) + units <= this.group.equalShare(limit);
     if (isWithin) state.alone.add(units, now);
-    const fields = { tenant, units, holder: state.holder, isGranted: isWithin };
-    this.options.logger.warn('limit_holder_silent', fields);
+    const fields = { [kind.subject]: name, units, holder: state.holder, isGranted: isWithin };
+    logger.warn('limit_holder_silent', fields);
     this.settle(question, isWithin ? { type: 'granted' } : { type: 'unknown' });
   }
 
@@ -206,7 +210,7 @@
     this.questions.delete(question);
     clearTimeout(open.timer);
     const now = steadyNow();
-    if (decision.type === 'granted') this.memberState(open.tenant).own.add(open.units, now);
+    if (decision.type === 'granted') this.memberState(open.name).own.add(open.units, now);
     open.answer(decision);
   }
 
@@ -217,19 +221,21 @@
   }
 
   private charge(to: string, fields: MessageInitShape<typeof LimitChargeSchema>): void {
-    this.deliver(to, { case: 'limitCharge', value: create(LimitChargeSchema, fields) });
+    const { isOfBackend } = this.options.kind;
+    const value = create(LimitChargeSchema, { ...fields, isOfBackend });
+    this.deliver(to, { case: 'limitCharge', value });
   }
 
   private hearAnswer(from: string, answer: LimitAnswer): void {
-    const { question, tenant, isGranted, retryAfterMs, isTight, process } = answer;
-    this.hearHolder(from, tenant, isTight, process);
+    const { question, isGranted, retryAfterMs } = answer;
+    this.hearHolder(from, answer);
     const refused: LimitDecision = { type: 'over_limit', retryAfterMs };
     this.settle(question, isGranted ? { type: 'granted' } : refused);
   }
 
   /** A holder that counts has said something: it is told what it cannot know. */
-  private hearHolder(from: string, tenant: string, isTight: boolean, process: number): void {
-    const state = this.members.get(tenant);
+  private hearHolder(from: string, { tenant: name, isTight, process }: HolderWord): void {
+    const state = this.members.get(name);
     if (state === undefined || state.holder !== from) return;
     state.isTight = isTight;
     const now = steadyNow();
@@ -238,14 +244,14 @@
     state.holderProcess = process;
     const alone = state.alone.take(now);
     const units = hasForgotten ? state.own.total(now) : alone;
-    if (units > 0) this.charge(from, { tenant, units, isRecalled: true });
+    if (units > 0) this.charge(from, { tenant: name, units, isRecalled: true });
   }
 
   private memberState(name: string): MemberState {
     const known = this.members.get(name);
     if (known !== undefined) return known;
-    const own = new SlidingSum(this.options.window.windowMs);
-    const alone = new SlidingSum(this.options.window.windowMs);
+    const own = new SlidingSum(this.options.kind.windowMs);
+    const alone = new SlidingSum(this.options.kind.windowMs);
     const silence = new HolderSilence();
     const holder = this.holderOf(name);
     const state = { holder, holderProcess: 0, isTight: true, own, silence, alone };
@@ -267,3 +273,7 @@
     else this.charge(holder, { tenant: name, units, isRecalled: true });
   }
 }
+
+function isOfLimits(body: PeerBody): body is LimitBody {
+  return body.case === 'limitCharge' || body.case === 'limitAnswer' || body.case === 'limitNews';
+}
--- /dev/null
+++ b/test/core/backend-rate-limits.test.ts
@@ -0,0 +1,107 @@
+/* Answers of a backend that names a limit cross: what was said before must not undo what was said later. */
+import { describe, expect, it } from 'vitest';
+import {
+  BackendRateLimits,
+  readRateLimit,
+  type RateLimitNotice,
+} from '../../src/core/backend-rate-limits.js';
+
+const BACKEND = { id: 'a', start: '1' };
+const UNLIMITED: RateLimitNotice = { type: 'unlimited' };
+
+function limited(perSecond: number): RateLimitNotice {
+  return { type: 'limited', perSecond };
+}
+
+describe('a limit in an answer', () => {
+  it.each([
+    ['1', limited(1)],
+    ['0.3', limited(0.3)],
+    ['0', limited(0)],
+    [' 2.5 ', limited(2.5)],
+    ['5, 2', limited(2)],
+    ['1000000000', limited(1_000_000_000)],
+    [undefined, UNLIMITED],
+    ['', { type: 'unreadable' }],
+    ['-1', { type: 'unreadable' }],
+    ['1e9', { type: 'unreadable' }],
+    ['few', { type: 'unreadable' }],
+    ['1, few', { type: 'unreadable' }],
+  ] as const)('%j is read', (header, notice) => {
+    expect(readRateLimit(header)).toEqual(notice);
+  });
+});
+
+describe('what a daemon believes of a backend', () => {
+  it('begins with the first answer that names a limit, and ends with one that names none', () => {
+    const rates = new BackendRateLimits();
+    expect(rates.noteAnswer(BACKEND, UNLIMITED, undefined)).toBeUndefined();
+    const belief = rates.noteAnswer(BACKEND, limited(1), undefined);
+    expect(rates.of(BACKEND)?.perSecond).toBe(1);
+    rates.noteAnswer(BACKEND, UNLIMITED, belief);
+    expect(rates.of(BACKEND)?.perSecond).toBeUndefined();
+  });
+
+  it.each([['none', UNLIMITED] as const, ['a higher one', limited(5)] as const])(
+    'keeps a limit when an answer to an earlier request names %s',
+    (_name, notice) => {
+      const rates = new BackendRateLimits();
+      const sentUnder = rates.of(BACKEND);
+      rates.noteAnswer(BACKEND, limited(1), undefined);
+      expect(rates.noteAnswer(BACKEND, notice, sentUnder)).toBeUndefined();
+      expect(rates.of(BACKEND)?.perSecond).toBe(1);
+      rates.noteAnswer(BACKEND, notice, rates.of(BACKEND));
+      expect(rates.of(BACKEND)?.perSecond).not.toBe(1);
+    },
+  );
+
+  it('takes a lower limit from any answer', () => {
+    const rates = new BackendRateLimits();
+    rates.noteAnswer(BACKEND, limited(5), undefined);
+    rates.noteAnswer(BACKEND, limited(1), undefined);
+    expect(rates.of(BACKEND)?.perSecond).toBe(1);
+  });
+
+  it('is not changed by what cannot be read', () => {
+    const rates = new BackendRateLimits();
+    rates.noteAnswer(BACKEND, limited(1), undefined);
+    expect(rates.noteAnswer(BACKEND, { type: 'unreadable' }, rates.of(BACKEND))).toBeUndefined();
+    expect(rates.of(BACKEND)?.perSecond).toBe(1);
+  });
+
+  it('says nothing of a later process, and goes on where the start becomes known', () => {
+    const rates = new BackendRateLimits();
+    rates.noteAnswer(BACKEND, limited(1), undefined);
+    expect(rates.of({ id: 'a', start: '2' })).toBeUndefined();
+    rates.noteAnswer({ id: 'b' }, limited(1), undefined);
+    expect(rates.of({ id: 'b', start: '1' })?.perSecond).toBe(1);
+  });
+
+  it('is the same at all daemons, in whatever order they hear', () => {
+    const [one, two] = [new BackendRateLimits(), new BackendRateLimits()];
+    one.noteAnswer(BACKEND, limited(1), undefined);
+    two.noteAnswer(BACKEND, limited(3), undefined);
+    const [ofOne, ofTwo] = [one.all(), two.all()];
+    expect(one.hear(ofTwo)).toEqual([]);
+    expect(two.hear(ofOne)).toEqual(ofOne);
+    expect(two.of(BACKEND)?.perSecond).toBe(1);
+    expect(one.stateDigest()).toBe(two.stateDigest());
+    const lifted = one.noteAnswer(BACKEND, UNLIMITED, one.of(BACKEND));
+    expect(one.stateDigest()).not.toBe(two.stateDigest());
+    two.hear(lifted === undefined ? [] : [lifted]);
+    two.hear(ofOne);
+    expect(two.of(BACKEND)?.perSecond).toBeUndefined();
+  });
+
+  it('is bounded, and forgets ended limits first', () => {
+    const rates = new BackendRateLimits();
+    rates.noteAnswer({ id: 'kept' }, limited(1), undefined);
+    for (let count = 0; count < 2_500; count++) {
+      const backend = { id: `b${count}` };
+      rates.noteAnswer(backend, limited(1), undefined);
+      rates.noteAnswer(backend, UNLIMITED, rates.of(backend));
+    }
+    expect(rates.all().length).toBeLessThanOrEqual(2_000);
+    expect(rates.of({ id: 'kept' })?.perSecond).toBe(1);
+  });
+});
--- /dev/null
+++ b/test/core/permit-ledger.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest';
+import { permitLimit, PermitLedger } from '../../src/core/admission/permit-ledger.js';
+import { LIMITS, WINDOW_MS } from './permit-limits.js';
+
+const WHOLE_GROUP = { daemons: 6, share: 1 };
+
+function grantedIn(ledger: PermitLedger, from: number, forMs: number): number[] {
+  const granted: number[] = [];
+  for (let now = from; now < from + forMs; now++) {
+    while (ledger.admit(1, now).type === 'granted') granted.push(now);
+  }
+  return granted;
+}
+
+describe.each(LIMITS)('permits at %d a second', (perSecond) => {
+  it('are granted at that rate, and never more than a small burst at once', () => {
+    const ledger = new PermitLedger(permitLimit(perSecond), WHOLE_GROUP, 0);
+    const granted = grantedIn(ledger, 0, 40_000);
+    expect(granted.length / 40).toBeGreaterThan(perSecond * 0.9);
+    const most = Math.max(
+      ...granted.map((end) => granted.filter((at) => at <= end && end - at < WINDOW_MS).length),
+    );
+    expect(most).toBeLessThanOrEqual(
+      (perSecond * WINDOW_MS) / 1_000 + Math.max(1, perSecond / 4) + 1,
+    );
+  });
+
+  it('begin again without a burst after another daemon has granted them', () => {
+    const ledger = new PermitLedger(permitLimit(perSecond), WHOLE_GROUP, 0);
+    ledger.countFrom(60_000);
+    expect(ledger.admit(1, 60_000).type).toBe('over_limit');
+  });
+});
+
+describe('permits', () => {
+  it('are granted now and then at a limit of 0, for only an answer can end it', () => {
+    const ledger = new PermitLedger(permitLimit(0), WHOLE_GROUP, 0);
+    const granted = grantedIn(ledger, 0, 40_000);
+    expect(granted.length).toBeGreaterThan(5);
+    expect(granted.length).toBeLessThanOrEqual(11);
+  });
+
+  it('are promised to those who are refused together at different times', () => {
+    const ledger = new PermitLedger(permitLimit(2), WHOLE_GROUP, 0);
+    const times = Array.from({ length: 4 }, () => {
+      const decision = ledger.admit(1, 0);
+      return decision.type === 'over_limit' ? Math.round(decision.retryAfterMs) : -1;
+    });
+    expect(times).toEqual([500, 1_000, 1_500, 2_000]);
+  });
+
+  it('fall at once with the limit', () => {
+    const ledger = new PermitLedger(permitLimit(200), WHOLE_GROUP, 0);
+    ledger.configure(permitLimit(1), WHOLE_GROUP, 60_000);
+    expect(grantedIn(ledger, 60_000, WINDOW_MS).length).toBeLessThanOrEqual(5);
+  });
+
+  it('are cut to the share of the daemons that are seen', () => {
+    const ledger = new PermitLedger(permitLimit(10), { daemons: 3, share: 0.5 }, 0);
+    const granted = grantedIn(ledger, 0, 20_000);
+    expect(granted.length).toBeGreaterThan(90);
+    expect(granted.length).toBeLessThanOrEqual(102);
+  });
+});
--- a/test/gateway/backend-names-rate-limit.test.ts
+++ b/test/gateway/backend-names-rate-limit.test.ts
@@ -9,6 +9,7 @@
   pause,
   TestBackend,
   testConfiguration,
+  testRoute,
   type BackendHandler,
 } from './gateway-harness.js';
 
@@ -91,4 +92,87 @@
     expect(mostInWindow(arrivedAt)).toBeLessThanOrEqual(allowedArrivals(2.5));
     expect(statuses).toEqual(statuses.map(() => 200));
   }, 20_000);
+
+  it('is left by a daemon that has had no answer of it, also one that joins later', async () => {
+    const [one] = (await startBackends('one', 'two')) as [TestBackend];
+    one.handle = naming(() => '0', []);
+    await startGroup(2);
+    const [first, second] = daemons as [GatewayHarness, GatewayHarness];
+    first.list([one.record()]);
+    await first.call({ id: 'names' });
+    first.list(backends.map((backend) => backend.record()));
+    await pause(100);
+    const before = one.arrivals.length;
+    for (let call = 0; call < 20; call++) await second.call({ id: `s${call}` });
+    expect(one.arrivals.length).toBeLessThanOrEqual(before + 1);
+    const { peerPort } = first.settings;
+    const joined = { name: 'late', address: '127.0.0.9', seeds: ['127.0.0.1'], peerPort };
+    const late = await GatewayHarness.start(joined);
+    daemons.push(late);
+    late.configure(testConfiguration());
+    late.list(backends.map((backend) => backend.record()));
+    const knows = (): boolean => late.context().permits.perSecond(one.record()) === 0;
+    for (let look = 0; look < 30 && !knows(); look++) await pause(100);
+    expect(knows()).toBe(true);
+    const events = late.lines.filter(({ event }) => event === 'rate_limit_named');
+    expect(events[0]?.fields).toMatchObject({ backend: 'one', perSecond: 0, source: 'peer' });
+  }, 20_000);
+
+  it('gets as many as before once it names none any more, at all daemons', async () => {
+    const [one] = (await startBackends('one')) as [TestBackend];
+    let limit: string | undefined = '0';
+    one.handle = naming(() => limit, []);
+    await startGroup(2);
+    const [first, second] = daemons as [GatewayHarness, GatewayHarness];
+    await first.call({ id: 'names' });
+    limit = undefined;
+    const hasEnded = (daemon: GatewayHarness): boolean =>
+      daemon.lines.some(({ event }) => event === 'rate_limit_ended');
+    const begun = performance.now();
+    for (let call = 0; !daemons.every(hasEnded) && performance.now() - begun < 9_000; call++) {
+      await Promise.all([pause(300), first.call({ id: `e${call}`, headers: { deadline: '300' } })]);
+    }
+    const statuses = await Promise.all(
+      Array.from({ length: 10 }, async (_, call) => (await second.call({ id: `a${call}` })).status),
+    );
+    expect(statuses).toEqual(statuses.map(() => 200));
+  }, 20_000);
+
+  it('has callers wait for a permit that comes in time, and the others told when to come back', async () => {
+    const [one] = (await startBackends('one')) as [TestBackend];
+    one.handle = naming(() => '4', []);
+    await startGroup(1);
+    const [daemon] = daemons as [GatewayHarness];
+    const route = testRoute({ goalMs: 600 });
+    daemon.configure(testConfiguration({ version: 2, routes: [route] }));
+    await daemon.call({ id: 'names' });
+    await pause(1_000);
+    const answers = await Promise.all(
+      Array.from({ length: 12 }, (_, call) =>
+        daemon.call({ id: `w${call}`, headers: { deadline: '1200' } }),
+      ),
+    );
+    const served = answers.filter(({ status }) => status === 200);
+    const refused = answers.filter(({ status }) => status === 503);
+    expect(served.length + refused.length).toBe(answers.length);
+    expect(served.length).toBeGreaterThanOrEqual(2);
+    expect(refused.length).toBeGreaterThan(0);
+    for (const { headers } of refused) {
+      expect(headers['x-ran']).toBe('no');
+      expect(Number(headers['retry-after'])).toBeGreaterThan(0.2);
+      expect(Number(headers['retry-after'])).toBeLessThan(5);
+    }
+    const lines = daemon.lines.filter(({ event }) => event === 'permit_refused');
+    expect(lines[0]?.fields).toMatchObject({ backend: 'one', perSecond: 4, reason: 'over_limit' });
+  }, 20_000);
+
+  it('is sent nothing more than before by the headers of another process at its address', async () => {
+    const [one] = (await startBackends('one', 'two')) as [TestBackend];
+    one.handle = (_request, response) => {
+      response.writeHead(421, { 'not-run': 'yes', 'rate-limit': '0' }).end();
+    };
+    await startGroup(1);
+    await callMany(20, 300);
+    expect(daemons[0]?.context().permits.perSecond(one.record())).toBeUndefined();
+  }, 20_000);
 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -4,6 +4,7 @@
 import { credentialHash } from '../../src/core/admission/api-keys.js';
 import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
+import { readRateLimit } from '../../src/core/backend-rate-limits.js';
 import { restOf } from '../../src/core/backend-rests.js';
 import type { OrderOutcome } from '../../src/core/model-order.js';
 import type {
@@ -52,6 +53,7 @@
     notRun: headers['not-run'] !== undefined,
     misdirected: status === 421,
     leaving: headers.leaving === '1',
+    rateLimit: readRateLimit(headers['rate-limit'] as string | undefined),
     restMs: status === 503 ? restOf(headers['retry-after']) : undefined,
   }),
   ownAnswerHeaders: () => ({}),
--- a/test/simulation/cut-off-holder.test.ts
+++ b/test/simulation/cut-off-holder.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { tenantLimitKind } from '../../src/gateway/limit-kind.js';
 import { SimulatedLimits } from './simulated-limits.js';
 
 /** A small group: the share of one daemon is far more than the operator's slack. */
@@ -20,7 +21,13 @@
 afterEach(() => vi.useRealTimers());
 
 function group(seed: number): SimulatedLimits {
-  const options = { daemons: DAEMONS, limit: LIMIT, window: WINDOW, unitsPerRequest: 100, seed };
+  const options = {
+    daemons: DAEMONS,
+    limit: LIMIT,
+    kind: tenantLimitKind(WINDOW),
+    unitsPerRequest: 100,
+    seed,
+  };
   return new SimulatedLimits(options);
 }
 
--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -8,13 +8,13 @@
 import { vi } from 'vitest';
 import { silentLogger } from '../../src/common/logger.js';
 import type { KeeperCandidate } from '../../src/core/admission/holder-lease.js';
-import type { LimitWindow } from '../../src/core/admission/limit-ledger.js';
+import type { RateLimit } from '../../src/core/admission/rate-ledger.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
-import type { TenantLimit } from '../../src/core/service-configuration.js';
 import { SlidingSum } from '../../src/core/sliding-sum.js';
 import type { PeerBody } from '../../src/daemon/peer-transport.js';
 import { HolderLeases } from '../../src/gateway/holder-leases.js';
-import { TenantLimits } from '../../src/gateway/tenant-limits.js';
+import type { LimitKind } from '../../src/gateway/limit-kind.js';
+import { SharedLimits } from '../../src/gateway/shared-limits.js';
 
 /** Milliseconds that a message takes. */
 const MESSAGE_MS = 2;
@@ -45,15 +45,16 @@
 /** Options of {@link SimulatedLimits}. */
 export interface SimulationOptions {
   readonly daemons: number;
-  readonly limit: TenantLimit;
-  readonly window: LimitWindow;
+  readonly limit: RateLimit;
+  readonly kind: LimitKind;
   readonly unitsPerRequest: number;
   readonly seed: number;
 }
 
 /** The group. Use it under vitest's fake timers. */
 export class SimulatedLimits {
-  private readonly daemons: TenantLimits[];
+  private readonly daemons: SharedLimits[];
+  private readonly leases: HolderLeases[] = [];
   /** Daemons that each one lists. */
   private readonly known: Set<number>[];
   private readonly random;
@@ -75,12 +76,12 @@
   private admitted = 0;
   private mostInWindow = 0;
   private readonly begun = performance.now();
-  limit: TenantLimit;
+  limit: RateLimit;
 
   constructor(private readonly options: SimulationOptions) {
     this.random = xoroshiro128plus(options.seed);
     this.limit = options.limit;
-    this.inWindow = new SlidingSum(options.window.windowMs);
+    this.inWindow = new SlidingSum(options.kind.windowMs);
     const numbers = [...Array(options.daemons).keys()];
     this.known = numbers.map(() => new Set(numbers));
     this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
@@ -201,7 +202,9 @@
 
   private tick(): void {
     for (const [index, daemon] of this.daemons.entries()) {
-      if (!this.frozen.has(index)) daemon.tick();
+      if (this.frozen.has(index)) continue;
+      this.leases[index]?.tick();
+      daemon.tick();
     }
   }
 
@@ -251,8 +254,7 @@
     return [...this.daemons.keys()].find((index) => !this.down.has(index)) ?? 0;
   }
 
-  private daemon(index: number): TenantLimits {
-    const tenant = { name: 't', keyDigests: [], priority: undefined };
+  private daemon(index: number): SharedLimits {
     const self = `d-${index}`;
     const sendDatagram = (to: string, body: PeerBody): void =>
       this.send(index, Number(to.slice(2)), body);
@@ -262,19 +264,20 @@
       logger: silentLogger,
       listed: () => this.listedBy(index),
       live,
-      rememberMs: this.options.window.windowMs,
+      rememberMs: this.options.kind.windowMs,
       firstSequence: 1 + performance.now(),
       processStartedAt: performance.now(),
       sendDatagram,
     });
-    return new TenantLimits({
+    this.leases[index] = leases;
+    return new SharedLimits({
       self,
       leases,
-      window: this.options.window,
+      kind: this.options.kind,
       logger: silentLogger,
       live,
       listedCount: () => this.listedBy(index).length,
-      tenant: () => ({ ...tenant, limit: this.limit }),
+      limitOf: () => this.limit,
       sendDatagram,
       broadcast: (body) => {
         for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
@@ -316,7 +319,10 @@
     if (this.isCut(from, to)) return;
     if (this.sides.get(to) === -1 || this.sides.get(from) === -1) return;
     if (!this.reaches(from, to)) return;
-    const arrive = (): void => void this.daemons[to]?.receive(`d-${from}`, body);
+    const arrive = (): void => {
+      const sender = `d-${from}`;
+      if (!this.leases[to]?.receive(sender, body)) this.daemons[to]?.receive(sender, body);
+    };
     setTimeout(() => this.hand(to, arrive), MESSAGE_MS);
   }
 }
--- a/test/simulation/small-group.ts
+++ b/test/simulation/small-group.ts
@@ -1,4 +1,5 @@
 /** A small group with one limited tenant: the share of one daemon is far more than the operator's slack. */
+import { tenantLimitKind } from '../../src/gateway/limit-kind.js';
 import { SimulatedLimits } from './simulated-limits.js';
 
 export const WINDOW = { windowMs: 4_000, excess: 0.1, slack: 400 };
@@ -17,7 +18,13 @@
 
 /** A group whose tenant has asked for its usual for some time. */
 export async function warmGroup(daemons: number, seed: number): Promise<SimulatedLimits> {
-  const options = { daemons, limit: LIMIT, window: WINDOW, unitsPerRequest: 100, seed };
+  const options = {
+    daemons,
+    limit: LIMIT,
+    kind: tenantLimitKind(WINDOW),
+    unitsPerRequest: 100,
+    seed,
+  };
   const group = new SimulatedLimits(options);
   await group.play({ seconds: LEAD_SECONDS, unitsPerSecond: 0 });
   await group.play({ seconds: USUAL_SECONDS, unitsPerSecond: LIMIT.perSecond * USUAL });
--- a/test/simulation/tenant-limits.test.ts
+++ b/test/simulation/tenant-limits.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { tenantLimitKind } from '../../src/gateway/limit-kind.js';
 import { SimulatedLimits, type LimitOutcome } from './simulated-limits.js';
 
 /** As the operators' sheet has them. */
@@ -17,7 +18,7 @@
   return new SimulatedLimits({
     daemons,
     limit,
-    window: WINDOW,
+    kind: tenantLimitKind(WINDOW),
     unitsPerRequest: UNITS_PER_REQUEST,
     seed,
   });
