Soak: replicas that name rate limits, as kind backend_names_limit, with its audit

Values change and end, replicas restart, links of gateways are cut. The audit counts arrivals from gateways that had passed such an answer on.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -31,6 +31,7 @@
     runs: [],
     replicaViolations: [],
     toldArrivals: [],
+    limitedArrivals: [],
     poisonArrivals: [],
     poisonCrashes: [],
     accepted: new Map([[VERSION, ACCEPTED_AT]]),
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -49,6 +49,7 @@
     runs: [],
     replicaViolations: [],
     toldArrivals: [],
+    limitedArrivals: [],
     poisonArrivals: [],
     poisonCrashes: [],
     accepted: new Map(),
@@ -264,4 +265,49 @@
       expect(rules({ toldArrivals, calls, gateways })).toEqual([]);
     });
   });
+
+  describe('of limits that replicas name', () => {
+    /** One request each 200 ms, with the limit that its answer names. */
+    function evidenceAt(
+      perSecond: (at: number) => number | undefined,
+      gateway: (at: number) => string = () => 'g',
+    ): Pick<SoakEvidence, 'limitedArrivals' | 'calls'> {
+      const ats = Array.from({ length: 45 }, (_, count) => 10_000 + count * 200);
+      const limitedArrivals = ats.map((at, count) => {
+        return { attemptId: `l${count}`, replica: 'r', at, perSecond: perSecond(at) };
+      });
+      const calls = ats.map((at, count) =>
+        callNamed(`l${count}`, { gateway: gateway(at), sentAt: at, endedAt: at + 5 }),
+      );
+      return { limitedArrivals, calls };
+    }
+
+    it('finds more requests in a window than a limit allows', () => {
+      expect(rules(evidenceAt(() => 1))).toEqual(['rate_limit_exceeded']);
+      expect(rules(evidenceAt(() => 2.5))).toEqual([]);
+    });
+
+    it('bears limits that have just begun, and what comes once they have ended', () => {
+      expect(rules(evidenceAt((at) => (at < 13_000 ? undefined : 1)))).toEqual([]);
+      expect(rules(evidenceAt((at) => (at > 16_000 ? undefined : 1)))).toEqual([]);
+    });
+
+    it('bears requests of gateways that have had no such answer, or were disturbed', () => {
+      const evidence = evidenceAt(
+        () => 1,
+        (at) => `g${at}`,
+      );
+      expect(rules(evidence)).toEqual([]);
+      const gateways = { ...untouched, wasDisturbed: () => true };
+      expect(rules({ ...evidenceAt(() => 1), gateways })).toEqual([]);
+    });
+
+    it('sums over gateways', () => {
+      const evidence = evidenceAt(
+        () => 1,
+        (at) => `g${at % 3}`,
+      );
+      expect(rules(evidence)).toEqual(['rate_limit_exceeded']);
+    });
+  });
 });
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -2,6 +2,7 @@
 import type { CallRecord, RequestKind } from './caller.js';
 import { auditConfiguration } from './audit-configuration.js';
 import { auditCrashes } from './audit-crashes.js';
+import { auditRateLimits } from './audit-rate-limits.js';
 import { auditTold } from './audit-told.js';
 import { auditTenants } from './audit-tenants.js';
 import { plainText, streamText } from './expected-events.js';
@@ -37,6 +38,7 @@
     ...auditRecovery(evidence),
     ...auditTenants(evidence),
     ...auditCrashes(evidence),
+    ...auditRateLimits(evidence),
     ...auditTold(evidence),
     ...(evidence.unaskedExits > 0
       ? [{ rule: 'unasked_exit', detail: String(evidence.unaskedExits) }]
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -1,6 +1,12 @@
 /** What a soak leaves behind for its auditor, and what the auditor finds. */
 import type { CallRecord } from './caller.js';
-import type { PoisonArrival, ReplicaViolation, RunRecord, ToldArrival } from './run-log.js';
+import type {
+  LimitedArrival,
+  PoisonArrival,
+  ReplicaViolation,
+  RunRecord,
+  ToldArrival,
+} from './run-log.js';
 
 /** A time, in Unix milliseconds. */
 export interface TimeSpan {
@@ -41,6 +47,8 @@
   readonly replicaViolations: readonly ReplicaViolation[];
   /** Requests that came to replicas which told something in their answers, or had lately. */
   readonly toldArrivals: readonly ToldArrival[];
+  /** Requests that came to replicas which name a rate limit in their answers, or have named one. */
+  readonly limitedArrivals: readonly LimitedArrival[];
   /** Requests that crash what runs them, as they came to replicas. */
   readonly poisonArrivals: readonly PoisonArrival[];
   /** Those that have crashed the replica. */
--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -3,9 +3,13 @@
 import type { GatewayProcess } from './gateway-process.js';
 import { counterOf, ownerOf } from './gateway-roles.js';
 import type { NamedFault, SuspendedGateway } from './named-fault-plan.js';
+import type { ReplicaStandIn } from './replica-stand-in.js';
 import type { SeededRandom } from './seeded-random.js';
 import { spareReplicas, type SoakSystem } from './soak-system.js';
 
+/** A replica that has crashed is back after so long. */
+const RESTART_MS = 1_000;
+
 type FaultOf<Kind extends NamedFault['kind']> = Extract<NamedFault, { kind: Kind }>;
 
 /** What a poisonous request needs of the soak. */
@@ -34,6 +38,8 @@
         return;
       case 'backend_asks_rest':
         return this.askForRest(fault);
+      case 'backend_names_limit':
+        return void this.nameLimits(fault);
       case 'suspended':
         return this.suspend(fault);
     }
@@ -65,6 +71,35 @@
     }
   }
 
+  private async nameLimits(fault: FaultOf<'backend_names_limit'>): Promise<void> {
+    const { share, limits, eachMs, crashAfterMs, cutMs } = fault;
+    const until = Math.min(Date.now() + limits.length * eachMs, this.endsAt);
+    this.system.replicaFaults.push({ from: Date.now(), until });
+    const limited = this.system.replicas
+      .filter(() => this.random.chance(share))
+      .map((replica) => ({ replica, id: replica.id }));
+    if (crashAfterMs > 0) setTimeout(() => this.crashAndStart(limited[0]?.replica), crashAfterMs);
+    if (cutMs > 0) this.random.pick([...this.system.gateways.values()])?.cutOff(cutMs);
+    const name = (perSecond: number | undefined): void => {
+      for (const { replica, id } of limited) {
+        // A later process names nothing of what was asked of an earlier one.
+        if (replica.id === id) replica.nameRateLimit(perSecond);
+      }
+    };
+    for (const perSecond of limits) {
+      name(perSecond);
+      await sleep(Math.max(0, Math.min(eachMs, this.endsAt - Date.now())));
+    }
+    name(undefined);
+  }
+
+  private crashAndStart(replica: ReplicaStandIn | undefined): void {
+    if (replica?.isServing !== true || Date.now() >= this.endsAt) return;
+    replica.crash();
+    this.system.replicaFaults.push({ from: Date.now(), until: Date.now() + RESTART_MS });
+    setTimeout(() => void replica.start(), RESTART_MS);
+  }
+
   private suspend({ who, milliseconds, cutMs }: FaultOf<'suspended'>): void {
     const gateway = this.gatewayToSuspend(who);
     if (cutMs > 0) gateway?.cutOff(milliseconds + cutMs);
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -33,6 +33,17 @@
       readonly milliseconds: number;
       readonly restSeconds: number;
     }
+  /** Replicas name rate limits in their answers, which change some times and end; some replicas restart, some gateways are cut off. */
+  | {
+      readonly kind: 'backend_names_limit';
+      readonly share: number;
+      /** Requests a second, one after the other, each for a time. */
+      readonly limits: readonly number[];
+      readonly eachMs: number;
+      /** Some replica crashes meanwhile, and some gateway is cut off for so long; 0 for neither. */
+      readonly crashAfterMs: number;
+      readonly cutMs: number;
+    }
   /** A gateway stands still, and its steady clock with it. */
   | {
       readonly kind: 'suspended';
@@ -53,9 +64,13 @@
   'poison_request',
   'answers_tell_leaving',
   'backend_asks_rest',
+  'backend_names_limit',
   'suspended',
 ];
 
+/** Requests a second. */
+const LIMITS = [0, 0.4, 1, 2.5, 8, 30];
+const MOST_LIMITS = 3;
 const SHORTEST_GAP_MS = 800;
 const LONGEST_GAP_MS = 5_000;
 /** Owners and counters rest on leases. */
@@ -101,6 +116,15 @@
         milliseconds: random.between(500, 6_000),
         restSeconds: random.between(0.7, 4),
       };
+    case 'backend_names_limit':
+      return {
+        kind,
+        share: random.between(0.2, 1),
+        limits: drawLimits(random),
+        eachMs: random.between(2_000, 10_000),
+        crashAfterMs: random.chance(0.3) ? random.between(500, 5_000) : 0,
+        cutMs: random.chance(0.4) ? random.between(500, 4_000) : 0,
+      };
     case 'suspended':
       return {
         kind,
@@ -110,3 +134,8 @@
       };
   }
 }
+
+function drawLimits(random: SeededRandom): number[] {
+  const count = Math.ceil(random.between(0, MOST_LIMITS));
+  return Array.from({ length: count }, () => random.pick(LIMITS) ?? 1);
+}
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -82,6 +82,9 @@
   /** It turns requests away until then, and asks for so much rest each time. */
   private turnsAwayUntil = 0;
   private restMs = 0;
+  /** Requests a second that it names in its answers. */
+  private rateLimit: number | undefined;
+  private hasNamedLimit = false;
   /** What it has asked for ends then at the latest. */
   private watchedUntil = 0;
   private server: http.Server | undefined;
@@ -130,6 +133,8 @@
     this.saysLeaving = false;
     this.turnsAwayUntil = 0;
     this.watchedUntil = 0;
+    this.rateLimit = undefined;
+    this.hasNamedLimit = false;
     const server = http.createServer((request, response) => void this.receive(request, response));
     this.connections.follow(server);
     await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
@@ -183,6 +188,12 @@
     this.watchedUntil = this.turnsAwayUntil + this.restMs;
   }
 
+  /** Names a limit in its answers from now on, or none. */
+  nameRateLimit(perSecond: number | undefined): void {
+    this.rateLimit = perSecond;
+    this.hasNamedLimit ||= perSecond !== undefined;
+  }
+
   end(): void {
     this.server?.close();
     this.server?.closeAllConnections();
@@ -304,6 +315,7 @@
     const { random } = this.options;
     const attemptId = String(request.headers['x-attempt-id'] ?? '');
     this.checkArrival(request, attemptId);
+    this.tellRateLimit(response, attemptId);
     if (this.tell(response, attemptId)) return;
     const poison = this.poisonOf(body, attemptId);
     if (condition === 'resets_all') return void request.socket.destroy();
@@ -340,6 +352,13 @@
     return turnsAway;
   }
 
+  private tellRateLimit(response: http.ServerResponse, attemptId: string): void {
+    const { id, rateLimit: perSecond, options } = this;
+    if (!this.hasNamedLimit) return;
+    options.log.limitedArrivals.push({ attemptId, replica: id, at: Date.now(), perSecond });
+    if (perSecond !== undefined) response.setHeader('server-limit', String(perSecond));
+  }
+
   private poisonOf(body: string, attemptId: string): Poison | undefined {
     const { poison, backMs = 0 } = JSON.parse(body) as { poison?: string; backMs?: number };
     if (poison === undefined) return undefined;
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -50,11 +50,22 @@
   readonly restMs: number;
 }
 
+/** A request that has come to a replica which names a rate limit in its answers, or has named one. */
+export interface LimitedArrival {
+  readonly attemptId: string;
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+  /** Requests a second that the answer names; undefined if it names none. */
+  readonly perSecond: number | undefined;
+}
+
 /** Shared by all replicas of one soak. */
 export class RunLog {
   readonly runs: RunRecord[] = [];
   readonly violations: ReplicaViolation[] = [];
   readonly toldArrivals: ToldArrival[] = [];
+  readonly limitedArrivals: LimitedArrival[] = [];
   readonly poisonArrivals: PoisonArrival[] = [];
   readonly poisonCrashes: PoisonArrival[] = [];
   loads = 0;
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -155,6 +155,7 @@
       runs: this.log.runs,
       replicaViolations: this.log.violations,
       toldArrivals: this.log.toldArrivals,
+      limitedArrivals: this.log.limitedArrivals,
       poisonArrivals: this.log.poisonArrivals,
       poisonCrashes: this.log.poisonCrashes,
       accepted: this.accepted,
@@ -276,7 +277,8 @@
     const peerPorts = ports.slice(0, gateways);
     const { faultKinds = 'first', leaving = false, series = [] } = this.options;
     const hasCuts = faultKinds === 'further' || faultKinds === 'both' || leaving;
-    const silencedPorts = hasCuts || series.length > 0 ? peerPorts : undefined;
+    const cutsOnes = this.namedKinds.includes('backend_names_limit');
+    const silencedPorts = hasCuts || cutsOnes || series.length > 0 ? peerPorts : undefined;
     for (const [index, peers] of peerPorts.entries()) {
       const [callers = 0, readiness = 0] = ports.slice(gateways + 2 * index);
       const name = `gateway-${index}`;
