--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -76,7 +76,7 @@
     const until = Math.min(Date.now() + limits.length * eachMs, this.endsAt);
     this.system.replicaFaults.push({ from: Date.now(), until });
     const limited = this.system.replicas
-      .filter(() => this.random.chance(share))
+      .filter((replica) => this.random.chance(share) && !replica.namesRateLimit)
       .map((replica) => ({ replica, id: replica.id }));
     if (crashAfterMs > 0) setTimeout(() => this.crashAndStart(limited[0]?.replica), crashAfterMs);
     if (cutMs > 0) this.random.pick([...this.system.gateways.values()])?.cutOff(cutMs);
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -121,7 +121,7 @@
         kind,
         share: random.between(0.2, 1),
         limits: drawLimits(random),
-        eachMs: random.between(2_000, 10_000),
+        eachMs: random.between(4_000, 12_000),
         crashAfterMs: random.chance(0.3) ? random.between(500, 5_000) : 0,
         cutMs: random.chance(0.4) ? random.between(500, 4_000) : 0,
       };
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -188,6 +188,10 @@
     this.watchedUntil = this.turnsAwayUntil + this.restMs;
   }
 
+  get namesRateLimit(): boolean {
+    return this.rateLimit !== undefined;
+  }
+
   /** Names a limit in its answers from now on, or none. */
   nameRateLimit(perSecond: number | undefined): void {
     this.rateLimit = perSecond;
