What is read of the store is ordered by its era before its revision, and a process that leaves stays one that leaves

Callers got 404 on a route that was acknowledged 2.4 s before, and were handled by version 50 when 63 was in force; others reached backends that had said that they leave. Cause: after the store came back from a copy, its revisions were lower than those that daemons held. Each list was dropped as a step back, again and again (135 to 139 calls a second, 30 usual), until the counter had passed the old one; a watch from a place that was given out again heard nothing of what was before it. Evidence: store_history_gone once at each daemon, lists answered, no line configuration until the counter had passed; the test that failed (over 6 s, both ways). Ruled out: late readings (the operator's calls were current, and it ended with the counter). Class: one counter taken to order all that a store ever tells. Change: an object, a list and a watch have a position, the era and the revision as one number. News between daemons carry the era in a new field, which the build before passes over; what an earlier build tells is taken for the present era. A process that a list has shown as leaving does not serve again if a copy shows it as ready; those that read closely tell the others. Tests: platform, compatibility, directory, leaving, presence, ownership, members: 207 pass. No model of the restore yet.

--- a/src/core/backend-directory.ts
+++ b/src/core/backend-directory.ts
@@ -68,8 +68,9 @@
   private readonly declared = new DeclaredLeavings();
   private restarts: BackendRestart[] = [];
 
-  /** Replaces the platform's list. */
+  /** Replaces the platform's list. A process that it shows as leaving does not serve again, whatever later lists show. */
   setBackends(list: BackendList, now: number): PresenceChanges {
+    for (const record of list.backends) if (record.leaving) this.declared.note(record);
     const changes = this.presence.take(list, now);
     for (const record of this.presence.all()) this.noteStart(record);
     return changes;
--- a/src/gateway/directory-duty.ts
+++ b/src/gateway/directory-duty.ts
@@ -13,6 +13,8 @@
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendList, PresenceChanges } from '../core/backend-presence.js';
 import { ablestOf } from '../core/duties.js';
+import type { BackendRecord } from '../core/service-configuration.js';
+import { eraOf, revisionOf, type StorePosition } from '../core/store-position.js';
 import { RecentChanges } from '../core/recent-changes.js';
 import type { DirectoryNews } from '../proto/gen/internal_pb.js';
 import { decodeNews, encodeNews } from './gateway-codec.js';
@@ -44,6 +46,8 @@
   readonly ownsService: () => boolean;
   /** Requests that this daemon has in flight at a backend. */
   readonly inFlightAt: (backend: string) => number;
+  /** The list says that a backend leaves: the others are to know, whatever becomes of the list. */
+  readonly onLeaving: (backend: BackendRecord) => void;
   /** Backends have started or ended, by the list or by news. */
   readonly onChange: () => void;
 }
@@ -67,6 +71,8 @@
   /** Since when this daemon holds other backends than a reader lists; undefined while none is known to. */
   private mustReadSince: number | undefined;
   private lastPublished = -Infinity;
+  /** Of the last list. */
+  private listedAt: StorePosition = 0;
   /** What the others were told last. */
   private toldPlatformAway = false;
 
@@ -112,10 +118,19 @@
 
   /** The platform's list has changed. */
   takeList(list: BackendList): void {
+    this.listedAt = list.revision;
     const changes = this.options.backends.setBackends(list, steadyNow());
+    if (this.isDesignatedReader) this.tellLeaving(changes);
     this.changed(changes, this.attention === 'relaxed' ? 'late_list' : 'list');
   }
 
+  private tellLeaving({ ended }: PresenceChanges): void {
+    for (const { id } of ended) {
+      const backend = this.options.backends.get(id);
+      if (backend?.leaving === true) this.options.onLeaving(backend);
+    }
+  }
+
   /** A newer configuration is in force here. */
   configurationChanged(): void {
     this.publish();
@@ -125,7 +140,7 @@
   hear(from: string, message: DirectoryNews): void {
     const { backends, ownsService, onChange } = this.options;
     const now = steadyNow();
-    const news = decodeNews(message);
+    const news = decodeNews(message, eraOf(this.listedAt));
     const { platformAway, configurationVersion: version, servingDigest } = news;
     const ended = news.ended.filter((end) => backends.noteEnded(end));
     // An owner plans with whole records, which its own readings bring as early.
@@ -231,13 +246,15 @@
     const isTold = isDesignatedReader || source === 'late_list';
     const told = isDesignatedReader ? this.options.peers.reachableOthers().length : undefined;
     const touched = ended.filter(({ id }) => isTold || inFlightAt(id) > 0);
-    for (const { id, revision } of touched) {
+    for (const { id, revision: position } of touched) {
+      const [revision, era] = [revisionOf(position), eraOf(position)];
       const inFlight = inFlightAt(id);
-      logger.info('backend_ended', { backend: id, revision, inFlight, source, from, told });
+      logger.info('backend_ended', { backend: id, revision, era, inFlight, source, from, told });
     }
     if (!isDesignatedReader) return;
-    for (const { id, revision, address } of started) {
-      logger.info('backend_started', { backend: id, revision, address });
+    for (const { id, revision: position, address } of started) {
+      const [revision, era] = [revisionOf(position), eraOf(position)];
+      logger.info('backend_started', { backend: id, revision, era, address });
     }
   }
 }
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -4,6 +4,7 @@
 import type { DemandReport } from '../core/demand-report.js';
 import type { PlacedModel, PlacementUpdate } from '../core/placement-update.js';
 import type { BackendRecord } from '../core/service-configuration.js';
+import { eraOf, positionOf, revisionOf, type StorePosition } from '../core/store-position.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import {
   BackendEndSchema,
@@ -141,12 +142,14 @@
 
 /** News of the directory as a message. */
 export function encodeNews(news: DirectoryReport): PeerBody {
-  const ends = news.ended.map(({ id, revision }) =>
-    create(BackendEndSchema, { backend: id, revision }),
-  );
-  const starts = news.started.map(({ id, revision, service, address, zone, slots, start = '' }) =>
-    create(BackendStartSchema, { backend: id, revision, service, address, zone, slots, start }),
+  const ends = news.ended.map(({ id, revision: position }) =>
+    create(BackendEndSchema, { backend: id, ...placeOf(position) }),
   );
+  const starts = news.started.map((record) => {
+    const { id, service, address, zone, slots, start = '' } = record;
+    const place = { service, address, zone, slots, start };
+    return create(BackendStartSchema, { backend: id, ...placeOf(record.revision), ...place });
+  });
   const { configurationVersion, platformAway, servingDigest } = news;
   const value = create(DirectoryNewsSchema, {
     configurationVersion,
@@ -158,16 +161,27 @@
   return { case: 'directoryNews', value };
 }
 
-/** News of the directory out of a message. */
-export function decodeNews(message: DirectoryNews): DirectoryReport {
-  const ended = message.ends.map(({ backend, revision }) => ({ id: backend, revision }));
-  const started = message.starts.map(decodeStart);
+/**
+ * News of the directory out of a message.
+ *
+ * @param presentEra - Of the store, as the receiver knows it: taken where an earlier build tells none.
+ */
+export function decodeNews(message: DirectoryNews, presentEra: number): DirectoryReport {
+  const ended = message.ends.map(({ backend, revision, era = presentEra }) => {
+    return { id: backend, revision: positionOf(era, revision) };
+  });
+  const started = message.starts.map((start) => decodeStart(start, presentEra));
   const { configurationVersion, platformAway, servingDigest } = message;
   return { configurationVersion, ended, started, platformAway, servingDigest };
 }
 
-function decodeStart(message: BackendStart): BackendRecord {
-  const { backend, revision, service, address, zone, slots, start } = message;
+function placeOf(position: StorePosition): { readonly revision: number; readonly era: number } {
+  return { revision: revisionOf(position), era: eraOf(position) };
+}
+
+function decodeStart(message: BackendStart, presentEra: number): BackendRecord {
+  const { backend, service, address, zone, slots, start, era = presentEra } = message;
+  const revision = positionOf(era, message.revision);
   const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
   const place = { id: backend, revision, service, address, zone, slots, leaving: false };
   return { ...place, ...holdings, ...(start === '' ? {} : { start }) };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -172,6 +172,7 @@
       version: () => this.version,
       ownsService: () => this.duties.ownsAny(),
       inFlightAt: (backend) => this.context.tracker.inFlightAt(backend),
+      onLeaving: (backend) => this.leavings.announce(backend),
       onChange: () => this.backendsChanged(),
     });
     this.front = new CallerFront(this.context, () => this.routing);
--- a/src/gateway/leaving-news.ts
+++ b/src/gateway/leaving-news.ts
@@ -1,6 +1,6 @@
 /**
- * Backends that leave, as their own answers tell it: known at once at the daemon that has the answer, and told to the
- * others, who would otherwise learn it from answers of their own, or late from the platform.
+ * Processes of backends that leave, as their own answers or the platform's list tell it: known at once at the daemon that has the
+ * answer or the list, and told to the others. It is never taken back, also when the platform's store has lost it.
  */
 import { create } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
@@ -40,13 +40,20 @@
   constructor(private readonly options: LeavingNewsOptions) {}
 
   /** A backend has said so in an answer to a request of this daemon. */
-  answered({ id, start }: BackendRecord, request: string | undefined): void {
-    const process = { id, ...(start === undefined ? {} : { start }) };
-    if (!this.options.directory.noteLeaving(process)) return;
-    this.options.logger.info('backend_leaving', { backend: id, start, source: 'answer', request });
-    this.told.push({ process, tellings: 0 });
+  answered(backend: BackendRecord, request: string | undefined): void {
+    const { directory, logger, onChange } = this.options;
+    const process = processOf(backend);
+    if (!directory.noteLeaving(process)) return;
+    const { id, start } = process;
+    logger.info('backend_leaving', { backend: id, start, source: 'answer', request });
+    this.announce(backend);
+    onChange();
+  }
+
+  /** Tells the others that a backend leaves. */
+  announce(backend: BackendRecord): void {
+    this.told.push({ process: processOf(backend), tellings: 0 });
     this.tell();
-    this.options.onChange();
   }
 
   /** Looks at the clock; call it a few times a second. */
@@ -78,3 +85,7 @@
     this.tellAt = this.told.length === 0 ? Infinity : steadyNow() + TELL_PERIOD_MS;
   }
 }
+
+function processOf({ id, start }: BackendRecord): BackendProcess {
+  return { id, ...(start === undefined ? {} : { start }) };
+}
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -7,6 +7,7 @@
 import type { Result } from 'true-myth';
 import type { BackendList } from '../core/backend-presence.js';
 import type { RateLimitNotice } from '../core/backend-rate-limits.js';
+import type { StorePosition } from '../core/store-position.js';
 import type { BackendReport, ModelOrder, OrderFence, OrderOutcome } from '../core/model-order.js';
 import type {
   BackendRecord,
@@ -67,7 +68,7 @@
 export interface StoredRecord {
   readonly name: string;
   readonly value: unknown;
-  readonly revision: number;
+  readonly revision: StorePosition;
 }
 
 /** Why a record could not be read or written. */
@@ -87,6 +88,8 @@
 
 /** Records with revisions; what must last lives here. */
 export interface RecordStore {
+  /** Rises by one each time the store comes back from a copy and has lost what was written since; 0 if it never tells. */
+  era(): number;
   /** Undefined if there is none. */
   read(kind: RecordKind, name: string): Promise<Result<StoredRecord | undefined, RecordFailure>>;
   /** All records of a kind; late ones are cheaper, and may be seconds old. */
@@ -96,7 +99,7 @@
     kind: RecordKind,
     name: string,
     value: unknown,
-    revision: number | undefined,
+    revision: StorePosition | undefined,
   ): Promise<Result<StoredRecord, RecordFailure>>;
   remove(kind: RecordKind, name: string): Promise<void>;
 }
--- a/test/compatibility/builds-side-by-side.test.ts
+++ b/test/compatibility/builds-side-by-side.test.ts
@@ -31,6 +31,7 @@
 async function membersReadFrom(value: unknown): Promise<readonly string[]> {
   const record: StoredRecord = { name: 'other', value, revision: 1 };
   const store = {
+    era: () => 0,
     list: () => Promise.resolve(Result.ok([record])),
     write: () => Promise.resolve(Result.ok(record)),
     remove: () => Promise.resolve(),
--- a/test/gateway/directory-group.ts
+++ b/test/gateway/directory-group.ts
@@ -77,6 +77,7 @@
       logger,
       version: () => 1,
       ownsService: () => group.owner === address,
+      onLeaving: () => {},
       inFlightAt: () => 0,
       onChange: () => {},
     });
--- a/test/gateway/directory-news-codec.test.ts
+++ b/test/gateway/directory-news-codec.test.ts
@@ -10,12 +10,12 @@
     const news = { configurationVersion: 1, ended: [], started, platformAway: false };
     const body = encodeNews({ ...news, servingDigest: undefined });
     if (body.case !== 'directoryNews') throw new Error('no news');
-    expect(decodeNews(body.value).started).toEqual(started);
+    expect(decodeNews(body.value, 0).started).toEqual(started);
   });
 
   it('are understood from a daemon that knows of no starts', () => {
     const starts = [create(BackendStartSchema, { backend: 'x', revision: 3, service: 'service' })];
-    const { started } = decodeNews(create(DirectoryNewsSchema, { starts }));
+    const { started } = decodeNews(create(DirectoryNewsSchema, { starts }), 0);
     expect(started).toMatchObject([{ id: 'x', revision: 3 }]);
     expect(started[0]?.start).toBeUndefined();
   });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -236,6 +236,7 @@
         stop: () => {},
       },
       store: {
+        era: () => 0,
         read: (kind, name) => Promise.resolve(Result.ok(this.records.get(`${kind}/${name}`))),
         list: (kind) => Promise.resolve(Result.ok(this.ofKind(kind))),
         write: (kind, name, value, revision) => {
--- a/test/gateway/member-list.test.ts
+++ b/test/gateway/member-list.test.ts
@@ -11,6 +11,12 @@
 
 /** A store that notes its calls. */
 class CountingStore implements RecordStore {
+  storeEra = 1;
+
+  era(): number {
+    return this.storeEra;
+  }
+
   readonly calls: string[] = [];
   readonly records = new Map<string, StoredRecord>();
   isDown = false;
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -96,10 +96,14 @@
     );
   }
 
+  /** Rises each time the record goes back. */
+  era = 0;
+
   private storeOf(address: string): RecordStore {
     const away = { type: 'unavailable' as const, reason: 'turned away' };
     const isAway = (): boolean => this.turnedAway.has(address);
     return {
+      era: () => this.era,
       read: () => Promise.resolve(isAway() ? Result.err(away) : Result.ok(this.record)),
       list: () => Promise.resolve(Result.ok([])),
       write: (_kind, name, value, revision) => {
--- a/test/platform/directory.test.ts
+++ b/test/platform/directory.test.ts
@@ -64,7 +64,7 @@
       if (!isWatch) response.end(JSON.stringify({ items: [], at: 5 }));
     });
     const port = await listen(server, '127.0.0.1', 0);
-    const store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics());
+    const store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics(), silentLogger);
     const directory = new StoreDirectory(store, silentLogger);
     directory.start({ onConfiguration: () => {}, onBackends: () => {}, onConfirmed: () => {} });
     await sleep(2_600);
--- a/test/platform/late-configuration.test.ts
+++ b/test/platform/late-configuration.test.ts
@@ -36,7 +36,7 @@
 const cleanUps: (() => void)[] = [];
 
 function follow(address: string): { inForceAt: Map<number, number> } {
-  const store = new ObjectStore(address, new GatewayMetrics());
+  const store = new ObjectStore(address, new GatewayMetrics(), silentLogger);
   const directory = new StoreDirectory(store, silentLogger);
   const inForceAt = new Map<number, number>();
   directory.start({
--- a/test/platform/object-store.test.ts
+++ b/test/platform/object-store.test.ts
@@ -6,6 +6,7 @@
 import { listen } from '../../src/common/http-server.js';
 import type { LogFields, Logger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
+import { silentLogger } from '../../src/common/logger.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 
 function object(name: string, spec = '{}'): string {
@@ -39,7 +40,7 @@
       setTimeout(() => response.end('{"events":[],"at":9}'), 300);
     });
     const port = await listen(server, '127.0.0.1', 0);
-    store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics());
+    store = new ObjectStore(`127.0.0.1:${port}`, new GatewayMetrics(), silentLogger);
   });
 
   afterEach(() => {
--- a/test/platform/store-restored.test.ts
+++ b/test/platform/store-restored.test.ts
@@ -42,7 +42,7 @@
     store.put('config', 'main', { version: 50 });
     store.put('servers', 'r1', serverEntry());
     store.put('servers', 'r2', serverEntry());
-    const client = new ObjectStore(address, new GatewayMetrics());
+    const client = new ObjectStore(address, new GatewayMetrics(), silentLogger);
     const directory = new StoreDirectory(client, silentLogger);
     const backends = new BackendDirectory();
     let version = 0;
