A claim of a service is above all claims that a restored store may have lost; a lost entry of a daemon is written again

Backends that fence by the epoch took orders of two owners with the same epoch for 30 s, in a simulated group: the store came back with the record of a former owner, which claimed the epoch that the present one had. Callers would have seen models unloaded under them. Cause: an epoch was one more than the record's, and the record had gone back. The same fault as of lists and watches: a store that is trusted to forget nothing. Change: epochs of an era of the store are above those of all eras before; a claim is also above any epoch that was heard of. For a hand-over after a restore no record says that former owners have stopped. An owner whose record is lost with the copy ends its ownership without leaving the service to others for 10 s. A daemon whose entry in the list of daemons is lost enters itself again with its next late reading. The tests failed before (two owners with one epoch, with and without fences; no entry). Tests of ownership and members: 26 pass.

--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -23,6 +23,8 @@
   listed: readonly DutyMember[] = [];
   private ticker: Ticker | undefined;
   private isListed = false;
+  /** Of the store; 0 before this daemon has entered itself. */
+  private enteredInEra = 0;
   /** Whether an entry of this daemon may be in the list, read or not. */
   private mayBeListed = false;
   private reading: Promise<void> | undefined;
@@ -83,6 +85,7 @@
   private async enterAndRead(): Promise<boolean> {
     const { name } = this.settings;
     this.mayBeListed = true;
+    this.enteredInEra = this.store.era();
     const created = await this.store.write('members', name, this.entry(), undefined);
     if (created.isErr && created.error.type !== 'conflict') return this.unread(created.error);
     const list = await this.store.list('members', 'current');
@@ -107,7 +110,14 @@
     if (list.isErr) return this.unread(list.error);
     // A late list may be older than this daemon's own entry.
     this.take(list.value);
-    return true;
+    if (this.hasLostEntry(list.value)) this.isListed = false;
+    return this.isListed;
+  }
+
+  /** Whether the store has come back from a copy without this daemon's entry: it is written again with the next reading. */
+  private hasLostEntry(list: readonly StoredRecord[]): boolean {
+    const isRestored = this.store.era() > this.enteredInEra;
+    return isRestored && !list.some(({ name }) => name === this.settings.name);
   }
 
   private take(list: readonly StoredRecord[]): void {
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -24,6 +24,9 @@
 /** Between two readings of the record while it names an owner that is not live. */
 const CLAIM_PERIOD_MS = 300;
 
+/** Epochs of an era of the store: a claim in a later era is above all of the earlier ones, also those that are lost. */
+const EPOCHS_OF_ERA = 1_000_000;
+
 /** A process that starts again does so at least so long after its former start. */
 const RESTART_MS = 150;
 /** An owner that was heard so lately lives, whatever the membership says. */
@@ -88,6 +91,12 @@
   private claimsFrom = steadyNow() + SETTLE_MS;
   private lastRead = -Infinity;
   private lastHeard = -Infinity;
+  /** Of all that were heard of, read or claimed. */
+  private highestEpoch = 0;
+  /** Of the store, as it was last looked at; undefined before that. */
+  private knownEra: number | undefined;
+  /** When the store was first seen to have come back from a copy. */
+  private restoredAt = -Infinity;
   /** Highest epoch of a former owner that was heard. */
   private formerEpochHeard = 0;
   /** Since when this daemon has known its record's owner. */
@@ -112,7 +121,7 @@
       store,
       logger,
       lease: this.lease,
-      onOtherOwner: () => this.yieldTo('its record names another owner'),
+      onOtherOwner: () => this.recordLost(),
     });
   }
 
@@ -143,6 +152,7 @@
   tick(): void {
     const now = steadyNow();
     this.noticeStandstill(now);
+    this.noticeRestore(now);
     this.lastTick = now;
     if (this.epoch !== undefined) {
       if (!this.seesEnough()) this.loseSight();
@@ -161,6 +171,16 @@
       .finally(() => (this.busy = false));
   }
 
+  private noticeRestore(now: number): void {
+    const era = this.options.store.era();
+    const former = this.knownEra;
+    this.knownEra = era;
+    if (former === undefined || former === 0 || era <= former) return;
+    this.restoredAt = now;
+    const { service, logger } = this.options;
+    logger.warn('ownership_store_restored', { service, era, epoch: this.epoch });
+  }
+
   private loseSight(): void {
     const { epoch } = this;
     this.giveUp('sees too few daemons');
@@ -184,6 +204,7 @@
   /** Another daemon says that it owns the service. */
   hearOwner(address: string, epoch: number): void {
     const known = this.epochOutOfSight ?? this.record?.epoch ?? 0;
+    this.highestEpoch = Math.max(this.highestEpoch, epoch);
     if (epoch < known) return this.noteFormerOwner(address, epoch, known);
     if (this.epoch !== undefined && epoch > this.epoch) this.giveUp('a higher epoch exists');
     if (this.epoch === epoch) return;
@@ -203,6 +224,7 @@
   /** Takes a record; an owner that is new to this daemon gets time to be heard. */
   private learn(record: OwnerRecord | undefined): void {
     const known = this.record;
+    this.highestEpoch = Math.max(this.highestEpoch, record?.epoch ?? 0);
     const isKnown = known?.address === record?.address && known?.epoch === record?.epoch;
     if (!isKnown) this.knownSince = steadyNow();
     this.record = record;
@@ -234,6 +256,13 @@
     this.claimsFrom = steadyNow() + YIELD_MS;
   }
 
+  /** Its record names another owner, or is gone: that may be the copy's word, which no other daemon goes by. */
+  private recordLost(): void {
+    const isRestored = steadyNow() - this.restoredAt < HAND_OVER_MS;
+    if (isRestored) this.giveUp('the store came back from a copy');
+    else this.yieldTo('its record names another owner');
+  }
+
   private noticeStandstill(now: number): void {
     const gap = now - this.lastTick;
     if (gap <= STANDSTILL_MS) return;
@@ -314,7 +343,7 @@
   private async claim(): Promise<void> {
     const { peers, store, service, logger } = this.options;
     const { address, incarnation } = peers.membership.own;
-    const epoch = (this.record?.epoch ?? 0) + 1;
+    const epoch = this.nextEpoch();
     const claim = `${address} ${incarnation} ${epoch}`;
     const record: OwnerRecord = { address, incarnation, epoch, claim };
     const before = this.record?.address ?? '';
@@ -328,11 +357,18 @@
     this.lease.begin({ askedAt, answeredAt: steadyNow(), isHandedOver });
     this.proofs.begin(claim);
     this.record = record;
+    this.highestEpoch = epoch;
     this.epoch = epoch;
     this.epochOutOfSight = undefined;
     this.options.onChange(epoch);
   }
 
+  /** Above all that are known, and all that the store may have lost. */
+  private nextEpoch(): number {
+    const known = Math.max(this.record?.epoch ?? 0, this.highestEpoch);
+    return Math.max(known, this.options.store.era() * EPOCHS_OF_ERA) + 1;
+  }
+
   /** Why the owner of the record is taken for one no longer. */
   private causeOfClaim(): string {
     if (this.record === undefined) return 'there was no owner';
@@ -349,6 +385,8 @@
    * suspicion, or a process that seems to have started again, is no such knowledge.
    */
   private formerOwnersHaveStopped(): boolean {
+    // The store may have lost the record of an owner whose lease goes on.
+    if (steadyNow() - this.restoredAt < HAND_OVER_MS) return false;
     if (this.record === undefined) return true;
     return this.ownerHasLeft() && steadyNow() - this.knownSince >= HAND_OVER_MS;
   }
--- a/test/gateway/member-list.test.ts
+++ b/test/gateway/member-list.test.ts
@@ -125,4 +125,14 @@
     expect(store.calls.length).toBeLessThanOrEqual(3);
     expect(store.calls.length).toBeGreaterThanOrEqual(2);
   });
+
+  it('enters itself again when the store has come back from a copy without its entry', async () => {
+    const store = new CountingStore();
+    startList(store);
+    await sleep(100);
+    store.records.clear();
+    store.storeEra = 2;
+    await sleep(3_000);
+    expect([...store.records.keys()]).toHaveLength(1);
+  });
 });
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -20,6 +20,8 @@
   readonly members = new Map<string, MemberView>();
   readonly ownerships = new Map<string, Ownership>();
   record: StoredRecord | undefined;
+  /** Era of the store; 0 if it names none. */
+  era = 0;
   /** Daemons that the store does not answer. */
   readonly turnedAway = new Set<string>();
   /** The store answers a write so long after it was done. */
@@ -59,6 +61,12 @@
     this.cuts.add(`${other} ${one}`);
   }
 
+  /** The store comes back with an earlier record. */
+  restore(record: StoredRecord | undefined): void {
+    this.record = record;
+    this.era += 1;
+  }
+
   /** They see and hear each other again. */
   heal(one: string, other: string): void {
     this.cuts.delete(`${one} ${other}`);
@@ -96,9 +104,6 @@
     );
   }
 
-  /** Rises each time the record goes back. */
-  era = 0;
-
   private storeOf(address: string): RecordStore {
     const away = { type: 'unavailable' as const, reason: 'turned away' };
     const isAway = (): boolean => this.turnedAway.has(address);
--- /dev/null
+++ b/test/gateway/store-restored-owners.test.ts
@@ -0,0 +1,54 @@
+/*
+ * The store came back from a copy that named a former owner. It claimed the service with the epoch that the present owner had, and
+ * backends that fence by the epoch took the orders of both for 30 s.
+ */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { OwnershipScene } from './ownership-scene.js';
+
+const SETTLED_MS = 10_000;
+const PLAYED_MS = 30_000;
+const STEP_MS = 50;
+
+describe('owners of a service when the store comes back from a copy', () => {
+  beforeEach(() =>
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }),
+  );
+  afterEach(() => vi.useRealTimers());
+
+  function ownersOf(scene: OwnershipScene): { address: string; epoch: number }[] {
+    return [...scene.ownerships].flatMap(([address, { epoch }]) => {
+      return epoch === undefined ? [] : [{ address, epoch }];
+    });
+  }
+
+  it.each([true, false])(
+    'never have the same epoch, and one of them may order later (epochs checked: %s)',
+    async (backendsCheckEpochs) => {
+      const scene = new OwnershipScene(backendsCheckEpochs);
+      scene.era = 1;
+      const names = ['a', 'b', 'c', 'd'];
+      names.forEach((address, index) => scene.join(address, 1_000 + index));
+      await scene.runHeard(SETTLED_MS);
+      const copy = scene.record;
+      const [former] = ownersOf(scene);
+      const others = names.filter((address) => address !== former?.address);
+      for (const other of others) scene.cut(former?.address ?? '', other);
+      await scene.runHeard(SETTLED_MS);
+      const present = ownersOf(scene).filter(({ address }) => address !== former?.address);
+      expect(present).toHaveLength(1);
+      scene.restore(copy);
+      for (const other of others) scene.heal(former?.address ?? '', other);
+      const [owner] = present;
+      const cutOff = others.filter((address) => address !== owner?.address)[0] ?? '';
+      scene.cut(owner?.address ?? '', former?.address ?? '');
+      scene.cut(owner?.address ?? '', cutOff);
+      for (let at = 0; at < PLAYED_MS; at += STEP_MS) {
+        await scene.runHeard(STEP_MS);
+        const epochs = ownersOf(scene).map(({ epoch }) => epoch);
+        expect(new Set(epochs).size).toBe(epochs.length);
+      }
+      const mayOrder = [...scene.ownerships.values()].filter((each) => each.mayOrder());
+      expect(mayOrder.length).toBeGreaterThan(0);
+    },
+  );
+});
