--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -9,6 +9,8 @@
 
 /** A replica that has crashed is back after so long. */
 const RESTART_MS = 1_000;
+/** A replica that leaves serves on for so long. */
+const LEAVING_MS = 4_000;
 
 type FaultOf<Kind extends NamedFault['kind']> = Extract<NamedFault, { kind: Kind }>;
 
@@ -21,6 +23,8 @@
 /** Strikes gateways and replicas. */
 export class NamedFaultInjector {
   private poisons = 0;
+  /** One restore is over before the next begins. */
+  private isRestoring = false;
 
   /** @param endsAt - Nothing begins later; Unix milliseconds. */
   constructor(
@@ -40,6 +44,8 @@
         return this.askForRest(fault);
       case 'backend_names_limit':
         return void this.nameLimits(fault);
+      case 'store_restored':
+        return void this.restoreStore(fault);
       case 'suspended':
         return this.suspend(fault);
     }
@@ -100,6 +106,34 @@
     setTimeout(() => void replica.start(), RESTART_MS);
   }
 
+  private async restoreStore(fault: FaultOf<'store_restored'>): Promise<void> {
+    if (this.isRestoring) return;
+    this.isRestoring = true;
+    const { store, storeFaults, gateways } = this.system;
+    const copy = store.copy();
+    await sleep(fault.copyMs);
+    const span = { from: Date.now(), until: Date.now() + fault.awayMs + fault.rewrittenAfterMs };
+    storeFaults.push(span);
+    if (fault.cutMs > 0) ownerOf(this.system, [...gateways.values()])?.cutOff(fault.cutMs);
+    store.condition = 'reset';
+    await sleep(fault.awayMs);
+    const lost = store.restore(copy);
+    store.condition = 'sound';
+    setTimeout(() => this.change(), fault.changesAfterMs);
+    await sleep(fault.rewrittenAfterMs);
+    store.writeAgain(lost);
+    for (let write = 0; write < fault.otherWrites; write++) store.put('other', 'x', { write });
+    this.isRestoring = false;
+  }
+
+  private change(): void {
+    this.system.changeConfiguration();
+    const replica = this.random.pick(spareReplicas(this.system));
+    if (replica === undefined) return;
+    this.system.replicaFaults.push({ from: Date.now(), until: Date.now() + LEAVING_MS });
+    void replica.leave(LEAVING_MS).then(() => replica.start());
+  }
+
   private suspend({ who, milliseconds, cutMs }: FaultOf<'suspended'>): void {
     const gateway = this.gatewayToSuspend(who);
     if (cutMs > 0) gateway?.cutOff(milliseconds + cutMs);
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -44,6 +44,21 @@
       readonly crashAfterMs: number;
       readonly cutMs: number;
     }
+  /** The store is away for a moment and comes back from a copy; what the operator and the replicas wrote since is written again. */
+  | {
+      readonly kind: 'store_restored';
+      /** Age of the copy. */
+      readonly copyMs: number;
+      readonly awayMs: number;
+      /** From its return until what was lost is written again. */
+      readonly rewrittenAfterMs: number;
+      /** Writes that nobody follows raise the counter past the places that gateways hold. */
+      readonly otherWrites: number;
+      /** A replica begins to leave, and a configuration is accepted, this long after its return. */
+      readonly changesAfterMs: number;
+      /** The owner of a service is cut off meanwhile; 0 for none. */
+      readonly cutMs: number;
+    }
   /** A gateway stands still, and its steady clock with it. */
   | {
       readonly kind: 'suspended';
@@ -65,6 +80,7 @@
   'answers_tell_leaving',
   'backend_asks_rest',
   'backend_names_limit',
+  'store_restored',
   'suspended',
 ];
 
@@ -125,6 +141,16 @@
         crashAfterMs: random.chance(0.3) ? random.between(500, 5_000) : 0,
         cutMs: random.chance(0.4) ? random.between(500, 4_000) : 0,
       };
+    case 'store_restored':
+      return {
+        kind,
+        copyMs: random.between(500, 4_000),
+        awayMs: random.between(200, 2_500),
+        rewrittenAfterMs: random.between(0, 2_000),
+        otherWrites: random.chance(0.5) ? 0 : Math.ceil(random.between(10, 200)),
+        changesAfterMs: random.between(0, 4_000),
+        cutMs: random.chance(0.4) ? random.between(1_000, 5_000) : 0,
+      };
     case 'suspended':
       return {
         kind,
--- a/test/soak/object-store-stand-in.ts
+++ b/test/soak/object-store-stand-in.ts
@@ -29,6 +29,17 @@
   readonly object: StoredObject;
 }
 
+/** Kinds that the operator and the replicas write: they write again what a restore has lost. */
+const REWRITTEN_KINDS = ['config', 'servers'];
+
+/** What a restore has lost: the newest state of an object, or that it was removed. */
+export interface LostWrite {
+  readonly kind: string;
+  readonly name: string;
+  /** Undefined if it was removed. */
+  readonly spec: unknown;
+}
+
 /** All that the store holds at one moment. */
 export interface StoreCopy {
   readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
@@ -61,6 +72,8 @@
   private revision = 0;
   /** Rises by one each time the store comes back from a copy. */
   private era = 1;
+  /** Revision at which the present era began. */
+  private restoredAt = 0;
   /** Watches from before this revision are answered with 410. */
   private forgottenUpTo = 0;
   private readonly waiters = new Set<Waiter>();
@@ -111,15 +124,37 @@
     return { kinds, changes: [...this.changes], revision: this.revision };
   }
 
-  /** Comes back as it was: what was written since is gone, and its revisions are given out again. */
-  restore(copy: StoreCopy): void {
+  /**
+   * Comes back as it was: what was written since is gone, and its revisions are given out again.
+   *
+   * @returns What the operator and the replicas have to write again.
+   */
+  restore(copy: StoreCopy): LostWrite[] {
+    const lost = this.changes
+      .filter(({ kind, revision }) => revision > copy.revision && REWRITTEN_KINDS.includes(kind))
+      .map(({ kind, gone, object }) => {
+        return { kind, name: object.metadata.name, spec: gone ? undefined : object.spec };
+      });
     this.kinds.clear();
     for (const [kind, objects] of copy.kinds) this.kinds.set(kind, new Map(objects));
     this.changes = [...copy.changes];
     this.revision = copy.revision;
+    this.restoredAt = copy.revision;
     this.forgottenUpTo = Math.min(this.forgottenUpTo, copy.revision);
     this.era += 1;
     this.wake();
+    return lost;
+  }
+
+  /** Writes again what a restore has lost, but for what was written since. */
+  writeAgain(lost: readonly LostWrite[]): void {
+    const newest = new Map(lost.map((write) => [`${write.kind}/${write.name}`, write]));
+    const since = this.changes.filter(({ revision }) => revision > this.restoredAt);
+    for (const { kind, object } of since) newest.delete(`${kind}/${object.metadata.name}`);
+    for (const { kind, name, spec } of newest.values()) {
+      if (spec === undefined) this.delete(kind, name);
+      else this.put(kind, name, spec);
+    }
   }
 
   /** Forgets the history of all watches. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -100,6 +100,8 @@
 /** Requests a second of each of them, rounded up. */
 const KEPT_CALLER_RATE = 3;
 const START_MS = 3_000;
+/** Named faults that also cut gateways off. */
+const CUTTING_KINDS: readonly NamedFault['kind'][] = ['backend_names_limit', 'store_restored'];
 /** From the last fault's end until callers are served as before. */
 const RECOVERY_MS = 9_000;
 const CALM_MS = 4_000;
@@ -277,8 +279,8 @@
     const peerPorts = ports.slice(0, gateways);
     const { faultKinds = 'first', leaving = false, series = [] } = this.options;
     const hasCuts = faultKinds === 'further' || faultKinds === 'both' || leaving;
-    const cutsOnes = this.namedKinds.includes('backend_names_limit');
-    const silencedPorts = hasCuts || cutsOnes || series.length > 0 ? peerPorts : undefined;
+    const cutsSome = this.namedKinds.some((kind) => CUTTING_KINDS.includes(kind));
+    const silencedPorts = hasCuts || cutsSome || series.length > 0 ? peerPorts : undefined;
     for (const [index, peers] of peerPorts.entries()) {
       const [callers = 0, readiness = 0] = ports.slice(gateways + 2 * index);
       const name = `gateway-${index}`;
