A copy of the store proves no configuration current before what it has lost can have been written again

Trace: version 5, which takes the key away, was accepted at 28.105; the store came back at 30.56 from a copy without it (store_restored at gateway-0 at 30.690); configuration_lease_regained at 31.474 by a reading of version 4; version 5 was written again at 32.47. Cause: a reading of the present store was taken for a proof that nothing newer had been accepted.

--- a/test/platform/store-restored.test.ts
+++ b/test/platform/store-restored.test.ts
@@ -34,7 +34,10 @@
 
   async function scene(attention: DirectoryAttention): Promise<{
     store: ObjectStoreStandIn;
+    directory: StoreDirectory;
     backends: BackendDirectory;
+    /** Versions that were proved current. */
+    confirmed: number[];
     version: () => number;
   }> {
     const store = new ObjectStoreStandIn(new SeededRandom(1));
@@ -46,10 +49,11 @@
     const directory = new StoreDirectory(client, silentLogger);
     const backends = new BackendDirectory();
     let version = 0;
+    const confirmed: number[] = [];
     directory.start({
       onConfiguration: (configuration) => (version = configuration.version),
       onBackends: (list) => void backends.setBackends(list, performance.now()),
-      onConfirmed: () => {},
+      onConfirmed: (seen) => confirmed.push(seen),
     });
     directory.setAttention(attention);
     cleanUps.push(() => {
@@ -59,7 +63,7 @@
     });
     await sleep(300);
     expect(backends.serving('service').length).toBe(2);
-    return { store, backends, version: () => version };
+    return { store, directory, backends, confirmed, version: () => version };
   }
 
   /** Loses what is written after a copy, and is away for a moment. */
@@ -86,6 +90,22 @@
     store.put('servers', 'r1', serverEntry({ state: 'draining' }));
   }
 
+  it('proves no configuration current before what it has lost can have been written again', async () => {
+    const { store, directory, confirmed } = await scene('close');
+    await directory.confirmConfiguration();
+    expect(confirmed).toEqual([50]);
+    await loseWrites(store, 'answers 410', {});
+    store.condition = 'sound';
+    for (let call = 0; call < 10; call++) {
+      await sleep(100);
+      await directory.confirmConfiguration();
+    }
+    expect(confirmed).toEqual([50]);
+    await sleep(KNOWN_WITHIN_MS);
+    await directory.confirmConfiguration();
+    expect(confirmed).toEqual([50, 50]);
+  });
+
   async function until(isSo: () => boolean): Promise<number> {
     const begun = performance.now();
     while (!isSo() && performance.now() - begun < 3 * KNOWN_WITHIN_MS) await sleep(20);
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,6 @@
 import { beforeAll, describe, expect, it } from 'vitest';
 import { buildGateway } from './gateway-process.js';
-import { NAMED_FAULT_KINDS } from './named-fault-plan.js';
+import type { NamedFault } from './named-fault-plan.js';
 import { runSoak, soakFolder } from './soak-run.js';
 
 const SEED = 21;
@@ -24,6 +24,15 @@
 /** Draws requests that crash replicas, replicas that leave or ask for rest in answers, and suspended gateways, several of each. */
 const NAMED_SEED = 53_001;
 const NAMED_FAULT_MS = 40_000;
+const TOLD_FAULT_KINDS: readonly NamedFault['kind'][] = [
+  'poison_request',
+  'answers_tell_leaving',
+  'backend_asks_rest',
+  'suspended',
+];
+/** Draws replicas that name limits, gateways that are cut off, and stores that come back from copies. */
+const RESTORED_SEED = 62_101;
+const RESTORED_FAULT_MS = 30_000;
 
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
@@ -87,7 +96,7 @@
       faultMs: NAMED_FAULT_MS,
       folder: soakFolder(NAMED_SEED),
       faultKinds: 'none',
-      only: NAMED_FAULT_KINDS,
+      only: TOLD_FAULT_KINDS,
       keptCallers: 4,
       replicas: 8,
       checksEpochs: false,
@@ -97,6 +106,20 @@
     expect(result.served).toBeGreaterThan(result.calls / 4);
   });
 
+  it('keep to limits that replicas name, and to what was acknowledged before the store went back', async () => {
+    const result = await runSoak({
+      seed: RESTORED_SEED,
+      faultMs: RESTORED_FAULT_MS,
+      folder: soakFolder(RESTORED_SEED),
+      faultKinds: 'none',
+      only: ['backend_names_limit', 'store_restored'],
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.faults).toBeGreaterThan(5);
+    expect(result.served).toBeGreaterThan(result.calls / 5);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
