--- a/src/core/admission/permit-ledger.ts
+++ b/src/core/admission/permit-ledger.ts
@@ -1,6 +1,6 @@
 /**
  * Permits for requests to a backend that has named a rate limit: a token bucket for all daemons. Unlike a tenant's
- * limit, no request passes before the holder's word, and the burst is small: what is granted reaches the backend in bunches.
+ * limit, no request passes before the holder has granted it, and the burst is small: what is granted reaches the backend in bunches.
  * Pure; times are milliseconds of a steady clock.
  */
 import { TokenBucket } from '../token-bucket.js';
--- a/src/core/admission/rate-ledger.ts
+++ b/src/core/admission/rate-ledger.ts
@@ -11,7 +11,7 @@
   readonly burst: number;
 }
 
-/** The word on a request. */
+/** The decision on a request. */
 export type LimitDecision =
   | { readonly type: 'granted' }
   /** The units should be there after `retryAfterMs`. */
@@ -43,7 +43,7 @@
   recall(units: number, now: number): void;
   /** Admits a request, or tells when to come back. */
   admit(units: number, now: number): LimitDecision;
-  /** Whether requests need the holder's word first. */
+  /** Whether requests need the holder's decision first. */
   isTight(now: number): boolean;
   /** Units in use, for log lines. */
   used(now: number): number;
--- a/src/gateway/backend-permits.ts
+++ b/src/gateway/backend-permits.ts
@@ -21,12 +21,12 @@
 import type { SharedLimits } from './shared-limits.js';
 import { steadyNow } from './steady-clock.js';
 
-/** Without a word of who grants, another permit is asked for after so long. */
+/** Without a decision of the holder, another permit is asked for after so long. */
 const UNKNOWN_RETRY_MS = 250;
 /** Backends that are remembered to have no permit left; names of ended ones must not fill the memory. */
-const MOST_EMPTY = 2_000;
+const MOST_EXHAUSTED = 2_000;
 
-/** The word on a request for a permit. */
+/** The decision on a request for a permit. */
 export type PermitDecision =
   { readonly type: 'granted' } | { readonly type: 'refused'; readonly retryAfterMs: number };
 
@@ -53,7 +53,7 @@
     return this.state === 'asked';
   }
 
-  /** The word on it has come; false if nobody wants it any more. */
+  /** Takes the decision; false if nobody waits for it any more. */
   settle(decision: LimitDecision): boolean {
     const { isWanted } = this;
     const isGranted = decision.type === 'granted';
@@ -79,7 +79,7 @@
   private readonly rates = new BackendRateLimits();
   private readonly gossip: DigestGossip<BelievedRateLimit>;
   /** Steady times until which no permit is expected, by the name of the limit. */
-  private readonly emptyUntil = new Map<string, number>();
+  private readonly exhaustedUntil = new Map<string, number>();
 
   constructor(private readonly options: BackendPermitsOptions) {
     this.gossip = new DigestGossip({
@@ -102,10 +102,10 @@
   }
 
   /** Whether no permit is expected now, so that a request that can goes elsewhere. */
-  isEmpty(backend: BackendProcess, now: number): boolean {
+  isExhausted(backend: BackendProcess, now: number): boolean {
     const believed = this.rates.of(backend);
     if (believed?.perSecond === undefined) return false;
-    return (this.emptyUntil.get(startKey(believed.backend)) ?? 0) > now;
+    return (this.exhaustedUntil.get(startKey(believed.backend)) ?? 0) > now;
   }
 
   /** The limit that is kept under a name. */
@@ -131,7 +131,7 @@
     this.options.onChange();
   }
 
-  /** A permit for a backend that names a limit; the word on it may come at once. */
+  /** A permit for a backend that names a limit; the decision may come at once. */
   ask(
     backend: BackendRecord,
     request: string | undefined,
@@ -140,7 +140,7 @@
     const name = startKey(this.rates.of(backend)?.backend ?? backend);
     const { limits } = this.options;
     const permit = new BackendPermit(name, limits);
-    // The word comes in a later turn, so that whoever asks knows its permit by then.
+    // The decision comes in a later turn: the caller has the permit object by then.
     setImmediate(() => {
       if (!permit.isWanted) return;
       limits.admit(name, 1, (decision) => {
@@ -185,7 +185,7 @@
     if (decision.type === 'granted') return decision;
     const isRefused = decision.type === 'over_limit';
     const retryAfterMs = isRefused ? decision.retryAfterMs : UNKNOWN_RETRY_MS;
-    this.noteEmpty(name, steadyNow() + retryAfterMs);
+    this.noteExhausted(name, steadyNow() + retryAfterMs);
     this.options.logger.info('permit_refused', {
       request,
       backend: name,
@@ -196,12 +196,12 @@
     return { type: 'refused', retryAfterMs };
   }
 
-  private noteEmpty(name: string, until: number): void {
-    this.emptyUntil.delete(name);
-    this.emptyUntil.set(name, until);
-    if (this.emptyUntil.size <= MOST_EMPTY) return;
-    const [oldest] = this.emptyUntil.keys();
-    if (oldest !== undefined) this.emptyUntil.delete(oldest);
+  private noteExhausted(name: string, until: number): void {
+    this.exhaustedUntil.delete(name);
+    this.exhaustedUntil.set(name, until);
+    if (this.exhaustedUntil.size <= MOST_EXHAUSTED) return;
+    const [oldest] = this.exhaustedUntil.keys();
+    if (oldest !== undefined) this.exhaustedUntil.delete(oldest);
   }
 
   private log(
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -97,7 +97,7 @@
   });
   readonly permits = new Counter({
     name: 'scaleslip_gateway_permits_total',
-    help: 'Permits asked for to send to backends that name rate limits, by the word: granted, over_limit, unknown',
+    help: 'Permits asked for to send to backends that name rate limits, by decision: granted, over_limit, unknown',
     labelNames: ['answer'],
     registers: [this.registry],
   });
--- a/src/gateway/leaving-news.ts
+++ b/src/gateway/leaving-news.ts
@@ -11,10 +11,10 @@
 import { BackendsLeavingSchema, LeavingBackendSchema } from '../proto/gen/internal_pb.js';
 import { steadyNow } from './steady-clock.js';
 
-/** Between two tellings of the same: one may be lost with a connection that is replaced. */
-const TELL_PERIOD_MS = 1_000;
-/** So many tellings in all, over longer than a silent connection is kept. */
-const MOST_TELLINGS = 3;
+/** Between two sendings of the same: one may be lost with a connection that is replaced. */
+const SEND_PERIOD_MS = 1_000;
+/** So many sendings in all, over longer than a silent connection is kept. */
+const MOST_SENDINGS = 3;
 /** Entries of a message that are read; a daemon of our own tells fewer. */
 const MOST_ENTRIES = 500;
 
@@ -27,15 +27,15 @@
   readonly onChange: () => void;
 }
 
-interface ToldLeaving {
+interface Announcement {
   readonly process: BackendProcess;
-  tellings: number;
+  sendings: number;
 }
 
 /** One daemon's part. */
 export class LeavingNews {
-  private told: ToldLeaving[] = [];
-  private tellAt = Infinity;
+  private announcements: Announcement[] = [];
+  private sendAt = Infinity;
 
   constructor(private readonly options: LeavingNewsOptions) {}
 
@@ -52,13 +52,13 @@
 
   /** Tells the others that a backend leaves. */
   announce(backend: BackendRecord): void {
-    this.told.push({ process: processOf(backend), tellings: 0 });
-    this.tell();
+    this.announcements.push({ process: processOf(backend), sendings: 0 });
+    this.send();
   }
 
   /** Looks at the clock; call it a few times a second. */
   tick(): void {
-    if (steadyNow() >= this.tellAt) this.tell();
+    if (steadyNow() >= this.sendAt) this.send();
   }
 
   /** Takes a message of another daemon; false if it is of another kind. */
@@ -76,13 +76,13 @@
     return true;
   }
 
-  private tell(): void {
-    for (const entry of this.told) entry.tellings += 1;
-    const backends = this.told.map(({ process }) => create(LeavingBackendSchema, process));
+  private send(): void {
+    for (const entry of this.announcements) entry.sendings += 1;
+    const backends = this.announcements.map(({ process }) => create(LeavingBackendSchema, process));
     const value = create(BackendsLeavingSchema, { backends });
     this.options.broadcast({ case: 'backendsLeaving', value });
-    this.told = this.told.filter(({ tellings }) => tellings < MOST_TELLINGS);
-    this.tellAt = this.told.length === 0 ? Infinity : steadyNow() + TELL_PERIOD_MS;
+    this.announcements = this.announcements.filter(({ sendings }) => sendings < MOST_SENDINGS);
+    this.sendAt = this.announcements.length === 0 ? Infinity : steadyNow() + SEND_PERIOD_MS;
   }
 }
 
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -194,10 +194,16 @@
     return this.suitableBackends(now)
       .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
       .filter((backend) => rests.remainingMs(backend, now) === 0)
-      .filter((backend) => (this.limitedUntil.get(backend.id) ?? 0) <= now)
+      .filter((backend) => !this.isLimited(backend, now))
       .filter((backend) => this.options.mayRunAt(backend.id));
   }
 
+  /** Whether a backend has refused the request a permit, and still names a limit. */
+  private isLimited(backend: BackendRecord, now: number): boolean {
+    if ((this.limitedUntil.get(backend.id) ?? 0) <= now) return false;
+    return this.context.permits.perSecond(backend) !== undefined;
+  }
+
   /** Backends that could serve the request, now or later. */
   private suitableBackends(now: number): BackendRecord[] {
     const { directory } = this.context;
@@ -235,10 +241,10 @@
     const usable = this.usableBackends(now);
     const healthy = this.healthy(usable, now);
     const fresh = this.untried(healthy);
-    const permitted = fresh.filter((backend) => !context.permits.isEmpty(backend, now));
+    const withPermits = fresh.filter((backend) => !context.permits.isExhausted(backend, now));
     // Another backend can be given the model; one of a service without models is all there is.
     const lastResort = model === undefined ? usable : [];
-    const groups = [permitted, fresh, healthy, lastResort];
+    const groups = [withPermits, fresh, healthy, lastResort];
     const best = groups.find((group) => group.length > 0) ?? this.spared(usable, now);
     const candidates = this.candidates(best, now);
     const chosen = context.selection.choose(candidates, sharedPrompt);
@@ -300,10 +306,12 @@
     if (permits.perSecond(backend) === undefined) return this.options.onSlot(backend);
     this.pending = { backend, expectedAt: undefined };
     const { request } = this.options.standing();
-    this.permit = permits.ask(backend, request, (decision) => this.permitted(backend, decision));
+    this.permit = permits.ask(backend, request, (decision) =>
+      this.permitDecided(backend, decision),
+    );
   }
 
-  private permitted(backend: BackendRecord, decision: PermitDecision): void {
+  private permitDecided(backend: BackendRecord, decision: PermitDecision): void {
     this.pending = undefined;
     if (decision.type === 'granted') return this.options.onSlot(backend);
     this.limitedUntil.set(backend.id, steadyNow() + decision.retryAfterMs);
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -61,7 +61,7 @@
   private sends = 0;
   private isWaiting = false;
   /** The first forecast that the request was held for. */
-  private told: { readonly readyInMs: number; readonly at: number } | undefined;
+  private firstForecast: { readonly readyInMs: number; readonly at: number } | undefined;
   private ended = false;
   private lastRan: Ran = 'no';
   private readonly pass: TenantPass;
@@ -237,7 +237,7 @@
       this.expectReturn(decision.retryAfterMs);
       return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
-    if (readyInMs !== undefined) this.told ??= { readyInMs, at: now };
+    if (readyInMs !== undefined) this.firstForecast ??= { readyInMs, at: now };
     this.wait();
   }
 
@@ -569,11 +569,11 @@
   }
 
   private noteWait(wasSent: boolean): void {
-    const { told } = this;
-    if (told === undefined) return;
-    this.told = undefined;
-    const spentMs = steadyNow() - told.at;
-    this.context.hold.noteWait({ toldMs: told.readyInMs, spentMs, wasSent });
+    const { firstForecast } = this;
+    if (firstForecast === undefined) return;
+    this.firstForecast = undefined;
+    const spentMs = steadyNow() - firstForecast.at;
+    this.context.hold.noteWait({ toldMs: firstForecast.readyInMs, spentMs, wasSent });
   }
 
   /** How a stream has paused, and the pause that its caller still takes for in time. */
