--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -111,6 +111,7 @@
     this.isRestoring = true;
     const { store, storeFaults, gateways } = this.system;
     const copy = store.copy();
+    for (let write = 0; write < fault.lostWrites; write++) store.put('other', 'x', { write });
     await sleep(fault.copyMs);
     const span = { from: Date.now(), until: Date.now() + fault.awayMs + fault.rewrittenAfterMs };
     storeFaults.push(span);
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -52,6 +52,8 @@
       readonly awayMs: number;
       /** From its return until what was lost is written again. */
       readonly rewrittenAfterMs: number;
+      /** Writes that nobody follows and that are lost: the counter does not pass the old one soon. */
+      readonly lostWrites: number;
       /** Writes that nobody follows raise the counter past the places that gateways hold. */
       readonly otherWrites: number;
       /** A replica begins to leave, and a configuration is accepted, this long after its return. */
@@ -147,7 +149,8 @@
         copyMs: random.between(500, 4_000),
         awayMs: random.between(200, 2_500),
         rewrittenAfterMs: random.between(0, 2_000),
-        otherWrites: random.chance(0.5) ? 0 : Math.ceil(random.between(10, 200)),
+        lostWrites: Math.ceil(random.between(0, 400)),
+        otherWrites: random.chance(0.7) ? 0 : Math.ceil(random.between(10, 400)),
         changesAfterMs: random.between(0, 4_000),
         cutMs: random.chance(0.4) ? random.between(1_000, 5_000) : 0,
       };
