--- a/test/soak/object-store-stand-in.ts
+++ b/test/soak/object-store-stand-in.ts
@@ -130,11 +130,7 @@
    * @returns What the operator and the replicas have to write again.
    */
   restore(copy: StoreCopy): LostWrite[] {
-    const lost = this.changes
-      .filter(({ kind, revision }) => revision > copy.revision && REWRITTEN_KINDS.includes(kind))
-      .map(({ kind, gone, object }) => {
-        return { kind, name: object.metadata.name, spec: gone ? undefined : object.spec };
-      });
+    const lost = REWRITTEN_KINDS.flatMap((kind) => this.lostSince(copy, kind));
     this.kinds.clear();
     for (const [kind, objects] of copy.kinds) this.kinds.set(kind, new Map(objects));
     this.changes = [...copy.changes];
@@ -146,6 +142,16 @@
     return lost;
   }
 
+  /** Compares the objects themselves: the history of changes may be forgotten. */
+  private lostSince(copy: StoreCopy, kind: string): LostWrite[] {
+    const before = copy.kinds.get(kind) ?? new Map<string, StoredObject>();
+    const now = this.objectsOf(kind);
+    const names = new Set([...before.keys(), ...now.keys()]);
+    return [...names]
+      .filter((name) => before.get(name) !== now.get(name))
+      .map((name) => ({ kind, name, spec: now.get(name)?.spec }));
+  }
+
   /** Writes again what a restore has lost, but for what was written since. */
   writeAgain(lost: readonly LostWrite[]): void {
     const newest = new Map(lost.map((write) => [`${write.kind}/${write.name}`, write]));
