--- a/src/core/backend-rate-limits.ts
+++ b/src/core/backend-rate-limits.ts
@@ -42,10 +42,6 @@
   private readonly known = new Map<string, BelievedRateLimit>();
   private fingerprint: number | undefined = 0;
 
-  get isEmpty(): boolean {
-    return this.known.size === 0;
-  }
-
   /** What is believed of a process; of one whose start is known also what was named before it was. */
   of(backend: BackendProcess): BelievedRateLimit | undefined {
     return this.known.get(startKey(backend)) ?? this.known.get(backend.id);
--- a/src/core/declared-leavings.ts
+++ b/src/core/declared-leavings.ts
@@ -13,6 +13,11 @@
   readonly start?: string;
 }
 
+/** The process that a record, or another word on a backend, is of. */
+export function processOf({ id, start }: BackendProcess): BackendProcess {
+  return { id, ...(start === undefined ? {} : { start }) };
+}
+
 /** The processes that one daemon knows to leave. */
 export class DeclaredLeavings {
   /** Starts by id; the empty text for a process whose start is not known. */
--- a/src/gateway/backend-permits.ts
+++ b/src/gateway/backend-permits.ts
@@ -11,7 +11,7 @@
   type RateLimitNotice,
 } from '../core/backend-rate-limits.js';
 import { startKey } from '../core/backend-starts.js';
-import type { BackendProcess } from '../core/declared-leavings.js';
+import { processOf, type BackendProcess } from '../core/declared-leavings.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import type { BackendRateLimits as RateLimitNews } from '../proto/gen/internal_pb.js';
@@ -122,9 +122,7 @@
     request: string | undefined,
   ): void {
     const former = this.perSecond(backend);
-    const { id, start } = backend;
-    const process = { id, ...(start === undefined ? {} : { start }) };
-    const belief = this.rates.noteAnswer(process, notice, sentUnder);
+    const belief = this.rates.noteAnswer(processOf(backend), notice, sentUnder);
     if (belief === undefined) return;
     this.log(belief, former, { source: 'answer', request });
     this.gossip.tell(belief);
--- a/src/gateway/leaving-news.ts
+++ b/src/gateway/leaving-news.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
-import type { BackendProcess } from '../core/declared-leavings.js';
+import { processOf, type BackendProcess } from '../core/declared-leavings.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { BackendsLeavingSchema, LeavingBackendSchema } from '../proto/gen/internal_pb.js';
@@ -85,7 +85,3 @@
     this.sendAt = this.announcements.length === 0 ? Infinity : steadyNow() + SEND_PERIOD_MS;
   }
 }
-
-function processOf({ id, start }: BackendRecord): BackendProcess {
-  return { id, ...(start === undefined ? {} : { start }) };
-}
