Test: a request that waits for a permit is sent as soon as its backend's limit has ended

A mutant of the dispatch that goes on counting the refused permit keeps the request for 4,037 ms (test: under 2,500) and was caught by no test before.

--- a/test/gateway/backend-names-rate-limit.test.ts
+++ b/test/gateway/backend-names-rate-limit.test.ts
@@ -166,6 +166,26 @@
     expect(lines[0]?.fields).toMatchObject({ backend: 'one', perSecond: 4, reason: 'over_limit' });
   }, 20_000);
 
+  it('gets a request that waits for a permit as soon as its limit has ended', async () => {
+    const [one] = (await startBackends('one')) as [TestBackend];
+    one.handle = naming(() => '0', []);
+    await startGroup(1);
+    const [daemon] = daemons as [GatewayHarness];
+    const route = testRoute({ goalMs: 6_000 });
+    daemon.configure(testConfiguration({ version: 2, routes: [route] }));
+    await daemon.call({ id: 'names' });
+    const begun = performance.now();
+    const answer = daemon.call({ id: 'waits', headers: { deadline: '6000' } });
+    const isRefused = (): boolean => daemon.lines.some(({ event }) => event === 'permit_refused');
+    for (let look = 0; look < 30 && !isRefused(); look++) await pause(50);
+    expect(isRefused()).toBe(true);
+    const { permits } = daemon.context();
+    const believed = permits.believed(one.record());
+    permits.answered(one.record(), { type: 'unlimited' }, believed, 'other');
+    expect((await answer).status).toBe(200);
+    expect(performance.now() - begun).toBeLessThan(2_500);
+  }, 20_000);
+
   it('is sent nothing more than before by the headers of another process at its address', async () => {
     const [one] = (await startBackends('one', 'two')) as [TestBackend];
     one.handle = (_request, response) => {
