Ownership: a claim that was under way while the store came back from a copy is not taken up

What callers would see: orders of two owners with one epoch for a service, after a store's return. Cause: the claim's epoch was counted in the former era; the store may do the write in the new one, on another state that has the same revision, and answers that it is done. The class: a store that is trusted to forget nothing. Test first, failed before the change: the daemon owned by epoch 1,000,001 in era 2, where claims begin above 2,000,000. Change: the claim counts only if the era did not rise between the decision and the answer; the log line tells isWritten apart from won. Why it works: the daemon reads the record again, and claims above the new era's floor. Found while the model was extended by such a write: it can also take the place of a later claim's record.

--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -350,9 +350,20 @@
     const cause = this.causeOfClaim();
     const isHandedOver = this.formerOwnersHaveStopped();
     const askedAt = leaseNow();
+    const era = store.era();
     const written = await store.write('owners', service, record, this.revision);
-    const won = written.isOk || (await this.isOurs(claim, written.error.type));
-    logger.info('ownership_claimed', { service, epoch, won, before, cause, isHandedOver });
+    const isWritten = written.isOk || (await this.isOurs(claim, written.error.type));
+    // A claim that was under way while the store came back may stand on a state that was not read.
+    const won = isWritten && store.era() === era;
+    logger.info('ownership_claimed', {
+      service,
+      epoch,
+      won,
+      isWritten,
+      before,
+      cause,
+      isHandedOver,
+    });
     if (!won || this.stopped) return;
     this.lease.begin({ askedAt, answeredAt: steadyNow(), isHandedOver });
     this.proofs.begin(claim);
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -26,6 +26,9 @@
   readonly turnedAway = new Set<string>();
   /** The store answers a write so long after it was done. */
   answerDelayMs = 0;
+  /** A write is under way for so long before the store does it. */
+  writeDelayMs = 0;
+  writesUnderWay = 0;
   /** Pairs "a b" of daemons of which the first does not see or hear the second. */
   private readonly cuts = new Set<string>();
 
@@ -98,6 +101,13 @@
     return answer;
   }
 
+  private async reachStore(): Promise<void> {
+    if (this.writeDelayMs === 0) return;
+    this.writesUnderWay += 1;
+    await sleep(this.writeDelayMs);
+    this.writesUnderWay -= 1;
+  }
+
   private seenBy(address: string): MemberView[] {
     return [...this.members.values()].filter(
       (view) => !this.cuts.has(`${address} ${view.address}`),
@@ -111,11 +121,10 @@
       era: () => this.era,
       read: () => Promise.resolve(isAway() ? Result.err(away) : Result.ok(this.record)),
       list: () => Promise.resolve(Result.ok([])),
-      write: (_kind, name, value, revision) => {
-        if (isAway()) return Promise.resolve(Result.err(away));
-        if (revision !== this.record?.revision) {
-          return Promise.resolve(Result.err({ type: 'conflict' as const }));
-        }
+      write: async (_kind, name, value, revision) => {
+        if (isAway()) return Result.err(away);
+        await this.reachStore();
+        if (revision !== this.record?.revision) return Result.err({ type: 'conflict' as const });
         const record = { name, value, revision: (revision ?? 0) + 1 };
         this.record = record;
         return this.later(Result.ok(record));
--- a/test/gateway/store-restored-owners.test.ts
+++ b/test/gateway/store-restored-owners.test.ts
@@ -8,6 +8,8 @@
 const SETTLED_MS = 10_000;
 const PLAYED_MS = 30_000;
 const STEP_MS = 50;
+/** Epochs that owners of one era of the store may have. */
+const EPOCHS_OF_ERA = 1_000_000;
 
 describe('owners of a service when the store comes back from a copy', () => {
   beforeEach(() =>
@@ -51,4 +53,22 @@
       expect(mayOrder.length).toBeGreaterThan(0);
     },
   );
+
+  it('do not own by a claim that was written under way, on another state of the same revision', async () => {
+    const scene = new OwnershipScene(true);
+    scene.era = 1;
+    scene.writeDelayMs = 1_000;
+    scene.join('a', 1_000);
+    for (let at = 0; at < SETTLED_MS && scene.writesUnderWay === 0; at += STEP_MS) {
+      await scene.runHeard(STEP_MS);
+    }
+    expect(scene.writesUnderWay).toBe(1);
+    scene.restore(undefined);
+    scene.writeDelayMs = 0;
+    await scene.runHeard(2_000, () => {
+      expect(ownersOf(scene).filter(({ epoch }) => epoch <= 2 * EPOCHS_OF_ERA)).toEqual([]);
+    });
+    await scene.runHeard(SETTLED_MS);
+    expect(ownersOf(scene)).toHaveLength(1);
+  });
 });
