Ownership: a claim's epoch is above the place of the record that it replaces

What callers would see: two owners of one epoch after the store's return, whose orders backends take in turns. Cause: a conditional write of a former era that is done in a later one, at a revision that was given out again, takes the place of a later claim's record and lowers its epoch; who claims next without having heard that owner counts from the era's floor again. The class: a store that is trusted to forget nothing. Change: an epoch is above the record's position, (era, revision) as one number, where the store names eras. Why it works: each claim that is written raises the revision by one or more, so within an era the position of any later record is above every epoch claimed before it. Ruled out: waiting out writes that are under way (nothing bounds them); asking all daemons (a cut hides some).

--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -1,7 +1,7 @@
 /**
  * Which daemon gives orders to the backends of a service. The claim is one
  * record, replaced only at the revision that was read, with an epoch that rises
- * by one and fences the orders. Safety rests on the epochs, or on a lease where
+ * and fences the orders. Safety rests on the epochs, or on a lease where
  * backends do not check these, and on the sequences of the orders; the other rules
  * here only keep owners from taking turns.
  */
@@ -11,6 +11,7 @@
 import type { Membership } from '../core/membership.js';
 import type { MemberView } from '../core/membership-messages.js';
 import { HAND_OVER_MS, HOLD_MS, OwnershipLease } from '../core/ownership-lease.js';
+import { positionOf, type StorePosition } from '../core/store-position.js';
 import { ownerRecord, type OwnerRecord } from './owner-record.js';
 import { OwnershipProofs } from './ownership-proofs.js';
 import type { RecordStore } from './ports.js';
@@ -24,9 +25,6 @@
 /** Between two readings of the record while it names an owner that is not live. */
 const CLAIM_PERIOD_MS = 300;
 
-/** Epochs of an era of the store: a claim in a later era is above all of the earlier ones, also those that are lost. */
-const EPOCHS_OF_ERA = 1_000_000;
-
 /** A process that starts again does so at least so long after its former start. */
 const RESTART_MS = 150;
 /** An owner that was heard so lately lives, whatever the membership says. */
@@ -84,7 +82,7 @@
   epoch: number | undefined;
   /** The owner's record as last read or heard of. */
   private record: OwnerRecord | undefined;
-  private revision: number | undefined;
+  private revision: StorePosition | undefined;
   private busy = false;
   private lastTick = steadyNow();
   /** This daemon claims nothing before this steady time. */
@@ -374,10 +372,19 @@
     this.options.onChange(epoch);
   }
 
-  /** Above all that are known, and all that the store may have lost. */
+  /**
+   * Above all epochs that are known, and above the place of the record that it replaces: also above those of earlier eras that are
+   * lost, and of later claims whose record was replaced by a write of a former era.
+   */
   private nextEpoch(): number {
     const known = Math.max(this.record?.epoch ?? 0, this.highestEpoch);
-    return Math.max(known, this.options.store.era() * EPOCHS_OF_ERA) + 1;
+    return Math.max(known, this.recordPosition()) + 1;
+  }
+
+  /** Place of the last write of the owner's record; 0 where the store names no era, for it forgets nothing. */
+  private recordPosition(): StorePosition {
+    const era = this.options.store.era();
+    return era === 0 ? 0 : Math.max(positionOf(era, 0), this.revision ?? 0);
   }
 
   /** Why the owner of the record is taken for one no longer. */
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -3,9 +3,10 @@
 import { vi } from 'vitest';
 import { sleep } from '../../src/common/process.js';
 import { silentLogger } from '../../src/common/logger.js';
+import { eraOf, positionOf, revisionOf } from '../../src/core/store-position.js';
 import type { MemberView } from '../../src/core/membership-messages.js';
 import { Ownership } from '../../src/gateway/ownership.js';
-import type { RecordStore, StoredRecord } from '../../src/gateway/ports.js';
+import type { RecordFailure, RecordStore, StoredRecord } from '../../src/gateway/ports.js';
 
 /** The service that is owned. */
 export const SERVICE = 'models';
@@ -65,9 +66,10 @@
   }
 
   /** The store comes back with an earlier record. */
-  restore(record: StoredRecord | undefined): void {
-    this.record = record;
+  restore(copy: StoredRecord | undefined): void {
     this.era += 1;
+    const revision = positionOf(this.era, revisionOf(copy?.revision ?? 0));
+    this.record = copy === undefined ? undefined : { ...copy, revision };
   }
 
   /** They see and hear each other again. */
@@ -101,6 +103,23 @@
     return answer;
   }
 
+  /** As the store does it: it compares revisions, which it gives out again after a restore. */
+  private writeRecord(
+    name: string,
+    value: unknown,
+    replaced: number | undefined,
+  ): Result<StoredRecord, RecordFailure> {
+    const { record } = this;
+    const isCreated = replaced === undefined;
+    if (isCreated !== (record === undefined)) return Result.err({ type: 'conflict' });
+    const revisionBefore = revisionOf(record?.revision ?? 0);
+    if (!isCreated && revisionOf(replaced) !== revisionBefore) {
+      return Result.err({ type: 'conflict' });
+    }
+    this.record = { name, value, revision: positionOf(this.era, revisionBefore + 1) };
+    return Result.ok(this.record);
+  }
+
   private async reachStore(): Promise<void> {
     if (this.writeDelayMs === 0) return;
     this.writesUnderWay += 1;
@@ -123,11 +142,10 @@
       list: () => Promise.resolve(Result.ok([])),
       write: async (_kind, name, value, revision) => {
         if (isAway()) return Result.err(away);
+        const isOfThisEra = revision === undefined || eraOf(revision) === this.era;
+        if (!isOfThisEra) return Result.err({ type: 'conflict' as const });
         await this.reachStore();
-        if (revision !== this.record?.revision) return Result.err({ type: 'conflict' as const });
-        const record = { name, value, revision: (revision ?? 0) + 1 };
-        this.record = record;
-        return this.later(Result.ok(record));
+        return this.later(this.writeRecord(name, value, revision));
       },
       remove: () => Promise.resolve(),
     };
--- a/test/gateway/store-restored-owners.test.ts
+++ b/test/gateway/store-restored-owners.test.ts
@@ -3,13 +3,13 @@
  * backends that fence by the epoch took the orders of both for 30 s.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { OwnershipScene } from './ownership-scene.js';
+import { rankCandidates } from '../../src/common/rendezvous.js';
+import { positionOf } from '../../src/core/store-position.js';
+import { OwnershipScene, SERVICE } from './ownership-scene.js';
 
 const SETTLED_MS = 10_000;
 const PLAYED_MS = 30_000;
 const STEP_MS = 50;
-/** Epochs that owners of one era of the store may have. */
-const EPOCHS_OF_ERA = 1_000_000;
 
 describe('owners of a service when the store comes back from a copy', () => {
   beforeEach(() =>
@@ -66,9 +66,33 @@
     scene.restore(undefined);
     scene.writeDelayMs = 0;
     await scene.runHeard(2_000, () => {
-      expect(ownersOf(scene).filter(({ epoch }) => epoch <= 2 * EPOCHS_OF_ERA)).toEqual([]);
+      expect(ownersOf(scene).filter(({ epoch }) => epoch <= positionOf(2, 0))).toEqual([]);
     });
     await scene.runHeard(SETTLED_MS);
     expect(ownersOf(scene)).toHaveLength(1);
   });
+
+  it('never have the same epoch, also when a claim of a former era takes the place of a later one', async () => {
+    const scene = new OwnershipScene(true);
+    scene.era = 1;
+    const names = rankCandidates(SERVICE, ['a', 'b', 'c', 'd']);
+    const [former, late, present, onlooker] = names as [string, string, string, string];
+    names.forEach((address, index) => scene.join(address, 1_000 + index));
+    await scene.runHeard(SETTLED_MS);
+    expect(ownersOf(scene).map(({ address }) => address)).toEqual([former]);
+    scene.writeDelayMs = 4_000;
+    for (const other of [late, present, onlooker]) scene.cut(former, other);
+    for (let at = 0; at < SETTLED_MS && scene.writesUnderWay === 0; at += STEP_MS) {
+      await scene.runHeard(STEP_MS);
+    }
+    expect(scene.writesUnderWay).toBe(1);
+    scene.writeDelayMs = 0;
+    scene.cut(late, present);
+    scene.restore(undefined);
+    await scene.runHeard(SETTLED_MS);
+    const owners = new Map(ownersOf(scene).map(({ address, epoch }) => [address, epoch]));
+    expect(owners.get(present)).toBeGreaterThan(positionOf(2, 0));
+    expect(owners.get(late)).toBeGreaterThan(positionOf(2, 0));
+    expect(new Set(owners.values()).size).toBe(owners.size);
+  });
 });
