Ownership: the first return of a store whose eras begin at 0 counts as a return

What callers would see, where backends do not check epochs: orders of a former owner arrive after the next one's first order, when the store has lost the owner's record with its first return. Cause: 0 stood both for 'has not answered yet' and for the first era, so ownership passed over a rise from 0 to 1; it took the missing record to mean that there had been no owner, and left no time to hand over. Change: the record store tells undefined before its first answer, and 0 is an era like others. Measured: 41 tests of ownership, the list of daemons and restores pass.

--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -85,7 +85,7 @@
   private async enterAndRead(): Promise<boolean> {
     const { name } = this.settings;
     this.mayBeListed = true;
-    this.enteredInEra = this.store.era();
+    this.enteredInEra = this.store.era() ?? 0;
     const created = await this.store.write('members', name, this.entry(), undefined);
     if (created.isErr && created.error.type !== 'conflict') return this.unread(created.error);
     const list = await this.store.list('members', 'current');
@@ -116,7 +116,7 @@
 
   /** Whether the store has come back from a copy without this daemon's entry: it is written again with the next reading. */
   private hasLostEntry(list: readonly StoredRecord[]): boolean {
-    const isRestored = this.store.era() > this.enteredInEra;
+    const isRestored = (this.store.era() ?? 0) > this.enteredInEra;
     return isRestored && !list.some(({ name }) => name === this.settings.name);
   }
 
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -171,9 +171,10 @@
 
   private noticeRestore(now: number): void {
     const era = this.options.store.era();
-    const former = this.knownEra;
+    if (era === undefined) return;
+    const former = this.knownEra ?? era;
     this.knownEra = era;
-    if (former === undefined || former === 0 || era <= former) return;
+    if (era <= former) return;
     this.restoredAt = now;
     const { service, logger } = this.options;
     logger.warn('ownership_store_restored', { service, era, epoch: this.epoch });
@@ -383,7 +384,7 @@
 
   /** Place of the last write of the owner's record; 0 where the store names no era, for it forgets nothing. */
   private recordPosition(): StorePosition {
-    const era = this.options.store.era();
+    const era = this.options.store.era() ?? 0;
     return era === 0 ? 0 : Math.max(positionOf(era, 0), this.revision ?? 0);
   }
 
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -88,8 +88,11 @@
 
 /** Records with revisions; what must last lives here. */
 export interface RecordStore {
-  /** Rises by one each time the store comes back from a copy and has lost what was written since; 0 if it never tells. */
-  era(): number;
+  /**
+   * Rises by one each time the store comes back from a copy and has lost what was written since. 0 while it names none; undefined
+   * before its first answer.
+   */
+  era(): number | undefined;
   /** Undefined if there is none. */
   read(kind: RecordKind, name: string): Promise<Result<StoredRecord | undefined, RecordFailure>>;
   /** All records of a kind; late ones are cheaper, and may be seconds old. */
--- a/test/gateway/store-restored-owners.test.ts
+++ b/test/gateway/store-restored-owners.test.ts
@@ -4,12 +4,17 @@
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { rankCandidates } from '../../src/common/rendezvous.js';
+import { HAND_OVER_MS, HOLD_MS } from '../../src/core/ownership-lease.js';
 import { positionOf } from '../../src/core/store-position.js';
 import { OwnershipScene, SERVICE } from './ownership-scene.js';
 
 const SETTLED_MS = 10_000;
 const PLAYED_MS = 30_000;
 const STEP_MS = 50;
+/** An order may arrive so long after it was sent. */
+const ORDER_ON_ITS_WAY_MS = HAND_OVER_MS - HOLD_MS;
+/** Longer than between two proofs of an owner's lease. */
+const PROOF_PERIOD_MS = 1_000;
 
 describe('owners of a service when the store comes back from a copy', () => {
   beforeEach(() =>
@@ -95,4 +100,35 @@
     expect(owners.get(late)).toBeGreaterThan(positionOf(2, 0));
     expect(new Set(owners.values()).size).toBe(owners.size);
   });
+
+  it.each([0, 1])(
+    'leave orders the time to arrive before another owner orders, when the store has lost the record in era %i',
+    async (era) => {
+      const tooSoon: string[] = [];
+      for (let phaseMs = 0; phaseMs < PROOF_PERIOD_MS; phaseMs += STEP_MS) {
+        const scene = new OwnershipScene(false);
+        scene.era = era;
+        const names = rankCandidates(SERVICE, ['a', 'b', 'c', 'd']);
+        const [former, second, third] = names as [string, string, string];
+        names.forEach((address, index) => scene.join(address, 1_000 + index));
+        await scene.runHeard(SETTLED_MS + phaseMs);
+        scene.cut(former, second);
+        scene.cut(former, third);
+        scene.turnedAway.add(former);
+        scene.restore(undefined);
+        const orderedAt = new Map<string, number[]>();
+        await scene.runHeard(SETTLED_MS, () => {
+          for (const [address, ownership] of scene.ownerships) {
+            const times = orderedAt.get(address) ?? [];
+            if (ownership.mayOrder()) orderedAt.set(address, [...times, performance.now()]);
+          }
+        });
+        const last = Math.max(...(orderedAt.get(former) ?? []));
+        const first = Math.min(...(orderedAt.get(second) ?? []));
+        expect(Number.isFinite(first - last)).toBe(true);
+        if (first - last < ORDER_ON_ITS_WAY_MS) tooSoon.push(`${phaseMs} ms: ${first - last} ms`);
+      }
+      expect(tooSoon).toEqual([]);
+    },
+  );
 });
--- a/test/soak/object-store-stand-in.ts
+++ b/test/soak/object-store-stand-in.ts
@@ -70,8 +70,6 @@
   private readonly kinds = new Map<string, Map<string, StoredObject>>();
   private changes: StoredChange[] = [];
   private revision = 0;
-  /** Rises by one each time the store comes back from a copy. */
-  private era = 1;
   /** Revision at which the present era began. */
   private restoredAt = 0;
   /** Watches from before this revision are answered with 410. */
@@ -79,7 +77,11 @@
   private readonly waiters = new Set<Waiter>();
   private readonly servers: http.Server[] = [];
 
-  constructor(private readonly random: SeededRandom) {}
+  /** @param era - Rises by one each time the store comes back from a copy. */
+  constructor(
+    private readonly random: SeededRandom,
+    private era = 1,
+  ) {}
 
   /** An address for one caller alone, which tells it from the others. */
   async listenFor(caller: string): Promise<string> {
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -96,6 +96,8 @@
 const NAMED_SEED = 50_000;
 /** Added to a seed for the generators of callers that keep connections. */
 const KEPT_CALLER_SEED = 20_000;
+/** Eras in which the store may begin: 0 and 1, by the seed. */
+const FIRST_ERAS = 2;
 const KEPT_CALLER_PAUSE_MS = 300;
 /** Requests a second of each of them, rounded up. */
 const KEPT_CALLER_RATE = 3;
@@ -138,7 +140,8 @@
 
   constructor(private readonly options: SoakOptions) {
     this.random = new SeededRandom(options.seed);
-    this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1));
+    const firstEra = options.seed % FIRST_ERAS;
+    this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
   }
 
   async play(): Promise<SoakResult> {
