--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -87,6 +87,11 @@
     this.daemons = Array.from({ length: options.daemons }, (_, index) => this.daemon(index));
   }
 
+  /** Daemons that were ever started. */
+  get size(): number {
+    return this.daemons.length;
+  }
+
   /** Address of the daemon that all take for the tenant's holder. */
   holder(): number {
     const state = this.daemons[this.firstUp()]?.['members'].get('t');
