Names: backoffs of backends, idle connections, messages of a holder; the forecast of a model is a module

'rest' stood for the backoff that a backend asks for, for the idle time of a connection and for what is left over; 'word' for a holder's message.

--- a/src/core/admission/limit-ledger.ts
+++ b/src/core/admission/limit-ledger.ts
@@ -21,7 +21,7 @@
 
 /** Share of a window's units above which requests are paced: below it none waits for its turn. */
 const PACED_SHARE = 0.7;
-/** From this share on requests need the holder's word first, until it falls under the other one. */
+/** From this share on requests need the holder's decision first, until it falls under the other one. */
 const TIGHT_SHARE = 0.5;
 const RELAXED_SHARE = 0.35;
 /** Part of the excess that the holder grants; the rest is for what daemons admit before they hear. */
@@ -104,7 +104,7 @@
     return { type: 'granted' };
   }
 
-  /** Whether requests need the holder's word first. */
+  /** Whether requests need the holder's decision first. */
   isTight(now: number): boolean {
     const usedShare = this.used(now) / Math.max(1, this.capacity());
     this.isNear = usedShare >= (this.isNear ? RELAXED_SHARE : TIGHT_SHARE);
--- a/src/core/backend-rests.ts
+++ b/src/core/backend-backoffs.ts
@@ -1,24 +1,24 @@
 /**
- * Backends that have turned this daemon away and asked for rest: nothing is sent to them until its end. Pure; times are milliseconds
- * of a steady clock, which counts less where a machine was suspended: the rest is then longer, never shorter.
+ * Backends that have turned this daemon away and asked for a backoff: nothing is sent to them until its end. Pure; times are milliseconds
+ * of a steady clock, which counts less where a machine was suspended: the backoff is then longer, never shorter.
  */
 import { startKey } from './backend-starts.js';
 import type { BackendProcess } from './declared-leavings.js';
 
-/** A rest that is asked for is kept for no longer at once: one of days is most likely a mistake, and is asked for again. */
-const LONGEST_REST_MS = 3_600_000;
+/** A backoff that is asked for is kept for no longer at once: one of days is most likely a mistake, and is asked for again. */
+const LONGEST_BACKOFF_MS = 3_600_000;
 /** A decimal number without sign, as `Retry-After` has it; fractions are allowed. */
 const SECONDS = /^\d+(\.\d+)?$/;
 
-/** The rests that one daemon was asked for. */
-export class BackendRests {
-  /** When rests end, by the process that asked: a later one under its id has asked for nothing. */
+/** The backoffs that one daemon was asked for. */
+export class BackendBackoffs {
+  /** When backoffs end, by the process that asked: a later one under its id has asked for nothing. */
   private readonly ends = new Map<string, number>();
 
-  /** Notes what a backend asks for; a rest that ends earlier shortens none. Returns the milliseconds from now. */
-  note(backend: BackendProcess, restMs: number, now: number): number {
+  /** Notes what a backend asks for; a backoff that ends earlier shortens none. Returns the milliseconds from now. */
+  note(backend: BackendProcess, backoffMs: number, now: number): number {
     this.forgetEnded(now);
-    const until = now + Math.min(restMs, LONGEST_REST_MS);
+    const until = now + Math.min(backoffMs, LONGEST_BACKOFF_MS);
     const end = Math.max(until, this.ends.get(startKey(backend)) ?? 0);
     this.ends.set(startKey(backend), end);
     return end - now;
@@ -39,9 +39,9 @@
  * Milliseconds of a `Retry-After` header. A date, a negative number and any other text ask for nothing: clocks are not
  * compared, and a guess would keep a sound backend out.
  */
-export function restOf(header: string | undefined): number | undefined {
+export function readRetryAfter(header: string | undefined): number | undefined {
   const text = header?.trim() ?? '';
   if (!SECONDS.test(text)) return undefined;
-  const restMs = Number(text) * 1_000;
-  return restMs > 0 ? restMs : undefined;
+  const backoffMs = Number(text) * 1_000;
+  return backoffMs > 0 ? backoffMs : undefined;
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -66,7 +66,7 @@
   /** What the answer says of the backend's rate limit. */
   readonly onRateLimit: (notice: RateLimitNotice) => void;
   /** The backend wants no request for so many milliseconds. */
-  readonly onRest: (restMs: number) => void;
+  readonly onBackoff: (backoffMs: number) => void;
   /** The backend is silent and nobody else can take the request; called once. */
   readonly onSilent: () => void;
   /** Notes the gaps between events; undefined if they tell nothing of the backend. */
@@ -174,7 +174,7 @@
     // What another process at the address says of itself says nothing of this backend.
     if (head.leaving && !head.misdirected) this.options.onLeaving();
     if (this.isOwnAnswer(head)) this.options.onRateLimit(head.rateLimit);
-    if (head.restMs !== undefined) this.options.onRest(head.restMs);
+    if (head.backoffMs !== undefined) this.options.onBackoff(head.backoffMs);
     const { attemptId } = this.options.request.head;
     if (head.attemptId !== undefined && attemptId !== undefined && head.attemptId !== attemptId) {
       return this.fail('unknown', 'the answer belongs to another request', {});
@@ -342,9 +342,9 @@
 
   /** Where nobody else can take the request, leaving would only cost its place in the queue. */
   private leaveSilent(limitMs: number): void {
-    const restMs = this.exchange.bodyTakenUntil + limitMs - steadyNow();
-    if (restMs > 0) {
-      this.timer = setTimeout(() => this.leaveSilent(limitMs), restMs);
+    const remainingMs = this.exchange.bodyTakenUntil + limitMs - steadyNow();
+    if (remainingMs > 0) {
+      this.timer = setTimeout(() => this.leaveSilent(limitMs), remainingMs);
       return;
     }
     if (this.options.hasAlternative()) {
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -1,5 +1,5 @@
 /**
- * Connections to backends. Kept connections are watched while they rest: a byte
+ * Connections to backends. Kept connections are watched while they are idle: a byte
  * that nobody asked for belongs to no request, so its connection is dropped.
  */
 import http from 'node:http';
@@ -8,15 +8,15 @@
 
 /** A kept connection is given up so long before the backend would close it. */
 const EXPIRY_MARGIN_MS = 600;
-/** Rest after which a connection is given up when the backend names no time. */
-const DEFAULT_REST_MS = 4_000;
+/** Idle time after which a connection is given up when the backend names no time. */
+const DEFAULT_IDLE_MS = 4_000;
 const KEEP_ALIVE_SECONDS = /timeout=(\d+)/;
 
 type Watcher = () => void;
 
 /** Options of {@link BackendAgent}. */
 export interface BackendAgentOptions {
-  /** Called when a resting connection brought bytes. */
+  /** Called when an idle connection brought bytes. */
   readonly onUnaskedBytes: (address: string) => void;
 }
 
@@ -28,27 +28,27 @@
     super({ keepAlive: true, maxFreeSockets: 64, scheduling: 'lifo' });
   }
 
-  /** Whether a connection to "ip:port" rests. */
-  hasRestingConnection(address: string): boolean {
+  /** Whether a connection to "ip:port" is idle. */
+  hasIdleConnection(address: string): boolean {
     const [host, port] = splitAddress(address);
-    const resting = this.freeSockets[this.getName({ host, port })] ?? [];
-    return resting.some((socket) => !socket.destroyed);
+    const idle = this.freeSockets[this.getName({ host, port })] ?? [];
+    return idle.some((socket) => !socket.destroyed);
   }
 
-  /** Closes the connections to "ip:port" that rest: the process at their other end has ended. */
-  dropResting(address: string): void {
+  /** Closes the connections to "ip:port" that are idle: the process at their other end has ended. */
+  dropIdle(address: string): void {
     const [host, port] = splitAddress(address);
-    const resting = this.freeSockets[this.getName({ host, port })] ?? [];
-    for (const socket of [...resting]) socket.destroy();
+    const idle = this.freeSockets[this.getName({ host, port })] ?? [];
+    for (const socket of [...idle]) socket.destroy();
   }
 
   /** Node asks whether a connection may be kept. */
   override keepSocketAlive(socket: Socket): boolean {
-    const rest = restOf(socket);
-    if (rest <= 0 || socket.readableLength > 0) return false;
+    const limitMs = idleLimitMs(socket);
+    if (limitMs <= 0 || socket.readableLength > 0) return false;
     socket.setKeepAlive(true, 1_000);
     socket.unref();
-    socket.setTimeout(rest, closeRested);
+    socket.setTimeout(limitMs, closeIdle);
     this.watch(socket);
     return true;
   }
@@ -58,7 +58,7 @@
     const watcher = this.watchers.get(socket);
     if (watcher !== undefined) socket.off('data', watcher);
     this.watchers.delete(socket);
-    socket.setTimeout(0, closeRested);
+    socket.setTimeout(0, closeIdle);
     super.reuseSocket(socket, request);
   }
 
@@ -73,7 +73,7 @@
   }
 }
 
-function closeRested(this: Socket): void {
+function closeIdle(this: Socket): void {
   this.destroy();
 }
 
@@ -82,10 +82,10 @@
   readonly _httpMessage?: { readonly res?: http.IncomingMessage };
 }
 
-/** Milliseconds for which a connection may rest. */
-function restOf(socket: HttpSocket): number {
+/** Milliseconds for which a connection may be idle. */
+function idleLimitMs(socket: HttpSocket): number {
   const hint = socket._httpMessage?.res?.headers['keep-alive'];
   const seconds = typeof hint === 'string' ? KEEP_ALIVE_SECONDS.exec(hint)?.[1] : undefined;
-  if (seconds === undefined) return DEFAULT_REST_MS;
+  if (seconds === undefined) return DEFAULT_IDLE_MS;
   return Number(seconds) * 1_000 - EXPIRY_MARGIN_MS;
 }
--- a/src/gateway/backend-restarts.ts
+++ b/src/gateway/backend-restarts.ts
@@ -18,6 +18,6 @@
     inFlight,
   });
   context.health.forget(id);
-  context.agent.dropResting(earlierAddress);
+  context.agent.dropIdle(earlierAddress);
   for (const exchange of [...context.exchanges]) exchange.backendRestarted(backend);
 }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -2,7 +2,7 @@
 import type { Logger } from '../common/logger.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendHealth } from '../core/backend-health.js';
-import type { BackendRests } from '../core/backend-rests.js';
+import type { BackendBackoffs } from '../core/backend-backoffs.js';
 import type { BackendSelection } from '../core/backend-selection.js';
 import type { HoldPolicy } from '../core/hold-policy.js';
 import type { RetryBudget } from '../core/retry-budget.js';
@@ -39,7 +39,7 @@
   readonly permits: BackendPermits;
   readonly crashes: CrashWatch;
   readonly leavings: LeavingNews;
-  readonly rests: BackendRests;
+  readonly backoffs: BackendBackoffs;
   /** Keeps backends' slots over all daemons; undefined if each daemon chooses alone. */
   readonly slots: SlotAdmission | undefined;
   /** What is held of answers and bodies. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,7 +33,7 @@
     help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
     registers: [this.registry],
   });
-  readonly rests = new Counter({
+  readonly backoffs = new Counter({
     name: 'scaleslip_gateway_backend_rests_total',
     help: 'Refusals in which a backend has asked this daemon for rest',
     registers: [this.registry],
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { answerRoomOf } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
-import { BackendRests } from '../core/backend-rests.js';
+import { BackendBackoffs } from '../core/backend-backoffs.js';
 import { CallerDeadlines } from '../core/caller-deadlines.js';
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
 import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
@@ -362,7 +362,7 @@
       permits: this.limits.permits,
       crashes: this.crashes,
       leavings: this.leavings,
-      rests: new BackendRests(),
+      backoffs: new BackendBackoffs(),
       slots: this.slots,
       answers: new AnswerBuffer({ room: answerRoomOf(settings.memoryMegabytes), logger, metrics }),
       exchanges: new Set<RequestExchange>(),
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -255,7 +255,7 @@
     this.claimsFrom = steadyNow() + YIELD_MS;
   }
 
-  /** Its record names another owner, or is gone: that may be the copy's word, which no other daemon goes by. */
+  /** Its record names another owner, or is gone: the copy may say so alone, and no other daemon goes by it. */
   private recordLost(): void {
     const isRestored = steadyNow() - this.restoredAt < HAND_OVER_MS;
     if (isRestored) this.giveUp('the store came back from a copy');
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -147,7 +147,7 @@
   /** The limit that the backend names for requests from all daemons. */
   readonly rateLimit: RateLimitNotice;
   /** It turns the request away, and wants none of this daemon for so many milliseconds; undefined if it asks for nothing. */
-  readonly restMs: number | undefined;
+  readonly backoffMs: number | undefined;
 }
 
 /** Fields that the gateway sets on a request to a backend. */
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -44,7 +44,7 @@
   /** No backend can take it. */
   readonly onNone: () => void;
   /** All that could take it want no request for so long. */
-  readonly onRest: (restMs: number) => void;
+  readonly onBackoff: (backoffMs: number) => void;
   /** All that could take it have named rate limits, and have no permit left for so long. */
   readonly onLimited: (retryAfterMs: number) => void;
   /** All that could take it are full for longer than it can wait. */
@@ -95,8 +95,8 @@
     this.queueAt(undefined);
     const limitedMs = this.limitedForMs(steadyNow());
     if (limitedMs !== undefined) return this.options.onLimited(limitedMs);
-    const restMs = this.shortestRestMs(steadyNow());
-    if (restMs !== undefined) return this.options.onRest(restMs);
+    const backoffMs = this.shortestBackoffMs(steadyNow());
+    if (backoffMs !== undefined) return this.options.onBackoff(backoffMs);
     this.options.onNone();
   }
 
@@ -190,10 +190,10 @@
 
   /** Backends that may be sent the request now. */
   private usableBackends(now: number): BackendRecord[] {
-    const { rests } = this.context;
+    const { backoffs } = this.context;
     return this.suitableBackends(now)
       .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
-      .filter((backend) => rests.remainingMs(backend, now) === 0)
+      .filter((backend) => backoffs.remainingMs(backend, now) === 0)
       .filter((backend) => !this.isLimited(backend, now))
       .filter((backend) => this.options.mayRunAt(backend.id));
   }
@@ -213,11 +213,11 @@
       .filter((backend) => model === undefined || directory.holds(backend, model, now));
   }
 
-  /** Milliseconds until the first of the backends is back, if all of them rest; undefined if some does not. */
-  private shortestRestMs(now: number): number | undefined {
+  /** Milliseconds until the first of the backends is back, if all of them have asked for a backoff; undefined if some has not. */
+  private shortestBackoffMs(now: number): number | undefined {
     const suitable = this.suitableBackends(now);
-    const rests = suitable.map((backend) => this.context.rests.remainingMs(backend, now));
-    const shortest = Math.min(...rests);
+    const backoffs = suitable.map((backend) => this.context.backoffs.remainingMs(backend, now));
+    const shortest = Math.min(...backoffs);
     return shortest > 0 && Number.isFinite(shortest) ? shortest : undefined;
   }
 
@@ -264,7 +264,7 @@
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
-      hasConnection: context.agent.hasRestingConnection(backend.address),
+      hasConnection: context.agent.hasIdleConnection(backend.address),
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
       failureShare: this.failureShare(backend.id, now),
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -19,6 +19,7 @@
 import type { CallerRequest } from './caller-request.js';
 import { watchedGaps, type CapacityNeed } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
+import { modelReadyInMs } from './model-forecast.js';
 import { beliefsOf } from './request-beliefs.js';
 import { RequestDispatch, type SlotStanding } from './request-dispatch.js';
 import { RequestSuspicion } from './request-suspicion.js';
@@ -187,7 +188,7 @@
       onQueued: () => this.queued(),
       onNone: () => this.holdOrRefuse(),
       onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
-      onRest: (restMs) => this.backendsRest(restMs),
+      onBackoff: (backoffMs) => this.backendsBackOff(backoffMs),
       onLimited: (retryAfterMs) => this.backendsLimited(retryAfterMs),
     });
   }
@@ -241,17 +242,9 @@
     this.wait();
   }
 
-  /** When a backend that neither fails, rests nor names a limit has the model, as the owner forecasts; undefined if that is not known. */
   private readyInMs(now: number): number | undefined {
-    const { directory, health, rests, permits } = this.context;
     if (this.model === undefined) return undefined;
-    return directory.readyInMs(this.match.service.name, this.model, now, (id) => {
-      const backend = directory.get(id);
-      if (backend === undefined) return health.isAvoided(id, now);
-      const isResting = rests.remainingMs(backend, now) > 0;
-      const isLimited = permits.perSecond(backend) !== undefined;
-      return isResting || isLimited || health.isAvoided(id, now);
-    });
+    return modelReadyInMs(this.context, this.match.service.name, this.model, now);
   }
 
   private decideHold(readyInMs: number | undefined): HoldDecision {
@@ -316,7 +309,7 @@
     const denial = this.pass.deniedKey();
     if (denial !== undefined) return this.refuseDenied(denial);
     if (this.isCondemned()) return this.refuseCrashing();
-    // A slot may have been granted for a backend that has said since that it leaves, or wants rest.
+    // A slot may have been granted for a backend that has said since that it leaves, or asked for a backoff.
     if (!this.search.isUsable(backend.id)) return this.searchAnew();
     if (!this.suspicion.takePlace(backend.id)) return this.waitForPlace();
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
@@ -356,7 +349,7 @@
       onLeaving: () => context.leavings.answered(backend, request.head.attemptId),
       onRateLimit: (notice) =>
         context.permits.answered(backend, notice, rateLimit, request.head.attemptId),
-      onRest: (restMs) => this.noteRest(backend, restMs),
+      onBackoff: (backoffMs) => this.noteBackoff(backend, backoffMs),
       onSilent: () => this.backendSilent(backend),
       gaps: watchedGaps(context, this.need, backend.id, isResumed),
       answer: this.answer,
@@ -376,21 +369,25 @@
   }
 
   /** The backend is sent nothing until then, whatever waits for it here: other requests look for another one. */
-  private noteRest(backend: BackendRecord, askedMs: number): void {
-    const { rests, metrics } = this.context;
-    const restMs = Math.round(rests.note(backend, askedMs, steadyNow()));
-    metrics.rests.inc();
-    this.log('backend_rests', { backend: backend.id, askedMs: Math.round(askedMs), restMs });
+  private noteBackoff(backend: BackendRecord, askedMs: number): void {
+    const { backoffs, metrics } = this.context;
+    const backoffMs = Math.round(backoffs.note(backend, askedMs, steadyNow()));
+    metrics.backoffs.inc();
+    this.log('backend_rests', {
+      backend: backend.id,
+      askedMs: Math.round(askedMs),
+      restMs: backoffMs,
+    });
     this.context.lookAgain();
   }
 
-  /** All that could take it rest: its caller is told at once when the first is back. */
-  private backendsRest(restMs: number): void {
+  /** All that could take it have asked for a backoff: its caller is answered at once, with the end of the first. */
+  private backendsBackOff(backoffMs: number): void {
     if (this.answer.hasBegun) return this.wait();
     const readyInMs = this.readyInMs(steadyNow());
-    if (readyInMs !== undefined && readyInMs < restMs) return this.holdOrRefuse();
-    this.expectReturn(restMs);
-    this.refuseFull(restMs, { restForMs: Math.round(restMs) });
+    if (readyInMs !== undefined && readyInMs < backoffMs) return this.holdOrRefuse();
+    this.expectReturn(backoffMs);
+    this.refuseFull(backoffMs, { restForMs: Math.round(backoffMs) });
   }
 
   /** All that could take it have no permit left: it waits for one that comes in time, or its caller is told when. */
--- a/src/gateway/shared-limits.ts
+++ b/src/gateway/shared-limits.ts
@@ -39,7 +39,7 @@
 /** What this daemon knows of a name under whose limit it admits requests. */
 interface MemberState {
   holder: string;
-  /** The holder's process, as it told last; 0 if it has told nothing. */
+  /** The holder's process, by its last message; 0 before the first. */
   holderProcess: number;
   /** The holder wants to be asked first. */
   isTight: boolean;
@@ -50,8 +50,8 @@
   readonly alone: SlidingSum;
 }
 
-/** What each message of a holder says. */
-type HolderWord = Pick<LimitAnswer, 'tenant' | 'isTight' | 'process'>;
+/** What each message of a holder holds. */
+type HolderMessage = Pick<LimitAnswer, 'tenant' | 'isTight' | 'process'>;
 
 type LimitBody = Extract<PeerBody, { case: 'limitCharge' | 'limitAnswer' | 'limitNews' }>;
 
@@ -86,7 +86,7 @@
     });
   }
 
-  /** Decides on a request under a limit; calls back at once or after the holder's word. */
+  /** Decides on a request under a limit; calls back at once or after the holder's decision. */
   admit(name: string, units: number, answer: (decision: LimitDecision) => void): void {
     const now = steadyNow();
     if (!this.group.isListed) return answer({ type: 'unknown' });
@@ -151,7 +151,7 @@
     answer(decision);
   }
 
-  /** Whether a request may pass before the holder's word: it is heard, or this daemon keeps to its share. */
+  /** Whether a request may pass before the holder's decision: it is heard, or this daemon keeps to its share. */
   private mayPass(name: string, state: MemberState, units: number, now: number): boolean {
     const limit = this.options.limitOf(name);
     if (limit === undefined) return true;
@@ -233,8 +233,8 @@
     this.settle(question, isGranted ? { type: 'granted' } : refused);
   }
 
-  /** A holder that counts has said something: it is told what it cannot know. */
-  private hearHolder(from: string, { tenant: name, isTight, process }: HolderWord): void {
+  /** A holder that counts has sent a message: it is sent what it cannot know. */
+  private hearHolder(from: string, { tenant: name, isTight, process }: HolderMessage): void {
     const state = this.members.get(name);
     if (state === undefined || state.holder !== from) return;
     state.isTight = isTight;
@@ -259,7 +259,7 @@
     return state;
   }
 
-  /** A holder that has not counted this daemon's requests is told of them, and asked until it says otherwise. */
+  /** A holder that has not counted this daemon's requests is sent them, and asked before each request until it says otherwise. */
   private followHolder(name: string, state: MemberState, now: number): void {
     const holder = this.holderOf(name);
     if (holder === state.holder) return;
--- a/test/gateway/backend-rests.test.ts
+++ b/test/gateway/backend-backoffs.test.ts
@@ -4,7 +4,7 @@
  * request from one backend for 250 ms.
  */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { BackendRests } from '../../src/core/backend-rests.js';
+import { BackendBackoffs } from '../../src/core/backend-backoffs.js';
 import {
   answerWhole,
   GatewayHarness,
@@ -99,19 +99,19 @@
   );
 
   it('asks another daemon for nothing, and a later process under its id neither', () => {
-    const rests = new BackendRests();
-    rests.note({ id: 'a', start: '1' }, 3_000, 0);
-    expect(rests.remainingMs({ id: 'a', start: '1' }, 2_999)).toBe(1);
-    expect(rests.remainingMs({ id: 'a', start: '1' }, 3_000)).toBe(0);
-    expect(rests.remainingMs({ id: 'a', start: '2' }, 1)).toBe(0);
-    expect(new BackendRests().remainingMs({ id: 'a', start: '1' }, 1)).toBe(0);
+    const backoffs = new BackendBackoffs();
+    backoffs.note({ id: 'a', start: '1' }, 3_000, 0);
+    expect(backoffs.remainingMs({ id: 'a', start: '1' }, 2_999)).toBe(1);
+    expect(backoffs.remainingMs({ id: 'a', start: '1' }, 3_000)).toBe(0);
+    expect(backoffs.remainingMs({ id: 'a', start: '2' }, 1)).toBe(0);
+    expect(new BackendBackoffs().remainingMs({ id: 'a', start: '1' }, 1)).toBe(0);
   });
 
   it('is not shortened by a later word, and never kept out for days at once', () => {
-    const rests = new BackendRests();
-    rests.note({ id: 'a' }, 3_000, 0);
-    rests.note({ id: 'a' }, 500, 100);
-    expect(rests.remainingMs({ id: 'a' }, 1_000)).toBe(2_000);
-    expect(rests.note({ id: 'a' }, 7 * 86_400_000, 0)).toBe(3_600_000);
+    const backoffs = new BackendBackoffs();
+    backoffs.note({ id: 'a' }, 3_000, 0);
+    backoffs.note({ id: 'a' }, 500, 100);
+    expect(backoffs.remainingMs({ id: 'a' }, 1_000)).toBe(2_000);
+    expect(backoffs.note({ id: 'a' }, 7 * 86_400_000, 0)).toBe(3_600_000);
   });
 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -5,7 +5,7 @@
 import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
 import { readRateLimit } from '../../src/core/backend-rate-limits.js';
-import { restOf } from '../../src/core/backend-rests.js';
+import { readRetryAfter } from '../../src/core/backend-backoffs.js';
 import type { OrderOutcome } from '../../src/core/model-order.js';
 import type {
   BackendRecord,
@@ -54,7 +54,7 @@
     misdirected: status === 421,
     leaving: headers.leaving === '1',
     rateLimit: readRateLimit(headers['rate-limit'] as string | undefined),
-    restMs: status === 503 ? restOf(headers['retry-after']) : undefined,
+    backoffMs: status === 503 ? readRetryAfter(headers['retry-after']) : undefined,
   }),
   ownAnswerHeaders: () => ({}),
 };
@@ -366,7 +366,7 @@
 
   /** Whether a kept connection to "ip:port" rests. */
   restingConnections(address: string): boolean {
-    return this.agent.hasRestingConnection(address);
+    return this.agent.hasIdleConnection(address);
   }
 
   stop(): void {
