Rate limits: nothing is looked up or copied while no backend names a limit

Each request asked the beliefs once for each backend, which builds a key and looks twice into an empty map; and each question of a digest copied all that is known before the digests were compared. Both now end at the first look. Behaviour is the same: an empty map answers undefined, and an answer is sent under the same conditions.

--- a/src/core/backend-rate-limits.ts
+++ b/src/core/backend-rate-limits.ts
@@ -44,6 +44,8 @@
 
   /** What is believed of a process; of one whose start is known also what was named before it was. */
   of(backend: BackendProcess): BelievedRateLimit | undefined {
+    // Asked for each backend with each request; mostly none has named a limit.
+    if (this.known.size === 0) return undefined;
     return this.known.get(startKey(backend)) ?? this.known.get(backend.id);
   }
 
--- a/src/gateway/digest-gossip.ts
+++ b/src/gateway/digest-gossip.ts
@@ -77,11 +77,12 @@
     const { digest, all, encode, send } = this.options;
     const now = steadyNow();
     const answer = digest();
-    const entries = all(now);
-    if (question === answer || entries.length === 0) return;
+    if (question === answer) return;
     const last = this.given.get(asker);
     const isSame = last?.question === question && last.answer === answer;
     if (isSame && now - last.at < ANSWER_REPEAT_MS) return;
+    const entries = all(now);
+    if (entries.length === 0) return;
     this.given.set(asker, { question, answer, at: now });
     send(asker, encode(entries));
   }
