Headers: one reader of a decimal number for Retry-After and rate limits

The same pattern stood in backend-backoffs.ts and backend-rate-limits.ts, each with its own trimming.

--- a/src/core/backend-backoffs.ts
+++ b/src/core/backend-backoffs.ts
@@ -2,13 +2,12 @@
  * Backends that have turned this daemon away and asked for a backoff: nothing is sent to them until its end. Pure; times are milliseconds
  * of a steady clock, which counts less where a machine was suspended: the backoff is then longer, never shorter.
  */
+import { readDecimal } from '../common/decimal.js';
 import { startKey } from './backend-starts.js';
 import type { BackendProcess } from './declared-leavings.js';
 
 /** A backoff that is asked for is kept for no longer at once: one of days is most likely a mistake, and is asked for again. */
 const LONGEST_BACKOFF_MS = 3_600_000;
-/** A decimal number without sign, as `Retry-After` has it; fractions are allowed. */
-const SECONDS = /^\d+(\.\d+)?$/;
 
 /** The backoffs that one daemon was asked for. */
 export class BackendBackoffs {
@@ -40,8 +39,6 @@
  * compared, and a guess would keep a sound backend out.
  */
 export function readRetryAfter(header: string | undefined): number | undefined {
-  const text = header?.trim() ?? '';
-  if (!SECONDS.test(text)) return undefined;
-  const backoffMs = Number(text) * 1_000;
-  return backoffMs > 0 ? backoffMs : undefined;
+  const seconds = readDecimal(header ?? '') ?? 0;
+  return seconds > 0 ? seconds * 1_000 : undefined;
 }
--- a/src/core/backend-rate-limits.ts
+++ b/src/core/backend-rate-limits.ts
@@ -4,13 +4,12 @@
  * daemons are ordered by a generation (`spec/rate-limit-news.pml`). Pure.
  */
 import murmurhash from 'murmurhash';
+import { readDecimal } from '../common/decimal.js';
 import { startKey } from './backend-starts.js';
 import type { BackendProcess } from './declared-leavings.js';
 
 /** Backends' processes that are remembered. */
 const MOST_REMEMBERED = 2_000;
-/** A decimal number without sign. */
-const REQUESTS_A_SECOND = /^\d+(\.\d+)?$/;
 
 /** What an answer says of its backend's limit. */
 export type RateLimitNotice =
@@ -31,9 +30,10 @@
 /** Reads a header with a limit; of several the lowest counts. */
 export function readRateLimit(header: string | undefined): RateLimitNotice {
   if (header === undefined) return { type: 'unlimited' };
-  const values = header.split(',').map((value) => value.trim());
-  if (!values.every((value) => REQUESTS_A_SECOND.test(value))) return { type: 'unreadable' };
-  return { type: 'limited', perSecond: Math.min(...values.map(Number)) };
+  const values = header.split(',').map(readDecimal);
+  const limits = values.filter((value) => value !== undefined);
+  if (limits.length < values.length) return { type: 'unreadable' };
+  return { type: 'limited', perSecond: Math.min(...limits) };
 }
 
 /** The beliefs of one daemon. */
