Soak: faults.log names the gateway that a fault met and its duties; a run prints its margin to the limit

Now each fault of a process has a line with its name, whether it owned the models or counted the limited tenant, and whether that was hot; a run prints the fullest window by gateway and how many faults met the counter of a hot tenant. The audit's check is the same lines, in a function of its own.

--- a/test/soak/audit-tenants.ts
+++ b/test/soak/audit-tenants.ts
@@ -2,14 +2,8 @@
 import type { SoakEvidence, Violation } from './evidence.js';
 import type { CallRecord } from './caller.js';
 import type { RunRecord } from './run-log.js';
-import {
-  LIMIT_WINDOW_MS,
-  LIMITED_TENANT,
-  removedBy,
-  REVOCATION_MS,
-  UNITS,
-  unitsAllowed,
-} from './soak-tenants.js';
+import { fullestWindow } from './limit-margin.js';
+import { removedBy, REVOCATION_MS, UNITS, unitsAllowed } from './soak-tenants.js';
 
 const UNAUTHORIZED = 401;
 
@@ -51,17 +45,7 @@
 
 /** Each run counts once a request, in any window. */
 function auditLimit(runs: readonly RunRecord[]): Violation[] {
-  const counted = new Map<string, number>();
-  for (const { attemptId, at, tenant } of runs) {
-    if (tenant === LIMITED_TENANT && !counted.has(attemptId)) counted.set(attemptId, at);
-  }
-  const times = [...counted.values()].sort((a, b) => a - b);
-  let first = 0;
-  let most = 0;
-  for (const [index, at] of times.entries()) {
-    while ((times[first] ?? at) <= at - LIMIT_WINDOW_MS) first += 1;
-    most = Math.max(most, index - first + 1);
-  }
-  if (most * UNITS <= unitsAllowed()) return [];
-  return [{ rule: 'limit_exceeded', detail: `${most * UNITS} of ${unitsAllowed()} units` }];
+  const units = fullestWindow(runs).length * UNITS;
+  if (units <= unitsAllowed()) return [];
+  return [{ rule: 'limit_exceeded', detail: `${units} of ${unitsAllowed()} units` }];
 }
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -50,6 +50,8 @@
   readonly silencedPorts?: readonly number[];
   /** Whether its steady clock stands still while the process does; not by default. */
   readonly isSuspendable?: boolean;
+  /** Something is done to the process; called before it is. */
+  readonly onStruck?: (kind: Disturbance['kind'] | 'SIGHUP' | 'SIGTERM', forMs: number) => void;
 }
 
 /** All processes that run: none may outlive a soak that is ended itself. */
@@ -190,6 +192,7 @@
 
   /** Sends a signal, which nothing excuses: SIGTERM only to a process that was asked to stop before. */
   signal(signal: 'SIGHUP' | 'SIGTERM'): void {
+    this.options.onStruck?.(signal, 0);
     this.child?.kill(signal);
   }
 
@@ -289,6 +292,7 @@
   }
 
   private disturbed(kind: Disturbance['kind'], milliseconds: number): void {
+    this.options.onStruck?.(kind, milliseconds);
     const from = Date.now();
     this.disturbances.push({ kind, from, until: from + milliseconds, endedAt: Infinity });
   }
--- /dev/null
+++ b/test/soak/limit-margin.test.ts
@@ -0,0 +1,31 @@
+import { describe, expect, it } from 'vitest';
+import type { CallRecord } from './caller.js';
+import { limitMargin } from './limit-margin.js';
+import { LIMIT_WINDOW_MS, LIMITED_TENANT, UNITS, unitsAllowed } from './soak-tenants.js';
+
+const runAt = (attemptId: string, at: number) => ({
+  attemptId,
+  replica: 'r',
+  tenant: LIMITED_TENANT,
+  at,
+});
+const callAt = (attemptId: string, gateway: string) =>
+  ({ request: { attemptId }, gateway }) as CallRecord;
+
+describe('the margin to the limit', () => {
+  it('names the units of the fullest window by the gateway that was asked', () => {
+    const runs = [runAt('a', 0), runAt('b', LIMIT_WINDOW_MS), runAt('c', LIMIT_WINDOW_MS + 1)];
+    const calls = [callAt('a', 'g0'), callAt('b', 'g0'), callAt('c', 'g1')];
+    expect(limitMargin(runs, calls)).toEqual({
+      mostUnits: 2 * UNITS,
+      allowedUnits: unitsAllowed(),
+      until: new Date(LIMIT_WINDOW_MS + 1).toISOString(),
+      unitsByGateway: { g0: UNITS, g1: UNITS },
+    });
+  });
+
+  it('counts a request once, when it ran first', () => {
+    const runs = [runAt('a', 0), runAt('a', 1), runAt('b', 2)];
+    expect(limitMargin(runs, []).mostUnits).toBe(2 * UNITS);
+  });
+});
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -19,6 +19,7 @@
   readonly only: (FurtherFault | NamedFault)['kind'][];
   readonly leaving: boolean;
   readonly alwaysHot: boolean;
+  readonly drawnRanks: boolean;
   readonly series: SeriesFault['kind'][] | boolean;
 }
 
@@ -51,6 +52,11 @@
       .default([]),
   )
   .option('--always-hot', 'the limited tenant asks for many times its limit all the time', false)
+  .option(
+    '--drawn-ranks',
+    'the seed draws the ranks of gateways, and when the tenant is hot',
+    false,
+  )
   .option('--leaving', 'replicas also leave in all ways that the platform allows', false)
   .addOption(
     new Option(
@@ -107,6 +113,7 @@
       only: flags.only,
       leaving: flags.leaving,
       alwaysHot: flags.alwaysHot,
+      drawsRanks: flags.drawnRanks,
       series: seriesOf(flags.series),
     });
     const { violations, excused, ...figures } = result;
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -20,7 +20,9 @@
 import { NamedFaultInjector } from './named-fault-injector.js';
 import { NAMED_FAULT_KINDS, planNamedFaults, type NamedFault } from './named-fault-plan.js';
 import { LONGEST_SERVICE_MS, planLeavingFaults, type LeavingFault } from './leaving-fault-plan.js';
+import { limitMargin, type LimitMargin } from './limit-margin.js';
 import { GatewayProcess } from './gateway-process.js';
+import { portsByCountRank } from './gateway-roles.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MODELS_THAT_FIT, ReplicaStandIn } from './replica-stand-in.js';
@@ -28,9 +30,10 @@
 import { SeriesFaultInjector } from './series-fault-injector.js';
 import { planSeriesFaults, type SeriesFault } from './series-fault-plan.js';
 import { configurationOf, newestDropped } from './soak-configuration.js';
-import { drawCaller, isHotByTurns, STEADY_TENANT } from './soak-tenants.js';
+import { drawCaller, HOT_TURNS_MS, isHotByTurns, STEADY_TENANT } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
+import { dutiesOf, metHotCounter, type StruckGateway } from './struck-gateways.js';
 
 /** Which kinds of faults are played: each has a generator of its own. */
 export type FaultKinds = 'first' | 'further' | 'both' | 'none';
@@ -64,6 +67,8 @@
    * meets a hot tenant in every second play only.
    */
   readonly alwaysHot?: boolean;
+  /** Whether the seed also draws the gateways' ranks, and when the limited tenant is hot; not by default. */
+  readonly drawsRanks?: boolean;
   /** Whether replicas also leave in all ways that the platform allows; not by default. */
   readonly leaving?: boolean;
   /** Kinds of series of signals, restarts and changes; none by default. */
@@ -80,6 +85,9 @@
   readonly faults: number;
   readonly loads: number;
   readonly storeCalls: number;
+  /** Faults that met the gateway that counts the limited tenant while that was hot. */
+  readonly hotCounterFaults: number;
+  readonly limit: LimitMargin;
 }
 
 const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
@@ -96,6 +104,8 @@
 const NAMED_SEED = 50_000;
 /** Added to a seed for the generators of callers that keep connections. */
 const KEPT_CALLER_SEED = 20_000;
+/** Added to a seed for the generator of ranks and of hot times. */
+const RANK_SEED = 60_000;
 /** Eras in which the store may begin: 0 and 1, by the seed. */
 const FIRST_ERAS = 2;
 const KEPT_CALLER_PAUSE_MS = 300;
@@ -134,6 +144,8 @@
   readonly storeFaults: StoreFault[] = [];
   readonly replicaFaults: TimeSpan[] = [];
   private readonly accepted = new Map<number, number>();
+  private begun = 0;
+  private hotCounterFaults = 0;
   private version = 0;
   private sequence = 0;
   private endsAt = 0;
@@ -147,6 +159,7 @@
   async play(): Promise<SoakResult> {
     await this.start();
     const begun = Date.now() + START_MS;
+    this.begun = begun;
     const { faultMs, leaving = false } = this.options;
     const calmSince = begun + faultMs + RECOVERY_MS + (leaving ? LONGEST_SERVICE_MS : 0);
     this.endsAt = calmSince + CALM_MS;
@@ -186,6 +199,8 @@
       faults,
       loads: this.log.loads,
       storeCalls: this.store.calls,
+      hotCounterFaults: this.hotCounterFaults,
+      limit: limitMargin(this.log.runs, this.calls),
     };
   }
 
@@ -279,7 +294,7 @@
     }
     this.changeConfiguration();
     const ports = await findSoakPorts(gateways * 3);
-    const peerPorts = ports.slice(0, gateways);
+    const peerPorts = this.orderOf(ports.slice(0, gateways));
     const { faultKinds = 'first', leaving = false, series = [] } = this.options;
     const hasCuts = faultKinds === 'further' || faultKinds === 'both' || leaving;
     const cutsSome = this.namedKinds.some((kind) => CUTTING_KINDS.includes(kind));
@@ -298,12 +313,24 @@
         ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
         ...(silencedPorts === undefined ? {} : { silencedPorts }),
         isSuspendable: this.namedKinds.includes('suspended'),
+        onStruck: (kind, milliseconds) => this.noteStruck(name, kind, milliseconds),
       });
       this.gateways.set(name, process);
       process.start();
     }
   }
 
+  /** Ports of the gateways in their order. */
+  private orderOf(ports: readonly number[]): number[] {
+    if (this.options.drawsRanks !== true) return [...ports];
+    const random = new SeededRandom(this.options.seed + RANK_SEED);
+    const left = portsByCountRank(ports);
+    return ports.map(() => {
+      const [port = 0] = left.splice(Math.floor(random.between(0, left.length)), 1);
+      return port;
+    });
+  }
+
   private makeReplica(index: number): ReplicaStandIn {
     const { seed, checksEpochs = true, replicas = REPLICAS } = this.options;
     const hasModels = index < Math.round(replicas * SHARE_WITH_MODELS);
@@ -336,8 +363,15 @@
     return found;
   }
 
+  private noteStruck(gateway: string, struck: StruckGateway['struck'], milliseconds: number): void {
+    const duties = dutiesOf(this, gateway, Date.now());
+    const seen = { gateway, struck, milliseconds, duties, isHot: this.isHot() };
+    if (metHotCounter(seen)) this.hotCounterFaults += 1;
+    this.note(seen);
+  }
+
   /** Writes what happens beside the gateways' logs, to be read with them. */
-  private note(happened: SoakFault | { kind: string; version: number }): void {
+  private note(happened: SoakFault | StruckGateway | { kind: string; version: number }): void {
     const line = `${new Date().toISOString()} ${JSON.stringify(happened)}\n`;
     appendFileSync(path.join(this.options.folder, 'faults.log'), line);
   }
@@ -462,7 +496,11 @@
   }
 
   private isHot(): boolean {
-    return (this.options.alwaysHot ?? false) || isHotByTurns(Date.now());
+    const { alwaysHot = false, drawsRanks = false, seed } = this.options;
+    if (alwaysHot) return true;
+    if (!drawsRanks) return isHotByTurns(Date.now());
+    const phase = new SeededRandom(seed + RANK_SEED).between(0, HOT_TURNS_MS);
+    return isHotByTurns(Date.now() - this.begun + phase);
   }
 
   /** Gateways that the entry sends new callers to. */
--- a/test/soak/soak-tenants.ts
+++ b/test/soak/soak-tenants.ts
@@ -23,6 +23,8 @@
 const TRIED_KEYS = 4;
 /** The limited tenant asks for many times its limit by turns. */
 const HOT_PERIOD_MS = 6_000;
+/** From the begin of one hot time to the next. */
+export const HOT_TURNS_MS = 2 * HOT_PERIOD_MS;
 
 /** A caller's tenant and key. */
 export interface Caller {
