Limits: shares are divided by one record, not worked out from what each daemon sees

Cause: each daemon worked its share out from its own view: limit / daemons that it sees, and a holder live / listed. The side that has not heard of the joined daemons counts its old share beside the new ones; with different views the sum has no bound.

A joined daemon has none until every member knows the change; a member without a holder goes on with the smaller share that it knows; nothing grows by what anybody sees. A daemon that has not shown to the store for 30 min that it runs has none; others leave it out a minute later. A daemon that starts while the store is away counts by a member's word for 1 s. The slack of the retry budget is divided by the same record (its ratio is each daemon's own), and keepers of leases are chosen among the members, so that all choose among the same.

--- a/src/core/retry-budget.ts
+++ b/src/core/retry-budget.ts
@@ -1,8 +1,8 @@
 /**
- * The daemons' common budget for repeated sends to a service, divided over the
- * daemons. A send is counted at the gate, before it is made, and is never given
+ * The daemons' common budget for repeated sends to a service. Each daemon has a part of
+ * its slack (`admission/limit-shares.ts`). A send is counted at the gate, before it is made, and is never given
  * back: the class "admission counted" of the paper in the users' reading, with
- * its counter divided by the number of daemons, so the sum cannot overshoot.
+ * a counter for each daemon, so the sum cannot overshoot.
  * Pure; times are milliseconds of a steady clock.
  */
 
@@ -35,18 +35,22 @@
     this.forget(now);
   }
 
-  /** Takes one repeated send; false if the part of this daemon is spent. */
-  takeRetry(now: number, daemons: number): boolean {
+  /**
+   * Takes one repeated send; false if the part of this daemon is spent.
+   *
+   * @param parts - Parts into which the slack is divided, one for this daemon; infinite if it has none.
+   */
+  takeRetry(now: number, parts: number): boolean {
     this.forget(now);
-    if (this.retries.length + 1 > this.allowance(now, daemons)) return false;
+    if (this.retries.length + 1 > this.allowance(now, parts)) return false;
     this.retries.push(now);
     return true;
   }
 
   /** Repeated sends that this daemon may make in the window that ends now. */
-  allowance(now: number, daemons: number): number {
+  allowance(now: number, parts: number): number {
     const isSuccessor = now - this.startedAt < this.limits.windowMs;
-    const slack = isSuccessor ? 0 : this.limits.slack / Math.max(1, daemons);
+    const slack = isSuccessor ? 0 : this.limits.slack / Math.max(1, parts);
     return Math.floor(this.limits.ratio * this.requests.length + slack);
   }
 
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -49,8 +49,8 @@
   /** Age of what is known of the backends, in milliseconds; infinite if nothing has confirmed it. */
   backendsAgeMs(): number;
   budgetOf(service: string): RetryBudget;
-  /** Daemons among which common budgets are divided. */
-  daemonCount(): number;
+  /** Parts into which common budgets are divided, one for this daemon; infinite if it has none. */
+  budgetParts(): number;
   /** Notes a caller's deadline; true if it has most likely been refused before. */
   noteCaller(route: string, deadlineMs: number | undefined): boolean;
   /** A request has begun to wait: the owner should hear at once. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,10 +2,10 @@
  * One gateway daemon: serves opaque requests on routes to services, and owns
  * services by rank. Puts the parts together.
  */
-import { create } from '@bufbuild/protobuf';
 import { faultText, type Logger } from '../common/logger.js';
 import { leaseClock, leaseNow } from '../common/lease-clock.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
+import { LimitShares } from '../core/admission/limit-shares.js';
 import { answerRoomOf } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
@@ -14,19 +14,17 @@
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
 import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
 import { GoalWindowHold } from '../core/hold-policy-goal-windows.js';
-import type { PlacementUpdate } from '../core/placement-update.js';
 import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
 import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
-import { PlacementRequestSchema } from '../proto/gen/internal_pb.js';
 import type { BackendAgent } from './backend-agent.js';
 import { AnswerBuffer } from './answer-buffer.js';
 import { forgetEarlierStart } from './backend-restarts.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerFront } from './caller-front.js';
 import { CrashWatch } from './crash-watch.js';
-import { decodeDemand, decodePlacement, encodeDemand, encodePlacement } from './gateway-codec.js';
+import { decodeDemand, decodePlacement, encodeDemand } from './gateway-codec.js';
 import { ConfigurationExchange } from './configuration-exchange.js';
 import { CurrencyProofs } from './currency-proofs.js';
 import type { GossipLinks } from './digest-gossip.js';
@@ -36,6 +34,7 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
 import { PeerGroup } from './peer-group.js';
+import { PlacementExchange } from './placement-exchange.js';
 import type {
   BackendControl,
   ConfigurationSource,
@@ -62,8 +61,6 @@
 const ENTRY_NOTICES_MS = 2_300;
 /** Left of the time for a stop when what still runs is broken off. */
 const STOP_MARGIN_MS = 500;
-/** Between two requests for everything that an owner knows. */
-const PLACEMENT_REQUEST_PERIOD_MS = 250;
 
 /** The outside systems. */
 export interface GatewayDependencies {
@@ -85,6 +82,7 @@
   /** By route. */
   private readonly callerDeadlines = new Map<string, CallerDeadlines>();
   private readonly peers: PeerGroup;
+  private readonly shares: LimitShares;
   private readonly members: MemberList;
   private readonly configurations: ConfigurationExchange;
   private readonly proofs: CurrencyProofs;
@@ -95,6 +93,7 @@
   private readonly leavings: LeavingNews;
   private readonly directoryDuty: DirectoryDuty;
   private readonly duties: ServiceDuties;
+  private readonly placements: PlacementExchange;
   private readonly front: CallerFront;
   private readonly status: StatusPorts;
   private readonly startedAt = steadyNow();
@@ -110,8 +109,6 @@
   private lastRepeated = 0;
   private lookScheduled = false;
   private membersHaveChanged = false;
-  /** Steady times of the last requests for everything, by service. */
-  private readonly placementRequests = new Map<string, number>();
 
   constructor(
     private readonly settings: GatewaySettings,
@@ -131,7 +128,10 @@
         this.slots?.groupChanged();
       },
     });
-    this.members = new MemberList(settings, outside.store, this.peers, logger);
+    this.shares = new LimitShares(this.peers.address);
+    this.members = new MemberList(settings, outside.store, this.peers, logger, (askedAt) =>
+      this.shares.renewed(askedAt),
+    );
     this.configurations = new ConfigurationExchange({
       directory: outside.directory,
       logger,
@@ -161,8 +161,9 @@
       metrics: outside.metrics,
       listed: () => this.members.listed,
       platformAnswersOthers: () => this.directoryDuty.hearsAnsweredReader(),
-      publish: (update) => this.publish(update),
+      publish: (update) => this.placements.publish(update),
     });
+    this.placements = this.makePlacements();
     this.context = this.makeContext();
     this.directoryDuty = new DirectoryDuty({
       directory: outside.directory,
@@ -199,6 +200,7 @@
       onConfirmed: (version, askedAt) => this.proofs.confirmed(version, askedAt),
     });
     this.members.start();
+    this.limits.start();
     const onFault = (fault: unknown): void => {
       outside.logger.error('tick_fault', { reason: faultText(fault) });
     };
@@ -225,6 +227,7 @@
     // What a start under way still opens would be left open, and its entry in the list of daemons kept.
     await this.starting;
     this.duties.stop('the daemon stops');
+    this.shares.leave();
     this.peers.leave();
     await this.members.leave();
     const limit = begun + this.settings.bounds.stopSeconds * 1_000 - STOP_MARGIN_MS;
@@ -281,7 +284,9 @@
         excess: limitExcess,
         slack: limitSlack,
       },
-      listed: () => this.members.listed,
+      shares: this.shares,
+      store: outside.store,
+      hasEnded: (address) => this.members.hasEnded(address),
       tenantLimit: (name) => this.admission.tenant(name)?.limit,
       areTenantsLimited: () => this.admission.needsKeys,
       onChange: () => this.scheduleLook(),
@@ -331,6 +336,23 @@
     });
   }
 
+  private makePlacements(): PlacementExchange {
+    const { peers } = this;
+    return new PlacementExchange({
+      self: peers.address,
+      logger: this.outside.logger,
+      directory: this.backends,
+      everythingOf: (service) => this.duties.everythingOf(service),
+      version: () => this.version,
+      send: (to, body) => peers.send(to, body),
+      broadcast: (body) => peers.broadcast(body),
+      onNewOwner: (service, now) => {
+        if (this.settings.policies.recallDemand) this.context.tracker.recall(service, now);
+      },
+      onApplied: () => this.scheduleLook(),
+    });
+  }
+
   private makeStatusPorts(): StatusPorts {
     const { dialect, metrics } = this.outside;
     return new StatusPorts({
@@ -368,7 +390,7 @@
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: () => this.directoryDuty.knowledgeAgeMs(),
       budgetOf: (service) => this.budgetOf(service),
-      daemonCount: () => Math.max(this.peers.live().length, this.members.listed.length),
+      budgetParts: () => 1 / this.shares.ownShare(leaseNow()),
       noteCaller: (route, deadlineMs) => this.noteCaller(route, deadlineMs),
       demandUrgent: (service) => this.reportDemand(service),
       lookAgain: () => this.scheduleLook(),
@@ -469,48 +491,6 @@
     return this.routing?.configuration.version ?? 0;
   }
 
-  private publish(update: PlacementUpdate): void {
-    this.hearPlacement(this.peers.address, update);
-    this.peers.broadcast(encodePlacement(update, this.version));
-  }
-
-  private hearPlacement(owner: string, update: PlacementUpdate): void {
-    const now = steadyNow();
-    const { recallDemand } = this.settings.policies;
-    const isNewOwner = update.epoch > this.backends.epochOf(update.service);
-    const outcome = this.backends.hearPlacement(update, now);
-    if (isNewOwner && recallDemand) this.context.tracker.recall(update.service, now);
-    if (outcome === 'applied') this.scheduleLook();
-    if (outcome === 'gap') this.catchUp(owner, update.service, now);
-  }
-
-  /** Changes can't be applied here: takes everything, from the owner in this process or by a question to another. */
-  private catchUp(owner: string, service: string, now: number): void {
-    if (owner !== this.peers.address) return this.requestPlacement(owner, service, now);
-    const everything = this.duties.everythingOf(service);
-    if (everything === undefined) return;
-    this.backends.hearPlacement(everything, now);
-    this.scheduleLook();
-  }
-
-  /** An update was missed: the owner tells everything. */
-  private requestPlacement(owner: string, service: string, now: number): void {
-    if (now - (this.placementRequests.get(service) ?? -Infinity) < PLACEMENT_REQUEST_PERIOD_MS) {
-      return;
-    }
-    this.placementRequests.set(service, now);
-    const epoch = this.backends.epochOf(service);
-    this.outside.logger.info('placement_missed', { service, epoch, owner });
-    const value = create(PlacementRequestSchema, { service });
-    this.peers.send(owner, { case: 'placementRequest', value });
-  }
-
-  private answerPlacementRequest(from: string, service: string): void {
-    const everything = this.duties.everythingOf(service);
-    if (everything === undefined) return;
-    this.peers.send(from, encodePlacement(everything, this.version));
-  }
-
   private receive(from: string, body: PeerBody): void {
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
@@ -527,10 +507,10 @@
     if (body.case === 'servicePlacement') {
       const update = decodePlacement(body.value);
       this.duties.hearOwner(from, update.service, update.epoch);
-      this.hearPlacement(from, update);
+      this.placements.hear(from, update);
       this.configurations.hearVersion(from, body.value.configurationVersion);
     }
-    if (body.case === 'placementRequest') this.answerPlacementRequest(from, body.value.service);
+    if (body.case === 'placementRequest') this.placements.answerRequest(from, body.value.service);
   }
 
   /** Waiting requests look again, once for all changes of one turn. */
--- a/src/gateway/holder-leases.ts
+++ b/src/gateway/holder-leases.ts
@@ -32,7 +32,7 @@
 /** Between two questions then: who is cut off with callers of all tenants sends little into the void. */
 const SLOW_RETRY_PERIOD_MS = 2_000;
 /**
- * A listed daemon that has not been seen for so long is no keeper: by then the views of a split group
+ * A member that has not been seen for so long is no keeper: by then the views of a split group
  * have settled, and each side counts its own share of the daemons only.
  */
 const SETTLED_MS = 10_000;
@@ -45,8 +45,8 @@
 export interface HolderLeasesOptions {
   readonly self: string;
   readonly logger: Logger;
-  /** Daemons that the platform's store lists. */
-  readonly listed: () => readonly KeeperCandidate[];
+  /** Daemons that have a share of the limits: all daemons choose keepers among the same. */
+  readonly members: () => readonly KeeperCandidate[];
   readonly live: () => readonly KeeperCandidate[];
   /** Milliseconds for which keepers remember what former holders have told. */
   readonly rememberMs: number;
@@ -88,7 +88,7 @@
   private readonly keeper: LeaseKeeper;
   private readonly startedAt = steadyNow();
   private sequence: number;
-  /** When each listed daemon was seen last. */
+  /** When each member was seen last. */
   private readonly seenAt = new Map<string, number>();
   private candidates: readonly KeeperCandidate[] = [];
   private lookedAt = -Infinity;
@@ -258,15 +258,14 @@
   private lookAtCandidates(now: number): void {
     if (now - this.lookedAt < LOOK_PERIOD_MS) return;
     this.lookedAt = now;
-    const live = this.options.live();
-    for (const { address } of live) this.seenAt.set(address, now);
+    const { members, live } = this.options;
+    for (const { address } of live()) this.seenAt.set(address, now);
     const isCandidate = ({ address }: KeeperCandidate): boolean =>
       now - (this.seenAt.get(address) ?? this.startedAt) < SETTLED_MS;
-    const all = new Map(
-      [...this.options.listed(), ...live].map((member) => [member.address, member]),
-    );
-    for (const address of this.seenAt.keys()) if (!all.has(address)) this.seenAt.delete(address);
-    this.candidates = [...all.values()].filter(isCandidate);
+    const all = members();
+    const addresses = new Set([...all, ...live()].map(({ address }) => address));
+    for (const seen of this.seenAt.keys()) if (!addresses.has(seen)) this.seenAt.delete(seen);
+    this.candidates = all.filter(isCandidate);
     this.keepers.clear();
   }
 }
--- a/src/gateway/limit-group.ts
+++ b/src/gateway/limit-group.ts
@@ -1,5 +1,7 @@
 /** Who counts which limit, and which share of it each daemon may count, as one daemon sees the group. */
+import { leaseNow } from '../common/lease-clock.js';
 import { firstCandidate } from '../common/rendezvous.js';
+import type { LimitShares } from '../core/admission/limit-shares.js';
 import type { HolderView, RateLimit } from '../core/admission/rate-ledger.js';
 import { ablestOf } from '../core/duties.js';
 import type { MemberView } from '../core/membership-messages.js';
@@ -10,8 +12,8 @@
   readonly self: string;
   readonly kind: LimitKind;
   readonly live: () => readonly MemberView[];
-  /** Daemons that the platform's store lists. */
-  readonly listedCount: () => number;
+  /** How limits are divided among the daemons. */
+  readonly shares: LimitShares;
 }
 
 /** One daemon's view. Times are milliseconds of a steady clock. */
@@ -20,6 +22,8 @@
   candidatesSince: number;
   private candidates: string[] = [];
   private liveCount = 0;
+  /** Live daemons that have a share. */
+  private sharerCount = 0;
   private hasChanged = true;
 
   constructor(
@@ -29,12 +33,12 @@
     this.candidatesSince = now;
   }
 
-  /** Whether the list of daemons has been read: who has not read it does not know its share. */
-  get isListed(): boolean {
-    return this.options.listedCount() > 0;
+  /** Whether anybody may hold: nobody may as long as the division of limits is not known, or no daemon is seen that has a share. */
+  get hasCandidates(): boolean {
+    return this.candidates.length > 0;
   }
 
-  /** The set of live daemons has changed. */
+  /** The set of live daemons has changed, or the division of limits. */
   changed(): void {
     this.hasChanged = true;
   }
@@ -44,8 +48,10 @@
     if (!this.hasChanged) return false;
     this.hasChanged = false;
     const live = this.options.live();
+    const sharers = live.filter(({ address }) => this.options.shares.isSharer(address));
     this.liveCount = live.length;
-    const candidates = ablestOf(live)
+    this.sharerCount = sharers.length;
+    const candidates = ablestOf(sharers)
       .map((member) => member.address)
       .sort();
     if (candidates.join() === this.candidates.join()) return false;
@@ -65,16 +71,24 @@
     return this.holderOf(name) === this.options.self;
   }
 
-  /** Units of a window that each daemon may admit alone: all together pass no limit. */
-  equalShare(limit: RateLimit): number {
-    const units = (limit.perSecond * this.options.kind.windowMs) / 1_000 + limit.burst;
-    return units / Math.max(1, this.options.listedCount(), this.liveCount);
+  /** Units of a window that this daemon may admit alone: all together pass no limit. */
+  ownShare(limit: RateLimit): number {
+    return this.unitsOf(limit) * this.options.shares.ownShare(leaseNow());
+  }
+
+  /** Units of a window that each daemon with a share may admit alone. */
+  usualShare(limit: RateLimit): number {
+    return this.unitsOf(limit) * this.options.shares.usualShare;
   }
 
   /** What a holder counts. */
   view(): HolderView {
-    const daemons = Math.max(1, this.liveCount);
-    return { daemons, share: daemons / Math.max(daemons, this.options.listedCount()) };
+    const share = this.options.shares.sumOf(this.sharerCount, leaseNow());
+    return { daemons: Math.max(1, this.liveCount), share };
+  }
+
+  private unitsOf({ perSecond, burst }: RateLimit): number {
+    return (perSecond * this.options.kind.windowMs) / 1_000 + burst;
   }
 
   /** Addresses of the live daemons. */
--- a/src/gateway/limit-holder.ts
+++ b/src/gateway/limit-holder.ts
@@ -189,7 +189,7 @@
   private ownCeiling(name: string, held: HeldLedger, now: number): number {
     const { self, group, limitOf, ownUnits } = this.options;
     const limit = limitOf(name);
-    const share = limit === undefined ? 0 : group.equalShare(limit);
+    const share = limit === undefined ? 0 : group.usualShare(limit);
     const own = ownUnits(name, now);
     const waiting = [...held.waiting.values()].filter(({ from }) => from === self);
     const wanted = waiting.reduce((sum, { charge }) => sum + charge.units, own);
@@ -201,7 +201,7 @@
     const limit = limitOf(name);
     const isAnothers = history.soleMs < kind.windowMs;
     if (limit === undefined || !isAnothers) return;
-    const unseen = this.unseenUnits(history, group.equalShare(limit));
+    const unseen = this.unseenUnits(history, group.usualShare(limit));
     const forgotten = this.forgottenUnits(history);
     held.ledger.countFrom(now, unseen);
     if (forgotten > 0) held.ledger.recall(forgotten, now);
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -1,7 +1,11 @@
 /** The daemons that the platform's store lists: seeds for membership, and its full size. */
+import { leaseNow } from '../common/lease-clock.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { startTicker, type Ticker } from '../common/process.js';
+import { KEPT_ENTRY_MS, RENEWAL_LAPSES_MS } from '../core/admission/limit-shares.js';
 import type { DutyMember } from '../core/duties.js';
+import { MemberEntries } from '../core/member-entries.js';
+import type { StorePosition } from '../core/store-position.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { PeerGroup } from './peer-group.js';
 import type { RecordFailure, RecordStore, StoredRecord } from './ports.js';
@@ -16,6 +20,8 @@
 const FIRST_PERIOD_MS = 1_500;
 /** Each period is twice the former one, up to this: probes find who comes later. */
 const LONGEST_PERIOD_MS = 30_000;
+/** Between two writings of this daemon's entry, by which others know that it has not ended; many times within its lapse. */
+const RENEWAL_PERIOD_MS = 300_000;
 
 /** Keeps this daemon in the list and reads the others. */
 export class MemberList {
@@ -31,14 +37,26 @@
   private periodMs = FIRST_PERIOD_MS;
   private retryMs = FIRST_RETRY_MS;
   private readAt = -Infinity;
+  private readonly entries = new MemberEntries();
+  /** Of this daemon's entry, as it was written last. */
+  private revision: StorePosition | undefined;
+  private renewals = 0;
+  private renewAt = -Infinity;
 
+  /** @param onRenewed - The store has acknowledged this daemon's entry; the time of the question by the lease clock. */
   constructor(
     private readonly settings: GatewaySettings,
     private readonly store: RecordStore,
     private readonly peers: PeerGroup,
     private readonly logger: Logger,
+    private readonly onRenewed: (askedAt: number) => void = () => {},
   ) {}
 
+  /** Whether a daemon has ended, as far as the entries tell. */
+  hasEnded(address: string): boolean {
+    return this.entries.hasEnded(address, steadyNow());
+  }
+
   start(): void {
     const { seeds, peerPort } = this.settings;
     this.peers.addSeeds(seeds.map((host) => `${host}:${peerPort}`));
@@ -65,6 +83,7 @@
 
   private async refresh(): Promise<void> {
     const now = steadyNow();
+    if (this.isListed && now >= this.renewAt) await this.renew();
     const isDone = this.isListed ? await this.readLate() : await this.enterAndRead();
     this.readAt = now + this.nextPause(isDone);
   }
@@ -86,7 +105,9 @@
     const { name } = this.settings;
     this.mayBeListed = true;
     this.enteredInEra = this.store.era() ?? 0;
+    const askedAt = leaseNow();
     const created = await this.store.write('members', name, this.entry(), undefined);
+    if (created.isOk) this.renewed(created.value.revision, askedAt);
     if (created.isErr && created.error.type !== 'conflict') return this.unread(created.error);
     const list = await this.store.list('members', 'current');
     if (list.isErr) return this.unread(list.error);
@@ -95,14 +116,36 @@
     return this.isListed;
   }
 
-  /** The list held this daemon's name before: its entry may be of a former address. */
+  /** The list held this daemon's name before: its entry may be of a former address, or of long ago. */
   private async keepEntry(list: readonly StoredRecord[]): Promise<boolean> {
-    const { name } = this.settings;
-    const known = list.find((record) => record.name === name);
+    const known = list.find((record) => record.name === this.settings.name);
     const [member] = known === undefined ? [] : dutyMember(known.value);
-    if (member?.address === this.peers.address) return true;
-    const written = await this.store.write('members', name, this.entry(), known?.revision);
-    return written.isOk;
+    if (member?.address !== this.peers.address) return this.writeEntry(known?.revision);
+    this.renewals = renewalsOf(known?.value);
+    this.revision = known?.revision;
+    // How long ago it was renewed is not known: it counts until the next reading, which renews it.
+    this.onRenewed(leaseNow() - RENEWAL_LAPSES_MS + KEPT_ENTRY_MS);
+    return true;
+  }
+
+  /** Shows the others that this daemon runs. */
+  private async renew(): Promise<void> {
+    this.renewals += 1;
+    this.isListed = await this.writeEntry(this.revision);
+  }
+
+  private async writeEntry(revision: StorePosition | undefined): Promise<boolean> {
+    const askedAt = leaseNow();
+    const written = await this.store.write('members', this.settings.name, this.entry(), revision);
+    if (written.isErr) return this.unread(written.error);
+    this.renewed(written.value.revision, askedAt);
+    return true;
+  }
+
+  private renewed(revision: StorePosition, askedAt: number): void {
+    this.revision = revision;
+    this.renewAt = steadyNow() + RENEWAL_PERIOD_MS;
+    this.onRenewed(askedAt);
   }
 
   private async readLate(): Promise<boolean> {
@@ -122,6 +165,10 @@
 
   private take(list: readonly StoredRecord[]): void {
     this.listed = list.flatMap(({ value }) => dutyMember(value));
+    const entries = list.flatMap(({ name, value, revision }) =>
+      dutyMember(value).map(({ address }) => ({ name, address, revision })),
+    );
+    this.entries.observe(entries, steadyNow());
     const others = this.listed.filter((member) => member.address !== this.peers.address);
     this.peers.addSeeds(others.map((member) => member.address));
   }
@@ -132,11 +179,27 @@
     return false;
   }
 
-  private entry(): { readonly address: string; readonly zone: string } {
-    return { address: this.peers.address, zone: this.settings.zone };
+  /** An entry that was never renewed is spelled as by the builds before. */
+  private entry(): MemberRecord {
+    const { renewals } = this;
+    const renewed = renewals === 0 ? {} : { renewals };
+    return { address: this.peers.address, zone: this.settings.zone, ...renewed };
   }
 }
 
+/** This daemon's entry as it stands in the store. */
+interface MemberRecord {
+  readonly address: string;
+  readonly zone: string;
+  /** Rises with each renewal. */
+  readonly renewals?: number;
+}
+
+function renewalsOf(value: unknown): number {
+  const { renewals } = (value ?? {}) as Partial<MemberRecord>;
+  return typeof renewals === 'number' && Number.isFinite(renewals) ? renewals : 0;
+}
+
 function dutyMember(value: unknown): DutyMember[] {
   if (typeof value !== 'object' || value === null) return [];
   const { address, zone } = value as Partial<DutyMember>;
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -81,7 +81,7 @@
   | { readonly type: 'unknown'; readonly reason: string };
 
 /** Kinds of records that the gateway keeps. */
-export type RecordKind = 'owners' | 'members';
+export type RecordKind = 'owners' | 'members' | 'limitShares';
 
 /** How new a reading must be. */
 export type ReadFreshness = 'current' | 'late';
--- a/src/gateway/rate-limiting.ts
+++ b/src/gateway/rate-limiting.ts
@@ -1,8 +1,8 @@
 /** All limits that this daemon keeps together with the others: of tenants, and of backends that name one. */
 import type { Logger } from '../common/logger.js';
+import type { LimitShares } from '../core/admission/limit-shares.js';
 import type { LimitWindow } from '../core/admission/limit-ledger.js';
 import type { RateLimit } from '../core/admission/rate-ledger.js';
-import type { DutyMember } from '../core/duties.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { BackendPermits } from './backend-permits.js';
@@ -11,6 +11,8 @@
 import { HolderLeases } from './holder-leases.js';
 import { backendLimitKind, tenantLimitKind, type LimitKind } from './limit-kind.js';
 import type { PeerGroup } from './peer-group.js';
+import type { RecordStore } from './ports.js';
+import { ShareAgreement } from './share-agreement.js';
 import { SharedLimits } from './shared-limits.js';
 
 /** Options of {@link RateLimiting}. */
@@ -20,8 +22,11 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly tenantWindow: LimitWindow;
-  /** Daemons that the platform's store lists. */
-  readonly listed: () => readonly DutyMember[];
+  /** How limits are divided among the daemons, as this one knows it. */
+  readonly shares: LimitShares;
+  readonly store: RecordStore;
+  /** Whether a daemon has ended, as far as the platform's list tells. */
+  readonly hasEnded: (address: string) => boolean;
   readonly tenantLimit: (tenant: string) => RateLimit | undefined;
   readonly areTenantsLimited: () => boolean;
   /** A backend's limit has changed. */
@@ -32,11 +37,13 @@
 export class RateLimiting {
   readonly tenants: SharedLimits;
   readonly permits: BackendPermits;
+  private readonly agreement: ShareAgreement;
   private readonly leases: HolderLeases;
   private readonly backends: SharedLimits;
 
   constructor(private readonly options: RateLimitingOptions) {
     const { links, logger, metrics, tenantWindow, tenantLimit, onChange } = options;
+    this.agreement = this.makeAgreement();
     this.leases = this.makeLeases();
     this.tenants = this.makeLimits(tenantLimitKind(tenantWindow), tenantLimit);
     this.backends = this.makeLimits(backendLimitKind, (name) => this.permits.limitOf(name));
@@ -44,14 +51,21 @@
     this.permits = new BackendPermits({ ...links, logger, metrics, limits, onChange });
   }
 
-  /** The set of live daemons has changed. */
+  /** Reads how limits are divided; call it when messages from the others can come. */
+  start(): void {
+    this.agreement.tick();
+  }
+
+  /** The set of live daemons has changed, or the division of limits. */
   groupChanged(): void {
+    this.agreement.groupChanged();
     this.tenants.groupChanged();
     this.backends.groupChanged();
   }
 
   /** Looks at the clock; call it ten times a second. */
   tick(): void {
+    this.agreement.tick();
     this.leases.tick();
     if (this.options.areTenantsLimited()) this.tenants.tick();
     this.backends.tick();
@@ -60,7 +74,7 @@
 
   /** Handles a message about limits; false if it is another kind. */
   receive(from: string, body: PeerBody): boolean {
-    const receivers = [this.leases, this.tenants, this.backends, this.permits];
+    const receivers = [this.agreement, this.leases, this.tenants, this.backends, this.permits];
     return receivers.some((receiver) => receiver.receive(from, body));
   }
 
@@ -74,12 +88,28 @@
     }
   }
 
+  private makeAgreement(): ShareAgreement {
+    const { peers, logger, shares, store, hasEnded } = this.options;
+    return new ShareAgreement({
+      self: peers.address,
+      logger,
+      shares,
+      store,
+      live: () => peers.live(),
+      hasEnded,
+      send: (to, body) => peers.send(to, body),
+      sendDatagram: (to, body) => peers.sendDatagram(to, body),
+      broadcast: (body) => peers.broadcast(body),
+      onChange: () => this.groupChanged(),
+    });
+  }
+
   private makeLeases(): HolderLeases {
-    const { peers, logger, listed, tenantWindow } = this.options;
+    const { peers, logger, shares, tenantWindow } = this.options;
     return new HolderLeases({
       self: peers.address,
       logger,
-      listed,
+      members: () => shares.record?.members ?? [],
       live: () => peers.live(),
       rememberMs: Math.max(tenantWindow.windowMs, backendLimitKind.windowMs),
       firstSequence: Date.now(),
@@ -92,14 +122,14 @@
     kind: LimitKind,
     limitOf: (name: string) => RateLimit | undefined,
   ): SharedLimits {
-    const { peers, logger, listed } = this.options;
+    const { peers, logger, shares } = this.options;
     return new SharedLimits({
       self: peers.address,
       kind,
       logger,
       leases: this.leases,
       live: () => peers.live(),
-      listedCount: () => listed().length,
+      shares,
       limitOf,
       sendDatagram: (to, body) => peers.sendDatagram(to, body),
       broadcast: (body) => peers.broadcast(body),
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -408,7 +408,7 @@
   }
 
   private takeRetry(service: string, now: number): boolean {
-    const granted = this.context.budgetOf(service).takeRetry(now, this.context.daemonCount());
+    const granted = this.context.budgetOf(service).takeRetry(now, this.context.budgetParts());
     this.context.metrics.retries.inc({ granted: String(granted) });
     return granted;
   }
--- /dev/null
+++ b/src/gateway/share-agreement.ts
@@ -0,0 +1,303 @@
+/**
+ * Keeps this daemon's knowledge of how limits are divided among the daemons, and changes the division when it is this
+ * daemon's turn. The record stands in the platform's store; daemons tell each other of it, so that a change costs the store a few
+ * calls, however many daemons there are, and a daemon that starts while the store is away hears of it.
+ */
+import { create } from '@bufbuild/protobuf';
+import { leaseNow } from '../common/lease-clock.js';
+import { faultText, type Logger } from '../common/logger.js';
+import { firstCandidate } from '../common/rendezvous.js';
+import { isClosed, LimitShares, type ShareRecord } from '../core/admission/limit-shares.js';
+import {
+  firstRecord,
+  ShareChanges,
+  type ShareChangeView,
+} from '../core/admission/share-changes.js';
+import type { DutyMember } from '../core/duties.js';
+import type { PeerBody } from '../daemon/peer-transport.js';
+import {
+  ShareAnswerSchema,
+  ShareQuestionSchema,
+  type ShareAnswer,
+  type ShareQuestion,
+} from '../proto/gen/internal_pb.js';
+import type { RecordFailure, RecordStore } from './ports.js';
+import { decodeShares, encodeShares, sharesFromStore } from './share-codec.js';
+import { steadyNow } from './steady-clock.js';
+
+/** Name of the one record of its kind. */
+const RECORD_NAME = 'all';
+/** Daemons rank who changes the division under this name. */
+const CHANGER_RANK = 'limit-shares';
+/** From a reading that failed, or found nothing, to the next; twice as long after each. */
+const FIRST_RETRY_MS = 300;
+const LONGEST_RETRY_MS = 4_000;
+/** Between two tries to write a change. */
+const WRITE_PERIOD_MS = 500;
+/** Between two questions of a daemon that has not read the store. */
+const UNREAD_QUESTION_MS = 300;
+/** Between two questions to members about a change. */
+const CHANGE_QUESTION_MS = 300;
+/** Between two questions of each daemon, to one other after another: news may be lost with a connection. */
+const USUAL_QUESTION_MS = 5_000;
+/** Questions of which an answer still counts. */
+const OPEN_QUESTIONS = 16;
+
+/** Options of {@link ShareAgreement}. */
+export interface ShareAgreementOptions {
+  readonly self: string;
+  readonly logger: Logger;
+  readonly shares: LimitShares;
+  readonly store: Pick<RecordStore, 'read' | 'write'>;
+  /** Daemons that may be given duties, this one among them. */
+  readonly live: () => readonly DutyMember[];
+  /** Whether a daemon that is not live has ended, as far as the platform's list tells. */
+  readonly hasEnded: (address: string) => boolean;
+  readonly send: (to: string, body: PeerBody) => void;
+  readonly sendDatagram: (to: string, body: PeerBody) => void;
+  readonly broadcast: (body: PeerBody) => void;
+  /** Another record is known, or this daemon may count by it, or no longer. */
+  readonly onChange: () => void;
+}
+
+/** One daemon's part. */
+export class ShareAgreement {
+  private readonly changes = new ShareChanges();
+  /** When the last questions were asked, by the lease clock. */
+  private readonly questions = new Map<number, number>();
+  private sequence = 0;
+  private turn = 0;
+  /** Which daemon changes the division; undefined until the live daemons have been looked at. */
+  private changer: string | undefined;
+  private isBusy = false;
+  private isAbsent = false;
+  private mayCount = false;
+  private retryAt = -Infinity;
+  private writeAt = -Infinity;
+  private retryMs = FIRST_RETRY_MS;
+  private askedUnreadAt = -Infinity;
+  private askedMembersAt = -Infinity;
+  private askedUsualAt = -Infinity;
+
+  constructor(private readonly options: ShareAgreementOptions) {}
+
+  /** Looks at the clock; call it ten times a second. */
+  tick(): void {
+    const now = steadyNow();
+    const { shares } = this.options;
+    if (!shares.isRead) this.askWithoutReading(now);
+    const isUnknown = shares.record === undefined || !shares.isRead;
+    if (isUnknown && now >= this.retryAt) this.inTurn(() => this.readOrCreate());
+    if (this.isChanger()) this.followChange(now);
+    this.askInTurn(now);
+    this.followRight();
+  }
+
+  /** The set of live daemons has changed. */
+  groupChanged(): void {
+    this.changer = undefined;
+  }
+
+  /** Handles a message about shares; false if it is another kind. */
+  receive(from: string, body: PeerBody): boolean {
+    if (body.case === 'shareNews') {
+      this.taken(this.options.shares.hear(decodeShares(body.value)), from);
+    } else if (body.case === 'shareQuestion') this.answer(from, body.value);
+    else if (body.case === 'shareAnswer') this.hearAnswer(from, body.value);
+    else return false;
+    return true;
+  }
+
+  /** The store's calls follow one another. */
+  private inTurn(step: () => Promise<void>): void {
+    if (this.isBusy) return;
+    this.isBusy = true;
+    step()
+      .catch((fault: unknown) => {
+        this.options.logger.error('limit_shares_fault', { reason: faultText(fault) });
+      })
+      .finally(() => {
+        this.isBusy = false;
+      });
+  }
+
+  private async readOrCreate(): Promise<void> {
+    await this.read();
+    if (!this.isAbsent || this.knownNumber > 0 || !this.isChanger()) return;
+    const first = firstRecord(this.view());
+    if (first !== undefined) await this.write(undefined, first);
+  }
+
+  private async read(): Promise<void> {
+    const { store, shares, logger } = this.options;
+    const answer = await store.read('limitShares', RECORD_NAME);
+    this.retryAt = steadyNow() + this.retryMs;
+    this.retryMs = Math.min(LONGEST_RETRY_MS, this.retryMs * 2);
+    if (answer.isErr) return this.unread(answer.error);
+    this.isAbsent = answer.value === undefined;
+    if (answer.value === undefined) return shares.readNothing();
+    const record = sharesFromStore(answer.value.value);
+    if (record === undefined) {
+      logger.error('limit_shares_unreadable', { revision: answer.value.revision });
+      return;
+    }
+    this.retryMs = FIRST_RETRY_MS;
+    this.taken(shares.read(record), 'store');
+  }
+
+  private unread(failure: RecordFailure): void {
+    const reason = failure.type === 'conflict' ? failure.type : failure.reason;
+    this.options.logger.warn('limit_shares_unread', { reason, known: this.knownNumber });
+  }
+
+  private get knownNumber(): number {
+    return this.options.shares.record?.number ?? 0;
+  }
+
+  /** Of all live daemons one changes the division; two that see different ones are kept apart by the store. */
+  private isChanger(): boolean {
+    const { live, self, shares } = this.options;
+    if (!shares.isRead) return false;
+    if (this.changer === undefined) {
+      const addresses = live().map(({ address }) => address);
+      this.changer = firstCandidate(CHANGER_RANK, addresses);
+    }
+    return this.changer === self;
+  }
+
+  private followChange(now: number): void {
+    const { record } = this.options.shares;
+    if (record === undefined) return;
+    const view = this.view();
+    if (!this.changes.isWanted(record, view)) return;
+    this.changes.hearAnswer(this.options.self, record.number, now);
+    this.askMembers(record, view, now);
+    const next = this.changes.next(record, view, now);
+    if (next === undefined || now < this.writeAt) return;
+    this.writeAt = now + WRITE_PERIOD_MS;
+    this.inTurn(() => this.write(record, next));
+  }
+
+  private view(): ShareChangeView {
+    const { live, hasEnded } = this.options;
+    const seen = live();
+    const addresses = new Set(seen.map(({ address }) => address));
+    return {
+      live: seen.map(({ address, zone }) => ({ address, zone })),
+      hasEnded: (address) => !addresses.has(address) && hasEnded(address),
+    };
+  }
+
+  private askMembers(record: ShareRecord, view: ShareChangeView, now: number): void {
+    if (now - this.askedMembersAt < CHANGE_QUESTION_MS) return;
+    this.askedMembersAt = now;
+    for (const address of this.changes.unanswered(record, view, now)) this.ask(address);
+  }
+
+  /** Replaces the record that the store holds, if it is the one that this daemon knows. */
+  private async write(former: ShareRecord | undefined, next: ShareRecord): Promise<void> {
+    const { store, shares, logger, broadcast } = this.options;
+    const held = await store.read('limitShares', RECORD_NAME);
+    if (held.isErr) return this.unread(held.error);
+    const stored = held.value && sharesFromStore(held.value.value);
+    if (stored !== undefined && stored.number > this.knownNumber) {
+      return this.taken(shares.read(stored), 'store');
+    }
+    // A store that has come back from a copy may hold an older record than daemons know: it is replaced like the newest one.
+    const isUnchanged = this.knownNumber === (former?.number ?? 0);
+    if (!isUnchanged || (held.value !== undefined && stored === undefined)) return;
+    const written = await store.write('limitShares', RECORD_NAME, next, held.value?.revision);
+    if (written.isErr) return this.unread(written.error);
+    const members = next.members.length;
+    const fields = { number: next.number, members, next: next.next.length };
+    logger.info(isClosed(next) ? 'limit_shares_closed' : 'limit_shares_opened', fields);
+    this.taken(shares.read(next), 'self');
+    broadcast({ case: 'shareNews', value: encodeShares(next) });
+  }
+
+  private askWithoutReading(now: number): void {
+    if (now - this.askedUnreadAt < UNREAD_QUESTION_MS) return;
+    this.askedUnreadAt = now;
+    this.askNextOther();
+  }
+
+  private askInTurn(now: number): void {
+    if (now - this.askedUsualAt < USUAL_QUESTION_MS) return;
+    this.askedUsualAt = now;
+    this.askNextOther();
+  }
+
+  private askNextOther(): void {
+    const { live, self } = this.options;
+    const others = live().filter(({ address }) => address !== self);
+    this.turn += 1;
+    const other = others[this.turn % Math.max(1, others.length)];
+    if (other !== undefined) this.ask(other.address);
+  }
+
+  private ask(to: string): void {
+    this.sequence += 1;
+    this.questions.set(this.sequence, leaseNow());
+    const oldest = this.sequence - Math.max(OPEN_QUESTIONS, 2 * this.options.live().length);
+    for (const sequence of this.questions.keys()) {
+      if (sequence > oldest) break;
+      this.questions.delete(sequence);
+    }
+    const value = create(ShareQuestionSchema, {
+      sequence: this.sequence,
+      number: this.knownNumber,
+    });
+    this.options.sendDatagram(to, { case: 'shareQuestion', value });
+  }
+
+  private answer(to: string, { sequence, number }: ShareQuestion): void {
+    const { shares, send, sendDatagram } = this.options;
+    const { record } = shares;
+    const mayTell = shares.mayTell(leaseNow());
+    const isNewer = record !== undefined && record.number > number;
+    const news = isNewer ? { news: encodeShares(record) } : {};
+    const fields = { sequence, number: this.knownNumber, mayTell, ...news };
+    const body = { case: 'shareAnswer', value: create(ShareAnswerSchema, fields) } as const;
+    // The addresses of a large group fill more than a datagram.
+    if (isNewer) send(to, body);
+    else sendDatagram(to, body);
+  }
+
+  private hearAnswer(from: string, { sequence, number, mayTell, news }: ShareAnswer): void {
+    const { shares, send } = this.options;
+    const askedAt = this.questions.get(sequence);
+    const told = news === undefined ? undefined : decodeShares(news);
+    const { record } = shares;
+    if (record !== undefined && number < record.number) {
+      send(from, { case: 'shareNews', value: encodeShares(record) });
+    }
+    this.changes.hearAnswer(from, number, steadyNow());
+    const isKnown = record !== undefined && number === record.number;
+    const heard = told ?? (isKnown ? record : undefined);
+    if (heard === undefined || askedAt === undefined) return;
+    if (mayTell) this.taken(shares.hearMember(heard, askedAt), from);
+    else this.taken(shares.hear(heard), from);
+  }
+
+  private taken(isNew: boolean, source: string): void {
+    const { shares, logger, onChange } = this.options;
+    const { record } = shares;
+    if (!isNew || record === undefined) return;
+    const { number, members, next } = record;
+    const isMember = shares.isSharer(this.options.self);
+    const fields = { number, source, members: members.length, next: next.length, isMember };
+    logger.info('limit_shares', { ...fields, isRead: shares.isRead });
+    onChange();
+  }
+
+  /** Whether this daemon may count changes with the clock. */
+  private followRight(): void {
+    const { shares, logger, onChange } = this.options;
+    const mayCount = shares.mayCount(leaseNow());
+    if (mayCount === this.mayCount) return;
+    this.mayCount = mayCount;
+    const fields = { number: this.knownNumber, share: shares.ownShare(leaseNow()) };
+    logger.info(mayCount ? 'limit_share_held' : 'limit_share_lost', fields);
+    onChange();
+  }
+}
--- /dev/null
+++ b/src/gateway/share-codec.ts
@@ -0,0 +1,36 @@
+/** The division of limits in messages and in the platform's store. */
+import { create } from '@bufbuild/protobuf';
+import { sortMembers, type ShareMember, type ShareRecord } from '../core/admission/limit-shares.js';
+import { ShareMemberSchema, ShareNewsSchema, type ShareNews } from '../proto/gen/internal_pb.js';
+
+/** Encodes a record for other daemons. */
+export function encodeShares({ number, members, next }: ShareRecord): ShareNews {
+  const encode = (list: readonly ShareMember[]): ShareNews['members'] =>
+    list.map(({ address, zone }) => create(ShareMemberSchema, { address, zone }));
+  return create(ShareNewsSchema, { number, members: encode(members), next: encode(next) });
+}
+
+/** Decodes a record that another daemon tells. */
+export function decodeShares({ number, members, next }: ShareNews): ShareRecord {
+  return { number, members: sortMembers(members), next: sortMembers(next) };
+}
+
+/** Reads the store's record; undefined if it is none. */
+export function sharesFromStore(value: unknown): ShareRecord | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
+  const { number, members, next } = value as Record<string, unknown>;
+  if (typeof number !== 'number' || !Number.isSafeInteger(number) || number < 1) return undefined;
+  const read = [members, next].map(membersOf);
+  const [readMembers, readNext] = read;
+  if (readMembers === undefined || readNext === undefined) return undefined;
+  return { number, members: readMembers, next: readNext };
+}
+
+function membersOf(value: unknown): ShareMember[] | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const members = value.flatMap((each: unknown) => {
+    const { address, zone } = (each ?? {}) as Partial<ShareMember>;
+    return typeof address === 'string' && typeof zone === 'string' ? [{ address, zone }] : [];
+  });
+  return members.length === value.length ? sortMembers(members) : undefined;
+}
--- a/src/gateway/shared-limits.ts
+++ b/src/gateway/shared-limits.ts
@@ -1,11 +1,12 @@
 /**
  * Limits over all daemons, of one kind. Each name has a holder, by rank among the live daemons, which counts for all
  * (`limit-holder.ts`). Far below a limit a daemon may admit at once and tell the holder; near it, the holder is asked first. A
- * daemon that hears nothing of a holder has its equal share.
+ * daemon that hears nothing of a holder has its own share (`core/admission/limit-shares.ts`).
  */
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import { HolderSilence } from '../core/admission/holder-silence.js';
+import type { LimitShares } from '../core/admission/limit-shares.js';
 import type { LimitDecision, RateLimit } from '../core/admission/rate-ledger.js';
 import type { MemberView } from '../core/membership-messages.js';
 import { SlidingSum } from '../core/sliding-sum.js';
@@ -28,8 +29,8 @@
   /** The leases under which this daemon grants as a holder. */
   readonly leases: HolderLeases;
   readonly live: () => readonly MemberView[];
-  /** Daemons that the platform's store lists. */
-  readonly listedCount: () => number;
+  /** How limits are divided among the daemons. */
+  readonly shares: LimitShares;
   /** The limit in force on a name; undefined if there is none. */
   readonly limitOf: (name: string) => RateLimit | undefined;
   readonly sendDatagram: (to: string, body: PeerBody) => void;
@@ -71,8 +72,8 @@
   private sequence = 0;
 
   constructor(private readonly options: SharedLimitsOptions) {
-    const { self, kind, logger, leases, live, listedCount, limitOf, broadcast } = options;
-    this.group = new LimitGroup({ self, kind, live, listedCount }, steadyNow());
+    const { self, kind, logger, leases, live, shares, limitOf, broadcast } = options;
+    this.group = new LimitGroup({ self, kind, live, shares }, steadyNow());
     this.asHolder = new LimitHolder({
       self,
       kind,
@@ -89,8 +90,8 @@
   /** Decides on a request under a limit; calls back at once or after the holder's decision. */
   admit(name: string, units: number, answer: (decision: LimitDecision) => void): void {
     const now = steadyNow();
-    if (!this.group.isListed) return answer({ type: 'unknown' });
     this.followGroup(now);
+    if (!this.group.hasCandidates) return answer({ type: 'unknown' });
     const state = this.memberState(name);
     if (state.holder === this.options.self) return this.admitAsHolder(name, state, units, answer);
     if (state.isTight || !this.mayPass(name, state, units, now)) {
@@ -111,7 +112,7 @@
     else this.charge(state.holder, { tenant: name, units: -units });
   }
 
-  /** The set of live daemons has changed. */
+  /** The set of live daemons has changed, or the division of limits. */
   groupChanged(): void {
     this.group.changed();
   }
@@ -155,7 +156,7 @@
   private mayPass(name: string, state: MemberState, units: number, now: number): boolean {
     const limit = this.options.limitOf(name);
     if (limit === undefined) return true;
-    const share = this.group.equalShare(limit);
+    const share = this.group.ownShare(limit);
     return state.silence.isHeard(units, share, now) || state.own.total(now) + units <= share;
   }
 
@@ -197,7 +198,7 @@
     const { name, units } = open;
     const state = this.memberState(name);
     const isAlone = state.silence.mayCountAlone(now);
-    const isWithin = isAlone && state.own.total(now) + units <= this.group.equalShare(limit);
+    const isWithin = isAlone && state.own.total(now) + units <= this.group.ownShare(limit);
     if (isWithin) state.alone.add(units, now);
     const fields = { [kind.subject]: name, units, holder: state.holder, isGranted: isWithin };
     logger.warn('limit_holder_silent', fields);
--- /dev/null
+++ b/test/core/limit-shares.test.ts
@@ -0,0 +1,71 @@
+import { describe, expect, it } from 'vitest';
+import {
+  LimitShares,
+  MEMBER_WORD_MS,
+  RENEWAL_LAPSES_MS,
+  type ShareMember,
+  type ShareRecord,
+} from '../../src/core/admission/limit-shares.js';
+
+const membersOf = (text: string): ShareMember[] =>
+  [...text].map((address) => ({ address, zone: 'z' }));
+const recordOf = (number: number, members: string, next = members): ShareRecord => ({
+  number,
+  members: membersOf(members),
+  next: membersOf(next),
+});
+
+function renewed(self: string): LimitShares {
+  const shares = new LimitShares(self);
+  shares.renewed(0);
+  return shares;
+}
+
+describe('the share of a daemon', () => {
+  it('is its part of the record, and none for one that has joined since', () => {
+    const member = renewed('a');
+    const joined = renewed('c');
+    for (const shares of [member, joined]) shares.read(recordOf(1, 'ab'));
+    expect(member.ownShare(0)).toBe(1 / 2);
+    expect(joined.ownShare(0)).toBe(0);
+  });
+
+  it('is the smaller one while a change is open, and none for who is to have one', () => {
+    const member = renewed('a');
+    const joined = renewed('c');
+    for (const shares of [member, joined]) shares.read(recordOf(2, 'ab', 'abc'));
+    expect(member.ownShare(0)).toBe(1 / 3);
+    expect(joined.ownShare(0)).toBe(0);
+  });
+
+  it('never grows by older news', () => {
+    const shares = renewed('a');
+    shares.read(recordOf(3, 'abc'));
+    expect(shares.hear(recordOf(1, 'ab'))).toBe(false);
+    expect(shares.ownShare(0)).toBe(1 / 3);
+  });
+
+  it('ends when the store has not been told for long that the daemon runs', () => {
+    const shares = renewed('a');
+    shares.read(recordOf(1, 'ab'));
+    expect(shares.ownShare(RENEWAL_LAPSES_MS)).toBe(1 / 2);
+    expect(shares.ownShare(RENEWAL_LAPSES_MS + 1)).toBe(0);
+    expect(shares.sumOf(2, RENEWAL_LAPSES_MS + 1)).toBe(0);
+  });
+
+  it('ends with a planned stop', () => {
+    const shares = renewed('a');
+    shares.read(recordOf(1, 'ab'));
+    shares.leave();
+    expect(shares.ownShare(0)).toBe(0);
+  });
+
+  it('counts for a short time only where a member has told it before the store was read', () => {
+    const shares = renewed('a');
+    expect(shares.hear(recordOf(1, 'ab'))).toBe(false);
+    shares.hearMember(recordOf(1, 'ab'), 100);
+    expect(shares.ownShare(100 + MEMBER_WORD_MS)).toBe(1 / 2);
+    expect(shares.ownShare(101 + MEMBER_WORD_MS)).toBe(0);
+    expect(shares.mayTell(100)).toBe(false);
+  });
+});
--- /dev/null
+++ b/test/core/member-entries.test.ts
@@ -0,0 +1,26 @@
+import { describe, expect, it } from 'vitest';
+import { RENEWAL_LAPSES_MS } from '../../src/core/admission/limit-shares.js';
+import { MemberEntries } from '../../src/core/member-entries.js';
+
+const entry = (revision: number) => ({ name: 'd', address: 'a:1', revision });
+
+describe('entries of daemons', () => {
+  it('tell of an end when one has not been renewed for longer than its share lasts', () => {
+    const entries = new MemberEntries();
+    entries.observe([entry(1)], 0);
+    entries.observe([entry(2)], 1_000);
+    expect(entries.hasEnded('a:1', RENEWAL_LAPSES_MS + 1_000)).toBe(false);
+    expect(entries.hasEnded('a:1', RENEWAL_LAPSES_MS + 61_000)).toBe(true);
+  });
+
+  it('tell of an end when one has been missing for longer than a restored store lacks it', () => {
+    const entries = new MemberEntries();
+    expect(entries.hasEnded('a:1', 0)).toBe(false);
+    entries.observe([entry(1)], 0);
+    entries.observe([], 1_000);
+    expect(entries.hasEnded('a:1', 60_000)).toBe(false);
+    expect(entries.hasEnded('a:1', 91_000)).toBe(true);
+    entries.observe([entry(3)], 92_000);
+    expect(entries.hasEnded('a:1', 92_000)).toBe(false);
+  });
+});
