--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,4 +28,11 @@
     files: ['**/*.js', '**/*.mjs'],
     languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { process: 'readonly', require: 'readonly' },
+    },
+  },
 );
--- /dev/null
+++ b/test/soak/gateway-process.test.ts
@@ -0,0 +1,33 @@
+/* Guards against a soak that plays another process than the one that is deployed: with variables of its own, handlers stood 0.4 s later. */
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { afterEach, beforeAll, describe, expect, it } from 'vitest';
+import { buildGateway, GatewayProcess } from './gateway-process.js';
+import { findSoakPorts } from './soak-ports.js';
+
+/** What a deployed process gets, what the deployment sets, and what lets a parent reach it. */
+const ALLOWED = /^(PATH|HOME|LANG|SCALESLIP_SETTINGS|SOAK_PEER_PORTS|NODE_CHANNEL_\w+)$/;
+
+describe('a gateway of a soak', () => {
+  const folder = mkdtempSync(path.join(tmpdir(), 'soak-process-'));
+  let gateway: GatewayProcess | undefined;
+
+  beforeAll(buildGateway);
+  afterEach(async () => {
+    await gateway?.end();
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  it('gets the variables of a deployed process only', async () => {
+    process.env.NODE_EXTRA_CA_CERTS ??= '/dev/null';
+    const [peers = 0, callers = 0, readiness = 0] = await findSoakPorts(3);
+    const ports = { peers, callers, readiness, metrics: 0 };
+    gateway = new GatewayProcess({ name: 'g', folder, store: '127.0.0.1:1', ports });
+    gateway.start();
+    const environment = readFileSync(`/proc/${gateway.pid}/environ`, 'utf8').split('\0');
+    const names = environment.filter((line) => line !== '').map((line) => line.split('=')[0] ?? '');
+    expect(names.filter((name) => !ALLOWED.test(name))).toEqual([]);
+    expect(names).toContain('SCALESLIP_SETTINGS');
+  });
+});
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -14,8 +14,12 @@
 const DEPLOYED_SETTINGS = 'deploy/settings.json';
 const DEPLOYMENT = 'deploy/system.toml';
 
-const SILENT_LINKS = './test/soak/silent-links.mjs';
-const SUSPENDED_CLOCK = './test/soak/suspended-clock.mjs';
+/** Sets the handlers that the program's entry sets, at the same moment after a start, and then loads what lets a gateway fail. */
+const ENTRY = 'test/soak/gateway-entry.cjs';
+const SILENT_LINKS = 'test/soak/silent-links.cjs';
+const SUSPENDED_CLOCK = 'test/soak/suspended-clock.cjs';
+/** The variables that a process gets where it is deployed, of those that this one has. */
+const DEPLOYED_VARIABLES = ['PATH', 'HOME', 'LANG'];
 
 /** A time in which a gateway was not its own master. */
 export interface Disturbance {
@@ -78,6 +82,14 @@
   return flags.split(' ').filter((flag) => flag !== '');
 }
 
+/** Others change the process: with NODE_EXTRA_CA_CERTS Node reads certificates for many times the rest of its start. */
+function deployedVariables(): Record<string, string> {
+  const named = DEPLOYED_VARIABLES.map((name) => [name, process.env[name]] as const);
+  return Object.fromEntries(
+    named.filter((pair): pair is [string, string] => pair[1] !== undefined),
+  );
+}
+
 /** A gateway that is started again whenever it ends. */
 export class GatewayProcess {
   readonly disturbances: Disturbance[] = [];
@@ -153,12 +165,12 @@
   start(): void {
     const log = openSync(this.logFile, 'a');
     const { silencedPorts, isSuspendable = false } = this.options;
-    const links = silencedPorts === undefined ? [] : ['--import', SILENT_LINKS];
-    const preload = [...links, ...(isSuspendable ? ['--import', SUSPENDED_CLOCK] : [])];
-    const child = spawn(process.execPath, [...deployedFlags(), ...preload, BUNDLE], {
+    const links = silencedPorts === undefined ? [] : [SILENT_LINKS];
+    const files = [...links, ...(isSuspendable ? [SUSPENDED_CLOCK] : []), BUNDLE];
+    const child = spawn(process.execPath, [...deployedFlags(), ENTRY, ...files], {
       stdio: silencedPorts === undefined ? ['ignore', log, log] : ['ignore', log, log, 'ipc'],
       env: {
-        ...process.env,
+        ...deployedVariables(),
         SCALESLIP_SETTINGS: this.settingsFile,
         SOAK_PEER_PORTS: silencedPorts?.join(','),
       },
--- a/test/soak/silent-links.mjs
+++ b/test/soak/silent-links.cjs
@@ -1,12 +1,12 @@
 /**
- * Loaded before a gateway's program (`node --import`), so that the links between gateways can fail
+ * Loaded before a gateway's program (`gateway-entry.cjs`), so that the links between gateways can fail
  * though nothing stands between them. The parent process sends what is to happen:
  * - `silence`: open connections with other gateways pass nothing more, without a reset; new ones work.
  * - `cut`: besides, new connections and datagrams pass nothing, until `heal`.
  * SOAK_PEER_PORTS names the ports on which gateways hear each other.
  */
-import dgram from 'node:dgram';
-import { subscribe } from 'node:diagnostics_channel';
+const dgram = require('node:dgram');
+const { subscribe } = require('node:diagnostics_channel');
 
 const peerPorts = new Set((process.env.SOAK_PEER_PORTS ?? '').split(',').map(Number));
 const open = new Set();
--- a/test/soak/suspended-clock.mjs
+++ b/test/soak/suspended-clock.cjs
@@ -1,10 +1,10 @@
 /**
- * Loaded before a gateway's program (`node --import`): its steady clock does not count a time in which the process stood
+ * Loaded before a gateway's program (`gateway-entry.cjs`): its steady clock does not count a time in which the process stood
  * still, as on a machine that was suspended. The time of day goes on.
  */
 
-import { performance } from 'node:perf_hooks';
-import { setInterval } from 'node:timers';
+const { performance } = require('node:perf_hooks');
+const { setInterval } = require('node:timers');
 
 /** A process that runs looks at its clock more often; a shorter standstill is the scheduler's. */
 const STANDSTILL_MS = 450;
