--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -6,13 +6,15 @@
  * Reads the failures that the last test run has left (`test/summary-reporter.ts`). Exits with 1 if
  * any of them is not listed, if an entry is listed twice, or if the run left none to read.
  * A line of the list: `file > suite > test | cause | issue N`. A seeded run that is no test of the run
- * stands there as its command, with one seed.
+ * stands there as its command, with one seed. An indented line below an entry says what was learned since.
  */
 import { existsSync, readFileSync } from 'node:fs';
 import { pathToFileURL } from 'node:url';
 
 const LIST = 'KNOWN-RED.txt';
 const FAILURES = 'results/failed-tests.json';
+/** How a line begins that belongs to the entry above it. */
+const NOTE = ' ';
 /** How a line begins that names a command in place of a test. */
 const COMMAND = 'npm run ';
 
@@ -20,7 +22,7 @@
 export function readKnown(text) {
   return text
     .split('\n')
-    .filter((line) => line.trim() !== '')
+    .filter((line) => line.trim() !== '' && !line.startsWith(NOTE))
     .map((line) => ({ test: line.split('|')[0].trim(), line }));
 }
 
--- a/spec/shares.pml
+++ b/spec/shares.pml
@@ -3,7 +3,7 @@
  * of them sees of the others. Three daemons; the first record divides the limits between two of them. A
  * record of the store names those that have a share (members), and while it is open those that are to have
  * one (next). It is closed once every member knows it, or has ended. A daemon that takes no step for a
- * while is cut off or frozen; words between daemons come from anybody, at any time, or never.
+ * while is cut off or frozen; messages between daemons come from anybody, at any time, or never.
  *
  * A daemon that starts again knows nothing. It has a share once it has read the store, or for a short time
  * after a member that has read it has told it the record.
@@ -19,8 +19,8 @@
 #ifndef RESTARTS
 #define RESTARTS 2
 #endif
-/* Ticks for which a word of another daemon counts, and that a record stays open after all members know it. */
-#define WORD 1
+/* Ticks for which an answer of another daemon counts, and that a record stays open after all members know it. */
+#define ANSWER_LASTS 1
 #ifdef NO_WAIT
 #define WAIT 0
 #else
@@ -49,7 +49,7 @@
 byte ended = 0;
 byte restarts = 0;
 
-#define IS_CURRENT(i) (hasRead[i] || age[i] <= WORD)
+#define IS_CURRENT(i) (hasRead[i] || age[i] <= ANSWER_LASTS)
 #define LARGER(i) (SIZE(knownMembers[i]) > SIZE(knownNext[i]) -> SIZE(knownMembers[i]) : SIZE(knownNext[i]))
 #ifdef SHARE_OF_NEXT
 /* A daemon that is to have a share counts it while others still count theirs as before. */
@@ -72,10 +72,10 @@
 #else
 #define ALL_KNOW (((acked | ended) & members) == members)
 #endif
-#ifdef ANYBODY_TELLS
-#define MAY_TELL(j) (known[j] != 0)
+#ifdef ANY_DAEMON_ANSWERS
+#define MAY_ANSWER(j) (known[j] != 0)
 #else
-#define MAY_TELL(j) (known[j] != 0 && hasRead[j] && (knownMembers[j] & BIT(j)) && !(ended & BIT(j)))
+#define MAY_ANSWER(j) (known[j] != 0 && hasRead[j] && (knownMembers[j] & BIT(j)) && !(ended & BIT(j)))
 #endif
 
 inline take(i, aNumber, someMembers, someNext) {
@@ -96,9 +96,9 @@
        if
        :: hasRead[i] && known[j] > known[i] -> take(i, known[j], knownMembers[j], knownNext[j])
 #endif
-       :: !hasRead[i] && MAY_TELL(j) && known[j] >= known[i] ->
+       :: !hasRead[i] && MAY_ANSWER(j) && known[j] >= known[i] ->
             take(i, known[j], knownMembers[j], knownNext[j]); age[i] = 0
-#ifdef WORD_KEPT
+#ifdef ANSWER_KEPT
             ; hasRead[i] = 1
 #endif
        :: else
@@ -123,14 +123,14 @@
        members = next; number = number + 1; acked = 0; waited = 0; take(i, number, members, next) }
   /* It starts again. */
   :: d_step { restarts < RESTARTS && !(ended & BIT(i)) ->
-       restarts = restarts + 1; known[i] = 0; hasRead[i] = 0; age[i] = WORD + 1 }
+       restarts = restarts + 1; known[i] = 0; hasRead[i] = 0; age[i] = ANSWER_LASTS + 1 }
   od
 }
 
 init {
   byte k;
   atomic {
-    for (k : 0 .. DAEMONS - 1) { age[k] = WORD + 1 }
+    for (k : 0 .. DAEMONS - 1) { age[k] = ANSWER_LASTS + 1 }
     run daemon(0); run daemon(1); run daemon(2);
     k = 0
   }
@@ -139,7 +139,7 @@
   :: d_step {
        for (k : 0 .. DAEMONS - 1) {
          if
-         :: age[k] <= WORD -> age[k] = age[k] + 1
+         :: age[k] <= ANSWER_LASTS -> age[k] = age[k] + 1
          :: else
          fi
        }
--- a/src/core/admission/limit-shares.ts
+++ b/src/core/admission/limit-shares.ts
@@ -30,8 +30,8 @@
 export const RENEWAL_LAPSES_MS = 1_800_000;
 /** An entry that a former process of this daemon has left counts for so long from this one's start. */
 export const KEPT_ENTRY_MS = 20_000;
-/** What a member has told counts for so long at a daemon that has not read the store since its start. */
-export const MEMBER_WORD_MS = 1_000;
+/** A member's answer counts for so long at a daemon that has not read the store since its start. */
+export const MEMBER_ANSWER_MS = 1_000;
 
 /** Whether no change is open. */
 export function isClosed({ members, next }: ShareRecord): boolean {
@@ -58,7 +58,7 @@
   private hasRead = false;
   private hasLeft = false;
   private readonly renewal = new NewestProof();
-  private readonly memberWord = new NewestProof();
+  private readonly memberAnswer = new NewestProof();
 
   constructor(private readonly self: string) {}
 
@@ -96,7 +96,7 @@
     if (this.hasRead || (this.known !== undefined && record.number < this.known.number)) {
       return this.hear(record);
     }
-    this.memberWord.prove(askedAt);
+    this.memberAnswer.prove(askedAt);
     return this.take(record);
   }
 
@@ -113,7 +113,7 @@
   /** Whether this daemon may count by the record: alone its own share, as a holder those of all that it sees. */
   mayCount(now: number): boolean {
     if (this.hasLeft || !this.sharers.has(this.self)) return false;
-    if (!this.hasRead) return this.memberWord.ageMs(now) <= MEMBER_WORD_MS;
+    if (!this.hasRead) return this.memberAnswer.ageMs(now) <= MEMBER_ANSWER_MS;
     return this.renewal.ageMs(now) <= RENEWAL_LAPSES_MS;
   }
 
--- a/src/core/admission/share-changes.ts
+++ b/src/core/admission/share-changes.ts
@@ -4,7 +4,7 @@
  */
 import {
   KEPT_ENTRY_MS,
-  MEMBER_WORD_MS,
+  MEMBER_ANSWER_MS,
   isClosed,
   sameMembers,
   sortMembers,
@@ -16,7 +16,7 @@
 /** An answer that is older says nothing of whether a member is in touch. */
 const ANSWER_COUNTS_MS = 1_000;
 /** After the last member's answer whoever was told an older record by a member counts it no more. */
-const CLOSES_AFTER_MS = MEMBER_WORD_MS + 300;
+const CLOSES_AFTER_MS = MEMBER_ANSWER_MS + 300;
 /** The same where a member has ended: it may have started again just before, and kept its entry. */
 const CLOSES_AFTER_END_MS = KEPT_ENTRY_MS + 5_000;
 
--- a/src/gateway/limit-holder.ts
+++ b/src/gateway/limit-holder.ts
@@ -44,8 +44,8 @@
 
 interface HeldLedger {
   readonly ledger: RateLedger;
-  /** As the other daemons were told last. */
-  toldTight: boolean;
+  /** As it was announced to the other daemons last. */
+  announcedTight: boolean;
   usedAt: number;
   /** Questions that came before the lease, by daemon and number. */
   readonly waiting: Map<string, WaitingQuestion>;
@@ -167,7 +167,7 @@
       return known;
     }
     const ledger = kind.makeLedger(limit, view, group.candidatesSince);
-    const held = { ledger, toldTight: true, usedAt: now, waiting: new Map() };
+    const held = { ledger, announcedTight: true, usedAt: now, waiting: new Map() };
     this.ledgers.set(name, held);
     logger.info('limit_held', { [kind.subject]: name, share: view.share });
     this.followLease(name, held);
@@ -241,8 +241,8 @@
     this.forgetWaiting(held, now);
     if (!this.mayLend(name)) return;
     const isTight = held.ledger.isTight(now);
-    if (isTight === held.toldTight) return;
-    held.toldTight = isTight;
+    if (isTight === held.announcedTight) return;
+    held.announcedTight = isTight;
     const used = Math.round(held.ledger.used(now));
     const capacity = Math.round(held.ledger.capacity());
     this.options.logger.info('limit_tight', { [kind.subject]: name, isTight, used, capacity });
--- a/src/gateway/share-agreement.ts
+++ b/src/gateway/share-agreement.ts
@@ -101,7 +101,8 @@
   /** Handles a message about shares; false if it is another kind. */
   receive(from: string, body: PeerBody): boolean {
     if (body.case === 'shareNews') {
-      this.taken(this.options.shares.hear(decodeShares(body.value)), from);
+      const record = decodeShares(body.value);
+      if (record !== undefined) this.taken(this.options.shares.hear(record), from);
     } else if (body.case === 'shareQuestion') this.answer(from, body.value);
     else if (body.case === 'shareAnswer') this.hearAnswer(from, body.value);
     else return false;
--- a/src/gateway/share-codec.ts
+++ b/src/gateway/share-codec.ts
@@ -10,8 +10,9 @@
   return create(ShareNewsSchema, { number, members: encode(members), next: encode(next) });
 }
 
-/** Decodes a record that another daemon tells. */
-export function decodeShares({ number, members, next }: ShareNews): ShareRecord {
+/** Decodes a record of another daemon; undefined if it is none. */
+export function decodeShares({ number, members, next }: ShareNews): ShareRecord | undefined {
+  if (!isRecordNumber(number)) return undefined;
   return { number, members: sortMembers(members), next: sortMembers(next) };
 }
 
@@ -19,13 +20,17 @@
 export function sharesFromStore(value: unknown): ShareRecord | undefined {
   if (typeof value !== 'object' || value === null) return undefined;
   const { number, members, next } = value as Record<string, unknown>;
-  if (typeof number !== 'number' || !Number.isSafeInteger(number) || number < 1) return undefined;
+  if (!isRecordNumber(number)) return undefined;
   const read = [members, next].map(membersOf);
   const [readMembers, readNext] = read;
   if (readMembers === undefined || readNext === undefined) return undefined;
   return { number, members: readMembers, next: readNext };
 }
 
+function isRecordNumber(value: unknown): value is number {
+  return typeof value === 'number' && Number.isSafeInteger(value) && value >= 1;
+}
+
 function membersOf(value: unknown): ShareMember[] | undefined {
   if (!Array.isArray(value)) return undefined;
   const members = value.flatMap((each: unknown) => {
--- a/test/core/limit-shares.test.ts
+++ b/test/core/limit-shares.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import {
   LimitShares,
-  MEMBER_WORD_MS,
+  MEMBER_ANSWER_MS,
   RENEWAL_LAPSES_MS,
   type ShareMember,
   type ShareRecord,
@@ -64,8 +64,8 @@
     const shares = renewed('a');
     expect(shares.hear(recordOf(1, 'ab'))).toBe(false);
     shares.hearMember(recordOf(1, 'ab'), 100);
-    expect(shares.ownShare(100 + MEMBER_WORD_MS)).toBe(1 / 2);
-    expect(shares.ownShare(101 + MEMBER_WORD_MS)).toBe(0);
+    expect(shares.ownShare(100 + MEMBER_ANSWER_MS)).toBe(1 / 2);
+    expect(shares.ownShare(101 + MEMBER_ANSWER_MS)).toBe(0);
     expect(shares.mayTell(100)).toBe(false);
   });
 });
--- a/test/scripts/known-red.test.ts
+++ b/test/scripts/known-red.test.ts
@@ -32,6 +32,14 @@
     expect(problemsOf(['c > c'], known)).toEqual([]);
   });
 
+  it('keeps what was learned below an entry, which stays as it was', () => {
+    const known = readKnown(
+      'a > one | a cause | issue 1\n  learned: more | of it\nb > two | b | issue 2\n',
+    );
+    expect(known.map(({ test }) => test)).toEqual(['a > one', 'b > two']);
+    expect(problemsOf(['a > one'], known)).toEqual([]);
+  });
+
   it('has one line an entry, which is known by its test or its command and broken promise', () => {
     const seed = 'npm run soak -- --seed 9 | unasked_exit: a cause | issue 3\n';
     const other = 'npm run soak -- --seed 9 | limit_exceeded: a cause | issue 3\n';
