Shares: a daemon that may not count grants to nobody; the first record waits for no daemon that cannot reach the store

A holder without a right to count had a capacity of 0 and refused with 429 what was within the limit; it does not answer now. The first record was written only by the first daemon in rank: whoever reads twice that there is none writes it.

--- a/src/gateway/limit-group.ts
+++ b/src/gateway/limit-group.ts
@@ -71,6 +71,11 @@
     return this.holderOf(name) === this.options.self;
   }
 
+  /** Whether this daemon may count as a holder. */
+  get mayCount(): boolean {
+    return this.options.shares.mayCount(leaseNow());
+  }
+
   /** Units of a window that this daemon may admit alone: all together pass no limit. */
   ownShare(limit: RateLimit): number {
     return this.unitsOf(limit) * this.options.shares.ownShare(leaseNow());
--- a/src/gateway/limit-holder.ts
+++ b/src/gateway/limit-holder.ts
@@ -112,9 +112,10 @@
     this.answer(from, name, question, decision, ledger.isTight(now));
   }
 
-  /** Whether this daemon may grant to others now: its lease holds. */
+  /** Whether this daemon may grant to others now: its lease holds, and it may count shares. */
   private mayLend(name: string): boolean {
-    return this.options.leases.holds(this.leaseName(name));
+    const { group, leases } = this.options;
+    return group.mayCount && leases.holds(this.leaseName(name));
   }
 
   /** Whether it may serve its own callers: its successor must be able to know of it. */
--- a/src/gateway/share-agreement.ts
+++ b/src/gateway/share-agreement.ts
@@ -123,8 +123,11 @@
   }
 
   private async readOrCreate(): Promise<void> {
+    const wasAbsent = this.isAbsent;
     await this.read();
-    if (!this.isAbsent || this.knownNumber > 0 || !this.isChanger()) return;
+    if (!this.isAbsent || this.knownNumber > 0) return;
+    // Whoever should write the first record may not reach the store: after a while anybody does.
+    if (!this.isChanger() && !wasAbsent) return;
     const first = firstRecord(this.view());
     if (first !== undefined) await this.write(undefined, first);
   }
--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -58,7 +58,8 @@
   private readonly daemons: SharedLimits[];
   private readonly leases: HolderLeases[] = [];
   private readonly agreements: ShareAgreement[] = [];
-  private readonly store = new SimulatedRecordStore();
+  private readonly divisions: LimitShares[] = [];
+  readonly store = new SimulatedRecordStore();
   /** Daemons that each one lists. */
   private readonly known: Set<number>[];
   private readonly random;
@@ -178,6 +179,20 @@
     this.groupChanged();
   }
 
+  /** The part of each limit that each daemon may count alone. */
+  shares(): number[] {
+    return this.divisions.map((shares) => shares.ownShare(performance.now()));
+  }
+
+  /** All see and hear each other again, and list those that have joined. */
+  heal(): void {
+    this.cut.clear();
+    this.seesCut.clear();
+    const all = [...this.known.keys()];
+    for (const known of this.known) for (const index of all) known.add(index);
+    this.groupChanged();
+  }
+
   /** A daemon starts again and remembers nothing. */
   restart(index: number): void {
     this.daemons[index] = this.daemon(index);
@@ -272,6 +287,7 @@
     const live = (): readonly MemberView[] => this.seenBy(index);
     const shares = new LimitShares(self);
     shares.renewed(performance.now());
+    this.divisions[index] = shares;
     const broadcast = (body: PeerBody): void => {
       for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
     };
--- a/test/simulation/simulated-record-store.ts
+++ b/test/simulation/simulated-record-store.ts
@@ -10,6 +10,8 @@
   private readonly records = new Map<string, StoredRecord>();
   private revision = 0;
   calls = 0;
+  /** Whether no call is answered but with a failure. */
+  isAway = false;
 
   /** Undefined if there is none. */
   read(kind: string, name: string): Promise<Result<StoredRecord | undefined, RecordFailure>> {
@@ -39,7 +41,8 @@
     this.calls += 1;
     return new Promise((resolve) => {
       setTimeout(() => {
-        const result = done();
+        const away = Result.err<Value, RecordFailure>({ type: 'unavailable', reason: 'away' });
+        const result = this.isAway ? away : done();
         setTimeout(() => resolve(result), CALL_MS / 2);
       }, CALL_MS / 2);
     });
