--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -6,6 +6,8 @@
 
 /** Time that a stop may take, as the platform's sheets have it. */
 export const STOP_SECONDS = 8;
+/** A process that starts serves after so long. */
+const START_MS = 1_500;
 const BUILD_FOLDER = 'target/soak';
 /** The program that is deployed, built from the adapter. */
 const BUNDLE = `${BUILD_FOLDER}/scaleslip-gateway.cjs`;
@@ -190,9 +192,17 @@
     this.endDisturbances(['killed', 'stopped']);
   }
 
+  /** Starts a process that has not run before, among others that do. */
+  startLate(): void {
+    const from = Date.now();
+    const until = from + START_MS;
+    this.disturbances.push({ kind: 'killed', from, until, endedAt: until });
+    this.start();
+  }
+
   /** Ends the process at once; it starts again by itself. */
   kill(): void {
-    this.disturbed('killed', 1_500);
+    this.disturbed('killed', START_MS);
     this.isExpectedToEnd = true;
     this.child?.kill('SIGKILL');
   }
--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -20,6 +20,12 @@
   sendPoison(name: string, backMs: number): void;
 }
 
+/** What joining needs of the soak. */
+export interface GatewayStarter {
+  /** Starts a gateway that has not run before; there may be no more of them. */
+  joinGateway(): void;
+}
+
 /** Strikes gateways and replicas. */
 export class NamedFaultInjector {
   private poisons = 0;
@@ -28,7 +34,7 @@
 
   /** @param endsAt - Nothing begins later; Unix milliseconds. */
   constructor(
-    private readonly system: SoakSystem & PoisonSender,
+    private readonly system: SoakSystem & PoisonSender & GatewayStarter,
     private readonly random: SeededRandom,
     private readonly endsAt: number,
   ) {}
@@ -48,9 +54,25 @@
         return void this.restoreStore(fault);
       case 'suspended':
         return this.suspend(fault);
+      case 'joined_during_cut':
+        return void this.joinDuringCut(fault);
     }
   }
 
+  private async joinDuringCut(fault: FaultOf<'joined_during_cut'>): Promise<void> {
+    const now = Date.now();
+    const free = [...this.system.gateways.values()].filter((each) => !each.wasDisturbed(now, now));
+    const counter = counterOf(free);
+    const others = free.filter((each) => each !== counter);
+    const cut = [fault.cutsCounter ? counter : this.random.pick(others)];
+    if (fault.cutCount > 1) cut.push(others.find((each) => !cut.includes(each)));
+    // Callers keep two gateways that hear each other.
+    if (free.length - cut.length < 2) return;
+    for (const gateway of cut) gateway?.cutOff(fault.cutMs);
+    await sleep(fault.joinAfterMs);
+    for (let joined = 0; joined < fault.joiners; joined++) this.system.joinGateway();
+  }
+
   private async repeat(fault: FaultOf<'poison_request'>): Promise<void> {
     this.poisons += 1;
     const name = `poison-${this.poisons}`;
--- a/test/soak/named-fault-plan.ts
+++ b/test/soak/named-fault-plan.ts
@@ -61,6 +61,16 @@
       /** The owner of a service is cut off meanwhile; 0 for none. */
       readonly cutMs: number;
     }
+  /** Some gateways are cut off, each from all others, and gateways join these others. */
+  | {
+      readonly kind: 'joined_during_cut';
+      /** Whoever counts the limited tenant is among those that are cut off. */
+      readonly cutsCounter: boolean;
+      readonly cutCount: number;
+      readonly cutMs: number;
+      readonly joiners: number;
+      readonly joinAfterMs: number;
+    }
   /** A gateway stands still, and its steady clock with it. */
   | {
       readonly kind: 'suspended';
@@ -84,6 +94,7 @@
   'backend_names_limit',
   'store_restored',
   'suspended',
+  'joined_during_cut',
 ];
 
 /** Requests a second. */
@@ -154,6 +165,15 @@
         changesAfterMs: random.between(0, 4_000),
         cutMs: random.chance(0.4) ? random.between(1_000, 5_000) : 0,
       };
+    case 'joined_during_cut':
+      return {
+        kind,
+        cutsCounter: random.chance(0.5),
+        cutCount: Math.ceil(random.between(0, 2)),
+        cutMs: random.between(5_000, 14_000),
+        joiners: Math.ceil(random.between(2, 8)),
+        joinAfterMs: random.between(200, 4_000),
+      };
     case 'suspended':
       return {
         kind,
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -21,7 +21,7 @@
 import { NAMED_FAULT_KINDS, planNamedFaults, type NamedFault } from './named-fault-plan.js';
 import { LONGEST_SERVICE_MS, planLeavingFaults, type LeavingFault } from './leaving-fault-plan.js';
 import { limitMargin, type LimitMargin } from './limit-margin.js';
-import { GatewayProcess } from './gateway-process.js';
+import { GatewayProcess, type GatewayPorts } from './gateway-process.js';
 import { portsByCountRank } from './gateway-roles.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
@@ -104,6 +104,8 @@
 const NAMED_SEED = 50_000;
 /** Added to a seed for the generators of callers that keep connections. */
 const KEPT_CALLER_SEED = 20_000;
+/** Gateways that may join. */
+const MOST_JOINERS = 8;
 /** Added to a seed for the generator of ranks and of hot times. */
 const RANK_SEED = 60_000;
 /** Eras in which the store may begin: 0 and 1, by the seed. */
@@ -113,7 +115,11 @@
 const KEPT_CALLER_RATE = 3;
 const START_MS = 3_000;
 /** Named faults that also cut gateways off. */
-const CUTTING_KINDS: readonly NamedFault['kind'][] = ['backend_names_limit', 'store_restored'];
+const CUTTING_KINDS: readonly NamedFault['kind'][] = [
+  'backend_names_limit',
+  'store_restored',
+  'joined_during_cut',
+];
 /** From the last fault's end until callers are served as before. */
 const RECOVERY_MS = 9_000;
 const CALM_MS = 4_000;
@@ -130,6 +136,11 @@
   return soak.play();
 }
 
+/** What happens that is no fault. */
+type SoakNote =
+  | { readonly kind: 'configuration_accepted'; readonly version: number }
+  | { readonly kind: 'gateway_joined'; readonly gateway: string };
+
 type SoakFault = Fault | FurtherFault | LeavingFault | NamedFault | SeriesFault;
 
 class SoakRun implements SoakSystem {
@@ -138,6 +149,8 @@
   private readonly log = new RunLog();
   readonly replicas: ReplicaStandIn[] = [];
   readonly gateways = new Map<string, GatewayProcess>();
+  /** Those that have not joined yet. */
+  private readonly joiners: GatewayProcess[] = [];
   private readonly calls: CallRecord[] = [];
   private readonly probes: ConfigurationProbe[] = [];
   private readonly pending = new Set<Promise<void>>();
@@ -284,7 +297,7 @@
   }
 
   private async start(): Promise<void> {
-    const { folder, gateways = 4, promisesRevocation, checksEpochs } = this.options;
+    const { folder, gateways = 4 } = this.options;
     rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
     for (let index = 0; index < (this.options.replicas ?? REPLICAS); index++) {
@@ -293,33 +306,63 @@
       await replica.start();
     }
     this.changeConfiguration();
-    const ports = await findSoakPorts(gateways * 3);
-    const peerPorts = this.orderOf(ports.slice(0, gateways));
-    const { faultKinds = 'first', leaving = false, series = [] } = this.options;
-    const hasCuts = faultKinds === 'further' || faultKinds === 'both' || leaving;
-    const cutsSome = this.namedKinds.some((kind) => CUTTING_KINDS.includes(kind));
-    const silencedPorts = hasCuts || cutsSome || series.length > 0 ? peerPorts : undefined;
+    await this.makeGateways(gateways);
+  }
+
+  /** Starts the gateways, and makes those that may join. */
+  private async makeGateways(count: number): Promise<void> {
+    const joiners = this.namedKinds.includes('joined_during_cut') ? MOST_JOINERS : 0;
+    const all = count + joiners;
+    const ports = await findSoakPorts(all * 3);
+    const peerPorts = [...this.orderOf(ports.slice(0, count)), ...ports.slice(count, all)];
     for (const [index, peers] of peerPorts.entries()) {
-      const [callers = 0, readiness = 0] = ports.slice(gateways + 2 * index);
-      const name = `gateway-${index}`;
+      const [callers = 0, readiness = 0] = ports.slice(all + 2 * index);
       const where = { peers, callers, readiness, metrics: 0 };
-      const store = await this.store.listenFor(name);
-      const process = new GatewayProcess({
-        name,
-        folder,
-        store,
-        ports: where,
-        ...(promisesRevocation === undefined ? {} : { promisesRevocation }),
-        ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
-        ...(silencedPorts === undefined ? {} : { silencedPorts }),
-        isSuspendable: this.namedKinds.includes('suspended'),
-        onStruck: (kind, milliseconds) => this.noteStruck(name, kind, milliseconds),
-      });
-      this.gateways.set(name, process);
+      const process = await this.makeGateway(`gateway-${index}`, where, peerPorts);
+      if (index >= count) {
+        this.joiners.push(process);
+        continue;
+      }
+      this.gateways.set(process.name, process);
       process.start();
     }
   }
 
+  private async makeGateway(
+    name: string,
+    ports: GatewayPorts,
+    peerPorts: readonly number[],
+  ): Promise<GatewayProcess> {
+    const { folder, promisesRevocation, checksEpochs } = this.options;
+    return new GatewayProcess({
+      name,
+      folder,
+      store: await this.store.listenFor(name),
+      ports,
+      ...(promisesRevocation === undefined ? {} : { promisesRevocation }),
+      ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
+      ...(this.hasCuts ? { silencedPorts: peerPorts } : {}),
+      isSuspendable: this.namedKinds.includes('suspended'),
+      onStruck: (kind, milliseconds) => this.noteStruck(name, kind, milliseconds),
+    });
+  }
+
+  /** Whether some fault may cut gateways off, or make their connections go silent. */
+  private get hasCuts(): boolean {
+    const { faultKinds = 'first', leaving = false, series = [] } = this.options;
+    const cutsSome = this.namedKinds.some((kind) => CUTTING_KINDS.includes(kind));
+    const hasFurther = faultKinds === 'further' || faultKinds === 'both';
+    return hasFurther || leaving || cutsSome || series.length > 0;
+  }
+
+  joinGateway(): void {
+    const process = this.joiners.shift();
+    if (process === undefined) return;
+    this.note({ kind: 'gateway_joined', gateway: process.name });
+    this.gateways.set(process.name, process);
+    process.startLate();
+  }
+
   /** Ports of the gateways in their order. */
   private orderOf(ports: readonly number[]): number[] {
     if (this.options.drawsRanks !== true) return [...ports];
@@ -371,7 +414,7 @@
   }
 
   /** Writes what happens beside the gateways' logs, to be read with them. */
-  private note(happened: SoakFault | StruckGateway | { kind: string; version: number }): void {
+  private note(happened: SoakFault | StruckGateway | SoakNote): void {
     const line = `${new Date().toISOString()} ${JSON.stringify(happened)}\n`;
     appendFileSync(path.join(this.options.folder, 'faults.log'), line);
   }
