--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -161,7 +161,19 @@
     return request.caller.tenant === STEADY_TENANT && request.kind !== 'poison';
   });
   const calm = steady.filter((call) => call.sentAt >= evidence.calmSince);
-  const served = calm.filter((call) => call.status === 200 && call.isWhole).length;
+  const isServed = (call: CallRecord): boolean => call.status === 200 && call.isWhole;
+  const served = calm.filter(isServed).length;
   if (served >= calm.length * RECOVERY_SHARE) return [];
-  return [{ rule: 'not_recovered', detail: `${served} of ${calm.length} served` }];
+  const others = countEnds(calm.filter((call) => !isServed(call)));
+  return [{ rule: 'not_recovered', detail: `${served} of ${calm.length} served; ${others}` }];
+}
+
+/** How often calls have ended in which way. */
+function countEnds(calls: readonly CallRecord[]): string {
+  const counts = new Map<string, number>();
+  for (const { request, status = 'no answer', errorKind = '', isWhole } of calls) {
+    const end = `${request.kind} ${status} ${errorKind}${isWhole ? '' : ' cut'}`;
+    counts.set(end, (counts.get(end) ?? 0) + 1);
+  }
+  return [...counts].map(([end, count]) => `${end}: ${count}`).join(', ');
 }
