Shares: the store's record has a module; a lost answer of a former process proves nothing; lines for members that do not answer

An answer to a question of a former process could have the number of one of this process, and prove an older record for up to a second: questions begin at a number by the time of the start.

--- a/src/gateway/share-agreement.ts
+++ b/src/gateway/share-agreement.ts
@@ -7,7 +7,7 @@
 import { leaseNow } from '../common/lease-clock.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { firstCandidate } from '../common/rendezvous.js';
-import { isClosed, LimitShares, type ShareRecord } from '../core/admission/limit-shares.js';
+import type { LimitShares, ShareRecord } from '../core/admission/limit-shares.js';
 import {
   firstRecord,
   ShareChanges,
@@ -21,12 +21,11 @@
   type ShareAnswer,
   type ShareQuestion,
 } from '../proto/gen/internal_pb.js';
-import type { RecordFailure, RecordStore } from './ports.js';
-import { decodeShares, encodeShares, sharesFromStore } from './share-codec.js';
+import type { RecordStore } from './ports.js';
+import { decodeShares, encodeShares } from './share-codec.js';
+import { ShareRecordStore } from './share-record-store.js';
 import { steadyNow } from './steady-clock.js';
 
-/** Name of the one record of its kind. */
-const RECORD_NAME = 'all';
 /** Daemons rank who changes the division under this name. */
 const CHANGER_RANK = 'limit-shares';
 /** From a reading that failed, or found nothing, to the next; twice as long after each. */
@@ -42,6 +41,12 @@
 const USUAL_QUESTION_MS = 5_000;
 /** Questions of which an answer still counts. */
 const OPEN_QUESTIONS = 16;
+/** The first question of a process has a number below this, by the time of its start. */
+const FIRST_SEQUENCES = 2 ** 30;
+/** Between two log lines about members that do not answer. */
+const LOG_PERIOD_MS = 5_000;
+/** Members that such a line names. */
+const MOST_NAMED = 3;
 
 /** Options of {@link ShareAgreement}. */
 export interface ShareAgreementOptions {
@@ -65,7 +70,8 @@
   private readonly changes = new ShareChanges();
   /** When the last questions were asked, by the lease clock. */
   private readonly questions = new Map<number, number>();
-  private sequence = 0;
+  /** An answer to a question of a former process is none to this one's. */
+  private sequence = Date.now() % FIRST_SEQUENCES;
   private turn = 0;
   /** Which daemon changes the division; undefined until the live daemons have been looked at. */
   private changer: string | undefined;
@@ -79,7 +85,12 @@
   private askedMembersAt = -Infinity;
   private askedUsualAt = -Infinity;
 
-  constructor(private readonly options: ShareAgreementOptions) {}
+  private loggedAt = -Infinity;
+  private readonly records: ShareRecordStore;
+
+  constructor(private readonly options: ShareAgreementOptions) {
+    this.records = new ShareRecordStore(options);
+  }
 
   /** Looks at the clock; call it ten times a second. */
   tick(): void {
@@ -124,7 +135,11 @@
 
   private async readOrCreate(): Promise<void> {
     const wasAbsent = this.isAbsent;
-    await this.read();
+    const reading = await this.records.read();
+    this.isAbsent = reading.type === 'absent';
+    this.retryAt = steadyNow() + this.retryMs;
+    this.retryMs = reading.type === 'read' ? FIRST_RETRY_MS : this.nextRetryMs();
+    if (reading.type === 'read') return this.taken(reading.isNew, 'store');
     if (!this.isAbsent || this.knownNumber > 0) return;
     // Whoever should write the first record may not reach the store: after a while anybody does.
     if (!this.isChanger() && !wasAbsent) return;
@@ -132,26 +147,8 @@
     if (first !== undefined) await this.write(undefined, first);
   }
 
-  private async read(): Promise<void> {
-    const { store, shares, logger } = this.options;
-    const answer = await store.read('limitShares', RECORD_NAME);
-    this.retryAt = steadyNow() + this.retryMs;
-    this.retryMs = Math.min(LONGEST_RETRY_MS, this.retryMs * 2);
-    if (answer.isErr) return this.unread(answer.error);
-    this.isAbsent = answer.value === undefined;
-    if (answer.value === undefined) return shares.readNothing();
-    const record = sharesFromStore(answer.value.value);
-    if (record === undefined) {
-      logger.error('limit_shares_unreadable', { revision: answer.value.revision });
-      return;
-    }
-    this.retryMs = FIRST_RETRY_MS;
-    this.taken(shares.read(record), 'store');
-  }
-
-  private unread(failure: RecordFailure): void {
-    const reason = failure.type === 'conflict' ? failure.type : failure.reason;
-    this.options.logger.warn('limit_shares_unread', { reason, known: this.knownNumber });
+  private nextRetryMs(): number {
+    return Math.min(LONGEST_RETRY_MS, this.retryMs * 2);
   }
 
   private get knownNumber(): number {
@@ -195,28 +192,22 @@
   private askMembers(record: ShareRecord, view: ShareChangeView, now: number): void {
     if (now - this.askedMembersAt < CHANGE_QUESTION_MS) return;
     this.askedMembersAt = now;
-    for (const address of this.changes.unanswered(record, view, now)) this.ask(address);
+    const unanswered = this.changes.unanswered(record, view, now);
+    for (const address of unanswered) this.ask(address);
+    if (unanswered.length === 0 || now - this.loggedAt < LOG_PERIOD_MS) return;
+    this.loggedAt = now;
+    const named = unanswered.slice(0, MOST_NAMED).join(' ');
+    const fields = { number: record.number, unanswered: unanswered.length, named };
+    this.options.logger.info('limit_shares_waiting', fields);
   }
 
-  /** Replaces the record that the store holds, if it is the one that this daemon knows. */
   private async write(former: ShareRecord | undefined, next: ShareRecord): Promise<void> {
-    const { store, shares, logger, broadcast } = this.options;
-    const held = await store.read('limitShares', RECORD_NAME);
-    if (held.isErr) return this.unread(held.error);
-    const stored = held.value && sharesFromStore(held.value.value);
-    if (stored !== undefined && stored.number > this.knownNumber) {
-      return this.taken(shares.read(stored), 'store');
-    }
-    // A store that has come back from a copy may hold an older record than daemons know: it is replaced like the newest one.
-    const isUnchanged = this.knownNumber === (former?.number ?? 0);
-    if (!isUnchanged || (held.value !== undefined && stored === undefined)) return;
-    const written = await store.write('limitShares', RECORD_NAME, next, held.value?.revision);
-    if (written.isErr) return this.unread(written.error);
-    const members = next.members.length;
-    const fields = { number: next.number, members, next: next.next.length };
-    logger.info(isClosed(next) ? 'limit_shares_closed' : 'limit_shares_opened', fields);
-    this.taken(shares.read(next), 'self');
-    broadcast({ case: 'shareNews', value: encodeShares(next) });
+    const reading = await this.records.replace(former, next);
+    if (reading.type !== 'read') return;
+    this.taken(reading.isNew, 'store');
+    const { record } = this.options.shares;
+    if (record === undefined) return;
+    this.options.broadcast({ case: 'shareNews', value: encodeShares(record) });
   }
 
   private askWithoutReading(now: number): void {
