--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -42,6 +42,8 @@
   private revision: StorePosition | undefined;
   private renewals = 0;
   private renewAt = -Infinity;
+  /** Whether this process has taken over the entry of a former one. */
+  private hasKeptEntry = false;
 
   /** @param onRenewed - The store has acknowledged this daemon's entry; the time of the question by the lease clock. */
   constructor(
@@ -109,22 +111,24 @@
     const created = await this.store.write('members', name, this.entry(), undefined);
     if (created.isOk) this.renewed(created.value.revision, askedAt);
     if (created.isErr && created.error.type !== 'conflict') return this.unread(created.error);
+    const listedAt = leaseNow();
     const list = await this.store.list('members', 'current');
     if (list.isErr) return this.unread(list.error);
     this.take(list.value);
-    this.isListed = created.isOk || (await this.keepEntry(list.value));
+    this.isListed = created.isOk || (await this.keepEntry(list.value, listedAt));
     return this.isListed;
   }
 
   /** The list held this daemon's name before: its entry may be of a former address, or of long ago. */
-  private async keepEntry(list: readonly StoredRecord[]): Promise<boolean> {
+  private async keepEntry(list: readonly StoredRecord[], askedAt: number): Promise<boolean> {
     const known = list.find((record) => record.name === this.settings.name);
     const [member] = known === undefined ? [] : dutyMember(known.value);
     if (member?.address !== this.peers.address) return this.writeEntry(known?.revision);
     this.renewals = renewalsOf(known?.value);
     this.revision = known?.revision;
-    // How long ago it was renewed is not known: it counts until the next reading, which renews it.
-    this.onRenewed(leaseNow() - RENEWAL_LAPSES_MS + KEPT_ENTRY_MS);
+    // How long ago it was renewed is not known: it counts until the next reading, which renews it, and only once.
+    if (!this.hasKeptEntry) this.onRenewed(askedAt - RENEWAL_LAPSES_MS + KEPT_ENTRY_MS);
+    this.hasKeptEntry = true;
     return true;
   }
 
--- a/test/gateway/member-list.test.ts
+++ b/test/gateway/member-list.test.ts
@@ -1,7 +1,9 @@
 import { Result } from 'true-myth';
 import { afterEach, describe, expect, it } from 'vitest';
+import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
+import { KEPT_ENTRY_MS, RENEWAL_LAPSES_MS } from '../../src/core/admission/limit-shares.js';
 import type { GatewaySettings } from '../../src/gateway/gateway-settings.js';
 import { MemberList } from '../../src/gateway/member-list.js';
 import type { PeerGroup } from '../../src/gateway/peer-group.js';
@@ -57,7 +59,10 @@
 
 const lists: MemberList[] = [];
 
-function startList(store: RecordStore): { list: MemberList; seeds: string[] } {
+function startList(
+  store: RecordStore,
+  onRenewed: (askedAt: number) => void = () => {},
+): { list: MemberList; seeds: string[] } {
   const seeds: string[] = [];
   const peers = {
     address: ADDRESS,
@@ -69,7 +74,7 @@
     seeds: [],
     peerPort: 7380,
   } as unknown as GatewaySettings;
-  const list = new MemberList(settings, store, peers, silentLogger);
+  const list = new MemberList(settings, store, peers, silentLogger, onRenewed);
   list.start();
   lists.push(list);
   return { list, seeds };
@@ -117,6 +122,20 @@
     expect(store.records.get('d1')?.value).toEqual({ address: ADDRESS, zone: 'a' });
   });
 
+  it('renews the entry of before a restart with the next reading, for a short right until then', async () => {
+    const store = new CountingStore();
+    store.records.set('d1', { name: 'd1', value: { address: ADDRESS, zone: 'a' }, revision: 4 });
+    const renewals: number[] = [];
+    startList(store, (askedAt) => renewals.push(askedAt));
+    await sleep(700);
+    const [kept = 0] = renewals;
+    expect(renewals).toHaveLength(1);
+    expect(leaseNow() - kept).toBeGreaterThan(RENEWAL_LAPSES_MS - KEPT_ENTRY_MS);
+    await sleep(2_000);
+    expect(store.calls).toContain('write members d1 4');
+    expect(leaseNow() - (renewals.at(-1) ?? 0)).toBeLessThan(2_500);
+  });
+
   it('asks a store that is down less and less often', async () => {
     const store = new CountingStore();
     store.isDown = true;
