--- a/src/core/admission/share-changes.ts
+++ b/src/core/admission/share-changes.ts
@@ -15,12 +15,12 @@
 const STABLE_MS = 1_000;
 /** An answer that is older says nothing of whether a member is in touch. */
 const ANSWER_COUNTS_MS = 1_000;
-/** After the last member's answer whoever was told an older record by a member counts it no more. */
+/** After the last member's answer an older record that a member has answered with counts nowhere any more. */
 const CLOSES_AFTER_MS = MEMBER_ANSWER_MS + 300;
 /** The same where a member has ended: it may have started again just before, and kept its entry. */
 const CLOSES_AFTER_END_MS = KEPT_ENTRY_MS + 5_000;
 
-/** What a daemon that changes the division sees. */
+/** What the coordinator of changes sees. */
 export interface ShareChangeView {
   readonly live: readonly ShareMember[];
   /** Whether a daemon has ended, as far as the platform's store tells. */
@@ -32,7 +32,7 @@
   readonly at: number;
 }
 
-/** One daemon's part in changes. */
+/** The coordinator's part. */
 export class ShareChanges {
   private readonly answers = new Map<string, MemberAnswer>();
   private wanted: readonly ShareMember[] = [];
--- a/src/gateway/share-agreement.ts
+++ b/src/gateway/share-agreement.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps this daemon's knowledge of how limits are divided among the daemons, and changes the division when it is this
- * daemon's turn. The record stands in the platform's store; daemons tell each other of it, so that a change costs the store a few
+ * Keeps this daemon's knowledge of how limits are divided among the daemons, and changes the division where it coordinates
+ * changes. The record stands in the platform's store; daemons tell each other of it, so that a change costs the store a few
  * calls, however many daemons there are, and a daemon that starts while the store is away hears of it.
  */
 import { create } from '@bufbuild/protobuf';
@@ -26,8 +26,8 @@
 import { ShareRecordStore } from './share-record-store.js';
 import { steadyNow } from './steady-clock.js';
 
-/** Daemons rank who changes the division under this name. */
-const CHANGER_RANK = 'limit-shares';
+/** Daemons rank the coordinator of changes under this name. */
+const COORDINATOR_RANK = 'limit-shares';
 /** From a reading that failed, or found nothing, to the next; twice as long after each. */
 const FIRST_RETRY_MS = 300;
 const LONGEST_RETRY_MS = 4_000;
@@ -73,8 +73,8 @@
   /** An answer to a question of a former process is none to this one's. */
   private sequence = Date.now() % FIRST_SEQUENCES;
   private turn = 0;
-  /** Which daemon changes the division; undefined until the live daemons have been looked at. */
-  private changer: string | undefined;
+  /** Which daemon coordinates changes; undefined until the live daemons have been looked at. */
+  private coordinator: string | undefined;
   private isBusy = false;
   private isAbsent = false;
   private mayCount = false;
@@ -84,7 +84,6 @@
   private askedUnreadAt = -Infinity;
   private askedMembersAt = -Infinity;
   private askedUsualAt = -Infinity;
-
   private loggedAt = -Infinity;
   private readonly records: ShareRecordStore;
 
@@ -98,22 +97,22 @@
     const { shares } = this.options;
     if (!shares.isRead) this.askWithoutReading(now);
     const isUnknown = shares.record === undefined || !shares.isRead;
-    if (isUnknown && now >= this.retryAt) this.inTurn(() => this.readOrCreate());
-    if (this.isChanger()) this.followChange(now);
-    this.askInTurn(now);
-    this.followRight();
+    if (isUnknown && now >= this.retryAt) this.callStore(() => this.readOrCreate());
+    if (this.isCoordinator()) this.followChange(now);
+    this.askPeriodically(now);
+    this.noteMayCount();
   }
 
   /** The set of live daemons has changed. */
   groupChanged(): void {
-    this.changer = undefined;
+    this.coordinator = undefined;
   }
 
   /** Handles a message about shares; false if it is another kind. */
   receive(from: string, body: PeerBody): boolean {
     if (body.case === 'shareNews') {
       const record = decodeShares(body.value);
-      if (record !== undefined) this.taken(this.options.shares.hear(record), from);
+      if (record !== undefined) this.noteTaken(this.options.shares.hear(record), from);
     } else if (body.case === 'shareQuestion') this.answer(from, body.value);
     else if (body.case === 'shareAnswer') this.hearAnswer(from, body.value);
     else return false;
@@ -121,7 +120,7 @@
   }
 
   /** The store's calls follow one another. */
-  private inTurn(step: () => Promise<void>): void {
+  private callStore(step: () => Promise<void>): void {
     if (this.isBusy) return;
     this.isBusy = true;
     step()
@@ -139,10 +138,10 @@
     this.isAbsent = reading.type === 'absent';
     this.retryAt = steadyNow() + this.retryMs;
     this.retryMs = reading.type === 'read' ? FIRST_RETRY_MS : this.nextRetryMs();
-    if (reading.type === 'read') return this.taken(reading.isNew, 'store');
+    if (reading.type === 'read') return this.noteTaken(reading.isNew, 'store');
     if (!this.isAbsent || this.knownNumber > 0) return;
     // Whoever should write the first record may not reach the store: after a while anybody does.
-    if (!this.isChanger() && !wasAbsent) return;
+    if (!this.isCoordinator() && !wasAbsent) return;
     const first = firstRecord(this.view());
     if (first !== undefined) await this.write(undefined, first);
   }
@@ -155,15 +154,15 @@
     return this.options.shares.record?.number ?? 0;
   }
 
-  /** Of all live daemons one changes the division; two that see different ones are kept apart by the store. */
-  private isChanger(): boolean {
+  /** Of all live daemons one coordinates changes; two that see different ones are kept apart by the store. */
+  private isCoordinator(): boolean {
     const { live, self, shares } = this.options;
     if (!shares.isRead) return false;
-    if (this.changer === undefined) {
+    if (this.coordinator === undefined) {
       const addresses = live().map(({ address }) => address);
-      this.changer = firstCandidate(CHANGER_RANK, addresses);
+      this.coordinator = firstCandidate(COORDINATOR_RANK, addresses);
     }
-    return this.changer === self;
+    return this.coordinator === self;
   }
 
   private followChange(now: number): void {
@@ -176,7 +175,7 @@
     const next = this.changes.next(record, view, now);
     if (next === undefined || now < this.writeAt) return;
     this.writeAt = now + WRITE_PERIOD_MS;
-    this.inTurn(() => this.write(record, next));
+    this.callStore(() => this.write(record, next));
   }
 
   private view(): ShareChangeView {
@@ -204,7 +203,7 @@
   private async write(former: ShareRecord | undefined, next: ShareRecord): Promise<void> {
     const reading = await this.records.replace(former, next);
     if (reading.type !== 'read') return;
-    this.taken(reading.isNew, 'store');
+    this.noteTaken(reading.isNew, 'store');
     const { record } = this.options.shares;
     if (record === undefined) return;
     this.options.broadcast({ case: 'shareNews', value: encodeShares(record) });
@@ -216,7 +215,7 @@
     this.askNextOther();
   }
 
-  private askInTurn(now: number): void {
+  private askPeriodically(now: number): void {
     if (now - this.askedUsualAt < USUAL_QUESTION_MS) return;
     this.askedUsualAt = now;
     this.askNextOther();
@@ -261,20 +260,20 @@
   private hearAnswer(from: string, { sequence, number, mayTell, news }: ShareAnswer): void {
     const { shares, send } = this.options;
     const askedAt = this.questions.get(sequence);
-    const told = news === undefined ? undefined : decodeShares(news);
+    const sent = news === undefined ? undefined : decodeShares(news);
     const { record } = shares;
     if (record !== undefined && number < record.number) {
       send(from, { case: 'shareNews', value: encodeShares(record) });
     }
     this.changes.hearAnswer(from, number, steadyNow());
     const isKnown = record !== undefined && number === record.number;
-    const heard = told ?? (isKnown ? record : undefined);
+    const heard = sent ?? (isKnown ? record : undefined);
     if (heard === undefined || askedAt === undefined) return;
-    if (mayTell) this.taken(shares.hearMember(heard, askedAt), from);
-    else this.taken(shares.hear(heard), from);
+    if (mayTell) this.noteTaken(shares.hearMember(heard, askedAt), from);
+    else this.noteTaken(shares.hear(heard), from);
   }
 
-  private taken(isNew: boolean, source: string): void {
+  private noteTaken(isNew: boolean, source: string): void {
     const { shares, logger, onChange } = this.options;
     const { record } = shares;
     if (!isNew || record === undefined) return;
@@ -286,7 +285,7 @@
   }
 
   /** Whether this daemon may count changes with the clock. */
-  private followRight(): void {
+  private noteMayCount(): void {
     const { shares, logger, onChange } = this.options;
     const mayCount = shares.mayCount(leaseNow());
     if (mayCount === this.mayCount) return;
--- a/test/core/share-changes.test.ts
+++ b/test/core/share-changes.test.ts
@@ -14,7 +14,7 @@
   hasEnded: (address) => ended.includes(address),
 });
 
-/** The record that a changer writes within some seconds, if each of some daemons answers all the time. */
+/** The record that a coordinator writes within some seconds, if each of some daemons answers all the time. */
 function changed(
   record: ShareRecord,
   view: ShareChangeView,
