--- a/test/simulation/simulated-limits.ts
+++ b/test/simulation/simulated-limits.ts
@@ -6,6 +6,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { vi } from 'vitest';
+import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger } from '../../src/common/logger.js';
 import { LimitShares } from '../../src/core/admission/limit-shares.js';
 import type { RateLimit } from '../../src/core/admission/rate-ledger.js';
@@ -181,7 +182,7 @@
 
   /** The part of each limit that each daemon may count alone. */
   shares(): number[] {
-    return this.divisions.map((shares) => shares.ownShare(performance.now()));
+    return this.divisions.map((shares) => shares.ownShare(leaseNow()));
   }
 
   /** All see and hear each other again, and list those that have joined. */
@@ -286,7 +287,7 @@
       this.send(index, Number(to.slice(2)), body);
     const live = (): readonly MemberView[] => this.seenBy(index);
     const shares = new LimitShares(self);
-    shares.renewed(performance.now());
+    shares.renewed(leaseNow());
     this.divisions[index] = shares;
     const broadcast = (body: PeerBody): void => {
       for (const to of this.daemons.keys()) if (to !== index) this.send(index, to, body);
