Shares: what the change wrote twice, and what nobody reads

Two tests made records each in its own way: test/core/share-fixtures.ts serves both. Entries of the list of daemons carried a name, and the simulated store a count of calls, that nothing read. The soak drew the phase of hot times anew at every request; it draws it once, the same one. Behaviour and assertions are as before.

--- a/src/core/member-entries.ts
+++ b/src/core/member-entries.ts
@@ -12,8 +12,6 @@
 
 /** An entry as it was read. */
 export interface MemberEntry {
-  /** Under which the entry stands in the list. */
-  readonly name: string;
   readonly address: string;
   readonly revision: StorePosition;
 }
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -169,8 +169,8 @@
 
   private take(list: readonly StoredRecord[]): void {
     this.listed = list.flatMap(({ value }) => dutyMember(value));
-    const entries = list.flatMap(({ name, value, revision }) =>
-      dutyMember(value).map(({ address }) => ({ name, address, revision })),
+    const entries = list.flatMap(({ value, revision }) =>
+      dutyMember(value).map(({ address }) => ({ address, revision })),
     );
     this.entries.observe(entries, steadyNow());
     const others = this.listed.filter((member) => member.address !== this.peers.address);
--- a/test/core/limit-shares.test.ts
+++ b/test/core/limit-shares.test.ts
@@ -3,17 +3,8 @@
   LimitShares,
   MEMBER_ANSWER_MS,
   RENEWAL_LAPSES_MS,
-  type ShareMember,
-  type ShareRecord,
 } from '../../src/core/admission/limit-shares.js';
-
-const membersOf = (text: string): ShareMember[] =>
-  [...text].map((address) => ({ address, zone: 'z' }));
-const recordOf = (number: number, members: string, next = members): ShareRecord => ({
-  number,
-  members: membersOf(members),
-  next: membersOf(next),
-});
+import { recordOf } from './share-fixtures.js';
 
 function renewed(self: string): LimitShares {
   const shares = new LimitShares(self);
--- a/test/core/member-entries.test.ts
+++ b/test/core/member-entries.test.ts
@@ -2,7 +2,7 @@
 import { RENEWAL_LAPSES_MS } from '../../src/core/admission/limit-shares.js';
 import { MemberEntries } from '../../src/core/member-entries.js';
 
-const entry = (revision: number) => ({ name: 'd', address: 'a:1', revision });
+const entry = (revision: number) => ({ address: 'a:1', revision });
 
 describe('entries of daemons', () => {
   it('tell of an end when one has not been renewed for longer than its share lasts', () => {
--- a/test/core/share-changes.test.ts
+++ b/test/core/share-changes.test.ts
@@ -1,14 +1,8 @@
 import { describe, expect, it } from 'vitest';
-import type { ShareMember, ShareRecord } from '../../src/core/admission/limit-shares.js';
+import type { ShareRecord } from '../../src/core/admission/limit-shares.js';
 import { ShareChanges, type ShareChangeView } from '../../src/core/admission/share-changes.js';
+import { membersOf, recordOf } from './share-fixtures.js';
 
-const membersOf = (text: string): ShareMember[] =>
-  [...text].map((address) => ({ address, zone: 'z' }));
-const recordOf = (number: number, members: string, next = members): ShareRecord => ({
-  number,
-  members: membersOf(members),
-  next: membersOf(next),
-});
 const viewOf = (live: string, ended = ''): ShareChangeView => ({
   live: membersOf(live),
   hasEnded: (address) => ended.includes(address),
--- a/test/simulation/simulated-record-store.ts
+++ b/test/simulation/simulated-record-store.ts
@@ -9,7 +9,6 @@
 export class SimulatedRecordStore {
   private readonly records = new Map<string, StoredRecord>();
   private revision = 0;
-  calls = 0;
   /** Whether no call is answered but with a failure. */
   isAway = false;
 
@@ -38,7 +37,6 @@
   private call<Value>(
     done: () => Result<Value, RecordFailure>,
   ): Promise<Result<Value, RecordFailure>> {
-    this.calls += 1;
     return new Promise((resolve) => {
       setTimeout(() => {
         const away = Result.err<Value, RecordFailure>({ type: 'unavailable', reason: 'away' });
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -158,6 +158,8 @@
   readonly replicaFaults: TimeSpan[] = [];
   private readonly accepted = new Map<number, number>();
   private begun = 0;
+  /** Where in its turns the limited tenant is when the faults begin, if the seed draws that. */
+  private readonly hotPhaseMs: number;
   private hotCounterFaults = 0;
   private version = 0;
   private sequence = 0;
@@ -165,6 +167,7 @@
 
   constructor(private readonly options: SoakOptions) {
     this.random = new SeededRandom(options.seed);
+    this.hotPhaseMs = new SeededRandom(options.seed + RANK_SEED).between(0, HOT_TURNS_MS);
     const firstEra = options.seed % FIRST_ERAS;
     this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
   }
@@ -539,11 +542,10 @@
   }
 
   private isHot(): boolean {
-    const { alwaysHot = false, drawsRanks = false, seed } = this.options;
+    const { alwaysHot = false, drawsRanks = false } = this.options;
     if (alwaysHot) return true;
     if (!drawsRanks) return isHotByTurns(Date.now());
-    const phase = new SeededRandom(seed + RANK_SEED).between(0, HOT_TURNS_MS);
-    return isHotByTurns(Date.now() - this.begun + phase);
+    return isHotByTurns(Date.now() - this.begun + this.hotPhaseMs);
   }
 
   /** Gateways that the entry sends new callers to. */
