Shares: one look of the coordinator a tick, one type and one reader of members, one list of undisturbed gateways

Behaviour, bounds and assertions are as before; share-changes.test.ts asks step(...).next where it asked next(...).

--- a/src/core/admission/holder-lease.ts
+++ b/src/core/admission/holder-lease.ts
@@ -9,6 +9,7 @@
  */
 import { rankCandidates } from '../../common/rendezvous.js';
 import { NewestProof } from '../newest-proof.js';
+import type { ShareMember } from './limit-shares.js';
 
 /** A lease lasts so long after its question: two questions may get no answer. */
 export const HOLD_MS = 1_000;
@@ -26,12 +27,6 @@
 /** Words that one keeper remembers; names come from other daemons and must not fill its memory. */
 const MOST_WORDS = 10_000;
 
-/** A daemon that may be a keeper. */
-export interface KeeperCandidate {
-  readonly address: string;
-  readonly zone: string;
-}
-
 /** A holder's question. */
 export interface LeaseQuestion {
   /** What is held. */
@@ -68,7 +63,7 @@
 }
 
 /** The keepers of a name, from several zones as far as there are any. */
-export function keepersOf(name: string, candidates: readonly KeeperCandidate[]): string[] {
+export function keepersOf(name: string, candidates: readonly ShareMember[]): string[] {
   const zoneOf = new Map(candidates.map(({ address, zone }) => [address, zone]));
   const ranked = rankCandidates(`keeper/${name}`, [...zoneOf.keys()]);
   const size = KEEPER_COUNTS.find((count) => count <= ranked.length) ?? ranked.length;
--- a/src/core/admission/share-changes.ts
+++ b/src/core/admission/share-changes.ts
@@ -27,6 +27,14 @@
   readonly hasEnded: (address: string) => boolean;
 }
 
+/** What is left to do for a change. */
+export interface ShareChangeStep {
+  /** Addresses of members that have to be asked which record they know. */
+  readonly unanswered: readonly string[];
+  /** The next record, if it may be written now. */
+  readonly next: ShareRecord | undefined;
+}
+
 interface MemberAnswer {
   readonly number: number;
   readonly at: number;
@@ -44,46 +52,51 @@
     this.answers.set(from, { number, at: now });
   }
 
-  /** Members that have to be asked for the record's number. */
-  unanswered(record: ShareRecord, view: ShareChangeView, now: number): string[] {
-    const isEnough = isClosed(record)
-      ? (address: string): boolean => this.hasAnsweredLately(address, record, now)
-      : (address: string): boolean => this.knows(address, record);
-    return remaining(record, view)
-      .map(({ address }) => address)
-      .filter((address) => !isEnough(address));
-  }
-
-  /** The next record, if it may be written now. */
-  next(record: ShareRecord, view: ShareChangeView, now: number): ShareRecord | undefined {
-    return isClosed(record) ? this.open(record, view, now) : this.close(record, view, now);
-  }
-
-  /** Whether other daemons should share than do. */
-  isWanted(record: ShareRecord, view: ShareChangeView): boolean {
-    return !isClosed(record) || !sameMembers(record.members, wantedMembers(record, view));
+  /** Looks at a record; undefined if no change of it is open and none is wanted. */
+  step(record: ShareRecord, view: ShareChangeView, now: number): ShareChangeStep | undefined {
+    const remaining = record.members.filter(({ address }) => !view.hasEnded(address));
+    return isClosed(record)
+      ? this.open(record, remaining, view, now)
+      : this.close(record, remaining, now);
   }
 
-  private open(record: ShareRecord, view: ShareChangeView, now: number): ShareRecord | undefined {
+  private open(
+    record: ShareRecord,
+    remaining: readonly ShareMember[],
+    { live }: ShareChangeView,
+    now: number,
+  ): ShareChangeStep | undefined {
+    const wanted = sortMembers([...live, ...remaining]);
+    if (sameMembers(record.members, wanted)) return undefined;
     this.completeSince = undefined;
-    const next = wantedMembers(record, view);
-    if (!this.isStable(next, now) || sameMembers(record.members, next)) return undefined;
-    const live = new Set(view.live.map(({ address }) => address));
-    const areInTouch = remaining(record, view).every(({ address }) => live.has(address));
-    if (!areInTouch || this.unanswered(record, view, now).length > 0) return undefined;
-    return { number: record.number + 1, members: record.members, next };
+    const isStable = this.isStable(wanted, now);
+    const unanswered = addressesOf(remaining).filter(
+      (address) => !this.hasAnsweredLately(address, record, now),
+    );
+    const seen = new Set(addressesOf(live));
+    const areInTouch =
+      unanswered.length === 0 && addressesOf(remaining).every((address) => seen.has(address));
+    if (!isStable || !areInTouch) return { unanswered, next: undefined };
+    const next = { number: record.number + 1, members: record.members, next: wanted };
+    return { unanswered, next };
   }
 
-  private close(record: ShareRecord, view: ShareChangeView, now: number): ShareRecord | undefined {
-    if (this.unanswered(record, view, now).length > 0) {
+  private close(
+    record: ShareRecord,
+    remaining: readonly ShareMember[],
+    now: number,
+  ): ShareChangeStep {
+    const unanswered = addressesOf(remaining).filter((address) => !this.knows(address, record));
+    if (unanswered.length > 0) {
       this.completeSince = undefined;
-      return undefined;
+      return { unanswered, next: undefined };
     }
     this.completeSince ??= now;
-    const hasEndedMember = remaining(record, view).length < record.members.length;
+    const hasEndedMember = remaining.length < record.members.length;
     const waitMs = hasEndedMember ? CLOSES_AFTER_END_MS : CLOSES_AFTER_MS;
-    if (now - this.completeSince < waitMs) return undefined;
-    return { number: record.number + 1, members: record.next, next: record.next };
+    if (now - this.completeSince < waitMs) return { unanswered, next: undefined };
+    const next = { number: record.number + 1, members: record.next, next: record.next };
+    return { unanswered, next };
   }
 
   private isStable(members: readonly ShareMember[], now: number): boolean {
@@ -110,11 +123,6 @@
   return members.length === 0 ? undefined : { number: 1, members, next: members };
 }
 
-/** Members that have not ended. */
-function remaining(record: ShareRecord, { hasEnded }: ShareChangeView): ShareMember[] {
-  return record.members.filter(({ address }) => !hasEnded(address));
-}
-
-function wantedMembers(record: ShareRecord, view: ShareChangeView): ShareMember[] {
-  return sortMembers([...view.live, ...remaining(record, view)]);
+function addressesOf(members: readonly ShareMember[]): string[] {
+  return members.map(({ address }) => address);
 }
--- a/src/gateway/holder-leases.ts
+++ b/src/gateway/holder-leases.ts
@@ -10,10 +10,10 @@
   HolderLease,
   keepersOf,
   LeaseKeeper,
-  type KeeperCandidate,
   type LeaseAnswer,
   type LeaseHistory,
 } from '../core/admission/holder-lease.js';
+import type { ShareMember } from '../core/admission/limit-shares.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import {
   HolderLeaseAnswerSchema,
@@ -46,8 +46,8 @@
   readonly self: string;
   readonly logger: Logger;
   /** Daemons that have a share of the limits: all daemons choose keepers among the same. */
-  readonly members: () => readonly KeeperCandidate[];
-  readonly live: () => readonly KeeperCandidate[];
+  readonly members: () => readonly ShareMember[];
+  readonly live: () => readonly Pick<ShareMember, 'address'>[];
   /** Milliseconds for which keepers remember what former holders have told. */
   readonly rememberMs: number;
   /**
@@ -90,7 +90,7 @@
   private sequence: number;
   /** When each member was seen last. */
   private readonly seenAt = new Map<string, number>();
-  private candidates: readonly KeeperCandidate[] = [];
+  private candidates: readonly ShareMember[] = [];
   private lookedAt = -Infinity;
   /** Keepers by name, until the candidates change. */
   private readonly keepers = new Map<string, readonly string[]>();
@@ -261,7 +261,7 @@
     this.lookedAt = now;
     const { members, live } = this.options;
     for (const { address } of live()) this.seenAt.set(address, now);
-    const isCandidate = ({ address }: KeeperCandidate): boolean =>
+    const isCandidate = ({ address }: ShareMember): boolean =>
       now - (this.seenAt.get(address) ?? this.startedAt) < SETTLED_MS;
     const all = members();
     const addresses = new Set([...all, ...live()].map(({ address }) => address));
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -7,6 +7,7 @@
 import { MemberEntries } from '../core/member-entries.js';
 import type { StorePosition } from '../core/store-position.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { readMember } from './member-codec.js';
 import type { PeerGroup } from './peer-group.js';
 import type { RecordFailure, RecordStore, StoredRecord } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -122,8 +123,8 @@
   /** The list held this daemon's name before: its entry may be of a former address, or of long ago. */
   private async keepEntry(list: readonly StoredRecord[], askedAt: number): Promise<boolean> {
     const known = list.find((record) => record.name === this.settings.name);
-    const [member] = known === undefined ? [] : dutyMember(known.value);
-    if (member?.address !== this.peers.address) return this.writeEntry(known?.revision);
+    if (readMember(known?.value)?.address !== this.peers.address)
+      return this.writeEntry(known?.revision);
     this.renewals = renewalsOf(known?.value);
     this.revision = known?.revision;
     // How long ago it was renewed is not known: it counts until the next reading, which renews it, and only once.
@@ -168,10 +169,11 @@
   }
 
   private take(list: readonly StoredRecord[]): void {
-    this.listed = list.flatMap(({ value }) => dutyMember(value));
-    const entries = list.flatMap(({ value, revision }) =>
-      dutyMember(value).map(({ address }) => ({ address, revision })),
-    );
+    const entries = list.flatMap(({ value, revision }) => {
+      const member = readMember(value);
+      return member === undefined ? [] : [{ ...member, site: '', revision }];
+    });
+    this.listed = entries;
     this.entries.observe(entries, steadyNow());
     const others = this.listed.filter((member) => member.address !== this.peers.address);
     this.peers.addSeeds(others.map((member) => member.address));
@@ -203,10 +205,3 @@
   const { renewals } = (value ?? {}) as Partial<MemberRecord>;
   return typeof renewals === 'number' && Number.isFinite(renewals) ? renewals : 0;
 }
-
-function dutyMember(value: unknown): DutyMember[] {
-  if (typeof value !== 'object' || value === null) return [];
-  const { address, zone } = value as Partial<DutyMember>;
-  if (typeof address !== 'string' || typeof zone !== 'string') return [];
-  return [{ address, zone, site: '' }];
-}
--- a/src/gateway/share-agreement.ts
+++ b/src/gateway/share-agreement.ts
@@ -168,11 +168,11 @@
   private followChange(now: number): void {
     const { record } = this.options.shares;
     if (record === undefined) return;
-    const view = this.view();
-    if (!this.changes.isWanted(record, view)) return;
     this.changes.hearAnswer(this.options.self, record.number, now);
-    this.askMembers(record, view, now);
-    const next = this.changes.next(record, view, now);
+    const step = this.changes.step(record, this.view(), now);
+    if (step === undefined) return;
+    this.askMembers(step.unanswered, record.number, now);
+    const { next } = step;
     if (next === undefined || now < this.writeAt) return;
     this.writeAt = now + WRITE_PERIOD_MS;
     this.callStore(() => this.write(record, next));
@@ -188,15 +188,14 @@
     };
   }
 
-  private askMembers(record: ShareRecord, view: ShareChangeView, now: number): void {
+  private askMembers(unanswered: readonly string[], number: number, now: number): void {
     if (now - this.askedMembersAt < CHANGE_QUESTION_MS) return;
     this.askedMembersAt = now;
-    const unanswered = this.changes.unanswered(record, view, now);
     for (const address of unanswered) this.ask(address);
     if (unanswered.length === 0 || now - this.loggedAt < LOG_PERIOD_MS) return;
     this.loggedAt = now;
     const named = unanswered.slice(0, MOST_NAMED).join(' ');
-    const fields = { number: record.number, unanswered: unanswered.length, named };
+    const fields = { number, unanswered: unanswered.length, named };
     this.options.logger.info('limit_shares_waiting', fields);
   }
 
--- a/src/gateway/share-codec.ts
+++ b/src/gateway/share-codec.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { sortMembers, type ShareMember, type ShareRecord } from '../core/admission/limit-shares.js';
 import { ShareMemberSchema, ShareNewsSchema, type ShareNews } from '../proto/gen/internal_pb.js';
+import { readMember } from './member-codec.js';
 
 /** Encodes a record for other daemons. */
 export function encodeShares({ number, members, next }: ShareRecord): ShareNews {
@@ -21,8 +22,8 @@
   if (typeof value !== 'object' || value === null) return undefined;
   const { number, members, next } = value as Record<string, unknown>;
   if (!isRecordNumber(number)) return undefined;
-  const read = [members, next].map(membersOf);
-  const [readMembers, readNext] = read;
+  const readMembers = membersOf(members);
+  const readNext = membersOf(next);
   if (readMembers === undefined || readNext === undefined) return undefined;
   return { number, members: readMembers, next: readNext };
 }
@@ -33,9 +34,6 @@
 
 function membersOf(value: unknown): ShareMember[] | undefined {
   if (!Array.isArray(value)) return undefined;
-  const members = value.flatMap((each: unknown) => {
-    const { address, zone } = (each ?? {}) as Partial<ShareMember>;
-    return typeof address === 'string' && typeof zone === 'string' ? [{ address, zone }] : [];
-  });
+  const members = value.map(readMember).filter((member) => member !== undefined);
   return members.length === value.length ? sortMembers(members) : undefined;
 }
--- a/test/core/share-changes.test.ts
+++ b/test/core/share-changes.test.ts
@@ -18,7 +18,7 @@
   const changes = new ShareChanges();
   for (let now = 0; now <= seconds * 1_000; now += 100) {
     for (const from of answering) changes.hearAnswer(from, record.number, now);
-    const next = changes.next(record, view, now);
+    const next = changes.step(record, view, now)?.next;
     if (next !== undefined) return next;
   }
   return undefined;
--- a/test/gateway/backend-backoffs.test.ts
+++ b/test/gateway/backend-backoffs.test.ts
@@ -10,7 +10,6 @@
   GatewayHarness,
   pause,
   TestBackend,
-  testConfiguration,
   type BackendHandler,
   type CallerView,
 } from './gateway-harness.js';
@@ -28,12 +27,9 @@
   let two: TestBackend;
 
   beforeEach(async () => {
-    harness = await GatewayHarness.start();
     one = new TestBackend('one', asksForRest('0.8'));
     two = new TestBackend('two');
-    for (const backend of [one, two]) await backend.start();
-    harness.configure(testConfiguration());
-    harness.list([one.record(), two.record()]);
+    harness = await GatewayHarness.startBefore([one, two]);
   });
 
   afterEach(() => {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -304,6 +304,15 @@
     return harness;
   }
 
+  /** A started gateway with the usual configuration, before backends that it starts and lists. */
+  static async startBefore(backends: readonly TestBackend[]): Promise<GatewayHarness> {
+    const harness = await GatewayHarness.start();
+    for (const backend of backends) await backend.start();
+    harness.configure(testConfiguration());
+    harness.list(backends.map((backend) => backend.record()));
+    return harness;
+  }
+
   /** The platform answers, if it does, with the newest configuration that the test has given. */
   private confirm(): Promise<boolean> {
     const askedAt = leaseNow();
--- a/test/gateway/leaving-answers.test.ts
+++ b/test/gateway/leaving-answers.test.ts
@@ -29,12 +29,9 @@
   let two: TestBackend;
 
   beforeEach(async () => {
-    harness = await GatewayHarness.start();
     one = new TestBackend('one', answerLeaving);
     two = new TestBackend('two');
-    for (const backend of [one, two]) await backend.start();
-    harness.configure(testConfiguration());
-    harness.list([one.record(), two.record()]);
+    harness = await GatewayHarness.startBefore([one, two]);
   });
 
   afterEach(() => {
--- a/test/soak/further-fault-injector.ts
+++ b/test/soak/further-fault-injector.ts
@@ -4,7 +4,7 @@
 import type { FurtherFault, SilentSide, StoreOutage } from './further-fault-plan.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { SeededRandom } from './seeded-random.js';
-import type { SoakSystem } from './soak-system.js';
+import { undisturbedGateways, type SoakSystem } from './soak-system.js';
 import { strikeStore } from './store-outage.js';
 
 type FaultOf<Kind extends FurtherFault['kind']> = Extract<FurtherFault, { kind: Kind }>;
@@ -91,9 +91,10 @@
     const gateways = [...this.system.gateways.values()];
     const pauseMs = Math.min(gapMs, (gapMs * GATEWAYS_OF_GAPS) / gateways.length);
     for (const gateway of gateways) {
-      while (this.undisturbed().length <= 1 && this.mayBegin()) await sleep(LOOK_PERIOD_MS);
+      while (undisturbedGateways(this.system).length <= 1 && this.mayBegin())
+        await sleep(LOOK_PERIOD_MS);
       if (!this.mayBegin()) return;
-      if (!isDisturbed(gateway)) gateway.stopInTurn();
+      if (undisturbedGateways(this.system).includes(gateway)) gateway.stopInTurn();
       await sleep(pauseMs);
     }
   }
@@ -109,19 +110,10 @@
     return Date.now() < this.endsAt;
   }
 
-  private undisturbed(): GatewayProcess[] {
-    return [...this.system.gateways.values()].filter((each) => !isDisturbed(each));
-  }
-
   /** The owner, unless callers would have nowhere to go without it. */
   private spareOwner(): GatewayProcess | undefined {
-    const free = this.undisturbed();
+    const free = undisturbedGateways(this.system);
     const owner = ownerOf(this.system, free);
     return free.some((each) => each !== owner) ? owner : undefined;
   }
 }
-
-function isDisturbed(gateway: GatewayProcess): boolean {
-  const now = Date.now();
-  return gateway.wasDisturbed(now, now);
-}
--- a/test/soak/named-fault-injector.ts
+++ b/test/soak/named-fault-injector.ts
@@ -5,7 +5,7 @@
 import type { NamedFault, SuspendedGateway } from './named-fault-plan.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
 import type { SeededRandom } from './seeded-random.js';
-import { spareReplicas, type SoakSystem } from './soak-system.js';
+import { spareReplicas, undisturbedGateways, type SoakSystem } from './soak-system.js';
 
 /** A replica that has crashed is back after so long. */
 const RESTART_MS = 1_000;
@@ -60,8 +60,7 @@
   }
 
   private async joinDuringCut(fault: FaultOf<'joined_during_cut'>): Promise<void> {
-    const now = Date.now();
-    const free = [...this.system.gateways.values()].filter((each) => !each.wasDisturbed(now, now));
+    const free = undisturbedGateways(this.system);
     const counter = counterOf(free);
     const others = free.filter((each) => each !== counter);
     const cut = [fault.cutsCounter ? counter : this.random.pick(others)];
@@ -165,8 +164,7 @@
 
   /** Callers keep at least one gateway to go to. */
   private gatewayToSuspend(who: SuspendedGateway): GatewayProcess | undefined {
-    const now = Date.now();
-    const free = [...this.system.gateways.values()].filter((each) => !each.wasDisturbed(now, now));
+    const free = undisturbedGateways(this.system);
     if (free.length < 2) return undefined;
     if (who === 'owner') return ownerOf(this.system, free);
     return who === 'counter' ? counterOf(free) : this.random.pick(free);
--- a/test/soak/series-fault-injector.ts
+++ b/test/soak/series-fault-injector.ts
@@ -4,7 +4,7 @@
 import type { SeededRandom } from './seeded-random.js';
 import type { CounterHarm, FollowingSignal, SeriesFault } from './series-fault-plan.js';
 import { counterOf } from './gateway-roles.js';
-import type { SoakSystem } from './soak-system.js';
+import { undisturbedGateways, type SoakSystem } from './soak-system.js';
 
 type FaultOf<Kind extends SeriesFault['kind']> = Extract<SeriesFault, { kind: Kind }>;
 
@@ -88,22 +88,16 @@
 
   /** The daemon that counts the limited tenant, as the undisturbed ones rank it, unless it is the last of them. */
   private counter(): GatewayProcess | undefined {
-    const gateways = this.undisturbed();
+    const gateways = undisturbedGateways(this.system);
     return gateways.length < 2 ? undefined : counterOf(gateways);
   }
 
   /** Callers keep at least one gateway to go to. */
   private anyUndisturbed(): GatewayProcess | undefined {
-    const gateways = this.undisturbed();
+    const gateways = undisturbedGateways(this.system);
     return gateways.length < 2 ? undefined : this.random.pick(gateways);
   }
 
-  private undisturbed(): GatewayProcess[] {
-    const now = Date.now();
-    const { gateways } = this.system;
-    return [...gateways.values()].filter((each) => !each.wasDisturbed(now, now));
-  }
-
   private mayBegin(): boolean {
     return Date.now() < this.endsAt;
   }
--- a/test/soak/soak-system.ts
+++ b/test/soak/soak-system.ts
@@ -16,6 +16,12 @@
   changeConfiguration(): void;
 }
 
+/** Gateways that nothing is being done to. */
+export function undisturbedGateways({ gateways }: Pick<SoakSystem, 'gateways'>): GatewayProcess[] {
+  const now = Date.now();
+  return [...gateways.values()].filter((each) => !each.wasDisturbed(now, now));
+}
+
 /** Replicas of each service that stay, so that callers can be served. */
 const STAYING = 1;
 
