--- a/test/processes/signals-in-series.test.ts
+++ b/test/processes/signals-in-series.test.ts
@@ -1,7 +1,8 @@
 /*
  * Guards against a gateway that cuts streams when it receives a second stop signal: the handler mistook the running
  * drain for a finished one and ended the process immediately, with all requests in flight. A supervisor that repeats
- * its signal, or an operator who sends another, is enough to cause this.
+ * its signal, or an operator who sends another, is enough to cause this. Guards also against a gateway without a
+ * handler for SIGINT, whose default action ends the process immediately, as a first signal or during a drain.
  */
 import { mkdirSync, rmSync } from 'node:fs';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -87,6 +88,30 @@
     expect(gateway.unexpectedExits).toBe(0);
   });
 
+  it('do not cut a stream if the first of them is SIGINT', async () => {
+    await waitUntilServing();
+    const running = stream(STREAM_EVENTS);
+    await sleep(300);
+    gateway.stopGracefully('SIGINT');
+    await sleep(200);
+    gateway.signal('SIGTERM');
+    const { status, isComplete: isWhole } = await running;
+    expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+    expect(gateway.unexpectedExits).toBe(0);
+  });
+
+  it('do not cut a stream if SIGINT follows during the drain', async () => {
+    await waitUntilServing();
+    const running = stream(STREAM_EVENTS);
+    await sleep(300);
+    gateway.stopGracefully();
+    await sleep(200);
+    gateway.signal('SIGINT');
+    const { status, isComplete: isWhole } = await running;
+    expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+    expect(gateway.unexpectedExits).toBe(0);
+  });
+
   it('end the process only once, after its drain', async () => {
     const { pid } = gateway;
     gateway.stopGracefully();
--- a/test/soak/gateway-faults.ts
+++ b/test/soak/gateway-faults.ts
@@ -1,5 +1,5 @@
 /** Records which gateway a fault hit and which cluster-wide roles it held at that moment. */
-import type { Disturbance } from './gateway-process.js';
+import type { Disturbance, GatewaySignal } from './gateway-process.js';
 import { limitCounterOf, ownerOf } from './gateway-roles.js';
 import type { SoakSystem } from './soak-system.js';
 
@@ -9,7 +9,7 @@
 /** One fault that was injected into one gateway. */
 export interface GatewayFault {
   readonly gateway: string;
-  readonly struck: Disturbance['kind'] | 'SIGHUP' | 'SIGTERM';
+  readonly struck: Disturbance['kind'] | GatewaySignal;
   /** Planned duration of the fault in milliseconds; 0 for a signal. */
   readonly milliseconds: number;
   readonly duties: readonly GatewayRole[];
@@ -35,6 +35,6 @@
 
 /** Whether a fault hit the gateway that counts the limited tenant while that sends many times its limit: only then can it exceed the limit. */
 export function hitHotLimitCounter({ duties, isHot, struck }: GatewayFault): boolean {
-  const isSignal = struck === 'SIGHUP' || struck === 'SIGTERM';
+  const isSignal = struck === 'SIGHUP' || struck === 'SIGTERM' || struck === 'SIGINT';
   return isHot && !isSignal && duties.includes('counts_limited_tenant');
 }
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -23,6 +23,9 @@
 /** Variables of this process that a deployed process has too. */
 const DEPLOYED_VARIABLES = ['PATH', 'HOME', 'LANG'];
 
+/** A signal that must not cut a request: SIGHUP notifies of changed settings, the others ask for a stop. */
+export type GatewaySignal = 'SIGHUP' | 'SIGTERM' | 'SIGINT';
+
 /** A span in which a gateway was stopped, killed, paused, starting or cut off. */
 export interface Disturbance {
   readonly kind: 'killed' | 'frozen' | 'suspended' | 'stopped' | 'cut_off';
@@ -57,7 +60,7 @@
   /** Whether its monotonic clock stops while the process is paused; false by default. */
   readonly isSuspendable?: boolean;
   /** Called before a fault or signal is injected into the process. */
-  readonly onFault?: (kind: Disturbance['kind'] | 'SIGHUP' | 'SIGTERM', forMs: number) => void;
+  readonly onFault?: (kind: Disturbance['kind'] | GatewaySignal, forMs: number) => void;
 }
 
 /** All running children: killed when the soak process exits, so that none outlives it. */
@@ -212,8 +215,8 @@
     this.signal('SIGHUP');
   }
 
-  /** Sends a signal without excusing any failure; SIGTERM only to a process that is already stopping. */
-  signal(signal: 'SIGHUP' | 'SIGTERM'): void {
+  /** Sends a signal without excusing any failure; SIGTERM and SIGINT only to a process that is already stopping. */
+  signal(signal: GatewaySignal): void {
     this.options.onFault?.(signal, 0);
     this.child?.kill(signal);
   }
@@ -239,11 +242,11 @@
   }
 
   /** Stops the process gracefully, and kills it after STOP_SECONDS; it is restarted automatically. */
-  stopGracefully(): void {
+  stopGracefully(signal: 'SIGTERM' | 'SIGINT' = 'SIGTERM'): void {
     this.recordDisturbance('stopped', STOP_SECONDS * 1_000 + 1_500);
     this.isExpectedToEnd = true;
     const { child } = this;
-    child?.kill('SIGTERM');
+    child?.kill(signal);
     setTimeout(() => child?.kill('SIGKILL'), STOP_SECONDS * 1_000).unref();
   }
 
