Gateway: the entry takes SIGINT too, before it loads the program

What an operator could see: a gateway that got SIGINT while it read its program or its settings ended by the signal. After this it ends with code 0 and a stop_signal line, never ready and without an entry in the store's list, as with SIGTERM. No caller lost anything before: no socket was open.

Conclusion: the three signals are treated alike from the first line of the entry on. A SIGINT before that still ends the process, as the others do.

--- a/test/soak/gateway-entry.cjs
+++ b/test/soak/gateway-entry.cjs
@@ -6,5 +6,6 @@
 
 process.on('SIGHUP', () => {});
 process.on('SIGTERM', () => {});
+process.on('SIGINT', () => {});
 
 for (const file of process.argv.slice(2)) require(path.resolve(file));
