Daemon: SIGHUP does not end it

What callers saw: a stream through `scaleslip daemon` broke off (outcome `lost` after its first token) when the daemon received SIGHUP, at any age of the process.

Cause: the daemon handled SIGTERM and SIGINT only. The default action of SIGHUP ends a process.

Evidence: `daemon-hangup.test.ts` sends SIGHUP at the first token of a stream of 100. Before the change it failed with outcome `lost` and one token; now the stream is whole, the log has `settings_signal`, and the daemon serves the next call.

Why it works: a handler replaces the default action. It only logs, as the gateway's does; the settings are not read again.

Conclusion: the daemon's three signals have handlers from the time when its command runs. The time before that is a separate fault.

--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -1,7 +1,7 @@
-/** `scaleslip daemon`: runs one daemon until it receives SIGTERM or SIGINT. */
+/** `scaleslip daemon`: runs one daemon until it receives SIGTERM or SIGINT. SIGHUP does not end it. */
 import type { Command } from 'commander';
 import { LinkFaults } from '../common/link-faults.js';
-import { createLogger, faultText } from '../common/logger.js';
+import { createLogger, faultText, type Logger } from '../common/logger.js';
 import { Daemon } from '../daemon/daemon.js';
 import { loadSettings, type DaemonSettings } from '../daemon/settings.js';
 import { HttpEngineClient } from '../engines/http-engine-client.js';
@@ -49,9 +49,9 @@
 async function runDaemon(flags: DaemonFlags): Promise<void> {
   const settings = loadSettings(flags.settings, overridesOf(flags));
   if (settings.isErr) return reportError(settings.error);
-  const daemon = makeDaemon(settings.value);
+  const logger = createLogger({ daemon: settings.value.name, level: settings.value.logLevel });
+  const daemon = makeDaemon(settings.value, logger);
   process.on('uncaughtException', (fault) => {
-    const logger = createLogger({ daemon: settings.value.name });
     logger.error('uncaught_fault', { reason: faultText(fault) });
     process.exit(1);
   });
@@ -62,10 +62,12 @@
   // running.
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
+  // Without a handler, the signal would end the process and cut the requests that are running.
+  process.on('SIGHUP', () => logger.info('settings_signal'));
   await daemon.start();
 }
 
-function makeDaemon(settings: DaemonSettings): Daemon {
+function makeDaemon(settings: DaemonSettings, logger: Logger): Daemon {
   const faults = new LinkFaults();
   let httpBytes = 0;
   const onBytes = (bytes: number): void => {
@@ -74,7 +76,7 @@
   return new Daemon(settings, {
     platform: new HttpPlatformClient(settings.platform, { faults, onBytes }),
     engines: new HttpEngineClient({ faults, onBytes }),
-    logger: createLogger({ daemon: settings.name, level: settings.logLevel }),
+    logger,
     faults,
     httpControlBytes: () => httpBytes,
   });
