Command line: a daemon handles SIGHUP before its program is loaded

What callers saw: nothing of theirs was cut, but a daemon that received SIGHUP while it was loaded ended, so it was back one start later.

Cause: `src/cli/main.ts` imported its whole program; ES modules are all loaded before the first statement runs.

Why it works: the entry has no static import. It handles SIGHUP if the command is `daemon` and then imports `program.ts`, the former main. The settings are read after that, so a signal until then needs no other action.

Not changed: SIGTERM and SIGINT end a daemon that is being loaded, by their default; it has opened no port. Other commands keep the default of all three signals.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,15 +1,10 @@
-/** Entry point of the `scaleslip` command line. */
-import { Command } from 'commander';
-import { addDaemonCommand } from './daemon-command.js';
-import { addLossesCommand } from './losses-command.js';
-import { addOperatorCommands } from './operator-commands.js';
+/**
+ * Entry point of the `scaleslip` command line. For a daemon, handles SIGHUP and then loads the program: all modules of
+ * a program are loaded before its first statement runs, and until then SIGHUP ends the process by default. A signal
+ * that arrives meanwhile needs no other action, because the daemon reads its settings afterwards. SIGTERM and SIGINT
+ * keep their default here: the daemon has not opened a port yet. Other commands keep all defaults, so that a closed
+ * terminal ends them.
+ */
+if (process.argv[2] === 'daemon') process.on('SIGHUP', () => {});
 
-const program = new Command('scaleslip')
-  .description('serves language models that are rarely called')
-  .version('0.1.0')
-  .showHelpAfterError();
-
-addDaemonCommand(program);
-addOperatorCommands(program);
-addLossesCommand(program);
-await program.parseAsync();
+await import('./program.js');
