Test bed: a signal leaves no process and no folder behind

What was seen: the demonstration ended by SIGTERM, SIGINT or SIGHUP (sent to it alone) left all 7 processes it had started and its folder in the temporary folder. bench and chaos start processes in the same way.

Cause: nothing handled the signals, and their default action ends a program without its exit handlers; the children were only killed by `LocalCluster.stop`, which never ran.

Why it works: `ManagedProcess` kills its running children and then `LocalCluster` removes its folders when the program exits, as the soak's gateways do; `exitOnSignals` turns the three signals into an exit in the three mains.

Conclusion: SIGKILL of such a program still leaves its children; nothing in it can act on that.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -12,6 +12,7 @@
 import { hashKey } from '../core/admission/api-keys.js';
 import { HttpEngineClient } from '../engines/http-engine-client.js';
 import { ADMIN_KEY, LocalCluster, waitFor, type ClusterEngine } from '../testbed/local-cluster.js';
+import { exitOnSignals } from '../testbed/managed-process.js';
 
 /** Request rate and answer length of one daemon's share of the system's target load. */
 const REQUESTS_PER_SECOND = 7;
@@ -243,6 +244,7 @@
   }
 }
 
+exitOnSignals();
 main().catch((fault: unknown) => {
   process.stderr.write(`failed: ${fault instanceof Error ? fault.message : String(fault)}\n`);
   process.exitCode = 1;
--- a/src/chaos/main.ts
+++ b/src/chaos/main.ts
@@ -4,6 +4,7 @@
 import { runScenario, type ScenarioResult } from './chaos-run.js';
 import { SCENARIOS } from './scenarios.js';
 import { printTable } from '../cli/output.js';
+import { exitOnSignals } from '../testbed/managed-process.js';
 
 const COLUMNS: readonly (readonly [keyof Findings, string])[] = [
   ['replicasBeyondDecided', 'REPL'],
@@ -66,4 +67,5 @@
   .option('--seed <n>', 'seed of the generated load', '1')
   .action((names: string[], flags: { seed: string }) => main(names, Number(flags.seed)));
 
+exitOnSignals();
 await program.parseAsync();
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -11,6 +11,7 @@
 import { hashKey } from '../core/admission/api-keys.js';
 import { expectedAnswer } from '../standin/expected-answer.js';
 import { ADMIN_KEY, LocalCluster, waitFor, type ClusterDaemon } from '../testbed/local-cluster.js';
+import { exitOnSignals } from '../testbed/managed-process.js';
 
 const execFileAsync = promisify(execFile);
 const TENANT_KEY = 'shift-key';
@@ -152,6 +153,7 @@
   printStep('all processes have exited', Date.now() - startedAt);
 }
 
+exitOnSignals();
 main().catch((fault: unknown) => {
   process.stderr.write(`failed: ${fault instanceof Error ? fault.message : String(fault)}\n`);
   process.exitCode = 1;
--- a/src/testbed/local-cluster.ts
+++ b/src/testbed/local-cluster.ts
@@ -22,6 +22,16 @@
 const CALL_TIMEOUT_MS = 5_000;
 const READY_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 25;
+/** Milliseconds between attempts to remove a folder in which a process that is being killed may still create a file. */
+const REMOVAL_RETRY_MS = 50;
+const REMOVAL_RETRIES = 5;
+
+/** Folders of the running clusters: removed when this program exits, after it has killed its processes. */
+const folders = new Set<string>();
+process.once('exit', () => {
+  for (const folder of folders) removeFolder(folder);
+});
+
 /** The administration key of local clusters. */
 export const ADMIN_KEY = 'admin-key';
 
@@ -70,7 +80,9 @@
   private readonly unlistedMachines = new Set<string>();
   private readonly leavingMachines = new Set<string>();
 
-  private constructor(private readonly shape: ClusterOptions) {}
+  private constructor(private readonly shape: ClusterOptions) {
+    folders.add(this.directory);
+  }
 
   /** Starts all processes and waits until every daemon is ready. */
   static async start(shape: ClusterOptions): Promise<LocalCluster> {
@@ -96,7 +108,8 @@
     for (const process of all) process.signal('SIGCONT');
     await Promise.all(all.map((process) => process.kill()));
     this.http.close();
-    rmSync(this.directory, { recursive: true, force: true });
+    removeFolder(this.directory);
+    folders.delete(this.directory);
   }
 
   /** Starts a daemon's process again after it has exited. */
@@ -338,6 +351,11 @@
   return fileURLToPath(new URL(relative, built));
 }
 
+function removeFolder(folder: string): void {
+  const retries = { maxRetries: REMOVAL_RETRIES, retryDelay: REMOVAL_RETRY_MS };
+  rmSync(folder, { recursive: true, force: true, ...retries });
+}
+
 function readEvents(file: string): EngineLogEvent[] {
   const lines = readFileSync(file, 'utf8').split('\n');
   return lines.filter((line) => line !== '').map((line) => JSON.parse(line) as EngineLogEvent);
--- a/src/testbed/managed-process.ts
+++ b/src/testbed/managed-process.ts
@@ -1,6 +1,25 @@
 /** Child processes that the demonstration and the tests start, signal by process id, and kill. */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { closeSync, openSync, readFileSync } from 'node:fs';
+import { constants } from 'node:os';
+
+/** Added to a signal's number, this is the exit code of a program that the signal has ended. */
+const SIGNAL_EXIT_CODE = 128;
+/** Signals that end a program by default. */
+const END_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+
+/** All running children: killed when this program exits, so that none outlives it. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
+/** Makes signals end this program through `process.exit`; by default, they end it without its exit handlers. */
+export function exitOnSignals(): void {
+  for (const signal of END_SIGNALS) {
+    process.on(signal, () => process.exit(SIGNAL_EXIT_CODE + constants.signals[signal]));
+  }
+}
 
 /** The exit code of a process, or the signal that killed it. */
 export interface ExitStatus {
@@ -24,8 +43,10 @@
     const log = openSync(logFile, 'a');
     this.child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', log, log] });
     closeSync(log);
+    running.add(this.child);
     this.exited = new Promise((resolve) => {
       this.child.once('exit', (code, signal) => {
+        running.delete(this.child);
         this.status = { code, signal };
         resolve(this.status);
       });
