Logger: a failed write to standard output drops the line, not the process

What callers saw: every request in flight at a daemon was cut when the program that reads the daemon's log had ended: the next log line ended the daemon with code 1.

Cause: standard output had no handler for errors, so EPIPE was an uncaught exception. Daemon and gateway share this logger. Ruled out: SIGPIPE (ignored by Node), a slow reader (its lines were already dropped).

Change: the logger handles the errors of standard output once for the process. The line is lost; the next one is tried again.

Conclusion: the life of a process does not depend on its log's reader.

--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -45,8 +45,17 @@
   readonly level?: 'info' | 'warn' | 'error';
 }
 
-/** Creates a logger that writes to standard output. */
+/** Drops a line that standard output did not take, because the program that reads the log has ended. */
+function dropLine(): void {}
+
+/** Without a handler, a failed write to standard output is an uncaught exception, which ends the process. */
+function handleOutputErrors(): void {
+  if (!process.stdout.listeners('error').includes(dropLine)) process.stdout.on('error', dropLine);
+}
+
+/** Creates a logger that writes to standard output. Lines that cannot be written are dropped. */
 export function createLogger(options: LoggerOptions): Logger {
+  handleOutputErrors();
   const line = winston.format.printf((entry) => {
     const { level, message, timestamp, fields } = entry;
     const head = { time: String(timestamp), level, daemon: options.daemon, event: String(message) };
