Soak: processes.log records how the kernel ran the gateways and the soak itself

What callers saw: late_end, a response more than 500 ms after its deadline, from a gateway without a recorded fault. Logs could not tell whether the gateway was stopped, had no processor, or was blocked, nor whether the soak's own process, which holds the clock of the callers, was late as well.

Change: every 250 ms one line with the length of the period, the time stolen by the hypervisor and, for the soak and each gateway, its state, the time for which its main thread ran and the time for which it was runnable without a processor (/proc/PID/schedstat). No audit reads the file; bounds, plans and faults are unchanged.

A planned freeze shows as T,0,0. Conclusion: a late end by a machine that does not run the processes can be told from a freeze and from a slow gateway.

--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -25,6 +25,7 @@
 import { portsByLimitCounterRank } from './gateway-roles.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
+import { ProcessSamples } from './process-samples.js';
 import { MAX_LOADED_MODELS, ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
 import { SeriesFaultInjector } from './series-fault-injector.js';
@@ -154,6 +155,7 @@
   private readonly calls: CallRecord[] = [];
   private readonly probes: ConfigurationProbe[] = [];
   private readonly pending = new Set<Promise<void>>();
+  private readonly processSamples: ProcessSamples;
   readonly storeFaults: StoreFault[] = [];
   readonly replicaFaults: TimeSpan[] = [];
   private readonly accepted = new Map<number, number>();
@@ -170,6 +172,11 @@
     this.hotPhaseMs = new SeededRandom(options.seed + RANK_SEED).between(0, HOT_CYCLE_MS);
     const firstEra = options.seed % INITIAL_ERA_COUNT;
     this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
+    this.processSamples = new ProcessSamples(options.folder, () => this.sampledProcesses());
+  }
+
+  private sampledProcesses(): { name: string; pid: number | undefined }[] {
+    return [{ name: 'soak', pid: process.pid }, ...this.gateways.values()];
   }
 
   async play(): Promise<SoakResult> {
@@ -313,6 +320,7 @@
     }
     this.changeConfiguration();
     await this.makeGateways(gateways);
+    this.processSamples.start();
   }
 
   /** Starts the initial gateways, and prepares those that may join later. */
@@ -401,6 +409,7 @@
   }
 
   private async stop(): Promise<void> {
+    this.processSamples.stop();
     await Promise.all([...this.gateways.values()].map((gateway) => gateway.end()));
     for (const replica of this.replicas) replica.end();
     this.store.stop();
