--- a/src/testbed/local-cluster.ts
+++ b/src/testbed/local-cluster.ts
@@ -26,7 +26,7 @@
 const REMOVAL_RETRY_MS = 50;
 const REMOVAL_RETRIES = 5;
 
-/** Folders of the running clusters: removed when this program exits, after it has killed its processes. */
+/** Folders of the running clusters: removed when this program exits, after `managed-process.ts`, imported above, has killed its processes. */
 const folders = new Set<string>();
 process.once('exit', () => {
   for (const folder of folders) removeFolder(folder);
--- a/src/testbed/managed-process.ts
+++ b/src/testbed/managed-process.ts
@@ -5,7 +5,7 @@
 
 /** Added to a signal's number, this is the exit code of a program that the signal has ended. */
 const SIGNAL_EXIT_CODE = 128;
-/** Signals that end a program by default. */
+/** Signals by which a terminal or a supervisor ends a program. */
 const END_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 
 /** All running children: killed when this program exits, so that none outlives it. */
--- a/test/processes/command-line-signals.test.ts
+++ b/test/processes/command-line-signals.test.ts
@@ -1,8 +1,7 @@
 /*
- * Guards against a daemon that SIGHUP ends while it is still loaded. The command line loaded its whole program before
- * its first statement, so no signal had a handler for 606 to 1970 ms (20 starts on a busy machine), in which Node's own
- * start takes 52 to 437 ms. The tests hold back the loading of the program at a fixed place instead of hitting that time by luck.
- * All other commands keep the default actions, so that Ctrl-C or a closed terminal ends them.
+ * Guards against a daemon that SIGHUP ends while its program is being loaded: all modules of a program are loaded before
+ * its first statement can handle a signal. The tests hold back the loading at a fixed place. All other commands keep the
+ * default actions, so that Ctrl-C or a closed terminal ends them.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
--- a/test/processes/orphans.test.ts
+++ b/test/processes/orphans.test.ts
@@ -1,6 +1,6 @@
 /*
- * Guards against programs of the test bed that leave processes behind: a signal ended the demonstration by its default
- * action, and its seven processes ran on with its temporary folder.
+ * Guards against programs of the test bed that leave processes and temporary folders behind: the default action of a
+ * signal ends a program without its exit handlers.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
@@ -29,6 +29,15 @@
   }
 }
 
+/** Kills a process that may have ended since it was listed. */
+function killIfRunning(id: number): void {
+  try {
+    process.kill(id, 'SIGKILL');
+  } catch (fault) {
+    if ((fault as NodeJS.ErrnoException).code !== 'ESRCH') throw fault;
+  }
+}
+
 describe('a program that starts processes and is ended by a signal', () => {
   let parent: ChildProcess | undefined;
   let folder = '';
@@ -39,7 +48,7 @@
   });
 
   afterEach(() => {
-    for (const id of processesUsing(folder)) process.kill(id, 'SIGKILL');
+    for (const id of processesUsing(folder)) killIfRunning(id);
     rmSync(path.dirname(folder), { recursive: true, force: true });
   });
 
--- a/test/processes/signals-by-phase.test.ts
+++ b/test/processes/signals-by-phase.test.ts
@@ -60,7 +60,9 @@
     while (this.writer === undefined) {
       try {
         this.writer = openSync(this.file, constants.O_WRONLY | constants.O_NONBLOCK);
-      } catch {
+      } catch (fault) {
+        // No process has opened the pipe for reading yet.
+        if ((fault as NodeJS.ErrnoException).code !== 'ENXIO') throw fault;
         await sleep(1);
       }
     }
@@ -338,8 +340,9 @@
     async (signal) => {
       await serve();
       await gateway.signal('SIGTERM');
+      await gateway.until(() => gateway.count('draining') > 0);
       // The drain takes 2.3 s at least.
-      await sleep(1_500);
+      await sleep(1_000);
       expect(gateway.ended).toBeUndefined();
       await gateway.signalUntilExit(signal);
       expect(gateway.ended).toEqual(CLEAN_EXIT);
--- a/test/processes/signals-in-series.test.ts
+++ b/test/processes/signals-in-series.test.ts
@@ -4,7 +4,8 @@
  * its signal, or an operator who sends another, is enough to cause this. Guards also against a gateway without a
  * handler for SIGINT, whose default action ends the process immediately, as a first signal or during a drain.
  */
-import { mkdirSync, rmSync } from 'node:fs';
+import { mkdirSync, readFileSync, rmSync } from 'node:fs';
+import path from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { sleep } from '../../src/common/process.js';
 import { call, type CallRecord, type SoakRequest } from '../soak/caller.js';
@@ -68,6 +69,12 @@
     return call(request, gateway.name, gateway.callers);
   }
 
+  /** Number of times that the gateway has logged a stop signal. */
+  function loggedStops(signal: 'SIGTERM' | 'SIGINT'): number {
+    const log = readFileSync(path.join(RESULTS_FOLDER, `${gateway.name}.log`), 'utf8');
+    return log.split(`event=stop_signal signal=${signal}\n`).length - 1;
+  }
+
   async function waitUntilServing(): Promise<void> {
     for (let tries = 0; tries < 100; tries++) {
       if ((await stream(1)).status === 200) return;
@@ -90,6 +97,7 @@
 
   it('do not cut a stream if the first of them is SIGINT', async () => {
     await waitUntilServing();
+    const stopsBefore = loggedStops('SIGINT');
     const running = stream(STREAM_EVENTS);
     await sleep(300);
     gateway.stopGracefully('SIGINT');
@@ -97,11 +105,13 @@
     gateway.signal('SIGTERM');
     const { status, isComplete: isWhole } = await running;
     expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+    expect(loggedStops('SIGINT')).toBe(stopsBefore + 1);
     expect(gateway.unexpectedExits).toBe(0);
   });
 
   it('do not cut a stream if SIGINT follows during the drain', async () => {
     await waitUntilServing();
+    const stopsBefore = loggedStops('SIGINT');
     const running = stream(STREAM_EVENTS);
     await sleep(300);
     gateway.stopGracefully();
@@ -109,6 +119,7 @@
     gateway.signal('SIGINT');
     const { status, isComplete: isWhole } = await running;
     expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+    expect(loggedStops('SIGINT')).toBe(stopsBefore + 1);
     expect(gateway.unexpectedExits).toBe(0);
   });
 
