Observe whether a gateway reaches its backends at all: log lines, metrics, probes of silent backends

The log had a line for each failed attempt, but none for the gateway's belief, and nothing told a silent backend from a link that is cut. Each opened or failed connection, to a request or to an order, and each received byte now updates BackendReachability. Lines backend_unreachable, backend_reachable, backends_partitioned, backends_partition_ended, with the age of the last byte; metrics scaleslip_gateway_unreachable_backends and scaleslip_gateway_backend_probes_total. A backend that is silent for 400 ms with a request in flight is probed by opening one connection; no probe without a request in flight.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -120,6 +120,7 @@
         onEnd: () => this.receiveEnd(),
         onFailure: (failure) => this.exchangeFailed(failure),
       },
+      context.backendWatch.observeExchange(backend.address),
     );
   }
 
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { splitAddress } from '../common/http-client.js';
 
 /** An idle connection is closed this long before the backend would close it. */
@@ -14,6 +15,9 @@
 
 type DataListener = () => void;
 
+/** Called with "ip:port" and the socket of a connection that is being opened. */
+export type ConnectionListener = (address: string, socket: Socket) => void;
+
 /** Options of {@link BackendAgent}. */
 export interface BackendAgentOptions {
   /** Called with "ip:port" when an idle connection received bytes. */
@@ -23,11 +27,27 @@
 /** Node's HTTP agent with stricter rules for connection reuse. */
 export class BackendAgent extends http.Agent {
   private readonly idleListeners = new WeakMap<Socket, DataListener>();
+  private onConnection: ConnectionListener = () => {};
 
   constructor(private readonly backendOptions: BackendAgentOptions) {
     super({ keepAlive: true, maxFreeSockets: 64, scheduling: 'lifo' });
   }
 
+  /** Calls a listener for each connection from now on, for requests and orders alike. */
+  observeConnections(listener: ConnectionListener): void {
+    this.onConnection = listener;
+  }
+
+  /** Called by Node to open a connection. */
+  override createConnection(
+    options: http.ClientRequestArgs,
+    callback?: (fault: Error | null, socket: Duplex) => void,
+  ): Duplex {
+    const socket = super.createConnection(options, callback) as Socket;
+    this.onConnection(`${options.host}:${options.port}`, socket);
+    return socket;
+  }
+
   /** Returns whether an idle connection to "ip:port" exists. */
   hasIdleConnection(address: string): boolean {
     const [host, port] = splitAddress(address);
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
 import type { BackendAgent } from './backend-agent.js';
+import type { ExchangeObserver } from './backend-watch.js';
 import { BodySender } from './body-sender.js';
 
 /** Timeout for opening a connection. Nothing of the request has been sent when it passes. */
@@ -51,6 +52,7 @@
     request: BackendRequest,
     agent: BackendAgent,
     private readonly handler: ExchangeHandler,
+    private readonly observer: ExchangeObserver,
   ) {
     const [host, port] = splitAddress(request.address);
     this.outgoing = http.request({
@@ -80,6 +82,7 @@
   /** Closes the connection without a callback. */
   abort(): void {
     this.ended = true;
+    this.observer.ended();
     this.outgoing.destroy();
   }
 
@@ -105,6 +108,7 @@
   private watchConnect(socket: Socket): void {
     if (!socket.connecting) {
       this.connected = true;
+      this.observer.sent();
       return;
     }
     const timer = setTimeout(() => {
@@ -112,6 +116,7 @@
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       this.connected = true;
+      if (!this.ended) this.observer.sent();
       clearTimeout(timer);
     });
     socket.once('close', () => clearTimeout(timer));
@@ -120,16 +125,20 @@
   private receive(answer: http.IncomingMessage): void {
     if (this.ended) return;
     this.incoming = answer;
+    this.observer.received();
     if (isUnframed(answer)) this.watchReset(answer.socket);
     this.handler.onHead(answer);
     answer.on('data', (chunk: Buffer) => {
-      if (!this.ended) this.handler.onData(chunk);
+      if (this.ended) return;
+      this.observer.received();
+      this.handler.onData(chunk);
     });
     answer.on('error', (fault) => this.fail(fault.message));
     answer.on('end', () => {
       if (!answer.complete) return this.fail('the answer was cut off');
       if (this.ended) return;
       this.ended = true;
+      this.observer.ended();
       this.handler.onEnd();
     });
   }
@@ -148,6 +157,7 @@
   private fail(reason: string): void {
     if (this.ended) return;
     this.ended = true;
+    this.observer.ended();
     this.outgoing.destroy();
     this.handler.onFailure({ reached: this.connected, reason });
   }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -8,6 +8,7 @@
 import type { RetryBudget } from '../core/retry-budget.js';
 import type { AnswerBuffer } from './answer-buffer.js';
 import type { BackendAgent } from './backend-agent.js';
+import type { BackendWatch } from './backend-watch.js';
 import type { BackendPermits } from './backend-permits.js';
 import type { CallerAdmission } from './caller-admission.js';
 import type { CrashTracker } from './crash-tracker.js';
@@ -26,6 +27,8 @@
   readonly dialect: RequestDialect;
   readonly directory: BackendDirectory;
   readonly health: BackendHealth;
+  /** Which backends this daemon reaches over connections of its own. */
+  readonly backendWatch: BackendWatch;
   readonly selection: BackendSelection;
   readonly tracker: RequestTracker;
   readonly hold: HoldPolicy;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,6 +33,16 @@
     help: 'Backends that have ended and started again under the same id, as this daemon has noticed',
     registers: [this.registry],
   });
+  readonly unreachableBackends = new Gauge({
+    name: 'scaleslip_gateway_unreachable_backends',
+    help: 'Listed backends to which this daemon can open no connection; all of them while it is partitioned',
+    registers: [this.registry],
+  });
+  readonly backendProbes = new Counter({
+    name: 'scaleslip_gateway_backend_probes_total',
+    help: 'Connections opened only to find out whether a backend can be reached',
+    registers: [this.registry],
+  });
   readonly backoffs = new Counter({
     name: 'scaleslip_gateway_backend_rests_total',
     help: 'Refusals in which a backend has asked this daemon for rest',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,17 +10,17 @@
 import { BackendDirectory } from '../core/backend-directory.js';
 import { BackendHealth } from '../core/backend-health.js';
 import { BackendBackoffs } from '../core/backend-backoffs.js';
-import { CallerDeadlines } from '../core/caller-deadlines.js';
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
 import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
 import { GoalWindowHold } from '../core/hold-policy-goal-windows.js';
-import { RetryBudget } from '../core/retry-budget.js';
 import { RoutingTable } from '../core/routing-table.js';
 import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import type { BackendAgent } from './backend-agent.js';
 import { AnswerBuffer } from './answer-buffer.js';
+import { BackendWatch } from './backend-watch.js';
 import { clearEarlierStart } from './backend-restarts.js';
+import { CallerBudgets } from './caller-budgets.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerServer } from './caller-server.js';
 import { CrashTracker } from './crash-tracker.js';
@@ -81,9 +81,7 @@
 export class Gateway {
   private readonly context: GatewayContext;
   private readonly backends = new BackendDirectory();
-  private readonly budgets = new Map<string, RetryBudget>();
-  /** Deadlines of earlier callers, by route. */
-  private readonly callerDeadlines = new Map<string, CallerDeadlines>();
+  private readonly budgets: CallerBudgets;
   private readonly peers: PeerGroup;
   private readonly shares: LimitShares;
   private readonly members: MemberList;
@@ -92,6 +90,7 @@
   private readonly admission: CallerAdmission;
   private readonly limits: RateLimiting;
   private readonly slots: SlotAdmission | undefined;
+  private readonly backendWatch: BackendWatch;
   private readonly crashes: CrashTracker;
   private readonly leavings: ShutdownAnnouncer;
   private readonly directoryReader: DirectoryFollower;
@@ -99,7 +98,6 @@
   private readonly placements: PlacementExchange;
   private readonly front: CallerServer;
   private readonly status: StatusPorts;
-  private readonly startedAt = steadyNow();
   private routing: RoutingTable | undefined;
   private hasBackendList = false;
   /** Steady time at which the drain started. */
@@ -118,6 +116,7 @@
     private readonly systems: GatewayDependencies,
   ) {
     const { logger } = systems;
+    this.budgets = new CallerBudgets(settings, steadyNow());
     this.peers = new PeerGroup({
       host: settings.address,
       port: settings.peerPort,
@@ -151,21 +150,11 @@
       onMaybeStale: () => this.proofs.tick(),
     });
     this.limits = this.makeLimits();
+    this.backendWatch = this.makeBackendWatch();
     this.crashes = this.makeCrashWatch();
     this.leavings = this.makeLeavingNotices();
     this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
-    this.ownerships = new ServiceOwnerships({
-      settings,
-      peers: this.peers,
-      store: systems.store,
-      control: systems.control,
-      directory: this.backends,
-      logger,
-      metrics: systems.metrics,
-      listed: () => this.members.listed,
-      othersReachPlatform: () => this.directoryReader.hasWorkingReader(),
-      publish: (update) => this.placements.publish(update),
-    });
+    this.ownerships = this.makeOwnerships();
     this.placements = this.makePlacements();
     this.context = this.makeContext();
     this.directoryReader = new DirectoryFollower({
@@ -257,6 +246,7 @@
     this.systems.directory.stop();
     this.front.stop();
     this.status.stop();
+    this.backendWatch.stop();
     this.peers.stop();
   }
 
@@ -309,6 +299,13 @@
     });
   }
 
+  private makeBackendWatch(): BackendWatch {
+    const { logger, metrics, agent } = this.systems;
+    const watch = new BackendWatch({ logger, metrics, onChange: () => this.scheduleRecheck() });
+    agent.observeConnections((address, socket) => watch.observeConnection(address, socket));
+    return watch;
+  }
+
   private makeCrashWatch(): CrashTracker {
     const { logger, metrics } = this.systems;
     return new CrashTracker({
@@ -339,6 +336,22 @@
     });
   }
 
+  private makeOwnerships(): ServiceOwnerships {
+    const { settings, systems, peers, backends } = this;
+    return new ServiceOwnerships({
+      settings,
+      peers,
+      store: systems.store,
+      control: systems.control,
+      directory: backends,
+      logger: systems.logger,
+      metrics: systems.metrics,
+      listed: () => this.members.listed,
+      othersReachPlatform: () => this.directoryReader.hasWorkingReader(),
+      publish: (update) => this.placements.publish(update),
+    });
+  }
+
   private makePlacements(): PlacementExchange {
     const { peers } = this;
     return new PlacementExchange({
@@ -377,6 +390,7 @@
       dialect,
       directory: this.backends,
       health: new BackendHealth(),
+      backendWatch: this.backendWatch,
       selection: new StaleLoadSelection(settings.name),
       tracker: new RequestTracker(),
       hold: settings.policies.holdByChance ? new ExpectedServiceHold() : new GoalWindowHold(),
@@ -397,9 +411,9 @@
       }),
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: () => this.directoryReader.directoryAgeMs(),
-      budgetOf: (service) => this.budgetOf(service),
+      budgetOf: (service) => this.budgets.budgetOf(service),
       budgetParts: () => 1 / this.shares.ownShare(leaseNow()),
-      recordCaller: (route, deadlineMs) => this.recordCallerDeadline(route, deadlineMs),
+      recordCaller: (route, deadlineMs) => this.budgets.recordDeadline(route, deadlineMs),
       sendDemandNow: (service) => this.reportDemand(service),
       recheckWaiting: () => this.scheduleRecheck(),
       isDraining: () => this.drainingSince !== undefined,
@@ -407,24 +421,6 @@
     };
   }
 
-  private recordCallerDeadline(route: string, deadlineMs: number | undefined): boolean {
-    if (deadlineMs === undefined || !this.settings.policies.keepReturningCallers) return false;
-    const deadlines = this.callerDeadlines.get(route) ?? new CallerDeadlines();
-    this.callerDeadlines.set(route, deadlines);
-    deadlines.recordDeadline(deadlineMs);
-    return deadlines.isLikelyRetry(deadlineMs);
-  }
-
-  private budgetOf(service: string): RetryBudget {
-    const known = this.budgets.get(service);
-    if (known !== undefined) return known;
-    const { retryRatio, retryWindowSeconds, retrySlack } = this.settings.bounds;
-    const limits = { ratio: retryRatio, windowMs: retryWindowSeconds * 1_000, slack: retrySlack };
-    const budget = new RetryBudget(limits, this.startedAt);
-    this.budgets.set(service, budget);
-    return budget;
-  }
-
   private configure(configuration: ServiceConfiguration, source: ConfigurationSource): void {
     this.routing = new RoutingTable(configuration, this.routing);
     this.admission.configure(configuration);
@@ -448,6 +444,7 @@
   private backendsChanged(): void {
     for (const restart of this.backends.takeRestarts()) clearEarlierStart(this.context, restart);
     this.context.health.keepOnly(new Set(this.backends.all().map((backend) => backend.id)));
+    this.backendWatch.setListed(this.backends.all().map(({ address }) => address));
     this.ownerships.backendsChanged();
     this.scheduleRecheck();
   }
@@ -463,6 +460,7 @@
   private tick(): void {
     const now = steadyNow();
     this.peers.tick();
+    this.backendWatch.tick();
     this.ownerships.tick();
     if (this.admission.needsLease) this.proofs.tick();
     this.limits.tick();
