Failing test, listed: callers of gateways that are partitioned from all replicas

A new fault of the soak cuts gateways from replicas alone: open connections hang or are reset, or live on while new ones are refused; callers, store and the other gateways still reach them, so it excuses nothing. The audit compares callers of the cut gateways with the others from 3 s after the cut (at least two thirds as often), looks at harm to the others without another fault, at the time from 1 s after the end, and at slow refusals where no gateway reaches a replica.

makeReplica moved to soak-replicas.ts.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -41,6 +41,7 @@
     accepted: new Map([[VERSION, ACCEPTED_AT]]),
     gateways: undisturbedHistory,
     storeFaults: [],
+    backendPartitions: [],
     replicaFaults: [],
     faultFreeSince: 0,
     unexpectedExits: 0,
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -55,6 +55,7 @@
     accepted: new Map(),
     gateways: undisturbedHistory,
     storeFaults: [],
+    backendPartitions: [],
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
     unexpectedExits: 0,
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -4,6 +4,7 @@
 import { auditCrashes } from './audit-crashes.js';
 import { auditRateLimits } from './audit-rate-limits.js';
 import { auditAnnouncements } from './audit-announcements.js';
+import { auditPartitions } from './audit-partitions.js';
 import { auditTenants } from './audit-tenants.js';
 import { plainText, streamText } from './expected-events.js';
 import {
@@ -41,6 +42,7 @@
     ...auditCrashes(evidence),
     ...auditRateLimits(evidence),
     ...auditAnnouncements(evidence),
+    ...auditPartitions(evidence),
     ...(evidence.unexpectedExits > 0
       ? [{ rule: 'unasked_exit', detail: String(evidence.unexpectedExits) }]
       : []),
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -19,6 +19,12 @@
   readonly gateways?: ReadonlySet<string>;
 }
 
+/** A span in which some gateways were partitioned from all replicas. */
+export interface BackendPartition extends TimeSpan {
+  readonly gateways: ReadonlySet<string>;
+  readonly how: string;
+}
+
 /** Faults and stops of the gateways, as the auditor queries them. */
 export interface GatewayHistory {
   /** Whether the process had any disturbance in the span: a stop, kill, pause, start or network cut. */
@@ -59,6 +65,7 @@
   readonly storeFaults: readonly StoreFault[];
   /** Spans in which some replica had a fault. */
   readonly replicaFaults: readonly TimeSpan[];
+  readonly backendPartitions: readonly BackendPartition[];
   /** Start of the final phase without faults, in Unix milliseconds. */
   readonly faultFreeSince: number;
   readonly unexpectedExits: number;
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -19,6 +19,7 @@
 /** Installs the signal handlers as early as the entry of the program does, then loads the fault modules and the program. */
 const ENTRY = 'test/soak/gateway-entry.cjs';
 const SILENT_LINKS = 'test/soak/silent-links.cjs';
+const PARTITIONED_BACKENDS = 'test/soak/partitioned-backends.cjs';
 const SUSPENDED_CLOCK = 'test/soak/suspended-clock.cjs';
 /** Variables of this process that a deployed process has too. */
 const DEPLOYED_VARIABLES = ['PATH', 'HOME', 'LANG'];
@@ -36,6 +37,9 @@
   endedAt: number;
 }
 
+/** What happens to a partitioned gateway's connections to replicas: open ones and new ones. */
+export type BackendCut = 'hang' | 'reset' | 'refuse';
+
 /** Loopback ports of one gateway. */
 export interface GatewayPorts {
   readonly peers: number;
@@ -57,6 +61,8 @@
   readonly backendsCheckEpochs?: boolean;
   /** Ports on which gateways listen for each other; set if their connections may be silenced. */
   readonly silencedPorts?: readonly number[];
+  /** All ports to which gateways connect that are not replicas; set if the gateway may be partitioned from replicas. */
+  readonly otherPorts?: readonly number[];
   /** Whether its monotonic clock stops while the process is paused; false by default. */
   readonly isSuspendable?: boolean;
   /** Called before a fault or signal is injected into the process. */
@@ -102,6 +108,7 @@
   /** Exits that no fault or stop of the soak caused. */
   unexpectedExits = 0;
   private isExpectedToEnd = false;
+  private backendCut: BackendCut | undefined;
   private isEnded = false;
 
   constructor(private readonly options: GatewayProcessOptions) {
@@ -169,15 +176,17 @@
 
   start(): void {
     const log = openSync(this.logFile, 'a');
-    const { silencedPorts, isSuspendable = false } = this.options;
+    const { silencedPorts, otherPorts, isSuspendable = false } = this.options;
     const links = silencedPorts === undefined ? [] : [SILENT_LINKS];
+    if (otherPorts !== undefined) links.push(PARTITIONED_BACKENDS);
     const files = [...links, ...(isSuspendable ? [SUSPENDED_CLOCK] : []), BUNDLE];
     const child = spawn(process.execPath, [...deployedFlags(), ENTRY, ...files], {
-      stdio: silencedPorts === undefined ? ['ignore', log, log] : ['ignore', log, log, 'ipc'],
+      stdio: links.length === 0 ? ['ignore', log, log] : ['ignore', log, log, 'ipc'],
       env: {
         ...deployedVariables(),
         SCALESLIP_SETTINGS: this.settingsFile,
         SOAK_PEER_PORTS: silencedPorts?.join(','),
+        SOAK_OTHER_PORTS: otherPorts?.join(','),
       },
     });
     closeSync(log);
@@ -193,6 +202,7 @@
       this.handleExit();
     });
     this.endDisturbances(['killed', 'stopped']);
+    if (this.backendCut !== undefined) this.sendLinkCommand(`backends:${this.backendCut}`);
   }
 
   /** Starts a gateway for the first time while others already run. */
@@ -236,7 +246,23 @@
     }, milliseconds).unref();
   }
 
-  private sendLinkCommand(command: 'silence' | 'cut' | 'heal'): void {
+  /**
+   * Partitions it from all replicas, also across restarts, until {@link healBackends}. This excuses nothing: callers, the
+   * store and the other gateways still reach it.
+   */
+  cutBackends(how: BackendCut): void {
+    this.backendCut = how;
+    this.sendLinkCommand(`backends:${how}`);
+  }
+
+  healBackends(): void {
+    this.backendCut = undefined;
+    this.sendLinkCommand('backends:heal');
+  }
+
+  private sendLinkCommand(
+    command: 'silence' | 'cut' | 'heal' | `backends:${BackendCut | 'heal'}`,
+  ): void {
     // A process that is already down needs no command.
     if (this.child?.connected === true) this.child.send(command, () => {});
   }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -3,7 +3,8 @@
 import { FURTHER_FAULT_KINDS, type FurtherFault } from './further-fault-plan.js';
 import { OPT_IN_FAULT_KINDS, type OptInFault } from './opt-in-fault-plan.js';
 import { SERIES_FAULT_KINDS, type SeriesFault } from './series-fault-plan.js';
-import { runSoak, soakFolder, type FaultKinds } from './soak-run.js';
+import type { BackendCut } from './gateway-process.js';
+import { runSoak, soakFolder, type FaultKinds, type SoakOptions } from './soak-run.js';
 
 interface Flags {
   readonly seed: string;
@@ -20,6 +21,7 @@
   readonly leaving: boolean;
   readonly alwaysHot: boolean;
   readonly drawnRanks: boolean;
+  readonly partition?: string;
   readonly series: SeriesFault['kind'][] | boolean;
 }
 
@@ -52,6 +54,10 @@
       .default([]),
   )
   .option('--always-hot', 'the limited tenant always sends many times its limit', false)
+  .option(
+    '--partition <how,share,owner>',
+    'partition gateways from all replicas in this way: hang, reset or refuse; share of the gateways; whether the owner is included',
+  )
   .option(
     '--drawn-ranks',
     'draw from the seed the ranks of gateways and when the limited tenant exceeds its limit',
@@ -85,6 +91,12 @@
   return flag === true ? SERIES_FAULT_KINDS : flag || [];
 }
 
+/** Parses "how,share,owner". */
+function partitionOf(text: string): NonNullable<SoakOptions['partition']> {
+  const [how = '', share = '', owner = ''] = text.split(',');
+  return { how: how as BackendCut, share: Number(share), includesOwner: owner === 'true' };
+}
+
 /** Whether replicas check epochs; with `drawn`, only for even seeds. */
 function checksEpochs(choice: string, seed: number): boolean {
   return choice === 'drawn' ? seed % 2 === 0 : choice === 'checked';
@@ -118,6 +130,7 @@
       alwaysHot: flags.alwaysHot,
       drawsRanks: flags.drawnRanks,
       series: seriesOf(flags.series),
+      ...(flags.partition === undefined ? {} : { partition: partitionOf(flags.partition) }),
     });
     const { violations, excused, ...figures } = result;
     console.log(`seed ${seed}: ${violations.length} broken promises, ${JSON.stringify(figures)}`);
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -12,6 +12,11 @@
 /** Time for which a leaving replica continues to serve. */
 const LEAVING_MS = 4_000;
 
+/** Shortest partition of gateways from all replicas. */
+const MIN_PARTITION_MS = 6_000;
+/** Time after a partition from replicas until the next one may begin. */
+const AFTER_PARTITION_MS = 4_500;
+
 type FaultOf<Kind extends OptInFault['kind']> = Extract<OptInFault, { kind: Kind }>;
 
 /** Sends requests that crash the replicas that run them. */
@@ -31,6 +36,8 @@
   private poisonCount = 0;
   /** Whether a restore is in progress. Restores do not overlap. */
   private isRestoring = false;
+  /** Whether some gateways are partitioned from replicas. Such partitions do not overlap. */
+  private isPartitioning = false;
 
   /** @param endsAt - No fault starts after this time, in Unix milliseconds. */
   constructor(
@@ -54,11 +61,41 @@
         return void this.restoreStore(fault);
       case 'suspended':
         return this.suspend(fault);
+      case 'partitioned_from_backends':
+        return void this.partitionFromBackends(fault);
       case 'joined_during_cut':
         return void this.joinDuringCut(fault);
     }
   }
 
+  private async partitionFromBackends(fault: FaultOf<'partitioned_from_backends'>): Promise<void> {
+    const remainingMs = this.endsAt - Date.now();
+    if (this.isPartitioning || remainingMs < MIN_PARTITION_MS) return;
+    this.isPartitioning = true;
+    const cut = this.gatewaysToPartition(fault);
+    const from = Date.now();
+    const until = from + Math.min(fault.milliseconds, remainingMs);
+    const names = cut.map(({ name }) => name);
+    this.system.backendPartitions.push({ gateways: new Set(names), from, until, how: fault.how });
+    for (const gateway of cut) gateway.cutBackends(fault.how);
+    await sleep(until - from);
+    for (const gateway of cut) gateway.healBackends();
+    await sleep(AFTER_PARTITION_MS);
+    this.isPartitioning = false;
+  }
+
+  private gatewaysToPartition({
+    share,
+    includesOwner,
+  }: FaultOf<'partitioned_from_backends'>): GatewayProcess[] {
+    const all = [...this.system.gateways.values()];
+    const owner = ownerOf(this.system, all);
+    const others = this.random.shuffled(all.filter((gateway) => gateway !== owner));
+    const ordered = owner === undefined ? others : [...others, owner];
+    if (includesOwner) ordered.reverse();
+    return ordered.slice(0, Math.ceil(share * all.length));
+  }
+
   private async joinDuringCut(fault: FaultOf<'joined_during_cut'>): Promise<void> {
     const undisturbed = undisturbedGateways(this.system);
     const counter = limitCounterOf(undisturbed);
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -2,6 +2,7 @@
  * Plans opt-in faults, which occur only if their kinds are listed in the options. They use a separate generator,
  * so that existing seeds still produce the same other faults. Pure functions.
  */
+import type { BackendCut } from './gateway-process.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** Which gateway is suspended. */
@@ -71,6 +72,16 @@
       readonly joiners: number;
       readonly joinAfterMs: number;
     }
+  /** Some gateways are partitioned from all replicas, while callers, the store and the other gateways reach them. */
+  | {
+      readonly kind: 'partitioned_from_backends';
+      readonly how: BackendCut;
+      /** Share of the gateways, rounded up; 1 for all. */
+      readonly share: number;
+      /** Whether the owner of the models is among them. */
+      readonly includesOwner: boolean;
+      readonly milliseconds: number;
+    }
   /** A gateway is suspended, and its monotonic clock stops with it. */
   | {
       readonly kind: 'suspended';
@@ -80,6 +91,12 @@
       readonly cutMs: number;
     };
 
+/** How gateways are partitioned from all replicas. */
+export type PartitionFault = Omit<
+  Extract<OptInFault, { kind: 'partitioned_from_backends' }>,
+  'kind'
+>;
+
 /** A fault and its start time, in milliseconds after the start of the fault phase. */
 export interface PlannedOptInFault {
   readonly at: number;
@@ -95,6 +112,7 @@
   'store_restored',
   'suspended',
   'joined_during_cut',
+  'partitioned_from_backends',
 ];
 
 /** Rate limits in requests per second. */
@@ -103,13 +121,20 @@
 const MIN_GAP_MS = 800;
 const MAX_GAP_MS = 5_000;
 /** Owners and counters are listed because they hold leases, which must not outlive a suspension. */
+const BACKEND_CUTS: readonly BackendCut[] = ['hang', 'reset', 'refuse'];
+/** Shares of gateways that are partitioned from all replicas. */
+const PARTITIONED_SHARES = [0.01, 0.3, 0.3, 0.5, 0.8, 1];
 const SUSPENDED_GATEWAYS: readonly SuspendedGateway[] = ['owner', 'owner', 'counter', 'any'];
 
-/** Plans faults of the given kinds that start within the given number of milliseconds; none without a kind. */
+/**
+ * Plans faults of the given kinds that start within the given number of milliseconds; none without a kind.
+ * @param partition - Replaces what is drawn for partitions of gateways from all replicas.
+ */
 export function planOptInFaults(
   random: SeededRandom,
   milliseconds: number,
   kinds: readonly OptInFault['kind'][],
+  partition: Partial<PartitionFault> = {},
 ): PlannedOptInFault[] {
   const plan: PlannedOptInFault[] = [];
   let at = 0;
@@ -117,71 +142,74 @@
     at += random.between(MIN_GAP_MS, MAX_GAP_MS);
     const kind = random.pick(kinds);
     if (at >= milliseconds || kind === undefined) return plan;
-    plan.push({ at, fault: drawFault(random, kind) });
+    const fault = drawFault(random, kind);
+    const isPartition = kind === 'partitioned_from_backends';
+    plan.push({ at, fault: isPartition ? { ...fault, ...partition } : fault });
   }
 }
 
+type Drawers = {
+  readonly [Kind in OptInFault['kind']]: (
+    random: SeededRandom,
+  ) => Omit<Extract<OptInFault, { kind: Kind }>, 'kind'>;
+};
+
+/** Draws the parameters of each kind of fault. */
+const DRAWERS: Drawers = {
+  poison_request: (random) => ({
+    repeats: Math.ceil(random.between(6, 24)),
+    atOnce: random.chance(0.5) ? 1 : Math.ceil(random.between(1, 4)),
+    gapMs: random.between(50, 900),
+    backMs: random.between(500, 3_000),
+  }),
+  answers_tell_leaving: (random) => ({
+    count: Math.ceil(random.between(0, 3)),
+    serveMs: random.between(3_000, 10_000),
+    listedAfterMs: random.chance(0.5) ? Infinity : random.between(500, 6_000),
+  }),
+  backend_asks_rest: (random) => ({
+    share: random.between(0.2, 1),
+    milliseconds: random.between(500, 6_000),
+    restSeconds: random.between(0.7, 4),
+  }),
+  backend_names_limit: (random) => ({
+    share: random.between(0.2, 1),
+    limits: drawLimits(random),
+    eachMs: random.between(4_000, 12_000),
+    crashAfterMs: random.chance(0.3) ? random.between(500, 5_000) : 0,
+    cutMs: random.chance(0.4) ? random.between(500, 4_000) : 0,
+  }),
+  store_restored: (random) => ({
+    copyMs: random.between(500, 4_000),
+    awayMs: random.between(200, 2_500),
+    rewrittenAfterMs: random.between(0, 2_000),
+    lostWrites: Math.ceil(random.between(0, 400)),
+    otherWrites: random.chance(0.7) ? 0 : Math.ceil(random.between(10, 400)),
+    changesAfterMs: random.between(0, 4_000),
+    cutMs: random.chance(0.4) ? random.between(1_000, 5_000) : 0,
+  }),
+  joined_during_cut: (random) => ({
+    cutsCounter: random.chance(0.5),
+    cutCount: Math.ceil(random.between(0, 2)),
+    cutMs: random.between(5_000, 14_000),
+    joiners: Math.ceil(random.between(2, 8)),
+    joinAfterMs: random.between(200, 4_000),
+  }),
+  partitioned_from_backends: (random) => ({
+    how: random.pick(BACKEND_CUTS) ?? 'hang',
+    share: random.pick(PARTITIONED_SHARES) ?? 1,
+    includesOwner: random.chance(0.5),
+    milliseconds: random.between(7_000, 13_000),
+  }),
+  suspended: (random) => ({
+    who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
+    milliseconds: random.between(1_000, 7_500),
+    cutMs: random.chance(0.6) ? random.between(500, 2_500) : 0,
+  }),
+};
+
 function drawFault(random: SeededRandom, kind: OptInFault['kind']): OptInFault {
-  switch (kind) {
-    case 'poison_request':
-      return {
-        kind,
-        repeats: Math.ceil(random.between(6, 24)),
-        atOnce: random.chance(0.5) ? 1 : Math.ceil(random.between(1, 4)),
-        gapMs: random.between(50, 900),
-        backMs: random.between(500, 3_000),
-      };
-    case 'answers_tell_leaving':
-      return {
-        kind,
-        count: Math.ceil(random.between(0, 3)),
-        serveMs: random.between(3_000, 10_000),
-        listedAfterMs: random.chance(0.5) ? Infinity : random.between(500, 6_000),
-      };
-    case 'backend_asks_rest':
-      return {
-        kind,
-        share: random.between(0.2, 1),
-        milliseconds: random.between(500, 6_000),
-        restSeconds: random.between(0.7, 4),
-      };
-    case 'backend_names_limit':
-      return {
-        kind,
-        share: random.between(0.2, 1),
-        limits: drawLimits(random),
-        eachMs: random.between(4_000, 12_000),
-        crashAfterMs: random.chance(0.3) ? random.between(500, 5_000) : 0,
-        cutMs: random.chance(0.4) ? random.between(500, 4_000) : 0,
-      };
-    case 'store_restored':
-      return {
-        kind,
-        copyMs: random.between(500, 4_000),
-        awayMs: random.between(200, 2_500),
-        rewrittenAfterMs: random.between(0, 2_000),
-        lostWrites: Math.ceil(random.between(0, 400)),
-        otherWrites: random.chance(0.7) ? 0 : Math.ceil(random.between(10, 400)),
-        changesAfterMs: random.between(0, 4_000),
-        cutMs: random.chance(0.4) ? random.between(1_000, 5_000) : 0,
-      };
-    case 'joined_during_cut':
-      return {
-        kind,
-        cutsCounter: random.chance(0.5),
-        cutCount: Math.ceil(random.between(0, 2)),
-        cutMs: random.between(5_000, 14_000),
-        joiners: Math.ceil(random.between(2, 8)),
-        joinAfterMs: random.between(200, 4_000),
-      };
-    case 'suspended':
-      return {
-        kind,
-        who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
-        milliseconds: random.between(1_000, 7_500),
-        cutMs: random.chance(0.6) ? random.between(500, 2_500) : 0,
-      };
-  }
+  return { kind, ...DRAWERS[kind](random) } as OptInFault;
 }
 
 function drawLimits(random: SeededRandom): number[] {
--- a/test/soak/seeded-random.ts
+++ b/test/soak/seeded-random.ts
@@ -22,4 +22,10 @@
   pick<Item>(items: readonly Item[]): Item | undefined {
     return items[Math.floor(this.between(0, items.length))];
   }
+
+  /** Returns the items in random order. */
+  shuffled<Item>(items: readonly Item[]): Item[] {
+    const drawn = items.map((item) => ({ item, rank: this.between(0, 1) }));
+    return drawn.sort((a, b) => a.rank - b.rank).map(({ item }) => item);
+  }
 }
--- a/test/soak/silent-links.cjs
+++ b/test/soak/silent-links.cjs
@@ -47,6 +47,7 @@
 dropDatagramsDuringCuts();
 
 process.on('message', (command) => {
+  if (!['silence', 'cut', 'heal'].includes(command)) return;
   isCut = command === 'cut';
   if (command === 'heal') return;
   for (const socket of open) silenceIfPeer(socket);
--- /dev/null
+++ b/test/soak/soak-replicas.ts
@@ -0,0 +1,45 @@
+/** Creates the replicas of a soak test. */
+import type { TimeSpan } from './evidence.js';
+import type { ObjectStoreStandIn } from './object-store-stand-in.js';
+import { MAX_LOADED_MODELS, ReplicaStandIn } from './replica-stand-in.js';
+import type { RunLog } from './run-log.js';
+import type { SoakOptions } from './soak-run.js';
+import { SeededRandom } from './seeded-random.js';
+
+/** Names of the models that callers request. */
+export const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
+/** Number of replicas by default. */
+export const REPLICAS = 6;
+/** Share of replicas that serve models. The others serve plain requests. */
+const MODEL_REPLICA_SHARE = 2 / 3;
+
+/** What a replica needs of its soak test. */
+export interface ReplicaContext {
+  readonly options: Pick<SoakOptions, 'seed' | 'checksEpochs' | 'replicas'>;
+  readonly store: ObjectStoreStandIn;
+  readonly log: RunLog;
+  /** Receives the spans in which a request has crashed the replica. */
+  readonly replicaFaults: TimeSpan[];
+}
+
+/** Creates the replica with an index. */
+export function makeReplica(index: number, context: ReplicaContext): ReplicaStandIn {
+  const { store, log, replicaFaults } = context;
+  const { seed, checksEpochs = true, replicas = REPLICAS } = context.options;
+  const hasModels = index < Math.round(replicas * MODEL_REPLICA_SHARE);
+  const first = index % (MODELS.length - MAX_LOADED_MODELS + 1);
+  const models = hasModels ? MODELS.slice(first, first + MAX_LOADED_MODELS) : [];
+  return new ReplicaStandIn({
+    name: `replica-${index}`,
+    service: hasModels ? 'models' : 'plain',
+    models,
+    hasModels,
+    store,
+    log,
+    random: new SeededRandom(seed + 100 + index),
+    checksEpochs,
+    onCrashedByRequest: (backMs) => {
+      replicaFaults.push({ from: Date.now(), until: Date.now() + backMs });
+    },
+  });
+}
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -4,8 +4,10 @@
 import { sleep } from '../../src/common/process.js';
 import { findSoakPorts } from './soak-ports.js';
 import { audit, excusedViolations } from './audit.js';
+import { partitionReports, type PartitionReport } from './audit-partitions.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
 import type {
+  BackendPartition,
   ConfigurationProbe,
   SoakEvidence,
   StoreFault,
@@ -18,7 +20,12 @@
 import { FURTHER_FAULT_KINDS, planFurtherFaults, type FurtherFault } from './further-fault-plan.js';
 import { LeavingFaultInjector } from './leaving-fault-injector.js';
 import { OptInFaultInjector } from './opt-in-fault-injector.js';
-import { OPT_IN_FAULT_KINDS, planOptInFaults, type OptInFault } from './opt-in-fault-plan.js';
+import {
+  OPT_IN_FAULT_KINDS,
+  planOptInFaults,
+  type OptInFault,
+  type PartitionFault,
+} from './opt-in-fault-plan.js';
 import { MAX_SERVICE_MS, planLeavingFaults, type LeavingFault } from './leaving-fault-plan.js';
 import { limitMargin, type LimitMargin } from './limit-margin.js';
 import { GatewayProcess, type GatewayPorts } from './gateway-process.js';
@@ -26,11 +33,12 @@
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { ProcessSamples } from './process-samples.js';
-import { MAX_LOADED_MODELS, ReplicaStandIn } from './replica-stand-in.js';
+import type { ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
 import { SeriesFaultInjector } from './series-fault-injector.js';
 import { planSeriesFaults, type SeriesFault } from './series-fault-plan.js';
 import { configurationOf, newestVersionWithoutRoute } from './soak-configuration.js';
+import { makeReplica, MODELS, REPLICAS } from './soak-replicas.js';
 import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_TENANT } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
@@ -72,6 +80,8 @@
   readonly drawsRanks?: boolean;
   /** Whether replicas also leave in all ways that the platform allows; false by default. */
   readonly leaving?: boolean;
+  /** Replaces what the seed draws for partitions of gateways from all replicas. */
+  readonly partition?: Partial<PartitionFault>;
   /** Kinds of series of signals, restarts and configuration changes; none by default. */
   readonly series?: readonly SeriesFault['kind'][];
 }
@@ -89,12 +99,10 @@
   /** Number of faults that hit the counter of the limited tenant while the tenant was hot. */
   readonly hotCounterFaults: number;
   readonly limit: LimitMargin;
+  /** How callers were served while gateways were partitioned from all replicas. */
+  readonly partitions: readonly PartitionReport[];
 }
 
-const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
-const REPLICAS = 6;
-/** Share of replicas that serve models. The others serve plain requests. */
-const MODEL_REPLICA_SHARE = 2 / 3;
 /** Offset added to the seed for the generator of further faults. */
 const FURTHER_SEED = 10_000;
 /** Offset added to the seed for the generator of replica departures. */
@@ -158,6 +166,7 @@
   private readonly processSamples: ProcessSamples;
   readonly storeFaults: StoreFault[] = [];
   readonly replicaFaults: TimeSpan[] = [];
+  readonly backendPartitions: BackendPartition[] = [];
   private readonly accepted = new Map<number, number>();
   private faultsStartAt = 0;
   /** Position in the hot cycle of the limited tenant at the start of the faults, used if the seed draws it. */
@@ -209,6 +218,7 @@
       },
       storeFaults: this.storeFaults,
       replicaFaults: this.replicaFaults,
+      backendPartitions: this.backendPartitions,
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
       unexpectedExits: [...this.gateways.values()].reduce(
@@ -219,6 +229,7 @@
     await this.stop();
     return {
       violations: audit(evidence),
+      partitions: partitionReports(evidence),
       excused: excusedViolations(evidence),
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isComplete).length,
@@ -280,7 +291,7 @@
     const { seed, faultMs } = this.options;
     const random = new SeededRandom(seed + NAMED_SEED);
     const faults = new OptInFaultInjector(this, random, faultsStart + faultMs);
-    const plan = planOptInFaults(random, faultMs, this.namedKinds);
+    const plan = planOptInFaults(random, faultMs, this.namedKinds, this.options.partition);
     return this.schedule(plan, faultsStart, (fault) => faults.inject(fault));
   }
 
@@ -314,7 +325,12 @@
     rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
     for (let index = 0; index < (this.options.replicas ?? REPLICAS); index++) {
-      const replica = this.makeReplica(index);
+      const replica = makeReplica(index, {
+        options: this.options,
+        store: this.store,
+        log: this.log,
+        replicaFaults: this.replicaFaults,
+      });
       this.replicas.push(replica);
       await replica.start();
     }
@@ -348,11 +364,15 @@
     peerPorts: readonly number[],
   ): Promise<GatewayProcess> {
     const { folder, promisesRevocation, checksEpochs } = this.options;
+    const store = await this.store.listenFor(name);
+    const storePort = Number(store.split(':')[1]);
+    const isPartitionable = this.namedKinds.includes('partitioned_from_backends');
     return new GatewayProcess({
       name,
       folder,
-      store: await this.store.listenFor(name),
+      store,
       ports,
+      ...(isPartitionable ? { otherPorts: [...peerPorts, storePort] } : {}),
       ...(promisesRevocation === undefined ? {} : { promisesRevocation }),
       ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
       ...(this.hasCuts ? { silencedPorts: peerPorts } : {}),
@@ -388,26 +408,6 @@
     });
   }
 
-  private makeReplica(index: number): ReplicaStandIn {
-    const { seed, checksEpochs = true, replicas = REPLICAS } = this.options;
-    const hasModels = index < Math.round(replicas * MODEL_REPLICA_SHARE);
-    const first = index % (MODELS.length - MAX_LOADED_MODELS + 1);
-    const models = hasModels ? MODELS.slice(first, first + MAX_LOADED_MODELS) : [];
-    return new ReplicaStandIn({
-      name: `replica-${index}`,
-      service: hasModels ? 'models' : 'plain',
-      models,
-      hasModels,
-      store: this.store,
-      log: this.log,
-      random: new SeededRandom(seed + 100 + index),
-      checksEpochs,
-      onCrashedByRequest: (backMs) => {
-        this.replicaFaults.push({ from: Date.now(), until: Date.now() + backMs });
-      },
-    });
-  }
-
   private async stop(): Promise<void> {
     this.processSamples.stop();
     await Promise.all([...this.gateways.values()].map((gateway) => gateway.end()));
--- a/test/soak/soak-system.ts
+++ b/test/soak/soak-system.ts
@@ -1,5 +1,5 @@
 /** The parts of a running soak test that faults are injected into. */
-import type { StoreFault, TimeSpan } from './evidence.js';
+import type { BackendPartition, StoreFault, TimeSpan } from './evidence.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
@@ -12,6 +12,7 @@
   readonly gateways: ReadonlyMap<string, GatewayProcess>;
   readonly storeFaults: StoreFault[];
   readonly replicaFaults: TimeSpan[];
+  readonly backendPartitions: BackendPartition[];
   /** Publishes the next configuration version as the operator. */
   changeConfiguration(): void;
 }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -43,6 +43,12 @@
 const RESTORED_SEED = 62_101;
 const RESTORED_FAULT_MS = 30_000;
 
+/** One partition of some gateways from all replicas, of at least 8 s. */
+const PARTITION_SEED = 90_001;
+const PARTITION_FAULT_MS = 12_000;
+/** At least this many calls must meet the partition on each side for the run to be meaningful. */
+const MIN_PARTITION_CALLS = 30;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -146,6 +152,34 @@
     expect(result.served).toBeGreaterThan(result.calls / 5);
   });
 
+  it.each([
+    ['whose connections hang', { how: 'hang', share: 0.3, includesOwner: false }],
+    [
+      'whose connections are reset, the owner among them',
+      { how: 'reset', share: 0.3, includesOwner: true },
+    ],
+  ] as const)(
+    'serve callers of gateways partitioned from all replicas, %s',
+    async (_, partition) => {
+      const result = await runSoak({
+        seed: PARTITION_SEED,
+        faultMs: PARTITION_FAULT_MS,
+        folder: soakFolder(PARTITION_SEED),
+        faultKinds: 'none',
+        only: ['partitioned_from_backends'],
+        partition,
+        gateways: 6,
+        replicas: 9,
+        requestsPerSecond: 60,
+        promisesRevocation: false,
+      });
+      expect(result.violations).toEqual([]);
+      const [report] = result.partitions;
+      expect(report?.cut.calls).toBeGreaterThan(MIN_PARTITION_CALLS);
+      expect(report?.others.calls).toBeGreaterThan(MIN_PARTITION_CALLS);
+    },
+  );
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
