Relay requests through another gateway where a gateway cannot reach its backends

Cause: a request's only way to a backend was a connection of its own gateway, and one request's failure taught the next one nothing. Class: a node that lost one kind of link, and keeps the others, counted as whole.

A gateway that cannot open connections sends the request to another one, which sends it to the backend over its own connections (absolute-form HTTP on peerPort + 1, no message between gateways and no cost before a cut). All that is counted (keys, limits, slots, permits, retry budget, deadline) is counted by the gateway that received the request; the relay counts nothing and relays once. The request moves only if it was not sent, or may be repeated; a relay says whether it sent it. Relays are learned from their answers: one that is cut says so at once. A relay frames answers, so that the end of its process cannot look like the end of an answer without a length. With no path at all a request is refused at once. One opened connection ends the belief.

Found beside it: resets of a cut were counted as crashes and announced; a refused connection now counts only if another backend is reached at that moment.

Moved without a change: RequestDemand, recordBackendHealth, DemandReporter, pauseFields.

--- a/src/core/backend-health.ts
+++ b/src/core/backend-health.ts
@@ -94,6 +94,11 @@
     this.backends.delete(backend);
   }
 
+  /** Drops the history of all backends, because this daemon could reach none of them. */
+  clear(): void {
+    this.backends.clear();
+  }
+
   /** Drops the history of all backends that are not in the set. */
   keepOnly(backends: ReadonlySet<string>): void {
     for (const backend of this.backends.keys()) {
--- a/src/core/backend-reachability.ts
+++ b/src/core/backend-reachability.ts
@@ -1,12 +1,12 @@
 /**
  * Which backends this daemon reaches over connections of its own, by their addresses ("ip:port"), concluded from connections that fail to open and from
  * backends that stay silent. Silence alone proves nothing, because a backend may be busy; it only asks for a probe, which is
- * an attempt to open a new connection. If several backends fail and none is received from, the daemon counts as
+ * an attempt to open a new connection. If one fails, others are probed; if these fail too and none is received from, the daemon counts as
  * partitioned from all of them. Pure; times are milliseconds of a monotonic clock.
  */
 
 /** Number of backends, or all if fewer are listed, whose connections must fail before the daemon counts as partitioned. */
-const PARTITION_FAILURES = 3;
+const PARTITION_FAILURES = 5;
 /** Time without a byte from a backend that has requests in flight, after which it is probed. */
 const SILENCE_MS = 400;
 /** Time between two probes of a backend that accepts connections but stays silent; doubles up to the maximum. */
@@ -19,7 +19,7 @@
 /** Time after the failure of one backend in which others are probed. */
 const NEIGHBOR_PROBE_WINDOW_MS = 1_500;
 /** Time between two rounds of probes of other backends. */
-const NEIGHBOR_ROUND_GAP_MS = 5_000;
+const NEIGHBOR_ROUND_GAP_MS = 2_000;
 /** Probes of unreachable backends that one call of {@link BackendReachability.probesDue} returns. */
 const MAX_RECOVERY_PROBES = 4;
 
@@ -76,6 +76,11 @@
     return this.isPartitioned || this.failed().length > 0;
   }
 
+  /** Whether a byte was received from any backend, or a connection opened, shortly before. */
+  hasRecentContact(now: number): boolean {
+    return now - this.lastReceivedAt <= SILENCE_MS;
+  }
+
   /** Returns the changes since the last call. */
   takeChanges(): ReachabilityChange[] {
     const { changes } = this;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -11,10 +11,12 @@
   type Route,
 } from '../core/service-configuration.js';
 import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
+import { UNOBSERVED_EXCHANGE } from './backend-watch.js';
 import { forwardedHeaders, type CallerAnswer, type CompleteAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { AnswerHead } from './ports.js';
 import type { CallerRequest } from './caller-request.js';
+import type { RelayFailure } from './relay-protocol.js';
 import { steadyNow } from './steady-clock.js';
 
 /** How an attempt ended. */
@@ -35,6 +37,8 @@
       readonly connectionLost: boolean;
       /** The backend refused the request because it lacks the model or is a different process. */
       readonly lacksModel: boolean;
+      /** Why the relay has no answer of the backend; undefined for a direct attempt. */
+      readonly relayFailure?: RelayFailure;
       /** An error answer signed by the backend, which may be forwarded to the caller. */
       readonly answer?: CompleteAnswer;
     };
@@ -51,6 +55,8 @@
    * across daemons; the backend then orders its requests itself.
    */
   readonly priority: number | undefined;
+  /** Peer address of the daemon that relays the request; undefined to send it directly. */
+  readonly relay: string | undefined;
   /** Time left until the request's deadline. */
   readonly remainingMs: number;
   /** Id of the event after which the stream resumes. */
@@ -103,7 +109,7 @@
     private readonly context: GatewayContext,
     private readonly options: AttemptOptions,
   ) {
-    const { backend, request } = options;
+    const { backend, request, relay } = options;
     this.startTimeout(options.firstByteTimeoutMs);
     this.exchange = new BackendExchange(
       {
@@ -112,6 +118,7 @@
         path: request.path,
         headers: this.requestHeaders(),
         body: request.body,
+        ...(relay === undefined ? {} : { relay: { peer: relay, backend: backend.id } }),
       },
       context.agent,
       {
@@ -120,7 +127,9 @@
         onEnd: () => this.receiveEnd(),
         onFailure: (failure) => this.exchangeFailed(failure),
       },
-      context.backendWatch.observeExchange(backend.address),
+      relay === undefined
+        ? context.backendWatch.observeExchange(backend.address)
+        : UNOBSERVED_EXCHANGE,
     );
   }
 
@@ -139,6 +148,22 @@
     this.exchange.giveUp('the backend restarted');
   }
 
+  /** Peer address of the daemon that relays the request; undefined for a direct attempt. */
+  get relay(): string | undefined {
+    return this.options.relay;
+  }
+
+  /**
+   * Handles a partition from all backends. An attempt that may be repeated fails at once, so that it is sent again on another path;
+   * any other waits for its answer, because the backend may still send it.
+   */
+  pathLost(): void {
+    const { relay, firstByteTimeoutMs, stallTimeoutMs } = this.options;
+    const limitMs = this.incoming === undefined ? firstByteTimeoutMs : stallTimeoutMs;
+    if (relay !== undefined || !Number.isFinite(limitMs)) return;
+    this.fail('unknown', 'no backend can be reached', { silent: true });
+  }
+
   /** Aborts the attempt without calling `onEnd`. */
   abort(): void {
     this.ended = true;
@@ -299,7 +324,7 @@
   }
 
   private exchangeFailed(failure: ExchangeFailure): void {
-    const { reached, reason } = failure;
+    const { reached, reason, relayFailure } = failure;
     this.end({
       type: 'failed',
       ran: reached ? 'unknown' : 'no',
@@ -309,6 +334,7 @@
       closedBeforeAnswer: reached && this.incoming === undefined,
       connectionLost: reached,
       lacksModel: false,
+      ...(relayFailure === undefined ? {} : { relayFailure }),
     });
   }
 
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -62,6 +62,13 @@
     for (const socket of [...idle]) socket.destroy();
   }
 
+  /** Closes all idle connections, for use when no backend can be reached. */
+  dropAllIdle(): void {
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of [...(sockets ?? [])]) socket.destroy();
+    }
+  }
+
   /** Called by Node to decide whether a connection is kept alive. */
   override keepSocketAlive(socket: Socket): boolean {
     const limitMs = idleLimitMs(socket);
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -5,6 +5,14 @@
 import type { BackendAgent } from './backend-agent.js';
 import type { ExchangeObserver } from './backend-watch.js';
 import { BodySender } from './body-sender.js';
+import {
+  encodeRelayTarget,
+  mayHaveReachedBackend,
+  parseRelayFailure,
+  relayAddressOf,
+  RELAY_FAILURE_HEADER,
+  type RelayFailure,
+} from './relay-protocol.js';
 
 /** Timeout for opening a connection. Nothing of the request has been sent when it passes. */
 const CONNECT_TIMEOUT_MS = 350;
@@ -22,6 +30,8 @@
   /** Alternating names and values, in the format of Node's raw headers. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** The daemon that relays the request; undefined to send it to `address`. */
+  readonly relay?: { readonly peer: string; readonly backend: string };
 }
 
 /** Why no complete answer was received. */
@@ -29,6 +39,8 @@
   /** Whether the backend may have received any byte of the request. */
   readonly reached: boolean;
   readonly reason: string;
+  /** Why the relay has no answer of the backend; undefined for a direct request or if the relay told nothing. */
+  readonly relayFailure?: RelayFailure;
 }
 
 /** Callbacks for the answer. No callback follows `onEnd` or `onFailure`. */
@@ -45,6 +57,7 @@
   private readonly outgoing: http.ClientRequest;
   private readonly sender: BodySender;
   private incoming: http.IncomingMessage | undefined;
+  private readonly isRelayed: boolean;
   private connected = false;
   private ended = false;
 
@@ -54,15 +67,18 @@
     private readonly handler: ExchangeHandler,
     private readonly observer: ExchangeObserver,
   ) {
-    const [host, port] = splitAddress(request.address);
+    const { relay, path } = request;
+    this.isRelayed = relay !== undefined;
+    const [host, port] = splitAddress(relay ? relayAddressOf(relay.peer) : request.address);
     this.outgoing = http.request({
       host,
       port,
       method: request.method,
-      path: request.path,
+      path: relay ? encodeRelayTarget({ backend: relay.backend, path }) : path,
       headers: request.headers as unknown as http.OutgoingHttpHeaders,
       setHost: false,
-      agent,
+      // A new connection shows that the relay is reached before anything is sent to it.
+      agent: relay ? false : agent,
     });
     this.outgoing.on('socket', (socket) => this.watchConnect(socket));
     this.outgoing.on('response', (answer) => this.receive(answer));
@@ -124,6 +140,10 @@
 
   private receive(answer: http.IncomingMessage): void {
     if (this.ended) return;
+    const relayFailure = this.isRelayed
+      ? parseRelayFailure(answer.headers[RELAY_FAILURE_HEADER])
+      : undefined;
+    if (relayFailure !== undefined) return this.relayFailed(relayFailure);
     this.incoming = answer;
     this.observer.received();
     if (isUnframed(answer)) this.watchReset(answer.socket);
@@ -154,12 +174,23 @@
     });
   }
 
+  private relayFailed(relayFailure: RelayFailure): void {
+    const reached = mayHaveReachedBackend(relayFailure);
+    this.end({ reached, reason: `relay: ${relayFailure}`, relayFailure });
+  }
+
   private fail(reason: string): void {
+    const noRelay = this.isRelayed && !this.connected;
+    const failure = { reached: this.connected, reason };
+    this.end(noRelay ? { ...failure, relayFailure: 'no_relay' } : failure);
+  }
+
+  private end(failure: ExchangeFailure): void {
     if (this.ended) return;
     this.ended = true;
     this.observer.ended();
     this.outgoing.destroy();
-    this.handler.onFailure({ reached: this.connected, reason });
+    this.handler.onFailure(failure);
   }
 }
 
--- a/src/gateway/crash-tracker.ts
+++ b/src/gateway/crash-tracker.ts
@@ -26,6 +26,8 @@
   readonly metrics: GatewayMetrics;
   /** Returns the current directory entry of a backend. */
   readonly listed: (backend: string) => BackendRecord | undefined;
+  /** Resolves with whether this daemon reaches a backend other than the one at an address; true if there is none. */
+  readonly reachesOthers: (address: string) => Promise<boolean>;
   /** Called when the set of refused requests has changed, so that waiting and running requests check again whether they may be sent. */
   readonly onRefusedChange: () => void;
 }
@@ -95,11 +97,14 @@
     backend: BackendRecord,
     digest: string,
     request: string | undefined,
+    isKnownToHaveEnded = false,
   ): Promise<void> {
     const start = startKey(backend);
     const isKnown =
-      this.records.hasCrashed(start) || isDifferentStart(backend, this.options.listed(backend.id));
-    const hasEnded = isKnown || (await this.hasEnded(backend.address));
+      isKnownToHaveEnded ||
+      this.records.hasCrashed(start) ||
+      isDifferentStart(backend, this.options.listed(backend.id));
+    const hasEnded = isKnown || (await this.hasEnded(backend));
     if (!hasEnded) return;
     const record = this.records.recordCrash(digest, start, steadyNow());
     if (record === undefined) return;
@@ -191,14 +196,22 @@
     if (added.length + lifted.length > 0) onCondemned();
   }
 
-  private hasEnded(address: string): Promise<boolean> {
+  /** Resolves with whether the process at a backend's address has ended: it refuses connections, and other backends do not. */
+  hasEnded({ address }: BackendRecord): Promise<boolean> {
     const now = steadyNow();
     const known = this.probes.get(address);
     if (known !== undefined && now - known.at < PROBE_REUSE_MS) return known.hasEnded;
-    const hasEnded = refusesConnection(address);
+    const hasEnded = this.probe(address);
     this.probes.set(address, { at: now, hasEnded });
     return hasEnded;
   }
+
+  private async probe(address: string): Promise<boolean> {
+    if (!(await refusesConnection(address))) return false;
+    if (await this.options.reachesOthers(address)) return true;
+    this.options.logger.info('crash_not_proven', { address });
+    return false;
+  }
 }
 
 /** Returns whether a connection to an address is refused, so that no process listens there. */
--- a/src/gateway/decision-state.ts
+++ b/src/gateway/decision-state.ts
@@ -1,5 +1,6 @@
 /** State that a daemon's decision on a request is based on, and its age, as log fields. */
-import type { Service } from '../core/service-configuration.js';
+import { isStream, type Route, type Service } from '../core/service-configuration.js';
+import type { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 
 /**
@@ -24,6 +25,18 @@
   };
 }
 
+/**
+ * Returns the longest pause of a stream and the longest pause that still meets the route's goal, as fields of a log line.
+ */
+export function pauseFields(
+  route: Route,
+  answer: Pick<CallerAnswer, 'hasBegun' | 'longestPauseMs'>,
+): Record<string, number> {
+  if (!isStream(route) || !answer.hasBegun) return {};
+  const longestPauseMs = Math.round(answer.longestPauseMs);
+  return { longestPauseMs, pauseGoalMs: route.pauseGoalMs };
+}
+
 /** Rounds to whole milliseconds. Returns undefined for an unknown time, which is infinite. */
 function roundedMs(milliseconds: number): number | undefined {
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -8,6 +8,7 @@
 import type { RetryBudget } from '../core/retry-budget.js';
 import type { AnswerBuffer } from './answer-buffer.js';
 import type { BackendAgent } from './backend-agent.js';
+import type { BackendPaths } from './backend-paths.js';
 import type { BackendWatch } from './backend-watch.js';
 import type { BackendPermits } from './backend-permits.js';
 import type { CallerAdmission } from './caller-admission.js';
@@ -29,6 +30,8 @@
   readonly health: BackendHealth;
   /** Which backends this daemon reaches over connections of its own. */
   readonly backendWatch: BackendWatch;
+  /** Paths to backends, directly or through other daemons. */
+  readonly paths: BackendPaths;
   readonly selection: BackendSelection;
   readonly tracker: RequestTracker;
   readonly hold: HoldPolicy;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -38,6 +38,23 @@
     help: 'Listed backends to which this daemon can open no connection; all of them while it is partitioned',
     registers: [this.registry],
   });
+  readonly relayedRequests = new Counter({
+    name: 'scaleslip_gateway_relayed_requests_total',
+    help: 'Requests of own callers sent through another daemon, by the end there: answered, or why not',
+    labelNames: ['end'],
+    registers: [this.registry],
+  });
+  readonly relayedForOthers = new Counter({
+    name: 'scaleslip_gateway_relayed_for_others_total',
+    help: "Requests of other daemons' callers that this daemon was to relay to a backend, by end",
+    labelNames: ['end'],
+    registers: [this.registry],
+  });
+  readonly relaysInFlight = new Gauge({
+    name: 'scaleslip_gateway_relays_in_flight',
+    help: "Requests of other daemons' callers that this daemon is relaying",
+    registers: [this.registry],
+  });
   readonly backendProbes = new Counter({
     name: 'scaleslip_gateway_backend_probes_total',
     help: 'Connections opened only to find out whether a backend can be reached',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,13 +18,14 @@
 import type { PeerBody } from '../daemon/peer-transport.js';
 import type { BackendAgent } from './backend-agent.js';
 import { AnswerBuffer } from './answer-buffer.js';
-import { BackendWatch } from './backend-watch.js';
+import { BackendAccess } from './backend-access.js';
 import { clearEarlierStart } from './backend-restarts.js';
 import { CallerBudgets } from './caller-budgets.js';
 import { CallerAdmission } from './caller-admission.js';
 import { CallerServer } from './caller-server.js';
 import { CrashTracker } from './crash-tracker.js';
-import { decodeDemand, decodePlacement, encodeDemand } from './gateway-codec.js';
+import { DemandReporter } from './demand-reporter.js';
+import { decodeDemand, decodePlacement } from './gateway-codec.js';
 import { ConfigurationExchange } from './configuration-exchange.js';
 import { ConfigurationLeaseRenewal } from './configuration-lease-renewal.js';
 import type { GossipLinks } from './digest-gossip.js';
@@ -55,11 +56,6 @@
 const TICK_MS = 100;
 /** Interval between demand reports to an owner, in milliseconds. */
 const DEMAND_PERIOD_MS = 250;
-/**
- * Interval at which an unchanged report is repeated, in milliseconds: twice within the time for which an owner
- * counts a report.
- */
-const DEMAND_REPEAT_MS = 1_000;
 /** Time after the start of a drain during which the load balancer may still send requests, in milliseconds. */
 const BALANCER_DELAY_MS = 2_300;
 /** Time before the end of a stop at which requests still in flight are interrupted, in milliseconds. */
@@ -90,12 +86,13 @@
   private readonly admission: CallerAdmission;
   private readonly limits: RateLimiting;
   private readonly slots: SlotAdmission | undefined;
-  private readonly backendWatch: BackendWatch;
+  private readonly access: BackendAccess;
   private readonly crashes: CrashTracker;
   private readonly leavings: ShutdownAnnouncer;
   private readonly directoryReader: DirectoryFollower;
   private readonly ownerships: ServiceOwnerships;
   private readonly placements: PlacementExchange;
+  private readonly demand: DemandReporter;
   private readonly front: CallerServer;
   private readonly status: StatusPorts;
   private routing: RoutingTable | undefined;
@@ -107,7 +104,6 @@
   private stopped = false;
   private ticker: Ticker | undefined;
   private lastReport = 0;
-  private lastFullReport = 0;
   private recheckScheduled = false;
   private membersHaveChanged = false;
 
@@ -150,12 +146,20 @@
       onMaybeStale: () => this.proofs.tick(),
     });
     this.limits = this.makeLimits();
-    this.backendWatch = this.makeBackendWatch();
+    this.access = this.makeBackendAccess();
     this.crashes = this.makeCrashWatch();
     this.leavings = this.makeLeavingNotices();
     this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.ownerships = this.makeOwnerships();
     this.placements = this.makePlacements();
+    this.demand = new DemandReporter({
+      self: this.peers.address,
+      ownerships: this.ownerships,
+      tracker: () => this.context.tracker,
+      health: () => this.context.health,
+      version: () => this.version,
+      send: (to, body) => this.peers.send(to, body),
+    });
     this.context = this.makeContext();
     this.directoryReader = new DirectoryFollower({
       directory: systems.directory,
@@ -181,6 +185,7 @@
   private async open(): Promise<void> {
     const { settings, systems } = this;
     await this.peers.start();
+    await this.access.start();
     await this.front.start();
     await this.status.start();
     systems.directory.start({
@@ -235,7 +240,7 @@
     // Node treats a connection as idle once its answer is written, although the caller has not read it yet.
     if (this.context.answers.unreadCallers > 0) return false;
     this.front.closeIdle();
-    return this.context.exchanges.size === 0;
+    return this.context.exchanges.size === 0 && this.access.activeRelays === 0;
   }
 
   /** Closes all ports immediately. */
@@ -246,7 +251,7 @@
     this.systems.directory.stop();
     this.front.stop();
     this.status.stop();
-    this.backendWatch.stop();
+    this.access.stop();
     this.peers.stop();
   }
 
@@ -299,11 +304,25 @@
     });
   }
 
-  private makeBackendWatch(): BackendWatch {
-    const { logger, metrics, agent } = this.systems;
-    const watch = new BackendWatch({ logger, metrics, onChange: () => this.scheduleRecheck() });
-    agent.observeConnections((address, socket) => watch.observeConnection(address, socket));
-    return watch;
+  private makeBackendAccess(): BackendAccess {
+    return new BackendAccess({
+      settings: this.settings,
+      ...this.systems,
+      directory: this.backends,
+      peers: this.peers,
+      crashes: () => this.crashes,
+      answers: () => this.context.answers,
+      maxBodyBytes: () => this.routing?.configuration.limits.bodyBytes,
+      isDraining: () => this.refusesRequests(),
+      onPartitioned: () => this.partitioned(),
+      onChange: () => this.scheduleRecheck(),
+    });
+  }
+
+  /** Discards what direct connections have shown about backends, and sends requests in flight again on other paths. */
+  private partitioned(): void {
+    this.context.health.clear();
+    for (const exchange of [...this.context.exchanges]) exchange.partitioned();
   }
 
   private makeCrashWatch(): CrashTracker {
@@ -313,6 +332,7 @@
       logger,
       metrics,
       listed: (backend) => this.backends.get(backend),
+      reachesOthers: (address) => this.access.watch.reachesOthers(address),
       onRefusedChange: () => this.scheduleRecheck(),
     });
   }
@@ -390,7 +410,8 @@
       dialect,
       directory: this.backends,
       health: new BackendHealth(),
-      backendWatch: this.backendWatch,
+      backendWatch: this.access.watch,
+      paths: this.access.paths,
       selection: new StaleLoadSelection(settings.name),
       tracker: new RequestTracker(),
       hold: settings.policies.holdByChance ? new ExpectedServiceHold() : new GoalWindowHold(),
@@ -414,7 +435,7 @@
       budgetOf: (service) => this.budgets.budgetOf(service),
       budgetParts: () => 1 / this.shares.ownShare(leaseNow()),
       recordCaller: (route, deadlineMs) => this.budgets.recordDeadline(route, deadlineMs),
-      sendDemandNow: (service) => this.reportDemand(service),
+      sendDemandNow: (service) => this.demand.report(service),
       recheckWaiting: () => this.scheduleRecheck(),
       isDraining: () => this.drainingSince !== undefined,
       refusesRequests: () => this.refusesRequests(),
@@ -444,7 +465,7 @@
   private backendsChanged(): void {
     for (const restart of this.backends.takeRestarts()) clearEarlierStart(this.context, restart);
     this.context.health.keepOnly(new Set(this.backends.all().map((backend) => backend.id)));
-    this.backendWatch.setListed(this.backends.all().map(({ address }) => address));
+    this.access.watch.setListed(this.backends.all().map(({ address }) => address));
     this.ownerships.backendsChanged();
     this.scheduleRecheck();
   }
@@ -460,7 +481,7 @@
   private tick(): void {
     const now = steadyNow();
     this.peers.tick();
-    this.backendWatch.tick();
+    this.access.tick();
     this.ownerships.tick();
     if (this.admission.needsLease) this.proofs.tick();
     this.limits.tick();
@@ -471,26 +492,7 @@
     this.lastReport = now;
     this.logMembers();
     this.directoryReader.tick();
-    this.reportAll(now);
-  }
-
-  /** Reports changed demand, and periodically all demand, before the owner considers this daemon's reports outdated. */
-  private reportAll(now: number): void {
-    const { tracker } = this.context;
-    const isFullReport = now - this.lastFullReport >= DEMAND_REPEAT_MS;
-    if (isFullReport) this.lastFullReport = now;
-    for (const service of tracker.activeServices()) {
-      if (isFullReport || tracker.hasChanged(service)) this.reportDemand(service);
-    }
-  }
-
-  private reportDemand(service: string): void {
-    const failing = this.context.health.failingBackends(steadyNow());
-    const report = this.context.tracker.report(service, this.peers.address, failing, steadyNow());
-    if (this.ownerships.applyDemand(service, report)) return;
-    const owner = this.ownerships.ownerAddress(service);
-    if (owner === undefined) return;
-    this.peers.send(owner, encodeDemand(service, report, this.version));
+    this.demand.reportAll(now);
   }
 
   private get version(): number {
--- a/src/gateway/peer-group.ts
+++ b/src/gateway/peer-group.ts
@@ -86,6 +86,11 @@
     return this.membership.live();
   }
 
+  /** Whether an IP address is that of a daemon that is not known to be dead. */
+  isMemberHost(host: string): boolean {
+    return this.membership.reachable().some(({ address }) => address.startsWith(`${host}:`));
+  }
+
   send(to: string, body: PeerBody): void {
     this.transport.send(to, body);
   }
--- /dev/null
+++ b/src/gateway/relay-server.ts
@@ -0,0 +1,238 @@
+/**
+ * Relays requests of other daemons that cannot reach a backend. Whatever the request is counted against, such as limits, slots and
+ * retries, is counted by the daemon that received it from the caller. A relayed request is never relayed again.
+ */
+import http from 'node:http';
+import { faultText, type Logger } from '../common/logger.js';
+import { listen, sendJson } from '../common/http-server.js';
+import type { BackendDirectory } from '../core/backend-directory.js';
+import type { BackendRecord } from '../core/service-configuration.js';
+import type { BackendAgent } from './backend-agent.js';
+import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
+import type { BackendWatch } from './backend-watch.js';
+import { forwardedHeaders } from './caller-answer.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { RequestDialect } from './ports.js';
+import {
+  mayHaveReachedBackend,
+  parseRelayTarget,
+  REACHABILITY_PATH,
+  RELAY_FAILURE_HEADER,
+  type RelayFailure,
+} from './relay-protocol.js';
+import { steadyNow } from './steady-clock.js';
+
+/** Maximum number of requests relayed at the same time; the processor must have time for this daemon's own callers. */
+const MAX_RELAYED = 128;
+/** Headers that belong to the connection with the other daemon. */
+const REQUEST_CONNECTION_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+const DROPPED_ANSWER_HEADERS: ReadonlySet<string> = new Set([RELAY_FAILURE_HEADER]);
+
+/** Options of {@link RelayServer}. */
+export interface RelayServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly logger: Logger;
+  readonly metrics: Pick<GatewayMetrics, 'relayedForOthers' | 'relaysInFlight'>;
+  readonly directory: Pick<BackendDirectory, 'getServing' | 'servingBackends'>;
+  readonly dialect: Pick<RequestDialect, 'readRequest'>;
+  readonly agent: BackendAgent;
+  readonly watch: BackendWatch;
+  /** Adds to the buffered bytes of request bodies; a negative value subtracts. */
+  readonly addBuffered: (bytes: number) => void;
+  /** Maximum size of a request body in bytes; undefined before the first configuration. */
+  readonly maxBodyBytes: () => number | undefined;
+  /** Whether an IP address is one of the group's. */
+  readonly isMember: (host: string) => boolean;
+  /** Whether no further requests are relayed because the daemon stops. */
+  readonly isDraining: () => boolean;
+  /** Resolves with whether the process at a backend's address has ended. */
+  readonly hasEnded: (backend: BackendRecord) => Promise<boolean>;
+}
+
+/** A request of another daemon. */
+interface RelayedRequest {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly id: string | undefined;
+  readonly peer: string;
+  readonly startedAt: number;
+}
+
+/** HTTP server for the other daemons. */
+export class RelayServer {
+  private readonly server: http.Server;
+  private inFlight = 0;
+
+  constructor(private readonly options: RelayServerOptions) {
+    this.server = http.createServer({ noDelay: true }, (request, response) => {
+      response.sendDate = false;
+      response.on('error', () => response.destroy());
+      this.receive(request, response);
+    });
+    this.server.on('clientError', (_fault, socket) => socket.destroy());
+  }
+
+  /** Number of requests that are being relayed. */
+  get active(): number {
+    return this.inFlight;
+  }
+
+  /** Listens. A port in use is logged; the daemon then relays nothing. */
+  async start(): Promise<void> {
+    const { host, port, logger } = this.options;
+    try {
+      await listen(this.server, host, port);
+    } catch (fault) {
+      logger.error('relay_port_unavailable', { port, reason: faultText(fault) });
+    }
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { dialect, isMember } = this.options;
+    const peer = request.socket.remoteAddress ?? '';
+    const id = dialect.readRequest(request.headers).attemptId;
+    const relayed = { request, response, id, peer, startedAt: steadyNow() };
+    if (!isMember(peer)) return this.refuse(relayed, undefined, 'rejected');
+    const url = request.url ?? '';
+    if (url.startsWith(REACHABILITY_PATH)) return void this.answerReachability(url, response);
+    const target = parseRelayTarget(url);
+    if (target === undefined) return this.refuse(relayed, undefined, 'rejected');
+    const backend = this.options.directory.getServing(target.backend);
+    const refusal = this.refusalFor(backend);
+    if (refusal !== undefined || backend === undefined) {
+      return this.refuse(relayed, target.backend, refusal ?? 'backend_unavailable');
+    }
+    this.inFlight += 1;
+    this.options.metrics.relaysInFlight.set(this.inFlight);
+    response.once('close', () => {
+      this.inFlight -= 1;
+      this.options.metrics.relaysInFlight.set(this.inFlight);
+    });
+    this.readBody(relayed, (body) => this.forward(relayed, backend, target.path, body));
+  }
+
+  private refusalFor(backend: BackendRecord | undefined): RelayFailure | undefined {
+    const { isDraining, watch } = this.options;
+    if (isDraining()) return 'draining';
+    if (watch.reachability.isPartitioned) return 'partitioned';
+    if (backend === undefined) return 'backend_unavailable';
+    if (watch.reachability.isUnreachable(backend.address)) return this.unreachableReason();
+    return this.inFlight >= MAX_RELAYED ? 'busy' : undefined;
+  }
+
+  /** Only a daemon that received from others lately can tell that one backend alone is unreachable. */
+  private unreachableReason(): RelayFailure {
+    return this.options.watch.reachability.hasRecentContact(steadyNow())
+      ? 'backend_unreachable'
+      : 'partitioned';
+  }
+
+  /** Tells how many backends of a service, of a few that it probes, this daemon reaches. */
+  private async answerReachability(url: string, response: http.ServerResponse): Promise<void> {
+    const service = decodeURIComponent(url.slice(REACHABILITY_PATH.length));
+    const { directory, watch, isDraining } = this.options;
+    const addresses = directory.servingBackends(service).map(({ address }) => address);
+    sendJson(response, 200, await watch.probeSome(isDraining() ? [] : addresses));
+  }
+
+  private readBody({ request, response }: RelayedRequest, done: (body: Buffer) => void): void {
+    const limit = this.options.maxBodyBytes() ?? 0;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      // The daemon that received the request from its caller applies the same limit.
+      if (size > limit) return void response.destroy();
+      chunks.push(chunk);
+    });
+    request.on('end', () => {
+      if (!response.destroyed) done(Buffer.concat(chunks));
+    });
+    request.on('error', () => request.destroy());
+  }
+
+  private forward(
+    relayed: RelayedRequest,
+    backend: BackendRecord,
+    path: string,
+    body: Buffer,
+  ): void {
+    const { request, response } = relayed;
+    const { agent, watch, addBuffered } = this.options;
+    addBuffered(body.length);
+    const headers = forwardedHeaders(request.rawHeaders, REQUEST_CONNECTION_HEADERS);
+    const hasBody = body.length > 0 || request.method === 'POST';
+    if (hasBody) headers.push('Content-Length', String(body.length));
+    const exchange = new BackendExchange(
+      { address: backend.address, method: request.method ?? 'GET', path, headers, body },
+      agent,
+      {
+        onHead: (answer) => {
+          const { statusCode = 502, rawHeaders } = answer;
+          response.writeHead(statusCode, forwardedHeaders(rawHeaders, DROPPED_ANSWER_HEADERS));
+        },
+        onData: (chunk) => {
+          if (response.write(chunk)) return;
+          exchange.setPaused(true);
+          response.once('drain', () => exchange.setPaused(false));
+        },
+        onEnd: () => {
+          response.end();
+          this.ended(relayed, backend.id, 'answered');
+        },
+        onFailure: (failure) => void this.failed(relayed, backend, failure),
+      },
+      watch.observeExchange(backend.address),
+    );
+    response.once('close', () => {
+      addBuffered(-body.length);
+      if (!response.writableFinished) exchange.abort();
+    });
+  }
+
+  private async failed(
+    relayed: RelayedRequest,
+    backend: BackendRecord,
+    failure: ExchangeFailure,
+  ): Promise<void> {
+    const { response } = relayed;
+    // The other daemon must not take a truncated answer for a complete one.
+    if (response.headersSent) {
+      response.destroy();
+      return this.ended(relayed, backend.id, 'connection_lost');
+    }
+    if (!failure.reached) return this.refuse(relayed, backend.id, this.unreachableReason());
+    const hasEnded = await this.options.hasEnded(backend);
+    this.refuse(relayed, backend.id, hasEnded ? 'backend_ended' : 'connection_lost');
+  }
+
+  private refuse(relayed: RelayedRequest, backend: string | undefined, reason: RelayFailure): void {
+    const { response, request } = relayed;
+    if (!response.headersSent && !response.destroyed) {
+      const status = mayHaveReachedBackend(reason) ? 502 : 503;
+      response.writeHead(status, { [RELAY_FAILURE_HEADER]: reason, 'content-length': 0 });
+      response.end();
+    }
+    request.resume();
+    this.ended(relayed, backend, reason);
+  }
+
+  private ended(relayed: RelayedRequest, backend: string | undefined, end: string): void {
+    const { id, peer, startedAt } = relayed;
+    this.options.metrics.relayedForOthers.inc({ end });
+    this.options.logger.info('relayed', {
+      request: id,
+      peer,
+      backend,
+      end,
+      milliseconds: Math.round(steadyNow() - startedAt),
+      inFlight: this.inFlight,
+    });
+  }
+}
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -137,6 +137,11 @@
     this.permit?.use();
   }
 
+  /** Records that the request was not sent after all, because its relay refused it. */
+  recordNotSent(backend: string): void {
+    this.tried.delete(backend);
+  }
+
   /** Records that a backend refused the request or could not be reached. */
   recordRefusal(backend: string): void {
     this.refusals.set(backend, steadyNow() + REFUSED_RETRY_MS);
@@ -222,7 +227,8 @@
 
   /** Returns the backends that may be sent the request now. */
   private usableBackends(now: number): BackendRecord[] {
-    const { backoffs } = this.context;
+    const { backoffs, paths } = this.context;
+    if (paths.isCutOff()) return [];
     return this.suitableBackends(now)
       .filter((backend) => (this.refusals.get(backend.id) ?? 0) <= now)
       .filter((backend) => backoffs.remainingMs(backend, now) === 0)
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -6,24 +6,21 @@
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
 import { stepAfterFailure, firstByteTimeoutMs, stallTimeoutMs } from '../core/attempt-policy.js';
-import { isDifferentStart } from '../core/backend-starts.js';
 import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
-import {
-  isStream,
-  type BackendRecord,
-  type ModelReference,
-} from '../core/service-configuration.js';
+import { type BackendRecord, type ModelReference } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { CallerRequest } from './caller-request.js';
 import { gapRecorder, type CapacityQuery } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import { modelReadyInMs } from './model-forecast.js';
-import { decisionState } from './decision-state.js';
+import { decisionState, pauseFields } from './decision-state.js';
+import { hasBackendFailed, recordBackendHealth } from './attempt-health.js';
+import { RequestDemand } from './request-demand.js';
 import { RequestDispatch, type SlotDetails } from './request-dispatch.js';
+import { RequestRelays } from './request-relays.js';
 import { RequestSuspicion } from './request-suspicion.js';
-import type { WaitingCaller } from './request-tracker.js';
 import { steadyNow } from './steady-clock.js';
 import { TenantAdmission, type TenantDenial } from './tenant-admission.js';
 
@@ -63,7 +60,6 @@
   private deadlineTimer: NodeJS.Timeout | undefined;
   private runs = 0;
   private sends = 0;
-  private isWaiting = false;
   /** The first forecast because of which the request was held, and the steady time of that forecast. */
   private firstForecast: { readonly readyInMs: number; readonly at: number } | undefined;
   private ended = false;
@@ -72,12 +68,14 @@
   private readonly search: RequestDispatch;
   /** Whether the caller was most likely refused before, by this daemon or another. */
   private readonly wasRefused: boolean;
-  /** Entry for this request in the demand reports to the service owner while it waits. */
-  private readonly waitingCaller: WaitingCaller;
+  private readonly demand: RequestDemand;
+  /** Steady time at which the answer must begin to meet the route's goal. */
+  private readonly dueAt: number;
   /** The model that a backend must have loaded; undefined if the service's backends do not load models. */
   private readonly model: ModelReference | undefined;
   private readonly capacityQuery: CapacityQuery;
   private readonly suspicion: RequestSuspicion;
+  private readonly relays: RequestRelays;
 
   constructor(
     private readonly context: GatewayContext,
@@ -95,10 +93,12 @@
     this.wasRefused = context.recordCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
-    const dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
-    this.waitingCaller = { dueAt, goalMs: route.goalMs };
+    this.dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
+    const waitingCaller = { dueAt: this.dueAt, goalMs: route.goalMs };
+    this.demand = new RequestDemand(context, match, this.model, waitingCaller);
     this.suspicion = new RequestSuspicion(context.crashes, request, () => this.answer.hasBegun);
     this.search = this.makeSearch();
+    this.relays = new RequestRelays(context);
     response.on('close', () => this.callerClosed());
   }
 
@@ -125,10 +125,7 @@
    * a tenant may not make.
    */
   private admitted(): void {
-    const { route, service } = this.match;
-    if (this.model !== undefined) {
-      this.context.tracker.recordArrival(service.name, this.model, route.goalMs, steadyNow());
-    }
+    this.demand.recordArrival();
     this.dispatch();
   }
 
@@ -143,7 +140,7 @@
     // backend too.
     if (!this.ended && !this.answer.hasBegun && this.isCondemned()) return this.refuseCrashing();
     const isIdle = this.attempt === undefined;
-    if (isIdle && (this.isWaiting || this.search.isPending)) this.dispatch();
+    if (isIdle && (this.demand.isWaiting || this.search.isPending)) this.dispatch();
   }
 
   /** Handles a restart of a backend under the same id: earlier refusals and sends no longer count. */
@@ -157,6 +154,11 @@
     this.attempt.backendRestarted(backend.address);
   }
 
+  /** Handles a partition from all backends: sends the request again on another path if it may be repeated. */
+  partitioned(): void {
+    this.attempt?.pathLost();
+  }
+
   /**
    * Ends the request because the daemon stops. A stream ends after a complete event, so that its caller can
    * resume it.
@@ -215,7 +217,6 @@
     const { route } = this.match;
     const { head } = request;
     const arrivedAt = request.arrivedAt - (this.wasRefused ? RETRY_HEADSTART_MS : 0);
-    const { dueAt } = this.waitingCaller;
     // Services without models answer quickly and in one piece, so a caller can be served until it disconnects.
     const reserveMs = this.model === undefined ? 0 : FIRST_PART_MS;
     const leavesAt = this.answer.hasBegun ? Infinity : request.arrivedAt + route.callerTimeoutMs;
@@ -223,7 +224,7 @@
       request: head.attemptId,
       rank: this.answer.hasBegun ? 0 : (admission.tenant?.priority ?? route.priority),
       arrivedAt,
-      dueAt: this.sends > 0 ? steadyNow() : dueAt,
+      dueAt: this.sends > 0 ? steadyNow() : this.dueAt,
       giveUpAt: Math.min(this.deadlineAt, leavesAt) - reserveMs,
       tenant: admission.tenant?.name ?? '',
       work: Math.round(head.expectedWork ?? 0),
@@ -236,7 +237,17 @@
    * cannot be served in time.
    */
   private queued(): void {
-    this.setWaiting(false);
+    this.demand.setWaiting(false);
+  }
+
+  /** Refuses a request at once if its backends can be reached on no path: to wait would not help its caller. */
+  private backendsUnreachable(): void {
+    this.search.release();
+    if (this.answer.hasBegun) return this.wait();
+    const { retryAfterMs } = this.context.paths;
+    const unreachable = this.context.backendWatch.reachability.unreachableCount;
+    this.demand.expectRetry(retryAfterMs);
+    this.refuseFull(retryAfterMs, { unreachable });
   }
 
   private backendsFull(retryAfterMs: number): void {
@@ -246,13 +257,14 @@
   }
 
   private holdOrRefuse(): void {
+    if (this.context.paths.isCutOff()) return this.backendsUnreachable();
     // A suspect is sent once the suspects before it have begun to answer or have crashed their backends.
     if (this.suspicion.verdict() === 'suspect') return this.wait();
     const now = steadyNow();
     const readyInMs = this.readyInMs(now);
     const decision = this.decideHold(readyInMs);
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
-      this.expectRetry(decision.retryAfterMs);
+      this.demand.expectRetry(decision.retryAfterMs);
       return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
     if (readyInMs !== undefined) this.firstForecast ??= { readyInMs, at: now };
@@ -289,36 +301,12 @@
     return decisionState(this.context, this.match.service, this.configurationVersion, now);
   }
 
-  /** Counts a refused caller as waiting until its retry, so that its model is loaded by then. */
-  private expectRetry(retryAfterMs: number): void {
-    const { model } = this;
-    const { route, service } = this.match;
-    if (model === undefined) return;
-    const { tracker } = this.context;
-    const caller = { dueAt: steadyNow() + retryAfterMs, goalMs: route.goalMs };
-    tracker.addWaiting(service.name, model, caller);
-    this.context.sendDemandNow(service.name);
-    setTimeout(() => tracker.removeWaiting(service.name, model, caller), retryAfterMs).unref();
-  }
-
   private wait(): void {
-    this.setWaiting(true);
+    this.demand.setWaiting(true);
     clearTimeout(this.recheckTimer);
     this.recheckTimer = setTimeout(() => this.recheck(), RECHECK_INTERVAL_MS);
   }
 
-  private setWaiting(waiting: boolean): void {
-    if (this.isWaiting === waiting) return;
-    this.isWaiting = waiting;
-    const { model } = this;
-    const { service } = this.match;
-    if (model === undefined) return;
-    const { tracker } = this.context;
-    if (!waiting) return tracker.removeWaiting(service.name, model, this.waitingCaller);
-    tracker.addWaiting(service.name, model, this.waitingCaller);
-    this.context.sendDemandNow(service.name);
-  }
-
   private send(backend: BackendRecord): void {
     const { context, match, request } = this;
     const { route, service } = match;
@@ -329,8 +317,11 @@
     // Since the slot was granted, the backend may have announced that it is leaving or requested a backoff.
     if (!this.search.isUsable(backend.id)) return this.restartSearch();
     if (!this.suspicion.takeTurn(backend.id)) return this.waitForTurn();
+    const path = this.relays.pathTo(backend.address);
+    if (path === undefined) return this.backendsUnreachable();
     if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
-    this.setWaiting(false);
+    const relay = path.type === 'relay' ? path.peer : undefined;
+    this.demand.setWaiting(false);
     clearTimeout(this.recheckTimer);
     this.recordHeldWait(true);
     this.sends += 1;
@@ -342,6 +333,7 @@
     }
     this.log('sent', {
       backend: backend.id,
+      relay,
       inFlight: this.search.inFlightAt(backend),
       beliefAgeMs: context.slots?.statusAgeMs(backend.id, now),
       rateLimit: context.permits.perSecond(backend),
@@ -351,6 +343,7 @@
       ...this.stateFields(now),
     });
     const rateLimit = context.permits.recordedLimit(backend);
+    this.relays.begin(path);
     const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
     this.attempt = new Attempt(context, {
       backend,
@@ -358,6 +351,7 @@
       request,
       tenant: this.admission.tenant,
       priority: context.slots && GRANTED_PRIORITY,
+      relay,
       remainingMs: this.deadlineAt - now,
       lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
       firstByteTimeoutMs: firstByteTimeoutMs(route, this.runs),
@@ -409,7 +403,7 @@
     if (this.answer.hasBegun) return this.wait();
     const readyInMs = this.readyInMs(steadyNow());
     if (readyInMs !== undefined && readyInMs < backoffMs) return this.holdOrRefuse();
-    this.expectRetry(backoffMs);
+    this.demand.expectRetry(backoffMs);
     this.refuseFull(backoffMs, { restForMs: Math.round(backoffMs) });
   }
 
@@ -422,7 +416,7 @@
     const readyInMs = Math.min(retryAfterMs, forecastMs);
     const decision = this.decideHold(readyInMs);
     if (decision.type === 'hold' || this.answer.hasBegun) return this.wait();
-    this.expectRetry(decision.retryAfterMs);
+    this.demand.expectRetry(decision.retryAfterMs);
     this.refuseFull(decision.retryAfterMs, { limitedForMs: Math.round(retryAfterMs) });
   }
 
@@ -432,7 +426,7 @@
    */
   private backendSilent(backend: BackendRecord): void {
     this.context.health.recordNoResponse(backend.id, steadyNow());
-    this.setWaiting(true);
+    this.demand.setWaiting(true);
     this.log('backend_awaited', { backend: backend.id, ...this.stateFields(steadyNow()) });
   }
 
@@ -450,8 +444,11 @@
 
   private attemptEnded(backend: BackendRecord, end: AttemptEnd): void {
     if (this.ended) return;
-    this.releaseAttempt(backend.id, this.hasFailed(backend, end));
-    this.recordHealth(backend, end);
+    const relay = this.attempt?.relay;
+    const attempt = { backend, relay, model: this.model, end };
+    this.releaseAttempt(backend.id, hasBackendFailed(this.context, attempt));
+    if (relay !== undefined && this.relayEnded(relay, backend, end)) return;
+    recordBackendHealth(this.context, attempt, () => this.search.recordRefusal(backend.id));
     if (end.type === 'done') {
       this.suspicion.recordAnswer();
       return this.finish(end.status < 400 ? 'served' : 'failed');
@@ -461,6 +458,7 @@
       ran: end.ran,
       reached: end.reached,
       reason: end.reason,
+      relay,
       sends: this.sends,
     });
     // An attempt that never reached its backend does not count as a send.
@@ -471,7 +469,7 @@
     }
     const history = { runs: this.runs, sends: this.sends };
     const step = stepAfterFailure(this.match.route, end, history);
-    const examined = end.connectionLost ? this.suspicion.recordDisconnect(backend) : undefined;
+    const examined = this.examineCrash(backend, relay, end);
     if (step === 'retry') return this.dispatchAfter(examined);
     if (end.answer !== undefined && !this.answer.hasBegun) {
       this.answer.sendComplete(end.answer);
@@ -481,6 +479,29 @@
     this.giveUp(this.lastRan, end.reason);
   }
 
+  /** Handles the end of an attempt through another daemon. Returns true if that daemon refused, and the request is sent again. */
+  private relayEnded(relay: string, backend: BackendRecord, end: AttemptEnd): boolean {
+    const failure = end.type === 'failed' ? end.relayFailure : undefined;
+    if (!this.relays.end(relay, failure)) return false;
+    this.log('relay_refused', { relay, backend: backend.id, reason: failure });
+    this.sends -= 1;
+    this.search.recordNotSent(backend.id);
+    this.dispatch();
+    return true;
+  }
+
+  /** Finds out whether the request has crashed its backend; undefined if nothing suggests that. */
+  private examineCrash(
+    backend: BackendRecord,
+    relay: string | undefined,
+    end: Extract<AttemptEnd, { type: 'failed' }>,
+  ): Promise<void> | undefined {
+    if (!end.connectionLost) return undefined;
+    if (relay === undefined) return this.suspicion.recordDisconnect(backend);
+    // Only the relay can tell whether the backend has ended.
+    return end.relayFailure === 'backend_ended' ? this.suspicion.recordCrash(backend) : undefined;
+  }
+
   /** Dispatches the request again once it is known whether it has crashed its backend. */
   private dispatchAfter(examined: Promise<void> | undefined): void {
     if (examined === undefined) return this.dispatch();
@@ -493,13 +514,7 @@
     this.attempt = undefined;
     this.suspicion.endTurn();
     this.search.release(hasFailed);
-    this.setWaiting(false);
-  }
-
-  /** Returns whether the backend itself has failed the request. A timeout may be caused by the network. */
-  private hasFailed(backend: BackendRecord, end: AttemptEnd): boolean {
-    if (end.type === 'done' || !end.reached || end.unresponsive || end.lacksModel) return false;
-    return !isDifferentStart(backend, this.context.directory.get(backend.id));
+    this.demand.setWaiting(false);
   }
 
   private removeInFlight(backend: string): void {
@@ -508,20 +523,6 @@
     this.context.tracker.addInFlight(this.match.service.name, backend, this.model, -1);
   }
 
-  private recordHealth(backend: BackendRecord, end: AttemptEnd): void {
-    const { health, directory } = this.context;
-    // The result of a request at an earlier process says nothing about the current process.
-    if (isDifferentStart(backend, directory.get(backend.id))) return;
-    if (end.type === 'done') return health.recordSuccess(backend.id);
-    if (end.ran === 'no') this.search.recordRefusal(backend.id);
-    if (end.lacksModel && this.model !== undefined) {
-      return directory.markModelMissing(backend.id, this.model, steadyNow());
-    }
-    if (end.unresponsive) health.recordNoResponse(backend.id, steadyNow());
-    else if (end.closedBeforeAnswer) health.recordDisconnect(backend.id, steadyNow());
-    else health.recordFailure(backend.id);
-  }
-
   private deadlinePassed(): void {
     if (this.ended) return;
     if (this.sends === 0 || (this.attempt === undefined && this.runs === 0)) {
@@ -568,13 +569,14 @@
 
   private finish(end: 'served' | 'failed' | 'refused' | 'caller_left'): void {
     if (this.ended) return;
-    this.setWaiting(false);
+    this.demand.setWaiting(false);
     this.recordHeldWait(false);
     this.ended = true;
     clearTimeout(this.recheckTimer);
     clearTimeout(this.deadlineTimer);
     const mayHaveRun = end === 'served' || this.runs > 0 || this.attempt !== undefined;
     if (this.attempt !== undefined) {
+      if (this.attempt.relay !== undefined) this.context.paths.recordEnded(this.attempt.relay);
       this.attempt.abort();
       this.releaseAttempt(this.attempt.backendId);
     }
@@ -590,7 +592,12 @@
     const milliseconds = Math.round(seconds * 1000);
     const { headSentAt: begunAt } = this.answer;
     const firstPartMs = begunAt && Math.round(begunAt - this.request.arrivedAt);
-    const timing = { milliseconds, firstPartMs, goalMs: route.goalMs, ...this.pauseFields() };
+    const timing = {
+      milliseconds,
+      firstPartMs,
+      goalMs: route.goalMs,
+      ...pauseFields(route, this.answer),
+    };
     this.log('request_ended', { end, ...timing, sends: this.sends });
   }
 
@@ -602,17 +609,6 @@
     this.context.hold.recordWait({ forecastMs: firstForecast.readyInMs, spentMs, wasSent });
   }
 
-  /**
-   * Returns the longest pause of a stream and the longest pause that still meets the route's goal, as log
-   * fields.
-   */
-  private pauseFields(): Record<string, number> {
-    const { route } = this.match;
-    if (!isStream(route) || !this.answer.hasBegun) return {};
-    const longestPauseMs = Math.round(this.answer.longestPauseMs);
-    return { longestPauseMs, pauseGoalMs: route.pauseGoalMs };
-  }
-
   private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
     const { head } = this.request;
     this.context.logger.info(event, {
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -68,6 +68,17 @@
     if (!this.watch.isIdle) this.watch.recordAnswer(this.digest);
   }
 
+  /** Records that a backend's process has ended while it ran the request, as the daemon that relayed the request told. */
+  recordCrash(backend: BackendRecord): Promise<void> {
+    const isKnownToHaveEnded = true;
+    return this.watch.recordAbort(
+      backend,
+      this.digest,
+      this.request.head.attemptId,
+      isKnownToHaveEnded,
+    );
+  }
+
   /**
    * Records that a backend closed the connection. Resolves when it is known whether the backend has crashed.
    */
