An owner that does not reach its backends resigns in favour of a daemon that does

Cause: ownership depended on the store and on the other gateways only; the owner's orders ended with outcome=unknown and it planned as if there were no backends.

An owner that reaches less than half of its service's backends asks up to four others, those that have relayed for it first, how many of a few backends they reach, ends its ownership, and then announces who is to claim the service. It has sent its last order then, so the successor waits as after a planned stop, not for a lease. If the announcement is lost, the service is claimed after the usual silence. A daemon that reaches too few backends does not claim for 10 s more. Where no other daemon reaches them, the owner stays.

Orders stay on the owner's own connections: orders through a relay would come from two machines under one fencing token.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -52,6 +52,12 @@
 byte unread[DAEMONS];    /* a process that has not read the record yet: the epoch at its start */
 byte leaving = NOBODY;   /* the daemon that says that it leaves */
 byte ends = 0;
+/* Owners that resign, because another daemon reaches the backends and they do not: the epoch that they gave up. */
+#ifndef RESIGNATIONS
+#define RESIGNATIONS 0
+#endif
+byte resigned = 0;
+byte resignations = 0;
 
 byte proofAge[DAEMONS];
 /* The age of a reading that shows the daemon's own claim, and is on its way to it. */
@@ -89,11 +95,16 @@
 #endif
 #define ANSWERS(p, d) (p != d && questionAge[d] < OLD && MAY_ANSWER(p) && known[p] <= known[d])
 #define HEARS_OF(d, e) (e <= epoch && (unread[d] -> e >= unread[d] : e > known[d]))
+#ifdef ANY_RESIGNATION_COUNTS
+#define HAS_RESIGNED(e) (resigned > 0)
+#else
+#define HAS_RESIGNED(e) (resigned > 0 && resigned == e)
+#endif
 /* The process that claimed an epoch is known to have ended, or says that it leaves. */
 #ifdef SUSPICION_ENDS_WAIT
 #define HAS_ENDED(e) (1)
 #else
-#define HAS_ENDED(e) (ownerOf[e] == ENDED || ownerOf[e] == leaving)
+#define HAS_ENDED(e) (ownerOf[e] == ENDED || ownerOf[e] == leaving || HAS_RESIGNED(e))
 #endif
 /* Owners before the former one have given up once this daemon has known of the former one for WAIT. */
 #ifdef OLDER_OWNERS_FORGOTTEN
@@ -212,6 +223,13 @@
   :: d_step { owns[d] -> giveUp(d);
 #ifdef EPOCH_FORGOTTEN
        known[d] = 0
+#endif
+     }
+  /* It resigns: it orders no more under its epoch, and then tells the others. It may claim a higher one later. */
+  :: d_step { resignations < RESIGNATIONS && owns[d] -> resignations = resignations + 1;
+       resigned = known[d];
+#ifndef RESIGNS_BEFORE_LAST_ORDER
+       giveUp(d)
 #endif
      }
   /* It says that it leaves: it orders no more, and takes no claim for won. */
--- a/src/core/backend-reachability.ts
+++ b/src/core/backend-reachability.ts
@@ -154,6 +154,17 @@
     this.detectPartition(now);
   }
 
+  /**
+   * Returns whether to probe a backend that has not answered something other than a request, and counts it as probed. False shortly
+   * after a probe.
+   */
+  suspect(backend: string, now: number): boolean {
+    const contact = this.contactOf(backend);
+    if (now - contact.probedAt < FIRST_SILENCE_PROBE_GAP_MS) return false;
+    contact.probedAt = now;
+    return true;
+  }
+
   /** Returns the backends to probe now, and counts them as probed; call it several times a second. */
   probesDue(now: number): string[] {
     if (this.isPartitioned) return this.partitionProbesDue(now);
--- a/src/gateway/backend-access.ts
+++ b/src/gateway/backend-access.ts
@@ -11,6 +11,7 @@
 import type { PeerGroup } from './peer-group.js';
 import type { RequestDialect } from './ports.js';
 import { RELAY_PORT_OFFSET } from './relay-protocol.js';
+import { ServiceAccess } from './service-access.js';
 import { RelayServer } from './relay-server.js';
 
 /** Options of {@link BackendAccess}. */
@@ -37,6 +38,7 @@
 export class BackendAccess {
   readonly watch: BackendWatch;
   readonly paths: BackendPaths;
+  readonly services: ServiceAccess;
   private readonly relayServer: RelayServer;
 
   constructor(options: BackendAccessOptions) {
@@ -58,6 +60,7 @@
       watch: this.watch,
       live: () => peers.live(),
     });
+    this.services = new ServiceAccess({ directory, watch: this.watch, paths: this.paths });
     this.relayServer = new RelayServer({
       host: settings.address,
       port: settings.peerPort + RELAY_PORT_OFFSET,
@@ -91,6 +94,7 @@
 
   stop(): void {
     this.watch.stop();
+    this.services.stop();
     this.relayServer.stop();
   }
 }
--- a/src/gateway/backend-paths.ts
+++ b/src/gateway/backend-paths.ts
@@ -66,6 +66,17 @@
     return RETRY_AFTER_MS;
   }
 
+  /** Returns up to `count` daemons that may relay, the best one first. */
+  nextRelays(count: number): string[] {
+    const chosen = new Set<string>();
+    for (let index = 0; index < count; index++) {
+      const next = this.relays.choose(this.candidates(), chosen, steadyNow());
+      if (next === undefined) break;
+      chosen.add(next);
+    }
+    return [...chosen];
+  }
+
   /** Records that a request is sent through a daemon. */
   recordSent(peer: string): void {
     this.relays.recordSent(peer, steadyNow());
--- a/src/gateway/backend-watch.ts
+++ b/src/gateway/backend-watch.ts
@@ -70,6 +70,11 @@
     this.options.metrics.unreachableBackends.set(this.reachability.unreachableCount);
   }
 
+  /** Probes a backend that has not answered, unless it was probed just before. */
+  suspect(address: string): void {
+    if (this.reachability.suspect(address, steadyNow())) void this.probe(address);
+  }
+
   /** Closes open probes. */
   stop(): void {
     for (const socket of this.probes) socket.destroy();
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -16,6 +16,7 @@
   HeldModelSchema,
   ModelDemandSchema,
   ModelForecastSchema,
+  OwnershipResignedSchema,
   ServiceDemandSchema,
   ServicePlacementSchema,
   type BackendStart,
@@ -44,6 +45,12 @@
   return { case: 'serviceDemand', value };
 }
 
+/** Encodes an owner's resignation. */
+export function encodeResignation(service: string, epoch: number, successor: string): PeerBody {
+  const value = create(OwnershipResignedSchema, { service, epoch, successor });
+  return { case: 'ownershipResigned', value };
+}
+
 /** Decodes a daemon's demand. */
 export function decodeDemand(daemon: string, message: ServiceDemand): DemandReport {
   return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -368,6 +368,7 @@
       metrics: systems.metrics,
       listed: () => this.members.listed,
       othersReachPlatform: () => this.directoryReader.hasWorkingReader(),
+      access: this.access.services,
       publish: (update) => this.placements.publish(update),
     });
   }
@@ -503,7 +504,7 @@
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
     if (this.slots?.receive(from, body) || this.crashes.receive(from, body)) return;
-    if (this.leavings.receive(from, body)) return;
+    if (this.leavings.receive(from, body) || this.ownerships.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.ownerships.applyDemand(body.value.service, decodeDemand(from, body.value));
       this.configurations.onPeerVersion(from, body.value.configurationVersion);
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -51,6 +51,11 @@
  */
 const OWNER_SILENT_MS = 2_500;
 
+/** Interval between two attempts of an owner to find a successor, in milliseconds. */
+const SUCCESSOR_SEARCH_GAP_MS = 500;
+/** Additional time for which a daemon that reaches too few backends waits before it claims, in milliseconds. */
+const UNREACHABLE_CLAIM_DELAY_MS = 10_000;
+
 /** What ownership needs to know about the other daemons. */
 export interface OwnershipPeers {
   /** This daemon's peer address. */
@@ -60,6 +65,15 @@
   live(): readonly MemberView[];
 }
 
+/** A resignation that an owner has announced. */
+interface Resignation {
+  readonly epoch: number;
+  /** Steady time at which it was received. */
+  readonly at: number;
+  /** Whether this daemon is to claim the service. */
+  readonly isSuccessor: boolean;
+}
+
 /** Options of {@link Ownership}. */
 export interface OwnershipOptions {
   readonly service: string;
@@ -72,6 +86,12 @@
   readonly othersReachPlatform: () => boolean;
   /** Daemons that the platform's store lists. */
   readonly listed: () => readonly RoleCandidate[];
+  /** Whether this daemon reaches enough of the service's backends to give them orders. */
+  readonly reachesBackends: () => boolean;
+  /** Finds a daemon that reaches the service's backends; undefined if none was found. */
+  readonly findSuccessor: () => Promise<string | undefined>;
+  /** Tells the others that this daemon has sent its last order under an epoch, and who is to claim the service. */
+  readonly announceResignation: (epoch: number, successor: string) => void;
   /** Called with the epoch when this daemon becomes the owner, and with undefined when it no longer is. */
   readonly onChange: (epoch: number | undefined) => void;
 }
@@ -108,6 +128,9 @@
    * others wait for the owner in the record, so the service has no owner until this daemon claims it again.
    */
   private resignedEpoch: number | undefined;
+  /** The last resignation that another owner has announced. */
+  private resignation: Resignation | undefined;
+  private lastSearchAt = -Infinity;
   private stopped = false;
   private readonly lease = new OwnershipLease();
   private readonly proofs: OwnershipProofs;
@@ -155,6 +178,7 @@
     if (this.epoch !== undefined) {
       if (!this.reachesEnough()) this.resignInMinority();
       if (!this.options.backendsCheckEpochs) this.maintainLease(now);
+      if (!this.options.reachesBackends()) this.searchSuccessor(now);
       return;
     }
     if (!this.mayClaim(now)) return;
@@ -212,6 +236,40 @@
     this.setRecord({ address, epoch, incarnation: undefined, claim: '' });
   }
 
+  /** Handles the resignation of another daemon, which has sent its last order under the epoch. */
+  applyResignation(address: string, epoch: number, successor: string): void {
+    const { service, logger, peers } = this.options;
+    const known = this.record;
+    const isOwner = known?.address === address && known.epoch === epoch;
+    logger.info('ownership_resigned', { service, address, epoch, successor, isKnown: isOwner });
+    if (!isOwner) return;
+    this.resignation = { epoch, at: steadyNow(), isSuccessor: successor === peers.address };
+  }
+
+  /** Gives the service up to a daemon that reaches its backends, if there is one. */
+  private searchSuccessor(now: number): void {
+    if (now - this.lastSearchAt < SUCCESSOR_SEARCH_GAP_MS) return;
+    this.lastSearchAt = now;
+    const { epoch } = this;
+    const { findSuccessor, reachesBackends, announceResignation, service, logger } = this.options;
+    findSuccessor()
+      .then((successor) => {
+        if (epoch === undefined || this.epoch !== epoch || reachesBackends()) return;
+        if (successor === undefined) return;
+        // No order follows the end of the ownership, which therefore precedes the announcement.
+        this.yieldOwnership('it reaches too few backends');
+        announceResignation(epoch, successor);
+      })
+      .catch((fault: unknown) => {
+        logger.error('successor_search_fault', { service, reason: faultText(fault) });
+      });
+  }
+
+  /** Whether the owner in the record has announced that it has sent its last order. */
+  private get hasOwnerResigned(): boolean {
+    return this.resignation !== undefined && this.resignation.epoch === this.record?.epoch;
+  }
+
   /** Logs, once per epoch, that a former owner still announces itself as the owner. */
   private logFormerOwner(address: string, epoch: number, known: number): void {
     if (epoch <= this.formerEpochLogged) return;
@@ -291,13 +349,24 @@
     const position = rankCandidates(service, candidates).indexOf(peers.address);
     if (!this.reachesEnough() || position < 0) return false;
     if (this.resignedEpoch !== undefined) return true;
+    if (this.hasOwnerResigned) return this.mayFollowResignation(position);
     if (position >= MAX_SUCCESSORS) return false;
-    return position === 0 || this.ownerSilentMs() > OWNER_SILENT_MS + position * SUCCESSOR_STEP_MS;
+    const delayMs = this.options.reachesBackends() ? 0 : UNREACHABLE_CLAIM_DELAY_MS;
+    if (position === 0 && delayMs === 0) return true;
+    return this.ownerSilentMs() > OWNER_SILENT_MS + position * SUCCESSOR_STEP_MS + delayMs;
+  }
+
+  /** The named successor claims at once; the others follow in their rank if it does not, and if they reach the backends. */
+  private mayFollowResignation(position: number): boolean {
+    if (this.resignation?.isSuccessor === true) return true;
+    const waitedMs = steadyNow() - (this.resignation?.at ?? Infinity);
+    return this.options.reachesBackends() && waitedMs > (position + 1) * SUCCESSOR_STEP_MS;
   }
 
   private ownerIsLive(): boolean {
     const { peers } = this.options;
     const record = this.record;
+    if (this.hasOwnerResigned) return false;
     if (record === undefined || record.address === peers.address) return false;
     if (this.isOwnerSilent()) return false;
     const owner = peers.live().find((member) => member.address === record.address);
@@ -320,9 +389,9 @@
     return steadyNow() - Math.max(this.lastAnnouncementAt, this.ownerKnownSince, this.runningSince);
   }
 
-  /** Whether the owner has announced that it is leaving. */
+  /** Whether the owner has announced that it is leaving, or has resigned. */
   private ownerHasLeft(): boolean {
-    return this.ownerView()?.state === 'leaving';
+    return this.hasOwnerResigned || this.ownerView()?.state === 'leaving';
   }
 
   /** Membership state of the owner in the record: of the process that the record names or a later one. */
@@ -405,6 +474,7 @@
     if (this.record === undefined) return 'no owner is known';
     if (this.record.address === this.options.peers.address)
       return 'the recorded owner is this daemon';
+    if (this.hasOwnerResigned) return 'the owner has resigned';
     const view = this.ownerView();
     if (view?.state === 'leaving') return 'the owner is leaving';
     if (view === undefined || view.state === 'dead') return 'the owner is not live';
--- a/src/gateway/service-owner.ts
+++ b/src/gateway/service-owner.ts
@@ -71,6 +71,8 @@
   readonly metrics: GatewayMetrics;
   /** Publishes an update to every daemon, including this one. */
   readonly publish: (update: PlacementUpdate) => void;
+  /** Called with the address of a backend that has not answered an order or a request for a report. */
+  readonly onNoAnswer: (address: string) => void;
   /** Whether this daemon still owns the service, according to its own state. */
   readonly isOwner: () => boolean;
   /** Milliseconds until an order may be sent; infinite if unknown. No orders are planned until then. */
@@ -335,6 +337,7 @@
 
   private async readReport(backend: BackendRecord, ledger: BackendLedger): Promise<void> {
     const report = await this.options.control.report(backend);
+    if (report === undefined) this.options.onNoAnswer(backend.address);
     const now = steadyNow();
     if (this.stopped || this.ledgers.get(backend.id) !== ledger) return;
     if (ledger.phase === 'ordering') {
@@ -383,6 +386,7 @@
     const fence = { holder: options.holder, epoch: options.epoch, expectedSequence, maySend };
     const { order } = planned;
     const outcome = await options.control.order(backend, order, fence);
+    if (outcome.type === 'unknown') options.onNoAnswer(backend.address);
     const now = steadyNow();
     options.metrics.orders.inc({ operation: order.operation, outcome: outcome.type });
     options.logger.info('order', {
--- a/src/gateway/service-ownerships.ts
+++ b/src/gateway/service-ownerships.ts
@@ -6,11 +6,14 @@
 import type { PlacementUpdate } from '../core/placement-update.js';
 import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { StoreLoadCeiling } from '../core/store-load-ceiling.js';
+import type { PeerBody } from '../daemon/peer-transport.js';
+import { encodeResignation } from './gateway-codec.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { Ownership } from './ownership.js';
 import type { PeerGroup } from './peer-group.js';
 import type { BackendControl, RecordStore } from './ports.js';
+import type { ServiceAccess } from './service-access.js';
 import { ServiceOwner } from './service-owner.js';
 
 /** Number of loads that the ceiling allows in each window in addition to the store's rate. */
@@ -28,6 +31,7 @@
   readonly listed: () => readonly RoleCandidate[];
   /** Whether this daemon receives messages from another one that the platform responds to. */
   readonly othersReachPlatform: () => boolean;
+  readonly access: ServiceAccess;
   readonly publish: (update: PlacementUpdate) => void;
 }
 
@@ -88,6 +92,14 @@
     this.services.get(service)?.ownership.applyAnnouncement(address, epoch);
   }
 
+  /** Handles a message of another daemon. Returns false if it is of another kind. */
+  receive(from: string, body: PeerBody): boolean {
+    if (body.case !== 'ownershipResigned') return false;
+    const { service, epoch, successor } = body.value;
+    this.services.get(service)?.ownership.applyResignation(from, epoch, successor);
+    return true;
+  }
+
   /** Full placement of a service; undefined if this daemon does not own it. */
   fullUpdateOf(service: string): PlacementUpdate | undefined {
     return this.services.get(service)?.owner?.fullUpdate();
@@ -105,6 +117,7 @@
       logger,
       listed,
       settings,
+      access,
       othersReachPlatform: platformAnswersOthers,
     } = this.options;
     const state: ServiceState = {
@@ -117,6 +130,10 @@
         backendsCheckEpochs: settings.backendsCheckEpochs,
         othersReachPlatform: platformAnswersOthers,
         listed,
+        reachesBackends: () => access.reachesService(service),
+        findSuccessor: () => access.findDaemonReaching(service),
+        announceResignation: (epoch, successor) =>
+          peers.broadcast(encodeResignation(service, epoch, successor)),
         onChange: (epoch) => {
           state.owner?.stop();
           state.owner = epoch === undefined ? undefined : this.makeOwner(service, epoch, state);
@@ -127,7 +144,7 @@
   }
 
   private makeOwner(service: string, epoch: number, state: ServiceState): ServiceOwner {
-    const { settings, peers, control, directory, logger, metrics, publish } = this.options;
+    const { settings, peers, control, directory, logger, metrics, publish, access } = this.options;
     const host = (): ReturnType<ServiceOwnerships['hostOf']> => this.hostOf(service);
     return new ServiceOwner(
       {
@@ -142,6 +159,7 @@
         logger,
         metrics,
         publish,
+        onNoAnswer: (address) => access.suspect(address),
         isOwner: () => state.ownership.isOwner(),
         orderDelayMs: () => state.ownership.orderDelayMs(),
         daemonCount: () => peers.live().length,
--- a/test/gateway/ownership-scene.ts
+++ b/test/gateway/ownership-scene.ts
@@ -25,6 +25,10 @@
   era = 0;
   /** Daemons whose requests the store rejects. */
   readonly rejectedByStore = new Set<string>();
+  /** Daemons that reach too few backends. */
+  readonly withoutBackends = new Set<string>();
+  /** Whether resignations are lost. */
+  losesResignations = false;
   /** Delay of the store's response after a write, in milliseconds. */
   answerDelayMs = 0;
   /** Delay before the store carries out a write, in milliseconds. */
@@ -53,6 +57,10 @@
       othersReachPlatform: () =>
         [...this.members.keys()].some((other) => !this.rejectedByStore.has(other)),
       listed: () => [...this.members.values()],
+      reachesBackends: () => !this.withoutBackends.has(address),
+      findSuccessor: () => Promise.resolve(this.successorOf(address)),
+      announceResignation: (epoch, successor) =>
+        this.announceResignation(address, epoch, successor),
       onChange: () => {},
     });
     this.ownerships.set(address, ownership);
@@ -89,6 +97,20 @@
     await vi.advanceTimersByTimeAsync(0);
   }
 
+  private successorOf(address: string): string | undefined {
+    return [...this.members.keys()].find(
+      (other) => other !== address && !this.withoutBackends.has(other),
+    );
+  }
+
+  private announceResignation(from: string, epoch: number, successor: string): void {
+    if (this.losesResignations) return;
+    for (const [to, ownership] of this.ownerships) {
+      const isCut = this.cuts.has(`${to} ${from}`);
+      if (to !== from && !isCut) ownership.applyResignation(from, epoch, successor);
+    }
+  }
+
   private announceOwners(): void {
     for (const [from, { epoch }] of this.ownerships) {
       if (epoch === undefined) continue;
--- a/test/gateway/service-owner.test.ts
+++ b/test/gateway/service-owner.test.ts
@@ -83,6 +83,7 @@
         publish: () => {},
         isOwner: () => true,
         orderDelayMs: () => orderDelayMs,
+        onNoAnswer: () => {},
         daemonCount: () => 1,
       },
       () => {},
