Soak audit: a stream that a partition from replicas broke is not held against a planned stop

Trace: the stream, which may not be resumed, began at 32.213 on the gateway's own connection; the partition (hang) silenced that connection at 32.323; the gateway was told to stop at 37.593, and the caller's deadline passed at 38.182. The rule excuses a request where an unplanned disruption arose before its end. Only partitions of the call's own gateway that overlap the call are excused.

--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -56,6 +56,9 @@
     gateways: undisturbedHistory,
     storeFaults: [],
     backendPartitions: [],
+    brittleTimes: [],
+    brittleFalls: [],
+    silentTimes: [],
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
     unexpectedExits: 0,
@@ -111,6 +114,13 @@
     expect(rules({ calls: [cut], gateways })).toEqual(['cut_by_planned_stop']);
     const replicaFaults = [{ from: 9_000, until: 10_010 }];
     expect(rules({ calls: [cut], gateways, replicaFaults })).toEqual([]);
+    const partition = { from: 9_000, until: 10_060, how: 'hang' };
+    const others = [{ ...partition, gateways: new Set(['other']) }];
+    expect(rules({ calls: [cut], gateways, backendPartitions: others })).toEqual([
+      'cut_by_planned_stop',
+    ]);
+    const own = [{ ...partition, gateways: new Set(['g']) }];
+    expect(rules({ calls: [cut], gateways, backendPartitions: own })).toEqual([]);
   });
 
   it('reports a request that a planned stop cut on a persistent connection, unless it was in flight at the close', () => {
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -1,5 +1,6 @@
 /** Finds the guarantees that a soak violated, from what callers and replicas recorded. Pure. */
 import type { CallRecord, RequestKind } from './caller.js';
+import { auditBrittle } from './audit-brittle.js';
 import { auditConfiguration } from './audit-configuration.js';
 import { auditCrashes } from './audit-crashes.js';
 import { auditRateLimits } from './audit-rate-limits.js';
@@ -43,6 +44,7 @@
     ...auditRateLimits(evidence),
     ...auditAnnouncements(evidence),
     ...auditPartitions(evidence),
+    ...auditBrittle(evidence),
     ...(evidence.unexpectedExits > 0
       ? [{ rule: 'unasked_exit', detail: String(evidence.unexpectedExits) }]
       : []),
@@ -95,7 +97,12 @@
 function wasCutByPlannedStop(call: CallRecord, span: TimeSpan, evidence: SoakEvidence): boolean {
   if (call.status !== 200 || call.isComplete) return false;
   const stoppedAt = evidence.gateways.stopDuring(call.gateway, span);
-  return stoppedAt !== undefined && !overlapsAny(span, evidence.replicaFaults);
+  // A stream on a connection that a partition has broken can't go on if it may not be resumed.
+  const partitions = evidence.backendPartitions.filter(({ gateways }) =>
+    gateways.has(call.gateway),
+  );
+  const faults = [...evidence.replicaFaults, ...partitions];
+  return stoppedAt !== undefined && !overlapsAny(span, faults);
 }
 
 function isCorrect(call: CallRecord): boolean {
