Relays at size: proven ones first, fewer refusals, a bound that follows the machine

A simulation of RelaySelection with 300 of 330 daemons cut (6.7 requests a second each, 1.5 s each, 128 at a relay at most) served 53% of callers: while a request was in flight through the one relay that a daemon knew, the next one explored others, of which ten in eleven are cut, and gave up after eight. Now a proven relay counts as three requests better than an unknown one, after two refusals only proven ones are chosen, and one that is found partitioned again is left out for twice as long, up to 8 s. The bound is 128 for each core, 16 at least.

--- a/src/core/relay-selection.ts
+++ b/src/core/relay-selection.ts
@@ -36,6 +36,12 @@
 const PROVEN_MS = 3_000;
 /** Time after which a daemon counts as new again. */
 const FORGET_MS = 30_000;
+/** Longest time for which a daemon that is partitioned is left out. */
+const MAX_PARTITIONED_MS = 8_000;
+/** Cost of a daemon that is not proven, in requests in flight through a proven one. */
+const UNPROVEN_COST = 3;
+/** Number of daemons that may refuse a request before only proven ones are chosen. */
+const MAX_EXPLORED = 2;
 /** Maximum number of remembered daemons. */
 const MAX_REMEMBERED = 2_000;
 
@@ -47,7 +53,10 @@
 }
 
 interface Experience {
+  /** Time at which it last relayed an answer. */
   provenAt: number;
+  /** Time for which it was left out after it was last found partitioned; 0 if it has relayed since. */
+  refusalMs: number;
   refusedUntil: number;
   usedAt: number;
   /** Requests of this daemon in flight through it. */
@@ -57,6 +66,7 @@
 /** What one daemon has learned about the others as relays. */
 export class RelaySelection {
   private readonly experiences = new Map<string, Experience>();
+  private readonly weights = new Map<string, number>();
 
   constructor(
     private readonly self: string,
@@ -64,22 +74,24 @@
   ) {}
 
   /**
-   * Returns the daemon through which to send the next request: the least used by this one, a proven one before others, a near
-   * one before others; undefined if all have refused lately.
-   * @param excluded - Addresses that have refused this request.
+   * Returns the daemon through which to send the next request: the one with the lowest cost, a near one before others, the least
+   * recently used one first; undefined if all have refused lately.
+   * @param excluded - Addresses that have refused this request. After a few of them only proven daemons are chosen, if there are any.
    */
   choose(
     candidates: readonly RelayCandidate[],
     excluded: ReadonlySet<string>,
     now: number,
   ): string | undefined {
-    let best: { readonly address: string; readonly rank: readonly number[] } | undefined;
-    for (const { address, zone } of candidates) {
-      if (address === this.self || excluded.has(address)) continue;
-      const experience = this.experiences.get(address);
-      if (experience !== undefined && experience.refusedUntil > now) continue;
-      const rank = this.rankOf(address, zone, experience, now);
-      if (best === undefined || isLower(rank, best.rank)) best = { address, rank };
+    const usable = candidates.filter(({ address }) => {
+      if (address === this.self || excluded.has(address)) return false;
+      return (this.experiences.get(address)?.refusedUntil ?? 0) <= now;
+    });
+    const proven = usable.filter(({ address }) => this.isProven(address, now));
+    const onlyProven = excluded.size >= MAX_EXPLORED && proven.length > 0;
+    let best: RelayCandidate | undefined;
+    for (const candidate of onlyProven ? proven : usable) {
+      if (best === undefined || this.precedes(candidate, best, now)) best = candidate;
     }
     return best?.address;
   }
@@ -110,37 +122,65 @@
     const experience = this.experienceOf(address);
     experience.provenAt = now;
     experience.refusedUntil = 0;
+    experience.refusalMs = 0;
   }
 
+  /** Records that a daemon did not relay. One that is partitioned again and again is left out for longer each time. */
   recordRefusal(address: string, refusal: RelayRefusal, now: number): void {
     const experience = this.experienceOf(address);
     if (REFUSAL_MS[refusal] === 0) return;
-    experience.refusedUntil = now + REFUSAL_MS[refusal];
+    const isRepeated = refusal === 'partitioned' && experience.refusalMs > 0;
+    const doubledMs = Math.min(MAX_PARTITIONED_MS, experience.refusalMs * 2);
+    const refusalMs = isRepeated ? doubledMs : REFUSAL_MS[refusal];
+    experience.refusalMs = refusal === 'partitioned' ? refusalMs : 0;
+    experience.refusedUntil = now + refusalMs;
     if (refusal !== 'busy') experience.provenAt = -Infinity;
   }
 
-  private rankOf(
-    address: string,
-    zone: string,
-    experience: Experience | undefined,
-    now: number,
-  ): number[] {
-    const isProven = experience !== undefined && now - experience.provenAt <= PROVEN_MS;
-    return [
-      experience?.inFlight ?? 0,
-      isProven ? 0 : 1,
-      zone === this.zone ? 0 : 1,
-      experience?.usedAt ?? -Infinity,
-      // Different daemons begin with different relays.
-      rendezvousWeight(this.self, address),
-    ];
+  private isProven(address: string, now: number): boolean {
+    return now - (this.experiences.get(address)?.provenAt ?? -Infinity) <= PROVEN_MS;
+  }
+
+  private precedes(one: RelayCandidate, other: RelayCandidate, now: number): boolean {
+    const cost = this.costOf(one.address, now) - this.costOf(other.address, now);
+    if (cost !== 0) return cost < 0;
+    if ((one.zone === this.zone) !== (other.zone === this.zone)) return one.zone === this.zone;
+    const usedAt = this.usedAt(one.address) - this.usedAt(other.address);
+    if (usedAt < 0 || usedAt > 0) return usedAt < 0;
+    return this.weightOf(one.address) < this.weightOf(other.address);
+  }
+
+  /** Requests in flight through a daemon, and the risk that it refuses, as a number of requests. */
+  private costOf(address: string, now: number): number {
+    const inFlight = this.experiences.get(address)?.inFlight ?? 0;
+    return inFlight + (this.isProven(address, now) ? 0 : UNPROVEN_COST);
+  }
+
+  private usedAt(address: string): number {
+    return this.experiences.get(address)?.usedAt ?? -Infinity;
+  }
+
+  /** Different daemons begin with different relays. */
+  private weightOf(address: string): number {
+    const known = this.weights.get(address);
+    if (known !== undefined) return known;
+    if (this.weights.size >= MAX_REMEMBERED) this.weights.clear();
+    const weight = rendezvousWeight(this.self, address);
+    this.weights.set(address, weight);
+    return weight;
   }
 
   private experienceOf(address: string): Experience {
     const known = this.experiences.get(address);
     if (known !== undefined) return known;
     this.removeOldest();
-    const created = { provenAt: -Infinity, refusedUntil: 0, usedAt: -Infinity, inFlight: 0 };
+    const created = {
+      provenAt: -Infinity,
+      refusalMs: 0,
+      refusedUntil: 0,
+      usedAt: -Infinity,
+      inFlight: 0,
+    };
     this.experiences.set(address, created);
     return created;
   }
@@ -153,9 +193,3 @@
     }
   }
 }
-
-/** Whether one rank precedes another, compared element by element. */
-function isLower(one: readonly number[], other: readonly number[]): boolean {
-  const index = one.findIndex((value, position) => value !== other[position]);
-  return index >= 0 && (one[index] ?? 0) < (other[index] ?? 0);
-}
--- a/src/gateway/backend-access.ts
+++ b/src/gateway/backend-access.ts
@@ -16,7 +16,10 @@
 
 /** Options of {@link BackendAccess}. */
 export interface BackendAccessOptions {
-  readonly settings: Pick<GatewaySettings, 'address' | 'peerPort' | 'zone'>;
+  readonly settings: Pick<
+    GatewaySettings,
+    'address' | 'peerPort' | 'zone' | 'processorShare' | 'processorSpeed'
+  >;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly directory: BackendDirectory;
@@ -64,6 +67,7 @@
     this.relayServer = new RelayServer({
       host: settings.address,
       port: settings.peerPort + RELAY_PORT_OFFSET,
+      capacity: settings.processorShare * settings.processorSpeed,
       logger,
       metrics,
       directory,
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -22,8 +22,10 @@
 } from './relay-protocol.js';
 import { steadyNow } from './steady-clock.js';
 
-/** Maximum number of requests relayed at the same time; the processor must have time for this daemon's own callers. */
-const MAX_RELAYED = 128;
+/** Maximum number of requests relayed at the same time, for each core: the processor must have time for this daemon's own callers. */
+const MAX_RELAYED_PER_CORE = 128;
+/** The same for the smallest machines. */
+const MIN_RELAYED = 16;
 /** Headers that belong to the connection with the other daemon. */
 const REQUEST_CONNECTION_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 const DROPPED_ANSWER_HEADERS: ReadonlySet<string> = new Set([RELAY_FAILURE_HEADER]);
@@ -32,6 +34,8 @@
 export interface RelayServerOptions {
   readonly host: string;
   readonly port: number;
+  /** Processor capacity, in cores of standard speed. */
+  readonly capacity: number;
   readonly logger: Logger;
   readonly metrics: Pick<GatewayMetrics, 'relayedForOthers' | 'relaysInFlight'>;
   readonly directory: Pick<BackendDirectory, 'getServing' | 'servingBackends'>;
@@ -62,9 +66,12 @@
 /** HTTP server for the other daemons. */
 export class RelayServer {
   private readonly server: http.Server;
+  private readonly maxInFlight: number;
   private inFlight = 0;
 
   constructor(private readonly options: RelayServerOptions) {
+    const relayed = Math.round(MAX_RELAYED_PER_CORE * options.capacity);
+    this.maxInFlight = Math.max(MIN_RELAYED, relayed);
     this.server = http.createServer({ noDelay: true }, (request, response) => {
       response.sendDate = false;
       response.on('error', () => response.destroy());
@@ -123,7 +130,7 @@
     if (watch.reachability.isPartitioned) return 'partitioned';
     if (backend === undefined) return 'backend_unavailable';
     if (watch.reachability.isUnreachable(backend.address)) return this.unreachableReason();
-    return this.inFlight >= MAX_RELAYED ? 'busy' : undefined;
+    return this.inFlight >= this.maxInFlight ? 'busy' : undefined;
   }
 
   /** Only a daemon that received from others lately can tell that one backend alone is unreachable. */
