--- a/test/simulation/relays-at-size.test.ts
+++ b/test/simulation/relays-at-size.test.ts
@@ -112,17 +112,6 @@
     const perSecond = 2_200 / 330;
     const { served, requests, mostInFlight } = new Group(daemons, cut).play(perSecond, 9_000);
     const mean = mostInFlight.reduce((sum, most) => sum + most, 0) / mostInFlight.length;
-    console.log(
-      JSON.stringify({
-        daemons,
-        cut,
-        served,
-        requests,
-        refusalsEach,
-        mean,
-        most: Math.max(...mostInFlight),
-      }),
-    );
     expect(served / requests).toBeGreaterThan(2 / 3);
     expect(Math.max(...mostInFlight)).toBeLessThan(3 * mean + 4);
     expect(Math.max(...mostInFlight)).toBeLessThanOrEqual(MAX_RELAYED);
