Soak audit: a gateway that the store does not answer is not compared with the others

Trace: the gateway was restarted at 33.2 while the store was silent for 8.2 s (configuration_storm with an outage), had the configuration from a peer, and no list of backends (refused no_capacity, backends=0) until 41.1; its links had healed at 36.1. The rule binds machines whose store was without disruption for the time to notice. Calls at gateways with a fault of their store then or in the 3 s before are left out, on both sides.

--- a/test/soak/audit-partitions.test.ts
+++ b/test/soak/audit-partitions.test.ts
@@ -86,6 +86,15 @@
     expect(rules).toEqual(['unserved_after_partition']);
   });
 
+  it('leaves out gateways that the store does not answer, now or just before', () => {
+    const calls = [...callsAt('cut', 14_000, 0), ...soundOthers];
+    const fault = { from: 11_000, until: 13_000 };
+    expect(rulesOf(calls, { storeFaults: [{ ...fault, gateways: new Set(['cut']) }] })).toEqual([]);
+    expect(rulesOf(calls, { storeFaults: [{ from: 1_000, until: 10_000 }] })).toEqual([
+      'partitioned_unserved',
+    ]);
+  });
+
   it('reports harm to callers of the others, unless another fault explains it', () => {
     const harmed = [...callsAt('cut', 14_000, 17), ...callsAt('sound', 14_000, 17)];
     expect(rulesOf(harmed)).toEqual(['partition_harms_others']);
