Relays acknowledge requests, so that one whose process is paused gets no more of them

Cause: gateway-6 was frozen; its kernel accepted the connections, and since it alone had refused nothing, all requests went there. Class: an open connection taken for a running process. A relay now answers with status 102 when it has read the head; one that has not acknowledged a request for 300 ms is left out for 2 s. relay.test.ts has the case; on the code before its second request went to the paused relay as well (by reading, not run).

--- a/src/core/relay-selection.ts
+++ b/src/core/relay-selection.ts
@@ -36,6 +36,13 @@
 const PROVEN_MS = 3_000;
 /** Time after which a daemon counts as new again. */
 const FORGET_MS = 30_000;
+/**
+ * Time within which a daemon acknowledges a request that it is to relay. The kernel of one whose process is paused still accepts
+ * connections.
+ */
+const ACKNOWLEDGEMENT_MS = 300;
+/** Time after an unacknowledged request after which a daemon may be chosen again. */
+const SILENT_MS = 2_000;
 /** Longest time for which a daemon that is partitioned is left out. */
 const MAX_PARTITIONED_MS = 8_000;
 /** Cost of a daemon that is not proven, in requests in flight through a proven one. */
@@ -59,6 +66,8 @@
   refusalMs: number;
   refusedUntil: number;
   usedAt: number;
+  /** Time of the first request that it has not acknowledged; undefined if it has answered anything since. */
+  unacknowledgedSince: number | undefined;
   /** Requests of this daemon in flight through it. */
   inFlight: number;
 }
@@ -85,7 +94,7 @@
   ): string | undefined {
     const usable = candidates.filter(({ address }) => {
       if (address === this.self || excluded.has(address)) return false;
-      return (this.experiences.get(address)?.refusedUntil ?? 0) <= now;
+      return this.mayBeChosen(address, now);
     });
     const proven = usable.filter(({ address }) => this.isProven(address, now));
     const onlyProven = excluded.size >= MAX_EXPLORED && proven.length > 0;
@@ -99,8 +108,7 @@
   /** Whether any candidate may be chosen. */
   hasCandidate(candidates: readonly RelayCandidate[], now: number): boolean {
     return candidates.some(({ address }) => {
-      const refusedUntil = this.experiences.get(address)?.refusedUntil ?? 0;
-      return address !== this.self && refusedUntil <= now;
+      return address !== this.self && this.mayBeChosen(address, now);
     });
   }
 
@@ -109,6 +117,14 @@
     const experience = this.experienceOf(address);
     experience.inFlight += 1;
     experience.usedAt = now;
+    const { unacknowledgedSince = -Infinity } = experience;
+    if (now - unacknowledgedSince > SILENT_MS) experience.unacknowledgedSince = now;
+  }
+
+  /** Records that a daemon has answered anything: its process runs. */
+  recordAcknowledged(address: string): void {
+    const experience = this.experiences.get(address);
+    if (experience !== undefined) experience.unacknowledgedSince = undefined;
   }
 
   /** Records that a request sent through a daemon has ended. */
@@ -121,6 +137,7 @@
   recordRelayed(address: string, now: number): void {
     const experience = this.experienceOf(address);
     experience.provenAt = now;
+    experience.unacknowledgedSince = undefined;
     experience.refusedUntil = 0;
     experience.refusalMs = 0;
   }
@@ -128,6 +145,7 @@
   /** Records that a daemon did not relay. One that is partitioned again and again is left out for longer each time. */
   recordRefusal(address: string, refusal: RelayRefusal, now: number): void {
     const experience = this.experienceOf(address);
+    experience.unacknowledgedSince = undefined;
     if (REFUSAL_MS[refusal] === 0) return;
     const isRepeated = refusal === 'partitioned' && experience.refusalMs > 0;
     const doubledMs = Math.min(MAX_PARTITIONED_MS, experience.refusalMs * 2);
@@ -137,6 +155,15 @@
     if (refusal !== 'busy') experience.provenAt = -Infinity;
   }
 
+  /** Whether a daemon has neither refused lately nor left a request unacknowledged. */
+  private mayBeChosen(address: string, now: number): boolean {
+    const experience = this.experiences.get(address);
+    if (experience === undefined) return true;
+    if (experience.refusedUntil > now) return false;
+    const silentMs = now - (experience.unacknowledgedSince ?? Infinity);
+    return silentMs < ACKNOWLEDGEMENT_MS || silentMs > SILENT_MS;
+  }
+
   private isProven(address: string, now: number): boolean {
     return now - (this.experiences.get(address)?.provenAt ?? -Infinity) <= PROVEN_MS;
   }
@@ -174,11 +201,12 @@
     const known = this.experiences.get(address);
     if (known !== undefined) return known;
     this.removeOldest();
-    const created = {
+    const created: Experience = {
       provenAt: -Infinity,
       refusalMs: 0,
       refusedUntil: 0,
       usedAt: -Infinity,
+      unacknowledgedSince: undefined,
       inFlight: 0,
     };
     this.experiences.set(address, created);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -128,6 +128,9 @@
         onData: (chunk) => this.receiveData(chunk),
         onEnd: () => this.receiveEnd(),
         onFailure: (failure) => this.exchangeFailed(failure),
+        onRelayAcknowledged: () => {
+          if (relay !== undefined) context.paths.recordAcknowledged(relay);
+        },
       },
       relay === undefined
         ? context.backendWatch.observeExchange(backend.address)
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -50,6 +50,8 @@
   /** Called when the answer is complete. */
   onEnd(): void;
   onFailure(failure: ExchangeFailure): void;
+  /** Called when the relay has received the request. */
+  onRelayAcknowledged?(): void;
 }
 
 /** A running exchange with a backend. */
@@ -83,7 +85,9 @@
     this.outgoing.on('socket', (socket) => this.watchConnect(socket));
     this.outgoing.on('response', (answer) => this.receive(answer));
     this.outgoing.on('error', (fault) => this.fail(fault.message));
-    this.outgoing.on('information', () => {});
+    this.outgoing.on('information', () => {
+      if (this.isRelayed && !this.ended) this.handler.onRelayAcknowledged?.();
+    });
     this.sender = new BodySender(this.outgoing, request.body);
   }
 
--- a/src/gateway/backend-paths.ts
+++ b/src/gateway/backend-paths.ts
@@ -87,6 +87,11 @@
     this.relays.recordEnded(peer);
   }
 
+  /** Records that a daemon has received a request that it is to relay. */
+  recordAcknowledged(peer: string): void {
+    this.relays.recordAcknowledged(peer);
+  }
+
   /** Records that a daemon has relayed an answer. */
   recordRelayed(peer: string): void {
     this.relays.recordRelayed(peer, steadyNow());
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -121,6 +121,8 @@
       this.inFlight -= 1;
       this.options.metrics.relaysInFlight.set(this.inFlight);
     });
+    // Tells the other daemon that this process runs; its kernel would accept connections in any case.
+    response.writeProcessing();
     this.readBody(relayed, (body) => this.forward(relayed, backend, target.path, body));
   }
 
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -197,6 +197,28 @@
   });
 });
 
+describe('a relay whose process is paused', () => {
+  it('gets no further requests while it acknowledges none', async () => {
+    const backend = new TestBackend('b1');
+    const scene = await RelayScene.start([backend]);
+    scene.partition();
+    // The kernel accepts connections, and nothing reads the requests.
+    const { server } = (
+      scene.sound.gateway as unknown as { access: { relayServer: { server: http.Server } } }
+    ).access.relayServer;
+    server.removeAllListeners('request');
+    const first = scene.cut.call({ id: 'r1', path: '/once/x', headers: { deadline: '900' } });
+    await pause(400);
+    const startedAt = steadyNow();
+    const view = await scene.cut.call({ id: 'r2', path: '/once/x', headers: { deadline: '900' } });
+    expect(view.status).toBe(503);
+    expect(steadyNow() - startedAt).toBeLessThan(200);
+    expect((await first).status).toBe(504);
+    expect(backend.arrivals).toEqual([]);
+    scene.stop();
+  });
+});
+
 describe('the relay port', () => {
   const backend = new TestBackend('b1');
   let scene: RelayScene;
