--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -39,7 +39,7 @@
   /** Whether the backend may have received any byte of the request. */
   readonly reached: boolean;
   readonly reason: string;
-  /** Why the relay has no answer of the backend; undefined for a direct request or if the relay told nothing. */
+  /** Why the relay has no answer of the backend; undefined for a direct request, or if the relay gave no reason. */
   readonly relayFailure?: RelayFailure;
 }
 
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -68,7 +68,7 @@
     if (!this.watch.isIdle) this.watch.recordAnswer(this.digest);
   }
 
-  /** Records that a backend's process has ended while it ran the request, as the daemon that relayed the request told. */
+  /** Records that a backend's process has ended while it ran the request, as the relay has reported. */
   recordCrash(backend: BackendRecord): Promise<void> {
     const isKnownToHaveEnded = true;
     return this.watch.recordAbort(
