Soak: each exit names gateway, end and age; each SIGHUP whether it was caught when sent; starts can be held

Why: `unasked_exit` was a number. A SIGHUP at the start of a process and a gateway that ends itself counted alike, and a play without an exit did not say whether it had met a process that did not catch SIGHUP yet, so its pass proved nothing.

Change: one violation an exit, with its gateway, code or signal, and age. `faults.log` has a line for each SIGHUP, SIGTERM and SIGINT that was sent: process, age, and whether the process caught it just before (SigCgt in /proc). The summary of a play lists the SIGHUPs that were not caught, the age of the youngest process that got one, and the starts that a stop signal ended.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -47,7 +47,7 @@
     silentTimes: [],
     replicaFaults: [],
     faultFreeSince: 0,
-    unexpectedExits: 0,
+    unexpectedExits: [],
     promisesRevocation: true,
     ...part,
   };
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -61,7 +61,7 @@
     silentTimes: [],
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
-    unexpectedExits: 0,
+    unexpectedExits: [],
     promisesRevocation: true,
     ...part,
   };
@@ -226,7 +226,15 @@
   });
 
   it('reports unexpected exits, and a system that does not recover', () => {
-    expect(rules({ unexpectedExits: 1 })).toEqual(['unasked_exit']);
+    const exit = {
+      gateway: 'g',
+      code: null,
+      signal: 'SIGHUP',
+      ageMs: 40,
+      isExpected: false,
+    } as const;
+    expect(rules({ unexpectedExits: [exit] })).toEqual(['unasked_exit']);
+    expect(rules({ unexpectedExits: [exit, exit] })).toEqual(['unasked_exit', 'unasked_exit']);
     const sentAt = CALM_FROM + 10;
     const refused = callOf('any', { status: 503, text: '', sentAt, endedAt: sentAt });
     expect(rules({ calls: [refused] })).toEqual(['not_recovered']);
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -16,6 +16,7 @@
   type TimeSpan,
   type Violation,
 } from './evidence.js';
+import { describeExit } from './process-signals.js';
 import type { ReplicaViolation, RunRecord } from './run-log.js';
 import { STEADY_TENANT } from './soak-tenants.js';
 
@@ -45,9 +46,10 @@
     ...auditAnnouncements(evidence),
     ...auditPartitions(evidence),
     ...auditBrittle(evidence),
-    ...(evidence.unexpectedExits > 0
-      ? [{ rule: 'unasked_exit', detail: String(evidence.unexpectedExits) }]
-      : []),
+    ...evidence.unexpectedExits.map((exit) => ({
+      rule: 'unasked_exit',
+      detail: describeExit(exit),
+    })),
   ];
 }
 
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -1,5 +1,6 @@
 /** Types of the records that a soak passes to its auditor, and of the violations that the auditor finds. */
 import type { CallRecord } from './caller.js';
+import type { ProcessExit } from './process-signals.js';
 import type {
   LimitedArrival,
   PoisonArrival,
@@ -79,7 +80,8 @@
   readonly silentTimes: readonly TimeSpan[];
   /** Start of the final phase without faults, in Unix milliseconds. */
   readonly faultFreeSince: number;
-  readonly unexpectedExits: number;
+  /** Exits that no fault or stop of the soak caused. */
+  readonly unexpectedExits: readonly ProcessExit[];
   /** Whether the gateways were started with a bound on how long a removed key is still served. */
   readonly promisesRevocation: boolean;
 }
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -2,12 +2,15 @@
 import { execFileSync, spawn, type ChildProcess } from 'node:child_process';
 import { appendFileSync, closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
+import { catchesSignal, type ProcessExit, type SentSignal } from './process-signals.js';
 import { LIMIT_EXCESS, LIMIT_SLACK, LIMIT_WINDOW_MS, REVOCATION_MS } from './soak-tenants.js';
 
 /** Longest time for a stop, as documented by the platform. */
 export const STOP_SECONDS = 8;
 /** Time from the start of a process until it serves. */
 const START_MS = 1_500;
+/** Time from the exit of a process until the next one is started. */
+const RESTART_DELAY_MS = 150;
 const BUILD_FOLDER = 'target/soak';
 /** The deployed program, built from the adapter. */
 const BUNDLE = `${BUILD_FOLDER}/scaleslip-gateway.cjs`;
@@ -65,8 +68,15 @@
   readonly otherPorts?: readonly number[];
   /** Whether its monotonic clock stops while the process is paused; false by default. */
   readonly isSuspendable?: boolean;
+  /**
+   * Time for which each new process is stopped before its first instruction, like on a machine without a free processor;
+   * 0 by default. It excuses nothing.
+   */
+  readonly startHoldMs?: number;
   /** Called before a fault or signal is injected into the process. */
   readonly onFault?: (kind: Disturbance['kind'] | GatewaySignal, forMs: number) => void;
+  /** Called after a signal was sent, other than SIGKILL, SIGSTOP and SIGCONT. */
+  readonly onSignalSent?: (sent: SentSignal) => void;
 }
 
 /** All running children: killed when the soak process exits, so that none outlives it. */
@@ -104,9 +114,13 @@
 /** A gateway that is restarted whenever its process exits. */
 export class GatewayProcess {
   readonly disturbances: Disturbance[] = [];
+  /** How its processes ended, in order, except for the last one. */
+  readonly exits: ProcessExit[] = [];
+  /** Signals that were sent to its processes, in order, other than SIGKILL, SIGSTOP and SIGCONT. */
+  readonly sentSignals: SentSignal[] = [];
   private child: ChildProcess | undefined;
-  /** Exits that no fault or stop of the soak caused. */
-  unexpectedExits = 0;
+  /** When the current process was started, in Unix milliseconds. */
+  private startedAt = 0;
   private isExpectedToEnd = false;
   private backendCut: BackendCut | undefined;
   private isEnded = false;
@@ -161,6 +175,11 @@
     return `127.0.0.1:${this.options.ports.peers}`;
   }
 
+  /** Number of exits that no fault or stop of the soak caused. */
+  get unexpectedExits(): number {
+    return this.exits.filter(({ isExpected }) => !isExpected).length;
+  }
+
   /** Id of the current process. */
   get pid(): number | undefined {
     return this.child?.pid;
@@ -192,15 +211,13 @@
     closeSync(log);
     this.child = child;
     this.isExpectedToEnd = false;
-    const startedAt = Date.now();
+    this.startedAt = Date.now();
     running.add(child);
     child.once('exit', (code, signal) => {
       running.delete(child);
-      const age = Date.now() - startedAt;
-      const end = `event=ended code=${code} signal=${signal} ageMs=${age}`;
-      if (!this.isEnded) appendFileSync(this.logFile, `time=${new Date().toISOString()} ${end}\n`);
-      this.handleExit();
+      if (!this.isEnded) this.handleExit(code, signal);
     });
+    this.holdStart(child);
     this.endDisturbances(['killed', 'stopped']);
     if (this.backendCut !== undefined) this.sendLinkCommand(`backends:${this.backendCut}`);
   }
@@ -228,7 +245,22 @@
   /** Sends a signal without excusing any failure; SIGTERM and SIGINT only to a process that is already stopping. */
   signal(signal: GatewaySignal): void {
     this.options.onFault?.(signal, 0);
-    this.child?.kill(signal);
+    this.sendSignal(signal);
+  }
+
+  private sendSignal(signal: GatewaySignal): void {
+    const { child } = this;
+    const isRunning = child?.exitCode === null && child.signalCode === null;
+    const sent: SentSignal = {
+      gateway: this.name,
+      signal,
+      pid: isRunning ? child.pid : undefined,
+      ageMs: Date.now() - this.startedAt,
+      wasCaught: isRunning && catchesSignal(child.pid ?? 0, signal),
+    };
+    child?.kill(signal);
+    this.sentSignals.push(sent);
+    this.options.onSignalSent?.(sent);
   }
 
   /** Silences its open connections with other gateways; new connections work. */
@@ -272,7 +304,7 @@
     this.recordDisturbance('stopped', STOP_SECONDS * 1_000 + 1_500);
     this.isExpectedToEnd = true;
     const { child } = this;
-    child?.kill(signal);
+    this.sendSignal(signal);
     setTimeout(() => child?.kill('SIGKILL'), STOP_SECONDS * 1_000).unref();
   }
 
@@ -286,6 +318,13 @@
     this.pause('suspended', milliseconds);
   }
 
+  private holdStart(child: ChildProcess): void {
+    const { startHoldMs = 0 } = this.options;
+    if (startHoldMs === 0) return;
+    child.kill('SIGSTOP');
+    setTimeout(() => child.kill('SIGCONT'), startHoldMs).unref();
+  }
+
   private pause(kind: 'frozen' | 'suspended', milliseconds: number): void {
     this.recordDisturbance(kind, milliseconds + 500);
     const { child } = this;
@@ -354,11 +393,15 @@
     }
   }
 
-  private handleExit(): void {
-    if (this.isEnded) return;
-    if (!this.isExpectedToEnd) this.unexpectedExits += 1;
+  private handleExit(code: number | null, signal: NodeJS.Signals | null): void {
+    const at = Date.now();
+    const ageMs = at - this.startedAt;
+    const exit = { gateway: this.name, code, signal, ageMs, isExpected: this.isExpectedToEnd };
+    this.exits.push(exit);
+    const line = `event=ended code=${code} signal=${signal} ageMs=${ageMs}`;
+    appendFileSync(this.logFile, `time=${new Date(at).toISOString()} ${line}\n`);
     setTimeout(() => {
       if (!this.isEnded) this.start();
-    }, 150);
+    }, RESTART_DELAY_MS);
   }
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -4,7 +4,8 @@
 import { OPT_IN_FAULT_KINDS, type OptInFault } from './opt-in-fault-plan.js';
 import { SERIES_FAULT_KINDS, type SeriesFault } from './series-fault-plan.js';
 import type { BackendCut } from './gateway-process.js';
-import { runSoak, soakFolder, type FaultKinds, type SoakOptions } from './soak-run.js';
+import type { FaultKinds, SoakOptions } from './soak-options.js';
+import { runSoak, soakFolder } from './soak-run.js';
 
 interface Flags {
   readonly seed: string;
@@ -23,6 +24,7 @@
   readonly drawnRanks: boolean;
   readonly partition?: string;
   readonly series: SeriesFault['kind'][] | boolean;
+  readonly holdStarts: string;
 }
 
 /** Excused violations to print: only the last ones. */
@@ -72,6 +74,11 @@
       .choices(SERIES_FAULT_KINDS)
       .default([]),
   )
+  .option(
+    '--hold-starts <milliseconds>',
+    'stop each new gateway process for this time before its first instruction, as if no processor were free',
+    '0',
+  )
   .addOption(
     new Option('--epochs <choice>', 'whether replicas reject orders with too low an epoch')
       .choices(EPOCH_CHOICES)
@@ -130,6 +137,7 @@
       alwaysHot: flags.alwaysHot,
       drawsRanks: flags.drawnRanks,
       series: seriesOf(flags.series),
+      startHoldMs: Number(flags.holdStarts),
       ...(flags.partition === undefined ? {} : { partition: partitionOf(flags.partition) }),
     });
     const { violations, excused, ...figures } = result;
--- a/test/soak/soak-replicas.ts
+++ b/test/soak/soak-replicas.ts
@@ -3,7 +3,7 @@
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { MAX_LOADED_MODELS, ReplicaStandIn } from './replica-stand-in.js';
 import type { RunLog } from './run-log.js';
-import type { SoakOptions } from './soak-run.js';
+import type { SoakOptions } from './soak-options.js';
 import { SeededRandom } from './seeded-random.js';
 
 /** Names of the models that callers request. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -5,7 +5,7 @@
 import { RELAY_PORT_OFFSET } from '../../src/gateway/relay-protocol.js';
 import { findSoakPorts } from './soak-ports.js';
 import { audit, excusedViolations } from './audit.js';
-import { partitionReports, type PartitionReport } from './audit-partitions.js';
+import { partitionReports } from './audit-partitions.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
 import type {
   BackendPartition,
@@ -14,7 +14,6 @@
   SoakEvidence,
   StoreFault,
   TimeSpan,
-  Violation,
 } from './evidence.js';
 import { FaultInjector } from './fault-injector.js';
 import { planFaults, type Fault } from './fault-plan.js';
@@ -22,91 +21,27 @@
 import { FURTHER_FAULT_KINDS, planFurtherFaults, type FurtherFault } from './further-fault-plan.js';
 import { LeavingFaultInjector } from './leaving-fault-injector.js';
 import { OptInFaultInjector } from './opt-in-fault-injector.js';
-import {
-  OPT_IN_FAULT_KINDS,
-  planOptInFaults,
-  type OptInFault,
-  type PartitionFault,
-} from './opt-in-fault-plan.js';
+import { OPT_IN_FAULT_KINDS, planOptInFaults, type OptInFault } from './opt-in-fault-plan.js';
 import { MAX_SERVICE_MS, planLeavingFaults, type LeavingFault } from './leaving-fault-plan.js';
-import { limitMargin, type LimitMargin } from './limit-margin.js';
+import { limitMargin } from './limit-margin.js';
 import { GatewayProcess, type GatewayPorts } from './gateway-process.js';
 import { portsByLimitCounterRank } from './gateway-roles.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
+import { signalsAtStart, type ProcessExit, type SentSignal } from './process-signals.js';
 import { ProcessSamples } from './process-samples.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
 import { RunLog } from './run-log.js';
 import { SeriesFaultInjector } from './series-fault-injector.js';
 import { planSeriesFaults, type SeriesFault } from './series-fault-plan.js';
 import { configurationOf, newestVersionWithoutRoute } from './soak-configuration.js';
+import type { SoakOptions, SoakResult } from './soak-options.js';
 import { makeReplica, MODELS, REPLICAS } from './soak-replicas.js';
 import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_TENANT } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
 import { rolesOf, hitHotLimitCounter, type GatewayFault } from './gateway-faults.js';
 
-/** Groups of faults to inject. Each group has a separate random generator. */
-export type FaultKinds = 'first' | 'further' | 'both' | 'none';
-
-/** Options of a soak test. */
-export interface SoakOptions {
-  readonly seed: number;
-  /** Length of the fault phase, in which faults start, in milliseconds. */
-  readonly faultMs: number;
-  /** Folder for the settings and logs of the run. */
-  readonly folder: string;
-  readonly gateways?: number;
-  /** Number of replicas; two thirds of them serve models. */
-  readonly replicas?: number;
-  readonly requestsPerSecond?: number;
-  /** Number of callers that reuse a connection until its gateway closes it; none by default. */
-  readonly keptCallers?: number;
-  /** Whether replicas reject commands with a stale epoch; true by default. */
-  readonly checksEpochs?: boolean;
-  /**
-   * Whether gateways guarantee a maximum time until a revoked key is rejected; true by default.
-   * Without it, gateways do not confirm their configuration with each other, and learn of a new one only by watches.
-   */
-  readonly promisesRevocation?: boolean;
-  /** The basic kinds (`first`) by default. */
-  readonly faultKinds?: FaultKinds;
-  /** Restricts the further kinds to these (all by default), and enables the opt-in kinds that are listed. */
-  readonly only?: readonly (FurtherFault | OptInFault)['kind'][];
-  /**
-   * Whether the limited tenant always sends far more than its limit allows. By default it alternates between hot and
-   * quiet periods, so that a fault coincides with a hot tenant in only about half of the runs.
-   */
-  readonly alwaysHot?: boolean;
-  /** Whether the seed also determines the ranks of the gateways and the hot periods of the limited tenant; false by default. */
-  readonly drawsRanks?: boolean;
-  /** Whether replicas also leave in all ways that the platform allows; false by default. */
-  readonly leaving?: boolean;
-  /** Replaces what the seed draws for partitions of gateways from all replicas. */
-  readonly partition?: Partial<PartitionFault>;
-  /** Kinds of series of signals, restarts and configuration changes; none by default. */
-  readonly series?: readonly SeriesFault['kind'][];
-}
-
-/** Result of a soak test. */
-export interface SoakResult {
-  readonly violations: readonly Violation[];
-  /** Violations that replicas observed and that concurrent faults excuse. */
-  readonly excused: readonly Violation[];
-  readonly calls: number;
-  readonly served: number;
-  readonly faults: number;
-  readonly loads: number;
-  readonly storeCalls: number;
-  /** Number of faults that hit the counter of the limited tenant while the tenant was hot. */
-  readonly hotCounterFaults: number;
-  readonly limit: LimitMargin;
-  /** Number of times that brittle replicas fell over. */
-  readonly brittleFalls: number;
-  /** How callers were served while gateways were partitioned from all replicas. */
-  readonly partitions: readonly PartitionReport[];
-}
-
 /** Offset added to the seed for the generator of further faults. */
 const FURTHER_SEED = 10_000;
 /** Offset added to the seed for the generator of replica departures. */
@@ -154,7 +89,8 @@
 /** A logged event that is not a fault. */
 type SoakEvent =
   | { readonly kind: 'configuration_accepted'; readonly version: number }
-  | { readonly kind: 'gateway_joined'; readonly gateway: string };
+  | { readonly kind: 'gateway_joined'; readonly gateway: string }
+  | ({ readonly kind: 'signal_sent' } & SentSignal);
 
 type SoakFault = Fault | FurtherFault | LeavingFault | OptInFault | SeriesFault;
 
@@ -232,10 +168,7 @@
       silentTimes: this.silentTimes,
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
-      unexpectedExits: [...this.gateways.values()].reduce(
-        (sum, each) => sum + each.unexpectedExits,
-        0,
-      ),
+      unexpectedExits: this.exits().filter(({ isExpected }) => !isExpected),
     };
     await this.stop();
     return {
@@ -250,9 +183,17 @@
       storeCalls: this.store.calls,
       hotCounterFaults: this.hotCounterFaults,
       limit: limitMargin(this.log.runs, this.calls),
+      signalsAtStart: signalsAtStart(
+        [...this.gateways.values()].flatMap(({ sentSignals }) => sentSignals),
+        this.exits(),
+      ),
     };
   }
 
+  private exits(): ProcessExit[] {
+    return [...this.gateways.values()].flatMap(({ exits }) => exits);
+  }
+
   /** Schedules the faults and returns their number. */
   private planAll(faultsStart: number): number {
     return (
@@ -376,7 +317,7 @@
     ports: GatewayPorts,
     peerPorts: readonly number[],
   ): Promise<GatewayProcess> {
-    const { folder, promisesRevocation, checksEpochs } = this.options;
+    const { folder, promisesRevocation, checksEpochs, startHoldMs } = this.options;
     const store = await this.store.listenFor(name);
     const groupPorts = peerPorts.flatMap((port) => [port, port + RELAY_PORT_OFFSET]);
     const storePort = Number(store.split(':')[1]);
@@ -391,7 +332,9 @@
       ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
       ...(this.hasCuts ? { silencedPorts: groupPorts } : {}),
       isSuspendable: this.namedKinds.includes('suspended'),
+      ...(startHoldMs === undefined ? {} : { startHoldMs }),
       onFault: (kind, milliseconds) => this.recordGatewayFault(name, kind, milliseconds),
+      onSignalSent: (sent) => this.logEvent({ kind: 'signal_sent', ...sent }),
     });
   }
 
