A holder that has just learned its share counts the daemons anew before it grants

Cause: two beliefs of one daemon were of different age. Whether it may use its share follows the share record at once; the number of daemons with a share was counted again at the next periodic update, up to 100 ms later. A request for a permit that came between the two, with the lease granted within a millisecond, met a share of 0: the permit ledger granted the first request (a request is compared with at most the burst, and the burst was 0) and told the second to retry after units / 0 ms.

Why this works: the view counts the daemons again if a change was noted, so both beliefs come from the same record. Once a change, not once a request. And the ledger itself grants nothing without a share and names a finite delay, whatever view it is given.

Ruled out: an expired reply of a member or a lost share; mayUseShare is then false, and the holder queues the request.

--- a/src/core/admission/permit-ledger.ts
+++ b/src/core/admission/permit-ledger.ts
@@ -17,6 +17,8 @@
 const MIN_PER_SECOND = 0.25;
 /** Longest time over which the retries of refused callers are spread. */
 const MAX_RETRY_SPREAD_MS = 4_000;
+/** Delay before a retry while this holder has no share. Shares change within a few messages between daemons. */
+const NO_SHARE_RETRY_MS = 250;
 
 /** Returns the limit, in requests, that is enforced for a backend that announces `perSecond` requests a second. */
 export function permitLimit(perSecond: number): RateLimit {
@@ -60,6 +62,8 @@
   countReported(): void {}
 
   admit(units: number, now: number): LimitDecision {
+    // Without a share the burst and the rate are 0: any request would fit into the burst, or wait forever.
+    if (this.view.share === 0) return { type: 'over_limit', retryAfterMs: NO_SHARE_RETRY_MS };
     // A burst reduced to this holder's share may be smaller than one request.
     if (this.bucket.hasUnits(Math.min(units, this.burst), now)) {
       this.bucket.spend(units, now);
--- a/src/gateway/limit-group.ts
+++ b/src/gateway/limit-group.ts
@@ -25,6 +25,8 @@
   /** Live daemons that have a share. */
   private sharerCount = 0;
   private hasChanged = true;
+  /** Whether the counts of daemons date from before a noted change. */
+  private areCountsStale = true;
 
   constructor(
     private readonly options: LimitGroupOptions,
@@ -41,17 +43,14 @@
   /** Notes that the set of live daemons or the share record has changed. */
   markChanged(): void {
     this.hasChanged = true;
+    this.areCountsStale = true;
   }
 
   /** Applies a noted change. Returns whether the candidates for holder have changed. */
   update(now: number): boolean {
     if (!this.hasChanged) return false;
     this.hasChanged = false;
-    const live = this.options.live();
-    const sharers = live.filter(({ address }) => this.options.shares.isSharer(address));
-    this.liveCount = live.length;
-    this.sharerCount = sharers.length;
-    const candidates = highCapacityMembers(sharers)
+    const candidates = highCapacityMembers(this.countSharers())
       .map((member) => member.address)
       .sort();
     if (candidates.join() === this.candidates.join()) return false;
@@ -86,12 +85,26 @@
     return this.unitsOf(limit) * this.options.shares.sharePerMember;
   }
 
-  /** Returns the number of live daemons and the fraction of the limits that a holder may grant. */
+  /**
+   * Returns the number of live daemons and the fraction of the limits that a holder may grant. It includes noted changes that
+   * are not applied yet: {@link mayUseShare} does so too, and a holder that may use its share must not count 0 daemons.
+   */
   view(): HolderView {
+    if (this.areCountsStale) this.countSharers();
     const share = this.options.shares.combinedShare(this.sharerCount, leaseNow());
     return { daemons: Math.max(1, this.liveCount), share };
   }
 
+  /** Counts the live daemons, and returns those that have a share. */
+  private countSharers(): MemberView[] {
+    const live = this.options.live();
+    const sharers = live.filter(({ address }) => this.options.shares.isSharer(address));
+    this.liveCount = live.length;
+    this.sharerCount = sharers.length;
+    this.areCountsStale = false;
+    return sharers;
+  }
+
   private unitsOf({ perSecond, burst }: RateLimit): number {
     return (perSecond * this.options.kind.windowMs) / 1_000 + burst;
   }
--- a/test/core/permit-ledger.test.ts
+++ b/test/core/permit-ledger.test.ts
@@ -61,4 +61,16 @@
     expect(granted.length).toBeGreaterThan(90);
     expect(granted.length).toBeLessThanOrEqual(102);
   });
+
+  it('are refused with a finite delay without a share, and granted again with one', () => {
+    const noShare = { daemons: 6, share: 0 };
+    const ledger = new PermitLedger(permitLimit(10), noShare, 0);
+    for (const now of [1_000, 1_001, 5_000]) {
+      const decision = ledger.admit(1, now);
+      expect(decision.type).toBe('over_limit');
+      expect(decision.type === 'over_limit' && decision.retryAfterMs).toBeLessThan(1_000);
+    }
+    ledger.configure(permitLimit(10), FULL_VIEW, 6_000);
+    expect(grantedIn(ledger, 6_000, 1_000).length).toBeGreaterThan(8);
+  });
 });
