A paced tenant is told to return within a window, whatever its limit

What callers saw: nothing yet; found while looking for other sources of an infinite or too large delay. A holder would have ended itself.

Cause: a paced request was told to wait until the token bucket holds its units. The bucket may be in debt by what the slack of the limit admitted, so the wait is that debt divided by the rate: above 2^32 ms for limits below about a unit in 70 hours, which the configuration accepts and the message to the asking daemon cannot carry. For a limit of 1 a second it was 17 s, though pacing ends when the window has passed.

Evidence: limit-ledger.test.ts, before: 14,000,000,000,000 ms at 1e-9 a second, 14,000,000,000 at 1e-6, 14,000,000 at 1e-3, 17,000 at 1, for a window of 5,000 ms; after it at most the window, and the request is admitted then.

Change: the delay is at most the window.

--- a/src/core/admission/limit-ledger.ts
+++ b/src/core/admission/limit-ledger.ts
@@ -101,7 +101,9 @@
     // A request larger than the burst is admitted by a full bucket; otherwise it would never be admitted.
     const needed = Math.min(units, this.limit.burst * this.view.share);
     if (isPaced && !this.bucket.hasUnits(needed, now)) {
-      return { type: 'over_limit', retryAfterMs: this.bucket.waitMs(now, needed) };
+      // After a window without requests none is paced, however long the bucket of a small limit takes to fill.
+      const retryAfterMs = Math.min(this.bucket.waitMs(now, needed), this.window.windowMs);
+      return { type: 'over_limit', retryAfterMs };
     }
     this.count(units, now);
     return { type: 'granted' };
