Soak: reserve ports, so that two soaks that start at the same time take different ones

Cause: a soak took ports that it found free, and its gateways bound them later. A search that starts at the same place in the meantime finds the same ones.

Change: a soak listens on each of its ports at another loopback address until it exits. No check or plan is touched.

--- a/test/soak/soak-ports.ts
+++ b/test/soak/soak-ports.ts
@@ -9,9 +9,14 @@
 /** Size of the port range. It ends below 32,768, where the ephemeral ports of Linux begin (`ip_local_port_range`). */
 const PORT_COUNT = 20_000;
 const HOST = '127.0.0.1';
+/**
+ * Another loopback address. A soak listens there on each port that it takes, until it exits: its gateways can use the port, and a
+ * soak that starts at the same time sees that it is taken.
+ */
+const RESERVATION_HOST = '127.0.0.2';
 
 /**
- * Finds ports that are free for TCP and UDP. The search starts at a random port, as other soak tests may run in parallel.
+ * Finds ports that are free for TCP and UDP, and reserves them for this process. The search starts at a random port, as other soak tests may run in parallel.
  * @param width - Number of consecutive free ports that each returned port begins.
  */
 export async function findSoakPorts(count: number, width = 1): Promise<number[]> {
@@ -20,18 +25,35 @@
   while (ports.length < count) {
     offset = (offset + width) % (PORT_COUNT - width);
     const port = LOWEST_PORT + offset;
-    if (await areFree(port, width)) ports.push(port);
+    if (await reserveFree(port, width)) ports.push(port);
   }
   return ports;
 }
 
-async function areFree(first: number, width: number): Promise<boolean> {
+/** Reserves consecutive ports and checks that no other program uses them. Takes none if one of them is taken. */
+async function reserveFree(first: number, width: number): Promise<boolean> {
+  const reservations: net.Server[] = [];
   for (let port = first; port < first + width; port++) {
-    if (!(await isFreeForStreams(port)) || !(await isFreeForDatagrams(port))) return false;
+    const reservation = await reserve(port);
+    if (reservation !== undefined) reservations.push(reservation);
+    const isTaken = reservation === undefined;
+    if (isTaken || !(await isFreeForStreams(port)) || !(await isFreeForDatagrams(port))) {
+      for (const each of reservations) each.close();
+      return false;
+    }
   }
   return true;
 }
 
+/** Returns undefined if another soak has reserved the port. */
+function reserve(port: number): Promise<net.Server | undefined> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(port, RESERVATION_HOST, () => resolve(server.unref()));
+  });
+}
+
 function isFreeForStreams(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = net.createServer();
