A message that cannot be encoded is logged and lost; it no longer ends the daemon

Cause of the class: 55 numbers of the internal messages are unsigned integers. Any computed one that is not finite, negative or too large made the encoder throw in a timer or socket handler, which ends the process. One bad figure about one tenant cut everybody.

Change: the transport catches it where it encodes, logs `message_not_encoded` with the kind of message and the reason, and does not send. Each protocol tolerates a lost message. Gateways and `scaleslip daemon` share the transport.

No looser check: such a fault used to show as an exit in a soak.

Evidence: peer-transport.test.ts (Infinity, NaN, -1, 2^32; datagram and connection), before: uncaught `invalid uint32: Infinity`; after: eight lines, both later messages arrive.

--- a/src/daemon/peer-transport.ts
+++ b/src/daemon/peer-transport.ts
@@ -9,7 +9,7 @@
 import { sizeDelimitedEncode, sizeDelimitedPeek } from '@bufbuild/protobuf/wire';
 import { splitAddress } from '../common/http-client.js';
 import type { LinkFaults } from '../common/link-faults.js';
-import type { Logger } from '../common/logger.js';
+import { faultText, type Logger } from '../common/logger.js';
 import { EnvelopeSchema, type Envelope } from '../proto/gen/internal_pb.js';
 
 /** Maximum size of a message; a larger length prefix is treated as malformed data. */
@@ -47,6 +47,9 @@
   messagesReceived: number;
 }
 
+/** Encodes an envelope, with or without a length prefix. */
+type EnvelopeEncoder = (schema: typeof EnvelopeSchema, envelope: Envelope) => Uint8Array;
+
 /** Options of {@link PeerTransport}. */
 export interface PeerTransportOptions {
   /** IPv4 address to listen on, and to use as the sender address. */
@@ -116,7 +119,8 @@
 
   /** Sends one message to several peers over TCP, encoding it only once. */
   sendToAll(addresses: readonly string[], body: PeerBody): void {
-    const bytes = sizeDelimitedEncode(EnvelopeSchema, this.envelope(body));
+    const bytes = this.encode(body, sizeDelimitedEncode);
+    if (bytes === undefined) return;
     for (const to of addresses) {
       if (this.stopped || this.options.faults.blocksOutbound(to)) continue;
       if (to === this.address) setImmediate(() => this.options.onMessage(this.address, body));
@@ -156,15 +160,28 @@
   sendDatagram(to: string, body: PeerBody): void {
     if (this.stopped || this.options.faults.blocksOutbound(to)) return;
     const [host, port] = splitAddress(to);
-    const bytes = toBinary(EnvelopeSchema, this.envelope(body));
+    const bytes = this.encode(body, toBinary);
+    if (bytes === undefined) return;
     this.datagrams.send(bytes, port, host, () => {
       // A send error counts as a lost datagram, which the membership protocol tolerates.
     });
     this.countSent(bytes.length + DATAGRAM_HEADER_BYTES);
   }
 
-  private envelope(body: PeerBody): Envelope {
-    return create(EnvelopeSchema, { from: this.address, body });
+  /**
+   * Encodes a message. Returns undefined for one with a value that its field cannot hold, such as an infinite integer: it is
+   * lost like one that no peer receives, which all protocols tolerate. The daemon goes on serving its callers.
+   */
+  private encode(body: PeerBody, encode: EnvelopeEncoder): Uint8Array | undefined {
+    try {
+      return encode(EnvelopeSchema, create(EnvelopeSchema, { from: this.address, body }));
+    } catch (fault) {
+      this.options.logger.error('message_not_encoded', {
+        message: body.case,
+        reason: faultText(fault),
+      });
+      return undefined;
+    }
   }
 
   private countSent(bytes: number): void {
--- a/test/daemon/peer-transport.test.ts
+++ b/test/daemon/peer-transport.test.ts
@@ -2,10 +2,10 @@
 import { create } from '@bufbuild/protobuf';
 import { afterEach, describe, expect, it } from 'vitest';
 import { LinkFaults } from '../../src/common/link-faults.js';
-import { silentLogger } from '../../src/common/logger.js';
+import { silentLogger, type Logger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
 import { PeerTransport, type PeerBody } from '../../src/daemon/peer-transport.js';
-import { PlacementRequestSchema } from '../../src/proto/gen/internal_pb.js';
+import { LimitAnswerSchema, PlacementRequestSchema } from '../../src/proto/gen/internal_pb.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 
 /** A TCP proxy that can stop delivering data on its open connections. */
@@ -113,3 +113,48 @@
     expect(lost).toEqual([]);
   });
 });
+
+describe('a message with a value that its field cannot hold', () => {
+  const stops: (() => void)[] = [];
+
+  afterEach(() => {
+    for (const stop of stops.splice(0)) stop();
+  });
+
+  it('is lost and logged; the daemon goes on, and so do its other messages', async () => {
+    const [senderPort = 0, receiverPort = 0] = await findFreePorts(2);
+    const received: string[] = [];
+    const logged: unknown[] = [];
+    const error: Logger['error'] = (event, fields) =>
+      void logged.push([event, fields?.['message']]);
+    const options = { host: '127.0.0.1', faults: new LinkFaults(), onDisconnect: () => {} };
+    const sender = new PeerTransport({
+      ...options,
+      port: senderPort,
+      logger: { ...silentLogger, error },
+      onMessage: () => {},
+    });
+    const receiver = new PeerTransport({
+      ...options,
+      port: receiverPort,
+      logger: silentLogger,
+      onMessage: (_from, { case: kind }) => received.push(kind),
+    });
+    for (const transport of [sender, receiver]) {
+      await transport.start();
+      stops.push(() => transport.stop());
+    }
+    const to = `127.0.0.1:${receiverPort}`;
+    for (const retryAfterMs of [Infinity, NaN, -1, 2 ** 32]) {
+      const value = create(LimitAnswerSchema, { tenant: 't', retryAfterMs });
+      sender.sendDatagram(to, { case: 'limitAnswer', value });
+      sender.send(to, { case: 'limitAnswer', value });
+    }
+    const value = create(PlacementRequestSchema, { service: 's' });
+    sender.send(to, { case: 'placementRequest', value });
+    sender.sendDatagram(to, { case: 'placementRequest', value });
+    while (received.length < 2) await sleep(5);
+    expect(received).toEqual(['placementRequest', 'placementRequest']);
+    expect(logged).toEqual(Array.from({ length: 8 }, () => ['message_not_encoded', 'limitAnswer']));
+  });
+});
--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -48,6 +48,7 @@
     replicaFaults: [],
     faultFreeSince: 0,
     unexpectedExits: [],
+    unencodedMessages: [],
     promisesRevocation: true,
     ...part,
   };
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -62,6 +62,7 @@
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
     unexpectedExits: [],
+    unencodedMessages: [],
     promisesRevocation: true,
     ...part,
   };
@@ -225,6 +226,12 @@
     expect(rules({ runs: runsOf(2 * count, LIMIT_WINDOW_MS * 2.1) })).toEqual([]);
   });
 
+  it('reports messages that a gateway could not encode', () => {
+    expect(rules({ unencodedMessages: ['event=message_not_encoded message=limitAnswer'] })).toEqual(
+      ['message_not_encoded'],
+    );
+  });
+
   it('reports unexpected exits, and a system that does not recover', () => {
     const exit = {
       gateway: 'g',
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -50,6 +50,7 @@
       rule: 'unasked_exit',
       detail: describeExit(exit),
     })),
+    ...evidence.unencodedMessages.map((detail) => ({ rule: 'message_not_encoded', detail })),
   ];
 }
 
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -82,6 +82,8 @@
   readonly faultFreeSince: number;
   /** Exits that no fault or stop of the soak caused. */
   readonly unexpectedExits: readonly ProcessExit[];
+  /** Log lines of gateways about messages that they could not encode. */
+  readonly unencodedMessages: readonly string[];
   /** Whether the gateways were started with a bound on how long a removed key is still served. */
   readonly promisesRevocation: boolean;
 }
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -193,6 +193,12 @@
     return path.join(this.options.folder, `${this.options.name}.log`);
   }
 
+  /** Lines of its log about messages that it could not encode, and so did not send. */
+  unencodedMessages(): string[] {
+    const lines = readFileSync(this.logFile, 'utf8').split('\n');
+    return lines.filter((line) => line.includes(' event=message_not_encoded '));
+  }
+
   start(): void {
     const log = openSync(this.logFile, 'a');
     const { silencedPorts, otherPorts, isSuspendable = false } = this.options;
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -169,6 +169,7 @@
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
       unexpectedExits: this.exits().filter(({ isExpected }) => !isExpected),
+      unencodedMessages: [...this.gateways.values()].flatMap((each) => each.unencodedMessages()),
     };
     await this.stop();
     return {
