--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,5 @@
 /** Command line of the soak: runs one seed after the other, and exits with 1 if a guarantee was violated. */
-import { Command, Option } from 'commander';
+import { Command, InvalidArgumentError, Option } from 'commander';
 import { FURTHER_FAULT_KINDS, type FurtherFault } from './further-fault-plan.js';
 import { OPT_IN_FAULT_KINDS, type OptInFault } from './opt-in-fault-plan.js';
 import { SERIES_FAULT_KINDS, type SeriesFault } from './series-fault-plan.js';
@@ -24,7 +24,7 @@
   readonly drawnRanks: boolean;
   readonly partition?: string;
   readonly series: SeriesFault['kind'][] | boolean;
-  readonly holdStarts: string;
+  readonly holdStarts: number;
 }
 
 /** Excused violations to print: only the last ones. */
@@ -77,7 +77,8 @@
   .option(
     '--hold-starts <milliseconds>',
     'stop each new gateway process for this time before its first instruction, as if no processor were free',
-    '0',
+    durationOf,
+    0,
   )
   .addOption(
     new Option('--epochs <choice>', 'whether replicas reject orders with too low an epoch')
@@ -98,6 +99,13 @@
   return flag === true ? SERIES_FAULT_KINDS : flag || [];
 }
 
+/** Parses a duration in milliseconds. */
+function durationOf(text: string): number {
+  const milliseconds = Number(text);
+  if (text.trim() !== '' && Number.isFinite(milliseconds) && milliseconds >= 0) return milliseconds;
+  throw new InvalidArgumentError('Expected a number of milliseconds, 0 or more.');
+}
+
 /** Parses "how,share,owner". */
 function partitionOf(text: string): NonNullable<SoakOptions['partition']> {
   const [how = '', share = '', owner = ''] = text.split(',');
@@ -137,7 +145,7 @@
       alwaysHot: flags.alwaysHot,
       drawsRanks: flags.drawnRanks,
       series: seriesOf(flags.series),
-      startHoldMs: Number(flags.holdStarts),
+      startHoldMs: flags.holdStarts,
       ...(flags.partition === undefined ? {} : { partition: partitionOf(flags.partition) }),
     });
     const { violations, excused, ...figures } = result;
--- a/test/soak/soak-ports.ts
+++ b/test/soak/soak-ports.ts
@@ -16,7 +16,8 @@
 const RESERVATION_HOST = '127.0.0.2';
 
 /**
- * Finds ports that are free for TCP and UDP, and reserves them for this process. The search starts at a random port, as other soak tests may run in parallel.
+ * Finds ports that are free for TCP and UDP, and reserves them for this process. The search starts at a random port, as other
+ * soak tests may run in parallel.
  * @param width - Number of consecutive free ports that each returned port begins.
  */
 export async function findSoakPorts(count: number, width = 1): Promise<number[]> {
