--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,5 @@
 /**
- * Entry point of the `scaleslip` command line. For a daemon, handles SIGHUP and then loads the program: all modules of
+ * Entry point of the `scaleslip` command line, also for programs that start it without `bin/scaleslip.js`. For a daemon, handles SIGHUP and then loads the program: all modules of
  * a program are loaded before its first statement runs, and until then SIGHUP ends the process by default. A signal
  * that arrives meanwhile needs no other action, because the daemon reads its settings afterwards. SIGTERM and SIGINT
  * keep their default here: the daemon has not opened a port yet. Other commands keep all defaults, so that a closed
--- a/test/processes/command-line-signals.test.ts
+++ b/test/processes/command-line-signals.test.ts
@@ -15,6 +15,8 @@
 const PROGRAM = 'bin/scaleslip.js';
 /** Both programs that start the command line. */
 const PROGRAMS = [PROGRAM, 'dist/cli/main.js'];
+/** The first ES module of the command line, as the program imports it. */
+const FIRST_MODULE = '../dist/cli/main.js';
 const PROBE = './test/processes/stalled-loading-probe.mjs';
 const SIGNALS = ['SIGHUP', 'SIGTERM', 'SIGINT'] as const;
 
@@ -34,15 +36,22 @@
     rmSync(folder, { recursive: true, force: true });
   });
 
-  function start(args: readonly string[]): ChildProcess {
-    const env = { ...process.env, LOADING_MAY_CONTINUE: path.join(folder, 'continue') };
+  function start(
+    args: readonly string[],
+    variables: Readonly<Record<string, string>> = {},
+  ): ChildProcess {
+    const mayContinue = path.join(folder, 'continue');
+    const env = { ...process.env, LOADING_MAY_CONTINUE: mayContinue, ...variables };
     child = spawn(process.execPath, args, { env, stdio: ['ignore', 'pipe', 'pipe'] });
     return child;
   }
 
   /** Starts a command and waits until the loading of its program is held back. */
-  async function startStalled(args: readonly string[]): Promise<ChildProcess> {
-    const started = start(['--import', PROBE, ...args]);
+  async function startStalled(
+    args: readonly string[],
+    variables: Readonly<Record<string, string>> = {},
+  ): Promise<ChildProcess> {
+    const started = start(['--import', PROBE, ...args], variables);
     await output(started, 'stderr', 'loading stalled');
     return started;
   }
@@ -68,6 +77,15 @@
     await output(daemon, 'stdout', 'event=daemon_started');
   });
 
+  it('SIGHUP does not end a daemon whose first ES module is being looked for', async () => {
+    // An ES module as entry is linked with all that it imports before its first line runs.
+    const args = [PROGRAM, ...(await daemonArguments())];
+    const daemon = await startStalled(args, { LOADING_STALLS_AT: FIRST_MODULE });
+    daemon.kill('SIGHUP');
+    writeFileSync(path.join(folder, 'continue'), '');
+    await output(daemon, 'stdout', 'event=daemon_started');
+  });
+
   it.each(['SIGTERM', 'SIGINT'] as const)(
     '%s ends a daemon that is being loaded',
     async (signal) => {
--- a/test/processes/stalled-loading-hooks.mjs
+++ b/test/processes/stalled-loading-hooks.mjs
@@ -2,7 +2,8 @@
 import { existsSync, writeSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-const HELD_BACK = 'commander';
+/** The module that is held back; by default the parser of the command line. */
+const HELD_BACK = process.env.LOADING_STALLS_AT ?? 'commander';
 const POLL_INTERVAL_MS = 10;
 const STANDARD_ERROR = 2;
 let isAnnounced = false;
