--- a/test/soak/soak-ports.ts
+++ b/test/soak/soak-ports.ts
@@ -10,10 +10,10 @@
 const PORT_COUNT = 20_000;
 const HOST = '127.0.0.1';
 /**
- * Another loopback address. A soak listens there on each port that it takes, until it exits: its gateways can use the port, and a
- * soak that starts at the same time sees that it is taken.
+ * A loopback address that no test uses otherwise. A soak listens there on each port that it takes, until it exits: its gateways
+ * can use the port, and a soak that starts at the same time sees that it is taken.
  */
-const RESERVATION_HOST = '127.0.0.2';
+const RESERVATION_HOST = '127.255.0.1';
 
 /**
  * Finds ports that are free for TCP and UDP, and reserves them for this process. The search starts at a random port, as other
