Log at which software version a request runs, and which stream it takes up

To tell the hypotheses of streams-of-two-versions apart: the platform's list names each server's software version, and it was dropped (platform/backend-records.ts). It is read now, logged with backend_started and sent; sent also names the stream that a caller takes up and the event after which it goes on. Nothing is decided by it yet.

--- a/src/core/service-configuration.ts
+++ b/src/core/service-configuration.ts
@@ -143,6 +143,11 @@
    * another. Undefined if unknown, which counts as the start that is already known.
    */
   readonly start?: string;
+  /**
+   * Version of the backend's own software, not of its models. Events that two versions write must not be joined into one stream.
+   * Undefined if unknown, which equals no version.
+   */
+  readonly softwareVersion?: string;
   readonly service: string;
   /** "ip:port". */
   readonly address: string;
--- a/src/gateway/directory-follower.ts
+++ b/src/gateway/directory-follower.ts
@@ -257,9 +257,9 @@
       logger.info('backend_ended', { backend: id, revision, era, inFlight, source, from, told });
     }
     if (!isDesignatedReader) return;
-    for (const { id, revision: position, address } of started) {
+    for (const { id, revision: position, address, softwareVersion: version } of started) {
       const [revision, era] = [revisionOf(position), eraOf(position)];
-      logger.info('backend_started', { backend: id, revision, era, address });
+      logger.info('backend_started', { backend: id, revision, era, address, version });
     }
   }
 }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -128,6 +128,8 @@
   readonly sharedPrompt: string | undefined;
   /** The caller resumes a stream after this event. */
   readonly lastEventId: string | undefined;
+  /** Attempt id of the caller's earlier request that brought the first event of the resumed stream. */
+  readonly resumedAttemptId: string | undefined;
   /** SHA-256 of the caller's key in hexadecimal. */
   readonly keyDigest: string | undefined;
   /** Number of tokens that the request declares: its prompt plus its maximum answer length. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -333,6 +333,9 @@
     }
     this.log('sent', {
       backend: backend.id,
+      version: backend.softwareVersion,
+      resumes: request.head.resumedAttemptId,
+      afterEvent: this.answer.lastEventId ?? request.head.lastEventId,
       relay,
       inFlight: this.search.inFlightAt(backend),
       beliefAgeMs: context.slots?.statusAgeMs(backend.id, now),
