--- /dev/null
+++ b/test/gateway/streams-of-two-versions.test.ts
@@ -0,0 +1,238 @@
+/** Guards against streams that go on at a backend of another software version than the one that began them. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { BackendRecord } from '../../src/core/service-configuration.js';
+import { findSoakPorts } from '../soak/soak-ports.js';
+import {
+  GatewayHarness,
+  pause,
+  TestBackend,
+  testConfiguration,
+  testRoute,
+  type CallerView,
+} from './gateway-harness.js';
+
+const LAST_EVENT = 6;
+const EVENT_GAP_MS = 10;
+/** Event after which a caller leaves or a backend breaks the stream off. */
+const BROKEN_AFTER = 2;
+const ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3'];
+/** Zones of the daemons. Each prefers the backends of its own zone: those of v1 are in zone a, those of v2 in zone b. */
+const ZONES = ['a', 'b', 'b'];
+const ROUTE = testRoute({ repeatability: 'resumable_stream', maxAttempts: 3 });
+
+let backends: TestBackend[] = [];
+let daemons: GatewayHarness[] = [];
+let peerPort = 0;
+
+afterEach(() => {
+  for (const daemon of daemons) daemon.stop();
+  for (const backend of backends) backend.stop();
+  daemons = [];
+  backends = [];
+});
+
+/** Version of a test backend, which is the beginning of its id. */
+function versionOf(id: string): string {
+  return id.split('-')[0] ?? '';
+}
+
+/** Answers with the rest of the stream; each event names the backend that wrote it. */
+async function addBackend(id: string): Promise<TestBackend> {
+  const backend = new TestBackend(id, (request, response) => {
+    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+    const headers = { signed: 'yes', 'request-id': String(request.headers['request-id']) };
+    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+    let event = first;
+    const timer = setInterval(() => {
+      const breaks = request.headers.breaks !== undefined && first === 1;
+      if (breaks && event > BROKEN_AFTER) return void request.socket.destroy();
+      response.write(`id: ${event}\ndata: ${id}\n\n`);
+      event += 1;
+      if (event <= LAST_EVENT) return;
+      clearInterval(timer);
+      response.end();
+    }, EVENT_GAP_MS);
+    response.on('close', () => clearInterval(timer));
+  });
+  await backend.start();
+  backends.push(backend);
+  return backend;
+}
+
+async function startDaemons(count: number): Promise<void> {
+  [peerPort = 0] = await findSoakPorts(1, 2);
+  for (const [index, address] of ADDRESSES.slice(0, count).entries()) {
+    const seeds = ADDRESSES.filter((other) => other !== address);
+    const zone = ZONES[index] ?? '';
+    const daemon = await GatewayHarness.start({ address, peerPort, seeds, zone });
+    daemon.configure(testConfiguration({ routes: [ROUTE] }));
+    daemons.push(daemon);
+  }
+  listAll();
+  const hasAll = (daemon: GatewayHarness): boolean => daemon.liveMembers() === count;
+  for (let attempt = 0; attempt < 60 && !daemons.every(hasAll); attempt++) await pause(100);
+  expect(daemons.every(hasAll)).toBe(true);
+}
+
+function listAll(): void {
+  for (const daemon of daemons) {
+    daemon.list(backends.map(recordOf));
+  }
+}
+
+function recordOf(backend: TestBackend): BackendRecord {
+  const softwareVersion = versionOf(backend.id);
+  return backend.record({ softwareVersion, zone: softwareVersion === 'v1' ? 'a' : 'b' });
+}
+
+/** Writers of the events in an answer's body, by event id. */
+function writersOf(body: string): Map<number, string> {
+  const events = [...body.matchAll(/^id: (\d+)\ndata: (.+)\n\n/gm)];
+  return new Map(events.map(([, id, writer]) => [Number(id), writer ?? '']));
+}
+
+function versionsIn(...bodies: string[]): Set<string> {
+  const writers = bodies.flatMap((body) => [...writersOf(body).values()]);
+  return new Set(writers.map(versionOf));
+}
+
+/** Begins a stream and leaves after event {@link BROKEN_AFTER}; returns what arrived until then. */
+function beginAndLeave(daemon: GatewayHarness, id: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    let body = '';
+    const request = daemon.request({ id }, (response) => {
+      response.on('data', (chunk: Buffer) => {
+        body += chunk.toString();
+        if (writersOf(body).size < BROKEN_AFTER) return;
+        request.destroy();
+        resolve(body);
+      });
+      response.on('error', () => {});
+    });
+    request.on('error', reject);
+    request.on('close', () => resolve(body));
+  });
+}
+
+function takeUp(
+  daemon: GatewayHarness,
+  resumes: string | undefined,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<CallerView> {
+  const named: Record<string, string> = resumes === undefined ? {} : { resumes };
+  const id = `${(resumes ?? 'unnamed').slice(0, 20)}-again-${daemon.settings.address}`;
+  const after = { 'last-event-id': String(BROKEN_AFTER) };
+  return daemon.call({ id, headers: { ...after, ...named, ...headers } });
+}
+
+describe('a stream that its backend breaks off', () => {
+  it('goes on at a backend of the same software version only', async () => {
+    for (const id of ['v1-a', 'v2-a', 'v1-b', 'v2-b']) await addBackend(id);
+    await startDaemons(1);
+    for (let call = 0; call < 20; call++) {
+      const answer = await daemons[0]!.call({ id: `s${call}`, headers: { breaks: '1' } });
+      expect(versionsIn(answer.body).size).toBe(1);
+      expect(writersOf(answer.body).size).toBe(LAST_EVENT);
+    }
+  });
+
+  it('is broken off towards its caller at once if no other backend has that version', async () => {
+    for (const id of ['v1-a', 'v2-a']) await addBackend(id);
+    await startDaemons(1);
+    const [first] = backends;
+    daemons[0]!.list([recordOf(first!)]);
+    const answering = daemons[0]!.call({ id: 's', headers: { breaks: '1' } });
+    await pause(EVENT_GAP_MS);
+    daemons[0]!.list([recordOf(backends[1]!)]);
+    const startedAt = Date.now();
+    const answer = await answering;
+    expect(Date.now() - startedAt).toBeLessThan(1_000);
+    expect(answer.complete).toBe(false);
+    expect(versionsIn(answer.body)).toEqual(new Set(['v1']));
+  });
+});
+
+describe('a stream that its caller takes up at another daemon', () => {
+  beforeEach(async () => {
+    for (const id of ['v1-a', 'v2-a', 'v1-b', 'v2-b']) await addBackend(id);
+    await startDaemons(3);
+  });
+
+  it('goes on at the software version that began it', async () => {
+    for (let call = 0; call < 20; call++) {
+      const begun = await beginAndLeave(daemons[0]!, `s${call}`);
+      const rest = await takeUp(daemons[1 + (call % 2)]!, `s${call}`);
+      expect(rest.status).toBe(200);
+      expect(versionsIn(begun, rest.body).size).toBe(1);
+      expect(writersOf(rest.body).size).toBe(LAST_EVENT - BROKEN_AFTER);
+    }
+  });
+
+  it('goes on there although the daemon that began it is dead', async () => {
+    const begun: string[] = [];
+    for (let call = 0; call < 20; call++) begun.push(await beginAndLeave(daemons[0]!, `s${call}`));
+    daemons[0]!.stop();
+    for (const [call, body] of begun.entries()) {
+      const rest = await takeUp(daemons[1 + (call % 2)]!, `s${call}`);
+      expect(rest.status).toBe(200);
+      expect(versionsIn(body, rest.body).size).toBe(1);
+    }
+  });
+
+  it('goes on there at the third attempt, which names the first', async () => {
+    const begun = await beginAndLeave(daemons[0]!, 's');
+    daemons[0]!.stop();
+    await takeUp(daemons[1]!, 's');
+    const rest = await takeUp(daemons[2]!, 's');
+    expect(versionsIn(begun, rest.body).size).toBe(1);
+  });
+
+  it('is refused at once if no daemon knows where it began', async () => {
+    const begun = await beginAndLeave(daemons[0]!, 's');
+    expect(writersOf(begun).size).toBe(BROKEN_AFTER);
+    const cases: readonly Promise<CallerView>[] = [
+      takeUp(daemons[1]!, 'never-begun'),
+      takeUp(daemons[1]!, 'x'.repeat(1_500)),
+      takeUp(daemons[1]!, ''),
+      takeUp(daemons[1]!, undefined),
+      takeUp(daemons[1]!, 's', { model: 'another' }),
+    ];
+    const startedAt = Date.now();
+    for (const refused of await Promise.all(cases)) {
+      expect(refused.status).toBe(503);
+      expect(refused.headers['x-error-kind']).toBe('stream_not_resumable');
+      expect(refused.headers['x-ran']).toBe('no');
+    }
+    expect(Date.now() - startedAt).toBeLessThan(1_000);
+  });
+
+  it('is refused at once if no backend has that version any more', async () => {
+    const begun = await beginAndLeave(daemons[0]!, 's');
+    const [version] = versionsIn(begun);
+    backends = backends.filter(({ id }) => versionOf(id) !== version);
+    listAll();
+    const startedAt = Date.now();
+    const refused = await takeUp(daemons[1]!, 's');
+    expect(refused.status).toBe(503);
+    expect(refused.headers['x-error-kind']).toBe('stream_not_resumable');
+    expect(Date.now() - startedAt).toBeLessThan(1_000);
+  });
+});
+
+describe('a stream that its caller takes up without naming it', () => {
+  it('goes on while all backends have one software version', async () => {
+    for (const id of ['v1-a', 'v1-b']) await addBackend(id);
+    await startDaemons(2);
+    await beginAndLeave(daemons[0]!, 's');
+    const rest = await takeUp(daemons[1]!, undefined);
+    expect(rest.status).toBe(200);
+    expect(writersOf(rest.body).size).toBe(LAST_EVENT - BROKEN_AFTER);
+  });
+
+  it('is refused for as long as it may have begun at a version that is gone', async () => {
+    for (const id of ['v1-a', 'v2-a']) await addBackend(id);
+    await startDaemons(1);
+    daemons[0]!.list([recordOf(backends[0]!)]);
+    expect((await takeUp(daemons[0]!, undefined)).status).toBe(503);
+  });
+});
