A stream that its backend breaks off goes on only at the software version that began it

Callers got events of two versions in one answer: after a break a daemon went on at any backend of the service that has the model, since a backend's version was not part of what a daemon knows of it (BackendRecord). Ruled out: another process at the address (backends answer at their own addresses in the test; a wrong one refuses as misdirected), the relay (the receiving daemon chooses the backend). Change: the version of the first event's writer binds the answer (request-stream.ts); until an event is passed on any version may take it. A version that is unknown equals none. Peers tell the version of started backends (BackendStart.software_version; a record without it keeps the version known from the other source of the same process).

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -43,6 +43,7 @@
   draining: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   platform_unavailable: { status: 503, ran: 'no', retryAfterSeconds: 5 },
   crashes_backends: { status: 503, ran: 'no', retryAfterSeconds: 0 },
+  stream_not_resumable: { status: 503, ran: 'no', retryAfterSeconds: 0 },
   engine_refused: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   deadline_exceeded_waiting: { status: 504, ran: 'no', retryAfterSeconds: 1 },
   deadline_exceeded_running: { status: 504, ran: 'yes', retryAfterSeconds: 0 },
--- a/src/core/backend-presence.ts
+++ b/src/core/backend-presence.ts
@@ -206,18 +206,25 @@
 /** Keeps a stale list from reverting a backend to an older record or to an earlier process. */
 function newerOf(known: BackendRecord | undefined, listed: BackendRecord): BackendRecord {
   if (known === undefined) return listed;
-  if (known.revision > listed.revision) return known;
+  if (known.revision > listed.revision) return withVersionOf(known, listed);
   if (listed.start !== undefined || known.start === undefined) return listed;
   return { ...listed, start: known.start };
 }
 
+/** Fills in the software version of a record that lacks it, from another record of the same process. */
+function withVersionOf(record: BackendRecord, other: BackendRecord): BackendRecord {
+  const { softwareVersion } = other;
+  const isFilledIn = record.softwareVersion === undefined && softwareVersion !== undefined;
+  return isFilledIn && !isDifferentStart(record, other) ? { ...record, softwareVersion } : record;
+}
+
 /** Takes the location from an announcement, but the models from the last list if both are of the same process. */
 function mergeAnnouncement(known: BackendRecord, announcement: BackendRecord): BackendRecord {
   if (isDifferentStart(known, announcement)) return announcement;
   const { models, sequence, inMemory, onDisk } = known;
   const start = announcement.start ?? known.start;
   return {
-    ...announcement,
+    ...withVersionOf(announcement, known),
     models,
     sequence,
     inMemory,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -76,6 +76,8 @@
   readonly onBackoff: (backoffMs: number) => void;
   /** Called once when the timeout has passed and no other backend can take the request. */
   readonly onTimeout: () => void;
+  /** Called before an event of the backend is passed on to the caller. */
+  readonly onEvent: () => void;
   /** Records the gaps between events; undefined if the gaps say nothing about the backend. */
   readonly gaps: StreamGaps | undefined;
   readonly answer: CallerAnswer;
@@ -264,6 +266,7 @@
   private forwardEvent(event: StreamEvent): void {
     const { answer } = this.options;
     if (isAlreadySent(event, answer.lastEventId)) return;
+    this.options.onEvent();
     if (!answer.hasBegun) {
       const incoming = this.incoming;
       answer.beginStream(incoming?.statusCode ?? 0, incoming?.rawHeaders ?? []);
--- a/src/gateway/decision-state.ts
+++ b/src/gateway/decision-state.ts
@@ -2,6 +2,7 @@
 import { isStream, type Route, type Service } from '../core/service-configuration.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
+import { steadyNow } from './steady-clock.js';
 
 /**
  * Returns the state behind a decision as fields of a log line.
@@ -25,10 +26,29 @@
   };
 }
 
+/**
+ * Returns the times of a request that has ended, as fields of a log line.
+ *
+ * @param arrivedAt - Steady time at which the request arrived, in milliseconds.
+ */
+export function timingFields(
+  route: Route,
+  answer: Pick<CallerAnswer, 'hasBegun' | 'headSentAt' | 'longestPauseMs'>,
+  arrivedAt: number,
+): { readonly milliseconds: number } & Record<string, number | undefined> {
+  const { headSentAt } = answer;
+  return {
+    milliseconds: Math.round(steadyNow() - arrivedAt),
+    firstPartMs: headSentAt && Math.round(headSentAt - arrivedAt),
+    goalMs: route.goalMs,
+    ...pauseFields(route, answer),
+  };
+}
+
 /**
  * Returns the longest pause of a stream and the longest pause that still meets the route's goal, as fields of a log line.
  */
-export function pauseFields(
+function pauseFields(
   route: Route,
   answer: Pick<CallerAnswer, 'hasBegun' | 'longestPauseMs'>,
 ): Record<string, number> {
--- a/src/gateway/gateway-codec.ts
+++ b/src/gateway/gateway-codec.ts
@@ -153,8 +153,8 @@
     create(BackendEndSchema, { backend: id, ...placeOf(position) }),
   );
   const starts = news.started.map((record) => {
-    const { id, service, address, zone, slots, start = '' } = record;
-    const place = { service, address, zone, slots, start };
+    const { id, service, address, zone, slots, start = '', softwareVersion } = record;
+    const place = { service, address, zone, slots, start, ...versionOf(softwareVersion) };
     return create(BackendStartSchema, { backend: id, ...placeOf(record.revision), ...place });
   });
   const { configurationVersion, platformAway, servingDigest } = news;
@@ -186,10 +186,16 @@
   return { revision: revisionOf(position), era: eraOf(position) };
 }
 
+/** An unknown version has no field. */
+function versionOf(softwareVersion: string | undefined): { readonly softwareVersion?: string } {
+  return softwareVersion === undefined ? {} : { softwareVersion };
+}
+
 function decodeStart(message: BackendStart, presentEra: number): BackendRecord {
   const { backend, service, address, zone, slots, start, era = presentEra } = message;
   const revision = positionOf(era, message.revision);
   const holdings = { models: [], sequence: 0, inMemory: [], onDisk: [] };
   const place = { id: backend, revision, service, address, zone, slots, leaving: false };
-  return { ...place, ...holdings, ...(start === '' ? {} : { start }) };
+  const version = versionOf(message.softwareVersion);
+  return { ...place, ...holdings, ...version, ...(start === '' ? {} : { start }) };
 }
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -47,6 +47,8 @@
   /** Properties of the request that the capacity estimates depend on. */
   readonly capacityQuery: CapacityQuery;
   readonly slotDetails: () => SlotDetails;
+  /** Returns whether the request may run at a backend of this software version. */
+  readonly fitsVersion: (backend: BackendRecord) => boolean;
   /** Returns whether the request may run at a backend together with the requests that run there. */
   readonly mayRunAt: (backend: string) => boolean;
   /** Called when the request may be sent to the backend. */
@@ -257,6 +259,7 @@
     const { service, model } = this.options;
     return directory
       .servingBackends(service.name)
+      .filter((backend) => this.options.fitsVersion(backend))
       .filter((backend) => model === undefined || directory.holds(backend, model, now));
   }
 
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -15,12 +15,14 @@
 import { gapRecorder, type CapacityQuery } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
 import { modelReadyInMs } from './model-forecast.js';
-import { decisionState, pauseFields } from './decision-state.js';
+import { decisionState, timingFields } from './decision-state.js';
 import { hasBackendFailed, recordBackendHealth } from './attempt-health.js';
 import { RequestDemand } from './request-demand.js';
 import { RequestDispatch, type SlotDetails } from './request-dispatch.js';
 import { RequestRelays } from './request-relays.js';
+import { RequestStream } from './request-stream.js';
 import { RequestSuspicion } from './request-suspicion.js';
+import { slotDetailsOf } from './slot-details.js';
 import { steadyNow } from './steady-clock.js';
 import { TenantAdmission, type TenantDenial } from './tenant-admission.js';
 
@@ -33,11 +35,6 @@
  * a later request must not preempt a running one.
  */
 const GRANTED_PRIORITY = 1;
-/**
- * Waiting time credited to a caller that was refused before, so that it goes ahead of callers that have not
- * waited yet. It equals one rank (four steps) in `slot-queue.ts`.
- */
-const RETRY_HEADSTART_MS = 1_200;
 /** Why a request that has not run is refused. */
 type RefusalKind =
   | 'no_capacity'
@@ -47,7 +44,8 @@
   | 'unauthorized'
   | 'not_ready'
   | 'rate_limited'
-  | 'crashes_backends';
+  | 'crashes_backends'
+  | 'stream_not_resumable';
 
 /** A running request. */
 export class RequestExchange {
@@ -76,6 +74,7 @@
   private readonly capacityQuery: CapacityQuery;
   private readonly suspicion: RequestSuspicion;
   private readonly relays: RequestRelays;
+  private readonly stream: RequestStream;
 
   constructor(
     private readonly context: GatewayContext,
@@ -97,6 +96,7 @@
     const waitingCaller = { dueAt: this.dueAt, goalMs: route.goalMs };
     this.demand = new RequestDemand(context, match, this.model, waitingCaller);
     this.suspicion = new RequestSuspicion(context.crashes, request, () => this.answer.hasBegun);
+    this.stream = new RequestStream(context.directory, match.service.name);
     this.search = this.makeSearch();
     this.relays = new RequestRelays(context);
     response.on('close', () => this.callerClosed());
@@ -198,6 +198,7 @@
       sharedPrompt: this.request.head.sharedPrompt,
       capacityQuery: this.capacityQuery,
       slotDetails: () => this.slotDetails(),
+      fitsVersion: this.stream.mayRunAt,
       mayRunAt: (backend) => this.suspicion.mayTakeTurn(backend),
       onSlot: (backend) => this.send(backend),
       onQueued: () => this.queued(),
@@ -208,27 +209,19 @@
     });
   }
 
-  /**
-   * Returns the properties that determine the request's place in a slot queue. A stream that has begun goes
-   * first.
-   */
   private slotDetails(): SlotDetails {
-    const { request, admission } = this;
-    const { route } = this.match;
-    const { head } = request;
-    const arrivedAt = request.arrivedAt - (this.wasRefused ? RETRY_HEADSTART_MS : 0);
-    // Services without models answer quickly and in one piece, so a caller can be served until it disconnects.
-    const reserveMs = this.model === undefined ? 0 : FIRST_PART_MS;
-    const leavesAt = this.answer.hasBegun ? Infinity : request.arrivedAt + route.callerTimeoutMs;
-    return {
-      request: head.attemptId,
-      rank: this.answer.hasBegun ? 0 : (admission.tenant?.priority ?? route.priority),
-      arrivedAt,
-      dueAt: this.sends > 0 ? steadyNow() : this.dueAt,
-      giveUpAt: Math.min(this.deadlineAt, leavesAt) - reserveMs,
-      tenant: admission.tenant?.name ?? '',
-      work: Math.round(head.expectedWork ?? 0),
-    };
+    const { request, admission, wasRefused, dueAt, deadlineAt } = this;
+    return slotDetailsOf({
+      request,
+      route: this.match.route,
+      admission,
+      needsModel: this.model !== undefined,
+      hasBegun: this.answer.hasBegun,
+      wasSent: this.sends > 0,
+      wasRefused,
+      dueAt,
+      deadlineAt,
+    });
   }
 
   /**
@@ -258,6 +251,11 @@
 
   private holdOrRefuse(): void {
     if (this.context.paths.isCutOff()) return this.backendsUnreachable();
+    if (this.stream.hasLostVersion()) {
+      return this.refuse('stream_not_resumable', undefined, {
+        version: this.stream.softwareVersion,
+      });
+    }
     // A suspect is sent once the suspects before it have begun to answer or have crashed their backends.
     if (this.suspicion.verdict() === 'suspect') return this.wait();
     const now = steadyNow();
@@ -272,8 +270,9 @@
   }
 
   private readyInMs(now: number): number | undefined {
-    if (this.model === undefined) return undefined;
-    return modelReadyInMs(this.context, this.match.service.name, this.model, now);
+    const { model, match, stream } = this;
+    if (model === undefined) return undefined;
+    return modelReadyInMs(this.context, match.service.name, model, now, stream.mayRunAt);
   }
 
   private decideHold(readyInMs: number | undefined): HoldDecision {
@@ -365,6 +364,7 @@
         context.permits.recordAnswer(backend, limits, rateLimit, request.head.attemptId),
       onBackoff: (backoffMs) => this.handleBackoff(backend, backoffMs),
       onTimeout: () => this.backendSilent(backend),
+      onEvent: () => this.stream.passOnFrom(backend),
       gaps: gapRecorder(context, this.capacityQuery, backend.id, isResumed),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
@@ -589,18 +589,9 @@
     this.context.exchanges.delete(this);
     this.context.answers.addBuffered(-this.request.body.length);
     const { route } = this.match;
-    const seconds = (steadyNow() - this.request.arrivedAt) / 1000;
+    const timing = timingFields(route, this.answer, this.request.arrivedAt);
     this.context.metrics.requests.inc({ route: route.name, end });
-    this.context.metrics.answerSeconds.observe({ route: route.name }, seconds);
-    const milliseconds = Math.round(seconds * 1000);
-    const { headSentAt: begunAt } = this.answer;
-    const firstPartMs = begunAt && Math.round(begunAt - this.request.arrivedAt);
-    const timing = {
-      milliseconds,
-      firstPartMs,
-      goalMs: route.goalMs,
-      ...pauseFields(route, this.answer),
-    };
+    this.context.metrics.answerSeconds.observe({ route: route.name }, timing.milliseconds / 1000);
     this.log('request_ended', { end, ...timing, sends: this.sends });
   }
 
--- a/test/core/backend-presence.test.ts
+++ b/test/core/backend-presence.test.ts
@@ -163,4 +163,19 @@
     presence.addAnnounced(record('x', { revision: 2, models: [] }), 0);
     expect(presence.get('x')?.models).toEqual([{ name: 'm', adapters: [] }]);
   });
+
+  it('keeps the software version that an announcement or a stale list lacks', () => {
+    const versionOf = (presence: BackendPresence): string | undefined =>
+      presence.get('x')?.softwareVersion;
+    const told = new BackendPresence();
+    told.applyList(list(1, [record('x', { softwareVersion: 'v1' })]), 0);
+    told.addAnnounced(record('x', { revision: 2 }), 0);
+    expect(versionOf(told)).toBe('v1');
+    const listed = new BackendPresence();
+    listed.addAnnounced(record('x', { revision: 2 }), 0);
+    listed.applyList(list(1, [record('x', { softwareVersion: 'v1' })]), 0);
+    expect(versionOf(listed)).toBe('v1');
+    listed.addAnnounced(record('x', { revision: 3, start: 'b', softwareVersion: 'v2' }), 0);
+    expect(versionOf(listed)).toBe('v2');
+  });
 });
--- a/test/gateway/streams-of-two-versions.test.ts
+++ b/test/gateway/streams-of-two-versions.test.ts
@@ -23,6 +23,7 @@
 let backends: TestBackend[] = [];
 let daemons: GatewayHarness[] = [];
 let peerPort = 0;
+let revision = 0;
 
 afterEach(() => {
   for (const daemon of daemons) daemon.stop();
@@ -75,14 +76,21 @@
 }
 
 function listAll(): void {
+  revision += 1;
   for (const daemon of daemons) {
     daemon.list(backends.map(recordOf));
   }
 }
 
+/** Lists one backend at the first daemon. */
+function listOnly(backend: TestBackend): void {
+  revision += 1;
+  daemons[0]!.list([recordOf(backend)]);
+}
+
 function recordOf(backend: TestBackend): BackendRecord {
   const softwareVersion = versionOf(backend.id);
-  return backend.record({ softwareVersion, zone: softwareVersion === 'v1' ? 'a' : 'b' });
+  return backend.record({ revision, softwareVersion, zone: softwareVersion === 'v1' ? 'a' : 'b' });
 }
 
 /** Writers of the events in an answer's body, by event id. */
@@ -140,10 +148,10 @@
     for (const id of ['v1-a', 'v2-a']) await addBackend(id);
     await startDaemons(1);
     const [first] = backends;
-    daemons[0]!.list([recordOf(first!)]);
+    listOnly(first!);
     const answering = daemons[0]!.call({ id: 's', headers: { breaks: '1' } });
     await pause(EVENT_GAP_MS);
-    daemons[0]!.list([recordOf(backends[1]!)]);
+    listOnly(backends[1]!);
     const startedAt = Date.now();
     const answer = await answering;
     expect(Date.now() - startedAt).toBeLessThan(1_000);
@@ -232,7 +240,7 @@
   it('is refused for as long as it may have begun at a version that is gone', async () => {
     for (const id of ['v1-a', 'v2-a']) await addBackend(id);
     await startDaemons(1);
-    daemons[0]!.list([recordOf(backends[0]!)]);
+    listOnly(backends[0]!);
     expect((await takeUp(daemons[0]!, undefined)).status).toBe(503);
   });
 });
