A stream that its caller takes up goes on at the software version that began it

Callers that took a stream up at another daemon got the rest from any backend of the service: no daemon remembered at which version a stream began, and the name that the caller gives (the attempt that brought its first event) was read nowhere. Often the daemon that began it is dead; that is why the caller comes back. Change: before the first event is passed on, a daemon tells a few others the stream's service and version in one datagram each and does not wait (stream-origin-exchange.ts); they rank by a hash of the stream's key, which is a digest of attempt, method, host, path, caller's key and model, so that nobody takes up another's stream and an id of any length costs 16 bytes. Who takes a stream up asks those that rank first, 8 at most, twice, for 250 ms at most; nobody knows: refused at once, stream_not_resumable, not run. A lost notice makes a stream unknown, never wrong. A taken-up stream is told again under the name of the attempt that began it. It goes to the service where it began and ahead of new requests. A caller that names no attempt is served only if the list is at most 5 s old and the service has had one version for as long as the route lets a stream run. An acknowledged notice was not built: it would cost each stream a round trip, and safety does not rest on the notice.

--- a/src/core/routing-table.ts
+++ b/src/core/routing-table.ts
@@ -55,6 +55,15 @@
     const service = target === undefined ? undefined : this.services.get(target.service);
     return service === undefined ? undefined : { route, service };
   }
+
+  /** Returns a route with one of its services, for a stream that has begun there; undefined if it is no longer one of them. */
+  matchAt(route: Route, service: string): RouteMatch | undefined {
+    const isTarget = route.targets.some(
+      (target) => target.service === service && target.weight > 0,
+    );
+    const found = isTarget ? this.services.get(service) : undefined;
+    return found && { route, service: found };
+  }
 }
 
 function choiceFor(
--- /dev/null
+++ b/src/core/stream-origins.ts
@@ -0,0 +1,81 @@
+/**
+ * Remembers at which software version streams have begun, so that they can go on at the same version later. Bounded in time and
+ * number. No I/O; times are milliseconds of a monotonic clock.
+ */
+
+/** Where a stream has begun. */
+export interface StreamOrigin {
+  readonly service: string;
+  readonly softwareVersion: string;
+}
+
+/** The origin of a stream, as one daemon knows it. */
+export interface KnownOrigin {
+  readonly origin: StreamOrigin;
+  /** Time since the stream began, or was last taken up, in milliseconds. */
+  readonly ageMs: number;
+  /** Time for which it is remembered, in milliseconds. */
+  readonly remainingMs: number;
+}
+
+/** Maximum number of remembered streams. The oldest are forgotten first. */
+const MAX_STREAMS = 20_000;
+/** Maximum time for which a stream is remembered, in milliseconds. */
+const MAX_LIFETIME_MS = 600_000;
+
+interface Entry {
+  /** Undefined if two origins were recorded under the same key, so that neither can be trusted. */
+  readonly origin: StreamOrigin | undefined;
+  readonly recordedAt: number;
+  readonly expiresAt: number;
+}
+
+/** Origins of streams, by a key that identifies the stream and its caller. */
+export class StreamOrigins {
+  /** Oldest first. */
+  private readonly entries = new Map<string, Entry>();
+
+  /** Number of remembered streams. */
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Remembers where a stream has begun. An earlier record of another origin makes the origin unknown. */
+  record(stream: string, origin: StreamOrigin, lifetimeMs: number, now: number): void {
+    const known = this.entries.get(stream);
+    const isAmbiguous = known !== undefined && !isSameOrigin(known.origin, origin);
+    const expiresAt = now + Math.min(lifetimeMs, MAX_LIFETIME_MS);
+    this.entries.delete(stream);
+    this.entries.set(stream, {
+      origin: isAmbiguous ? undefined : origin,
+      recordedAt: now,
+      expiresAt: Math.max(expiresAt, known?.expiresAt ?? 0),
+    });
+    this.removeOldest();
+  }
+
+  /** Returns where a stream has begun; undefined if it is not known. */
+  find(stream: string, now: number): KnownOrigin | undefined {
+    const entry = this.entries.get(stream);
+    if (entry?.origin === undefined || entry.expiresAt <= now) return undefined;
+    const { origin, recordedAt, expiresAt } = entry;
+    return { origin, ageMs: now - recordedAt, remainingMs: expiresAt - now };
+  }
+
+  /** Forgets the streams whose time has passed. */
+  deleteExpired(now: number): void {
+    for (const [stream, { expiresAt }] of this.entries) {
+      if (expiresAt <= now) this.entries.delete(stream);
+    }
+  }
+
+  private removeOldest(): void {
+    if (this.entries.size <= MAX_STREAMS) return;
+    const [oldest] = this.entries.keys();
+    if (oldest !== undefined) this.entries.delete(oldest);
+  }
+}
+
+function isSameOrigin(one: StreamOrigin | undefined, other: StreamOrigin): boolean {
+  return one?.service === other.service && one.softwareVersion === other.softwareVersion;
+}
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -2,13 +2,15 @@
 import http from 'node:http';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
-import type { RoutingTable } from '../core/routing-table.js';
+import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
+import type { CallerRequest } from './caller-request.js';
 import { RequestExchange } from './request-exchange.js';
 import { steadyNow } from './steady-clock.js';
+import { isResumption, type ResumedStream, type StreamResumptions } from './stream-resumptions.js';
 
 /** Node's HTTP parser refuses larger heads. */
 const MAX_HEADER_BYTES = 128 * 1024;
@@ -25,6 +27,7 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly routing: () => RoutingTable | undefined,
+    private readonly resumptions: StreamResumptions,
   ) {
     this.server = http.createServer(
       {
@@ -91,19 +94,62 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     answer: CallerAnswer,
-    read: Pick<RequestExchange['request'], 'head' | 'body' | 'arrivedAt'>,
+    read: Pick<CallerRequest, 'head' | 'body' | 'arrivedAt'>,
   ): void {
-    const path = request.url ?? '/';
+    const { rawHeaders, method = 'GET', url: path = '/' } = request;
+    const caller = { ...read, method, path, rawHeaders };
+    const host = request.headers.host ?? '';
     const table = this.routing();
-    const match = table?.match(request.headers.host ?? '', path);
+    const route = table?.route(host, path);
+    if (route !== undefined && isStream(route) && isResumption(caller)) {
+      return void this.resume(response, answer, caller, host);
+    }
+    const match = table?.match(host, path);
     if (table === undefined || match === undefined) {
       return this.denyRoute(answer, read.head.attemptId, path, table);
     }
-    const { rawHeaders, method = 'GET' } = request;
-    const caller = { ...read, method, path, rawHeaders };
+    this.startExchange(response, caller, match, table);
+  }
+
+  private startExchange(
+    response: http.ServerResponse,
+    caller: CallerRequest,
+    match: RouteMatch,
+    table: RoutingTable,
+    resumed?: ResumedStream,
+  ): void {
     if (isStream(match.route)) response.socket?.setNoDelay(true);
     const { version } = table.configuration;
-    new RequestExchange(this.context, match, version, caller, response).start();
+    new RequestExchange(this.context, match, version, caller, response, resumed).start();
+  }
+
+  /** Starts a request that takes up a stream, once it is known where the stream has begun. */
+  private async resume(
+    response: http.ServerResponse,
+    answer: CallerAnswer,
+    caller: CallerRequest,
+    host: string,
+  ): Promise<void> {
+    const { path, head } = caller;
+    const asked = this.routing()?.route(host, path);
+    const resumed = asked && (await this.resumptions.locate(caller, asked));
+    if (response.destroyed) return;
+    // The configuration may have changed in the meantime.
+    const table = this.routing();
+    const route = table?.route(host, path);
+    if (table === undefined || route === undefined) {
+      return this.denyRoute(answer, head.attemptId, path, table);
+    }
+    const match = resumed && table.matchAt(route, resumed.origin.service);
+    if (match === undefined) return this.denyResumption(answer, head, route.name);
+    this.startExchange(response, caller, match, table, resumed);
+  }
+
+  private denyResumption(answer: CallerAnswer, head: RequestHead, route: string): void {
+    const kind = 'stream_not_resumable';
+    this.context.metrics.refusals.inc({ kind, tenant: '' });
+    this.context.logger.info('refused', { request: head.attemptId, route, kind });
+    answer.sendError(kind, undefined);
   }
 
   /**
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -21,6 +21,7 @@
 import type { RequestTracker } from './request-tracker.js';
 import type { SlotAdmission } from './slot-admission.js';
 import type { SharedLimits } from './shared-limits.js';
+import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
 /** Shared state and services. */
 export interface GatewayContext {
@@ -45,6 +46,8 @@
   readonly permits: BackendPermits;
   readonly crashes: CrashTracker;
   readonly leavingNotices: ShutdownAnnouncer;
+  /** Where streams have begun. */
+  readonly streamOrigins: StreamOriginExchange;
   readonly backoffs: BackendBackoffs;
   /** Allocates the backends' slots across all daemons; undefined if each daemon decides alone. */
   readonly slots: SlotAdmission | undefined;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -22,6 +22,17 @@
     labelNames: ['granted'],
     registers: [this.registry],
   });
+  readonly streamResumptions = new Counter({
+    name: 'scaleslip_gateway_stream_resumptions_total',
+    help: 'Streams that callers take up, by how this daemon knows their software version: own, peer, sole_version or none',
+    labelNames: ['source'],
+    registers: [this.registry],
+  });
+  readonly rememberedStreams = new Gauge({
+    name: 'scaleslip_gateway_remembered_streams',
+    help: 'Streams of which this daemon remembers at which software version they have begun',
+    registers: [this.registry],
+  });
   readonly orders = new Counter({
     name: 'scaleslip_gateway_orders_total',
     help: 'Orders to backends by outcome',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
  * One gateway daemon: forwards opaque requests to services by route and owns services
  * according to its rank among the daemons. Creates and connects the daemon's components.
  */
-import { faultText, type Logger } from '../common/logger.js';
+import { faultText } from '../common/logger.js';
 import { leaseClock, leaseNow } from '../common/lease-clock.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
 import { LimitShares } from '../core/admission/limit-shares.js';
@@ -14,9 +14,9 @@
 import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
 import { GoalWindowHold } from '../core/hold-policy-goal-windows.js';
 import { RoutingTable } from '../core/routing-table.js';
+import { ServiceVersions } from '../core/service-versions.js';
 import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
-import type { BackendAgent } from './backend-agent.js';
 import { AnswerBuffer } from './answer-buffer.js';
 import { BackendAccess } from './backend-access.js';
 import { clearEarlierStart } from './backend-restarts.js';
@@ -31,24 +31,20 @@
 import type { GossipLinks } from './digest-gossip.js';
 import { DirectoryFollower } from './directory-follower.js';
 import type { GatewayContext } from './gateway-context.js';
-import { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewayDependencies } from './gateway-dependencies.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
 import { PeerGroup } from './peer-group.js';
 import { PlacementExchange } from './placement-exchange.js';
-import type {
-  BackendControl,
-  ConfigurationSource,
-  PlatformDirectory,
-  RecordStore,
-  RequestDialect,
-} from './ports.js';
+import type { ConfigurationSource } from './ports.js';
 import type { RequestExchange } from './request-exchange.js';
 import { RequestTracker } from './request-tracker.js';
 import { ServiceOwnerships } from './service-ownerships.js';
 import { SlotAdmission, slotsOf } from './slot-admission.js';
 import { steadyNow } from './steady-clock.js';
 import { ShutdownAnnouncer } from './shutdown-announcer.js';
+import { StreamOriginExchange } from './stream-origin-exchange.js';
+import { StreamResumptions } from './stream-resumptions.js';
 import { StatusPorts } from './status-ports.js';
 import { RateLimiting } from './rate-limiting.js';
 
@@ -61,18 +57,6 @@
 /** Time before the end of a stop at which requests still in flight are interrupted, in milliseconds. */
 const STOP_MARGIN_MS = 500;
 
-/** External systems that a gateway uses. */
-export interface GatewayDependencies {
-  readonly directory: PlatformDirectory;
-  readonly store: RecordStore;
-  readonly control: BackendControl;
-  readonly dialect: RequestDialect;
-  /** Pools the connections to backends. */
-  readonly agent: BackendAgent;
-  readonly logger: Logger;
-  readonly metrics: GatewayMetrics;
-}
-
 /** One running gateway daemon. */
 export class Gateway {
   private readonly context: GatewayContext;
@@ -89,6 +73,8 @@
   private readonly access: BackendAccess;
   private readonly crashes: CrashTracker;
   private readonly leavings: ShutdownAnnouncer;
+  private readonly streamOrigins: StreamOriginExchange;
+  private readonly versions = new ServiceVersions();
   private readonly directoryReader: DirectoryFollower;
   private readonly ownerships: ServiceOwnerships;
   private readonly placements: PlacementExchange;
@@ -149,6 +135,7 @@
     this.access = this.makeBackendAccess();
     this.crashes = this.makeCrashWatch();
     this.leavings = this.makeLeavingNotices();
+    this.streamOrigins = new StreamOriginExchange(this.peers);
     this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.ownerships = this.makeOwnerships();
     this.placements = this.makePlacements();
@@ -172,7 +159,8 @@
       onLeaving: (backend) => this.leavings.announce(backend),
       onChange: () => this.backendsChanged(),
     });
-    this.front = new CallerServer(this.context, () => this.routing);
+    const resumptions = new StreamResumptions(this.context, this.versions);
+    this.front = new CallerServer(this.context, () => this.routing, resumptions);
     this.status = this.makeStatusPorts();
   }
 
@@ -240,6 +228,7 @@
     // Node treats a connection as idle once its answer is written, although the caller has not read it yet.
     if (this.context.answers.unreadCallers > 0) return false;
     this.front.closeIdle();
+    if (this.streamOrigins.isAsking) return false;
     return this.context.exchanges.size === 0 && this.access.activeRelays === 0;
   }
 
@@ -424,6 +413,7 @@
       permits: this.limits.permits,
       crashes: this.crashes,
       leavingNotices: this.leavings,
+      streamOrigins: this.streamOrigins,
       backoffs: new BackendBackoffs(),
       slots: this.slots,
       answers: new AnswerBuffer({
@@ -468,6 +458,7 @@
     this.context.health.keepOnly(new Set(this.backends.all().map((backend) => backend.id)));
     this.access.watch.setListed(this.backends.all().map(({ address }) => address));
     this.limits.permits.keepOnly(this.backends.all());
+    this.versions.observe(this.backends.all(), steadyNow());
     this.ownerships.backendsChanged();
     this.scheduleRecheck();
   }
@@ -490,6 +481,7 @@
     this.slots?.tick();
     this.crashes.tick();
     this.leavings.tick();
+    this.streamOrigins.tick();
     if (now - this.lastReport < DEMAND_PERIOD_MS) return;
     this.lastReport = now;
     this.logMembers();
@@ -505,6 +497,7 @@
     if (this.configurations.receive(from, body)) return;
     if (this.proofs.receive(from, body) || this.limits.receive(from, body)) return;
     if (this.slots?.receive(from, body) || this.crashes.receive(from, body)) return;
+    if (this.streamOrigins.receive(from, body)) return;
     if (this.leavings.receive(from, body) || this.ownerships.receive(from, body)) return;
     if (body.case === 'serviceDemand') {
       this.ownerships.applyDemand(body.value.service, decodeDemand(from, body.value));
@@ -547,6 +540,7 @@
     heldBytes.set(this.context.answers.heldBytes);
     this.limits.refreshMetrics(this.backends.all());
     inFlight.set(this.context.exchanges.size);
+    this.systems.metrics.rememberedStreams.set(this.streamOrigins.size);
     const leaseAgeMs = this.proofs.lease.ageMs(leaseNow());
     leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
     const { bytesSent, bytesReceived } = this.peers.counts;
--- /dev/null
+++ b/src/gateway/refusal-kind.ts
@@ -0,0 +1,13 @@
+/** The kinds of errors with which a gateway refuses requests. */
+
+/** Why a request that has not run is refused. */
+export type RefusalKind =
+  | 'no_capacity'
+  | 'engine_refused'
+  | 'deadline_unreachable'
+  | 'draining'
+  | 'unauthorized'
+  | 'not_ready'
+  | 'rate_limited'
+  | 'crashes_backends'
+  | 'stream_not_resumable';
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -17,6 +17,7 @@
 import { modelReadyInMs } from './model-forecast.js';
 import { decisionState, timingFields } from './decision-state.js';
 import { hasBackendFailed, recordBackendHealth } from './attempt-health.js';
+import type { RefusalKind } from './refusal-kind.js';
 import { RequestDemand } from './request-demand.js';
 import { RequestDispatch, type SlotDetails } from './request-dispatch.js';
 import { RequestRelays } from './request-relays.js';
@@ -24,6 +25,7 @@
 import { RequestSuspicion } from './request-suspicion.js';
 import { slotDetailsOf } from './slot-details.js';
 import { steadyNow } from './steady-clock.js';
+import type { ResumedStream } from './stream-resumptions.js';
 import { TenantAdmission, type TenantDenial } from './tenant-admission.js';
 
 /** Time between the last moment for an answer and the caller's own deadline. */
@@ -35,18 +37,6 @@
  * a later request must not preempt a running one.
  */
 const GRANTED_PRIORITY = 1;
-/** Why a request that has not run is refused. */
-type RefusalKind =
-  | 'no_capacity'
-  | 'engine_refused'
-  | 'deadline_unreachable'
-  | 'draining'
-  | 'unauthorized'
-  | 'not_ready'
-  | 'rate_limited'
-  | 'crashes_backends'
-  | 'stream_not_resumable';
-
 /** A running request. */
 export class RequestExchange {
   private readonly deadlineAt: number;
@@ -83,6 +73,8 @@
     private readonly configurationVersion: number,
     readonly request: CallerRequest,
     response: http.ServerResponse,
+    /** The stream that the request takes up; undefined if it begins anew. */
+    resumed?: ResumedStream,
   ) {
     this.answer = new CallerAnswer(context, request.head, response);
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
@@ -96,7 +88,7 @@
     const waitingCaller = { dueAt: this.dueAt, goalMs: route.goalMs };
     this.demand = new RequestDemand(context, match, this.model, waitingCaller);
     this.suspicion = new RequestSuspicion(context.crashes, request, () => this.answer.hasBegun);
-    this.stream = new RequestStream(context.directory, match.service.name);
+    this.stream = new RequestStream(context, match, request, resumed);
     this.search = this.makeSearch();
     this.relays = new RequestRelays(context);
     response.on('close', () => this.callerClosed());
@@ -217,6 +209,7 @@
       admission,
       needsModel: this.model !== undefined,
       hasBegun: this.answer.hasBegun,
+      isResumed: this.stream.isResumed,
       wasSent: this.sends > 0,
       wasRefused,
       dueAt,
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -3,7 +3,7 @@
 import type { CrashVerdict } from '../core/crash-records.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { CrashTracker } from './crash-tracker.js';
-import type { CallerRequest } from './caller-request.js';
+import { hostOf, type CallerRequest } from './caller-request.js';
 
 /**
  * Hexadecimal digits of a digest: 16 bytes, so that two requests cannot have the same digest by chance or by
@@ -97,10 +97,3 @@
   hash.update(`${JSON.stringify(parts)}\n`).update(body);
   return hash.digest('hex').slice(0, DIGEST_DIGITS);
 }
-
-function hostOf(rawHeaders: readonly string[]): string {
-  const nameIndex = rawHeaders.findIndex((text, index) => {
-    return index % 2 === 0 && text.toLowerCase() === 'host';
-  });
-  return nameIndex < 0 ? '' : (rawHeaders[nameIndex + 1] ?? '').toLowerCase();
-}
--- a/src/gateway/slot-details.ts
+++ b/src/gateway/slot-details.ts
@@ -19,8 +19,10 @@
   readonly admission: Pick<TenantAdmission, 'tenant'>;
   /** Whether a backend must have loaded a model for it. */
   readonly needsModel: boolean;
-  /** Whether its caller has received events of its stream, in this answer or an earlier one. */
+  /** Whether its answer has begun. */
   readonly hasBegun: boolean;
+  /** Whether it takes up a stream that an earlier answer has begun. */
+  readonly isResumed: boolean;
   readonly wasSent: boolean;
   readonly wasRefused: boolean;
   /** Steady time at which the answer must begin to meet the route's goal. */
@@ -38,7 +40,7 @@
   const leavesAt = hasBegun ? Infinity : request.arrivedAt + route.callerTimeoutMs;
   return {
     request: head.attemptId,
-    rank: hasBegun ? 0 : (admission.tenant?.priority ?? route.priority),
+    rank: hasBegun || slot.isResumed ? 0 : (admission.tenant?.priority ?? route.priority),
     arrivedAt: request.arrivedAt - (slot.wasRefused ? RETRY_HEADSTART_MS : 0),
     dueAt: slot.wasSent ? steadyNow() : slot.dueAt,
     giveUpAt: Math.min(slot.deadlineAt, leavesAt) - reserveMs,
--- /dev/null
+++ b/src/gateway/stream-resumptions.ts
@@ -0,0 +1,97 @@
+/**
+ * Finds out, for a caller that takes up a stream, at which service and software version the stream has begun. Nobody guesses: what is
+ * not known is refused.
+ */
+import type { ServiceVersions } from '../core/service-versions.js';
+import type { StreamOrigin } from '../core/stream-origins.js';
+import type { Route } from '../core/service-configuration.js';
+import type { CallerRequest } from './caller-request.js';
+import type { GatewayContext } from './gateway-context.js';
+import { steadyNow } from './steady-clock.js';
+import { streamKeyOf } from './stream-key.js';
+
+/** Maximum age of the list of backends from which a stream's version is concluded, in milliseconds. */
+const MAX_LIST_AGE_MS = 5_000;
+/** Digits of a caller's attempt id in a log line. */
+const MAX_LOGGED_ID_LENGTH = 64;
+
+/** A stream that a caller takes up, and where it has begun. */
+export interface ResumedStream {
+  /** Key under which daemons remember it; undefined if its caller has not named it. */
+  readonly key: string | undefined;
+  readonly origin: StreamOrigin;
+}
+
+/** Returns whether a caller takes up a stream that an earlier answer has begun. */
+export function isResumption({ head }: CallerRequest): boolean {
+  return head.lastEventId !== undefined || head.resumedAttemptId !== undefined;
+}
+
+/** Locates the streams that callers of one daemon take up. */
+export class StreamResumptions {
+  constructor(
+    private readonly context: Pick<
+      GatewayContext,
+      'streamOrigins' | 'metrics' | 'logger' | 'backendsAgeMs'
+    >,
+    private readonly versions: ServiceVersions,
+  ) {}
+
+  /** Returns where the stream of a request has begun; undefined if that is not known. */
+  async locate(request: CallerRequest, route: Route): Promise<ResumedStream | undefined> {
+    const { resumedAttemptId } = request.head;
+    if (resumedAttemptId === undefined) return this.locateUnnamed(request, route);
+    const startedAt = steadyNow();
+    const key = streamKeyOf(resumedAttemptId, request);
+    const { located, asked, answered } = await this.context.streamOrigins.locate(key);
+    const source = located === undefined || located.from === undefined ? 'own' : 'peer';
+    this.log(request, route, located?.origin, {
+      source: located === undefined ? 'none' : source,
+      from: located?.from,
+      ageMs: located && Math.round(located.ageMs),
+      asked,
+      answered,
+      milliseconds: Math.round(steadyNow() - startedAt),
+    });
+    return located && { key, origin: located.origin };
+  }
+
+  /**
+   * Locates a stream whose caller does not say which attempt began it: the backends must have had only one software version for as
+   * long as it may have run.
+   */
+  private locateUnnamed(request: CallerRequest, route: Route): ResumedStream | undefined {
+    const [target] = route.targets;
+    const ageMs = this.context.backendsAgeMs();
+    const isCurrent =
+      ageMs <= MAX_LIST_AGE_MS && target !== undefined && route.targets.length === 1;
+    const softwareVersion = isCurrent
+      ? this.versions.soleVersion(target.service, route.timeoutMs, steadyNow())
+      : undefined;
+    const origin =
+      target === undefined || softwareVersion === undefined
+        ? undefined
+        : { service: target.service, softwareVersion };
+    const source = origin === undefined ? 'none' : 'sole_version';
+    this.log(request, route, origin, { source, ageMs: Math.round(ageMs) });
+    return origin && { key: undefined, origin };
+  }
+
+  private log(
+    { head }: CallerRequest,
+    route: Route,
+    origin: StreamOrigin | undefined,
+    how: { readonly source: string } & Readonly<Record<string, string | number | undefined>>,
+  ): void {
+    this.context.metrics.streamResumptions.inc({ source: how.source });
+    this.context.logger.info('stream_located', {
+      request: head.attemptId,
+      resumes: head.resumedAttemptId?.slice(0, MAX_LOGGED_ID_LENGTH),
+      afterEvent: head.lastEventId?.slice(0, MAX_LOGGED_ID_LENGTH),
+      route: route.name,
+      service: origin?.service,
+      version: origin?.softwareVersion,
+      ...how,
+    });
+  }
+}
--- a/test/gateway/streams-of-two-versions.test.ts
+++ b/test/gateway/streams-of-two-versions.test.ts
@@ -75,11 +75,13 @@
   expect(daemons.every(hasAll)).toBe(true);
 }
 
-function listAll(): void {
+/** Lists all backends at all daemons; those of one version as leaving. */
+function listAll(leavingVersion?: string): void {
   revision += 1;
-  for (const daemon of daemons) {
-    daemon.list(backends.map(recordOf));
-  }
+  const records = backends.map((backend) => {
+    return { ...recordOf(backend), leaving: versionOf(backend.id) === leavingVersion };
+  });
+  for (const daemon of daemons) daemon.list(records);
 }
 
 /** Lists one backend at the first daemon. */
@@ -217,8 +219,7 @@
   it('is refused at once if no backend has that version any more', async () => {
     const begun = await beginAndLeave(daemons[0]!, 's');
     const [version] = versionsIn(begun);
-    backends = backends.filter(({ id }) => versionOf(id) !== version);
-    listAll();
+    listAll(version);
     const startedAt = Date.now();
     const refused = await takeUp(daemons[1]!, 's');
     expect(refused.status).toBe(503);
