Soak: replicas of several software versions, callers that take streams up elsewhere, and their audit

The audit: no stream holds events of two versions, over answers and tries (two_versions), none lacks or repeats an event (wrong_stream); resumptions at undisturbed gateways go on at least half as often as new streams begin (resumptions_refused).

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -45,6 +45,7 @@
     brittleTimes: [],
     brittleFalls: [],
     silentTimes: [],
+    streams: [],
     replicaFaults: [],
     faultFreeSince: 0,
     unexpectedExits: [],
--- /dev/null
+++ b/test/soak/audit-streams.ts
@@ -0,0 +1,79 @@
+/**
+ * Finds streams that hold events of two software versions, lack events or repeat them, and runs in which callers could take up
+ * streams much less often than begin them. Pure.
+ */
+import type { CallRecord } from './caller.js';
+import type { SoakEvidence, StreamAttempt, StreamRecord, Violation } from './evidence.js';
+import { streamText, versionsIn, withoutVersions } from './expected-events.js';
+import { completeEvents } from './resuming-callers.js';
+
+/** Time for which a gateway must have been undisturbed before an attempt that counts. */
+const CONTACT_MS = 3_000;
+/** Number of replicas of the stream's version from which on an attempt counts. */
+const MIN_REPLICAS = 2;
+/** Smallest number of attempts for a comparison. */
+const MIN_ATTEMPTS = 12;
+/** Part of the share of new streams that begin which the share of resumed streams that go on must reach. */
+const MIN_RATIO = 0.5;
+
+/** How often callers could begin and take up streams at undisturbed gateways. */
+export interface StreamCounts {
+  readonly begun: number;
+  readonly starts: number;
+  readonly goneOn: number;
+  readonly resumptions: number;
+}
+
+/** Counts the streams of a run. */
+export function streamCounts(evidence: SoakEvidence): StreamCounts {
+  const isInTouch = ({ call }: StreamAttempt): boolean =>
+    !evidence.gateways.wasDisturbed(call.gateway, {
+      from: call.sentAt - CONTACT_MS,
+      until: Math.max(call.endedAt, call.sentAt),
+    });
+  const attempts = evidence.streams.flatMap((stream) => stream.attempts).filter(isInTouch);
+  const starts = attempts.filter(({ call }) => call.request.resumes === undefined);
+  const resumptions = attempts.filter(
+    ({ call, replicasOfVersion }) =>
+      call.request.resumes !== undefined && replicasOfVersion >= MIN_REPLICAS,
+  );
+  return {
+    begun: starts.filter(({ call }) => hasEvents(call)).length,
+    starts: starts.length,
+    goneOn: resumptions.filter(({ call }) => hasEvents(call)).length,
+    resumptions: resumptions.length,
+  };
+}
+
+/** Returns the violations of all streams. */
+export function auditStreams(evidence: SoakEvidence): Violation[] {
+  return [...evidence.streams.flatMap(auditStream), ...auditResumptions(evidence)];
+}
+
+function auditStream(stream: StreamRecord): Violation[] {
+  const found: Violation[] = [];
+  const text = stream.attempts.map(({ call }) => completeEvents(call)).join('');
+  const detail = stream.attempts
+    .map(({ call }) => {
+      const { request, gateway, status = 'no answer' } = call;
+      return `${request.attemptId} at ${gateway}: ${status} ${versionsIn(call.text).join('+')}`;
+    })
+    .join(', ');
+  if (versionsIn(text).length > 1) found.push({ rule: 'two_versions', detail });
+  if (!streamText(stream.body, stream.events).startsWith(withoutVersions(text))) {
+    found.push({ rule: 'wrong_stream', detail });
+  }
+  return found;
+}
+
+function auditResumptions(evidence: SoakEvidence): Violation[] {
+  const { begun, starts, goneOn, resumptions } = streamCounts(evidence);
+  if (resumptions < MIN_ATTEMPTS || starts < MIN_ATTEMPTS) return [];
+  if (goneOn / resumptions >= (MIN_RATIO * begun) / starts) return [];
+  const detail = `${goneOn} of ${resumptions} went on, ${begun} of ${starts} new ones began`;
+  return [{ rule: 'resumptions_refused', detail }];
+}
+
+function hasEvents(call: CallRecord): boolean {
+  return call.status === 200 && completeEvents(call) !== '';
+}
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -59,6 +59,7 @@
     brittleTimes: [],
     brittleFalls: [],
     silentTimes: [],
+    streams: [],
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
     unexpectedExits: [],
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -5,9 +5,10 @@
 import { auditCrashes } from './audit-crashes.js';
 import { auditRateLimits } from './audit-rate-limits.js';
 import { auditAnnouncements } from './audit-announcements.js';
+import { auditStreams } from './audit-streams.js';
 import { auditPartitions } from './audit-partitions.js';
 import { auditTenants } from './audit-tenants.js';
-import { plainText, streamText } from './expected-events.js';
+import { plainText, streamText, withoutVersions } from './expected-events.js';
 import {
   describeCall,
   overlapsAny,
@@ -46,6 +47,7 @@
     ...auditAnnouncements(evidence),
     ...auditPartitions(evidence),
     ...auditBrittle(evidence),
+    ...auditStreams(evidence),
     ...evidence.unexpectedExits.map((exit) => ({
       rule: 'unasked_exit',
       detail: describeExit(exit),
@@ -113,7 +115,7 @@
   if (!call.isSealed) return false;
   if (kind === 'resumable' || kind === 'stream_once') {
     const { events } = JSON.parse(body) as { events: number };
-    return call.text === streamText(body, events);
+    return withoutVersions(call.text) === streamText(body, events);
   }
   return call.text === plainText(attemptId, body);
 }
--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -1,6 +1,7 @@
 /** Sends one request of a soak caller and records its outcome. */
 import http from 'node:http';
 import { splitAddress } from '../../src/common/http-client.js';
+import { eventCount } from './expected-events.js';
 import { UNITS_PER_REQUEST, type Caller } from './soak-tenants.js';
 
 /** Whether and how a request may be repeated or resumed; also the second part of its path. */
@@ -15,6 +16,10 @@
   readonly body: string;
   readonly deadlineMs: number;
   readonly caller: Caller;
+  /** The stream that it takes up; undefined for a new request. */
+  readonly resumes?: { readonly attemptId: string; readonly lastEventId: number };
+  /** Number of events after which the caller leaves; it stays without one. */
+  readonly leavesAfter?: number;
 }
 
 /** Outcome of a request as its caller saw it. */
@@ -76,7 +81,10 @@
       isSealed = response.headers['x-server-seal'] !== undefined;
       errorKind = response.headers['x-error-kind'] as string | undefined;
       response.setEncoding('utf8');
-      response.on('data', (chunk: string) => (text += chunk));
+      response.on('data', (chunk: string) => {
+        text += chunk;
+        if (eventCount(text) >= (request.leavesAfter ?? Infinity)) end(false);
+      });
       response.on('end', () => end(response.complete));
       response.on('error', () => end(false));
     });
@@ -101,5 +109,9 @@
     'x-tenant': 'forged',
   };
   if (request.model !== undefined) headers['x-model'] = request.model;
+  if (request.resumes !== undefined) {
+    headers.resumes = request.resumes.attemptId;
+    headers['last-event-id'] = request.resumes.lastEventId;
+  }
   return { host, port, path: request.path, method: 'POST', headers };
 }
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -53,6 +53,22 @@
   readonly version: number;
 }
 
+/** An attempt to take up a stream. */
+export interface StreamAttempt {
+  readonly call: CallRecord;
+  /** Number of serving replicas of the stream's software version when the attempt was sent; 0 for the first attempt. */
+  readonly replicasOfVersion: number;
+}
+
+/** A stream that its caller takes up again after each end before the last event. */
+export interface StreamRecord {
+  readonly body: string;
+  /** Number of events of the whole stream. */
+  readonly events: number;
+  /** The first one begins the stream, unless it was refused. */
+  readonly attempts: readonly StreamAttempt[];
+}
+
 /** All records of a soak. */
 export interface SoakEvidence {
   readonly calls: readonly CallRecord[];
@@ -78,6 +94,8 @@
   readonly brittleFalls: readonly BrittleFall[];
   /** Spans in which sound replicas sent nothing. */
   readonly silentTimes: readonly TimeSpan[];
+  /** Streams of callers that take them up at other gateways. */
+  readonly streams: readonly StreamRecord[];
   /** Start of the final phase without faults, in Unix milliseconds. */
   readonly faultFreeSince: number;
   /** Exits that no fault or stop of the soak caused. */
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -71,6 +71,9 @@
         return void this.makeBrittle(fault);
       case 'replica_silent':
         return this.silenceReplicas(fault);
+      case 'software_released':
+        for (let count = 0; count < fault.count; count++) void this.releaseSoftware(fault);
+        return;
       case 'joined_during_cut':
         return void this.joinDuringCut(fault);
     }
@@ -160,6 +163,20 @@
     void replica.leaveByResponses(serveMs, listedAfterMs).then(() => replica.start());
   }
 
+  private async releaseSoftware(fault: FaultOf<'software_released'>): Promise<void> {
+    const { version, crashes, downMs } = fault;
+    const spare = spareReplicas(this.system).filter(({ service }) => service === 'models');
+    const replica = this.random.pick(spare);
+    if (replica === undefined) return;
+    const serveMs = crashes ? 0 : LEAVING_MS;
+    this.system.replicaFaults.push({ from: Date.now(), until: Date.now() + serveMs + downMs });
+    replica.release(version);
+    if (crashes) replica.crash();
+    else await replica.leave(serveMs);
+    await sleep(downMs);
+    if (!replica.isUp) await replica.start();
+  }
+
   private requestBackoff(fault: FaultOf<'backend_asks_rest'>): void {
     const { milliseconds, restSeconds, share } = fault;
     const until = Date.now() + milliseconds + restSeconds * 1_000;
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -3,6 +3,7 @@
  * so that existing seeds still produce the same other faults. Pure functions.
  */
 import type { BackendCut } from './gateway-process.js';
+import { SOFTWARE_VERSIONS } from './soak-replicas.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** Which gateway is suspended. */
@@ -97,6 +98,15 @@
       readonly count: number;
       readonly milliseconds: number;
     }
+  /** Replicas of the models end and start again with another software version. Callers take up streams at other gateways. */
+  | {
+      readonly kind: 'software_released';
+      readonly count: number;
+      readonly version: string;
+      /** Whether they crash; otherwise they leave. */
+      readonly crashes: boolean;
+      readonly downMs: number;
+    }
   /** A gateway is suspended, and its monotonic clock stops with it. */
   | {
       readonly kind: 'suspended';
@@ -130,6 +140,7 @@
   'partitioned_from_backends',
   'backends_brittle',
   'replica_silent',
+  'software_released',
 ];
 
 /** Rate limits in requests per second. */
@@ -231,6 +242,12 @@
     count: Math.ceil(random.between(0, 2)),
     milliseconds: random.between(700, 1_200),
   }),
+  software_released: (random) => ({
+    count: Math.ceil(random.between(0, 2)),
+    version: random.pick(SOFTWARE_VERSIONS) ?? '',
+    crashes: random.chance(0.6),
+    downMs: random.between(300, 2_000),
+  }),
   suspended: (random) => ({
     who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
     milliseconds: random.between(1_000, 7_500),
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -29,6 +29,8 @@
   readonly random: SeededRandom;
   /** Whether to reject orders with a lower epoch than one already seen; true by default. */
   readonly checksEpochs?: boolean;
+  /** Version of its software; the next start may have another one. Undefined if all replicas are of one version. */
+  readonly softwareVersion?: string;
   /** Called when a request crashed the replica; it restarts after `backMs` milliseconds. */
   readonly onCrashedByRequest?: (backMs: number) => void;
 }
@@ -108,11 +110,21 @@
   /** When the last requested backoff ends at the latest; arrivals are logged until then. */
   private backoffEndsAt = 0;
   private silentUntil = 0;
+  /** Of the current process. */
+  softwareVersion: string | undefined;
+  /** Of the next process. */
+  private nextVersion: string | undefined;
   private server: http.Server | undefined;
   private readonly onDisk = new Set<string>();
 
   constructor(private readonly options: ReplicaOptions) {
     for (const model of options.models) this.onDisk.add(model);
+    this.nextVersion = options.softwareVersion;
+  }
+
+  /** Sets the software version of the next process. */
+  release(version: string): void {
+    this.nextVersion = version;
   }
 
   private get checksEpochs(): boolean {
@@ -144,6 +156,7 @@
   async start(port = 0): Promise<void> {
     this.starts += 1;
     this.id = `${this.options.name}-${this.starts}`;
+    this.softwareVersion = this.nextVersion;
     this.models = new Set(this.starts === 1 ? this.options.models : []);
     this.sequence = 0;
     this.highestFence = 0;
@@ -248,7 +261,7 @@
       service: this.options.service,
       address: this.address,
       zone: 'a',
-      version: 1,
+      version: this.softwareVersion ?? 1,
       slots: SLOTS,
       state: this.leavingSince === undefined ? 'ready' : 'draining',
       seq: this.sequence,
@@ -477,11 +490,12 @@
   ): void {
     const { events = 1 } = JSON.parse(body) as { events?: number };
     let sent = Number(request.headers['last-event-id'] ?? 0);
+    const { softwareVersion } = this;
     response.writeHead(200, { 'content-type': 'text/event-stream', ...seal });
     const timer = setInterval(() => {
       if (sent < events) {
         sent += 1;
-        response.write(eventText(body, sent));
+        response.write(eventText(body, sent, softwareVersion));
       }
       if (sent < events) return;
       clearInterval(timer);
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -1,4 +1,5 @@
 /** Options and result of a soak test. */
+import type { StreamCounts } from './audit-streams.js';
 import type { PartitionReport } from './audit-partitions.js';
 import type { Violation } from './evidence.js';
 import type { FurtherFault } from './further-fault-plan.js';
@@ -66,6 +67,8 @@
   readonly limit: LimitMargin;
   /** Number of times that brittle replicas fell over. */
   readonly brittleFalls: number;
+  /** How often callers could begin streams and take them up. */
+  readonly streams: StreamCounts;
   /** How callers were served while gateways were partitioned from all replicas. */
   readonly partitions: readonly PartitionReport[];
   /** Which signals came to processes that did not handle them yet. */
--- a/test/soak/soak-replicas.ts
+++ b/test/soak/soak-replicas.ts
@@ -8,6 +8,10 @@
 
 /** Names of the models that callers request. */
 export const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'];
+/** Software versions of the replicas, if they have several. */
+export const SOFTWARE_VERSIONS = ['v1', 'v1.1', 'v2'];
+/** Number of versions that replicas have at the start. */
+const FIRST_VERSIONS = 2;
 /** Number of replicas by default. */
 export const REPLICAS = 6;
 /** Share of replicas that serve models. The others serve plain requests. */
@@ -18,6 +22,8 @@
   readonly options: Pick<SoakOptions, 'seed' | 'checksEpochs' | 'replicas'>;
   readonly store: ObjectStoreStandIn;
   readonly log: RunLog;
+  /** Whether replicas of several software versions serve side by side. */
+  readonly hasVersions?: boolean;
   /** Receives the spans in which a request has crashed the replica. */
   readonly replicaFaults: TimeSpan[];
 }
@@ -38,8 +44,14 @@
     log,
     random: new SeededRandom(seed + 100 + index),
     checksEpochs,
+    ...(context.hasVersions === true ? { softwareVersion: versionAt(index) } : {}),
     onCrashedByRequest: (backMs) => {
       replicaFaults.push({ from: Date.now(), until: Date.now() + backMs });
     },
   });
 }
+
+/** The first software version of the replica with an index. */
+function versionAt(index: number): string {
+  return SOFTWARE_VERSIONS[index % FIRST_VERSIONS] ?? '';
+}
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -5,6 +5,7 @@
 import { RELAY_PORT_OFFSET } from '../../src/gateway/relay-protocol.js';
 import { findSoakPorts } from './soak-ports.js';
 import { audit, excusedViolations } from './audit.js';
+import { streamCounts } from './audit-streams.js';
 import { partitionReports } from './audit-partitions.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
 import type {
@@ -31,6 +32,7 @@
 import { signalsAtStart, type ProcessExit, type SentSignal } from './process-signals.js';
 import { ProcessSamples } from './process-samples.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
+import { ResumingCallers } from './resuming-callers.js';
 import { RunLog } from './run-log.js';
 import { SeriesFaultInjector } from './series-fault-injector.js';
 import { planSeriesFaults, type SeriesFault } from './series-fault-plan.js';
@@ -56,6 +58,8 @@
 const MAX_JOINERS = 8;
 /** Offset added to the seed for the generator of ranks and hot periods. */
 const RANK_SEED = 60_000;
+/** Offset added to the seed for the generator of callers that take up streams. */
+const RESUMING_CALLER_SEED = 70_000;
 /** Number of eras in which the store may start: 0 or 1, depending on the seed. */
 const INITIAL_ERA_COUNT = 2;
 const PERSISTENT_CALLER_PAUSE_MS = 300;
@@ -141,7 +145,13 @@
     this.endsAt = calmSince + CALM_PHASE_MS;
     const faults = this.planAll(faultsStart);
     await sleep(STARTUP_MS);
-    await Promise.all([this.sendRequests(), this.runPersistentCallers(), this.sendProbes()]);
+    const resumingCallers = this.makeResumingCallers();
+    await Promise.all([
+      this.sendRequests(),
+      this.runPersistentCallers(),
+      this.sendProbes(),
+      resumingCallers?.run(),
+    ]);
     await Promise.all(this.pending);
     const evidence: SoakEvidence = {
       calls: this.calls,
@@ -166,6 +176,7 @@
       brittleTimes: this.brittleTimes,
       brittleFalls: this.log.brittleFalls,
       silentTimes: this.silentTimes,
+      streams: resumingCallers?.streams ?? [],
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
       unexpectedExits: this.exits().filter(({ isExpected }) => !isExpected),
@@ -176,6 +187,7 @@
       violations: audit(evidence),
       partitions: partitionReports(evidence),
       brittleFalls: this.log.brittleFalls.length,
+      streams: streamCounts(evidence),
       excused: excusedViolations(evidence),
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isComplete).length,
@@ -240,6 +252,11 @@
     return OPT_IN_FAULT_KINDS.filter((kind) => this.options.only?.includes(kind));
   }
 
+  /** Whether replicas have several software versions. */
+  private get hasVersions(): boolean {
+    return this.namedKinds.includes('software_released');
+  }
+
   /** Schedules the faults and returns their number. */
   private planNamed(faultsStart: number): number {
     const { seed, faultMs } = this.options;
@@ -284,6 +301,7 @@
         store: this.store,
         log: this.log,
         replicaFaults: this.replicaFaults,
+        hasVersions: this.hasVersions,
       });
       this.replicas.push(replica);
       await replica.start();
@@ -446,6 +464,19 @@
     }
   }
 
+  /** Callers that take up streams come only if replicas have several versions, so that other seeds send the same requests as before. */
+  private makeResumingCallers(): ResumingCallers | undefined {
+    if (!this.hasVersions) return undefined;
+    return new ResumingCallers({
+      random: new SeededRandom(this.options.seed + RESUMING_CALLER_SEED),
+      system: this,
+      endsAt: () => this.endsAt,
+      routableGateways: () => this.routableGateways(),
+      makeRequest: (random, path, model, events) =>
+        this.requestOf(random, 'resumable', path, model, { events }, 6_000),
+    });
+  }
+
   private async sendProbes(): Promise<void> {
     while (Date.now() < this.endsAt) {
       const versions = this.probedVersions();
