--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -168,9 +168,10 @@
   return evidence.gateways.hadFault(call.gateway, span) || overlapsAny(span, storeFaults);
 }
 
-/** Finds a call by its attempt id, also among the probes of the configuration. */
+/** Finds a call by its attempt id, also among the probes of the configuration and the attempts at streams. */
 function findCall(attemptId: string | undefined, evidence: SoakEvidence): CallRecord | undefined {
-  const calls = [...evidence.calls, ...evidence.probes.map(({ call }) => call)];
+  const attempts = evidence.streams.flatMap((stream) => stream.attempts);
+  const calls = [...evidence.calls, ...[...evidence.probes, ...attempts].map(({ call }) => call)];
   return calls.find(({ request }) => request.attemptId === attemptId);
 }
 
