Refuse requests that share a part of their prompts which crashes backends

Requests with one part in their prompts, no two alike, ended 27 and 21 backends of a service on the users' platform: a crash was recorded only against the digest of a whole request (method, host, path, key, body), so that none of them ever had three. Ruled out: records that do not arrive (183 lines of crash_news in the same time); own sends alone (a factor of two: each such request ended two). Change: a crash is recorded against each shared part as well, by a digest of the part's id, with its position. Each end of a backend is held against what has met most ends there; with equal numbers a request before its parts, a later part before an earlier one. A whole, successful answer clears its parts of earlier ends and for two minutes of new ones, at all daemons (sound-parts.ts). From three ends on all requests with the part are refused at once. A part is forgotten three minutes after its last end, repeated or not: if it was blamed in error, no answer would clear it.

--- a/src/gateway/crash-codec.ts
+++ b/src/gateway/crash-codec.ts
@@ -15,6 +15,7 @@
       starts: [...record.starts],
       excused: [...record.excused],
       ageMs: record.ageMs,
+      depth: record.depth,
     }),
   );
   return { case: 'crashNews', value: create(CrashNewsSchema, { requests }) };
@@ -27,7 +28,7 @@
 
 /** Decodes the records of a message. */
 export function decodeCrashes({ requests }: CrashNews): CrashRecord[] {
-  return requests.slice(0, MAX_RECORDS).map(({ digest, starts, excused, ageMs }) => {
-    return { digest: Buffer.from(digest).toString('hex'), starts, excused, ageMs };
+  return requests.slice(0, MAX_RECORDS).map(({ digest, starts, excused, ageMs, depth }) => {
+    return { digest: Buffer.from(digest).toString('hex'), depth, starts, excused, ageMs };
   });
 }
--- a/src/gateway/crash-tracker.ts
+++ b/src/gateway/crash-tracker.ts
@@ -7,6 +7,7 @@
 import { splitAddress } from '../common/http-client.js';
 import { isDifferentStart, startKey } from '../core/backend-starts.js';
 import { CrashRecords, type CrashRecord, type CrashVerdict } from '../core/crash-records.js';
+import { SoundParts } from '../core/sound-parts.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import { decodeCrashes, encodeCrashes, encodeCrashDigest } from './crash-codec.js';
@@ -32,6 +33,9 @@
   readonly onRefusedChange: () => void;
 }
 
+/** What may have crashed a backend: a request, or a part of its prompt. */
+export type CrashCause = Pick<CrashRecord, 'digest' | 'depth'>;
+
 /** A request under suspicion of crashing backends. No other suspect runs at its backend until the answer has begun. */
 export interface SuspectRequest {
   /** Whether its answer has begun. */
@@ -46,6 +50,7 @@
 /** The crash records of one daemon. */
 export class CrashTracker {
   private readonly records = new CrashRecords();
+  private readonly soundParts = new SoundParts();
   /** Exchanges records with the other daemons; modelled in `spec/crashes.pml`. */
   private readonly gossip: DigestGossip<CrashRecord>;
   /** Recent probes by backend address, "ip:port". */
@@ -95,7 +100,7 @@
    */
   async recordAbort(
     backend: BackendRecord,
-    digest: string,
+    causes: readonly CrashCause[],
     request: string | undefined,
     isKnownToHaveEnded = false,
   ): Promise<void> {
@@ -106,18 +111,30 @@
       isDifferentStart(backend, this.options.listed(backend.id));
     const hasEnded = isKnown || (await this.hasEnded(backend));
     if (!hasEnded) return;
-    const record = this.records.recordCrash(digest, start, steadyNow());
+    for (const cause of causes) this.recordCrash(cause, start, backend.id, request);
+    this.updateCondemned();
+  }
+
+  private recordCrash(
+    { digest, depth }: CrashCause,
+    start: string,
+    backend: string,
+    request: string | undefined,
+  ): void {
+    const now = steadyNow();
+    if (depth > 0 && this.soundParts.isSound(digest, now)) return;
+    const record = this.records.recordCrash(digest, start, now, depth);
     if (record === undefined) return;
     const crashes = this.records.attributedCrashes(digest);
-    this.options.logger.warn('crash_met', { request, digest, backend: backend.id, crashes });
-    this.options.metrics.crashedRequests.inc();
+    this.options.logger.warn('crash_met', { request, digest, depth, backend, crashes });
+    if (depth === 0) this.options.metrics.crashedRequests.inc();
     this.gossip.publish(record);
-    this.updateCondemned();
   }
 
-  /** Records that a backend has answered the request completely. */
-  recordAnswer(digest: string): void {
-    this.clearCrashes(digest, 'crash_excused');
+  /** Records that a backend has answered a request completely, or one with the part. */
+  recordAnswer({ digest, depth }: CrashCause): void {
+    if (depth > 0) this.soundParts.recordAnswer(digest, steadyNow());
+    if (!this.isIdle) this.clearCrashes(digest, 'crash_excused');
   }
 
   /** Returns the records of all refused requests. */
@@ -176,8 +193,14 @@
   }
 
   private mergeFrom(from: string, message: CrashNews): void {
-    const newRecords = this.records.mergeAll(decodeCrashes(message), steadyNow());
+    const now = steadyNow();
+    const newRecords = this.records.mergeAll(decodeCrashes(message), now);
     if (newRecords.length === 0) return;
+    // Another daemon has not seen the answers that clear a part.
+    for (const { digest, depth } of newRecords) {
+      if (depth > 0 && this.soundParts.isSound(digest, now))
+        this.clearCrashes(digest, 'crash_excused');
+    }
     this.options.logger.info('crash_news', { from, requests: newRecords.length });
     this.updateCondemned();
   }
@@ -190,7 +213,8 @@
     this.condemned = condemned;
     metrics.blockedRequests.set(condemned.size);
     for (const digest of added) {
-      logger.warn('request_condemned', { digest, crashes: this.records.attributedCrashes(digest) });
+      const crashes = this.records.attributedCrashes(digest);
+      logger.warn('request_condemned', { digest, depth: this.records.depthOf(digest), crashes });
     }
     for (const digest of lifted) logger.info('request_acquitted', { digest });
     if (added.length + lifted.length > 0) onCondemned();
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -126,6 +126,8 @@
   readonly model: ModelReference | undefined;
   /** Identifies the prefix of the prompt that this request shares with others. */
   readonly sharedPrompt: string | undefined;
+  /** Ids of the parts of the prompt that this request may share with others, in order. */
+  readonly promptParts: readonly string[];
   /** The caller resumes a stream after this event. */
   readonly lastEventId: string | undefined;
   /** Attempt id of the caller's earlier request that brought the first event of the resumed stream. */
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -176,11 +176,11 @@
    * crash as well.
    */
   private refuseCrashing(): void {
-    const { digest, crashes } = this.suspicion;
+    const suspicion = this.suspicion.strongestSuspicion();
     this.suspicion.recordRefusal();
     const mayHaveRun = this.attempt !== undefined;
     if (mayHaveRun) return this.giveUp('unknown', 'crashes_backends');
-    this.refuse('crashes_backends', undefined, { digest, crashes });
+    this.refuse('crashes_backends', undefined, { ...suspicion });
   }
 
   private makeSearch(): RequestDispatch {
@@ -446,7 +446,7 @@
     if (relay !== undefined && this.relayEnded(relay, backend, end)) return;
     recordBackendHealth(this.context, attempt, () => this.search.recordRefusal(backend.id));
     if (end.type === 'done') {
-      this.suspicion.recordAnswer();
+      this.suspicion.recordAnswer(end.status < 400);
       return this.finish(end.status < 400 ? 'served' : 'failed');
     }
     this.log('attempt_failed', {
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -2,7 +2,7 @@
 import { createHash } from 'node:crypto';
 import type { CrashVerdict } from '../core/crash-records.js';
 import type { BackendRecord } from '../core/service-configuration.js';
-import type { CrashTracker } from './crash-tracker.js';
+import type { CrashCause, CrashTracker } from './crash-tracker.js';
 import { hostOf, type CallerRequest } from './caller-request.js';
 
 /**
@@ -11,9 +11,13 @@
  */
 const DIGEST_DIGITS = 32;
 
+/** Maximum number of parts of one prompt that are tracked, the first ones. */
+const MAX_PARTS = 16;
+
 /** Connects one request's exchange to the crash records. */
 export class RequestSuspicion {
   private cachedDigest: string | undefined;
+  private cachedParts: readonly CrashCause[] | undefined;
 
   constructor(
     private readonly watch: CrashTracker,
@@ -26,19 +30,31 @@
     return this.answerHasBegun();
   }
 
-  /** Digest that identifies a repeated request; computed on first use. */
-  get digest(): string {
+  /** What may be blamed for a crash: the request itself and the shared parts of its prompt. */
+  private get causes(): readonly CrashCause[] {
     this.cachedDigest ??= digestOf(this.request);
-    return this.cachedDigest;
+    return [{ digest: this.cachedDigest, depth: 0 }, ...this.parts];
+  }
+
+  private get parts(): readonly CrashCause[] {
+    this.cachedParts ??= partsOf(this.request);
+    return this.cachedParts;
   }
 
-  /** Number of crashes attributed to the request. */
-  get crashes(): number {
-    return this.watch.isIdle ? 0 : this.watch.attributedCrashes(this.digest);
+  /** Returns the request or the part of its prompt to which the most crashes are attributed, with their number. */
+  strongestSuspicion(): CrashCause & { readonly crashes: number } {
+    const [own, ...parts] = this.causes.map((cause) => {
+      return { ...cause, crashes: this.watch.attributedCrashes(cause.digest) };
+    });
+    const first = own ?? { digest: '', depth: 0, crashes: 0 };
+    return parts.reduce((most, part) => (part.crashes > most.crashes ? part : most), first);
   }
 
   verdict(): CrashVerdict {
-    return this.watch.isIdle ? 'sound' : this.watch.verdict(this.digest);
+    if (this.watch.isIdle) return 'sound';
+    const verdicts = this.causes.map(({ digest }) => this.watch.verdict(digest));
+    if (verdicts.includes('condemned')) return 'condemned';
+    return verdicts.includes('suspect') ? 'suspect' : 'sound';
   }
 
   /**
@@ -60,12 +76,15 @@
 
   /** Records that the request was refused. */
   recordRefusal(): void {
-    this.watch.recordRepeat(this.digest);
+    for (const { digest } of this.causes) this.watch.recordRepeat(digest);
   }
 
-  /** Records that the request was answered. */
-  recordAnswer(): void {
-    if (!this.watch.isIdle) this.watch.recordAnswer(this.digest);
+  /** Records that the request was answered. A failure does not show that a backend can run the parts of its prompt. */
+  recordAnswer(isSuccess: boolean): void {
+    const causes = this.watch.isIdle ? this.parts : this.causes;
+    for (const cause of causes) {
+      if (cause.depth === 0 || isSuccess) this.watch.recordAnswer(cause);
+    }
   }
 
   /** Records that a backend's process has ended while it ran the request, as the relay has reported. */
@@ -73,7 +92,7 @@
     const isKnownToHaveEnded = true;
     return this.watch.recordAbort(
       backend,
-      this.digest,
+      this.causes,
       this.request.head.attemptId,
       isKnownToHaveEnded,
     );
@@ -83,7 +102,7 @@
    * Records that a backend closed the connection. Resolves when it is known whether the backend has crashed.
    */
   recordDisconnect(backend: BackendRecord): Promise<void> {
-    return this.watch.recordAbort(backend, this.digest, this.request.head.attemptId);
+    return this.watch.recordAbort(backend, this.causes, this.request.head.attemptId);
   }
 }
 
@@ -97,3 +116,12 @@
   hash.update(`${JSON.stringify(parts)}\n`).update(body);
   return hash.digest('hex').slice(0, DIGEST_DIGITS);
 }
+
+/** Returns the parts of the prompt that other requests may share. One that stands twice counts at its first position. */
+function partsOf({ head }: CallerRequest): CrashCause[] {
+  const parts = [...new Set(head.promptParts)].slice(0, MAX_PARTS);
+  return parts.map((part, index) => {
+    const digest = createHash('sha256').update(`part\n${part}`).digest('hex');
+    return { digest: digest.slice(0, DIGEST_DIGITS), depth: index + 1 };
+  });
+}
--- a/test/core/crash-records.test.ts
+++ b/test/core/crash-records.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { CrashRecords, type CrashRecord } from '../../src/core/crash-records.js';
 
-const [A = '', B = '', C = ''] = ['a', 'b', 'c'].map((letter) => letter.repeat(32));
+const [A = '', B = '', C = '', PART = ''] = ['a', 'b', 'c', 'd'].map((letter) => letter.repeat(32));
 
 function withCrashes(crashes: readonly (readonly [string, string])[]): CrashRecords {
   const records = new CrashRecords();
@@ -76,7 +76,7 @@
     expect(records.all(0)).toHaveLength(2);
     records.deleteExpired(600_000);
     expect(records.all(0).map(({ digest }) => digest)).toEqual([A]);
-    const late: CrashRecord = { digest: C, starts: ['1'], excused: [], ageMs: 600_000 };
+    const late: CrashRecord = { digest: C, depth: 0, starts: ['1'], excused: [], ageMs: 600_000 };
     expect(records.mergeAll([late], 600_000)).toEqual([]);
   });
 
@@ -96,6 +96,7 @@
   it('reaches the same state regardless of the order and repetition of merged records', () => {
     const record = fc.record({
       digest: fc.constantFrom(A, B, C),
+      depth: fc.nat(2),
       starts: fc.array(fc.constantFrom('1', '2', '3', '4'), { maxLength: 3 }),
       excused: fc.array(fc.constantFrom('1', '2', '3', '4'), { maxLength: 2 }),
       ageMs: fc.nat(1_000),
@@ -128,9 +129,56 @@
   it('ignores records without crashes, so that they use no memory', () => {
     const records = new CrashRecords();
     for (let index = 0; index < 3_000; index++) {
-      records.mergeAll([{ digest: `${index}`, starts: [], excused: [], ageMs: 0 }], 0);
+      records.mergeAll([{ digest: `${index}`, depth: 0, starts: [], excused: [], ageMs: 0 }], 0);
     }
     expect(records.isEmpty).toBe(true);
     expect(records.stateDigest()).toBe(0);
   });
+
+  it('blames a shared part once several requests with it have crashed backends', () => {
+    const records = withCrashes([
+      [A, '1'],
+      [A, '2'],
+    ]);
+    for (const start of ['1', '2']) records.recordCrash(PART, start, 0, 2);
+    expect(records.verdict(PART)).not.toBe('condemned');
+    records.recordCrash(B, '3', 0);
+    records.recordCrash(PART, '3', 0, 2);
+    expect(records.condemnedDigests()).toEqual([PART]);
+  });
+
+  it('blames a repeated request and not the parts of its prompt', () => {
+    const records = new CrashRecords();
+    for (const start of ['1', '2', '3']) {
+      records.recordCrash(A, start, 0);
+      records.recordCrash(PART, start, 0, 1);
+    }
+    expect(records.condemnedDigests()).toEqual([A]);
+  });
+
+  it('blames the later of two parts that were in the same requests', () => {
+    const records = new CrashRecords();
+    for (const [index, start] of ['1', '2', '3'].entries()) {
+      records.recordCrash(`${index}`, start, 0);
+      records.recordCrash(PART, start, 0, 2);
+      records.recordCrash(C, start, 0, 1);
+    }
+    expect(records.condemnedDigests()).toEqual([PART]);
+  });
+
+  it('forgets a part sooner than a request, although it is repeated', () => {
+    const records = new CrashRecords();
+    for (const start of ['1', '2', '3']) records.recordCrash(PART, start, 0, 1);
+    records.recordRepeat(PART, 100_000);
+    records.deleteExpired(180_000);
+    expect(records.isEmpty).toBe(true);
+    const late: CrashRecord = {
+      digest: PART,
+      depth: 1,
+      starts: ['1'],
+      excused: [],
+      ageMs: 180_000,
+    };
+    expect(records.mergeAll([late], 180_000)).toEqual([]);
+  });
 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -37,6 +37,7 @@
         ? undefined
         : { model: headers.model as string, adapter: undefined },
     sharedPrompt: undefined,
+    promptParts: headers.parts === undefined ? [] : String(headers.parts).split(',').slice(0, -1),
     lastEventId: headers['last-event-id'] as string | undefined,
     resumedAttemptId: headers.resumes as string | undefined,
     keyDigest: credentialHash(headers.authorization, 'Key'),
--- a/test/gateway/status-ports.test.ts
+++ b/test/gateway/status-ports.test.ts
@@ -22,7 +22,7 @@
       registry: new Registry(),
       refreshMetrics: () => {},
       crashes: {
-        refusedRequests: () => [{ digest: DIGEST, starts: ['b'], excused: [], ageMs: 5 }],
+        refusedRequests: () => [{ digest: DIGEST, depth: 0, starts: ['b'], excused: [], ageMs: 5 }],
         lift: (digest) => digest === DIGEST,
       },
     });
