--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -16,6 +16,8 @@
   readonly body: string;
   readonly deadlineMs: number;
   readonly caller: Caller;
+  /** Ids of the parts of its prompt; none if undefined. */
+  readonly promptParts?: readonly string[];
   /** The stream that it takes up; undefined for a new request. */
   readonly resumes?: { readonly attemptId: string; readonly lastEventId: number };
   /** Number of events after which the caller leaves; it stays without one. */
@@ -109,6 +111,9 @@
     'x-tenant': 'forged',
   };
   if (request.model !== undefined) headers['x-model'] = request.model;
+  if (request.promptParts !== undefined) {
+    headers['x-prompt-prefix'] = request.promptParts.map((part) => `${part}:100`).join(',');
+  }
   if (request.resumes !== undefined) {
     headers.resumes = request.resumes.attemptId;
     headers['last-event-id'] = request.resumes.lastEventId;
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -5,7 +5,8 @@
 import { SERIES_FAULT_KINDS, type SeriesFault } from './series-fault-plan.js';
 import type { BackendCut } from './gateway-process.js';
 import type { FaultKinds, SoakOptions } from './soak-options.js';
-import { runSoak, soakFolder } from './soak-run.js';
+import { soakFolder } from './soak-options.js';
+import { runSoak } from './soak-run.js';
 
 interface Flags {
   readonly seed: string;
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -19,12 +19,17 @@
 /** Time after a partition from replicas until the next one may begin. */
 const AFTER_PARTITION_MS = 4_500;
 
+/** Maximum number of crashing parts at the same time. */
+const MAX_POISON_PARTS = 2;
+
 type FaultOf<Kind extends OptInFault['kind']> = Extract<OptInFault, { kind: Kind }>;
 
 /** Sends requests that crash the replicas that run them. */
 export interface PoisonSender {
   /** Sends the named request to a gateway that accepts callers. The crashed replica restarts after `backMs`. */
   sendPoison(name: string, backMs: number): void;
+  /** Sends a new request with the named part, which stands at a position in its prompt, from 0. */
+  sendPoisonPart(name: string, position: number, backMs: number): void;
 }
 
 /** Starts additional gateways. */
@@ -36,6 +41,8 @@
 /** Injects faults into gateways, replicas and the store. */
 export class OptInFaultInjector {
   private poisonCount = 0;
+  /** Number of crashing parts that callers send now. */
+  private poisonParts = 0;
   /** Whether a restore is in progress. Restores do not overlap. */
   private isRestoring = false;
   /** Whether the replicas of a service are brittle. */
@@ -54,6 +61,8 @@
     switch (fault.kind) {
       case 'poison_request':
         return void this.repeatPoisonRequest(fault);
+      case 'poison_part':
+        return void this.repeatPoisonPart(fault);
       case 'answers_tell_leaving':
         for (let count = 0; count < fault.count; count++) this.leaveByResponses(fault);
         return;
@@ -156,6 +165,18 @@
     }
   }
 
+  private async repeatPoisonPart(fault: FaultOf<'poison_part'>): Promise<void> {
+    if (this.poisonParts >= MAX_POISON_PARTS) return;
+    this.poisonParts += 1;
+    this.poisonCount += 1;
+    const name = `part-${this.poisonCount}`;
+    for (let count = 0; count < fault.repeats && Date.now() < this.endsAt; count++) {
+      this.system.sendPoisonPart(name, fault.isFirst ? 0 : 1, fault.backMs);
+      await sleep(fault.gapMs);
+    }
+    this.poisonParts -= 1;
+  }
+
   private leaveByResponses({ serveMs, listedAfterMs }: FaultOf<'answers_tell_leaving'>): void {
     const replica = this.random.pick(spareReplicas(this.system));
     if (replica === undefined) return;
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -20,6 +20,16 @@
       /** Time after which crashed replicas start again. */
       readonly backMs: number;
     }
+  /** Requests that differ, but share a part of their prompts that crashes every replica that runs it, come at random gateways. */
+  | {
+      readonly kind: 'poison_part';
+      /** Whether it is the first part of their prompts; otherwise they share the first one with sound requests. */
+      readonly isFirst: boolean;
+      readonly repeats: number;
+      readonly gapMs: number;
+      /** Time after which crashed replicas start again. */
+      readonly backMs: number;
+    }
   /** Replicas announce their departure in responses; their registry entries follow later, or never before they end. */
   | {
       readonly kind: 'answers_tell_leaving';
@@ -141,6 +151,7 @@
   'backends_brittle',
   'replica_silent',
   'software_released',
+  'poison_part',
 ];
 
 /** Rate limits in requests per second. */
@@ -192,6 +203,12 @@
     gapMs: random.between(50, 900),
     backMs: random.between(500, 3_000),
   }),
+  poison_part: (random) => ({
+    isFirst: random.chance(0.25),
+    repeats: Math.ceil(random.between(30, 80)),
+    gapMs: random.between(150, 500),
+    backMs: random.between(500, 3_000),
+  }),
   answers_tell_leaving: (random) => ({
     count: Math.ceil(random.between(0, 3)),
     serveMs: random.between(3_000, 10_000),
--- a/test/soak/resuming-callers.ts
+++ b/test/soak/resuming-callers.ts
@@ -7,7 +7,7 @@
 import type { SeededRandom } from './seeded-random.js';
 import { MODELS } from './soak-replicas.js';
 import type { SoakSystem } from './soak-system.js';
-import { STEADY_TENANT } from './soak-tenants.js';
+import { STEADY_CALLER } from './soak-tenants.js';
 
 /** Number of attempts at one stream. */
 const MAX_ATTEMPTS = 3;
@@ -57,7 +57,7 @@
     const { random, makeRequest } = this.context;
     const first = {
       ...makeRequest(random, '/models/s/x', random.pick(MODELS), EVENTS),
-      caller: { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` },
+      caller: STEADY_CALLER,
     };
     const leaves = random.chance(0.5);
     const attempts: StreamAttempt[] = [];
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -1,5 +1,6 @@
 /** Options and result of a soak test. */
 import type { StreamCounts } from './audit-streams.js';
+import path from 'node:path';
 import type { PartitionReport } from './audit-partitions.js';
 import type { Violation } from './evidence.js';
 import type { FurtherFault } from './further-fault-plan.js';
@@ -74,3 +75,8 @@
   /** Which signals came to processes that did not handle them yet. */
   readonly signalsAtStart: SignalsAtStart;
 }
+
+/** Returns the folder for the settings and logs of one soak test. */
+export function soakFolder(seed: number): string {
+  return path.join('results', `soak-${seed}`);
+}
--- a/test/soak/soak-replicas.ts
+++ b/test/soak/soak-replicas.ts
@@ -19,11 +19,9 @@
 
 /** What a replica needs of its soak test. */
 export interface ReplicaContext {
-  readonly options: Pick<SoakOptions, 'seed' | 'checksEpochs' | 'replicas'>;
+  readonly options: Pick<SoakOptions, 'seed' | 'checksEpochs' | 'replicas' | 'only'>;
   readonly store: ObjectStoreStandIn;
   readonly log: RunLog;
-  /** Whether replicas of several software versions serve side by side. */
-  readonly hasVersions?: boolean;
   /** Receives the spans in which a request has crashed the replica. */
   readonly replicaFaults: TimeSpan[];
 }
@@ -31,7 +29,8 @@
 /** Creates the replica with an index. */
 export function makeReplica(index: number, context: ReplicaContext): ReplicaStandIn {
   const { store, log, replicaFaults } = context;
-  const { seed, checksEpochs = true, replicas = REPLICAS } = context.options;
+  const { seed, checksEpochs = true, replicas = REPLICAS, only = [] } = context.options;
+  const hasVersions = only.includes('software_released');
   const hasModels = index < Math.round(replicas * MODEL_REPLICA_SHARE);
   const first = index % (MODELS.length - MAX_LOADED_MODELS + 1);
   const models = hasModels ? MODELS.slice(first, first + MAX_LOADED_MODELS) : [];
@@ -44,7 +43,7 @@
     log,
     random: new SeededRandom(seed + 100 + index),
     checksEpochs,
-    ...(context.hasVersions === true ? { softwareVersion: versionAt(index) } : {}),
+    ...(hasVersions ? { softwareVersion: versionAt(index) } : {}),
     onCrashedByRequest: (backMs) => {
       replicaFaults.push({ from: Date.now(), until: Date.now() + backMs });
     },
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -32,6 +32,7 @@
 import { signalsAtStart, type ProcessExit, type SentSignal } from './process-signals.js';
 import { ProcessSamples } from './process-samples.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
+import { promptOf } from './prompts.js';
 import { ResumingCallers } from './resuming-callers.js';
 import { RunLog } from './run-log.js';
 import { SeriesFaultInjector } from './series-fault-injector.js';
@@ -39,7 +40,7 @@
 import { configurationOf, newestVersionWithoutRoute } from './soak-configuration.js';
 import type { SoakOptions, SoakResult } from './soak-options.js';
 import { makeReplica, MODELS, REPLICAS } from './soak-replicas.js';
-import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_TENANT } from './soak-tenants.js';
+import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_CALLER } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
 import { rolesOf, hitHotLimitCounter, type GatewayFault } from './gateway-faults.js';
@@ -301,7 +302,6 @@
         store: this.store,
         log: this.log,
         replicaFaults: this.replicaFaults,
-        hasVersions: this.hasVersions,
       });
       this.replicas.push(replica);
       await replica.start();
@@ -426,9 +426,16 @@
     this.sequence += 1;
     const attemptId = `a${this.options.seed}-${this.sequence}`;
     const body = JSON.stringify({ events: 40, poison: name, backMs });
-    const caller = { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` };
     const named = { attemptId, kind: 'poison' as const, path: '/models/s/x', model: MODELS[0] };
-    this.send({ ...named, body, deadlineMs: 6_000, caller });
+    this.send({ ...named, body, deadlineMs: 6_000, caller: STEADY_CALLER });
+  }
+
+  sendPoisonPart(name: string, position: number, backMs: number): void {
+    const content = { events: 40, poison: name, backMs };
+    const path = '/models/s/x';
+    const drawn = this.requestOf(this.random, 'poison', path, MODELS[0], content, 6_000);
+    const promptParts = promptOf(this.sequence, name).slice(position === 0 ? 1 : 0);
+    this.send({ ...drawn, caller: STEADY_CALLER, promptParts });
   }
 
   private async sendRequests(): Promise<void> {
@@ -538,10 +545,10 @@
     const attemptId = `a${this.options.seed}-${this.sequence}`;
     const body = JSON.stringify({ ...content, attemptId });
     const caller =
-      kind === 'probe'
-        ? { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` }
-        : drawCaller(random, this.version, this.isHot());
-    return { attemptId, kind, path: requestPath, model, body, deadlineMs, caller };
+      kind === 'probe' ? STEADY_CALLER : drawCaller(random, this.version, this.isHot());
+    const hasParts = model !== undefined && this.namedKinds.includes('poison_part');
+    const prompt = hasParts ? { promptParts: promptOf(this.sequence) } : {};
+    return { attemptId, kind, path: requestPath, model, body, deadlineMs, caller, ...prompt };
   }
 
   private isHot(): boolean {
@@ -575,8 +582,3 @@
     void done.finally(() => this.pending.delete(done));
   }
 }
-
-/** Returns the folder for the settings and logs of one soak test. */
-export function soakFolder(seed: number): string {
-  return path.join('results', `soak-${seed}`);
-}
--- a/test/soak/soak-tenants.ts
+++ b/test/soak/soak-tenants.ts
@@ -32,6 +32,9 @@
   readonly key: string;
 }
 
+/** A caller of the tenant whose key always counts. */
+export const STEADY_CALLER: Caller = { tenant: STEADY_TENANT, key: `${STEADY_TENANT}-key` };
+
 /** Returns the maximum number of units that the limited tenant may use in one window. */
 export function maxUnitsPerWindow(): number {
   const plain = (LIMIT_PER_SECOND * LIMIT_WINDOW_MS) / 1_000 + LIMIT_BURST;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,7 +1,8 @@
 import { beforeAll, describe, expect, it } from 'vitest';
 import { buildGateway } from './gateway-process.js';
 import type { OptInFault } from './opt-in-fault-plan.js';
-import { runSoak, soakFolder } from './soak-run.js';
+import { soakFolder } from './soak-options.js';
+import { runSoak } from './soak-run.js';
 
 const SEED = 21;
 const FAULT_MS = 10_000;
@@ -53,6 +54,16 @@
 const BRITTLE_SEED = 92_002;
 const BRITTLE_FAULT_MS = 25_000;
 
+/** Produces releases of other software versions, and gateways that are killed several at once. */
+const VERSIONS_SEED = 65_102;
+const VERSIONS_FAULT_MS = 15_000;
+/** At least this many streams must be taken up at undisturbed gateways for the run to be meaningful. */
+const MIN_RESUMPTIONS = 30;
+
+/** Produces parts of prompts that crash replicas. */
+const PARTS_SEED = 65_202;
+const PARTS_FAULT_MS = 20_000;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -201,6 +212,37 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('let streams go on at the software version that began them, at whichever gateway', async () => {
+    const result = await runSoak({
+      seed: VERSIONS_SEED,
+      faultMs: VERSIONS_FAULT_MS,
+      folder: soakFolder(VERSIONS_SEED),
+      faultKinds: 'none',
+      only: ['software_released'],
+      series: ['many_killed'],
+      gateways: 6,
+      replicas: 9,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.streams.resumptions).toBeGreaterThan(MIN_RESUMPTIONS);
+  });
+
+  it('refuse requests with a part that crashes replicas, and serve sound ones beside them', async () => {
+    const result = await runSoak({
+      seed: PARTS_SEED,
+      faultMs: PARTS_FAULT_MS,
+      folder: soakFolder(PARTS_SEED),
+      faultKinds: 'none',
+      only: ['poison_part'],
+      gateways: 6,
+      replicas: 9,
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.faults).toBeGreaterThan(2);
+    expect(result.served).toBeGreaterThan(result.calls / 3);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
