--- a/src/gateway/request-stream.ts
+++ b/src/gateway/request-stream.ts
@@ -52,8 +52,9 @@
     return softwareVersion !== undefined && softwareVersion === this.begunAt.softwareVersion;
   };
 
-  /** Whether backends serve, but none at which the stream may go on. */
+  /** Whether the stream has begun, and backends serve, but none at which it may go on. */
   hasLostVersion(): boolean {
+    if (this.begunAt === undefined) return false;
     const serving = this.context.directory.servingBackends(this.match.service.name);
     return serving.length > 0 && !serving.some(this.mayRunAt);
   }
