--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -46,6 +46,7 @@
     brittleFalls: [],
     silentTimes: [],
     streams: [],
+    funnels: [],
     replicaFaults: [],
     faultFreeSince: 0,
     unexpectedExits: [],
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -60,6 +60,7 @@
     brittleFalls: [],
     silentTimes: [],
     streams: [],
+    funnels: [],
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
     unexpectedExits: [],
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -53,6 +53,11 @@
   readonly version: number;
 }
 
+/** A span in which the load balancer sends most new connections to one gateway. */
+export interface ConnectionFunnel extends TimeSpan {
+  readonly gateway: string;
+}
+
 /** An attempt to take up a stream. */
 export interface StreamAttempt {
   readonly call: CallRecord;
@@ -94,6 +99,7 @@
   readonly brittleFalls: readonly BrittleFall[];
   /** Spans in which sound replicas sent nothing. */
   readonly silentTimes: readonly TimeSpan[];
+  readonly funnels: readonly ConnectionFunnel[];
   /** Streams of callers that take them up at other gateways. */
   readonly streams: readonly StreamRecord[];
   /** Start of the final phase without faults, in Unix milliseconds. */
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -19,6 +19,8 @@
 /** Time after a partition from replicas until the next one may begin. */
 const AFTER_PARTITION_MS = 4_500;
 
+/** Time after a funnel until the next one may begin. */
+const AFTER_FUNNEL_MS = 4_000;
 /** Maximum number of crashing parts at the same time. */
 const MAX_POISON_PARTS = 2;
 
@@ -80,6 +82,10 @@
         return void this.makeBrittle(fault);
       case 'replica_silent':
         return this.silenceReplicas(fault);
+      case 'answers_unframed':
+        return this.answerUnframed(fault);
+      case 'connections_funnelled':
+        return this.funnelConnections(fault);
       case 'software_released':
         for (let count = 0; count < fault.count; count++) void this.releaseSoftware(fault);
         return;
@@ -184,6 +190,27 @@
     void replica.leaveByResponses(serveMs, listedAfterMs).then(() => replica.start());
   }
 
+  private answerUnframed({ count, milliseconds }: FaultOf<'answers_unframed'>): void {
+    const until = Date.now() + milliseconds;
+    this.system.replicaFaults.push({ from: Date.now(), until });
+    for (const replica of this.random.shuffled(this.system.replicas).slice(0, count)) {
+      replica.sendUnframed(milliseconds);
+    }
+  }
+
+  private funnelConnections({ milliseconds }: FaultOf<'connections_funnelled'>): void {
+    const { funnels } = this.system;
+    const from = Date.now();
+    const gateway = this.random.pick(undisturbedGateways(this.system));
+    const isFunnelled = funnels.some(({ until }) => until + AFTER_FUNNEL_MS > from);
+    if (gateway === undefined || isFunnelled) return;
+    funnels.push({
+      gateway: gateway.name,
+      from,
+      until: Math.min(from + milliseconds, this.endsAt),
+    });
+  }
+
   private async releaseSoftware(fault: FaultOf<'software_released'>): Promise<void> {
     const { version, crashes, downMs } = fault;
     const spare = spareReplicas(this.system).filter(({ service }) => service === 'models');
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -117,6 +117,17 @@
       readonly crashes: boolean;
       readonly downMs: number;
     }
+  /** Replicas answer without a length or chunks, and end some streams within an event. */
+  | {
+      readonly kind: 'answers_unframed';
+      readonly count: number;
+      readonly milliseconds: number;
+    }
+  /** The load balancer sends most new connections to one gateway. */
+  | {
+      readonly kind: 'connections_funnelled';
+      readonly milliseconds: number;
+    }
   /** A gateway is suspended, and its monotonic clock stops with it. */
   | {
       readonly kind: 'suspended';
@@ -152,6 +163,8 @@
   'replica_silent',
   'software_released',
   'poison_part',
+  'answers_unframed',
+  'connections_funnelled',
 ];
 
 /** Rate limits in requests per second. */
@@ -265,6 +278,13 @@
     crashes: random.chance(0.6),
     downMs: random.between(300, 2_000),
   }),
+  answers_unframed: (random) => ({
+    count: Math.ceil(random.between(0, 4)),
+    milliseconds: random.between(2_000, 6_000),
+  }),
+  connections_funnelled: (random) => ({
+    milliseconds: random.between(6_000, 10_000),
+  }),
   suspended: (random) => ({
     who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
     milliseconds: random.between(1_000, 7_500),
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -64,6 +64,9 @@
 /** Window in which a brittle replica counts its rejections. */
 const REJECTION_WINDOW_MS = 1_000;
 
+/** Share of the streams without a length or chunks that end within an event. */
+const BROKEN_STREAM_SHARE = 0.2;
+
 /** How a brittle replica behaves. */
 export interface Brittleness {
   /** Rejections per second for lack of room above which it falls over. */
@@ -110,6 +113,8 @@
   /** When the last requested backoff ends at the latest; arrivals are logged until then. */
   private backoffEndsAt = 0;
   private silentUntil = 0;
+  /** Until this time (Unix milliseconds) its answers have neither a length nor chunks, and end with their connection. */
+  private unframedUntil = 0;
   /** Of the current process. */
   softwareVersion: string | undefined;
   /** Of the next process. */
@@ -238,6 +243,11 @@
     this.connections.pause(milliseconds);
   }
 
+  /** Sends answers without a length or chunks for a time; some streams end within an event. */
+  sendUnframed(milliseconds: number): void {
+    this.unframedUntil = Date.now() + milliseconds;
+  }
+
   get hasRateLimit(): boolean {
     return this.rateLimit !== undefined;
   }
@@ -395,13 +405,22 @@
       return sendJson(response, 500, {}, seal);
     }
     if (poison !== undefined) this.crashBy(poison, attemptId);
+    const isUnframed = this.omitFraming(response);
     this.running += 1;
     response.once('close', () => (this.running -= 1));
     const pace = condition === 'slow' ? 6 : 1;
-    if (this.options.hasModels) this.stream(request, body, response, seal, pace);
+    if (this.options.hasModels) this.stream(request, body, response, seal, { pace, isUnframed });
     else setTimeout(() => sendPlain(response, plainText(attemptId, body), seal), 10 * pace).unref();
   }
 
+  /** Prepares an answer without a length or chunks, if such answers are due. */
+  private omitFraming(response: http.ServerResponse): boolean {
+    const isUnframed = Date.now() < this.unframedUntil;
+    // Without this header and a length, Node ends the answer with its connection.
+    if (isUnframed) response.removeHeader('transfer-encoding');
+    return isUnframed;
+  }
+
   /** Number of requests that it runs at the same time. */
   private get room(): number {
     const { brittleness } = this;
@@ -486,13 +505,19 @@
     body: string,
     response: http.ServerResponse,
     seal: Record<string, string>,
-    pace: number,
+    { pace, isUnframed }: { readonly pace: number; readonly isUnframed: boolean },
   ): void {
     const { events = 1 } = JSON.parse(body) as { events?: number };
     let sent = Number(request.headers['last-event-id'] ?? 0);
     const { softwareVersion } = this;
     response.writeHead(200, { 'content-type': 'text/event-stream', ...seal });
+    const breaks = isUnframed && this.options.random.chance(BROKEN_STREAM_SHARE);
+    const breaksAfter = breaks ? sent + Math.ceil((events - sent) / 2) : Infinity;
     const timer = setInterval(() => {
+      if (sent >= breaksAfter) {
+        clearInterval(timer);
+        return void response.end(eventText(body, sent + 1, softwareVersion).slice(0, -2));
+      }
       if (sent < events) {
         sent += 1;
         response.write(eventText(body, sent, softwareVersion));
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -7,10 +7,12 @@
 import { audit, excusedViolations } from './audit.js';
 import { streamCounts } from './audit-streams.js';
 import { partitionReports } from './audit-partitions.js';
+import { pickGateway, routableGateways } from './caller-routing.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
 import type {
   BackendPartition,
   BrittleTime,
+  ConnectionFunnel,
   ConfigurationProbe,
   SoakEvidence,
   StoreFault,
@@ -78,8 +80,6 @@
 /** Time from the end of the last fault until callers must be served normally again. */
 const RECOVERY_MS = 9_000;
 const CALM_PHASE_MS = 4_000;
-/** Time after a stop request until the load balancer routes new callers to other gateways. */
-const BALANCER_UPDATE_DELAY_MS = 2_000;
 const PROBE_PERIOD_MS = 250;
 const MIN_PROBE_GAP_MS = 4;
 /** Number of newest versions whose routes are probed, so that a quick successor does not hide a version that arrives late. */
@@ -116,6 +116,7 @@
   readonly backendPartitions: BackendPartition[] = [];
   readonly brittleTimes: BrittleTime[] = [];
   readonly silentTimes: TimeSpan[] = [];
+  readonly funnels: ConnectionFunnel[] = [];
   private readonly accepted = new Map<number, number>();
   private faultsStartAt = 0;
   /** Position in the hot cycle of the limited tenant at the start of the faults, used if the seed draws it. */
@@ -177,6 +178,7 @@
       brittleTimes: this.brittleTimes,
       brittleFalls: this.log.brittleFalls,
       silentTimes: this.silentTimes,
+      funnels: this.funnels,
       streams: resumingCallers?.streams ?? [],
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
@@ -459,7 +461,7 @@
   /** Runs one caller that stays with its gateway, also while the gateway stops, until the connection ends. */
   private async runPersistentCaller(random: SeededRandom): Promise<void> {
     while (Date.now() < this.endsAt) {
-      const gateway = random.pick(this.routableGateways());
+      const gateway = random.pick(routableGateways(this.gateways.values()));
       await sleep(random.between(20, PERSISTENT_CALLER_PAUSE_MS));
       if (gateway === undefined) continue;
       const connection = new KeptConnection(gateway.name, gateway.callers);
@@ -478,7 +480,7 @@
       random: new SeededRandom(this.options.seed + RESUMING_CALLER_SEED),
       system: this,
       endsAt: () => this.endsAt,
-      routableGateways: () => this.routableGateways(),
+      routableGateways: () => routableGateways(this.gateways.values()),
       makeRequest: (random, path, model, events) =>
         this.requestOf(random, 'resumable', path, model, { events }, 6_000),
     });
@@ -558,17 +560,9 @@
     return isInHotPeriod(Date.now() - this.faultsStartAt + this.hotPhaseMs);
   }
 
-  /** Returns the gateways to which the load balancer routes new callers. */
-  private routableGateways(): GatewayProcess[] {
-    const now = Date.now();
-    return [...this.gateways.values()].filter((each) => {
-      const stoppedAt = each.stopDuring(now, now);
-      return stoppedAt === undefined || now - stoppedAt < BALANCER_UPDATE_DELAY_MS;
-    });
-  }
-
   private send(request: SoakRequest): void {
-    const gateway = this.random.pick(this.routableGateways());
+    const routable = routableGateways(this.gateways.values());
+    const gateway = pickGateway(this.random, routable, this.funnels);
     if (gateway === undefined) return;
     this.track(
       call(request, gateway.name, gateway.callers).then((record) => {
--- a/test/soak/soak-system.ts
+++ b/test/soak/soak-system.ts
@@ -1,5 +1,11 @@
 /** The parts of a running soak test that faults are injected into. */
-import type { BackendPartition, BrittleTime, StoreFault, TimeSpan } from './evidence.js';
+import type {
+  BackendPartition,
+  BrittleTime,
+  ConnectionFunnel,
+  StoreFault,
+  TimeSpan,
+} from './evidence.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
@@ -16,6 +22,8 @@
   readonly brittleTimes: BrittleTime[];
   /** Spans in which sound replicas were silent. */
   readonly silentTimes: TimeSpan[];
+  /** Spans in which most new connections go to one gateway. */
+  readonly funnels: ConnectionFunnel[];
   /** Publishes the next configuration version as the operator. */
   changeConfiguration(): void;
 }
