Names and comments of stream origins and crash records in the field's terms

Notification, lookup, request and response in place of told, asked, question and answer; a stream is resumed, not taken up.

--- a/spec/stream-origins.pml
+++ b/spec/stream-origins.pml
@@ -90,7 +90,7 @@
      }
   /* The backend breaks off, and the daemon sends the request on. */
   :: atomic { server != NOBODY -> writer = 0; send() }
-  /* RequestStream.passOnFrom: an event is passed on. */
+  /* RequestStream.recordForwarding: an event is passed on. */
   :: atomic {
        server != NOBODY && writer != 0 ->
        if
--- a/src/core/crash-records.ts
+++ b/src/core/crash-records.ts
@@ -121,9 +121,9 @@
 
   /**
    * Number of crashes attributed to a request or part. Of all that were running at a crashed backend, the crash is attributed to
-   * what has met the most crashes, so that what only ran beside the cause is not blamed. With equal numbers a request goes
-   * before its parts, because no other request is known to crash; and a later part goes before an earlier one, which more
-   * requests share.
+   * the record with the most crashes, so that what only ran beside the cause is not blamed. Between equal numbers a request
+   * takes precedence over parts, because no other request is known to crash backends, and a later part over an earlier one,
+   * which more requests share.
    */
   attributedCrashes(digest: string): number {
     const known = this.known.get(digest);
@@ -237,7 +237,7 @@
   return depth === 0 ? RETENTION_MS : PART_RETENTION_MS;
 }
 
-/** Whether one suspicion goes before another. */
+/** Whether one suspicion takes precedence over another. */
 function isStronger(one: Suspicion | undefined, other: Suspicion): boolean {
   if (one === undefined) return false;
   if (one.crashes !== other.crashes) return one.crashes > other.crashes;
--- a/src/core/routing-table.ts
+++ b/src/core/routing-table.ts
@@ -56,7 +56,7 @@
     return service === undefined ? undefined : { route, service };
   }
 
-  /** Returns a route with one of its services, for a stream that has begun there; undefined if it is no longer one of them. */
+  /** Returns a route with the service at which a resumed stream has begun; undefined if the route no longer has that service. */
   matchAt(route: Route, service: string): RouteMatch | undefined {
     const isTarget = route.targets.some(
       (target) => target.service === service && target.weight > 0,
--- a/src/core/service-versions.ts
+++ b/src/core/service-versions.ts
@@ -4,7 +4,7 @@
  */
 import type { BackendRecord } from './service-configuration.js';
 
-/** Time after which a version that no backend has any more is forgotten, in milliseconds. */
+/** Time after which a version that no backend has any more is deleted, in milliseconds. */
 const RETENTION_MS = 600_000;
 
 /** The parts of a backend's record that count. */
--- a/src/core/sound-parts.ts
+++ b/src/core/sound-parts.ts
@@ -1,11 +1,11 @@
 /**
- * Remembers which parts of prompts were in requests that backends have answered in full, so that a crash beside such a request is
- * not blamed on them. Bounded in time and number. No I/O; times are milliseconds of a monotonic clock.
+ * Records which parts of prompts were in requests that backends have answered in full, so that later crashes are not attributed to
+ * them. Bounded in time and number. No I/O; times are milliseconds of a monotonic clock.
  */
 
-/** Time for which an answer clears a part. A part that begins to crash backends is blamed that much later at most. */
+/** Time for which an answer clears a part. It delays the attribution of crashes to a part that was sound before. */
 const CLEARED_MS = 120_000;
-/** Maximum number of remembered parts. The ones not seen for longest are forgotten first. */
+/** Maximum number of parts. The least recently answered ones are deleted first. */
 const MAX_PARTS = 4_096;
 
 /** Parts that were answered lately, by digest. */
--- a/src/core/stream-origins.ts
+++ b/src/core/stream-origins.ts
@@ -1,30 +1,30 @@
 /**
- * Remembers at which software version streams have begun, so that they can go on at the same version later. Bounded in time and
+ * Records at which software version streams have begun, so that they can be resumed at the same version. Bounded in time and
  * number. No I/O; times are milliseconds of a monotonic clock.
  */
 
-/** Where a stream has begun. */
+/** The service and software version at which a stream has begun. */
 export interface StreamOrigin {
   readonly service: string;
   readonly softwareVersion: string;
 }
 
-/** The origin of a stream, as one daemon knows it. */
+/** A recorded origin. */
 export interface KnownOrigin {
   readonly origin: StreamOrigin;
-  /** Time since the stream began, or was last taken up, in milliseconds. */
+  /** Time since the stream began or was last resumed, in milliseconds. */
   readonly ageMs: number;
-  /** Time for which it is remembered, in milliseconds. */
+  /** Time until the record expires, in milliseconds. */
   readonly remainingMs: number;
 }
 
-/** Maximum number of remembered streams. The oldest are forgotten first. */
+/** Maximum number of records. The oldest are deleted first. */
 const MAX_STREAMS = 20_000;
-/** Maximum time for which a stream is remembered, in milliseconds. */
+/** Maximum lifetime of a record, in milliseconds. */
 const MAX_LIFETIME_MS = 600_000;
 
 interface Entry {
-  /** Undefined if two origins were recorded under the same key, so that neither can be trusted. */
+  /** Undefined if two different origins were recorded under the same key. */
   readonly origin: StreamOrigin | undefined;
   readonly recordedAt: number;
   readonly expiresAt: number;
@@ -35,12 +35,12 @@
   /** Oldest first. */
   private readonly entries = new Map<string, Entry>();
 
-  /** Number of remembered streams. */
+  /** Number of records. */
   get size(): number {
     return this.entries.size;
   }
 
-  /** Remembers where a stream has begun. An earlier record of another origin makes the origin unknown. */
+  /** Records the origin of a stream. If a different origin was recorded before, the origin becomes unknown. */
   record(stream: string, origin: StreamOrigin, lifetimeMs: number, now: number): void {
     const known = this.entries.get(stream);
     const isAmbiguous = known !== undefined && !isSameOrigin(known.origin, origin);
@@ -54,7 +54,7 @@
     this.removeOldest();
   }
 
-  /** Returns where a stream has begun; undefined if it is not known. */
+  /** Returns the origin of a stream; undefined if it is unknown. */
   find(stream: string, now: number): KnownOrigin | undefined {
     const entry = this.entries.get(stream);
     if (entry?.origin === undefined || entry.expiresAt <= now) return undefined;
@@ -62,7 +62,7 @@
     return { origin, ageMs: now - recordedAt, remainingMs: expiresAt - now };
   }
 
-  /** Forgets the streams whose time has passed. */
+  /** Deletes expired records. */
   deleteExpired(now: number): void {
     for (const [stream, { expiresAt }] of this.entries) {
       if (expiresAt <= now) this.entries.delete(stream);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -76,7 +76,7 @@
   readonly onBackoff: (backoffMs: number) => void;
   /** Called once when the timeout has passed and no other backend can take the request. */
   readonly onTimeout: () => void;
-  /** Called before an event of the backend is passed on to the caller. */
+  /** Called before an event of the backend is forwarded to the caller. */
   readonly onEvent: () => void;
   /** Records the gaps between events; undefined if the gaps say nothing about the backend. */
   readonly gaps: StreamGaps | undefined;
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -123,7 +123,7 @@
     new RequestExchange(this.context, match, version, caller, response, resumed).start();
   }
 
-  /** Starts a request that takes up a stream, once it is known where the stream has begun. */
+  /** Starts a request that resumes a stream, once the stream's origin is known. */
   private async resume(
     response: http.ServerResponse,
     answer: CallerAnswer,
--- a/src/gateway/crash-tracker.ts
+++ b/src/gateway/crash-tracker.ts
@@ -196,7 +196,7 @@
     const now = steadyNow();
     const newRecords = this.records.mergeAll(decodeCrashes(message), now);
     if (newRecords.length === 0) return;
-    // Another daemon has not seen the answers that clear a part.
+    // The sender may not have received the answers that clear a part.
     for (const { digest, depth } of newRecords) {
       if (depth > 0 && this.soundParts.isSound(digest, now))
         this.clearCrashes(digest, 'crash_excused');
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -46,7 +46,7 @@
   readonly permits: BackendPermits;
   readonly crashes: CrashTracker;
   readonly leavingNotices: ShutdownAnnouncer;
-  /** Where streams have begun. */
+  /** Origins of streams. */
   readonly streamOrigins: StreamOriginExchange;
   readonly backoffs: BackendBackoffs;
   /** Allocates the backends' slots across all daemons; undefined if each daemon decides alone. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -24,13 +24,13 @@
   });
   readonly streamResumptions = new Counter({
     name: 'scaleslip_gateway_stream_resumptions_total',
-    help: 'Streams that callers take up, by how this daemon knows their software version: own, peer, sole_version or none',
+    help: 'Streams that callers resume, by source of their software version: own, peer, sole_version or none',
     labelNames: ['source'],
     registers: [this.registry],
   });
   readonly rememberedStreams = new Gauge({
     name: 'scaleslip_gateway_remembered_streams',
-    help: 'Streams of which this daemon remembers at which software version they have begun',
+    help: 'Streams whose origin this daemon has recorded',
     registers: [this.registry],
   });
   readonly orders = new Counter({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -228,7 +228,7 @@
     // Node treats a connection as idle once its answer is written, although the caller has not read it yet.
     if (this.context.answers.unreadCallers > 0) return false;
     this.front.closeIdle();
-    if (this.streamOrigins.isAsking) return false;
+    if (this.streamOrigins.isLookingUp) return false;
     return this.context.exchanges.size === 0 && this.access.activeRelays === 0;
   }
 
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -73,7 +73,7 @@
     private readonly configurationVersion: number,
     readonly request: CallerRequest,
     response: http.ServerResponse,
-    /** The stream that the request takes up; undefined if it begins anew. */
+    /** The stream that the request resumes; undefined for a new one. */
     resumed?: ResumedStream,
   ) {
     this.answer = new CallerAnswer(context, request.head, response);
@@ -357,7 +357,7 @@
         context.permits.recordAnswer(backend, limits, rateLimit, request.head.attemptId),
       onBackoff: (backoffMs) => this.handleBackoff(backend, backoffMs),
       onTimeout: () => this.backendSilent(backend),
-      onEvent: () => this.stream.passOnFrom(backend),
+      onEvent: () => this.stream.recordForwarding(backend),
       gaps: gapRecorder(context, this.capacityQuery, backend.id, isResumed),
       answer: this.answer,
       onEnd: (end) => this.attemptEnded(backend, end),
--- a/src/gateway/request-stream.ts
+++ b/src/gateway/request-stream.ts
@@ -1,6 +1,6 @@
 /**
- * Tracks at which software version of a service's backends one stream has begun. What two versions write does not fit together,
- * and backends do not check it, so that a stream may go on only at that version. Any version may begin it.
+ * Binds one stream to the software version of the backend that began it. Backends do not check whether a stream that they continue
+ * was begun by another version, whose events are incompatible.
  */
 import type { RouteMatch } from '../core/routing-table.js';
 import type { BackendRecord } from '../core/service-configuration.js';
@@ -9,15 +9,15 @@
 import { streamKeyOf } from './stream-key.js';
 import type { ResumedStream } from './stream-resumptions.js';
 
-/** Time after a caller's deadline for which its stream is remembered, in milliseconds. */
+/** Time after a caller's deadline for which the origin of its stream is kept, in milliseconds. */
 const LIFETIME_MARGIN_MS = 5_000;
 
 /** The stream that one request receives. */
 export class RequestStream {
-  /** The backend that began the stream, in this answer or an earlier one; undefined before that. */
+  /** The backend that wrote the stream's first event, in this answer or an earlier one; undefined before that. */
   private begunAt: Pick<BackendRecord, 'softwareVersion'> | undefined;
-  /** Whether an event of this answer was passed on. */
-  private hasPassedOn = false;
+  /** Whether an event of this answer was forwarded. */
+  private hasForwarded = false;
 
   constructor(
     private readonly context: Pick<GatewayContext, 'directory' | 'streamOrigins'>,
@@ -28,39 +28,39 @@
     this.begunAt = resumed?.origin;
   }
 
-  /** Whether the caller has taken up a stream that an earlier answer has begun. */
+  /** Whether the caller resumes a stream that an earlier answer has begun. */
   get isResumed(): boolean {
     return this.resumed !== undefined;
   }
 
-  /** Records the backend whose event is about to be passed on to the caller. Other daemons are told before the first one is. */
-  passOnFrom(backend: BackendRecord): void {
-    if (this.hasPassedOn) return;
-    this.hasPassedOn = true;
+  /** Records the backend whose event is about to be forwarded to the caller. Notifies other daemons before the first event. */
+  recordForwarding(backend: BackendRecord): void {
+    if (this.hasForwarded) return;
+    this.hasForwarded = true;
     this.begunAt ??= backend;
-    this.tellOthers();
+    this.recordOrigin();
   }
 
-  /** The software version at which the stream must go on; undefined if it has not begun, or if the version is unknown. */
+  /** The software version that the stream is bound to; undefined if it has not begun, or if the version is unknown. */
   get softwareVersion(): string | undefined {
     return this.begunAt?.softwareVersion;
   }
 
-  /** Whether the request may run at a backend: its stream has not begun, or has begun at the backend's software version. */
+  /** Whether the request may run at a backend: its stream has not begun, or is bound to the backend's software version. */
   readonly mayRunAt = ({ softwareVersion }: Pick<BackendRecord, 'softwareVersion'>): boolean => {
     if (this.begunAt === undefined) return true;
     return softwareVersion !== undefined && softwareVersion === this.begunAt.softwareVersion;
   };
 
-  /** Whether the stream has begun, and backends serve, but none at which it may go on. */
+  /** Whether the stream has begun and the service has backends, but none of the stream's version. */
   hasLostVersion(): boolean {
     if (this.begunAt === undefined) return false;
     const serving = this.context.directory.servingBackends(this.match.service.name);
     return serving.length > 0 && !serving.some(this.mayRunAt);
   }
 
-  /** A stream that was taken up is told again, since daemons that remembered it may have ended. */
-  private tellOthers(): void {
+  /** Also called for a resumed stream, because daemons that held its origin may have ended. */
+  private recordOrigin(): void {
     const { softwareVersion } = this;
     const { route, service } = this.match;
     const key = this.key();
--- a/src/gateway/slot-details.ts
+++ b/src/gateway/slot-details.ts
@@ -21,7 +21,7 @@
   readonly needsModel: boolean;
   /** Whether its answer has begun. */
   readonly hasBegun: boolean;
-  /** Whether it takes up a stream that an earlier answer has begun. */
+  /** Whether it resumes a stream that an earlier answer has begun. */
   readonly isResumed: boolean;
   readonly wasSent: boolean;
   readonly wasRefused: boolean;
@@ -31,7 +31,7 @@
   readonly deadlineAt: number;
 }
 
-/** Returns the properties that determine the request's place in a slot queue. A stream that has begun goes first. */
+/** Returns the properties that determine the request's place in a slot queue. A stream that has begun takes precedence. */
 export function slotDetailsOf(slot: SlotRequest): SlotDetails {
   const { request, route, admission, hasBegun } = slot;
   const { head } = request;
--- a/src/gateway/stream-origin-codec.ts
+++ b/src/gateway/stream-origin-codec.ts
@@ -3,59 +3,59 @@
 import type { KnownOrigin, StreamOrigin } from '../core/stream-origins.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
 import {
-  StreamOriginAnswerSchema,
+  StreamOriginResponseSchema,
   StreamOriginNoticeSchema,
-  StreamOriginQuestionSchema,
-  type StreamOriginAnswer,
+  StreamOriginRequestSchema,
+  type StreamOriginResponse,
   type StreamOriginNotice,
 } from '../proto/gen/internal_pb.js';
 
-/** The origin of one stream, as a message has it. */
-export interface NotedOrigin {
+/** The origin of one stream, as a message carries it. */
+export interface OriginNotice {
   /** Key of the stream, in hexadecimal. */
   readonly stream: string;
   readonly origin: StreamOrigin;
   readonly lifetimeMs: number;
 }
 
-/** Encodes where a stream has begun. */
-export function encodeNotice(noted: NotedOrigin): PeerBody {
-  return { case: 'streamOriginNotice', value: noticeOf(noted) };
+/** Encodes a notification of a stream's origin. */
+export function encodeNotice(notice: OriginNotice): PeerBody {
+  return { case: 'streamOriginNotice', value: noticeOf(notice) };
 }
 
-/** Decodes where a stream has begun. */
-export function decodeNotice(message: StreamOriginNotice): NotedOrigin {
+/** Decodes a notification of a stream's origin. */
+export function decodeNotice(message: StreamOriginNotice): OriginNotice {
   const { service, softwareVersion, lifetimeMs } = message;
   return { stream: hexOf(message.stream), origin: { service, softwareVersion }, lifetimeMs };
 }
 
-/** Encodes the question where a stream has begun. */
-export function encodeQuestion(stream: string): PeerBody {
-  const value = create(StreamOriginQuestionSchema, { stream: bytesOf(stream) });
-  return { case: 'streamOriginQuestion', value };
+/** Encodes a request for the origin of a stream. */
+export function encodeRequest(stream: string): PeerBody {
+  const value = create(StreamOriginRequestSchema, { stream: bytesOf(stream) });
+  return { case: 'streamOriginRequest', value };
 }
 
-/** Encodes the answer to a question; `known` is undefined if this daemon does not know the stream. */
-export function encodeAnswer(stream: string, known: KnownOrigin | undefined): PeerBody {
-  const value = create(StreamOriginAnswerSchema, { stream: bytesOf(stream) });
+/** Encodes the response; `known` is undefined if this daemon has no record of the stream. */
+export function encodeResponse(stream: string, known: KnownOrigin | undefined): PeerBody {
+  const value = create(StreamOriginResponseSchema, { stream: bytesOf(stream) });
   if (known !== undefined) {
     const { origin, remainingMs } = known;
     value.origin = noticeOf({ stream, origin, lifetimeMs: remainingMs });
     value.ageMs = Math.round(known.ageMs);
   }
-  return { case: 'streamOriginAnswer', value };
+  return { case: 'streamOriginResponse', value };
 }
 
-/** Decodes the answer to a question: the stream, and its origin if the sender knows it. */
-export function decodeAnswer({ stream, origin, ageMs }: StreamOriginAnswer): {
+/** Decodes a response: the stream, and its origin if the sender has a record of it. */
+export function decodeResponse({ stream, origin, ageMs }: StreamOriginResponse): {
   readonly stream: string;
-  readonly noted: NotedOrigin | undefined;
+  readonly notice: OriginNotice | undefined;
   readonly ageMs: number;
 } {
-  return { stream: hexOf(stream), noted: origin && decodeNotice(origin), ageMs };
+  return { stream: hexOf(stream), notice: origin && decodeNotice(origin), ageMs };
 }
 
-function noticeOf({ stream, origin, lifetimeMs }: NotedOrigin): StreamOriginNotice {
+function noticeOf({ stream, origin, lifetimeMs }: OriginNotice): StreamOriginNotice {
   return create(StreamOriginNoticeSchema, {
     stream: bytesOf(stream),
     ...origin,
--- a/src/gateway/stream-origin-exchange.ts
+++ b/src/gateway/stream-origin-exchange.ts
@@ -1,75 +1,75 @@
 /**
- * Remembers where streams have begun, together with the other daemons. A daemon tells a few others before it passes on the first
- * event of a stream, without waiting for them; a daemon at which a caller takes the stream up asks them. A notice that is lost
- * makes the stream unknown, never wrong.
+ * Replicates the origins of streams to a few other daemons. A daemon notifies them before it forwards the first event of a stream,
+ * without waiting for an acknowledgement; a daemon at which a caller resumes the stream requests the origin from them. A lost
+ * notification makes the origin unknown, never wrong.
  */
-import { askedAbout, holdersOf } from '../core/stream-origin-holders.js';
+import { lookupTargets, holdersOf } from '../core/stream-origin-holders.js';
 import { StreamOrigins, type StreamOrigin } from '../core/stream-origins.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
-import type { StreamOriginAnswer } from '../proto/gen/internal_pb.js';
+import type { StreamOriginResponse } from '../proto/gen/internal_pb.js';
 import type { PeerGroup } from './peer-group.js';
 import { steadyNow } from './steady-clock.js';
 import {
-  decodeAnswer,
+  decodeResponse,
   decodeNotice,
-  encodeAnswer,
+  encodeResponse,
   encodeNotice,
-  encodeQuestion,
+  encodeRequest,
   hexOf,
 } from './stream-origin-codec.js';
 
-/** Time after which a question is repeated to the daemons that have not answered, since datagrams are lost. */
+/** Time after which a request is repeated to the daemons that have not responded, because datagrams may be lost. */
 const REPEAT_MS = 80;
-/** Time after which the daemons that have not answered are given up. */
+/** Timeout for responses. */
 const TIMEOUT_MS = 250;
 
 /** The other daemons. */
 export type OriginPeers = Pick<PeerGroup, 'address' | 'live' | 'reachableOthers' | 'sendDatagram'>;
 
-/** Where a stream has begun, and how this daemon knows it. */
+/** The origin of a stream, and the source of this knowledge. */
 export interface LocatedOrigin {
   readonly origin: StreamOrigin;
-  /** Address of the daemon that has told it; undefined if this daemon remembers it itself. */
+  /** Address of the daemon that reported it; undefined if this daemon has a record of its own. */
   readonly from: string | undefined;
   readonly ageMs: number;
 }
 
-/** Result of a search for a stream's origin. */
-export interface OriginSearch {
-  /** Undefined if no daemon that has answered knows it. */
+/** Result of a lookup of a stream's origin. */
+export interface OriginLookup {
+  /** Undefined if no daemon that responded has a record of it. */
   readonly located: LocatedOrigin | undefined;
   readonly asked: number;
   readonly answered: number;
 }
 
-/** A question that waits for answers. */
-interface PendingQuestion {
+/** A lookup that waits for responses. */
+interface PendingLookup {
   readonly asked: readonly string[];
-  readonly unanswered: Set<string>;
+  readonly pendingTargets: Set<string>;
   readonly timers: readonly NodeJS.Timeout[];
-  readonly result: Promise<OriginSearch>;
-  readonly resolve: (result: OriginSearch) => void;
+  readonly result: Promise<OriginLookup>;
+  readonly resolve: (result: OriginLookup) => void;
 }
 
-/** The streams' origins that one daemon remembers. */
+/** The origins of streams that one daemon has recorded. */
 export class StreamOriginExchange {
   private readonly origins = new StreamOrigins();
   /** By key of the stream. */
-  private readonly pending = new Map<string, PendingQuestion>();
+  private readonly pending = new Map<string, PendingLookup>();
 
   constructor(private readonly peers: OriginPeers) {}
 
-  /** Number of streams that this daemon remembers. */
+  /** Number of recorded streams. */
   get size(): number {
     return this.origins.size;
   }
 
-  /** Whether callers wait for the answer to a question. */
-  get isAsking(): boolean {
+  /** Whether callers wait for the result of a lookup. */
+  get isLookingUp(): boolean {
     return this.pending.size > 0;
   }
 
-  /** Remembers where a stream has begun, and tells a few other daemons. */
+  /** Records the origin of a stream, and notifies a few other daemons. */
   record(stream: string, origin: StreamOrigin, lifetimeMs: number): void {
     this.origins.record(stream, origin, lifetimeMs, steadyNow());
     const notice = encodeNotice({ stream, origin, lifetimeMs });
@@ -80,17 +80,17 @@
     }
   }
 
-  /** Finds out where a stream has begun: from this daemon's memory, or else from other daemons. */
-  async locate(stream: string): Promise<OriginSearch> {
+  /** Looks up the origin of a stream in this daemon's records, and otherwise at other daemons. */
+  async locate(stream: string): Promise<OriginLookup> {
     const known = this.origins.find(stream, steadyNow());
     if (known !== undefined) {
       const located = { origin: known.origin, from: undefined, ageMs: known.ageMs };
       return { located, asked: 0, answered: 0 };
     }
-    return (this.pending.get(stream) ?? this.ask(stream)).result;
+    return (this.pending.get(stream) ?? this.startLookup(stream)).result;
   }
 
-  /** Forgets the streams whose time has passed. Call it a few times per second. */
+  /** Deletes expired records. Call it a few times per second. */
   tick(): void {
     this.origins.deleteExpired(steadyNow());
   }
@@ -103,68 +103,64 @@
         this.origins.record(stream, origin, lifetimeMs, steadyNow());
         return true;
       }
-      case 'streamOriginQuestion': {
+      case 'streamOriginRequest': {
         const stream = hexOf(body.value.stream);
         const known = this.origins.find(stream, steadyNow());
-        this.peers.sendDatagram(from, encodeAnswer(stream, known));
+        this.peers.sendDatagram(from, encodeResponse(stream, known));
         return true;
       }
-      case 'streamOriginAnswer':
-        this.receiveAnswer(from, body.value);
+      case 'streamOriginResponse':
+        this.receiveResponse(from, body.value);
         return true;
       default:
         return false;
     }
   }
 
-  private ask(stream: string): PendingQuestion {
-    const asked = askedAbout(stream, this.peers.reachableOthers());
-    let resolve: (result: OriginSearch) => void = () => {};
-    const result = new Promise<OriginSearch>((settle) => (resolve = settle));
-    const question: PendingQuestion = {
+  private startLookup(stream: string): PendingLookup {
+    const asked = lookupTargets(stream, this.peers.reachableOthers());
+    let resolve: (result: OriginLookup) => void = () => {};
+    const result = new Promise<OriginLookup>((settle) => (resolve = settle));
+    const lookup: PendingLookup = {
       asked,
-      unanswered: new Set(asked),
+      pendingTargets: new Set(asked),
       timers: [
-        setTimeout(() => this.sendQuestion(stream, question), REPEAT_MS),
-        setTimeout(() => this.settle(stream, question, undefined), TIMEOUT_MS),
+        setTimeout(() => this.sendRequests(stream, lookup), REPEAT_MS),
+        setTimeout(() => this.settle(stream, lookup, undefined), TIMEOUT_MS),
       ],
       result,
       resolve,
     };
-    this.pending.set(stream, question);
-    this.sendQuestion(stream, question);
-    if (asked.length === 0) this.settle(stream, question, undefined);
-    return question;
+    this.pending.set(stream, lookup);
+    this.sendRequests(stream, lookup);
+    if (asked.length === 0) this.settle(stream, lookup, undefined);
+    return lookup;
   }
 
-  private sendQuestion(stream: string, { unanswered }: PendingQuestion): void {
-    const body = encodeQuestion(stream);
-    for (const address of unanswered) this.peers.sendDatagram(address, body);
+  private sendRequests(stream: string, { pendingTargets }: PendingLookup): void {
+    const body = encodeRequest(stream);
+    for (const address of pendingTargets) this.peers.sendDatagram(address, body);
   }
 
-  private receiveAnswer(from: string, message: StreamOriginAnswer): void {
-    const { stream, noted, ageMs } = decodeAnswer(message);
-    const question = this.pending.get(stream);
-    if (question?.unanswered.delete(from) !== true) return;
-    if (noted !== undefined) {
-      this.origins.record(stream, noted.origin, noted.lifetimeMs, steadyNow());
-      return this.settle(stream, question, { origin: noted.origin, from, ageMs });
+  private receiveResponse(from: string, message: StreamOriginResponse): void {
+    const { stream, notice, ageMs } = decodeResponse(message);
+    const lookup = this.pending.get(stream);
+    if (lookup?.pendingTargets.delete(from) !== true) return;
+    if (notice !== undefined) {
+      this.origins.record(stream, notice.origin, notice.lifetimeMs, steadyNow());
+      return this.settle(stream, lookup, { origin: notice.origin, from, ageMs });
     }
-    if (question.unanswered.size === 0) this.settle(stream, question, undefined);
+    if (lookup.pendingTargets.size === 0) this.settle(stream, lookup, undefined);
   }
 
-  private settle(
-    stream: string,
-    question: PendingQuestion,
-    located: LocatedOrigin | undefined,
-  ): void {
-    for (const timer of question.timers) clearTimeout(timer);
+  private settle(stream: string, lookup: PendingLookup, located: LocatedOrigin | undefined): void {
+    for (const timer of lookup.timers) clearTimeout(timer);
     this.pending.delete(stream);
-    const { asked, unanswered } = question;
-    question.resolve({
+    const { asked, pendingTargets } = lookup;
+    lookup.resolve({
       located,
       asked: asked.length,
-      answered: asked.length - unanswered.size,
+      answered: asked.length - pendingTargets.size,
     });
   }
 }
--- a/src/gateway/stream-resumptions.ts
+++ b/src/gateway/stream-resumptions.ts
@@ -1,6 +1,6 @@
 /**
- * Finds out, for a caller that takes up a stream, at which service and software version the stream has begun. Nobody guesses: what is
- * not known is refused.
+ * Determines at which service and software version a stream has begun that a caller resumes. A stream of unknown origin is not
+ * resumed.
  */
 import type { ServiceVersions } from '../core/service-versions.js';
 import type { StreamOrigin } from '../core/stream-origins.js';
@@ -10,24 +10,24 @@
 import { steadyNow } from './steady-clock.js';
 import { streamKeyOf } from './stream-key.js';
 
-/** Maximum age of the list of backends from which a stream's version is concluded, in milliseconds. */
+/** Maximum age of the list of backends from which a stream's version is inferred, in milliseconds. */
 const MAX_LIST_AGE_MS = 5_000;
-/** Digits of a caller's attempt id in a log line. */
+/** Maximum length of an id of a caller in a log line. */
 const MAX_LOGGED_ID_LENGTH = 64;
 
-/** A stream that a caller takes up, and where it has begun. */
+/** A resumed stream and its origin. */
 export interface ResumedStream {
-  /** Key under which daemons remember it; undefined if its caller has not named it. */
+  /** Key under which daemons record it; undefined if its caller has not named it. */
   readonly key: string | undefined;
   readonly origin: StreamOrigin;
 }
 
-/** Returns whether a caller takes up a stream that an earlier answer has begun. */
+/** Returns whether a request resumes a stream that an earlier answer has begun. */
 export function isResumption({ head }: CallerRequest): boolean {
   return head.lastEventId !== undefined || head.resumedAttemptId !== undefined;
 }
 
-/** Locates the streams that callers of one daemon take up. */
+/** Locates the origins of the streams that callers of one daemon resume. */
 export class StreamResumptions {
   constructor(
     private readonly context: Pick<
@@ -37,7 +37,7 @@
     private readonly versions: ServiceVersions,
   ) {}
 
-  /** Returns where the stream of a request has begun; undefined if that is not known. */
+  /** Returns the origin of the stream that a request resumes; undefined if it is unknown. */
   async locate(request: CallerRequest, route: Route): Promise<ResumedStream | undefined> {
     const { resumedAttemptId } = request.head;
     if (resumedAttemptId === undefined) return this.locateUnnamed(request, route);
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Locates a stream whose caller does not say which attempt began it: the backends must have had only one software version for as
-   * long as it may have run.
+   * Infers the origin of a stream whose caller does not name the attempt that began it: the backends must have had only one
+   * software version for as long as the route allows a stream to run.
    */
   private locateUnnamed(request: CallerRequest, route: Route): ResumedStream | undefined {
     const [target] = route.targets;
--- a/test/core/stream-origins.test.ts
+++ b/test/core/stream-origins.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { ServiceVersions } from '../../src/core/service-versions.js';
-import { askedAbout, holdersOf } from '../../src/core/stream-origin-holders.js';
+import { lookupTargets, holdersOf } from '../../src/core/stream-origin-holders.js';
 import { StreamOrigins } from '../../src/core/stream-origins.js';
 
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
@@ -43,7 +43,7 @@
   it('are among those asked, although the daemon that serves the stream is asked too', () => {
     const daemons = Array.from({ length: 40 }, (_, index) => `10.0.0.${index}:1`);
     const [server = '', ...others] = daemons;
-    const asked = askedAbout('stream', [server, ...others]);
+    const asked = lookupTargets('stream', [server, ...others]);
     for (const holder of holdersOf('stream', others)) expect(asked).toContain(holder);
   });
 });
--- a/test/simulation/stream-origins-at-size.test.ts
+++ b/test/simulation/stream-origins-at-size.test.ts
@@ -5,7 +5,7 @@
 import { create, toBinary } from '@bufbuild/protobuf';
 import { describe, expect, it } from 'vitest';
 import { rankCandidates } from '../../src/common/rendezvous.js';
-import { askedAbout, holdersOf } from '../../src/core/stream-origin-holders.js';
+import { lookupTargets, holdersOf } from '../../src/core/stream-origin-holders.js';
 import type { PeerBody } from '../../src/daemon/peer-transport.js';
 import { encodeNotice } from '../../src/gateway/stream-origin-codec.js';
 import { EnvelopeSchema } from '../../src/proto/gen/internal_pb.js';
@@ -23,7 +23,7 @@
 
 type Holders = (stream: string, others: readonly string[]) => string[];
 
-const told =
+const notified =
   (count: number): Holders =>
   (stream, others) =>
     rankCandidates(stream, others).slice(0, count);
@@ -46,7 +46,7 @@
     const asker = random.pick(alive) ?? '';
     // Membership may still list the dead daemons.
     const reachable = [server, ...others, ...newcomers].filter((each) => each !== asker);
-    const asked = [asker, ...askedAbout(stream, reachable)];
+    const asked = [asker, ...lookupTargets(stream, reachable)];
     if (asked.some((each) => alive.includes(each) && holding.includes(each))) known += 1;
   }
   return known / STREAMS;
@@ -78,14 +78,16 @@
     expect(knownShare(count, holdersOf, 0, Math.ceil(count / 4))).toBeGreaterThan(0.99);
   });
 
-  it('a stream that nobody was told of is lost with its daemon, whoever is asked', () => {
-    expect(knownShare(count, told(0), 0)).toBe(0);
+  it('an origin without holders is lost with the daemon that serves the stream', () => {
+    expect(knownShare(count, notified(0), 0)).toBe(0);
   });
 
   it('one holder loses more streams than the lossy links and dead daemons allow for', () => {
     const killed = Math.ceil(count / 2);
-    expect(knownShare(count, told(1), killed)).toBeLessThan(knownShare(count, holdersOf, killed));
-    expect(knownShare(count, told(1), 0)).toBeLessThan(0.98);
+    expect(knownShare(count, notified(1), killed)).toBeLessThan(
+      knownShare(count, holdersOf, killed),
+    );
+    expect(knownShare(count, notified(1), 0)).toBeLessThan(0.98);
   });
 });
 
