Soak: whole streams are compared byte for byte again; resumptions that had another version to go to are counted

Now the text must be what replicas of the one version that its events name write; an answer of two versions is a wrong_answer as well. audit.test.ts has both cases; with the former comparison the new case fails: both pass as correct. Each run tells how many attempts to resume a stream, at any gateway, had a replica of another version with the stream's model before them (withOtherVersion): without one, a run proves nothing.

--- a/test/soak/audit-streams.test.ts
+++ b/test/soak/audit-streams.test.ts
@@ -22,7 +22,7 @@
   const status = text === '' ? 503 : 200;
   const request = { attemptId, ...(resumes === undefined ? {} : { resumes }) };
   const call = { request, gateway: 'g', sentAt: 10_000, endedAt: 10_100, status, text };
-  return { call: call as unknown as CallRecord, replicasOfVersion: 2 };
+  return { call: call as unknown as CallRecord, replicasOfVersion: 2, othersWithModel: 1 };
 }
 
 function rulesOf(streams: readonly StreamRecord[], isDisturbed = false): string[] {
--- a/test/soak/audit-streams.ts
+++ b/test/soak/audit-streams.ts
@@ -4,7 +4,7 @@
  */
 import type { CallRecord } from './caller.js';
 import type { SoakEvidence, StreamAttempt, StreamRecord, Violation } from './evidence.js';
-import { streamText, versionsIn, withoutVersions } from './expected-events.js';
+import { streamText, versionsIn } from './expected-events.js';
 import { completeEvents } from './resuming-callers.js';
 
 /** Time for which a gateway must have been undisturbed before an attempt that counts. */
@@ -22,6 +22,8 @@
   readonly starts: number;
   readonly goneOn: number;
   readonly resumptions: number;
+  /** Attempts to resume a stream, at any gateway, while a replica of another version held its model. */
+  readonly withOtherVersion: number;
 }
 
 /** Counts the streams of a run. */
@@ -31,7 +33,8 @@
       from: call.sentAt - CONTACT_MS,
       until: Math.max(call.endedAt, call.sentAt),
     });
-  const attempts = evidence.streams.flatMap((stream) => stream.attempts).filter(isInTouch);
+  const all = evidence.streams.flatMap((stream) => stream.attempts);
+  const attempts = all.filter(isInTouch);
   const starts = attempts.filter(({ call }) => call.request.resumes === undefined);
   const resumptions = attempts.filter(
     ({ call, replicasOfVersion }) =>
@@ -42,6 +45,7 @@
     starts: starts.length,
     goneOn: resumptions.filter(({ call }) => hasEvents(call)).length,
     resumptions: resumptions.length,
+    withOtherVersion: all.filter(({ othersWithModel }) => othersWithModel > 0).length,
   };
 }
 
@@ -59,8 +63,13 @@
       return `${request.attemptId} at ${gateway}: ${status} ${versionsIn(call.text).join('+')}`;
     })
     .join(', ');
-  if (versionsIn(text).length > 1) found.push({ rule: 'two_versions', detail });
-  if (!streamText(stream.body, stream.events).startsWith(withoutVersions(text))) {
+  const versions = versionsIn(text);
+  if (versions.length > 1) found.push({ rule: 'two_versions', detail });
+  const [version] = versions;
+  if (
+    versions.length <= 1 &&
+    !streamText(stream.body, stream.events, 0, version).startsWith(text)
+  ) {
     found.push({ rule: 'wrong_stream', detail });
   }
   return found;
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -103,6 +103,16 @@
     expect(rules({ calls: wrong })).toEqual(['wrong_answer', 'wrong_answer', 'wrong_answer']);
   });
 
+  it('finds a stream with a comment that no replica wrote, or with events of two versions', () => {
+    const body = JSON.stringify({ events: 3 });
+    const whole = streamText(body, 3, 0, 'v1');
+    const forged = streamText(body, 3).replace('id: 2\n', ': forged\nid: 2\n');
+    const mixed = streamText(body, 1, 0, 'v1') + streamText(body, 3, 1, 'v2');
+    const texts = [whole, forged, mixed];
+    const found = texts.map((text) => rules({ calls: [callOf('resumable', { text })] }));
+    expect(found).toEqual([[], ['wrong_answer'], ['wrong_answer']]);
+  });
+
   it('reports late and missing responses of a gateway without faults', () => {
     const late = callOf('any', { endedAt: 11_600 });
     const missing = callOf('any', { status: undefined, isComplete: false });
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -9,7 +9,7 @@
 import { auditStreams } from './audit-streams.js';
 import { auditPartitions } from './audit-partitions.js';
 import { auditTenants } from './audit-tenants.js';
-import { plainText, streamText, withoutVersions } from './expected-events.js';
+import { plainText, streamText, versionsIn } from './expected-events.js';
 import {
   describeCall,
   overlapsAny,
@@ -117,7 +117,9 @@
   if (!call.isSealed) return false;
   if (kind === 'resumable' || kind === 'stream_once') {
     const { events } = JSON.parse(body) as { events: number };
-    return withoutVersions(call.text) === streamText(body, events);
+    // All events name the same version, or none.
+    const [version] = versionsIn(call.text);
+    return call.text === streamText(body, events, 0, version);
   }
   return call.text === plainText(attemptId, body);
 }
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -63,6 +63,8 @@
   readonly call: CallRecord;
   /** Number of serving replicas of the stream's software version when the attempt was sent; 0 for the first attempt. */
   readonly replicasOfVersion: number;
+  /** Number of serving replicas of other versions that held the stream's model then; 0 for the first attempt. */
+  readonly othersWithModel: number;
 }
 
 /** A stream that its caller takes up again after each end before the last event. */
--- a/test/soak/expected-events.ts
+++ b/test/soak/expected-events.ts
@@ -11,11 +11,6 @@
   return `id: ${number}\n${comment}data: ${murmurhash.v3(`${prompt}#${number}`).toString(16)}\n\n`;
 }
 
-/** A stream's text without the comments that name software versions. */
-export function withoutVersions(text: string): string {
-  return text.replace(/^: .*\n/gm, '');
-}
-
 /** The software versions that the complete events of a stream's text name, in order, without repetitions. */
 export function versionsIn(text: string): string[] {
   const events = [...text.matchAll(/^id: \d+\n: (.*)\ndata: .*\n\n/gm)];
@@ -27,10 +22,11 @@
   return [...text.matchAll(/^id: \d+\n(?:: .*\n)?data: .*\n\n/gm)].length;
 }
 
-/** The rest of the stream after the event with the given number. */
-export function streamText(prompt: string, events: number, after = 0): string {
+/** The rest of the stream after the event with the given number, as replicas of one version write it. */
+export function streamText(prompt: string, events: number, after = 0, version?: string): string {
   let text = '';
-  for (let number = after + 1; number <= events; number++) text += eventText(prompt, number);
+  for (let number = after + 1; number <= events; number++)
+    text += eventText(prompt, number, version);
   return text;
 }
 
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -145,6 +145,11 @@
     return this.isUp && this.leavingSince === undefined && !this.saysLeaving;
   }
 
+  /** Whether it has a model loaded. */
+  holds(model: string | undefined): boolean {
+    return model !== undefined && this.models.has(model);
+  }
+
   get service(): string {
     return this.options.service;
   }
--- a/test/soak/resuming-callers.ts
+++ b/test/soak/resuming-callers.ts
@@ -77,9 +77,9 @@
         ...(begunBy === undefined ? {} : { resumes: { attemptId: begunBy, lastEventId } }),
         ...(number === 0 && leaves ? { leavesAfter: LEAVES_AFTER } : {}),
       };
-      const replicasOfVersion = this.replicasOf(versionsIn(text)[0]);
+      const replicas = this.countReplicas(versionsIn(text)[0], request.model);
       const record = await call(request, gateway.name, gateway.callers);
-      attempts.push({ call: record, replicasOfVersion });
+      attempts.push({ call: record, ...replicas });
       text += completeEvents(record);
       if (eventCount(text) > 0) begunBy ??= request.attemptId;
     }
@@ -94,10 +94,19 @@
     return random.pick(others.length > 0 ? others : all);
   }
 
-  private replicasOf(version: string | undefined): number {
-    const { replicas } = this.context.system;
-    if (version === undefined) return 0;
-    return replicas.filter((each) => each.isServing && each.softwareVersion === version).length;
+  private countReplicas(
+    version: string | undefined,
+    model: string | undefined,
+  ): Omit<StreamAttempt, 'call'> {
+    if (version === undefined) return { replicasOfVersion: 0, othersWithModel: 0 };
+    const serving = this.context.system.replicas.filter(
+      ({ isServing, service }) => isServing && service === 'models',
+    );
+    const others = serving.filter((each) => each.softwareVersion !== version);
+    return {
+      replicasOfVersion: serving.length - others.length,
+      othersWithModel: others.filter((each) => each.holds(model)).length,
+    };
   }
 }
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -225,6 +225,7 @@
     });
     expect(result.violations).toEqual([]);
     expect(result.streams.resumptions).toBeGreaterThan(MIN_RESUMPTIONS);
+    expect(result.streams.withOtherVersion).toBeGreaterThan(0);
   });
 
   it('refuse requests with a part that crashes replicas, and serve sound ones beside them', async () => {
