--- /dev/null
+++ b/test/soak/cases-met.ts
@@ -0,0 +1,18 @@
+/** Counts how often a run has met the cases that its audits judge: a run that has met none proves nothing about them. */
+import { judgedFunnels } from './audit-funnels.js';
+import { streamCounts } from './audit-streams.js';
+import type { SoakEvidence } from './evidence.js';
+import type { RunLog } from './run-log.js';
+import type { SoakResult } from './soak-options.js';
+
+/** Returns the counts of one run. */
+export function casesMet(
+  evidence: SoakEvidence,
+  log: Pick<RunLog, 'unframedStreams' | 'brokenStreams'>,
+): Pick<SoakResult, 'funnels' | 'unframedStreams' | 'streams'> {
+  return {
+    funnels: { all: evidence.funnels.length, judged: judgedFunnels(evidence) },
+    unframedStreams: { all: log.unframedStreams, broken: log.brokenStreams },
+    streams: streamCounts(evidence),
+  };
+}
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -517,6 +517,8 @@
     const { softwareVersion } = this;
     response.writeHead(200, { 'content-type': 'text/event-stream', ...seal });
     const breaks = isUnframed && this.options.random.chance(BROKEN_STREAM_SHARE);
+    if (isUnframed) this.options.log.unframedStreams += 1;
+    if (breaks) this.options.log.brokenStreams += 1;
     const breaksAfter = breaks ? sent + Math.ceil((events - sent) / 2) : Infinity;
     const timer = setInterval(() => {
       if (sent >= breaksAfter) {
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -77,6 +77,9 @@
   readonly poisonCrashes: PoisonArrival[] = [];
   readonly brittleFalls: BrittleFall[] = [];
   loads = 0;
+  /** Streams without a length or chunks, and how many of them ended within an event. */
+  unframedStreams = 0;
+  brokenStreams = 0;
 
   recordRun(attemptId: string, replica: string, tenant: string | undefined): void {
     this.runs.push({ attemptId, replica, tenant, at: Date.now() });
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -68,6 +68,10 @@
   readonly limit: LimitMargin;
   /** Number of times that brittle replicas fell over. */
   readonly brittleFalls: number;
+  /** Number of times that most new connections went to one gateway, and how many of these were judged. */
+  readonly funnels: { readonly all: number; readonly judged: number };
+  /** Streams of replicas without a length or chunks, and how many of them ended within an event. */
+  readonly unframedStreams: { readonly all: number; readonly broken: number };
   /** How often callers could begin streams and take them up. */
   readonly streams: StreamCounts;
   /** How callers were served while gateways were partitioned from all replicas. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -5,7 +5,7 @@
 import { RELAY_PORT_OFFSET } from '../../src/gateway/relay-protocol.js';
 import { findSoakPorts } from './soak-ports.js';
 import { audit, excusedViolations } from './audit.js';
-import { streamCounts } from './audit-streams.js';
+import { casesMet } from './cases-met.js';
 import { partitionReports } from './audit-partitions.js';
 import { pickGateway, routableGateways } from './caller-routing.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
@@ -190,7 +190,7 @@
       violations: audit(evidence),
       partitions: partitionReports(evidence),
       brittleFalls: this.log.brittleFalls.length,
-      streams: streamCounts(evidence),
+      ...casesMet(evidence, this.log),
       excused: excusedViolations(evidence),
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isComplete).length,
