--- a/test/soak/audit-crashes.test.ts
+++ b/test/soak/audit-crashes.test.ts
@@ -61,4 +61,15 @@
     const served = [...soundCalls(7_500, 20, 9), ...calm, poison];
     expect(rulesOf({ ...part, calls: served })).toEqual([]);
   });
+
+  it('leaves out sound requests while another part still has its first crashes, and no longer', () => {
+    const poisonCrashes = [...arrivals('part-1', crashes), ...arrivals('part-2', [15_000])];
+    const part = { poisonArrivals: poisonCrashes, poisonCrashes };
+    const poison = [poisonCall('part-1', 30_000), poisonCall('part-2', 30_000)];
+    const calm = soundCalls(CALM_FROM, 20, 18);
+    const settling = [...soundCalls(15_100, 40, 0), ...calm, ...poison];
+    expect(rulesOf({ ...part, calls: settling })).toEqual([]);
+    const settled = [...soundCalls(21_100, 40, 0), ...calm, ...poison];
+    expect(rulesOf({ ...part, calls: settled })).toEqual(['sound_harmed', 'sound_harmed']);
+  });
 });
--- a/test/soak/audit-crashes.ts
+++ b/test/soak/audit-crashes.ts
@@ -48,16 +48,50 @@
 }
 
 function auditPoison(name: string, evidence: SoakEvidence): Violation[] {
+  const { crashes, lateArrivals } = crashReport(name, evidence);
+  if (lateArrivals <= LATE_ARRIVALS_ALLOWED) return [];
+  const detail = `${name}: ${lateArrivals} late arrivals, ${crashes} crashes`;
+  return [{ rule: 'crash_repeated', detail }];
+}
+
+/** What became of one crashing request or part. */
+export interface CrashReport {
+  readonly name: string;
+  /** Requests with it that callers sent. */
+  readonly sent: number;
+  readonly arrivals: number;
+  readonly crashes: number;
+  /** Arrivals that count against the bound, after the last allowed crash. */
+  readonly lateArrivals: number;
+  /** Sound calls beside it that were judged; 0 for a request. */
+  readonly judgedCalls: number;
+}
+
+/** Reports on all crashing requests and parts that reached a replica. */
+export function crashReports(evidence: SoakEvidence): CrashReport[] {
+  const names = new Set(evidence.poisonArrivals.map(({ name }) => name));
+  return [...names].map((name) => crashReport(name, evidence));
+}
+
+function crashReport(name: string, evidence: SoakEvidence): CrashReport {
   const arrivals = evidence.poisonArrivals.filter((arrival) => arrival.name === name);
   const crashes = crashTimes(name, evidence);
-  const last = crashes[(isPart(name) ? PART_CRASHES_ALLOWED : CRASHES_ALLOWED) - 1];
-  if (last === undefined) return [];
+  const last = crashes[(isPart(name) ? PART_CRASHES_ALLOWED : CRASHES_ALLOWED) - 1] ?? Infinity;
   const late = arrivals.filter((arrival) => {
     return arrival.at > last + PROPAGATION_MS && wasConnected(arrival, evidence);
   });
-  if (late.length <= LATE_ARRIVALS_ALLOWED) return [];
-  const detail = `${name}: ${late.length} late arrivals, ${crashes.length} crashes`;
-  return [{ rule: 'crash_repeated', detail }];
+  return {
+    name,
+    sent: sentWith(name, evidence).length,
+    arrivals: arrivals.length,
+    crashes: crashes.length,
+    lateArrivals: late.length,
+    judgedCalls: isPart(name) ? judgedCalls(name, evidence).length : 0,
+  };
+}
+
+function sentWith(name: string, { calls }: SoakEvidence): CallRecord[] {
+  return calls.filter(({ request }) => request.body.includes(`"${name}"`));
 }
 
 /** Whether the sending gateway had no fault for long enough that it must know of the crashes. */
@@ -78,19 +112,10 @@
 
 /** While requests with a crashing part still come, sound requests for models must begin about as often as without faults. */
 function auditSoundCalls(name: string, evidence: SoakEvidence): Violation[] {
-  const poison = evidence.calls.filter(({ request }) => request.body.includes(`"${name}"`));
-  const from = settlingTime(name, evidence).until;
-  const until = Math.max(...poison.map(({ sentAt }) => sentAt), -Infinity);
-  const others = evidence.poisonArrivals.filter((arrival) => arrival.name !== name);
-  const settling = [...new Set(others.map((arrival) => arrival.name))].map((other) =>
-    settlingTime(other, evidence),
-  );
-  const sound = evidence.calls.filter((call) => isSoundCall(call, evidence));
-  const during = sound.filter(({ sentAt }) => {
-    const isSettling = overlapsAny({ from: sentAt, until: sentAt }, settling);
-    return sentAt >= from && sentAt <= until && !isSettling;
+  const during = judgedCalls(name, evidence);
+  const calm = evidence.calls.filter((call) => {
+    return isSoundCall(call, evidence) && call.sentAt >= evidence.faultFreeSince;
   });
-  const calm = sound.filter(({ sentAt }) => sentAt >= evidence.faultFreeSince);
   if (during.length < MIN_CALLS || calm.length < MIN_CALLS) return [];
   if (begunShare(during) >= MIN_RATIO * begunShare(calm)) return [];
   const counts = `${during.filter(hasBegun).length} of ${during.length}`;
@@ -98,6 +123,21 @@
   return [{ rule: 'sound_harmed', detail }];
 }
 
+/** Sound calls beside a crashing part, except while the first crashes of other parts may still harm them. */
+function judgedCalls(name: string, evidence: SoakEvidence): CallRecord[] {
+  const from = settlingTime(name, evidence).until;
+  const until = Math.max(...sentWith(name, evidence).map(({ sentAt }) => sentAt), -Infinity);
+  const names = new Set(evidence.poisonArrivals.map((arrival) => arrival.name));
+  const settling = [...names]
+    .filter((other) => other !== name)
+    .map((other) => settlingTime(other, evidence));
+  return evidence.calls.filter((call) => {
+    const { sentAt } = call;
+    const isSettling = overlapsAny({ from: sentAt, until: sentAt }, settling);
+    return sentAt >= from && sentAt <= until && !isSettling && isSoundCall(call, evidence);
+  });
+}
+
 /** Whether a call is for a model, without a crashing part, at a gateway without a fault of its own, and not refused for its key or limit. */
 function isSoundCall(
   { request, gateway, sentAt, status }: CallRecord,
--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -1,4 +1,5 @@
 /** Counts how often a run has met the cases that its audits judge: a run that has met none proves nothing about them. */
+import { crashReports } from './audit-crashes.js';
 import { judgedFunnels } from './audit-funnels.js';
 import { streamCounts } from './audit-streams.js';
 import type { SoakEvidence } from './evidence.js';
@@ -9,8 +10,9 @@
 export function casesMet(
   evidence: SoakEvidence,
   log: Pick<RunLog, 'unframedStreams' | 'brokenStreams'>,
-): Pick<SoakResult, 'funnels' | 'unframedStreams' | 'streams'> {
+): Pick<SoakResult, 'crashes' | 'funnels' | 'unframedStreams' | 'streams'> {
   return {
+    crashes: crashReports(evidence),
     funnels: { all: evidence.funnels.length, judged: judgedFunnels(evidence) },
     unframedStreams: { all: log.unframedStreams, broken: log.brokenStreams },
     streams: streamCounts(evidence),
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -26,6 +26,7 @@
   readonly partition?: string;
   readonly series: SeriesFault['kind'][] | boolean;
   readonly holdStarts: number;
+  readonly partsAtOnce: string;
 }
 
 /** Excused violations to print: only the last ones. */
@@ -81,6 +82,11 @@
     durationOf,
     0,
   )
+  .option(
+    '--parts-at-once <number>',
+    'crashing parts that callers send at the same time',
+    'Infinity',
+  )
   .addOption(
     new Option('--epochs <choice>', 'whether replicas reject orders with too low an epoch')
       .choices(EPOCH_CHOICES)
@@ -147,6 +153,7 @@
       drawsRanks: flags.drawnRanks,
       series: seriesOf(flags.series),
       startHoldMs: flags.holdStarts,
+      partsAtOnce: Number(flags.partsAtOnce),
       ...(flags.partition === undefined ? {} : { partition: partitionOf(flags.partition) }),
     });
     const { violations, excused, ...figures } = result;
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -21,8 +21,6 @@
 
 /** Time after a funnel until the next one may begin. */
 const AFTER_FUNNEL_MS = 4_000;
-/** Maximum number of crashing parts at the same time. */
-const MAX_POISON_PARTS = 2;
 
 type FaultOf<Kind extends OptInFault['kind']> = Extract<OptInFault, { kind: Kind }>;
 
@@ -57,6 +55,8 @@
     private readonly system: SoakSystem & PoisonSender & GatewayStarter,
     private readonly random: SeededRandom,
     private readonly endsAt: number,
+    /** Maximum number of crashing parts that callers send at the same time. */
+    private readonly partsAtOnce = Infinity,
   ) {}
 
   inject(fault: OptInFault): void {
@@ -172,7 +172,7 @@
   }
 
   private async repeatPoisonPart(fault: FaultOf<'poison_part'>): Promise<void> {
-    if (this.poisonParts >= MAX_POISON_PARTS) return;
+    if (this.poisonParts >= this.partsAtOnce) return;
     this.poisonParts += 1;
     this.poisonCount += 1;
     const name = `part-${this.poisonCount}`;
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -1,4 +1,5 @@
 /** Options and result of a soak test. */
+import type { CrashReport } from './audit-crashes.js';
 import type { StreamCounts } from './audit-streams.js';
 import path from 'node:path';
 import type { PartitionReport } from './audit-partitions.js';
@@ -47,6 +48,8 @@
   readonly leaving?: boolean;
   /** Replaces what the seed draws for partitions of gateways from all replicas. */
   readonly partition?: Partial<PartitionFault>;
+  /** Maximum number of crashing parts that callers send at the same time; unlimited by default. */
+  readonly partsAtOnce?: number;
   /** Kinds of series of signals, restarts and configuration changes; none by default. */
   readonly series?: readonly SeriesFault['kind'][];
   /** Time for which each new gateway process is stopped before its first instruction; 0 by default. */
@@ -68,6 +71,8 @@
   readonly limit: LimitMargin;
   /** Number of times that brittle replicas fell over. */
   readonly brittleFalls: number;
+  /** Crashing requests and parts that reached a replica. */
+  readonly crashes: readonly CrashReport[];
   /** Number of times that most new connections went to one gateway, and how many of these were judged. */
   readonly funnels: { readonly all: number; readonly judged: number };
   /** Streams of replicas without a length or chunks, and how many of them ended within an event. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -262,9 +262,9 @@
 
   /** Schedules the faults and returns their number. */
   private planNamed(faultsStart: number): number {
-    const { seed, faultMs } = this.options;
+    const { seed, faultMs, partsAtOnce } = this.options;
     const random = new SeededRandom(seed + NAMED_SEED);
-    const faults = new OptInFaultInjector(this, random, faultsStart + faultMs);
+    const faults = new OptInFaultInjector(this, random, faultsStart + faultMs, partsAtOnce);
     const plan = planOptInFaults(random, faultMs, this.namedKinds, this.options.partition);
     return this.schedule(plan, faultsStart, (fault) => faults.inject(fault));
   }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -62,7 +62,11 @@
 
 /** Produces parts of prompts that crash replicas. */
 const PARTS_SEED = 65_202;
-const PARTS_FAULT_MS = 20_000;
+const PARTS_FAULT_MS = 30_000;
+/** At least this many sound calls must be judged beside a part for the run to be meaningful. */
+const MIN_JUDGED_CALLS = 20;
+/** A part is refused after this many crashes. */
+const MIN_PART_CRASHES = 3;
 
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
@@ -235,12 +239,17 @@
       folder: soakFolder(PARTS_SEED),
       faultKinds: 'none',
       only: ['poison_part'],
+      partsAtOnce: 1,
       gateways: 6,
       replicas: 9,
       keptCallers: 4,
     });
     expect(result.violations).toEqual([]);
-    expect(result.faults).toBeGreaterThan(2);
+    const parts = result.crashes.filter(({ crashes }) => crashes >= MIN_PART_CRASHES);
+    expect(parts.length).toBeGreaterThan(0);
+    expect(Math.max(...parts.map(({ judgedCalls }) => judgedCalls))).toBeGreaterThanOrEqual(
+      MIN_JUDGED_CALLS,
+    );
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
