Log: each failed attempt names its connection, and whether it was reused

Hypotheses for TWICE that today's logs can't tell apart: a. the refusal that arrives for a second send is the backend's own word on that send, which it then runs all the same; b. it is a copy of an earlier refusal, on the connection that carried it; c. it is a copy that comes through a relay, or on another connection. `attempt_failed` said neither which connection an attempt used nor whether that connection had carried requests before. It does now (localPort, reused).

No change of logic.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -140,6 +140,12 @@
     );
   }
 
+  /** The connection that carried the request, for log lines. */
+  get connection(): { readonly localPort: number | undefined; readonly isReused: boolean } {
+    const { localPort, isReused } = this.exchange;
+    return { localPort, isReused };
+  }
+
   /** Id of the backend that the request was sent to. */
   get backendId(): string {
     return this.options.backend.id;
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -62,6 +62,7 @@
   private readonly isRelayed: boolean;
   private connected = false;
   private ended = false;
+  private openedPort: number | undefined;
 
   constructor(
     request: BackendRequest,
@@ -99,6 +100,16 @@
     return this.sender.readUntil;
   }
 
+  /** Local port of the connection, which identifies it in log lines; undefined before the connection has opened. */
+  get localPort(): number | undefined {
+    return this.openedPort;
+  }
+
+  /** Whether the connection carried earlier requests. */
+  get isReused(): boolean {
+    return this.outgoing.reusedSocket;
+  }
+
   /** Closes the connection without a callback. */
   abort(): void {
     this.ended = true;
@@ -127,7 +138,7 @@
 
   private watchConnect(socket: Socket): void {
     if (!socket.connecting) {
-      this.connected = true;
+      this.opened(socket);
       this.observer.sent();
       return;
     }
@@ -135,13 +146,18 @@
       if (!this.connected) this.outgoing.destroy(new Error('connection timed out'));
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
-      this.connected = true;
+      this.opened(socket);
       if (!this.ended) this.observer.sent();
       clearTimeout(timer);
     });
     socket.once('close', () => clearTimeout(timer));
   }
 
+  private opened(socket: Socket): void {
+    this.connected = true;
+    this.openedPort = socket.localPort;
+  }
+
   private receive(answer: http.IncomingMessage): void {
     if (this.ended) return;
     const relayFailure = this.isRelayed
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -441,6 +441,7 @@
   private attemptEnded(backend: BackendRecord, end: AttemptEnd): void {
     if (this.ended) return;
     const relay = this.attempt?.relay;
+    const connection = this.attempt?.connection;
     const attempt = { backend, relay, model: this.model, end };
     this.releaseAttempt(backend.id, hasBackendFailed(this.context, attempt));
     if (relay !== undefined && this.relayEnded(relay, backend, end)) return;
@@ -455,6 +456,8 @@
       reached: end.reached,
       reason: end.reason,
       relay,
+      localPort: connection?.localPort,
+      reused: connection?.isReused,
       sends: this.sends,
     });
     // An attempt that never reached its backend does not count as a send.
