--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -52,6 +52,7 @@
   platform_outcome_unknown: { status: 504, ran: 'unknown', retryAfterSeconds: 5 },
   settings_invalid: { status: 500, ran: 'no', retryAfterSeconds: 0 },
   internal: { status: 500, ran: 'unknown', retryAfterSeconds: 0 },
+  internal_not_sent: { status: 503, ran: 'no', retryAfterSeconds: 1 },
 } as const satisfies Record<string, ErrorResponse>;
 
 /** Kind of an error. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,8 @@
 /** Sends a request to one backend once, and validates the answer. */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
+import type { FaultBoundary } from '../common/fault-boundary.js';
+import { isHeaderValue } from '../common/header-value.js';
 import type { RateLimitNotice } from '../core/backend-rate-limits.js';
 import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
@@ -81,6 +83,8 @@
   /** Records the gaps between events; undefined if the gaps say nothing about the backend. */
   readonly gaps: StreamGaps | undefined;
   readonly answer: CallerAnswer;
+  /** Runs whatever the event loop calls for the attempt. */
+  readonly boundary: FaultBoundary;
   readonly onEnd: (end: AttemptEnd) => void;
 }
 
@@ -113,8 +117,7 @@
     private readonly context: GatewayContext,
     private readonly options: AttemptOptions,
   ) {
-    const { backend, request, relay } = options;
-    this.startTimeout(options.firstByteTimeoutMs);
+    const { backend, request, relay, boundary } = options;
     this.exchange = new BackendExchange(
       {
         address: backend.address,
@@ -126,18 +129,19 @@
       },
       context.agent,
       {
-        onHead: (answer) => this.receiveHead(answer),
-        onData: (chunk) => this.receiveData(chunk),
-        onEnd: () => this.receiveEnd(),
-        onFailure: (failure) => this.exchangeFailed(failure),
-        onRelayAcknowledged: () => {
+        onHead: boundary.guard((answer) => this.receiveHead(answer)),
+        onData: boundary.guard((chunk) => this.receiveData(chunk)),
+        onEnd: boundary.guard(() => this.receiveEnd()),
+        onFailure: boundary.guard((failure) => this.exchangeFailed(failure)),
+        onRelayAcknowledged: boundary.guard(() => {
           if (relay !== undefined) context.paths.recordAcknowledged(relay);
-        },
+        }),
       },
       relay === undefined
         ? context.backendWatch.observeExchange(backend.address)
         : UNOBSERVED_EXCHANGE,
     );
+    this.startTimeout(options.firstByteTimeoutMs);
   }
 
   /** The connection that carried the request, for log lines. */
@@ -270,8 +274,12 @@
   }
 
   private forwardEvent(event: StreamEvent): void {
-    const { answer } = this.options;
-    if (isAlreadySent(event, answer.lastEventId)) return;
+    const { answer, boundary } = this.options;
+    if (this.ended || isAlreadySent(event, answer.lastEventId)) return;
+    // The stream could not be resumed after such an event.
+    if (event.id !== undefined && !isHeaderValue(event.id)) {
+      return this.fail('unknown', 'an event has an id that no header can hold', {});
+    }
     this.options.onEvent();
     if (!answer.hasBegun) {
       const incoming = this.incoming;
@@ -283,7 +291,7 @@
     }
     if (answer.sendEvent(event) || this.isPaused) return;
     this.setPaused(true);
-    answer.onceDrained(() => this.setPaused(false));
+    answer.onceDrained(boundary.guard(() => this.setPaused(false)));
   }
 
   /**
@@ -316,7 +324,11 @@
       this.end({ type: 'done', status }, () => this.options.answer.sendComplete(complete));
       return;
     }
-    const isForwardable = this.head?.signed === true && !NOT_RUN_STATUSES.has(status);
+    const isForwardable =
+      this.head?.signed === true &&
+      !NOT_RUN_STATUSES.has(status) &&
+      // A failure cannot continue a stream that the caller already receives.
+      !this.options.answer.hasBegun;
     if (isForwardable && status < FIRST_SERVER_FAILURE_STATUS) {
       this.end({ type: 'done', status }, () => this.options.answer.sendComplete(complete));
       return;
@@ -343,15 +355,16 @@
   }
 
   private exchangeFailed(failure: ExchangeFailure): void {
-    const { reached, reason, relayFailure } = failure;
+    const { reached, reason, relayFailure, isInvalidAnswer = false } = failure;
+    const connectionLost = reached && !isInvalidAnswer && relayFailure !== 'invalid_answer';
     this.end({
       type: 'failed',
       ran: reached ? 'unknown' : 'no',
       reached,
       reason,
       unresponsive: !reached,
-      closedBeforeAnswer: reached && this.incoming === undefined,
-      connectionLost: reached,
+      closedBeforeAnswer: connectionLost && this.incoming === undefined,
+      connectionLost,
       lacksModel: false,
       ...(relayFailure === undefined ? {} : { relayFailure }),
     });
@@ -390,7 +403,12 @@
   private startTimeout(limitMs: number): void {
     clearTimeout(this.timer);
     if (!Number.isFinite(limitMs)) return;
-    this.timer = setTimeout(() => this.handleTimeout(limitMs), limitMs);
+    this.scheduleTimeout(limitMs, limitMs);
+  }
+
+  private scheduleTimeout(limitMs: number, delayMs: number): void {
+    const handle = this.options.boundary.guard(() => this.handleTimeout(limitMs));
+    this.timer = setTimeout(handle, delayMs);
   }
 
   /**
@@ -400,15 +418,14 @@
   private handleTimeout(limitMs: number): void {
     const remainingMs = this.exchange.bodyReadUntil + limitMs - steadyNow();
     if (remainingMs > 0) {
-      this.timer = setTimeout(() => this.handleTimeout(limitMs), remainingMs);
-      return;
+      return this.scheduleTimeout(limitMs, remainingMs);
     }
     if (this.options.hasAlternative()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
     }
     if (!this.timeoutReported) this.options.onTimeout();
     this.timeoutReported = true;
-    this.timer = setTimeout(() => this.handleTimeout(limitMs), ALTERNATIVE_CHECK_MS);
+    this.scheduleTimeout(limitMs, ALTERNATIVE_CHECK_MS);
   }
 }
 
--- a/src/gateway/backend-access.ts
+++ b/src/gateway/backend-access.ts
@@ -6,6 +6,7 @@
 import { BackendPaths } from './backend-paths.js';
 import { BackendWatch } from './backend-watch.js';
 import type { CrashTracker } from './crash-tracker.js';
+import type { FaultRecorder } from './fault-recorder.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { PeerGroup } from './peer-group.js';
@@ -28,6 +29,7 @@
   readonly peers: PeerGroup;
   readonly crashes: () => CrashTracker;
   readonly answers: () => AnswerBuffer;
+  readonly faults: FaultRecorder;
   /** Maximum size of a request body in bytes; undefined before the first configuration. */
   readonly maxBodyBytes: () => number | undefined;
   readonly isDraining: () => boolean;
@@ -73,6 +75,7 @@
       directory,
       dialect,
       agent,
+      faults: options.faults,
       watch: this.watch,
       addBuffered: (bytes) => options.answers().addBuffered(bytes),
       maxBodyBytes: options.maxBodyBytes,
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
+import { invalidHeadReason } from './answer-head-check.js';
 import type { BackendAgent } from './backend-agent.js';
 import type { ExchangeObserver } from './backend-watch.js';
 import { BodySender } from './body-sender.js';
@@ -39,6 +40,8 @@
   /** Whether the backend may have received any byte of the request. */
   readonly reached: boolean;
   readonly reason: string;
+  /** The backend's answer is not one that HTTP allows; undefined if no answer was received. */
+  readonly isInvalidAnswer?: boolean;
   /** Why the relay has no answer of the backend; undefined for a direct request, or if the relay gave no reason. */
   readonly relayFailure?: RelayFailure;
 }
@@ -166,6 +169,10 @@
     if (relayFailure !== undefined) return this.relayFailed(relayFailure);
     this.incoming = answer;
     this.observer.received();
+    const invalidReason = invalidHeadReason(answer);
+    if (invalidReason !== undefined) {
+      return this.end({ reached: true, reason: invalidReason, isInvalidAnswer: true });
+    }
     if (isUnframed(answer)) this.watchReset(answer.socket);
     this.handler.onHead(answer);
     answer.on('data', (chunk: Buffer) => {
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -130,6 +130,11 @@
     this.response.destroy();
   }
 
+  /** Closes the connection unless the whole answer was written. */
+  disconnectIfIncomplete(): void {
+    if (!this.response.writableEnded) this.response.destroy();
+  }
+
   /** Sends an error of the given kind, unless the answer has begun. */
   sendError(kind: ErrorKind, retryAfterMs: number | undefined): void {
     if (this.response.headersSent || this.response.destroyed) return;
@@ -149,9 +154,9 @@
   }
 
   private writeHead(status: number, headers: string[]): void {
-    this.headSentAt = steadyNow();
     if (this.context.isDraining()) headers.push('Connection', 'close');
     this.response.writeHead(status, headers);
+    this.headSentAt = steadyNow();
   }
 }
 
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
+import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
@@ -20,6 +21,17 @@
 /** Timeout for receiving a whole request. */
 const BODY_TIMEOUT_MS = 30_000;
 
+/** Retry time for a caller whose request a defect of this daemon has ended. */
+const FAULT_RETRY_AFTER_MS = 1_000;
+
+/** A request whose head was read. */
+interface ReceivedRequest {
+  readonly head: RequestHead;
+  readonly answer: CallerAnswer;
+  /** Runs whatever the event loop calls for the request until its exchange begins. */
+  readonly boundary: FaultBoundary;
+}
+
 /** HTTP server for callers. */
 export class CallerServer {
   private readonly server: http.Server;
@@ -36,7 +48,7 @@
         requestTimeout: BODY_TIMEOUT_MS,
         noDelay: true,
       },
-      (request, response) => this.receive(request, response),
+      (request, response) => this.receiveGuarded(request, response),
     );
     this.server.on('clientError', (_fault, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
@@ -65,10 +77,27 @@
     this.server.closeAllConnections();
   }
 
-  private receive(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const arrivedAt = steadyNow();
+  private receiveGuarded(request: http.IncomingMessage, response: http.ServerResponse): void {
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
+    // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
+    const boundary = this.context.faults.boundaryOf('request', {
+      fields: () => ({ request: head.attemptId, mayHaveRun: false }),
+      end: () => {
+        answer.sendError('internal_not_sent', FAULT_RETRY_AFTER_MS);
+        answer.disconnectIfIncomplete();
+      },
+      abandon: () => answer.disconnect(),
+    });
+    boundary.run(() => this.receive(request, response, { head, answer, boundary }));
+  }
+
+  private receive(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    { head, answer, boundary }: ReceivedRequest,
+  ): void {
+    const arrivedAt = steadyNow();
     const table = this.routing();
     if (table === undefined) return answer.sendError('not_ready', 500);
     if (this.context.refusesRequests()) return answer.sendError('draining', 0);
@@ -84,16 +113,17 @@
       return answer.sendError(admission.kind, admission.retryAfterMs);
     }
     response.on('error', () => response.destroy());
-    this.readBody(request, limits.bodyBytes, (body) => {
+    const bodyRead = boundary.guard((body: Buffer | undefined) => {
       if (body === undefined) return answer.sendError('body_too_large', undefined);
-      this.begin(request, response, answer, { head, body, arrivedAt });
+      this.begin(request, response, { answer, boundary }, { head, body, arrivedAt });
     });
+    this.readBody(request, limits.bodyBytes, bodyRead);
   }
 
   private begin(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    answer: CallerAnswer,
+    { answer, boundary }: Pick<ReceivedRequest, 'answer' | 'boundary'>,
     read: Pick<CallerRequest, 'head' | 'body' | 'arrivedAt'>,
   ): void {
     const { rawHeaders, method = 'GET', url: path = '/' } = request;
@@ -102,7 +132,7 @@
     const table = this.routing();
     const route = table?.route(host, path);
     if (route !== undefined && isStream(route) && isResumption(caller)) {
-      return void this.resume(response, answer, caller, host);
+      return boundary.watch(this.resume(response, answer, caller, host));
     }
     const match = table?.match(host, path);
     if (table === undefined || match === undefined) {
--- a/src/gateway/decision-state.ts
+++ b/src/gateway/decision-state.ts
@@ -1,6 +1,13 @@
 /** State that a daemon's decision on a request is based on, and its age, as log fields. */
-import { isStream, type Route, type Service } from '../core/service-configuration.js';
+import type { LogFields } from '../common/logger.js';
+import {
+  isStream,
+  type BackendRecord,
+  type Route,
+  type Service,
+} from '../core/service-configuration.js';
 import type { CallerAnswer } from './caller-answer.js';
+import type { CallerRequest } from './caller-request.js';
 import type { GatewayContext } from './gateway-context.js';
 import { steadyNow } from './steady-clock.js';
 
@@ -26,6 +33,35 @@
   };
 }
 
+/** A request that is about to be sent. */
+export interface SentRequest {
+  readonly backend: BackendRecord;
+  readonly request: CallerRequest;
+  /** The event after which its stream resumes. */
+  readonly lastEventId: string | undefined;
+  /** Peer address of the daemon that relays it; undefined to send it directly. */
+  readonly relay: string | undefined;
+  /** Steady time in milliseconds. */
+  readonly now: number;
+}
+
+/** Returns where a request is sent and what is known about that backend, as fields of a log line. */
+export function sentFields(
+  { slots, permits }: Pick<GatewayContext, 'slots' | 'permits'>,
+  { backend, request, lastEventId, relay, now }: SentRequest,
+): LogFields {
+  return {
+    backend: backend.id,
+    version: backend.softwareVersion,
+    resumes: request.head.resumedAttemptId,
+    afterEvent: lastEventId,
+    relay,
+    beliefAgeMs: slots?.statusAgeMs(backend.id, now),
+    rateLimit: permits.perSecond(backend),
+    waitedMs: Math.round(now - request.arrivedAt),
+  };
+}
+
 /**
  * Returns the times of a request that has ended, as fields of a log line.
  *
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -13,6 +13,7 @@
 import type { BackendPermits } from './backend-permits.js';
 import type { CallerAdmission } from './caller-admission.js';
 import type { CrashTracker } from './crash-tracker.js';
+import type { FaultRecorder } from './fault-recorder.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { ShutdownAnnouncer } from './shutdown-announcer.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -39,6 +40,8 @@
   readonly agent: BackendAgent;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
+  /** Reports unexpected exceptions. */
+  readonly faults: FaultRecorder;
   readonly admission: CallerAdmission;
   /** Rate limits of tenants. */
   readonly limits: SharedLimits;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -76,6 +76,12 @@
     help: 'Refusals in which a backend has asked this daemon for rest',
     registers: [this.registry],
   });
+  readonly faults = new Counter({
+    name: 'scaleslip_gateway_faults_total',
+    help: 'Unexpected exceptions, by what each has ended: request, relayed_request, message or tick',
+    labelNames: ['scope'],
+    registers: [this.registry],
+  });
   readonly crashedRequests = new Counter({
     name: 'scaleslip_gateway_crashes_met_total',
     help: 'Requests that this daemon had at a backend when it crashed',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,6 @@
  * One gateway daemon: forwards opaque requests to services by route and owns services
  * according to its rank among the daemons. Creates and connects the daemon's components.
  */
-import { faultText } from '../common/logger.js';
 import { leaseClock, leaseNow } from '../common/lease-clock.js';
 import { sleep, startTicker, type Ticker } from '../common/process.js';
 import { LimitShares } from '../core/admission/limit-shares.js';
@@ -30,7 +29,9 @@
 import { ConfigurationLeaseRenewal } from './configuration-lease-renewal.js';
 import type { GossipLinks } from './digest-gossip.js';
 import { DirectoryFollower } from './directory-follower.js';
+import { FaultRecorder } from './fault-recorder.js';
 import type { GatewayContext } from './gateway-context.js';
+import { refreshGauges } from './gateway-gauges.js';
 import type { GatewayDependencies } from './gateway-dependencies.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
@@ -74,6 +75,7 @@
   private readonly crashes: CrashTracker;
   private readonly leavings: ShutdownAnnouncer;
   private readonly streamOrigins: StreamOriginExchange;
+  private readonly faults: FaultRecorder;
   private readonly versions = new ServiceVersions();
   private readonly directoryReader: DirectoryFollower;
   private readonly ownerships: ServiceOwnerships;
@@ -98,6 +100,7 @@
     private readonly systems: GatewayDependencies,
   ) {
     const { logger } = systems;
+    this.faults = new FaultRecorder(logger, systems.metrics);
     this.budgets = new CallerBudgets(settings, steadyNow());
     this.peers = new PeerGroup({
       host: settings.address,
@@ -105,7 +108,7 @@
       zone: settings.zone,
       capacity: settings.processorShare * settings.processorSpeed,
       logger,
-      onMessage: (from, body) => this.receive(from, body),
+      onMessage: this.faults.guardMessages((from, body) => this.receive(from, body)),
       onChange: () => {
         this.membersHaveChanged = true;
         this.limits.groupChanged();
@@ -139,14 +142,7 @@
     this.slots = settings.policies.sharedSlots ? this.makeSlots() : undefined;
     this.ownerships = this.makeOwnerships();
     this.placements = this.makePlacements();
-    this.demand = new DemandReporter({
-      self: this.peers.address,
-      ownerships: this.ownerships,
-      tracker: () => this.context.tracker,
-      health: () => this.context.health,
-      version: () => this.version,
-      send: (to, body) => this.peers.send(to, body),
-    });
+    this.demand = this.makeDemandReporter();
     this.context = this.makeContext();
     this.directoryReader = new DirectoryFollower({
       directory: systems.directory,
@@ -186,9 +182,7 @@
     });
     this.members.start();
     this.limits.start();
-    const onFault = (fault: unknown): void => {
-      systems.logger.error('tick_fault', { reason: faultText(fault) });
-    };
+    const onFault = (fault: unknown): void => this.faults.record('tick', fault);
     this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
     leaseClock.onForwardStep = (milliseconds) => systems.logger.warn('time_leap', { milliseconds });
     for (const name of settings.retiredPolicies) systems.logger.warn('policy_retired', { name });
@@ -301,6 +295,7 @@
       peers: this.peers,
       crashes: () => this.crashes,
       answers: () => this.context.answers,
+      faults: this.faults,
       maxBodyBytes: () => this.routing?.configuration.limits.bodyBytes,
       isDraining: () => this.refusesRequests(),
       onPartitioned: () => this.partitioned(),
@@ -380,6 +375,17 @@
     });
   }
 
+  private makeDemandReporter(): DemandReporter {
+    return new DemandReporter({
+      self: this.peers.address,
+      ownerships: this.ownerships,
+      tracker: () => this.context.tracker,
+      health: () => this.context.health,
+      version: () => this.version,
+      send: (to, body) => this.peers.send(to, body),
+    });
+  }
+
   private makeStatusPorts(): StatusPorts {
     const { dialect, metrics } = this.systems;
     return new StatusPorts({
@@ -408,6 +414,7 @@
       agent,
       metrics,
       logger,
+      faults: this.faults,
       admission: this.admission,
       limits: this.limits.tenants,
       permits: this.limits.permits,
@@ -536,15 +543,12 @@
   }
 
   private refreshMetrics(): void {
-    const { inFlight, configurationAge: leaseAge, controlBytes, heldBytes } = this.systems.metrics;
-    heldBytes.set(this.context.answers.heldBytes);
     this.limits.refreshMetrics(this.backends.all());
-    inFlight.set(this.context.exchanges.size);
-    this.systems.metrics.rememberedStreams.set(this.streamOrigins.size);
-    const leaseAgeMs = this.proofs.lease.ageMs(leaseNow());
-    leaseAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
-    const { bytesSent, bytesReceived } = this.peers.counts;
-    controlBytes.set({ direction: 'sent' }, bytesSent);
-    controlBytes.set({ direction: 'received' }, bytesReceived);
+    refreshGauges(this.systems.metrics, {
+      context: this.context,
+      rememberedStreams: this.streamOrigins.size,
+      leaseAgeMs: this.proofs.lease.ageMs(leaseNow()),
+      traffic: this.peers.counts,
+    });
   }
 }
--- a/src/gateway/refusal-kind.ts
+++ b/src/gateway/refusal-kind.ts
@@ -10,4 +10,6 @@
   | 'not_ready'
   | 'rate_limited'
   | 'crashes_backends'
-  | 'stream_not_resumable';
+  | 'stream_not_resumable'
+  /** A defect of this daemon ended the request. */
+  | 'internal_not_sent';
--- a/src/gateway/relay-protocol.ts
+++ b/src/gateway/relay-protocol.ts
@@ -3,6 +3,7 @@
  * of HTTP proxies, "http://BACKEND/" followed by the caller's own target, so that method, target, headers and body stay
  * unchanged. The relay's own answers carry {@link RELAY_FAILURE_HEADER}; all others are the backend's.
  */
+import { encodePathSegment } from '../common/percent-encoding.js';
 import type { RelayRefusal } from '../core/relay-selection.js';
 
 /** Distance of the relay port from the peer port: all daemons listen on `peerPort + 1` for relayed requests. */
@@ -10,7 +11,7 @@
 /** Header of the relay's own answers, in lower case; removed from answers of backends. */
 export const RELAY_FAILURE_HEADER = 'x-relay-failure';
 /** Path, followed by the name of a service, at which a daemon tells whether it reaches that service's backends. */
-export const REACHABILITY_PATH = '/reachability/';
+const REACHABILITY_PATH = '/reachability/';
 
 /** Why a relay has no answer of the backend. The request has not run if the reason is a {@link RelayRefusal}. */
 export type RelayFailure =
@@ -18,7 +19,9 @@
   /** The connection between the relay and the backend ended after the request was sent. */
   | 'connection_lost'
   /** The same, and no process listens at the backend's address any more. */
-  | 'backend_ended';
+  | 'backend_ended'
+  /** The backend's answer is not one that HTTP allows. */
+  | 'invalid_answer';
 
 const FAILURES: ReadonlySet<string> = new Set<RelayFailure>([
   'partitioned',
@@ -29,9 +32,14 @@
   'rejected',
   'connection_lost',
   'backend_ended',
+  'invalid_answer',
 ]);
 /** Failures after which the request may have run. */
-const SENT_FAILURES: ReadonlySet<RelayFailure> = new Set(['connection_lost', 'backend_ended']);
+const SENT_FAILURES: ReadonlySet<RelayFailure> = new Set([
+  'connection_lost',
+  'backend_ended',
+  'invalid_answer',
+]);
 const TARGET = /^http:\/\/([^/]+)\/(.*)$/s;
 
 /** The backend and the caller's own target of a relayed request. */
@@ -53,10 +61,27 @@
 
 /** Parses a request target; undefined if it is not one of {@link encodeRelayTarget}. */
 export function parseRelayTarget(target: string): RelayTarget | undefined {
-  const [, backend = '', path = ''] = TARGET.exec(target) ?? [];
-  if (backend === '' || path === '') return undefined;
+  const [, encoded = '', path = ''] = TARGET.exec(target) ?? [];
+  if (encoded === '' || path === '') return undefined;
+  const backend = decodeName(encoded);
+  return backend === undefined ? undefined : { backend, path };
+}
+
+/** Returns the path at which a daemon tells whether it reaches a service's backends. */
+export function encodeReachabilityTarget(service: string): string {
+  return REACHABILITY_PATH + encodePathSegment(service);
+}
+
+/** Parses the path of {@link encodeReachabilityTarget} into the name of the service; undefined for any other target. */
+export function parseReachabilityTarget(target: string): string | undefined {
+  if (!target.startsWith(REACHABILITY_PATH)) return undefined;
+  return decodeName(target.slice(REACHABILITY_PATH.length));
+}
+
+/** Decodes a percent-encoded name; undefined if it is malformed. */
+function decodeName(encoded: string): string | undefined {
   try {
-    return { backend: decodeURIComponent(backend), path };
+    return decodeURIComponent(encoded);
   } catch {
     return undefined;
   }
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -3,7 +3,8 @@
  * retries, is counted by the daemon that received it from the caller. A relayed request is never relayed again.
  */
 import http from 'node:http';
-import { faultText, type Logger } from '../common/logger.js';
+import type { FaultBoundary } from '../common/fault-boundary.js';
+import { faultText, type LogFields, type Logger } from '../common/logger.js';
 import { listen, sendJson } from '../common/http-server.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendRecord } from '../core/service-configuration.js';
@@ -11,12 +12,13 @@
 import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
 import type { BackendWatch } from './backend-watch.js';
 import { forwardedHeaders } from './caller-answer.js';
+import type { FaultRecorder } from './fault-recorder.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RequestDialect } from './ports.js';
 import {
   mayHaveReachedBackend,
+  parseReachabilityTarget,
   parseRelayTarget,
-  REACHABILITY_PATH,
   RELAY_FAILURE_HEADER,
   type RelayFailure,
 } from './relay-protocol.js';
@@ -41,6 +43,7 @@
   readonly directory: Pick<BackendDirectory, 'getServing' | 'servingBackends'>;
   readonly dialect: Pick<RequestDialect, 'readRequest'>;
   readonly agent: BackendAgent;
+  readonly faults: FaultRecorder;
   readonly watch: BackendWatch;
   /** Adds to the buffered bytes of request bodies; a negative value subtracts. */
   readonly addBuffered: (bytes: number) => void;
@@ -61,6 +64,8 @@
   readonly id: string | undefined;
   readonly peer: string;
   readonly startedAt: number;
+  /** Runs whatever the event loop calls for the request. */
+  readonly boundary: FaultBoundary;
 }
 
 /** HTTP server for the other daemons. */
@@ -75,7 +80,8 @@
     this.server = http.createServer({ noDelay: true }, (request, response) => {
       response.sendDate = false;
       response.on('error', () => response.destroy());
-      this.receive(request, response);
+      const relayed = this.describe(request, response);
+      relayed.boundary.run(() => this.receive(relayed));
     });
     this.server.on('clientError', (_fault, socket) => socket.destroy());
   }
@@ -100,14 +106,23 @@
     this.server.closeAllConnections();
   }
 
-  private receive(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const { dialect, isMember } = this.options;
+  private describe(request: http.IncomingMessage, response: http.ServerResponse): RelayedRequest {
     const peer = request.socket.remoteAddress ?? '';
-    const id = dialect.readRequest(request.headers).attemptId;
-    const relayed = { request, response, id, peer, startedAt: steadyNow() };
-    if (!isMember(peer)) return this.refuse(relayed, undefined, 'rejected');
+    const id = this.options.dialect.readRequest(request.headers).attemptId;
+    // Without an answer, the other daemon takes it that the request may have run.
+    const end = (): void => void response.destroy();
+    const fields = (): LogFields => ({ request: id, peer });
+    const work = { fields, end, abandon: end };
+    const boundary = this.options.faults.boundaryOf('relayed_request', work);
+    return { request, response, id, peer, startedAt: steadyNow(), boundary };
+  }
+
+  private receive(relayed: RelayedRequest): void {
+    const { request, response, peer, boundary } = relayed;
+    if (!this.options.isMember(peer)) return this.refuse(relayed, undefined, 'rejected');
     const url = request.url ?? '';
-    if (url.startsWith(REACHABILITY_PATH)) return void this.answerReachability(url, response);
+    const service = parseReachabilityTarget(url);
+    if (service !== undefined) return boundary.watch(this.answerReachability(service, response));
     const target = parseRelayTarget(url);
     if (target === undefined) return this.refuse(relayed, undefined, 'rejected');
     const backend = this.options.directory.getServing(target.backend);
@@ -143,14 +158,16 @@
   }
 
   /** Tells how many backends of a service, of a few that it probes, this daemon reaches. */
-  private async answerReachability(url: string, response: http.ServerResponse): Promise<void> {
-    const service = decodeURIComponent(url.slice(REACHABILITY_PATH.length));
+  private async answerReachability(service: string, response: http.ServerResponse): Promise<void> {
     const { directory, watch, isDraining } = this.options;
     const addresses = directory.servingBackends(service).map(({ address }) => address);
     sendJson(response, 200, await watch.probeSome(isDraining() ? [] : addresses));
   }
 
-  private readBody({ request, response }: RelayedRequest, done: (body: Buffer) => void): void {
+  private readBody(
+    { request, response, boundary }: RelayedRequest,
+    done: (body: Buffer) => void,
+  ): void {
     const limit = this.options.maxBodyBytes() ?? 0;
     const chunks: Buffer[] = [];
     let size = 0;
@@ -160,9 +177,10 @@
       if (size > limit) return void response.destroy();
       chunks.push(chunk);
     });
-    request.on('end', () => {
+    const whole = boundary.guard(() => {
       if (!response.destroyed) done(Buffer.concat(chunks));
     });
+    request.on('end', whole);
     request.on('error', () => request.destroy());
   }
 
@@ -172,7 +190,7 @@
     path: string,
     body: Buffer,
   ): void {
-    const { request, response } = relayed;
+    const { request, response, boundary } = relayed;
     const { agent, watch, addBuffered } = this.options;
     addBuffered(body.length);
     const headers = forwardedHeaders(request.rawHeaders, REQUEST_CONNECTION_HEADERS);
@@ -182,20 +200,20 @@
       { address: backend.address, method: request.method ?? 'GET', path, headers, body },
       agent,
       {
-        onHead: (answer) => {
+        onHead: boundary.guard((answer) => {
           const { statusCode = 502, rawHeaders } = answer;
           response.writeHead(statusCode, forwardedHeaders(rawHeaders, DROPPED_ANSWER_HEADERS));
-        },
-        onData: (chunk) => {
+        }),
+        onData: boundary.guard((chunk) => {
           if (response.write(chunk)) return;
           exchange.setPaused(true);
           response.once('drain', () => exchange.setPaused(false));
-        },
-        onEnd: () => {
+        }),
+        onEnd: boundary.guard(() => {
           response.end();
           this.ended(relayed, backend.id, 'answered');
-        },
-        onFailure: (failure) => void this.failed(relayed, backend, failure),
+        }),
+        onFailure: (failure) => boundary.watch(this.failed(relayed, backend, failure)),
       },
       watch.observeExchange(backend.address),
     );
@@ -217,6 +235,9 @@
       return this.ended(relayed, backend.id, 'connection_lost');
     }
     if (!failure.reached) return this.refuse(relayed, backend.id, this.unreachableReason());
+    if (failure.isInvalidAnswer === true) {
+      return this.refuse(relayed, backend.id, 'invalid_answer');
+    }
     const hasEnded = await this.options.hasEnded(backend);
     this.refuse(relayed, backend.id, hasEnded ? 'backend_ended' : 'connection_lost');
   }
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -3,6 +3,7 @@
  * that can take the request, requests a slot from the backend's slot allocator, and moves to another backend when
  * that is faster.
  */
+import type { FaultBoundary } from '../common/fault-boundary.js';
 import type { SlotResponse } from '../core/admission/slot-allocator.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
 import type { BackendRecord, ModelReference, Service } from '../core/service-configuration.js';
@@ -51,6 +52,8 @@
   readonly fitsVersion: (backend: BackendRecord) => boolean;
   /** Returns whether the request may run at a backend together with the requests that run there. */
   readonly mayRunAt: (backend: string) => boolean;
+  /** Runs the decisions of slot allocators and permit holders, which may arrive at any time. */
+  readonly boundary: FaultBoundary;
   /** Called when the request may be sent to the backend. */
   readonly onSlot: (backend: BackendRecord) => void;
   /** Called when the request is queued at a backend, and again when the expected wait changes. */
@@ -348,7 +351,7 @@
       ...this.options.slotDetails(),
       backend,
       ownerLoad: this.ownerLoad(backend),
-      onDecision: (answer) => this.handleResponse(backend, answer),
+      onDecision: this.options.boundary.guard((answer) => this.handleResponse(backend, answer)),
     });
     this.claim = claim;
     if (claim.isHeld) {
@@ -367,9 +370,10 @@
     if (permits.perSecond(backend) === undefined) return this.options.onSlot(backend);
     this.pending = { backend, expectedAt: undefined };
     const { request } = this.options.slotDetails();
-    this.permit = permits.request(backend, request, (decision) =>
+    const decided = this.options.boundary.guard((decision: PermitDecision) =>
       this.permitDecided(backend, decision),
     );
+    this.permit = permits.request(backend, request, decided);
   }
 
   private permitDecided(backend: BackendRecord, decision: PermitDecision): void {
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -5,8 +5,10 @@
  */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
+import type { FaultBoundary } from '../common/fault-boundary.js';
+import type { LogFields } from '../common/logger.js';
 import { stepAfterFailure, firstByteTimeoutMs, stallTimeoutMs } from '../core/attempt-policy.js';
-import { FIRST_PART_MS, type HoldDecision } from '../core/hold-policy.js';
+import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
 import { type BackendRecord, type ModelReference } from '../core/service-configuration.js';
 import { Attempt, type AttemptEnd } from './attempt.js';
@@ -14,12 +16,14 @@
 import type { CallerRequest } from './caller-request.js';
 import { gapRecorder, type CapacityQuery } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
-import { modelReadyInMs } from './model-forecast.js';
-import { decisionState, timingFields } from './decision-state.js';
+import { InFlightEntry } from './in-flight-entry.js';
+import { decisionState, sentFields, timingFields } from './decision-state.js';
 import { hasBackendFailed, recordBackendHealth } from './attempt-health.js';
 import type { RefusalKind } from './refusal-kind.js';
 import { RequestDemand } from './request-demand.js';
 import { RequestDispatch, type SlotDetails } from './request-dispatch.js';
+import { RequestHold } from './request-hold.js';
+import { requestLog, type RequestLog } from './request-log.js';
 import { RequestRelays } from './request-relays.js';
 import { RequestStream } from './request-stream.js';
 import { RequestSuspicion } from './request-suspicion.js';
@@ -37,19 +41,20 @@
  * a later request must not preempt a running one.
  */
 const GRANTED_PRIORITY = 1;
-/** A running request. */
+/** Retry time for a caller whose request a defect of this daemon has ended before it was sent. */
+const FAULT_RETRY_AFTER_MS = 1_000;
+
+/** A running request. Whatever the event loop and other modules call runs inside the boundary of the request. */
 export class RequestExchange {
+  private readonly boundary: FaultBoundary;
+  private readonly log: RequestLog;
   private readonly deadlineAt: number;
   private readonly answer: CallerAnswer;
   private attempt: Attempt | undefined;
-  /** Whether the attempt is counted as in flight at its backend. */
-  private isCounted = false;
   private recheckTimer: NodeJS.Timeout | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private runs = 0;
   private sends = 0;
-  /** The first forecast because of which the request was held, and the steady time of that forecast. */
-  private firstForecast: { readonly readyInMs: number; readonly at: number } | undefined;
   private ended = false;
   private lastRan: Ran = 'no';
   private readonly admission: TenantAdmission;
@@ -57,12 +62,14 @@
   /** Whether the caller was most likely refused before, by this daemon or another. */
   private readonly wasRefused: boolean;
   private readonly demand: RequestDemand;
+  private readonly inFlight: InFlightEntry;
   /** Steady time at which the answer must begin to meet the route's goal. */
   private readonly dueAt: number;
   /** The model that a backend must have loaded; undefined if the service's backends do not load models. */
   private readonly model: ModelReference | undefined;
   private readonly capacityQuery: CapacityQuery;
   private readonly suspicion: RequestSuspicion;
+  private readonly hold: RequestHold;
   private readonly relays: RequestRelays;
   private readonly stream: RequestStream;
 
@@ -77,39 +84,63 @@
     resumed?: ResumedStream,
   ) {
     this.answer = new CallerAnswer(context, request.head, response);
+    this.boundary = context.faults.boundaryOf('request', {
+      fields: () => this.faultFields(),
+      end: () => this.endAfterFault(),
+      abandon: () => this.abandon(),
+    });
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
     this.capacityQuery = { service: match.service.name, route, model: this.model };
     this.admission = new TenantAdmission(context, route, request.head);
+    this.log = requestLog(context, route, request.head, () => this.admission.tenant?.name);
     this.wasRefused = context.recordCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
     this.dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
     const waitingCaller = { dueAt: this.dueAt, goalMs: route.goalMs };
+    this.inFlight = new InFlightEntry(context.tracker, match.service.name, this.model);
     this.demand = new RequestDemand(context, match, this.model, waitingCaller);
     this.suspicion = new RequestSuspicion(context.crashes, request, () => this.answer.hasBegun);
     this.stream = new RequestStream(context, match, request, resumed);
+    this.hold = new RequestHold(context, {
+      match,
+      model: this.model,
+      arrivedAt: request.arrivedAt,
+      deadlineAt: this.deadlineAt,
+      isRetry: this.wasRefused,
+      mayRunAt: this.stream.mayRunAt,
+    });
     this.search = this.makeSearch();
     this.relays = new RequestRelays(context);
-    response.on('close', () => this.callerClosed());
+    response.on(
+      'close',
+      this.boundary.guard(() => this.callerClosed()),
+    );
   }
 
   /** Starts handling the request. */
   start(): void {
+    this.boundary.run(() => this.begin());
+  }
+
+  private begin(): void {
     const { arrivedAt } = this.request;
     this.context.budgetOf(this.match.service.name).countRequest(steadyNow());
     this.context.exchanges.add(this);
     this.context.answers.addBuffered(this.request.body.length);
     const remaining = this.deadlineAt - steadyNow();
-    this.deadlineTimer = setTimeout(() => this.deadlinePassed(), Math.max(0, remaining));
+    const endAtDeadline = this.boundary.guard(() => this.deadlinePassed());
+    this.deadlineTimer = setTimeout(endAtDeadline, Math.max(0, remaining));
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
     const denial = this.admission.checkKey();
     if (denial !== undefined) return this.refuseDenied(denial);
-    this.admission.chargeUnits((denied) => {
+    const unitsCharged = this.boundary.guard((denied: TenantDenial | undefined) => {
       if (this.ended) return;
       if (denied === undefined) this.admitted();
       else this.refuseDenied(denied);
     });
+    this.admission.chargeUnits(unitsCharged);
   }
 
   /**
@@ -128,6 +159,10 @@
 
   /** Rechecks a waiting request after a change that may allow it to be sent. */
   recheck(): void {
+    this.boundary.run(() => this.recheckNow());
+  }
+
+  private recheckNow(): void {
     // A condemned request that is queued or has just started at a backend is withdrawn before it crashes that
     // backend too.
     if (!this.ended && !this.answer.hasBegun && this.isCondemned()) return this.refuseCrashing();
@@ -137,18 +172,22 @@
 
   /** Handles a restart of a backend under the same id: earlier refusals and sends no longer count. */
   backendRestarted(backend: BackendRecord): void {
+    this.boundary.run(() => this.resetBackend(backend));
+  }
+
+  private resetBackend(backend: BackendRecord): void {
     const wasPending = this.search.isPending;
     this.search.clearBackend(backend.id);
     // The request lost its place in the queue, and nothing else would recheck it.
     if (wasPending && !this.search.isPending) return this.wait();
     if (this.attempt?.backendId !== backend.id) return;
-    this.removeInFlight(backend.id);
+    this.inFlight.end();
     this.attempt.backendRestarted(backend.address);
   }
 
   /** Handles a partition from all backends: sends the request again on another path if it may be repeated. */
   partitioned(): void {
-    this.attempt?.pathLost();
+    this.boundary.run(() => this.attempt?.pathLost());
   }
 
   /**
@@ -156,6 +195,10 @@
    * resume it.
    */
   interrupt(): void {
+    this.boundary.run(() => this.endAtStop());
+  }
+
+  private endAtStop(): void {
     if (this.ended) return;
     if (this.sends === 0) return this.refuse('draining', undefined);
     this.giveUp(this.lastRan === 'no' ? 'yes' : this.lastRan, 'the daemon stops');
@@ -192,8 +235,11 @@
       slotDetails: () => this.slotDetails(),
       fitsVersion: this.stream.mayRunAt,
       mayRunAt: (backend) => this.suspicion.mayTakeTurn(backend),
+      boundary: this.boundary,
       onSlot: (backend) => this.send(backend),
-      onQueued: () => this.queued(),
+      // A request stays in the queue of a full backend regardless of its latency goal: a refused caller that retries would be
+      // queued behind those that waited. The slot allocator refuses at once any request that cannot be served in time.
+      onQueued: () => this.demand.setWaiting(false),
       onNone: () => this.holdOrRefuse(),
       onFull: (retryAfterMs) => this.backendsFull(retryAfterMs),
       onBackoff: (backoffMs) => this.backendsBackOff(backoffMs),
@@ -217,15 +263,6 @@
     });
   }
 
-  /**
-   * Keeps the request in the queue of a full backend regardless of its latency goal: a refused caller that
-   * retries would be queued behind those that waited. The slot allocator refuses at once any request that
-   * cannot be served in time.
-   */
-  private queued(): void {
-    this.demand.setWaiting(false);
-  }
-
   /** Refuses a request at once if its backends can be reached on no path: to wait would not help its caller. */
   private backendsUnreachable(): void {
     this.search.release();
@@ -251,33 +288,16 @@
     }
     // A suspect is sent once the suspects before it have begun to answer or have crashed their backends.
     if (this.suspicion.verdict() === 'suspect') return this.wait();
-    const now = steadyNow();
-    const readyInMs = this.readyInMs(now);
-    const decision = this.decideHold(readyInMs);
+    const readyInMs = this.hold.readyInMs();
+    const decision = this.hold.decide(readyInMs);
     if (decision.type === 'refuse' && !this.answer.hasBegun) {
       this.demand.expectRetry(decision.retryAfterMs);
       return this.refuseFull(decision.retryAfterMs, { readyInMs });
     }
-    if (readyInMs !== undefined) this.firstForecast ??= { readyInMs, at: now };
+    this.hold.begin(readyInMs);
     this.wait();
   }
 
-  private readyInMs(now: number): number | undefined {
-    const { model, match, stream } = this;
-    if (model === undefined) return undefined;
-    return modelReadyInMs(this.context, match.service.name, model, now, stream.mayRunAt);
-  }
-
-  private decideHold(readyInMs: number | undefined): HoldDecision {
-    const { route } = this.match;
-    const now = steadyNow();
-    const waitedMs = now - this.request.arrivedAt;
-    const { wasRefused: isRetry } = this;
-    const remainingMs = Math.min(this.deadlineAt - now, route.callerTimeoutMs - waitedMs);
-    const { goalMs } = route;
-    return this.context.hold.decide({ goalMs, waitedMs, remainingMs, readyInMs, isRetry });
-  }
-
   private refuseFull(
     retryAfterMs: number,
     reasons: Readonly<Record<string, number | undefined>>,
@@ -315,30 +335,22 @@
     const relay = path.type === 'relay' ? path.peer : undefined;
     this.demand.setWaiting(false);
     clearTimeout(this.recheckTimer);
-    this.recordHeldWait(true);
+    this.hold.end(true);
     this.sends += 1;
     this.search.recordSent(backend.id);
-    context.tracker.addInFlight(service.name, backend.id, this.model, 1);
-    this.isCounted = true;
+    this.inFlight.begin(backend.id);
     if (this.sends === 1) {
       context.metrics.waitSeconds.observe({ route: route.name }, (now - request.arrivedAt) / 1000);
     }
+    const lastEventId = this.answer.lastEventId ?? request.head.lastEventId;
     this.log('sent', {
-      backend: backend.id,
-      version: backend.softwareVersion,
-      resumes: request.head.resumedAttemptId,
-      afterEvent: this.answer.lastEventId ?? request.head.lastEventId,
-      relay,
+      ...sentFields(context, { backend, request, lastEventId, relay, now }),
       inFlight: this.search.inFlightAt(backend),
-      beliefAgeMs: context.slots?.statusAgeMs(backend.id, now),
-      rateLimit: context.permits.perSecond(backend),
       sends: this.sends,
-      waitedMs: Math.round(now - request.arrivedAt),
       remainingMs: Math.round(this.deadlineAt - now),
       ...this.stateFields(now),
     });
     const rateLimit = context.permits.recordedLimit(backend);
-    this.relays.begin(path);
     const isResumed = this.answer.hasBegun || request.head.lastEventId !== undefined;
     this.attempt = new Attempt(context, {
       backend,
@@ -348,7 +360,7 @@
       priority: context.slots && GRANTED_PRIORITY,
       relay,
       remainingMs: this.deadlineAt - now,
-      lastEventId: this.answer.lastEventId ?? request.head.lastEventId,
+      lastEventId,
       firstByteTimeoutMs: firstByteTimeoutMs(route, this.runs),
       stallTimeoutMs: stallTimeoutMs(route, this.runs),
       hasAlternative: () => this.search.hasAlternative(),
@@ -360,8 +372,10 @@
       onEvent: () => this.stream.recordForwarding(backend),
       gaps: gapRecorder(context, this.capacityQuery, backend.id, isResumed),
       answer: this.answer,
+      boundary: this.boundary,
       onEnd: (end) => this.attemptEnded(backend, end),
     });
+    this.relays.begin(path);
   }
 
   private restartSearch(): void {
@@ -397,7 +411,7 @@
    */
   private backendsBackOff(backoffMs: number): void {
     if (this.answer.hasBegun) return this.wait();
-    const readyInMs = this.readyInMs(steadyNow());
+    const readyInMs = this.hold.readyInMs();
     if (readyInMs !== undefined && readyInMs < backoffMs) return this.holdOrRefuse();
     this.demand.expectRetry(backoffMs);
     this.refuseFull(backoffMs, { restForMs: Math.round(backoffMs) });
@@ -408,9 +422,9 @@
    * time, otherwise refuses with a retry time.
    */
   private backendsLimited(retryAfterMs: number): void {
-    const forecastMs = this.readyInMs(steadyNow()) ?? Infinity;
+    const forecastMs = this.hold.readyInMs() ?? Infinity;
     const readyInMs = Math.min(retryAfterMs, forecastMs);
-    const decision = this.decideHold(readyInMs);
+    const decision = this.hold.decide(readyInMs);
     if (decision.type === 'hold' || this.answer.hasBegun) return this.wait();
     this.demand.expectRetry(decision.retryAfterMs);
     this.refuseFull(decision.retryAfterMs, { limitedForMs: Math.round(retryAfterMs) });
@@ -443,7 +457,7 @@
     const relay = this.attempt?.relay;
     const connection = this.attempt?.connection;
     const attempt = { backend, relay, model: this.model, end };
-    this.releaseAttempt(backend.id, hasBackendFailed(this.context, attempt));
+    this.releaseAttempt(hasBackendFailed(this.context, attempt));
     if (relay !== undefined && this.relayEnded(relay, backend, end)) return;
     recordBackendHealth(this.context, attempt, () => this.search.recordRefusal(backend.id));
     if (end.type === 'done') {
@@ -468,7 +482,7 @@
     }
     const history = { runs: this.runs, sends: this.sends };
     const step = stepAfterFailure(this.match.route, end, history);
-    const examined = this.examineCrash(backend, relay, end);
+    const examined = this.suspicion.examine(backend, relay, end);
     if (step === 'retry') return this.dispatchAfter(examined);
     if (end.answer !== undefined && !this.answer.hasBegun) {
       this.answer.sendComplete(end.answer);
@@ -489,39 +503,21 @@
     return true;
   }
 
-  /** Finds out whether the request has crashed its backend; undefined if nothing suggests that. */
-  private examineCrash(
-    backend: BackendRecord,
-    relay: string | undefined,
-    end: Extract<AttemptEnd, { type: 'failed' }>,
-  ): Promise<void> | undefined {
-    if (!end.connectionLost) return undefined;
-    if (relay === undefined) return this.suspicion.recordDisconnect(backend);
-    // Only the relay can tell whether the backend has ended.
-    return end.relayFailure === 'backend_ended' ? this.suspicion.recordCrash(backend) : undefined;
-  }
-
   /** Dispatches the request again once it is known whether it has crashed its backend. */
   private dispatchAfter(examined: Promise<void> | undefined): void {
     if (examined === undefined) return this.dispatch();
-    void examined.then(() => this.dispatch());
+    this.boundary.watch(examined.then(() => this.dispatch()));
   }
 
   /** Releases what an ended attempt holds: the backend no longer works on the request. */
-  private releaseAttempt(backend: string, hasFailed = false): void {
-    this.removeInFlight(backend);
+  private releaseAttempt(hasFailed = false): void {
+    this.inFlight.end();
     this.attempt = undefined;
     this.suspicion.endTurn();
     this.search.release(hasFailed);
     this.demand.setWaiting(false);
   }
 
-  private removeInFlight(backend: string): void {
-    if (!this.isCounted) return;
-    this.isCounted = false;
-    this.context.tracker.addInFlight(this.match.service.name, backend, this.model, -1);
-  }
-
   private deadlinePassed(): void {
     if (this.ended) return;
     if (this.sends === 0 || (this.attempt === undefined && this.runs === 0)) {
@@ -539,7 +535,7 @@
   private refuse(
     kind: RefusalKind,
     retryAfterMs: number | undefined,
-    inputs: Readonly<Record<string, string | number | undefined>> = {},
+    inputs: LogFields = {},
   ): void {
     // A refusal states that the request has not run.
     if (this.answer.hasBegun || this.runs > 0) return this.giveUp(this.lastRan, kind);
@@ -566,19 +562,45 @@
     this.finish('failed');
   }
 
+  /** Whether the request has run, or may be running at a backend. */
+  private mayHaveRun(): boolean {
+    return this.runs > 0 || this.attempt !== undefined || this.inFlight.backend !== undefined;
+  }
+
+  /** Ends the request after an unexpected exception, which is a defect of this program. All other requests go on. */
+  private endAfterFault(): void {
+    if (this.ended) this.answer.disconnectIfIncomplete();
+    else if (this.mayHaveRun()) this.giveUp('unknown', 'internal');
+    else this.refuse('internal_not_sent', FAULT_RETRY_AFTER_MS);
+  }
+
+  /** Closes the connection, which tells the caller nothing about the request. */
+  private abandon(): void {
+    this.ended = true;
+    this.context.exchanges.delete(this);
+    this.answer.disconnect();
+  }
+
+  private faultFields(): LogFields {
+    const { inFlight, sends } = this;
+    const { attemptId: request } = this.request.head;
+    return { request, backend: inFlight.backend, mayHaveRun: this.mayHaveRun(), sends };
+  }
+
   private finish(end: 'served' | 'failed' | 'refused' | 'caller_left'): void {
     if (this.ended) return;
     this.demand.setWaiting(false);
-    this.recordHeldWait(false);
+    this.hold.end(false);
     this.ended = true;
     clearTimeout(this.recheckTimer);
     clearTimeout(this.deadlineTimer);
-    const mayHaveRun = end === 'served' || this.runs > 0 || this.attempt !== undefined;
+    const mayHaveRun = end === 'served' || this.mayHaveRun();
     if (this.attempt !== undefined) {
       if (this.attempt.relay !== undefined) this.context.paths.recordEnded(this.attempt.relay);
       this.attempt.abort();
-      this.releaseAttempt(this.attempt.backendId);
     }
+    this.inFlight.end();
+    this.attempt = undefined;
     this.suspicion.endTurn();
     this.search.release();
     this.admission.end(mayHaveRun);
@@ -590,24 +612,4 @@
     this.context.metrics.answerSeconds.observe({ route: route.name }, timing.milliseconds / 1000);
     this.log('request_ended', { end, ...timing, sends: this.sends });
   }
-
-  private recordHeldWait(wasSent: boolean): void {
-    const { firstForecast } = this;
-    if (firstForecast === undefined) return;
-    this.firstForecast = undefined;
-    const spentMs = steadyNow() - firstForecast.at;
-    this.context.hold.recordWait({ forecastMs: firstForecast.readyInMs, spentMs, wasSent });
-  }
-
-  private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
-    const { head } = this.request;
-    this.context.logger.info(event, {
-      request: head.attemptId,
-      tenant: this.admission.tenant?.name,
-      route: this.match.route.name,
-      model: head.model?.model,
-      adapter: head.model?.adapter,
-      ...fields,
-    });
-  }
 }
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import type { CrashVerdict } from '../core/crash-records.js';
 import type { BackendRecord } from '../core/service-configuration.js';
+import type { AttemptEnd } from './attempt.js';
 import type { CrashCause, CrashTracker } from './crash-tracker.js';
 import { hostOf, type CallerRequest } from './caller-request.js';
 
@@ -87,22 +88,28 @@
     }
   }
 
-  /** Records that a backend's process has ended while it ran the request, as the relay has reported. */
-  recordCrash(backend: BackendRecord): Promise<void> {
-    const isKnownToHaveEnded = true;
-    return this.watch.recordAbort(
-      backend,
-      this.causes,
-      this.request.head.attemptId,
-      isKnownToHaveEnded,
-    );
+  /**
+   * Finds out whether the request has crashed its backend; undefined if nothing suggests that.
+   * @param relay - Peer address of the daemon that relayed the request; undefined if it was sent directly.
+   */
+  examine(
+    backend: BackendRecord,
+    relay: string | undefined,
+    end: Extract<AttemptEnd, { type: 'failed' }>,
+  ): Promise<void> | undefined {
+    if (!end.connectionLost) return undefined;
+    if (relay === undefined) return this.recordAbort(backend, false);
+    // Only the relay can tell whether the backend has ended.
+    return end.relayFailure === 'backend_ended' ? this.recordAbort(backend, true) : undefined;
   }
 
   /**
    * Records that a backend closed the connection. Resolves when it is known whether the backend has crashed.
+   * @param isKnownToHaveEnded - Whether the relay has reported that the backend's process ended.
    */
-  recordDisconnect(backend: BackendRecord): Promise<void> {
-    return this.watch.recordAbort(backend, this.causes, this.request.head.attemptId);
+  private recordAbort(backend: BackendRecord, isKnownToHaveEnded: boolean): Promise<void> {
+    const { attemptId } = this.request.head;
+    return this.watch.recordAbort(backend, this.causes, attemptId, isKnownToHaveEnded);
   }
 }
 
--- a/src/gateway/service-access.ts
+++ b/src/gateway/service-access.ts
@@ -3,7 +3,7 @@
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendPaths } from './backend-paths.js';
 import type { BackendWatch, ProbeCount } from './backend-watch.js';
-import { REACHABILITY_PATH, relayAddressOf } from './relay-protocol.js';
+import { encodeReachabilityTarget, relayAddressOf } from './relay-protocol.js';
 
 /** Number of daemons asked at the same time. */
 const ASKED_DAEMONS = 4;
@@ -55,7 +55,7 @@
     const answer = await this.client.send({
       method: 'GET',
       address: relayAddressOf(peer),
-      path: REACHABILITY_PATH + encodeURIComponent(service),
+      path: encodeReachabilityTarget(service),
       timeoutMs: ANSWER_TIMEOUT_MS,
     });
     const count = answer.isOk ? parseProbeCount(answer.value.body) : undefined;
