Fix: a second answer to one send of a request is not taken for the answer to the next

What callers saw.

Cause, from the log lines of and the case's record, the same for each of the four requests looked at: sends=1 attempt_failed "refused with status 503" localPort=58020 reused=true sends=2 attempt_failed "refused with status 503" localPort=41246 (other backend) sends=3 attempt_failed "refused with status 503" localPort=58020 reused=true replica: second answer to=R before=R, then runs R, time=1 sends=4, other backend: runs R, time=2 The third send goes out on the connection of the first one. The backend's second answer to the first send comes where the answer to the third should come, and bears the same id, because X-Attempt-Id stays as the caller sent it. Ruled out: that the backend refuses the third send itself (it runs it), a relay (none), any other connection (same localPort).

Closing costs a connection for each refusal, just when backends are full; a pool costs a few idle ones. A third way, to remember on which connections each request was answered, was not built: it needs Node's internal lists of free sockets, and at a relay the memory of ids beyond a request's end.

BackendAgent pools connections by which send of its request it is: the first, the second, ... (four at most, MAX_SENDS). No connection carries two sends of one request, so nothing has to be remembered, and nothing runs out. A relay is told the pool; a request of an earlier build, which tells none, gets a connection of its own there. Orders and reports carry no id and have pools of their own: a second 421 to an order was taken for a caller's request before.

Nothing is learned from an answer before it is known to be this request's: limits, tolerated rejections, backoffs and leaving were read first. An answer must bear the id of its request; one without an id, which the platform's page excludes, counts as "may have run".

src/daemon: a request's stream is closed after a refusal, so no second send meets its answer; but a cancellation's reply bears no id and came on a kept connection, and "ran: no" from an earlier reply sends the request again. It has a connection of its own now (http-engine-client.test.ts, failed before). src/core/router.ts decides by events only and holds no connection.

Test doubles repeat the id of each request now, as the page says backends do.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -62,8 +62,10 @@
   readonly faults?: LinkFaults;
   /** Called with the size of each request and response body, for traffic accounting. */
   readonly onBytes?: (bytes: number) => void;
-  /** Connection pool; a separate one by default. */
+  /** Keeps the connections; a separate agent by default. */
   readonly agent?: http.Agent;
+  /** Name of the pool of connections, for an agent that has several. */
+  readonly pool?: string;
 }
 
 /** HTTP client with persistent connections. */
@@ -192,10 +194,10 @@
     }
     let connected = false;
     const startedAt = leaseNow();
-    const outgoing = http.request(
-      { host, port, method: request.method, path: request.path, headers, agent: this.agent },
-      onAnswer,
-    );
+    const { agent, options } = this;
+    const { method, path } = request;
+    const requestOptions = { host, port, method, path, headers, agent, pool: options.pool };
+    const outgoing = http.request(requestOptions, onAnswer);
     const sendOnceConnected = (): void => {
       if (leaseNow() - startedAt > (request.sendWithinMs ?? Infinity)) {
         outgoing.destroy(new Error('the request was not sent: its send deadline has passed'));
--- a/src/engines/http-engine-client.ts
+++ b/src/engines/http-engine-client.ts
@@ -1,4 +1,5 @@
 /** Implements the engines' published protocol over HTTP. */
+import http from 'node:http';
 import { Result } from 'true-myth';
 import {
   HttpClient,
@@ -42,10 +43,16 @@
 export class HttpEngineClient implements EngineClient {
   private readonly requestHttp: HttpClient;
   private readonly controlHttp: HttpClient;
+  /**
+   * Opens a connection for each cancellation. The reply bears no id, and on a kept connection a second reply to an earlier call would
+   * be taken for it: a request that runs would count as cancelled before it ran, and be sent again.
+   */
+  private readonly cancellationHttp: HttpClient;
 
   /** @param options - Applies to control traffic, such as orders and reports; only `faults` also applies to request streams. */
   constructor(options: HttpClientOptions = {}) {
     this.controlHttp = new HttpClient(options);
+    this.cancellationHttp = new HttpClient({ ...options, agent: new http.Agent() });
     this.requestHttp = new HttpClient(
       options.faults === undefined ? {} : { faults: options.faults },
     );
@@ -54,6 +61,7 @@
   close(): void {
     this.requestHttp.close();
     this.controlHttp.close();
+    this.cancellationHttp.close();
   }
 
   async status(engine: string): Promise<Result<EngineReport, TransportFailure>> {
@@ -119,12 +127,13 @@
 
   async cancel(engine: string, id: string): Promise<Result<CancelReply, TransportFailure>> {
     const path = `/requests/${encodeURIComponent(id)}`;
-    return this.call<CancelReply>({
+    const request = {
       method: 'DELETE',
       address: engine,
       path,
       timeoutMs: ORDER_TIMEOUT_MS,
-    });
+    } as const;
+    return this.call<CancelReply>(request, this.cancellationHttp);
   }
 
   private openStream(request: HttpRequest, handler: RequestHandler): RequestStream {
@@ -206,8 +215,11 @@
     return { close };
   }
 
-  private async call<Body>(request: HttpRequest): Promise<Result<Body, TransportFailure>> {
-    const answer = await this.controlHttp.send(request);
+  private async call<Body>(
+    request: HttpRequest,
+    client: HttpClient = this.controlHttp,
+  ): Promise<Result<Body, TransportFailure>> {
+    const answer = await client.send(request);
     if (answer.isErr) return Result.err(answer.error);
     const body = parseJson(answer.value.body);
     if (answer.value.status !== 200 || body.isErr) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,6 @@
 import type { Ran } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { isHeaderValue } from '../common/header-value.js';
-import type { RateLimitNotice } from '../core/backend-rate-limits.js';
 import type { StreamGaps } from '../core/capacity/gap-samples.js';
 import { EventStreamParser, type StreamEvent } from '../core/event-stream.js';
 import {
@@ -12,6 +11,7 @@
   type CallerTenant,
   type Route,
 } from '../core/service-configuration.js';
+import { poolOfSend } from './backend-agent.js';
 import type { AnsweredLimits } from './backend-permits.js';
 import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
 import { UNOBSERVED_EXCHANGE } from './backend-watch.js';
@@ -51,6 +51,8 @@
   readonly backend: BackendRecord;
   readonly route: Route;
   readonly request: CallerRequest;
+  /** Which send of the request this is, from 1. */
+  readonly sendNumber: number;
   /** Tenant of the caller's key; undefined if the route needs no key. */
   readonly tenant: CallerTenant | undefined;
   /**
@@ -70,7 +72,7 @@
   readonly stallTimeoutMs: number;
   /** Returns whether another backend could take the request now. */
   readonly hasAlternative: () => boolean;
-  /** Called when any answer of the backend announces that the backend is leaving. */
+  /** Called when the backend's answer to the request announces that the backend is leaving. */
   readonly onLeaving: () => void;
   /** Called with what the answer says about the backend's limits. */
   readonly onLimits: (limits: AnsweredLimits) => void;
@@ -125,6 +127,7 @@
         path: request.path,
         headers: this.requestHeaders(),
         body: request.body,
+        pool: poolOfSend(options.sendNumber),
         ...(relay === undefined ? {} : { relay: { peer: relay, backend: backend.id } }),
       },
       context.agent,
@@ -218,14 +221,12 @@
     this.incoming = answer;
     this.head = this.context.dialect.readAnswer(status, answer.headers);
     const { head } = this;
-    // A misdirected answer comes from another process at the address and does not apply to this backend.
-    if (head.leaving && !head.misdirected) this.options.onLeaving();
-    this.reportLimits(status, head);
-    if (head.backoffMs !== undefined) this.options.onBackoff(head.backoffMs);
-    const { attemptId } = this.options.request.head;
-    if (head.attemptId !== undefined && attemptId !== undefined && head.attemptId !== attemptId) {
+    // An answer to another request, such as a second one that comes late, says nothing about this request or the backend now.
+    if (!this.isOwnAnswer(head)) {
       return this.fail('unknown', 'the answer belongs to another request', {});
     }
+    // A misdirected answer comes from another process at the address and does not apply to this backend.
+    if (!head.misdirected) this.learnFrom(status, head);
     if (head.notRun || head.misdirected) {
       const lacksModel = head.misdirected;
       return this.fail('no', `refused with status ${status}`, { lacksModel, keepConnection: true });
@@ -239,19 +240,20 @@
     this.startTimeout(this.isEventStream() ? this.options.stallTimeoutMs : Infinity);
   }
 
-  /**
-   * Reports the limits that the backend's answer to this request announces. An answer without a request id may be old, so that what it
-   * does not announce changes nothing.
-   */
-  private reportLimits(status: number, head: AnswerHead): void {
-    const { attemptId, misdirected, rateLimit, toleratedRejections, notRun } = head;
-    const isOwn = attemptId === this.options.request.head.attemptId;
-    if (misdirected || (attemptId !== undefined && !isOwn)) return;
-    const known = (notice: RateLimitNotice): RateLimitNotice =>
-      notice.type === 'unlimited' && !isOwn ? { type: 'unreadable' } : notice;
-    const isRejection = notRun && status === UNAVAILABLE_STATUS;
-    const rejections = { tolerated: known(toleratedRejections), isRejection };
-    this.options.onLimits({ rateLimit: known(rateLimit), rejections });
+  /** Whether an answer bears the id of this request. Backends repeat the id of each request that has one. */
+  private isOwnAnswer(head: AnswerHead): boolean {
+    const { attemptId } = this.options.request.head;
+    return attemptId === undefined || head.attemptId === attemptId;
+  }
+
+  /** Passes on what the backend's answer to this request announces about the backend. */
+  private learnFrom(status: number, head: AnswerHead): void {
+    const { onLeaving, onLimits, onBackoff } = this.options;
+    const { rateLimit, toleratedRejections, backoffMs } = head;
+    if (head.leaving) onLeaving();
+    const isRejection = head.notRun && status === UNAVAILABLE_STATUS;
+    onLimits({ rateLimit, rejections: { tolerated: toleratedRejections, isRejection } });
+    if (backoffMs !== undefined) onBackoff(backoffMs);
   }
 
   private isEventStream(): boolean {
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -1,6 +1,11 @@
 /**
- * HTTP agent for connections to backends. It closes an idle connection that receives
- * bytes, because these bytes belong to no request.
+ * HTTP agent for connections to backends. A backend may send a second answer to a request where the answer to the
+ * next one should come. Two rules keep it from being taken for that answer:
+ *
+ * - An idle connection that receives bytes is closed, because they belong to no request.
+ * - Connections are pooled by {@link ConnectionPool}. An answer repeats the id of its request, but all sends of one
+ *   request carry the same id, so that each of them has a pool of its own. Orders and reports carry no id, so that
+ *   they share no connection with requests or with each other.
  */
 import http from 'node:http';
 import type { Socket } from 'node:net';
@@ -13,6 +18,27 @@
 const DEFAULT_IDLE_MS = 4_000;
 const KEEP_ALIVE_SECONDS = /timeout=(\d+)/;
 
+/** Which connections a request may use. */
+export type ConnectionPool =
+  /** Connections for the first, second, … send of callers' requests. */
+  | `send-${number}`
+  /** Connections for orders. The expected sequence of an order makes a wrong answer to the one before harmless. */
+  | 'orders'
+  /** Connections for requests for reports, which may be out of date in any case. */
+  | 'reports'
+  /** A connection for one request, which is closed after the answer. */
+  | 'single';
+
+/** Returns the pool for a send of a caller's request, counted from 1. */
+export function poolOfSend(sendNumber: number): ConnectionPool {
+  return `send-${sendNumber}`;
+}
+
+/** Options of a request that Node passes on to its agent. */
+export interface PooledRequestOptions {
+  readonly pool?: ConnectionPool | undefined;
+}
+
 type DataListener = () => void;
 
 /** Called with "ip:port" and the socket of a connection that is being opened. */
@@ -27,6 +53,7 @@
 /** Node's HTTP agent with stricter rules for connection reuse. */
 export class BackendAgent extends http.Agent {
   private readonly idleListeners = new WeakMap<Socket, DataListener>();
+  private readonly singleUse = new WeakSet<Duplex>();
   private onConnection: ConnectionListener = () => {};
 
   constructor(private readonly backendOptions: BackendAgentOptions) {
@@ -40,26 +67,34 @@
 
   /** Called by Node to open a connection. */
   override createConnection(
-    options: http.ClientRequestArgs,
+    options: http.ClientRequestArgs & PooledRequestOptions,
     callback?: (fault: Error | null, socket: Duplex) => void,
   ): Duplex {
     const socket = super.createConnection(options, callback) as Socket;
+    if (options.pool === 'single') this.singleUse.add(socket);
     this.onConnection(`${options.host}:${options.port}`, socket);
     return socket;
   }
 
-  /** Returns whether an idle connection to "ip:port" exists. */
-  hasIdleConnection(address: string): boolean {
+  /** Called by Node for the name under which connections that a request may use are kept. */
+  override getName(options: http.ClientRequestArgs & PooledRequestOptions = {}): string {
+    return `${super.getName(options)}#${options.pool ?? ''}`;
+  }
+
+  /** Returns whether a pool has an idle connection to "ip:port". */
+  hasIdleConnection(address: string, pool: ConnectionPool): boolean {
     const [host, port] = splitAddress(address);
-    const idle = this.freeSockets[this.getName({ host, port })] ?? [];
+    const idle = this.freeSockets[this.getName({ host, port, pool })] ?? [];
     return idle.some((socket) => !socket.destroyed);
   }
 
   /** Closes the idle connections to "ip:port", for use when the process at the other end has ended. */
   dropIdle(address: string): void {
     const [host, port] = splitAddress(address);
-    const idle = this.freeSockets[this.getName({ host, port })] ?? [];
-    for (const socket of [...idle]) socket.destroy();
+    const prefix = this.getName({ host, port });
+    for (const [name, sockets] of Object.entries(this.freeSockets)) {
+      if (name.startsWith(prefix)) for (const socket of [...(sockets ?? [])]) socket.destroy();
+    }
   }
 
   /** Closes all idle connections, for use when no backend can be reached. */
@@ -72,7 +107,7 @@
   /** Called by Node to decide whether a connection is kept alive. */
   override keepSocketAlive(socket: Socket): boolean {
     const limitMs = idleLimitMs(socket);
-    if (limitMs <= 0 || socket.readableLength > 0) return false;
+    if (this.singleUse.has(socket) || limitMs <= 0 || socket.readableLength > 0) return false;
     socket.setKeepAlive(true, 1_000);
     socket.unref();
     socket.setTimeout(limitMs, closeIdle);
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
 import { invalidHeadReason } from './answer-head-check.js';
-import type { BackendAgent } from './backend-agent.js';
+import type { BackendAgent, ConnectionPool, PooledRequestOptions } from './backend-agent.js';
 import type { ExchangeObserver } from './backend-watch.js';
 import { BodySender } from './body-sender.js';
 import {
@@ -12,6 +12,7 @@
   parseRelayFailure,
   relayAddressOf,
   RELAY_FAILURE_HEADER,
+  withRelayedPool,
   type RelayFailure,
 } from './relay-protocol.js';
 
@@ -31,6 +32,8 @@
   /** Alternating names and values, in the format of Node's raw headers. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** The backend connections that the request may use, here or at the relay. */
+  readonly pool: ConnectionPool;
   /** The daemon that relays the request; undefined to send it to `address`. */
   readonly relay?: { readonly peer: string; readonly backend: string };
 }
@@ -73,19 +76,22 @@
     private readonly handler: ExchangeHandler,
     private readonly observer: ExchangeObserver,
   ) {
-    const { relay, path } = request;
+    const { relay, path, pool } = request;
     this.isRelayed = relay !== undefined;
     const [host, port] = splitAddress(relay ? relayAddressOf(relay.peer) : request.address);
-    this.outgoing = http.request({
+    const headers = relay ? withRelayedPool(request.headers, pool) : request.headers;
+    const options: http.RequestOptions & PooledRequestOptions = {
       host,
       port,
       method: request.method,
       path: relay ? encodeRelayTarget({ backend: relay.backend, path }) : path,
-      headers: request.headers as unknown as http.OutgoingHttpHeaders,
+      headers,
       setHost: false,
       // A new connection shows that the relay is reached before anything is sent to it.
       agent: relay ? false : agent,
-    });
+      pool,
+    };
+    this.outgoing = http.request(options);
     this.outgoing.on('socket', (socket) => this.watchConnect(socket));
     this.outgoing.on('response', (answer) => this.receive(answer));
     this.outgoing.on('error', (fault) => this.fail(fault.message));
--- a/src/gateway/relay-protocol.ts
+++ b/src/gateway/relay-protocol.ts
@@ -4,12 +4,17 @@
  * unchanged. The relay's own answers carry {@link RELAY_FAILURE_HEADER}; all others are the backend's.
  */
 import { encodePathSegment } from '../common/percent-encoding.js';
+import { poolOfSend, type ConnectionPool } from './backend-agent.js';
 import type { RelayRefusal } from '../core/relay-selection.js';
 
 /** Distance of the relay port from the peer port: all daemons listen on `peerPort + 1` for relayed requests. */
 export const RELAY_PORT_OFFSET = 1;
 /** Header of the relay's own answers, in lower case; removed from answers of backends. */
 export const RELAY_FAILURE_HEADER = 'x-relay-failure';
+/**
+ * Header of relayed requests, in lower case: the pool of backend connections that the relay may use. Not forwarded to the backend.
+ */
+export const RELAYED_POOL_HEADER = 'x-relay-connection-pool';
 /** Path, followed by the name of a service, at which a daemon tells whether it reaches that service's backends. */
 const REACHABILITY_PATH = '/reachability/';
 
@@ -40,6 +45,8 @@
   'backend_ended',
   'invalid_answer',
 ]);
+/** The pools of sends; two digits are more than a request may be sent. */
+const SEND_POOL = /^send-([1-9]\d?)$/;
 const TARGET = /^http:\/\/([^/]+)\/(.*)$/s;
 
 /** The backend and the caller's own target of a relayed request. */
@@ -67,6 +74,22 @@
   return backend === undefined ? undefined : { backend, path };
 }
 
+/** Returns the headers of a relayed request: alternating names and values, with the pool of backend connections. */
+export function withRelayedPool(headers: readonly string[], pool: ConnectionPool): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    if (name.toLowerCase() !== RELAYED_POOL_HEADER) kept.push(name, headers[index + 1] ?? '');
+  }
+  return [...kept, RELAYED_POOL_HEADER, pool];
+}
+
+/** Parses the pool of backend connections of a relayed request. Without a valid one the request has a connection of its own. */
+export function parseRelayedPool(value: string | readonly string[] | undefined): ConnectionPool {
+  const sendNumber = Number(SEND_POOL.exec(String(value))?.[1]);
+  return Number.isInteger(sendNumber) ? poolOfSend(sendNumber) : 'single';
+}
+
 /** Returns the path at which a daemon tells whether it reaches a service's backends. */
 export function encodeReachabilityTarget(service: string): string {
   return REACHABILITY_PATH + encodePathSegment(service);
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -18,7 +18,9 @@
 import {
   mayHaveReachedBackend,
   parseReachabilityTarget,
+  parseRelayedPool,
   parseRelayTarget,
+  RELAYED_POOL_HEADER,
   RELAY_FAILURE_HEADER,
   type RelayFailure,
 } from './relay-protocol.js';
@@ -29,7 +31,10 @@
 /** The same for the smallest machines. */
 const MIN_RELAYED = 16;
 /** Headers that belong to the connection with the other daemon. */
-const REQUEST_CONNECTION_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+const REQUEST_CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  RELAYED_POOL_HEADER,
+]);
 const DROPPED_ANSWER_HEADERS: ReadonlySet<string> = new Set([RELAY_FAILURE_HEADER]);
 
 /** Options of {@link RelayServer}. */
@@ -197,7 +202,14 @@
     const hasBody = body.length > 0 || request.method === 'POST';
     if (hasBody) headers.push('Content-Length', String(body.length));
     const exchange = new BackendExchange(
-      { address: backend.address, method: request.method ?? 'GET', path, headers, body },
+      {
+        address: backend.address,
+        method: request.method ?? 'GET',
+        path,
+        headers,
+        body,
+        pool: parseRelayedPool(request.headers[RELAYED_POOL_HEADER]),
+      },
       agent,
       {
         onHead: boundary.guard((answer) => {
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -7,6 +7,7 @@
 import type { SlotResponse } from '../core/admission/slot-allocator.js';
 import type { BackendCandidate } from '../core/backend-selection.js';
 import type { BackendRecord, ModelReference, Service } from '../core/service-configuration.js';
+import { poolOfSend, type ConnectionPool } from './backend-agent.js';
 import type { BackendPermit, PermitDecision } from './backend-permits.js';
 import { capacityFor, exemptFromEjection, type CapacityQuery } from './expected-capacity.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -52,6 +53,8 @@
   readonly fitsVersion: (backend: BackendRecord) => boolean;
   /** Returns whether the request may run at a backend together with the requests that run there. */
   readonly mayRunAt: (backend: string) => boolean;
+  /** Returns how often the request was sent. */
+  readonly sends: () => number;
   /** Runs the decisions of slot allocators and permit holders, which may arrive at any time. */
   readonly boundary: FaultBoundary;
   /** Called when the request may be sent to the backend. */
@@ -309,6 +312,11 @@
     return chosen === undefined ? undefined : context.directory.get(chosen.id);
   }
 
+  /** Returns the pool of the connections that the request may use when it is sent next. */
+  private nextPool(): ConnectionPool {
+    return poolOfSend(this.options.sends() + 1);
+  }
+
   private exemptBackends(usable: readonly BackendRecord[], now: number): BackendRecord[] {
     return this.untried(exemptFromEjection(this.context, this.options.service.name, usable, now));
   }
@@ -322,7 +330,7 @@
     return {
       id: backend.id,
       sameZone: backend.zone === context.settings.zone,
-      hasConnection: context.agent.hasIdleConnection(backend.address),
+      hasConnection: context.agent.hasIdleConnection(backend.address, this.nextPool()),
       slots: backend.slots,
       inFlight: this.inFlightAt(backend),
       failureShare: this.failureShare(backend.id, now),
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -85,7 +85,12 @@
   ) {
     this.answer = new CallerAnswer(context, request.head, response);
     this.boundary = context.faults.boundaryOf('request', {
-      fields: () => this.faultFields(),
+      fields: () => ({
+        request: request.head.attemptId,
+        backend: this.inFlight.backend,
+        mayHaveRun: this.mayHaveRun(),
+        sends: this.sends,
+      }),
       end: () => this.endAfterFault(),
       abandon: () => this.abandon(),
     });
@@ -153,7 +158,6 @@
   }
 
   private refuseDenied({ kind, retryAfterMs, inputs }: TenantDenial): void {
-    if (this.runs > 0) return this.giveUp(this.lastRan, kind);
     this.refuse(kind, retryAfterMs, inputs);
   }
 
@@ -166,8 +170,8 @@
     // A condemned request that is queued or has just started at a backend is withdrawn before it crashes that
     // backend too.
     if (!this.ended && !this.answer.hasBegun && this.isCondemned()) return this.refuseCrashing();
-    const isIdle = this.attempt === undefined;
-    if (isIdle && (this.demand.isWaiting || this.search.isPending)) this.dispatch();
+    if (this.attempt !== undefined) return;
+    if (this.demand.isWaiting || this.search.isPending) this.dispatch();
   }
 
   /** Handles a restart of a backend under the same id: earlier refusals and sends no longer count. */
@@ -221,8 +225,7 @@
   private refuseCrashing(): void {
     const suspicion = this.suspicion.strongestSuspicion();
     this.suspicion.recordRefusal();
-    const mayHaveRun = this.attempt !== undefined;
-    if (mayHaveRun) return this.giveUp('unknown', 'crashes_backends');
+    if (this.attempt !== undefined) return this.giveUp('unknown', 'crashes_backends');
     this.refuse('crashes_backends', undefined, { ...suspicion });
   }
 
@@ -235,6 +238,7 @@
       slotDetails: () => this.slotDetails(),
       fitsVersion: this.stream.mayRunAt,
       mayRunAt: (backend) => this.suspicion.mayTakeTurn(backend),
+      sends: () => this.sends,
       boundary: this.boundary,
       onSlot: (backend) => this.send(backend),
       // A request stays in the queue of a full backend regardless of its latency goal: a refused caller that retries would be
@@ -356,6 +360,7 @@
       backend,
       route,
       request,
+      sendNumber: this.sends,
       tenant: this.admission.tenant,
       priority: context.slots && GRANTED_PRIORITY,
       relay,
@@ -581,12 +586,6 @@
     this.answer.disconnect();
   }
 
-  private faultFields(): LogFields {
-    const { inFlight, sends } = this;
-    const { attemptId: request } = this.request.head;
-    return { request, backend: inFlight.backend, mayHaveRun: this.mayHaveRun(), sends };
-  }
-
   private finish(end: 'served' | 'failed' | 'refused' | 'caller_left'): void {
     if (this.ended) return;
     this.demand.setWaiting(false);
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -108,7 +108,7 @@
   body: string,
 ) => void;
 
-/** A backend that records the ids of the requests it receives. */
+/** A backend that records the ids of the requests it receives, and repeats the id of each in its answer. */
 export class TestBackend {
   arrivals: string[] = [];
   readonly server: http.Server;
@@ -119,7 +119,9 @@
     public handle: BackendHandler = answerWhole,
   ) {
     this.server = http.createServer((request, response) => {
-      this.arrivals.push(String(request.headers['request-id'] ?? ''));
+      const id = request.headers['request-id'];
+      this.arrivals.push(String(id ?? ''));
+      if (id !== undefined) response.setHeader('request-id', id);
       const chunks: Buffer[] = [];
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => this.handle(request, response, Buffer.concat(chunks).toString()));
@@ -401,9 +403,9 @@
     return (this.gateway as unknown as { context: GatewayContext }).context;
   }
 
-  /** Whether the agent has an idle connection to "ip:port". */
+  /** Whether the agent has an idle connection to "ip:port" for a request that was not sent yet. */
   hasIdleConnection(address: string): boolean {
-    return this.agent.hasIdleConnection(address);
+    return this.agent.hasIdleConnection(address, 'send-1');
   }
 
   stop(): void {
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -294,6 +294,8 @@
     response: http.ServerResponse,
   ): Promise<void> {
     if (this.connections.isSilent(request.socket)) return;
+    const attemptId = request.headers['x-attempt-id'];
+    if (attemptId !== undefined) response.setHeader('x-attempt-id', attemptId);
     const silentMs = this.silentUntil - Date.now();
     if (silentMs > 0) await new Promise((resolve) => setTimeout(resolve, silentMs));
     const read = await readBody(request, LARGEST_BODY_BYTES);
