Fix: a duration that no timer can wait ends neither a gateway nor its requests

Node's socket.setTimeout throws for a negative or infinite duration, and its timers end at once for one above 2^31 - 1 ms.

- A backend's Keep-Alive header with 400 digits in its timeout is Infinity seconds; keepSocketAlive threw ERR_OUT_OF_RANGE in the agent's 'free' event and the process ended.

--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -16,6 +16,8 @@
 const EXPIRY_MARGIN_MS = 600;
 /** Idle time after which a connection is closed if the backend sends no keep-alive timeout. */
 const DEFAULT_IDLE_MS = 4_000;
+/** Longest idle time that a backend's keep-alive timeout may set. */
+const MAX_IDLE_MS = 600_000;
 const KEEP_ALIVE_SECONDS = /timeout=(\d+)/;
 
 /** Which connections a request may use. */
@@ -149,5 +151,5 @@
   const hint = socket._httpMessage?.res?.headers['keep-alive'];
   const seconds = typeof hint === 'string' ? KEEP_ALIVE_SECONDS.exec(hint)?.[1] : undefined;
   if (seconds === undefined) return DEFAULT_IDLE_MS;
-  return Number(seconds) * 1_000 - EXPIRY_MARGIN_MS;
+  return Math.min(MAX_IDLE_MS, Number(seconds) * 1_000 - EXPIRY_MARGIN_MS);
 }
--- a/test/gateway/invalid-answers.test.ts
+++ b/test/gateway/invalid-answers.test.ts
@@ -8,6 +8,7 @@
 import {
   answerEvents,
   GatewayHarness,
+  pause,
   TestBackend,
   testConfiguration,
   testRoute,
@@ -23,18 +24,17 @@
 
 /** A backend that answers each request with given bytes. */
 class RawBackend extends TestBackend {
-  private readonly sockets = new net.Server();
+  private readonly sockets = net.createServer((socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.on('data', (bytes) => {
+      const id = /^request-id: (\S+)/im.exec(bytes.toString())?.[1] ?? '';
+      socket.write(this.answer(id), 'latin1');
+    });
+  });
   /** Returns the bytes of the answer to the request with an id. */
   answer = (id: string): string => `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\n\r\n`;
 
   override async start(): Promise<void> {
-    this.sockets.on('connection', (socket) => {
-      socket.on('error', () => socket.destroy());
-      socket.on('data', (bytes) => {
-        const id = /^request-id: (\S+)/im.exec(bytes.toString())?.[1] ?? '';
-        socket.write(this.answer(id), 'latin1');
-      });
-    });
     await new Promise<void>((resolve) => this.sockets.listen(0, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${(this.sockets.address() as net.AddressInfo).port}`;
   }
@@ -82,6 +82,17 @@
     },
   );
 
+  it('keeps its connection for a bounded time, whatever the backend allows', async () => {
+    const hint = `keep-alive: timeout=${'9'.repeat(400)}`;
+    raw.answer = (id) =>
+      `HTTP/1.1 200 X\r\nsigned: yes\r\nrequest-id: ${id}\r\n${hint}\r\ncontent-length: 2\r\n\r\nok`;
+    for (const id of ['a', 'b']) {
+      expect((await harness.call({ id, path: '/once/x' })).status).toBe(200);
+      await pause(20);
+    }
+    expect(harness.hasIdleConnection(raw.address)).toBe(true);
+  });
+
   it('teaches nothing about limits and backoffs', async () => {
     raw.answer = (id) =>
       `HTTP/1.1 099 X\r\nrequest-id: ${id}\r\nleaving: 1\r\nrate-limit: 0\r\nnot-run: 1\r\n\r\n`;
--- a/test/platform/configuration.test.ts
+++ b/test/platform/configuration.test.ts
@@ -6,6 +6,16 @@
 }
 
 describe('readConfiguration', () => {
+  it.each([-1, 2 ** 31, 1e300, 'soon'])(
+    'replaces the duration %j, which no timer can wait, by a default',
+    (bad) => {
+      const limits = { headerTimeoutMs: bad, idleTimeoutMs: bad };
+      const read = readConfiguration({ version: 1, limits, routes: [{ timeoutMs: bad }] });
+      const defaults = readConfiguration({ version: 1, limits: {}, routes: [{}] });
+      expect(read).toEqual(defaults);
+    },
+  );
+
   it('derives from the goals of a streaming route how long its callers wait', () => {
     const stream = { kind: 'streaming', goalMs: 400, gapGoalMs: 300 };
     expect(callerTimeoutOf(stream)).toBe(2_400);
