Fix: a tenant's name that no header can hold does not end the gateways

Names are sent as UTF-8 bytes now, which any text without control characters has; ASCII names are sent as before, names of Latin-1 as UTF-8 in place of one byte a letter.

A name with control characters, unpaired surrogates or blanks at its ends would not arrive as it is, and a trimmed one might be another tenant's. Such a tenant is reported as a problem of the configuration, and its keys are not accepted, as for an empty or repeated name; the other tenants stay.

--- a/src/common/header-value.ts
+++ b/src/common/header-value.ts
@@ -7,3 +7,13 @@
 export function isHeaderValue(text: string): boolean {
   return HEADER_VALUE.test(text);
 }
+
+/** Returns the header value whose bytes are a text in UTF-8: Node writes each character of a header as one byte. */
+export function utf8HeaderValue(text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1');
+}
+
+/** Whether a text has no unpaired surrogates, which UTF-8 cannot hold. */
+export function isWellFormed(text: string): boolean {
+  return Buffer.from(text, 'utf8').toString('utf8') === text;
+}
--- a/test/platform/tenants.test.ts
+++ b/test/platform/tenants.test.ts
@@ -1,5 +1,7 @@
+import { validateHeaderValue } from 'node:http';
 import { describe, expect, it } from 'vitest';
 import { readConfiguration } from '../../platform/configuration.js';
+import { platformDialect } from '../../platform/dialect.js';
 import { readTenants, withoutKeys } from '../../platform/tenants.js';
 import { hashKey } from '../../src/core/admission/api-keys.js';
 
@@ -55,6 +57,34 @@
     expect(problems.join()).not.toMatch(/k\d/);
   });
 
+  it.each(['Rīga', 'José', '東京', 'a b', 'a\u0085'])(
+    'accepts the name %j, which backends receive in UTF-8',
+    (name) => {
+      expect(read([{ name, apiKeys: ['k'] }]).tenants).toHaveLength(1);
+      const sent = platformDialect.backendHeaders({
+        backend: 'b',
+        remainingMs: 1,
+        lastEventId: undefined,
+        priority: 0,
+        tenant: name,
+      })['X-Tenant'];
+      validateHeaderValue('X-Tenant', sent ?? '');
+      expect(Buffer.from(sent ?? '', 'latin1').toString('utf8')).toBe(name);
+    },
+  );
+
+  it.each(['a\nb', 'a\u0000', '\u007f', '\ud800', ' a', 'a\t'])(
+    'refuses the name %j, which no header can hold, and keeps the other tenants',
+    (name) => {
+      const { tenants, problems } = read([
+        { name, apiKeys: ['k1'] },
+        { name: 'sound', apiKeys: ['k2'] },
+      ]);
+      expect(tenants?.map((tenant) => tenant.name)).toEqual(['sound']);
+      expect(problems).toHaveLength(1);
+    },
+  );
+
   it('accepts no key if the tenants are not a list', () => {
     const { tenants, problems } = read('nobody');
     expect(tenants).toEqual([]);
