Fix: a malformed address of a daemon does not stop the others' periodic work

An entry 'members/x' with the address 'nonsense' becomes a seed; each round of the membership sends a probe to it; dgram.send throws for the port; the round ends there, before ownership, leases, limits and demand have had their turn, and again 100 ms later, at every gateway that reads the entry. The tick's own guard logged it (tick_fault) and hid what it cost.

--- a/src/daemon/codec.ts
+++ b/src/daemon/codec.ts
@@ -1,5 +1,6 @@
 /** Converts between the types of `src/core` and the messages of the internal protocol. */
 import { create } from '@bufbuild/protobuf';
+import { isAddress } from '../common/address.js';
 import type { FeedEntry } from '../core/feed.js';
 import type {
   LivenessState,
@@ -62,6 +63,11 @@
   return create(MemberUpdateSchema, { ...view, state: MEMBER_STATES[view.state] });
 }
 
+/** Decodes updates about members; those about malformed addresses are dropped, because nothing could be sent to them. */
+function decodeMembers(updates: readonly MemberUpdate[]): MemberView[] {
+  return updates.filter(({ address }) => isAddress(address)).map(decodeMember);
+}
+
 function decodeMember(update: MemberUpdate): MemberView {
   const { address, zone, site, incarnation, capacity } = update;
   return { address, zone, site, incarnation, capacity, state: LIVENESS[update.state] ?? 'alive' };
@@ -89,11 +95,12 @@
     case 'ping':
     case 'ack': {
       const { sequence, updates } = body.value;
-      return { type: body.case, sequence, updates: updates.map(decodeMember) };
+      return { type: body.case, sequence, updates: decodeMembers(updates) };
     }
     case 'pingRequest': {
       const { sequence, target, updates } = body.value;
-      return { type: 'ping_request', sequence, target, updates: updates.map(decodeMember) };
+      if (!isAddress(target)) return undefined;
+      return { type: 'ping_request', sequence, target, updates: decodeMembers(updates) };
     }
     default:
       return undefined;
@@ -113,7 +120,7 @@
   if (body.case !== 'membershipState') return decodeProbe(body);
   const { members, isAnswer } = body.value;
   const type = isAnswer ? 'state_answer' : 'state_request';
-  return { type, members: members.map(decodeMember) };
+  return { type, members: decodeMembers(members) };
 }
 
 /** Encodes a wake request. */
--- a/src/daemon/peer-transport.ts
+++ b/src/daemon/peer-transport.ts
@@ -7,6 +7,7 @@
 import net from 'node:net';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { sizeDelimitedEncode, sizeDelimitedPeek } from '@bufbuild/protobuf/wire';
+import { isAddress } from '../common/address.js';
 import { splitAddress } from '../common/http-client.js';
 import type { LinkFaults } from '../common/link-faults.js';
 import { faultText, type Logger } from '../common/logger.js';
@@ -262,6 +263,7 @@
   private receive(bytes: Uint8Array, socket: net.Socket | undefined): void {
     const envelope = this.decode(bytes, socket);
     if (envelope === undefined || envelope.body.case === undefined) return;
+    if (!isAddress(envelope.from)) return this.rejectMalformed(socket, 'a malformed sender');
     if (this.options.faults.blocksInbound(envelope.from)) return;
     this.counts.messagesReceived += 1;
     this.options.onMessage(envelope.from, envelope.body);
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -3,6 +3,7 @@
 import { isIP } from 'node:net';
 import { Result } from 'true-myth';
 import { parseJson } from '../common/http-client.js';
+import { isAddress } from '../common/address.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
 import {
   DEFAULT_POLICIES,
@@ -221,10 +222,6 @@
   return isIP(text) === 4;
 }
 
-function isAddress(text: string): boolean {
-  return /^\d+\.\d+\.\d+\.\d+:\d+$/.test(text);
-}
-
 function invalid(message: string): Result<GatewaySettings, ServiceError> {
   return Result.err(serviceError('settings_invalid', message));
 }
