Fix: a malformed message of an engine ends its own call, not the daemon

A line 'null' in a request's stream or in a stream of reports threw in a socket's event handler and ended the daemon (Cannot read properties of null); a reply 'null' to a cancellation did so in a promise that nobody awaited.

engine-messages.ts decides what a message is, before anything acts on it. A malformed one breaks its stream, or loses the reply to its call, which the router and the pool's owner handle as before. Lines of unknown types are still ignored.

--- a/src/engines/http-engine-client.ts
+++ b/src/engines/http-engine-client.ts
@@ -8,6 +8,14 @@
   type HttpRequest,
   type TransportFailure,
 } from '../common/http-client.js';
+import {
+  parseCancelReply,
+  parseOrderReply,
+  parseReport,
+  parseReportLine,
+  parseStreamLine,
+  type StreamLine,
+} from './engine-messages.js';
 import type {
   CancelReply,
   EngineClient,
@@ -16,7 +24,6 @@
   EngineRequest,
   OrderReply,
   OrderFence,
-  ReplicaLoad,
   ReportHandler,
   RequestHandler,
   RequestRefusal,
@@ -32,12 +39,10 @@
 /** Milliseconds without a line after which a report stream counts as broken. */
 const REPORT_IDLE_TIMEOUT_MS = 4000;
 
-/** One line of a request's stream. */
-type StreamLine =
-  | { readonly type: 'accepted'; readonly load: ReplicaLoad }
-  | { readonly type: 'token'; readonly offset: number; readonly text: string }
-  | { readonly type: 'done'; readonly tokens: number; readonly finish: 'stop' | 'length' }
-  | { readonly type: 'alive' };
+const MALFORMED: TransportFailure = {
+  reason: 'lost',
+  message: 'the engine sent a malformed message',
+};
 
 /** HTTP client for engines. */
 export class HttpEngineClient implements EngineClient {
@@ -65,12 +70,8 @@
   }
 
   async status(engine: string): Promise<Result<EngineReport, TransportFailure>> {
-    return this.call<EngineReport>({
-      method: 'GET',
-      address: engine,
-      path: '/status',
-      timeoutMs: ORDER_TIMEOUT_MS,
-    });
+    const request = { method: 'GET', address: engine, path: '/status' } as const;
+    return this.call({ ...request, timeoutMs: ORDER_TIMEOUT_MS }, parseReport);
   }
 
   async order(
@@ -78,13 +79,9 @@
     fence: OrderFence,
     order: EngineOrder,
   ): Promise<Result<OrderReply, TransportFailure>> {
-    return this.call<OrderReply>({
-      method: 'POST',
-      address: engine,
-      path: '/orders',
-      body: { fence, order },
-      timeoutMs: ORDER_TIMEOUT_MS,
-    });
+    const request = { method: 'POST', address: engine, path: '/orders' } as const;
+    const body = { fence, order };
+    return this.call({ ...request, body, timeoutMs: ORDER_TIMEOUT_MS }, parseOrderReply);
   }
 
   watchReports(engine: string, handler: ReportHandler): RequestStream {
@@ -97,8 +94,10 @@
     return this.streamWithIdleTimeout(this.controlHttp, request, REPORT_IDLE_TIMEOUT_MS, {
       onHead: (status) => status === 200,
       onLine: (line) => {
-        const report = line as EngineReport & { alive?: boolean };
-        if (report.alive !== true) handler.onReport(report);
+        const report = parseReportLine(line);
+        if (report === undefined) return false;
+        if (!('alive' in report)) handler.onReport(report);
+        return true;
       },
       onBroken: () => handler.onBroken(),
     });
@@ -133,7 +132,7 @@
       path,
       timeoutMs: ORDER_TIMEOUT_MS,
     } as const;
-    return this.call<CancelReply>(request, this.cancellationHttp);
+    return this.call(request, parseCancelReply, this.cancellationHttp);
   }
 
   private openStream(request: HttpRequest, handler: RequestHandler): RequestStream {
@@ -147,10 +146,13 @@
           handler.onBroken({ reason: 'lost', message: `the engine replied with status ${status}` });
         return false;
       },
-      onLine: (line) => {
-        if (finished) return;
-        finished = deliver(line as StreamLine, handler);
+      onLine: (value) => {
+        if (finished) return true;
+        const line = parseStreamLine(value);
+        if (line === undefined) return false;
+        finished = deliver(line, handler);
         if (finished) stream.close();
+        return true;
       },
       onBroken: (failure) => {
         if (finished) return;
@@ -172,7 +174,8 @@
     idleTimeoutMs: number,
     handler: {
       onHead(status: number, refusal: string | undefined): boolean;
-      onLine(line: unknown): void;
+      /** Returns false for a malformed line, which breaks the stream. */
+      onLine(line: unknown): boolean;
       onBroken(failure?: TransportFailure): void;
     },
   ): RequestStream {
@@ -203,7 +206,7 @@
       onLine: (line) => {
         if (closed) return;
         resetIdleTimer();
-        handler.onLine(line);
+        if (!handler.onLine(line)) fail(MALFORMED);
       },
       onEnd: fail,
     });
@@ -217,6 +220,7 @@
 
   private async call<Body>(
     request: HttpRequest,
+    parse: (value: unknown) => Body | undefined,
     client: HttpClient = this.controlHttp,
   ): Promise<Result<Body, TransportFailure>> {
     const answer = await client.send(request);
@@ -226,7 +230,8 @@
       const message = `the engine replied with status ${answer.value.status}`;
       return Result.err({ reason: 'lost', message });
     }
-    return Result.ok(body.value as Body);
+    const parsed = parse(body.value);
+    return parsed === undefined ? Result.err(MALFORMED) : Result.ok(parsed);
   }
 }
 
--- a/test/engines/http-engine-client.test.ts
+++ b/test/engines/http-engine-client.test.ts
@@ -45,4 +45,59 @@
     const second = await client.cancel(address, 'b');
     expect([first, second].map((reply) => reply.unwrapOr(undefined))).toEqual([RUN_NONE, RUN_YES]);
   });
+
+  describe('with a malformed message', () => {
+    const MALFORMED = [
+      'null',
+      '1',
+      '"x"',
+      '[]',
+      '{"type":"token"}',
+      '{"type":"token","offset":0.5,"text":"a"}',
+      '{"type":"accepted"}',
+      '{"type":"done","tokens":1}',
+    ];
+
+    function streamBytes(lines: readonly string[]): string {
+      const text = lines.join('\n') + '\n';
+      return `HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+    }
+
+    it.each(MALFORMED.filter((line) => line !== '[]'))(
+      'breaks the stream of its request only: %s',
+      async (line) => {
+        replies.set(
+          'a',
+          streamBytes(['{"type":"accepted","load":{"inFlight":1,"slots":2}}', line]),
+        );
+        const events: string[] = [];
+        const message = await new Promise((resolve) => {
+          client.resume(address, 'a', 0, {
+            onAccepted: () => events.push('accepted'),
+            onRefused: () => events.push('refused'),
+            onToken: () => events.push('token'),
+            onDone: () => events.push('done'),
+            onBroken: (failure) => resolve(failure.message),
+          });
+        });
+        expect(events).toEqual(['accepted']);
+        expect(message).toBe('the engine sent a malformed message');
+      },
+    );
+
+    it.each(MALFORMED)('loses the reply to its call only: %s', async (reply) => {
+      replies.set('a', streamBytes([reply]));
+      expect((await client.cancel(address, 'a')).isErr).toBe(true);
+    });
+
+    it.each(MALFORMED)('breaks its stream of reports only: %s', async (line) => {
+      replies.set('', streamBytes([line]));
+      const reports: unknown[] = [];
+      await new Promise<void>((resolve) => {
+        const onReport = (report: unknown): void => void reports.push(report);
+        client.watchReports(address, { onReport, onBroken: () => resolve() });
+      });
+      expect(reports).toEqual([]);
+    });
+  });
 });
