--- a/src/daemon/peer-transport.ts
+++ b/src/daemon/peer-transport.ts
@@ -123,12 +123,19 @@
     const bytes = this.encode(body, sizeDelimitedEncode);
     if (bytes === undefined) return;
     for (const to of addresses) {
-      if (this.stopped || this.options.faults.blocksOutbound(to)) continue;
+      if (this.stopped || this.options.faults.blocksOutbound(to) || !this.isSendable(to)) continue;
       if (to === this.address) setImmediate(() => this.options.onMessage(this.address, body));
       else this.write(to, bytes);
     }
   }
 
+  /** Whether an address is well-formed: Node's sockets throw for one that is not, which would end the work of the sender. */
+  private isSendable(to: string): boolean {
+    if (isAddress(to)) return true;
+    this.options.logger.warn('malformed_address', { to });
+    return false;
+  }
+
   private write(to: string, bytes: Uint8Array): void {
     const socket = this.connections.get(to) ?? this.connect(to);
     if (socket.writableLength > MAX_BACKLOG_BYTES) {
@@ -159,7 +166,7 @@
 
   /** Sends a message as one datagram. */
   sendDatagram(to: string, body: PeerBody): void {
-    if (this.stopped || this.options.faults.blocksOutbound(to)) return;
+    if (this.stopped || this.options.faults.blocksOutbound(to) || !this.isSendable(to)) return;
     const [host, port] = splitAddress(to);
     const bytes = this.encode(body, toBinary);
     if (bytes === undefined) return;
--- a/src/gateway/member-codec.ts
+++ b/src/gateway/member-codec.ts
@@ -6,6 +6,11 @@
 export function decodeMember(value: unknown): ShareMember | undefined {
   const { address, zone } = (value ?? {}) as Partial<ShareMember>;
   if (typeof address !== 'string' || typeof zone !== 'string') return undefined;
-  if (!isAddress(address)) return undefined;
   return { address, zone };
 }
+
+/** Decodes an entry of the list of daemons; undefined if it is none, or if nothing could be sent to its address. */
+export function decodeMemberEntry(value: unknown): ShareMember | undefined {
+  const member = decodeMember(value);
+  return member !== undefined && isAddress(member.address) ? member : undefined;
+}
--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -7,7 +7,7 @@
 import { MemberEntries } from '../core/member-entries.js';
 import type { StorePosition } from '../core/store-position.js';
 import type { GatewaySettings } from './gateway-settings.js';
-import { decodeMember } from './member-codec.js';
+import { decodeMemberEntry } from './member-codec.js';
 import type { PeerGroup } from './peer-group.js';
 import type { RecordFailure, RecordStore, StoredRecord } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -126,7 +126,7 @@
     requestedAt: number,
   ): Promise<boolean> {
     const known = list.find((record) => record.name === this.settings.name);
-    if (decodeMember(known?.value)?.address !== this.peers.address)
+    if (decodeMemberEntry(known?.value)?.address !== this.peers.address)
       return this.writeEntry(known?.revision);
     this.renewals = renewalsOf(known?.value);
     this.revision = known?.revision;
@@ -174,7 +174,7 @@
 
   private applyList(list: readonly StoredRecord[]): void {
     const entries = list.flatMap(({ value, revision }) => {
-      const member = decodeMember(value);
+      const member = decodeMemberEntry(value);
       return member === undefined ? [] : [{ ...member, site: '', revision }];
     });
     this.listed = entries;
--- a/test/gateway/malformed-addresses.test.ts
+++ b/test/gateway/malformed-addresses.test.ts
@@ -8,7 +8,8 @@
   PingRequestSchema,
   PingSchema,
 } from '../../src/proto/gen/internal_pb.js';
-import { decodeMember } from '../../src/gateway/member-codec.js';
+import type { PeerGroup } from '../../src/gateway/peer-group.js';
+import { decodeMemberEntry } from '../../src/gateway/member-codec.js';
 import { GatewayHarness, pause } from './gateway-harness.js';
 
 const MALFORMED = ['', 'nonsense', '127.0.0.1', '127.0.0.1:0', '127.0.0.1:65536', 'host:1'];
@@ -29,8 +30,18 @@
     expect(harness.liveMembers()).toBe(1);
   });
 
+  it.each(MALFORMED)('%j gets no message, and the sender goes on', async (address) => {
+    harness = await GatewayHarness.start();
+    const peers = (harness.gateway as unknown as { peers: PeerGroup }).peers;
+    const body = { case: 'ping', value: create(PingSchema, { sequence: 1 }) } as const;
+    peers.send(address, body);
+    peers.sendDatagram(address, body);
+    const lines = harness.lines.filter(({ event }) => event === 'malformed_address');
+    expect(lines).toMatchObject([{ fields: { to: address } }, { fields: { to: address } }]);
+  });
+
   it.each(MALFORMED)('%j is dropped from records and messages', (address) => {
-    expect(decodeMember({ address, zone: 'a' })).toBeUndefined();
+    expect(decodeMemberEntry({ address, zone: 'a' })).toBeUndefined();
     const update = create(MemberUpdateSchema, { address, zone: 'a', state: MemberState.ALIVE });
     const ping = create(PingSchema, { sequence: 1, updates: [update] });
     expect(decodeMembership({ case: 'ping', value: ping })).toMatchObject({ updates: [] });
