Soak: answers with invalid statuses, and second answers at full replicas

Two opt-in kinds. statuses_spoiled: one answer in ten of some replicas has a status that HTTP does not allow. answers_repeated: all replicas of a service are full for 150 ms of each 450, so that rejected requests are held and sent again; each rejection, and one whole answer in twenty, is answered a second time where the next answer on the connection should come. Replicas repeat the id of each request.

Audits: repeated_run, false_promise, wrong_answer and unasked_exit as before, and unexpected_fault for each line of a gateway about an unexpected exception. Each run tells how many such answers it has met, and how many sends came after a second answer to an earlier send of the same request.

No other kind draws differently: the new kinds stand last and draw only when listed.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -51,6 +51,7 @@
     faultFreeSince: 0,
     unexpectedExits: [],
     unencodedMessages: [],
+    unexpectedFaults: [],
     promisesRevocation: true,
     ...part,
   };
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -65,6 +65,7 @@
     faultFreeSince: CALM_FROM,
     unexpectedExits: [],
     unencodedMessages: [],
+    unexpectedFaults: [],
     promisesRevocation: true,
     ...part,
   };
@@ -244,6 +245,12 @@
     );
   });
 
+  it('reports unexpected exceptions that have ended a request', () => {
+    expect(rules({ unexpectedFaults: ['event=request_fault reason="Error: a defect"'] })).toEqual([
+      'unexpected_fault',
+    ]);
+  });
+
   it('reports unexpected exits, and a system that does not recover', () => {
     const exit = {
       gateway: 'g',
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -55,6 +55,7 @@
       detail: describeExit(exit),
     })),
     ...evidence.unencodedMessages.map((detail) => ({ rule: 'message_not_encoded', detail })),
+    ...evidence.unexpectedFaults.map((detail) => ({ rule: 'unexpected_fault', detail })),
   ];
 }
 
--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -6,15 +6,25 @@
 import type { RunLog } from './run-log.js';
 import type { SoakResult } from './soak-options.js';
 
+/** What the log counts about answers. */
+type AnswerCounts =
+  | 'unframedStreams'
+  | 'brokenStreams'
+  | 'spoiledStatuses'
+  | 'secondAnswers'
+  | 'sendsAfterSecondAnswers';
+
 /** Returns the counts of one run. */
 export function casesMet(
   evidence: SoakEvidence,
-  log: Pick<RunLog, 'unframedStreams' | 'brokenStreams'>,
-): Pick<SoakResult, 'crashes' | 'funnels' | 'unframedStreams' | 'streams'> {
+  log: Pick<RunLog, AnswerCounts>,
+): Pick<SoakResult, 'crashes' | 'funnels' | 'unframedStreams' | 'streams' | 'answerFaults'> {
+  const { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers } = log;
   return {
     crashes: crashReports(evidence),
     funnels: { all: evidence.funnels.length, judged: judgedFunnels(evidence) },
     unframedStreams: { all: log.unframedStreams, broken: log.brokenStreams },
     streams: streamCounts(evidence),
+    answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers },
   };
 }
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -110,6 +110,8 @@
   readonly unexpectedExits: readonly ProcessExit[];
   /** Log lines of gateways about messages that they could not encode. */
   readonly unencodedMessages: readonly string[];
+  /** Log lines of gateways about unexpected exceptions that ended a request, a message or a round of their work. */
+  readonly unexpectedFaults: readonly string[];
   /** Whether the gateways were started with a bound on how long a removed key is still served. */
   readonly promisesRevocation: boolean;
 }
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -195,8 +195,17 @@
 
   /** Lines of its log about messages that it could not encode, and so did not send. */
   unencodedMessages(): string[] {
+    return this.linesWith(/ event=message_not_encoded /);
+  }
+
+  /** Lines of its log about unexpected exceptions. */
+  unexpectedFaults(): string[] {
+    return this.linesWith(/ event=\w+_fault /);
+  }
+
+  private linesWith(pattern: RegExp): string[] {
     const lines = readFileSync(this.logFile, 'utf8').split('\n');
-    return lines.filter((line) => line.includes(' event=message_not_encoded '));
+    return lines.filter((line) => pattern.test(line));
   }
 
   start(): void {
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -24,6 +24,9 @@
 
 type FaultOf<Kind extends OptInFault['kind']> = Extract<OptInFault, { kind: Kind }>;
 
+/** Kinds of faults in the answers of some replicas. */
+type AnswerFaultKind = 'answers_unframed' | 'statuses_spoiled';
+
 /** Sends requests that crash the replicas that run them. */
 export interface PoisonSender {
   /** Sends the named request to a gateway that accepts callers. The crashed replica restarts after `backMs`. */
@@ -66,8 +69,7 @@
       case 'poison_part':
         return void this.repeatPoisonPart(fault);
       case 'answers_tell_leaving':
-        for (let count = 0; count < fault.count; count++) this.leaveByResponses(fault);
-        return;
+        return this.leaveByResponses(fault);
       case 'backend_asks_rest':
         return this.requestBackoff(fault);
       case 'backend_names_limit':
@@ -83,7 +85,10 @@
       case 'replica_silent':
         return this.silenceReplicas(fault);
       case 'answers_unframed':
-        return this.answerUnframed(fault);
+      case 'statuses_spoiled':
+        return this.spoilAnswers(fault);
+      case 'answers_repeated':
+        return this.repeatAnswers(fault);
       case 'connections_funnelled':
         return this.funnelConnections(fault);
       case 'software_released':
@@ -183,21 +188,37 @@
     this.poisonParts -= 1;
   }
 
-  private leaveByResponses({ serveMs, listedAfterMs }: FaultOf<'answers_tell_leaving'>): void {
+  private leaveByResponses(fault: FaultOf<'answers_tell_leaving'>): void {
+    for (let count = 0; count < fault.count; count++) this.leaveByResponse(fault);
+  }
+
+  private leaveByResponse({ serveMs, listedAfterMs }: FaultOf<'answers_tell_leaving'>): void {
     const replica = this.random.pick(spareReplicas(this.system));
     if (replica === undefined) return;
     this.system.replicaFaults.push({ from: Date.now(), until: Date.now() + serveMs });
     void replica.leaveByResponses(serveMs, listedAfterMs).then(() => replica.start());
   }
 
-  private answerUnframed({ count, milliseconds }: FaultOf<'answers_unframed'>): void {
-    const until = Date.now() + milliseconds;
-    this.system.replicaFaults.push({ from: Date.now(), until });
+  /** Begins a fault in the answers of some replicas. */
+  private spoilAnswers({ kind, count, milliseconds }: FaultOf<AnswerFaultKind>): void {
+    this.recordReplicaFault(milliseconds);
     for (const replica of this.random.shuffled(this.system.replicas).slice(0, count)) {
-      replica.sendUnframed(milliseconds);
+      if (kind === 'answers_unframed') replica.sendUnframed(milliseconds);
+      else replica.answerFaults.spoilStatuses(milliseconds);
     }
   }
 
+  private repeatAnswers({ service, milliseconds }: FaultOf<'answers_repeated'>): void {
+    this.recordReplicaFault(milliseconds);
+    for (const replica of this.system.replicas) {
+      if (replica.service === service) replica.answerFaults.repeatAnswers(milliseconds);
+    }
+  }
+
+  private recordReplicaFault(milliseconds: number): void {
+    this.system.replicaFaults.push({ from: Date.now(), until: Date.now() + milliseconds });
+  }
+
   private funnelConnections({ milliseconds }: FaultOf<'connections_funnelled'>): void {
     const { funnels } = this.system;
     const from = Date.now();
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -123,6 +123,21 @@
       readonly count: number;
       readonly milliseconds: number;
     }
+  /** Replicas answer some requests with a status that HTTP does not allow. */
+  | {
+      readonly kind: 'statuses_spoiled';
+      readonly count: number;
+      readonly milliseconds: number;
+    }
+  /**
+   * All replicas of a service are full for moments, and send rejections and some other answers a second time, where the next answer
+   * on the connection should come.
+   */
+  | {
+      readonly kind: 'answers_repeated';
+      readonly service: 'models' | 'plain';
+      readonly milliseconds: number;
+    }
   /** The load balancer sends most new connections to one gateway. */
   | {
       readonly kind: 'connections_funnelled';
@@ -165,6 +180,8 @@
   'poison_part',
   'answers_unframed',
   'connections_funnelled',
+  'statuses_spoiled',
+  'answers_repeated',
 ];
 
 /** Rate limits in requests per second. */
@@ -282,6 +299,14 @@
     count: Math.ceil(random.between(0, 4)),
     milliseconds: random.between(2_000, 6_000),
   }),
+  statuses_spoiled: (random) => ({
+    count: Math.ceil(random.between(0, 4)),
+    milliseconds: random.between(2_000, 6_000),
+  }),
+  answers_repeated: (random) => ({
+    service: random.chance(0.7) ? 'plain' : 'models',
+    milliseconds: random.between(2_000, 6_000),
+  }),
   connections_funnelled: (random) => ({
     milliseconds: random.between(6_000, 10_000),
   }),
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -7,6 +7,7 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { readBody, sendJson } from '../../src/common/http-server.js';
+import { AnswerFaults } from './answer-faults.js';
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { eventText, plainText } from './expected-events.js';
 import type { ReplicaViolation, RunLog } from './run-log.js';
@@ -88,6 +89,7 @@
 export class ReplicaStandIn {
   condition: ReplicaCondition = 'sound';
   readonly connections = new ServerConnections();
+  readonly answerFaults: AnswerFaults;
   id = '';
   private starts = 0;
   address = '';
@@ -125,6 +127,7 @@
   constructor(private readonly options: ReplicaOptions) {
     for (const model of options.models) this.onDisk.add(model);
     this.nextVersion = options.softwareVersion;
+    this.answerFaults = new AnswerFaults(options.random, options.log);
   }
 
   /** Sets the software version of the next process. */
@@ -300,6 +303,7 @@
     if (silentMs > 0) await new Promise((resolve) => setTimeout(resolve, silentMs));
     const read = await readBody(request, LARGEST_BODY_BYTES);
     const body = read.isOk ? read.value : '';
+    this.answerFaults.sendCopy(request, String(attemptId ?? ''));
     const target = request.headers['x-target-instance'];
     if (target !== undefined && target !== this.id) return refuse(response, 421);
     if (request.url === '/-/report') return this.report(response);
@@ -399,7 +403,7 @@
     if (condition === 'hangs') return;
     const model = request.headers['x-model'];
     if (this.options.hasModels && !this.models.has(String(model))) return refuse(response, 421);
-    if (this.running >= this.room) return this.rejectForRoom(response, attemptId);
+    if (this.isFull()) return this.rejectForRoom(response, attemptId);
     const tenant = request.headers['x-tenant'];
     this.options.log.recordRun(
       attemptId,
@@ -408,6 +412,7 @@
     );
     if (condition === 'answers_lost' && random.chance(0.2)) return void request.socket.destroy();
     const seal = { 'x-attempt-id': attemptId, 'x-server-seal': `${this.id}.${attemptId}` };
+    if (this.answerFaults.spoil(request.socket, seal)) return;
     if (condition === 'fails_some' && random.chance(0.3)) {
       return sendJson(response, 500, {}, seal);
     }
@@ -417,7 +422,19 @@
     response.once('close', () => (this.running -= 1));
     const pace = condition === 'slow' ? 6 : 1;
     if (this.options.hasModels) this.stream(request, body, response, seal, { pace, isUnframed });
-    else setTimeout(() => sendPlain(response, plainText(attemptId, body), seal), 10 * pace).unref();
+    else setTimeout(() => this.answerPlain(request, body, response, seal), 10 * pace).unref();
+  }
+
+  private answerPlain(
+    request: http.IncomingMessage,
+    body: string,
+    response: http.ServerResponse,
+    seal: Record<string, string>,
+  ): void {
+    const attemptId = seal['x-attempt-id'] ?? '';
+    const text = plainText(attemptId, body);
+    sendPlain(response, text, seal);
+    this.answerFaults.repeatWhole(request.socket, seal, text);
   }
 
   /** Prepares an answer without a length or chunks, if such answers are due. */
@@ -428,6 +445,10 @@
     return isUnframed;
   }
 
+  private isFull(): boolean {
+    return this.running >= this.room || this.answerFaults.rejects();
+  }
+
   /** Number of requests that it runs at the same time. */
   private get room(): number {
     const { brittleness } = this;
@@ -437,6 +458,7 @@
 
   private rejectForRoom(response: http.ServerResponse, attemptId: string): void {
     refuse(response, 503, { 'x-attempt-id': attemptId });
+    if (response.socket !== null) this.answerFaults.repeatRejection(response.socket, attemptId);
     const { brittleness, id } = this;
     if (brittleness === undefined) return;
     const now = Date.now();
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -80,6 +80,12 @@
   /** Streams without a length or chunks, and how many of them ended within an event. */
   unframedStreams = 0;
   brokenStreams = 0;
+  /** Answers with a status that HTTP does not allow. */
+  spoiledStatuses = 0;
+  /** Second answers that were sent where the next answer on a connection should come. */
+  secondAnswers = 0;
+  /** Sends to a replica of a request whose rejection there is answered a second time. */
+  sendsAfterSecondAnswers = 0;
 
   recordRun(attemptId: string, replica: string, tenant: string | undefined): void {
     this.runs.push({ attemptId, replica, tenant, at: Date.now() });
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -8,6 +8,7 @@
 import type { LimitMargin } from './limit-margin.js';
 import type { OptInFault, PartitionFault } from './opt-in-fault-plan.js';
 import type { SignalsAtStart } from './process-signals.js';
+import type { RunLog } from './run-log.js';
 import type { SeriesFault } from './series-fault-plan.js';
 
 /** Groups of faults to inject. Each group has a separate random generator. */
@@ -77,6 +78,11 @@
   readonly funnels: { readonly all: number; readonly judged: number };
   /** Streams of replicas without a length or chunks, and how many of them ended within an event. */
   readonly unframedStreams: { readonly all: number; readonly broken: number };
+  /** Faulty answers that replicas have sent, and sends that could have met a second answer to an earlier send. */
+  readonly answerFaults: Pick<
+    RunLog,
+    'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers'
+  >;
   /** How often callers could begin streams and take them up. */
   readonly streams: StreamCounts;
   /** How callers were served while gateways were partitioned from all replicas. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -184,6 +184,7 @@
       promisesRevocation: this.options.promisesRevocation ?? true,
       unexpectedExits: this.exits().filter(({ isExpected }) => !isExpected),
       unencodedMessages: [...this.gateways.values()].flatMap((each) => each.unencodedMessages()),
+      unexpectedFaults: [...this.gateways.values()].flatMap((each) => each.unexpectedFaults()),
     };
     await this.stop();
     return {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -68,6 +68,12 @@
 /** A part is refused after this many crashes. */
 const MIN_PART_CRASHES = 3;
 
+/** Produces answers with invalid statuses, and second answers at replicas that are full for moments. */
+const ANSWERS_SEED = 71_003;
+const ANSWERS_FAULT_MS = 20_000;
+/** At least this many sends must be able to meet a second answer to an earlier send for the run to be meaningful. */
+const MIN_SENDS_AFTER_SECOND_ANSWERS = 5;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -253,6 +259,23 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('end no request but its own for an answer with an invalid status, and take no second answer for another', async () => {
+    const result = await runSoak({
+      seed: ANSWERS_SEED,
+      faultMs: ANSWERS_FAULT_MS,
+      folder: soakFolder(ANSWERS_SEED),
+      faultKinds: 'none',
+      only: ['statuses_spoiled', 'answers_repeated'],
+      requestsPerSecond: 40,
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    const { spoiledStatuses, sendsAfterSecondAnswers } = result.answerFaults;
+    expect(spoiledStatuses).toBeGreaterThan(0);
+    expect(sendsAfterSecondAnswers).toBeGreaterThanOrEqual(MIN_SENDS_AFTER_SECOND_ANSWERS);
+    expect(result.served).toBeGreaterThan(result.calls / 3);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
