Fix: an exception after an attempt has ended promises nothing about the request

Found when the change was read again. Between the end of an attempt and the count of its run, an exception found neither an attempt nor a run, so that the caller was told 503 'not sent' of a request that had run; and one after a whole answer was written closed the connection before the caller had read it.

CallerServer.accept and RelayServer.accept by the usual name.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -81,6 +81,11 @@
     return this.response.headersSent;
   }
 
+  /** Whether the whole answer was written. */
+  get isComplete(): boolean {
+    return this.response.writableEnded;
+  }
+
   /** Sends a complete answer. */
   sendComplete(answer: CompleteAnswer): void {
     const headers = forwardedHeaders(answer.rawHeaders, CONTENT_LENGTH_HEADER);
@@ -132,7 +137,7 @@
 
   /** Closes the connection unless the whole answer was written. */
   disconnectIfIncomplete(): void {
-    if (!this.response.writableEnded) this.response.destroy();
+    if (!this.isComplete) this.response.destroy();
   }
 
   /** Sends an error of the given kind, unless the answer has begun. */
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -48,7 +48,7 @@
         requestTimeout: BODY_TIMEOUT_MS,
         noDelay: true,
       },
-      (request, response) => this.receiveGuarded(request, response),
+      (request, response) => this.accept(request, response),
     );
     this.server.on('clientError', (_fault, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
@@ -77,7 +77,7 @@
     this.server.closeAllConnections();
   }
 
-  private receiveGuarded(request: http.IncomingMessage, response: http.ServerResponse): void {
+  private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
     // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -85,7 +85,7 @@
     this.server = http.createServer({ noDelay: true }, (request, response) => {
       response.sendDate = false;
       response.on('error', () => response.destroy());
-      const relayed = this.describe(request, response);
+      const relayed = this.accept(request, response);
       relayed.boundary.run(() => this.receive(relayed));
     });
     this.server.on('clientError', (_fault, socket) => socket.destroy());
@@ -111,7 +111,7 @@
     this.server.closeAllConnections();
   }
 
-  private describe(request: http.IncomingMessage, response: http.ServerResponse): RelayedRequest {
+  private accept(request: http.IncomingMessage, response: http.ServerResponse): RelayedRequest {
     const peer = request.socket.remoteAddress ?? '';
     const id = this.options.dialect.readRequest(request.headers).attemptId;
     // Without an answer, the other daemon takes it that the request may have run.
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -92,7 +92,12 @@
         sends: this.sends,
       }),
       end: () => this.endAfterFault(),
-      abandon: () => this.abandon(),
+      // A closed connection tells the caller nothing about the request.
+      abandon: () => {
+        this.ended = true;
+        context.exchanges.delete(this);
+        this.answer.disconnect();
+      },
     });
     this.model = match.service.modelHost === undefined ? undefined : request.head.model;
     const { route } = match;
@@ -574,18 +579,13 @@
 
   /** Ends the request after an unexpected exception, which is a defect of this program. All other requests go on. */
   private endAfterFault(): void {
-    if (this.ended) this.answer.disconnectIfIncomplete();
-    else if (this.mayHaveRun()) this.giveUp('unknown', 'internal');
+    if (this.ended) return this.answer.disconnectIfIncomplete();
+    if (this.answer.isComplete) return this.finish('failed');
+    // The exception may have come before the end of the last attempt was recorded.
+    if (this.sends > 0 || this.mayHaveRun()) this.giveUp('unknown', 'internal');
     else this.refuse('internal_not_sent', FAULT_RETRY_AFTER_MS);
   }
 
-  /** Closes the connection, which tells the caller nothing about the request. */
-  private abandon(): void {
-    this.ended = true;
-    this.context.exchanges.delete(this);
-    this.answer.disconnect();
-  }
-
   private finish(end: 'served' | 'failed' | 'refused' | 'caller_left'): void {
     if (this.ended) return;
     this.demand.setWaiting(false);
--- a/test/gateway/faults-of-one-request.test.ts
+++ b/test/gateway/faults-of-one-request.test.ts
@@ -83,6 +83,26 @@
     await expectContained();
   });
 
+  it('after a failed attempt: the caller is told that it may have run', async () => {
+    backend.handle = (_request, response) => response.writeHead(500).end();
+    throwOnce(harness.context().health, 'recordFailure');
+    const answer = await harness.call({ id: 'a' });
+    expect(answer).toMatchObject({ status: 502, headers: { 'x-ran': 'unknown' } });
+    backend.handle = answerWhole;
+    await expectContained();
+  });
+
+  it('after its answer was written: the caller gets the whole answer', async () => {
+    const body = 'x'.repeat(4_000_000);
+    backend.handle = (_request, response) => response.writeHead(200, { signed: 'yes' }).end(body);
+    throwOnce(harness.context().health, 'recordSuccess');
+    const answer = await harness.call({ id: 'a' });
+    expect(answer).toMatchObject({ status: 200, complete: true });
+    expect(answer.body.length).toBe(body.length);
+    backend.handle = answerWhole;
+    await expectContained();
+  });
+
   it('in a recheck of all waiting requests: the others are rechecked', async () => {
     backend.handle = (request, response) => setTimeout(() => answerWhole(request, response), 100);
     const calls = ['a', 'b', 'c'].map((id) => harness.call({ id }));
