Test: an invalid answer or a malformed path ends no relay

What callers saw before if a request was relayed: the relaying gateway ended with all its own callers. A blank line between two methods of FaultRecorder.

--- a/src/gateway/fault-recorder.ts
+++ b/src/gateway/fault-recorder.ts
@@ -40,6 +40,7 @@
     this.metrics.faults.inc({ scope });
     this.logger.error(`${scope}_fault`, { ...fields, reason: faultText(fault) });
   }
+
   /** Returns a handler of other daemons' messages whose exceptions end neither this daemon nor the next messages. */
   guardMessages(handle: PeerHandler): PeerHandler {
     return (from, body) => {
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -134,6 +134,31 @@
     expect(backend.arrivals).toEqual(['r4']);
   });
 
+  it('is failed alone by an answer that HTTP does not allow, and both gateways serve on', async () => {
+    backend.handle = (request) => {
+      const head = 'HTTP/1.1 000 X\r\nsigned: yes\r\nrequest-id: r4\r\ncontent-length: 2';
+      request.socket.write(`${head}\r\n\r\nok`);
+    };
+    const view = await scene.cut.call({ id: 'r4', path: '/once/x' });
+    expect(view).toMatchObject({ status: 502, headers: { 'x-ran': 'unknown' } });
+    expect(eventsOf(scene.sound, 'relayed')).toMatchObject([{ end: 'invalid_answer' }]);
+    backend.handle = answerWhole;
+    expect((await scene.cut.call({ id: 'r5', path: '/once/x' })).status).toBe(200);
+    expect((await scene.sound.call({ id: 'r6', path: '/once/x' })).status).toBe(200);
+  });
+
+  it('survives a malformed path at the relay, which serves on', async () => {
+    const [host, port] = relayAddressOf(scene.sound.peerAddress).split(':');
+    const status = await new Promise((resolve) => {
+      const options = { host, port, path: '/reachability/%E0%A4%A' };
+      const request = http.get(options, (response) => resolve(response.resume().statusCode));
+      request.on('error', () => resolve(undefined));
+      request.setTimeout(1_000, () => request.destroy());
+    });
+    expect(status).toBe(503);
+    expect((await scene.cut.call({ id: 'r7', path: '/once/x' })).status).toBe(200);
+  });
+
   it('does not pass on a truncated answer without a length as a complete one', async () => {
     backend.handle = (request, response) => {
       const head = 'HTTP/1.1 200 OK\r\nsigned: yes\r\nrequest-id: r5\r\n\r\n';
