Fix: a malformed reply of the object API does not end the daemon

What callers saw: a daemon that reads the platform ends, with all its streams, when a reply or a line of a watch lacks its fields. Cause: replies were cast to their types; PlatformReader then threw in a promise that nobody awaits (Cannot read properties of undefined (reading 'map'); list is not iterable).

platform-messages.ts decides what a reply is. A malformed one fails its call or breaks its watch, which the reader retries as after any other failure; one to a write means that its outcome is unknown. An entry of the list of machines that names no machine does not take the others with it.

--- a/src/platform/http-platform-client.ts
+++ b/src/platform/http-platform-client.ts
@@ -16,15 +16,29 @@
   PlatformClient,
   StoredObject,
   Watch,
-  WatchEvent,
   WatchHandler,
 } from './platform-client.js';
+import {
+  parseMachineList,
+  parseObject,
+  parseObjectList,
+  parseVersion,
+  parseWatchEvent,
+} from './platform-messages.js';
 
 /** Timeout of a call to the platform. */
 const CALL_TIMEOUT_MS = 3000;
 /** Milliseconds without any line after which a watch counts as broken. */
 const WATCH_IDLE_TIMEOUT_MS = 2500;
 
+const MALFORMED_WRITE_REPLY = serviceError(
+  'platform_outcome_unknown',
+  'the platform sent a malformed reply to a write',
+);
+
+/** Parses the body of a reply; undefined if it has another shape. */
+type BodyParser<Body> = (value: unknown) => Body | undefined;
+
 /** HTTP client for the platform at one address. */
 export class HttpPlatformClient implements PlatformClient {
   private readonly http: HttpClient;
@@ -41,15 +55,15 @@
   }
 
   async get(kind: ObjectKind, name: string): Promise<Result<StoredObject, ServiceError>> {
-    return this.read<StoredObject>(`/objects/${kind}/${encodeURIComponent(name)}`);
+    return this.read(`/objects/${kind}/${encodeURIComponent(name)}`, parseObject);
   }
 
   async list(): Promise<Result<ObjectList, ServiceError>> {
-    return this.read<ObjectList>('/objects');
+    return this.read('/objects', parseObjectList);
   }
 
   async machines(): Promise<Result<MachineList, ServiceError>> {
-    return this.read<MachineList>('/machines');
+    return this.read('/machines', parseMachineList);
   }
 
   async write(write: ConditionalWrite): Promise<Result<number, ServiceError>> {
@@ -67,7 +81,10 @@
       timeoutMs: CALL_TIMEOUT_MS,
     });
     if (answer.isErr) return Result.err(writeFailure(answer.error));
-    return parseAnswer<{ version: number }>(answer.value).map((body) => body.version);
+    const version = parseAnswer(answer.value, parseVersion);
+    // A write whose reply cannot be read may have taken effect.
+    const isMalformed = version.isErr && answer.value.status === 200;
+    return isMalformed ? Result.err(MALFORMED_WRITE_REPLY) : version;
   }
 
   watch(afterRevision: number, handler: WatchHandler): Watch {
@@ -102,8 +119,10 @@
         },
         onLine: (line) => {
           if (finished) return;
+          const event = parseWatchEvent(line);
+          if (event === undefined) return finish('broken');
           resetIdleTimer();
-          handler.onEvent(line as WatchEvent);
+          handler.onEvent(event);
         },
         onEnd: () => finish('broken'),
       },
@@ -117,7 +136,10 @@
     };
   }
 
-  private async read<Body>(path: string): Promise<Result<Body, ServiceError>> {
+  private async read<Body>(
+    path: string,
+    parse: BodyParser<Body>,
+  ): Promise<Result<Body, ServiceError>> {
     const request = {
       method: 'GET',
       address: this.address,
@@ -128,7 +150,7 @@
     if (answer.isErr) {
       return Result.err(serviceError('platform_unavailable', answer.error.message));
     }
-    return parseAnswer<Body>(answer.value);
+    return parseAnswer(answer.value, parse);
   }
 }
 
@@ -137,11 +159,14 @@
   return serviceError(kind, `the platform's object API: ${failure.message}`);
 }
 
-function parseAnswer<Body>(answer: HttpResponse): Result<Body, ServiceError> {
+function parseAnswer<Body>(
+  answer: HttpResponse,
+  parse: BodyParser<Body>,
+): Result<Body, ServiceError> {
   if (answer.status === 404) return Result.err(serviceError('not_found', 'no such object'));
   const body = parseJson(answer.body);
   if (answer.status === 409 && body.isOk) {
-    const current = (body.value as { version?: number }).version ?? 0;
+    const current = parseVersion(body.value) ?? 0;
     const message = `the object is at version ${current}`;
     return Result.err(serviceError('version_conflict', message, { currentVersion: current }));
   }
@@ -149,5 +174,7 @@
     const message = `the platform replied with status ${answer.status}`;
     return Result.err(serviceError('platform_unavailable', message));
   }
-  return Result.ok(body.value as Body);
+  const parsed = parse(body.value);
+  if (parsed !== undefined) return Result.ok(parsed);
+  return Result.err(serviceError('platform_unavailable', 'the platform sent a malformed reply'));
 }
