Fix: a retry delay is not a millisecond longer by rounding

What callers saw: 101 ms in place of 100 until their retry, now and then. Seen in one of two whole runs of the tests ('tells how soon its whole share allows the request', expected 101 to be at most 100).

Cause: the ledger added the wait to the time and took the time off again; the sum is rounded, and the reply rounds up to whole milliseconds. Ruled out: time that passes between the two steps of the test, which makes the delay shorter.

--- a/src/core/admission/permit-ledger.ts
+++ b/src/core/admission/permit-ledger.ts
@@ -95,9 +95,10 @@
   /** Returns the delay until the next free retry time, so that requests refused together retry at different times. */
   private assignRetryDelayMs(units: number, now: number): number {
     const waitMs = this.bucket.waitMs(now, Math.min(units, this.burst));
-    const retryAt = Math.max(now + waitMs, this.retriesAssignedUntil);
-    const endsAt = retryAt + (units / this.rate) * 1_000;
+    // A delay must not pass through a time of day: what the sum with it rounds up would become a whole millisecond in a reply.
+    const delayMs = Math.max(waitMs, this.retriesAssignedUntil - now);
+    const endsAt = now + delayMs + (units / this.rate) * 1_000;
     this.retriesAssignedUntil = Math.min(endsAt, now + Math.max(waitMs, MAX_RETRY_SPREAD_MS));
-    return retryAt - now;
+    return delayMs;
   }
 }
--- a/test/core/permit-ledger.test.ts
+++ b/test/core/permit-ledger.test.ts
@@ -49,6 +49,16 @@
     expect(times).toEqual([500, 1_000, 1_500, 2_000]);
   });
 
+  it('have the same retry delay at any time of the clock: a sum with the time would add a fraction of a millisecond', () => {
+    for (let step = 0; step < 1_000; step++) {
+      const now = 5_000_000 + step * 0.137;
+      const ledger = new PermitLedger(permitLimit(3), FULL_VIEW, now);
+      ledger.restartFrom(now);
+      const expected = { type: 'over_limit', retryAfterMs: (1 / 3) * 1_000 };
+      expect(ledger.admit(1, now)).toEqual(expected);
+    }
+  });
+
   it('follow a lowered limit at once', () => {
     const ledger = new PermitLedger(permitLimit(200), FULL_VIEW, 0);
     ledger.configure(permitLimit(1), FULL_VIEW, 60_000);
