Observability of stops: what a drain waits for and cuts, and pauses of the process

The logs of a cut answer around a stop could not tell four causes apart. A stop said how many requests had begun, not which were still being received, relayed or read, and not what it interrupted; a pause of the process was written only by an owner of services. New fields of draining and stopped, process_paused from a clock that leaves pauses out, two metrics. The drain moves to a module of its own; its order and times are as before. No decision reads the new clock.

--- /dev/null
+++ b/src/common/running-clock.ts
@@ -0,0 +1,49 @@
+/**
+ * Measures the time for which this process has run. A process that gets no processor reads no socket either, and once it runs again,
+ * expired timers run before the sockets are read. By this clock a silence of somebody else lasts only as long as this process could
+ * have noticed the opposite. Use it to judge others by what has not come; for own permissions that expire use `lease-clock.ts`.
+ */
+
+/** Period of {@link RunningClock.beat}, in milliseconds. */
+export const BEAT_PERIOD_MS = 100;
+/** Delays of a beat up to this are ordinary work of the event loop, not a pause. */
+const MAX_ORDINARY_DELAY_MS = 100;
+
+/** Steady time without the pauses of this process, a lower bound of the elapsed time. */
+export class RunningClock {
+  /** Called with the milliseconds of each pause. */
+  onPause: (milliseconds: number) => void = () => {};
+  private pausedMs = 0;
+  private observedAt: number;
+
+  /** @param steadyNow - Monotonic time in milliseconds. */
+  constructor(private readonly steadyNow: () => number) {
+    this.observedAt = steadyNow();
+  }
+
+  /** Shows that the event loop runs; to be called every {@link BEAT_PERIOD_MS}. */
+  beat(): void {
+    this.observe();
+  }
+
+  /** Milliseconds for which this process has run. */
+  now(): number {
+    return this.observe() - this.pausedMs;
+  }
+
+  /** Steady time of the last call, after which the event loop may not have run. */
+  get lastRunAt(): number {
+    return this.observedAt;
+  }
+
+  private observe(): number {
+    const now = this.steadyNow();
+    const delayMs = now - this.observedAt - BEAT_PERIOD_MS;
+    this.observedAt = now;
+    if (delayMs > MAX_ORDINARY_DELAY_MS) {
+      this.pausedMs += delayMs;
+      this.onPause(delayMs);
+    }
+    return now;
+  }
+}
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -35,6 +35,8 @@
 /** HTTP server for callers. */
 export class CallerServer {
   private readonly server: http.Server;
+  /** Answers to requests that have no exchange yet: their body, or the origin of their stream, is not known. */
+  private readonly withoutExchange = new Set<http.ServerResponse>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -60,6 +62,13 @@
     await listen(this.server, host, port);
   }
 
+  /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
+  get receiving(): number {
+    let receiving = 0;
+    for (const { writableEnded } of this.withoutExchange) if (!writableEnded) receiving += 1;
+    return receiving;
+  }
+
   /** Applies the configured limits. */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
@@ -78,6 +87,8 @@
   }
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.withoutExchange.add(response);
+    response.once('close', () => this.withoutExchange.delete(response));
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
     // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
@@ -148,6 +159,7 @@
     table: RoutingTable,
     resumed?: ResumedStream,
   ): void {
+    this.withoutExchange.delete(response);
     if (isStream(match.route)) response.socket?.setNoDelay(true);
     const { version } = table.configuration;
     new RequestExchange(this.context, match, version, caller, response, resumed).start();
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,5 +1,6 @@
 /** State and services that all requests of one gateway daemon share. */
 import type { Logger } from '../common/logger.js';
+import type { RunningClock } from '../common/running-clock.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendHealth } from '../core/backend-health.js';
 import type { BackendBackoffs } from '../core/backend-backoffs.js';
@@ -40,6 +41,8 @@
   readonly agent: BackendAgent;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
+  /** Measures how long others have been silent. */
+  readonly runningClock: RunningClock;
   /** Reports unexpected exceptions. */
   readonly faults: FaultRecorder;
   readonly admission: CallerAdmission;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -103,6 +103,17 @@
     labelNames: ['reason'],
     registers: [this.registry],
   });
+  readonly processPauseSeconds = new Histogram({
+    name: 'scaleslip_gateway_process_pause_seconds',
+    help: 'Times for which this process got no processor or was frozen',
+    buckets: [0.2, 0.5, 1, 2, 5, 10],
+    registers: [this.registry],
+  });
+  readonly interruptedRequests = new Counter({
+    name: 'scaleslip_gateway_interrupted_requests_total',
+    help: 'Requests that had not ended when the time for a stop was over',
+    registers: [this.registry],
+  });
   readonly loadSeconds = new Histogram({
     name: 'scaleslip_gateway_load_seconds',
     help: 'Time of the loads of models that have ended, by the place of the copy',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,8 @@
  * according to its rank among the daemons. Creates and connects the daemon's components.
  */
 import { leaseClock, leaseNow } from '../common/lease-clock.js';
-import { sleep, startTicker, type Ticker } from '../common/process.js';
+import { startTicker, type Ticker } from '../common/process.js';
+import { BEAT_PERIOD_MS, RunningClock } from '../common/running-clock.js';
 import { LimitShares } from '../core/admission/limit-shares.js';
 import { answerMemoryLimitsFor } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
@@ -28,6 +29,7 @@
 import { ConfigurationExchange } from './configuration-exchange.js';
 import { ConfigurationLeaseRenewal } from './configuration-lease-renewal.js';
 import type { GossipLinks } from './digest-gossip.js';
+import { Drain } from './drain.js';
 import { DirectoryFollower } from './directory-follower.js';
 import { FaultRecorder } from './fault-recorder.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -35,6 +37,8 @@
 import type { GatewayDependencies } from './gateway-dependencies.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { MemberList } from './member-list.js';
+import { OpenWork } from './open-work.js';
+import { reportPauses } from './pause-report.js';
 import { PeerGroup } from './peer-group.js';
 import { PlacementExchange } from './placement-exchange.js';
 import type { ConfigurationSource } from './ports.js';
@@ -50,13 +54,9 @@
 import { RateLimiting } from './rate-limiting.js';
 
 /** Interval of the periodic work of the membership, the owned services and the exchanges with other daemons, in milliseconds. */
-const TICK_MS = 100;
+const TICK_MS = BEAT_PERIOD_MS;
 /** Interval between demand reports to an owner, in milliseconds. */
 const DEMAND_PERIOD_MS = 250;
-/** Time after the start of a drain during which the load balancer may still send requests, in milliseconds. */
-const BALANCER_DELAY_MS = 2_300;
-/** Time before the end of a stop at which requests still in flight are interrupted, in milliseconds. */
-const STOP_MARGIN_MS = 500;
 
 /** One running gateway daemon. */
 export class Gateway {
@@ -76,6 +76,7 @@
   private readonly leavings: ShutdownAnnouncer;
   private readonly streamOrigins: StreamOriginExchange;
   private readonly faults: FaultRecorder;
+  private readonly runningClock = new RunningClock(steadyNow);
   private readonly versions = new ServiceVersions();
   private readonly directoryReader: DirectoryFollower;
   private readonly ownerships: ServiceOwnerships;
@@ -85,10 +86,8 @@
   private readonly status: StatusPorts;
   private routing: RoutingTable | undefined;
   private hasBackendList = false;
-  /** Steady time at which the drain started. */
-  private drainingSince: number | undefined;
+  private readonly shutdown: Drain;
   private starting: Promise<void> | undefined;
-  private draining: Promise<void> | undefined;
   private stopped = false;
   private ticker: Ticker | undefined;
   private lastReport = 0;
@@ -158,6 +157,7 @@
     const resumptions = new StreamResumptions(this.context, this.versions);
     this.front = new CallerServer(this.context, () => this.routing, resumptions);
     this.status = this.makeStatusPorts();
+    this.shutdown = this.makeDrain();
   }
 
   /** Opens the ports and starts to watch the platform. */
@@ -183,47 +183,41 @@
     this.members.start();
     this.limits.start();
     const onFault = (fault: unknown): void => this.faults.record('tick', fault);
+    const unfinished = (): number => this.context.exchanges.size;
+    reportPauses(this.runningClock, { ...systems, unfinished });
     this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
     leaseClock.onForwardStep = (milliseconds) => systems.logger.warn('time_leap', { milliseconds });
     for (const name of settings.retiredPolicies) systems.logger.warn('policy_retired', { name });
     systems.logger.info('started', { milliseconds: Math.round(steadyNow()) });
   }
 
-  /**
-   * Stops gracefully: requests in flight may complete within the time for a stop. A further call waits for the same drain,
-   * because a second stop signal must not end the process while requests that the first one lets complete are in flight.
-   */
+  /** Stops gracefully: requests in flight may complete within the time for a stop. All calls wait for the same stop. */
   drain(): Promise<void> {
-    this.draining ??= this.finish();
-    return this.draining;
+    return this.shutdown.run();
   }
 
-  private async finish(): Promise<void> {
-    const drainStart = steadyNow();
-    this.drainingSince = drainStart;
-    const { logger } = this.systems;
-    logger.info('draining', { unfinished: this.context.exchanges.size });
+  private makeDrain(): Drain {
+    return new Drain({
+      ...this.systems,
+      stopSeconds: this.settings.bounds.stopSeconds,
+      leave: () => this.leaveGroup(),
+      work: new OpenWork({
+        context: () => this.context,
+        callers: () => this.front,
+        access: this.access,
+        streamOrigins: this.streamOrigins,
+      }),
+      close: () => this.stop(),
+    });
+  }
+
+  private async leaveGroup(): Promise<void> {
     // A start in progress would leave its ports open and this daemon's entry in the list of daemons.
     await this.starting;
     this.ownerships.stop('the daemon stops');
     this.shares.leave();
     this.peers.leave();
     await this.members.leave();
-    const limit = drainStart + this.settings.bounds.stopSeconds * 1_000 - STOP_MARGIN_MS;
-    while (steadyNow() < limit && !this.isDrained(drainStart)) await sleep(50);
-    for (const exchange of [...this.context.exchanges]) exchange.interrupt();
-    await sleep(50);
-    this.stop();
-    logger.info('stopped', { milliseconds: Math.round(steadyNow() - drainStart) });
-  }
-
-  private isDrained(drainStart: number): boolean {
-    if (steadyNow() - drainStart < BALANCER_DELAY_MS) return false;
-    // Node treats a connection as idle once its answer is written, although the caller has not read it yet.
-    if (this.context.answers.unreadCallers > 0) return false;
-    this.front.closeIdle();
-    if (this.streamOrigins.isLookingUp) return false;
-    return this.context.exchanges.size === 0 && this.access.activeRelays === 0;
   }
 
   /** Closes all ports immediately. */
@@ -297,7 +291,7 @@
       answers: () => this.context.answers,
       faults: this.faults,
       maxBodyBytes: () => this.routing?.configuration.limits.bodyBytes,
-      isDraining: () => this.refusesRequests(),
+      isDraining: () => this.shutdown.refusesRequests,
       onPartitioned: () => this.partitioned(),
       onChange: () => this.scheduleRecheck(),
     });
@@ -414,6 +408,7 @@
       agent,
       metrics,
       logger,
+      runningClock: this.runningClock,
       faults: this.faults,
       admission: this.admission,
       limits: this.limits.tenants,
@@ -435,8 +430,8 @@
       recordCaller: (route, deadlineMs) => this.budgets.recordDeadline(route, deadlineMs),
       sendDemandNow: (service) => this.demand.report(service),
       recheckWaiting: () => this.scheduleRecheck(),
-      isDraining: () => this.drainingSince !== undefined,
-      refusesRequests: () => this.refusesRequests(),
+      isDraining: () => this.shutdown.hasStarted,
+      refusesRequests: () => this.shutdown.refusesRequests,
     };
   }
 
@@ -479,6 +474,7 @@
   }
 
   private tick(): void {
+    this.runningClock.beat();
     const now = steadyNow();
     this.peers.tick();
     this.access.tick();
@@ -533,13 +529,8 @@
     });
   }
 
-  /** Whether to refuse new requests: one accepted late in a drain might be interrupted at the end of it. */
-  private refusesRequests(): boolean {
-    return steadyNow() - (this.drainingSince ?? Infinity) >= BALANCER_DELAY_MS;
-  }
-
   private isReady(): boolean {
-    return this.drainingSince === undefined && this.routing !== undefined && this.hasBackendList;
+    return !this.shutdown.hasStarted && this.routing !== undefined && this.hasBackendList;
   }
 
   private refreshMetrics(): void {
--- /dev/null
+++ b/test/common/running-clock.test.ts
@@ -0,0 +1,44 @@
+import { describe, expect, it } from 'vitest';
+import { BEAT_PERIOD_MS, RunningClock } from '../../src/common/running-clock.js';
+
+describe('the running clock', () => {
+  function makeClock(): { clock: RunningClock; pauses: number[]; pass: (ms: number) => void } {
+    let now = 1_000;
+    const clock = new RunningClock(() => now);
+    const pauses: number[] = [];
+    clock.onPause = (milliseconds) => pauses.push(milliseconds);
+    return { clock, pauses, pass: (milliseconds) => (now += milliseconds) };
+  }
+
+  it('counts all time while the event loop runs', () => {
+    const { clock, pauses, pass } = makeClock();
+    const start = clock.now();
+    for (let beat = 0; beat < 10; beat++) {
+      pass(BEAT_PERIOD_MS + 20);
+      clock.beat();
+    }
+    expect(clock.now() - start).toBe(10 * (BEAT_PERIOD_MS + 20));
+    expect(pauses).toEqual([]);
+  });
+
+  it('leaves out a pause before its first beat after it, and reports it once', () => {
+    const { clock, pauses, pass } = makeClock();
+    clock.beat();
+    pass(1_300);
+    expect(clock.now()).toBe(1_000 + BEAT_PERIOD_MS);
+    clock.beat();
+    expect(clock.now()).toBe(1_000 + BEAT_PERIOD_MS);
+    expect(pauses).toEqual([1_200]);
+  });
+
+  it('never runs back', () => {
+    const { clock, pass } = makeClock();
+    let last = clock.now();
+    for (const gap of [40, 60, 150, 500, 0, 100, 199, 2, 201, 99, 3_000, 1]) {
+      pass(gap);
+      expect(clock.now()).toBeGreaterThanOrEqual(last);
+      last = clock.now();
+      if (gap % 2 === 0) clock.beat();
+    }
+  });
+});
