Fix: a pause of the process is not taken for the silence of backends

Callers saw: streams with status 200 cut about 1.2 s after their gateway had no processor, while their backends went on; plain requests sent twice; 504 although the answer had come. Cause: after a pause, Node runs expired timers before it reads the sockets. The timer of an attempt and that of the deadline judged by what had not been read yet. Change: silence counts by the time for which this process has run, and the verdict of a silence or a deadline waits until what has arrived was read. A backend that is really silent is given up after the same time as before (answers.test.ts).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -20,6 +20,7 @@
 import type { AnswerHead } from './ports.js';
 import type { CallerRequest } from './caller-request.js';
 import type { RelayFailure } from './relay-protocol.js';
+import { SilenceTimer } from './silence-timer.js';
 import { steadyNow } from './steady-clock.js';
 
 /** How an attempt ended. */
@@ -108,7 +109,9 @@
   private readonly chunks: Buffer[] = [];
   private incoming: http.IncomingMessage | undefined;
   private head: AnswerHead | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly silence: SilenceTimer;
+  /** Time after which the backend counts as silent, in milliseconds. */
+  private silenceLimitMs = Infinity;
   private ended = false;
   private isPaused = false;
   /** Bytes of an answer that is buffered until it is complete. */
@@ -120,6 +123,10 @@
     private readonly options: AttemptOptions,
   ) {
     const { backend, request, relay, boundary } = options;
+    this.silence = new SilenceTimer(
+      context.runningClock,
+      boundary.guard(() => this.backendSilent()),
+    );
     this.exchange = new BackendExchange(
       {
         address: backend.address,
@@ -174,20 +181,20 @@
   }
 
   /**
-   * Handles a partition from all backends. An attempt that may be repeated fails at once, so that it is sent again on another path;
-   * any other waits for its answer, because the backend may still send it.
+   * Handles a partition from all backends. An attempt that may be repeated fails at once, so that it is sent again on another
+   * path; any other waits for its answer, because the backend may still send it.
    */
   pathLost(): void {
     const { relay, firstByteTimeoutMs, stallTimeoutMs } = this.options;
     const limitMs = this.incoming === undefined ? firstByteTimeoutMs : stallTimeoutMs;
-    if (relay !== undefined || !Number.isFinite(limitMs)) return;
+    if (this.ended || relay !== undefined || !Number.isFinite(limitMs)) return;
     this.fail('unknown', 'no backend can be reached', { silent: true });
   }
 
   /** Aborts the attempt without calling `onEnd`. */
   abort(): void {
     this.ended = true;
-    clearTimeout(this.timer);
+    this.silence.stop();
     this.options.gaps?.end();
     this.exchange.abort();
     this.releaseBuffered();
@@ -395,7 +402,7 @@
   private end(end: AttemptEnd, before?: () => void): void {
     if (this.ended) return;
     this.ended = true;
-    clearTimeout(this.timer);
+    this.silence.stop();
     this.options.gaps?.end();
     this.releaseBuffered();
     before?.();
@@ -403,31 +410,24 @@
   }
 
   private startTimeout(limitMs: number): void {
-    clearTimeout(this.timer);
-    if (!Number.isFinite(limitMs)) return;
-    this.scheduleTimeout(limitMs, limitMs);
-  }
-
-  private scheduleTimeout(limitMs: number, delayMs: number): void {
-    const handle = this.options.boundary.guard(() => this.handleTimeout(limitMs));
-    this.timer = setTimeout(handle, delayMs);
+    this.silenceLimitMs = limitMs;
+    this.silence.start(limitMs);
   }
 
   /**
    * Fails the attempt if another backend can take the request. Otherwise it waits: a resend would only lose its
    * place in the backend's queue.
    */
-  private handleTimeout(limitMs: number): void {
+  private backendSilent(): void {
+    const limitMs = this.silenceLimitMs;
     const remainingMs = this.exchange.bodyReadUntil + limitMs - steadyNow();
-    if (remainingMs > 0) {
-      return this.scheduleTimeout(limitMs, remainingMs);
-    }
+    if (remainingMs > 0) return this.silence.start(remainingMs);
     if (this.options.hasAlternative()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
     }
     if (!this.timeoutReported) this.options.onTimeout();
     this.timeoutReported = true;
-    this.scheduleTimeout(limitMs, ALTERNATIVE_CHECK_MS);
+    this.silence.start(ALTERNATIVE_CHECK_MS);
   }
 }
 
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -141,7 +141,8 @@
     this.context.answers.addBuffered(this.request.body.length);
     const remaining = Math.max(0, this.deadlineAt - steadyNow());
     const endAtDeadline = this.boundary.guard(() => this.deadlinePassed());
-    this.deadlineTimer = setTimeout(endAtDeadline, remaining);
+    // After a pause of the process, an answer that came in time is still in the socket. Immediates run after the sockets were read.
+    this.deadlineTimer = setTimeout(() => setImmediate(endAtDeadline), remaining);
     if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
     const denial = this.admission.checkKey();
     if (denial !== undefined) return this.refuseDenied(denial);
