Fix: an attempt is given up only for a retry that is granted

Callers saw: a stream cut, or 502, while its backend was at work: the attempt was given up as silent for the sake of another backend, and only then the retry budget refused to send it again. Cause: the budget was asked after the attempt had been ended. Change: the retry is reserved before the attempt is given up, for silence and for a partition; without one the request stays at its backend. A reserved retry is not returned, as the budget's count never is. retry_denied is written once a request.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -73,6 +73,8 @@
   readonly stallTimeoutMs: number;
   /** Returns whether another backend could take the request now. */
   readonly hasAlternative: () => boolean;
+  /** Reserves the retry for which the attempt is given up. Returns false if the request may not be sent again. */
+  readonly reserveRetry: () => boolean;
   /** Called when the backend's answer to the request announces that the backend is leaving. */
   readonly onLeaving: () => void;
   /** Called with what the answer says about the backend's limits. */
@@ -181,13 +183,14 @@
   }
 
   /**
-   * Handles a partition from all backends. An attempt that may be repeated fails at once, so that it is sent again on another
+   * Handles a partition from all backends. An attempt that may be repeated now fails at once, so that it is sent again on another
    * path; any other waits for its answer, because the backend may still send it.
    */
   pathLost(): void {
     const { relay, firstByteTimeoutMs, stallTimeoutMs } = this.options;
     const limitMs = this.incoming === undefined ? firstByteTimeoutMs : stallTimeoutMs;
     if (this.ended || relay !== undefined || !Number.isFinite(limitMs)) return;
+    if (!this.options.reserveRetry()) return;
     this.fail('unknown', 'no backend can be reached', { silent: true });
   }
 
@@ -415,14 +418,14 @@
   }
 
   /**
-   * Fails the attempt if another backend can take the request. Otherwise it waits: a resend would only lose its
+   * Fails the attempt if the request can be sent to another backend instead. Otherwise it waits: a resend would only lose its
    * place in the backend's queue.
    */
   private backendSilent(): void {
     const limitMs = this.silenceLimitMs;
     const remainingMs = this.exchange.bodyReadUntil + limitMs - steadyNow();
     if (remainingMs > 0) return this.silence.start(remainingMs);
-    if (this.options.hasAlternative()) {
+    if (this.options.hasAlternative() && this.options.reserveRetry()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
     }
     if (!this.timeoutReported) this.options.onTimeout();
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -25,6 +25,7 @@
 import { RequestHold } from './request-hold.js';
 import { requestLog, type RequestLog } from './request-log.js';
 import { RequestRelays } from './request-relays.js';
+import { RequestRetries } from './request-retries.js';
 import { RequestStream } from './request-stream.js';
 import { RequestSuspicion } from './request-suspicion.js';
 import { slotDetailsOf } from './slot-details.js';
@@ -72,6 +73,7 @@
   private readonly hold: RequestHold;
   private readonly relays: RequestRelays;
   private readonly stream: RequestStream;
+  private readonly retries: RequestRetries;
 
   constructor(
     private readonly context: GatewayContext,
@@ -104,6 +106,9 @@
     this.capacityQuery = { service: match.service.name, route, model: this.model };
     this.admission = new TenantAdmission(context, route, request.head);
     this.log = requestLog(context, route, request.head, () => this.admission.tenant?.name);
+    this.retries = new RequestRetries(context, match.service.name, () => {
+      this.log('retry_denied', { sends: this.sends, runs: this.runs });
+    });
     this.wasRefused = context.recordCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
@@ -331,7 +336,7 @@
 
   private send(backend: BackendRecord): void {
     const { context, match, request } = this;
-    const { route, service } = match;
+    const { route } = match;
     const now = steadyNow();
     const denial = this.admission.checkKey();
     if (denial !== undefined) return this.refuseDenied(denial);
@@ -341,7 +346,7 @@
     if (!this.suspicion.takeTurn(backend.id)) return this.waitForTurn();
     const path = this.relays.pathTo(backend.address);
     if (path === undefined) return this.backendsUnreachable();
-    if (this.sends > 0 && !this.takeRetry(service.name, now)) return this.stopRetrying();
+    if (this.sends > 0 && !this.retries.take()) return this.stopRetrying();
     const relay = path.type === 'relay' ? path.peer : undefined;
     this.demand.setWaiting(false);
     clearTimeout(this.recheckTimer);
@@ -375,6 +380,7 @@
       firstByteTimeoutMs: firstByteTimeoutMs(route, this.runs),
       stallTimeoutMs: stallTimeoutMs(route, this.runs),
       hasAlternative: () => this.search.hasAlternative(),
+      reserveRetry: () => this.retries.reserve(),
       onLeaving: () => context.leavingNotices.recordShutdown(backend, request.head.attemptId),
       onLimits: (limits) =>
         context.permits.recordAnswer(backend, limits, rateLimit, request.head.attemptId),
@@ -451,14 +457,7 @@
     this.log('backend_awaited', { backend: backend.id, ...this.stateFields(steadyNow()) });
   }
 
-  private takeRetry(service: string, now: number): boolean {
-    const granted = this.context.budgetOf(service).takeRetry(now, this.context.budgetParts());
-    this.context.metrics.retries.inc({ granted: String(granted) });
-    return granted;
-  }
-
   private stopRetrying(): void {
-    this.log('retry_denied', { sends: this.sends, runs: this.runs });
     if (this.runs > 0) return this.giveUp(this.lastRan, 'the retry budget is exhausted');
     this.refuse('engine_refused', 500);
   }
