Fix: a reply that came during a pause of the process is not missing

What the same cause did elsewhere: timeouts for replies of others ran before the sockets were read. After a pause, the store counted as lost, a backend as unreachable although its connection had opened, the holder of a limit and a slot allocator as silent, a stream's origin as unknown (503), a caller as too slow (its answer cut), in the product's own daemon a voter's refusal as absent and an engine as idle. For the other places there is no test of their own; they use the same timeout. Periodic work was ruled out by a test that passed before: js-csp runs it after the sockets were read.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -3,6 +3,7 @@
 import { Result } from 'true-myth';
 import { leaseNow } from './lease-clock.js';
 import type { LinkFaults } from './link-faults.js';
+import { startReplyTimeout } from './reply-timeout.js';
 
 /** Why no complete response was received. */
 export interface TransportFailure {
@@ -89,13 +90,13 @@
       const finish = (result: Result<HttpResponse, TransportFailure>): void => {
         if (finished) return;
         finished = true;
-        clearTimeout(timer);
+        timeout.cancel();
         resolve(result);
       };
-      const timer = setTimeout(() => {
+      const timeout = startReplyTimeout(request.timeoutMs, () => {
         finish(Result.err({ reason: 'lost', message: `no answer in ${request.timeoutMs} ms` }));
         resetConnection(outgoing);
-      }, request.timeoutMs);
+      });
       const outgoing = this.start(request, finish, (incoming) => {
         const chunks: Buffer[] = [];
         incoming.on('data', (chunk: Buffer) => {
@@ -118,19 +119,19 @@
     const end = (failure?: TransportFailure): void => {
       if (ended) return;
       ended = true;
-      clearTimeout(timer);
+      timeout.cancel();
       handler.onEnd(failure);
       outgoing?.destroy();
     };
-    const timer = setTimeout(() => {
+    const timeout = startReplyTimeout(request.timeoutMs, () => {
       end({ reason: 'lost', message: `no answer in ${request.timeoutMs} ms` });
-    }, request.timeoutMs);
+    });
     const outgoing = this.start(
       request,
       (result) => end(result.isErr ? result.error : undefined),
       (incoming) => {
         if (ended || this.isInboundBlocked(request.address)) return;
-        clearTimeout(timer);
+        timeout.cancel();
         if (!handler.onStart(incoming.statusCode ?? 0, incoming.headers)) {
           ended = true;
           outgoing?.destroy();
@@ -142,7 +143,7 @@
     return {
       close: () => {
         ended = true;
-        clearTimeout(timer);
+        timeout.cancel();
         outgoing?.destroy();
       },
     };
--- a/src/common/process.ts
+++ b/src/common/process.ts
@@ -80,7 +80,10 @@
   stop(): void;
 }
 
-/** Calls `action` each `periodMs` milliseconds until stopped. */
+/**
+ * Calls `action` each `periodMs` milliseconds until stopped. The action runs after the sockets were read, because js-csp schedules
+ * its processes as immediates: after a pause of this process, it may judge others by what has not come.
+ */
 export function startTicker(periodMs: number, action: () => void, onFault: FaultHandler): Ticker {
   const stopped = csp.chan();
   csp.go(function* tick() {
--- /dev/null
+++ b/src/common/reply-timeout.ts
@@ -0,0 +1,25 @@
+/**
+ * Timeouts for what others should send. After a pause of this process, expired timers run before the sockets are read, so a reply that
+ * came in time may not have been read yet. The decision that it is missing therefore waits until the sockets were read.
+ */
+
+/** A timeout that is running. */
+export interface ReplyTimeout {
+  /** Ends the timeout; its action is not called any more. */
+  cancel(): void;
+}
+
+/** Calls an action after some milliseconds, once what has arrived by then was read, unless the timeout is cancelled. */
+export function startReplyTimeout(milliseconds: number, onMissing: () => void): ReplyTimeout {
+  let verdict: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    // Immediates run after the sockets were read.
+    verdict = setImmediate(onMissing);
+  }, milliseconds);
+  return {
+    cancel: () => {
+      clearTimeout(timer);
+      clearImmediate(verdict);
+    },
+  };
+}
--- a/src/daemon/key-claims.ts
+++ b/src/daemon/key-claims.ts
@@ -1,6 +1,7 @@
 /** Claims idempotency keys at a quorum of voters, and votes on the claims of other daemons. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '../common/clock.js';
+import { startReplyTimeout } from '../common/reply-timeout.js';
 import {
   CLAIM_VOTERS,
   ClaimRound,
@@ -90,9 +91,9 @@
     const voters = votersOf(tenant, key, this.options.listedDaemons(), CLAIM_VOTERS);
     this.voters.set(request, voters);
     return new Promise((resolve) => {
-      const timer = setTimeout(() => settle('unavailable'), ROUND_TIMEOUT_MS);
+      const timeout = startReplyTimeout(ROUND_TIMEOUT_MS, () => settle('unavailable'));
       const settle = (outcome: SettledClaim): void => {
-        clearTimeout(timer);
+        timeout.cancel();
         this.rounds.delete(request);
         resolve(outcome);
       };
@@ -124,7 +125,7 @@
     };
     const open = this.rounds.get(message.request);
     if (open !== undefined) open.sendToOthers = sendToOthers;
-    setTimeout(sendToOthers, FIRST_VOTER_TIMEOUT_MS);
+    startReplyTimeout(FIRST_VOTER_TIMEOUT_MS, sendToOthers);
   }
 
   /**
@@ -182,9 +183,9 @@
       return;
     }
     // A quorum has granted, but the remaining voter may still refuse.
-    setTimeout(() => {
+    startReplyTimeout(REFUSAL_WAIT_MS, () => {
       if (this.rounds.get(message.request) === open) open.settle('granted');
-    }, REFUSAL_WAIT_MS);
+    });
   }
 
   /**
--- a/src/daemon/peer-transport.ts
+++ b/src/daemon/peer-transport.ts
@@ -11,6 +11,7 @@
 import { splitAddress } from '../common/http-client.js';
 import type { LinkFaults } from '../common/link-faults.js';
 import { faultText, type Logger } from '../common/logger.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import { EnvelopeSchema, type Envelope } from '../proto/gen/internal_pb.js';
 
 /** Maximum size of a message; a larger length prefix is treated as malformed data. */
@@ -77,7 +78,7 @@
   private readonly connections = new Map<string, net.Socket>();
   private readonly incoming = new Set<net.Socket>();
   /** Acknowledgement timeouts of connections with unacknowledged data. */
-  private readonly acknowledgementTimers = new Map<net.Socket, NodeJS.Timeout>();
+  private readonly acknowledgementTimeouts = new Map<net.Socket, ReplyTimeout>();
   private readonly server: net.Server;
   private readonly datagrams = dgram.createSocket('udp4');
   private stopped = false;
@@ -148,20 +149,20 @@
   }
 
   private expectAcknowledgement(to: string, socket: net.Socket): void {
-    if (this.acknowledgementTimers.has(socket)) return;
-    const timer = setTimeout(() => {
+    if (this.acknowledgementTimeouts.has(socket)) return;
+    const timeout = startReplyTimeout(ACKNOWLEDGEMENT_TIMEOUT_MS, () => {
       this.options.logger.warn('peer_silent', {
         peer: to,
         milliseconds: ACKNOWLEDGEMENT_TIMEOUT_MS,
       });
       socket.destroy();
-    }, ACKNOWLEDGEMENT_TIMEOUT_MS);
-    this.acknowledgementTimers.set(socket, timer);
+    });
+    this.acknowledgementTimeouts.set(socket, timeout);
   }
 
-  private clearAcknowledgementTimer(socket: net.Socket): void {
-    clearTimeout(this.acknowledgementTimers.get(socket));
-    this.acknowledgementTimers.delete(socket);
+  private clearAcknowledgementTimeout(socket: net.Socket): void {
+    this.acknowledgementTimeouts.get(socket)?.cancel();
+    this.acknowledgementTimeouts.delete(socket);
   }
 
   /** Sends a message as one datagram. */
@@ -201,20 +202,20 @@
     const [host, port] = splitAddress(to);
     const socket = net.connect({ host, port, noDelay: true });
     this.connections.set(to, socket);
-    const timer = setTimeout(() => {
+    const timeout = startReplyTimeout(CONNECT_TIMEOUT_MS, () => {
       if (socket.connecting) socket.destroy();
-    }, CONNECT_TIMEOUT_MS);
+    });
     socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.end());
     socket.on('error', () => {
       // The `close` event follows and does the cleanup.
     });
     socket.on('close', () => {
-      clearTimeout(timer);
-      this.clearAcknowledgementTimer(socket);
+      timeout.cancel();
+      this.clearAcknowledgementTimeout(socket);
       if (this.connections.get(to) === socket) this.connections.delete(to);
       if (!this.stopped) this.options.onDisconnect(to);
     });
-    socket.on('data', () => this.clearAcknowledgementTimer(socket));
+    socket.on('data', () => this.clearAcknowledgementTimeout(socket));
     return socket;
   }
 
--- a/src/daemon/request-service.ts
+++ b/src/daemon/request-service.ts
@@ -7,6 +7,7 @@
 import { responseFor, serviceError, type ErrorKind } from '../common/errors.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { Mailbox, startConsumer, startTicker } from '../common/process.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import { PRIORITY_CLASSES } from '../core/documents.js';
 import type { TenantLocation, WakeRequest } from '../core/pool-messages.js';
 import { LeastLoadedChoice } from '../core/replica-choice-least-loaded.js';
@@ -43,7 +44,7 @@
 
 interface RunningRequest extends CallerRequest {
   readonly arrivedAt: number;
-  readonly deadlineTimer: NodeJS.Timeout;
+  readonly deadlineTimeout: ReplyTimeout;
   stream: RequestStream | undefined;
   /** Number of connections opened so far; events of older connections are ignored. */
   connection: number;
@@ -84,14 +85,13 @@
     const { request } = caller;
     if (this.running.has(request.id)) return false;
     const now = this.options.clock.now();
-    const timer = setTimeout(
-      () => this.events.offer({ type: 'deadline', id: request.id }),
-      Math.max(0, request.deadline - now),
+    const deadlineTimeout = startReplyTimeout(Math.max(0, request.deadline - now), () =>
+      this.events.offer({ type: 'deadline', id: request.id }),
     );
     this.running.set(request.id, {
       ...caller,
       arrivedAt: now,
-      deadlineTimer: timer,
+      deadlineTimeout,
       stream: undefined,
       connection: 0,
       sentAt: 0,
@@ -147,7 +147,7 @@
   stop(): void {
     this.ticker.stop();
     this.events.close();
-    for (const running of this.running.values()) clearTimeout(running.deadlineTimer);
+    for (const running of this.running.values()) running.deadlineTimeout.cancel();
   }
 
   private onError(fault: unknown): void {
@@ -307,7 +307,7 @@
   }
 
   private removeRequest(running: RunningRequest): void {
-    clearTimeout(running.deadlineTimer);
+    running.deadlineTimeout.cancel();
     running.connection += 1;
     running.stream?.close();
     this.running.delete(running.request.id);
--- a/src/engines/http-engine-client.ts
+++ b/src/engines/http-engine-client.ts
@@ -8,6 +8,7 @@
   type HttpRequest,
   type TransportFailure,
 } from '../common/http-client.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import {
   parseCancelReply,
   parseOrderReply,
@@ -179,18 +180,17 @@
       onBroken(failure?: TransportFailure): void;
     },
   ): RequestStream {
-    let idleTimer: NodeJS.Timeout | undefined;
+    let idleTimeout: ReplyTimeout | undefined;
     let closed = false;
     const fail = (failure?: TransportFailure): void => {
       if (closed) return;
       close();
       handler.onBroken(failure);
     };
-    const resetIdleTimer = (): void => {
-      clearTimeout(idleTimer);
-      idleTimer = setTimeout(
-        () => fail({ reason: 'lost', message: 'no line received within the idle timeout' }),
-        idleTimeoutMs,
+    const resetIdleTimeout = (): void => {
+      idleTimeout?.cancel();
+      idleTimeout = startReplyTimeout(idleTimeoutMs, () =>
+        fail({ reason: 'lost', message: 'no line received within the idle timeout' }),
       );
     };
     const stream = client.stream(request, {
@@ -200,19 +200,19 @@
           status,
           typeof refusal === 'string' ? refusal : undefined,
         );
-        if (isAccepted) resetIdleTimer();
+        if (isAccepted) resetIdleTimeout();
         return isAccepted;
       },
       onLine: (line) => {
         if (closed) return;
-        resetIdleTimer();
+        resetIdleTimeout();
         if (!handler.onLine(line)) fail(MALFORMED);
       },
       onEnd: fail,
     });
     const close = (): void => {
       closed = true;
-      clearTimeout(idleTimer);
+      idleTimeout?.cancel();
       stream.close();
     };
     return { close };
--- a/src/gateway/answer-buffer.ts
+++ b/src/gateway/answer-buffer.ts
@@ -5,8 +5,9 @@
 import type http from 'node:http';
 import type { Logger } from '../common/logger.js';
 import { AnswerBudget, type AnswerMemoryLimits, type SlowCaller } from '../core/answer-budget.js';
+import type { RunningClock } from '../common/running-clock.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import { steadyNow } from './steady-clock.js';
 
 /** Interval between checks for callers that read too slowly. */
 const CHECK_INTERVAL_MS = 200;
@@ -14,6 +15,8 @@
 /** Options of {@link AnswerBuffer}. */
 export interface AnswerBufferOptions {
   readonly limits: AnswerMemoryLimits;
+  /** Measures how slowly callers read: while this process is paused, it writes nothing. */
+  readonly runningClock: Pick<RunningClock, 'now'>;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
 }
@@ -39,7 +42,7 @@
   private readonly budget: AnswerBudget;
   private readonly answers = new Map<number, OpenAnswer>();
   private lastId = 0;
-  private timer: NodeJS.Timeout | undefined;
+  private nextCheck: ReplyTimeout | undefined;
 
   constructor(private readonly options: AnswerBufferOptions) {
     this.budget = new AnswerBudget(options.limits);
@@ -52,7 +55,7 @@
 
   /** Number of callers that have not read all bytes written to them. */
   get unreadCallers(): number {
-    this.updateAllProgress(steadyNow());
+    this.updateAllProgress(this.now());
     return this.budget.unreadCallers;
   }
 
@@ -79,7 +82,7 @@
     if (answer === undefined) return true;
     answer.writtenBytes += bytes;
     if (answer.response.writableLength > 0) this.scheduleCheck();
-    return this.updateProgress(id, answer, steadyNow());
+    return this.updateProgress(id, answer, this.now());
   }
 
   private updateProgress(id: number, answer: OpenAnswer, now: number): boolean {
@@ -93,20 +96,22 @@
     for (const [id, answer] of this.answers) this.updateProgress(id, answer, now);
   }
 
+  private now(): number {
+    return this.options.runningClock.now();
+  }
+
   private release(id: number): void {
     this.answers.delete(id);
     this.budget.release(id);
   }
 
   private scheduleCheck(): void {
-    if (this.timer !== undefined) return;
-    this.timer = setTimeout(() => this.checkCallers(), CHECK_INTERVAL_MS);
-    this.timer.unref();
+    this.nextCheck ??= startReplyTimeout(CHECK_INTERVAL_MS, () => this.checkCallers());
   }
 
   private checkCallers(): void {
-    this.timer = undefined;
-    const now = steadyNow();
+    this.nextCheck = undefined;
+    const now = this.now();
     this.updateAllProgress(now);
     const { daemonBytes } = this.options.limits;
     const heldBytes = this.budget.heldBytes;
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
+import { startReplyTimeout } from '../common/reply-timeout.js';
 import { invalidHeadReason } from './answer-head-check.js';
 import type { BackendAgent, ConnectionPool, PooledRequestOptions } from './backend-agent.js';
 import type { ExchangeObserver } from './backend-watch.js';
@@ -151,15 +152,15 @@
       this.observer.sent();
       return;
     }
-    const timer = setTimeout(() => {
+    const timeout = startReplyTimeout(CONNECT_TIMEOUT_MS, () => {
       if (!this.connected) this.outgoing.destroy(new Error('connection timed out'));
-    }, CONNECT_TIMEOUT_MS);
+    });
     socket.once('connect', () => {
       this.opened(socket);
       if (!this.ended) this.observer.sent();
-      clearTimeout(timer);
+      timeout.cancel();
     });
-    socket.once('close', () => clearTimeout(timer));
+    socket.once('close', () => timeout.cancel());
   }
 
   private opened(socket: Socket): void {
--- a/src/gateway/backend-watch.ts
+++ b/src/gateway/backend-watch.ts
@@ -5,6 +5,7 @@
 import net, { type Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
 import type { Logger } from '../common/logger.js';
+import { startReplyTimeout } from '../common/reply-timeout.js';
 import { BackendReachability, type ReachabilityChange } from '../core/backend-reachability.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { steadyNow } from './steady-clock.js';
@@ -140,11 +141,13 @@
   /** Opens and closes a connection; resolves with whether it opened. */
   private probe(address: string): Promise<boolean> {
     const [host, port] = splitAddress(address);
-    const socket = net.connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
+    const socket = net.connect({ host, port });
+    const timeout = startReplyTimeout(CONNECT_TIMEOUT_MS, () => {
+      socket.destroy(new Error('connection timed out'));
+    });
     this.probes.add(socket);
     this.options.metrics.backendProbes.inc();
     this.observeConnection(address, socket);
-    socket.once('timeout', () => socket.destroy(new Error('connection timed out')));
     return new Promise((resolve) => {
       socket.once('connect', () => {
         resolve(true);
@@ -152,6 +155,7 @@
       });
       socket.once('error', () => {});
       socket.once('close', () => {
+        timeout.cancel();
         this.probes.delete(socket);
         resolve(false);
       });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -417,6 +417,7 @@
       slots: this.slots,
       answers: new AnswerBuffer({
         limits: answerMemoryLimitsFor(settings.memoryMegabytes),
+        runningClock: this.runningClock,
         logger,
         metrics,
       }),
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -7,6 +7,7 @@
 import type { Ran } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import type { LogFields } from '../common/logger.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import { stepAfterFailure, firstByteTimeoutMs, stallTimeoutMs } from '../core/attempt-policy.js';
 import { FIRST_PART_MS } from '../core/hold-policy.js';
 import type { RouteMatch } from '../core/routing-table.js';
@@ -53,7 +54,7 @@
   private readonly answer: CallerAnswer;
   private attempt: Attempt | undefined;
   private recheckTimer: NodeJS.Timeout | undefined;
-  private deadlineTimer: NodeJS.Timeout | undefined;
+  private deadlineTimeout: ReplyTimeout | undefined;
   private runs = 0;
   private sends = 0;
   private ended = false;
@@ -145,8 +146,7 @@
     this.context.answers.addBuffered(this.request.body.length);
     const remaining = Math.max(0, this.deadlineAt - steadyNow());
     const endAtDeadline = this.boundary.guard(() => this.deadlinePassed());
-    // After a pause of the process, an answer that came in time is still in the socket. Immediates run after the sockets were read.
-    this.deadlineTimer = setTimeout(() => setImmediate(endAtDeadline), remaining);
+    this.deadlineTimeout = startReplyTimeout(remaining, endAtDeadline);
     // The body may have taken longer than the caller waits.
     if (steadyNow() >= this.deadlineAt) return this.deadlinePassed();
     const denial = this.admission.checkKey();
@@ -592,7 +592,7 @@
     this.hold.end(false);
     this.ended = true;
     clearTimeout(this.recheckTimer);
-    clearTimeout(this.deadlineTimer);
+    this.deadlineTimeout?.cancel();
     const mayHaveRun = end === 'served' || this.mayHaveRun();
     if (this.attempt !== undefined) {
       if (this.attempt.relay !== undefined) this.context.paths.recordEnded(this.attempt.relay);
--- a/src/gateway/shared-limits.ts
+++ b/src/gateway/shared-limits.ts
@@ -6,6 +6,7 @@
  */
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import { HolderContact } from '../core/admission/holder-contact.js';
 import type { LimitShares } from '../core/admission/limit-shares.js';
 import type { LimitDecision, RateLimit } from '../core/admission/rate-ledger.js';
@@ -61,7 +62,7 @@
   readonly name: string;
   readonly units: number;
   readonly onDecision: (decision: LimitDecision) => void;
-  timer: NodeJS.Timeout;
+  timeout: ReplyTimeout;
 }
 
 /** One daemon's part in the limits of one kind: it admits requests, and may be a holder. */
@@ -186,14 +187,12 @@
       state.contact.recordReplyRequested(steadyNow());
       this.sendCharge(state.holder, { tenant: name, units, question });
     };
-    const timer = setTimeout(() => {
+    const timeout = startReplyTimeout(REQUEST_RETRY_MS, () => {
       send();
-      open.timer = setTimeout(
-        () => this.decideAlone(question),
-        HOLDER_TIMEOUT_MS - REQUEST_RETRY_MS,
-      );
-    }, REQUEST_RETRY_MS);
-    const open: OpenRequest = { name, units, onDecision, timer };
+      const restMs = HOLDER_TIMEOUT_MS - REQUEST_RETRY_MS;
+      open.timeout = startReplyTimeout(restMs, () => this.decideAlone(question));
+    });
+    const open: OpenRequest = { name, units, onDecision, timeout };
     this.openRequests.set(question, open);
     send();
   }
@@ -221,7 +220,7 @@
     const open = this.openRequests.get(question);
     if (open === undefined) return;
     this.openRequests.delete(question);
-    clearTimeout(open.timer);
+    open.timeout.cancel();
     const now = steadyNow();
     if (decision.type === 'granted') this.memberState(open.name).admitted.add(open.units, now);
     open.onDecision(decision);
--- a/src/gateway/slot-admission.ts
+++ b/src/gateway/slot-admission.ts
@@ -8,6 +8,7 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { Logger } from '../common/logger.js';
 import { firstCandidate } from '../common/rendezvous.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import {
   requiresGrant,
   type SlotResponse,
@@ -103,7 +104,7 @@
 class OpenClaim implements SlotClaim {
   readonly requestedAt = steadyNow();
   state: 'asked' | 'queued' | 'held' = 'asked';
-  timer: NodeJS.Timeout | undefined;
+  timeout: ReplyTimeout | undefined;
 
   constructor(
     readonly ticket: number,
@@ -246,7 +247,7 @@
   private hold(known: KnownBackend, claim: OpenClaim): void {
     claim.state = 'held';
     known.sentSinceStatus += 1;
-    clearTimeout(claim.timer);
+    claim.timeout?.cancel();
     const { backend, ticket, params } = claim;
     const { tenant, work } = params;
     const value = create(SlotUseSchema, { backend, ticket, tenant, work });
@@ -255,14 +256,12 @@
 
   private requestSlot(known: KnownBackend, claim: OpenClaim): void {
     this.sendRequest(known, claim);
-    clearTimeout(claim.timer);
-    claim.timer = setTimeout(() => {
+    claim.timeout?.cancel();
+    claim.timeout = startReplyTimeout(RESEND_DELAY_MS, () => {
       this.sendRequest(known, claim);
-      claim.timer = setTimeout(
-        () => this.sendWithoutGrant(known, claim),
-        REPLY_TIMEOUT_MS - RESEND_DELAY_MS,
-      );
-    }, RESEND_DELAY_MS);
+      const restMs = REPLY_TIMEOUT_MS - RESEND_DELAY_MS;
+      claim.timeout = startReplyTimeout(restMs, () => this.sendWithoutGrant(known, claim));
+    });
   }
 
   private sendRequest(known: KnownBackend, { backend, ticket, params }: OpenClaim): void {
@@ -299,9 +298,9 @@
   }
 
   private release(claim: OpenClaim, returnsInMs: number, hasFailed: boolean): void {
-    const { backend, ticket, timer, params } = claim;
+    const { backend, ticket, timeout, params } = claim;
     const known = this.backends.get(backend);
-    clearTimeout(timer);
+    timeout?.cancel();
     if (known === undefined) return;
     const wasOpen = known.claims.delete(ticket);
     if (!wasOpen && returnsInMs === 0) return;
@@ -349,9 +348,10 @@
   private applyDecision(known: KnownBackend, claim: OpenClaim, message: SlotWord): void {
     const { verdict, waitMs } = message;
     if (verdict === SlotVerdict.NEWS) return;
-    clearTimeout(claim.timer);
+    claim.timeout?.cancel();
     if (verdict === SlotVerdict.QUEUED) {
-      claim.timer = setTimeout(() => this.requestSlot(known, claim), WAITING_RESEND_PERIOD_MS);
+      const resend = (): void => this.requestSlot(known, claim);
+      claim.timeout = startReplyTimeout(WAITING_RESEND_PERIOD_MS, resend);
       const isFirst = claim.state === 'asked';
       claim.state = 'queued';
       if (isFirst) this.log('slot_queued', claim, message);
--- a/src/gateway/stream-origin-exchange.ts
+++ b/src/gateway/stream-origin-exchange.ts
@@ -3,6 +3,7 @@
  * without waiting for an acknowledgement; a daemon at which a caller resumes the stream requests the origin from them. A lost
  * notification makes the origin unknown, never wrong.
  */
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import { lookupTargets, holdersOf } from '../core/stream-origin-holders.js';
 import { StreamOrigins, type StreamOrigin } from '../core/stream-origins.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
@@ -46,7 +47,7 @@
 interface PendingLookup {
   readonly asked: readonly string[];
   readonly pendingTargets: Set<string>;
-  readonly timers: readonly NodeJS.Timeout[];
+  readonly timeouts: readonly ReplyTimeout[];
   readonly result: Promise<OriginLookup>;
   readonly resolve: (result: OriginLookup) => void;
 }
@@ -119,9 +120,9 @@
     const lookup: PendingLookup = {
       asked,
       pendingTargets: new Set(asked),
-      timers: [
-        setTimeout(() => this.sendRequests(stream, lookup), REPEAT_MS),
-        setTimeout(() => this.settle(stream, lookup, undefined), TIMEOUT_MS),
+      timeouts: [
+        startReplyTimeout(REPEAT_MS, () => this.sendRequests(stream, lookup)),
+        startReplyTimeout(TIMEOUT_MS, () => this.settle(stream, lookup, undefined)),
       ],
       result,
       resolve,
@@ -149,7 +150,7 @@
   }
 
   private settle(stream: string, lookup: PendingLookup, located: LocatedOrigin | undefined): void {
-    for (const timer of lookup.timers) clearTimeout(timer);
+    for (const timeout of lookup.timeouts) timeout.cancel();
     this.pending.delete(stream);
     const { asked, pendingTargets } = lookup;
     lookup.resolve({
--- a/src/platform/http-platform-client.ts
+++ b/src/platform/http-platform-client.ts
@@ -8,6 +8,7 @@
   type HttpClientOptions,
   type TransportFailure,
 } from '../common/http-client.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import type {
   ConditionalWrite,
   MachineList,
@@ -88,18 +89,18 @@
   }
 
   watch(afterRevision: number, handler: WatchHandler): Watch {
-    let idleTimer: NodeJS.Timeout | undefined;
+    let idleTimeout: ReplyTimeout | undefined;
     let finished = false;
     const finish = (reason: 'broken' | 'too_old'): void => {
       if (finished) return;
       finished = true;
-      clearTimeout(idleTimer);
+      idleTimeout?.cancel();
       stream.close();
       handler.onEnd(reason);
     };
-    const resetIdleTimer = (): void => {
-      clearTimeout(idleTimer);
-      idleTimer = setTimeout(() => finish('broken'), WATCH_IDLE_TIMEOUT_MS);
+    const resetIdleTimeout = (): void => {
+      idleTimeout?.cancel();
+      idleTimeout = startReplyTimeout(WATCH_IDLE_TIMEOUT_MS, () => finish('broken'));
     };
     const stream = this.http.stream(
       {
@@ -111,7 +112,7 @@
       {
         onStart: (status) => {
           if (status === 200) {
-            resetIdleTimer();
+            resetIdleTimeout();
             return true;
           }
           setImmediate(() => finish(status === 410 ? 'too_old' : 'broken'));
@@ -121,7 +122,7 @@
           if (finished) return;
           const event = parseWatchEvent(line);
           if (event === undefined) return finish('broken');
-          resetIdleTimer();
+          resetIdleTimeout();
           handler.onEvent(event);
         },
         onEnd: () => finish('broken'),
@@ -130,7 +131,7 @@
     return {
       close: () => {
         finished = true;
-        clearTimeout(idleTimer);
+        idleTimeout?.cancel();
         stream.close();
       },
     };
--- a/test/gateway/process-pauses.test.ts
+++ b/test/gateway/process-pauses.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import type { GatewaySettings } from '../../src/gateway/gateway-settings.js';
 import { GatewayHarness, pause, testConfiguration, testRoute } from './gateway-harness.js';
-import { blockFor, SeparateBackend, type SeparateAnswer } from './separate-backend.js';
+import { blockFor, blockNow, SeparateBackend, type SeparateAnswer } from './separate-backend.js';
 
 describe('a process that was paused', () => {
   let harness: GatewayHarness;
@@ -30,6 +30,10 @@
     return backends.flatMap((backend) => backend.arrivals).length;
   }
 
+  function hasLine(name: string): boolean {
+    return harness.lines.some(({ event }) => event === name);
+  }
+
   afterEach(async () => {
     harness.stop();
     await Promise.all(backends.map((backend) => backend.stop()));
@@ -74,4 +78,16 @@
     await blockFor(900);
     expect((await answer).status).toBe(200);
   });
+
+  it('does not take a backend for unreachable whose connection opened during its pause', async () => {
+    await start();
+    await startBackends({ events: 0, gapMs: 10 });
+    const answer = harness.call({ id: 'a', path: '/p/x' });
+    // The connection opens within the pause: it was started in this turn of the event loop.
+    while (!hasLine('sent')) await new Promise((resolve) => setImmediate(resolve));
+    blockNow(600);
+    expect((await answer).status).toBe(200);
+    expect(hasLine('attempt_failed')).toBe(false);
+    expect(hasLine('backend_unreachable')).toBe(false);
+  });
 });
--- a/test/gateway/separate-backend.ts
+++ b/test/gateway/separate-backend.ts
@@ -57,12 +57,17 @@
   }
 }
 
+/** Blocks this thread at once. */
+export function blockNow(milliseconds: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 /** Blocks this thread, as a process without a processor is blocked: timers that expire meanwhile run before the sockets are read. */
 export function blockFor(milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
     // The timers are the next phase of the event loop.
     setImmediate(() => {
-      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+      blockNow(milliseconds);
       resolve();
     });
   });
