Fix: a refusal reaches a caller that is still sending its body

Callers saw: a reset connection in place of 503 around a stop, so that a request that may not be repeated could not be tried again. Cause: a refusal is written when the head was read, with Connection: close; Node then closes the socket while the body still comes, and the kernel answers the rest with a reset. Evidence: refusals-under-bodies.test.ts with real sockets and a body in 20 pieces: reset before, an orderly end after it (one run each). Linux still delivered the 503 to a caller that read after the reset; one that stops at a failed write does not see it. The same for relayed requests. Change: the answer is written in full at once, its connection ends after the body or 2 s.

--- a/src/common/http-server.ts
+++ b/src/common/http-server.ts
@@ -60,6 +60,29 @@
   response.end(JSON.stringify(body));
 }
 
+/** Longest time for which the rest of a refused request is read. */
+const MAX_DISCARD_MS = 2_000;
+
+/**
+ * Ends a response whose last bytes are `body`, and discards the rest of its request before the connection may be closed. Closing with
+ * unread bytes would reset the connection, and the reset may reach the peer before it has read the response.
+ */
+export function endAfterRequest(response: http.ServerResponse, body: Buffer | string = ''): void {
+  const { req: request } = response;
+  if (request.complete || request.destroyed) return void response.end(body);
+  // With the whole body written, the peer has the response before it has ended.
+  if (body.length > 0) response.write(body);
+  else response.flushHeaders();
+  const timer = setTimeout(() => response.end(), MAX_DISCARD_MS);
+  const end = (): void => {
+    clearTimeout(timer);
+    response.end();
+  };
+  request.once('end', end);
+  request.once('close', end);
+  request.resume();
+}
+
 /** Sends an error response. */
 export function sendError(
   response: http.ServerResponse,
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -1,5 +1,6 @@
 /** Writes the answer to one caller: either a complete answer at once, or a stream of complete events. */
 import type http from 'node:http';
+import { endAfterRequest } from '../common/http-server.js';
 import { responseFor, errorBody, serviceError, type ErrorKind } from '../common/errors.js';
 import type { StreamEvent } from '../core/event-stream.js';
 import type { AnswerAccount } from './answer-buffer.js';
@@ -69,6 +70,7 @@
   longestPauseMs = 0;
   private lastEventAt: number | undefined;
   private account: AnswerAccount | undefined;
+  private isWhole = false;
 
   constructor(
     private readonly context: GatewayContext,
@@ -83,7 +85,7 @@
 
   /** Whether the whole answer was written. */
   get isComplete(): boolean {
-    return this.response.writableEnded;
+    return this.isWhole || this.response.writableEnded;
   }
 
   /** Sends a complete answer. */
@@ -155,7 +157,8 @@
     if (retryAfterMs !== undefined) headers.push('Retry-After', inSeconds(retryAfterMs));
     headers.push('Content-Length', String(body.length));
     this.writeHead(status, headers);
-    this.response.end(body);
+    endAfterRequest(this.response, body);
+    this.isWhole = true;
   }
 
   private writeHead(status: number, headers: string[]): void {
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -5,7 +5,7 @@
 import http from 'node:http';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { faultText, type LogFields, type Logger } from '../common/logger.js';
-import { listen, sendJson } from '../common/http-server.js';
+import { endAfterRequest, listen, sendJson } from '../common/http-server.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { BackendAgent } from './backend-agent.js';
@@ -259,7 +259,7 @@
     if (!response.headersSent && !response.destroyed) {
       const status = mayHaveReachedBackend(reason) ? 502 : 503;
       response.writeHead(status, { [RELAY_FAILURE_HEADER]: reason, 'content-length': 0 });
-      response.end();
+      endAfterRequest(response);
     }
     request.resume();
     this.ended(relayed, backend, reason);
