Fix: a request that could not be read in time is answered with 408 and does not run

Callers saw: 400, which tells them never to try again, for a head or a body that came too late; the request ran all the same if the rest came after that answer (the caller then knows nothing of it). On a connection with a request in flight, bytes that could not be read put a 400 into its stream, or in place of its answer. A new connection without any byte got a 400 that could meet the first request on it. Cause: one listener of clientError wrote 400 whatever the error was and whatever was under way on the connection, and the connection was read on. Change: the answer goes to the request that could not be read, by the kind of the error: 408 for what came too late, 400 for bytes that are no request, 431 for a head over Node's limit. It is queued behind earlier answers; no new request is taken from the connection, and a request that was answered does not begin. The new kind request_timeout is in the list of errors.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -27,6 +27,7 @@
   not_found: { status: 404, ran: 'no', retryAfterSeconds: 0 },
   unknown_tenant: { status: 404, ran: 'no', retryAfterSeconds: 0 },
   method_not_allowed: { status: 405, ran: 'no', retryAfterSeconds: 0 },
+  request_timeout: { status: 408, ran: 'no', retryAfterSeconds: 0 },
   version_conflict: { status: 409, ran: 'no', retryAfterSeconds: 0 },
   duplicate_request: { status: 409, ran: 'unknown', retryAfterSeconds: 0 },
   body_too_large: { status: 413, ran: 'no', retryAfterSeconds: 0 },
--- /dev/null
+++ b/src/common/unreadable-requests.ts
@@ -0,0 +1,114 @@
+/**
+ * Answers requests that Node's HTTP server cannot read: bytes that are no request, and heads or bodies that come too late. Such an
+ * answer belongs to the request that could not be read. It is never written into, or in place of, the answer to another one.
+ */
+import type http from 'node:http';
+import type { Duplex } from 'node:stream';
+import { errorBody, responseFor, serviceError, type ErrorKind } from './errors.js';
+
+/** Why a request was not read. */
+export type UnreadableKind = Extract<
+  ErrorKind,
+  'request_timeout' | 'header_too_large' | 'malformed_request'
+>;
+
+/** Longest time for which the rest of a connection is read after its last answer. */
+const MAX_DISCARD_MS = 2_000;
+const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
+/** The caller has closed its side within a request. */
+const CUT_SHORT_CODE = 'HPE_INVALID_EOF_STATE';
+const PARSER_CODE_PREFIX = 'HPE_';
+
+/** Options of {@link UnreadableRequests}. */
+export interface UnreadableRequestOptions {
+  /** Answers a request whose head was read. The request must not run afterwards. */
+  readonly refuse: (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    kind: UnreadableKind,
+  ) => void;
+  /** Called with the reason for which a connection is not read on. */
+  readonly onUnreadable: (code: string, kind: UnreadableKind | undefined) => void;
+}
+
+/** The connections of one server that are not read on. */
+export class UnreadableRequests {
+  /** Responses that are not complete, oldest first, by connection. */
+  private readonly open = new WeakMap<Duplex, Set<http.ServerResponse>>();
+  private readonly closing = new WeakSet<Duplex>();
+
+  constructor(
+    server: http.Server,
+    private readonly options: UnreadableRequestOptions,
+  ) {
+    server.prependListener('request', (request, response) => this.add(request.socket, response));
+    server.on('clientError', (fault: NodeJS.ErrnoException, socket) => this.end(fault, socket));
+  }
+
+  /** Whether a request comes from a connection that is not read on: its caller may have been told that it does not run. */
+  isRefused(request: http.IncomingMessage): boolean {
+    return this.closing.has(request.socket);
+  }
+
+  private add(socket: Duplex, response: http.ServerResponse): void {
+    const responses = this.open.get(socket) ?? new Set();
+    this.open.set(socket, responses);
+    responses.add(response);
+    response.once('close', () => responses.delete(response));
+  }
+
+  private end(fault: NodeJS.ErrnoException, socket: Duplex): void {
+    if (this.closing.has(socket)) return;
+    this.closing.add(socket);
+    const code = fault.code ?? '';
+    const kind = kindOf(code);
+    this.options.onUnreadable(code, kind);
+    if (kind === undefined || !socket.writable) return void socket.destroy();
+    const responses = [...(this.open.get(socket) ?? [])];
+    const last = responses.at(-1);
+    if (last === undefined) return answerHead(socket, kind);
+    // Node sends it after the answers to the requests before it.
+    if (!last.req.complete && !last.headersSent) return this.refuse(last, kind);
+    last.once('close', () => endConnection(socket));
+  }
+
+  private refuse(response: http.ServerResponse, kind: UnreadableKind): void {
+    response.shouldKeepAlive = false;
+    this.options.refuse(response.req, response, kind);
+  }
+}
+
+/** Returns undefined if the connection is closed without an answer. */
+function kindOf(code: string): UnreadableKind | undefined {
+  if (code === TIMEOUT_CODE) return 'request_timeout';
+  if (code === HEADER_OVERFLOW_CODE) return 'header_too_large';
+  if (code === CUT_SHORT_CODE || !code.startsWith(PARSER_CODE_PREFIX)) return undefined;
+  return 'malformed_request';
+}
+
+/** Answers a request whose head was not read. Without a byte of one there is nothing to answer. */
+function answerHead(socket: Duplex, kind: UnreadableKind): void {
+  const { bytesRead } = socket as Duplex & { readonly bytesRead?: number };
+  if (bytesRead === 0) return void socket.destroy();
+  const { status, ran } = responseFor(kind);
+  const body = JSON.stringify(errorBody(serviceError(kind, kind.replaceAll('_', ' '))));
+  const head = [
+    `HTTP/1.1 ${status} ${kind.replaceAll('_', ' ')}`,
+    'Content-Type: application/json',
+    `X-Error-Kind: ${kind}`,
+    `X-Ran: ${ran}`,
+    `Content-Length: ${body.length}`,
+    'Connection: close',
+  ];
+  socket.write(`${head.join('\r\n')}\r\n\r\n${body}`);
+  endConnection(socket);
+}
+
+/** Ends a connection after what was written. Unread bytes would reset it, so that the rest is read for a while. */
+function endConnection(socket: Duplex): void {
+  if (socket.destroyed) return;
+  socket.end();
+  const timer = setTimeout(() => socket.destroy(), MAX_DISCARD_MS);
+  socket.once('close', () => clearTimeout(timer));
+}
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -3,6 +3,7 @@
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
+import { UnreadableRequests, type UnreadableKind } from '../common/unreadable-requests.js';
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
@@ -46,6 +47,7 @@
 export class CallerServer {
   private readonly server: http.Server;
   private readonly connections: CallerConnections;
+  private readonly unreadable: UnreadableRequests;
 
   constructor(
     private readonly context: GatewayContext,
@@ -62,8 +64,9 @@
       (request, response) => this.accept(request, response),
     );
     this.connections = new CallerConnections(this.server);
-    this.server.on('clientError', (_fault, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    this.unreadable = new UnreadableRequests(this.server, {
+      refuse: (request, response, kind) => this.refuseUnread(request, response, kind),
+      onUnreadable: (code, kind) => context.logger.info('request_unreadable', { code, kind }),
     });
   }
 
@@ -96,6 +99,7 @@
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
     this.connections.add(request, response);
+    if (this.unreadable.isRefused(request)) return void response.destroy();
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
     // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
@@ -110,6 +114,16 @@
     boundary.run(() => this.receive(request, response, { head, answer, boundary }));
   }
 
+  /** Answers a request whose body was not read: it is never sent. */
+  private refuseUnread(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    kind: UnreadableKind,
+  ): void {
+    const head = this.context.dialect.readRequest(request.headers);
+    new CallerAnswer(this.context, head, response).sendError(kind, undefined);
+  }
+
   private receive(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -132,6 +146,8 @@
     }
     response.on('error', () => response.destroy());
     const bodyRead = boundary.guard((body: Buffer | undefined) => {
+      // The caller may have been told that the request does not run.
+      if (answer.hasBegun) return;
       if (body === undefined) return answer.sendError('body_too_large', undefined);
       this.begin(request, response, { answer, boundary }, { head, body, arrivedAt });
     });
