Fix: a request queued behind another one ends when its caller leaves

Callers saw: a gateway that took the whole time for a stop and interrupted requests, because it waited for requests whose caller had left; their backends worked on for nobody. Cause: when a connection closes, Node closes only the first of the answers to requests read on it; the others never learn of it. Change: the connections of callers close the answers that are queued when their connection closes.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -23,7 +23,7 @@
   constructor(private readonly server: http.Server) {
     server.on('connection', (socket) => {
       this.connections.set(socket, new Set());
-      socket.once('close', () => this.connections.delete(socket));
+      socket.once('close', () => this.closed(socket));
     });
   }
 
@@ -64,6 +64,17 @@
     return [...this.connections.values()].flatMap((answers) => [...answers]);
   }
 
+  private closed(socket: Socket): void {
+    const answers = this.connections.get(socket) ?? [];
+    this.connections.delete(socket);
+    for (const answer of answers) {
+      // Node closes only the first answer; those queued behind it have no socket yet.
+      if (answer.socket !== null) continue;
+      answer.destroy();
+      answer.emit('close');
+    }
+  }
+
   /** Whether a connection that is not idle has no request: it has received a part of a head. */
   private isReceivingHead(): boolean {
     return [...this.connections].some(
--- a/test/gateway/caller-connection-orders.test.ts
+++ b/test/gateway/caller-connection-orders.test.ts
@@ -10,6 +10,9 @@
 } from './gateway-harness.js';
 import { RawCaller } from './raw-caller.js';
 
+/** Longer than a stop takes that waits for nothing. */
+const SHORT_STOP_MS = 3_500;
+
 const onceRoute = testRoute({ name: 'once', pathPrefix: '/once/', repeatability: 'once' });
 
 /** A request without a body. */
@@ -72,6 +75,19 @@
     await stopped;
   });
 
+  it('a stop does not wait for requests written at once whose caller has left', async () => {
+    backend.handle = () => {};
+    const caller = call();
+    caller.write(requestText('a') + requestText('b'));
+    await until(() => backend.arrivals.length === 2);
+    caller.close();
+    await pause(100);
+    const startedAt = performance.now();
+    await harness.gateway.drain();
+    expect(performance.now() - startedAt).toBeLessThan(SHORT_STOP_MS);
+    expect(harness.context().exchanges.size).toBe(0);
+  });
+
   it('does not run a request that follows an answer with Connection: close', async () => {
     backend.handle = answerEvents(1, 20, 30);
     const caller = call();
