--- a/src/common/unreadable-requests.ts
+++ b/src/common/unreadable-requests.ts
@@ -22,6 +22,8 @@
 
 /** Options of {@link UnreadableRequests}. */
 export interface UnreadableRequestOptions {
+  /** Returns the responses on a connection that are not complete, oldest first. */
+  readonly responsesOn: (socket: Duplex) => readonly http.ServerResponse[];
   /** Answers a request whose head was read. The request must not run afterwards. */
   readonly refuse: (
     request: http.IncomingMessage,
@@ -34,16 +36,22 @@
 
 /** The connections of one server that are not read on. */
 export class UnreadableRequests {
-  /** Responses that are not complete, oldest first, by connection. */
-  private readonly open = new WeakMap<Duplex, Set<http.ServerResponse>>();
   private readonly closing = new WeakSet<Duplex>();
 
   constructor(
     server: http.Server,
     private readonly options: UnreadableRequestOptions,
   ) {
-    server.prependListener('request', (request, response) => this.add(request.socket, response));
-    server.on('clientError', (fault: NodeJS.ErrnoException, socket) => this.end(fault, socket));
+    server.on('clientError', ({ code = '' }: NodeJS.ErrnoException, socket) => {
+      if (code !== TIMEOUT_CODE) return this.end(code, socket);
+      const late = this.lastOn(socket);
+      const isBodyLate = late?.req.complete === false;
+      // The rest may have come during a pause of this process: immediates run after the sockets were read.
+      setImmediate(() => {
+        const hasCome = isBodyLate ? late.req.complete : this.lastOn(socket) !== late;
+        if (!hasCome) this.end(code, socket);
+      });
+    });
   }
 
   /** Whether a request comes from a connection that is not read on: its caller may have been told that it does not run. */
@@ -51,22 +59,17 @@
     return this.closing.has(request.socket);
   }
 
-  private add(socket: Duplex, response: http.ServerResponse): void {
-    const responses = this.open.get(socket) ?? new Set();
-    this.open.set(socket, responses);
-    responses.add(response);
-    response.once('close', () => responses.delete(response));
+  private lastOn(socket: Duplex): http.ServerResponse | undefined {
+    return this.options.responsesOn(socket).at(-1);
   }
 
-  private end(fault: NodeJS.ErrnoException, socket: Duplex): void {
+  private end(code: string, socket: Duplex): void {
     if (this.closing.has(socket)) return;
     this.closing.add(socket);
-    const code = fault.code ?? '';
     const kind = kindOf(code);
     this.options.onUnreadable(code, kind);
     if (kind === undefined || !socket.writable) return void socket.destroy();
-    const responses = [...(this.open.get(socket) ?? [])];
-    const last = responses.at(-1);
+    const last = this.lastOn(socket);
     if (last === undefined) return answerHead(socket, kind);
     // Node sends it after the answers to the requests before it.
     if (!last.req.complete && !last.headersSent) return this.refuse(last, kind);
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
+import type { Socket } from 'node:net';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
@@ -65,6 +66,7 @@
     );
     this.connections = new CallerConnections(this.server);
     this.unreadable = new UnreadableRequests(this.server, {
+      responsesOn: (socket) => this.connections.responsesOn(socket as Socket),
       refuse: (request, response, kind) => this.refuseUnread(request, response, kind),
       onUnreadable: (code, kind) => context.logger.info('request_unreadable', { code, kind }),
     });
@@ -98,7 +100,7 @@
   }
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.connections.add(request, response);
+    if (!this.connections.add(request, response)) return void request.resume();
     if (this.unreadable.isRefused(request)) return void response.destroy();
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
