Fix: a pipelined request whose caller has left ends, and delays no stop

Callers saw: nothing; the next stop of the process lasted until its limit (7.55 s in place of 2.4 s), and a backend went on working for a caller that had left. Cause: Node reports the close of a connection only to the answer that is being written; an answer that waits behind it on the same connection never closes, so that its record stayed for ever and its exchange ran on. Change: the answers are kept by connection, and those that wait are closed with it.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -7,23 +7,23 @@
 
 /** Connections and requests of one server. */
 export class CallerConnections {
-  private readonly sockets = new Set<Socket>();
   /** Answers that have not been written in full, by the connection that their request came on. */
-  private readonly answers = new Map<http.ServerResponse, Socket>();
+  private readonly connections = new Map<Socket, Set<http.ServerResponse>>();
   /** Answers whose request has an exchange. */
   private readonly begun = new WeakSet<http.ServerResponse>();
 
   constructor(private readonly server: http.Server) {
     server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      this.connections.set(socket, new Set());
+      socket.once('close', () => this.closed(socket));
     });
   }
 
   /** Records a request whose head was read, until its answer was written or its connection is closed. */
   add(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.answers.set(response, request.socket);
-    response.once('close', () => this.answers.delete(response));
+    const answers = this.connections.get(request.socket);
+    answers?.add(response);
+    response.once('close', () => answers?.delete(response));
   }
 
   /** Records that a request has an exchange. */
@@ -33,28 +33,37 @@
 
   /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
   get receiving(): number {
-    const waiting = [...this.answers.keys()].filter((response) => !response.headersSent);
+    const waiting = this.answers().filter((response) => !response.headersSent);
     return waiting.filter((response) => !this.begun.has(response)).length;
   }
 
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
   closeIdle(): boolean {
     // Node treats a connection as idle once its answer has ended, although the caller has not read it yet.
-    if (this.hasUnwrittenAnswer()) return false;
+    if (this.answers().some(({ writableEnded }) => writableEnded)) return false;
     this.server.closeIdleConnections();
-    return this.answers.size === 0 && !this.isReceivingHead();
+    return [...this.connections].every(([socket, answers]) => {
+      return answers.size === 0 && !isReceivingHead(socket);
+    });
   }
 
-  private hasUnwrittenAnswer(): boolean {
-    for (const { writableEnded } of this.answers.keys()) if (writableEnded) return true;
-    return false;
+  private answers(): http.ServerResponse[] {
+    return [...this.connections.values()].flatMap((answers) => [...answers]);
   }
 
-  /** Whether a connection that is not idle has no request: it has received a part of a head. */
-  private isReceivingHead(): boolean {
-    const answering = new Set(this.answers.values());
-    return [...this.sockets].some(
-      (socket) => !socket.destroyed && socket.bytesRead > 0 && !answering.has(socket),
-    );
+  /** Closes the answers that wait behind another one on a connection: Node reports the close to the first one alone. */
+  private closed(socket: Socket): void {
+    const answers = this.connections.get(socket) ?? [];
+    this.connections.delete(socket);
+    for (const response of answers) {
+      if (response.socket !== null) continue;
+      response.destroy();
+      response.emit('close');
+    }
   }
 }
+
+/** Whether a connection that is not idle and has no request has received a part of a head. */
+function isReceivingHead(socket: Socket): boolean {
+  return !socket.destroyed && socket.bytesRead > 0;
+}
