Fix: a connection that was answered with 400 delays no stop

Callers saw: nothing; a stop lasted until its limit (7.57 s) when one caller had sent bytes that are no request and kept its side of the connection open. Cause: such a connection counted as one that receives a head, although its answer had been written and its sending side closed. Evidence: callers-that-leave.test.ts failed before (one run: 7,570 ms) and passes (2,563 ms with its start). Change: a connection whose answer was written in full is not waited for.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -63,7 +63,7 @@
   }
 }
 
-/** Whether a connection that is not idle and has no request has received a part of a head. */
+/** Whether a connection that is not idle and has no request has received a part of a head, and can still be answered. */
 function isReceivingHead(socket: Socket): boolean {
-  return !socket.destroyed && socket.bytesRead > 0;
+  return !socket.destroyed && !socket.writableFinished && socket.bytesRead > 0;
 }
--- a/test/gateway/callers-that-leave.test.ts
+++ b/test/gateway/callers-that-leave.test.ts
@@ -49,4 +49,11 @@
     expect(backend.arrivals).toHaveLength(2);
     expect(closed).toBe(2);
   });
+
+  it('does not delay a planned stop by staying half open after bytes that are no request', async () => {
+    caller.write('no request\r\n\r\n');
+    await pause(200);
+    expect(caller.status).toBe(400);
+    expect(await stopMs()).toBeLessThan(MAX_STOP_MS);
+  });
 });
