Fix: a partition without another path ends no attempt

Callers saw: 502 for a plain request, a stream cut at its deadline, while the backend was at work and its bytes came. Cause: when all new connections failed, each direct attempt that may be repeated was given up, also if no other daemon could relay it, so that there was nothing to send it again with. Change: without a path the attempt goes on; its silence is judged as before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -183,14 +183,14 @@
   }
 
   /**
-   * Handles a partition from all backends. An attempt that may be repeated now fails at once, so that it is sent again on another
-   * path; any other waits for its answer, because the backend may still send it.
+   * Handles a partition from all backends. An attempt that may be repeated now fails at once if there is another path; any other
+   * waits for its answer, because the backend may still send it.
    */
   pathLost(): void {
     const { relay, firstByteTimeoutMs, stallTimeoutMs } = this.options;
     const limitMs = this.incoming === undefined ? firstByteTimeoutMs : stallTimeoutMs;
     if (this.ended || relay !== undefined || !Number.isFinite(limitMs)) return;
-    if (!this.options.reserveRetry()) return;
+    if (this.context.paths.isCutOff() || !this.options.reserveRetry()) return;
     this.fail('unknown', 'no backend can be reached', { silent: true });
   }
 
