Fix: a head that came during a pause of the process is not late, and a late one gets 408

Callers saw: 400, after which no client tries again, although their head lay in the socket. Cause: Node checks the time for a request before the sockets are read, and every fault of a connection was answered with 400. Change: the verdict waits until the sockets were read; a request that has not come in full gets 408, which is true, because only a whole request begins; nothing is written between the bytes of another answer.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -37,6 +37,12 @@
     return waiting.filter((response) => !this.begun.has(response)).length;
   }
 
+  /** Whether the head or the body of a request on a connection has not been read in full. */
+  isReceiving(socket: Socket): boolean {
+    const answers = [...(this.connections.get(socket) ?? [])];
+    return answers.every(({ req }) => !req.complete);
+  }
+
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
   closeIdle(): boolean {
     // Node treats a connection as idle once its answer has ended, although the caller has not read it yet.
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
+import type { Socket } from 'node:net';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
@@ -62,9 +63,7 @@
       (request, response) => this.accept(request, response),
     );
     this.connections = new CallerConnections(this.server);
-    this.server.on('clientError', (_fault, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    });
+    this.server.on('clientError', (fault, socket) => this.endFaulty(socket as Socket, fault));
   }
 
   async start(): Promise<void> {
@@ -94,6 +93,15 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends a connection whose bytes are no request, or on which a request has not come in full in time. */
+  private endFaulty(socket: Socket, fault: NodeJS.ErrnoException): void {
+    if (fault.code !== 'ERR_HTTP_REQUEST_TIMEOUT') return endWith(socket, '400 Bad Request');
+    // Immediates run after the sockets were read: the rest may have come during a pause of this process.
+    setImmediate(() => {
+      if (this.connections.isReceiving(socket)) endWith(socket, '408 Request Timeout');
+    });
+  }
+
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
     this.connections.add(request, response);
     const head = this.context.dialect.readRequest(request.headers);
@@ -263,6 +271,11 @@
   }
 }
 
+/** Ends a connection on which no answer has begun. */
+function endWith(socket: Socket, status: string): void {
+  if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+}
+
 /** Returns the size of the header fields in bytes, with two bytes of separators for each name and value. */
 function sizeOf(rawHeaders: readonly string[]): number {
   let size = 0;
