--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -4,6 +4,7 @@
  */
 import type http from 'node:http';
 import type { Socket } from 'node:net';
+import { inputRead } from '../common/process.js';
 
 /** Responses on whose connection another request was read before they were written. */
 const followed = new WeakSet<http.ServerResponse>();
@@ -25,6 +26,8 @@
       this.connections.set(socket, new Set());
       socket.once('close', () => this.closed(socket));
     });
+    // With a listener, Node leaves it to close a connection whose idle time has passed.
+    server.on('timeout', (socket: Socket) => void closeIfIdle(socket));
   }
 
   /**
@@ -83,7 +86,7 @@
   /** Whether a connection that is not idle has no request: it has received a part of a head. */
   private isReceivingHead(): boolean {
     return [...this.connections].some(
-      ([socket, answers]) => !socket.destroyed && socket.bytesRead > 0 && answers.size === 0,
+      ([socket, answers]) => answers.size === 0 && socket.bytesRead > 0 && isAnswerable(socket),
     );
   }
 }
@@ -91,3 +94,15 @@
 function hasAnnouncedEnd(answer: http.ServerResponse): boolean {
   return answer.headersSent && !answer.shouldKeepAlive;
 }
+
+/** Whether something can still be written to a connection. */
+function isAnswerable({ destroyed, writableFinished }: Socket): boolean {
+  return !destroyed && !writableFinished;
+}
+
+/** Closes a connection whose idle time has passed, unless a request had come by then, during a pause of this process. */
+async function closeIfIdle(socket: Socket): Promise<void> {
+  const { bytesRead } = socket;
+  await inputRead();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
