Fix: a request that came during a pause of the process is neither late nor absent

Callers saw, after a pause of the gateway: 400 for a request whose head had arrived in time; a closed connection, with a request on it, that had not been idle for the configured time; the same when a stop closes idle connections. Cause: Node's timeouts for heads and idle connections, and the check of a stop, ran before the sockets were read. Evidence: caller-connection-orders.test.ts, three cases that blocked the process while the request lay in the socket; each failed before (400; closed without a status, twice) and passes. Change: these decisions wait until the sockets were read. Open: a body that never comes after such a pause has no timeout of Node's own any more, because Node reports each late request once; its connection ends with the caller.

--- a/src/gateway/caller-connection-faults.ts
+++ b/src/gateway/caller-connection-faults.ts
@@ -1,8 +1,10 @@
 /**
- * Ends connections of callers that send no valid request, or none in time. An answer that is being written stays undisturbed.
+ * Ends connections of callers that send no valid request, or none in time. After a pause of this process, timeouts expire before the
+ * sockets are read, so a timeout counts only if nothing has arrived by then. An answer that is being written stays undisturbed.
  */
 import type http from 'node:http';
 import type { Socket } from 'node:net';
+import { inputRead } from '../common/process.js';
 import type { CallerConnections } from './caller-connections.js';
 
 /** Node's code for a request that did not arrive within the configured time. */
@@ -19,10 +21,27 @@
     private readonly connections: CallerConnections,
   ) {
     server.on('clientError', (fault: NodeJS.ErrnoException, socket: Socket) => {
-      // Its callers may send a request again that did not arrive in time: it has not begun.
-      if (fault.code === REQUEST_TIMEOUT_CODE) this.refuse(socket, '408 Request Timeout');
+      if (fault.code === REQUEST_TIMEOUT_CODE) void this.requestLate(socket);
       else this.refuse(socket, '400 Bad Request');
     });
+    // With a listener, Node does not close idle connections itself.
+    server.on('timeout', (socket: Socket) => void this.idleTooLong(socket));
+  }
+
+  private async requestLate(socket: Socket): Promise<void> {
+    const request = this.connections.lastRequest(socket);
+    const wasComplete = request?.complete;
+    await arrivedBytesRead(socket);
+    const latest = this.connections.lastRequest(socket);
+    if (latest !== request || latest?.complete !== wasComplete) return;
+    // Its callers may send it again: it has not begun.
+    this.refuse(socket, '408 Request Timeout');
+  }
+
+  private async idleTooLong(socket: Socket): Promise<void> {
+    const { bytesRead } = socket;
+    await inputRead();
+    if (socket.bytesRead === bytesRead) socket.destroy();
   }
 
   private refuse(socket: Socket, status: string): void {
@@ -38,3 +57,12 @@
     setTimeout(() => socket.destroy(), MAX_CLOSING_MS).unref();
   }
 }
+
+/** Resolves once all bytes that have arrived on a connection were read; one reading takes a limited number of them. */
+async function arrivedBytesRead(socket: Socket): Promise<void> {
+  let bytesRead: number;
+  do {
+    ({ bytesRead } = socket);
+    await inputRead();
+  } while (socket.bytesRead > bytesRead);
+}
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -17,6 +17,7 @@
 export class CallerConnections {
   /** The answers that have not been written in full, by the connection that their requests came on, in the order of the requests. */
   private readonly connections = new Map<Socket, Set<http.ServerResponse>>();
+  private readonly lastRequests = new WeakMap<Socket, http.IncomingMessage>();
   /** Answers whose request has an exchange. */
   private readonly begun = new WeakSet<http.ServerResponse>();
 
@@ -35,11 +36,17 @@
     const answers = this.connections.get(request.socket);
     if (answers === undefined || [...answers].some(hasAnnouncedEnd)) return false;
     for (const answer of answers) followed.add(answer);
+    this.lastRequests.set(request.socket, request);
     answers.add(response);
     response.once('close', () => answers.delete(response));
     return true;
   }
 
+  /** The last request whose head was read on a connection. */
+  lastRequest(socket: Socket): http.IncomingMessage | undefined {
+    return this.lastRequests.get(socket);
+  }
+
   /** The answers on a connection that have begun or whose requests are complete. */
   expectedAnswers(socket: Socket): http.ServerResponse[] {
     const answers = [...(this.connections.get(socket) ?? [])];
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -79,7 +79,11 @@
     const limitMs = Math.round(this.limitAt - startedAt);
     logger.info('draining', { ...work.counts(), limitMs });
     void this.leave();
-    while (steadyNow() < this.limitAt && !this.isDrained()) await sleep(CHECK_INTERVAL_MS);
+    while (steadyNow() < this.limitAt && !this.isDrained()) {
+      await sleep(CHECK_INTERVAL_MS);
+      // A connection is idle only if no request has arrived on it.
+      await inputRead();
+    }
     const interrupted = await this.interrupt();
     const milliseconds = Math.round(steadyNow() - startedAt);
     logger.info('stopped', { milliseconds, interrupted, ...work.counts() });
--- a/test/gateway/caller-connection-orders.test.ts
+++ b/test/gateway/caller-connection-orders.test.ts
@@ -9,6 +9,7 @@
   testRoute,
 } from './gateway-harness.js';
 import { RawCaller } from './raw-caller.js';
+import { blockNow } from './separate-backend.js';
 
 /** Longer than a stop takes that waits for nothing. */
 const SHORT_STOP_MS = 3_500;
@@ -101,6 +102,44 @@
     expect(caller.received.endsWith('0\r\n\r\n')).toBe(true);
   });
 
+  it('answers a request whose head came in time, although the process was paused then', async () => {
+    const caller = call();
+    caller.write('POST /once/x HTTP/1.1\r\nhost: service.test\r\n');
+    await pause(100);
+    backend.handle = answerWhole;
+    caller.write('request-id: a\r\ncontent-length: 0\r\n\r\n');
+    blockNow(1_800);
+    await caller.answered();
+    expect(caller.status).toBe(200);
+  });
+
+  it('answers a request on a kept connection that came in time, although the process was paused then', async () => {
+    const caller = call();
+    caller.write(requestText('a', '/once/x'));
+    await caller.answered();
+    await pause(300);
+    caller.received = '';
+    caller.write(requestText('b', '/once/x'));
+    blockNow(2_500);
+    await caller.answered();
+    expect(caller.status).toBe(200);
+  });
+
+  it('answers a request on a kept connection that came before idle connections are closed, although the process was paused then', async () => {
+    harness.configure(testConfiguration({ version: 2, routes: [onceRoute] }));
+    const caller = call();
+    caller.write(requestText('a', '/once/x'));
+    await caller.answered();
+    caller.received = '';
+    const stopped = harness.gateway.drain();
+    await pause(2_200);
+    caller.write(requestText('b', '/once/x'));
+    blockNow(300);
+    await caller.answered();
+    expect(caller.status).toBe(503);
+    await stopped;
+  });
+
   it('does not run a request that follows an answer with Connection: close', async () => {
     backend.handle = answerEvents(1, 20, 30);
     const caller = call();
