Fix: the end of a stop answers requests that have not begun

Callers saw: a connection closed without a status, for a request that was read in full and whose stream's origin was still being looked up when the time for the stop was over; likewise for one whose body was incomplete. Cause: the end of a stop ended exchanges only; what had none was cut when the ports closed. Evidence: caller-connection-orders.test.ts, a lookup without a reply: "socket hang up" before (three runs), 503 now. Change: the end of a stop refuses each request whose head was read and that has neither an exchange nor an answer.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -58,10 +58,10 @@
     this.begun.add(response);
   }
 
-  /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
-  get receiving(): number {
+  /** Responses to requests whose head was read and that have neither an exchange nor an answer yet. */
+  get receiving(): http.ServerResponse[] {
     const waiting = this.answers.filter((response) => !response.headersSent);
-    return waiting.filter((response) => !this.begun.has(response)).length;
+    return waiting.filter((response) => !this.begun.has(response));
   }
 
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -47,6 +47,8 @@
 export class CallerServer {
   private readonly server: http.Server;
   private readonly connections: CallerConnections;
+  /** Answers to the requests whose head was read. */
+  private readonly answers = new WeakMap<http.ServerResponse, CallerAnswer>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -73,7 +75,14 @@
 
   /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
   get receiving(): number {
-    return this.connections.receiving;
+    return this.connections.receiving.length;
+  }
+
+  /** Refuses the requests that have not begun, because the daemon stops. */
+  refuseReceiving(): void {
+    for (const response of this.connections.receiving) {
+      this.answers.get(response)?.sendError('draining', 0);
+    }
   }
 
   /** Applies the configured limits. */
@@ -97,6 +106,7 @@
     if (!this.connections.add(request, response)) return void request.resume();
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
+    this.answers.set(response, answer);
     // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
     const boundary = this.context.faults.boundaryOf('request', {
       fields: () => ({ request: head.attemptId, mayHaveRun: false }),
--- a/src/gateway/open-work.ts
+++ b/src/gateway/open-work.ts
@@ -18,7 +18,7 @@
 /** Options of {@link OpenWork}. */
 export interface OpenWorkOptions {
   readonly context: () => Pick<GatewayContext, 'answers' | 'exchanges'>;
-  readonly callers: () => Pick<CallerServer, 'receiving' | 'closeIdle'>;
+  readonly callers: () => Pick<CallerServer, 'receiving' | 'closeIdle' | 'refuseReceiving'>;
   readonly access: Pick<BackendAccess, 'activeRelays'>;
 }
 
@@ -43,8 +43,9 @@
     return areCallersServed && this.options.access.activeRelays === 0;
   }
 
-  /** Ends the callers' requests because the daemon stops. Returns their number. */
+  /** Ends the callers' requests because the daemon stops. Returns the number of those that had begun. */
   interrupt(): number {
+    this.options.callers().refuseReceiving();
     const interrupted = [...this.options.context().exchanges];
     for (const exchange of interrupted) exchange.interrupt();
     return interrupted.length;
--- a/test/gateway/caller-connection-orders.test.ts
+++ b/test/gateway/caller-connection-orders.test.ts
@@ -161,6 +161,17 @@
     expect(caller.status).toBe(408);
   });
 
+  it('refuses a resumption whose origin is not known when the time for a stop is over', async () => {
+    const { streamOrigins } = harness.context();
+    Object.assign(streamOrigins, { locate: () => new Promise(() => {}) });
+    backend.handle = () => {};
+    const answer = harness.call({ id: 'a', headers: { resumes: 'z', deadline: '9000' } });
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    expect((await answer).status).toBe(503);
+    await stopped;
+  }, 12_000);
+
   it('answers an HTTP/1.0 caller around a stop', async () => {
     backend.handle = answerEvents(1, 10, 30);
     const caller = call();
