--- a/src/common/unreadable-requests.ts
+++ b/src/common/unreadable-requests.ts
@@ -3,8 +3,10 @@
  * answer belongs to the request that could not be read. It is never written into, or in place of, the answer to another one.
  */
 import type http from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { errorBody, responseFor, serviceError, type ErrorKind } from './errors.js';
+import { inputRead } from './process.js';
 
 /** Why a request was not read. */
 export type UnreadableKind = Extract<
@@ -24,12 +26,10 @@
 export interface UnreadableRequestOptions {
   /** Returns the responses on a connection that are not complete, oldest first. */
   readonly responsesOn: (socket: Duplex) => readonly http.ServerResponse[];
+  /** Returns the last request whose head was read on a connection. */
+  readonly lastRequest: (socket: Duplex) => http.IncomingMessage | undefined;
   /** Answers a request whose head was read. The request must not run afterwards. */
-  readonly refuse: (
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    kind: UnreadableKind,
-  ) => void;
+  readonly refuse: (response: http.ServerResponse, kind: UnreadableKind) => void;
   /** Called with the reason for which a connection is not read on. */
   readonly onUnreadable: (code: string, kind: UnreadableKind | undefined) => void;
 }
@@ -43,14 +43,8 @@
     private readonly options: UnreadableRequestOptions,
   ) {
     server.on('clientError', ({ code = '' }: NodeJS.ErrnoException, socket) => {
-      if (code !== TIMEOUT_CODE) return this.end(code, socket);
-      const late = this.lastOn(socket);
-      const isBodyLate = late?.req.complete === false;
-      // The rest may have come during a pause of this process: immediates run after the sockets were read.
-      setImmediate(() => {
-        const hasCome = isBodyLate ? late.req.complete : this.lastOn(socket) !== late;
-        if (!hasCome) this.end(code, socket);
-      });
+      if (code === TIMEOUT_CODE) void this.endIfLate(code, socket as Socket);
+      else this.end(code, socket);
     });
   }
 
@@ -59,8 +53,14 @@
     return this.closing.has(request.socket);
   }
 
-  private lastOn(socket: Duplex): http.ServerResponse | undefined {
-    return this.options.responsesOn(socket).at(-1);
+  /** Ends a connection whose request has not come in full, unless more of it came during a pause of this process. */
+  private async endIfLate(code: string, socket: Socket): Promise<void> {
+    const { lastRequest } = this.options;
+    const late = lastRequest(socket);
+    const wasComplete = late?.complete;
+    await arrivedBytesRead(socket);
+    const latest = lastRequest(socket);
+    if (latest === late && latest?.complete === wasComplete) this.end(code, socket);
   }
 
   private end(code: string, socket: Duplex): void {
@@ -69,7 +69,7 @@
     const kind = kindOf(code);
     this.options.onUnreadable(code, kind);
     if (kind === undefined || !socket.writable) return void socket.destroy();
-    const last = this.lastOn(socket);
+    const last = this.options.responsesOn(socket).at(-1);
     if (last === undefined) return answerHead(socket, kind);
     // Node sends it after the answers to the requests before it.
     if (!last.req.complete && !last.headersSent) return this.refuse(last, kind);
@@ -78,7 +78,7 @@
 
   private refuse(response: http.ServerResponse, kind: UnreadableKind): void {
     response.shouldKeepAlive = false;
-    this.options.refuse(response.req, response, kind);
+    this.options.refuse(response, kind);
   }
 }
 
@@ -115,3 +115,12 @@
   const timer = setTimeout(() => socket.destroy(), MAX_DISCARD_MS);
   socket.once('close', () => clearTimeout(timer));
 }
+
+/** Resolves once all bytes that have arrived on a connection were read; one turn of the event loop reads a limited number of them. */
+async function arrivedBytesRead(socket: Socket): Promise<void> {
+  let bytesRead: number;
+  do {
+    ({ bytesRead } = socket);
+    await inputRead();
+  } while (socket.bytesRead > bytesRead);
+}
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -18,6 +18,8 @@
 export class CallerConnections {
   /** The answers that have not been written in full, by the connection that their requests came on, in the order of the requests. */
   private readonly connections = new Map<Socket, Set<http.ServerResponse>>();
+  /** The last request whose head was read, by connection. */
+  private readonly lastRequests = new WeakMap<Socket, http.IncomingMessage>();
   /** Answers whose request has an exchange. */
   private readonly begun = new WeakSet<http.ServerResponse>();
 
@@ -38,11 +40,17 @@
     const answers = this.connections.get(request.socket);
     if (answers === undefined || [...answers].some(hasAnnouncedEnd)) return false;
     for (const answer of answers) followed.add(answer);
+    this.lastRequests.set(request.socket, request);
     answers.add(response);
     response.once('close', () => answers.delete(response));
     return true;
   }
 
+  /** The last request whose head was read on a connection. */
+  lastRequest(socket: Socket): http.IncomingMessage | undefined {
+    return this.lastRequests.get(socket);
+  }
+
   /** The answers on a connection that have not been written in full, oldest first. */
   responsesOn(socket: Socket): http.ServerResponse[] {
     return [...(this.connections.get(socket) ?? [])];
@@ -53,10 +61,10 @@
     this.begun.add(response);
   }
 
-  /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
-  get receiving(): number {
+  /** Responses to requests whose head was read and that have neither an exchange nor an answer yet. */
+  get receiving(): http.ServerResponse[] {
     const waiting = this.answers.filter((response) => !response.headersSent);
-    return waiting.filter((response) => !this.begun.has(response)).length;
+    return waiting.filter((response) => !this.begun.has(response));
   }
 
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,10 +1,11 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import type { ErrorKind } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
 import { listen } from '../common/http-server.js';
-import { UnreadableRequests, type UnreadableKind } from '../common/unreadable-requests.js';
+import { UnreadableRequests } from '../common/unreadable-requests.js';
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
@@ -67,7 +68,8 @@
     this.connections = new CallerConnections(this.server);
     this.unreadable = new UnreadableRequests(this.server, {
       responsesOn: (socket) => this.connections.responsesOn(socket as Socket),
-      refuse: (request, response, kind) => this.refuseUnread(request, response, kind),
+      lastRequest: (socket) => this.connections.lastRequest(socket as Socket),
+      refuse: (response, kind) => this.refuse(response, kind, undefined),
       onUnreadable: (code, kind) => context.logger.info('request_unreadable', { code, kind }),
     });
   }
@@ -79,7 +81,12 @@
 
   /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
   get receiving(): number {
-    return this.connections.receiving;
+    return this.connections.receiving.length;
+  }
+
+  /** Refuses the requests that have not begun, because the daemon stops. */
+  refuseReceiving(): void {
+    for (const response of this.connections.receiving) this.refuse(response, 'draining', 0);
   }
 
   /** Applies the configured limits. */
@@ -116,14 +123,14 @@
     boundary.run(() => this.receive(request, response, { head, answer, boundary }));
   }
 
-  /** Answers a request whose body was not read: it is never sent. */
-  private refuseUnread(
-    request: http.IncomingMessage,
+  /** Answers a request that has no exchange: it is never sent. */
+  private refuse(
     response: http.ServerResponse,
-    kind: UnreadableKind,
+    kind: ErrorKind,
+    retryAfterMs: number | undefined,
   ): void {
-    const head = this.context.dialect.readRequest(request.headers);
-    new CallerAnswer(this.context, head, response).sendError(kind, undefined);
+    const head = this.context.dialect.readRequest(response.req.headers);
+    new CallerAnswer(this.context, head, response).sendError(kind, retryAfterMs);
   }
 
   private receive(
