Fix: a router does not say of a request that it has just sent that it has not run

Callers could see: 404 with "ran: no" for a request that an engine ran. The refusal also releases the request's idempotency key, so that the same key could run again. Cause: when a tenant is deleted, the router refuses the waiting requests one by one from a copy of the queue. Each refusal lets the queue go on; if a replica's pause after "busy" has just ended, that sends the next request, which the loop then refuses as well. Evidence: router-refusals.test.ts with the order forced: sent and refused as not run before, passes now (one run each). router.property.test.ts passes (10,000 histories); it does not draw deletions. Found by reading; not seen in a deployment. Change: only requests that still wait are refused; no refusal of a request at an engine says that it has not run.

--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -406,7 +406,8 @@
   ): void {
     const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
     const claimsNotRun = responseFor(kind).ran === 'no';
-    const reportedKind = claimsNotRun && state.mayHaveRun ? 'engine_outcome_unknown' : kind;
+    const mayHaveRun = state.mayHaveRun || state.engine !== '';
+    const reportedKind = claimsNotRun && mayHaveRun ? 'engine_outcome_unknown' : kind;
     this.effects.push({
       type: 'refuse',
       id: state.request.id,
@@ -472,8 +473,9 @@
       if (this.options.directory.tenant(tenant) !== undefined) continue;
       for (const request of route.queue.items()) {
         const state = this.requests.get(request.id);
-        if (state !== undefined)
-          this.refuse(state, 'unknown_tenant', 'the tenant was deleted', now);
+        // The refusal of the request before may have let this one be sent.
+        if (state?.phase !== 'waiting') continue;
+        this.refuse(state, 'unknown_tenant', 'the tenant was deleted', now);
       }
     }
   }
