Fix: a daemon does not run a request whose head or body came after its answer

Callers saw: 400 for a head or body that came too late; if the rest came after it, the request ran. Bytes that could not be read on a connection with a request in flight were answered with 400 in place of that request's answer. Cause: the same listener of clientError as in the gateway, in the server of the project's own interface. Change: the server uses the same module, and a body that ends after its request was answered is an error for whoever reads it (readBody), so that no handler acts on it.

--- a/src/common/http-server.ts
+++ b/src/common/http-server.ts
@@ -3,8 +3,9 @@
 import { Result } from 'true-myth';
 import { responseFor, errorBody, retryAfterOf, serviceError, type ServiceError } from './errors.js';
 import { parseJson } from './http-client.js';
+import { wasRefusedUnread } from './unreadable-requests.js';
 
-/** Reads a body of at most `limit` bytes. Fails with `body_too_large` or `malformed_request`. */
+/** Reads a body of at most `limit` bytes. Fails with `body_too_large`, `request_timeout` or `malformed_request`. */
 export async function readBody(
   request: http.IncomingMessage,
   limit: number,
@@ -17,6 +18,10 @@
       if (size <= limit) chunks.push(chunk);
     });
     request.on('end', () => {
+      if (wasRefusedUnread(request)) {
+        resolve(Result.err(serviceError('request_timeout', 'the request was answered before')));
+        return;
+      }
       if (size > limit) {
         resolve(Result.err(serviceError('body_too_large', `the body is over ${limit} bytes`)));
         return;
--- a/src/common/unreadable-requests.ts
+++ b/src/common/unreadable-requests.ts
@@ -20,6 +20,13 @@
 const CUT_SHORT_CODE = 'HPE_INVALID_EOF_STATE';
 const PARSER_CODE_PREFIX = 'HPE_';
 
+const refused = new WeakSet<http.IncomingMessage>();
+
+/** Whether a request was answered before its body was read. It must not run, even if the rest of its body comes. */
+export function wasRefusedUnread(request: http.IncomingMessage): boolean {
+  return refused.has(request);
+}
+
 /** Options of {@link UnreadableRequests}. */
 export interface UnreadableRequestOptions {
   /** Answers a request whose head was read. The request must not run afterwards. */
@@ -74,6 +81,7 @@
   }
 
   private refuse(response: http.ServerResponse, kind: UnreadableKind): void {
+    refused.add(response.req);
     response.shouldKeepAlive = false;
     this.options.refuse(response.req, response, kind);
   }
--- a/src/daemon/daemon-http-server.ts
+++ b/src/daemon/daemon-http-server.ts
@@ -7,6 +7,7 @@
 import { listen, readJson, sendError, sendJson } from '../common/http-server.js';
 import type { LinkFaults } from '../common/link-faults.js';
 import { faultText, type Logger } from '../common/logger.js';
+import { UnreadableRequests } from '../common/unreadable-requests.js';
 import type { AdminApi } from './admin-api.js';
 import type { CallerApi } from './caller-api.js';
 import type { DaemonMetrics } from './metrics.js';
@@ -32,6 +33,7 @@
 /** Routes HTTP requests to the APIs by path. */
 export class DaemonHttpServer {
   private readonly server: http.Server;
+  private readonly unreadable: UnreadableRequests;
 
   constructor(private readonly options: DaemonHttpServerOptions) {
     this.server = http.createServer((request, response) => {
@@ -44,8 +46,10 @@
       });
     });
     this.server.keepAliveTimeout = 65_000;
-    this.server.on('clientError', (_fault, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
+    this.unreadable = new UnreadableRequests(this.server, {
+      refuse: (_request, response, kind) =>
+        sendError(response, serviceError(kind, 'the request could not be read')),
+      onUnreadable: (code, kind) => options.logger.info('request_unreadable', { code, kind }),
     });
   }
 
@@ -69,6 +73,7 @@
   }
 
   private async route(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (this.unreadable.isRefused(request)) return void response.destroy();
     const path = (request.url ?? '/').split('?')[0] ?? '/';
     if (this.options.notReadyError()?.kind === 'draining')
       response.setHeader('connection', 'close');
