Fix: a stop waits until a refusal to another daemon has been delivered

Another daemon saw: a reset connection in place of the refusal to relay, which it must take for a request that may have run, so that its caller gets 502 where it could have been sent on. Cause: the stop counted only the requests that are relayed, not those that are refused while their body still comes. Change: each request of another daemon counts until its answer was written.

--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -78,6 +78,8 @@
   private readonly server: http.Server;
   private readonly maxInFlight: number;
   private inFlight = 0;
+  /** Requests that have not been answered in full, refused ones included. */
+  private unanswered = 0;
 
   constructor(private readonly options: RelayServerOptions) {
     const relayed = Math.round(MAX_RELAYED_PER_CORE * options.capacity);
@@ -85,15 +87,17 @@
     this.server = http.createServer({ noDelay: true }, (request, response) => {
       response.sendDate = false;
       response.on('error', () => response.destroy());
+      this.unanswered += 1;
+      response.once('close', () => (this.unanswered -= 1));
       const relayed = this.accept(request, response);
       relayed.boundary.run(() => this.receive(relayed));
     });
     this.server.on('clientError', (_fault, socket) => socket.destroy());
   }
 
-  /** Number of requests that are being relayed. */
+  /** Number of requests of other daemons that have not been answered in full. */
   get active(): number {
-    return this.inFlight;
+    return this.unanswered;
   }
 
   /** Listens. A port in use is logged; the daemon then relays nothing. */
