Fix: a stop's time counts from before a pause, also if the signal waits behind what is read after it

Cause: the time at which a signal may have arrived went back over a pause only if the pause had ended up to 100 ms before; a signal is handled after all sockets that were ready, which took 442 ms. Evidence: process_paused at 49.440, stop_signal at 49.882 with limitMs=7500, SIGKILL 8.02 s after the signal was sent at about 48.1. Change: the earliest arrival is the beat before the last one, from which on the event loop has handled all that had arrived; at most 200 ms early without a pause.

--- a/src/common/running-clock.ts
+++ b/src/common/running-clock.ts
@@ -15,16 +15,21 @@
   onPause: (milliseconds: number) => void = () => {};
   private pausedMs = 0;
   private observedAt: number;
-  private lastPause = { from: -Infinity, until: -Infinity };
+  private lastBeatAt: number;
+  /** Between this beat and the last one, the event loop has handled all that had arrived by this one. */
+  private previousBeatAt: number;
 
   /** @param steadyNow - Monotonic time in milliseconds. */
   constructor(private readonly steadyNow: () => number) {
     this.observedAt = steadyNow();
+    this.lastBeatAt = this.observedAt;
+    this.previousBeatAt = this.observedAt;
   }
 
   /** Shows that the event loop runs; to be called every {@link BEAT_PERIOD_MS}. */
   beat(): void {
-    this.observe();
+    this.previousBeatAt = this.lastBeatAt;
+    this.lastBeatAt = this.observe();
   }
 
   /** Milliseconds for which this process has run. */
@@ -32,11 +37,12 @@
     return this.observe() - this.pausedMs;
   }
 
-  /** Earliest steady time at which a signal or a message can have arrived that this process handles only now. */
+  /**
+   * Earliest steady time at which a signal or a message can have arrived that this process handles only now. After a pause, a signal
+   * is handled once all sockets that had something to read were read, which may take long itself.
+   */
   get earliestArrivalAt(): number {
-    const now = this.observe();
-    const { from, until } = this.lastPause;
-    return now - until <= BEAT_PERIOD_MS ? from : now;
+    return this.previousBeatAt;
   }
 
   private observe(): number {
@@ -46,7 +52,6 @@
     const delayMs = now - from - BEAT_PERIOD_MS;
     if (delayMs <= MAX_ORDINARY_DELAY_MS) return now;
     this.pausedMs += delayMs;
-    this.lastPause = { from, until: now };
     this.onPause(delayMs);
     return now;
   }
--- a/test/common/running-clock.test.ts
+++ b/test/common/running-clock.test.ts
@@ -31,6 +31,29 @@
     expect(pauses).toEqual([1_200]);
   });
 
+  it('does not date a signal after a pause that it has waited for, behind what the sockets had to read', () => {
+    const { clock, pass } = makeClock();
+    clock.beat();
+    const pausedAt = 1_000;
+    pass(1_300);
+    clock.beat();
+    for (let read = 0; read < 10; read++) {
+      pass(45);
+      clock.now();
+    }
+    expect(clock.earliestArrivalAt).toBeLessThanOrEqual(pausedAt);
+  });
+
+  it('dates a signal at most two beats back while the event loop runs', () => {
+    const { clock, pass } = makeClock();
+    for (let beat = 0; beat < 5; beat++) {
+      pass(BEAT_PERIOD_MS);
+      clock.beat();
+    }
+    pass(BEAT_PERIOD_MS);
+    expect(clock.earliestArrivalAt).toBe(1_000 + 4 * BEAT_PERIOD_MS);
+  });
+
   it('never runs back', () => {
     const { clock, pass } = makeClock();
     let last = clock.now();
