Soak: pauses of the process at a stop, and bodies that are still being sent at a stop

Two opt-in kinds, paused_at_stop and slow_bodies_at_stop. A pause during a stop excuses only a delay: a new audit reports an answer that its replica sent in full in time, or went on sending, and that its caller did not get (answer_lost_at_pause), and a request that was sent again just after a pause although its replica was not silent (sent_again_after_pause). late_end counts from the end of such a pause if that is later than the deadline; the other checks are unchanged. Each play prints how many such cases it has met.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -33,6 +33,7 @@
     calls: [],
     probes,
     runs: [],
+    answers: [],
     observedViolations: [],
     announcedArrivals: [],
     limitedArrivals: [],
--- a/test/soak/audit-fixtures.ts
+++ b/test/soak/audit-fixtures.ts
@@ -7,5 +7,7 @@
   wasInterrupted: () => false,
   wasJustResumed: () => false,
   hadFault: () => false,
+  pausesAtStop: () => [],
+  anyHadFault: () => false,
   stopDuring: () => undefined,
 };
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -47,6 +47,7 @@
     calls: [],
     probes: [],
     runs: [],
+    answers: [],
     observedViolations: [],
     announcedArrivals: [],
     limitedArrivals: [],
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -6,6 +6,7 @@
 import { auditRateLimits } from './audit-rate-limits.js';
 import { auditAnnouncements } from './audit-announcements.js';
 import { auditFunnels } from './audit-funnels.js';
+import { auditStops, dueAt } from './audit-stops.js';
 import { auditStreams } from './audit-streams.js';
 import { auditPartitions } from './audit-partitions.js';
 import { auditTenants } from './audit-tenants.js';
@@ -49,6 +50,7 @@
     ...auditPartitions(evidence),
     ...auditBrittle(evidence),
     ...auditStreams(evidence),
+    ...auditStops(evidence),
     ...auditFunnels(evidence),
     ...evidence.unexpectedExits.map((exit) => ({
       rule: 'unasked_exit',
@@ -81,7 +83,7 @@
   if (call.wasRefused) return found;
   const span = { from: call.sentAt, until: call.endedAt };
   if (evidence.gateways.hadFault(call.gateway, span)) return found;
-  if (call.endedAt > call.sentAt + request.deadlineMs + END_TOLERANCE_MS) report('late_end');
+  if (call.endedAt > dueAt(call, evidence) + END_TOLERANCE_MS) report('late_end');
   if (wasCutByPlannedStop(call, span, evidence)) report('cut_by_planned_stop');
   if (status === 0) found.push(...auditMissingResponse(call, ran, evidence));
   return found;
@@ -170,7 +172,10 @@
   if (call === undefined) return false;
   const span = { from: call.sentAt - STORE_RECOVERY_MS, until: seen.at };
   const storeFaults = storeFaultsAffecting(call.gateway, evidence);
-  return evidence.gateways.hadFault(call.gateway, span) || overlapsAny(span, storeFaults);
+  const { gateways } = evidence;
+  const wasHarmed =
+    gateways.hadFault(call.gateway, span) || gateways.pausesAtStop(call.gateway, span).length > 0;
+  return wasHarmed || overlapsAny(span, storeFaults);
 }
 
 /** Finds a call by its attempt id, also among the probes of the configuration and the attempts at streams. */
--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -1,6 +1,7 @@
 /** Sends one request of a soak caller and records its outcome. */
 import http from 'node:http';
 import { splitAddress } from '../../src/common/http-client.js';
+import { sleep } from '../../src/common/process.js';
 import { eventCount } from './expected-events.js';
 import { UNITS_PER_REQUEST, type Caller } from './soak-tenants.js';
 
@@ -22,6 +23,8 @@
   readonly resumes?: { readonly attemptId: string; readonly lastEventId: number };
   /** Number of events after which the caller leaves; it stays without one. */
   readonly leavesAfter?: number;
+  /** Time over which the body is sent in pieces; it is sent at once without one. */
+  readonly bodyMs?: number;
 }
 
 /** Outcome of a request as its caller saw it. */
@@ -48,6 +51,8 @@
 export const HOST = 'soak.example';
 /** Time after the deadline at which the caller gives up the request. */
 const GIVE_UP_MS = 2_000;
+/** Number of pieces in which a slow body is sent. */
+const BODY_PIECES = 12;
 
 /** Sends one request, on a new connection unless an agent keeps one open. */
 export function call(
@@ -65,7 +70,7 @@
     const end = (isComplete: boolean, wasRefused = false): void => {
       clearTimeout(timer);
       // A persistent connection returns to its agent after a complete response.
-      if (!isComplete || agent === false) outgoing.destroy();
+      if (!isComplete || agent === false || !outgoing.writableEnded) outgoing.destroy();
       const wasOnKeptConnection = outgoing.reusedSocket;
       const seen = {
         status,
@@ -94,10 +99,24 @@
       end(false, error.code === 'ECONNREFUSED');
     });
     const timer = setTimeout(() => end(false), request.deadlineMs + GIVE_UP_MS);
-    outgoing.end(request.body);
+    void sendBody(outgoing, request);
   });
 }
 
+/** Sends the body, in pieces if it is slow. Stops if the connection ends or the response is complete before. */
+async function sendBody(
+  outgoing: http.ClientRequest,
+  { body, bodyMs }: Pick<SoakRequest, 'body' | 'bodyMs'>,
+): Promise<void> {
+  if (bodyMs === undefined) return void outgoing.end(body);
+  const pieceLength = Math.ceil(body.length / BODY_PIECES);
+  for (let from = 0; from < body.length && !outgoing.destroyed; from += pieceLength) {
+    outgoing.write(body.slice(from, from + pieceLength));
+    await sleep(bodyMs / BODY_PIECES);
+  }
+  if (!outgoing.destroyed) outgoing.end();
+}
+
 function optionsOf(request: SoakRequest, address: string): http.RequestOptions {
   const [host, port] = splitAddress(address);
   const headers: http.OutgoingHttpHeaders = {
--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -1,6 +1,7 @@
 /** Counts how often a run has met the cases that its audits judge: a run that has met none proves nothing about them. */
 import { crashReports } from './audit-crashes.js';
 import { judgedFunnels } from './audit-funnels.js';
+import { stopCounts } from './audit-stops.js';
 import { streamCounts } from './audit-streams.js';
 import type { SoakEvidence } from './evidence.js';
 import type { RunLog } from './run-log.js';
@@ -18,13 +19,17 @@
 export function casesMet(
   evidence: SoakEvidence,
   log: Pick<RunLog, AnswerCounts>,
-): Pick<SoakResult, 'crashes' | 'funnels' | 'unframedStreams' | 'streams' | 'answerFaults'> {
+): Pick<
+  SoakResult,
+  'crashes' | 'funnels' | 'unframedStreams' | 'streams' | 'stops' | 'answerFaults'
+> {
   const { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers } = log;
   return {
     crashes: crashReports(evidence),
     funnels: { all: evidence.funnels.length, judged: judgedFunnels(evidence) },
     unframedStreams: { all: log.unframedStreams, broken: log.brokenStreams },
     streams: streamCounts(evidence),
+    stops: stopCounts(evidence),
     answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers },
   };
 }
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -8,6 +8,7 @@
   ReplicaViolation,
   RunRecord,
   AnnouncedArrival,
+  ReplicaAnswer,
 } from './run-log.js';
 
 /** A span of time, in Unix milliseconds. */
@@ -43,6 +44,10 @@
   hadFault(gateway: string, span: TimeSpan): boolean;
   /** Whether the process was paused during a part of the span, or its links were restored in it. */
   wasJustResumed(gateway: string, span: TimeSpan): boolean;
+  /** Pauses of the process during planned stops that overlap the span. */
+  pausesAtStop(gateway: string, span: TimeSpan): readonly TimeSpan[];
+  /** Whether any process had a disturbance other than a planned stop, or a pause in one, including the time to recover from it. */
+  anyHadFault(span: TimeSpan): boolean;
   /** When a planned stop began that overlaps the span; undefined without one. */
   stopDuring(gateway: string, span: TimeSpan): number | undefined;
 }
@@ -81,6 +86,8 @@
   readonly calls: readonly CallRecord[];
   readonly probes: readonly ConfigurationProbe[];
   readonly runs: readonly RunRecord[];
+  /** Answers of replicas to the requests that they have run. */
+  readonly answers: readonly ReplicaAnswer[];
   readonly observedViolations: readonly ReplicaViolation[];
   /** Arrivals at replicas that announced that they leave or requested a backoff, now or lately. */
   readonly announcedArrivals: readonly AnnouncedArrival[];
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -32,7 +32,7 @@
 
 /** A span in which a gateway was stopped, killed, paused, starting or cut off. */
 export interface Disturbance {
-  readonly kind: 'killed' | 'frozen' | 'suspended' | 'stopped' | 'cut_off';
+  readonly kind: 'killed' | 'frozen' | 'suspended' | 'stopped' | 'paused_at_stop' | 'cut_off';
   readonly from: number;
   /** When the gateway should have recovered. */
   readonly until: number;
@@ -40,6 +40,9 @@
   endedAt: number;
 }
 
+/** Kinds of disturbance through which a process must complete the requests that it has. */
+const PLANNED_KINDS: ReadonlySet<Disturbance['kind']> = new Set(['stopped', 'paused_at_stop']);
+
 /** What happens to a partitioned gateway's connections to replicas: open ones and new ones. */
 export type BackendCut = 'hang' | 'reset' | 'refuse';
 
@@ -333,6 +336,14 @@
     this.pause('suspended', milliseconds);
   }
 
+  /**
+   * Pauses a stopping process for a time, like one that gets no processor. This excuses only what ends late by no more than
+   * the pause.
+   */
+  pauseWhileStopping(milliseconds: number): void {
+    this.pause('paused_at_stop', milliseconds);
+  }
+
   private holdStart(child: ChildProcess): void {
     const { startHoldMs = 0 } = this.options;
     if (startHoldMs === 0) return;
@@ -340,7 +351,7 @@
     setTimeout(() => child.kill('SIGCONT'), startHoldMs).unref();
   }
 
-  private pause(kind: 'frozen' | 'suspended', milliseconds: number): void {
+  private pause(kind: 'frozen' | 'suspended' | 'paused_at_stop', milliseconds: number): void {
     this.recordDisturbance(kind, milliseconds + 500);
     const { child } = this;
     child?.kill('SIGSTOP');
@@ -376,18 +387,27 @@
   /** Whether the process was paused during a part of a span, or its links were restored in it. */
   wasJustResumed(from: number, until: number): boolean {
     return this.disturbances.some((each) => {
-      if (each.kind === 'frozen') return each.from <= until && each.endedAt >= from;
+      const isPause = each.kind === 'frozen' || each.kind === 'paused_at_stop';
+      if (isPause) return each.from <= until && each.endedAt >= from;
       return each.kind === 'cut_off' && each.endedAt >= from && each.endedAt <= until;
     });
   }
 
-  /** Whether the process had a disturbance other than a planned stop in a span, including its recovery. */
+  /** Whether the process had a disturbance other than a planned stop, or a pause in one, in a span, including its recovery. */
   hadFault(from: number, until: number): boolean {
     return this.disturbances.some(
-      (each) => each.kind !== 'stopped' && each.from <= until && each.until >= from,
+      (each) => !PLANNED_KINDS.has(each.kind) && each.from <= until && each.until >= from,
     );
   }
 
+  /** Pauses during planned stops that overlap a span. */
+  pausesAtStop(from: number, until: number): { from: number; until: number }[] {
+    return this.disturbances
+      .filter((each) => each.kind === 'paused_at_stop')
+      .map((each) => ({ from: each.from, until: each.endedAt }))
+      .filter((pause) => pause.from <= until && pause.until >= from);
+  }
+
   /** When a planned stop began that overlaps a span; undefined without one. */
   stopDuring(from: number, until: number): number | undefined {
     const stop = this.disturbances.find(
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -5,6 +5,12 @@
 import type { OptInFault, SuspendedGateway } from './opt-in-fault-plan.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
 import type { SeededRandom } from './seeded-random.js';
+import {
+  isStopFault,
+  StopFaultInjector,
+  type StopCallerSystem,
+  type StopFault,
+} from './stop-fault-injector.js';
 import { spareReplicas, undisturbedGateways, type SoakSystem } from './soak-system.js';
 
 /** Time after which a crashed replica starts again. */
@@ -43,6 +49,7 @@
 
 /** Injects faults into gateways, replicas and the store. */
 export class OptInFaultInjector {
+  private readonly stops: StopFaultInjector;
   private poisonCount = 0;
   /** Number of crashing parts that callers send now. */
   private poisonParts = 0;
@@ -55,14 +62,21 @@
 
   /** @param endsAt - No fault starts after this time, in Unix milliseconds. */
   constructor(
-    private readonly system: SoakSystem & PoisonSender & GatewayStarter,
+    private readonly system: SoakSystem & PoisonSender & GatewayStarter & StopCallerSystem,
     private readonly random: SeededRandom,
     private readonly endsAt: number,
     /** Maximum number of crashing parts that callers send at the same time. */
     private readonly partsAtOnce = Infinity,
-  ) {}
+  ) {
+    this.stops = new StopFaultInjector(system, random);
+  }
 
   inject(fault: OptInFault): void {
+    if (isStopFault(fault)) this.stops.inject(fault);
+    else this.injectElsewhere(fault);
+  }
+
+  private injectElsewhere(fault: Exclude<OptInFault, StopFault>): void {
     switch (fault.kind) {
       case 'poison_request':
         return void this.repeatPoisonRequest(fault);
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -138,6 +138,23 @@
       readonly service: 'models' | 'plain';
       readonly milliseconds: number;
     }
+  /** A gateway gets no processor for a time at a request to stop or shortly after it. */
+  | {
+      readonly kind: 'paused_at_stop';
+      /** Time from the request to stop until the pause. */
+      readonly afterMs: number;
+      readonly milliseconds: number;
+      /** Time from the start of the pause until the request to stop is repeated; 0 for no repetition. */
+      readonly repeatedAfterMs: number;
+      /** Number of requests that are under way at the start of the pause. */
+      readonly requests: number;
+    }
+  /** Callers send the bodies of their requests in pieces while a gateway stops. */
+  | {
+      readonly kind: 'slow_bodies_at_stop';
+      /** Number of callers; every other one keeps its connection. */
+      readonly callers: number;
+    }
   /** The load balancer sends most new connections to one gateway. */
   | {
       readonly kind: 'connections_funnelled';
@@ -182,6 +199,8 @@
   'connections_funnelled',
   'statuses_spoiled',
   'answers_repeated',
+  'paused_at_stop',
+  'slow_bodies_at_stop',
 ];
 
 /** Rate limits in requests per second. */
@@ -310,6 +329,15 @@
   connections_funnelled: (random) => ({
     milliseconds: random.between(6_000, 10_000),
   }),
+  paused_at_stop: (random) => ({
+    afterMs: random.chance(0.5) ? 0 : random.between(0, 400),
+    milliseconds: random.between(300, 1_800),
+    repeatedAfterMs: random.chance(0.5) ? 0 : random.between(50, 2_500),
+    requests: Math.ceil(random.between(5, 10)),
+  }),
+  slow_bodies_at_stop: (random) => ({
+    callers: Math.ceil(random.between(24, 60)),
+  }),
   suspended: (random) => ({
     who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
     milliseconds: random.between(1_000, 7_500),
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -10,7 +10,7 @@
 import { AnswerFaults } from './answer-faults.js';
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { eventText, plainText } from './expected-events.js';
-import type { ReplicaViolation, RunLog } from './run-log.js';
+import type { ReplicaAnswer, ReplicaViolation, RunLog } from './run-log.js';
 import { ServerConnections } from './server-connections.js';
 import type { SeededRandom } from './seeded-random.js';
 
@@ -50,6 +50,8 @@
 const LOAD_MS = 250;
 const UNLOAD_MS = 30;
 const EVENT_PERIOD_MS = 15;
+/** Time to run a request that is not a stream, unless its body names another one. */
+const PLAIN_WORK_MS = 10;
 /** Work that arrives later than this after the replica began to leave is a violation. */
 const DRAIN_MS = 2_000;
 const LARGEST_BODY_BYTES = 64 * 1024;
@@ -80,6 +82,16 @@
   readonly backMs: number;
 }
 
+/** How a replica sends a stream. */
+interface StreamManner {
+  /** Factor of the period between events. */
+  readonly pace: number;
+  /** Whether without a length or chunks. */
+  readonly isUnframed: boolean;
+  /** Records what it sends. */
+  readonly answer: ReplicaAnswer;
+}
+
 interface Poison {
   readonly name: string;
   readonly backMs: number;
@@ -421,8 +433,11 @@
     this.running += 1;
     response.once('close', () => (this.running -= 1));
     const pace = condition === 'slow' ? 6 : 1;
-    if (this.options.hasModels) this.stream(request, body, response, seal, { pace, isUnframed });
-    else setTimeout(() => this.answerPlain(request, body, response, seal), 10 * pace).unref();
+    const answer = this.options.log.recordAnswer(attemptId, this.id, response);
+    const manner = { pace, isUnframed, answer };
+    if (this.options.hasModels) return this.stream(request, body, response, seal, manner);
+    const answerPlain = (): void => this.answerPlain(request, body, response, seal);
+    setTimeout(answerPlain, plainWorkMs(body) * pace).unref();
   }
 
   private answerPlain(
@@ -534,7 +549,7 @@
     body: string,
     response: http.ServerResponse,
     seal: Record<string, string>,
-    { pace, isUnframed }: { readonly pace: number; readonly isUnframed: boolean },
+    { pace, isUnframed, answer }: StreamManner,
   ): void {
     const { events = 1 } = JSON.parse(body) as { events?: number };
     let sent = Number(request.headers['last-event-id'] ?? 0);
@@ -552,6 +567,7 @@
       if (sent < events) {
         sent += 1;
         response.write(eventText(body, sent, softwareVersion));
+        answer.lastSentAt = Date.now();
       }
       if (sent < events) return;
       clearInterval(timer);
@@ -561,6 +577,12 @@
   }
 }
 
+/** Time to run a request that is not a stream. */
+function plainWorkMs(body: string): number {
+  const { workMs = PLAIN_WORK_MS } = JSON.parse(body) as { workMs?: number };
+  return workMs;
+}
+
 function refuse(
   response: http.ServerResponse,
   status: number,
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -1,4 +1,5 @@
 /** Log of what the replicas of a soak observed: runs, arrivals and violated guarantees. */
+import type http from 'node:http';
 
 /** A brittle replica that fell over because it had to reject too many requests. */
 export interface BrittleFall {
@@ -17,6 +18,20 @@
   readonly at: number;
 }
 
+/** What a replica sent of its answer to a request that it runs. */
+export interface ReplicaAnswer {
+  readonly attemptId: string;
+  readonly replica: string;
+  /** Start of the run, in Unix milliseconds. */
+  readonly from: number;
+  /** When it last wrote a part of the answer, in Unix milliseconds; 0 if never. */
+  lastSentAt: number;
+  /** When the answer was sent in full or its connection ended, in Unix milliseconds. */
+  endedAt: number;
+  /** Whether the answer was sent in full. */
+  isWhole: boolean;
+}
+
 /** A violated guarantee that a replica observed. */
 export interface ReplicaViolation {
   readonly kind:
@@ -70,6 +85,7 @@
 /** Shared by all replicas of one soak. */
 export class RunLog {
   readonly runs: RunRecord[] = [];
+  readonly answers: ReplicaAnswer[] = [];
   readonly violations: ReplicaViolation[] = [];
   readonly announcedArrivals: AnnouncedArrival[] = [];
   readonly limitedArrivals: LimitedArrival[] = [];
@@ -91,6 +107,18 @@
     this.runs.push({ attemptId, replica, tenant, at: Date.now() });
   }
 
+  /** Records what a replica sends in a response. */
+  recordAnswer(attemptId: string, replica: string, response: http.ServerResponse): ReplicaAnswer {
+    const sent = { lastSentAt: 0, endedAt: Infinity, isWhole: false };
+    const answer: ReplicaAnswer = { attemptId, replica, from: Date.now(), ...sent };
+    this.answers.push(answer);
+    response.once('finish', () => (answer.isWhole = true));
+    const end = (): void => void (answer.endedAt = Math.min(answer.endedAt, Date.now()));
+    response.once('finish', end);
+    response.once('close', end);
+    return answer;
+  }
+
   recordViolation(violation: Omit<ReplicaViolation, 'at'>): void {
     this.violations.push({ ...violation, at: Date.now() });
   }
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -1,5 +1,6 @@
 /** Options and result of a soak test. */
 import type { CrashReport } from './audit-crashes.js';
+import type { StopCounts } from './audit-stops.js';
 import type { StreamCounts } from './audit-streams.js';
 import path from 'node:path';
 import type { PartitionReport } from './audit-partitions.js';
@@ -85,6 +86,8 @@
   >;
   /** How often callers could begin streams and take them up. */
   readonly streams: StreamCounts;
+  /** Requests that stops of gateways have met. */
+  readonly stops: StopCounts;
   /** How callers were served while gateways were partitioned from all replicas. */
   readonly partitions: readonly PartitionReport[];
   /** Which signals came to processes that did not handle them yet. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -19,29 +19,32 @@
   TimeSpan,
 } from './evidence.js';
 import { FaultInjector } from './fault-injector.js';
-import { planFaults, type Fault } from './fault-plan.js';
+import { planFaults } from './fault-plan.js';
 import { FurtherFaultInjector } from './further-fault-injector.js';
-import { FURTHER_FAULT_KINDS, planFurtherFaults, type FurtherFault } from './further-fault-plan.js';
+import { FURTHER_FAULT_KINDS, planFurtherFaults } from './further-fault-plan.js';
 import { LeavingFaultInjector } from './leaving-fault-injector.js';
 import { OptInFaultInjector } from './opt-in-fault-injector.js';
 import { OPT_IN_FAULT_KINDS, planOptInFaults, type OptInFault } from './opt-in-fault-plan.js';
-import { MAX_SERVICE_MS, planLeavingFaults, type LeavingFault } from './leaving-fault-plan.js';
+import { MAX_SERVICE_MS, planLeavingFaults } from './leaving-fault-plan.js';
 import { limitMargin } from './limit-margin.js';
+import { gatewayHistoryOf } from './gateway-history.js';
 import { GatewayProcess, type GatewayPorts } from './gateway-process.js';
 import { portsByLimitCounterRank } from './gateway-roles.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
-import { signalsAtStart, type ProcessExit, type SentSignal } from './process-signals.js';
+import { signalsAtStart, type ProcessExit } from './process-signals.js';
 import { ProcessSamples } from './process-samples.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
 import { promptOf } from './prompts.js';
 import { ResumingCallers } from './resuming-callers.js';
 import { RunLog } from './run-log.js';
 import { SeriesFaultInjector } from './series-fault-injector.js';
-import { planSeriesFaults, type SeriesFault } from './series-fault-plan.js';
+import { planSeriesFaults } from './series-fault-plan.js';
 import { configurationOf, newestVersionWithoutRoute } from './soak-configuration.js';
+import type { SoakEvent, SoakFault } from './soak-events.js';
 import type { SoakOptions, SoakResult } from './soak-options.js';
 import { makeReplica, MODELS, REPLICAS } from './soak-replicas.js';
+import { StopCallers } from './stop-callers.js';
 import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_CALLER } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
@@ -63,6 +66,8 @@
 const RANK_SEED = 60_000;
 /** Offset added to the seed for the generator of callers that take up streams. */
 const RESUMING_CALLER_SEED = 70_000;
+/** Offset added to the seed for the generator of callers at stops. */
+const STOP_CALLER_SEED = 80_000;
 /** Number of eras in which the store may start: 0 or 1, depending on the seed. */
 const INITIAL_ERA_COUNT = 2;
 const PERSISTENT_CALLER_PAUSE_MS = 300;
@@ -91,14 +96,6 @@
   return soak.play();
 }
 
-/** A logged event that is not a fault. */
-type SoakEvent =
-  | { readonly kind: 'configuration_accepted'; readonly version: number }
-  | { readonly kind: 'gateway_joined'; readonly gateway: string }
-  | ({ readonly kind: 'signal_sent' } & SentSignal);
-
-type SoakFault = Fault | FurtherFault | LeavingFault | OptInFault | SeriesFault;
-
 class SoakRun implements SoakSystem {
   private readonly random: SeededRandom;
   readonly store: ObjectStoreStandIn;
@@ -117,6 +114,7 @@
   readonly brittleTimes: BrittleTime[] = [];
   readonly silentTimes: TimeSpan[] = [];
   readonly funnels: ConnectionFunnel[] = [];
+  readonly stopCallers: StopCallers;
   private readonly accepted = new Map<number, number>();
   private faultsStartAt = 0;
   /** Position in the hot cycle of the limited tenant at the start of the faults, used if the seed draws it. */
@@ -129,6 +127,12 @@
   constructor(private readonly options: SoakOptions) {
     this.random = new SeededRandom(options.seed);
     this.hotPhaseMs = new SeededRandom(options.seed + RANK_SEED).between(0, HOT_CYCLE_MS);
+    this.stopCallers = new StopCallers({
+      random: new SeededRandom(options.seed + STOP_CALLER_SEED),
+      makeRequest: (...drawn) => this.requestOf(...drawn),
+      record: (record) => void this.calls.push(record),
+      track: (done) => this.track(done),
+    });
     const firstEra = options.seed % INITIAL_ERA_COUNT;
     this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
     this.processSamples = new ProcessSamples(options.folder, () => this.sampledProcesses());
@@ -159,19 +163,14 @@
       calls: this.calls,
       probes: this.probes,
       runs: this.log.runs,
+      answers: this.log.answers,
       observedViolations: this.log.violations,
       announcedArrivals: this.log.announcedArrivals,
       limitedArrivals: this.log.limitedArrivals,
       poisonArrivals: this.log.poisonArrivals,
       poisonCrashes: this.log.poisonCrashes,
       accepted: this.accepted,
-      gateways: {
-        wasDisturbed: (name, { from, until }) => this.gateway(name).wasDisturbed(from, until),
-        wasInterrupted: (name, { from, until }) => this.gateway(name).wasInterrupted(from, until),
-        wasJustResumed: (name, { from, until }) => this.gateway(name).wasJustResumed(from, until),
-        hadFault: (name, { from, until }) => this.gateway(name).hadFault(from, until),
-        stopDuring: (name, { from, until }) => this.gateway(name).stopDuring(from, until),
-      },
+      gateways: gatewayHistoryOf(this.gateways),
       storeFaults: this.storeFaults,
       replicaFaults: this.replicaFaults,
       backendPartitions: this.backendPartitions,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -74,6 +74,13 @@
 /** At least this many sends must be able to meet a second answer to an earlier send for the run to be meaningful. */
 const MIN_SENDS_AFTER_SECOND_ANSWERS = 5;
 
+/** Produces pauses of stopping gateways, and stops under slow bodies, two of each. */
+const STOPS_SEED = 75_038;
+const STOPS_FAULT_MS = 14_000;
+/** At least this many answers must have been under way in pauses, and slow bodies at stops, for the run to be meaningful. */
+const MIN_ANSWERS_DURING_PAUSES = 5;
+const MIN_SLOW_BODIES = 30;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -276,6 +283,21 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('cut no answer when they are paused while they stop, or while bodies are still being sent', async () => {
+    const result = await runSoak({
+      seed: STOPS_SEED,
+      faultMs: STOPS_FAULT_MS,
+      folder: soakFolder(STOPS_SEED),
+      faultKinds: 'none',
+      only: ['paused_at_stop', 'slow_bodies_at_stop'],
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.stops.answersDuringPauses).toBeGreaterThanOrEqual(MIN_ANSWERS_DURING_PAUSES);
+    expect(result.stops.slowBodies).toBeGreaterThanOrEqual(MIN_SLOW_BODIES);
+    expect(result.served).toBeGreaterThan(result.calls / 3);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
