Fix: reading a long event takes time in proportion to its length

Callers saw: all requests of a gateway slow while one backend sent an event that did not end. Cause: each part that came was joined to all before it, and the whole was searched from its start, so that the cost grew with the square of the length. Change: bytes are collected in a buffer that doubles, and only the new ones are searched.

--- a/src/core/event-stream.ts
+++ b/src/core/event-stream.ts
@@ -3,6 +3,8 @@
  * unchanged; the parser reads only the `id` field of each event. Pure.
  */
 
+import { ByteAccumulator } from '../common/byte-accumulator.js';
+
 /** One complete event, including the blank line that ends it. */
 export interface StreamEvent {
   readonly bytes: Buffer;
@@ -12,32 +14,41 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Longest part of a blank line that may stand at the end of the bytes searched so far. */
+const PARTIAL_END_BYTES = 2;
 const ID_FIELD = /^id:[ ]?(.*)$/m;
 
-/** Buffers bytes and returns complete events. */
+/** Buffers bytes and returns complete events. Its cost is linear in the number of bytes. */
 export class EventStreamParser {
-  private buffered: Buffer = Buffer.alloc(0);
+  /** Bytes of an incomplete event. */
+  private readonly incomplete = new ByteAccumulator();
 
   /** Appends bytes and returns the events that are now complete. */
   push(chunk: Buffer): StreamEvent[] {
-    this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
+    const searchedBytes = this.incomplete.length;
+    this.incomplete.append(chunk);
+    let end = endOfEvent(this.incomplete.bytes, Math.max(0, searchedBytes - PARTIAL_END_BYTES));
+    if (end < 0) return [];
+    const bytes = this.incomplete.take();
     const events: StreamEvent[] = [];
     let start = 0;
-    for (
-      let end = endOfEvent(this.buffered, start);
-      end > 0;
-      end = endOfEvent(this.buffered, start)
-    ) {
-      events.push(toEvent(this.buffered.subarray(start, end)));
+    while (end > 0) {
+      events.push(toEvent(bytes.subarray(start, end)));
       start = end;
+      end = endOfEvent(bytes, start);
     }
-    this.buffered = this.buffered.subarray(start);
+    if (start < bytes.length) this.incomplete.append(bytes.subarray(start));
     return events;
   }
 
   /** Number of buffered bytes that belong to an incomplete event. */
   get incompleteBytes(): number {
-    return this.buffered.length;
+    return this.incomplete.length;
+  }
+
+  /** Bytes of memory that the incomplete event takes. */
+  get heldBytes(): number {
+    return this.incomplete.heldBytes;
   }
 }
 
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -226,6 +226,37 @@
     );
     expect(parser.incompleteBytes).toBe(5);
   });
+
+  it.each(['\n\n', '\n\r\n'])(
+    'finds the end %j of an event wherever its bytes are divided',
+    (end) => {
+      const text = `id: 1\ndata: a\r${end}id: 2\ndata: b${end}`;
+      for (let size = 1; size < text.length; size++) {
+        const parser = new EventStreamParser();
+        const events = [];
+        for (let at = 0; at < text.length; at += size) {
+          events.push(...parser.push(Buffer.from(text.slice(at, at + size))));
+        }
+        expect(events.map((event) => event.bytes.toString()).join('')).toBe(text);
+        expect(events.map(({ id }) => id)).toEqual(['1', '2']);
+        expect(parser.incompleteBytes).toBe(0);
+      }
+    },
+  );
+
+  it('takes no more time for each byte of a long event than of a short one', () => {
+    const part = Buffer.from('data: abcdefghi\n');
+    const millisecondsFor = (parts: number): number => {
+      const parser = new EventStreamParser();
+      const startedAt = performance.now();
+      for (let count = 0; count < parts; count++) parser.push(part);
+      return performance.now() - startedAt;
+    };
+    millisecondsFor(500);
+    const short = Math.max(1, millisecondsFor(1_000));
+    // Quadratic cost would take 256 times as long.
+    expect(millisecondsFor(16_000)).toBeLessThan(100 * short);
+  });
 });
 
 describe('StoreLoadWindow', () => {
