Fix: an answer without an end is ended at a bound

Callers saw: fewer requests served, or a process over its memory, while one backend sent bytes that did not stop until the connection was closed; the request itself ended at its deadline only. Cause: an answer, an event and the heads before the final one had no bound, nor had the rest of a refusal, which was read for good. The attempt ends as unknown and counts as a failure of the backend; the connection is closed.

--- a/src/gateway/answer-buffer.ts
+++ b/src/gateway/answer-buffer.ts
@@ -5,6 +5,7 @@
 import type http from 'node:http';
 import type { Logger } from '../common/logger.js';
 import { AnswerBudget, type AnswerMemoryLimits, type SlowCaller } from '../core/answer-budget.js';
+import { IncompleteAnswers } from '../core/incomplete-answers.js';
 import type { RunningClock } from '../common/running-clock.js';
 import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -30,6 +31,12 @@
   written(bytes: number): boolean;
 }
 
+/** Account of the memory of one answer, or of one event, until it is complete. */
+export interface IncompleteAccount {
+  /** Records the memory that it takes now; 0 once it is complete or dropped. */
+  record(bytes: number): void;
+}
+
 interface OpenAnswer {
   readonly response: http.ServerResponse;
   readonly request: string | undefined;
@@ -41,11 +48,15 @@
 export class AnswerBuffer {
   private readonly budget: AnswerBudget;
   private readonly answers = new Map<number, OpenAnswer>();
+  private readonly incomplete: IncompleteAnswers;
+  /** Ends the attempts whose answers are incomplete; called with the memory that is released. */
+  private readonly incompleteEnds = new Map<number, (bytes: number) => void>();
   private lastId = 0;
   private nextCheck: ReplyTimeout | undefined;
 
   constructor(private readonly options: AnswerBufferOptions) {
     this.budget = new AnswerBudget(options.limits);
+    this.incomplete = new IncompleteAnswers(options.limits.daemonBytes);
   }
 
   /** Buffered bytes of answers and request bodies. */
@@ -64,6 +75,36 @@
     this.budget.addBuffered(bytes);
   }
 
+  /** Most bytes of an answer, or of an event of a stream, that is kept until it is complete. */
+  get maxIncompleteBytes(): number {
+    return this.options.limits.requestBytes;
+  }
+
+  /** Opens the account of an answer. `end` is called if it takes the most memory while all together take too much. */
+  openIncomplete(end: (bytes: number) => void): IncompleteAccount {
+    this.lastId += 1;
+    const id = this.lastId;
+    let recorded = 0;
+    return {
+      record: (bytes) => {
+        if (bytes === recorded) return;
+        this.budget.addBuffered(bytes - recorded);
+        recorded = bytes;
+        this.recordIncomplete(id, bytes, end);
+      },
+    };
+  }
+
+  private recordIncomplete(id: number, bytes: number, end: (bytes: number) => void): void {
+    this.incomplete.record(id, bytes);
+    if (bytes > 0) this.incompleteEnds.set(id, end);
+    else this.incompleteEnds.delete(id);
+    const largest = this.incomplete.toEnd;
+    if (largest === undefined) return;
+    // Its account is closed by the attempt that ends.
+    this.incompleteEnds.get(largest.id)?.(largest.bytes);
+  }
+
   /** Starts to count the bytes written to a caller, until the response closes. */
   open(
     response: http.ServerResponse,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one backend once, and validates the answer. */
 import type http from 'node:http';
 import type { Ran } from '../common/errors.js';
+import { ByteAccumulator } from '../common/byte-accumulator.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { isHeaderValue } from '../common/header-value.js';
 import type { StreamGaps } from '../core/capacity/gap-samples.js';
@@ -16,6 +17,7 @@
 import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
 import { UNOBSERVED_EXCHANGE } from './backend-watch.js';
 import { forwardedHeaders, type CallerAnswer, type CompleteAnswer } from './caller-answer.js';
+import type { IncompleteAccount } from './answer-buffer.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { AnswerHead } from './ports.js';
 import type { CallerRequest } from './caller-request.js';
@@ -108,7 +110,10 @@
 export class Attempt {
   private readonly exchange: BackendExchange;
   private readonly parser = new EventStreamParser();
-  private readonly chunks: Buffer[] = [];
+  /** The answer, if it is kept until it is complete. */
+  private readonly body = new ByteAccumulator();
+  /** Account of the memory of the answer, or of the event, that is incomplete. */
+  private readonly incomplete: IncompleteAccount;
   private incoming: http.IncomingMessage | undefined;
   private head: AnswerHead | undefined;
   private readonly silence: SilenceTimer;
@@ -116,8 +121,6 @@
   private silenceLimitMs = Infinity;
   private ended = false;
   private isPaused = false;
-  /** Bytes of an answer that is buffered until it is complete. */
-  private bufferedBytes = 0;
   private timeoutReported = false;
 
   constructor(
@@ -129,6 +132,9 @@
       context.runningClock,
       boundary.guard(() => this.backendSilent()),
     );
+    this.incomplete = context.answers.openIncomplete(
+      boundary.guard((bytes) => this.fail('unknown', noRoomReason(bytes), {})),
+    );
     this.exchange = new BackendExchange(
       {
         address: backend.address,
@@ -137,6 +143,7 @@
         headers: this.requestHeaders(),
         body: request.body,
         pool: poolOfSend(options.sendNumber),
+        maxAnswerBytes: context.answers.maxIncompleteBytes,
         ...(relay === undefined ? {} : { relay: { peer: relay, backend: backend.id } }),
       },
       context.agent,
@@ -200,7 +207,7 @@
     this.silence.stop();
     this.options.gaps?.end();
     this.exchange.abort();
-    this.releaseBuffered();
+    this.incomplete.record(0);
   }
 
   private requestHeaders(): string[] {
@@ -247,6 +254,12 @@
     if (status < FIRST_FAILURE_STATUS && !head.signed) {
       return this.fail('unknown', 'the answer is not signed', {});
     }
+    if (!this.isEventStream()) {
+      const declaredBytes = Number(answer.headers['content-length'] ?? 0);
+      if (declaredBytes > this.context.answers.maxIncompleteBytes) {
+        return this.fail('unknown', `the answer would have ${declaredBytes} bytes`, {});
+      }
+    }
     this.startTimeout(this.isEventStream() ? this.options.stallTimeoutMs : Infinity);
   }
 
@@ -274,15 +287,15 @@
   private receiveData(chunk: Buffer): void {
     if (this.ended) return;
     if (!this.isEventStream()) {
-      this.chunks.push(chunk);
-      this.bufferedBytes += chunk.length;
-      this.context.answers.addBuffered(chunk.length);
-      return;
+      this.body.append(chunk);
+      return this.incomplete.record(this.body.heldBytes);
     }
     if (!this.isPaused) this.startTimeout(this.options.stallTimeoutMs);
     const events = this.parser.push(chunk);
     this.options.gaps?.recordRead(events.length, steadyNow());
+    if (events.length > 0) this.exchange.partForwarded();
     for (const event of events) this.forwardEvent(event);
+    if (!this.ended) this.incomplete.record(this.parser.heldBytes);
   }
 
   private forwardEvent(event: StreamEvent): void {
@@ -318,11 +331,6 @@
     this.startTimeout(paused ? Infinity : this.options.stallTimeoutMs);
   }
 
-  private releaseBuffered(): void {
-    this.context.answers.addBuffered(-this.bufferedBytes);
-    this.bufferedBytes = 0;
-  }
-
   private receiveEnd(): void {
     if (this.ended) return;
     const status = this.incoming?.statusCode ?? 0;
@@ -330,7 +338,7 @@
     const complete: CompleteAnswer = {
       status,
       rawHeaders: this.incoming?.rawHeaders ?? [],
-      body: Buffer.concat(this.chunks),
+      body: this.body.take(),
     };
     if (status < FIRST_FAILURE_STATUS) {
       this.end({ type: 'done', status }, () => this.options.answer.sendComplete(complete));
@@ -389,7 +397,8 @@
   ): void {
     if (this.ended) return;
     // After an answer that does not belong to this request the connection cannot be reused.
-    if (extra.keepConnection !== true) this.exchange.abort();
+    if (extra.keepConnection === true) this.exchange.discard();
+    else this.exchange.abort();
     this.end({
       type: 'failed',
       ran,
@@ -407,7 +416,7 @@
     this.ended = true;
     this.silence.stop();
     this.options.gaps?.end();
-    this.releaseBuffered();
+    this.incomplete.record(0);
     before?.();
     this.options.onEnd(end);
   }
@@ -434,6 +443,10 @@
   }
 }
 
+function noRoomReason(bytes: number): string {
+  return `incomplete answers take too much memory, and this one most (${bytes} bytes)`;
+}
+
 /** Returns whether a resumed stream repeats an event that the caller already has. */
 function isAlreadySent(event: StreamEvent, lastEventId: string | undefined): boolean {
   if (event.id === undefined || lastEventId === undefined) return false;
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -2,7 +2,12 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import { splitAddress } from '../common/http-client.js';
-import { startReplyTimeout } from '../common/reply-timeout.js';
+import { startReplyTimeout, type ReplyTimeout } from '../common/reply-timeout.js';
+import {
+  limitInformationalHeads,
+  MAX_HEAD_BYTES,
+  ResponseMeter,
+} from '../common/response-limits.js';
 import { invalidHeadReason } from './answer-head-check.js';
 import type { BackendAgent, ConnectionPool, PooledRequestOptions } from './backend-agent.js';
 import type { ExchangeObserver } from './backend-watch.js';
@@ -24,6 +29,10 @@
  */
 const PROBE_AFTER_MS = 1_000;
 
+/** Most bytes and milliseconds for the rest of an answer that nobody uses; after them its connection is closed. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const MAX_DISCARD_MS = 1_000;
+
 /** The request to send. */
 export interface BackendRequest {
   /** "ip:port". */
@@ -35,6 +44,11 @@
   readonly body: Buffer;
   /** The backend connections that the request may use, here or at the relay. */
   readonly pool: ConnectionPool;
+  /**
+   * Most bytes of the answer, or of the part of it since {@link BackendExchange.partForwarded}; undefined for one that is forwarded as
+   * it arrives.
+   */
+  readonly maxAnswerBytes?: number;
   /** The daemon that relays the request; undefined to send it to `address`. */
   readonly relay?: { readonly peer: string; readonly backend: string };
 }
@@ -67,6 +81,9 @@
   private readonly sender: BodySender;
   private incoming: http.IncomingMessage | undefined;
   private readonly isRelayed: boolean;
+  private meter: ResponseMeter | undefined;
+  private discardTimeout: ReplyTimeout | undefined;
+  private readonly maxAnswerBytes: number;
   private connected = false;
   private ended = false;
   private openedPort: number | undefined;
@@ -79,6 +96,7 @@
   ) {
     const { relay, path, pool } = request;
     this.isRelayed = relay !== undefined;
+    this.maxAnswerBytes = request.maxAnswerBytes ?? Infinity;
     const [host, port] = splitAddress(relay ? relayAddressOf(relay.peer) : request.address);
     const headers = relay ? withRelayedPool(request.headers, pool) : request.headers;
     const options: http.RequestOptions & PooledRequestOptions = {
@@ -88,6 +106,7 @@
       path: relay ? encodeRelayTarget({ backend: relay.backend, path }) : path,
       headers,
       setHost: false,
+      maxHeaderSize: MAX_HEAD_BYTES,
       // A new connection shows that the relay is reached before anything is sent to it.
       agent: relay ? false : agent,
       pool,
@@ -99,6 +118,9 @@
     this.outgoing.on('information', () => {
       if (this.isRelayed && !this.ended) this.handler.onRelayAcknowledged?.();
     });
+    limitInformationalHeads(this.outgoing, (reason) =>
+      this.rejectAnswer(`the answer has ${reason}`),
+    );
     this.sender = new BodySender(this.outgoing, request.body);
   }
 
@@ -120,9 +142,21 @@
     return this.outgoing.reusedSocket;
   }
 
+  /** Starts to measure the next part of the answer, because the part that has arrived is forwarded. */
+  partForwarded(): void {
+    this.meter?.restart();
+  }
+
+  /** Reads the rest of an answer that is not used, so that the connection can carry other requests if the rest is short. */
+  discard(): void {
+    this.meter?.restart(MAX_DISCARDED_BYTES);
+    this.discardTimeout = startReplyTimeout(MAX_DISCARD_MS, () => this.abort());
+  }
+
   /** Closes the connection without a callback. */
   abort(): void {
     this.ended = true;
+    this.discardTimeout?.cancel();
     this.observer.ended();
     this.outgoing.destroy();
   }
@@ -178,13 +212,16 @@
     this.observer.received();
     const invalidReason = invalidHeadReason(answer);
     if (invalidReason !== undefined) {
-      return this.end({ reached: true, reason: invalidReason, isInvalidAnswer: true });
+      return this.rejectAnswer(invalidReason);
     }
     if (isUnframed(answer)) this.watchReset(answer.socket);
+    this.meter = new ResponseMeter(answer.socket, this.maxAnswerBytes);
     this.handler.onHead(answer);
     answer.on('data', (chunk: Buffer) => {
       if (this.ended) return;
       this.observer.received();
+      const excess = this.meter?.recordPart(chunk.length);
+      if (excess !== undefined) return this.rejectAnswer(`the answer has ${excess}`);
       this.handler.onData(chunk);
     });
     answer.on('error', (fault) => this.fail(fault.message));
@@ -192,6 +229,7 @@
       if (!answer.complete) return this.fail('the answer was cut off');
       if (this.ended) return;
       this.ended = true;
+      this.discardTimeout?.cancel();
       this.observer.ended();
       this.handler.onEnd();
     });
@@ -208,6 +246,11 @@
     });
   }
 
+  /** Ends the exchange because what arrived is not an answer, or is larger than the gateway keeps. */
+  private rejectAnswer(reason: string): void {
+    this.end({ reached: true, reason, isInvalidAnswer: true });
+  }
+
   private relayFailed(relayFailure: RelayFailure): void {
     const reached = mayHaveReachedBackend(relayFailure);
     this.end({ reached, reason: `relay: ${relayFailure}`, relayFailure });
@@ -222,6 +265,7 @@
   private end(failure: ExchangeFailure): void {
     if (this.ended) return;
     this.ended = true;
+    this.discardTimeout?.cancel();
     this.observer.ended();
     this.outgoing.destroy();
     this.handler.onFailure(failure);
