Fix: a reply without an end counts as lost at a bound

Callers saw: memory and processor of a gateway taken by one reply to an order, a report, a call of the store or of an engine, until the timeout of the call; a stream of lines had no bound at all, and a long line took time that grew with the square of its length. Cause: HttpClient kept whatever came.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -1,9 +1,15 @@
 /** A small HTTP client on Node's `http`: JSON requests and streams of JSON lines. */
 import http from 'node:http';
 import { Result } from 'true-myth';
+import { ByteAccumulator } from './byte-accumulator.js';
 import { leaseNow } from './lease-clock.js';
 import type { LinkFaults } from './link-faults.js';
+import { LineReader } from './line-reader.js';
 import { startReplyTimeout } from './reply-timeout.js';
+import { limitInformationalHeads, MAX_HEAD_BYTES, ResponseMeter } from './response-limits.js';
+
+/** Largest response, and largest line of a stream, unless a client sets another bound: a list of all objects of a store. */
+const DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 /** Why no complete response was received. */
 export interface TransportFailure {
@@ -63,6 +69,8 @@
   readonly faults?: LinkFaults;
   /** Called with the size of each request and response body, for traffic accounting. */
   readonly onBytes?: (bytes: number) => void;
+  /** Largest response that is read, in bytes; a larger one counts as lost. 16 MB by default. */
+  readonly maxResponseBytes?: number;
   /** Keeps the connections; a separate agent by default. */
   readonly agent?: http.Agent;
   /** Name of the pool of connections, for an agent that has several. */
@@ -72,8 +80,10 @@
 /** HTTP client with persistent connections. */
 export class HttpClient {
   private readonly agent: http.Agent;
+  private readonly maxResponseBytes: number;
 
   constructor(private readonly options: HttpClientOptions = {}) {
+    this.maxResponseBytes = options.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES;
     this.agent =
       options.agent ?? new http.Agent({ keepAlive: true, maxSockets: 256, timeout: 60_000 });
   }
@@ -98,15 +108,19 @@
         resetConnection(outgoing);
       });
       const outgoing = this.start(request, finish, (incoming) => {
-        const chunks: Buffer[] = [];
+        const bytes = new ByteAccumulator();
+        const meter = new ResponseMeter(incoming.socket, this.maxResponseBytes);
         incoming.on('data', (chunk: Buffer) => {
+          if (finished) return;
           this.options.onBytes?.(chunk.length);
-          chunks.push(chunk);
+          const excess = meter.recordPart(chunk.length);
+          if (excess !== undefined) return void outgoing?.destroy(tooLarge(excess));
+          bytes.append(chunk);
         });
         incoming.on('error', (fault) => finish(lostFailure(fault)));
         incoming.on('end', () => {
           if (this.isInboundBlocked(request.address)) return;
-          const body = Buffer.concat(chunks).toString('utf8');
+          const body = bytes.take().toString('utf8');
           finish(Result.ok({ status: incoming.statusCode ?? 0, headers: incoming.headers, body }));
         });
       });
@@ -156,13 +170,15 @@
     end: (failure?: TransportFailure) => void,
     isEnded: () => boolean,
   ): void {
-    let pending = '';
-    incoming.setEncoding('utf8');
-    incoming.on('data', (text: string) => {
-      this.options.onBytes?.(text.length);
-      if (this.isInboundBlocked(address)) return;
-      const lines = (pending + text).split('\n');
-      pending = lines.pop() ?? '';
+    const meter = new ResponseMeter(incoming.socket, this.maxResponseBytes);
+    const reader = new LineReader();
+    incoming.on('data', (chunk: Buffer) => {
+      this.options.onBytes?.(chunk.length);
+      if (isEnded() || this.isInboundBlocked(address)) return;
+      const excess = meter.recordPart(chunk.length);
+      if (excess !== undefined) return end({ reason: 'lost', message: tooLarge(excess).message });
+      const lines = reader.push(chunk);
+      if (lines.length > 0) meter.restart();
       for (const line of lines) {
         if (isEnded()) return;
         if (line === '') continue;
@@ -197,8 +213,20 @@
     const startedAt = leaseNow();
     const { agent, options } = this;
     const { method, path } = request;
-    const requestOptions = { host, port, method, path, headers, agent, pool: options.pool };
-    const outgoing = http.request(requestOptions, onAnswer);
+    const outgoing = http.request(
+      {
+        host,
+        port,
+        method,
+        path,
+        headers,
+        agent,
+        maxHeaderSize: MAX_HEAD_BYTES,
+        ...poolOf(options),
+      },
+      onAnswer,
+    );
+    limitInformationalHeads(outgoing, (excess) => outgoing.destroy(tooLarge(excess)));
     const sendOnceConnected = (): void => {
       if (leaseNow() - startedAt > (request.sendWithinMs ?? Infinity)) {
         outgoing.destroy(new Error('the request was not sent: its send deadline has passed'));
@@ -250,6 +278,15 @@
   outgoing?.destroy();
 }
 
+function tooLarge(excess: string): Error {
+  return new Error(`the response has ${excess}`);
+}
+
+/** The option by which an agent with several pools tells them apart. */
+function poolOf({ pool }: HttpClientOptions): { readonly pool?: string } {
+  return pool === undefined ? {} : { pool };
+}
+
 function lostFailure(fault: Error): Result<HttpResponse, TransportFailure> {
   return Result.err({ reason: 'lost', message: fault.message });
 }
--- a/src/engines/http-engine-client.ts
+++ b/src/engines/http-engine-client.ts
@@ -40,6 +40,9 @@
 /** Milliseconds without a line after which a report stream counts as broken. */
 const REPORT_IDLE_TIMEOUT_MS = 4000;
 
+/** Largest reply, and largest line of a stream: one report, or some tokens. */
+const MAX_REPLY_BYTES = 1024 * 1024;
+
 const MALFORMED: TransportFailure = {
   reason: 'lost',
   message: 'the engine sent a malformed message',
@@ -57,11 +60,13 @@
 
   /** @param options - Applies to control traffic, such as orders and reports; only `faults` also applies to request streams. */
   constructor(options: HttpClientOptions = {}) {
-    this.controlHttp = new HttpClient(options);
-    this.cancellationHttp = new HttpClient({ ...options, agent: new http.Agent() });
-    this.requestHttp = new HttpClient(
-      options.faults === undefined ? {} : { faults: options.faults },
-    );
+    const bounded = { ...options, maxResponseBytes: MAX_REPLY_BYTES };
+    this.controlHttp = new HttpClient(bounded);
+    this.cancellationHttp = new HttpClient({ ...bounded, agent: new http.Agent() });
+    this.requestHttp = new HttpClient({
+      maxResponseBytes: MAX_REPLY_BYTES,
+      ...(options.faults === undefined ? {} : { faults: options.faults }),
+    });
   }
 
   close(): void {
--- a/src/gateway/service-access.ts
+++ b/src/gateway/service-access.ts
@@ -9,6 +9,8 @@
 const ASKED_DAEMONS = 4;
 /** Timeout of a question, in milliseconds: longer than a probe that fails. */
 const ANSWER_TIMEOUT_MS = 600;
+/** Largest answer, in bytes: two counts. */
+const MAX_ANSWER_BYTES = 16 * 1024;
 
 /** Options of {@link ServiceAccess}. */
 export interface ServiceAccessOptions {
@@ -19,7 +21,7 @@
 
 /** The backends of services, as one daemon reaches them. */
 export class ServiceAccess {
-  private readonly client = new HttpClient();
+  private readonly client = new HttpClient({ maxResponseBytes: MAX_ANSWER_BYTES });
 
   constructor(private readonly options: ServiceAccessOptions) {}
 
--- a/src/weight-store/weight-store-client.ts
+++ b/src/weight-store/weight-store-client.ts
@@ -15,9 +15,12 @@
   close(): void;
 }
 
+/** Largest reply: only its status is used. */
+const MAX_REPLY_BYTES = 64 * 1024;
+
 /** Implements the store's published protocol over HTTP. */
 export class HttpWeightStoreClient implements WeightStoreClient {
-  private readonly http = new HttpClient();
+  private readonly http = new HttpClient({ maxResponseBytes: MAX_REPLY_BYTES });
 
   /** @param address - "ip:port" of the store. */
   constructor(private readonly address: string) {}
--- a/test/gateway/endless-backend.ts
+++ b/test/gateway/endless-backend.ts
@@ -74,6 +74,8 @@
 /** Answers a request whose id begins with "endless" without an end, and others by `whole`. */
 export class EndlessBackend extends TestBackend {
   readonly runs: EndlessRun[] = [];
+  /** Whether every request is answered without an end, whatever its id. */
+  isAlwaysEndless = false;
   private readonly sockets = net.createServer((socket) => {
     socket.on('error', () => socket.destroy());
     socket.on('data', (bytes) => this.receive(socket, bytes.toString('latin1')));
@@ -92,10 +94,11 @@
   }
 
   private receive(socket: net.Socket, request: string): void {
-    const id = /^request-id: (\S+)/im.exec(request)?.[1];
-    if (id === undefined) return;
+    const id = /^request-id: (\S+)/im.exec(request)?.[1] ?? '';
+    if (id === '' && !this.isAlwaysEndless) return;
     this.arrivals.push(id);
-    if (!id.startsWith('endless')) return void socket.write(this.whole(id), 'latin1');
+    if (!this.isAlwaysEndless && !id.startsWith('endless'))
+      return void socket.write(this.whole(id), 'latin1');
     const { start, repeated } = this.endless(id);
     const run = { sentBytes: 0, isClosed: false };
     this.runs.push(run);
