Fix: a daemon's answer is not disturbed by what its caller sends after the request

Callers saw: a stream of the daemon's own interface cut by "HTTP/1.1 400 Bad Request" between two events. Cause: the same as in the gateway, whose connections and their faults are now shared in src/common. The gateway's rules for late requests, pauses and announced ends hold for the daemon by the same code; it has no tests of its own for them.

--- a/src/gateway/caller-connection-faults.ts
+++ b/src/common/caller-connection-faults.ts
@@ -4,7 +4,7 @@
  */
 import type http from 'node:http';
 import type { Socket } from 'node:net';
-import { inputRead } from '../common/process.js';
+import { inputRead } from './process.js';
 import type { CallerConnections } from './caller-connections.js';
 
 /** Node's code for a request that did not arrive within the configured time. */
--- a/src/daemon/daemon-http-server.ts
+++ b/src/daemon/daemon-http-server.ts
@@ -3,6 +3,8 @@
  * metrics on one port.
  */
 import http from 'node:http';
+import { CallerConnectionFaults } from '../common/caller-connection-faults.js';
+import { CallerConnections } from '../common/caller-connections.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
 import { listen, readJson, sendError, sendJson } from '../common/http-server.js';
 import type { LinkFaults } from '../common/link-faults.js';
@@ -32,9 +34,11 @@
 /** Routes HTTP requests to the APIs by path. */
 export class DaemonHttpServer {
   private readonly server: http.Server;
+  private readonly connections: CallerConnections;
 
   constructor(private readonly options: DaemonHttpServerOptions) {
     this.server = http.createServer((request, response) => {
+      if (!this.connections.add(request, response)) return void request.resume();
       this.route(request, response).catch((fault: unknown) => {
         options.logger.error('http_fault', { reason: faultText(fault) });
         sendError(
@@ -44,9 +48,8 @@
       });
     });
     this.server.keepAliveTimeout = 65_000;
-    this.server.on('clientError', (_fault, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
-    });
+    this.connections = new CallerConnections(this.server);
+    new CallerConnectionFaults(this.server, this.connections);
   }
 
   /** Listens on the configured host and port. */
@@ -70,8 +73,8 @@
 
   private async route(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const path = (request.url ?? '/').split('?')[0] ?? '/';
-    if (this.options.notReadyError()?.kind === 'draining')
-      response.setHeader('connection', 'close');
+    // Node then writes `Connection: close`.
+    if (this.options.notReadyError()?.kind === 'draining') response.shouldKeepAlive = false;
     if (path.startsWith('/v1/')) return this.options.callerApi.handle(path, request, response);
     if (path.startsWith('/admin/v1/')) {
       return this.options.adminApi.handle(path, request, response);
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -4,7 +4,7 @@
 import { responseFor, errorBody, serviceError, type ErrorKind } from '../common/errors.js';
 import type { StreamEvent } from '../core/event-stream.js';
 import type { AnswerAccount } from './answer-buffer.js';
-import { isFollowed } from './caller-connections.js';
+import { isFollowed } from '../common/caller-connections.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import { steadyNow } from './steady-clock.js';
