--- a/src/common/unreadable-requests.ts
+++ b/src/common/unreadable-requests.ts
@@ -5,6 +5,7 @@
 import type http from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { CallerConnections } from './caller-connections.js';
 import { errorBody, responseFor, serviceError, type ErrorKind } from './errors.js';
 import { inputRead } from './process.js';
 
@@ -31,10 +32,7 @@
 
 /** Options of {@link UnreadableRequests}. */
 export interface UnreadableRequestOptions {
-  /** Returns the responses on a connection that are not complete, oldest first. */
-  readonly responsesOn: (socket: Duplex) => readonly http.ServerResponse[];
-  /** Returns the last request whose head was read on a connection. */
-  readonly lastRequest: (socket: Duplex) => http.IncomingMessage | undefined;
+  readonly connections: Pick<CallerConnections, 'responsesOn' | 'lastRequest'>;
   /** Answers a request whose head was read. The request must not run afterwards. */
   readonly refuse: (response: http.ServerResponse, kind: UnreadableKind) => void;
   /** Called with the reason for which a connection is not read on. */
@@ -62,11 +60,11 @@
 
   /** Ends a connection whose request has not come in full, unless more of it came during a pause of this process. */
   private async endIfLate(code: string, socket: Socket): Promise<void> {
-    const { lastRequest } = this.options;
-    const late = lastRequest(socket);
+    const { connections } = this.options;
+    const late = connections.lastRequest(socket);
     const wasComplete = late?.complete;
     await arrivedBytesRead(socket);
-    const latest = lastRequest(socket);
+    const latest = connections.lastRequest(socket);
     if (latest === late && latest?.complete === wasComplete) this.end(code, socket);
   }
 
@@ -76,7 +74,7 @@
     const kind = kindOf(code);
     this.options.onUnreadable(code, kind);
     if (kind === undefined || !socket.writable) return void socket.destroy();
-    const last = this.options.responsesOn(socket).at(-1);
+    const last = this.options.connections.responsesOn(socket as Socket).at(-1);
     if (last === undefined) return answerHead(socket, kind);
     // Node sends it after the answers to the requests before it.
     if (!last.req.complete && !last.headersSent) return this.refuse(last, kind);
--- a/src/daemon/daemon-http-server.ts
+++ b/src/daemon/daemon-http-server.ts
@@ -3,6 +3,7 @@
  * metrics on one port.
  */
 import http from 'node:http';
+import { CallerConnections } from '../common/caller-connections.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
 import { listen, readJson, sendError, sendJson } from '../common/http-server.js';
 import type { LinkFaults } from '../common/link-faults.js';
@@ -33,10 +34,12 @@
 /** Routes HTTP requests to the APIs by path. */
 export class DaemonHttpServer {
   private readonly server: http.Server;
+  private readonly connections: CallerConnections;
   private readonly unreadable: UnreadableRequests;
 
   constructor(private readonly options: DaemonHttpServerOptions) {
     this.server = http.createServer((request, response) => {
+      if (!this.connections.add(request, response)) return void request.resume();
       this.route(request, response).catch((fault: unknown) => {
         options.logger.error('http_fault', { reason: faultText(fault) });
         sendError(
@@ -46,8 +49,10 @@
       });
     });
     this.server.keepAliveTimeout = 65_000;
+    this.connections = new CallerConnections(this.server);
     this.unreadable = new UnreadableRequests(this.server, {
-      refuse: (_request, response, kind) =>
+      connections: this.connections,
+      refuse: (response, kind) =>
         sendError(response, serviceError(kind, 'the request could not be read')),
       onUnreadable: (code, kind) => options.logger.info('request_unreadable', { code, kind }),
     });
@@ -75,8 +80,8 @@
   private async route(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     if (this.unreadable.isRefused(request)) return void response.destroy();
     const path = (request.url ?? '/').split('?')[0] ?? '/';
-    if (this.options.notReadyError()?.kind === 'draining')
-      response.setHeader('connection', 'close');
+    // Node then writes `Connection: close`.
+    if (this.options.notReadyError()?.kind === 'draining') response.shouldKeepAlive = false;
     if (path.startsWith('/v1/')) return this.options.callerApi.handle(path, request, response);
     if (path.startsWith('/admin/v1/')) {
       return this.options.adminApi.handle(path, request, response);
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
-import type { Socket } from 'node:net';
+import { CallerConnections } from '../common/caller-connections.js';
 import type { ErrorKind } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
@@ -9,7 +9,6 @@
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
-import { CallerConnections } from './caller-connections.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import type { CallerRequest } from './caller-request.js';
@@ -67,8 +66,7 @@
     );
     this.connections = new CallerConnections(this.server);
     this.unreadable = new UnreadableRequests(this.server, {
-      responsesOn: (socket) => this.connections.responsesOn(socket as Socket),
-      lastRequest: (socket) => this.connections.lastRequest(socket as Socket),
+      connections: this.connections,
       refuse: (response, kind) => this.refuse(response, kind, undefined),
       onUnreadable: (code, kind) => context.logger.info('request_unreadable', { code, kind }),
     });
