Fix: on a starved machine a stop's time does not count from a beat too early

Cause: the signal was dated one beat too early, and a starved process beats up to 2.5 s apart. Change: the date is the start of the first pause since the last beat, or else the last observation before that beat.

--- a/src/common/running-clock.ts
+++ b/src/common/running-clock.ts
@@ -15,21 +15,23 @@
   onPause: (milliseconds: number) => void = () => {};
   private pausedMs = 0;
   private observedAt: number;
-  private lastBeatAt: number;
-  /** Between this beat and the last one, the event loop has handled all that had arrived by this one. */
-  private previousBeatAt: number;
+  /** Start of the first pause since the last beat; undefined without one. */
+  private pauseFrom: number | undefined;
+  /** Lower bound of the time at which something arrived that is not handled yet. */
+  private arrivalsFrom: number;
 
   /** @param steadyNow - Monotonic time in milliseconds. */
   constructor(private readonly steadyNow: () => number) {
     this.observedAt = steadyNow();
-    this.lastBeatAt = this.observedAt;
-    this.previousBeatAt = this.observedAt;
+    this.arrivalsFrom = this.observedAt;
   }
 
   /** Shows that the event loop runs; to be called every {@link BEAT_PERIOD_MS}. */
   beat(): void {
-    this.previousBeatAt = this.lastBeatAt;
-    this.lastBeatAt = this.observe();
+    const lastObservedAt = this.observedAt;
+    this.observe();
+    this.arrivalsFrom = this.pauseFrom ?? lastObservedAt;
+    this.pauseFrom = undefined;
   }
 
   /** Milliseconds for which this process has run. */
@@ -42,7 +44,7 @@
    * is handled once all sockets that had something to read were read, which may take long itself.
    */
   get earliestArrivalAt(): number {
-    return this.previousBeatAt;
+    return this.arrivalsFrom;
   }
 
   private observe(): number {
@@ -52,6 +54,7 @@
     const delayMs = now - from - BEAT_PERIOD_MS;
     if (delayMs <= MAX_ORDINARY_DELAY_MS) return now;
     this.pausedMs += delayMs;
+    this.pauseFrom ??= from;
     this.onPause(delayMs);
     return now;
   }
--- a/test/common/running-clock.test.ts
+++ b/test/common/running-clock.test.ts
@@ -44,6 +44,20 @@
     expect(clock.earliestArrivalAt).toBeLessThanOrEqual(pausedAt);
   });
 
+  it('does not date a signal after a pause that was noticed before the next beat', () => {
+    const { clock, pass } = makeClock();
+    clock.beat();
+    pass(30);
+    const pausedAt = 1_030;
+    clock.now();
+    pass(1_300);
+    clock.now();
+    pass(300);
+    clock.beat();
+    pass(20);
+    expect(clock.earliestArrivalAt).toBe(pausedAt);
+  });
+
   it('dates a signal at most two beats back while the event loop runs', () => {
     const { clock, pass } = makeClock();
     for (let beat = 0; beat < 5; beat++) {
