Test: soak fault answers_endless, with audits of bytes read and of memory

Replicas answer one request in ten for a time with chunks, chunks of one byte, chunk extensions, a body without a length or heads of 103 that do not end. answer_unbounded: a gateway read more of one than it may keep, plus what connections hold; memory_exceeded: a gateway above the machine's 350 MB. Plans without the kind stay as they were: kinds are drawn from those named, and this one is the last.

--- a/test/soak/answer-faults.ts
+++ b/test/soak/answer-faults.ts
@@ -4,11 +4,14 @@
  */
 import type http from 'node:http';
 import type { Socket } from 'node:net';
+import { sendEndless } from './endless-answers.js';
 import type { RunLog } from './run-log.js';
 import type { SeededRandom } from './seeded-random.js';
 
 /** Share of the answers whose status is spoiled. */
 const SPOILED_SHARE = 0.1;
+/** Share of the answers that do not end. */
+const ENDLESS_SHARE = 0.1;
 /** While second answers come, all replicas concerned are full at the same moments: for this part of each period. */
 const FULL_MS = 150;
 const FULL_PERIOD_MS = 450;
@@ -18,13 +21,17 @@
 const INVALID_STATUSES = ['000', '001', '020', '099', '600', '900', '999'];
 
 /** What a replica needs of the shared log. */
-type AnswerLog = Pick<RunLog, 'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers'>;
+type AnswerLog = Pick<
+  RunLog,
+  'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers' | 'endlessAnswers'
+>;
 
 /** Faults of one replica, each for a time. */
 export class AnswerFaults {
   /** Unix milliseconds. */
   private spoilsUntil = 0;
   private repeatsUntil = 0;
+  private endlessUntil = 0;
   /** Bytes of the second answer that waits on a connection. */
   private readonly copies = new WeakMap<Socket, string>();
   /** Requests that are rejected with a second answer to follow. */
@@ -40,6 +47,11 @@
     this.spoilsUntil = Date.now() + milliseconds;
   }
 
+  /** Sends some answers that do not end for a time. */
+  sendEndless(milliseconds: number): void {
+    this.endlessUntil = Date.now() + milliseconds;
+  }
+
   /** Rejects some requests and sends some answers twice for a time. */
   repeatAnswers(milliseconds: number): void {
     this.repeatsUntil = Date.now() + milliseconds;
@@ -75,8 +87,12 @@
     this.copies.set(socket, answerBytes('200', headers, body));
   }
 
-  /** Answers with an invalid status, if such an answer is due. Returns whether it has answered. */
+  /** Answers with an invalid status or without an end, if such an answer is due. Returns whether it has answered. */
   spoil(socket: Socket, headers: Headers): boolean {
+    if (Date.now() < this.endlessUntil && this.random.chance(ENDLESS_SHARE)) {
+      this.log.endlessAnswers.push(sendEndless(socket, headers, this.random));
+      return true;
+    }
     if (Date.now() >= this.spoilsUntil || !this.random.chance(SPOILED_SHARE)) return false;
     const status = this.random.pick(INVALID_STATUSES) ?? '000';
     this.log.spoiledStatuses += 1;
--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -47,6 +47,8 @@
     silentTimes: [],
     streams: [],
     funnels: [],
+    endlessAnswers: [],
+    mostMemory: [],
     replicaFaults: [],
     faultFreeSince: 0,
     unexpectedExits: [],
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -61,6 +61,8 @@
     silentTimes: [],
     streams: [],
     funnels: [],
+    endlessAnswers: [],
+    mostMemory: [],
     replicaFaults: [],
     faultFreeSince: CALM_FROM,
     unexpectedExits: [],
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -5,6 +5,7 @@
 import { auditCrashes } from './audit-crashes.js';
 import { auditRateLimits } from './audit-rate-limits.js';
 import { auditAnnouncements } from './audit-announcements.js';
+import { auditEndless } from './audit-endless.js';
 import { auditFunnels } from './audit-funnels.js';
 import { auditStreams } from './audit-streams.js';
 import { auditPartitions } from './audit-partitions.js';
@@ -49,6 +50,7 @@
     ...auditPartitions(evidence),
     ...auditBrittle(evidence),
     ...auditStreams(evidence),
+    ...auditEndless(evidence),
     ...auditFunnels(evidence),
     ...evidence.unexpectedExits.map((exit) => ({
       rule: 'unasked_exit',
--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -12,7 +12,8 @@
   | 'brokenStreams'
   | 'spoiledStatuses'
   | 'secondAnswers'
-  | 'sendsAfterSecondAnswers';
+  | 'sendsAfterSecondAnswers'
+  | 'endlessAnswers';
 
 /** Returns the counts of one run. */
 export function casesMet(
@@ -20,11 +21,12 @@
   log: Pick<RunLog, AnswerCounts>,
 ): Pick<SoakResult, 'crashes' | 'funnels' | 'unframedStreams' | 'streams' | 'answerFaults'> {
   const { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers } = log;
+  const endlessAnswers = log.endlessAnswers.length;
   return {
     crashes: crashReports(evidence),
     funnels: { all: evidence.funnels.length, judged: judgedFunnels(evidence) },
     unframedStreams: { all: log.unframedStreams, broken: log.brokenStreams },
     streams: streamCounts(evidence),
-    answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers },
+    answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers, endlessAnswers },
   };
 }
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -1,4 +1,6 @@
 /** Types of the records that a soak passes to its auditor, and of the violations that the auditor finds. */
+import type { EndlessAnswer } from './endless-answers.js';
+import type { ProcessMemory } from './process-samples.js';
 import type { CallRecord } from './caller.js';
 import type { ProcessExit } from './process-signals.js';
 import type {
@@ -102,6 +104,9 @@
   /** Spans in which sound replicas sent nothing. */
   readonly silentTimes: readonly TimeSpan[];
   readonly funnels: readonly ConnectionFunnel[];
+  readonly endlessAnswers: readonly EndlessAnswer[];
+  /** Most resident memory of each process. */
+  readonly mostMemory: readonly ProcessMemory[];
   /** Streams of callers that take them up at other gateways. */
   readonly streams: readonly StreamRecord[];
   /** Start of the final phase without faults, in Unix milliseconds. */
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -25,7 +25,17 @@
 type FaultOf<Kind extends OptInFault['kind']> = Extract<OptInFault, { kind: Kind }>;
 
 /** Kinds of faults in the answers of some replicas. */
-type AnswerFaultKind = 'answers_unframed' | 'statuses_spoiled';
+type AnswerFaultKind = 'answers_unframed' | 'statuses_spoiled' | 'answers_endless';
+
+const ANSWER_FAULT_KINDS: ReadonlySet<OptInFault['kind']> = new Set<AnswerFaultKind>([
+  'answers_unframed',
+  'statuses_spoiled',
+  'answers_endless',
+]);
+
+function isAnswerFault(fault: OptInFault): fault is FaultOf<AnswerFaultKind> {
+  return ANSWER_FAULT_KINDS.has(fault.kind);
+}
 
 /** Sends requests that crash the replicas that run them. */
 export interface PoisonSender {
@@ -63,6 +73,7 @@
   ) {}
 
   inject(fault: OptInFault): void {
+    if (isAnswerFault(fault)) return this.spoilAnswers(fault);
     switch (fault.kind) {
       case 'poison_request':
         return void this.repeatPoisonRequest(fault);
@@ -84,9 +95,6 @@
         return void this.makeBrittle(fault);
       case 'replica_silent':
         return this.silenceReplicas(fault);
-      case 'answers_unframed':
-      case 'statuses_spoiled':
-        return this.spoilAnswers(fault);
       case 'answers_repeated':
         return this.repeatAnswers(fault);
       case 'connections_funnelled':
@@ -204,6 +212,7 @@
     this.recordReplicaFault(milliseconds);
     for (const replica of this.random.shuffled(this.system.replicas).slice(0, count)) {
       if (kind === 'answers_unframed') replica.sendUnframed(milliseconds);
+      else if (kind === 'answers_endless') replica.answerFaults.sendEndless(milliseconds);
       else replica.answerFaults.spoilStatuses(milliseconds);
     }
   }
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -129,6 +129,12 @@
       readonly count: number;
       readonly milliseconds: number;
     }
+  /** Replicas answer some requests with bytes that do not end until the connection is closed. */
+  | {
+      readonly kind: 'answers_endless';
+      readonly count: number;
+      readonly milliseconds: number;
+    }
   /**
    * All replicas of a service are full for moments, and send rejections and some other answers a second time, where the next answer
    * on the connection should come.
@@ -182,6 +188,7 @@
   'connections_funnelled',
   'statuses_spoiled',
   'answers_repeated',
+  'answers_endless',
 ];
 
 /** Rate limits in requests per second. */
@@ -303,6 +310,10 @@
     count: Math.ceil(random.between(0, 4)),
     milliseconds: random.between(2_000, 6_000),
   }),
+  answers_endless: (random) => ({
+    count: Math.ceil(random.between(0, 4)),
+    milliseconds: random.between(2_000, 6_000),
+  }),
   answers_repeated: (random) => ({
     service: random.chance(0.7) ? 'plain' : 'models',
     milliseconds: random.between(2_000, 6_000),
--- a/test/soak/process-samples.ts
+++ b/test/soak/process-samples.ts
@@ -1,7 +1,7 @@
 /**
  * Records how the kernel ran the processes of a soak, in `processes.log` next to the logs of the gateways. If a process
  * did not act for some time, the samples tell whether it waited for a processor, was stopped, was blocked or was busy.
- * They are for inspection only; no audit reads them.
+ * The log is for inspection only; audits read the most memory.
  */
 import { appendFileSync, readFileSync } from 'node:fs';
 import path from 'node:path';
@@ -17,6 +17,12 @@
   readonly pid: number | undefined;
 }
 
+/** Most resident memory of a process, in units of 1,024 x 1,024 bytes. */
+export interface ProcessMemory {
+  readonly name: string;
+  readonly megabytes: number;
+}
+
 /** Times of the main thread of a process since its start, as in /proc/PID/schedstat, in milliseconds. */
 interface SchedulerTimes {
   readonly pid: number;
@@ -32,6 +38,7 @@
   private readonly last = new Map<string, SchedulerTimes>();
   private lastAt = performance.now();
   private lastSteal = readSteal();
+  private readonly peaks = new Map<string, number>();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -47,6 +54,11 @@
     clearInterval(this.timer);
   }
 
+  /** Most memory of each process in any of the samples. */
+  get mostMemory(): ProcessMemory[] {
+    return [...this.peaks].map(([name, megabytes]) => ({ name, megabytes }));
+  }
+
   /** Appends one line: the length of the period, the stolen time of all processors, then each process. */
   private sample(): void {
     const now = performance.now();
@@ -63,6 +75,7 @@
   private describe({ name, pid }: SampledProcess): string {
     const times = pid === undefined ? undefined : readTimes(pid);
     if (times === undefined) return `${name}=gone`;
+    this.peaks.set(name, Math.max(this.peaks.get(name) ?? 0, readPeakMegabytes(times.pid)));
     const last = this.last.get(name);
     this.last.set(name, times);
     const since = last !== undefined && last.pid === pid ? last : NEW_PROCESS;
@@ -87,6 +100,12 @@
   return { pid, ranMs: ran / NANOSECONDS_PER_MS, waitedMs: waited / NANOSECONDS_PER_MS };
 }
 
+/** The most resident memory of a process since its start. */
+function readPeakMegabytes(pid: number): number {
+  const kilobytes = /VmHWM:\s+(\d+)/.exec(readProc(`${pid}/status`))?.[1] ?? 0;
+  return Math.round(Number(kilobytes) / 1024);
+}
+
 /** The letter of the state, such as S for sleeping, R for runnable, D for blocked and T for stopped. */
 function readState(pid: number): string {
   return /\) (\w)/.exec(readProc(`${pid}/stat`))?.[1] ?? '?';
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -1,4 +1,5 @@
 /** Log of what the replicas of a soak observed: runs, arrivals and violated guarantees. */
+import type { EndlessAnswer } from './endless-answers.js';
 
 /** A brittle replica that fell over because it had to reject too many requests. */
 export interface BrittleFall {
@@ -82,6 +83,7 @@
   brokenStreams = 0;
   /** Answers with a status that HTTP does not allow. */
   spoiledStatuses = 0;
+  readonly endlessAnswers: EndlessAnswer[] = [];
   /** Second answers that were sent where the next answer on a connection should come. */
   secondAnswers = 0;
   /** Sends to a replica of a request whose rejection there is answered a second time. */
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -82,7 +82,7 @@
   readonly answerFaults: Pick<
     RunLog,
     'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers'
-  >;
+  > & { readonly endlessAnswers: number };
   /** How often callers could begin streams and take them up. */
   readonly streams: StreamCounts;
   /** How callers were served while gateways were partitioned from all replicas. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -179,6 +179,8 @@
       brittleFalls: this.log.brittleFalls,
       silentTimes: this.silentTimes,
       funnels: this.funnels,
+      endlessAnswers: this.log.endlessAnswers,
+      mostMemory: this.processSamples.mostMemory.filter(({ name }) => this.gateways.has(name)),
       streams: resumingCallers?.streams ?? [],
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -74,6 +74,11 @@
 /** At least this many sends must be able to meet a second answer to an earlier send for the run to be meaningful. */
 const MIN_SENDS_AFTER_SECOND_ANSWERS = 5;
 
+/** Produces answers of each kind that do not end. */
+const ENDLESS_SEED = 75_001;
+const ENDLESS_FAULT_MS = 15_000;
+const MIN_ENDLESS_ANSWERS = 10;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -276,6 +281,21 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('give no room to an answer that does not end', async () => {
+    const result = await runSoak({
+      seed: ENDLESS_SEED,
+      faultMs: ENDLESS_FAULT_MS,
+      folder: soakFolder(ENDLESS_SEED),
+      faultKinds: 'none',
+      only: ['answers_endless'],
+      requestsPerSecond: 40,
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.answerFaults.endlessAnswers).toBeGreaterThanOrEqual(MIN_ENDLESS_ANSWERS);
+    expect(result.served).toBeGreaterThan(result.calls / 2);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
