--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -5,6 +5,7 @@
 import { auditCrashes } from './audit-crashes.js';
 import { auditRateLimits } from './audit-rate-limits.js';
 import { auditAnnouncements } from './audit-announcements.js';
+import { auditEndless } from './audit-endless.js';
 import { auditFunnels } from './audit-funnels.js';
 import { auditStops, dueAt } from './audit-stops.js';
 import { auditStreams } from './audit-streams.js';
@@ -51,6 +52,7 @@
     ...auditBrittle(evidence),
     ...auditStreams(evidence),
     ...auditStops(evidence),
+    ...auditEndless(evidence),
     ...auditFunnels(evidence),
     ...evidence.unexpectedExits.map((exit) => ({
       rule: 'unasked_exit',
--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -13,7 +13,8 @@
   | 'brokenStreams'
   | 'spoiledStatuses'
   | 'secondAnswers'
-  | 'sendsAfterSecondAnswers';
+  | 'sendsAfterSecondAnswers'
+  | 'endlessAnswers';
 
 /** Returns the counts of one run. */
 export function casesMet(
@@ -24,12 +25,13 @@
   'crashes' | 'funnels' | 'unframedStreams' | 'streams' | 'stops' | 'answerFaults'
 > {
   const { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers } = log;
+  const endlessAnswers = log.endlessAnswers.length;
   return {
     crashes: crashReports(evidence),
     funnels: { all: evidence.funnels.length, judged: judgedFunnels(evidence) },
     unframedStreams: { all: log.unframedStreams, broken: log.brokenStreams },
     streams: streamCounts(evidence),
     stops: stopCounts(evidence),
-    answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers },
+    answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers, endlessAnswers },
   };
 }
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -129,6 +129,12 @@
       readonly count: number;
       readonly milliseconds: number;
     }
+  /** Replicas answer some requests with bytes that do not end until the connection is closed. */
+  | {
+      readonly kind: 'answers_endless';
+      readonly count: number;
+      readonly milliseconds: number;
+    }
   /**
    * All replicas of a service are full for moments, and send rejections and some other answers a second time, where the next answer
    * on the connection should come.
@@ -201,6 +207,7 @@
   'answers_repeated',
   'paused_at_stop',
   'slow_bodies_at_stop',
+  'answers_endless',
 ];
 
 /** Rate limits in requests per second. */
@@ -322,6 +329,10 @@
     count: Math.ceil(random.between(0, 4)),
     milliseconds: random.between(2_000, 6_000),
   }),
+  answers_endless: (random) => ({
+    count: Math.ceil(random.between(0, 4)),
+    milliseconds: random.between(2_000, 6_000),
+  }),
   answers_repeated: (random) => ({
     service: random.chance(0.7) ? 'plain' : 'models',
     milliseconds: random.between(2_000, 6_000),
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -83,7 +83,7 @@
   readonly answerFaults: Pick<
     RunLog,
     'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers'
-  >;
+  > & { readonly endlessAnswers: number };
   /** How often callers could begin streams and take them up. */
   readonly streams: StreamCounts;
   /** Requests that stops of gateways have met. */
