Test: the caller that reads slowly has a daemon with room for its answer

The bound of one answer (a 64th of the memory) came from another part: 3.1 MB at the harness's 200 MB, so that the test's 6 MB were refused. The answer stays as large as it was; the daemon has 400 MB.

--- a/test/gateway/caller-connection-orders.test.ts
+++ b/test/gateway/caller-connection-orders.test.ts
@@ -43,7 +43,8 @@
   beforeEach(async () => {
     backend = new TestBackend('one');
     await backend.start();
-    harness = await GatewayHarness.start();
+    // Room for one answer of six megabytes.
+    harness = await GatewayHarness.start({ memoryMegabytes: 400 });
     const stream = testRoute({ repeatability: 'resumable_stream', timeoutMs: 9_000 });
     const limits = {
       headerBytes: 2_000,
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -87,7 +87,7 @@
     else this.injectElsewhere(fault);
   }
 
-  private injectElsewhere(fault: Exclude<OptInFault, StopFault>): void {
+  private injectElsewhere(fault: Exclude<OptInFault, StopFault | FaultOf<AnswerFaultKind>>): void {
     switch (fault.kind) {
       case 'poison_request':
         return void this.repeatPoisonRequest(fault);
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -317,8 +317,7 @@
 
   /** Starts the initial gateways, and prepares those that may join later. */
   private async makeGateways(count: number): Promise<void> {
-    const joiners = this.namedKinds.includes('joined_during_cut') ? MAX_JOINERS : 0;
-    const all = count + joiners;
+    const all = count + (this.namedKinds.includes('joined_during_cut') ? MAX_JOINERS : 0);
     // The peer port is followed by the relay port; the two ports after it are for callers and readiness.
     const ports = await findSoakPorts(all, GATEWAY_PORTS);
     const peerPorts = [...this.orderPeerPorts(ports.slice(0, count)), ...ports.slice(count, all)];
