Fix the simulations' clock: clearImmediate belongs to what it replaces

All tests of slot-admission.test.ts and backend-limit-comparison.test.ts timed out.

Cause: these two files replaced setImmediate but not clearImmediate. Since reply timeouts clear the immediate of a verdict, Node's own clearImmediate got an object that is not Node's and spoiled its queue, so that the event loop span without an end.

Ruled out: the product. No process replaces these functions.

A second thing showed then: "within 150 ms" was 170 ms. The virtual clock of vitest advances one millisecond for each immediate that is set while it ticks, and a verdict waits for ten turns. Turns of an idle event loop take microseconds. So the simulations now have immediates that take no virtual time; the bound of 150 ms is as it was.

--- a/test/simulation/backend-limit-comparison.test.ts
+++ b/test/simulation/backend-limit-comparison.test.ts
@@ -11,6 +11,7 @@
 import { backendLimitKind } from '../../src/gateway/limit-kind.js';
 import { allowedArrivals, LIMITS, WINDOW_MS } from '../core/permit-limits.js';
 import { SimulatedLimits } from './simulated-limits.js';
+import { useVirtualClock } from './virtual-clock.js';
 
 const SECONDS = 16;
 const SEED = 7;
@@ -72,11 +73,7 @@
 }
 
 describe.each([6, 90, 330])('the rate limit of a backend, over %i daemons', (daemons) => {
-  beforeEach(() =>
-    vi.useFakeTimers({
-      toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance', 'Date'],
-    }),
-  );
+  beforeEach(() => useVirtualClock());
   afterEach(() => vi.useRealTimers());
 
   it.each(LIMITS)(
--- a/test/simulation/slot-admission.test.ts
+++ b/test/simulation/slot-admission.test.ts
@@ -1,6 +1,7 @@
 /* Slots of a backend are allocated by one daemon; the tests cover lost datagrams, failed daemons and disconnected callers. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { SimulatedSlots } from './simulated-slots.js';
+import { useVirtualClock } from './virtual-clock.js';
 
 const SLOTS = 8;
 const RUN_MS = 200;
@@ -9,9 +10,7 @@
   let group: SimulatedSlots;
 
   beforeEach(() => {
-    vi.useFakeTimers({
-      toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance', 'Date'],
-    });
+    useVirtualClock();
     group = new SimulatedSlots({ daemons: 20, slots: SLOTS, runMs: RUN_MS });
   });
 
