Test: a cancelled reply timeout is cancelled between expiry and verdict

What was seen: "is not missed after the timeout was cancelled" failed once in a run of test/common.

Cause: the test started two timers of 20 ms one after the other. If a millisecond begins between them, the first expires a turn earlier, and all turns up to its verdict pass before the test cancels it. Then the verdict is right, and the test did not make the case that it names.

Change: the test blocks its event loop until both timers are due, so that they expire in the same turn.

Ruled out: reply-timeout.ts, which is unchanged.

--- a/test/common/reply-timeout.test.ts
+++ b/test/common/reply-timeout.test.ts
@@ -3,7 +3,7 @@
 import { startTicker, type Ticker } from '../../src/common/process.js';
 import { startReplyTimeout } from '../../src/common/reply-timeout.js';
 import { pause } from '../gateway/gateway-harness.js';
-import { blockFor, SeparateBackend } from '../gateway/separate-backend.js';
+import { blockFor, blockNow, SeparateBackend } from '../gateway/separate-backend.js';
 
 const REPLY_MS = 150;
 
@@ -55,7 +55,10 @@
   it('is not missed after the timeout was cancelled, even between its expiry and its verdict', async () => {
     let wasMissed = false;
     const timeout = startReplyTimeout(20, () => (wasMissed = true));
-    await new Promise<void>((resolve) => setTimeout(resolve, 20));
+    const expired = new Promise<void>((resolve) => setTimeout(resolve, 20));
+    // Both timers expire in the same turn of the event loop; without a pause, a millisecond and all turns may be between them.
+    blockNow(30);
+    await expired;
     timeout.cancel();
     await pause(50);
     expect(wasMissed).toBe(false);
