Fix: a request that backends have refused is not called run at a stop

What callers saw: 502 with "has run" for a request that every backend had refused and that waited for another one when the time for the stop was over. The opposite is true, so the caller was kept from sending it again.

Cause: the end of a stop asked whether the request had been sent, not whether it may have run. The deadline asks the second.

Evidence: the new test got 502 before and gets 503 with X-Ran: no now; its backend has one arrival, which it refused. The log line `attempt_failed` of the request says `ran: no`.

Ruled out: a wrong count of runs. `runs` is 0 and no attempt is open.

Change: endAtStop() uses mayHaveRun(), which endAfterFault() and finish() use.

--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -215,7 +215,7 @@
 
   private endAtStop(): void {
     if (this.ended) return;
-    if (this.sends === 0) return this.refuse('draining', undefined);
+    if (!this.mayHaveRun()) return this.refuse('draining', undefined);
     this.giveUp(this.lastRan === 'no' ? 'yes' : this.lastRan, 'the daemon stops');
   }
 
--- a/test/gateway/stop-under-requests.test.ts
+++ b/test/gateway/stop-under-requests.test.ts
@@ -132,6 +132,22 @@
     expect((await waiting).status).toBe(503);
   });
 
+  it('refuses a request that its backend refused and that waits when the time is over: it has not run', async () => {
+    await start(3);
+    backend.handle = (_, response) => {
+      harness.list([]);
+      response.writeHead(503, { 'not-run': '1' }).end();
+    };
+    const stopped = harness.gateway.drain();
+    await pause(2_200);
+    const answer = await harness.call({ id: 'a', headers: { deadline: '9000' } });
+    await stopped;
+    expect(lineOf('stopped')).toMatchObject({ interrupted: 1 });
+    expect(backend.arrivals).toEqual(['a']);
+    expect(answer.status).toBe(503);
+    expect(answer.headers['x-ran']).toBe('no');
+  });
+
   it('delivers what came from a backend before the time was over, although the process was paused then', async () => {
     await start(5);
     const backendThread = await SeparateBackend.start('thread', { events: 40, gapMs: 105 });
