Fix: a stop waits until accepted connections were read once

What callers saw: a request on a new connection got no answer; its connection was reset as the gateway's process ended. No log line names the request.

Cause: a turn of the event loop accepts connections, and the next one reads them. The last check of a stop ran in between, took a connection from which nothing had been read for an idle one, and closed it. After a pause of the process, what had come during the pause meets just this order.

Evidence: the new test pauses the process over the last check while a caller on another thread connects and writes. Before: nothing received. Now: 503 with X-Ran: no.

Ruled out: connections that are in no turn's reach, in the kernel's queue: an accepting turn takes all of them.

Change: CallerConnections counts a connection as unread until the turn after the one that accepted it, and has requests left as long as one is. A connection on which nothing comes holds a stop for one check at most.

--- a/src/common/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -22,11 +22,14 @@
   private readonly lastRequests = new WeakMap<Socket, http.IncomingMessage>();
   /** Answers whose request has an exchange. */
   private readonly begun = new WeakSet<http.ServerResponse>();
+  /** Number of connections so new that a request on them may have arrived but was not read. */
+  private unread = 0;
 
   constructor(private readonly server: http.Server) {
     server.on('connection', (socket) => {
       this.connections.set(socket, new Set());
       socket.once('close', () => this.closed(socket));
+      void this.awaitFirstRead();
     });
     // With a listener, Node leaves it to close a connection whose idle time has passed.
     server.on('timeout', (socket: Socket) => void closeIfIdle(socket));
@@ -70,12 +73,21 @@
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
   closeIdle(): boolean {
     const { answers } = this;
+    if (this.unread > 0) return false;
     // Node treats a connection as idle once its answer has ended, although the caller has not read it yet.
     if (answers.some(({ writableEnded }) => writableEnded)) return false;
     this.server.closeIdleConnections();
     return answers.length === 0 && !this.isReceivingHead();
   }
 
+  /** Counts a connection as unread until the turn of the event loop after the one that has accepted it. */
+  private async awaitFirstRead(): Promise<void> {
+    this.unread += 1;
+    await inputRead();
+    await inputRead();
+    this.unread -= 1;
+  }
+
   private get answers(): http.ServerResponse[] {
     return [...this.connections.values()].flatMap((answers) => [...answers]);
   }
--- a/test/gateway/stop-under-requests.test.ts
+++ b/test/gateway/stop-under-requests.test.ts
@@ -9,6 +9,7 @@
 } from './gateway-harness.js';
 import { PIECE, RawCaller } from './raw-caller.js';
 import { blockFor, SeparateBackend } from './separate-backend.js';
+import { SeparateCaller } from './separate-caller.js';
 
 /** A moment after which a stop refuses new requests and ends as soon as no work is left. */
 const AFTER_BALANCER_DELAY_MS = 2_600;
@@ -17,7 +18,7 @@
   let harness: GatewayHarness;
   let backend: TestBackend;
   const callers: RawCaller[] = [];
-  const separate: SeparateBackend[] = [];
+  const separate: { stop(): Promise<void> }[] = [];
 
   async function start(stopSeconds = 8): Promise<void> {
     backend = new TestBackend('one');
@@ -148,6 +149,19 @@
     expect(answer.headers['x-ran']).toBe('no');
   });
 
+  it('answers a request on a connection that was accepted in the turn of its last check', async () => {
+    await start();
+    const caller = await SeparateCaller.start(harness.settings.callers);
+    separate.push(caller);
+    const stopped = harness.gateway.drain();
+    await pause(2_200);
+    const received = caller.call(100);
+    // The last check becomes due while this process is paused, and the connection comes then.
+    await blockFor(300);
+    expect(await received).toContain('X-Ran: no');
+    await stopped;
+  });
+
   it('delivers what came from a backend before the time was over, although the process was paused then', async () => {
     await start(5);
     const backendThread = await SeparateBackend.start('thread', { events: 40, gapMs: 105 });
