Fix: requests that come at the very end of a stop are refused, not reset

What callers saw: a request that came within the last 50 ms of a stop whose time was over, while the process was paused, was reset without an answer.

Cause: after the requests in flight had been interrupted, the stop slept 50 ms and closed all connections in the turn in which the sleep ended. Expired timers run before the sockets are read, so what came during a pause in that sleep was never read.

Evidence: the new test pauses the process for 200 ms in that sleep, while a caller on another thread connects and writes. Before: nothing received. Now: 503 with X-Ran: no.

Change: after the interruption the stop makes its usual checks until no request is left, four at most. Checks are counted in place of time, because a pause uses up time and reads nothing.

--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -14,8 +14,11 @@
 const MIN_STOP_SHARE = 0.5;
 /** Interval between checks for unfinished work, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
-/** Time for the answers of interrupted requests to be written, in milliseconds. */
-const INTERRUPT_MS = 50;
+/**
+ * Most checks after requests were interrupted, in which their answers are written and requests that come meanwhile are refused. Checks
+ * are counted, not time: a pause of this process must not take them away.
+ */
+const MAX_CHECKS_AFTER_INTERRUPT = 4;
 
 /** Options of {@link Drain}. */
 export interface DrainOptions {
@@ -79,11 +82,7 @@
     const limitMs = Math.round(this.limitAt - startedAt);
     logger.info('draining', { ...work.counts(), limitMs });
     void this.leave();
-    while (steadyNow() < this.limitAt && !this.isDrained()) {
-      await sleep(CHECK_INTERVAL_MS);
-      // A connection is idle only if no request has arrived on it.
-      await inputRead();
-    }
+    while (steadyNow() < this.limitAt && !this.isDrained()) await nextCheck();
     const interrupted = await this.interrupt();
     const milliseconds = Math.round(steadyNow() - startedAt);
     logger.info('stopped', { milliseconds, interrupted, ...work.counts() });
@@ -119,7 +118,15 @@
     this.isInterrupting = true;
     const interrupted = work.interrupt();
     metrics.interruptedRequests.inc(interrupted);
-    await sleep(INTERRUPT_MS);
+    for (let check = 0; check < MAX_CHECKS_AFTER_INTERRUPT && !work.closeIdle(); check++) {
+      await nextCheck();
+    }
     return interrupted;
   }
 }
+
+/** Resolves when unfinished work is to be checked again. A connection is idle only if no request has arrived on it. */
+async function nextCheck(): Promise<void> {
+  await sleep(CHECK_INTERVAL_MS);
+  await inputRead();
+}
--- a/test/gateway/stop-under-requests.test.ts
+++ b/test/gateway/stop-under-requests.test.ts
@@ -162,6 +162,21 @@
     await stopped;
   });
 
+  it('answers a request that comes while the process is paused between the end of the time and that of the process', async () => {
+    await start(5);
+    backend.handle = answerEvents(1, 1_000, 20);
+    const caller = await SeparateCaller.start(harness.settings.callers);
+    separate.push(caller);
+    const running = harness.call({ id: 'long', headers: { deadline: '9000' } });
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    await running;
+    const received = caller.call(30);
+    await blockFor(200);
+    expect(await received).toContain('X-Ran: no');
+    await stopped;
+  });
+
   it('delivers what came from a backend before the time was over, although the process was paused then', async () => {
     await start(5);
     const backendThread = await SeparateBackend.start('thread', { events: 40, gapMs: 105 });
