Fix: a daemon's stop ends although a connection never sent anything

What was seen: `scaleslip daemon` did not exit after SIGTERM while a caller held a connection open on which nothing was ever sent; its supervisor had to kill it, which cuts whatever else is open then.

Cause: Node's close() waits for all connections, and closes those that it counts as idle. One without a first byte is not among them, and the check for late heads that would end it stops with close().

Ruled out: the requests' own drain, which logs `drain_finished` only after the ports are closed and had nothing left.

Change: stop() asks CallerConnections, as the gateway's stop does, until no request is left, and then closes the rest.

Open: a caller that sends a part of a head and no more still holds this stop.

--- a/src/daemon/daemon-http-server.ts
+++ b/src/daemon/daemon-http-server.ts
@@ -8,12 +8,15 @@
 import { listen, readJson, sendError, sendJson } from '../common/http-server.js';
 import type { LinkFaults } from '../common/link-faults.js';
 import { faultText, type Logger } from '../common/logger.js';
+import { inputRead, sleep } from '../common/process.js';
 import { UnreadableRequests } from '../common/unreadable-requests.js';
 import type { AdminApi } from './admin-api.js';
 import type { CallerApi } from './caller-api.js';
 import type { DaemonMetrics } from './metrics.js';
 
 const FAULTS_BODY_LIMIT_BYTES = 64 * 1024;
+/** Interval between checks for requests that are left at a stop, in milliseconds. */
+const CHECK_INTERVAL_MS = 50;
 
 /** Dependencies and settings of the HTTP server. */
 export interface DaemonHttpServerOptions {
@@ -65,10 +68,15 @@
 
   /** Stops accepting connections; resolves when the last response has been written. */
   async stop(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
-    });
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    while (!this.connections.closeIdle()) {
+      await sleep(CHECK_INTERVAL_MS);
+      // A connection is idle only if no request has arrived on it.
+      await inputRead();
+    }
+    // Connections on which nothing was ever sent are left; Node does not count them as idle.
+    this.server.closeAllConnections();
+    await closed;
   }
 
   /** Closes all connections immediately. */
--- a/test/processes/daemon-connections.test.ts
+++ b/test/processes/daemon-connections.test.ts
@@ -1,5 +1,6 @@
 /*
- * Guards against a daemon that writes an error into an answer because of what its caller sends after the request.
+ * Guards against a daemon that writes an error into an answer because of what its caller sends after the request, and against one
+ * whose stop cuts the second of two answers or does not end while a connection is open on which nothing was ever sent.
  */
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { AdminClient } from '../../src/client/admin-client.js';
@@ -11,6 +12,8 @@
 const KEY = 'till-key';
 /** A stream of these takes a second. */
 const STREAM_TOKENS = 100;
+/** Two streams, the time for which a stop refuses and announces itself, and a second for a busy machine. */
+const STOP_MS = 5_000;
 const TEMPLATE = {
   kind: 'Template',
   name: 'service',
@@ -73,4 +76,18 @@
     expect(caller.received).not.toContain('400 Bad Request');
     expect(caller.received).toContain('[DONE]');
   });
+
+  it('carry the answers to requests written at once, and hold no stop up if nothing comes on them', async () => {
+    const daemon = cluster.daemons[0]?.process;
+    const silent = call();
+    const caller = call();
+    caller.write(requestText(STREAM_TOKENS) + requestText(STREAM_TOKENS));
+    await waitFor('the stream', 5_000, () => Promise.resolve(caller.received.includes('data:')));
+    const signalAt = performance.now();
+    daemon?.signal('SIGTERM');
+    expect(await daemon?.waitForExit()).toEqual({ code: 0, signal: null });
+    expect(performance.now() - signalAt).toBeLessThan(STOP_MS);
+    expect(caller.received.match(/\[DONE\]/g)).toHaveLength(2);
+    expect(silent.closedBy).toBeDefined();
+  });
 });
