Fix: the last send that a request may have is not given up as silent

Callers saw 502 "unknown", or a cut stream, although the backend at work would have answered. A request is sent at most four times, refused sends included, but the timeouts of an attempt looked at its runs only: after three refusals a silent backend was given up, and the request was then not sent again.

Evidence: last-sends.test.ts; its three tests failed before (plain answer, stream after a part, partition).

--- a/src/core/attempt-policy.ts
+++ b/src/core/attempt-policy.ts
@@ -55,14 +55,21 @@
   return history.runs < route.maxAttempts ? 'retry' : 'fail';
 }
 
+/** Returns whether the request could be sent again if the attempt that runs now were given up. */
+function mayGiveUp(route: Route, runs: number, sends: number): boolean {
+  const givenUp = { ran: 'unknown', reached: true } as const;
+  return stepAfterFailure(route, givenUp, { runs: runs + 1, sends }) === 'retry';
+}
+
 /**
  * First-byte timeout in milliseconds, after which the request is sent to another backend; infinite if it may not be
  * sent again.
  *
  * @param runs - Number of backends at which the request ran before or may have run.
+ * @param sends - Number of times the request was sent, this attempt included.
  */
-export function firstByteTimeoutMs(route: Route, runs: number): number {
-  if (!mayRepeat(route) || runs + 1 >= route.maxAttempts) return Infinity;
+export function firstByteTimeoutMs(route: Route, runs: number, sends: number): number {
+  if (!mayGiveUp(route, runs, sends)) return Infinity;
   return Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, route.goalMs * FIRST_BYTE_TIMEOUT_GOALS);
 }
 
@@ -70,8 +77,7 @@
  * Timeout between two bytes of a stream in milliseconds, after which the stream resumes at another backend; infinite
  * if it may not resume.
  */
-export function stallTimeoutMs(route: Route, runs: number): number {
-  if (route.repeatability !== 'resumable_stream') return Infinity;
-  if (runs + 1 >= route.maxAttempts) return Infinity;
+export function stallTimeoutMs(route: Route, runs: number, sends: number): number {
+  if (route.repeatability !== 'resumable_stream' || !mayGiveUp(route, runs, sends)) return Infinity;
   return Math.max(MIN_STALL_TIMEOUT_MS, route.pauseGoalMs * STALL_TIMEOUT_PAUSE_GOALS);
 }
