Fix: a pause after a long body was sent does not count as silence

Callers saw their request sent to a second backend, and without a retry budget or for the last send a cut or failed answer, although the first backend was within the time that it has.

Cause: the time until which a backend is expected to read a body was measured by the steady clock, and compared with it, while the silence is measured by the clock that leaves out the pauses of this process.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -159,6 +159,7 @@
       relay === undefined
         ? context.backendWatch.observeExchange(backend.address)
         : UNOBSERVED_EXCHANGE,
+      () => context.runningClock.now(),
     );
     this.startTimeout(options.firstByteTimeoutMs);
   }
@@ -432,7 +433,7 @@
    */
   private backendSilent(): void {
     const limitMs = this.silenceLimitMs;
-    const remainingMs = this.exchange.bodyReadUntil + limitMs - steadyNow();
+    const remainingMs = this.exchange.bodyReadUntil + limitMs - this.context.runningClock.now();
     if (remainingMs > 0) return this.silence.start(remainingMs);
     if (this.options.hasAlternative() && this.options.reserveRetry()) {
       return this.fail('unknown', `silent for ${Math.round(limitMs)} ms`, { silent: true });
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -93,6 +93,8 @@
     agent: BackendAgent,
     private readonly handler: ExchangeHandler,
     private readonly observer: ExchangeObserver,
+    /** Clock for {@link bodyReadUntil}, in milliseconds. */
+    now: () => number,
   ) {
     const { relay, path, pool } = request;
     this.isRelayed = relay !== undefined;
@@ -121,11 +123,11 @@
     limitInformationalHeads(this.outgoing, (reason) =>
       this.rejectAnswer(`the answer has ${reason}`),
     );
-    this.sender = new BodySender(this.outgoing, request.body);
+    this.sender = new BodySender(this.outgoing, request.body, now);
   }
 
   /**
-   * Steady time until which the backend is known or expected to read a long body; -Infinity if the body is
+   * Time of the clock until which the backend is known or expected to read a long body; -Infinity if the body is
    * short.
    */
   get bodyReadUntil(): number {
--- a/src/gateway/body-sender.ts
+++ b/src/gateway/body-sender.ts
@@ -3,7 +3,6 @@
  * body must not count as unresponsive.
  */
 import type http from 'node:http';
-import { steadyNow } from './steady-clock.js';
 
 /** Size of a chunk. A body up to this size is written at once because it fits into the kernel's buffer. */
 const CHUNK_BYTES = 64 * 1024;
@@ -16,17 +15,20 @@
 /** Sends one request body. */
 export class BodySender {
   /**
-   * Steady time until which the backend is known or expected to read the body; -Infinity if the body is
+   * Time of the clock until which the backend is known or expected to read the body; -Infinity if the body is
    * written at once.
    */
   readUntil = -Infinity;
-  private readonly startedAt = steadyNow();
+  private readonly startedAt: number;
   private offset = 0;
 
+  /** @param now - Clock in milliseconds; without the pauses of this process if the backend's silence is judged by it. */
   constructor(
     private readonly outgoing: http.ClientRequest,
     private readonly body: Buffer,
+    private readonly now: () => number,
   ) {
+    this.startedAt = now();
     if (body.length <= CHUNK_BYTES) {
       outgoing.end(body);
       return;
@@ -37,7 +39,7 @@
 
   private writeMore(): void {
     const { outgoing, body } = this;
-    this.readUntil = steadyNow();
+    this.readUntil = this.now();
     while (this.offset < body.length && !outgoing.destroyed) {
       const chunk = body.subarray(this.offset, this.offset + CHUNK_BYTES);
       this.offset += chunk.length;
@@ -56,6 +58,6 @@
    */
   private expectedRemainingMs(): number {
     const bufferedBytes = Math.min(KERNEL_BUFFER_BYTES, this.body.length / 2);
-    return ((steadyNow() - this.startedAt) * bufferedBytes) / (this.body.length - bufferedBytes);
+    return ((this.now() - this.startedAt) * bufferedBytes) / (this.body.length - bufferedBytes);
   }
 }
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -232,6 +232,7 @@
         onFailure: (failure) => boundary.watch(this.failed(relayed, backend, failure)),
       },
       watch.observeExchange(backend.address),
+      steadyNow,
     );
     response.once('close', () => {
       addBuffered(-body.length);
