Fix: bytes on an idle connection to a store, engine or daemon end it

A peer that goes on sending after a whole reply was read and dropped at full speed, without a bound and for good, which takes processor from all callers: the bounds of a response end with its last byte, and Node reads on while the connection is idle. Bytes that belong to no request also stood where the reply to the next one is expected.

Cause: only the agent for backends closed such connections. Its rule is now that of the client's own agent as well.

Evidence: idle-connections.test.ts: the connection stayed open before.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import { Result } from 'true-myth';
 import { ByteAccumulator } from './byte-accumulator.js';
+import { GuardedAgent } from './guarded-agent.js';
 import { leaseNow } from './lease-clock.js';
 import type { LinkFaults } from './link-faults.js';
 import { LineReader } from './line-reader.js';
@@ -85,7 +86,7 @@
   constructor(private readonly options: HttpClientOptions = {}) {
     this.maxResponseBytes = options.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES;
     this.agent =
-      options.agent ?? new http.Agent({ keepAlive: true, maxSockets: 256, timeout: 60_000 });
+      options.agent ?? new GuardedAgent({ keepAlive: true, maxSockets: 256, timeout: 60_000 });
   }
 
   /** Closes all connections. */
--- a/src/gateway/backend-agent.ts
+++ b/src/gateway/backend-agent.ts
@@ -7,9 +7,10 @@
  *   request carry the same id, so that each of them has a pool of its own. Orders and reports carry no id, so that
  *   they share no connection with requests or with each other.
  */
-import http from 'node:http';
+import type http from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { GuardedAgent } from '../common/guarded-agent.js';
 import { splitAddress } from '../common/http-client.js';
 
 /** An idle connection is closed this long before the backend would close it. */
@@ -41,8 +42,6 @@
   readonly pool?: ConnectionPool | undefined;
 }
 
-type DataListener = () => void;
-
 /** Called with "ip:port" and the socket of a connection that is being opened. */
 export type ConnectionListener = (address: string, socket: Socket) => void;
 
@@ -53,13 +52,14 @@
 }
 
 /** Node's HTTP agent with stricter rules for connection reuse. */
-export class BackendAgent extends http.Agent {
-  private readonly idleListeners = new WeakMap<Socket, DataListener>();
+export class BackendAgent extends GuardedAgent {
   private readonly singleUse = new WeakSet<Duplex>();
   private onConnection: ConnectionListener = () => {};
 
-  constructor(private readonly backendOptions: BackendAgentOptions) {
-    super({ keepAlive: true, maxFreeSockets: 64, scheduling: 'lifo' });
+  constructor({ onUnexpectedBytes }: BackendAgentOptions) {
+    super({ keepAlive: true, maxFreeSockets: 64, scheduling: 'lifo' }, (socket) =>
+      onUnexpectedBytes(`${socket.remoteAddress}:${socket.remotePort}`),
+    );
   }
 
   /** Calls a listener for each connection from now on, for requests and orders alike. */
@@ -119,22 +119,9 @@
 
   /** Called by Node when it reuses an idle connection for a request. */
   override reuseSocket(socket: Socket, request: http.ClientRequest): void {
-    const listener = this.idleListeners.get(socket);
-    if (listener !== undefined) socket.off('data', listener);
-    this.idleListeners.delete(socket);
     socket.setTimeout(0, closeIdle);
     super.reuseSocket(socket, request);
   }
-
-  private watchIdle(socket: Socket): void {
-    const listener = (): void => {
-      this.backendOptions.onUnexpectedBytes(`${socket.remoteAddress}:${socket.remotePort}`);
-      socket.destroy();
-    };
-    this.idleListeners.set(socket, listener);
-    socket.on('data', listener);
-    socket.resume();
-  }
 }
 
 function closeIdle(this: Socket): void {
