Fix: an attempt is not given up for a backend without a permit

Callers waited longer, and their request ran twice at the same backend: a silent backend was given up for another one that was known to have no permit under its rate limit, refused at once, and the request went back to the first. With that one full it would have ended without its answer.

Cause: the check for an alternative asked for a free slot only.

Evidence: unsure-successors.test.ts, two arrivals at the silent backend before, one now.

--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -212,10 +212,12 @@
     setTimeout(() => this.count(backend, -1), retryAfterMs).unref();
   }
 
-  /** Returns whether a healthy backend that was not tried yet has a free slot for the request. */
+  /** Returns whether a healthy backend that was not tried yet has a free slot, and as far as is known a permit, for the request. */
   hasAlternative(): boolean {
-    return this.untriedHealthy(steadyNow()).some(
-      (backend) => this.inFlightAt(backend) < backend.slots,
+    const now = steadyNow();
+    return this.untriedHealthy(now).some(
+      (backend) =>
+        this.inFlightAt(backend) < backend.slots && !this.context.permits.isExhausted(backend, now),
     );
   }
 
