Fix: requests that came before a daemon's stop closes its port are answered

What callers saw: a request on a kept connection of scaleslip daemon got no answer, only the close; one on a new connection was reset. Both had come before the port was closed, and not been read.

Cause: the stop called Node's close() first, in the turn in which its sleep ended. That closes the port and all idle connections at once. Expired timers run before the sockets are read, so what comes during a pause of the process was taken for not sent.

Ruled out: that the check for requests overlooks them. It ran after the close.

Change: stop() reads what has come, waits until no request is left, and closes the port in the turn of its last check.

Open: the port stays open while a request is left, so that new requests are refused there; their rate does not bound this wait.

--- a/src/daemon/daemon-http-server.ts
+++ b/src/daemon/daemon-http-server.ts
@@ -66,14 +66,15 @@
     await listen(this.server, this.options.host, this.options.port);
   }
 
-  /** Stops accepting connections; resolves when the last response has been written. */
+  /** Closes the port as soon as no request is left; resolves when the last response has been written. */
   async stop(): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    // A connection is idle only if no request has arrived on it.
+    await inputRead();
     while (!this.connections.closeIdle()) {
       await sleep(CHECK_INTERVAL_MS);
-      // A connection is idle only if no request has arrived on it.
       await inputRead();
     }
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
     // Connections on which nothing was ever sent are left; Node does not count them as idle.
     this.server.closeAllConnections();
     await closed;
