Fix: a stop waits until accepted connections of other daemons were read

What callers saw: 502 for a request that may not be sent twice and that the gateway sent through a stopping daemon, which had not read it. The stopping daemon would have refused it, so that it could go another way.

Cause: the last check of a stop counted requests of other daemons from their heads on. A connection that was accepted in the turn of the check was closed unread.

Evidence: in the new test the process is paused over the last check while a caller on another thread connects to the relay port and writes. The caller's 502 is read in the code, not shown.

Change: the count of unread connections is a class of its own, and the relay server's count of work includes it.

--- a/src/common/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -5,6 +5,7 @@
 import type http from 'node:http';
 import type { Socket } from 'node:net';
 import { inputRead } from '../common/process.js';
+import { UnreadConnections } from './unread-connections.js';
 
 /** Responses on whose connection another request was read before they were written. */
 const followed = new WeakSet<http.ServerResponse>();
@@ -22,15 +23,14 @@
   private readonly lastRequests = new WeakMap<Socket, http.IncomingMessage>();
   /** Answers whose request has an exchange. */
   private readonly begun = new WeakSet<http.ServerResponse>();
-  /** Number of connections so new that a request on them may have arrived but was not read. */
-  private unread = 0;
+  private readonly unread: UnreadConnections;
 
   constructor(private readonly server: http.Server) {
     server.on('connection', (socket) => {
       this.connections.set(socket, new Set());
       socket.once('close', () => this.closed(socket));
-      void this.awaitFirstRead();
     });
+    this.unread = new UnreadConnections(server);
     // With a listener, Node leaves it to close a connection whose idle time has passed.
     server.on('timeout', (socket: Socket) => void closeIfIdle(socket));
   }
@@ -75,21 +75,13 @@
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
   closeIdle(): boolean {
     const { answers } = this;
-    if (this.unread > 0) return false;
+    if (this.unread.count > 0) return false;
     // Node treats a connection as idle once its answer has ended, although the caller has not read it yet.
     if (answers.some(({ writableEnded }) => writableEnded)) return false;
     this.server.closeIdleConnections();
     return answers.length === 0 && !this.isReceivingHead();
   }
 
-  /** Counts a connection as unread until the turn of the event loop after the one that has accepted it. */
-  private async awaitFirstRead(): Promise<void> {
-    this.unread += 1;
-    await inputRead();
-    await inputRead();
-    this.unread -= 1;
-  }
-
   private get answers(): http.ServerResponse[] {
     return [...this.connections.values()].flatMap((answers) => [...answers]);
   }
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -6,6 +6,7 @@
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { faultText, type LogFields, type Logger } from '../common/logger.js';
 import { endAfterRequest, listen, sendJson } from '../common/http-server.js';
+import { UnreadConnections } from '../common/unread-connections.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { BackendAgent } from './backend-agent.js';
@@ -76,6 +77,7 @@
 /** HTTP server for the other daemons. */
 export class RelayServer {
   private readonly server: http.Server;
+  private readonly unread: UnreadConnections;
   private readonly maxInFlight: number;
   private inFlight = 0;
   /** Requests that have not been answered in full, refused ones included. */
@@ -93,11 +95,12 @@
       relayed.boundary.run(() => this.receive(relayed));
     });
     this.server.on('clientError', (_fault, socket) => socket.destroy());
+    this.unread = new UnreadConnections(this.server);
   }
 
-  /** Number of requests of other daemons that have not been answered in full. */
+  /** Number of requests of other daemons that have not been answered in full, and of new connections that may carry one. */
   get active(): number {
-    return this.unanswered;
+    return this.unanswered + this.unread.count;
   }
 
   /** Listens. A port in use is logged; the daemon then relays nothing. */
--- a/test/gateway/stop-under-requests.test.ts
+++ b/test/gateway/stop-under-requests.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest';
+import { relayAddressOf } from '../../src/gateway/relay-protocol.js';
 import {
   answerEvents,
   answerWhole,
@@ -163,6 +164,18 @@
     await stopped;
   });
 
+  it('answers a request of another daemon on a connection that was accepted in the turn of its last check', async () => {
+    await start();
+    const peer = await SeparateCaller.start(relayAddressOf(harness.peerAddress));
+    separate.push(peer);
+    const stopped = harness.gateway.drain();
+    await pause(2_200);
+    const received = peer.call(100);
+    await blockFor(300);
+    expect(await received).toContain('HTTP/1.1 503');
+    await stopped;
+  });
+
   it('runs no request that was read after an answer has ended its connection', async () => {
     await start();
     const caller = call();
