Test, fails: a call whose connection opened during a pause is given up

The caller is this daemon: a call to a store, an engine or another daemon counts as lost within the turn in which it was sent.

Cause: the timeout of a call runs from before its connection opens, by the plain timer. After a pause longer than the timeout it has expired when the connection is seen open; the request is sent then, and the ten turns that the verdict waits leave no time for its reply.

Not fixed: to restart the timeout once the request is sent would double the longest time of a call, on which others rely.

--- a/test/common/reply-timeout.test.ts
+++ b/test/common/reply-timeout.test.ts
@@ -33,6 +33,12 @@
     expect((await reply).isOk).toBe(true);
   });
 
+  it('is waited for if the request was sent after the pause, in which its connection opened', async () => {
+    const reply = request(400);
+    blockNow(700);
+    expect((await reply).isOk).toBe(true);
+  });
+
   it('was read before periodic work judges by what has not come', async () => {
     const events: string[] = [];
     void request(5_000).then(() => events.push('reply'));
