--- a/src/common/process.ts
+++ b/src/common/process.ts
@@ -102,6 +102,11 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+/** Resolves once what has arrived by now was read: expired timers run before the sockets are read, immediates after. */
+export function inputRead(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 function runGuarded(action: () => void, onFault: FaultHandler): void {
   try {
     action();
--- a/src/common/running-clock.ts
+++ b/src/common/running-clock.ts
@@ -15,6 +15,7 @@
   onPause: (milliseconds: number) => void = () => {};
   private pausedMs = 0;
   private observedAt: number;
+  private lastPause = { from: -Infinity, until: -Infinity };
 
   /** @param steadyNow - Monotonic time in milliseconds. */
   constructor(private readonly steadyNow: () => number) {
@@ -31,19 +32,22 @@
     return this.observe() - this.pausedMs;
   }
 
-  /** Steady time of the last call, after which the event loop may not have run. */
-  get lastRunAt(): number {
-    return this.observedAt;
+  /** Earliest steady time at which a signal or a message can have arrived that this process handles only now. */
+  get earliestArrivalAt(): number {
+    const now = this.observe();
+    const { from, until } = this.lastPause;
+    return now - until <= BEAT_PERIOD_MS ? from : now;
   }
 
   private observe(): number {
     const now = this.steadyNow();
-    const delayMs = now - this.observedAt - BEAT_PERIOD_MS;
+    const from = this.observedAt;
     this.observedAt = now;
-    if (delayMs > MAX_ORDINARY_DELAY_MS) {
-      this.pausedMs += delayMs;
-      this.onPause(delayMs);
-    }
+    const delayMs = now - from - BEAT_PERIOD_MS;
+    if (delayMs <= MAX_ORDINARY_DELAY_MS) return now;
+    this.pausedMs += delayMs;
+    this.lastPause = { from, until: now };
+    this.onPause(delayMs);
     return now;
   }
 }
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -6,6 +6,7 @@
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
+import { CallerConnections } from './caller-connections.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import type { CallerRequest } from './caller-request.js';
@@ -32,11 +33,19 @@
   readonly boundary: FaultBoundary;
 }
 
+/** Where a request goes. */
+interface RoutedRequest {
+  readonly match: RouteMatch;
+  /** The configuration that chose the route. */
+  readonly table: RoutingTable;
+  /** The stream that the request resumes; undefined for a new one. */
+  readonly resumed?: ResumedStream | undefined;
+}
+
 /** HTTP server for callers. */
 export class CallerServer {
   private readonly server: http.Server;
-  /** Answers to requests that have no exchange yet: their body, or the origin of their stream, is not known. */
-  private readonly withoutExchange = new Set<http.ServerResponse>();
+  private readonly connections: CallerConnections;
 
   constructor(
     private readonly context: GatewayContext,
@@ -52,6 +61,7 @@
       },
       (request, response) => this.accept(request, response),
     );
+    this.connections = new CallerConnections(this.server);
     this.server.on('clientError', (_fault, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
     });
@@ -64,9 +74,7 @@
 
   /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
   get receiving(): number {
-    let receiving = 0;
-    for (const { writableEnded } of this.withoutExchange) if (!writableEnded) receiving += 1;
-    return receiving;
+    return this.connections.receiving;
   }
 
   /** Applies the configured limits. */
@@ -75,9 +83,9 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Closes idle connections. */
-  closeIdle(): void {
-    this.server.closeIdleConnections();
+  /** Closes the connections without a request. Returns whether no request is left. */
+  closeIdle(): boolean {
+    return this.connections.closeIdle();
   }
 
   /** Stops accepting connections and closes the existing ones. */
@@ -87,8 +95,7 @@
   }
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.withoutExchange.add(response);
-    response.once('close', () => this.withoutExchange.delete(response));
+    this.connections.add(request, response);
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
     // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
@@ -149,17 +156,21 @@
     if (table === undefined || match === undefined) {
       return this.denyRoute(answer, read.head.attemptId, path, table);
     }
-    this.startExchange(response, caller, match, table);
+    this.startExchange(response, answer, caller, { match, table });
   }
 
   private startExchange(
     response: http.ServerResponse,
+    answer: CallerAnswer,
     caller: CallerRequest,
-    match: RouteMatch,
-    table: RoutingTable,
-    resumed?: ResumedStream,
+    { match, table, resumed }: RoutedRequest,
   ): void {
-    this.withoutExchange.delete(response);
+    const { head, arrivedAt } = caller;
+    const allowedMs = Math.min(head.deadlineMs ?? Infinity, match.route.timeoutMs);
+    if (!this.context.mayBegin(allowedMs - (steadyNow() - arrivedAt))) {
+      return answer.sendError('draining', 0);
+    }
+    this.connections.begin(response);
     if (isStream(match.route)) response.socket?.setNoDelay(true);
     const { version } = table.configuration;
     new RequestExchange(this.context, match, version, caller, response, resumed).start();
@@ -184,7 +195,7 @@
     }
     const match = resumed && table.matchAt(route, resumed.origin.service);
     if (match === undefined) return this.denyResumption(answer, head, route.name);
-    this.startExchange(response, caller, match, table, resumed);
+    this.startExchange(response, answer, caller, { match, table, resumed });
   }
 
   private denyResumption(answer: CallerAnswer, head: RequestHead, route: string): void {
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -1,6 +1,7 @@
 /** Stops one gateway daemon gracefully: requests in flight may complete within the time for a stop. */
-import type { Logger } from '../common/logger.js';
-import { sleep } from '../common/process.js';
+import { faultText, type Logger } from '../common/logger.js';
+import { inputRead, sleep } from '../common/process.js';
+import type { RunningClock } from '../common/running-clock.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { OpenWork } from './open-work.js';
 import { steadyNow } from './steady-clock.js';
@@ -9,6 +10,8 @@
 const BALANCER_DELAY_MS = 2_300;
 /** Time before the end of a stop at which requests still in flight are interrupted, in milliseconds. */
 const STOP_MARGIN_MS = 500;
+/** Least share of the time for a stop that requests get, however late the signal was handled. */
+const MIN_STOP_SHARE = 0.5;
 /** Interval between checks for unfinished work, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
 /** Time for the answers of interrupted requests to be written, in milliseconds. */
@@ -18,9 +21,10 @@
 export interface DrainOptions {
   /** Seconds from the stop signal until the process is killed. */
   readonly stopSeconds: number;
+  readonly runningClock: Pick<RunningClock, 'earliestArrivalAt'>;
   readonly logger: Logger;
   readonly metrics: Pick<GatewayMetrics, 'interruptedRequests'>;
-  /** Leaves the group of daemons. */
+  /** Leaves the group of daemons. Requests are served on meanwhile, because the store may not answer. */
   readonly leave: () => Promise<void>;
   readonly work: OpenWork;
   /** Closes all ports. */
@@ -30,6 +34,10 @@
 /** The graceful stop of one daemon. */
 export class Drain {
   private startedAt: number | undefined;
+  /** Steady time at which requests still in flight are interrupted. */
+  private limitAt = Infinity;
+  private isInterrupting = false;
+  private hasLeft = false;
   private running: Promise<void> | undefined;
 
   constructor(private readonly options: DrainOptions) {}
@@ -44,6 +52,16 @@
     return steadyNow() - (this.startedAt ?? Infinity) >= BALANCER_DELAY_MS;
   }
 
+  /**
+   * Returns whether a request that was accepted may begin now. One whose body took long must be able to end within the stop.
+   *
+   * @param allowedMs - Longest time that the request may take, in milliseconds.
+   */
+  mayBegin(allowedMs: number): boolean {
+    if (this.isInterrupting) return false;
+    return !this.refusesRequests || steadyNow() + allowedMs <= this.limitAt;
+  }
+
   /**
    * Starts the stop and resolves at its end. A further call waits for the same stop, because a second stop signal must not end the
    * process while requests that the first one lets complete are in flight.
@@ -54,22 +72,50 @@
   }
 
   private async finish(): Promise<void> {
-    const { logger, metrics, stopSeconds } = this.options;
+    const { logger, work, close } = this.options;
     const startedAt = steadyNow();
     this.startedAt = startedAt;
-    logger.info('draining', { ...this.options.work.counts() });
-    await this.options.leave();
-    const limit = startedAt + stopSeconds * 1_000 - STOP_MARGIN_MS;
-    while (steadyNow() < limit && !this.isDrained()) await sleep(CHECK_INTERVAL_MS);
-    const interrupted = this.options.work.interrupt();
-    metrics.interruptedRequests.inc(interrupted);
-    await sleep(INTERRUPT_MS);
+    this.limitAt = this.limitFrom(startedAt);
+    const limitMs = Math.round(this.limitAt - startedAt);
+    logger.info('draining', { ...work.counts(), limitMs });
+    void this.leave();
+    while (steadyNow() < this.limitAt && !this.isDrained()) await sleep(CHECK_INTERVAL_MS);
+    const interrupted = await this.interrupt();
     const milliseconds = Math.round(steadyNow() - startedAt);
-    logger.info('stopped', { milliseconds, interrupted, ...this.options.work.counts() });
-    this.options.close();
+    logger.info('stopped', { milliseconds, interrupted, ...work.counts() });
+    close();
+  }
+
+  /** The supervisor counts from when it sent the signal, which may have waited for this process. */
+  private limitFrom(startedAt: number): number {
+    const stopMs = this.options.stopSeconds * 1_000;
+    const signalAt = this.options.runningClock.earliestArrivalAt;
+    return Math.max(signalAt + stopMs - STOP_MARGIN_MS, startedAt + stopMs * MIN_STOP_SHARE);
+  }
+
+  private async leave(): Promise<void> {
+    try {
+      await this.options.leave();
+    } catch (fault) {
+      this.options.logger.error('leave_fault', { reason: faultText(fault) });
+    }
+    this.hasLeft = true;
   }
 
+  /** Whether the ports may be closed in this turn of the event loop. */
   private isDrained(): boolean {
-    return this.refusesRequests && this.options.work.closeIdle();
+    return this.refusesRequests && this.hasLeft && this.options.work.closeIdle();
+  }
+
+  /** Ends the requests that have not ended by themselves. Returns their number. */
+  private async interrupt(): Promise<number> {
+    const { work, metrics } = this.options;
+    if (this.isDrained()) return 0;
+    await inputRead();
+    this.isInterrupting = true;
+    const interrupted = work.interrupt();
+    metrics.interruptedRequests.inc(interrupted);
+    await sleep(INTERRUPT_MS);
+    return interrupted;
   }
 }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -79,4 +79,6 @@
   isDraining(): boolean;
   /** Whether new requests are refused because the daemon is about to stop. */
   refusesRequests(): boolean;
+  /** Whether an accepted request that may take this many milliseconds may begin now. */
+  mayBegin(allowedMs: number): boolean;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -197,16 +197,13 @@
   }
 
   private makeDrain(): Drain {
+    const { runningClock, access } = this;
     return new Drain({
       ...this.systems,
+      runningClock,
       stopSeconds: this.settings.bounds.stopSeconds,
       leave: () => this.leaveGroup(),
-      work: new OpenWork({
-        context: () => this.context,
-        callers: () => this.front,
-        access: this.access,
-        streamOrigins: this.streamOrigins,
-      }),
+      work: new OpenWork({ context: () => this.context, callers: () => this.front, access }),
       close: () => this.stop(),
     });
   }
@@ -432,6 +429,7 @@
       recheckWaiting: () => this.scheduleRecheck(),
       isDraining: () => this.shutdown.hasStarted,
       refusesRequests: () => this.shutdown.refusesRequests,
+      mayBegin: (allowedMs) => this.shutdown.mayBegin(allowedMs),
     };
   }
 
--- a/src/gateway/open-work.ts
+++ b/src/gateway/open-work.ts
@@ -2,7 +2,6 @@
 import type { BackendAccess } from './backend-access.js';
 import type { CallerServer } from './caller-server.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
 /** Number of pieces of work of each kind. */
 export interface OpenWorkCounts {
@@ -21,7 +20,6 @@
   readonly context: () => Pick<GatewayContext, 'answers' | 'exchanges'>;
   readonly callers: () => Pick<CallerServer, 'receiving' | 'closeIdle'>;
   readonly access: Pick<BackendAccess, 'activeRelays'>;
-  readonly streamOrigins: Pick<StreamOriginExchange, 'isLookingUp'>;
 }
 
 /** All work that has not ended. */
@@ -39,14 +37,10 @@
     };
   }
 
-  /** Returns whether all work has ended, and closes the callers' connections without work. */
+  /** Closes the callers' connections without a request. Returns whether no work is left. */
   closeIdle(): boolean {
-    const { answers, exchanges } = this.options.context();
-    // Node treats a connection as idle once its answer is written, although the caller has not read it yet.
-    if (answers.unreadCallers > 0) return false;
-    this.options.callers().closeIdle();
-    if (this.options.streamOrigins.isLookingUp) return false;
-    return exchanges.size === 0 && this.options.access.activeRelays === 0;
+    const areCallersServed = this.options.callers().closeIdle();
+    return areCallersServed && this.options.access.activeRelays === 0;
   }
 
   /** Ends the callers' requests because the daemon stops. Returns their number. */
--- a/src/gateway/stream-origin-exchange.ts
+++ b/src/gateway/stream-origin-exchange.ts
@@ -64,11 +64,6 @@
     return this.origins.size;
   }
 
-  /** Whether callers wait for the result of a lookup. */
-  get isLookingUp(): boolean {
-    return this.pending.size > 0;
-  }
-
   /** Records the origin of a stream, and notifies a few other daemons. */
   record(stream: string, origin: StreamOrigin, lifetimeMs: number): void {
     this.origins.record(stream, origin, lifetimeMs, steadyNow());
--- /dev/null
+++ b/test/gateway/stop-under-requests.test.ts
@@ -0,0 +1,207 @@
+import net from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import {
+  answerEvents,
+  GatewayHarness,
+  pause,
+  TestBackend,
+  testConfiguration,
+  testRoute,
+} from './gateway-harness.js';
+import { blockFor, SeparateBackend } from './separate-backend.js';
+
+/** A moment after which a stop refuses new requests and ends as soon as no work is left. */
+const AFTER_BALANCER_DELAY_MS = 2_600;
+const PIECE = 'x'.repeat(1_000);
+
+/** A caller that writes its request byte by byte, as a test needs it. */
+class RawCaller {
+  received = '';
+  closedBy: 'end' | 'error' | undefined;
+  private readonly socket: net.Socket;
+
+  constructor(address: string) {
+    const [host = '', port] = address.split(':');
+    this.socket = net.connect(Number(port), host);
+    this.socket.setNoDelay(true);
+    this.socket.on('data', (chunk) => (this.received += chunk.toString()));
+    this.socket.on('error', () => (this.closedBy ??= 'error'));
+    this.socket.on('end', () => (this.closedBy ??= 'end'));
+  }
+
+  write(text: string): void {
+    if (!this.socket.destroyed) this.socket.write(text);
+  }
+
+  /** Writes a head that announces a body of this many pieces. */
+  writeHead(id: string, pieces: number, deadlineMs = 1_000): void {
+    const length = pieces * PIECE.length;
+    this.write(
+      `POST /work/x HTTP/1.1\r\nhost: service.test\r\nrequest-id: ${id}\r\n` +
+        `deadline: ${deadlineMs}\r\ncontent-length: ${length}\r\n\r\n`,
+    );
+  }
+
+  get status(): number {
+    return Number(/^HTTP\/1.1 (\d+)/.exec(this.received)?.[1] ?? 0);
+  }
+
+  /** Waits until the answer's head and body have come, or the connection is closed. */
+  async answered(): Promise<void> {
+    for (let waited = 0; waited < 6_000; waited += 20) {
+      if (this.closedBy !== undefined || /\r\n\r\n./.test(this.received)) return;
+      await pause(20);
+    }
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+}
+
+describe('a planned stop', () => {
+  let harness: GatewayHarness;
+  let backend: TestBackend;
+  const callers: RawCaller[] = [];
+  const separate: SeparateBackend[] = [];
+
+  async function start(stopSeconds = 8): Promise<void> {
+    backend = new TestBackend('one');
+    await backend.start();
+    const { bounds } = (await GatewayHarness.prepare()).settings;
+    harness = await GatewayHarness.start({ bounds: { ...bounds, stopSeconds } });
+    const route = testRoute({ repeatability: 'resumable_stream', timeoutMs: 9_000 });
+    const once = testRoute({ name: 'once', pathPrefix: '/once/', repeatability: 'once' });
+    harness.configure(testConfiguration({ routes: [route, once] }));
+    harness.list([backend.record()]);
+  }
+
+  function call(): RawCaller {
+    const caller = new RawCaller(harness.settings.callers);
+    callers.push(caller);
+    return caller;
+  }
+
+  function lineOf(name: string): Readonly<Record<string, unknown>> | undefined {
+    return harness.lines.find(({ event }) => event === name)?.fields;
+  }
+
+  afterEach(async () => {
+    for (const caller of callers.splice(0)) caller.close();
+    harness.stop();
+    backend.stop();
+    await Promise.all(separate.splice(0).map((each) => each.stop()));
+  });
+
+  it('answers a request whose body is complete only after all others have ended', async () => {
+    await start();
+    backend.handle = answerEvents(1, 2, 10);
+    const caller = call();
+    caller.writeHead('a', 2, 4_000);
+    caller.write(PIECE);
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    await pause(AFTER_BALANCER_DELAY_MS);
+    caller.write(PIECE);
+    await caller.answered();
+    expect(caller.status).toBe(200);
+    await stopped;
+    expect(lineOf('stopped')).toMatchObject({ interrupted: 0, receiving: 0 });
+  });
+
+  it('refuses a request whose body took so long that it might not end within the stop', async () => {
+    await start();
+    const caller = call();
+    caller.writeHead('a', 2, 9_000);
+    caller.write(PIECE);
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    await pause(AFTER_BALANCER_DELAY_MS);
+    caller.write(PIECE);
+    await caller.answered();
+    expect(caller.status).toBe(503);
+    expect(caller.received).toContain('X-Ran: no');
+    expect(backend.arrivals).toEqual([]);
+    await stopped;
+  });
+
+  it('answers a request whose head is complete only after all others have ended', async () => {
+    await start();
+    const caller = call();
+    caller.write('POST /work/x HTTP/1.1\r\nhost: service.test\r\n');
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    await pause(AFTER_BALANCER_DELAY_MS);
+    caller.write('request-id: a\r\ncontent-length: 0\r\n\r\n');
+    await caller.answered();
+    expect(caller.status).toBe(503);
+    await stopped;
+  });
+
+  it('does not wait for a connection without a request', async () => {
+    await start();
+    const silent = call();
+    const stopped = harness.gateway.drain();
+    await stopped;
+    await pause(50);
+    expect(silent.closedBy).toBeDefined();
+    expect(lineOf('stopped')?.milliseconds).toBeLessThan(AFTER_BALANCER_DELAY_MS);
+  });
+
+  it('sends no request that is complete after the time for the stop is over', async () => {
+    await start(5);
+    backend.handle = answerEvents(1, 1_000, 20);
+    const running = harness.call({ id: 'long', headers: { deadline: '9000' } });
+    const caller = call();
+    caller.writeHead('late', 2, 100);
+    caller.write(PIECE);
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    expect((await running).complete).toBe(false);
+    caller.write(PIECE);
+    await stopped;
+    await pause(50);
+    expect(backend.arrivals).toEqual(['long']);
+    expect(lineOf('stopped')).toMatchObject({ interrupted: 1 });
+  });
+
+  it('ends in time although the store does not answer, and refuses what waits then', async () => {
+    await start(5);
+    const { store } = (harness.gateway as unknown as { systems: { store: object } }).systems;
+    Object.assign(store, { remove: () => new Promise<void>(() => {}) });
+    harness.list([]);
+    const waiting = harness.call({ id: 'a', headers: { deadline: '9000' } });
+    await pause(50);
+    const startedAt = performance.now();
+    await harness.gateway.drain();
+    expect(performance.now() - startedAt).toBeLessThan(5_000);
+    expect((await waiting).status).toBe(503);
+  });
+
+  it('delivers what came from a backend before the time was over, although the process was paused then', async () => {
+    await start(5);
+    const backendThread = await SeparateBackend.start('thread', { events: 40, gapMs: 105 });
+    separate.push(backendThread);
+    harness.list([backendThread.record()]);
+    const answer = harness.call({ id: 'a', headers: { deadline: '9000' } });
+    await pause(50);
+    const stopped = harness.gateway.drain();
+    await pause(3_700);
+    await blockFor(1_100);
+    expect((await answer).complete).toBe(true);
+    await stopped;
+  });
+
+  it('counts the time for the stop from the signal, not from when a paused process handles it', async () => {
+    await start(6);
+    backend.handle = answerEvents(1, 1_000, 20);
+    const running = harness.call({ id: 'long', headers: { deadline: '9000' } });
+    await pause(200);
+    const signalAt = performance.now();
+    await blockFor(1_500);
+    await pause(0);
+    await harness.gateway.drain();
+    expect(performance.now() - signalAt).toBeLessThan(6_000);
+    expect((await running).complete).toBe(false);
+  });
+});
