--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -140,7 +140,6 @@
   }
 
   private begin(): void {
-    const { arrivedAt } = this.request;
     this.context.budgetOf(this.match.service.name).countRequest(steadyNow());
     this.context.exchanges.add(this);
     this.context.answers.addBuffered(this.request.body.length);
@@ -148,7 +147,8 @@
     const endAtDeadline = this.boundary.guard(() => this.deadlinePassed());
     // After a pause of the process, an answer that came in time is still in the socket. Immediates run after the sockets were read.
     this.deadlineTimer = setTimeout(() => setImmediate(endAtDeadline), remaining);
-    if (arrivedAt > this.deadlineAt) return this.deadlinePassed();
+    // The body may have taken longer than the caller waits.
+    if (steadyNow() >= this.deadlineAt) return this.deadlinePassed();
     const denial = this.admission.checkKey();
     if (denial !== undefined) return this.refuseDenied(denial);
     const unitsCharged = this.boundary.guard((denied: TenantDenial | undefined) => {
