--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -4,6 +4,7 @@
 import { responseFor, errorBody, serviceError, type ErrorKind } from '../common/errors.js';
 import type { StreamEvent } from '../core/event-stream.js';
 import type { AnswerAccount } from './answer-buffer.js';
+import { isFollowed } from './caller-connections.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
 import { steadyNow } from './steady-clock.js';
@@ -162,7 +163,9 @@
   }
 
   private writeHead(status: number, headers: string[]): void {
-    if (this.context.isDraining()) headers.push('Connection', 'close');
+    // Node then writes `Connection: close`. Requests that were read on the same connection keep it open until the last answer.
+    if (this.context.isDraining() && !isFollowed(this.response))
+      this.response.shouldKeepAlive = false;
     this.response.writeHead(status, headers);
     this.headSentAt = steadyNow();
   }
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -5,25 +5,39 @@
 import type http from 'node:http';
 import type { Socket } from 'node:net';
 
+/** Responses on whose connection another request was read before they were written. */
+const followed = new WeakSet<http.ServerResponse>();
+
+/** Whether another request on the same connection still needs it after this response. */
+export function isFollowed(response: http.ServerResponse): boolean {
+  return followed.has(response);
+}
+
 /** Connections and requests of one server. */
 export class CallerConnections {
-  private readonly sockets = new Set<Socket>();
-  /** Answers that have not been written in full, by the connection that their request came on. */
-  private readonly answers = new Map<http.ServerResponse, Socket>();
+  /** The answers that have not been written in full, by the connection that their requests came on, in the order of the requests. */
+  private readonly connections = new Map<Socket, Set<http.ServerResponse>>();
   /** Answers whose request has an exchange. */
   private readonly begun = new WeakSet<http.ServerResponse>();
 
   constructor(private readonly server: http.Server) {
     server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      this.connections.set(socket, new Set());
+      socket.once('close', () => this.connections.delete(socket));
     });
   }
 
-  /** Records a request whose head was read, until its answer was written or its connection is closed. */
-  add(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.answers.set(response, request.socket);
-    response.once('close', () => this.answers.delete(response));
+  /**
+   * Records a request whose head was read, until its answer was written or its connection is closed. Returns false for a request that
+   * comes after an answer has announced the end of its connection: it can't be answered, so it must not begin.
+   */
+  add(request: http.IncomingMessage, response: http.ServerResponse): boolean {
+    const answers = this.connections.get(request.socket);
+    if (answers === undefined || [...answers].some(hasAnnouncedEnd)) return false;
+    for (const answer of answers) followed.add(answer);
+    answers.add(response);
+    response.once('close', () => answers.delete(response));
+    return true;
   }
 
   /** Records that a request has an exchange. */
@@ -33,28 +47,31 @@
 
   /** Number of requests whose head was read and that have neither an exchange nor an answer yet. */
   get receiving(): number {
-    const waiting = [...this.answers.keys()].filter((response) => !response.headersSent);
+    const waiting = this.answers.filter((response) => !response.headersSent);
     return waiting.filter((response) => !this.begun.has(response)).length;
   }
 
   /** Closes the connections without a request. Returns whether no request is left, not even a part of a head. */
   closeIdle(): boolean {
+    const { answers } = this;
     // Node treats a connection as idle once its answer has ended, although the caller has not read it yet.
-    if (this.hasUnwrittenAnswer()) return false;
+    if (answers.some(({ writableEnded }) => writableEnded)) return false;
     this.server.closeIdleConnections();
-    return this.answers.size === 0 && !this.isReceivingHead();
+    return answers.length === 0 && !this.isReceivingHead();
   }
 
-  private hasUnwrittenAnswer(): boolean {
-    for (const { writableEnded } of this.answers.keys()) if (writableEnded) return true;
-    return false;
+  private get answers(): http.ServerResponse[] {
+    return [...this.connections.values()].flatMap((answers) => [...answers]);
   }
 
   /** Whether a connection that is not idle has no request: it has received a part of a head. */
   private isReceivingHead(): boolean {
-    const answering = new Set(this.answers.values());
-    return [...this.sockets].some(
-      (socket) => !socket.destroyed && socket.bytesRead > 0 && !answering.has(socket),
+    return [...this.connections].some(
+      ([socket, answers]) => !socket.destroyed && socket.bytesRead > 0 && answers.size === 0,
     );
   }
 }
+
+function hasAnnouncedEnd(answer: http.ServerResponse): boolean {
+  return answer.headersSent && !answer.shouldKeepAlive;
+}
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -95,7 +95,7 @@
   }
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.connections.add(request, response);
+    if (!this.connections.add(request, response)) return void request.resume();
     const head = this.context.dialect.readRequest(request.headers);
     const answer = new CallerAnswer(this.context, head, response);
     // An exchange handles the exceptions of its own request; before it begins, the request is sent to no backend.
--- /dev/null
+++ b/test/gateway/caller-connection-orders.test.ts
@@ -0,0 +1,148 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  answerEvents,
+  answerWhole,
+  GatewayHarness,
+  pause,
+  TestBackend,
+  testConfiguration,
+  testRoute,
+} from './gateway-harness.js';
+import { RawCaller } from './raw-caller.js';
+
+const onceRoute = testRoute({ name: 'once', pathPrefix: '/once/', repeatability: 'once' });
+
+/** A request without a body. */
+function requestText(id: string, path = '/work/x', version = '1.1'): string {
+  return (
+    `POST ${path} HTTP/${version}\r\nhost: service.test\r\nrequest-id: ${id}\r\n` +
+    'deadline: 4000\r\ncontent-length: 0\r\n\r\n'
+  );
+}
+
+describe('connections of callers', () => {
+  let harness: GatewayHarness;
+  let backend: TestBackend;
+  const callers: RawCaller[] = [];
+
+  function call(): RawCaller {
+    const caller = new RawCaller(harness.settings.callers);
+    callers.push(caller);
+    return caller;
+  }
+
+  async function until(isDone: () => boolean, limitMs = 5_000): Promise<void> {
+    const startedAt = performance.now();
+    while (!isDone() && performance.now() - startedAt < limitMs) await pause(10);
+  }
+
+  beforeEach(async () => {
+    backend = new TestBackend('one');
+    await backend.start();
+    harness = await GatewayHarness.start();
+    const stream = testRoute({ repeatability: 'resumable_stream', timeoutMs: 9_000 });
+    const limits = {
+      headerBytes: 2_000,
+      bodyBytes: 10_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    };
+    harness.configure(testConfiguration({ routes: [stream, onceRoute], limits }));
+    harness.list([backend.record()]);
+  });
+
+  afterEach(() => {
+    for (const caller of callers.splice(0)) caller.close();
+    harness.stop();
+    backend.stop();
+  });
+
+  it('answers each of several requests written at once, although a stop begins before the first answer', async () => {
+    backend.handle = (request, response) => {
+      setTimeout(() => answerWhole(request, response), 300);
+    };
+    const caller = call();
+    caller.write(requestText('a', '/once/x') + requestText('b', '/once/x'));
+    await until(() => backend.arrivals.length === 2);
+    const stopped = harness.gateway.drain();
+    await until(() => caller.closedBy !== undefined, 1_500);
+    expect(backend.arrivals).toEqual(['a', 'b']);
+    expect(caller.received).toContain('done a');
+    expect(caller.received).toContain('done b');
+    await stopped;
+  });
+
+  it('does not run a request that follows an answer with Connection: close', async () => {
+    backend.handle = answerEvents(1, 20, 30);
+    const caller = call();
+    const stopped = harness.gateway.drain();
+    caller.write(requestText('a'));
+    await until(() => caller.received.includes('data: 2'));
+    caller.write(requestText('b', '/once/x'));
+    await until(() => caller.closedBy !== undefined);
+    expect(caller.received).toContain('Connection: close');
+    expect(caller.received).toContain('data: 20');
+    expect(backend.arrivals).toEqual(['a']);
+    await stopped;
+  });
+
+  it('answers an HTTP/1.0 caller around a stop', async () => {
+    backend.handle = answerEvents(1, 10, 30);
+    const caller = call();
+    caller.write(requestText('a', '/work/x', '1.0'));
+    await until(() => backend.arrivals.length === 1);
+    const stopped = harness.gateway.drain();
+    await until(() => caller.closedBy !== undefined);
+    expect(caller.received).toContain('data: 10');
+    expect(caller.closedBy).toBe('end');
+    await stopped;
+  });
+
+  it('answers a caller that waits for 100 Continue around a stop', async () => {
+    const caller = call();
+    const expects = 'content-length: 4\r\nexpect: 100-continue';
+    caller.write(requestText('a', '/once/x').replace('content-length: 0', expects));
+    await until(() => caller.received.includes('100 Continue'));
+    const stopped = harness.gateway.drain();
+    caller.write('body');
+    await until(() => caller.closedBy !== undefined);
+    expect(caller.received).toContain('done a');
+    await stopped;
+  });
+
+  it('answers a request on a kept connection that comes when idle connections are closed', async () => {
+    const caller = call();
+    caller.write(requestText('a', '/once/x'));
+    await caller.answered();
+    caller.received = '';
+    const stopped = harness.gateway.drain();
+    await pause(900);
+    caller.write(requestText('b', '/once/x'));
+    await caller.answered();
+    expect(caller.status).toBe(200);
+    await stopped;
+  });
+
+  it('delivers a whole answer to a caller that reads slowly around a stop', async () => {
+    const body = 'x'.repeat(6_000_000);
+    backend.handle = (_request, response) => {
+      response.writeHead(200, { signed: 'yes', 'request-id': 'a' });
+      response.end(body);
+    };
+    const answer = new Promise<number>((resolve, reject) => {
+      const request = harness.request({ id: 'a', path: '/once/x' }, (response) => {
+        let size = 0;
+        response.pause();
+        setTimeout(() => response.resume(), 3_000);
+        response.on('data', (chunk: Buffer) => (size += chunk.length));
+        response.on('end', () => resolve(size));
+        response.on('error', reject);
+      });
+      request.on('error', reject);
+    });
+    await pause(100);
+    const stopped = harness.gateway.drain();
+    expect(await answer).toBe(body.length);
+    await stopped;
+  });
+});
