--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -40,6 +40,12 @@
     return true;
   }
 
+  /** The answers on a connection that have begun or whose requests are complete. */
+  expectedAnswers(socket: Socket): http.ServerResponse[] {
+    const answers = [...(this.connections.get(socket) ?? [])];
+    return answers.filter(({ req, headersSent }) => req.complete || headersSent);
+  }
+
   /** Records that a request has an exchange. */
   begin(response: http.ServerResponse): void {
     this.begun.add(response);
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -6,6 +6,7 @@
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
+import { CallerConnectionFaults } from './caller-connection-faults.js';
 import { CallerConnections } from './caller-connections.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { RequestHead } from './ports.js';
@@ -62,9 +63,7 @@
       (request, response) => this.accept(request, response),
     );
     this.connections = new CallerConnections(this.server);
-    this.server.on('clientError', (_fault, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    });
+    new CallerConnectionFaults(this.server, this.connections);
   }
 
   async start(): Promise<void> {
--- a/test/gateway/caller-connection-orders.test.ts
+++ b/test/gateway/caller-connection-orders.test.ts
@@ -88,6 +88,19 @@
     expect(harness.context().exchanges.size).toBe(0);
   });
 
+  it('writes nothing into a stream because its caller sends bytes that are no request', async () => {
+    backend.handle = answerEvents(1, 10, 30);
+    const caller = call();
+    caller.write(requestText('a'));
+    await until(() => caller.received.includes('data: 2'));
+    caller.write('no request\r\n\r\n');
+    await until(() => caller.received.includes('data: 10') || caller.closedBy !== undefined);
+    await pause(50);
+    expect(caller.received).not.toContain('400 Bad Request');
+    expect(caller.received).toContain('data: 10');
+    expect(caller.received.endsWith('0\r\n\r\n')).toBe(true);
+  });
+
   it('does not run a request that follows an answer with Connection: close', async () => {
     backend.handle = answerEvents(1, 20, 30);
     const caller = call();
@@ -102,6 +115,13 @@
     await stopped;
   });
 
+  it('states that a request whose head does not come in time has not run', async () => {
+    const caller = call();
+    caller.write('POST /work/x HTTP/1.1\r\nhost: service.test\r\n');
+    await until(() => caller.closedBy !== undefined);
+    expect(caller.status).toBe(408);
+  });
+
   it('answers an HTTP/1.0 caller around a stop', async () => {
     backend.handle = answerEvents(1, 10, 30);
     const caller = call();
