--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -64,6 +64,7 @@
     );
     this.connections = new CallerConnections(this.server);
     this.server.on('clientError', (fault, socket) => this.endFaulty(socket as Socket, fault));
+    this.server.on('timeout', closeIfIdle);
   }
 
   async start(): Promise<void> {
@@ -271,6 +272,15 @@
   }
 }
 
+/** Closes a connection whose idle time has passed, unless a request had come by then, during a pause of this process. */
+function closeIfIdle(socket: Socket): void {
+  const { bytesRead } = socket;
+  // Immediates run after the sockets were read.
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** Ends a connection on which no answer has begun. */
 function endWith(socket: Socket, status: string): void {
   if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
