--- a/src/core/answer-budget.ts
+++ b/src/core/answer-budget.ts
@@ -16,6 +16,8 @@
 export interface AnswerMemoryLimits {
   /** Limit for one streamed answer. */
   readonly requestBytes: number;
+  /** Limit for one answer, or one event, that is kept until it is complete. */
+  readonly answerBytes: number;
   /** Limit for all answers and request bodies of the daemon together. */
   readonly daemonBytes: number;
 }
@@ -60,7 +62,7 @@
   /** Bytes of request bodies, and of answers that are buffered until they are complete. */
   private bufferedBytes = 0;
 
-  constructor(private readonly limits: AnswerMemoryLimits) {}
+  constructor(private readonly limits: Omit<AnswerMemoryLimits, 'answerBytes'>) {}
 
   /** All bytes that the daemon buffers. */
   get heldBytes(): number {
@@ -175,10 +177,16 @@
 const DAEMON_MEMORY_SHARE = 1 / 8;
 /** Share of that memory for one stream, so that one slow caller cannot use up the whole limit. */
 const REQUEST_MEMORY_SHARE = 1 / 8;
+/** Share of that memory for one answer that is kept until it is complete, so that several have room. */
+const ANSWER_MEMORY_SHARE = 1 / 4;
 const MEGABYTE = 1024 * 1024;
 
 /** Computes the limits for a process that may use `memoryMegabytes` of memory, in units of 1,024 x 1,024 bytes. */
 export function answerMemoryLimitsFor(memoryMegabytes: number): AnswerMemoryLimits {
   const daemonBytes = memoryMegabytes * MEGABYTE * DAEMON_MEMORY_SHARE;
-  return { daemonBytes, requestBytes: daemonBytes * REQUEST_MEMORY_SHARE };
+  return {
+    daemonBytes,
+    requestBytes: daemonBytes * REQUEST_MEMORY_SHARE,
+    answerBytes: daemonBytes * ANSWER_MEMORY_SHARE,
+  };
 }
--- a/src/gateway/answer-buffer.ts
+++ b/src/gateway/answer-buffer.ts
@@ -77,7 +77,7 @@
 
   /** Most bytes of an answer, or of an event of a stream, that is kept until it is complete. */
   get maxIncompleteBytes(): number {
-    return this.options.limits.requestBytes;
+    return this.options.limits.answerBytes;
   }
 
   /** Opens the account of an answer. `end` is called if it takes the most memory while all together take too much. */
