--- a/src/common/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -42,6 +42,8 @@
   add(request: http.IncomingMessage, response: http.ServerResponse): boolean {
     const answers = this.connections.get(request.socket);
     if (answers === undefined || [...answers].some(hasAnnouncedEnd)) return false;
+    // After the last answer, Node still reads what has come until the end is written.
+    if (!request.socket.writable) return false;
     for (const answer of answers) followed.add(answer);
     this.lastRequests.set(request.socket, request);
     answers.add(response);
--- a/test/gateway/stop-under-requests.test.ts
+++ b/test/gateway/stop-under-requests.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import {
   answerEvents,
+  answerWhole,
   GatewayHarness,
   pause,
   TestBackend,
@@ -162,6 +163,23 @@
     await stopped;
   });
 
+  it('runs no request that was read after an answer has ended its connection', async () => {
+    await start();
+    const caller = call();
+    const head = 'POST /work/x HTTP/1.1\r\nhost: service.test\r\ncontent-length: 0\r\n';
+    backend.handle = (request, response) => {
+      // Both arrive within one turn, the answer before the request.
+      answerWhole(request, response);
+      caller.write(`${head}request-id: late\r\n\r\n`);
+    };
+    void harness.gateway.drain();
+    caller.write(`${head}request-id: first\r\n\r\n`);
+    await caller.answered();
+    await pause(100);
+    expect(caller.received).toContain('Connection: close');
+    expect(backend.arrivals).toEqual(['first']);
+  });
+
   it('answers a request that comes while the process is paused between the end of the time and that of the process', async () => {
     await start(5);
     backend.handle = answerEvents(1, 1_000, 20);
