--- a/src/common/unreadable-requests.ts
+++ b/src/common/unreadable-requests.ts
@@ -44,7 +44,7 @@
   private readonly closing = new WeakSet<Duplex>();
 
   constructor(
-    server: http.Server,
+    private readonly server: http.Server,
     private readonly options: UnreadableRequestOptions,
   ) {
     server.on('clientError', ({ code = '' }: NodeJS.ErrnoException, socket) => {
@@ -65,7 +65,17 @@
     const wasComplete = late?.complete;
     await arrivedBytesRead(socket);
     const latest = connections.lastRequest(socket);
-    if (latest === late && latest?.complete === wasComplete) this.end(code, socket);
+    if (latest === late && latest?.complete === wasComplete) return this.end(code, socket);
+    if (latest !== undefined && !latest.complete) this.checkAgain(code, socket, latest);
+  }
+
+  /** Limits the time for the rest of a request: Node reports each request that is late only once. */
+  private checkAgain(code: string, socket: Socket, request: http.IncomingMessage): void {
+    const timer = setTimeout(() => {
+      const isSame = this.options.connections.lastRequest(socket) === request;
+      if (isSame && !request.complete) void this.endIfLate(code, socket);
+    }, this.server.requestTimeout);
+    socket.once('close', () => clearTimeout(timer));
   }
 
   private end(code: string, socket: Duplex): void {
--- a/test/gateway/unreadable-requests.test.ts
+++ b/test/gateway/unreadable-requests.test.ts
@@ -13,6 +13,7 @@
   testRoute,
 } from './gateway-harness.js';
 import { PIECE, RawCaller } from './raw-caller.js';
+import { blockNow } from './separate-backend.js';
 
 /** A limit for a head or body, and the time after which the server has noticed that it has passed. */
 const LIMIT_MS = 200;
@@ -68,6 +69,16 @@
     expect(caller.received.match(/HTTP\/1\.1/g)).toHaveLength(1);
   });
 
+  it('because its body never came is answered with 408 although its head came during a pause of the process', async () => {
+    caller.write('POST /work/x HTTP/1.1\r\nhost: service.test\r\n');
+    await pause(50);
+    caller.write('request-id: a\r\ncontent-length: 2000\r\n\r\n');
+    // The limit for the head passes, and the server's check becomes due.
+    blockNow(NOTICED_MS);
+    await pause(2 * NOTICED_MS);
+    expect(caller.status).toBe(408);
+  });
+
   it('is answered with 400 only if its bytes are no request', async () => {
     caller.write('no request\r\n\r\n');
     await caller.answered();
