Fix: requests are counted in one account of memory from their first byte, and the costliest is refused

Callers saw connections lost: a process ended with its heap used up, or went over the memory of its machine. One whole request inside the limits was enough, if its body came in chunks of one byte; so were forty bodies of 4 MiB that stop short of their end.

Cause: each chunk of a body was kept as a Buffer of its own until the end, at hundreds of bytes a chunk, and nothing bounded the sum over requests; a body was counted only when it was complete, and then refused nobody. The relay kept bodies in the same way. The parser keeps trailers until the request ends.

Ruled out: a smaller limit for one body, and a least size of chunks (a single request inside the limits must be served).

Change: the server for callers and the relay share one account (RequestMemory): each request counts its head, the memory of its body and, while a body in chunks comes, the largest trailers. A body is copied into one buffer that doubles, and its memory is reserved first. While all take too much, the incomplete request with the largest product of bytes and age is refused: 503 "overloaded", has not run, Retry-After. A complete one never is. Large ones may take three quarters, so that small ones find room. Bodies leave the account of answers. A test of the relay replaced a property of that account; it replaces the one of the new account now.

Shown: misbehaving-callers.test.ts, the deployed program with the smallest machine's 160 MB.

--- a/src/common/byte-accumulator.ts
+++ b/src/common/byte-accumulator.ts
@@ -5,6 +5,9 @@
   private buffer: Buffer = Buffer.alloc(0);
   private used = 0;
 
+  /** @param expectedBytes - Number of bytes that are expected at most: the buffer grows beyond them only as far as needed. */
+  constructor(private readonly expectedBytes = Infinity) {}
+
   /** Number of collected bytes. */
   get length(): number {
     return this.used;
@@ -20,11 +23,18 @@
     return this.buffer.subarray(0, this.used);
   }
 
+  /** Bytes of memory that are in use once `bytes` more are appended. */
+  heldBytesWith(bytes: number): number {
+    const needed = this.used + bytes;
+    if (needed <= this.buffer.length) return this.buffer.length;
+    return Math.max(needed, Math.min(2 * this.buffer.length, this.expectedBytes));
+  }
+
   append(part: Buffer): void {
-    const needed = this.used + part.length;
-    if (needed > this.buffer.length) this.grow(needed);
+    const size = this.heldBytesWith(part.length);
+    if (size > this.buffer.length) this.grow(size);
     part.copy(this.buffer, this.used);
-    this.used = needed;
+    this.used += part.length;
   }
 
   /** Returns the collected bytes, which nothing overwrites any more, and starts with none. */
@@ -35,8 +45,7 @@
     return taken;
   }
 
-  private grow(needed: number): void {
-    const size = Math.max(needed, 2 * this.buffer.length);
+  private grow(size: number): void {
     const grown = Buffer.allocUnsafeSlow(size);
     this.buffer.copy(grown, 0, 0, this.used);
     this.buffer = grown;
--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -40,6 +40,7 @@
   no_capacity: { status: 503, ran: 'no', retryAfterSeconds: 5 },
   load_failed: { status: 503, ran: 'no', retryAfterSeconds: 5 },
   claim_unavailable: { status: 503, ran: 'no', retryAfterSeconds: 1 },
+  overloaded: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   not_ready: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   draining: { status: 503, ran: 'no', retryAfterSeconds: 1 },
   platform_unavailable: { status: 503, ran: 'no', retryAfterSeconds: 5 },
--- a/src/common/http-server.ts
+++ b/src/common/http-server.ts
@@ -1,52 +1,62 @@
 /** Helpers for Node's `http` server: size-limited bodies, JSON responses, and listening with a promise. */
 import http from 'node:http';
 import { Result } from 'true-myth';
-import { responseFor, errorBody, retryAfterOf, serviceError, type ServiceError } from './errors.js';
+import {
+  responseFor,
+  errorBody,
+  retryAfterOf,
+  serviceError,
+  type ErrorKind,
+  type ServiceError,
+} from './errors.js';
 import { parseJson } from './http-client.js';
+import { RequestBody, type BodyReservation } from './request-body.js';
 import { wasRefusedUnread } from './unreadable-requests.js';
 
-/** Reads a body of at most `limit` bytes. Fails with `body_too_large`, `request_timeout` or `malformed_request`. */
+/** For servers whose callers are trusted. */
+const UNLIMITED: BodyReservation = { beginBody: () => {}, record: () => true, complete: () => {} };
+
+/**
+ * Reads a body of at most `limit` bytes. Fails with `body_too_large`, `overloaded`, `request_timeout` or `malformed_request`.
+ *
+ * @param reservation - The memory of the request; without it, each body has room.
+ */
 export async function readBody(
   request: http.IncomingMessage,
   limit: number,
+  reservation: BodyReservation = UNLIMITED,
 ): Promise<Result<string, ServiceError>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limit) chunks.push(chunk);
-    });
-    request.on('end', () => {
-      if (wasRefusedUnread(request)) {
-        resolve(Result.err(serviceError('request_timeout', 'the request was answered before')));
-        return;
-      }
-      if (size > limit) {
-        resolve(Result.err(serviceError('body_too_large', `the body is over ${limit} bytes`)));
-        return;
-      }
-      resolve(Result.ok(Buffer.concat(chunks).toString('utf8')));
+    const fail = (kind: ErrorKind, message: string): void => {
+      resolve(Result.err(serviceError(kind, message)));
+    };
+    new RequestBody(request, {
+      limitBytes: limit,
+      reservation,
+      onComplete: (body) => {
+        if (wasRefusedUnread(request)) {
+          return fail('request_timeout', 'the request was answered before');
+        }
+        resolve(Result.ok(body.toString('utf8')));
+      },
+      onRefused: (kind) => {
+        const isTooLarge = kind === 'body_too_large';
+        fail(kind, isTooLarge ? `the body is over ${limit} bytes` : 'no memory for the body');
+      },
     });
     request.on('error', () => {
-      resolve(
-        Result.err(
-          serviceError(
-            'malformed_request',
-            'the connection failed before the end of the request body',
-          ),
-        ),
-      );
+      fail('malformed_request', 'the connection failed before the end of the request body');
     });
   });
 }
 
-/** Reads a JSON body. */
+/** Reads a JSON body; see {@link readBody}. */
 export async function readJson(
   request: http.IncomingMessage,
   limit: number,
+  reservation: BodyReservation = UNLIMITED,
 ): Promise<Result<unknown, ServiceError>> {
-  const body = await readBody(request, limit);
+  const body = await readBody(request, limit, reservation);
   if (body.isErr) return Result.err(body.error);
   return parseJson(body.value === '' ? '{}' : body.value).mapErr((reason) =>
     serviceError('malformed_request', `the body is not JSON: ${reason}`),
@@ -88,6 +98,23 @@
   request.resume();
 }
 
+/** Returns the size of header fields in bytes, with two bytes of separators for each name and value. */
+export function headerBytesOf(rawHeaders: readonly string[]): number {
+  let bytes = 0;
+  for (const text of rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
+
+/** Returns the size of a request's target and header fields in bytes. */
+export function headBytesOf({ url = '', rawHeaders }: http.IncomingMessage): number {
+  return url.length + headerBytesOf(rawHeaders);
+}
+
+/** Whether trailers may follow the body of a request: it comes in chunks. */
+export function mayHaveTrailers({ headers }: http.IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined;
+}
+
 /** Sends an error response. */
 export function sendError(
   response: http.ServerResponse,
--- a/src/core/answer-budget.ts
+++ b/src/core/answer-budget.ts
@@ -1,5 +1,5 @@
 /**
- * Limits how much memory a daemon uses to buffer backend answers and request bodies. When a limit is
+ * Limits how much memory a daemon uses to buffer backend answers. When a limit is
  * exceeded, it selects the callers to disconnect: those that need the longest to read their buffered data.
  * The daemon keeps reading an answer from the backend while the caller is slow, so a slow caller costs
  * memory in the daemon and nothing at the backend. Pure; times are milliseconds of a monotonic clock.
@@ -18,7 +18,7 @@
   readonly requestBytes: number;
   /** Limit for one answer, or one event, that is kept until it is complete. */
   readonly answerBytes: number;
-  /** Limit for all answers and request bodies of the daemon together. */
+  /** Limit for all answers of the daemon together. */
   readonly daemonBytes: number;
 }
 
@@ -59,7 +59,7 @@
 export class AnswerBudget {
   private readonly accounts = new Map<number, CallerAccount>();
   private totalUnreadBytes = 0;
-  /** Bytes of request bodies, and of answers that are buffered until they are complete. */
+  /** Bytes of answers that are buffered until they are complete. */
   private bufferedBytes = 0;
 
   constructor(private readonly limits: Omit<AnswerMemoryLimits, 'answerBytes'>) {}
@@ -76,7 +76,7 @@
     return callers;
   }
 
-  /** Adds bytes of a request body or a buffered answer; a negative number releases bytes. */
+  /** Adds bytes of a buffered answer; a negative number releases bytes. */
   addBuffered(bytes: number): void {
     this.bufferedBytes += bytes;
   }
@@ -173,7 +173,7 @@
   };
 }
 
-/** Share of process memory for buffered answers and bodies; the rest is for code, heap and connections. */
+/** Share of process memory for buffered answers; the rest is for requests, code, heap and connections. */
 const DAEMON_MEMORY_SHARE = 1 / 8;
 /** Share of that memory for one stream, so that one slow caller cannot use up the whole limit. */
 const REQUEST_MEMORY_SHARE = 1 / 8;
--- a/src/gateway/answer-buffer.ts
+++ b/src/gateway/answer-buffer.ts
@@ -59,7 +59,7 @@
     this.incomplete = new IncompleteAnswers(options.limits.daemonBytes);
   }
 
-  /** Buffered bytes of answers and request bodies. */
+  /** Buffered bytes of answers. */
   get heldBytes(): number {
     return this.budget.heldBytes;
   }
@@ -70,16 +70,6 @@
     return this.budget.unreadCallers;
   }
 
-  /** Most bytes of all answers and request bodies together. */
-  get maxBufferedBytes(): number {
-    return this.options.limits.daemonBytes;
-  }
-
-  /** Adds to the buffered bytes of request bodies and incomplete answers; a negative value subtracts. */
-  addBuffered(bytes: number): void {
-    this.budget.addBuffered(bytes);
-  }
-
   /** Most bytes of an answer, or of an event of a stream, that is kept until it is complete. */
   get maxIncompleteBytes(): number {
     return this.options.limits.answerBytes;
--- a/src/gateway/backend-access.ts
+++ b/src/gateway/backend-access.ts
@@ -1,7 +1,7 @@
 /** How one daemon reaches backends: its own connections, the relays of other daemons, and its relay for them. */
 import type { Logger } from '../common/logger.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
-import type { AnswerBuffer } from './answer-buffer.js';
+import type { RequestMemory } from '../core/request-memory.js';
 import type { BackendAgent } from './backend-agent.js';
 import { BackendPaths } from './backend-paths.js';
 import { BackendWatch } from './backend-watch.js';
@@ -28,7 +28,7 @@
   readonly agent: BackendAgent;
   readonly peers: PeerGroup;
   readonly crashes: () => CrashTracker;
-  readonly answers: () => AnswerBuffer;
+  readonly requestMemory: RequestMemory;
   readonly faults: FaultRecorder;
   readonly isDraining: () => boolean;
   /** Called when no backend can be reached any more. */
@@ -75,8 +75,7 @@
       agent,
       faults: options.faults,
       watch: this.watch,
-      addBuffered: (bytes) => options.answers().addBuffered(bytes),
-      maxBodyBytes: () => options.answers().maxBufferedBytes,
+      requestMemory: options.requestMemory,
       isMember: (host) => peers.isMemberHost(host),
       isDraining: options.isDraining,
       hasEnded: (backend) => options.crashes().hasEnded(backend),
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -4,8 +4,10 @@
 import type { ErrorKind } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
-import { listen } from '../common/http-server.js';
+import { headBytesOf, headerBytesOf, listen, mayHaveTrailers } from '../common/http-server.js';
+import { RequestBody, type BodyRefusal } from '../common/request-body.js';
 import { UnreadableRequests } from '../common/unreadable-requests.js';
+import type { RequestReservation } from '../core/request-memory.js';
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
 import { CallerAnswer } from './caller-answer.js';
@@ -17,13 +19,15 @@
 import { isResumption, type ResumedStream, type StreamResumptions } from './stream-resumptions.js';
 
 /** Node's HTTP parser refuses larger heads. */
-const MAX_HEADER_BYTES = 128 * 1024;
+const MAX_HEAD_BYTES = 128 * 1024;
 const TIMEOUT_CHECK_MS = 500;
 /** Number of hexadecimal digits of a key's digest in log lines. */
 const FINGERPRINT_DIGITS = 8;
 /** Timeout for receiving a whole request. */
 const BODY_TIMEOUT_MS = 30_000;
 
+/** Retry time for a caller whose request finds no memory. */
+const OVERLOAD_RETRY_AFTER_MS = 1_000;
 /** Retry time for a caller whose request a defect of this daemon has ended. */
 const FAULT_RETRY_AFTER_MS = 1_000;
 
@@ -57,7 +61,7 @@
   ) {
     this.server = http.createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
+        maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         requestTimeout: BODY_TIMEOUT_MS,
         noDelay: true,
@@ -89,10 +93,18 @@
 
   /** Applies the configured limits. */
   setLimits(limits: CallerLimits): void {
+    this.warnOfMemory(limits.bodyBytes);
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Logs that bodies which the configuration allows are refused, because this machine has no memory for them. */
+  private warnOfMemory(bodyBytes: number): void {
+    const { maxBodyBytes } = this.context.requestMemory;
+    if (bodyBytes <= maxBodyBytes) return;
+    this.context.logger.warn('body_limit_reduced', { bodyBytes, maxBodyBytes });
+  }
+
   /** Closes the connections without a request. Returns whether no request is left. */
   closeIdle(): boolean {
     return this.connections.closeIdle();
@@ -118,7 +130,7 @@
       },
       abandon: () => answer.disconnect(),
     });
-    boundary.run(() => this.receive(request, response, { head, answer, boundary }));
+    boundary.run(() => this.reserve(request, response, { head, answer, boundary }));
   }
 
   /** Answers a request that has no exchange: it is never sent. */
@@ -131,17 +143,31 @@
     new CallerAnswer(this.context, head, response).sendError(kind, retryAfterMs);
   }
 
+  private reserve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    received: ReceivedRequest,
+  ): void {
+    const trailerBytes = mayHaveTrailers(request) ? MAX_HEAD_BYTES : 0;
+    const reservation = this.context.requestMemory.open(headBytesOf(request), trailerBytes);
+    if (reservation === undefined) return this.refuseUnread(received, 'overloaded');
+    response.once('close', () => reservation.release());
+    this.receive(request, response, received, reservation);
+  }
+
   private receive(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    { head, answer, boundary }: ReceivedRequest,
+    received: ReceivedRequest,
+    reservation: RequestReservation,
   ): void {
+    const { head, answer, boundary } = received;
     const arrivedAt = steadyNow();
     const table = this.routing();
     if (table === undefined) return answer.sendError('not_ready', 500);
     if (this.context.refusesRequests()) return answer.sendError('draining', 0);
     const { limits } = table.configuration;
-    if (sizeOf(request.rawHeaders) > limits.headerBytes) {
+    if (headerBytesOf(request.rawHeaders) > limits.headerBytes) {
       return answer.sendError('header_too_large', undefined);
     }
     const path = request.url ?? '/';
@@ -152,13 +178,30 @@
       return answer.sendError(admission.kind, admission.retryAfterMs);
     }
     response.on('error', () => response.destroy());
-    const bodyRead = boundary.guard((body: Buffer | undefined) => {
-      // The caller may have been told that the request does not run.
-      if (answer.hasBegun) return;
-      if (body === undefined) return answer.sendError('body_too_large', undefined);
-      this.begin(request, response, { answer, boundary }, { head, body, arrivedAt });
+    new RequestBody(request, {
+      limitBytes: Math.min(limits.bodyBytes, this.context.requestMemory.maxBodyBytes),
+      reservation,
+      onComplete: boundary.guard((body) => {
+        // The caller may have been told that the request does not run.
+        if (!answer.hasBegun) {
+          this.begin(request, response, { answer, boundary }, { head, body, arrivedAt });
+        }
+      }),
+      onRefused: boundary.guard((kind) => this.refuseUnread(received, kind)),
     });
-    this.readBody(request, limits.bodyBytes, bodyRead);
+  }
+
+  /** Refuses a request that is not read to its end. */
+  private refuseUnread(
+    { answer, head }: Pick<ReceivedRequest, 'answer' | 'head'>,
+    kind: BodyRefusal,
+  ): void {
+    if (answer.hasBegun) return;
+    this.context.metrics.refusals.inc({ kind, tenant: '' });
+    const { heldBytes, limitBytes, requests } = this.context.requestMemory.state;
+    const state = { heldBytes, limitBytes, requests };
+    this.context.logger.info('refused', { request: head.attemptId, kind, ...state });
+    answer.sendError(kind, kind === 'overloaded' ? OVERLOAD_RETRY_AFTER_MS : undefined);
   }
 
   private begin(
@@ -264,31 +307,4 @@
     this.context.logger.info('no_route', { request, path, kind, configuration });
     answer.sendError(kind, retryAfterMs);
   }
-
-  /** Reads the whole body and passes it to `done`, or undefined if it exceeds `limit` bytes. */
-  private readBody(
-    request: http.IncomingMessage,
-    limit: number,
-    done: (body: Buffer | undefined) => void,
-  ): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    if (Number(request.headers['content-length'] ?? 0) > limit) return done(undefined);
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limit) chunks.push(chunk);
-      else if (size - chunk.length <= limit) done(undefined);
-    });
-    request.on('end', () => {
-      if (size <= limit) done(Buffer.concat(chunks));
-    });
-    request.on('error', () => request.destroy());
-  }
-}
-
-/** Returns the size of the header fields in bytes, with two bytes of separators for each name and value. */
-function sizeOf(rawHeaders: readonly string[]): number {
-  let size = 0;
-  for (const text of rawHeaders) size += text.length + 2;
-  return size;
 }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -6,6 +6,7 @@
 import type { BackendBackoffs } from '../core/backend-backoffs.js';
 import type { BackendSelection } from '../core/backend-selection.js';
 import type { HoldPolicy } from '../core/hold-policy.js';
+import type { RequestMemory } from '../core/request-memory.js';
 import type { RetryBudget } from '../core/retry-budget.js';
 import type { AnswerBuffer } from './answer-buffer.js';
 import type { BackendAgent } from './backend-agent.js';
@@ -58,8 +59,10 @@
   readonly backoffs: BackendBackoffs;
   /** Allocates the backends' slots across all daemons; undefined if each daemon decides alone. */
   readonly slots: SlotAdmission | undefined;
-  /** Accounts for buffered answers and request bodies. */
+  /** Accounts for buffered answers. */
   readonly answers: AnswerBuffer;
+  /** Accounts for the requests that callers and other daemons send. */
+  readonly requestMemory: RequestMemory;
   /** Requests that have not ended. */
   readonly exchanges: Set<RequestExchange>;
   /** Age in milliseconds of the list of backends; infinite if it was never confirmed. */
--- a/src/gateway/gateway-gauges.ts
+++ b/src/gateway/gateway-gauges.ts
@@ -5,7 +5,7 @@
 
 /** State of one daemon at the time of a scrape. */
 export interface GaugeInputs {
-  readonly context: Pick<GatewayContext, 'answers' | 'exchanges'>;
+  readonly context: Pick<GatewayContext, 'answers' | 'requestMemory' | 'exchanges'>;
   /** Streams whose origin is recorded. */
   readonly rememberedStreams: number;
   /** Milliseconds since the configuration was proved current; infinite if it never was. */
@@ -16,11 +16,19 @@
 
 /** Sets the gauges. */
 export function refreshGauges(
-  { heldBytes, inFlight, rememberedStreams, configurationAge, controlBytes }: GatewayMetrics,
+  {
+    heldBytes,
+    requestBytes,
+    inFlight,
+    rememberedStreams,
+    configurationAge,
+    controlBytes,
+  }: GatewayMetrics,
   inputs: GaugeInputs,
 ): void {
   const { context, leaseAgeMs, traffic } = inputs;
-  heldBytes.set(context.answers.heldBytes);
+  heldBytes.set(context.answers.heldBytes + context.requestMemory.heldBytes);
+  requestBytes.set(context.requestMemory.heldBytes);
   inFlight.set(context.exchanges.size);
   rememberedStreams.set(inputs.rememberedStreams);
   configurationAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -94,7 +94,12 @@
   });
   readonly heldBytes = new Gauge({
     name: 'scaleslip_gateway_held_bytes',
-    help: 'Bytes of answers that callers have not read, and of bodies of requests under way',
+    help: 'Bytes of answers that callers have not read, and of requests under way',
+    registers: [this.registry],
+  });
+  readonly requestBytes = new Gauge({
+    name: 'scaleslip_gateway_request_bytes',
+    help: 'Bytes that requests take, from their first byte until they have ended',
     registers: [this.registry],
   });
   readonly slowCallers = new Counter({
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -49,6 +49,8 @@
   readonly processorSpeed: number;
   /** Memory that the process may use, in units of 1,024 x 1,024 bytes (MiB). */
   readonly memoryMegabytes: number;
+  /** File descriptors that the process may have open. */
+  readonly descriptors: number;
   /** IPv4 address on which other daemons reach this one. */
   readonly address: string;
   /** Port for other daemons, TCP and UDP. */
@@ -74,6 +76,10 @@
 
 /** Memory of the smallest supported machines, in MiB. */
 const DEFAULT_MEMORY_MEGABYTES = 200;
+/** File descriptors of the smallest supported machines. */
+const DEFAULT_DESCRIPTORS = 3_072;
+/** Least number of file descriptors with which a daemon can serve. */
+const MIN_DESCRIPTORS = 256;
 /** Window of tenants' limits if the settings name none, in seconds. */
 const DEFAULT_LIMIT_WINDOW_SECONDS = 8;
 
@@ -110,6 +116,7 @@
     processorShare: reader.number('processorShare', 0),
     processorSpeed: reader.number('processorSpeed', 0),
     memoryMegabytes: reader.numberOr('memoryMegabytes', 32, DEFAULT_MEMORY_MEGABYTES),
+    descriptors: reader.numberOr('descriptors', MIN_DESCRIPTORS, DEFAULT_DESCRIPTORS),
     address: reader.checked('address', 'an IPv4 address', isIPv4),
     peerPort: reader.number('peerPort', 1),
     metricsPort: reader.number('metricsPort', 0),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import { StaleLoadSelection } from '../core/backend-selection-stale-load.js';
 import { ExpectedServiceHold } from '../core/hold-policy-expected-service.js';
 import { GoalWindowHold } from '../core/hold-policy-goal-windows.js';
+import { RequestMemory } from '../core/request-memory.js';
 import { RoutingTable } from '../core/routing-table.js';
 import type { ServiceConfiguration } from '../core/service-configuration.js';
 import type { PeerBody } from '../daemon/peer-transport.js';
@@ -76,6 +77,7 @@
   private readonly streamOrigins: StreamOriginExchange;
   private readonly faults: FaultRecorder;
   private readonly runningClock = new RunningClock(steadyNow);
+  private readonly requestMemory: RequestMemory;
   private readonly resumptions: StreamResumptions;
   private readonly directoryReader: DirectoryFollower;
   private readonly ownerships: ServiceOwnerships;
@@ -100,6 +102,7 @@
     const { logger } = systems;
     this.faults = new FaultRecorder(logger, systems.metrics);
     this.budgets = new CallerBudgets(settings, steadyNow());
+    this.requestMemory = RequestMemory.forMachine(settings, steadyNow);
     this.peers = new PeerGroup({
       host: settings.address,
       port: settings.peerPort,
@@ -286,7 +289,7 @@
       directory: this.backends,
       peers: this.peers,
       crashes: () => this.crashes,
-      answers: () => this.context.answers,
+      requestMemory: this.requestMemory,
       faults: this.faults,
       isDraining: () => this.shutdown.refusesRequests,
       onPartitioned: () => this.partitioned(),
@@ -391,7 +394,6 @@
 
   private makeContext(): GatewayContext {
     const { settings, systems } = this;
-    const { logger, metrics } = systems;
     return {
       ...systems,
       settings,
@@ -415,9 +417,9 @@
       answers: new AnswerBuffer({
         limits: answerMemoryLimitsFor(settings.memoryMegabytes),
         runningClock: this.runningClock,
-        logger,
-        metrics,
+        ...systems,
       }),
+      requestMemory: this.requestMemory,
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: () => this.directoryReader.directoryAgeMs(),
       budgetOf: (service) => this.budgets.budgetOf(service),
--- a/src/gateway/refusal-kind.ts
+++ b/src/gateway/refusal-kind.ts
@@ -8,6 +8,8 @@
   | 'draining'
   | 'unauthorized'
   | 'not_ready'
+  /** The requests of all callers take too much memory. */
+  | 'overloaded'
   | 'rate_limited'
   | 'crashes_backends'
   | 'stream_not_resumable'
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -5,9 +5,17 @@
 import http from 'node:http';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { faultText, type LogFields, type Logger } from '../common/logger.js';
-import { endAfterRequest, listen, sendJson } from '../common/http-server.js';
+import {
+  endAfterRequest,
+  headBytesOf,
+  listen,
+  mayHaveTrailers,
+  sendJson,
+} from '../common/http-server.js';
+import { RequestBody } from '../common/request-body.js';
 import { UnreadConnections } from '../common/unread-connections.js';
 import type { BackendDirectory } from '../core/backend-directory.js';
+import type { RequestMemory } from '../core/request-memory.js';
 import type { BackendRecord } from '../core/service-configuration.js';
 import type { BackendAgent } from './backend-agent.js';
 import { BackendExchange, type ExchangeFailure } from './backend-exchange.js';
@@ -53,13 +61,8 @@
   readonly agent: BackendAgent;
   readonly faults: FaultRecorder;
   readonly watch: BackendWatch;
-  /** Adds to the buffered bytes of request bodies; a negative value subtracts. */
-  readonly addBuffered: (bytes: number) => void;
-  /**
-   * Maximum size of a request body in bytes, by this daemon's memory. The configured limit is for callers: the daemon that accepted
-   * the request may have applied that of another version.
-   */
-  readonly maxBodyBytes: () => number;
+  /** The configured limit for bodies is for callers: the daemon that accepted the request may have applied that of another version. */
+  readonly requestMemory: RequestMemory;
   /** Whether an IP address is one of the group's. */
   readonly isMember: (host: string) => boolean;
   /** Whether no further requests are relayed because the daemon stops. */
@@ -148,6 +151,10 @@
     if (refusal !== undefined || backend === undefined) {
       return this.refuse(relayed, target.backend, refusal ?? 'backend_unavailable');
     }
+    const trailerBytes = mayHaveTrailers(request) ? MAX_HEAD_BYTES : 0;
+    const reservation = this.options.requestMemory.open(headBytesOf(request), trailerBytes);
+    if (reservation === undefined) return this.refuse(relayed, target.backend, 'busy');
+    response.once('close', () => reservation.release());
     this.inFlight += 1;
     this.options.metrics.relaysInFlight.set(this.inFlight);
     response.once('close', () => {
@@ -156,19 +163,27 @@
     });
     // Tells the other daemon that this process runs; its kernel would accept connections in any case.
     response.writeProcessing();
-    this.readBody(relayed, (body) => this.forward(relayed, backend, target.path, body));
+    new RequestBody(request, {
+      // Daemons declare the length of each body, so that a longer one is refused before.
+      limitBytes: this.options.requestMemory.maxBodyBytes,
+      reservation,
+      onComplete: boundary.guard((body) => {
+        if (!response.destroyed) this.forward(relayed, backend, target.path, body);
+      }),
+      onRefused: boundary.guard(() => this.refuse(relayed, backend.id, 'busy')),
+    });
   }
 
   private refusalFor(
     backend: BackendRecord | undefined,
     bodyBytes: number,
   ): RelayFailure | undefined {
-    const { isDraining, watch, maxBodyBytes } = this.options;
+    const { isDraining, watch, requestMemory } = this.options;
     if (isDraining()) return 'draining';
     if (watch.reachability.isPartitioned) return 'partitioned';
     if (backend === undefined) return 'backend_unavailable';
     if (watch.reachability.isUnreachable(backend.address)) return this.unreachableReason();
-    const hasRoom = this.inFlight < this.maxInFlight && bodyBytes <= maxBodyBytes();
+    const hasRoom = this.inFlight < this.maxInFlight && bodyBytes <= requestMemory.maxBodyBytes;
     return hasRoom ? undefined : 'busy';
   }
 
@@ -186,26 +201,6 @@
     sendJson(response, 200, await watch.probeSome(isDraining() ? [] : addresses));
   }
 
-  private readBody(
-    { request, response, boundary }: RelayedRequest,
-    done: (body: Buffer) => void,
-  ): void {
-    const limit = this.options.maxBodyBytes();
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      // Daemons declare the length of each body, so that a longer one is refused before.
-      if (size > limit) return void response.destroy();
-      chunks.push(chunk);
-    });
-    const whole = boundary.guard(() => {
-      if (!response.destroyed) done(Buffer.concat(chunks));
-    });
-    request.on('end', whole);
-    request.on('error', () => request.destroy());
-  }
-
   private forward(
     relayed: RelayedRequest,
     backend: BackendRecord,
@@ -213,8 +208,7 @@
     body: Buffer,
   ): void {
     const { request, response, boundary } = relayed;
-    const { agent, watch, addBuffered } = this.options;
-    addBuffered(body.length);
+    const { agent, watch } = this.options;
     const headers = forwardedHeaders(request.rawHeaders, REQUEST_CONNECTION_HEADERS);
     const hasBody = body.length > 0 || request.method === 'POST';
     if (hasBody) headers.push('Content-Length', String(body.length));
@@ -248,7 +242,6 @@
       steadyNow,
     );
     response.once('close', () => {
-      addBuffered(-body.length);
       if (!response.writableFinished) exchange.abort();
     });
   }
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -146,7 +146,6 @@
   private begin(): void {
     this.context.budgetOf(this.match.service.name).countRequest(steadyNow());
     this.context.exchanges.add(this);
-    this.context.answers.addBuffered(this.request.body.length);
     const remaining = Math.max(0, this.deadlineAt - steadyNow());
     const endAtDeadline = this.boundary.guard(() => this.deadlinePassed());
     this.deadlineTimeout = startReplyTimeout(remaining, endAtDeadline);
@@ -602,7 +601,6 @@
     this.search.release();
     this.admission.end(mayHaveRun);
     this.context.exchanges.delete(this);
-    this.context.answers.addBuffered(-this.request.body.length);
     const { route } = this.match;
     const timing = timingFields(route, this.answer, this.request.arrivedAt);
     this.context.metrics.requests.inc({ route: route.name, end });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -306,6 +306,7 @@
       processorShare: 1,
       processorSpeed: 1,
       memoryMegabytes: 200,
+      descriptors: 4_096,
       peerPort,
       metricsPort: 0,
       callers: `127.0.0.1:${callers}`,
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -259,8 +259,8 @@
   });
 
   it('is refused as not run if its body exceeds the memory of the other gateway', async () => {
-    const { answers } = scene.sound.context();
-    Object.defineProperty(answers, 'maxBufferedBytes', { get: () => 1_000 });
+    const { requestMemory } = scene.sound.context();
+    Object.defineProperty(requestMemory, 'maxBodyBytes', { get: () => 1_000 });
     const view = await scene.cut.call({ id: 'r1', path: '/once/x', body: BODY });
     expect(view.status).toBe(503);
     expect(view.headers['x-ran']).toBe('no');
--- /dev/null
+++ b/test/processes/misbehaving-callers.test.ts
@@ -0,0 +1,143 @@
+/*
+ * Guards against a process that callers end or fill by what they send: bodies, trailers and heads that stop short of their end or
+ * have none, bodies in very small chunks, and requests that do not wait for answers. Nothing here depends on how fast the machine is.
+ */
+import { afterEach, beforeAll, describe, expect, it } from 'vitest';
+import { sleep } from '../../src/common/process.js';
+import { chunkOf, Crowd, headOf, repeated, type ByteSource } from './crowd.js';
+import { buildObservedGateway, MEGABYTE, ObservedGateway, PATH } from './observed-gateway.js';
+
+/** The smallest machine that is deployed. */
+const SMALL_MACHINE = { memoryMegabytes: 160, descriptors: 4_100, maxBodyBytes: 4 * MEGABYTE };
+const KILOBYTE = 1024;
+const CHUNKED = ['transfer-encoding: chunked'];
+/** One part of a body in one-byte chunks. */
+const SMALL_CHUNKS = chunkOf(1).repeat(4 * KILOBYTE);
+const LARGE_CHUNK = chunkOf(64 * KILOBYTE);
+/** Time for which a crowd that is not answered is kept, in milliseconds. */
+const KEPT_MS = 1_500;
+/** Longest time for a crowd to write what it would, in milliseconds: some of it is never read. */
+const MAX_WRITING_MS = 8_000;
+
+describe('a gateway whose callers do not behave', () => {
+  let gateway: ObservedGateway;
+  let crowds: Crowd[] = [];
+
+  async function start(
+    settings: Partial<typeof SMALL_MACHINE> = {},
+  ): Promise<typeof SMALL_MACHINE> {
+    const all = { ...SMALL_MACHINE, ...settings };
+    gateway = new ObservedGateway(all);
+    await gateway.start();
+    return all;
+  }
+
+  function crowd(size: number, source: () => ByteSource, address = gateway.callers): Crowd {
+    const added = new Crowd(address, size, source);
+    crowds.push(added);
+    return added;
+  }
+
+  const hasEnded = (): boolean => gateway.end !== undefined;
+
+  /** Waits until each caller has written all that it would, and a while longer; ends early if the process does. */
+  async function keep(each: Crowd): Promise<void> {
+    const until = performance.now() + MAX_WRITING_MS;
+    const isOver = (): boolean => hasEnded() || performance.now() > until;
+    await each.until((caller) => caller.hasWritten || caller.isClosed, isOver);
+    await sleep(KEPT_MS);
+  }
+
+  /** Checks that the process lives, keeps to its machine, and answers an ordinary request. */
+  async function expectSound({
+    memoryMegabytes,
+    descriptors,
+  }: typeof SMALL_MACHINE): Promise<void> {
+    expect(gateway.end).toBeUndefined();
+    expect(gateway.peakBytes).toBeLessThan(memoryMegabytes * MEGABYTE);
+    expect(gateway.peakDescriptors).toBeLessThan(descriptors);
+    expect(await gateway.untilServed()).toBe(true);
+  }
+
+  /** Checks that each refused caller was told that its request has not run, and when to come back if it may. */
+  function expectTrueRefusals(each: Crowd): void {
+    for (const caller of each.callers.filter(({ status }) => status !== 0)) {
+      expect([408, 413, 431, 400, 503]).toContain(caller.status);
+      expect(caller.header('x-ran')).toBe('no');
+      if (caller.status === 503) expect(Number(caller.header('retry-after'))).toBeGreaterThan(0);
+    }
+  }
+
+  beforeAll(() => buildObservedGateway());
+
+  afterEach(async () => {
+    for (const each of crowds) each.close();
+    crowds = [];
+    await gateway.stop();
+  });
+
+  it('serves one whole request in one-byte chunks', async () => {
+    const machine = await start({ maxBodyBytes: MEGABYTE });
+    const times = MEGABYTE / (4 * KILOBYTE);
+    const fields = [...CHUNKED, 'x-attempt-id: small-chunks'];
+    const one = crowd(1, () => repeated(headOf(PATH, fields), SMALL_CHUNKS, times, '0\r\n\r\n'));
+    await one.until(({ status }) => status !== 0, hasEnded);
+    expect(one.callers.map(({ status }) => status)).toEqual([200]);
+    await expectSound(machine);
+  });
+
+  it('bears bodies in one-byte chunks that stop short of their end', async () => {
+    const machine = await start();
+    const stopped = crowd(10, () => repeated(headOf(PATH, CHUNKED), SMALL_CHUNKS, 64));
+    await keep(stopped);
+    await expectSound(machine);
+    expectTrueRefusals(stopped);
+  });
+
+  it('bears bodies in large chunks that stop short of their end', async () => {
+    const machine = await start();
+    const stopped = crowd(40, () => repeated(headOf(PATH, CHUNKED), LARGE_CHUNK, 62));
+    await keep(stopped);
+    await expectSound(machine);
+    expectTrueRefusals(stopped);
+  });
+
+  it('bears bodies that stop short of their declared length', async () => {
+    const machine = await start();
+    const fields = [`content-length: ${4 * MEGABYTE}`];
+    const part = Buffer.alloc(64 * KILOBYTE, 'x');
+    const stopped = crowd(40, () => repeated(headOf(PATH, fields), part, 62));
+    await keep(stopped);
+    await expectSound(machine);
+    expectTrueRefusals(stopped);
+  });
+
+  it('bears bodies that stop short on a path that no route has', async () => {
+    const machine = await start();
+    const stopped = crowd(40, () => repeated(headOf('/none/x', CHUNKED), LARGE_CHUNK, 62));
+    await keep(stopped);
+    await expectSound(machine);
+  });
+
+  it('bears trailers that stop short of their end', async () => {
+    const machine = await start();
+    const trailer = `a: ${'x'.repeat(KILOBYTE)}\r\n`;
+    const head = `${headOf(PATH, CHUNKED)}${chunkOf(8)}0\r\n`;
+    const stopped = crowd(1_200, () => repeated(head, trailer, 110));
+    await keep(stopped);
+    await expectSound(machine);
+    expectTrueRefusals(stopped);
+  });
+
+  it('bears bodies that stop short on the port for relayed requests', async () => {
+    const machine = await start();
+    const path = `http://${gateway.replicaId}${PATH}`;
+    const stopped = crowd(
+      40,
+      () => repeated(headOf(path, CHUNKED), LARGE_CHUNK, 62),
+      gateway.relay,
+    );
+    await keep(stopped);
+    await expectSound(machine);
+  });
+});
