Fix: after a refusal a bounded part of the request is read, and the connection is closed

Callers that had been refused with 413 could send on for good: 13 GB were read in 12 s, at the cost of the processor of all others. The same on the ports for readiness and metrics, whose callers send no body.

Cause: the rest of a refused request was discarded without a bound in bytes, and the bound in time ended the response but not the reading: Node keeps the connection.

Ruled out: closing at once. A reset by unread bytes may reach the caller before it has read its answer.

Responses of sendJson declare their length and are ended in the same way, so that a handler that reads no body needs nothing of its own.

Shown: four tests more.

--- a/src/common/http-server.ts
+++ b/src/common/http-server.ts
@@ -1,6 +1,7 @@
 /** Helpers for Node's `http` server: size-limited bodies, JSON responses, and listening with a promise. */
 import http from 'node:http';
 import { Result } from 'true-myth';
+import { discardRest } from './discarded-input.js';
 import {
   responseFor,
   errorBody,
@@ -71,8 +72,13 @@
   headers: Readonly<Record<string, string>> = {},
 ): void {
   if (response.headersSent || response.destroyed) return;
-  response.writeHead(status, { 'content-type': 'application/json', ...headers });
-  response.end(JSON.stringify(body));
+  const text = Buffer.from(JSON.stringify(body));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': text.length,
+    ...headers,
+  });
+  endAfterRequest(response, text);
 }
 
 /** Longest time for which the rest of a refused request is read. */
@@ -80,22 +86,27 @@
 
 /**
  * Ends a response whose last bytes are `body`, and discards the rest of its request before the connection may be closed. Closing with
- * unread bytes would reset the connection, and the reset may reach the peer before it has read the response.
+ * unread bytes would reset the connection, and the reset may reach the peer before it has read the response. If the request does not
+ * end within a limit in bytes and time, the connection is closed after the response.
  */
 export function endAfterRequest(response: http.ServerResponse, body: Buffer | string = ''): void {
   const { req: request } = response;
-  if (request.complete || request.destroyed) return void response.end(body);
+  if (request.complete || request.destroyed || !hasBody(request)) return void response.end(body);
   // With the whole body written, the peer has the response before it has ended.
   if (body.length > 0) response.write(body);
   else response.flushHeaders();
-  const timer = setTimeout(() => response.end(), MAX_DISCARD_MS);
   const end = (): void => {
     clearTimeout(timer);
-    response.end();
+    if (!response.writableEnded) response.end();
+  };
+  const endUnread = (): void => {
+    response.once('finish', () => request.socket.destroySoon());
+    end();
   };
+  const timer = setTimeout(endUnread, MAX_DISCARD_MS);
   request.once('end', end);
   request.once('close', end);
-  request.resume();
+  discardRest(request, endUnread);
 }
 
 /** Returns the size of header fields in bytes, with two bytes of separators for each name and value. */
@@ -115,6 +126,11 @@
   return headers['transfer-encoding'] !== undefined;
 }
 
+/** Whether a request announces a body. */
+function hasBody(request: http.IncomingMessage): boolean {
+  return mayHaveTrailers(request) || Number(request.headers['content-length'] ?? 0) > 0;
+}
+
 /** Sends an error response. */
 export function sendError(
   response: http.ServerResponse,
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -60,6 +60,8 @@
 }
 
 const CONTENT_LENGTH_HEADER = new Set(['content-length']);
+/** Errors after which a body that has not come in full is not awaited. */
+const UNREAD_BODY_ERRORS: ReadonlySet<ErrorKind> = new Set(['body_too_large', 'overloaded']);
 
 /** Writes the answer to one caller. */
 export class CallerAnswer {
@@ -147,6 +149,8 @@
   sendError(kind: ErrorKind, retryAfterMs: number | undefined): void {
     if (this.response.headersSent || this.response.destroyed) return;
     const { status, ran } = responseFor(kind);
+    const isUnread = UNREAD_BODY_ERRORS.has(kind) && !this.response.req.complete;
+    if (isUnread) this.response.shouldKeepAlive = false;
     const error = serviceError(kind, kind.replaceAll('_', ' '));
     const body = Buffer.from(JSON.stringify(errorBody(error)));
     const headers = ['Content-Type', 'application/json', 'X-Error-Kind', kind, 'X-Ran', ran];
--- a/src/gateway/status-ports.ts
+++ b/src/gateway/status-ports.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { Registry } from 'prom-client';
 import { splitAddress } from '../common/http-client.js';
-import { listen, sendJson } from '../common/http-server.js';
+import { endAfterRequest, listen, sendJson } from '../common/http-server.js';
 import type { CrashTracker } from './crash-tracker.js';
 import type { GatewaySettings } from './gateway-settings.js';
 
@@ -50,7 +50,7 @@
     const { readinessPath, isReady } = this.options;
     const isProbe = request.url === readinessPath;
     response.writeHead(isProbe && isReady() ? 200 : isProbe ? 503 : 404, { 'content-length': 0 });
-    response.end();
+    endAfterRequest(response);
   }
 
   /** Serves metrics under every path except that of the requests that are refused because they have crashed backends. */
@@ -69,6 +69,6 @@
     refreshMetrics();
     const text = await registry.metrics();
     response.writeHead(200, { 'content-type': registry.contentType });
-    response.end(text);
+    endAfterRequest(response, text);
   }
 }
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeAll, describe, expect, it } from 'vitest';
 import { sleep } from '../../src/common/process.js';
-import { chunkOf, Crowd, headOf, repeated, type ByteSource } from './crowd.js';
+import { chunkOf, Crowd, endless, headOf, repeated, type ByteSource } from './crowd.js';
 import { buildObservedGateway, MEGABYTE, ObservedGateway, PATH } from './observed-gateway.js';
 
 /** The smallest machine that is deployed. */
@@ -18,6 +18,15 @@
 const KEPT_MS = 1_500;
 /** Longest time for a crowd to write what it would, in milliseconds: some of it is never read. */
 const MAX_WRITING_MS = 8_000;
+/**
+ * Most bytes that a caller can write after its refusal: what is read and discarded, and what fits into the buffers of the kernel at
+ * both ends.
+ */
+const MAX_WRITTEN_AFTER_ANSWER = 32 * MEGABYTE;
+/** Longest time until the connections of a crowd are closed, in milliseconds: more than a body may take. */
+const MAX_CLOSING_MS = 40_000;
+/** Bytes after which a test no longer waits for an answer. */
+const MAX_WRITTEN_WITHOUT_ANSWER = 256 * MEGABYTE;
 
 describe('a gateway whose callers do not behave', () => {
   let gateway: ObservedGateway;
@@ -48,6 +57,19 @@
     await sleep(KEPT_MS);
   }
 
+  /** Waits until each caller's connection is closed or it has written far too much after its refusal. */
+  async function untilClosed(each: Crowd): Promise<void> {
+    const until = performance.now() + MAX_CLOSING_MS;
+    const isOver = (): boolean => hasEnded() || performance.now() > until;
+    await each.until(
+      (caller) =>
+        caller.isClosed ||
+        caller.writtenAfterAnswer > MAX_WRITTEN_AFTER_ANSWER ||
+        caller.writtenBytes > MAX_WRITTEN_WITHOUT_ANSWER,
+      isOver,
+    );
+  }
+
   /** Checks that the process lives, keeps to its machine, and answers an ordinary request. */
   async function expectSound({
     memoryMegabytes,
@@ -119,6 +141,42 @@
     await expectSound(machine);
   });
 
+  it('reads a bounded part of bodies without an end', async () => {
+    const machine = await start();
+    const going = crowd(40, () => endless(headOf(PATH, CHUNKED), LARGE_CHUNK));
+    await untilClosed(going);
+    await expectSound(machine);
+    expectTrueRefusals(going);
+    for (const caller of going.callers) {
+      expect(caller.status).not.toBe(0);
+      expect(caller.writtenAfterAnswer).toBeLessThanOrEqual(MAX_WRITTEN_AFTER_ANSWER);
+    }
+  });
+
+  it('reads a bounded part of bodies whose declared length is over the limit', async () => {
+    const machine = await start();
+    const part = Buffer.alloc(64 * KILOBYTE, 'x');
+    const fields = ['content-length: 900000000'];
+    const going = crowd(40, () => endless(headOf(PATH, fields), part));
+    await untilClosed(going);
+    await expectSound(machine);
+    expectTrueRefusals(going);
+    for (const caller of going.callers) {
+      expect(caller.status).toBe(413);
+      expect(caller.writtenAfterAnswer).toBeLessThanOrEqual(MAX_WRITTEN_AFTER_ANSWER);
+    }
+  });
+
+  it('bears trailers without an end', async () => {
+    const machine = await start();
+    const trailer = `a: ${'x'.repeat(KILOBYTE)}\r\n`;
+    const head = `${headOf(PATH, CHUNKED)}${chunkOf(8)}0\r\n`;
+    const going = crowd(1_200, () => endless(head, trailer));
+    await untilClosed(going);
+    await expectSound(machine);
+    expectTrueRefusals(going);
+  });
+
   it('bears trailers that stop short of their end', async () => {
     const machine = await start();
     const trailer = `a: ${'x'.repeat(KILOBYTE)}\r\n`;
@@ -140,4 +198,17 @@
     await keep(stopped);
     await expectSound(machine);
   });
+
+  it.each(['readiness', 'metrics'] as const)(
+    'reads a bounded part of bodies without an end on the port for %s',
+    async (port) => {
+      const machine = await start();
+      const going = crowd(4, () => endless(headOf('/x', CHUNKED), LARGE_CHUNK), gateway[port]);
+      await untilClosed(going);
+      await expectSound(machine);
+      for (const caller of going.callers) {
+        expect(caller.writtenAfterAnswer).toBeLessThanOrEqual(MAX_WRITTEN_AFTER_ANSWER);
+      }
+    },
+  );
 });
