Fix: connections are limited, and the one that has had no request for longest is closed

Callers that open connections and send a part of a head, or of a body, used up the descriptors of a process and its memory: heads of 120 KB ended it. Others were not answered then.

Cause: the parser took heads of 128 KB whatever was configured, for each of any number of connections; nothing limited these, and a process that has no descriptor left reaches no backend either.

Ruled out: Node's maxConnections, which closes the newest: a crowd would keep all others out. A listener for the bytes of each connection: Node then no longer reads the socket by itself, at a cost to each request.

At the limit the connection is closed that has had no request for longest; else the costliest incomplete request is refused and its connection closed. Connections without a request are as many as the account of requests has room for a head each, 64 at least. A part of a head is answered with 503 "overloaded". The parser takes the configured limit and 16 KB for the target. The ports for readiness and metrics have 64 connections, unknown hosts 32 at the relay port. Log line connection_closed and a metric tell the limit.

--- a/src/common/unreadable-requests.ts
+++ b/src/common/unreadable-requests.ts
@@ -107,10 +107,10 @@
 }
 
 /** Answers a request whose head was not read. Without a byte of one there is nothing to answer. */
-function answerHead(socket: Duplex, kind: UnreadableKind): void {
+export function answerHead(socket: Duplex, kind: UnreadableKind | 'overloaded'): void {
   const { bytesRead } = socket as Duplex & { readonly bytesRead?: number };
   if (bytesRead === 0) return void socket.destroy();
-  const { status, ran } = responseFor(kind);
+  const { status, ran, retryAfterSeconds } = responseFor(kind);
   const body = JSON.stringify(errorBody(serviceError(kind, kind.replaceAll('_', ' '))));
   const head = [
     `HTTP/1.1 ${status} ${kind.replaceAll('_', ' ')}`,
@@ -119,6 +119,7 @@
     `X-Ran: ${ran}`,
     `Content-Length: ${body.length}`,
     'Connection: close',
+    ...(retryAfterSeconds > 0 ? [`Retry-After: ${retryAfterSeconds}`] : []),
   ];
   socket.write(`${head.join('\r\n')}\r\n\r\n${body}`);
   endConnection(socket);
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,12 +1,14 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
 import { CallerConnections } from '../common/caller-connections.js';
+import { ConnectionLimit } from '../common/connection-limit.js';
 import type { ErrorKind } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
 import { headBytesOf, headerBytesOf, listen, mayHaveTrailers } from '../common/http-server.js';
 import { RequestBody, type BodyRefusal } from '../common/request-body.js';
-import { UnreadableRequests } from '../common/unreadable-requests.js';
+import { answerHead, UnreadableRequests } from '../common/unreadable-requests.js';
+import { descriptorLimitsFor } from '../core/descriptor-limits.js';
 import type { RequestReservation } from '../core/request-memory.js';
 import type { RouteMatch, RoutingTable } from '../core/routing-table.js';
 import { isStream, type CallerLimits } from '../core/service-configuration.js';
@@ -18,8 +20,12 @@
 import { steadyNow } from './steady-clock.js';
 import { isResumption, type ResumedStream, type StreamResumptions } from './stream-resumptions.js';
 
-/** Node's HTTP parser refuses larger heads. */
+/** Node's HTTP parser refuses larger heads, whatever is configured. */
 const MAX_HEAD_BYTES = 128 * 1024;
+/** Largest request target in bytes. The configured limit for heads does not count it. */
+const MAX_TARGET_BYTES = 16 * 1024;
+/** Connections without a request that are kept however much memory the requests take. */
+const MIN_WAITING = 64;
 const TIMEOUT_CHECK_MS = 500;
 /** Number of hexadecimal digits of a key's digest in log lines. */
 const FINGERPRINT_DIGITS = 8;
@@ -53,6 +59,9 @@
   private readonly server: http.Server;
   private readonly connections: CallerConnections;
   private readonly unreadable: UnreadableRequests;
+  private readonly limit: ConnectionLimit;
+  /** Largest head that is read, in bytes. */
+  private headBytes = MAX_HEAD_BYTES;
 
   constructor(
     private readonly context: GatewayContext,
@@ -74,6 +83,7 @@
       refuse: (response, kind) => this.refuse(response, kind, undefined),
       onUnreadable: (code, kind) => context.logger.info('request_unreadable', { code, kind }),
     });
+    this.limit = this.limitConnections();
   }
 
   async start(): Promise<void> {
@@ -94,6 +104,9 @@
   /** Applies the configured limits. */
   setLimits(limits: CallerLimits): void {
     this.warnOfMemory(limits.bodyBytes);
+    this.headBytes = Math.min(MAX_HEAD_BYTES, limits.headerBytes + MAX_TARGET_BYTES);
+    // Node reads it for each new connection.
+    Object.assign(this.server, { maxHeaderSize: this.headBytes });
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
@@ -148,9 +161,9 @@
     response: http.ServerResponse,
     received: ReceivedRequest,
   ): void {
-    const trailerBytes = mayHaveTrailers(request) ? MAX_HEAD_BYTES : 0;
+    const trailerBytes = mayHaveTrailers(request) ? this.headBytes : 0;
     const reservation = this.context.requestMemory.open(headBytesOf(request), trailerBytes);
-    if (reservation === undefined) return this.refuseUnread(received, 'overloaded');
+    if (reservation === undefined) return this.refuseUnread(request, received, 'overloaded');
     response.once('close', () => reservation.release());
     this.receive(request, response, received, reservation);
   }
@@ -187,12 +200,13 @@
           this.begin(request, response, { answer, boundary }, { head, body, arrivedAt });
         }
       }),
-      onRefused: boundary.guard((kind) => this.refuseUnread(received, kind)),
+      onRefused: boundary.guard((kind) => this.refuseUnread(request, received, kind)),
     });
   }
 
   /** Refuses a request that is not read to its end. */
   private refuseUnread(
+    request: http.IncomingMessage,
     { answer, head }: Pick<ReceivedRequest, 'answer' | 'head'>,
     kind: BodyRefusal,
   ): void {
@@ -202,6 +216,23 @@
     const state = { heldBytes, limitBytes, requests };
     this.context.logger.info('refused', { request: head.attemptId, kind, ...state });
     answer.sendError(kind, kind === 'overloaded' ? OVERLOAD_RETRY_AFTER_MS : undefined);
+    if (!request.complete) this.limit.release(request.socket);
+  }
+
+  private limitConnections(): ConnectionLimit {
+    const { settings, requestMemory, logger, metrics } = this.context;
+    const { callerConnections } = descriptorLimitsFor(settings.descriptors);
+    return new ConnectionLimit(this.server, {
+      maxConnections: callerConnections,
+      // Each of them may hold the largest part of a head.
+      maxWaiting: () => Math.max(MIN_WAITING, requestMemory.freeBytes / this.headBytes),
+      refuseRequest: () => requestMemory.refuseOne(),
+      answerHead: (socket) => answerHead(socket, 'overloaded'),
+      onClosed: (limit, connections) => {
+        metrics.closedConnections.inc({ limit });
+        logger.info('connection_closed', { limit, connections });
+      },
+    });
   }
 
   private begin(
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -102,6 +102,12 @@
     help: 'Bytes that requests take, from their first byte until they have ended',
     registers: [this.registry],
   });
+  readonly closedConnections = new Counter({
+    name: 'scaleslip_gateway_closed_connections_total',
+    help: 'Connections of callers closed at a limit: connections, heads or pipelined',
+    labelNames: ['limit'],
+    registers: [this.registry],
+  });
   readonly slowCallers = new Counter({
     name: 'scaleslip_gateway_slow_callers_total',
     help: 'Callers broken off because they read too slowly, by what was used up',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -381,12 +381,11 @@
   }
 
   private makeStatusPorts(): StatusPorts {
-    const { dialect, metrics } = this.systems;
     return new StatusPorts({
+      ...this.systems,
       settings: this.settings,
-      readinessPath: dialect.readinessPath,
+      readinessPath: this.systems.dialect.readinessPath,
       isReady: () => this.isReady(),
-      registry: metrics.registry,
       refreshMetrics: () => this.refreshMetrics(),
       crashes: this.crashes,
     });
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -3,6 +3,7 @@
  * retries, is counted by the daemon that received it from the caller. A relayed request is never relayed again.
  */
 import http from 'node:http';
+import type { Socket } from 'node:net';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { faultText, type LogFields, type Logger } from '../common/logger.js';
 import {
@@ -41,6 +42,8 @@
 const MIN_RELAYED = 16;
 /** Largest head of a relayed request: that of the largest one that a caller may send, and what the other daemon adds. */
 const MAX_HEAD_BYTES = 160 * 1024;
+/** Most connections of hosts that are not the group's: a daemon that has just joined may not be known yet. */
+const MAX_UNKNOWN_CONNECTIONS = 32;
 /** Headers that belong to the connection with the other daemon. */
 const REQUEST_CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'content-length',
@@ -55,7 +58,10 @@
   /** Processor capacity, in cores of standard speed. */
   readonly capacity: number;
   readonly logger: Logger;
-  readonly metrics: Pick<GatewayMetrics, 'relayedForOthers' | 'relaysInFlight'>;
+  readonly metrics: Pick<
+    GatewayMetrics,
+    'relayedForOthers' | 'relaysInFlight' | 'closedConnections'
+  >;
   readonly directory: Pick<BackendDirectory, 'getServing' | 'servingBackends'>;
   readonly dialect: Pick<RequestDialect, 'readRequest'>;
   readonly agent: BackendAgent;
@@ -90,6 +96,7 @@
   private inFlight = 0;
   /** Requests that have not been answered in full, refused ones included. */
   private unanswered = 0;
+  private unknownConnections = 0;
 
   constructor(private readonly options: RelayServerOptions) {
     const relayed = Math.round(MAX_RELAYED_PER_CORE * options.capacity);
@@ -104,6 +111,7 @@
       relayed.boundary.run(() => this.receive(relayed));
     });
     this.server.on('clientError', (_fault, socket) => socket.destroy());
+    this.server.on('connection', (socket) => this.limitUnknown(socket));
     this.unread = new UnreadConnections(this.server);
   }
 
@@ -127,6 +135,18 @@
     this.server.closeAllConnections();
   }
 
+  /** Limits the connections of hosts that are not the group's. Nothing that comes on them is served. */
+  private limitUnknown(socket: Socket): void {
+    const { isMember, logger, metrics } = this.options;
+    if (isMember(socket.remoteAddress ?? '')) return;
+    this.unknownConnections += 1;
+    socket.once('close', () => (this.unknownConnections -= 1));
+    if (this.unknownConnections <= MAX_UNKNOWN_CONNECTIONS) return;
+    metrics.closedConnections.inc({ limit: 'unknown_host' });
+    logger.info('connection_closed', { limit: 'unknown_host', peer: socket.remoteAddress });
+    socket.destroy();
+  }
+
   private accept(request: http.IncomingMessage, response: http.ServerResponse): RelayedRequest {
     const peer = request.socket.remoteAddress ?? '';
     const id = this.options.dialect.readRequest(request.headers).attemptId;
--- a/src/gateway/status-ports.ts
+++ b/src/gateway/status-ports.ts
@@ -1,14 +1,19 @@
 /** HTTP ports of a gateway daemon for the load balancer's readiness probe and for the operator's metrics. */
 import http from 'node:http';
-import type { Registry } from 'prom-client';
+import { ConnectionLimit } from '../common/connection-limit.js';
 import { splitAddress } from '../common/http-client.js';
 import { endAfterRequest, listen, sendJson } from '../common/http-server.js';
+import type { Logger } from '../common/logger.js';
 import type { CrashTracker } from './crash-tracker.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 
 /** GET lists the refused requests; DELETE on the path followed by a digest allows that request to be sent to backends again. */
 const CRASHING_REQUESTS_PATH = '/crashing-requests';
 
+/** Most connections of each port. */
+const MAX_CONNECTIONS = 64;
+
 /** Options of {@link StatusPorts}. */
 export interface StatusPortsOptions {
   readonly settings: Pick<GatewaySettings, 'readiness' | 'address' | 'metricsPort'>;
@@ -16,10 +21,11 @@
   readonly readinessPath: string;
   /** Whether the daemon accepts new connections. */
   readonly isReady: () => boolean;
-  readonly registry: Registry;
+  readonly metrics: Pick<GatewayMetrics, 'registry' | 'closedConnections'>;
   /** Updates the metrics that are computed only when they are scraped. */
   readonly refreshMetrics: () => void;
   readonly crashes: Pick<CrashTracker, 'refusedRequests' | 'lift'>;
+  readonly logger: Logger;
 }
 
 /** HTTP servers of the readiness port and the metrics port. */
@@ -31,7 +37,11 @@
     this.readiness = http.createServer((request, response) => {
       this.handleReadiness(request, response);
     });
-    this.metrics = http.createServer((request, response) => this.handleOperator(request, response));
+    this.metrics = http.createServer((request, response) => {
+      this.handleOperator(request, response);
+    });
+    this.limitConnections('readiness', this.readiness);
+    this.limitConnections('metrics', this.metrics);
   }
 
   async start(): Promise<void> {
@@ -46,6 +56,20 @@
     this.metrics.close();
   }
 
+  private limitConnections(port: string, server: http.Server): void {
+    const { logger, metrics } = this.options;
+    new ConnectionLimit(server, {
+      maxConnections: MAX_CONNECTIONS,
+      maxWaiting: () => MAX_CONNECTIONS,
+      refuseRequest: () => false,
+      answerHead: () => {},
+      onClosed: (limit, connections) => {
+        metrics.closedConnections.inc({ limit });
+        logger.info('connection_closed', { limit, connections, port });
+      },
+    });
+  }
+
   private handleReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
     const { readinessPath, isReady } = this.options;
     const isProbe = request.url === readinessPath;
@@ -65,7 +89,8 @@
   }
 
   private async sendMetrics(response: http.ServerResponse): Promise<void> {
-    const { registry, refreshMetrics } = this.options;
+    const { metrics, refreshMetrics } = this.options;
+    const { registry } = metrics;
     refreshMetrics();
     const text = await registry.metrics();
     response.writeHead(200, { 'content-type': registry.contentType });
--- a/test/gateway/status-ports.test.ts
+++ b/test/gateway/status-ports.test.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
-import { Registry } from 'prom-client';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { silentLogger } from '../../src/common/logger.js';
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 import { StatusPorts } from '../../src/gateway/status-ports.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 
@@ -19,12 +20,13 @@
       settings: { readiness, address: '127.0.0.1', metricsPort },
       readinessPath: '/ready',
       isReady: () => isReady,
-      registry: new Registry(),
+      metrics: new GatewayMetrics(),
       refreshMetrics: () => {},
       crashes: {
         refusedRequests: () => [{ digest: DIGEST, depth: 0, starts: ['b'], excused: [], ageMs: 5 }],
         lift: (digest) => digest === DIGEST,
       },
+      logger: silentLogger,
     });
     await ports.start();
   });
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeAll, describe, expect, it } from 'vitest';
 import { sleep } from '../../src/common/process.js';
-import { chunkOf, Crowd, endless, headOf, repeated, type ByteSource } from './crowd.js';
+import { chunkOf, Crowd, endless, headOf, once, repeated, type ByteSource } from './crowd.js';
 import { buildObservedGateway, MEGABYTE, ObservedGateway, PATH } from './observed-gateway.js';
 
 /** The smallest machine that is deployed. */
@@ -187,6 +187,31 @@
     expectTrueRefusals(stopped);
   });
 
+  it('bears heads without an end', async () => {
+    const machine = await start();
+    const line = `a: ${'x'.repeat(KILOBYTE)}\r\n`;
+    const head = `POST ${PATH} HTTP/1.1\r\n`;
+    const stopped = crowd(1_200, () => repeated(head, line, 116));
+    await keep(stopped);
+    await expectSound(machine);
+    expectTrueRefusals(stopped);
+  });
+
+  it('keeps descriptors free while connections send a part of a head and wait', async () => {
+    const machine = await start({ descriptors: 600 });
+    const waiting = crowd(1_000, () => once(`POST ${PATH} HTTP/1.1\r\n`));
+    await keep(waiting);
+    await expectSound(machine);
+  });
+
+  it('keeps descriptors free while connections send a part of a body and wait', async () => {
+    const machine = await start({ descriptors: 600 });
+    const waiting = crowd(1_000, () => once(headOf(PATH, CHUNKED) + chunkOf(8)));
+    await keep(waiting);
+    await expectSound(machine);
+    expectTrueRefusals(waiting);
+  });
+
   it('bears bodies that stop short on the port for relayed requests', async () => {
     const machine = await start();
     const path = `http://${gateway.replicaId}${PATH}`;
