Fix: at most 64 requests of a connection wait for answers

One caller that sends small requests without waiting for answers ended a process, or used up its descriptors: all others lost their connections.

Cause: Node parses all requests of one read, over 2,000 of them in 64 KB, before anything else runs, and each began its exchange at once. It stops to read only when answers pile up.

Ruled out: pausing the parser (tried: it stops only after what was read, 2,000 of 2,000 requests came); closing the connection (the rest of the read is parsed all the same, and its objects are freed only after all other reads of that turn).

Change: a connection with 64 requests that wait is reported to Node as upgraded, which makes its parser stop within what it has read. The answers to the requests before are written, the last one announces the close; 4 MiB of the rest are discarded meanwhile. Each request counts in the account.

Shown: three tests more.

--- a/src/common/connection-limit.ts
+++ b/src/common/connection-limit.ts
@@ -1,16 +1,22 @@
 /**
- * Limits the connections of a server. At the limit the connection is closed that has had no request to
+ * Limits the connections of a server and the requests on each of them. At the limit the connection is closed that has had no request to
  * answer for the longest time, so that connections that send nothing, or a part of a head, do not keep others out.
  */
 import type http from 'node:http';
 import type { Socket } from 'node:net';
+import { LIMITED_REQUEST_OPTIONS, limitPipelinedRequests } from './pipelined-requests.js';
+
+/** Options that `http.createServer` needs for {@link ConnectionLimit}. */
+export const LIMITED_SERVER_OPTIONS = LIMITED_REQUEST_OPTIONS;
 
 /** Why a connection is closed. */
 export type ConnectionClosure =
   /** There are too many connections. */
   | 'connections'
   /** Too many connections have no request to answer: each may hold a part of a head. */
-  | 'heads';
+  | 'heads'
+  /** Too many requests of the connection are not answered. */
+  | 'pipelined';
 
 /** Options of {@link ConnectionLimit}. */
 export interface ConnectionLimitOptions {
@@ -25,7 +31,7 @@
   readonly onClosed: (closure: ConnectionClosure, connections: number) => void;
 }
 
-/** The connections of one server. */
+/** The connections of one server, which must be created with {@link LIMITED_SERVER_OPTIONS}. */
 export class ConnectionLimit {
   private connections = 0;
   /** Connections without a request to answer, longest first, and beyond how many read bytes each has a part of a head. */
@@ -38,6 +44,7 @@
     private readonly options: ConnectionLimitOptions,
   ) {
     server.on('connection', (socket) => this.add(socket));
+    limitPipelinedRequests(server, () => options.onClosed('pipelined', this.connections));
     // A request may be refused by the listener that answers it.
     server.prependListener('request', (_request, response) => this.begin(response));
   }
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers: reads requests within the configured limits and starts their exchanges. */
 import http from 'node:http';
 import { CallerConnections } from '../common/caller-connections.js';
-import { ConnectionLimit } from '../common/connection-limit.js';
+import { ConnectionLimit, LIMITED_SERVER_OPTIONS } from '../common/connection-limit.js';
 import type { ErrorKind } from '../common/errors.js';
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import { splitAddress } from '../common/http-client.js';
@@ -70,6 +70,7 @@
   ) {
     this.server = http.createServer(
       {
+        ...LIMITED_SERVER_OPTIONS,
         maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: TIMEOUT_CHECK_MS,
         requestTimeout: BODY_TIMEOUT_MS,
--- a/src/gateway/status-ports.ts
+++ b/src/gateway/status-ports.ts
@@ -1,6 +1,6 @@
 /** HTTP ports of a gateway daemon for the load balancer's readiness probe and for the operator's metrics. */
 import http from 'node:http';
-import { ConnectionLimit } from '../common/connection-limit.js';
+import { ConnectionLimit, LIMITED_SERVER_OPTIONS } from '../common/connection-limit.js';
 import { splitAddress } from '../common/http-client.js';
 import { endAfterRequest, listen, sendJson } from '../common/http-server.js';
 import type { Logger } from '../common/logger.js';
@@ -34,10 +34,10 @@
   private readonly metrics: http.Server;
 
   constructor(private readonly options: StatusPortsOptions) {
-    this.readiness = http.createServer((request, response) => {
+    this.readiness = http.createServer(LIMITED_SERVER_OPTIONS, (request, response) => {
       this.handleReadiness(request, response);
     });
-    this.metrics = http.createServer((request, response) => {
+    this.metrics = http.createServer(LIMITED_SERVER_OPTIONS, (request, response) => {
       this.handleOperator(request, response);
     });
     this.limitConnections('readiness', this.readiness);
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -212,6 +212,36 @@
     expectTrueRefusals(waiting);
   });
 
+  it('bears requests that do not wait for answers', async () => {
+    const machine = await start();
+    const request = headOf(PATH, ['content-length: 0', 'x-attempt-id: pipelined']);
+    const going = crowd(1, () => repeated(request, request.repeat(100), 100));
+    await keep(going);
+    await expectSound(machine);
+  });
+
+  it('bears such requests of many callers', async () => {
+    const machine = await start();
+    const request = headOf(PATH, ['content-length: 0', 'x-attempt-id: pipelined']);
+    const going = crowd(40, () => repeated(request, request.repeat(128), 4));
+    await keep(going);
+    await expectSound(machine);
+  });
+
+  it('bears such requests of callers that read no answer', async () => {
+    const machine = await start();
+    const request = headOf(PATH, ['content-length: 0', 'x-attempt-id: pipelined']);
+    const going = new Crowd(
+      gateway.callers,
+      10,
+      () => repeated(request, request.repeat(100), 50),
+      false,
+    );
+    crowds.push(going);
+    await keep(going);
+    await expectSound(machine);
+  });
+
   it('bears bodies that stop short on the port for relayed requests', async () => {
     const machine = await start();
     const path = `http://${gateway.replicaId}${PATH}`;
