Fix: scaleslip daemon counts the requests of callers and operators in one account as well

Callers and operators who send bodies that stop short took over 580 MB of a daemon (120 of 4 MiB), in one-byte chunks 1.4 GB (40 of 1 MiB); bodies over the limit were read for good and answered only at their end, which may never come; connections with a part of a head had no limit.

Cause: as in the gateway; readBody also answered 413 only after the whole body.

Change: one account (requestMemoryBytes, 64 MiB by default; settings that leave no room for two bodies are rejected), the same limits for connections and pipelined requests (descriptors, 4,096 by default), the same refusal and log lines; an operator is refused like a caller.

--- a/src/daemon/admin-api.ts
+++ b/src/daemon/admin-api.ts
@@ -8,6 +8,7 @@
 import { Result } from 'true-myth';
 import { serviceError, type ServiceError } from '../common/errors.js';
 import { readJson, sendError, sendJson } from '../common/http-server.js';
+import type { BodyReservation } from '../common/request-body.js';
 import {
   parseDocument,
   renderTenant,
@@ -46,6 +47,12 @@
   ['tenants', 'tenant'],
 ]);
 
+/** A request with a document in its body. */
+interface ReceivedDocument {
+  readonly request: http.IncomingMessage;
+  readonly reservation: BodyReservation;
+}
+
 /** Handles the requests of operators. */
 export class AdminApi {
   constructor(private readonly options: AdminApiOptions) {}
@@ -55,6 +62,7 @@
     path: string,
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    reservation: BodyReservation,
   ): Promise<void> {
     const hash = credentialHash(request.headers.authorization, 'Bearer');
     if (hash === undefined || !isAllowed(hash, this.options.adminKeyHashes)) {
@@ -65,14 +73,14 @@
     }
     const [collection = '', name = ''] = path.slice('/admin/v1/'.length).split('/');
     if (collection === 'status') return sendJson(response, 200, this.options.status());
-    if (collection === 'check') return this.check(request, response);
+    if (collection === 'check') return this.check(request, response, reservation);
     const kind = COLLECTIONS.get(collection);
     if (kind === undefined) {
       return sendError(response, serviceError('not_found', `no such path: ${path}`));
     }
     if (name === '') return this.list(kind, response);
     if (request.method === 'GET') return this.get(kind, name, response);
-    if (request.method === 'PUT') return this.put(kind, name, request, response);
+    if (request.method === 'PUT') return this.put(kind, name, { request, reservation }, response);
     if (request.method === 'DELETE') return this.remove(kind, name, request, response);
     sendError(response, serviceError('method_not_allowed', 'use GET, PUT or DELETE'));
   }
@@ -107,8 +115,12 @@
     sendJson(response, 200, { ...this.versioned(kind, name), stale: true });
   }
 
-  private async check(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const body = await readJson(request, this.options.bodyLimitBytes);
+  private async check(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    reservation: BodyReservation,
+  ): Promise<void> {
+    const body = await readJson(request, this.options.bodyLimitBytes, reservation);
     const checked = body.andThen(parseDocument);
     if (checked.isErr) return sendError(response, checked.error);
     const related = await this.checkRelated(checked.value);
@@ -119,10 +131,10 @@
   private async put(
     kind: DocumentKind,
     name: string,
-    request: http.IncomingMessage,
+    { request, reservation }: ReceivedDocument,
     response: http.ServerResponse,
   ): Promise<void> {
-    const body = await readJson(request, this.options.bodyLimitBytes);
+    const body = await readJson(request, this.options.bodyLimitBytes, reservation);
     const parsed = body
       .andThen(parseDocument)
       .andThen((document) => matchPath(document, kind, name));
--- a/src/daemon/caller-api.ts
+++ b/src/daemon/caller-api.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../common/clock.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
 import { readJson, sendError, sendJson } from '../common/http-server.js';
+import type { BodyReservation } from '../common/request-body.js';
 import {
   describeIssues,
   PRIORITY_CLASSES,
@@ -89,6 +90,7 @@
     path: string,
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    reservation: BodyReservation,
   ): Promise<void> {
     if (path === '/v1/models') return this.listModels(request, response);
     const chat = path === '/v1/chat/completions';
@@ -98,7 +100,7 @@
     if (request.method !== 'POST') {
       return sendError(response, serviceError('method_not_allowed', 'use POST'));
     }
-    const accepted = await this.accept(chat, request);
+    const accepted = await this.accept(chat, request, reservation);
     if (accepted.isErr) return sendError(response, accepted.error);
     this.submit(accepted.value, chat, response);
   }
@@ -122,8 +124,9 @@
   private async accept(
     chat: boolean,
     request: http.IncomingMessage,
+    reservation: BodyReservation,
   ): Promise<Result<AcceptedCall, ServiceError>> {
-    const body = await readJson(request, this.options.bodyLimitBytes);
+    const body = await readJson(request, this.options.bodyLimitBytes, reservation);
     const unready = this.options.notReadyError();
     if (unready !== undefined) return Result.err(unready);
     if (body.isErr) return Result.err(body.error);
--- a/src/daemon/daemon-http-server.ts
+++ b/src/daemon/daemon-http-server.ts
@@ -5,16 +5,28 @@
 import http from 'node:http';
 import { CallerConnections } from '../common/caller-connections.js';
 import { serviceError, type ServiceError } from '../common/errors.js';
-import { listen, readJson, sendError, sendJson } from '../common/http-server.js';
+import { ConnectionLimit, LIMITED_SERVER_OPTIONS } from '../common/connection-limit.js';
+import {
+  headBytesOf,
+  listen,
+  mayHaveTrailers,
+  readJson,
+  sendError,
+  sendJson,
+} from '../common/http-server.js';
 import type { LinkFaults } from '../common/link-faults.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { inputRead, sleep } from '../common/process.js';
-import { UnreadableRequests } from '../common/unreadable-requests.js';
+import { answerHead, UnreadableRequests } from '../common/unreadable-requests.js';
+import { descriptorLimitsFor } from '../core/descriptor-limits.js';
+import { RequestMemory, type RequestReservation } from '../core/request-memory.js';
 import type { AdminApi } from './admin-api.js';
 import type { CallerApi } from './caller-api.js';
 import type { DaemonMetrics } from './metrics.js';
 
 const FAULTS_BODY_LIMIT_BYTES = 64 * 1024;
+/** Connections without a request that are kept however much memory the requests take. */
+const MIN_WAITING = 64;
 /** Interval between checks for requests that are left at a stop, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
 
@@ -22,6 +34,10 @@
 export interface DaemonHttpServerOptions {
   readonly host: string;
   readonly port: number;
+  /** Memory for the requests of callers and operators, in bytes. */
+  readonly requestMemoryBytes: number;
+  /** File descriptors that the process may have open. */
+  readonly descriptors: number;
   readonly logger: Logger;
   readonly metrics: DaemonMetrics;
   readonly callerApi: CallerApi;
@@ -39,11 +55,16 @@
   private readonly server: http.Server;
   private readonly connections: CallerConnections;
   private readonly unreadable: UnreadableRequests;
+  private readonly memory: RequestMemory;
 
   constructor(private readonly options: DaemonHttpServerOptions) {
-    this.server = http.createServer((request, response) => {
+    this.server = http.createServer(LIMITED_SERVER_OPTIONS, (request, response) => {
       if (!this.connections.add(request, response)) return void request.resume();
-      this.route(request, response).catch((fault: unknown) => {
+      const trailerBytes = mayHaveTrailers(request) ? http.maxHeaderSize : 0;
+      const reservation = this.memory.open(headBytesOf(request), trailerBytes);
+      if (reservation === undefined) return this.refuseForMemory(response);
+      response.once('close', () => reservation.release());
+      this.route(request, response, reservation).catch((fault: unknown) => {
         options.logger.error('http_fault', { reason: faultText(fault) });
         sendError(
           response,
@@ -52,6 +73,14 @@
       });
     });
     this.server.keepAliveTimeout = 65_000;
+    const limits = descriptorLimitsFor(options.descriptors);
+    const totalBytes = options.requestMemoryBytes;
+    this.memory = new RequestMemory(
+      { totalBytes, requests: limits.requests },
+      () => performance.now(),
+      () => this.logRefusal(),
+    );
+    this.limitConnections(limits.callerConnections);
     this.connections = new CallerConnections(this.server);
     this.unreadable = new UnreadableRequests(this.server, {
       connections: this.connections,
@@ -61,6 +90,33 @@
     });
   }
 
+  private limitConnections(maxConnections: number): void {
+    const { logger, metrics } = this.options;
+    const { memory } = this;
+    new ConnectionLimit(this.server, {
+      maxConnections,
+      // Each of them may hold the largest part of a head.
+      maxWaiting: () => Math.max(MIN_WAITING, memory.freeBytes / http.maxHeaderSize),
+      refuseRequest: () => memory.refuseOne(),
+      answerHead: (socket) => answerHead(socket, 'overloaded'),
+      onClosed: (limit, connections) => {
+        metrics.closedConnections.inc({ limit });
+        logger.info('connection_closed', { limit, connections });
+      },
+    });
+  }
+
+  private logRefusal(): void {
+    const { heldBytes, limitBytes, requests } = this.memory.state;
+    this.options.metrics.refusals.inc({ kind: 'overloaded' });
+    this.options.logger.info('refused', { kind: 'overloaded', heldBytes, limitBytes, requests });
+  }
+
+  private refuseForMemory(response: http.ServerResponse): void {
+    response.shouldKeepAlive = false;
+    sendError(response, serviceError('overloaded', 'no memory for the request'));
+  }
+
   /** Listens on the configured host and port. */
   async start(): Promise<void> {
     await listen(this.server, this.options.host, this.options.port);
@@ -86,14 +142,20 @@
     this.server.closeAllConnections();
   }
 
-  private async route(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  private async route(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    reservation: RequestReservation,
+  ): Promise<void> {
     if (this.unreadable.isRefused(request)) return void response.destroy();
     const path = (request.url ?? '/').split('?')[0] ?? '/';
     // Node then writes `Connection: close`.
     if (this.options.notReadyError()?.kind === 'draining') response.shouldKeepAlive = false;
-    if (path.startsWith('/v1/')) return this.options.callerApi.handle(path, request, response);
+    if (path.startsWith('/v1/')) {
+      return this.options.callerApi.handle(path, request, response, reservation);
+    }
     if (path.startsWith('/admin/v1/')) {
-      return this.options.adminApi.handle(path, request, response);
+      return this.options.adminApi.handle(path, request, response, reservation);
     }
     if (path === '/healthz') return sendJson(response, 200, { alive: true });
     if (path === '/readyz') return this.readiness(response);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -254,6 +254,8 @@
     return new DaemonHttpServer({
       host: settings.address,
       port: settings.callerPort,
+      requestMemoryBytes: settings.requestMemoryBytes,
+      descriptors: settings.descriptors,
       logger: dependencies.logger,
       metrics: this.metrics,
       callerApi: new CallerApi({
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -34,6 +34,12 @@
     labelNames: ['kind'],
     registers: [this.registry],
   });
+  readonly closedConnections = new Counter({
+    name: 'scaleslip_closed_connections_total',
+    help: 'Connections of callers closed at a limit: connections, heads or pipelined',
+    labelNames: ['limit'],
+    registers: [this.registry],
+  });
   readonly orders = new Counter({
     name: 'scaleslip_orders_total',
     help: 'Orders sent to engines, repeats included',
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -19,7 +19,10 @@
   .string()
   .regex(/^[0-9a-f]{64}$/, 'expected a SHA-256 hash of 64 lower-case hexadecimal digits');
 
-const settingsSchema = z.strictObject({
+/** Least number of the largest bodies for which the memory for requests must suffice. */
+const MIN_BODIES_IN_MEMORY = 2;
+
+const fieldsSchema = z.strictObject({
   /** Name of the daemon in logs. */
   name: z.string().min(1),
   /** IPv4 address at which callers, operators and other daemons reach this daemon. */
@@ -58,11 +61,28 @@
     .int()
     .positive()
     .default(4 * 1024 * 1024),
+  /** Memory for the requests of callers and operators that have not ended, in bytes. */
+  requestMemoryBytes: z
+    .number()
+    .int()
+    .min(1024 * 1024)
+    .default(64 * 1024 * 1024),
+  /** File descriptors that the process may have open. */
+  descriptors: z.number().int().min(256).default(4_096),
   logLevel: z.enum(['info', 'warn', 'error']).default('info'),
   /** Serves the endpoint for link faults on the caller port. For tests only. */
   faultInjection: z.boolean().default(false),
 });
 
+const settingsSchema = fieldsSchema.refine(
+  ({ bodyLimitBytes, requestMemoryBytes }) =>
+    requestMemoryBytes >= MIN_BODIES_IN_MEMORY * bodyLimitBytes,
+  {
+    path: ['requestMemoryBytes'],
+    error: `expected at least ${MIN_BODIES_IN_MEMORY} times bodyLimitBytes`,
+  },
+);
+
 /** Settings of one daemon. */
 export type DaemonSettings = z.infer<typeof settingsSchema>;
 
--- a/test/processes/misbehaving-callers.test.ts
+++ b/test/processes/misbehaving-callers.test.ts
@@ -2,10 +2,19 @@
  * Guards against a process that callers end or fill by what they send: bodies, trailers and heads that stop short of their end or
  * have none, bodies in very small chunks, and requests that do not wait for answers. Nothing here depends on how fast the machine is.
  */
-import { afterEach, beforeAll, describe, expect, it } from 'vitest';
+import { afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { AdminClient } from '../../src/client/admin-client.js';
 import { sleep } from '../../src/common/process.js';
+import { ADMIN_KEY, LocalCluster } from '../../src/testbed/local-cluster.js';
 import { chunkOf, Crowd, endless, headOf, once, repeated, type ByteSource } from './crowd.js';
-import { buildObservedGateway, MEGABYTE, ObservedGateway, PATH } from './observed-gateway.js';
+import {
+  buildObservedGateway,
+  MEGABYTE,
+  ObservedGateway,
+  openDescriptors,
+  PATH,
+  peakResidentBytes,
+} from './observed-gateway.js';
 
 /** The smallest machine that is deployed. */
 const SMALL_MACHINE = { memoryMegabytes: 160, descriptors: 4_100, maxBodyBytes: 4 * MEGABYTE };
@@ -267,3 +276,104 @@
     },
   );
 });
+
+describe('a daemon whose callers and operators do not behave', () => {
+  /** Memory of the daemon's machine, in MiB. */
+  const MEMORY_MEGABYTES = 350;
+  /** Descriptors of the daemon's machine. */
+  const DESCRIPTORS = 4_096;
+  const part = Buffer.alloc(64 * KILOBYTE, 'x');
+  let cluster: LocalCluster;
+  let crowds: Crowd[] = [];
+
+  function crowd(size: number, source: () => ByteSource): Crowd {
+    const added = new Crowd(cluster.daemons[0]?.callers ?? '', size, source);
+    crowds.push(added);
+    return added;
+  }
+
+  const hasEnded = (): boolean => cluster.daemons[0]?.process.isRunning !== true;
+
+  async function keep(each: Crowd): Promise<void> {
+    const until = performance.now() + MAX_WRITING_MS;
+    const isOver = (): boolean => hasEnded() || performance.now() > until;
+    await each.until((caller) => caller.hasWritten || caller.isClosed, isOver);
+    await sleep(KEPT_MS);
+  }
+
+  /** Checks that the process lives, keeps to its machine, and answers an operator. */
+  async function expectSound(): Promise<void> {
+    expect(hasEnded()).toBe(false);
+    expect(peakResidentBytes(cluster.daemons[0]?.process.pid)).toBeLessThan(
+      MEMORY_MEGABYTES * MEGABYTE,
+    );
+    const client = new AdminClient(cluster.daemons[0]?.callers ?? '', ADMIN_KEY);
+    await client.put('templates', 'service', {
+      kind: 'Template',
+      name: 'service',
+      service: { model: { name: 'm', gigabytes: 1 }, keepAlive: { policy: 'forever' } },
+    });
+    client.close();
+  }
+
+  beforeEach(async () => {
+    cluster = await LocalCluster.start({
+      zones: [{ zone: 'a', site: 'old' }],
+      daemonsPerZone: 1,
+      enginesPerZone: 1,
+    });
+  });
+
+  afterEach(async () => {
+    for (const each of crowds) each.close();
+    crowds = [];
+    await cluster.stop();
+  });
+
+  it.each([
+    { of: 'callers', path: '/v1/completions', method: 'POST', field: '' },
+    {
+      of: 'operators',
+      path: '/admin/v1/templates/x',
+      method: 'PUT',
+      field: `authorization: Bearer ${ADMIN_KEY}`,
+    },
+  ])('bears bodies of $of that stop short of their end', async ({ path, method, field }) => {
+    const fields = [`content-length: ${4 * MEGABYTE}`, ...(field === '' ? [] : [field])];
+    const stopped = crowd(120, () => repeated(headOf(path, fields, method), part, 62));
+    await keep(stopped);
+    await expectSound();
+  });
+
+  it('bears bodies in one-byte chunks that stop short of their end', async () => {
+    const head = headOf('/v1/completions', CHUNKED);
+    const stopped = crowd(40, () => repeated(head, SMALL_CHUNKS, 256));
+    await keep(stopped);
+    await expectSound();
+  });
+
+  it('reads a bounded part of bodies without an end', async () => {
+    const going = crowd(10, () => endless(headOf('/v1/completions', CHUNKED), LARGE_CHUNK));
+    await going.until(
+      (caller) =>
+        caller.isClosed ||
+        caller.writtenAfterAnswer > MAX_WRITTEN_AFTER_ANSWER ||
+        caller.writtenBytes > MAX_WRITTEN_WITHOUT_ANSWER,
+      hasEnded,
+    );
+    await expectSound();
+    for (const caller of going.callers) {
+      expect(caller.status).toBe(413);
+      expect(caller.writtenAfterAnswer).toBeLessThanOrEqual(MAX_WRITTEN_AFTER_ANSWER);
+    }
+  });
+
+  it('bears heads that stop short of their end', async () => {
+    const line = `a: ${'x'.repeat(KILOBYTE)}\r\n`;
+    const head = 'POST /v1/completions HTTP/1.1\r\n';
+    const stopped = crowd(4_500, () => repeated(head, line, 14));
+    await keep(stopped);
+    expect(openDescriptors(cluster.daemons[0]?.process.pid)).toBeLessThan(DESCRIPTORS);
+    await expectSound();
+  });
+});
