--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -50,7 +50,18 @@
 import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_CALLER } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
-import * as seedOffsets from './seed-offsets.js';
+import {
+  FURTHER_SEED,
+  LEAVING_SEED,
+  NAMED_SEED,
+  PERSISTENT_CALLER_SEED,
+  RANK_SEED,
+  RESUMING_CALLER_SEED,
+  SERIES_SEED,
+  STOP_CALLER_SEED,
+  STREAM_HOLDER_SEED,
+  UNNAMED_CALLER_SEED,
+} from './seed-offsets.js';
 import { rolesOf, hitHotLimitCounter, type GatewayFault } from './gateway-faults.js';
 
 /** Maximum number of gateways that join during a run. */
@@ -115,10 +126,7 @@
 
   constructor(private readonly options: SoakOptions) {
     this.random = new SeededRandom(options.seed);
-    this.hotPhaseMs = new SeededRandom(options.seed + seedOffsets.RANK_SEED).between(
-      0,
-      HOT_CYCLE_MS,
-    );
+    this.hotPhaseMs = new SeededRandom(options.seed + RANK_SEED).between(0, HOT_CYCLE_MS);
     const callers: Omit<StopCallerContext, 'random'> = {
       makeRequest: (...drawn) => this.requestOf(...drawn),
       record: (record) => void this.calls.push(record),
@@ -128,11 +136,11 @@
     const randomOf = (offset: number): SeededRandom => new SeededRandom(seed + offset);
     this.stopCallers = new StopCallers({
       ...callers,
-      random: randomOf(seedOffsets.STOP_CALLER_SEED),
+      random: randomOf(STOP_CALLER_SEED),
     });
     this.streamHolders = new StreamHolders({
       ...callers,
-      random: randomOf(seedOffsets.STREAM_HOLDER_SEED),
+      random: randomOf(STREAM_HOLDER_SEED),
     });
     const firstEra = options.seed % INITIAL_ERA_COUNT;
     this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
@@ -231,7 +239,7 @@
   private planFurther(faultsStart: number): number {
     const { seed, faultMs, faultKinds = 'first', only } = this.options;
     if (faultKinds === 'first' || faultKinds === 'none') return 0;
-    const random = new SeededRandom(seed + seedOffsets.FURTHER_SEED);
+    const random = new SeededRandom(seed + FURTHER_SEED);
     const faults = new FurtherFaultInjector(this, random, faultsStart + faultMs);
     const kinds = FURTHER_FAULT_KINDS.filter((kind) => only?.includes(kind));
     const plan = planFurtherFaults(random, faultMs, kinds);
@@ -242,7 +250,7 @@
   private planLeaving(faultsStart: number): number {
     const { seed, faultMs, leaving = false } = this.options;
     if (!leaving) return 0;
-    const random = new SeededRandom(seed + seedOffsets.LEAVING_SEED);
+    const random = new SeededRandom(seed + LEAVING_SEED);
     const faults = new LeavingFaultInjector(this, random);
     const plan = planLeavingFaults(random, faultMs);
     return this.schedule(plan, faultsStart, (fault) => faults.inject(fault));
@@ -255,7 +263,7 @@
   /** Schedules the faults and returns their number. */
   private planNamed(faultsStart: number): number {
     const { seed, faultMs, partsAtOnce } = this.options;
-    const random = new SeededRandom(seed + seedOffsets.NAMED_SEED);
+    const random = new SeededRandom(seed + NAMED_SEED);
     const faults = new OptInFaultInjector(this, random, faultsStart + faultMs, partsAtOnce);
     const plan = planOptInFaults(random, faultMs, this.namedKinds, this.options.partition);
     return this.schedule(plan, faultsStart, (fault) => faults.inject(fault));
@@ -265,7 +273,7 @@
   private planSeries(faultsStart: number): number {
     const { seed, faultMs, series = [] } = this.options;
     if (series.length === 0) return 0;
-    const random = new SeededRandom(seed + seedOffsets.SERIES_SEED);
+    const random = new SeededRandom(seed + SERIES_SEED);
     const faults = new SeriesFaultInjector(this, random, faultsStart + faultMs);
     const plan = planSeriesFaults(random, faultMs, series);
     return this.schedule(plan, faultsStart, (fault) => faults.inject(fault));
@@ -369,7 +377,7 @@
   /** Returns the peer ports in gateway order; if the seed draws ranks, in an order drawn from it. */
   private orderPeerPorts(ports: readonly number[]): number[] {
     if (this.options.drawsRanks !== true) return [...ports];
-    const random = new SeededRandom(this.options.seed + seedOffsets.RANK_SEED);
+    const random = new SeededRandom(this.options.seed + RANK_SEED);
     const remaining = portsByLimitCounterRank(ports);
     return ports.map(() => {
       const [port = 0] = remaining.splice(Math.floor(random.between(0, remaining.length)), 1);
@@ -444,9 +452,7 @@
   private async runPersistentCallers(): Promise<void> {
     const { seed, keptCallers = 0 } = this.options;
     const callers = Array.from({ length: keptCallers }, (_, index) => {
-      return this.runPersistentCaller(
-        new SeededRandom(seed + seedOffsets.PERSISTENT_CALLER_SEED + index),
-      );
+      return this.runPersistentCaller(new SeededRandom(seed + PERSISTENT_CALLER_SEED + index));
     });
     await Promise.all(callers);
   }
@@ -472,8 +478,8 @@
     if (!haveVersions(only)) return undefined;
     const hasUnnamed = only?.includes('software_replaced') === true;
     return new ResumingCallers({
-      random: new SeededRandom(seed + seedOffsets.RESUMING_CALLER_SEED),
-      unnamed: hasUnnamed ? new SeededRandom(seed + seedOffsets.UNNAMED_CALLER_SEED) : undefined,
+      random: new SeededRandom(seed + RESUMING_CALLER_SEED),
+      unnamed: hasUnnamed ? new SeededRandom(seed + UNNAMED_CALLER_SEED) : undefined,
       system: this,
       endsAt: () => this.endsAt,
       routableGateways: () => routableGateways(this.gateways.values()),
