--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -20,10 +20,17 @@
 /** Returns the counts of one run. */
 export function casesMet(
   evidence: SoakEvidence,
-  log: Pick<RunLog, AnswerCounts>,
+  log: Pick<RunLog, AnswerCounts | 'crowds'>,
 ): Pick<
   SoakResult,
-  'crashes' | 'funnels' | 'unframedStreams' | 'streams' | 'stops' | 'silences' | 'answerFaults'
+  | 'crashes'
+  | 'funnels'
+  | 'unframedStreams'
+  | 'streams'
+  | 'stops'
+  | 'silences'
+  | 'answerFaults'
+  | 'crowds'
 > {
   const { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers } = log;
   const endlessAnswers = log.endlessAnswers.length;
@@ -34,6 +41,7 @@
     streams: streamCounts(evidence),
     stops: stopCounts(evidence),
     silences: silenceCounts(evidence),
+    crowds: log.crowds,
     answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers, endlessAnswers },
   };
 }
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -268,7 +268,11 @@
       sourceOf(fault.shape, CROWD_PATH),
     );
     await sleep(Math.min(fault.milliseconds, Math.max(0, this.endsAt - Date.now())));
-    this.system.crowds.push({ shape: fault.shape, answered: crowd.answered, closed: crowd.closed });
+    this.system.log.crowds.push({
+      shape: fault.shape,
+      answered: crowd.answered,
+      closed: crowd.closed,
+    });
     crowd.close();
   }
 
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -1,5 +1,6 @@
 /** Log of what the replicas of a soak observed: runs, arrivals and violated guarantees. */
 import type http from 'node:http';
+import type { CrowdRecord } from './crowd.js';
 import type { EndlessAnswer } from './endless-answers.js';
 
 /** A brittle replica that fell over because it had to reject too many requests. */
@@ -107,6 +108,8 @@
 
 /** Shared by all replicas of one soak. */
 export class RunLog {
+  /** Crowds of callers that did not behave, once they have left. */
+  readonly crowds: CrowdRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly answers: ReplicaAnswer[] = [];
   readonly violations: ReplicaViolation[] = [];
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -6,7 +6,6 @@
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { audit, excusedViolations } from './audit.js';
 import { casesMet } from './cases-met.js';
-import type { CrowdRecord } from './crowd.js';
 import { partitionReports } from './audit-partitions.js';
 import { pickGateway, routableGateways } from './caller-routing.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
@@ -50,22 +49,30 @@
 import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_CALLER } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
-import {
-  FURTHER_SEED,
-  LEAVING_SEED,
-  NAMED_SEED,
-  PERSISTENT_CALLER_SEED,
-  RANK_SEED,
-  RESUMING_CALLER_SEED,
-  SERIES_SEED,
-  STOP_CALLER_SEED,
-  STREAM_HOLDER_SEED,
-  UNNAMED_CALLER_SEED,
-} from './seed-offsets.js';
 import { rolesOf, hitHotLimitCounter, type GatewayFault } from './gateway-faults.js';
 
+/** Offset added to the seed for the generator of further faults. */
+const FURTHER_SEED = 10_000;
+/** Offset added to the seed for the generator of replica departures. */
+const LEAVING_SEED = 30_000;
+/** Offset added to the seed for the generator of fault series. */
+const SERIES_SEED = 40_000;
+/** Offset added to the seed for the generator of opt-in faults. */
+const NAMED_SEED = 50_000;
+/** Offset added to the seed for the generators of callers that reuse connections. */
+const PERSISTENT_CALLER_SEED = 20_000;
 /** Maximum number of gateways that join during a run. */
 const MAX_JOINERS = 8;
+/** Offset added to the seed for the generator of ranks and hot periods. */
+const RANK_SEED = 60_000;
+/** Offset added to the seed for the generator of callers that take up streams. */
+const RESUMING_CALLER_SEED = 70_000;
+/** Offset added to the seed for the generator of callers at stops. */
+const STOP_CALLER_SEED = 80_000;
+/** Offset added to the seed for the generator of callers that hold streams. */
+const STREAM_HOLDER_SEED = 90_000;
+/** Offset added to the seed for the generator of callers that name no attempt. */
+const UNNAMED_CALLER_SEED = 110_000;
 /** Number of eras in which the store may start: 0 or 1, depending on the seed. */
 const INITIAL_ERA_COUNT = 2;
 const PERSISTENT_CALLER_PAUSE_MS = 300;
@@ -97,7 +104,7 @@
 class SoakRun implements SoakSystem {
   private readonly random: SeededRandom;
   readonly store: ObjectStoreStandIn;
-  private readonly log = new RunLog();
+  readonly log = new RunLog();
   readonly replicas: ReplicaStandIn[] = [];
   readonly gateways = new Map<string, GatewayProcess>();
   /** Gateways that have not joined yet. */
@@ -112,7 +119,6 @@
   readonly brittleTimes: BrittleTime[] = [];
   readonly silentTimes: TimeSpan[] = [];
   readonly funnels: ConnectionFunnel[] = [];
-  readonly crowds: CrowdRecord[] = [];
   readonly stopCallers: StopCallers;
   readonly streamHolders: StreamHolders;
   private readonly accepted = new Map<number, number>();
@@ -134,14 +140,8 @@
     };
     const { seed } = options;
     const randomOf = (offset: number): SeededRandom => new SeededRandom(seed + offset);
-    this.stopCallers = new StopCallers({
-      ...callers,
-      random: randomOf(STOP_CALLER_SEED),
-    });
-    this.streamHolders = new StreamHolders({
-      ...callers,
-      random: randomOf(STREAM_HOLDER_SEED),
-    });
+    this.stopCallers = new StopCallers({ ...callers, random: randomOf(STOP_CALLER_SEED) });
+    this.streamHolders = new StreamHolders({ ...callers, random: randomOf(STREAM_HOLDER_SEED) });
     const firstEra = options.seed % INITIAL_ERA_COUNT;
     this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
     this.processSamples = new ProcessSamples(options.folder, () => this.sampledProcesses());
@@ -195,7 +195,6 @@
       partitions: partitionReports(evidence),
       brittleFalls: this.log.brittleFalls.length,
       ...casesMet(evidence, this.log),
-      crowds: this.crowds,
       excused: excusedViolations(evidence),
       calls: this.calls.length,
       served: this.calls.filter((each) => each.status === 200 && each.isComplete).length,
--- a/test/soak/soak-system.ts
+++ b/test/soak/soak-system.ts
@@ -6,10 +6,10 @@
   StoreFault,
   TimeSpan,
 } from './evidence.js';
-import type { CrowdRecord } from './crowd.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { ObjectStoreStandIn } from './object-store-stand-in.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
+import type { RunLog } from './run-log.js';
 
 /** Gateways, stand-ins, and the record of faults injected into them. */
 export interface SoakSystem {
@@ -25,8 +25,7 @@
   readonly silentTimes: TimeSpan[];
   /** Spans in which most new connections go to one gateway. */
   readonly funnels: ConnectionFunnel[];
-  /** The crowds of callers that did not behave. */
-  readonly crowds: CrowdRecord[];
+  readonly log: RunLog;
   /** Publishes the next configuration version as the operator. */
   changeConfiguration(): void;
 }
