--- a/test/daemon/stop-of-kept-connections.test.ts
+++ b/test/daemon/stop-of-kept-connections.test.ts
@@ -32,6 +32,8 @@
     server = new DaemonHttpServer({
       host: '127.0.0.1',
       port,
+      requestMemoryBytes: 8 * 1024 * 1024,
+      descriptors: 1_024,
       logger: silentLogger,
       notReadyError: () => (isDraining ? draining : undefined),
     } as unknown as DaemonHttpServerOptions);
--- a/test/daemon/unreadable-requests.test.ts
+++ b/test/daemon/unreadable-requests.test.ts
@@ -43,7 +43,8 @@
       notReadyError: () => undefined,
     } as unknown as CallerApiOptions);
     const [port = 0] = await findFreePorts(1);
-    const options = { host: '127.0.0.1', port, logger: silentLogger, callerApi };
+    const limits = { requestMemoryBytes: 8 * 1024 * 1024, descriptors: 1_024 };
+    const options = { host: '127.0.0.1', port, ...limits, logger: silentLogger, callerApi };
     server = new DaemonHttpServer({
       ...options,
       notReadyError: () => undefined,
