Fix: a connection over the limit of pipelined requests is closed only after its last answer

Callers with more than 64 requests that wait lost answers of requests that were running, if the head of the last one's answer had been written already: the connection was ended at once. Found in a review of the limit. Now it is closed once that answer is written.

Shown: pipelined-requests.test.ts; 'are answered whole if the last answer has begun' failed before.

--- a/src/common/pipelined-requests.ts
+++ b/src/common/pipelined-requests.ts
@@ -33,6 +33,8 @@
   socket.on('drain', () => responses.find((response) => response.socket === socket)?.emit('drain'));
   discardRest(socket);
   const last = responses.at(-1);
-  if (last === undefined || last.headersSent) return socket.destroySoon();
-  last.shouldKeepAlive = false;
+  if (last === undefined) return socket.destroySoon();
+  // An answer whose head was written announces nothing any more.
+  if (last.headersSent) last.once('close', () => socket.destroySoon());
+  else last.shouldKeepAlive = false;
 }
