--- a/test/compatibility/recorded-build.ts
+++ b/test/compatibility/recorded-build.ts
@@ -34,6 +34,7 @@
   'platform.address|json': '"10.200.1.7:8142"',
   'internalPorts.0': '7380',
   'limits.memoryMb': '350',
+  'limits.maxFds': '4100',
 };
 
 /** Returns the settings of the current deployment template, with its placeholders filled in. */
