Fix: a single large request may take all memory that the others leave

A caller in calm got 413 for a body of 20 MB that the configuration allows, on a machine of 200 MB: large requests had three quarters of the account, 18.4 MB, also alone. Found by backup-acceptance.test.ts 'counts as accepted only once its backend has read the body', which failed since the account was added. Three quarters hold for several only now.

Shown: that test and the 12 process tests of bodies, trailers and heads pass.

--- a/src/core/request-memory.ts
+++ b/src/core/request-memory.ts
@@ -15,7 +15,10 @@
 const MAX_FRAGMENTED_BODIES = 4;
 /** Largest head and trailers of one request, on any port. */
 const MAX_FIELD_BYTES = 320 * 1024;
-/** Share of the memory that large requests may take; the rest is for small ones, so that large ones can't keep them out. */
+/**
+ * Share of the memory that large requests may take together; the rest is for small ones, so that large ones can't keep them out. A single
+ * large one may take all that the others leave.
+ */
 const LARGE_REQUEST_SHARE = 3 / 4;
 /** A request of at most this share of the memory is small. */
 const SMALL_REQUEST_SHARE = 1 / 256;
@@ -100,8 +103,7 @@
 
   /** Largest body for which there is room while no other request is open, in bytes, whatever its head and trailers. */
   get maxBodyBytes(): number {
-    const largeBytes = Math.floor(this.limits.totalBytes * LARGE_REQUEST_SHARE);
-    return largeBytes - MAX_FIELD_BYTES - REQUEST_OVERHEAD_BYTES;
+    return Math.floor(this.limits.totalBytes) - MAX_FIELD_BYTES - REQUEST_OVERHEAD_BYTES;
   }
 
   /** Bytes for which there is room. */
@@ -194,7 +196,8 @@
   private limitFor({ bytes }: Entry): number {
     const { totalBytes } = this.limits;
     const isSmall = bytes - REQUEST_OVERHEAD_BYTES <= totalBytes * SMALL_REQUEST_SHARE;
-    return isSmall ? totalBytes : totalBytes * LARGE_REQUEST_SHARE;
+    const isAlone = this.total - bytes <= totalBytes * (1 - LARGE_REQUEST_SHARE);
+    return isSmall || isAlone ? totalBytes : totalBytes * LARGE_REQUEST_SHARE;
   }
 
   private release(entry: Entry): void {
