Log: a failed attempt says how long after its sending it ended

Why: in the record of the report an attempt was given up as silent and, 53 ms later, another backend refused. Whether the first was given up when the second one was sent, or because that one had not refused for 300 ms, differs only in the time from the second sending to its refusal, and no line of the record has it (the line of the sending may be cut, or of another log).

Change: attempt_failed has sentMs, the time since the attempt was started. No logic is changed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -122,6 +122,7 @@
   private ended = false;
   private isPaused = false;
   private isSilenceReported = false;
+  private readonly startedAt = steadyNow();
 
   constructor(
     private readonly context: GatewayContext,
@@ -171,6 +172,11 @@
     return { localPort, isReused };
   }
 
+  /** Time since the start of the attempt, in milliseconds. */
+  get ageMs(): number {
+    return steadyNow() - this.startedAt;
+  }
+
   /** Id of the backend that the request was sent to. */
   get backendId(): string {
     return this.options.backend.id;
--- a/src/gateway/request-attempts.ts
+++ b/src/gateway/request-attempts.ts
@@ -201,12 +201,14 @@
   }
 
   /** Records an attempt that ended without an answer for the caller. */
-  recordFailure({ connection, relay }: Attempt, backend: BackendRecord, end: FailedEnd): void {
+  recordFailure(attempt: Attempt, backend: BackendRecord, end: FailedEnd): void {
+    const { connection, relay } = attempt;
     this.options.log('attempt_failed', {
       backend: backend.id,
       ran: end.ran,
       reached: end.reached,
       reason: end.reason,
+      sentMs: Math.round(attempt.ageMs),
       relay,
       localPort: connection.localPort,
       reused: connection.isReused,
