Fix: the first attempt is kept until its own backend runs

Callers saw: a stream cut in the middle, or 502, although the backend that had their request went on with it; the second backend had refused it a moment before.

Cause: a backup counted as accepted once its backend had replied to a liveness check and had not refused for 300 ms, and the first attempt was given up then. The absence of a refusal is no acceptance: a backend may refuse after seconds. Two attempts may not run together for longer than 400 ms, but a backend that does not run works on nothing, and one that is not reached does not notice that its connection is closed. Class: a resource released before its successor holds.

Change: the first attempt's backend is checked as well, over a connection of its own. While it replies to nothing, both attempts go on and the first one to answer decides. From its reply on it has 200 ms to go on, then it is given up as before.

Ruled out: to wait for the first attempt in any case (a connection that is silent for good would lose the request); to cancel the backup at 400 ms (it counts as a run, so that a route with two attempts has none left); to keep both always (two backends that run).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -177,6 +177,11 @@
     return steadyNow() - this.startedAt;
   }
 
+  /** The backend that the request was sent to. */
+  get backend(): BackendRecord {
+    return this.options.backend;
+  }
+
   /** Id of the backend that the request was sent to. */
   get backendId(): string {
     return this.options.backend.id;
--- a/src/gateway/backup-acceptance.ts
+++ b/src/gateway/backup-acceptance.ts
@@ -1,6 +1,8 @@
 /**
- * Decides when the backend of a backup counts as having accepted the request: it runs, has read the request, and has not refused it for a
- * time. Until then it may refuse, and nothing would be left to go back to if the first attempt had been ended.
+ * Decides which of two attempts goes on if neither is answered. The backend of the backup counts as having accepted the request if it runs,
+ * has read the request, and has not refused it for a time. Even so it may refuse later. The first attempt is therefore given up only if
+ * its own backend runs and is reached as well: two backends must not work on one request for long, and one that does not run works on
+ * nothing and may still have the answer.
  */
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import type { BackendRecord } from '../core/service-configuration.js';
@@ -58,7 +60,7 @@
   readonly log: RequestLog;
   /** The request's first attempt; undefined while it has none. */
   readonly first: () => Attempt | undefined;
-  /** Called when the backend counts as having accepted the request. */
+  /** Called when the first attempt is to be given up. */
   readonly onAccepted: () => void;
   /** Called when the backend seems silent as well: it may refuse the request later. */
   readonly onOverdue: () => void;
@@ -70,12 +72,17 @@
 export class BackupAcceptance {
   private backup: SentBackup | undefined;
   private liveness: BackendLiveness = 'unknown';
-  /** Steady time from which the backend could refuse the request. */
-  private openedAt = 0;
+  /** Steady time of the next decision. */
+  private dueAt = 0;
   /** Whether the backend was still reading the body at the last check. */
   private isReadingBody = false;
+  /** Whether the first attempt's backend has replied to a liveness check, or is not checked because the attempt is relayed. */
+  private isFirstRunning = false;
+  /** Whether the backup counts as accepted, and the first attempt's backend has not replied yet. */
+  private isFirstAwaited = false;
   private readonly timer: SilenceTimer;
   private readonly livenessCheck: LivenessCheck;
+  private readonly firstLivenessCheck: LivenessCheck;
 
   constructor(private readonly options: BackupAcceptanceOptions) {
     const { boundary, context } = options;
@@ -87,6 +94,11 @@
       boundary,
       onReply: () => this.backendReplied(),
     });
+    this.firstLivenessCheck = new LivenessCheck({
+      control: context.control,
+      boundary,
+      onReply: () => this.firstBackendReplied(),
+    });
   }
 
   /** Whether the backend has neither replied to a liveness check nor refused the request in time. */
@@ -97,16 +109,22 @@
   /** Begins to watch a backup whose connection is open. */
   start(backup: SentBackup): void {
     this.backup = backup;
-    this.openedAt = steadyNow();
-    this.timer.start(ACCEPT_MS);
+    this.decideIn(ACCEPT_MS);
     // A check would not reach the backend of a relayed backup.
-    if (backup.attempt.relay === undefined) this.livenessCheck.start(backup.backend);
+    if (backup.attempt.relay !== undefined) return;
+    this.livenessCheck.start(backup.backend);
+    const first = this.options.first();
+    this.isFirstRunning = first?.relay !== undefined;
+    if (first !== undefined && !this.isFirstRunning) this.firstLivenessCheck.start(first.backend);
   }
 
   /** Stops to watch, without a decision. */
   stop(): void {
     this.timer.stop();
     this.livenessCheck.stop();
+    this.firstLivenessCheck.stop();
+    this.isFirstRunning = false;
+    this.isFirstAwaited = false;
     this.liveness = 'unknown';
     this.isReadingBody = false;
     this.backup = undefined;
@@ -130,9 +148,24 @@
   private acceptOnceRead({ attempt }: SentBackup): void {
     const wasReading = this.isReadingBody;
     this.isReadingBody = !attempt.isBodyRead;
-    if (this.isReadingBody) this.timer.start(BODY_CHECK_MS);
-    else if (wasReading) this.timer.start(ACCEPT_AFTER_SILENCE_MS);
-    else this.options.onAccepted();
+    if (this.isReadingBody) this.decideIn(BODY_CHECK_MS);
+    else if (wasReading) this.decideIn(ACCEPT_AFTER_SILENCE_MS);
+    else this.accepted();
+  }
+
+  /** Gives up the first attempt, unless its backend does not run: it then works on nothing, and may have the answer. */
+  private accepted(): void {
+    if (this.isFirstRunning) return this.options.onAccepted();
+    this.isFirstAwaited = true;
+    this.logFirst('silent_backend_awaited');
+  }
+
+  /** Handles the first reply of the first attempt's backend. The attempt's connection may now bring the answer. */
+  private firstBackendReplied(): void {
+    this.isFirstRunning = true;
+    this.logFirst('silent_backend_replied');
+    if (this.isFirstAwaited) this.decideIn(ACCEPT_AFTER_SILENCE_MS);
+    else if (this.liveness === 'replied') this.waitAfterReply();
   }
 
   /** Handles the first reply of the backend to the liveness check. */
@@ -140,10 +173,20 @@
     const wasOverdue = this.isOverdue;
     this.liveness = 'replied';
     this.logBackend('backup_backend_replied');
-    if (wasOverdue) return this.timer.start(ACCEPT_AFTER_SILENCE_MS);
-    const leftMs = this.openedAt + ACCEPT_MS - steadyNow();
+    if (wasOverdue) this.decideIn(ACCEPT_AFTER_SILENCE_MS);
+    else this.waitAfterReply();
+  }
+
+  /** Puts the decision off if a reply came shortly before it: the backend may have gone on only now. */
+  private waitAfterReply(): void {
+    const leftMs = this.dueAt - steadyNow();
     if (leftMs >= REFUSAL_MS) return;
-    this.timer.start(Math.max(0, Math.min(leftMs, 0) + REFUSAL_MS));
+    this.decideIn(Math.max(0, Math.min(leftMs, 0) + REFUSAL_MS));
+  }
+
+  private decideIn(milliseconds: number): void {
+    this.dueAt = steadyNow() + milliseconds;
+    this.timer.start(milliseconds);
   }
 
   /**
@@ -156,7 +199,15 @@
     const address = first()?.backendAddress;
     if (address !== undefined && !reachability.isUnreachable(address)) return onFirstReached();
     if (steadyNow() - sentAt >= RELAY_ACCEPT_MS) onAccepted();
-    else this.timer.start(RELAY_CHECK_MS);
+    else this.decideIn(RELAY_CHECK_MS);
+  }
+
+  private logFirst(event: string): void {
+    const first = this.options.first();
+    if (this.backup === undefined || first === undefined) return;
+    const backupSentMs = Math.round(steadyNow() - this.backup.sentAt);
+    const sentMs = Math.round(first.ageMs);
+    this.options.log(event, { backend: first.backendId, sentMs, backupSentMs });
   }
 
   private logBackend(event: string): void {
--- a/src/gateway/request-backup.ts
+++ b/src/gateway/request-backup.ts
@@ -1,7 +1,7 @@
 /**
  * The backup of a request whose backend is silent: a second attempt at another backend, while the first one goes on. The first one is
- * given up only when the other backend has begun to answer, or has kept the request for a time without refusing it and has replied to
- * a liveness check. A backend that is silent for a second may still answer, and the other one may be silent as well and full.
+ * given up only when the other backend has begun to answer, or when both backends run and the other one has kept the request for a time
+ * without refusing it. A backend that is silent for a second may still answer, and the other one may be silent as well and full.
  */
 import type { FaultBoundary } from '../common/fault-boundary.js';
 import type { BackendRecord } from '../core/service-configuration.js';
