Fix: a begun stream without an attempt is sent again up to its deadline

Callers saw: a stream cut at the refusal of its last attempt, although they would have waited for seconds.

Cause: a refused retry, and the fourth send, ended a request whatever its caller had. A caller that has a part of the answer cannot be refused; the cut was the only end, and it came at once. The retry budget is refilled as time passes, and backends get room.

A request whose answer has not begun ends as before: its caller may be told the truth at once, and can repeat it. So does a stream that has used up its runs.

--- a/src/core/attempt-policy.ts
+++ b/src/core/attempt-policy.ts
@@ -19,18 +19,22 @@
   readonly runs: number;
   /** Number of times the request was sent. */
   readonly sends: number;
+  /** Whether the caller has received a part of the answer. */
+  readonly isAnswerBegun: boolean;
 }
 
 /** What to do after a failed attempt. */
 export type NextStep =
   /** Send the request again, to another backend if there is one. */
   | 'retry'
+  /** Send the request again after a backoff: its caller has received a part of the answer and cannot be refused. */
+  | 'retry_after_backoff'
   /** Give up; the request has not run. */
   | 'refuse'
   /** Give up; the request has run or may have run. */
   | 'fail';
 
-/** Maximum sends of one request, including refused ones; bounds the retries when many backends refuse. */
+/** Maximum sends of one request without a backoff, including refused ones; bounds the retries when many backends refuse. */
 const MAX_SENDS = 4;
 /** First-byte timeout of an attempt, as a multiple of the route's latency goal. */
 const FIRST_BYTE_TIMEOUT_GOALS = 2.2;
@@ -49,16 +53,24 @@
 ): NextStep {
   const mayHaveRun = history.runs > 0;
   const terminalStep: NextStep = mayHaveRun && !mayRepeat(route) ? 'fail' : 'refuse';
-  if (history.sends >= MAX_SENDS) return mayHaveRun ? 'fail' : terminalStep;
+  if (history.sends >= MAX_SENDS) {
+    if (history.isAnswerBegun && mayRunAgain(route, history)) return 'retry_after_backoff';
+    return mayHaveRun ? 'fail' : terminalStep;
+  }
   if (attempt.ran === 'no') return mayHaveRun && !mayRepeat(route) ? 'fail' : 'retry';
-  if (!mayRepeat(route)) return 'fail';
-  return history.runs < route.maxAttempts ? 'retry' : 'fail';
+  return mayRunAgain(route, history) ? 'retry' : 'fail';
+}
+
+function mayRunAgain(route: Route, { runs }: Pick<AttemptHistory, 'runs'>): boolean {
+  return mayRepeat(route) && runs < route.maxAttempts;
 }
 
 /** Returns whether the request could be sent again if the attempt that runs now were given up. */
 function mayGiveUp(route: Route, runs: number, sends: number): boolean {
   const givenUp = { ran: 'unknown', reached: true } as const;
-  return stepAfterFailure(route, givenUp, { runs: runs + 1, sends }) === 'retry';
+  return (
+    stepAfterFailure(route, givenUp, { runs: runs + 1, sends, isAnswerBegun: false }) === 'retry'
+  );
 }
 
 /** Returns whether the request could be sent again if the backup beside the attempt that runs now were cancelled, and that attempt given up. */
--- a/src/gateway/request-attempts.ts
+++ b/src/gateway/request-attempts.ts
@@ -85,6 +85,10 @@
     return this.runCount;
   }
 
+  get isAnswerBegun(): boolean {
+    return this.options.answer.hasBegun;
+  }
+
   /** Whether the request could be sent once more if one of its two running attempts were cancelled and the other one failed. */
   get mayReplaceBackup(): boolean {
     return mayReplaceBackup(this.options.route, this.runCount, this.sendCount);
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -31,6 +31,7 @@
 import { RequestRetries } from './request-retries.js';
 import { RequestStream } from './request-stream.js';
 import { RequestSuspicion } from './request-suspicion.js';
+import { RetryBackoff } from './retry-backoff.js';
 import { slotDetailsOf } from './slot-details.js';
 import { steadyNow } from './steady-clock.js';
 import type { ResumedStream } from './stream-resumptions.js';
@@ -76,6 +77,7 @@
   private readonly relays: RequestRelays;
   private readonly stream: RequestStream;
   private readonly retries: RequestRetries;
+  private readonly retryBackoff = new RetryBackoff();
 
   constructor(
     private readonly context: GatewayContext,
@@ -224,7 +226,8 @@
   private dispatch(): void {
     if (this.ended) return;
     if (this.isCondemned()) this.refuseCrashing();
-    else this.search.next();
+    else if (this.retryBackoff.isOver) this.search.next();
+    else this.wait();
   }
 
   private isCondemned(): boolean {
@@ -463,7 +466,16 @@
     return this.attempts.startBackup(backend, path, resources);
   }
 
+  /** Sends the request again later, up to its deadline: its caller has a part of the answer and cannot be refused. */
+  private retryAfterBackoff(): void {
+    this.search.release();
+    const backoffMs = this.retryBackoff.begin();
+    this.log('retry_backoff', { backoffMs, sends: this.attempts.sends, runs: this.attempts.runs });
+    this.wait();
+  }
+
   private stopRetrying(): void {
+    if (this.answer.hasBegun) return this.retryAfterBackoff();
     if (this.attempts.runs > 0)
       return this.giveUp(this.attempts.lastRan, 'the retry budget is exhausted');
     this.refuse('engine_refused', 500);
@@ -490,7 +502,8 @@
     if (isBackup) return;
     if (this.backup.isOpen) return this.continueAfter(examined);
     const step = stepAfterFailure(this.match.route, end, this.attempts);
-    if (step === 'retry') return this.continueAfter(examined);
+    if (step === 'retry_after_backoff') this.retryAfterBackoff();
+    if (step === 'retry' || step === 'retry_after_backoff') return this.continueAfter(examined);
     if (end.answer !== undefined && !this.answer.hasBegun) {
       this.answer.sendComplete(end.answer);
       return this.finish('failed');
--- a/test/core/gateway-policies.test.ts
+++ b/test/core/gateway-policies.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { stepAfterFailure } from '../../src/core/attempt-policy.js';
+import { stepAfterFailure, type AttemptHistory } from '../../src/core/attempt-policy.js';
 import type { BackendList } from '../../src/core/backend-presence.js';
 import { BackendDirectory } from '../../src/core/backend-directory.js';
 import { BackendHealth } from '../../src/core/backend-health.js';
@@ -63,23 +63,35 @@
 describe('afterFailure', () => {
   const route = (repeatability: Repeatability): ReturnType<typeof testRoute> =>
     testRoute({ repeatability, maxAttempts: 2 });
+  const history = (runs: number, sends: number, isAnswerBegun = false): AttemptHistory => {
+    return { runs, sends, isAnswerBegun };
+  };
 
   it('retries a request that has not run, regardless of its repeatability', () => {
     const failed = { ran: 'no', reached: true } as const;
-    expect(stepAfterFailure(route('once'), failed, { runs: 0, sends: 1 })).toBe('retry');
+    expect(stepAfterFailure(route('once'), failed, history(0, 1))).toBe('retry');
   });
 
   it('retries a request that may have run only if it is repeatable, up to the maximum of attempts', () => {
     const failed = { ran: 'unknown', reached: true } as const;
-    expect(stepAfterFailure(route('once'), failed, { runs: 1, sends: 1 })).toBe('fail');
-    expect(stepAfterFailure(route('stream_once'), failed, { runs: 1, sends: 1 })).toBe('fail');
-    expect(stepAfterFailure(route('repeatable'), failed, { runs: 1, sends: 1 })).toBe('retry');
-    expect(stepAfterFailure(route('repeatable'), failed, { runs: 2, sends: 2 })).toBe('fail');
+    expect(stepAfterFailure(route('once'), failed, history(1, 1))).toBe('fail');
+    expect(stepAfterFailure(route('stream_once'), failed, history(1, 1))).toBe('fail');
+    expect(stepAfterFailure(route('repeatable'), failed, history(1, 1))).toBe('retry');
+    expect(stepAfterFailure(route('repeatable'), failed, history(2, 2))).toBe('fail');
   });
 
   it('refuses a request with a retry time after repeated refusals by backends', () => {
     const failed = { ran: 'no', reached: true } as const;
-    expect(stepAfterFailure(route('once'), failed, { runs: 0, sends: 4 })).toBe('refuse');
+    expect(stepAfterFailure(route('once'), failed, history(0, 4))).toBe('refuse');
+  });
+
+  it('retries a stream that its caller has begun to receive after repeated refusals, after a backoff', () => {
+    const refused = { ran: 'no', reached: true } as const;
+    const stream = route('resumable_stream');
+    expect(stepAfterFailure(stream, refused, history(1, 3, true))).toBe('retry');
+    expect(stepAfterFailure(stream, refused, history(1, 4, true))).toBe('retry_after_backoff');
+    expect(stepAfterFailure(stream, refused, history(2, 4, true))).toBe('fail');
+    expect(stepAfterFailure(stream, refused, history(1, 4))).toBe('fail');
   });
 });
 
