Retries: the backoff of a begun stream stands with the retries of its request

The backoff moves to request-retries.ts, which knows the budget; the details of a slot are taken from the answer, the stream and the attempts.

--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -31,7 +31,6 @@
 import { RequestRetries } from './request-retries.js';
 import { RequestStream } from './request-stream.js';
 import { RequestSuspicion } from './request-suspicion.js';
-import { RetryBackoff } from './retry-backoff.js';
 import { slotDetailsOf } from './slot-details.js';
 import { steadyNow } from './steady-clock.js';
 import type { ResumedStream } from './stream-resumptions.js';
@@ -77,7 +76,6 @@
   private readonly relays: RequestRelays;
   private readonly stream: RequestStream;
   private readonly retries: RequestRetries;
-  private readonly retryBackoff = new RetryBackoff();
 
   constructor(
     private readonly context: GatewayContext,
@@ -110,8 +108,8 @@
     this.capacityQuery = { service: match.service.name, route, model: this.model };
     this.admission = new TenantAdmission(context, route, request.head);
     this.log = requestLog(context, route, request.head, () => this.admission.tenant?.name);
-    this.retries = new RequestRetries(context, match.service.name, () => {
-      this.log('retry_denied', { sends: this.attempts.sends, runs: this.attempts.runs });
+    this.retries = new RequestRetries(context, match.service.name, (event, fields) => {
+      this.log(event, { ...fields, sends: this.attempts.sends, runs: this.attempts.runs });
     });
     this.wasRefused = context.recordCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
@@ -226,8 +224,8 @@
   private dispatch(): void {
     if (this.ended) return;
     if (this.isCondemned()) this.refuseCrashing();
-    else if (this.retryBackoff.isOver) this.search.next();
-    else this.wait();
+    else if (this.retries.isBackingOff) this.wait();
+    else this.search.next();
   }
 
   private isCondemned(): boolean {
@@ -316,18 +314,19 @@
   }
 
   private slotDetails(): SlotDetails {
-    const { request, admission, wasRefused, dueAt, deadlineAt } = this;
+    const { request, admission, answer, stream, attempts, wasRefused, dueAt, deadlineAt } = this;
+    const { route } = this.match;
+    const needsModel = this.model !== undefined;
+    const times = { wasRefused, dueAt, deadlineAt };
     return slotDetailsOf({
       request,
-      route: this.match.route,
+      route,
       admission,
-      needsModel: this.model !== undefined,
-      hasBegun: this.answer.hasBegun,
-      isResumed: this.stream.isResumed,
-      wasSent: this.attempts.sends > 0,
-      wasRefused,
-      dueAt,
-      deadlineAt,
+      needsModel,
+      answer,
+      stream,
+      attempts,
+      ...times,
     });
   }
 
@@ -366,10 +365,7 @@
     this.wait();
   }
 
-  private refuseFull(
-    retryAfterMs: number,
-    reasons: Readonly<Record<string, number | undefined>>,
-  ): void {
+  private refuseFull(retryAfterMs: number, reasons: LogFields): void {
     const now = steadyNow();
     const waitedMs = Math.round(now - this.request.arrivedAt);
     const hasComeBack = Number(this.wasRefused);
@@ -466,16 +462,13 @@
     return this.attempts.startBackup(backend, path, resources);
   }
 
-  /** Sends the request again later, up to its deadline: its caller has a part of the answer and cannot be refused. */
-  private retryAfterBackoff(): void {
-    this.search.release();
-    const backoffMs = this.retryBackoff.begin();
-    this.log('retry_backoff', { backoffMs, sends: this.attempts.sends, runs: this.attempts.runs });
-    this.wait();
-  }
-
+  /** Handles an exhausted retry budget: a request whose caller has a part of the answer waits for it up to its deadline. */
   private stopRetrying(): void {
-    if (this.answer.hasBegun) return this.retryAfterBackoff();
+    if (this.answer.hasBegun) {
+      this.search.release();
+      this.retries.backOff();
+      return this.wait();
+    }
     if (this.attempts.runs > 0)
       return this.giveUp(this.attempts.lastRan, 'the retry budget is exhausted');
     this.refuse('engine_refused', 500);
@@ -502,7 +495,7 @@
     if (isBackup) return;
     if (this.backup.isOpen) return this.continueAfter(examined);
     const step = stepAfterFailure(this.match.route, end, this.attempts);
-    if (step === 'retry_after_backoff') this.retryAfterBackoff();
+    if (step === 'retry_after_backoff') this.retries.backOff();
     if (step === 'retry' || step === 'retry_after_backoff') return this.continueAfter(examined);
     if (end.answer !== undefined && !this.answer.hasBegun) {
       this.answer.sendComplete(end.answer);
@@ -570,11 +563,7 @@
   }
 
   /** Ends a request that has run or may have run. */
-  private giveUp(
-    ran: Ran,
-    reason: string,
-    kind: 'deadline_exceeded_running' | undefined = undefined,
-  ): void {
+  private giveUp(ran: Ran, reason: string, kind?: 'deadline_exceeded_running'): void {
     this.log('given_up', { ran, reason, begun: this.answer.hasBegun });
     const fallback = ran === 'yes' ? 'engine_failed' : 'engine_outcome_unknown';
     if (this.answer.hasBegun) this.answer.disconnect();
--- a/src/gateway/request-retries.ts
+++ b/src/gateway/request-retries.ts
@@ -1,20 +1,39 @@
-/** Takes the retries of one request from its service's budget. */
+/** Takes the retries of one request from its service's budget, with a backoff where its caller waits for the rest of an answer. */
+import type { LogFields } from '../common/logger.js';
 import type { GatewayContext } from './gateway-context.js';
 import { steadyNow } from './steady-clock.js';
 
+/** First backoff, in milliseconds; each further one is twice as long, up to the maximum. */
+const FIRST_BACKOFF_MS = 250;
+const MAX_BACKOFF_MS = 2_000;
+
 /** The retries of one request. */
 export class RequestRetries {
   /** Steady time at which the retry was reserved that is not used yet; undefined without one. */
   private reservedAt: number | undefined;
   private isDenialReported = false;
+  private nextBackoffMs = FIRST_BACKOFF_MS;
+  private backoffEndsAt = -Infinity;
 
   constructor(
     private readonly context: Pick<GatewayContext, 'budgetOf' | 'budgetParts' | 'metrics'>,
     private readonly service: string,
-    /** Called at the first denial. */
-    private readonly onDenied: () => void,
+    private readonly log: (event: string, fields: LogFields) => void,
   ) {}
 
+  /** Whether the request is not to be sent yet. */
+  get isBackingOff(): boolean {
+    return steadyNow() < this.backoffEndsAt;
+  }
+
+  /** Begins a backoff. */
+  backOff(): void {
+    const backoffMs = this.nextBackoffMs;
+    this.backoffEndsAt = steadyNow() + backoffMs;
+    this.nextBackoffMs = Math.min(2 * backoffMs, MAX_BACKOFF_MS);
+    this.log('retry_backoff', { backoffMs });
+  }
+
   /**
    * Reserves the next retry, so that an attempt is given up only if the request may be sent again. Returns false if the budget is
    * exhausted. May be called repeatedly; only the first denial is reported.
@@ -51,6 +70,6 @@
     if (this.isDenialReported) return;
     this.isDenialReported = true;
     this.context.metrics.retries.inc({ granted: 'false' });
-    this.onDenied();
+    this.log('retry_denied', {});
   }
 }
