Fix: an unnamed stream is resumed only after its list of backends was read again

Callers saw: a stream that had begun on backends of a new software version went on at one of the old version (ORDER), at a daemon whose store hung while it was cut off from the others.

Hypotheses: 1. the daemon concludes from its own list, which counts as current for 5 s (source=sole_version); 2. another daemon infers it (sole_version_at_peer); 3. the record of versions lacks the new one (sole_version_recorded). The source in the line tells them apart: 1. 2 and 3 rest on the same age and are closed by the same change.

Cause: a view that is bounded by age excluded what is younger than that age. A stream begins and breaks within 0.3 s, a list may be 5 s old.

Change: before an inferred version is relied on, whatever its source, the changes of the list are read with a call that begins after the request has come (a watch that waits 1 ms; one call for all that wait). No response in 500 ms, or another version then: refused. Cost: one call for the unnamed resumptions of one round trip, none for others; during an outage of the store such streams are refused at once, where before they were for its time beyond 5 s.

Ruled out: a shorter age (a version is younger than any); to ask other daemons (the one that knows may have ended); an id that the caller brings back (answers are the backends' own).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { leaseClock, leaseNow } from '../common/lease-clock.js';
 import { startTicker, type Ticker } from '../common/process.js';
 import { BEAT_PERIOD_MS, RunningClock } from '../common/running-clock.js';
+import { shareCalls } from '../common/shared-call.js';
 import { LimitShares } from '../core/admission/limit-shares.js';
 import { answerMemoryLimitsFor } from '../core/answer-budget.js';
 import { BackendDirectory } from '../core/backend-directory.js';
@@ -421,6 +422,7 @@
       requestMemory: this.requestMemory,
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: () => this.directoryReader.directoryAgeMs(),
+      confirmBackends: shareCalls(() => systems.directory.confirmBackends()),
       budgetOf: (service) => this.budgets.budgetOf(service),
       budgetParts: () => 1 / this.shares.ownShare(leaseNow()),
       recordCaller: (route, deadlineMs) => this.budgets.recordDeadline(route, deadlineMs),
--- a/src/gateway/stream-resumptions.ts
+++ b/src/gateway/stream-resumptions.ts
@@ -20,6 +20,23 @@
 const MAX_LOGGED_ID_LENGTH = 64;
 /** Maximum time for which a resumption waits for a read of the record of versions, in milliseconds. */
 const MAX_RECORD_WAIT_MS = 250;
+/** Maximum time for which a resumption waits for a read of the list of backends, in milliseconds. */
+const MAX_CONFIRMATION_WAIT_MS = 500;
+
+/** Why an inferred origin is not relied on. */
+type Doubt =
+  /** The platform did not respond in time. */
+  | 'list_unconfirmed'
+  /** Another version, or another service of the path, has appeared. */
+  | 'other_version';
+
+/** The origin of an unnamed stream, as far as it can be inferred. */
+interface InferredOrigin {
+  readonly origin: StreamOrigin | undefined;
+  readonly source: string;
+  /** What the inference is based on, for the log. */
+  readonly inputs: Readonly<Record<string, string | number | undefined>>;
+}
 
 /** A resumed stream and its origin. */
 export interface ResumedStream {
@@ -43,7 +60,7 @@
   constructor(
     private readonly context: Pick<
       GatewayContext,
-      'streamOrigins' | 'metrics' | 'logger' | 'backendsAgeMs'
+      'streamOrigins' | 'metrics' | 'logger' | 'backendsAgeMs' | 'confirmBackends'
     >,
     store: VersionRecorderOptions['store'],
     peers: VersionRecorderOptions['peers'],
@@ -106,8 +123,8 @@
   }
 
   /**
-   * Infers the origin of an unnamed stream, or has it inferred by daemons that have observed the backends for longer, or by the record
-   * of versions if all daemons that respond have observed too briefly.
+   * Infers the origin of an unnamed stream, and confirms that no other version is in service by now: a stream may have begun at one that
+   * this daemon's list does not have yet.
    */
   private async locateUnnamed(
     request: CallerRequest,
@@ -116,24 +133,39 @@
     const target = { host: route.host, path: request.path };
     const observedMs = Math.round(this.versions.observedMs(clocksNow()));
     const ageMs = Math.round(this.context.backendsAgeMs());
+    const inferred = await this.inferUnnamed(target);
+    const doubt = inferred.origin && (await this.doubtOf(target, inferred.origin));
+    const origin = doubt === undefined ? inferred.origin : undefined;
+    const source = origin === undefined ? 'none' : inferred.source;
+    this.log(request, route, origin, { ...inferred.inputs, source, doubt, ageMs, observedMs });
+    return origin && { key: undefined, origin };
+  }
+
+  /** Returns why an inferred origin cannot be relied on; undefined if it can. */
+  private async doubtOf(target: StreamTarget, origin: StreamOrigin): Promise<Doubt | undefined> {
+    const timeout = sleep(MAX_CONFIRMATION_WAIT_MS).then(() => false);
+    const isConfirmed = await Promise.race([this.context.confirmBackends(), timeout]);
+    if (!isConfirmed) return 'list_unconfirmed';
+    return this.isPossible(target, origin) ? undefined : 'other_version';
+  }
+
+  /**
+   * Infers the origin of an unnamed stream, or has it inferred by daemons that have observed the backends for longer, or by the record
+   * of versions if all daemons that respond have observed too briefly.
+   */
+  private async inferUnnamed(target: StreamTarget): Promise<InferredOrigin> {
     const own = this.inferOrigin(target);
-    if (own.type === 'sole') {
-      this.log(request, route, own.origin, { source: 'sole_version', ageMs, observedMs });
-      return { key: undefined, origin: own.origin };
-    }
+    if (own.type === 'sole') return { origin: own.origin, source: 'sole_version', inputs: {} };
     const lookup = await this.context.streamOrigins.inferAtPeers(target);
     const { located, asked, answered, observedTooBriefly } = lookup;
-    const how = { from: located?.from, asked, answered, observedTooBriefly, ageMs, observedMs };
-    if (located !== undefined && this.isPossible(target, located.origin)) {
-      this.log(request, route, located.origin, { source: 'sole_version_at_peer', ...how });
-      return { key: undefined, origin: located.origin };
-    }
+    const inputs = { from: located?.from, asked, answered, observedTooBriefly };
+    if (located !== undefined && this.isPossible(target, located.origin))
+      return { origin: located.origin, source: 'sole_version_at_peer', inputs };
     const isUncontradicted = located === undefined && answered === observedTooBriefly;
     const recorded = isUncontradicted ? await this.inferFromRecord(target) : undefined;
-    const source = recorded === undefined ? 'none' : 'sole_version_recorded';
     const recordAgeMs = recorded && Math.round(recorded.ageMs);
-    this.log(request, route, recorded?.origin, { source, ...how, recordAgeMs });
-    return recorded && { key: undefined, origin: recorded.origin };
+    const source = 'sole_version_recorded';
+    return { origin: recorded?.origin, source, inputs: { ...inputs, recordAgeMs } };
   }
 
   private async inferFromRecord(
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -248,6 +248,8 @@
   refreshes = 0;
   /** Whether the platform's store confirms the configuration. */
   isStoreAnswering = true;
+  /** Called when the list of backends is read again, before the read ends. */
+  onBackendsConfirmed: () => void = () => {};
   private version = 0;
   /** Revision of the last list of backends. */
   private revision = 0;
@@ -264,6 +266,7 @@
         lastReadAgeMs: () => 0,
         refreshConfiguration: () => (this.refreshes += 1),
         confirmConfiguration: () => this.confirm(),
+        confirmBackends: () => this.confirmBackends(),
         configurationDocument: () => undefined,
         applyConfigurationDocument: () => false,
         stop: () => {},
@@ -357,6 +360,11 @@
     return Promise.resolve(this.isStoreAnswering);
   }
 
+  private confirmBackends(): Promise<boolean> {
+    if (this.isStoreAnswering) this.onBackendsConfirmed();
+    return Promise.resolve(this.isStoreAnswering);
+  }
+
   configure(configuration: ServiceConfiguration): void {
     this.version = configuration.version;
     this.listener?.onConfiguration(configuration, 'store');
--- a/test/gateway/streams-of-two-versions.test.ts
+++ b/test/gateway/streams-of-two-versions.test.ts
@@ -295,6 +295,36 @@
     expect((await takeUp(daemons[0]!, undefined)).status).toBe(503);
   });
 
+  /** Two daemons, of which the first receives no list and no update any more; a stream begins at a version that only the other one lists. */
+  async function beginAtNewVersion(): Promise<{ current: GatewayHarness; late: GatewayHarness }> {
+    const first = await addBackend('v1-a');
+    await startDaemons(2, SHORT_ROUTE);
+    await pause(SHORT_ROUTE.timeoutMs + 300);
+    const [late, current] = daemons;
+    vi.spyOn(late!.gateway['directoryReader'], 'applyUpdate').mockImplementation(() => {});
+    const second = await addBackend('v2-a');
+    revision += 1;
+    current!.list([recordOf(first), recordOf(second)]);
+    expect(versionsIn(await beginAndLeave(current!, 's'))).toEqual(new Set(['v2']));
+    return { current: current!, late: late! };
+  }
+
+  it('is refused by a daemon that cannot read whether another version has begun to serve', async () => {
+    const { current, late } = await beginAtNewVersion();
+    late.isStoreAnswering = false;
+    current.stop();
+    const refused = await takeUp(late, undefined);
+    expect(refused.status).toBe(503);
+    expect(refused.headers['x-error-kind']).toBe('stream_not_resumable');
+  });
+
+  it('is refused by a daemon that reads only now that another version has begun to serve', async () => {
+    const { current, late } = await beginAtNewVersion();
+    late.onBackendsConfirmed = () => late.list(backends.map(recordOf));
+    current.stop();
+    expect((await takeUp(late, undefined)).status).toBe(503);
+  });
+
   it('is refused by a daemon that was started after the version that began it was gone', async () => {
     for (const id of ['v1-a', 'v2-a']) await addBackend(id);
     await startDaemons(2);
--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -26,6 +26,15 @@
   alwaysExpired = false;
   unreadNames: string[] = [];
   isEmpty = false;
+  isAway = false;
+
+  private immediateReply(): unknown {
+    if (this.isAway) return Result.err({ type: 'unavailable', reason: 'away' });
+    return Result.ok({
+      events: [{ gone: false, object: objectAt(this.revision) }],
+      at: this.revision,
+    });
+  }
 
   list(_kind: string, stale: boolean): Promise<unknown> {
     this.calls.push(stale ? 'late list' : 'list');
@@ -40,10 +49,14 @@
     this.calls.push(`${options.stale ? 'late ' : ''}watch ${options.from}`);
     if (this.isHistoryExpired || this.alwaysExpired)
       return Promise.resolve(Result.err({ type: 'expired' }));
+    if (options.waitMs < MIN_WAITING_MS) return Promise.resolve(this.immediateReply());
     return new Promise(() => {});
   }
 }
 
+/** Wait from which a watch without changes gets no reply. */
+const MIN_WAITING_MS = 10;
+
 function objectAt(revision: number): StoreObject {
   return { name: 'x', revision, finalizers: [], spec: revision };
 }
@@ -157,4 +170,33 @@
     await sleep(1_500);
     expect(store.calls.filter((call) => call === 'list').length).toBeLessThanOrEqual(7);
   });
+
+  it('reads all changes at once on request, also beside a stale watch', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, RELAXED);
+    await sleep(20);
+    store.revision = 12;
+    expect(await follower.readChanges()).toBe(true);
+    expect(seen.at(-1)).toBe(12);
+    expect(store.calls.at(-1)).toBe('watch 10');
+  });
+
+  it('reads a list on request if the store no longer has the history', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, CLOSE);
+    await sleep(20);
+    store.revision = 14;
+    store.isHistoryExpired = true;
+    expect(await follower.readChanges()).toBe(true);
+    expect(seen.at(-1)).toBe(14);
+  });
+
+  it('reports a request for changes that the store did not answer', async () => {
+    const store = new ScriptedStore();
+    const { follower } = follow(store, CLOSE);
+    expect(await follower.readChanges()).toBe(false);
+    await sleep(20);
+    store.isAway = true;
+    expect(await follower.readChanges()).toBe(false);
+  });
 });
