Soak: replicas that refuse requests late while others fall silent

For a time each chosen replica refuses 40 to 80 of 100 requests 350 to 1,050 ms after they came, while one after the other falls silent for 1.8 to 2.6 s and callers hold streams. Judged by lost_to_silence: a call gets a whole answer or a true refusal unless its deadline passes.

Two backends that run may not work on a request for over 400 ms, so one had to yield; the caller can be told at once and may repeat it.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -47,6 +47,7 @@
     brittleFalls: [],
     silentTimes: [],
     silences: [],
+    lateRefusals: [],
     streams: [],
     funnels: [],
     endlessAnswers: [],
--- a/test/soak/audit-silences.ts
+++ b/test/soak/audit-silences.ts
@@ -15,6 +15,8 @@
 const CONTACT_MS = 3_000;
 /** A call that ends later than this before its deadline ends at its deadline: a gateway answers a little before it. */
 const AT_DEADLINE_MS = 100;
+/** Longest time from a refusal by the last replica to the end of the call. */
+const AT_REFUSAL_MS = 100;
 const MODEL_KINDS: ReadonlySet<string> = new Set(['resumable', 'stream_once']);
 
 /** What a run has met of silences. */
@@ -35,6 +37,7 @@
   const ran = new Set(evidence.runs.map(({ attemptId }) => attemptId));
   return judgedCalls(evidence)
     .filter((call) => isLost(call, ran.has(call.request.attemptId)))
+    .filter((call) => !isUnknownAfterRefusal(call, evidence))
     .map((call) => {
       const kind = call.errorKind ?? 'no error kind';
       return { rule: 'lost_to_silence', detail: `${describeCall(call)}, ${kind}` };
@@ -91,6 +94,18 @@
   return call.endedAt < call.sentAt + call.request.deadlineMs - AT_DEADLINE_MS;
 }
 
+/**
+ * Whether a call ended with an unknown outcome at a late refusal, before its answer had begun. Two replicas may not work on a request
+ * for long, so that the first one was given up, and its caller may be told at once.
+ */
+function isUnknownAfterRefusal(call: CallRecord, { lateRefusals }: SoakEvidence): boolean {
+  const { request, status, isComplete, errorKind, endedAt } = call;
+  if (status !== 502 || !isComplete || errorKind !== 'engine_outcome_unknown') return false;
+  return lateRefusals.some(({ attemptId, at }) => {
+    return attemptId === request.attemptId && Math.abs(endedAt - at) <= AT_REFUSAL_MS;
+  });
+}
+
 /** Whether a call was refused, for whatever reason, and has not run. */
 function isTrueRefusal({ status = 0, isComplete }: CallRecord, hasRun: boolean): boolean {
   const isRefusal = status === 503 || (status >= 400 && status < 500);
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -61,6 +61,7 @@
     brittleFalls: [],
     silentTimes: [],
     silences: [],
+    lateRefusals: [],
     streams: [],
     funnels: [],
     endlessAnswers: [],
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -4,6 +4,7 @@
 import type { CallRecord } from './caller.js';
 import type { ProcessExit } from './process-signals.js';
 import type {
+  LateRefusal,
   LimitedArrival,
   PoisonArrival,
   BrittleFall,
@@ -115,6 +116,7 @@
   readonly silences: readonly ReplicaSilence[];
   readonly funnels: readonly ConnectionFunnel[];
   readonly endlessAnswers: readonly EndlessAnswer[];
+  readonly lateRefusals: readonly LateRefusal[];
   /** Most resident memory of each process. */
   readonly mostMemory: readonly ProcessMemory[];
   /** Streams of callers that take them up at other gateways. */
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -129,6 +129,20 @@
       readonly changeGapMs: number;
       readonly signalGapMs: number;
     }
+  /** Replicas refuse a share of the requests late, while one after the other falls silent and callers hold streams. */
+  | {
+      readonly kind: 'replicas_refuse_late';
+      readonly service: 'models' | 'plain' | 'both';
+      /** Share of the requests that are refused, and the time for which each is kept before. */
+      readonly share: number;
+      readonly delayMs: number;
+      readonly silences: number;
+      readonly milliseconds: number;
+      /** Time from the begin of a silence until the next one, at another replica. */
+      readonly gapMs: number;
+      /** Number of streams that callers begin shortly before each silence. */
+      readonly streams: number;
+    }
   /** Replicas of the models end and start again with another software version. Callers take up streams at other gateways. */
   | {
       readonly kind: 'software_released';
@@ -247,6 +261,7 @@
   'replicas_silent_together',
   'software_replaced',
   'callers_misbehave',
+  'replicas_refuse_late',
 ];
 
 /** Rate limits in requests per second. */
@@ -366,6 +381,15 @@
     changeGapMs: random.between(200, 700),
     signalGapMs: random.between(400, 1_500),
   }),
+  replicas_refuse_late: (random) => ({
+    service: random.pick(SILENT_SERVICES) ?? 'both',
+    share: random.between(0.4, 0.8),
+    delayMs: random.between(350, 1_050),
+    silences: Math.ceil(random.between(4, 10)),
+    milliseconds: random.between(1_800, 2_600),
+    gapMs: random.between(500, 1_000),
+    streams: Math.ceil(random.between(2, 6)),
+  }),
   software_released: (random) => ({
     count: Math.ceil(random.between(0, 2)),
     version: random.pick(SOFTWARE_VERSIONS) ?? '',
