Fix: a silent attempt gets a further backup at a backend that has refused one before

Callers saw: a stream waited for a backend that never came back until its deadline and was cut then, although the backends that had refused its backup had room again after 0.9 s.

Cause: a backup went to untried backends only, and after four sends to none, so that each backend had one moment in which it could take the stream.

Change: a backup may go again to a backend that has refused one, after the backoff of the request (250 ms, doubling up to 2 s), with a retry of the service's budget, for a begun stream also after four sends. Untried backends are still tried at once. The runs that the route allows stay the limit.

--- a/src/core/attempt-policy.ts
+++ b/src/core/attempt-policy.ts
@@ -45,6 +45,8 @@
 /** Lower bound of the timeout between bytes of a stream. */
 const MIN_STALL_TIMEOUT_MS = 600;
 
+const GIVEN_UP: FailedAttempt = { ran: 'unknown', reached: true };
+
 /** Decides the next step after a failed attempt; `history` includes that attempt. */
 export function stepAfterFailure(
   route: Route,
@@ -66,16 +68,14 @@
 }
 
 /** Returns whether the request could be sent again if the attempt that runs now were given up. */
-function mayGiveUp(route: Route, runs: number, sends: number): boolean {
-  const givenUp = { ran: 'unknown', reached: true } as const;
-  return (
-    stepAfterFailure(route, givenUp, { runs: runs + 1, sends, isAnswerBegun: false }) === 'retry'
-  );
+function mayGiveUp(route: Route, { runs, ...history }: AttemptHistory): boolean {
+  const step = stepAfterFailure(route, GIVEN_UP, { ...history, runs: runs + 1 });
+  return step === 'retry' || step === 'retry_after_backoff';
 }
 
 /** Returns whether the request could be sent again if the backup beside the attempt that runs now were cancelled, and that attempt given up. */
 export function mayReplaceBackup(route: Route, runs: number, sends: number): boolean {
-  return mayGiveUp(route, runs + 1, sends);
+  return mayGiveUp(route, { runs: runs + 1, sends, isAnswerBegun: false });
 }
 
 /**
@@ -86,7 +86,7 @@
  * @param sends - Number of times the request was sent, this attempt included.
  */
 export function firstByteTimeoutMs(route: Route, runs: number, sends: number): number {
-  if (!mayGiveUp(route, runs, sends)) return Infinity;
+  if (!mayGiveUp(route, { runs, sends, isAnswerBegun: false })) return Infinity;
   return Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, route.goalMs * FIRST_BYTE_TIMEOUT_GOALS);
 }
 
@@ -95,6 +95,7 @@
  * if it may not resume.
  */
 export function stallTimeoutMs(route: Route, runs: number, sends: number): number {
-  if (route.repeatability !== 'resumable_stream' || !mayGiveUp(route, runs, sends)) return Infinity;
+  if (route.repeatability !== 'resumable_stream') return Infinity;
+  if (!mayGiveUp(route, { runs, sends, isAnswerBegun: true })) return Infinity;
   return Math.max(MIN_STALL_TIMEOUT_MS, route.pauseGoalMs * STALL_TIMEOUT_PAUSE_GOALS);
 }
--- a/src/gateway/request-backup.ts
+++ b/src/gateway/request-backup.ts
@@ -39,7 +39,7 @@
   readonly log: RequestLog;
   /** The request's first attempt; undefined while it has none. */
   readonly first: () => Attempt | undefined;
-  /** Untried backends that could take the request now. */
+  /** Backends that could take the request now; untried ones only during a backoff. */
   readonly alternatives: () => readonly BackendRecord[];
   readonly makeSearch: () => RequestDispatch;
   readonly makeInFlightEntry: () => InFlightEntry;
--- a/src/gateway/request-dispatch.ts
+++ b/src/gateway/request-dispatch.ts
@@ -188,10 +188,11 @@
     setTimeout(() => this.count(backend, -1), retryAfterMs).unref();
   }
 
-  /** Returns the healthy backends that were not tried yet and have a free slot, and as far as is known a permit, for the request. */
-  alternatives(): BackendRecord[] {
+  /** Returns the healthy backends that have a free slot, and as far as is known a permit, for the request; untried ones only, if so asked. */
+  alternatives(onlyUntried: boolean): BackendRecord[] {
     const now = steadyNow();
-    return this.untriedHealthy(now).filter(
+    const healthy = this.healthy(this.usableBackends(now), now);
+    return (onlyUntried ? this.untried(healthy) : healthy).filter(
       (backend) =>
         this.inFlightAt(backend) < backend.slots && !this.context.permits.isExhausted(backend, now),
     );
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -271,7 +271,7 @@
       boundary: this.boundary,
       log: this.log,
       first: () => this.attempt,
-      alternatives: () => this.search.alternatives(),
+      alternatives: () => this.search.alternatives(this.retries.isBackingOff),
       makeSearch: () => this.makeSearch(),
       makeInFlightEntry: () =>
         new InFlightEntry(this.context.tracker, this.match.service.name, this.model),
@@ -459,6 +459,7 @@
     if (!resources.search.isUsable(backend.id)) return undefined;
     const path = this.relays.pathTo(backend.address);
     if (path === undefined || !this.retries.take()) return undefined;
+    if (this.tried.has(backend.id)) this.retries.backOff();
     return this.attempts.startBackup(backend, path, resources);
   }
 
--- a/test/gateway/late-refusals.test.ts
+++ b/test/gateway/late-refusals.test.ts
@@ -147,4 +147,19 @@
     expect(answer.body).toBe(eventsFrom(1, LAST_EVENT));
     expect(answer.complete).toBe(true);
   });
+
+  it('resumes its stream at a backend that has room again, if its first backend does not come back', async () => {
+    const roomAt = performance.now() + SILENCE_MS;
+    handle(
+      stopAfter(beginStream, () => {}),
+      () =>
+        (...exchange) => {
+          if (performance.now() < roomAt) refuse(...exchange);
+          else resumeStream(...exchange);
+        },
+    );
+    const answer = await harness.call({ id: 'a', path: '/s/x' });
+    expect(answer.body).toBe(eventsFrom(1, LAST_EVENT));
+    expect(answer.complete).toBe(true);
+  });
 });
