--- a/test/platform/object-store.test.ts
+++ b/test/platform/object-store.test.ts
@@ -13,8 +13,8 @@
   return `{"metadata":{"name":"${name}","revision":3,"finalizers":[]},"spec":${spec}}`;
 }
 
-function page(items: readonly string[], more = false): string {
-  return `{"items":[${items.join(',')}],"more":${more},"at":9}`;
+function page(items: readonly string[], more = false, at = 9): string {
+  return `{"items":[${items.join(',')}],"more":${more},"at":${at}}`;
 }
 
 describe('ObjectStore', () => {
@@ -76,6 +76,15 @@
     expect(await names()).toEqual(['a', 'd']);
   });
 
+  it('continues after a page whose last objects have no usable name', async () => {
+    const odd = ['null', '{}', '{"metadata":{"name":7}}', object('c\\ud800')];
+    pages[''] = page([object('a'), ...odd], true);
+    pages.a = page([...odd, object('d')], true);
+    pages.d = page([object('e')]);
+    const read = await names();
+    expect(read).toEqual(expect.arrayContaining(['a', 'd', 'e']));
+  });
+
   it('fails a list that it cannot read to its end', async () => {
     pages[''] = page(['null', '{}'], true);
     expect(await names()).toBe('lost');
