--- a/test/platform/object-store.test.ts
+++ b/test/platform/object-store.test.ts
@@ -85,6 +85,13 @@
     expect(read).toEqual(expect.arrayContaining(['a', 'd', 'e']));
   });
 
+  it('returns the position of the first page, because objects of that page may have changed since', async () => {
+    pages[''] = page([object('a')], true, 9);
+    pages.a = page([object('b')], false, 12);
+    const list = await store.list('servers', false);
+    expect(list.unwrapOr(undefined)?.at).toBe(9);
+  });
+
   it('fails a list that it cannot read to its end', async () => {
     pages[''] = page(['null', '{}'], true);
     expect(await names()).toBe('lost');
