--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -27,13 +27,16 @@
   unreadNames: string[] = [];
   isEmpty = false;
   isAway = false;
+  /** Whether an object has come and gone. */
+  hasPassing = false;
 
   private immediateReply(): unknown {
     if (this.isAway) return Result.err({ type: 'unavailable', reason: 'away' });
-    return Result.ok({
-      events: [{ gone: false, object: objectAt(this.revision) }],
-      at: this.revision,
-    });
+    const passing = { ...objectAt(this.revision), name: 'passing' };
+    const events = this.hasPassing
+      ? [false, true].map((gone) => ({ gone, object: passing }))
+      : [{ gone: false, object: objectAt(this.revision) }];
+    return Result.ok({ events, at: this.revision });
   }
 
   list(_kind: string, stale: boolean): Promise<unknown> {
@@ -66,8 +69,9 @@
 function follow(
   store: ScriptedStore,
   pace: WatchSettings,
-): { follower: KindFollower; seen: unknown[]; copies: KindCopy[] } {
+): { follower: KindFollower; seen: unknown[]; copies: KindCopy[]; names: string[][] } {
   const seen: unknown[] = [];
+  const names: string[][] = [];
   const copies: KindCopy[] = [];
   const follower = new KindFollower({
     store: store as unknown as ObjectStore,
@@ -76,12 +80,13 @@
     pace: pace,
     onObjects: (copy) => {
       copies.push(copy);
+      names.push([...copy.objects.keys()]);
       seen.push(copy.objects.get('x')?.spec);
     },
   });
   followers.push(follower);
   void follower.run();
-  return { follower, seen, copies };
+  return { follower, seen, copies, names };
 }
 
 /** Interrupts the waiting watch, so that the follower sends a new stale one. */
@@ -199,4 +204,14 @@
     store.isAway = true;
     expect(await follower.readChanges()).toBe(false);
   });
+
+  it('shows its listener an object that came and went within one reply', async () => {
+    const store = new ScriptedStore();
+    const { follower, names } = follow(store, CLOSE);
+    await sleep(20);
+    store.revision = 12;
+    store.hasPassing = true;
+    expect(await follower.readChanges()).toBe(true);
+    expect(names.slice(-2)).toEqual([['x', 'passing'], ['x']]);
+  });
 });
