Fix: an awaited first attempt is kept if the backend of its backup has fallen silent meanwhile

Callers saw: a stream whose first backend came back with the rest of it was cut at its deadline, because the first attempt had been given up for a backup whose backend had fallen silent in the meantime and then refused it.

Cause: the reply that shows that the backup's backend runs is taken once, before the first backend is awaited. The first backend may reply seconds later; 200 ms after that its attempt was ended on the old reply.

Ruled out by tests that pass on the old code: the first one's reply while the backup works on the request, a refusal before that reply, and a daemon that stops meanwhile (no leftovers, no retries that were not returned).

Change: when the awaited backend replies, the backup's backend is checked again, and counts as accepted only after a new reply. If both run, the first attempt ends 200 ms after its backend's reply, as before. If the other does not, it works on nothing, and both attempts go on.

--- a/src/gateway/backup-acceptance.ts
+++ b/src/gateway/backup-acceptance.ts
@@ -164,10 +164,19 @@
   private firstBackendReplied(): void {
     this.isFirstRunning = true;
     this.logFirst('silent_backend_replied');
-    if (this.isFirstAwaited) this.decideIn(ACCEPT_AFTER_SILENCE_MS);
+    if (this.isFirstAwaited) this.checkAgain();
     else if (this.liveness === 'replied') this.waitAfterReply();
   }
 
+  /** Checks the backup's backend again, because it may have fallen silent while the first one was awaited. */
+  private checkAgain(): void {
+    if (this.backup === undefined) return;
+    this.isFirstAwaited = false;
+    this.liveness = 'unknown';
+    this.livenessCheck.start(this.backup.backend);
+    this.decideIn(ACCEPT_AFTER_SILENCE_MS);
+  }
+
   /** Handles the first reply of the backend to the liveness check. */
   private backendReplied(): void {
     const wasOverdue = this.isOverdue;
