Fix: a begun stream is sent again before its deadline, however long its backoff has become

Callers saw: a stream whose retries were denied, or whose backends had refused it, was cut at its deadline without a last try, although a retry had been granted or a backend had room for most of a second before.

Cause: the backoff doubles up to 2 s and did not regard the deadline. With 2.4 s in all the fourth backoff ends after the deadline.

Change: a backoff lasts at most half of the time that is left. The retry budget still counts each send.

Ruled out by tests that pass without the change: a stream in a backoff whose backends leave the list and come back, whose route is removed, whose granted slot is not used (released, and claimed again), whose caller leaves, whose daemon ends it (whole events, nothing held), and a denying budget (no send, no retry taken).

--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -108,12 +108,12 @@
     this.capacityQuery = { service: match.service.name, route, model: this.model };
     this.admission = new TenantAdmission(context, route, request.head);
     this.log = requestLog(context, route, request.head, () => this.admission.tenant?.name);
-    this.retries = new RequestRetries(context, match.service.name, (event, fields) => {
-      this.log(event, { ...fields, sends: this.attempts.sends, runs: this.attempts.runs });
-    });
     this.wasRefused = context.recordCaller(route.name, request.head.deadlineMs);
     const allowed = Math.min(request.head.deadlineMs ?? Infinity, route.timeoutMs);
     this.deadlineAt = request.arrivedAt + allowed - DEADLINE_MARGIN_MS;
+    const logRetry = (event: string, fields: LogFields): void =>
+      this.log(event, { ...fields, sends: this.attempts.sends, runs: this.attempts.runs });
+    this.retries = new RequestRetries(context, match.service.name, this.deadlineAt, logRetry);
     this.dueAt = request.arrivedAt + route.goalMs - FIRST_PART_MS;
     const waitingCaller = { dueAt: this.dueAt, goalMs: route.goalMs };
     this.inFlight = new InFlightEntry(context.tracker, match.service.name, this.model);
--- a/src/gateway/request-retries.ts
+++ b/src/gateway/request-retries.ts
@@ -6,6 +6,8 @@
 /** First backoff, in milliseconds; each further one is twice as long, up to the maximum. */
 const FIRST_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 2_000;
+/** Longest backoff, as a share of the time that is left: a request whose caller still waits is to be sent again before its deadline. */
+const MAX_REMAINING_SHARE = 0.5;
 
 /** The retries of one request. */
 export class RequestRetries {
@@ -18,6 +20,8 @@
   constructor(
     private readonly context: Pick<GatewayContext, 'budgetOf' | 'budgetParts' | 'metrics'>,
     private readonly service: string,
+    /** Steady time of the request's deadline. */
+    private readonly deadlineAt: number,
     private readonly log: (event: string, fields: LogFields) => void,
   ) {}
 
@@ -28,10 +32,12 @@
 
   /** Begins a backoff. */
   backOff(): void {
-    const backoffMs = this.nextBackoffMs;
-    this.backoffEndsAt = steadyNow() + backoffMs;
-    this.nextBackoffMs = Math.min(2 * backoffMs, MAX_BACKOFF_MS);
-    this.log('retry_backoff', { backoffMs });
+    const now = steadyNow();
+    const remainingMs = Math.max(0, this.deadlineAt - now);
+    const backoffMs = Math.min(this.nextBackoffMs, remainingMs * MAX_REMAINING_SHARE);
+    this.backoffEndsAt = now + backoffMs;
+    this.nextBackoffMs = Math.min(2 * this.nextBackoffMs, MAX_BACKOFF_MS);
+    this.log('retry_backoff', { backoffMs: Math.round(backoffMs) });
   }
 
   /**
--- a/test/gateway/backup-scene.ts
+++ b/test/gateway/backup-scene.ts
@@ -363,6 +363,11 @@
     return this.claims.size > 1;
   }
 
+  /** Number of slots that are claimed or held. */
+  get claimCount(): number {
+    return this.claims.size;
+  }
+
   /** Grants all claims for slots, also later ones. */
   grantSlots(): void {
     this.areSlotsFree = true;
