Test, fails: a daemon that stops sends no begun stream again, because its retry budget has no slack

Callers see: a stream whose backend fails while its daemon stops is cut at its deadline, although the stop would wait for it and another backend has room.

Cause: leaveGroup gives up the daemon's share of the limits at the start of the stop. From then on its retry budget has no slack, only the ratio of its latest requests (none for a few requests).

Not fixed: the share may be used only until the coordinator divides the limits anew, and the order of leaving decides when that is.

--- a/test/gateway/streams-in-backoff.test.ts
+++ b/test/gateway/streams-in-backoff.test.ts
@@ -100,4 +100,14 @@
     expect(answer.complete).toBe(false);
     expect(await scene.problems()).toEqual([]);
   });
+
+  it('is sent again by a daemon that stops, as soon as retries are granted', async () => {
+    await beginBackoff();
+    answerNextRun();
+    const stopped = scene.harness.gateway.drain();
+    await pause(RETRIED_MS);
+    scene.areRetriesDenied = false;
+    await expectWhole();
+    await stopped;
+  });
 });
