--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -1,7 +1,12 @@
 import { Result } from 'true-myth';
 import { afterEach, describe, expect, it } from 'vitest';
 import { KindFollower, type WatchSettings, type KindCopy } from '../../platform/kind-follower.js';
-import type { ObjectStore, StoreObject, WatchOptions } from '../../platform/object-store.js';
+import type {
+  ObjectChanges,
+  ObjectStore,
+  StoreObject,
+  WatchOptions,
+} from '../../platform/object-store.js';
 import { silentLogger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
 
@@ -29,6 +34,8 @@
   isAway = false;
   /** Whether an object has come and gone. */
   hasPassing = false;
+  /** Sends a reply to the waiting watch. */
+  replyToWaiting: (changes: ObjectChanges) => void = () => {};
 
   private immediateReply(): unknown {
     if (this.isAway) return Result.err({ type: 'unavailable', reason: 'away' });
@@ -53,7 +60,9 @@
     if (this.isHistoryExpired || this.alwaysExpired)
       return Promise.resolve(Result.err({ type: 'expired' }));
     if (options.waitMs < MIN_WAITING_MS) return Promise.resolve(this.immediateReply());
-    return new Promise(() => {});
+    return new Promise((resolve) => {
+      this.replyToWaiting = (changes) => resolve(Result.ok(changes));
+    });
   }
 }
 
@@ -214,4 +223,19 @@
     expect(await follower.readChanges()).toBe(true);
     expect(names.slice(-2)).toEqual([['x', 'passing'], ['x']]);
   });
+
+  it('does not restore an object that left when a watch that began before replies later', async () => {
+    const store = new ScriptedStore();
+    const { follower, names } = follow(store, CLOSE);
+    await sleep(20);
+    store.revision = 12;
+    store.hasPassing = true;
+    expect(await follower.readChanges()).toBe(true);
+    expect(names.at(-1)).toEqual(['x']);
+    const appeared = { gone: false, object: { ...objectAt(11), name: 'passing' } };
+    store.replyToWaiting({ events: [appeared], at: 11 });
+    await sleep(30);
+    expect(names.at(-1)).toEqual(['x']);
+    expect(store.calls.at(-1)).toBe('watch 12');
+  });
 });
