--- a/test/platform/kind-follower.test.ts
+++ b/test/platform/kind-follower.test.ts
@@ -238,4 +238,40 @@
     expect(names.at(-1)).toEqual(['x']);
     expect(store.calls.at(-1)).toBe('watch 12');
   });
+
+  it('shows its listener a state of a known object that was replaced within one reply', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, CLOSE);
+    await sleep(20);
+    const changed = { gone: false, object: objectAt(11) };
+    const restored = { gone: false, object: { ...objectAt(12), spec: 10 } };
+    store.replyToWaiting({ events: [changed, restored], at: 12 });
+    await sleep(30);
+    expect(seen).toEqual([10, 11, 10]);
+    follower.stop();
+  });
+
+  it('shows its listener an object that left, returned in another state and left within one reply', async () => {
+    const store = new ScriptedStore();
+    const { follower, seen } = follow(store, CLOSE);
+    await sleep(20);
+    const left = { gone: true, object: objectAt(11) };
+    const returned = { gone: false, object: objectAt(12) };
+    const leftAgain = { gone: true, object: objectAt(13) };
+    store.replyToWaiting({ events: [left, returned, leftAgain], at: 13 });
+    await sleep(30);
+    expect(seen).toEqual([10, 12, undefined]);
+    follower.stop();
+  });
+
+  it('shows its listener no absence at a revision before that of the absent object', async () => {
+    const store = new ScriptedStore();
+    const { copies } = follow(store, CLOSE);
+    await sleep(20);
+    const passing = (name: string, revision: number): ObjectChanges['events'] =>
+      [false, true].map((gone) => ({ gone, object: { ...objectAt(revision), name } }));
+    store.replyToWaiting({ events: [...passing('a', 11), ...passing('b', 13)], at: 14 });
+    await sleep(30);
+    expect(copies.map(({ revision }) => revision)).toEqual([10, 11, 13, 14]);
+  });
 });
