Fix: a resumption also reads the changes of the configuration before it relies on an inferred origin

Cause: the origin was relied on once the changes of the list of backends were read. The services of the path came from the configuration that the daemon had, however old. Class: a view that is bounded by age used to exclude what is younger than that age.

Ruled out: reading the object itself in place of its changes (confirmConfiguration). It skips configurations between the two, so a path that moved and moved back within a moment would count as never moved; later replies with them are ignored as older.

Change: confirmBackends becomes confirmDirectory and reads the changes of both, at the same time, within the same 500 ms. A daemon without a response to both refuses. Cost: one more cheap call for the resumptions that wait at one time.

Remains: configurations that a peer's document, the lease's read or a list after a forgotten history skips are not in the routes' history.

--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -67,8 +67,8 @@
   readonly exchanges: Set<RequestExchange>;
   /** Age in milliseconds of the list of backends; infinite if it was never confirmed. */
   backendsAgeMs(): number;
-  /** Reads the list of backends; true if it is now at least as new as the call. */
-  confirmBackends(): Promise<boolean>;
+  /** Reads the configuration and the list of backends; true if both are now at least as new as the call. */
+  confirmDirectory(): Promise<boolean>;
   budgetOf(service: string): RetryBudget;
   /**
    * Number of equal parts into which shared budgets are divided, one of them for this daemon; infinite if this
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -422,7 +422,7 @@
       requestMemory: this.requestMemory,
       exchanges: new Set<RequestExchange>(),
       backendsAgeMs: () => this.directoryReader.directoryAgeMs(),
-      confirmBackends: shareCalls(() => systems.directory.confirmBackends()),
+      confirmDirectory: shareCalls(() => systems.directory.confirmDirectory()),
       budgetOf: (service) => this.budgets.budgetOf(service),
       budgetParts: () => 1 / this.shares.ownShare(leaseNow()),
       recordCaller: (route, deadlineMs) => this.budgets.recordDeadline(route, deadlineMs),
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -55,8 +55,11 @@
   refreshConfiguration(): void;
   /** Reads the configuration once to confirm that it is current; true if the platform responded. */
   confirmConfiguration(): Promise<boolean>;
-  /** Reads all changes of the list of backends so far. Resolves once the listener has them; true if the platform responded. */
-  confirmBackends(): Promise<boolean>;
+  /**
+   * Reads all changes of the configuration and the list of backends so far. Resolves once the listener has them; true if the platform
+   * responded to both.
+   */
+  confirmDirectory(): Promise<boolean>;
   /** The newest configuration, in the adapter's own encoding, to send to a peer; undefined if none is known. */
   configurationDocument(): Uint8Array | undefined;
   /**
--- a/src/gateway/stream-resumptions.ts
+++ b/src/gateway/stream-resumptions.ts
@@ -20,7 +20,7 @@
 const MAX_LOGGED_ID_LENGTH = 64;
 /** Maximum time for which a resumption waits for a read of the record of versions, in milliseconds. */
 const MAX_RECORD_WAIT_MS = 250;
-/** Maximum time for which a resumption waits for a read of the list of backends, in milliseconds. */
+/** Maximum time for which a resumption waits for a read of the configuration and the list of backends, in milliseconds. */
 const MAX_CONFIRMATION_WAIT_MS = 500;
 
 /** Why an inferred origin is not relied on. */
@@ -60,7 +60,7 @@
   constructor(
     private readonly context: Pick<
       GatewayContext,
-      'streamOrigins' | 'metrics' | 'logger' | 'backendsAgeMs' | 'confirmBackends'
+      'streamOrigins' | 'metrics' | 'logger' | 'backendsAgeMs' | 'confirmDirectory'
     >,
     store: VersionRecorderOptions['store'],
     peers: VersionRecorderOptions['peers'],
@@ -123,8 +123,8 @@
   }
 
   /**
-   * Infers the origin of an unnamed stream, and confirms that no other version is in service by now: a stream may have begun at one that
-   * this daemon's list does not have yet.
+   * Infers the origin of an unnamed stream, and confirms that no other version or service is in use by now: a stream may have begun at
+   * one that this daemon's list or configuration does not have yet.
    */
   private async locateUnnamed(
     request: CallerRequest,
@@ -144,7 +144,7 @@
   /** Returns why an inferred origin cannot be relied on; undefined if it can. */
   private async doubtOf(target: StreamTarget, origin: StreamOrigin): Promise<Doubt | undefined> {
     const timeout = sleep(MAX_CONFIRMATION_WAIT_MS).then(() => false);
-    const isConfirmed = await Promise.race([this.context.confirmBackends(), timeout]);
+    const isConfirmed = await Promise.race([this.context.confirmDirectory(), timeout]);
     if (!isConfirmed) return 'list_unconfirmed';
     return this.isPossible(target, origin) ? undefined : 'other_version';
   }
--- a/test/gateway/configuration-exchange.test.ts
+++ b/test/gateway/configuration-exchange.test.ts
@@ -24,7 +24,7 @@
       lastReadAgeMs: () => 0,
       refreshConfiguration: () => (this.refreshes += 1),
       confirmConfiguration: () => Promise.resolve(true),
-      confirmBackends: () => Promise.resolve(true),
+      confirmDirectory: () => Promise.resolve(true),
       configurationDocument: () => (this.version === 0 ? undefined : Uint8Array.of(this.version)),
       applyConfigurationDocument: ([version = 0]) => {
         if (version <= this.version) return false;
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -249,7 +249,7 @@
   /** Whether the platform's store confirms the configuration. */
   isStoreAnswering = true;
   /** Called when the list of backends is read again, before the read ends. */
-  onBackendsConfirmed: () => void = () => {};
+  onDirectoryConfirmed: () => void = () => {};
   private version = 0;
   /** Revision of the last list of backends. */
   private revision = 0;
@@ -266,7 +266,7 @@
         lastReadAgeMs: () => 0,
         refreshConfiguration: () => (this.refreshes += 1),
         confirmConfiguration: () => this.confirm(),
-        confirmBackends: () => this.confirmBackends(),
+        confirmDirectory: () => this.confirmDirectory(),
         configurationDocument: () => undefined,
         applyConfigurationDocument: () => false,
         stop: () => {},
@@ -360,8 +360,8 @@
     return Promise.resolve(this.isStoreAnswering);
   }
 
-  private confirmBackends(): Promise<boolean> {
-    if (this.isStoreAnswering) this.onBackendsConfirmed();
+  private confirmDirectory(): Promise<boolean> {
+    if (this.isStoreAnswering) this.onDirectoryConfirmed();
     return Promise.resolve(this.isStoreAnswering);
   }
 
--- a/test/gateway/stream-resumptions.test.ts
+++ b/test/gateway/stream-resumptions.test.ts
@@ -61,7 +61,7 @@
     metrics: new GatewayMetrics(),
     logger: silentLogger,
     backendsAgeMs: () => backendsAgeMs,
-    confirmBackends: () => Promise.resolve(true),
+    confirmDirectory: () => Promise.resolve(true),
   } as unknown as GatewayContext;
   const resumptions = new StreamResumptions(context, store.client(), group);
   resumptions.configure(table);
--- a/test/gateway/streams-of-two-versions.test.ts
+++ b/test/gateway/streams-of-two-versions.test.ts
@@ -320,7 +320,7 @@
 
   it('is refused by a daemon that reads only now that another version has begun to serve', async () => {
     const { current, late } = await beginAtNewVersion();
-    late.onBackendsConfirmed = () => late.list(backends.map(recordOf));
+    late.onDirectoryConfirmed = () => late.list(backends.map(recordOf));
     current.stop();
     expect((await takeUp(late, undefined)).status).toBe(503);
   });
--- a/test/platform/directory.test.ts
+++ b/test/platform/directory.test.ts
@@ -1,8 +1,10 @@
 import http from 'node:http';
 import { gzipSync } from 'node:zlib';
+import { Result } from 'true-myth';
 import { describe, expect, it } from 'vitest';
+import { CONFIGURATION_KIND, CONFIGURATION_NAME } from '../../platform/configuration.js';
 import { StoreDirectory } from '../../platform/directory.js';
-import { ObjectStore } from '../../platform/object-store.js';
+import { ObjectStore, type StoreObject, type WatchOptions } from '../../platform/object-store.js';
 import { listen } from '../../src/common/http-server.js';
 import { silentLogger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
@@ -76,3 +78,63 @@
     server.closeAllConnections();
   });
 });
+
+describe('a directory whose watches wait', () => {
+  /** Replies to watches that do not wait, and to those of configurations only while it is told to. */
+  function startDirectory(): {
+    directory: StoreDirectory;
+    versions: number[];
+    configure: (...versions: number[]) => void;
+    suspend: () => void;
+  } {
+    let configurations: StoreObject[] = [];
+    let isSuspended = false;
+    const configure = (...added: number[]): void => {
+      const objectOf = (version: number): StoreObject => {
+        const spec = { version, routes: [], services: [] };
+        return { name: CONFIGURATION_NAME, revision: version, finalizers: [], spec };
+      };
+      configurations = [...configurations, ...added.map(objectOf)];
+    };
+    const store = {
+      list: (kind: string) => {
+        const items = kind === CONFIGURATION_KIND ? configurations.slice(-1) : [];
+        return Promise.resolve(Result.ok({ items, at: configurations.length }));
+      },
+      watch: (kind: string, { from, waitMs }: WatchOptions) => {
+        const isConfiguration = kind === CONFIGURATION_KIND;
+        if (waitMs > 1 || (isConfiguration && isSuspended)) return new Promise(() => {});
+        const objects = isConfiguration ? configurations.slice(from) : [];
+        const events = objects.map((object) => ({ gone: false, object }));
+        return Promise.resolve(Result.ok({ events, at: configurations.length }));
+      },
+    } as unknown as ObjectStore;
+    const directory = new StoreDirectory(store, silentLogger);
+    const versions: number[] = [];
+    configure(1);
+    directory.start({
+      onConfiguration: ({ version }) => versions.push(version),
+      onBackends: () => {},
+      onConfirmed: () => {},
+    });
+    return { directory, versions, configure, suspend: () => (isSuspended = true) };
+  }
+
+  it('knows each configuration so far, also one that has moved a path for a moment, once it is confirmed', async () => {
+    const { directory, versions, configure } = startDirectory();
+    await sleep(20);
+    configure(2, 3);
+    expect(await directory.confirmDirectory()).toBe(true);
+    expect(versions).toEqual([1, 2, 3]);
+    directory.stop();
+  });
+
+  it('is not confirmed while the store does not reply with the configurations', async () => {
+    const { directory, suspend } = startDirectory();
+    await sleep(20);
+    suspend();
+    const timeout = sleep(100).then(() => 'unconfirmed');
+    expect(await Promise.race([directory.confirmDirectory(), timeout])).toBe('unconfirmed');
+    directory.stop();
+  });
+});
