Fix: a crash is judged by a probe that began after the connection broke

Cause: the result of a probe was reused for 200 ms. A backend that still ran when a connection to it broke for another reason, and that the next request crashed within that time, counted as running. Class: a view that is bounded by age used to exclude what is younger.

Ruled out: requests that fail together lose their shared probe. They share the next one; once a crash of a process start is recorded, no probe is made.

Change: a probe counts only for failures before it began (shareCalls). Cost: a second probe for requests that fail while one is under way; with a backend that does not respond, a verdict after up to two timeouts of 350 ms in place of one (read, not measured).

Evidence: 'attributes the crash of a backend that ran when a connection to it broke a moment before' failed before (false) and passes; crashing-requests and parts-that-crash-backends pass (9 tests with this one). No load was played.

--- a/src/gateway/crash-tracker.ts
+++ b/src/gateway/crash-tracker.ts
@@ -5,6 +5,7 @@
 import net from 'node:net';
 import type { Logger } from '../common/logger.js';
 import { splitAddress } from '../common/http-client.js';
+import { shareCalls } from '../common/shared-call.js';
 import { isDifferentStart, startKey } from '../core/backend-starts.js';
 import { CrashRecords, type CrashRecord, type CrashVerdict } from '../core/crash-records.js';
 import { SoundParts } from '../core/sound-parts.js';
@@ -18,8 +19,8 @@
 
 /** Timeout for a connection to a backend. A timeout does not show that the process has ended, since the backend may be unreachable. */
 const PROBE_TIMEOUT_MS = 350;
-/** Time for which the result of a probe is reused, so that requests that fail together share one probe. */
-const PROBE_REUSE_MS = 200;
+/** Time after its last use for which the probe of an address is kept. */
+const PROBE_RETENTION_MS = 1_000;
 
 /** Options of {@link CrashTracker}. */
 export interface CrashTrackerOptions extends GossipLinks {
@@ -43,8 +44,9 @@
 }
 
 interface Probe {
-  readonly at: number;
-  readonly hasEnded: Promise<boolean>;
+  usedAt: number;
+  /** Requests that fail together share a probe, but none that began before they failed. */
+  readonly hasEnded: () => Promise<boolean>;
 }
 
 /** The crash records of one daemon. */
@@ -83,8 +85,8 @@
   tick(): void {
     const now = steadyNow();
     this.records.deleteExpired(now);
-    for (const [address, { at }] of this.probes) {
-      if (now - at >= PROBE_REUSE_MS) this.probes.delete(address);
+    for (const [address, { usedAt }] of this.probes) {
+      if (now - usedAt >= PROBE_RETENTION_MS) this.probes.delete(address);
     }
     this.gossip.tick();
     this.updateCondemned();
@@ -227,12 +229,11 @@
 
   /** Resolves with whether the process at a backend's address has ended: it refuses connections, and other backends do not. */
   hasEnded({ address }: BackendRecord): Promise<boolean> {
-    const now = steadyNow();
     const known = this.probes.get(address);
-    if (known !== undefined && now - known.at < PROBE_REUSE_MS) return known.hasEnded;
-    const hasEnded = this.probe(address);
-    this.probes.set(address, { at: now, hasEnded });
-    return hasEnded;
+    const probe = known ?? { usedAt: 0, hasEnded: shareCalls(() => this.probe(address)) };
+    probe.usedAt = steadyNow();
+    this.probes.set(address, probe);
+    return probe.hasEnded();
   }
 
   private async probe(address: string): Promise<boolean> {
