Fix: a configuration version beyond 2^53 doesn't end the following of the configuration

Callers saw: routes, services and keys written after one odd entry in config/main (a version such as 1e400, 1e308 or 2^64) came into force on no daemon until its process was started again.

Cause: a configuration is applied only if its version exceeds the one in force, and any number was taken for a version. Nothing exceeds an infinite one. The odd entry also replaced the routes, and was confirmed as the newest.

Ruled out: the watch ended or the follower failed (the next change was delivered, and dropped by the comparison).

Change: a version whose magnitude is not below 2^53 - 1 is none: the configuration in force stays, the entry confirms no version, and configuration_unread is logged once per revision.

A large version below the bound still hides lower ones.

--- a/test/platform/odd-configurations.test.ts
+++ b/test/platform/odd-configurations.test.ts
@@ -1,12 +1,12 @@
 /**
  * Guards against a configuration that another program has written with odd values. A deeply nested one could not be sent to other
- * daemons.
+ * daemons, and one with a version that no later one exceeds ended the following of the configuration.
  */
 import { Result } from 'true-myth';
 import { afterEach, describe, expect, it } from 'vitest';
 import { StoreDirectory } from '../../platform/directory.js';
 import type { ObjectStore } from '../../platform/object-store.js';
-import { silentLogger } from '../../src/common/logger.js';
+import { silentLogger, type LogFields, type Logger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
 
 const FIRST_REVISION = 1;
@@ -20,11 +20,18 @@
   return JSON.parse('{"a":'.repeat(depth) + '1' + '}'.repeat(depth)) as unknown;
 }
 
+interface Followed {
+  readonly directory: StoreDirectory;
+  /** Versions applied. */
+  readonly versions: readonly number[];
+  /** Versions confirmed to be the newest. */
+  readonly confirmed: readonly number[];
+  /** Fields of the log lines about configurations that were not applied. */
+  readonly unread: readonly LogFields[];
+}
+
 /** Follows a store that first holds one specification of the configuration and then another. */
-async function follow(
-  first: unknown,
-  next: unknown,
-): Promise<{ versions: number[]; directory: StoreDirectory }> {
+async function follow(first: unknown, next: unknown): Promise<Followed> {
   const objectOf = (spec: unknown, revision: number) => ({
     name: 'main',
     revision,
@@ -48,17 +55,27 @@
             }),
           )
         : new Promise(() => {}),
+    get: () => Promise.resolve(Result.ok(objectOf(next, NEXT_REVISION))),
+    sinceRestoreMs: () => Infinity,
   };
   const versions: number[] = [];
-  const directory = new StoreDirectory(store as unknown as ObjectStore, silentLogger);
+  const confirmed: number[] = [];
+  const unread: LogFields[] = [];
+  const logger: Logger = {
+    ...silentLogger,
+    error: (event, fields = {}) => {
+      if (event === 'configuration_unread') unread.push(fields);
+    },
+  };
+  const directory = new StoreDirectory(store as unknown as ObjectStore, logger);
   directories.push(directory);
   directory.start({
     onConfiguration: ({ version }) => versions.push(version),
     onBackends: () => {},
-    onConfirmed: () => {},
+    onConfirmed: (version) => confirmed.push(version),
   });
   await sleep(APPLIED_WITHIN_MS);
-  return { versions, directory };
+  return { directory, versions, confirmed, unread };
 }
 
 describe('a configuration with an odd value', () => {
@@ -66,6 +83,24 @@
     for (const directory of directories.splice(0)) directory.stop();
   });
 
+  it.each(['1e400', '1e308', '18446744073709551616', '9007199254740992'])(
+    'in its version, %s, does not prevent later versions from being applied',
+    async (odd) => {
+      const first = JSON.parse(`{"version":${odd}}`) as unknown;
+      const { versions } = await follow(first, { version: 2 });
+      expect(versions).toEqual([2]);
+    },
+  );
+
+  it('in its version confirms no version, and is logged once', async () => {
+    const odd = JSON.parse('{"version":1e400}') as unknown;
+    const { versions, confirmed, unread, directory } = await follow({ version: 1 }, odd);
+    expect(await directory.confirmConfiguration()).toBe(false);
+    expect(versions).toEqual([1]);
+    expect(confirmed).toEqual([]);
+    expect(unread).toEqual([{ revision: NEXT_REVISION, reason: 'version' }]);
+  });
+
   it.each([3_000, 10_000, 100_000])(
     'that is nested %i deep can still be sent to other daemons',
     async (depth) => {
