--- a/test/platform/configuration.test.ts
+++ b/test/platform/configuration.test.ts
@@ -16,6 +16,22 @@
     },
   );
 
+  it.each([-1, -1e308, 0.5])(
+    'replaces the size limit %d, under which no request could be served, by a default',
+    (bad) => {
+      const limits = { maxHeaderBytes: bad, maxBodyBytes: bad };
+      const read = readConfiguration({ version: 1, limits });
+      expect(read?.limits).toEqual(readConfiguration({ version: 1 })?.limits);
+    },
+  );
+
+  it('keeps the size limit 0 of bodies, but not of heads', () => {
+    const defaults = readConfiguration({ version: 1 })?.limits;
+    const limits = { maxHeaderBytes: 0, maxBodyBytes: 0 };
+    const read = readConfiguration({ version: 1, limits });
+    expect(read?.limits).toEqual({ ...defaults, bodyBytes: 0 });
+  });
+
   it('derives from the goals of a streaming route how long its callers wait', () => {
     const stream = { kind: 'streaming', goalMs: 400, gapGoalMs: 300 };
     expect(callerTimeoutOf(stream)).toBe(2_400);
