Fix: a version record with a covered time beyond all observation is replaced

Callers saw (by the test of the record, not played with callers): after another writer's entry with a covered time such as 1e308 or 2^64, its versions would stay in the record of software versions for good, and no stream whose origin is inferred could be resumed.

Cause: a version is removed once it has been gone for the covered time, which a daemon only ever extends; the parser took any number.

Change: a record with a covered time above MAX_OBSERVED_MS, the longest that a daemon writes, is invalid and is replaced like one that cannot be read.

Evidence: test/gateway/version-record-codec.test.ts, three of four cases failed before and pass now; tests of version records, service versions, resumptions and streams of two versions pass.

--- a/src/gateway/version-record-codec.ts
+++ b/src/gateway/version-record-codec.ts
@@ -1,5 +1,6 @@
 /** Parses the record of the software versions in service, as the platform's store returns it. */
 import type { PathRule } from '../core/route-history.js';
+import { MAX_OBSERVED_MS } from '../core/service-versions.js';
 import type { RecordedService, VersionRecord } from '../core/version-record.js';
 
 /** Parses a stored record; undefined if it is invalid. */
@@ -30,6 +31,7 @@
   const isVersion = (version: unknown): version is string | null =>
     version === null || typeof version === 'string';
   if (typeof service !== 'string' || !isCount(coveredMs)) return undefined;
+  if (coveredMs > MAX_OBSERVED_MS) return undefined;
   if (!Array.isArray(versions) || !versions.every(isVersion)) return undefined;
   return { service, versions, coveredMs };
 }
