--- a/test/platform/object-store.test.ts
+++ b/test/platform/object-store.test.ts
@@ -17,6 +17,12 @@
   return `{"items":[${items.join(',')}],"more":${more},"at":${at}}`;
 }
 
+const PAGE_BYTES = 1024 * 1024;
+/** A server ends its list after this number of pages, so that the test ends. */
+const MAX_PAGES_SERVED = 200;
+/** Pages that together are larger than any list. */
+const ENDLESS_PAGES = 60;
+
 describe('ObjectStore', () => {
   let server: http.Server;
   let store: ObjectStore;
@@ -33,7 +39,10 @@
       requestCount += 1;
       const { searchParams } = new URL(request.url ?? '', 'http://store');
       if (!searchParams.has('watch')) {
-        return response.end(pages[searchParams.get('after') ?? ''] ?? page([]));
+        const isLast = requestCount > MAX_PAGES_SERVED;
+        return response.end(
+          isLast ? page([]) : (pages[searchParams.get('after') ?? ''] ?? page([])),
+        );
       }
       const next = changes.shift();
       if (next !== undefined) return response.end(next);
@@ -110,6 +119,25 @@
     }
   });
 
+  it('fails a list whose pages repeat or never end, and requests no further page', async () => {
+    pages[''] = page([object('a')], true);
+    pages.a = page([object('b')], true);
+    pages.b = page([object('a')], true);
+    expect(await names()).toBe('lost');
+    expect(requestCount).toBeLessThanOrEqual(4);
+    const filler = object('x', JSON.stringify('x'.repeat(PAGE_BYTES)));
+    const endless = Array.from({ length: ENDLESS_PAGES }, (_, index) => `p${index}`);
+    pages = Object.fromEntries(
+      endless.map((name, index) => [
+        index === 0 ? '' : `p${index - 1}`,
+        page([filler, object(name)], true),
+      ]),
+    );
+    requestCount = 0;
+    expect(await names()).toBe('lost');
+    expect(requestCount).toBeLessThan(ENDLESS_PAGES);
+  });
+
   it('returns the readable changes of a watch and advances past the unreadable ones', async () => {
     const event = (text: string): string => `{"gone":false,"object":${text}}`;
     const events = [
