--- a/test/platform/object-store.test.ts
+++ b/test/platform/object-store.test.ts
@@ -20,6 +20,8 @@
 const PAGE_BYTES = 1024 * 1024;
 /** A server ends its list after this number of pages, so that the test ends. */
 const MAX_PAGES_SERVED = 200;
+/** Longer than the heads that a server of Node reads. */
+const LONG_NAME_LENGTH = 20_000;
 /** Pages that together are larger than any list. */
 const ENDLESS_PAGES = 60;
 
@@ -94,6 +96,15 @@
     expect(read).toEqual(expect.arrayContaining(['a', 'd', 'e']));
   });
 
+  it('continues after a page whose last object has a name that no head can hold', async () => {
+    const long = 'b'.repeat(LONG_NAME_LENGTH);
+    pages[''] = page([object('a'), object(long)], true);
+    pages.a = page([object(long), object('c')], true);
+    pages.c = page([object('d')]);
+    const read = await names();
+    expect(read).toEqual(expect.arrayContaining(['a', 'c', 'd']));
+  });
+
   it('returns the position of the first page, because objects of that page may have changed since', async () => {
     pages[''] = page([object('a')], true, 9);
     pages.a = page([object('b')], false, 12);
