Test: a relayed request is refused after it counts as accepted

Callers see: 502 `engine_outcome_unknown`, 400 ms before the first backend would have answered, if their gateway loses its way to the backends while the request is at one, and the relayed request is refused 1,100 ms after it was sent.

Cause: the first attempt is given up 1,000 ms after the relayed one was sent (RELAY_ACCEPT_MS); a refusal that has not come counts as acceptance. Not fixed: two relayed runs may last 1,200 ms, and this daemon cannot check the backend of a relayed request. The relay could, and report that it has.

--- a/test/gateway/silent-backend-relayed.test.ts
+++ b/test/gateway/silent-backend-relayed.test.ts
@@ -12,6 +12,10 @@
 } from './gateway-harness.js';
 
 const SILENCE_MS = 1_000;
+/** Time after which a relayed request is refused: longer than it needs to count as accepted, shorter than two relayed runs may last. */
+const REFUSAL_MS = 1_100;
+/** Time for which the first backend works on a request that is refused that late. */
+const LONG_SILENCE_MS = 1_600;
 /** Time after which the daemon concludes that it reaches no backend. */
 const PARTITION_AFTER_MS = 300;
 
@@ -88,6 +92,17 @@
     expect(backends.flatMap(({ arrivals }) => arrivals)).toHaveLength(2);
   });
 
+  it('still gives its answer if the relayed request is refused after it counts as accepted', async () => {
+    handle(
+      (request, response) => void setTimeout(() => answerWhole(request, response), LONG_SILENCE_MS),
+      (_, response) => {
+        setTimeout(() => response.writeHead(503, { 'not-run': '1' }).end(), REFUSAL_MS);
+      },
+    );
+    const answer = callAndPartition();
+    expect(await answer).toMatchObject({ status: 200, body: 'done a' });
+  });
+
   it('still gives its answer if it is reached again, and no other backend works on the request then', async () => {
     let leftAt = 0;
     handle(answerLate, (request) => request.socket.on('close', () => (leftAt = steadyNow())));
