Fix: a silent backup is kept until a further one is accepted

The first backend and its backup were silent, a third backend was tried and refused at once, the first one refused, and the cancelled backup would have answered.

Cause: replaceIfOverdue() cancelled the backup before its successor was sent. Class: what is held is given up before its successor is accepted.

Change: an overdue backup goes on beside the further one (overdue-backups.ts). If the further one is refused or finds no backend, the overdue one is the backup again; if its backend replies first, it is preferred. An overdue backup counts as a run for the limit of attempts, as a cancelled one did.

Ruled out: an exhausted retry budget or limit of attempts; the same test passes with the backup kept.

--- a/src/gateway/backup-acceptance.ts
+++ b/src/gateway/backup-acceptance.ts
@@ -78,6 +78,8 @@
   private isReadingBody = false;
   /** Whether the first attempt's backend has replied to a liveness check, or is not checked because the attempt is relayed. */
   private isFirstRunning = false;
+  /** The first attempt whose backend has replied since the last start. */
+  private runningFirst: Attempt | undefined;
   /** Whether the backup counts as accepted, and the first attempt's backend has not replied yet. */
   private isFirstAwaited = false;
   private readonly timer: SilenceTimer;
@@ -106,15 +108,38 @@
     return this.liveness === 'overdue';
   }
 
+  /** Whether the backend has replied to a liveness check. */
+  get hasReplied(): boolean {
+    return this.liveness === 'replied';
+  }
+
   /** Begins to watch a backup whose connection is open. */
   start(backup: SentBackup): void {
-    this.backup = backup;
+    this.runningFirst = undefined;
     this.decideIn(ACCEPT_MS);
+    this.watch(backup);
+  }
+
+  /**
+   * Begins to watch again a backup that was overdue.
+   *
+   * @param repliedAt - Steady time of its backend's reply to a liveness check; undefined without one.
+   */
+  resume(backup: SentBackup, repliedAt: number | undefined): void {
+    this.liveness = repliedAt === undefined ? 'overdue' : 'replied';
+    if (repliedAt !== undefined)
+      this.decideIn(Math.max(0, repliedAt + ACCEPT_AFTER_SILENCE_MS - steadyNow()));
+    this.watch(backup);
+  }
+
+  private watch(backup: SentBackup): void {
+    this.backup = backup;
     // A check would not reach the backend of a relayed backup.
     if (backup.attempt.relay !== undefined) return;
-    this.livenessCheck.start(backup.backend);
+    if (!this.hasReplied) this.livenessCheck.start(backup.backend);
     const first = this.options.first();
-    this.isFirstRunning = first?.relay !== undefined;
+    const wasRunning = first !== undefined && first === this.runningFirst;
+    this.isFirstRunning = first?.relay !== undefined || wasRunning;
     if (first !== undefined && !this.isFirstRunning) this.firstLivenessCheck.start(first.backend);
   }
 
@@ -163,6 +188,7 @@
   /** Handles the first reply of the first attempt's backend. The attempt's connection may now bring the answer. */
   private firstBackendReplied(): void {
     this.isFirstRunning = true;
+    this.runningFirst = this.options.first();
     this.logFirst('silent_backend_replied');
     if (this.isFirstAwaited) this.checkAgain();
     else if (this.liveness === 'replied') this.waitAfterReply();
--- a/src/gateway/request-attempts.ts
+++ b/src/gateway/request-attempts.ts
@@ -89,9 +89,9 @@
     return this.options.answer.hasBegun;
   }
 
-  /** Whether the request could be sent once more if one of its two running attempts were cancelled and the other one failed. */
-  get mayReplaceBackup(): boolean {
-    return mayReplaceBackup(this.options.route, this.runCount, this.sendCount);
+  /** Whether the request could be sent once more beside its first attempt, its backup, and that many overdue ones. */
+  mayReplaceBackup(overdue: number): boolean {
+    return mayReplaceBackup(this.options.route, this.runCount + overdue, this.sendCount);
   }
 
   /** Number of attempts, including those that do not count as sends. */
--- a/src/gateway/request-backup.ts
+++ b/src/gateway/request-backup.ts
@@ -9,6 +9,7 @@
 import { BackupAcceptance } from './backup-acceptance.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { InFlightEntry } from './in-flight-entry.js';
+import { OverdueBackups, type FormerlyOverdue } from './overdue-backups.js';
 import type { RequestDispatch } from './request-dispatch.js';
 import type { RequestLog } from './request-log.js';
 import { steadyNow } from './steady-clock.js';
@@ -47,16 +48,17 @@
   readonly reserve: () => boolean;
   /** Sends the request to a backend. Returns undefined if it may not be sent there any more. */
   readonly send: (backend: BackendRecord, resources: AttemptResources) => Attempt | undefined;
-  /** Whether the request could run at one more backend if its backup were cancelled. */
-  readonly mayReplace: () => boolean;
-  /** Called when the backup's attempt is cancelled while the first one goes on. It may have run. */
+  /** Whether the request could run at one more backend beside its first attempt, its backup, and that many overdue ones. */
+  readonly mayReplace: (overdue: number) => boolean;
+  /** Called when a backup's attempt is cancelled while the first one goes on. It may have run. */
   readonly onCancelled: (attempt: Attempt) => void;
 }
 
-/** Starts and ends the backups of one request, one at a time. */
+/** Starts and ends the backups of one request: one at a time, beside those whose backends seem silent. */
 export class RequestBackup {
   private backup: Backup | undefined;
   private readonly acceptance: BackupAcceptance;
+  private readonly overdue: OverdueBackups;
   /** The sending of a backup that has its slot. */
   private sending: NodeJS.Immediate | undefined;
 
@@ -71,10 +73,21 @@
       onOverdue: () => this.replaceIfOverdue(),
       onFirstReached: () => this.cancel(),
     });
+    this.overdue = new OverdueBackups({
+      context,
+      boundary,
+      onReply: (backup) => this.overdueReplied(backup),
+      onExpired: (backup) => this.overdueExpired(backup),
+    });
+  }
+
+  /** The attempts of all backups that were sent. */
+  get attempts(): readonly Attempt[] {
+    const backups = [...this.overdue.all, this.backup];
+    return backups.flatMap((backup) => backup?.attempt ?? []);
   }
 
-  /** The backup's attempt; undefined if none was sent. */
-  get attempt(): Attempt | undefined {
+  private get attempt(): Attempt | undefined {
     return this.backup?.attempt;
   }
 
@@ -121,6 +134,7 @@
     const first = this.options.first();
     if (first === undefined) return true;
     if (this.options.context.paths.isRelayed(backend.address)) return first.relay === undefined;
+    if (this.overdue.all.some((overdue) => overdue.backend?.id === backend.id)) return false;
     return backend.id !== first.backendId && !this.isSilent(backend, first.silenceLimit);
   }
 
@@ -147,12 +161,58 @@
       this.acceptance.start({ attempt, backend, sentAt });
   }
 
-  /** Cancels a backup at a backend that seems silent as well and starts another one, if that is possible by now. */
+  /** Starts another backup beside one at a backend that seems silent as well, if that is possible by now. */
   replaceIfOverdue(): void {
-    if (!this.acceptance.isOverdue || !this.hasAlternative()) return;
-    if (!this.options.mayReplace() || !this.options.reserve()) return;
-    this.cancel();
+    const { backup } = this;
+    if (backup === undefined || !this.acceptance.isOverdue || !this.hasAlternative()) return;
+    if (!this.options.mayReplace(this.overdue.size) || !this.options.reserve()) return;
+    this.setAside(backup);
     this.start();
+    if (!this.isOpen) this.resumeOverdue();
+  }
+
+  private setAside(backup: Backup): void {
+    this.acceptance.stop();
+    this.backup = undefined;
+    this.overdue.add(backup);
+  }
+
+  /** Continues with the newest overdue backup if there is no other one. */
+  resumeOverdue(): void {
+    if (this.isOpen) return;
+    const overdue = this.overdue.takeNewest();
+    if (overdue !== undefined) this.resume(overdue);
+  }
+
+  private resume({ backup, repliedAt }: FormerlyOverdue): void {
+    const { attempt, backend, sentAt } = backup;
+    this.backup = backup;
+    if (attempt !== undefined && backend !== undefined)
+      this.acceptance.resume({ attempt, backend, sentAt }, repliedAt);
+  }
+
+  /** Prefers an overdue backup whose backend runs to one that was not sent or whose backend has not replied. */
+  private overdueReplied(overdue: Backup): void {
+    const { backup } = this;
+    if (this.acceptance.hasReplied) return;
+    const former = this.overdue.remove(overdue);
+    if (backup?.attempt === undefined) this.release(backup);
+    else this.setAside(backup);
+    this.resume(former);
+  }
+
+  /** Decides between two backups whose backends run: the newer one has not been refused for a time. */
+  private overdueExpired(overdue: Backup): void {
+    if (!this.acceptance.hasReplied) return this.overdueReplied(overdue);
+    this.cancelOverdue(overdue);
+  }
+
+  private cancelOverdue(...backups: readonly Backup[]): void {
+    for (const backup of backups) {
+      this.overdue.remove(backup);
+      if (backup.attempt !== undefined) this.options.onCancelled(backup.attempt);
+      this.release(backup);
+    }
   }
 
   /** Searches again for a backup that waits for a slot, because the backends have changed. */
@@ -164,6 +224,11 @@
   /** Handles a restart of a backend under the same id. */
   backendRestarted({ id, address }: BackendRecord): void {
     this.backup?.search.backendRestarted(id);
+    for (const { backend, inFlight, attempt } of this.overdue.all) {
+      if (backend?.id !== id) continue;
+      inFlight.end();
+      attempt?.backendRestarted(address);
+    }
     // The backup lost its place in the queue. Another one starts when the silence is reported next.
     if (this.attempt === undefined && this.backup?.search.isPending === false) return this.end();
     if (this.attempt?.backendId !== id) return;
@@ -174,24 +239,60 @@
   /** Decides between the two attempts when one of them has a part of an answer. */
   attemptProgressed(attempt: Attempt): void {
     if (!this.isOpen) return;
+    const overdue = this.overdue.find(attempt);
+    if (overdue !== undefined) {
+      const former = this.overdue.remove(overdue);
+      this.cancelCurrent();
+      this.resume(former);
+    }
     if (attempt === this.attempt) return this.replaceFirst();
+    this.cancelOverdue(...this.overdue.all);
     this.cancel();
   }
 
+  /** Ends the backup of an attempt that has ended. */
+  attemptEnded(attempt: Attempt, hasFailed: boolean): void {
+    const overdue = this.overdue.find(attempt);
+    if (overdue === undefined) return this.end(hasFailed);
+    this.overdue.remove(overdue);
+    this.release(overdue, hasFailed);
+  }
+
   /**
-   * Ends the backup, if there is one, and releases what it holds.
+   * Ends the backup, if there is one, and continues with an overdue one.
    *
    * @param hasFailed - Whether its backend has failed the request.
    */
   end(hasFailed = false): void {
-    const backup = this.take();
+    this.release(this.detach(), hasFailed);
+    this.resumeOverdue();
+  }
+
+  /** Ends all backups. */
+  endAll(): void {
+    for (const backup of this.overdue.all) {
+      this.overdue.remove(backup);
+      this.release(backup);
+    }
+    this.end();
+  }
+
+  private release(backup: Backup | undefined, hasFailed = false): void {
     backup?.attempt?.abort();
     backup?.inFlight.end();
     backup?.search.release(hasFailed);
   }
 
-  /** Returns the backup, which is from now on the request's only attempt or search; undefined if there is none. */
+  /**
+   * Returns the backup, which is from now on the request's first attempt or its search; undefined if there is none. One that was sent
+   * is preferred.
+   */
   take(): Backup | undefined {
+    if (this.attempt === undefined && this.overdue.size > 0) this.end();
+    return this.detach();
+  }
+
+  private detach(): Backup | undefined {
     const { backup } = this;
     clearImmediate(this.sending);
     this.acceptance.stop();
@@ -204,13 +305,19 @@
 
   /** Cancels the backup; the first attempt goes on. */
   private cancel(): void {
+    this.cancelCurrent();
+    this.resumeOverdue();
+  }
+
+  private cancelCurrent(): void {
     if (this.attempt !== undefined) this.options.onCancelled(this.attempt);
-    this.end();
+    this.release(this.detach());
   }
 
   /** Ends the first attempt; its request then continues with the backup. */
   private replaceFirst(): void {
     const first = this.options.first();
+    this.cancelOverdue(...this.overdue.all);
     first?.giveUpSilent(`silent for ${Math.round(first.silenceLimit)} ms or more`);
   }
 
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -278,7 +278,7 @@
       // A request that may crash backends is sent to one at a time.
       reserve: () => this.suspicion.isSound && this.retries.reserve(),
       send: (backend, resources) => this.sendBackup(backend, resources),
-      mayReplace: () => this.attempts.mayReplaceBackup,
+      mayReplace: (overdue) => this.attempts.mayReplaceBackup(overdue),
       onCancelled: (attempt) => this.attempts.recordCancelled(attempt),
     });
   }
@@ -477,11 +477,11 @@
 
   private attemptEnded(attempt: Attempt, backend: BackendRecord, end: AttemptEnd): void {
     if (this.ended) return;
-    const isBackup = attempt === this.backup.attempt;
+    const isBackup = this.backup.attempts.includes(attempt);
     const isSilent = attempt.wasSilent && end.type === 'failed' && end.unresponsive;
     const ended = { backend, relay: attempt.relay, model: this.model, end };
     const hasFailed = hasBackendFailed(this.context, ended);
-    if (isBackup) this.backup.end(hasFailed);
+    if (isBackup) this.backup.attemptEnded(attempt, hasFailed);
     else this.releaseAttempt(hasFailed);
     if (this.attempts.recordRelayEnd(attempt, backend, end))
       return isBackup ? undefined : this.continueAfter(undefined);
@@ -515,7 +515,7 @@
     const backup = this.backup.take();
     if (backup !== undefined) {
       ({ search: this.search, inFlight: this.inFlight, attempt: this.attempt } = backup);
-      if (this.attempt !== undefined) return;
+      if (this.attempt !== undefined) return this.backup.resumeOverdue();
     }
     if (examined === undefined) return this.dispatch();
     this.search.release();
@@ -595,8 +595,8 @@
     clearTimeout(this.recheckTimer);
     this.deadlineTimeout?.cancel();
     const mayHaveRun = end === 'served' || this.mayHaveRun();
-    this.attempts.abort(this.attempt, this.backup.attempt);
-    this.backup.end();
+    this.attempts.abort(this.attempt, ...this.backup.attempts);
+    this.backup.endAll();
     this.retries.end();
     this.inFlight.end();
     this.attempt = undefined;
