--- a/src/gateway/overdue-backups.ts
+++ b/src/gateway/overdue-backups.ts
@@ -10,7 +10,7 @@
 import { steadyNow } from './steady-clock.js';
 
 /** Time from the first reply of a backend to the end of its attempt. Two backends may work on one request for 400 ms at most. */
-const MAX_RUN_MS = 300;
+const MAX_RUN_MS = 200;
 
 interface Entry {
   readonly backup: Backup;
--- a/test/gateway/backup-acceptance.test.ts
+++ b/test/gateway/backup-acceptance.test.ts
@@ -20,6 +20,8 @@
 const FIRST_WORK_MS = 400;
 /** Time for which a backup's backend is silent that goes on about when the first one does. */
 const SECOND_SILENCE_MS = 700;
+/** Time for which a third backend works on the request: longer than two backends may, shorter than the rest of the deadline. */
+const THIRD_WORK_MS = 1_000;
 /** Size of a body that does not fit into the buffers of a connection. */
 const LONG_BODY_BYTES = 20e6;
 /** Time after which a backend reads a long body. */
@@ -111,6 +113,39 @@
     expect(answer).toMatchObject({ status: 200, body: 'done a' });
   });
 
+  it('for which a third backend is tried gives its answer if that one is silent as well', async () => {
+    harness.configure(testConfiguration({ version: 2, routes: [testRoute({ maxAttempts: 3 })] }));
+    handle(
+      stopFor(2 * SILENCE_MS, 0, answerWhole),
+      stopFor(SECOND_SILENCE_MS, FIRST_WORK_MS, answerWhole),
+      stopFor(2 * SILENCE_MS, 0, answerWhole),
+    );
+    const answer = await harness.call({ id: 'a', headers: { deadline: '2000' } });
+    expect(answer).toMatchObject({ status: 200, body: 'done a' });
+    expect(backends.flatMap(({ arrivals }) => arrivals)).toHaveLength(3);
+  });
+
+  it('for which a third backend is tried ends within the time for two runs if both work on the request', async () => {
+    harness.configure(testConfiguration({ version: 2, routes: [testRoute({ maxAttempts: 3 })] }));
+    let closedAt = Infinity;
+    let goesOnAt = 0;
+    handle(
+      stopFor(2 * SILENCE_MS, 0, answerWhole),
+      (backend) =>
+        (...passed) => {
+          passed[0].socket.on('close', () => (closedAt = performance.now()));
+          goesOnAt = performance.now() + SECOND_SILENCE_MS;
+          stopFor(SECOND_SILENCE_MS, SILENCE_MS, answerWhole)(backend)(...passed);
+        },
+      () => (request, response) =>
+        void setTimeout(() => answerWhole(request, response), THIRD_WORK_MS),
+    );
+    const answer = await harness.call({ id: 'a', headers: { deadline: '2000' } });
+    expect(answer).toMatchObject({ status: 200, body: 'done a' });
+    expect(closedAt - goesOnAt).toBeGreaterThan(0);
+    expect(closedAt - goesOnAt).toBeLessThan(MAX_TWO_RUNS_MS);
+  });
+
   it('whose backend goes on does not replace a first attempt whose backend goes on as well', async () => {
     handle(
       stopFor(SILENCE_MS, FIRST_WORK_MS, answerWhole),
