Soak: software versions that one gateway cannot learn of

Callers of other operators saw streams that were joined from two versions (ORDER) at a gateway that was out of step with the store and with the other gateways while replicas of a new version joined. No kind of the soak did this: its gateways lost either the store or the others, and callers that name no attempt came only after replacements of all replicas.

Change: the opt-in kind 'version_joins_unseen'. One gateway's store hangs and it is cut off for 0.9 to 8 s, half of the model replicas start again with a new version, and streams that begin through the other gateways are left after two events and resumed at that gateway with Last-Event-Id alone. Rule two_versions judges them; the run counts the resumptions beside replicas of another version. The rule for runs with cuts moves to a module of its own.

--- a/test/soak/audit-streams.ts
+++ b/test/soak/audit-streams.ts
@@ -27,6 +27,8 @@
   /** Attempts to resume a stream without the name of the attempt that began it, and how many of them went on. */
   readonly unnamed: number;
   readonly unnamedGoneOn: number;
+  /** Attempts without that name that were sent while a replica of another version held the stream's model. */
+  readonly unnamedWithOtherVersion: number;
 }
 
 /** Counts the streams of a run. */
@@ -55,6 +57,7 @@
     withOtherVersion: all.filter(({ othersWithModel }) => othersWithModel > 0).length,
     unnamed: unnamed.length,
     unnamedGoneOn: unnamed.filter(({ call }) => hasEvents(call)).length,
+    unnamedWithOtherVersion: unnamed.filter(({ othersWithModel }) => othersWithModel > 0).length,
   };
 }
 
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -16,9 +16,14 @@
 } from './stop-fault-injector.js';
 import { SOFTWARE_VERSIONS } from './soak-replicas.js';
 import { spareReplicas, undisturbedGateways, type SoakSystem } from './soak-system.js';
+import { UnseenVersionInjector, type UnnamedResumerSystem } from './unseen-version-injector.js';
 
 /** Kinds that other classes inject. */
-type SeparateFaultKind = 'callers_misbehave' | 'replicas_silent_together' | 'replicas_refuse_late';
+type SeparateFaultKind =
+  | 'callers_misbehave'
+  | 'replicas_silent_together'
+  | 'replicas_refuse_late'
+  | 'version_joins_unseen';
 
 /** Time after which a crashed replica starts again. */
 const RESTART_MS = 1_000;
@@ -71,6 +76,7 @@
   private readonly stops: StopFaultInjector;
   private readonly silences: SilenceFaultInjector;
   private readonly lateRefusals: LateRefusalInjector;
+  private readonly unseenVersions: UnseenVersionInjector;
   private poisonCount = 0;
   /** Number of crashing parts that callers send now. */
   private poisonParts = 0;
@@ -87,7 +93,8 @@
       PoisonSender &
       GatewayStarter &
       StopCallerSystem &
-      StreamHolderSystem,
+      StreamHolderSystem &
+      UnnamedResumerSystem,
     private readonly random: SeededRandom,
     private readonly endsAt: number,
     /** Maximum number of crashing parts that callers send at the same time. */
@@ -96,6 +103,7 @@
     this.stops = new StopFaultInjector(system, random);
     this.silences = new SilenceFaultInjector(system, random, endsAt);
     this.lateRefusals = new LateRefusalInjector(system, random, endsAt);
+    this.unseenVersions = new UnseenVersionInjector(system, random, endsAt);
   }
 
   inject(fault: OptInFault): void {
@@ -104,6 +112,7 @@
     else if (fault.kind === 'callers_misbehave') void this.sendCrowd(fault);
     else if (fault.kind === 'replicas_silent_together') void this.silences.inject(fault);
     else if (fault.kind === 'replicas_refuse_late') void this.lateRefusals.inject(fault);
+    else if (fault.kind === 'version_joins_unseen') void this.unseenVersions.inject(fault);
     else this.injectElsewhere(fault);
   }
 
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -143,6 +143,15 @@
       /** Number of streams that callers begin shortly before each silence. */
       readonly streams: number;
     }
+  /**
+   * A gateway reaches neither the store nor the other gateways while replicas of a new software version join. Streams begin at other
+   * gateways, and their callers resume them at that one, without the name of the attempt.
+   */
+  | {
+      readonly kind: 'version_joins_unseen';
+      readonly milliseconds: number;
+      readonly streams: number;
+    }
   /** Replicas of the models end and start again with another software version. Callers take up streams at other gateways. */
   | {
       readonly kind: 'software_released';
@@ -262,6 +271,7 @@
   'software_replaced',
   'callers_misbehave',
   'replicas_refuse_late',
+  'version_joins_unseen',
 ];
 
 /** Rate limits in requests per second. */
@@ -390,6 +400,10 @@
     gapMs: random.between(500, 1_000),
     streams: Math.ceil(random.between(2, 6)),
   }),
+  version_joins_unseen: (random) => ({
+    milliseconds: random.between(900, 8_000),
+    streams: Math.ceil(random.between(15, 30)),
+  }),
   software_released: (random) => ({
     count: Math.ceil(random.between(0, 2)),
     version: random.pick(SOFTWARE_VERSIONS) ?? '',
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -139,6 +139,8 @@
   softwareVersion: string | undefined;
   /** Of the next process. */
   private nextVersion: string | undefined;
+  /** Whether the next process starts with models loaded. */
+  private nextHasModels = true;
   private server: http.Server | undefined;
   private readonly onDisk = new Set<string>();
 
@@ -152,9 +154,13 @@
     });
   }
 
-  /** Sets the software version of the next process. */
-  release(version: string): void {
+  /**
+   * Sets the software version of the next process.
+   * @param options.hasModels - Whether that process starts with the models that the first one had.
+   */
+  release(version: string, { hasModels = false } = {}): void {
     this.nextVersion = version;
+    this.nextHasModels = hasModels;
   }
 
   private get checksEpochs(): boolean {
@@ -185,14 +191,15 @@
   }
 
   /**
-   * Starts a process; only the first one starts with models loaded.
+   * Starts a process; only the first one starts with models loaded, unless a release says otherwise.
    * @param port - Port to listen on; any free port by default.
    */
   async start(port = 0): Promise<void> {
     this.starts += 1;
     this.id = `${this.options.name}-${this.starts}`;
     this.softwareVersion = this.nextVersion;
-    this.models = new Set(this.starts === 1 ? this.options.models : []);
+    this.models = new Set(this.nextHasModels ? this.options.models : []);
+    this.nextHasModels = false;
     this.sequence = 0;
     this.highestFence = 0;
     this.busy = false;
--- a/test/soak/resuming-callers.ts
+++ b/test/soak/resuming-callers.ts
@@ -91,7 +91,7 @@
           : { resumes: { attemptId: isUnnamed ? undefined : begunBy, lastEventId } }),
         ...(number === 0 && leaves ? { leavesAfter: LEAVES_AFTER } : {}),
       };
-      const replicas = this.countReplicas(versionsIn(text)[0], request.model);
+      const replicas = countReplicas(this.context.system, versionsIn(text)[0], request.model);
       const record = await call(request, gateway.name, gateway.callers);
       attempts.push({ call: record, ...replicas });
       text += completeEvents(record);
@@ -107,21 +107,21 @@
     const others = all.filter(({ name }) => !tried.has(name));
     return random.pick(others.length > 0 ? others : all);
   }
+}
 
-  private countReplicas(
-    version: string | undefined,
-    model: string | undefined,
-  ): Omit<StreamAttempt, 'call'> {
-    if (version === undefined) return { replicasOfVersion: 0, othersWithModel: 0 };
-    const serving = this.context.system.replicas.filter(
-      ({ isServing, service }) => isServing && service === 'models',
-    );
-    const others = serving.filter((each) => each.softwareVersion !== version);
-    return {
-      replicasOfVersion: serving.length - others.length,
-      othersWithModel: others.filter((each) => each.holds(model)).length,
-    };
-  }
+/** Counts the replicas at which a stream that began at a version, if any, may and may not go on. */
+export function countReplicas(
+  { replicas }: Pick<SoakSystem, 'replicas'>,
+  version: string | undefined,
+  model: string | undefined,
+): Omit<StreamAttempt, 'call'> {
+  if (version === undefined) return { replicasOfVersion: 0, othersWithModel: 0 };
+  const serving = replicas.filter(({ isServing, service }) => isServing && service === 'models');
+  const others = serving.filter((each) => each.softwareVersion !== version);
+  return {
+    replicasOfVersion: serving.length - others.length,
+    othersWithModel: others.filter((each) => each.holds(model)).length,
+  };
 }
 
 /** The complete events that a call has brought; an error's body has none. */
--- a/test/soak/soak-replicas.ts
+++ b/test/soak/soak-replicas.ts
@@ -19,6 +19,10 @@
 
 /** Whether replicas have several software versions. */
 export function haveVersions(only: SoakOptions['only'] = []): boolean {
+  return startsWithSeveralVersions(only) || only.includes('version_joins_unseen');
+}
+
+function startsWithSeveralVersions(only: SoakOptions['only'] = []): boolean {
   return only.includes('software_released') || only.includes('software_replaced');
 }
 
@@ -47,7 +51,9 @@
     log,
     random: new SeededRandom(seed + 100 + index),
     checksEpochs,
-    ...(haveVersions(only) ? { softwareVersion: versionAt(index) } : {}),
+    ...(haveVersions(only)
+      ? { softwareVersion: versionAt(startsWithSeveralVersions(only) ? index : 0) }
+      : {}),
     onCrashedByRequest: (backMs) => {
       replicaFaults.push({ from: Date.now(), until: Date.now() + backMs });
     },
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -6,6 +6,7 @@
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { audit, excusedViolations } from './audit.js';
 import { casesMet } from './cases-met.js';
+import { hasCuts } from './cutting-faults.js';
 import { partitionReports } from './audit-partitions.js';
 import { pickGateway, routableGateways } from './caller-routing.js';
 import { call, type CallRecord, type SoakRequest } from './caller.js';
@@ -49,6 +50,7 @@
 import { drawCaller, HOT_CYCLE_MS, isInHotPeriod, STEADY_CALLER } from './soak-tenants.js';
 import type { SoakSystem } from './soak-system.js';
 import { SeededRandom } from './seeded-random.js';
+import { UnnamedResumers } from './unnamed-resumers.js';
 import { rolesOf, hitHotLimitCounter, type GatewayFault } from './gateway-faults.js';
 
 /** Offset added to the seed for the generator of further faults. */
@@ -73,6 +75,8 @@
 const STREAM_HOLDER_SEED = 90_000;
 /** Offset added to the seed for the generator of callers that name no attempt. */
 const UNNAMED_CALLER_SEED = 110_000;
+/** Offset added to the seed for the generator of callers that resume streams at a given gateway. */
+const UNNAMED_RESUMER_SEED = 120_000;
 /** Number of eras in which the store may start: 0 or 1, depending on the seed. */
 const INITIAL_ERA_COUNT = 2;
 const PERSISTENT_CALLER_PAUSE_MS = 300;
@@ -81,12 +85,6 @@
 const STARTUP_MS = 3_000;
 /** Consecutive ports of one gateway: peers, relay, callers, readiness. */
 const GATEWAY_PORTS = 4;
-/** Opt-in faults that also cut gateways off. */
-const CUTTING_KINDS: readonly OptInFault['kind'][] = [
-  'backend_names_limit',
-  'store_restored',
-  'joined_during_cut',
-];
 /** Time from the end of the last fault until callers must be served normally again. */
 const RECOVERY_MS = 9_000;
 const CALM_PHASE_MS = 4_000;
@@ -121,6 +119,7 @@
   readonly funnels: ConnectionFunnel[] = [];
   readonly stopCallers: StopCallers;
   readonly streamHolders: StreamHolders;
+  readonly unnamedResumers: UnnamedResumers;
   private readonly accepted = new Map<number, number>();
   private faultsStartAt = 0;
   /** Position in the hot cycle of the limited tenant at the start of the faults, used if the seed draws it. */
@@ -142,6 +141,8 @@
     const randomOf = (offset: number): SeededRandom => new SeededRandom(seed + offset);
     this.stopCallers = new StopCallers({ ...callers, random: randomOf(STOP_CALLER_SEED) });
     this.streamHolders = new StreamHolders({ ...callers, random: randomOf(STREAM_HOLDER_SEED) });
+    const resumerContext = { ...callers, random: randomOf(UNNAMED_RESUMER_SEED) };
+    this.unnamedResumers = new UnnamedResumers(resumerContext, this);
     const firstEra = options.seed % INITIAL_ERA_COUNT;
     this.store = new ObjectStoreStandIn(new SeededRandom(options.seed + 1), firstEra);
     this.processSamples = new ProcessSamples(options.folder, () => this.sampledProcesses());
@@ -181,7 +182,7 @@
       silentTimes: this.silentTimes,
       funnels: this.funnels,
       mostMemory: this.processSamples.mostMemory.filter(({ name }) => this.gateways.has(name)),
-      streams: resumingCallers?.streams ?? [],
+      streams: [...(resumingCallers?.streams ?? []), ...this.unnamedResumers.streams],
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
       unexpectedExits: this.exits().filter(({ isExpected }) => !isExpected),
@@ -349,7 +350,7 @@
       ...(isPartitionable ? { otherPorts: [...groupPorts, storePort] } : {}),
       ...(promisesRevocation === undefined ? {} : { promisesRevocation }),
       ...(checksEpochs === undefined ? {} : { backendsCheckEpochs: checksEpochs }),
-      ...(this.hasCuts ? { silencedPorts: groupPorts } : {}),
+      ...(hasCuts(this.options) ? { silencedPorts: groupPorts } : {}),
       isSuspendable: this.namedKinds.includes('suspended'),
       ...(startHoldMs === undefined ? {} : { startHoldMs }),
       onFault: (kind, milliseconds) => this.recordGatewayFault(name, kind, milliseconds),
@@ -357,14 +358,6 @@
     });
   }
 
-  /** Whether a planned fault may cut gateways off or make their connections silent. */
-  private get hasCuts(): boolean {
-    const { faultKinds = 'first', leaving = false, series = [] } = this.options;
-    const hasCuttingKind = this.namedKinds.some((kind) => CUTTING_KINDS.includes(kind));
-    const hasFurther = faultKinds === 'further' || faultKinds === 'both';
-    return hasFurther || leaving || hasCuttingKind || series.length > 0;
-  }
-
   joinGateway(): void {
     const process = this.joiners.shift();
     if (process === undefined) return;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -104,6 +104,12 @@
 /** At least this many streams must be taken up without the name of their attempt for the run to be meaningful. */
 const MIN_UNNAMED = 10;
 
+/** Produces a software version that joins while one gateway reaches neither the store nor the other gateways. */
+const UNSEEN_SEED = 84_103;
+const UNSEEN_FAULT_MS = 12_000;
+/** At least this many streams of the new version must be resumed at that gateway for the run to be meaningful. */
+const MIN_UNSEEN = 5;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -401,6 +407,21 @@
     expect(result.streams.withOtherVersion).toBeGreaterThan(0);
   });
 
+  it('join no stream of two versions at a gateway that learns of the new one from nobody', async () => {
+    const result = await runSoak({
+      seed: UNSEEN_SEED,
+      faultMs: UNSEEN_FAULT_MS,
+      folder: soakFolder(UNSEEN_SEED),
+      faultKinds: 'none',
+      only: ['version_joins_unseen'],
+      requestsPerSecond: 20,
+      keptCallers: 2,
+      promisesRevocation: false,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.streams.unnamedWithOtherVersion).toBeGreaterThanOrEqual(MIN_UNSEEN);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
