Soak: late refusals meet begun streams, and use up the budget of retries

Change: the refusals begin with the silence, concern what goes on with a stream (share 0.7 to 1) and few other requests (up to 0.1); half of the model replicas are silent together; the streams of a round are held at one gateway, which has one part of the budget. Lost by this: many refusals of requests that have not begun, and refusals at the plain service alone.

--- a/test/soak/late-refusal-injector.ts
+++ b/test/soak/late-refusal-injector.ts
@@ -1,4 +1,4 @@
-/** Lets replicas refuse requests late while others fall silent, so that backups are refused after their backends seem to have accepted them. */
+/** Lets replicas refuse requests late while others are silent, so that backups are refused after their backends seem to have accepted them. */
 import { sleep } from '../../src/common/process.js';
 import type { OptInFault } from './opt-in-fault-plan.js';
 import type { ReplicaStandIn } from './replica-stand-in.js';
@@ -11,7 +11,7 @@
 
 type LateRefusalFault = Extract<OptInFault, { kind: 'replicas_refuse_late' }>;
 
-/** Injects late refusals beside silences of single replicas. */
+/** Injects late refusals beside silences of half of the model replicas. */
 export class LateRefusalInjector {
   private isInProgress = false;
 
@@ -26,17 +26,21 @@
   async inject(fault: LateRefusalFault): Promise<void> {
     if (this.isInProgress) return;
     this.isInProgress = true;
-    const { share, delayMs, silences, milliseconds, gapMs, streams } = fault;
-    const neededMs = silences * (gapMs + MAX_BEFORE_SILENCE_MS) + milliseconds;
-    const totalMs = Math.min(neededMs, this.endsAt - Date.now());
-    for (const replica of this.sound(fault)) replica.lateRefusals.begin(share, delayMs, totalMs);
+    const { silences, milliseconds, gapMs, streams } = fault;
     for (let count = 0; count < silences && Date.now() < this.endsAt; count++) {
       this.beginStreams(streams);
       await sleep(this.random.between(MAX_BEFORE_SILENCE_MS / 2, MAX_BEFORE_SILENCE_MS));
-      this.random.pick(this.sound(fault))?.fallSilent(milliseconds);
-      await sleep(gapMs);
+      const sound = this.sound(fault);
+      const models = sound.filter((replica) => replica.service === 'models');
+      const parity = this.random.chance(0.5) ? 0 : 1;
+      const silent = models.filter((_, index) => index % 2 === parity);
+      for (const replica of silent) replica.fallSilent(milliseconds);
+      // The streams have begun by now; refused is what the others get until the silent ones go on.
+      for (const replica of sound) {
+        if (!silent.includes(replica)) replica.lateRefusals.begin(fault, milliseconds);
+      }
+      await sleep(milliseconds + gapMs);
     }
-    await sleep(milliseconds);
     this.isInProgress = false;
   }
 
@@ -48,10 +52,11 @@
   }
 
   private beginStreams(count: number): void {
-    const gateways = undisturbedGateways(this.system);
+    // At one gateway, so that they share its part of the budget of retries.
+    const gateway = this.random.pick(undisturbedGateways(this.system));
+    if (gateway === undefined) return;
     for (let begun = 0; begun < count; begun++) {
-      const gateway = this.random.pick(gateways);
-      if (gateway !== undefined) this.system.streamHolders.hold(gateway, MAX_BEFORE_SILENCE_MS);
+      this.system.streamHolders.hold(gateway, MAX_BEFORE_SILENCE_MS / 2);
     }
   }
 }
--- a/test/soak/late-refusals.ts
+++ b/test/soak/late-refusals.ts
@@ -12,25 +12,36 @@
   readonly silentMs: () => number;
 }
 
+/** Which requests are refused, and the time for which each is kept before. */
+export interface RefusalShares {
+  readonly share: number;
+  readonly resumedShare: number;
+  readonly delayMs: number;
+}
+
 /** Refuses a share of the requests for a time. */
 export class LateRefusals {
   private share = 0;
+  private resumedShare = 0;
   private delayMs = 0;
   /** Unix milliseconds. */
   private until = 0;
 
   constructor(private readonly options: LateRefusalOptions) {}
 
-  /** Begins; `share` of the requests are refused `delayMs` after they have come. */
-  begin(share: number, delayMs: number, milliseconds: number): void {
+  /** Begins; the shares of the requests, and of those that go on with a stream, are refused `delayMs` after they have come. */
+  begin({ share, resumedShare, delayMs }: RefusalShares, milliseconds: number): void {
     this.share = share;
+    this.resumedShare = resumedShare;
     this.delayMs = delayMs;
     this.until = Date.now() + milliseconds;
   }
 
   /** Returns whether a request is kept, to be refused later. */
   keep(attemptId: string, response: http.ServerResponse): boolean {
-    if (Date.now() >= this.until || !this.options.random.chance(this.share)) return false;
+    const share =
+      response.req.headers['last-event-id'] === undefined ? this.share : this.resumedShare;
+    if (Date.now() >= this.until || !this.options.random.chance(share)) return false;
     setTimeout(() => this.refuse(attemptId, response), this.delayMs).unref();
     return true;
   }
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -129,16 +129,17 @@
       readonly changeGapMs: number;
       readonly signalGapMs: number;
     }
-  /** Replicas refuse a share of the requests late, while one after the other falls silent and callers hold streams. */
+  /** Replicas refuse late what goes on with a stream, and a share of the other requests, while half of the model replicas are silent. */
   | {
       readonly kind: 'replicas_refuse_late';
-      readonly service: 'models' | 'plain' | 'both';
-      /** Share of the requests that are refused, and the time for which each is kept before. */
+      readonly service: 'models' | 'both';
+      /** Shares of the requests, and of those that go on with a stream, that are refused, and the time for which each is kept before. */
       readonly share: number;
+      readonly resumedShare: number;
       readonly delayMs: number;
       readonly silences: number;
       readonly milliseconds: number;
-      /** Time from the begin of a silence until the next one, at another replica. */
+      /** Time from the end of a silence until the next one. */
       readonly gapMs: number;
       /** Number of streams that callers begin shortly before each silence. */
       readonly streams: number;
@@ -287,6 +288,8 @@
 const TOLERATED_REJECTIONS = [2, 4, 6, 10];
 /** Services whose replicas fall silent together. */
 const SILENT_SERVICES = ['models', 'plain', 'both'] as const;
+/** Services whose replicas refuse requests late: those of the streams always do. */
+const STREAM_SERVICES = ['models', 'both'] as const;
 const SUSPENDED_GATEWAYS: readonly SuspendedGateway[] = ['owner', 'owner', 'counter', 'any'];
 
 /**
@@ -392,13 +395,14 @@
     signalGapMs: random.between(400, 1_500),
   }),
   replicas_refuse_late: (random) => ({
-    service: random.pick(SILENT_SERVICES) ?? 'both',
-    share: random.between(0.4, 0.8),
-    delayMs: random.between(350, 1_050),
+    service: random.pick(STREAM_SERVICES) ?? 'both',
+    share: random.between(0, 0.1),
+    resumedShare: random.between(0.7, 1),
+    delayMs: random.between(350, 900),
     silences: Math.ceil(random.between(4, 10)),
     milliseconds: random.between(1_800, 2_600),
-    gapMs: random.between(500, 1_000),
-    streams: Math.ceil(random.between(2, 6)),
+    gapMs: random.between(200, 600),
+    streams: Math.ceil(random.between(12, 20)),
   }),
   version_joins_unseen: (random) => ({
     milliseconds: random.between(900, 8_000),
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -104,6 +104,12 @@
 /** At least this many streams must be taken up without the name of their attempt for the run to be meaningful. */
 const MIN_UNNAMED = 10;
 
+/** Produces late refusals of what silent replicas had begun. */
+const LATE_REFUSAL_SEED = 84_201;
+const LATE_REFUSAL_FAULT_MS = 15_000;
+/** At least this many calls must be judged whose replica fell silent for the run to be meaningful. */
+const MIN_CALLS_BESIDE_REFUSALS = 20;
+
 /** Produces a software version that joins while one gateway reaches neither the store nor the other gateways. */
 const UNSEEN_SEED = 84_103;
 const UNSEEN_FAULT_MS = 12_000;
@@ -407,6 +413,21 @@
     expect(result.streams.withOtherVersion).toBeGreaterThan(0);
   });
 
+  it('lose no stream that its backup refuses late', async () => {
+    const result = await runSoak({
+      seed: LATE_REFUSAL_SEED,
+      faultMs: LATE_REFUSAL_FAULT_MS,
+      folder: soakFolder(LATE_REFUSAL_SEED),
+      faultKinds: 'none',
+      only: ['replicas_refuse_late'],
+      requestsPerSecond: 25,
+      keptCallers: 8,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.silences.judged).toBeGreaterThanOrEqual(MIN_CALLS_BESIDE_REFUSALS);
+    expect(result.silences.lateRefusals).toBeGreaterThan(0);
+  });
+
   it('join no stream of two versions at a gateway that learns of the new one from nobody', async () => {
     const result = await runSoak({
       seed: UNSEEN_SEED,
