--- a/test/gateway/streams-in-backoff.test.ts
+++ b/test/gateway/streams-in-backoff.test.ts
@@ -110,4 +110,21 @@
     await expectWhole();
     await stopped;
   });
+
+  it('is sent again if the daemon stops between the sending of its backup and the refusal', async () => {
+    scene = await BackupScene.start({
+      route: { repeatability: 'resumable_stream', maxAttempts: 3 },
+    });
+    await scene.beginStream(['two']);
+    await scene.untilRuns(2);
+    const stopped = scene.harness.gateway.drain();
+    await scene.untilLogged('attempt_failed');
+    const backup = scene.lastRun;
+    answerNextRun();
+    scene.list(['one', 'two', 'three']);
+    await pause(SETTLE_MS);
+    backup.refuse();
+    await expectWhole();
+    await stopped;
+  });
 });
