Fix: a backup whose backend replies slowly to the second check ends within the time for two runs

Shown by the review: the first backend goes on, the backup's is checked again and replies after 250 ms although it ran all the time; both worked on the request for 453 ms (TWICE allows 400). Cause: a late reply was taken for the end of a silence, and 200 ms more were given.

Change: with a reply that late, the decision comes at most 330 ms after the first backend's reply, and at least 70 ms after the second one's. A backend that needs over 260 ms to reply is still taken for one that was silent.

Evidence: 'is not worked on by two backends for long if the second replies slowly' failed before (about 450 ms) and passes.

--- a/src/gateway/backup-acceptance.ts
+++ b/src/gateway/backup-acceptance.ts
@@ -35,6 +35,8 @@
  * are within the time for two runs.
  */
 const REFUSAL_MS = 70;
+/** Longest time from the first backend's reply to the decision if the other one replies slowly. Both may have run since. */
+const MAX_CHECK_AGAIN_MS = 330;
 /** Interval at which a backend that reads a long body is checked: it may refuse the request at the end of the body. */
 const BODY_CHECK_MS = 100;
 
@@ -82,6 +84,8 @@
   private runningFirst: Attempt | undefined;
   /** Whether the backup counts as accepted, and the first attempt's backend has not replied yet. */
   private isFirstAwaited = false;
+  /** Steady time of the first backend's reply, from which on the backup's backend is checked again; undefined before. */
+  private checkedAgainAt: number | undefined;
   private readonly timer: SilenceTimer;
   private readonly livenessCheck: LivenessCheck;
   private readonly firstLivenessCheck: LivenessCheck;
@@ -150,6 +154,7 @@
     this.firstLivenessCheck.stop();
     this.isFirstRunning = false;
     this.isFirstAwaited = false;
+    this.checkedAgainAt = undefined;
     this.liveness = 'unknown';
     this.isReadingBody = false;
     this.backup = undefined;
@@ -199,6 +204,7 @@
     if (this.backup === undefined) return;
     this.isFirstAwaited = false;
     this.liveness = 'unknown';
+    this.checkedAgainAt = steadyNow();
     this.livenessCheck.start(this.backup.backend);
     this.decideIn(ACCEPT_AFTER_SILENCE_MS);
   }
@@ -208,10 +214,17 @@
     const wasOverdue = this.isOverdue;
     this.liveness = 'replied';
     this.logBackend('backup_backend_replied');
-    if (wasOverdue) this.decideIn(ACCEPT_AFTER_SILENCE_MS);
+    if (wasOverdue) this.decideIn(this.acceptAfterSilenceMs());
     else this.waitAfterReply();
   }
 
+  /** A backend that was checked again may have run all the time, beside the first one, and replied slowly. */
+  private acceptAfterSilenceMs(): number {
+    if (this.checkedAgainAt === undefined) return ACCEPT_AFTER_SILENCE_MS;
+    const leftMs = this.checkedAgainAt + MAX_CHECK_AGAIN_MS - steadyNow();
+    return Math.max(REFUSAL_MS, Math.min(leftMs, ACCEPT_AFTER_SILENCE_MS));
+  }
+
   /** Puts the decision off if a reply came shortly before it: the backend may have gone on only now. */
   private waitAfterReply(): void {
     const leftMs = this.dueAt - steadyNow();
