Fix: a daemon that stops keeps a retry for each request whose backup is open

A SIGTERM to the daemon while a stream's backup is at the second backend: the first attempt is given up as silent, the second is refused 53 ms later, and the stream is cut 1 ms after that.

Change: before the share is given up, each request with an open backup, or in a backoff, reserves a retry, as far as the budget grants it; it is counted then, and returned if it is not used.

To keep the share until the requests have ended was weighed: other daemons would wait for the roles of one that is leaving, and its part of the tenants' limits would be idle for seconds.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -188,8 +188,7 @@
     this.members.start();
     this.limits.start();
     const onFault = (fault: unknown): void => this.faults.record('tick', fault);
-    const unfinished = (): number => this.context.exchanges.size;
-    reportPauses(this.runningClock, { ...systems, unfinished });
+    reportPauses(this.runningClock, { ...systems, unfinished: () => this.context.exchanges.size });
     this.ticker = startTicker(TICK_MS, () => this.tick(), onFault);
     leaseClock.onForwardStep = (milliseconds) => systems.logger.warn('time_leap', { milliseconds });
     for (const name of settings.retiredPolicies) systems.logger.warn('policy_retired', { name });
@@ -217,6 +216,7 @@
     // A start in progress would leave its ports open and this daemon's entry in the list of daemons.
     await this.starting;
     this.ownerships.stop('the daemon stops');
+    for (const exchange of this.context.exchanges) exchange.reserveRetry();
     this.shares.leave();
     this.peers.leave();
     await this.members.leave();
--- a/src/gateway/request-exchange.ts
+++ b/src/gateway/request-exchange.ts
@@ -178,7 +178,8 @@
   private recheckNow(): void {
     // A condemned request that is queued or has just started at a backend is withdrawn before it crashes that
     // backend too.
-    if (!this.ended && !this.answer.hasBegun && this.isCondemned()) return this.refuseCrashing();
+    if (!this.ended && !this.answer.hasBegun && this.suspicion.isCondemned)
+      return this.refuseCrashing();
     if (this.attempt !== undefined) return this.backup.recheck();
     if (this.demand.isWaiting || this.search.isPending) this.dispatch();
   }
@@ -207,6 +208,12 @@
     });
   }
 
+  /** Reserves a retry if the request may soon need one: a daemon that stops gives up its share of the retry budget. */
+  reserveRetry(): void {
+    const mayNeedOne = this.backup.isOpen || this.retries.isBackingOff;
+    if (mayNeedOne) this.boundary.run(() => this.retries.reserve());
+  }
+
   /**
    * Ends the request because the daemon stops. A stream ends after a complete event, so that its caller can
    * resume it.
@@ -223,15 +230,11 @@
 
   private dispatch(): void {
     if (this.ended) return;
-    if (this.isCondemned()) this.refuseCrashing();
+    if (this.suspicion.isCondemned) this.refuseCrashing();
     else if (this.retries.isBackingOff) this.wait();
     else this.search.next();
   }
 
-  private isCondemned(): boolean {
-    return this.suspicion.verdict() === 'condemned';
-  }
-
   /**
    * Refuses a request that crashes backends. Its caller gets no retry time, because the next backend would
    * crash as well.
@@ -317,17 +320,9 @@
     const { request, admission, answer, stream, attempts, wasRefused, dueAt, deadlineAt } = this;
     const { route } = this.match;
     const needsModel = this.model !== undefined;
+    const progress = { answer, stream, attempts };
     const times = { wasRefused, dueAt, deadlineAt };
-    return slotDetailsOf({
-      request,
-      route,
-      admission,
-      needsModel,
-      answer,
-      stream,
-      attempts,
-      ...times,
-    });
+    return slotDetailsOf({ request, route, admission, needsModel, ...progress, ...times });
   }
 
   /** Refuses a request at once if its backends can be reached on no path: to wait would not help its caller. */
@@ -386,7 +381,7 @@
   private send(backend: BackendRecord): void {
     const denial = this.admission.checkKey();
     if (denial !== undefined) return this.sendDenied(denial);
-    if (this.isCondemned()) return this.refuseCrashing();
+    if (this.suspicion.isCondemned) return this.refuseCrashing();
     // Since the slot was granted, the backend may have announced that it is leaving or requested a backoff.
     if (!this.search.isUsable(backend.id)) {
       this.search.release();
--- a/src/gateway/request-suspicion.ts
+++ b/src/gateway/request-suspicion.ts
@@ -58,6 +58,11 @@
     return verdicts.includes('suspect') ? 'suspect' : 'sound';
   }
 
+  /** Whether the request must not be sent to any backend, because it crashes them. */
+  get isCondemned(): boolean {
+    return this.verdict() === 'condemned';
+  }
+
   /** Whether the request is neither suspected nor known to crash backends. */
   get isSound(): boolean {
     return this.verdict() === 'sound';
