--- a/test/gateway/faults-of-one-request.test.ts
+++ b/test/gateway/faults-of-one-request.test.ts
@@ -108,7 +108,7 @@
     const calls = ['a', 'b', 'c'].map((id) => harness.call({ id }));
     await pause(50);
     const [first] = harness.context().exchanges;
-    throwOnce(first!, 'isCondemned');
+    throwOnce(first!, 'recheckNow');
     harness.context().recheckWaiting();
     const answers = await Promise.all(calls);
     expect(answers.map(({ status }) => status).sort()).toEqual([200, 200, 502]);
