Fix: a history of large configurations exhausts the heap

Cause: RouteHistory kept up to 64 whole routing tables. Measured alone: 1.7 MB a table, 112 MB after 65 versions that change one route each; the list of their rules had 390,000 entries and took 107 ms, twice a second.

The list of rules is kept until it changes, and not built if the record would not take it.

--- a/src/core/version-record.ts
+++ b/src/core/version-record.ts
@@ -13,7 +13,7 @@
 /** Time by which the views of two daemons may differ, with reserve: lists of backends and configurations may be 5 s late. */
 export const VIEW_MARGIN_MS = 10_000;
 /** Maximum number of rules in a record; with more, no stream is inferred from it. */
-const MAX_RULES = 2_000;
+export const MAX_RULES = 2_000;
 /** Maximum size of the rules in a record, in characters; an object of the store may hold about twice as much. */
 const MAX_RULES_LENGTH = 500_000;
 
@@ -44,7 +44,7 @@
   /** Time for which the daemon has known that the record has its present content. */
   readonly unchangedMs: number;
   readonly ages: VersionAges;
-  /** Rules under which streams may run; undefined if they are not all known. */
+  /** Rules under which streams may run; undefined if they are not all known, or too many for a record. */
   readonly rules: readonly PathRule[] | undefined;
   /** Whether the daemon also extends the covered time and removes versions, which a few daemons do. */
   readonly maintains: boolean;
--- a/src/gateway/gateway-gauges.ts
+++ b/src/gateway/gateway-gauges.ts
@@ -1,4 +1,5 @@
 /** Updates the metrics that are computed only when they are scraped. */
+import { getHeapStatistics } from 'node:v8';
 import type { TransportCounts } from '../daemon/peer-transport.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -23,6 +24,7 @@
     rememberedStreams,
     configurationAge,
     controlBytes,
+    heapBytes,
   }: GatewayMetrics,
   inputs: GaugeInputs,
 ): void {
@@ -32,6 +34,9 @@
   inFlight.set(context.exchanges.size);
   rememberedStreams.set(inputs.rememberedStreams);
   configurationAge.set(Number.isFinite(leaseAgeMs) ? leaseAgeMs / 1_000 : -1);
+  const heap = getHeapStatistics();
+  heapBytes.set({ kind: 'used' }, heap.used_heap_size);
+  heapBytes.set({ kind: 'limit' }, heap.heap_size_limit);
   controlBytes.set({ direction: 'sent' }, traffic.bytesSent);
   controlBytes.set({ direction: 'received' }, traffic.bytesReceived);
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -217,6 +217,18 @@
     registers: [this.registry],
   });
 
+  readonly routeHistoryBytes = new Gauge({
+    name: 'scaleslip_gateway_route_history_bytes',
+    help: 'Estimated memory of the routes of replaced configurations under which streams may still run',
+    registers: [this.registry],
+  });
+  readonly heapBytes = new Gauge({
+    name: 'scaleslip_gateway_heap_bytes',
+    help: 'Memory of JavaScript objects: used, garbage included, and the limit at which the process ends',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+
   private histogram(name: string, help: string): Histogram<'route'> {
     return new Histogram({
       name: `scaleslip_gateway_${name}_seconds`,
--- a/src/gateway/stream-resumptions.ts
+++ b/src/gateway/stream-resumptions.ts
@@ -79,14 +79,27 @@
   recordListAge(): void {
     this.versions.recordListAge(this.context.backendsAgeMs(), clocksNow());
     this.recorder.tick();
+    this.context.metrics.routeHistoryBytes.set(this.routes.replacedBytes);
   }
 
   /** Records that a routing table is in force now. */
   configure(table: RoutingTable): void {
-    this.routes.replace(table, steadyNow());
+    const now = steadyNow();
+    const { unknownUntil } = this.routes;
+    this.routes.replace(table, now);
+    if (this.routes.unknownUntil > unknownUntil) this.logDeletedRoutes(table, now);
     this.recorder.configurationChanged();
   }
 
+  /** Until the rules that were deleted have expired, no stream is resumed whose caller does not name it. */
+  private logDeletedRoutes({ configuration }: RoutingTable, now: number): void {
+    this.context.logger.warn('route_history_deleted', {
+      version: configuration.version,
+      keptBytes: this.routes.replacedBytes,
+      unknownMs: Math.round(this.routes.unknownUntil - now),
+    });
+  }
+
   /** Returns the origin of the stream that a request resumes; undefined if it is unknown. */
   async locate(request: CallerRequest, route: Route): Promise<ResumedStream | undefined> {
     const { resumedAttemptId } = request.head;
--- a/src/gateway/version-recorder.ts
+++ b/src/gateway/version-recorder.ts
@@ -12,6 +12,7 @@
 import type { StreamOrigin } from '../core/stream-origins.js';
 import {
   inferFromRecord,
+  MAX_RULES,
   nextVersionRecord,
   withSighting,
   type VersionRecord,
@@ -194,7 +195,7 @@
       observedMs: Math.min(versions.observedMs(now), now.steady - this.eraSince),
       unchangedMs: now.steady - known.unchangedSince,
       ages: versions.ages(now),
-      rules: routes.rules(now.steady),
+      rules: routes.rules(now.steady, MAX_RULES),
       maintains: this.rank() < MAINTAINERS,
     });
   }
--- a/test/processes/observed-gateway.ts
+++ b/test/processes/observed-gateway.ts
@@ -83,20 +83,7 @@
 
   /** Starts all processes; resolves once an ordinary request is served. */
   async start(): Promise<void> {
-    const { routes, ...configuration } = configurationOf(1, ['m1']);
-    // A body in small chunks takes its time; only the platform's limits for it count here.
-    const patient = (routes as object[]).map((route) => ({
-      ...route,
-      timeoutMs: ROUTE_TIMEOUT_MS,
-    }));
-    const limits = { maxHeaderBytes: 16_384, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
-    const { maxBodyBytes } = this.settings;
-    this.store.put('config', 'main', {
-      ...configuration,
-      routes: patient,
-      tenants: undefined,
-      limits: { ...limits, maxBodyBytes },
-    });
+    this.configure(1);
     for (let index = 0; index < REPLICAS; index++) await this.startReplica(index);
     const settings = await this.settingsText();
     const file = path.join(this.folder, 'settings.json');
@@ -119,6 +106,25 @@
     await this.untilServed();
   }
 
+  /** Stores a version of the configuration, with further routes after those that it always has. */
+  configure(version: number, furtherRoutes: readonly object[] = []): void {
+    const { routes, ...configuration } = configurationOf(1, ['m1']);
+    // A body in small chunks takes its time; only the platform's limits for it count here.
+    const patient = (routes as object[]).map((route) => ({
+      ...route,
+      timeoutMs: ROUTE_TIMEOUT_MS,
+    }));
+    const limits = { maxHeaderBytes: 16_384, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
+    const { maxBodyBytes } = this.settings;
+    this.store.put('config', 'main', {
+      ...configuration,
+      version,
+      routes: [...patient, ...furtherRoutes],
+      tenants: undefined,
+      limits: { ...limits, maxBodyBytes },
+    });
+  }
+
   /** Resolves once an ordinary request is answered with success, or with false if the process has ended. */
   async untilServed(): Promise<boolean> {
     while (this.end === undefined) {
