Fix: the log of a feed's deltas is bounded by number, not by bytes

The cause of the heap exhausted by configurations, in src/daemon: FeedRelay kept the last 256 deltas, each with its whole objects, and sent all of them to a subscriber that reconnected. Found by reading; no operator has seen it.

Change: DeltaLog, bounded by 256 deltas and 4 MB.

--- a/src/daemon/feed-relay.ts
+++ b/src/daemon/feed-relay.ts
@@ -5,6 +5,7 @@
  */
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '../common/clock.js';
+import { DeltaLog, type LoggedDelta } from '../core/delta-log.js';
 import { Feed, type FeedEntry } from '../core/feed.js';
 import {
   DeltaSchema,
@@ -19,8 +20,6 @@
 import { decodeEntry, encodeEntry } from './codec.js';
 import type { PeerBody } from './peer-transport.js';
 
-/** Deltas kept for subscribers that reconnect after a short interruption. */
-const DELTA_LOG_LIMIT = 256;
 /** Maximum number of objects in one part of a snapshot. */
 const SNAPSHOT_PART_ENTRIES = 500;
 /**
@@ -31,12 +30,6 @@
 /** Largest value of the message field, a signed 32-bit integer. */
 const MAX_AGE_MS = 2 ** 31 - 1;
 
-interface LoggedDelta {
-  readonly base: number;
-  readonly revision: number;
-  readonly entries: readonly FeedEntry[];
-}
-
 interface Subscription {
   /** Start of the subscriber's process, in Unix milliseconds. */
   readonly token: number;
@@ -84,7 +77,7 @@
    * milliseconds.
    */
   private directlyConfirmedAt = 0;
-  private readonly log: LoggedDelta[] = [];
+  private readonly log = new DeltaLog();
   private readonly pendingSnapshots = new Map<string, PendingSnapshot>();
   private upstreams: readonly string[] = [];
   /**
@@ -166,15 +159,10 @@
     if (existing?.token !== token) {
       this.subscribers.set(from, { token, subscribedAt: this.options.clock.now() });
     }
-    if (revision === this.state.revision) return;
-    const oldest = this.log[0]?.base;
-    const isLogged = oldest !== undefined && revision >= oldest && revision < this.state.revision;
-    const start = this.log.findIndex((delta) => delta.base === revision);
-    if (isLogged && start >= 0) {
-      for (const delta of this.log.slice(start)) this.options.send(from, this.deltaBody(delta));
-    } else if (revision < this.state.revision) {
-      this.sendSnapshot(from);
-    }
+    if (revision >= this.state.revision) return;
+    const deltas = this.log.since(revision);
+    if (deltas === undefined) this.sendSnapshot(from);
+    else for (const delta of deltas) this.options.send(from, this.deltaBody(delta));
   }
 
   /**
@@ -232,8 +220,7 @@
     const outcome = this.state.applyDelta(base, revision, entries, this.options.onChange);
     if (outcome !== 'applied') return outcome;
     const delta = { base, revision, entries };
-    this.log.push(delta);
-    if (this.log.length > DELTA_LOG_LIMIT) this.log.shift();
+    this.log.add(delta);
     const body = this.deltaBody(delta);
     for (const subscriber of this.subscribers.keys()) this.options.send(subscriber, body);
     return outcome;
@@ -243,7 +230,7 @@
     const before = this.state.revision;
     const outcome = this.state.applySnapshot(revision, entries, this.options.onChange);
     if (outcome !== 'applied' || revision === before) return;
-    this.log.length = 0;
+    this.log.clear();
     for (const subscriber of this.subscribers.keys()) this.sendSnapshot(subscriber);
   }
 
--- a/test/daemon/feed-relay.test.ts
+++ b/test/daemon/feed-relay.test.ts
@@ -61,6 +61,24 @@
     expect(late.state.get('tenant/till')).toEqual(entry(1).value);
   });
 
+  it('does not keep all versions of a large object for subscribers that reconnect', () => {
+    const sent: PeerBody['case'][] = [];
+    const relay = new FeedRelay({
+      feed: Feed.CONFIGURATION,
+      clock: { now: () => 0 },
+      token: 1,
+      send: (_to, { case: kind }) => sent.push(kind),
+      onChange: () => {},
+    });
+    const value = new Uint8Array(1024 * 1024);
+    for (let revision = 1; revision <= 100; revision++)
+      relay.applyLocalDelta(revision - 1, revision, [{ key: 'tenant/till', revision, value }]);
+    relay.handleSubscribe('behind', 1, 2);
+    expect(sent).toEqual(['snapshot']);
+    relay.handleSubscribe('interrupted', 99, 3);
+    expect(sent).toEqual(['snapshot', 'delta']);
+  });
+
   it('recovers a missed delta after the next heartbeat', () => {
     const network = new Network();
     const reader = network.add('reader', 1);
