Fix: changes too large to be read are requested again and again

A gateway that was paused while a 1 MB configuration changed several times stayed at the old version: its watch got all changes in one reply of more than 8 MB, which is not read, and was repeated from the same position.

Found when asking what happens while versions come faster than a process applies them; not seen by an operator.

Change: a reply that is too large is told apart from a lost one, and the follower then reads the list (store_changes_skipped).

Tests: object-store.test.ts, 'does not ask for the same changes again and again ...', and large-configurations.test.ts, 'does not miss a version because a paused process ...'.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -22,6 +22,8 @@
   readonly message: string;
   /** Whether the peer sent nothing in time, in contrast to a connection that has ended. */
   readonly isTimeout?: true;
+  /** Whether the response exceeds the client's bound, so that a repeated request is likely to fail as well. */
+  readonly isTooLarge?: true;
 }
 
 /** A response with its complete body. */
@@ -265,8 +267,7 @@
       else sendOnceConnected();
     });
     outgoing.on('error', (fault) => {
-      const reason = connected ? 'lost' : 'not_sent';
-      fail(Result.err({ reason, message: fault.message }));
+      fail(connected ? lostFailure(fault) : notSentFailure(fault));
     });
     this.options.onBytes?.(payload?.length ?? 0);
     return outgoing;
@@ -299,8 +300,10 @@
   outgoing?.destroy();
 }
 
-function tooLarge(excess: string): Error {
-  return new Error(`the response has ${excess}`);
+class ResponseTooLarge extends Error {}
+
+function tooLarge(excess: string): ResponseTooLarge {
+  return new ResponseTooLarge(`the response has ${excess}`);
 }
 
 /** The option by which an agent with several pools tells them apart. */
@@ -312,6 +315,12 @@
   return { reason: 'lost', message: `no answer in ${timeoutMs} ms`, isTimeout: true };
 }
 
+function notSentFailure({ message }: Error): Result<HttpResponse, TransportFailure> {
+  return Result.err({ reason: 'not_sent', message });
+}
+
 function lostFailure(fault: Error): Result<HttpResponse, TransportFailure> {
-  return Result.err({ reason: 'lost', message: fault.message });
+  const { message } = fault;
+  const isTooLarge = fault instanceof ResponseTooLarge;
+  return Result.err({ reason: 'lost', message, ...(isTooLarge ? { isTooLarge } : {}) });
 }
--- a/test/platform/object-store.test.ts
+++ b/test/platform/object-store.test.ts
@@ -167,6 +167,34 @@
     expect((await store.watch('servers', options)).isErr).toBe(true);
   });
 
+  it('does not ask for the same changes again and again if they are too large to be read', async () => {
+    const lines: string[] = [];
+    const write = (event: string): void => void lines.push(event);
+    const copies: KindCopy[] = [];
+    pages[''] = page([object('a')]);
+    const text = JSON.stringify('x'.repeat(PAGE_BYTES));
+    const event = `{"gone":false,"object":${object('a', text)}}`;
+    const large = `{"events":[${Array.from({ length: 10 }, () => event).join(',')}],"at":20}`;
+    changes = Array.from({ length: 50 }, () => large);
+    const follower = new KindFollower({
+      store,
+      logger: { info: write, warn: write, error: write },
+      kind: 'config',
+      pace: { periodMs: 10, stale: false, waitMs: 300, longestPauseMs: 100 },
+      onObjects: (copy) => {
+        copies.push(copy);
+        pages[''] = page([object('a'), object('b')], false, 20);
+        if (copies.length === 2) changes = [];
+      },
+    });
+    void follower.run();
+    const until = performance.now() + 10_000;
+    while (copies.length < 2 && performance.now() < until) await sleep(10);
+    follower.stop();
+    expect([...(copies.at(-1)?.objects.keys() ?? [])]).toEqual(['a', 'b']);
+    expect(lines).toEqual(['store_changes_skipped']);
+  });
+
   it('keeps all held objects and logs each unreadable object once', async () => {
     const lines: LogFields[] = [];
     const write = (event: string, fields: LogFields = {}): void => {
--- a/test/processes/large-configurations.test.ts
+++ b/test/processes/large-configurations.test.ts
@@ -12,6 +12,10 @@
 const TIMEOUT_MS = 25_000;
 /** Most memory of a daemon for all that is not requests, in bytes (the target of the operators). */
 const MEMORY_TARGET = 64 * MEGABYTE;
+/** Longest time until a change is in force, in milliseconds (the target of the operators). */
+const CHANGE_TARGET_MS = 4_000;
+/** Together larger than any reply of a store that is read. */
+const PAUSE_VERSIONS = 20;
 const MACHINE = { memoryMegabytes: 160, descriptors: 4_100, maxBodyBytes: 4 * MEGABYTE };
 
 /** Returns the routes of a version; `isChanged` tells which of them have another time-out than in the version before. */
@@ -69,4 +73,25 @@
   it('does not run out of memory when all routes change again and again', async () => {
     await change(() => true);
   }, 60_000);
+
+  it('does not miss a version because a paused process has too many changes to read', async () => {
+    gateway = new ObservedGateway(MACHINE);
+    await gateway.start();
+    gateway.configure(
+      2,
+      routesOf(2, () => false),
+    );
+    await untilVersion(2);
+    gateway.signal('SIGSTOP');
+    for (let version = 3; version <= PAUSE_VERSIONS; version++)
+      gateway.configure(
+        version,
+        routesOf(version, () => false),
+      );
+    gateway.signal('SIGCONT');
+    const resumedAt = performance.now();
+    await Promise.race([untilVersion(PAUSE_VERSIONS), sleep(2 * CHANGE_TARGET_MS)]);
+    expect(performance.now() - resumedAt).toBeLessThan(CHANGE_TARGET_MS);
+    expect(await gateway.untilServed()).toBe(true);
+  }, 60_000);
 });
