Soak: a configuration as large as the store takes changes faster than it is applied

The soak's configurations had a dozen routes, so it could not meet a heap that configurations fill. New opt-in fault large_configuration: 8 to 25 versions, 0.1 to 0.4 s apart, of 5,500 further routes (1 MB); one version in eight changes them all. Judged by the existing rules (ends of processes, answers, late configurations, memory).

--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -151,6 +151,18 @@
         return void this.replaceSoftware(fault);
       case 'joined_during_cut':
         return void this.joinDuringCut(fault);
+      case 'large_configuration':
+        return void this.changeInQuickSuccession(fault);
+    }
+  }
+
+  private async changeInQuickSuccession({
+    versions,
+    gapMs,
+  }: FaultOf<'large_configuration'>): Promise<void> {
+    for (let count = 0; count < versions && Date.now() < this.endsAt; count++) {
+      this.system.changeConfiguration();
+      await sleep(gapMs);
     }
   }
 
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -226,6 +226,12 @@
       readonly kind: 'connections_funnelled';
       readonly milliseconds: number;
     }
+  /** A configuration as large as the store takes changes many times, faster than it is applied. */
+  | {
+      readonly kind: 'large_configuration';
+      readonly versions: number;
+      readonly gapMs: number;
+    }
   /** A gateway is suspended, and its monotonic clock stops with it. */
   | {
       readonly kind: 'suspended';
@@ -273,6 +279,7 @@
   'callers_misbehave',
   'replicas_refuse_late',
   'version_joins_unseen',
+  'large_configuration',
 ];
 
 /** Rate limits in requests per second. */
@@ -451,6 +458,10 @@
   slow_bodies_at_stop: (random) => ({
     callers: Math.ceil(random.between(24, 60)),
   }),
+  large_configuration: (random) => ({
+    versions: Math.ceil(random.between(8, 25)),
+    gapMs: random.between(100, 400),
+  }),
   suspended: (random) => ({
     who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
     milliseconds: random.between(1_000, 7_500),
--- a/test/soak/soak-configuration.ts
+++ b/test/soak/soak-configuration.ts
@@ -15,10 +15,40 @@
   return version - RETAINED_VERSION_ROUTES;
 }
 
-/** Builds a configuration with routes of all kinds, and a plain route for each of the latest versions. */
+/** Number of routes that no caller uses, with which a configuration is about as large as the store takes (1 MB). */
+const UNUSED_ROUTES = 5_500;
+/** Hosts over which these are spread. */
+const UNUSED_HOSTS = 50;
+/** As long as streams may run at most, in milliseconds. */
+const UNUSED_TIMEOUT_MS = 25_000;
+/** One version in this many changes all of these routes; the others change one. */
+const FULL_CHANGE_PERIOD = 8;
+
+/** Returns many routes that no caller uses, some of which each version changes. */
+function unusedRoutesOf(version: number): object[] {
+  const fullChanges = Math.floor(version / FULL_CHANGE_PERIOD);
+  return Array.from({ length: UNUSED_ROUTES }, (_, index) => ({
+    name: `unused-${index}`,
+    host: `unused-${index % UNUSED_HOSTS}.test`,
+    pathPrefix: `/unit${index}/`,
+    kind: 'idempotent',
+    timeoutMs: UNUSED_TIMEOUT_MS - fullChanges - (index === version ? 1 : 0),
+    goalMs: 2_500,
+    priority: 3,
+    service: 'plain',
+    maxAttempts: 2,
+  }));
+}
+
+/**
+ * Builds a configuration with routes of all kinds, and a plain route for each of the latest versions.
+ *
+ * @param isLarge - Whether it has so many further routes that it is about as large as the store takes.
+ */
 export function configurationOf(
   version: number,
   modelNames: readonly string[],
+  isLarge = false,
 ): Record<string, unknown> {
   const oldest = Math.max(1, newestVersionWithoutRoute(version) + 1);
   const versions = Array.from({ length: version - oldest + 1 }, (_, index) => oldest + index);
@@ -46,7 +76,7 @@
   }));
   return {
     version,
-    routes: named,
+    routes: isLarge ? [...named, ...unusedRoutesOf(version)] : named,
     services: [
       { name: 'models', maxConns: 200, engine },
       { name: 'plain', maxConns: 200 },
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -410,7 +410,8 @@
   changeConfiguration(): void {
     this.version += 1;
     this.logEvent({ kind: 'configuration_accepted', version: this.version });
-    this.store.put('config', 'main', configurationOf(this.version, MODELS));
+    const isLarge = this.namedKinds.includes('large_configuration');
+    this.store.put('config', 'main', configurationOf(this.version, MODELS, isLarge));
     this.accepted.set(this.version, Date.now());
   }
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -116,6 +116,10 @@
 /** At least this many streams of the new version must be resumed at that gateway for the run to be meaningful. */
 const MIN_UNSEEN = 5;
 
+/** Produces quick changes of a large configuration beside stops and simultaneous restarts. */
+const LARGE_SEED = 90_101;
+const LARGE_FAULT_MS = 12_000;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -443,6 +447,20 @@
     expect(result.streams.unnamedWithOtherVersion).toBeGreaterThanOrEqual(MIN_UNSEEN);
   });
 
+  it('do not run out of memory when a large configuration changes again and again', async () => {
+    const result = await runSoak({
+      seed: LARGE_SEED,
+      faultMs: LARGE_FAULT_MS,
+      folder: soakFolder(LARGE_SEED),
+      faultKinds: 'none',
+      only: ['large_configuration'],
+      series: ['stops_and_changes', 'signals_at_stop', 'many_killed'],
+      keptCallers: 6,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(result.calls / 3);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
