Fix: a service has no owner once fewer than half of the listed daemons are live

Cause: an owner gave up, and nobody claimed, below half of the listed daemons; entries of lost machines stay in the list. The rule is not needed for safety, which rests on epochs, leases and sequences: it keeps groups that do not reach each other from taking the service from one another by turns.

Ruled out: ranks count live daemons; both modes (epochs checked or not) failed alike; the store was well.

Change: an owner renews its record every 2 s, conditional on its own revision. A daemon that reaches less than half claims once it has read the record unchanged for 6 s, and keeps the service until its record names another owner. Below half an owner still gives up at once, so that those that are half take over as before. An owner learns of another one at its next renewal. On-call: service_unowned, scaleslip_gateway_unowned_seconds, live and listed in ownership_claimed.

--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -217,6 +217,12 @@
     registers: [this.registry],
   });
 
+  readonly unownedSeconds = new Gauge({
+    name: 'scaleslip_gateway_unowned_seconds',
+    help: 'Time for which this daemon has known no owner of a service; 0 while it knows one',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   readonly routeHistoryBytes = new Gauge({
     name: 'scaleslip_gateway_route_history_bytes',
     help: 'Estimated memory of the routes of replaced configurations under which streams may still run',
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -4,6 +4,10 @@
  * fences the orders. Safety depends on the epochs, or on a lease if backends do not check
  * epochs, and on the sequence numbers of the orders. The other rules in this file only
  * prevent daemons from claiming the service from each other repeatedly.
+ *
+ * A daemon that reaches half of the listed ones claims the service if they know no owner. The list may contain daemons that are gone
+ * for good, so that nobody reaches half. A daemon that reaches fewer therefore claims as well, but only once the owner's record, which
+ * an owner renews, has not changed for longer than the others would need to claim.
  */
 import { faultText, type Logger } from '../common/logger.js';
 import { rankCandidates } from '../common/rendezvous.js';
@@ -12,8 +16,10 @@
 import type { MemberView } from '../core/membership-messages.js';
 import { TAKEOVER_DELAY_MS, ORDER_LEASE_MS, OwnershipLease } from '../core/ownership-lease.js';
 import { positionOf, type StorePosition } from '../core/store-position.js';
+import { UnchangedRecord } from '../core/unchanged-record.js';
 import { parseOwnerRecord, type OwnerRecord } from './owner-record.js';
 import { OwnershipProofs } from './ownership-proofs.js';
+import { OwnershipRenewals, RENEWAL_PERIOD_MS } from './ownership-renewals.js';
 import type { RecordStore } from './ports.js';
 import { leaseNow } from '../common/lease-clock.js';
 import { steadyNow } from './steady-clock.js';
@@ -24,6 +30,13 @@
 const DISCOVERY_MS = 700;
 /** Interval between reads of the record while it names an owner that is not live, in milliseconds. */
 const CLAIM_PERIOD_MS = 300;
+/** The same for a daemon that reaches less than half of the listed ones. */
+const MINORITY_CLAIM_PERIOD_MS = 1_000;
+/**
+ * Time in milliseconds for which a record must have been unchanged before a daemon that reaches less than half of the listed ones claims:
+ * two renewals may fail, and daemons that reach half claim earlier.
+ */
+const UNRENEWED_MS = 3 * RENEWAL_PERIOD_MS;
 
 /** Minimum time between two starts of a process, in milliseconds. */
 const MIN_RESTART_MS = 150;
@@ -134,8 +147,12 @@
   private resignation: Resignation | undefined;
   private lastSearchAt = -Infinity;
   private stopped = false;
+  /** Whether this daemon has claimed the service although it reached less than half of the listed ones, and has not reached half since. */
+  private ownsInMinority = false;
+  private readonly unchanged = new UnchangedRecord();
   private readonly lease = new OwnershipLease();
   private readonly proofs: OwnershipProofs;
+  private readonly renewals: OwnershipRenewals;
 
   constructor(private readonly options: OwnershipOptions) {
     const { service, store, logger } = options;
@@ -146,6 +163,23 @@
       lease: this.lease,
       onOtherOwner: () => this.handleLostRecord(),
     });
+    this.renewals = new OwnershipRenewals({
+      service,
+      store,
+      logger,
+      onRenewed: (requestedAt) => this.lease.addProof(requestedAt),
+      onOtherOwner: () => this.handleLostRecord(),
+    });
+  }
+
+  /** Whether this daemon owns the service or knows an owner that runs. */
+  get knowsOwner(): boolean {
+    return this.epoch !== undefined || this.ownerIsLive();
+  }
+
+  /** Milliseconds for which the owner's record has been unchanged in the reads of this daemon. */
+  get recordUnchangedMs(): number {
+    return this.unchanged.unchangedMs();
   }
 
   /** Peer address of the owner, if one is known. */
@@ -178,7 +212,8 @@
     this.detectRestore(now);
     this.lastTick = now;
     if (this.epoch !== undefined) {
-      if (!this.reachesEnough()) this.resignInMinority();
+      this.checkReach();
+      this.renewals.tick();
       if (!this.options.backendsCheckEpochs) this.maintainLease(now);
       if (!this.options.reachesBackends()) this.searchSuccessor(now);
       return;
@@ -207,6 +242,12 @@
     logger.warn('ownership_store_restored', { service, era, epoch: this.epoch });
   }
 
+  /** Gives the service up if this daemon no longer reaches half of the listed ones: those that do may claim it at once. */
+  private checkReach(): void {
+    if (this.reachesEnough()) this.ownsInMinority = false;
+    else if (!this.ownsInMinority) this.resignInMinority();
+  }
+
   private resignInMinority(): void {
     const { epoch } = this;
     this.giveUp('sees too few daemons');
@@ -215,7 +256,8 @@
 
   private mayClaim(now: number): boolean {
     if (this.stopped || this.isClaiming) return false;
-    return now >= this.claimsAllowedAt && now - this.lastRead >= CLAIM_PERIOD_MS;
+    const periodMs = this.reachesEnough() ? CLAIM_PERIOD_MS : MINORITY_CLAIM_PERIOD_MS;
+    return now >= this.claimsAllowedAt && now - this.lastRead >= periodMs;
   }
 
   private maintainLease(now: number): void {
@@ -300,7 +342,9 @@
     logger.info('ownership_ended', { service, epoch: this.epoch, reason });
     this.epoch = undefined;
     this.record = undefined;
+    this.ownsInMinority = false;
     this.proofs.end();
+    this.renewals.end();
     this.options.onChange(undefined);
   }
 
@@ -333,6 +377,7 @@
     this.options.logger.warn('standstill', { milliseconds: Math.round(gap) });
     this.claimsAllowedAt = now + DISCOVERY_MS;
     this.runningSince = now;
+    this.unchanged.interrupt();
     this.record = undefined;
     this.resignedEpoch = undefined;
     this.giveUp('the process was paused');
@@ -342,6 +387,12 @@
     return reachesHalf(this.options.peers.live(), this.options.listed());
   }
 
+  /** Number of daemons that this one reaches, itself included, and of those that the list contains; for the log. */
+  reach(): { readonly live: number; readonly listed: number } {
+    const { peers, listed } = this.options;
+    return { live: peers.live().length, listed: listed().length };
+  }
+
   /**
    * Whether this daemon may claim the service. The first in rank may be unable to claim, so the next ones claim
    * after a longer silence of the owner.
@@ -350,7 +401,7 @@
     const { peers, service } = this.options;
     const candidates = highCapacityMembers(peers.live()).map((member) => member.address);
     const position = rankCandidates(service, candidates).indexOf(peers.address);
-    if (!this.reachesEnough() || position < 0) return false;
+    if (position < 0) return false;
     if (this.resignedEpoch !== undefined) return true;
     if (this.hasOwnerResigned) return this.mayFollowResignation(position);
     if (position >= MAX_SUCCESSORS) return false;
@@ -411,12 +462,15 @@
     const { store, service, logger } = this.options;
     const read = await store.read('owners', service);
     if (read.isErr) {
+      this.unchanged.interrupt();
       logger.warn('owner_record_unread', { service, reason: read.error.type });
       return;
     }
     this.revision = read.value?.revision;
+    this.unchanged.observe(this.revision, steadyNow());
     this.setRecord(parseOwnerRecord(read.value?.value));
     if (this.ownerIsLive() || !this.isSuccessor()) return;
+    if (!this.reachesEnough() && this.unchanged.unchangedMs() < UNRENEWED_MS) return;
     await this.claim();
   }
 
@@ -431,8 +485,12 @@
     const isHandedOver = this.formerOwnersHaveStopped();
     const askedAt = leaseNow();
     const era = store.era();
+    const isMinority = !this.reachesEnough();
     const written = await store.write('owners', service, record, this.revision);
-    const isWritten = written.isOk || (await this.isClaimStored(claim, written.error.type));
+    const revision = written.isOk
+      ? written.value.revision
+      : await this.revisionOfClaim(claim, written.error.type);
+    const isWritten = revision !== undefined;
     // A claim in flight while the store was restored may have replaced a state that was never read.
     const won = isWritten && store.era() === era;
     logger.info('ownership_claimed', {
@@ -443,10 +501,13 @@
       before,
       cause,
       isHandedOver,
+      ...this.reach(),
     });
     if (!won || this.stopped) return;
     this.lease.begin({ askedAt, answeredAt: steadyNow(), isHandedOver });
     this.proofs.begin(claim);
+    this.renewals.begin(record, revision);
+    this.ownsInMinority = isMinority;
     this.record = record;
     this.highestEpoch = epoch;
     this.epoch = epoch;
@@ -500,10 +561,14 @@
     return this.ownerHasLeft() && steadyNow() - this.ownerKnownSince >= TAKEOVER_DELAY_MS;
   }
 
-  /** Reads the record to find out whether a claim whose write got no response was stored. */
-  private async isClaimStored(claim: string, failure: string): Promise<boolean> {
-    if (failure !== 'unknown') return false;
+  /** Reads the record to find out whether a claim whose write got no response was stored; undefined if it was not. */
+  private async revisionOfClaim(
+    claim: string,
+    failure: string,
+  ): Promise<StorePosition | undefined> {
+    if (failure !== 'unknown') return undefined;
     const read = await this.options.store.read('owners', this.options.service);
-    return read.isOk && parseOwnerRecord(read.value?.value)?.claim === claim;
+    if (read.isErr || parseOwnerRecord(read.value?.value)?.claim !== claim) return undefined;
+    return read.value?.revision;
   }
 }
--- a/src/gateway/service-ownerships.ts
+++ b/src/gateway/service-ownerships.ts
@@ -15,6 +15,8 @@
 import type { BackendControl, RecordStore } from './ports.js';
 import type { ServiceAccess } from './service-access.js';
 import { ServiceOwner } from './service-owner.js';
+import { steadyNow } from './steady-clock.js';
+import { UnownedService } from './unowned-service.js';
 
 /** Number of loads that the ceiling allows in each window in addition to the store's rate. */
 const EXTRA_LOADS_PER_WINDOW = 3;
@@ -37,6 +39,7 @@
 
 interface ServiceState {
   readonly ownership: Ownership;
+  readonly unowned: UnownedService;
   owner: ServiceOwner | undefined;
 }
 
@@ -60,9 +63,12 @@
   /** Runs the periodic work of all services; must be called frequently. */
   tick(): void {
     if (this.stopped) return;
-    for (const { ownership, owner } of this.services.values()) {
+    const now = steadyNow();
+    for (const { ownership, unowned, owner } of this.services.values()) {
       ownership.tick();
       owner?.tick();
+      const { recordUnchangedMs } = ownership;
+      unowned.observe(ownership.knowsOwner, { ...ownership.reach(), recordUnchangedMs }, now);
     }
   }
 
@@ -122,6 +128,7 @@
     } = this.options;
     const state: ServiceState = {
       owner: undefined,
+      unowned: new UnownedService(service, logger, this.options.metrics),
       ownership: new Ownership({
         service,
         peers,
