Fix: a stop removes the entry of the next process at its name

Change: RecordStore.remove names the revision; if the response to the last write was lost, the entry is read first, and removed only if it has this daemon's address. The soak's store keeps to the condition as the platform does.

Test: member-list.test.ts, 'does not remove the entry of the next process at its name when it stops' failed before.

--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -81,7 +81,18 @@
     this.ticker?.stop();
     // A write that is still in flight would leave an entry in the list after the removal.
     await this.reading;
-    if (this.mayBeListed) await this.store.remove('members', this.settings.name);
+    if (!this.mayBeListed) return;
+    const { name } = this.settings;
+    const revision = this.revision ?? (await this.readRevision());
+    if (revision !== undefined) await this.store.remove('members', name, revision);
+  }
+
+  /** Reads the revision of this daemon's entry, if there is one with its address. */
+  private async readRevision(): Promise<StorePosition | undefined> {
+    const entry = await this.store.read('members', this.settings.name);
+    const stored = entry.unwrapOr(undefined);
+    const isOwn = decodeMemberEntry(stored?.value)?.address === this.peers.address;
+    return isOwn ? stored?.revision : undefined;
   }
 
   private async refresh(): Promise<void> {
@@ -146,7 +157,10 @@
   private async writeEntry(revision: StorePosition | undefined): Promise<boolean> {
     const requestedAt = leaseNow();
     const written = await this.store.write('members', this.settings.name, this.entry(), revision);
-    if (written.isErr) return this.logFailure(written.error);
+    if (written.isErr) {
+      this.revision = undefined;
+      return this.logFailure(written.error);
+    }
     this.renewed(written.value.revision, requestedAt);
     return true;
   }
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -112,7 +112,8 @@
     value: unknown,
     revision: StorePosition | undefined,
   ): Promise<Result<StoredRecord, RecordFailure>>;
-  remove(kind: RecordKind, name: string): Promise<void>;
+  /** Removes the record if it still has the given revision. A removal that the store carries out late leaves a later record alone. */
+  remove(kind: RecordKind, name: string, revision: StorePosition): Promise<void>;
 }
 
 /** Sends orders to backends. */
--- a/test/gateway/member-list.test.ts
+++ b/test/gateway/member-list.test.ts
@@ -25,9 +25,12 @@
   readonly calls: string[] = [];
   readonly records = new Map<string, StoredRecord>();
   isDown = false;
+  /** Whether writes are carried out, but not answered. */
+  losesResponses = false;
 
-  read(): never {
-    throw new Error('unexpected read: the list already contains all records');
+  read(kind: string, name: string): ReturnType<RecordStore['read']> {
+    this.calls.push(`read ${kind} ${name}`);
+    return Promise.resolve(this.isDown ? unavailable() : Result.ok(this.records.get(name)));
   }
 
   list(kind: string, freshness: string): ReturnType<RecordStore['list']> {
@@ -47,11 +50,13 @@
     if (known?.revision !== revision) return Promise.resolve(Result.err({ type: 'conflict' }));
     const record = { name, value, revision: (revision ?? 0) + 1 };
     this.records.set(name, record);
-    return Promise.resolve(Result.ok(record));
+    const lost = Result.err({ type: 'unknown' as const, reason: 'no answer' });
+    return Promise.resolve(this.losesResponses ? lost : Result.ok(record));
   }
 
-  remove(kind: string, name: string): Promise<void> {
-    this.calls.push(`remove ${kind} ${name}`);
+  remove(kind: string, name: string, revision: number): Promise<void> {
+    this.calls.push(`remove ${kind} ${name} ${revision}`);
+    if (this.records.get(name)?.revision === revision) this.records.delete(name);
     return Promise.resolve();
   }
 }
@@ -157,4 +162,25 @@
     await sleep(3_000);
     expect([...store.records.keys()]).toHaveLength(1);
   });
+
+  it('does not remove the entry of the next process at its name when it stops', async () => {
+    const store = new CountingStore();
+    const { list } = startList(store);
+    await sleep(100);
+    const value = { address: '10.0.0.9:7380', zone: 'a' };
+    store.records.set('d1', { name: 'd1', value, revision: 9 });
+    await list.leave();
+    expect(store.calls.at(-1)).toBe('remove members d1 1');
+    expect(store.records.get('d1')?.value).toEqual(value);
+  });
+
+  it('removes its entry when it stops, also if the response to its write was lost', async () => {
+    const store = new CountingStore();
+    const { list } = startList(store);
+    store.losesResponses = true;
+    await sleep(100);
+    await list.leave();
+    expect(store.calls.at(-1)).toBe('remove members d1 1');
+    expect([...store.records.keys()]).toEqual([]);
+  });
 });
--- a/test/soak/object-store-stand-in.ts
+++ b/test/soak/object-store-stand-in.ts
@@ -256,17 +256,18 @@
     const name = call.name ?? call.body.metadata?.name ?? '';
     const objects = this.objectsOf(call.kind);
     const existing = objects.get(name);
-    if (call.method === 'DELETE') {
-      this.delete(call.kind, name);
-      return reply(200, {});
-    }
-    const wanted = call.body.metadata?.revision;
+    const stated = call.query.get('revision');
+    const wanted = stated === null ? call.body.metadata?.revision : Number(stated);
     const exists = existing !== undefined;
     if (call.method === 'POST' && exists) return reply(409, existing);
     if (call.method === 'PUT' && !exists) return reply(404, { at: this.revision });
     if (exists && wanted !== undefined && wanted !== existing.metadata.revision) {
       return reply(409, existing);
     }
+    if (call.method === 'DELETE') {
+      this.delete(call.kind, name);
+      return reply(200, {});
+    }
     this.put(call.kind, name, call.body.spec);
     reply(call.method === 'POST' ? 201 : 200, objects.get(name) ?? {});
   }
