Fix: entries of daemons that were lost stay in the list for ever

Only a planned stop removed an entry, so the list grew with each lost machine, its addresses were probed for ever, and the live daemons stayed less than half of it (each lost owner then costs 6 s more).

Change: the first daemon in rank removes entries that have not changed for 31 minutes and whose daemon it does not reach, each conditional on its revision. 31 minutes: the daemon's share of the limits has expired by its own clock. A daemon that is missing from the list enters itself again, also without a restore. PeerGroup probes only what is listed now.

Tests: member-list.test.ts, 'lists a daemon no longer that was lost without a planned stop' and 'writes its entry again if another daemon has removed it' failed before.

--- a/src/gateway/member-list.ts
+++ b/src/gateway/member-list.ts
@@ -2,6 +2,7 @@
 import { leaseNow } from '../common/lease-clock.js';
 import { faultText, type Logger } from '../common/logger.js';
 import { startTicker, type Ticker } from '../common/process.js';
+import { firstCandidate } from '../common/rendezvous.js';
 import { PREVIOUS_ENTRY_VALID_MS, RENEWAL_EXPIRY_MS } from '../core/admission/limit-shares.js';
 import type { RoleCandidate } from '../core/roles.js';
 import { MemberEntries } from '../core/member-entries.js';
@@ -21,6 +22,12 @@
 const FIRST_PERIOD_MS = 1_500;
 /** Maximum period between reads; it doubles up to this value. Daemons that start later are found by membership probes. */
 const MAX_PERIOD_MS = 30_000;
+/** Longest time by which a list may be older than its read, in milliseconds. A list may lack an entry that was written later. */
+const MAX_LIST_AGE_MS = 10_000;
+/** Number of entries of ended daemons that are removed after one read. */
+const MAX_REMOVED = 4;
+/** Name by which daemons rank themselves: the first one removes the entries of daemons that have ended. */
+const RANK_NAME = 'member-list';
 /** Period at which this daemon renews its entry, to show that it has not ended: many times within the entry's expiry. */
 const RENEWAL_PERIOD_MS = 300_000;
 
@@ -43,6 +50,8 @@
   private revision: StorePosition | undefined;
   private renewals = 0;
   private renewAt = -Infinity;
+  /** Steady time at which the store acknowledged the last write of this daemon's entry, or its entry was found in a list. */
+  private writtenAt = -Infinity;
   /** Whether this process has taken over the entry of an earlier process. */
   private hasTakenOverEntry = false;
 
@@ -141,6 +150,7 @@
       return this.writeEntry(known?.revision);
     this.renewals = renewalsOf(known?.value);
     this.revision = known?.revision;
+    this.writtenAt = steadyNow();
     // The time of the last renewal is unknown. The entry counts until the next read, which renews it, and only once.
     if (!this.hasTakenOverEntry)
       this.onRenewed(requestedAt - RENEWAL_EXPIRY_MS + PREVIOUS_ENTRY_VALID_MS);
@@ -167,7 +177,8 @@
 
   private renewed(revision: StorePosition, requestedAt: number): void {
     this.revision = revision;
-    this.renewAt = steadyNow() + RENEWAL_PERIOD_MS;
+    this.writtenAt = steadyNow();
+    this.renewAt = this.writtenAt + RENEWAL_PERIOD_MS;
     this.onRenewed(requestedAt);
   }
 
@@ -177,13 +188,40 @@
     // A late list may be older than this daemon's own entry.
     this.applyList(list.value);
     if (this.hasLostEntry(list.value)) this.isListed = false;
+    await this.removeEnded(list.value);
     return this.isListed;
   }
 
-  /** Whether the store was restored from a copy without this daemon's entry. The next read then writes it again. */
+  /**
+   * Whether the list lacks this daemon's entry, which the next read then writes again: the store was restored from a copy without it, or
+   * another daemon has removed it, because the store had not received its renewals.
+   */
   private hasLostEntry(list: readonly StoredRecord[]): boolean {
     const isRestored = (this.store.era() ?? 0) > this.entryEra;
-    return isRestored && !list.some(({ name }) => name === this.settings.name);
+    const mayBeLater = steadyNow() - this.writtenAt <= MAX_LIST_AGE_MS && !isRestored;
+    return !mayBeLater && !list.some(({ name }) => name === this.settings.name);
+  }
+
+  /**
+   * Removes entries of daemons that have ended without removing them, unless they have changed since they were read. A daemon that runs
+   * nevertheless writes its entry again; its share of the limits has expired by its own clock.
+   */
+  private async removeEnded(list: readonly StoredRecord[]): Promise<void> {
+    if (firstCandidate(RANK_NAME, this.liveAddresses()) !== this.peers.address) return;
+    const reachable = new Set([this.peers.address, ...this.peers.reachableOthers()]);
+    const ended = list.filter(({ value }) => {
+      const address = decodeMemberEntry(value)?.address;
+      return address !== undefined && !reachable.has(address) && this.hasEnded(address);
+    });
+    for (const { name, value, revision } of ended.slice(0, MAX_REMOVED)) {
+      const address = decodeMemberEntry(value)?.address;
+      this.logger.info('member_entry_removed', { name, address, revision });
+      await this.store.remove('members', name, revision);
+    }
+  }
+
+  private liveAddresses(): string[] {
+    return this.peers.live().map(({ address }) => address);
   }
 
   private applyList(list: readonly StoredRecord[]): void {
@@ -194,7 +232,7 @@
     this.listed = entries;
     this.entries.observe(entries, steadyNow());
     const others = this.listed.filter((member) => member.address !== this.peers.address);
-    this.peers.addSeeds(others.map((member) => member.address));
+    this.peers.setListed(others.map((member) => member.address));
   }
 
   private logFailure(failure: RecordFailure): false {
--- a/src/gateway/peer-group.ts
+++ b/src/gateway/peer-group.ts
@@ -25,7 +25,8 @@
 export class PeerGroup {
   readonly membership: Membership;
   private readonly transport: PeerTransport;
-  private seeds = new Set<string>();
+  private readonly seeds = new Set<string>();
+  private listed: readonly string[] = [];
 
   constructor(private readonly options: PeerGroupOptions) {
     const { host, port, zone, capacity, logger } = options;
@@ -78,7 +79,18 @@
   /** Adds addresses to probe. */
   addSeeds(addresses: readonly string[]): void {
     for (const address of addresses) this.seeds.add(address);
-    this.apply({ type: 'seeds', addresses: [...this.seeds] });
+    this.applySeeds();
+  }
+
+  /** Sets the addresses that the platform's store lists. They are probed too; those that it no longer lists are not. */
+  setListed(addresses: readonly string[]): void {
+    this.listed = addresses;
+    this.applySeeds();
+  }
+
+  private applySeeds(): void {
+    const addresses = [...new Set([...this.seeds, ...this.listed])];
+    this.apply({ type: 'seeds', addresses });
   }
 
   /** Daemons that can be assigned work, including this one unless it is leaving. */
--- a/test/compatibility/builds-side-by-side.test.ts
+++ b/test/compatibility/builds-side-by-side.test.ts
@@ -36,7 +36,11 @@
     write: () => Promise.resolve(Result.ok(record)),
     remove: () => Promise.resolve(),
   } as unknown as RecordStore;
-  const peers = { address: '10.0.0.9:1', addSeeds: () => {} } as unknown as PeerGroup;
+  const peers = {
+    address: '10.0.0.9:1',
+    addSeeds: () => {},
+    setListed: () => {},
+  } as unknown as PeerGroup;
   const settings = parseGatewaySettings(deployedSettings(), 'test');
   if (settings.isErr) throw new Error(settings.error.message);
   const list = new MemberList(settings.value, store, peers, silentLogger);
--- a/test/gateway/member-list.test.ts
+++ b/test/gateway/member-list.test.ts
@@ -1,5 +1,5 @@
 import { Result } from 'true-myth';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { leaseNow } from '../../src/common/lease-clock.js';
 import { silentLogger } from '../../src/common/logger.js';
 import { sleep } from '../../src/common/process.js';
@@ -70,11 +70,15 @@
 function startList(
   store: RecordStore,
   onRenewed: (askedAt: number) => void = () => {},
+  reachable: readonly string[] = [],
 ): { list: MemberList; seeds: string[] } {
   const seeds: string[] = [];
   const peers = {
     address: ADDRESS,
     addSeeds: (addresses: readonly string[]) => seeds.push(...addresses),
+    setListed: (addresses: readonly string[]) => seeds.push(...addresses),
+    live: () => [{ address: ADDRESS }],
+    reachableOthers: () => reachable,
   } as unknown as PeerGroup;
   const settings = {
     name: 'd1',
@@ -183,4 +187,53 @@
     expect(store.calls.at(-1)).toBe('remove members d1 1');
     expect([...store.records.keys()]).toEqual([]);
   });
+
+  describe('after a long time', () => {
+    const ENDED = { address: '10.0.0.2:7380', zone: 'b' };
+    const EXPIRED_MS = RENEWAL_EXPIRY_MS + 120_000;
+
+    beforeEach(() => vi.useFakeTimers({ toFake: ['performance'] }));
+    afterEach(() => vi.useRealTimers());
+
+    /** Lets time pass by the clock of the list, and then waits until it has read. */
+    async function pass(milliseconds: number): Promise<void> {
+      vi.advanceTimersByTime(milliseconds);
+      await sleep(1_200);
+    }
+
+    it('lists a daemon no longer that was lost without a planned stop', async () => {
+      const store = new CountingStore();
+      store.records.set('d2', { name: 'd2', value: ENDED, revision: 4 });
+      startList(store);
+      await pass(1_000);
+      await pass(RENEWAL_EXPIRY_MS);
+      expect([...store.records.keys()].sort()).toEqual(['d1', 'd2']);
+      await pass(EXPIRED_MS - RENEWAL_EXPIRY_MS);
+      expect([...store.records.keys()]).toEqual(['d1']);
+      expect(store.calls).toContain('remove members d2 4');
+    });
+
+    it('lists a daemon on that renews its entry or is reached', async () => {
+      const store = new CountingStore();
+      store.records.set('d2', { name: 'd2', value: ENDED, revision: 4 });
+      const reached = { address: '10.0.0.3:7380', zone: 'b' };
+      store.records.set('d3', { name: 'd3', value: reached, revision: 4 });
+      startList(store, () => {}, [reached.address]);
+      for (let passedMs = 0; passedMs < EXPIRED_MS; passedMs += 600_000) {
+        await pass(600_000);
+        store.records.set('d2', { name: 'd2', value: ENDED, revision: 5 + passedMs });
+      }
+      expect([...store.records.keys()].sort()).toEqual(['d1', 'd2', 'd3']);
+    });
+
+    it('writes its entry again if another daemon has removed it', async () => {
+      const store = new CountingStore();
+      startList(store);
+      await pass(1_000);
+      store.records.delete('d1');
+      await pass(60_000);
+      await pass(5_000);
+      expect([...store.records.keys()]).toEqual(['d1']);
+    });
+  });
 });
