Soak: gateways are lost for good and replaced at other addresses

Until now each gateway of a soak came back at its address, so that the list of daemons never held more entries than run. New opt-in fault gateways_replaced, and rules service_unowned (the record names no running gateway at the end) and models_starved (beyond 1 + 10 in 100 of the models asked for four times after 12 s without faults).

The mix of requests moved to call-mix.ts.

--- a/test/soak/audit-configuration.test.ts
+++ b/test/soak/audit-configuration.test.ts
@@ -58,6 +58,8 @@
     unencodedMessages: [],
     unexpectedFaults: [],
     silentBackups: [],
+    lostGateways: [],
+    owner: undefined,
     promisesRevocation: true,
     ...part,
   };
--- a/test/soak/audit.test.ts
+++ b/test/soak/audit.test.ts
@@ -72,6 +72,8 @@
     unencodedMessages: [],
     unexpectedFaults: [],
     silentBackups: [],
+    lostGateways: [],
+    owner: undefined,
     promisesRevocation: true,
     ...part,
   };
--- a/test/soak/audit.ts
+++ b/test/soak/audit.ts
@@ -7,6 +7,7 @@
 import { auditAnnouncements } from './audit-announcements.js';
 import { auditEndless } from './audit-endless.js';
 import { auditFunnels } from './audit-funnels.js';
+import { auditLosses } from './audit-losses.js';
 import { auditSilences } from './audit-silences.js';
 import { auditStops, dueAt } from './audit-stops.js';
 import { auditStreams } from './audit-streams.js';
@@ -56,6 +57,7 @@
     ...auditSilences(evidence),
     ...auditEndless(evidence),
     ...auditFunnels(evidence),
+    ...auditLosses(evidence),
     ...evidence.unexpectedExits.map((exit) => ({
       rule: 'unasked_exit',
       detail: describeExit(exit),
--- a/test/soak/caller-routing.ts
+++ b/test/soak/caller-routing.ts
@@ -12,6 +12,7 @@
 export function routableGateways(gateways: Iterable<GatewayProcess>): GatewayProcess[] {
   const now = Date.now();
   return [...gateways].filter((each) => {
+    if (each.isGone) return false;
     const stoppedAt = each.stopDuring(now, now);
     return stoppedAt === undefined || now - stoppedAt < UPDATE_DELAY_MS;
   });
--- a/test/soak/evidence.ts
+++ b/test/soak/evidence.ts
@@ -123,6 +123,10 @@
   readonly streams: readonly StreamRecord[];
   /** Start of the final phase without faults, in Unix milliseconds. */
   readonly faultFreeSince: number;
+  /** Gateways that were lost for good. */
+  readonly lostGateways: readonly string[];
+  /** The gateway that owns the models at the end according to the store's record; undefined if none of them does. */
+  readonly owner: string | undefined;
   /** Exits that no fault or stop of the soak caused. */
   readonly unexpectedExits: readonly ProcessExit[];
   /** Log lines of gateways about messages that they could not encode. */
--- a/test/soak/gateway-process.ts
+++ b/test/soak/gateway-process.ts
@@ -121,6 +121,8 @@
   readonly exits: ProcessExit[] = [];
   /** Signals that were sent to its processes, in order, other than SIGKILL, SIGSTOP and SIGCONT. */
   readonly sentSignals: SentSignal[] = [];
+  /** Whether its machine was lost for good. */
+  isGone = false;
   private child: ChildProcess | undefined;
   /** When the current process was started, in Unix milliseconds. */
   private startedAt = 0;
@@ -366,6 +368,13 @@
     }, milliseconds).unref();
   }
 
+  /** Kills the process for good: its machine is lost. */
+  loseForGood(): void {
+    this.recordDisturbance('killed', Infinity);
+    this.isGone = true;
+    void this.end();
+  }
+
   /** Kills the process without a restart. */
   async end(): Promise<void> {
     this.isEnded = true;
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -2,6 +2,7 @@
 import { sleep } from '../../src/common/process.js';
 import { Crowd, sourceOf } from './crowd.js';
 import type { GatewayProcess } from './gateway-process.js';
+import { GatewayLossInjector, type GatewayStarter } from './gateway-loss-injector.js';
 import { limitCounterOf, ownerOf } from './gateway-roles.js';
 import { LateRefusalInjector } from './late-refusal-injector.js';
 import type { OptInFault, SuspendedGateway } from './opt-in-fault-plan.js';
@@ -23,7 +24,8 @@
   | 'callers_misbehave'
   | 'replicas_silent_together'
   | 'replicas_refuse_late'
-  | 'version_joins_unseen';
+  | 'version_joins_unseen'
+  | 'gateways_replaced';
 
 /** Time after which a crashed replica starts again. */
 const RESTART_MS = 1_000;
@@ -65,18 +67,13 @@
   sendPoisonPart(name: string, position: number, backMs: number): void;
 }
 
-/** Starts additional gateways. */
-export interface GatewayStarter {
-  /** Starts a gateway that has not run before; does nothing if none is left. */
-  joinGateway(): void;
-}
-
 /** Injects faults into gateways, replicas and the store. */
 export class OptInFaultInjector {
   private readonly stops: StopFaultInjector;
   private readonly silences: SilenceFaultInjector;
   private readonly lateRefusals: LateRefusalInjector;
   private readonly unseenVersions: UnseenVersionInjector;
+  private readonly losses: GatewayLossInjector;
   private poisonCount = 0;
   /** Number of crashing parts that callers send now. */
   private poisonParts = 0;
@@ -104,6 +101,7 @@
     this.silences = new SilenceFaultInjector(system, random, endsAt);
     this.lateRefusals = new LateRefusalInjector(system, random, endsAt);
     this.unseenVersions = new UnseenVersionInjector(system, random, endsAt);
+    this.losses = new GatewayLossInjector(system, random);
   }
 
   inject(fault: OptInFault): void {
@@ -113,6 +111,7 @@
     else if (fault.kind === 'replicas_silent_together') void this.silences.inject(fault);
     else if (fault.kind === 'replicas_refuse_late') void this.lateRefusals.inject(fault);
     else if (fault.kind === 'version_joins_unseen') void this.unseenVersions.inject(fault);
+    else if (fault.kind === 'gateways_replaced') void this.losses.inject(fault);
     else this.injectElsewhere(fault);
   }
 
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -232,6 +232,11 @@
       readonly versions: number;
       readonly gapMs: number;
     }
+  /** A gateway is lost for good, and another one starts at another address. */
+  | {
+      readonly kind: 'gateways_replaced';
+      readonly afterMs: number;
+    }
   /** A gateway is suspended, and its monotonic clock stops with it. */
   | {
       readonly kind: 'suspended';
@@ -280,6 +285,7 @@
   'replicas_refuse_late',
   'version_joins_unseen',
   'large_configuration',
+  'gateways_replaced',
 ];
 
 /** Rate limits in requests per second. */
@@ -462,6 +468,9 @@
     versions: Math.ceil(random.between(8, 25)),
     gapMs: random.between(100, 400),
   }),
+  gateways_replaced: (random) => ({
+    afterMs: random.between(200, 2_000),
+  }),
   suspended: (random) => ({
     who: random.pick(SUSPENDED_GATEWAYS) ?? 'any',
     milliseconds: random.between(1_000, 7_500),
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -1,10 +1,11 @@
 /** Runs one soak test: gateways as processes, stand-ins for everything else, and faults drawn from a seed. */
 import { appendFileSync, mkdirSync, rmSync } from 'node:fs';
-import path from 'node:path';
+import { join } from 'node:path';
 import { sleep } from '../../src/common/process.js';
 import { RELAY_PORT_OFFSET } from '../../src/gateway/relay-protocol.js';
 import { findFreePorts } from '../../src/testbed/free-ports.js';
 import { audit, excusedViolations } from './audit.js';
+import { drawCall } from './call-mix.js';
 import { casesMet } from './cases-met.js';
 import { hasCuts } from './cutting-faults.js';
 import { partitionReports } from './audit-partitions.js';
@@ -30,7 +31,7 @@
 import { limitMargin } from './limit-margin.js';
 import { gatewayHistoryOf } from './gateway-history.js';
 import { GatewayProcess, type GatewayPorts } from './gateway-process.js';
-import { portsByLimitCounterRank } from './gateway-roles.js';
+import { ownerOf, portsByLimitCounterRank } from './gateway-roles.js';
 import { KeptConnection } from './kept-connection.js';
 import { ObjectStoreStandIn } from './object-store-stand-in.js';
 import { signalsAtStart, type ProcessExit } from './process-signals.js';
@@ -65,6 +66,8 @@
 const PERSISTENT_CALLER_SEED = 20_000;
 /** Maximum number of gateways that join during a run. */
 const MAX_JOINERS = 8;
+/** Kinds of faults in which gateways join. */
+const GATEWAY_KINDS: readonly OptInFault['kind'][] = ['joined_during_cut', 'gateways_replaced'];
 /** Offset added to the seed for the generator of ranks and hot periods. */
 const RANK_SEED = 60_000;
 /** Offset added to the seed for the generator of callers that take up streams. */
@@ -87,6 +90,8 @@
 const GATEWAY_PORTS = 4;
 /** Time from the end of the last fault until callers must be served normally again. */
 const RECOVERY_MS = 9_000;
+/** The same if gateways are lost for good (bound of the operators). */
+const LOSS_RECOVERY_MS = 12_000;
 const CALM_PHASE_MS = 4_000;
 const PROBE_PERIOD_MS = 250;
 const MIN_PROBE_GAP_MS = 4;
@@ -157,7 +162,10 @@
     const faultsStart = Date.now() + STARTUP_MS;
     this.faultsStartAt = faultsStart;
     const { faultMs, leaving = false } = this.options;
-    const calmSince = faultsStart + faultMs + RECOVERY_MS + (leaving ? MAX_SERVICE_MS : 0);
+    const recoveryMs = this.namedKinds.includes('gateways_replaced')
+      ? LOSS_RECOVERY_MS
+      : RECOVERY_MS;
+    const calmSince = faultsStart + faultMs + recoveryMs + (leaving ? MAX_SERVICE_MS : 0);
     this.endsAt = calmSince + CALM_PHASE_MS;
     const faults = this.planAll(faultsStart);
     await sleep(STARTUP_MS);
@@ -169,6 +177,7 @@
       resumingCallers?.run(),
     ]);
     await Promise.all(this.pending);
+    const gateways = [...this.gateways.values()];
     const evidence: SoakEvidence = {
       calls: this.calls,
       probes: this.probes,
@@ -185,10 +194,12 @@
       streams: [...(resumingCallers?.streams ?? []), ...this.unnamedResumers.streams],
       faultFreeSince: calmSince,
       promisesRevocation: this.options.promisesRevocation ?? true,
+      lostGateways: gateways.filter(({ isGone }) => isGone).map(({ name }) => name),
+      owner: ownerOf(this, gateways)?.name,
       unexpectedExits: this.exits().filter(({ isExpected }) => !isExpected),
-      unencodedMessages: [...this.gateways.values()].flatMap((each) => each.unencodedMessages()),
-      unexpectedFaults: [...this.gateways.values()].flatMap((each) => each.unexpectedFaults()),
-      silentBackups: [...this.gateways.values()].flatMap((each) => each.silentBackups()),
+      unencodedMessages: gateways.flatMap((each) => each.unencodedMessages()),
+      unexpectedFaults: gateways.flatMap((each) => each.unexpectedFaults()),
+      silentBackups: gateways.flatMap((each) => each.silentBackups()),
     };
     await this.stop();
     return {
@@ -315,7 +326,8 @@
 
   /** Starts the initial gateways, and prepares those that may join later. */
   private async makeGateways(count: number): Promise<void> {
-    const all = count + (this.namedKinds.includes('joined_during_cut') ? MAX_JOINERS : 0);
+    const joiners = GATEWAY_KINDS.some((kind) => this.namedKinds.includes(kind)) ? MAX_JOINERS : 0;
+    const all = count + joiners;
     // The peer port is followed by the relay port; the two ports after it are for callers and readiness.
     const ports = await findFreePorts(all, GATEWAY_PORTS);
     const peerPorts = [...this.orderPeerPorts(ports.slice(0, count)), ...ports.slice(count, all)];
@@ -404,7 +416,7 @@
   /** Appends an event to `faults.log`, next to the logs of the gateways. */
   private logEvent(event: SoakFault | GatewayFault | SoakEvent): void {
     const line = `${new Date().toISOString()} ${JSON.stringify(event)}\n`;
-    appendFileSync(path.join(this.options.folder, 'faults.log'), line);
+    appendFileSync(join(this.options.folder, 'faults.log'), line);
   }
 
   changeConfiguration(): void {
@@ -488,8 +500,8 @@
       // Simultaneous probes would occupy all slots of the replicas.
       const gapMs = Math.max(MIN_PROBE_GAP_MS, PROBE_PERIOD_MS / probes);
       for (const version of versions) {
-        for (const name of this.gateways.keys()) {
-          this.probe(name, version);
+        for (const { name, isGone } of this.gateways.values()) {
+          if (!isGone) this.probe(name, version);
           await sleep(gapMs);
         }
       }
@@ -516,18 +528,8 @@
   }
 
   private drawRequest(random: SeededRandom): SoakRequest {
-    const events = Math.ceil(random.between(1, 60));
-    // The most requested model changes every 8 s.
-    const hot = Math.floor((Date.now() / 8_000) % MODELS.length);
-    const model = random.chance(0.6) ? MODELS[hot] : random.pick(MODELS);
-    const draw = random.between(0, 1);
-    if (draw < 0.35)
-      return this.requestOf(random, 'resumable', '/models/s/x', model, { events }, 6_000);
-    if (draw < 0.55)
-      return this.requestOf(random, 'stream_once', '/models/o/x', model, { events }, 6_000);
-    if (draw < 0.8)
-      return this.requestOf(random, 'once', '/plain/once/x', undefined, { events }, 1_500);
-    return this.requestOf(random, 'any', '/plain/any/x', undefined, { events }, 1_500);
+    const { kind, path, model, events, deadlineMs } = drawCall(random);
+    return this.requestOf(random, kind, path, model, { events }, deadlineMs);
   }
 
   private requestOf(
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -120,6 +120,10 @@
 const LARGE_SEED = 90_101;
 const LARGE_FAULT_MS = 12_000;
 
+/** Loses more gateways for good than run at a time, the owner of the models among them. */
+const LOST_SEED = 90_201;
+const LOST_FAULT_MS = 25_000;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -461,6 +465,22 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('load models although more gateways were lost for good than run', async () => {
+    const result = await runSoak({
+      seed: LOST_SEED,
+      faultMs: LOST_FAULT_MS,
+      folder: soakFolder(LOST_SEED),
+      faultKinds: 'none',
+      only: ['gateways_replaced'],
+      gateways: 3,
+      replicas: 5,
+      requestsPerSecond: 20,
+      keptCallers: 2,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(result.calls / 3);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
