Fix: an answer that ends after its head counts as whole

Cause: the close right after the head counted as the end of an empty body; for a resumed stream, events of earlier answers counted for the one that ended.

Ruled out: a cut within the head (each prefix of a head: 502).

Change: an answer with neither a length nor a byte of a body is told apart. In a stream and at the relay it counts as cut off; of a request that may run again as a failure, which is retried; else it is passed on without a length, as the backend sent it.

Tests: three of answers.test.ts and one of relay.test.ts failed before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -305,11 +305,11 @@
 
   /** Whether the backend has answered that the request itself is at fault, which another backend would answer as well. */
   private isCallerFailure(status: number): boolean {
-    return status < FIRST_SERVER_FAILURE_STATUS && this.isForwardableFailure(status);
+    return status < FIRST_SERVER_FAILURE_STATUS && this.isForwardable(status);
   }
 
-  private isForwardableFailure(status: number): boolean {
-    // A failure cannot continue a stream that the caller already receives.
+  private isForwardable(status: number): boolean {
+    // A whole answer cannot continue a stream that the caller already receives.
     return (
       this.head?.signed === true && !NOT_RUN_STATUSES.has(status) && !this.options.answer.hasBegun
     );
@@ -392,12 +392,10 @@
       status,
       rawHeaders: this.incoming?.rawHeaders ?? [],
       body: this.body.take(),
+      isLengthKnown: !this.exchange.isHeadOnly,
     };
-    if (status < FIRST_FAILURE_STATUS) {
-      this.end({ type: 'done', status }, () => this.options.answer.sendComplete(complete));
-      return;
-    }
-    if (this.isCallerFailure(status)) {
+    const isSuccess = status < FIRST_FAILURE_STATUS;
+    if (isSuccess ? complete.isLengthKnown : this.isCallerFailure(status)) {
       this.end({ type: 'done', status }, () => this.options.answer.sendComplete(complete));
       return;
     }
@@ -405,12 +403,14 @@
       type: 'failed',
       ran: this.head?.signed === true ? 'yes' : 'unknown',
       reached: true,
-      reason: `answered with status ${status}`,
+      reason: complete.isLengthKnown
+        ? `answered with status ${status}`
+        : `answered with status ${status}, without a length or a body`,
       unresponsive: false,
       closedBeforeAnswer: false,
       connectionLost: false,
       lacksModel: false,
-      ...(this.isForwardableFailure(status) ? { answer: complete } : {}),
+      ...(this.isForwardable(status) ? { answer: complete } : {}),
     });
   }
 
@@ -419,6 +419,9 @@
     if (this.parser.incompleteBytes > 0 || !answer.hasBegun) {
       return this.fail('unknown', 'the stream ended within an event', {});
     }
+    if (this.exchange.isHeadOnly) {
+      return this.fail('unknown', 'the stream ended after its head, without a length', {});
+    }
     this.end({ type: 'done', status }, () => answer.endStream());
   }
 
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -89,6 +89,7 @@
   private connected = false;
   private ended = false;
   private openedPort: number | undefined;
+  private hasBody = false;
 
   constructor(
     request: BackendRequest,
@@ -141,6 +142,14 @@
     return this.sender.isRead;
   }
 
+  /**
+   * Whether the answer has neither a length nor any byte of a body. Only the end of the connection ends such an answer, so it may have
+   * been cut off right after its head.
+   */
+  get isHeadOnly(): boolean {
+    return this.incoming !== undefined && !this.hasBody && isUnframed(this.incoming);
+  }
+
   /** Local port of the connection, which identifies it in log lines; undefined before the connection has opened. */
   get localPort(): number | undefined {
     return this.openedPort;
@@ -227,6 +236,7 @@
     answer.on('data', (chunk: Buffer) => {
       if (this.ended) return;
       this.observer.received();
+      this.hasBody = true;
       const excess = this.meter?.recordPart(chunk.length);
       if (excess !== undefined) return this.rejectAnswer(`the answer has ${excess}`);
       this.handler.onData(chunk);
@@ -279,8 +289,11 @@
   }
 }
 
+/** Statuses of answers that have no body, and so need no length. */
+const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
+
 /** Returns whether the answer has no length, so that it ends with its connection. */
-function isUnframed(answer: http.IncomingMessage): boolean {
-  const { headers } = answer;
+function isUnframed({ headers, statusCode }: http.IncomingMessage): boolean {
+  if (BODILESS_STATUSES.has(statusCode)) return false;
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -29,6 +29,8 @@
   /** Alternating names and values. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** Whether the backend has stated where the answer ends, or has sent a body. Otherwise it may have been cut off after its head. */
+  readonly isLengthKnown: boolean;
 }
 
 /** Returns raw headers without the hop-by-hop headers and without the lower-case names in `dropped`. */
@@ -94,12 +96,20 @@
   /** Sends a complete answer. */
   sendComplete(answer: CompleteAnswer): void {
     const headers = forwardedHeaders(answer.rawHeaders, CONTENT_LENGTH_HEADER);
-    headers.push('Content-Length', String(answer.body.length));
+    if (answer.isLengthKnown || isFollowed(this.response))
+      headers.push('Content-Length', String(answer.body.length));
+    else this.endWithConnection();
     this.writeHead(answer.status, headers);
     this.response.end(answer.body);
     this.openAccount(false).written(answer.body.length);
   }
 
+  /** Lets the answer end with its connection, like the backend's: a length would state more than the backend has. */
+  private endWithConnection(): void {
+    this.response.shouldKeepAlive = false;
+    this.response.useChunkedEncodingByDefault = false;
+  }
+
   /** Sends the head of a stream. */
   beginStream(status: number, rawHeaders: readonly string[]): void {
     this.writeHead(status, forwardedHeaders(rawHeaders, CONTENT_LENGTH_HEADER));
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -253,6 +253,11 @@
           response.once('drain', () => exchange.setPaused(false));
         }),
         onEnd: boundary.guard(() => {
+          // The other daemon cannot tell from the end of this answer that the backend has stated no length.
+          if (exchange.isHeadOnly) {
+            response.destroy();
+            return this.ended(relayed, backend.id, 'head_only');
+          }
           response.end();
           this.ended(relayed, backend.id, 'answered');
         }),
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -63,6 +63,44 @@
     expect(answer.status).toBe(502);
   });
 
+  it('does not present an answer as whole that may have been cut off after its head', async () => {
+    const address = await rawBackend((socket) => socket.end(UNFRAMED_HEAD));
+    harness.list([backend.record({ address })]);
+    const answer = await harness.call({ id: 'a' });
+    expect(answer).toMatchObject({ status: 200, body: '' });
+    expect(answer.headers['content-length']).toBeUndefined();
+    expect(answer.headers['transfer-encoding']).toBeUndefined();
+    expect(answer.headers.connection).toBe('close');
+  });
+
+  it('sends a request again whose answer may have been cut off after its head, if it may run again', async () => {
+    harness.configure(testConfiguration({ version: 2, routes: [testRoute()] }));
+    const address = await rawBackend((socket) => socket.end(UNFRAMED_HEAD));
+    const other = new TestBackend('two', answerWhole);
+    await other.start();
+    harness.list([backend.record({ address }), other.record({ zone: 'b' })]);
+    const answer = await harness.call({ id: 'a' });
+    expect(answer).toMatchObject({ status: 200, body: 'done a', complete: true });
+    other.stop();
+  });
+
+  it('passes on an answer whose status has no body as a whole one', async () => {
+    const address = await rawBackend((socket) =>
+      socket.end(UNFRAMED_HEAD.replace('200 OK', '204 No Content')),
+    );
+    harness.list([backend.record({ address })]);
+    expect(await harness.call({ id: 'a' })).toMatchObject({ status: 204, complete: true });
+  });
+
+  it('gives no success for an answer that was cut off within its head', async () => {
+    const head = UNFRAMED_HEAD.replace('\r\n\r\n', '\r\nContent-Length: 5\r\n\r\n');
+    for (let length = 0; length < head.length; length++) {
+      const address = await rawBackend((socket) => socket.end(head.slice(0, length)));
+      harness.list([backend.record({ address, revision: length + 2 })]);
+      expect((await harness.call({ id: 'a' })).status).toBe(502);
+    }
+  });
+
   it('does not forward an answer to another request', async () => {
     backend.handle = (_request, response) => {
       response.writeHead(200, { signed: 'yes', 'request-id': 'other' });
@@ -141,6 +179,37 @@
     other.stop();
   });
 
+  it('resumes a stream again if its second answer may have been cut off after its head', async () => {
+    const route = testRoute({ repeatability: 'resumable_stream', maxAttempts: 3 });
+    harness.configure(testConfiguration({ version: 2, routes: [route] }));
+    const order: string[] = [];
+    backend.handle = (request, response, body) => {
+      order.push('first');
+      const breakOff = { after: 2, with: () => request.socket.destroy() };
+      answerEvents(1, 5, 5, breakOff)(request, response, body);
+    };
+    const address = await rawBackend((socket) => {
+      order.push('head only');
+      socket.end(UNFRAMED_HEAD.replace('\r\n\r\n', '\r\nContent-Type: text/event-stream\r\n\r\n'));
+    });
+    const last = new TestBackend('last', answerEvents(3, 5, 5));
+    await last.start();
+    const softwareVersion = 'v1';
+    harness.list([backend.record({ softwareVersion })]);
+    const running = harness.call({ id: 'a' });
+    await pause(8);
+    harness.list([
+      backend.record({ softwareVersion }),
+      { ...backend.record({ softwareVersion }), id: 'cutting', address },
+      last.record({ softwareVersion, zone: 'b' }),
+    ]);
+    const answer = await running;
+    expect(order).toEqual(['first', 'head only']);
+    expect(answer.complete).toBe(true);
+    expect(answer.body.match(/^id: \d+$/gm)).toEqual([1, 2, 3, 4, 5].map((id) => `id: ${id}`));
+    last.stop();
+  });
+
   it('ends a stream that cannot be resumed so that the caller sees it as incomplete', async () => {
     harness.configure(
       testConfiguration({ version: 2, routes: [testRoute({ repeatability: 'stream_once' })] }),
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -169,6 +169,14 @@
     expect(view.status).toBe(502);
   });
 
+  it('does not pass on the head of an answer alone as a complete one', async () => {
+    backend.handle = (_request, response) => {
+      response.socket?.end('HTTP/1.1 200 OK\r\nsigned: yes\r\nrequest-id: r5\r\n\r\n');
+    };
+    const view = await scene.cut.call({ id: 'r5', path: '/once/x' });
+    expect(view.status).toBe(502);
+  });
+
   it('passes on a complete answer without a length', async () => {
     backend.handle = (_request, response) => {
       response.socket?.end('HTTP/1.1 200 OK\r\nsigned: yes\r\nrequest-id: r6\r\n\r\nall');
