Soak: answers are cut within their head or right after it

The soak's unframed streams ended only within an event, so it could not meet an answer to a resumed stream that has nothing but a head. New opt-in fault heads_cut.

--- a/test/soak/answer-faults.ts
+++ b/test/soak/answer-faults.ts
@@ -12,6 +12,12 @@
 const SPOILED_SHARE = 0.1;
 /** Share of the answers that do not end. */
 const ENDLESS_SHARE = 0.1;
+/** Share of the answers that are cut off within their head or, in streams, right after it. */
+const CUT_SHARE = 0.15;
+/** The same for answers that go on with a stream. */
+const CUT_RESUMED_SHARE = 0.6;
+/** Share of the cut streams that are cut after their head. */
+const HEAD_ONLY_SHARE = 0.5;
 /** While second answers come, all replicas concerned are full at the same moments: for this part of each period. */
 const FULL_MS = 150;
 const FULL_PERIOD_MS = 450;
@@ -23,7 +29,7 @@
 /** What a replica needs of the shared log. */
 type AnswerLog = Pick<
   RunLog,
-  'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers' | 'endlessAnswers'
+  'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers' | 'endlessAnswers' | 'cutHeads'
 >;
 
 /** Faults of one replica, each for a time. */
@@ -32,6 +38,7 @@
   private spoilsUntil = 0;
   private repeatsUntil = 0;
   private endlessUntil = 0;
+  private cutsHeadsUntil = 0;
   /** Bytes of the second answer that waits on a connection. */
   private readonly copies = new WeakMap<Socket, string>();
   /** Requests that are rejected with a second answer to follow. */
@@ -52,6 +59,11 @@
     this.endlessUntil = Date.now() + milliseconds;
   }
 
+  /** Closes the connections of some answers within their head or right after it for a time. */
+  cutHeads(milliseconds: number): void {
+    this.cutsHeadsUntil = Date.now() + milliseconds;
+  }
+
   /** Rejects some requests and sends some answers twice for a time. */
   repeatAnswers(milliseconds: number): void {
     this.repeatsUntil = Date.now() + milliseconds;
@@ -87,8 +99,23 @@
     this.copies.set(socket, answerBytes('200', headers, body));
   }
 
-  /** Answers with an invalid status or without an end, if such an answer is due. Returns whether it has answered. */
-  spoil(socket: Socket, headers: Headers): boolean {
+  /**
+   * Answers with an invalid status, without an end or only in part, if such an answer is due. Returns whether it has answered.
+   *
+   * @param isStream - Whether the answer would be a stream. Others may be empty, so that their head alone could be a whole answer.
+   */
+  spoil(request: http.IncomingMessage, headers: Headers, isStream: boolean): boolean {
+    const { socket } = request;
+    const isResumed = request.headers['last-event-id'] !== undefined;
+    const cutShare = isResumed ? CUT_RESUMED_SHARE : CUT_SHARE;
+    if (Date.now() < this.cutsHeadsUntil && this.random.chance(cutShare)) {
+      this.log.cutHeads += 1;
+      const head = headBytes('200', headers);
+      const isWhole = isStream && this.random.chance(HEAD_ONLY_SHARE);
+      const length = isWhole ? head.length : Math.floor(this.random.between(0, head.length));
+      socket.end(head.slice(0, length));
+      return true;
+    }
     if (Date.now() < this.endlessUntil && this.random.chance(ENDLESS_SHARE)) {
       this.log.endlessAnswers.push(sendEndless(socket, headers, this.random));
       return true;
@@ -104,8 +131,10 @@
 type Headers = Readonly<Record<string, string>>;
 
 function answerBytes(status: string, headers: Headers, body: string): string {
+  return headBytes(status, { ...headers, 'content-length': String(body.length) }) + body;
+}
+
+function headBytes(status: string, headers: Headers): string {
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-  return [`HTTP/1.1 ${status} X`, ...lines, `content-length: ${body.length}`, '', body].join(
-    '\r\n',
-  );
+  return [`HTTP/1.1 ${status} X`, ...lines, '', ''].join('\r\n');
 }
--- a/test/soak/cases-met.ts
+++ b/test/soak/cases-met.ts
@@ -13,6 +13,7 @@
   | 'unframedStreams'
   | 'brokenStreams'
   | 'spoiledStatuses'
+  | 'cutHeads'
   | 'secondAnswers'
   | 'sendsAfterSecondAnswers'
   | 'endlessAnswers';
@@ -32,7 +33,7 @@
   | 'answerFaults'
   | 'crowds'
 > {
-  const { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers } = log;
+  const { spoiledStatuses, cutHeads, secondAnswers, sendsAfterSecondAnswers } = log;
   const endlessAnswers = log.endlessAnswers.length;
   return {
     crashes: crashReports(evidence),
@@ -42,6 +43,12 @@
     stops: stopCounts(evidence),
     silences: { ...silenceCounts(evidence), lateRefusals: evidence.lateRefusals.length },
     crowds: log.crowds,
-    answerFaults: { spoiledStatuses, secondAnswers, sendsAfterSecondAnswers, endlessAnswers },
+    answerFaults: {
+      spoiledStatuses,
+      cutHeads,
+      secondAnswers,
+      sendsAfterSecondAnswers,
+      endlessAnswers,
+    },
   };
 }
--- a/test/soak/opt-in-fault-injector.ts
+++ b/test/soak/opt-in-fault-injector.ts
@@ -47,12 +47,13 @@
 type FaultOf<Kind extends OptInFault['kind']> = Extract<OptInFault, { kind: Kind }>;
 
 /** Kinds of faults in the answers of some replicas. */
-type AnswerFaultKind = 'answers_unframed' | 'statuses_spoiled' | 'answers_endless';
+type AnswerFaultKind = 'answers_unframed' | 'statuses_spoiled' | 'answers_endless' | 'heads_cut';
 
 const ANSWER_FAULT_KINDS: ReadonlySet<OptInFault['kind']> = new Set<AnswerFaultKind>([
   'answers_unframed',
   'statuses_spoiled',
   'answers_endless',
+  'heads_cut',
 ]);
 
 function isAnswerFault(fault: OptInFault): fault is FaultOf<AnswerFaultKind> {
@@ -269,9 +270,10 @@
   private spoilAnswers({ kind, count, milliseconds }: FaultOf<AnswerFaultKind>): void {
     this.recordReplicaFault(milliseconds);
     for (const replica of this.random.shuffled(this.system.replicas).slice(0, count)) {
-      if (kind === 'answers_unframed') replica.sendUnframed(milliseconds);
+      if (kind === 'heads_cut') replica.answerFaults.cutHeads(milliseconds);
+      if (kind === 'answers_unframed' || kind === 'heads_cut') replica.sendUnframed(milliseconds);
       else if (kind === 'answers_endless') replica.answerFaults.sendEndless(milliseconds);
-      else replica.answerFaults.spoilStatuses(milliseconds);
+      else if (kind === 'statuses_spoiled') replica.answerFaults.spoilStatuses(milliseconds);
     }
   }
 
--- a/test/soak/opt-in-fault-plan.ts
+++ b/test/soak/opt-in-fault-plan.ts
@@ -176,6 +176,12 @@
       readonly count: number;
       readonly milliseconds: number;
     }
+  /** All replicas close the connections of some answers within their head or right after it, and end some streams within an event. */
+  | {
+      readonly kind: 'heads_cut';
+      readonly count: number;
+      readonly milliseconds: number;
+    }
   /** Replicas answer some requests with a status that HTTP does not allow. */
   | {
       readonly kind: 'statuses_spoiled';
@@ -286,6 +292,7 @@
   'version_joins_unseen',
   'large_configuration',
   'gateways_replaced',
+  'heads_cut',
 ];
 
 /** Rate limits in requests per second. */
@@ -443,6 +450,10 @@
     count: Math.ceil(random.between(0, 4)),
     milliseconds: random.between(2_000, 6_000),
   }),
+  heads_cut: (random) => ({
+    count: Infinity,
+    milliseconds: random.between(2_000, 6_000),
+  }),
   answers_repeated: (random) => ({
     service: random.chance(0.7) ? 'plain' : 'models',
     milliseconds: random.between(2_000, 6_000),
--- a/test/soak/replica-stand-in.ts
+++ b/test/soak/replica-stand-in.ts
@@ -454,7 +454,7 @@
     );
     if (condition === 'answers_lost' && random.chance(0.2)) return void request.socket.destroy();
     const seal = { 'x-attempt-id': attemptId, 'x-server-seal': `${this.id}.${attemptId}` };
-    if (this.answerFaults.spoil(request.socket, seal)) return;
+    if (this.answerFaults.spoil(request, seal, this.options.hasModels)) return;
     if (condition === 'fails_some' && random.chance(0.3)) {
       return sendJson(response, 500, {}, seal);
     }
--- a/test/soak/run-log.ts
+++ b/test/soak/run-log.ts
@@ -134,6 +134,8 @@
   brokenStreams = 0;
   /** Answers with a status that HTTP does not allow. */
   spoiledStatuses = 0;
+  /** Number of answers that were cut off within their head or right after it. */
+  cutHeads = 0;
   readonly endlessAnswers: EndlessAnswer[] = [];
   /** Second answers that were sent where the next answer on a connection should come. */
   secondAnswers = 0;
--- a/test/soak/soak-options.ts
+++ b/test/soak/soak-options.ts
@@ -84,7 +84,7 @@
   /** Faulty answers that replicas have sent, and sends that could have met a second answer to an earlier send. */
   readonly answerFaults: Pick<
     RunLog,
-    'spoiledStatuses' | 'secondAnswers' | 'sendsAfterSecondAnswers'
+    'spoiledStatuses' | 'cutHeads' | 'secondAnswers' | 'sendsAfterSecondAnswers'
   > & { readonly endlessAnswers: number };
   /** How often callers could begin streams and take them up. */
   readonly streams: StreamCounts;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -124,6 +124,11 @@
 const LOST_SEED = 90_201;
 const LOST_FAULT_MS = 25_000;
 
+/** Produces answers that are cut within their head or right after it, also when they go on with a stream. */
+const HEADS_SEED = 90_302;
+const HEADS_FAULT_MS = 12_000;
+const MIN_CUT_HEADS = 30;
+
 describe('gateways under faults', () => {
   beforeAll(buildGateway);
 
@@ -481,6 +486,20 @@
     expect(result.served).toBeGreaterThan(result.calls / 3);
   });
 
+  it('pass on no answer as whole that was cut within its head or right after it', async () => {
+    const result = await runSoak({
+      seed: HEADS_SEED,
+      faultMs: HEADS_FAULT_MS,
+      folder: soakFolder(HEADS_SEED),
+      faultKinds: 'none',
+      only: ['heads_cut'],
+      requestsPerSecond: 40,
+      keptCallers: 4,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.answerFaults.cutHeads).toBeGreaterThanOrEqual(MIN_CUT_HEADS);
+  });
+
   it('send no work to replicas that have left, however they leave', async () => {
     const result = await runSoak({
       seed: LEAVING_SEED,
