--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -147,7 +147,9 @@
    * been cut off right after its head.
    */
   get isHeadOnly(): boolean {
-    return this.incoming !== undefined && !this.hasBody && isUnframed(this.incoming);
+    if (this.incoming === undefined || this.hasBody || this.outgoing.method === 'HEAD')
+      return false;
+    return isUnframed(this.incoming);
   }
 
   /** Local port of the connection, which identifies it in log lines; undefined before the connection has opened. */
--- a/src/gateway/ownership-renewals.ts
+++ b/src/gateway/ownership-renewals.ts
@@ -10,7 +10,7 @@
 import { steadyNow } from './steady-clock.js';
 
 /** Interval between two renewals, in milliseconds. */
-export const RENEWAL_PERIOD_MS = 2_000;
+export const OWNER_RENEWAL_PERIOD_MS = 2_000;
 
 /** Options of {@link OwnershipRenewals}. */
 export interface OwnershipRenewalsOptions {
@@ -39,7 +39,7 @@
     this.record = record;
     this.revision = revision;
     this.renewals = 0;
-    this.dueAt = steadyNow() + RENEWAL_PERIOD_MS;
+    this.dueAt = steadyNow() + OWNER_RENEWAL_PERIOD_MS;
   }
 
   end(): void {
@@ -51,7 +51,7 @@
     const { record } = this;
     const now = steadyNow();
     if (record === undefined || this.isCalling || now < this.dueAt) return;
-    this.dueAt = now + RENEWAL_PERIOD_MS;
+    this.dueAt = now + OWNER_RENEWAL_PERIOD_MS;
     this.isCalling = true;
     const call = this.revision === undefined ? this.read(record) : this.renew(record);
     void call.finally(() => (this.isCalling = false));
--- a/src/gateway/ownership.ts
+++ b/src/gateway/ownership.ts
@@ -19,10 +19,11 @@
 import { UnchangedRecord } from '../core/unchanged-record.js';
 import { parseOwnerRecord, type OwnerRecord } from './owner-record.js';
 import { OwnershipProofs } from './ownership-proofs.js';
-import { OwnershipRenewals, RENEWAL_PERIOD_MS } from './ownership-renewals.js';
+import { OwnershipRenewals, OWNER_RENEWAL_PERIOD_MS } from './ownership-renewals.js';
 import type { RecordStore } from './ports.js';
 import { leaseNow } from '../common/lease-clock.js';
 import { steadyNow } from './steady-clock.js';
+import type { OwnerInputs } from './unowned-service.js';
 
 /** Interval between two ticks above which the process counts as having been paused, in milliseconds. */
 const PAUSED_AFTER_MS = 1_000;
@@ -36,7 +37,7 @@
  * Time in milliseconds for which a record must have been unchanged before a daemon that reaches less than half of the listed ones claims:
  * two renewals may fail, and daemons that reach half claim earlier.
  */
-const UNRENEWED_MS = 3 * RENEWAL_PERIOD_MS;
+const UNRENEWED_MS = 3 * OWNER_RENEWAL_PERIOD_MS;
 
 /** Minimum time between two starts of a process, in milliseconds. */
 const MIN_RESTART_MS = 150;
@@ -177,11 +178,6 @@
     return this.epoch !== undefined || this.ownerIsLive();
   }
 
-  /** Milliseconds for which the owner's record has been unchanged in the reads of this daemon. */
-  get recordUnchangedMs(): number {
-    return this.unchanged.unchangedMs();
-  }
-
   /** Peer address of the owner, if one is known. */
   get ownerAddress(): string | undefined {
     return this.record?.address;
@@ -387,10 +383,11 @@
     return reachesHalf(this.options.peers.live(), this.options.listed());
   }
 
-  /** Number of daemons that this one reaches, itself included, and of those that the list contains; for the log. */
-  reach(): { readonly live: number; readonly listed: number } {
+  /** What a claim depends on, for the log. */
+  inputs(): OwnerInputs {
     const { peers, listed } = this.options;
-    return { live: peers.live().length, listed: listed().length };
+    const recordUnchangedMs = this.unchanged.unchangedMs();
+    return { live: peers.live().length, listed: listed().length, recordUnchangedMs };
   }
 
   /**
@@ -501,7 +498,7 @@
       before,
       cause,
       isHandedOver,
-      ...this.reach(),
+      ...this.inputs(),
     });
     if (!won || this.stopped) return;
     this.lease.begin({ askedAt, answeredAt: steadyNow(), isHandedOver });
--- a/src/gateway/service-ownerships.ts
+++ b/src/gateway/service-ownerships.ts
@@ -67,8 +67,7 @@
     for (const { ownership, unowned, owner } of this.services.values()) {
       ownership.tick();
       owner?.tick();
-      const { recordUnchangedMs } = ownership;
-      unowned.observe(ownership.knowsOwner, { ...ownership.reach(), recordUnchangedMs }, now);
+      unowned.observe(ownership.knowsOwner, () => ownership.inputs(), now);
     }
   }
 
--- a/src/gateway/unowned-service.ts
+++ b/src/gateway/unowned-service.ts
@@ -28,8 +28,8 @@
     private readonly metrics: Pick<GatewayMetrics, 'unownedSeconds'>,
   ) {}
 
-  /** Processes whether an owner is known, at a time in milliseconds of the steady clock. */
-  observe(isOwned: boolean, inputs: OwnerInputs, now: number): void {
+  /** Processes whether an owner is known, at a time in milliseconds of the steady clock. `inputs` is called only for a line. */
+  observe(isOwned: boolean, inputs: () => OwnerInputs, now: number): void {
     const { service } = this;
     this.since = isOwned ? undefined : (this.since ?? now);
     const unownedMs = this.since === undefined ? 0 : now - this.since;
@@ -39,6 +39,6 @@
       return;
     }
     this.nextReportMs = unownedMs + Math.min(unownedMs, MAX_REPORT_GAP_MS);
-    this.logger.warn('service_unowned', { service, unownedMs: Math.round(unownedMs), ...inputs });
+    this.logger.warn('service_unowned', { service, unownedMs: Math.round(unownedMs), ...inputs() });
   }
 }
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -92,6 +92,21 @@
     expect(await harness.call({ id: 'a' })).toMatchObject({ status: 204, complete: true });
   });
 
+  it('passes on the answer to a HEAD request, which has no body', async () => {
+    harness.configure(testConfiguration({ version: 2, routes: [testRoute()] }));
+    let arrivals = 0;
+    const address = await rawBackend((socket) => {
+      arrivals += 1;
+      socket.end(UNFRAMED_HEAD);
+    });
+    harness.list([backend.record({ address })]);
+    expect(await harness.call({ id: 'a', method: 'HEAD' })).toMatchObject({
+      status: 200,
+      body: '',
+    });
+    expect(arrivals).toBe(1);
+  });
+
   it('gives no success for an answer that was cut off within its head', async () => {
     const head = UNFRAMED_HEAD.replace('\r\n\r\n', '\r\nContent-Length: 5\r\n\r\n');
     for (let length = 0; length < head.length; length++) {
